--- /dev/null
+++ b/bin/aldertide-lab.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/lab/cli/main.js';
--- /dev/null
+++ b/lab/backend/contract-routes.ts
@@ -0,0 +1,68 @@
+/** The grant contract of a stand-in back end; see docs/BACKEND-CONTRACT.md. */
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import type { z } from 'zod';
+import {
+  addGrantsSchema,
+  CONTRACT_PREFIX,
+  drainSchema,
+  extendLeaseSchema,
+  releaseSchema,
+  revokeSchema,
+  takeHolderSchema,
+  type HolderAnswer,
+} from '../../src/backend-contract/grant-messages.js';
+import type { BackendServer } from './backend-server.js';
+
+const STATUS_BAD_REQUEST = 400;
+const STATUS_NOT_HOLDER = 409;
+
+/** Adds the contract's routes. */
+export function registerContract(app: FastifyInstance, server: BackendServer): void {
+  const route = <T extends { readonly agent: string }>(
+    name: string,
+    schema: z.ZodType<T>,
+    handle: (body: T) => unknown,
+    open = false,
+  ): void => {
+    app.put(`${CONTRACT_PREFIX}/${name}`, async (request, reply: FastifyReply) => {
+      const parsed = schema.safeParse(request.body);
+      if (!parsed.success) return await reply.status(STATUS_BAD_REQUEST).send({ error: parsed.error.issues });
+      if (!open && !server.grants.isHolder(parsed.data.agent)) {
+        return await reply.status(STATUS_NOT_HOLDER).send({ error: 'another agent holds this back end' });
+      }
+      const answer = await handle(parsed.data);
+      if (answer === null) return await reply.status(STATUS_NOT_HOLDER).send({ error: 'not granted' });
+      return await reply.send(answer ?? {});
+    });
+  };
+  const takeHolder = async ({ agent }: { agent: string }): Promise<HolderAnswer> => {
+    await server.grants.takeHolder(agent);
+    server.draining = false;
+    return holderAnswer(server);
+  };
+  route('holder', takeHolderSchema, takeHolder, true);
+  route('lease', extendLeaseSchema, ({ deadlineMs }) => {
+    server.grants.extend(deadlineMs);
+    return holderAnswer(server);
+  });
+  route('grants', addGrantsSchema, ({ grants, deadlineMs }) => {
+    server.grants.extend(deadlineMs);
+    server.grants.add(grants);
+  });
+  route('revocations', revokeSchema, ({ shards }) => {
+    server.grants.revoke(shards);
+  });
+  route('release', releaseSchema, async ({ shard, epoch }) => {
+    const window = await server.grants.release(shard, epoch);
+    return window === null ? null : { window: window.export() };
+  });
+  route('drain', drainSchema, ({ draining }) => {
+    server.draining = draining;
+  });
+}
+
+function holderAnswer(server: BackendServer): HolderAnswer {
+  const load = [...server.load];
+  server.load.clear();
+  return { instance: server.instance, load, inFlight: server.inFlight };
+}
--- /dev/null
+++ b/lab/cli/main.ts
@@ -0,0 +1,66 @@
+/** `aldertide-lab`: stand-ins, load, fleets and the other means of proof. */
+import sade from 'sade';
+import { runCommandLine, type Options } from '../../src/cli/command-line.js';
+import { backendCommand } from './backend-command.js';
+import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
+import { loadCommand } from './load-command.js';
+
+const VERSION = '0.1.0';
+
+const program = sade('aldertide-lab').version(VERSION);
+
+program
+  .command('backend')
+  .describe('Run a stand-in for a stateful server.')
+  .option('--name', 'Name in the configuration')
+  .option('--service', 'Service that it belongs to')
+  .option('--host', 'IP address to listen on', '127.0.0.1')
+  .option('--port', 'Port to listen on')
+  .option('--slots', 'Requests that it works on at a time', 6)
+  .option('--work-ms', 'Mean time of a request, in ms', 3)
+  .option('--cold-ms', 'Time after the start in which requests take longer, in ms', 0)
+  .option('--cold-factor', 'How many times longer they take then', 1)
+  .option('--repeat-horizon-ms', 'Time within which callers repeat a request, in ms', 30_000)
+  .option('--health', 'What the health endpoint tells: honest, lagging or misleading', 'honest')
+  .option('--seed', 'Seed of the random numbers', 1)
+  .option('--journal', 'File for the execution journal')
+  .action(async (options: Options) => await backendCommand(options));
+
+program
+  .command('load')
+  .describe('Run open-loop callers against routers.')
+  .option('--settings', 'File that says what to do (JSON)')
+  .option('--summary', 'File for the sums (JSON)')
+  .action(async (options: Options) => await loadCommand(options));
+
+program
+  .command('fleet run <deployment>')
+  .describe('Run a deployment under load and faults, and judge every promise.')
+  .option('--seconds', 'Time under load', 10)
+  .option('--seed', 'Seed of load and faults', 1)
+  .option('--fault', 'Fault to bring about, as NAME or NAME@SECOND; may be given more than once')
+  .option('--rate-factor', "Factor on the deployment's rates", 1)
+  .option('--folder', 'Folder for settings, logs and journals')
+  .option('--json', 'Print one JSON object as the last line')
+  .action(async (file: string, options: Options) => await fleetRunCommand(file, options));
+
+program
+  .command('fleet up <deployment>')
+  .describe('Start a deployment and keep it up until it is interrupted.')
+  .option('--folder', 'Folder for settings, logs and journals')
+  .option('--seed', 'Seed of the stand-ins', 1)
+  .action(async (file: string, options: Options) => await fleetUpCommand(file, options));
+
+program
+  .command('fleet faults')
+  .describe('List the faults that `fleet run` can bring about.')
+  .option('--json', 'Print one JSON object')
+  .action((options: Options) => fleetFaultsCommand(options));
+
+program
+  .command('demo')
+  .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
+  .option('--seed', 'Seed of load and faults', 1)
+  .action(async (options: Options) => await demoCommand(options));
+
+await runCommandLine(program);
--- /dev/null
+++ b/lab/fleet/fleet-plan.ts
@@ -0,0 +1,303 @@
+/** Works out the processes, addresses, relays and settings files of a deployment on one machine. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { randomBytes } from 'node:crypto';
+import { join } from 'node:path';
+import { stringify } from 'yaml';
+import type { SocketAddress } from '../../src/model/socket-address.js';
+import { buildConfiguration, type Deployment, type DeployedService, type Placed } from './deployment.js';
+import { findFreePorts } from './ports.js';
+import type { RelayLink } from './relay.js';
+
+/** What a process of a fleet is. */
+export type ProcessRole = 'control' | 'agent' | 'router' | 'backend';
+
+/** One process to start. */
+export interface PlannedProcess {
+  readonly name: string;
+  readonly zone: string;
+  readonly role: ProcessRole;
+  /** Program and arguments after `node`. */
+  readonly arguments: readonly string[];
+  /** Folder that it keeps data in; null when it has none. */
+  readonly dataFolder: string | null;
+}
+
+/** One relay to start. */
+export interface PlannedRelay {
+  readonly link: RelayLink;
+  readonly listen: SocketAddress;
+  readonly target: SocketAddress;
+}
+
+/** A back end and its agent, which stand on the same machine. */
+export interface PlannedBackend {
+  readonly service: string;
+  readonly name: string;
+  readonly agent: string;
+  readonly journal: string;
+}
+
+/** A whole fleet. */
+export interface FleetPlan {
+  readonly folder: string;
+  readonly tokenFile: string;
+  readonly token: string;
+  readonly processes: readonly PlannedProcess[];
+  readonly relays: readonly PlannedRelay[];
+  readonly backends: readonly PlannedBackend[];
+  /** Operator interfaces by control replica. */
+  readonly operators: ReadonlyMap<string, SocketAddress>;
+  /** Where callers reach each router. */
+  readonly callerAddresses: ReadonlyMap<string, SocketAddress>;
+  /** Where each router listens. */
+  readonly routerAddresses: ReadonlyMap<string, SocketAddress>;
+  readonly configuration: unknown;
+}
+
+/** Programs, as paths from the root of the repository. */
+export interface ProgramPaths {
+  readonly aldertide: string;
+  readonly lab: string;
+}
+
+const TOKEN_BYTES = 24;
+
+/** Name under which callers stand in relays. */
+export const CALLERS = 'callers';
+
+/** Plans a fleet and writes its settings files into `folder`. */
+export async function planFleet(
+  deployment: Deployment,
+  folder: string,
+  seed: number,
+  programs: ProgramPaths,
+): Promise<FleetPlan> {
+  mkdirSync(folder, { recursive: true });
+  const planner = new FleetPlanner(deployment, folder, seed, programs);
+  return await planner.plan();
+}
+
+class FleetPlanner {
+  private readonly token = randomBytes(TOKEN_BYTES).toString('hex');
+  private readonly tokenFile: string;
+  private readonly relays: PlannedRelay[] = [];
+  private readonly processes: PlannedProcess[] = [];
+  private free: SocketAddress[] = [];
+
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly folder: string,
+    private readonly seed: number,
+    private readonly programs: ProgramPaths,
+  ) {
+    this.tokenFile = join(folder, 'token');
+  }
+
+  async plan(): Promise<FleetPlan> {
+    writeFileSync(this.tokenFile, `${this.token}\n`, { mode: 0o600 });
+    this.free = await findFreePorts(this.countPorts());
+    const { control, routers, services } = this.deployment;
+    const controlAddresses = this.takeFor(control);
+    const operators = this.takeFor(control);
+    const routerAddresses = this.takeFor(routers);
+    const placed = Object.values(services).flatMap((service) => service.backends);
+    const backendAddresses = this.takeFor(placed);
+    for (const replica of control) this.planControl(replica, controlAddresses, operators);
+    const backends = this.planBackends(backendAddresses, controlAddresses);
+    for (const router of routers)
+      this.planRouter(router, routerAddresses, backendAddresses, controlAddresses);
+    const callerAddresses = this.planCallers(routerAddresses);
+    const { folder, token, tokenFile, processes, relays } = this;
+    const configuration = buildConfiguration(this.deployment, (backend) =>
+      addressOf(backendAddresses, backend),
+    );
+    writeFileSync(join(folder, 'configuration.yaml'), stringify(configuration));
+    return {
+      folder,
+      token,
+      tokenFile,
+      processes,
+      relays,
+      backends,
+      operators,
+      callerAddresses,
+      routerAddresses,
+      configuration,
+    };
+  }
+
+  private countPorts(): number {
+    const { control, routers, services } = this.deployment;
+    const backends = Object.values(services).flatMap((service) => service.backends).length;
+    const controlLinks = control.length * (control.length + routers.length + backends);
+    const routerLinks = routers.length * (backends + 1);
+    const listeners = 2 * control.length + routers.length + 3 * backends;
+    return controlLinks + routerLinks + listeners;
+  }
+
+  private take(): SocketAddress {
+    const address = this.free.pop();
+    if (address === undefined) throw new Error('invariant broken: too few ports were planned');
+    return address;
+  }
+
+  private takeFor(placed: readonly Placed[]): Map<string, SocketAddress> {
+    return new Map(placed.map(({ name }) => [name, this.take()]));
+  }
+
+  /** Adds a relay and returns where the dialing process reaches its target. */
+  private relay(from: Placed, to: Placed, target: SocketAddress): SocketAddress {
+    const listen = this.take();
+    const delayMs = from.zone === to.zone ? 0 : this.deployment.delays.betweenZonesMs;
+    this.relays.push({ link: { from: from.name, to: to.name, delayMs }, listen, target });
+    return listen;
+  }
+
+  private controlFor(from: Placed, addresses: ReadonlyMap<string, SocketAddress>): object[] {
+    return this.deployment.control.map((replica) => {
+      const target = addressOf(addresses, replica.name);
+      const address = replica.name === from.name ? target : this.relay(from, replica, target);
+      return { name: replica.name, address };
+    });
+  }
+
+  private settings(name: string, content: object): string {
+    const file = join(this.folder, `${name}.yaml`);
+    writeFileSync(file, stringify(content));
+    return file;
+  }
+
+  private daemon(
+    role: 'control' | 'agent' | 'router',
+    placed: Placed,
+    settings: object,
+    dataFolder: string | null,
+  ): void {
+    const { name, zone } = placed;
+    const file = this.settings(name, { name, zone, tokenFile: this.tokenFile, ...settings });
+    const given = [this.programs.aldertide, role, '--settings', file];
+    this.processes.push({ name, zone, role, arguments: given, dataFolder });
+  }
+
+  private planControl(
+    replica: Placed,
+    addresses: ReadonlyMap<string, SocketAddress>,
+    operators: ReadonlyMap<string, SocketAddress>,
+  ): void {
+    const dataFolder = join(this.folder, `${replica.name}-data`);
+    const settings = {
+      dataFolder,
+      listen: addressOf(addresses, replica.name),
+      operator: addressOf(operators, replica.name),
+      members: this.controlFor(replica, addresses),
+      timing: { sessionTermMs: this.deployment.sessionTermMs },
+    };
+    this.daemon('control', replica, settings, dataFolder);
+  }
+
+  private planBackends(
+    addresses: ReadonlyMap<string, SocketAddress>,
+    control: ReadonlyMap<string, SocketAddress>,
+  ): PlannedBackend[] {
+    return Object.entries(this.deployment.services).flatMap(([serviceName, service]) => {
+      return service.backends.map((backend) =>
+        this.planBackend(serviceName, service, backend, addresses, control),
+      );
+    });
+  }
+
+  private planBackend(
+    serviceName: string,
+    service: DeployedService,
+    backend: Placed,
+    addresses: ReadonlyMap<string, SocketAddress>,
+    control: ReadonlyMap<string, SocketAddress>,
+  ): PlannedBackend {
+    const address = addressOf(addresses, backend.name);
+    const journal = join(this.folder, `${backend.name}.journal`);
+    this.processes.push({
+      name: backend.name,
+      zone: backend.zone,
+      role: 'backend',
+      arguments: this.backendArguments(serviceName, service, backend, address, journal),
+      dataFolder: null,
+    });
+    const agent = { name: `agent-${backend.name}`, zone: backend.zone };
+    const settings = {
+      listen: this.take(),
+      management: this.take(),
+      control: this.controlFor(agent, control),
+      service: serviceName,
+      backend: backend.name,
+      backendAddress: address,
+      renewIntervalMs: Math.round(this.deployment.sessionTermMs / 4),
+    };
+    this.daemon('agent', agent, settings, null);
+    return { service: serviceName, name: backend.name, agent: agent.name, journal };
+  }
+
+  private backendArguments(
+    serviceName: string,
+    service: DeployedService,
+    backend: Placed,
+    address: SocketAddress,
+    journal: string,
+  ): string[] {
+    const { slots, repeatHorizonMs } = service.configuration;
+    const position = service.backends.indexOf(backend);
+    const options: Record<string, unknown> = {
+      name: backend.name,
+      service: serviceName,
+      host: address.host,
+      port: address.port,
+      slots: slots ?? 6,
+      'work-ms': service.workMs,
+      'cold-ms': service.coldMs,
+      'cold-factor': service.coldFactor,
+      'repeat-horizon-ms': repeatHorizonMs ?? 30_000,
+      health: service.health,
+      seed: this.seed * 100 + position,
+      journal,
+    };
+    const flags = Object.entries(options).flatMap(([option, value]) => [`--${option}`, String(value)]);
+    return [this.programs.lab, 'backend', ...flags];
+  }
+
+  private planRouter(
+    router: Placed,
+    routerAddresses: ReadonlyMap<string, SocketAddress>,
+    backendAddresses: ReadonlyMap<string, SocketAddress>,
+    control: ReadonlyMap<string, SocketAddress>,
+  ): void {
+    const placed = Object.values(this.deployment.services).flatMap((service) => service.backends);
+    const reached = placed.map((backend) => {
+      return [backend.name, this.relay(router, backend, addressOf(backendAddresses, backend.name))];
+    });
+    const settings = {
+      listen: addressOf(routerAddresses, router.name),
+      control: this.controlFor(router, control),
+      routers: this.deployment.routers.length,
+      backendAddresses: Object.fromEntries(reached) as unknown,
+    };
+    this.daemon('router', router, settings, null);
+  }
+
+  private planCallers(routerAddresses: ReadonlyMap<string, SocketAddress>): Map<string, SocketAddress> {
+    const { routers, delays } = this.deployment;
+    return new Map(
+      routers.map((router) => {
+        const listen = this.take();
+        const target = addressOf(routerAddresses, router.name);
+        const link = { from: CALLERS, to: router.name, delayMs: delays.toClientsMs };
+        this.relays.push({ link, listen, target });
+        return [router.name, listen];
+      }),
+    );
+  }
+}
+
+function addressOf(addresses: ReadonlyMap<string, SocketAddress>, name: string): SocketAddress {
+  const address = addresses.get(name);
+  if (address === undefined) throw new Error(`invariant broken: no address for ${name}`);
+  return address;
+}
--- /dev/null
+++ b/lab/fleet/fleet.ts
@@ -0,0 +1,155 @@
+/** A running deployment: its processes, relays, and the operator's view of it. */
+import { rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { OperatorClient } from '../../src/cli/operator-client.js';
+import type { ControlStatus } from '../../src/control/control-status.js';
+import { formatAddress } from '../../src/model/socket-address.js';
+import type { StateSnapshot } from '../../src/control/state-snapshot.js';
+import type { FleetPlan, PlannedProcess } from './fleet-plan.js';
+import { ManagedProcess } from './managed-process.js';
+import { Relay } from './relay.js';
+
+const READY_TIMEOUT_MS = 40_000;
+const READY_POLL_MS = 100;
+
+/** A running fleet. */
+export class Fleet {
+  readonly operator: OperatorClient;
+  private readonly processes = new Map<string, ManagedProcess>();
+  private readonly relays: Relay[] = [];
+  private readonly cutDirections = new Set<string>();
+
+  constructor(readonly plan: FleetPlan) {
+    const operators = [...plan.operators.values()].map((address) => formatAddress(address));
+    this.operator = new OperatorClient(operators, plan.token);
+    for (const planned of plan.processes) {
+      const log = join(plan.folder, `${planned.name}.log`);
+      this.processes.set(planned.name, new ManagedProcess(planned.name, planned.arguments, log));
+    }
+  }
+
+  /** Starts everything, submits the configuration and waits until every shard has an owner. */
+  async up(): Promise<void> {
+    for (const planned of this.plan.relays) {
+      const relay = new Relay(
+        planned.link,
+        planned.target,
+        (from, to) => !this.cutDirections.has(`${from}>${to}`),
+      );
+      await relay.listen(planned.listen);
+      this.relays.push(relay);
+    }
+    for (const process of this.processes.values()) process.start();
+    await this.waitFor('a control replica leads', (statuses) =>
+      statuses.some(({ role }) => role === 'leader'),
+    );
+    const submission = { submissionId: 'first', baseRevision: 0, document: this.plan.configuration };
+    const applied = await this.operator.call('PUT', 'configuration', submission);
+    if (applied.err) throw new Error(`the configuration was not accepted: ${applied.val.message}`);
+    await this.waitFor('every shard has an owner', (statuses) =>
+      everythingOwned(statuses, this.routerNames()),
+    );
+  }
+
+  /** Stops everything; callers' side first, so that nothing is cut off. */
+  async down(): Promise<void> {
+    const order: readonly PlannedProcess['role'][] = ['router', 'agent', 'backend', 'control'];
+    for (const role of order) {
+      const ofRole = this.plan.processes.filter((planned) => planned.role === role);
+      await Promise.all(ofRole.map(({ name }) => this.process(name).stop()));
+    }
+    for (const relay of this.relays) relay.close();
+  }
+
+  /** Kills everything at once; for when a run has failed. */
+  async abandon(): Promise<void> {
+    await Promise.all([...this.processes.values()].map((process) => process.kill()));
+    for (const relay of this.relays) relay.close();
+  }
+
+  /** A process by name. */
+  process(name: string): ManagedProcess {
+    const process = this.processes.get(name);
+    if (process === undefined) throw new Error(`the fleet has no process ${name}`);
+    return process;
+  }
+
+  /** Names of all processes of a role. */
+  names(role: PlannedProcess['role']): string[] {
+    return this.plan.processes.filter((planned) => planned.role === role).map(({ name }) => name);
+  }
+
+  /** Holds back all bytes from a process, to it, or both. */
+  cut(name: string, directions: 'both' | 'outgoing'): void {
+    for (const other of this.processes.keys()) {
+      if (other === name) continue;
+      this.cutDirections.add(`${name}>${other}`);
+      if (directions === 'both') this.cutDirections.add(`${other}>${name}`);
+    }
+  }
+
+  /** Ends all cuts of a process. */
+  heal(name: string): void {
+    for (const direction of [...this.cutDirections]) {
+      const [from, to] = direction.split('>');
+      if (from === name || to === name) this.cutDirections.delete(direction);
+    }
+  }
+
+  /** Removes the data folder of a process that is not running. */
+  loseDisk(name: string): void {
+    const planned = this.plan.processes.find((process) => process.name === name);
+    if (planned?.dataFolder != null) rmSync(planned.dataFolder, { recursive: true, force: true });
+  }
+
+  /** Name of the replica that leads, by what the replicas say; null when none does. */
+  async leader(): Promise<string | null> {
+    const statuses = await this.statuses();
+    const leading = statuses.filter((status) => status.role === 'leader');
+    const newest = leading.reduce<ControlStatus | null>((best, status) => {
+      return best === null || status.term > best.term ? status : best;
+    }, null);
+    return newest?.replica.split('/')[0] ?? null;
+  }
+
+  /** Status of every replica that answers. */
+  async statuses(): Promise<ControlStatus[]> {
+    const answers = await this.operator.callEach('status');
+    return answers.map(([, status]) => status as ControlStatus);
+  }
+
+  /** The replicated state, from the leader. */
+  async snapshot(): Promise<StateSnapshot> {
+    const answer = await this.operator.call('GET', 'snapshot');
+    if (answer.err) throw new Error(`no state could be read: ${answer.val.message}`);
+    return answer.val as StateSnapshot;
+  }
+
+  /** Waits until the statuses satisfy `condition`. */
+  async waitFor(what: string, condition: (statuses: readonly ControlStatus[]) => boolean): Promise<void> {
+    const untilMs = performance.now() + READY_TIMEOUT_MS;
+    while (performance.now() < untilMs) {
+      if (condition(await this.statuses())) return;
+      await sleep(READY_POLL_MS);
+    }
+    throw new Error(`did not come about in time: ${what}; see the logs in ${this.plan.folder}`);
+  }
+
+  private routerNames(): string[] {
+    return this.names('router');
+  }
+}
+
+/** Every shard is owned, nothing is moving, and every router is up to date. */
+export function everythingOwned(statuses: readonly ControlStatus[], routers: readonly string[]): boolean {
+  const leader = statuses.find((status) => status.role === 'leader');
+  if (leader === undefined || leader.services.length === 0) return false;
+  const settled = leader.services.every((service) => service.unowned === 0 && service.moving === 0);
+  const allHere = leader.backends.every((backend) => backend.session !== null);
+  const watchers = statuses.flatMap((status) => status.watchers);
+  const routersCurrent = routers.every((name) => {
+    return watchers.some((watcher) => watcher.name === name && watcher.revision === leader.revision);
+  });
+  return settled && allHere && routersCurrent;
+}
--- /dev/null
+++ b/src/agent/backend-client.ts
@@ -0,0 +1,105 @@
+/** Calls the back end's side of the contract. Every outcome is a value; nothing here retries. */
+import { Pool } from 'undici';
+import type { z } from 'zod';
+import {
+  CONTRACT_PREFIX,
+  holderAnswerSchema,
+  releaseAnswerSchema,
+  type Claim,
+  type Grant,
+  type HolderAnswer,
+} from '../backend-contract/grant-messages.js';
+import { formatAddress, type SocketAddress } from '../model/socket-address.js';
+import { Err, Ok, type Result } from '../result.js';
+
+/** Time in ms for a call that the back end can answer at once. */
+const CALL_TIMEOUT_MS = 500;
+
+/** Time in ms for a back end to finish what is running on a shard that it releases. */
+const RELEASE_TIMEOUT_MS = 10_000;
+
+/** Why a call failed. */
+export type BackendCallError =
+  /** Nothing listens there: the process is gone, and its grants with it. */
+  | { readonly kind: 'gone' }
+  /** No answer: the back end may be frozen and may still hold its grants. */
+  | { readonly kind: 'no-answer'; readonly detail: string }
+  /** It answered that this agent no longer holds it, or that it cannot do this. */
+  | { readonly kind: 'refused'; readonly status: number };
+
+/** A client for one back end. */
+export class BackendClient {
+  private readonly pool: Pool;
+
+  constructor(
+    address: SocketAddress,
+    private readonly agentInstance: string,
+  ) {
+    this.pool = new Pool(`http://${formatAddress(address)}`, { connections: 4 });
+  }
+
+  /** Makes this agent the only holder; earlier grants have ended once this returns. */
+  async takeHolder(): Promise<Result<HolderAnswer, BackendCallError>> {
+    return await this.call('holder', {}, holderAnswerSchema, RELEASE_TIMEOUT_MS);
+  }
+
+  /** Lengthens all grants. */
+  async extendLease(deadlineMs: number): Promise<Result<HolderAnswer, BackendCallError>> {
+    return await this.call('lease', { deadlineMs }, holderAnswerSchema, CALL_TIMEOUT_MS);
+  }
+
+  /** Adds grants. */
+  async addGrants(deadlineMs: number, grants: readonly Grant[]): Promise<Result<unknown, BackendCallError>> {
+    return await this.call('grants', { deadlineMs, grants }, null, CALL_TIMEOUT_MS);
+  }
+
+  /** Ends grants at once. */
+  async revoke(shards: readonly number[]): Promise<Result<unknown, BackendCallError>> {
+    return await this.call('revocations', { shards }, null, CALL_TIMEOUT_MS);
+  }
+
+  /** Stops admitting to a shard, waits for what is running and returns the claimed keys. */
+  async release(shard: number, epoch: number): Promise<Result<{ window: Claim[] }, BackendCallError>> {
+    return await this.call('release', { shard, epoch }, releaseAnswerSchema, RELEASE_TIMEOUT_MS);
+  }
+
+  /** Tells the back end that it is leaving, or that it stays. */
+  async setDraining(draining: boolean): Promise<Result<unknown, BackendCallError>> {
+    return await this.call('drain', { draining }, null, CALL_TIMEOUT_MS);
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async call<T>(
+    name: string,
+    body: object,
+    schema: z.ZodType<T> | null,
+    timeoutMs: number,
+  ): Promise<Result<T, BackendCallError>> {
+    try {
+      const response = await this.pool.request({
+        method: 'PUT',
+        path: `${CONTRACT_PREFIX}/${name}`,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ agent: this.agentInstance, ...body }),
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== 200) return Err({ kind: 'refused', status: response.statusCode });
+      if (schema === null) return Ok(undefined as T);
+      const parsed = schema.safeParse(JSON.parse(text) as unknown);
+      return parsed.success ? Ok(parsed.data) : Err({ kind: 'no-answer', detail: 'unreadable answer' });
+    } catch (error) {
+      return Err(classify(error));
+    }
+  }
+}
+
+function classify(error: unknown): BackendCallError {
+  const code = (error as NodeJS.ErrnoException).code;
+  if (code === 'ECONNREFUSED') return { kind: 'gone' };
+  return { kind: 'no-answer', detail: error instanceof Error ? error.message : String(error) };
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,75 @@
+/** `aldertide`: the daemons and the operators' tools. */
+import sade from 'sade';
+import {
+  agentSettingsSchema,
+  controlSettingsSchema,
+  routerSettingsSchema,
+} from '../config/daemon-settings.js';
+import { Ok } from '../result.js';
+import { RouterNode } from '../router/router-node.js';
+import { startAgent } from './agent-daemon.js';
+import { runCommandLine, type Options } from './command-line.js';
+import { startControl } from './control-daemon.js';
+import { runDaemon } from './daemon-command.js';
+import { applyCommand, checkCommand, drainCommand, getCommand, statusCommand } from './operator-commands.js';
+
+const VERSION = '0.1.0';
+
+const program = sade('aldertide').version(VERSION);
+
+program
+  .command('control')
+  .describe('Run a control replica: it keeps ownership and configuration on its disk.')
+  .option('--settings', 'Settings file (YAML)')
+  .action(
+    async (options: Options) => await runDaemon('control', options, controlSettingsSchema, startControl),
+  );
+
+program
+  .command('agent')
+  .describe('Run the agent beside a back end: it holds its session and its grants.')
+  .option('--settings', 'Settings file (YAML)')
+  .action(async (options: Options) => await runDaemon('agent', options, agentSettingsSchema, startAgent));
+
+program
+  .command('router')
+  .describe('Run a router: it takes requests to the back ends that own their keys.')
+  .option('--settings', 'Settings file (YAML)')
+  .action(async (options: Options) => {
+    return await runDaemon('router', options, routerSettingsSchema, async (settings, token, logger) => {
+      const node = await RouterNode.start(settings, token, logger);
+      return node.err ? node : Ok({ stop: async () => await node.val.stop(settings.drainMs) });
+    });
+  });
+
+program
+  .command('check <file>')
+  .describe('Check a configuration file; all problems are reported at once.')
+  .option('--json', 'Print one JSON object')
+  .action((file: string, options: Options) => checkCommand(file, options));
+
+withOperatorOptions(program.command('apply <file>').describe('Submit a configuration file.'))
+  .option('--submission-id', 'Name of this submission; a resend under the same name gets the first answer')
+  .option('--base-revision', 'Revision that the change was made on; the one in force when left out')
+  .action(async (file: string, options: Options) => await applyCommand(file, options));
+
+withOperatorOptions(program.command('get').describe('Print the configuration in force.')).action(
+  async (options: Options) => await getCommand(options),
+);
+
+withOperatorOptions(
+  program.command('status').describe('Show replicas, services, back ends and daemons.'),
+).action(async (options: Options) => await statusCommand(options));
+
+withOperatorOptions(program.command('drain <backend>').describe('Move everything off a back end.'))
+  .option('--undo', 'Take the back end back into service')
+  .action(async (backend: string, options: Options) => await drainCommand(backend, options));
+
+await runCommandLine(program);
+
+function withOperatorOptions(command: sade.Sade): sade.Sade {
+  return command
+    .option('--control', 'Operator addresses of the control replicas, as host:port,host:port')
+    .option('--token-file', "File with the cluster's shared token")
+    .option('--json', 'Print one JSON object');
+}
--- /dev/null
+++ b/src/cli/operator-commands.ts
@@ -0,0 +1,90 @@
+/** The operators' commands: check, apply, get, status, drain. */
+import { randomUUID } from 'node:crypto';
+import { stringify } from 'yaml';
+import { configurationSchema } from '../config/configuration.js';
+import { formatProblem, readYamlFile } from '../config/yaml-file.js';
+import type { ConfigurationRevision } from '../control/control-state.js';
+import type { ControlStatus } from '../control/control-status.js';
+import { numberOption, printJson, printLine, textOption, usageError, type Options } from './command-line.js';
+import { EXIT_CODE } from './exit-code.js';
+import { OperatorClient, type OperatorError } from './operator-client.js';
+import { formatStatus } from './status-table.js';
+
+/** `check FILE`: reports every problem of a configuration file. */
+export function checkCommand(file: string, options: Options): number {
+  const read = readYamlFile(file, configurationSchema);
+  const errors = read.err ? read.val : [];
+  if (options['json'] === true) printJson({ ok: read.ok, errors });
+  else printLine(read.ok ? `${file}: ok` : errors.map((problem) => formatProblem(problem)).join('\n'));
+  return read.ok ? EXIT_CODE.done : EXIT_CODE.refused;
+}
+
+/** `apply FILE`: submits a configuration on the revision that is in force, or on `--base-revision`. */
+export async function applyCommand(file: string, options: Options): Promise<number> {
+  const read = readYamlFile(file, configurationSchema);
+  if (read.err) return checkCommand(file, options);
+  const client = OperatorClient.fromOptions(options);
+  if (client.err) return usageError(client.val);
+  const base = numberOption(options, 'base-revision', -1);
+  if (base === null) return usageError('--base-revision takes a number');
+  const baseRevision = base >= 0 ? base : await presentRevision(client.val);
+  if (typeof baseRevision !== 'number') return fail(baseRevision, options);
+  const submissionId = textOption(options, 'submission-id') ?? randomUUID();
+  const submission = { submissionId, baseRevision, document: read.val };
+  const answer = await client.val.call('PUT', 'configuration', submission);
+  if (answer.err) return fail(answer.val, options);
+  const { revision } = answer.val as { revision: number };
+  if (options['json'] === true) printJson({ ok: true, revision, submissionId });
+  else printLine(`revision ${revision} accepted`);
+  return EXIT_CODE.done;
+}
+
+/** `get`: prints the configuration in force. */
+export async function getCommand(options: Options): Promise<number> {
+  const client = OperatorClient.fromOptions(options);
+  if (client.err) return usageError(client.val);
+  const answer = await client.val.call('GET', 'configuration');
+  if (answer.err) return fail(answer.val, options);
+  const { revision, document } = answer.val as ConfigurationRevision;
+  if (options['json'] === true) printJson({ revision, document });
+  else printLine(`# revision ${revision}\n${stringify(document).trimEnd()}`);
+  return EXIT_CODE.done;
+}
+
+/** `status`: shows replicas, services, back ends, and what every daemon has in force. */
+export async function statusCommand(options: Options): Promise<number> {
+  const client = OperatorClient.fromOptions(options);
+  if (client.err) return usageError(client.val);
+  const answers = await client.val.callEach('status');
+  const statuses = answers.map(([, status]) => status as ControlStatus);
+  if (statuses.length === 0) {
+    return fail({ exitCode: EXIT_CODE.unreachable, message: 'no replica answered', problem: null }, options);
+  }
+  if (options['json'] === true) printJson({ replicas: statuses });
+  else printLine(formatStatus(statuses));
+  return EXIT_CODE.done;
+}
+
+/** `drain BACKEND`: moves everything off a back end, or with `--undo` takes it back into service. */
+export async function drainCommand(backend: string, options: Options): Promise<number> {
+  const client = OperatorClient.fromOptions(options);
+  if (client.err) return usageError(client.val);
+  const undo = options['undo'] === true;
+  const path = `backends/${encodeURIComponent(backend)}/drain`;
+  const answer = await client.val.call(undo ? 'DELETE' : 'PUT', path);
+  if (answer.err) return fail(answer.val, options);
+  if (options['json'] === true) printJson({ ok: true, backend, draining: !undo });
+  else printLine(undo ? `${backend} is back in service` : `${backend} is leaving`);
+  return EXIT_CODE.done;
+}
+
+async function presentRevision(client: OperatorClient): Promise<number | OperatorError> {
+  const answer = await client.call('GET', 'configuration');
+  return answer.ok ? (answer.val as ConfigurationRevision).revision : answer.val;
+}
+
+function fail(error: OperatorError, options: Options): number {
+  if (options['json'] === true) printJson({ ok: false, message: error.message, problem: error.problem });
+  else process.stderr.write(`${error.message}\n`);
+  return error.exitCode;
+}
--- /dev/null
+++ b/src/config/configuration.ts
@@ -0,0 +1,111 @@
+/** The configuration document that operators submit: services, their back ends and their limits. */
+import { z } from 'zod';
+import { socketAddressSchema } from '../model/socket-address.js';
+
+const nameSchema = z
+  .string()
+  .regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and dashes, starting with a letter');
+
+const keySourceSchema = z.discriminatedUnion('from', [
+  z.strictObject({
+    from: z.literal('path'),
+    /** Position of the segment after the service name, counted from 0. */
+    segment: z.number().int().min(0).max(15),
+  }),
+  z.strictObject({ from: z.literal('query'), name: z.string().min(1).max(100) }),
+  z.strictObject({ from: z.literal('header'), name: z.string().min(1).max(100) }),
+]);
+
+const endpointRuleSchema = z.strictObject({
+  method: z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']),
+  /** Path prefix after the service name. */
+  path: z.string().startsWith('/').max(500),
+  repeatable: z.boolean(),
+});
+
+const backendSchema = z.strictObject({
+  zone: nameSchema,
+  address: socketAddressSchema,
+});
+
+const placementSchema = z.strictObject({
+  /** Largest load over mean load that is left as it is. */
+  toleratedImbalance: z.number().min(1).max(10).default(1.1),
+  /** Planned moves of shards a minute, repairs and drains not counted. */
+  maxMovesPerMinute: z.number().int().min(0).max(100_000).default(60),
+});
+
+const serviceFields = z.strictObject({
+  /** `keyed`: each key has one owner. `spread`: any back end may serve any request. */
+  division: z.enum(['keyed', 'spread']),
+  /** Where the key of a request is found; needed for `keyed`. */
+  key: keySourceSchema.optional(),
+  /** Parts that the keys are divided into; cannot be changed later. */
+  shards: z.number().int().min(1).max(131_072),
+  /** Requests that one back end works on at a time. */
+  slots: z.number().int().min(1).max(10_000),
+  /** Connections that one back end accepts, over all routers. */
+  connections: z.number().int().min(1).max(100_000),
+  /** Longest time for one request, in ms, where the caller sets none. */
+  deadlineMs: z.number().int().min(1).max(600_000).default(2_000),
+  /** Time in ms within which callers may repeat a request under the same Idempotency-Key. */
+  repeatHorizonMs: z.number().int().min(0).max(86_400_000).default(30_000),
+  /** Exceptions to the rule that GET, HEAD, PUT and DELETE may be repeated and others may not. */
+  endpoints: z.array(endpointRuleSchema).max(200).default([]),
+  placement: placementSchema.default({ toleratedImbalance: 1.1, maxMovesPerMinute: 60 }),
+  backends: z.record(nameSchema, backendSchema),
+});
+
+const serviceSchema = serviceFields.refine(
+  (service) => service.division !== 'keyed' || service.key !== undefined,
+  { path: ['key'], message: 'a service divided by key needs `key`' },
+);
+
+/** Schema of the whole document. */
+export const configurationSchema = z
+  .strictObject({
+    version: z.literal(1),
+    services: z.record(nameSchema, serviceSchema),
+  })
+  .superRefine((document, context) => {
+    for (const problem of duplicateBackends(document.services))
+      context.addIssue({ code: 'custom', ...problem });
+  });
+
+/** Where the key of a request is found. */
+export type KeySource = z.infer<typeof keySourceSchema>;
+/** Whether requests to a path may be repeated. */
+export type EndpointRule = z.infer<typeof endpointRuleSchema>;
+/** A server that owns shards. */
+export type BackendConfiguration = z.infer<typeof backendSchema>;
+/** One service. */
+export type ServiceConfiguration = z.infer<typeof serviceFields>;
+/** The whole document. */
+export interface ConfigurationDocument {
+  readonly version: 1;
+  readonly services: Readonly<Record<string, ServiceConfiguration>>;
+}
+
+interface DocumentProblem {
+  readonly path: (string | number)[];
+  readonly message: string;
+}
+
+/** A back end's name and address stand for one process, so each may appear once in the document. */
+function duplicateBackends(services: Record<string, ServiceConfiguration>): DocumentProblem[] {
+  const problems: DocumentProblem[] = [];
+  const seen = new Map<string, string>();
+  for (const [serviceName, service] of Object.entries(services)) {
+    for (const [name, backend] of Object.entries(service.backends)) {
+      const address = `${backend.address.host}:${backend.address.port}`;
+      for (const identity of [name, address]) {
+        const earlier = seen.get(identity);
+        const path = ['services', serviceName, 'backends', name];
+        const message = `${identity} already stands for ${earlier ?? ''}`;
+        if (earlier !== undefined) problems.push({ path, message });
+        seen.set(identity, `${serviceName}/${name}`);
+      }
+    }
+  }
+  return problems;
+}
--- /dev/null
+++ b/src/config/yaml-file.ts
@@ -0,0 +1,89 @@
+/** Reads a YAML file against a schema; every problem is reported with its line, all at once. */
+import { readFileSync } from 'node:fs';
+import { isNode, LineCounter, parseDocument, type Document } from 'yaml';
+import type { z } from 'zod';
+import { Err, Ok, type Result } from '../result.js';
+
+/** One problem of a file. */
+export interface FileProblem {
+  readonly file: string;
+  /** Counted from 1. */
+  readonly line: number;
+  /** Path of the field, such as `services.stockdesk.slots`; empty for the whole file. */
+  readonly path: string;
+  /** What was found and what is allowed. */
+  readonly message: string;
+}
+
+type Path = readonly PropertyKey[];
+
+/** Reads and checks `file`. */
+export function readYamlFile<T>(file: string, schema: z.ZodType<T>): Result<T, FileProblem[]> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return Err([{ file, line: 1, path: '', message: `cannot be read: ${detail}` }]);
+  }
+  return parseYaml(file, text, schema);
+}
+
+/** Checks `text` as the content of `file`. */
+export function parseYaml<T>(file: string, text: string, schema: z.ZodType<T>): Result<T, FileProblem[]> {
+  const lines = new LineCounter();
+  const document = parseDocument(text, { lineCounter: lines, prettyErrors: false });
+  if (document.errors.length > 0) {
+    return Err(
+      document.errors.map((error) => {
+        return { file, line: lines.linePos(error.pos[0]).line, path: '', message: error.message };
+      }),
+    );
+  }
+  const parsed = schema.safeParse(document.toJS() as unknown);
+  if (parsed.success) return Ok(parsed.data);
+  const problems = parsed.error.issues.flatMap((issue) => flattenIssue(issue));
+  return Err(
+    problems.map(({ path, message }) => {
+      const line = lineOf(document, lines, path);
+      return { file, line, path: path.map(String).join('.'), message: describe(document, path, message) };
+    }),
+  );
+}
+
+/** Writes a problem as one line for people. */
+export function formatProblem(problem: FileProblem): string {
+  const field = problem.path === '' ? '' : `${problem.path}: `;
+  return `${problem.file}:${problem.line}: ${field}${problem.message}`;
+}
+
+interface LocatedMessage {
+  readonly path: Path;
+  readonly message: string;
+}
+
+/** Unknown fields come as one issue on their parent; each gets its own line. */
+function flattenIssue(issue: z.core.$ZodIssue): LocatedMessage[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({ path: [...issue.path, key], message: 'unknown field' }));
+  }
+  if (issue.code === 'invalid_key') {
+    return issue.issues.map((inner) => ({ path: issue.path, message: `as a name: ${inner.message}` }));
+  }
+  return [{ path: issue.path, message: issue.message }];
+}
+
+function lineOf(document: Document, lines: LineCounter, path: Path): number {
+  for (let length = path.length; length >= 0; length -= 1) {
+    const node: unknown = length === 0 ? document.contents : document.getIn(path.slice(0, length), true);
+    const start = isNode(node) ? node.range?.[0] : undefined;
+    if (start !== undefined) return lines.linePos(start).line;
+  }
+  return 1;
+}
+
+function describe(document: Document, path: Path, message: string): string {
+  const found: unknown = document.getIn(path);
+  const isScalar = ['string', 'number', 'boolean'].includes(typeof found);
+  return isScalar ? `found ${JSON.stringify(found)}; ${message}` : message;
+}
--- /dev/null
+++ b/src/consensus/replica.ts
@@ -0,0 +1,216 @@
+/**
+ * Driver of the consensus core: feeds it events, makes its effects durable, sends its messages and
+ * applies what is committed. Events that arrive during a disk sync wait and share the next one.
+ */
+import { hrtime } from 'node:process';
+import type { ReplicaStorage } from '../storage/replica-storage.js';
+import { RaftCore } from './raft-core.js';
+import type {
+  LogEntry,
+  RaftEffect,
+  RaftEvent,
+  RaftMessage,
+  RaftOptions,
+  RaftRole,
+  ReplicaId,
+  SnapshotPosition,
+} from './raft-types.js';
+
+const TICK_MS = 20;
+const NANOSECONDS_PER_MS = 1_000_000n;
+
+/** The replicated state. */
+export interface StateMachine {
+  /** Applies one committed entry; called once for each, in order. */
+  apply(entry: LogEntry): void;
+  /** Content for a snapshot at the last applied entry. */
+  snapshot(): unknown;
+  /** Replaces the state by the content of a snapshot at `index`; null stands for the empty state. */
+  restore(data: unknown, index: number): void;
+}
+
+/** Where a replica's effects on others go. */
+export interface ReplicaPorts {
+  send(message: RaftMessage): void;
+  onRoleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void;
+  onLeadershipConfirmed(requestId: number): void;
+  onProposalDropped(proposalId: string): void;
+  /** The disk failed; the process must stop, since it can promise nothing any more. */
+  onFatal(error: unknown): void;
+}
+
+/** Options of the driver. */
+export interface ReplicaOptions extends RaftOptions {
+  /** Applied entries after which a snapshot replaces the log. */
+  readonly snapshotEveryEntries: number;
+}
+
+/** Counters of the driver. */
+export interface ReplicaCounters {
+  syncs: number;
+  entriesPersisted: number;
+  entriesApplied: number;
+  snapshotsTaken: number;
+  snapshotsInstalled: number;
+}
+
+/** Present time of the host's monotonic clock, in ms. */
+export function monotonicMs(): number {
+  return Number(hrtime.bigint() / (NANOSECONDS_PER_MS / 1_000n)) / 1_000;
+}
+
+/** A running replica. */
+export class Replica {
+  readonly core: RaftCore;
+  readonly counters: ReplicaCounters = {
+    syncs: 0,
+    entriesPersisted: 0,
+    entriesApplied: 0,
+    snapshotsTaken: 0,
+    snapshotsInstalled: 0,
+  };
+  private readonly queue: RaftEvent[] = [];
+  private readonly timer: NodeJS.Timeout;
+  private running: Promise<void> | null = null;
+  private stopped = false;
+  private appliedIndex: number;
+
+  constructor(
+    readonly id: ReplicaId,
+    private readonly storage: ReplicaStorage,
+    private readonly stateMachine: StateMachine,
+    private readonly ports: ReplicaPorts,
+    private readonly options: ReplicaOptions,
+  ) {
+    this.core = new RaftCore(id, storage.initialState, options, monotonicMs());
+    this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
+    this.appliedIndex = storage.initialState.snapshot.index;
+    this.timer = setInterval(() => {
+      this.submit({ kind: 'tick' });
+    }, TICK_MS);
+  }
+
+  /** Index of the newest entry that the state machine has taken. */
+  get applied(): number {
+    return this.appliedIndex;
+  }
+
+  /** Queues an event for the core. */
+  submit(event: RaftEvent): void {
+    if (this.stopped) return;
+    this.queue.push(event);
+    this.running ??= this.run();
+  }
+
+  /** Stops taking events, waits for those under way and closes the storage. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    clearInterval(this.timer);
+    await this.running;
+    await this.storage.close();
+  }
+
+  private async run(): Promise<void> {
+    try {
+      while (this.queue.length > 0) {
+        const events = this.queue.splice(0);
+        const effects = events.flatMap((event) => this.core.step(event, monotonicMs()));
+        await this.persist(effects);
+        for (const effect of effects) this.perform(effect);
+        await this.compactIfDue();
+      }
+    } catch (error) {
+      this.stopped = true;
+      this.ports.onFatal(error);
+    } finally {
+      this.running = null;
+    }
+  }
+
+  /** Makes everything durable that the other effects of the same batch rely on. */
+  private async persist(effects: readonly RaftEffect[]): Promise<void> {
+    let unsynced = false;
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case 'persist-hard-state':
+          await this.storage.saveHardState(effect.hardState);
+          break;
+        case 'persist-entries':
+          await this.storage.append(effect.entries);
+          this.counters.entriesPersisted += effect.entries.length;
+          unsynced = true;
+          break;
+        case 'truncate-log':
+          await this.storage.truncate(effect.fromIndex);
+          unsynced = true;
+          break;
+        case 'install-snapshot':
+          await this.storage.saveSnapshot(effect.position, effect.data);
+          this.counters.snapshotsInstalled += 1;
+          break;
+      }
+    }
+    if (!unsynced) return;
+    await this.storage.sync();
+    this.counters.syncs += 1;
+  }
+
+  private perform(effect: RaftEffect): void {
+    switch (effect.kind) {
+      case 'install-snapshot':
+        this.stateMachine.restore(effect.data, effect.position.index);
+        this.appliedIndex = effect.position.index;
+        break;
+      case 'send':
+        this.ports.send(effect.message);
+        break;
+      case 'send-snapshot':
+        this.sendSnapshot(effect.to, effect.term, effect.round);
+        break;
+      case 'commit':
+        this.applyAll(effect.entries);
+        break;
+      case 'role-changed':
+        this.ports.onRoleChanged(effect.role, effect.term, effect.leader);
+        break;
+      case 'leadership-confirmed':
+        this.ports.onLeadershipConfirmed(effect.requestId);
+        break;
+      case 'proposal-dropped':
+        this.ports.onProposalDropped(effect.proposalId);
+        break;
+    }
+  }
+
+  private applyAll(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      if (entry.index <= this.appliedIndex) continue;
+      this.stateMachine.apply(entry);
+      this.appliedIndex = entry.index;
+      this.counters.entriesApplied += 1;
+    }
+  }
+
+  private sendSnapshot(to: ReplicaId, term: number, round: number): void {
+    const { position, data } = this.storage.currentSnapshot();
+    this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
+  }
+
+  private async compactIfDue(): Promise<void> {
+    const { index } = this.storage.currentSnapshot().position;
+    if (this.appliedIndex - index < this.options.snapshotEveryEntries) return;
+    const position = this.appliedPosition();
+    if (position === null) return;
+    await this.storage.saveSnapshot(position, this.stateMachine.snapshot());
+    this.counters.snapshotsTaken += 1;
+    this.core.step({ kind: 'compacted', position }, monotonicMs());
+  }
+
+  /** Position of the last applied entry, unless a membership change after the last snapshot is uncommitted. */
+  private appliedPosition(): SnapshotPosition | null {
+    const term = this.core.termAt(this.appliedIndex);
+    const membership = this.core.committedMembership();
+    if (term === null || membership === null) return null;
+    return { index: this.appliedIndex, term, membership };
+  }
+}
--- /dev/null
+++ b/src/control/control-status.ts
@@ -0,0 +1,95 @@
+/** What a control replica tells operators about itself and the deployment. Holds no secrets. */
+import type { ControlNode } from './control-node.js';
+
+/** A daemon that watches this replica. */
+export interface WatcherStatus {
+  readonly role: string;
+  readonly name: string;
+  readonly zone: string;
+  readonly index: number;
+  readonly revision: number;
+}
+
+/** One back end. */
+export interface BackendStatus {
+  readonly service: string;
+  readonly backend: string;
+  readonly session: number | null;
+  readonly draining: boolean;
+  readonly shards: number;
+}
+
+/** One service. */
+export interface ServiceStatus {
+  readonly service: string;
+  readonly shards: number;
+  readonly unowned: number;
+  readonly moving: number;
+  /** Largest number of shards at a back end over the mean; 1 is even. */
+  readonly imbalance: number;
+}
+
+/** The whole status. */
+export interface ControlStatus {
+  readonly replica: string;
+  readonly role: string;
+  readonly term: number;
+  readonly leader: string | null;
+  readonly members: { readonly voters: readonly string[]; readonly learners: readonly string[] };
+  readonly commitIndex: number;
+  readonly appliedIndex: number;
+  readonly revision: number;
+  readonly services: readonly ServiceStatus[];
+  readonly backends: readonly BackendStatus[];
+  readonly watchers: readonly WatcherStatus[];
+}
+
+/** Describes a replica. */
+export function describeStatus(node: ControlNode): ControlStatus {
+  const core = node.consensus?.core;
+  const backends = describeBackends(node);
+  return {
+    replica: node.id,
+    role: core?.role ?? 'forming',
+    term: core?.term ?? 0,
+    leader: node.leaderName,
+    members: core?.membership ?? { voters: [], learners: [] },
+    commitIndex: core?.commitIndex ?? 0,
+    appliedIndex: node.consensus?.applied ?? 0,
+    revision: node.state.configuration.revision,
+    services: describeServices(node, backends),
+    backends,
+    watchers: node.hub.list().map(({ hello, index, revision }) => {
+      return { role: hello.role, name: hello.name, zone: hello.zone, index, revision };
+    }),
+  };
+}
+
+function describeBackends(node: ControlNode): BackendStatus[] {
+  const { configuration, sessions, draining, shards } = node.state;
+  const sessionIds = new Map([...sessions.values()].map(({ backend, id }) => [backend, id]));
+  return Object.entries(configuration.document.services).flatMap(([service, { backends }]) => {
+    const rows = shards.get(service) ?? [];
+    return Object.keys(backends).map((backend) => ({
+      service,
+      backend,
+      session: sessionIds.get(backend) ?? null,
+      draining: draining.has(backend),
+      shards: rows.filter((row) => row.owner === backend).length,
+    }));
+  });
+}
+
+function describeServices(node: ControlNode, backends: readonly BackendStatus[]): ServiceStatus[] {
+  return [...node.state.shards].map(([service, rows]) => {
+    const counts = backends.filter((backend) => backend.service === service).map(({ shards }) => shards);
+    const mean = counts.reduce((sum, count) => sum + count, 0) / Math.max(1, counts.length);
+    return {
+      service,
+      shards: rows.length,
+      unowned: rows.filter((row) => row.owner === null).length,
+      moving: rows.filter((row) => row.movingTo !== null).length,
+      imbalance: mean === 0 ? 1 : Math.max(...counts) / mean,
+    };
+  });
+}
--- /dev/null
+++ b/src/control/daemon-messages.ts
@@ -0,0 +1,111 @@
+/** Messages between control replicas and the other daemons, as they are checked on arrival. */
+import { z } from 'zod';
+import { socketAddressSchema } from '../model/socket-address.js';
+import type { Change } from './changes.js';
+import type { StateSnapshot } from './state-snapshot.js';
+
+const openSessionSchema = z.object({
+  kind: z.literal('open-session'),
+  requestId: z.number(),
+  service: z.string(),
+  backend: z.string(),
+  agentAddress: socketAddressSchema,
+});
+
+const renewSessionSchema = z.object({
+  kind: z.literal('renew-session'),
+  session: z.number(),
+  /** The agent's clock when it sent this; comes back unchanged. */
+  sentMs: z.number(),
+  /** Load by shard since the last report, in requests; only shards with load. */
+  load: z.array(z.tuple([z.number(), z.number()])),
+});
+
+const closeSessionSchema = z.object({ kind: z.literal('close-session'), session: z.number() });
+
+const moveReleasedSchema = z.object({
+  kind: z.literal('move-released'),
+  session: z.number(),
+  service: z.string(),
+  shard: z.number(),
+  moveId: z.number(),
+  windowHandedOver: z.boolean(),
+});
+
+const moveRefusedSchema = z.object({
+  kind: z.literal('move-refused'),
+  session: z.number(),
+  service: z.string(),
+  shard: z.number(),
+  moveId: z.number(),
+});
+
+const watchSchema = z.object({
+  kind: z.literal('watch'),
+  /** Newest index that the daemon holds; 0 for none. */
+  fromIndex: z.number(),
+  /** Only what concerns this back end; null for everything. */
+  scope: z.object({ service: z.string(), backend: z.string() }).nullable(),
+});
+
+const watchedSchema = z.object({
+  kind: z.literal('watched'),
+  /** Newest index that the daemon has put in force. */
+  index: z.number(),
+  revision: z.number(),
+});
+
+/** What an agent or router may send to control. */
+export const daemonRequestSchema = z.discriminatedUnion('kind', [
+  openSessionSchema,
+  renewSessionSchema,
+  closeSessionSchema,
+  moveReleasedSchema,
+  moveRefusedSchema,
+  watchSchema,
+  watchedSchema,
+]);
+
+/** What an agent or router may send to control. */
+export type DaemonRequest = z.infer<typeof daemonRequestSchema>;
+/** Asks for a session. */
+export type OpenSessionRequest = z.infer<typeof openSessionSchema>;
+/** Renews the lease of a session. */
+export type RenewSessionRequest = z.infer<typeof renewSessionSchema>;
+/** Asks for the table and its changes. */
+export type WatchRequest = z.infer<typeof watchSchema>;
+
+/** What control sends to an agent or router. */
+export type ControlNotice =
+  | { readonly kind: 'not-leader'; readonly leader: string | null }
+  | {
+      readonly kind: 'session-opened';
+      readonly requestId: number;
+      readonly session: number;
+      readonly termMs: number;
+    }
+  | { readonly kind: 'session-refused'; readonly requestId: number; readonly detail: string }
+  | {
+      readonly kind: 'session-renewed';
+      readonly session: number;
+      readonly sentMs: number;
+      readonly termMs: number;
+    }
+  | { readonly kind: 'session-ended'; readonly session: number }
+  | { readonly kind: 'table'; readonly index: number; readonly table: StateSnapshot }
+  | { readonly kind: 'changes'; readonly index: number; readonly changes: readonly Change[] }
+  | { readonly kind: 'watch-refused'; readonly reason: 'behind' | 'no-leader' };
+
+/** Fields by which a notice of control is told from garbage. */
+export const controlNoticeSchema = z.object({
+  kind: z.enum([
+    'not-leader',
+    'session-opened',
+    'session-refused',
+    'session-renewed',
+    'session-ended',
+    'table',
+    'changes',
+    'watch-refused',
+  ]),
+});
--- /dev/null
+++ b/src/control/proposals.ts
@@ -0,0 +1,61 @@
+/** Commands that were proposed here and wait to be committed. */
+import { randomUUID } from 'node:crypto';
+import { Err, Ok, type Result } from '../result.js';
+import type { CommandOutcome, ControlCommand } from './commands.js';
+
+/** Time in ms after which the proposer is told that the outcome is unknown. */
+const PROPOSAL_TIMEOUT_MS = 5_000;
+
+/** Why a proposal has no outcome. Only after `not-leader` is it certain that the command will not be applied. */
+export type ProposalError = { readonly kind: 'not-leader' } | { readonly kind: 'outcome-unknown' };
+
+type Resolve = (result: Result<CommandOutcome, ProposalError>) => void;
+
+interface Pending {
+  readonly resolve: Resolve;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Joins proposals to their outcomes. */
+export class Proposals {
+  private readonly pending = new Map<string, Pending>();
+
+  constructor(private readonly submit: (proposalId: string, command: ControlCommand) => void) {}
+
+  /** Proposes a command and waits for its outcome. */
+  async propose(command: ControlCommand): Promise<Result<CommandOutcome, ProposalError>> {
+    const proposalId = randomUUID();
+    return await new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.settle(proposalId, Err({ kind: 'outcome-unknown' }));
+      }, PROPOSAL_TIMEOUT_MS);
+      this.pending.set(proposalId, { resolve, timer });
+      this.submit(proposalId, command);
+    });
+  }
+
+  /** The command was committed and applied here. */
+  applied(proposalId: string, outcome: CommandOutcome): void {
+    this.settle(proposalId, Ok(outcome));
+  }
+
+  /** The command never entered the log. */
+  dropped(proposalId: string): void {
+    this.settle(proposalId, Err({ kind: 'not-leader' }));
+  }
+
+  /** This replica is no longer leader; what waits may or may not be committed by the next one. */
+  abandonAll(): void {
+    for (const proposalId of [...this.pending.keys()]) {
+      this.settle(proposalId, Err({ kind: 'outcome-unknown' }));
+    }
+  }
+
+  private settle(proposalId: string, result: Result<CommandOutcome, ProposalError>): void {
+    const pending = this.pending.get(proposalId);
+    if (pending === undefined) return;
+    clearTimeout(pending.timer);
+    this.pending.delete(proposalId);
+    pending.resolve(result);
+  }
+}
--- /dev/null
+++ b/src/control/session-service.ts
@@ -0,0 +1,167 @@
+/**
+ * The leader's side of sessions: opens them, renews their leases and ends those that ran out.
+ *
+ * A renewal is answered only after a quorum has confirmed that this replica was still leader when the
+ * renewal arrived. A newer leader was therefore elected later, and the term that it waits covers the
+ * renewed lease.
+ */
+import type { MessageConnection } from '../transport/message-connection.js';
+import { LeaseTable } from './lease-table.js';
+import type { LoadTable } from './load-table.js';
+import type { OpenSessionRequest, RenewSessionRequest, ControlNotice } from './daemon-messages.js';
+import type { ControlState } from './control-state.js';
+import type { Proposals } from './proposals.js';
+
+interface PendingRenewal {
+  readonly request: RenewSessionRequest;
+  readonly receivedMs: number;
+  readonly connection: MessageConnection;
+}
+
+/** What the service needs of its replica. */
+export interface SessionPorts {
+  readonly state: () => ControlState;
+  readonly confirmLeadership: (requestId: number) => void;
+  readonly nowMs: () => number;
+  readonly wallMs: () => number;
+}
+
+/** Counters of the service. */
+export interface SessionCounters {
+  renewals: number;
+  opened: number;
+  expired: number;
+}
+
+/** Sessions of one leader. */
+export class SessionService {
+  readonly counters: SessionCounters = { renewals: 0, opened: 0, expired: 0 };
+  private readonly leases: LeaseTable;
+  private readonly closing = new Set<number>();
+  private readonly reportedMs = new Map<number, number>();
+  private batches = new Map<number, PendingRenewal[]>();
+  private openBatch: number | null = null;
+  private nextRequestId = 1;
+
+  constructor(
+    private readonly termMs: number,
+    private readonly ports: SessionPorts,
+    private readonly proposals: Proposals,
+    private readonly loads: LoadTable,
+  ) {
+    this.leases = new LeaseTable(termMs);
+  }
+
+  /** This replica has become leader and its state is current. */
+  startLeading(): void {
+    this.closing.clear();
+    this.reportedMs.clear();
+    this.batches.clear();
+    this.openBatch = null;
+    this.leases.restart(this.ports.state().sessions.keys(), this.ports.nowMs());
+  }
+
+  /** Opens a session. */
+  async open(request: OpenSessionRequest, connection: MessageConnection): Promise<void> {
+    const { requestId, service, backend, agentAddress } = request;
+    const receivedMs = this.ports.nowMs();
+    const wallMs = this.ports.wallMs();
+    const result = await this.proposals.propose({
+      kind: 'open-session',
+      service,
+      backend,
+      agentAddress,
+      wallMs,
+    });
+    if (result.err) {
+      notify(connection, { kind: 'session-refused', requestId, detail: result.val.kind });
+      return;
+    }
+    if (result.val.kind !== 'session-opened') {
+      const detail = result.val.kind === 'refused' ? result.val.detail : result.val.kind;
+      notify(connection, { kind: 'session-refused', requestId, detail });
+      return;
+    }
+    const { session } = result.val;
+    this.leases.renew(session, receivedMs);
+    this.counters.opened += 1;
+    notify(connection, { kind: 'session-opened', requestId, session, termMs: this.termMs });
+  }
+
+  /** Takes a renewal; it is answered when leadership has been confirmed. */
+  renew(request: RenewSessionRequest, connection: MessageConnection): void {
+    const { session } = request;
+    if (!this.ports.state().sessions.has(session) || this.closing.has(session)) {
+      notify(connection, { kind: 'session-ended', session });
+      return;
+    }
+    this.takeLoad(request);
+    this.batch().push({ request, receivedMs: this.ports.nowMs(), connection });
+  }
+
+  /** A quorum has confirmed leadership for the renewals of one batch. */
+  confirmed(requestId: number): void {
+    const batch = this.batches.get(requestId) ?? [];
+    this.batches.delete(requestId);
+    if (this.openBatch === requestId) this.openBatch = null;
+    for (const renewal of batch) this.grant(renewal);
+  }
+
+  /** Ends a session that its agent has given up; its back end holds no grant any more. */
+  close(session: number): void {
+    if (this.ports.state().sessions.has(session)) this.propose([session]);
+  }
+
+  /** Ends the sessions whose lease has run out. */
+  expire(): void {
+    const sessions = this.leases.expired(this.ports.nowMs());
+    for (const session of sessions) this.leases.forget(session);
+    const open = sessions.filter((session) => this.ports.state().sessions.has(session));
+    if (open.length === 0) return;
+    this.counters.expired += open.length;
+    this.propose(open);
+  }
+
+  /** Once this is proposed the sessions must never be renewed again, whatever becomes of the proposal. */
+  private propose(sessions: readonly number[]): void {
+    for (const session of sessions) this.closing.add(session);
+    void this.proposals.propose({ kind: 'close-sessions', sessions, wallMs: this.ports.wallMs() });
+  }
+
+  /** The batch that waits for the next heartbeat round; asks for a confirmation when it is new. */
+  private batch(): PendingRenewal[] {
+    const requestId = this.openBatch ?? this.nextRequestId;
+    const known = this.batches.get(requestId);
+    if (known !== undefined) return known;
+    this.nextRequestId = requestId + 1;
+    this.openBatch = requestId;
+    const batch: PendingRenewal[] = [];
+    this.batches.set(requestId, batch);
+    this.ports.confirmLeadership(requestId);
+    return batch;
+  }
+
+  private grant({ request, receivedMs, connection }: PendingRenewal): void {
+    const { session, sentMs } = request;
+    if (!this.ports.state().sessions.has(session) || this.closing.has(session)) {
+      notify(connection, { kind: 'session-ended', session });
+      return;
+    }
+    this.leases.renew(session, receivedMs);
+    this.counters.renewals += 1;
+    notify(connection, { kind: 'session-renewed', session, sentMs, termMs: this.termMs });
+  }
+
+  private takeLoad(request: RenewSessionRequest): void {
+    const nowMs = this.ports.nowMs();
+    const previousMs = this.reportedMs.get(request.session);
+    this.reportedMs.set(request.session, nowMs);
+    const service = this.ports.state().sessions.get(request.session)?.service;
+    if (previousMs === undefined || service === undefined) return;
+    this.loads.report(service, request.load, (nowMs - previousMs) / 1_000);
+  }
+}
+
+function notify(connection: MessageConnection, notice: ControlNotice): void {
+  connection.send(notice);
+}
--- /dev/null
+++ b/src/control/state-machine.ts
@@ -0,0 +1,274 @@
+/**
+ * Applies committed commands to the replicated state. Deterministic: the same commands in the same order
+ * give the same state on every replica. A command that no longer fits the state does nothing.
+ */
+import type { ConfigurationDocument, ServiceConfiguration } from '../config/configuration.js';
+import { emptyShardRow, type ShardRow } from '../model/shard.js';
+import type { Change, ConfigurationChange, ShardChange } from './changes.js';
+import type {
+  AssignCommand,
+  BeginMovesCommand,
+  CancelMoveCommand,
+  CloseSessionsCommand,
+  CommandOutcome,
+  CompleteMoveCommand,
+  ConfigureCommand,
+  ControlCommand,
+  OpenSessionCommand,
+  SetDrainCommand,
+} from './commands.js';
+import { sessionOfBackend, type ControlState, type Session } from './control-state.js';
+
+/** Submissions whose answers are kept for resends. */
+const KEPT_SUBMISSIONS = 1_000;
+
+/** Outcome of a command and what it changed. */
+export interface Applied {
+  readonly outcome: CommandOutcome;
+  readonly changes: readonly Change[];
+}
+
+const DONE: CommandOutcome = { kind: 'done' };
+
+/** Applies one command; `index` is that of its log entry. */
+export function applyCommand(state: ControlState, command: ControlCommand, index: number): Applied {
+  switch (command.kind) {
+    case 'configure':
+      return applyConfigure(state, command);
+    case 'open-session':
+      return applyOpenSession(state, command, index);
+    case 'close-sessions':
+      return { outcome: DONE, changes: applyCloseSessions(state, command) };
+    case 'assign':
+      return { outcome: DONE, changes: applyAssign(state, command) };
+    case 'begin-moves':
+      return { outcome: DONE, changes: applyBeginMoves(state, command, index) };
+    case 'complete-move':
+      return { outcome: DONE, changes: applyCompleteMove(state, command) };
+    case 'cancel-move':
+      return { outcome: DONE, changes: applyCancelMove(state, command) };
+    case 'set-drain':
+      return applySetDrain(state, command);
+  }
+}
+
+// ---- configuration
+
+function applyConfigure(state: ControlState, command: ConfigureCommand): Applied {
+  const { submissionId, baseRevision, document } = command;
+  const earlier = state.submissions.find((record) => record.submissionId === submissionId);
+  if (earlier !== undefined) {
+    return { outcome: { kind: 'configured', revision: earlier.revision }, changes: [] };
+  }
+  const presentRevision = state.configuration.revision;
+  if (baseRevision !== presentRevision) {
+    return { outcome: { kind: 'conflict', presentRevision, baseRevision }, changes: [] };
+  }
+  const before = state.configuration.document;
+  const problem = findForbiddenChange(before, document);
+  if (problem !== null) return { outcome: { kind: 'refused', detail: problem }, changes: [] };
+  const revision = presentRevision + 1;
+  state.configuration = { revision, document };
+  state.submissions.push({ submissionId, revision });
+  if (state.submissions.length > KEPT_SUBMISSIONS) state.submissions.shift();
+  const shardChanges = createShardTables(state, document);
+  const published = configurationChange(before, document, revision);
+  return { outcome: { kind: 'configured', revision }, changes: [published, ...shardChanges] };
+}
+
+function configurationChange(
+  before: ConfigurationDocument,
+  after: ConfigurationDocument,
+  revision: number,
+): ConfigurationChange {
+  const differing = Object.entries(after.services).filter(([name, service]) => {
+    return JSON.stringify(before.services[name]) !== JSON.stringify(service);
+  });
+  const removed = Object.keys(before.services).filter((name) => after.services[name] === undefined);
+  return { kind: 'configuration', revision, services: Object.fromEntries(differing), removed };
+}
+
+/** Names a change that would break ownership, or null. */
+export function findForbiddenChange(
+  before: ConfigurationDocument,
+  after: ConfigurationDocument,
+): string | null {
+  for (const [name, service] of Object.entries(before.services)) {
+    const next = after.services[name];
+    if (next === undefined) continue;
+    const problem = findForbiddenServiceChange(name, service, next);
+    if (problem !== null) return problem;
+  }
+  return null;
+}
+
+function findForbiddenServiceChange(
+  name: string,
+  before: ServiceConfiguration,
+  after: ServiceConfiguration,
+): string | null {
+  if (before.shards !== after.shards) {
+    return `services.${name}.shards: is ${before.shards} and cannot be changed to ${after.shards}`;
+  }
+  if (before.division !== after.division) {
+    return `services.${name}.division: is ${before.division} and cannot be changed to ${after.division}`;
+  }
+  return null;
+}
+
+function createShardTables(state: ControlState, document: ConfigurationDocument): Change[] {
+  const changes: Change[] = [];
+  for (const [name, service] of Object.entries(document.services)) {
+    if (state.shards.has(name)) continue;
+    const rows = Array.from({ length: service.shards }, (_, shard) => emptyShardRow(shard));
+    state.shards.set(name, rows);
+    changes.push({ kind: 'shards', service: name, shards: rows.map((row) => ({ row, formerOwner: null })) });
+  }
+  return changes;
+}
+
+// ---- sessions
+
+function applyOpenSession(state: ControlState, command: OpenSessionCommand, index: number): Applied {
+  const { service, backend, agentAddress, wallMs } = command;
+  const known = state.configuration.document.services[service]?.backends[backend] !== undefined;
+  if (!known) {
+    return {
+      outcome: { kind: 'refused', detail: `no back end ${backend} in service ${service}` },
+      changes: [],
+    };
+  }
+  const changes: Change[] = [];
+  const earlier = sessionOfBackend(state, backend);
+  if (earlier !== undefined) changes.push(...closeSessions(state, [earlier.id], wallMs));
+  const session: Session = { id: index, backend, service, agentAddress };
+  state.sessions.set(index, session);
+  changes.push({ kind: 'session-opened', session });
+  return { outcome: { kind: 'session-opened', session: index }, changes };
+}
+
+function applyCloseSessions(state: ControlState, command: CloseSessionsCommand): Change[] {
+  return closeSessions(state, command.sessions, command.wallMs);
+}
+
+function closeSessions(state: ControlState, ids: readonly number[], wallMs: number): Change[] {
+  const closed = ids.map((id) => state.sessions.get(id)).filter((session) => session !== undefined);
+  if (closed.length === 0) return [];
+  const changes: Change[] = closed.map(({ id, service }) => ({
+    kind: 'session-closed',
+    session: id,
+    service,
+  }));
+  for (const session of closed) state.sessions.delete(session.id);
+  const services = new Set(closed.map((session) => session.service));
+  for (const service of services) {
+    const ended = closed.filter((session) => session.service === service);
+    changes.push(...releaseShards(state, service, ended, wallMs));
+  }
+  return changes;
+}
+
+/** Takes shards from ended sessions and calls off the moves that were going to them. */
+function releaseShards(
+  state: ControlState,
+  service: string,
+  ended: readonly Session[],
+  wallMs: number,
+): Change[] {
+  const endedIds = new Set(ended.map((session) => session.id));
+  const endedBackends = new Set(ended.map((session) => session.backend));
+  return changeRows(state, service, (row) => {
+    if (row.owner !== null && endedIds.has(row.session)) {
+      return { ...row, owner: null, session: 0, movingTo: null, moveId: 0, freshAfterMs: wallMs };
+    }
+    if (row.movingTo !== null && endedBackends.has(row.movingTo))
+      return { ...row, movingTo: null, moveId: 0 };
+    return row;
+  });
+}
+
+// ---- ownership
+
+function applyAssign(state: ControlState, command: AssignCommand): Change[] {
+  const targets = new Map(command.assignments.map(({ shard, backend }) => [shard, backend]));
+  return changeRows(state, command.service, (row) => {
+    const backend = targets.get(row.shard);
+    if (backend === undefined || row.owner !== null) return row;
+    return ownedBy(state, row, backend, row.freshAfterMs);
+  });
+}
+
+function applyBeginMoves(state: ControlState, command: BeginMovesCommand, index: number): Change[] {
+  const targets = new Map(command.moves.map(({ shard, backend }) => [shard, backend]));
+  return changeRows(state, command.service, (row) => {
+    const backend = targets.get(row.shard);
+    const movable = row.owner !== null && row.owner !== backend && row.movingTo === null;
+    if (backend === undefined || !movable || sessionOfBackend(state, backend) === undefined) return row;
+    return { ...row, movingTo: backend, moveId: index };
+  });
+}
+
+function applyCompleteMove(state: ControlState, command: CompleteMoveCommand): Change[] {
+  const { shard, moveId, windowHandedOver, wallMs } = command;
+  return changeRow(state, command.service, shard, (row) => {
+    if (row.moveId !== moveId || row.movingTo === null) return row;
+    const freshAfterMs = windowHandedOver ? row.freshAfterMs : wallMs;
+    return ownedBy(state, row, row.movingTo, freshAfterMs);
+  });
+}
+
+function applyCancelMove(state: ControlState, command: CancelMoveCommand): Change[] {
+  return changeRow(state, command.service, command.shard, (row) => {
+    return row.moveId === command.moveId && row.movingTo !== null
+      ? { ...row, movingTo: null, moveId: 0 }
+      : row;
+  });
+}
+
+function applySetDrain(state: ControlState, command: SetDrainCommand): Applied {
+  const { backend, draining } = command;
+  const known = Object.values(state.configuration.document.services).some(
+    (service) => service.backends[backend] !== undefined,
+  );
+  if (!known) return { outcome: { kind: 'refused', detail: `no back end ${backend}` }, changes: [] };
+  if (state.draining.has(backend) === draining) return { outcome: DONE, changes: [] };
+  if (draining) state.draining.add(backend);
+  else state.draining.delete(backend);
+  return { outcome: DONE, changes: [{ kind: 'drain', backend, draining }] };
+}
+
+/** The row with a new owner and the next epoch; unchanged when the owner has no session. */
+function ownedBy(state: ControlState, row: ShardRow, backend: string, freshAfterMs: number): ShardRow {
+  const session = sessionOfBackend(state, backend);
+  if (session === undefined) return row;
+  const epoch = row.epoch + 1;
+  return { ...row, epoch, owner: backend, session: session.id, movingTo: null, moveId: 0, freshAfterMs };
+}
+
+function changeRows(state: ControlState, service: string, change: (row: ShardRow) => ShardRow): Change[] {
+  const rows = state.shards.get(service);
+  if (rows === undefined) return [];
+  const shards: ShardChange[] = [];
+  for (const row of rows) {
+    const next = change(row);
+    if (next === row) continue;
+    rows[row.shard] = next;
+    shards.push({ row: next, formerOwner: row.owner });
+  }
+  return shards.length === 0 ? [] : [{ kind: 'shards', service, shards }];
+}
+
+function changeRow(
+  state: ControlState,
+  service: string,
+  shard: number,
+  change: (row: ShardRow) => ShardRow,
+): Change[] {
+  const rows = state.shards.get(service);
+  const row = rows?.[shard];
+  if (rows === undefined || row === undefined) return [];
+  const next = change(row);
+  if (next === row) return [];
+  rows[shard] = next;
+  return [{ kind: 'shards', service, shards: [{ row: next, formerOwner: row.owner }] }];
+}
--- /dev/null
+++ b/src/control/watch-hub.ts
@@ -0,0 +1,135 @@
+/**
+ * Publishes committed changes to the daemons that watch this replica. Each change is encoded once for all
+ * watchers of everything; a watcher of one back end gets only the rows that concern it.
+ */
+import { encodeFrame } from '../transport/frame-codec.js';
+import type { MessageConnection } from '../transport/message-connection.js';
+import type { Hello } from '../transport/hello.js';
+import { changesInScope, rowInScope, type Change, type WatchScope } from './changes.js';
+import type { ControlState } from './control-state.js';
+import { encodeRows, encodeState, type ShardColumns, type StateSnapshot } from './state-snapshot.js';
+
+/** Published changes that are kept for watchers that come back. */
+const KEPT_CHANGES = 4_096;
+
+/** A daemon that watches this replica. */
+export interface Watcher {
+  readonly hello: Hello;
+  readonly connection: MessageConnection;
+  /** What the daemon is told of; null for everything. */
+  readonly scope: WatchScope | null;
+  /** Newest index that the daemon says it has put in force. */
+  index: number;
+  /** Configuration revision that the daemon says it has put in force. */
+  revision: number;
+}
+
+interface Published {
+  readonly index: number;
+  readonly changes: readonly Change[];
+}
+
+/** The watchers of one replica. */
+export class WatchHub {
+  private readonly watchers = new Map<MessageConnection, Watcher>();
+  private readonly recent: Published[] = [];
+  /** Changes after this index are all in `recent`. */
+  private recentSince = 0;
+
+  /** All watchers at present. */
+  list(): readonly Watcher[] {
+    return [...this.watchers.values()];
+  }
+
+  /** Starts anew after the state was replaced as a whole; watchers must be sent the table. */
+  reset(state: ControlState, index: number): void {
+    this.recent.length = 0;
+    this.recentSince = index;
+    for (const watcher of this.watchers.values()) sendTable(watcher, state, index);
+  }
+
+  /** Adds a watcher and brings it up to date. */
+  add(watcher: Watcher, fromIndex: number, state: ControlState, index: number): void {
+    this.watchers.set(watcher.connection, watcher);
+    const canCatchUp = fromIndex > 0 && fromIndex >= this.recentSince;
+    if (!canCatchUp) {
+      sendTable(watcher, state, index);
+      return;
+    }
+    for (const published of this.recent) {
+      if (published.index > fromIndex) sendChanges(watcher, published);
+    }
+  }
+
+  /** A connection has closed or no longer watches. */
+  remove(connection: MessageConnection): void {
+    this.watchers.delete(connection);
+  }
+
+  /** Tells every watcher to go elsewhere. */
+  dismissAll(reason: 'no-leader'): void {
+    for (const { connection } of this.watchers.values()) {
+      connection.send({ kind: 'watch-refused', reason });
+    }
+    this.watchers.clear();
+  }
+
+  /** Records what a watcher has put in force. */
+  acknowledge(connection: MessageConnection, index: number, revision: number): void {
+    const watcher = this.watchers.get(connection);
+    if (watcher === undefined) return;
+    watcher.index = Math.max(watcher.index, index);
+    watcher.revision = Math.max(watcher.revision, revision);
+  }
+
+  /** Publishes what one committed command changed. */
+  publish(index: number, changes: readonly Change[]): void {
+    if (changes.length === 0) return;
+    const published = { index, changes };
+    this.recent.push(published);
+    if (this.recent.length > KEPT_CHANGES) this.recentSince = this.recent.shift()?.index ?? index;
+    let frameForAll: Buffer | null = null;
+    for (const watcher of this.watchers.values()) {
+      if (watcher.scope !== null) {
+        sendChanges(watcher, published);
+        continue;
+      }
+      frameForAll ??= encodeFrame({ kind: 'changes', index, changes });
+      watcher.connection.sendEncoded(frameForAll);
+    }
+  }
+}
+
+function sendChanges(watcher: Watcher, { index, changes }: Published): void {
+  const concerned = watcher.scope === null ? changes : changesInScope(changes, watcher.scope);
+  if (concerned.length === 0) return;
+  watcher.connection.send({ kind: 'changes', index, changes: concerned });
+}
+
+function sendTable(watcher: Watcher, state: ControlState, index: number): void {
+  const table = watcher.scope === null ? tableForAll(state) : tableInScope(state, watcher.scope);
+  watcher.connection.send({ kind: 'table', index, table });
+}
+
+function tableForAll(state: ControlState): StateSnapshot {
+  return { ...encodeState(state), submissions: [] };
+}
+
+function tableInScope(state: ControlState, scope: WatchScope): StateSnapshot {
+  const { revision, document } = state.configuration;
+  const service = document.services[scope.service];
+  const services = service === undefined ? {} : { [scope.service]: service };
+  return {
+    configuration: { revision, document: { version: 1, services } },
+    submissions: [],
+    sessions: [...state.sessions.values()].filter((session) => session.service === scope.service),
+    draining: [...state.draining].filter((backend) => backend === scope.backend),
+    shards: columnsInScope(state, scope),
+  };
+}
+
+function columnsInScope(state: ControlState, scope: WatchScope): ShardColumns[] {
+  const rows = state.shards.get(scope.service) ?? [];
+  const inScope = rows.filter((row) => rowInScope(row, scope));
+  return [encodeRows(scope.service, inScope)];
+}
--- /dev/null
+++ b/src/router/forward-attempt.ts
@@ -0,0 +1,166 @@
+/**
+ * One attempt: sends a request to a back end and streams the answer to the caller with back-pressure.
+ * Nothing is held whole. An answer that breaks off is broken off towards the caller too, so that it can
+ * never pass for a whole one.
+ */
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { Dispatcher, Pool } from 'undici';
+import { REFUSAL_HEADER, refusalCodeSchema } from '../backend-contract/grant-messages.js';
+import type { AttemptFailure } from './attempt-policy.js';
+import { RETRY_AFTER_MS_HEADER } from './refusal.js';
+
+/** What is sent. */
+export interface AttemptRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | Readable | null;
+  /** Time in ms until an answer must have begun. */
+  readonly budgetMs: number;
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | { readonly kind: 'answered' }
+  /** The answer broke off after it had begun; the caller's connection was broken off as well. */
+  | { readonly kind: 'cut' }
+  /** The caller went away; the back end's connection was closed so that it can stop working. */
+  | { readonly kind: 'caller-gone' }
+  | { readonly kind: 'failed'; readonly failure: AttemptFailure };
+
+/** Headers that concern one connection only (RFC 9110, 7.6.1). */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+const FIRST_FINAL_STATUS = 200;
+
+/** Makes one attempt; never rejects. */
+export async function forwardAttempt(
+  pool: Pool,
+  request: AttemptRequest,
+  response: ServerResponse,
+): Promise<AttemptResult> {
+  return await new Promise((resolve) => {
+    const handler = new AttemptHandler(response, request.budgetMs, resolve);
+    const { method, path, headers, body } = request;
+    pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, handler);
+  });
+}
+
+class AttemptHandler implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | null = null;
+  private sent = false;
+  private streaming = false;
+  private refused: AttemptFailure | null = null;
+  private settled = false;
+  private readonly timer: NodeJS.Timeout;
+  private readonly onCallerClose = (): void => {
+    this.settle({ kind: 'caller-gone' });
+    this.controller?.abort(new Error('the caller went away'));
+  };
+
+  constructor(
+    private readonly response: ServerResponse,
+    budgetMs: number,
+    private readonly resolve: (result: AttemptResult) => void,
+  ) {
+    this.timer = setTimeout(() => {
+      this.settle({ kind: 'failed', failure: { kind: 'deadline-passed', sent: this.sent } });
+      this.controller?.abort(new Error('the deadline passed'));
+    }, budgetMs);
+    response.once('close', this.onCallerClose);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.settled) {
+      controller.abort(new Error('the request was given up before it was sent'));
+      return;
+    }
+    this.sent = true;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (this.settled || status < FIRST_FINAL_STATUS) return;
+    clearTimeout(this.timer);
+    this.refused = readRefusal(headers);
+    if (this.refused !== null) return;
+    this.streaming = true;
+    this.response.writeHead(status, endToEndHeaders(headers));
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.streaming || this.settled) return;
+    if (this.response.write(chunk)) return;
+    controller.pause();
+    this.response.once('drain', () => {
+      controller.resume();
+    });
+  }
+
+  onResponseEnd(): void {
+    if (this.refused !== null) {
+      this.settle({ kind: 'failed', failure: this.refused });
+      return;
+    }
+    if (this.settled) return;
+    this.settle({ kind: 'answered' });
+    this.response.end();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.refused !== null) {
+      this.settle({ kind: 'failed', failure: this.refused });
+      return;
+    }
+    if (this.streaming) {
+      this.settle({ kind: 'cut' });
+      this.response.destroy();
+      return;
+    }
+    const gone = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+    const failure: AttemptFailure = this.sent ? { kind: 'no-answer' } : { kind: 'not-sent', gone };
+    this.settle({ kind: 'failed', failure });
+  }
+
+  private settle(result: AttemptResult): void {
+    if (this.settled) return;
+    this.settled = true;
+    clearTimeout(this.timer);
+    this.response.removeListener('close', this.onCallerClose);
+    this.resolve(result);
+  }
+}
+
+function readRefusal(headers: IncomingHttpHeaders): AttemptFailure | null {
+  const header = headers[REFUSAL_HEADER];
+  if (header === undefined) return null;
+  const code = refusalCodeSchema.safeParse(header);
+  // A refusal that cannot be understood is taken as no answer: nothing is known about the execution.
+  if (!code.success) return { kind: 'no-answer' };
+  const retryAfterMs = Number(headers[RETRY_AFTER_MS_HEADER] ?? 0) || 0;
+  return { kind: 'refused', code: code.data, retryAfterMs };
+}
+
+function endToEndHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  const kept: IncomingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (!CONNECTION_HEADERS.has(name)) kept[name] = value;
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/router/router-node.ts
@@ -0,0 +1,141 @@
+/** A running router: its table, its HTTP listener, and an orderly stop. */
+import 'reflect-metadata';
+import { Module } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import { Histogram, type Registry } from 'prom-client';
+import type { RouterSettings } from '../config/daemon-settings.js';
+import { ControlWatch } from '../control-client/control-watch.js';
+import { Err, Ok, type Result } from '../result.js';
+import type { Logger } from '../telemetry/logger.js';
+import { managementModule } from '../telemetry/management.js';
+import { createRegistry, exposeFamily, exposeValue } from '../telemetry/metrics.js';
+import { RequestRouter } from './request-router.js';
+import { RouterState } from './router-state.js';
+
+/** Upper bounds of the request time histogram, in ms. */
+const TIME_BUCKETS_MS = [0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
+
+const STOP_POLL_MS = 20;
+
+@Module({})
+class RouterModule {}
+
+/** A running router. */
+export class RouterNode {
+  private constructor(
+    private readonly application: NestFastifyApplication,
+    private readonly state: RouterState,
+    private readonly watch: ControlWatch,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Connects to control and starts to listen. */
+  static async start(
+    settings: RouterSettings,
+    token: string,
+    logger: Logger,
+  ): Promise<Result<RouterNode, string>> {
+    const registry = createRegistry();
+    const time = requestTimeHistogram(registry);
+    const state = new RouterState(settings, (ms) => {
+      time.observe(ms);
+    });
+    const { name, zone, control } = settings;
+    const identity = { role: 'router', name, zone, token } as const;
+    const watch = new ControlWatch(state.table, identity, control, null, () => {
+      state.tableChanged();
+    });
+    exposeCounters(registry, state, watch);
+    const application = await createApplication(settings, state, registry);
+    try {
+      await application.listen(settings.listen.port, settings.listen.host);
+    } catch (error) {
+      watch.stop();
+      const { host, port } = settings.listen;
+      return Err(
+        `cannot listen on ${host}:${port}: ${error instanceof Error ? error.message : String(error)}`,
+      );
+    }
+    logger.info('router listens', settings.listen);
+    return Ok(new RouterNode(application, state, watch, logger));
+  }
+
+  /** Accepts nothing new, finishes what is under way for at most `drainMs`, then stops. */
+  async stop(drainMs: number): Promise<void> {
+    const server = this.application.getHttpServer();
+    const closed = new Promise<void>((resolve) => {
+      server.close(() => {
+        resolve();
+      });
+    });
+    server.closeIdleConnections();
+    const untilMs = performance.now() + drainMs;
+    while (this.state.inFlight > 0 && performance.now() < untilMs) await pause(STOP_POLL_MS);
+    if (this.state.inFlight > 0) this.logger.warn('requests were cut off', { count: this.state.inFlight });
+    server.closeIdleConnections();
+    await Promise.race([closed, pause(STOP_POLL_MS)]);
+    server.closeAllConnections();
+    this.watch.stop();
+    await this.state.backends.close();
+  }
+}
+
+async function createApplication(
+  settings: RouterSettings,
+  state: RouterState,
+  registry: Registry,
+): Promise<NestFastifyApplication> {
+  const adapter = new FastifyAdapter({
+    http: { maxHeaderSize: settings.maxHeaderBytes },
+    requestTimeout: 0,
+    exposeHeadRoutes: false,
+  });
+  const notReady = (): string | null => (state.table.index === 0 ? 'no table from control yet' : null);
+  const root = { module: RouterModule, imports: [managementModule({ registry, notReady })] };
+  const application = await NestFactory.create<NestFastifyApplication>(root, adapter, {
+    logger: false,
+    bodyParser: false,
+  });
+  routeEverythingElse(adapter, new RequestRouter(state));
+  return application;
+}
+
+/** The hot path: a route of Fastify's own, past Nest's pipeline, with the body left unread. */
+function routeEverythingElse(adapter: FastifyAdapter, router: RequestRouter): void {
+  const fastify = adapter.getInstance();
+  fastify.removeAllContentTypeParsers();
+  fastify.addContentTypeParser('*', (_request, _payload, done) => {
+    done(null);
+  });
+  fastify.all('/*', (request: FastifyRequest, reply: FastifyReply) => {
+    reply.hijack();
+    void router.handle(request.raw, reply.raw);
+  });
+}
+
+function requestTimeHistogram(registry: Registry): Histogram {
+  return new Histogram({
+    name: 'aldertide_request_ms',
+    help: 'Time from the arrival of a request to the end of its answer, in ms',
+    buckets: TIME_BUCKETS_MS,
+    registers: [registry],
+  });
+}
+
+function exposeCounters(registry: Registry, state: RouterState, watch: ControlWatch): void {
+  const { counters, table } = state;
+  exposeValue(registry, 'requests_started', 'Requests taken', () => counters.started);
+  exposeValue(registry, 'request_retries', 'Attempts after the first', () => counters.retries);
+  exposeValue(registry, 'requests_in_flight', 'Requests that have not ended', () => state.inFlight);
+  exposeFamily(registry, 'requests_ended', 'Requests by their end', 'end', () => counters.ended);
+  exposeValue(registry, 'table_index', 'Index of the newest change in force', () => table.index);
+  exposeValue(registry, 'configuration_revision', 'Configuration in force', () => table.revision);
+  exposeValue(registry, 'control_bytes_received', 'Bytes from control', () => watch.traffic().bytesReceived);
+  exposeValue(registry, 'control_bytes_sent', 'Bytes to control', () => watch.traffic().bytesSent);
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/storage/replica-storage.ts
@@ -0,0 +1,205 @@
+/**
+ * The data folder of a control replica: identity, hard state, snapshot and log.
+ * The identity names this folder's life; a replica whose folder was lost gets a new one and must join anew.
+ */
+import { randomUUID } from 'node:crypto';
+import { join } from 'node:path';
+import type {
+  DurableState,
+  HardState,
+  LogEntry,
+  Membership,
+  SnapshotPosition,
+} from '../consensus/raft-types.js';
+import { Err, Ok, type Result } from '../result.js';
+import { createFolder, readIfPresent, readWholeFile, replaceFile } from './durable-file.js';
+import { LogFile } from './log-file.js';
+import type { CorruptionError } from './record-file.js';
+
+const IDENTITY_FILE = 'identity';
+const HARD_STATE_FILE = 'hard-state';
+const SNAPSHOT_FILE = 'snapshot';
+const LOG_FILE = 'log';
+
+/** Who a data folder belongs to. */
+export interface FolderIdentity {
+  /** The replica's name in the settings. */
+  readonly name: string;
+  /** Random; made once, when the folder was created. */
+  readonly identity: string;
+}
+
+/** Why a data folder cannot be opened. */
+export type StorageError =
+  CorruptionError | { readonly kind: 'wrong-owner'; readonly folder: string; readonly detail: string };
+
+interface SnapshotFileContent {
+  readonly position: SnapshotPosition;
+  readonly data: unknown;
+}
+
+/** State of a folder in which no log has begun yet. */
+const EMPTY_POSITION: SnapshotPosition = { index: 0, term: 0, membership: { voters: [], learners: [] } };
+
+/** An open data folder. */
+export class ReplicaStorage {
+  private constructor(
+    private readonly folder: string,
+    readonly owner: FolderIdentity,
+    private readonly log: LogFile,
+    private durable: DurableState,
+    private data: unknown,
+    private retained: LogEntry[],
+  ) {}
+
+  /** Opens the folder, creating it and its identity when it does not exist. */
+  static async open(folder: string, name: string): Promise<Result<ReplicaStorage, StorageError>> {
+    await createFolder(folder);
+    const identity = await readWholeFile(join(folder, IDENTITY_FILE));
+    if (identity.err) return identity;
+    if (identity.val === null) await createFiles(folder, name);
+    return await openExisting(folder, name, (owner, log, durable, data, retained) => {
+      return new ReplicaStorage(folder, owner, log, durable, data, retained);
+    });
+  }
+
+  /** What the consensus core starts from. */
+  get initialState(): DurableState {
+    return this.durable;
+  }
+
+  /** Content of the snapshot that `initialState` starts from; null before the first. */
+  get snapshotData(): unknown {
+    return this.data;
+  }
+
+  /** Whether the membership of this folder's log is known: it was formed, or a leader has sent its log. */
+  get formed(): boolean {
+    return this.durable.snapshot.membership.voters.length > 0 || this.retained.length > 0;
+  }
+
+  /** Bytes of the log file. */
+  get logBytes(): number {
+    return this.log.bytes;
+  }
+
+  /** Writes the first membership of a new cluster, durably. */
+  async form(membership: Membership): Promise<void> {
+    await this.saveSnapshot({ index: 0, term: 0, membership }, null);
+  }
+
+  /** Durably replaces the hard state. */
+  async saveHardState(hardState: HardState): Promise<void> {
+    await replaceFile(join(this.folder, HARD_STATE_FILE), hardState);
+    this.durable = { ...this.durable, hardState };
+  }
+
+  /** Adds entries; durable after `sync`. */
+  async append(entries: readonly LogEntry[]): Promise<void> {
+    await this.log.append(entries);
+    this.retained.push(...entries);
+  }
+
+  /** Removes entries from `fromIndex` on; durable after `sync`. */
+  async truncate(fromIndex: number): Promise<void> {
+    await this.log.truncate(fromIndex);
+    this.retained = this.retained.filter((entry) => entry.index < fromIndex);
+  }
+
+  /** Makes appended and truncated entries durable. */
+  async sync(): Promise<void> {
+    await this.log.sync();
+  }
+
+  /** Durably saves a snapshot and drops the entries that it replaces. */
+  async saveSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
+    const content: SnapshotFileContent = { position, data };
+    await replaceFile(join(this.folder, SNAPSHOT_FILE), content);
+    const kept = entriesAfter(position, this.retained);
+    if (kept.length !== this.retained.length) await this.log.rewrite(kept);
+    this.retained = kept;
+    this.durable = { ...this.durable, snapshot: position, entries: kept };
+    this.data = data;
+  }
+
+  /** The newest snapshot, for sending to a replica that is far behind. */
+  currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown } {
+    return { position: this.durable.snapshot, data: this.data };
+  }
+
+  /** Closes the files. */
+  async close(): Promise<void> {
+    await this.log.close();
+  }
+}
+
+/** Creates all files of a new folder; the identity comes last, so that it vouches for the others. */
+async function createFiles(folder: string, name: string): Promise<void> {
+  const hardState: HardState = { term: 0, votedFor: null };
+  const content: SnapshotFileContent = { position: EMPTY_POSITION, data: null };
+  await replaceFile(join(folder, HARD_STATE_FILE), hardState);
+  await replaceFile(join(folder, SNAPSHOT_FILE), content);
+  const log = await LogFile.open(join(folder, LOG_FILE));
+  if (log.ok) await log.val.file.close();
+  const owner: FolderIdentity = { name, identity: randomUUID() };
+  await replaceFile(join(folder, IDENTITY_FILE), owner);
+}
+
+type StorageMaker = (
+  owner: FolderIdentity,
+  log: LogFile,
+  durable: DurableState,
+  data: unknown,
+  retained: LogEntry[],
+) => ReplicaStorage;
+
+async function openExisting(
+  folder: string,
+  name: string,
+  make: StorageMaker,
+): Promise<Result<ReplicaStorage, StorageError>> {
+  const identity = await readRequired(join(folder, IDENTITY_FILE));
+  if (identity.err) return identity;
+  const owner = identity.val as FolderIdentity;
+  if (owner.name !== name) {
+    const detail = `the folder belongs to replica ${owner.name}, not to ${name}`;
+    return Err({ kind: 'wrong-owner', folder, detail });
+  }
+  const hardState = await readRequired(join(folder, HARD_STATE_FILE));
+  if (hardState.err) return hardState;
+  const snapshot = await readRequired(join(folder, SNAPSHOT_FILE));
+  if (snapshot.err) return snapshot;
+  const logPath = join(folder, LOG_FILE);
+  if ((await readIfPresent(logPath)) === null) return Err(missing(logPath));
+  const log = await LogFile.open(logPath);
+  if (log.err) return log;
+  const { position, data } = snapshot.val as SnapshotFileContent;
+  const retained = entriesAfter(position, log.val.entries);
+  if (retained.length !== log.val.entries.length) await log.val.file.rewrite(retained);
+  const gap = retained[0] !== undefined && retained[0].index !== position.index + 1;
+  if (gap) return Err({ kind: 'corrupt-file', file: logPath, offset: 0, detail: 'entries are missing' });
+  const durable = { hardState: hardState.val as HardState, snapshot: position, entries: retained };
+  return Ok(make(owner, log.val.file, durable, data, [...retained]));
+}
+
+async function readRequired(file: string): Promise<Result<unknown, CorruptionError>> {
+  const content = await readWholeFile(file);
+  if (content.ok && content.val === null) return Err(missing(file));
+  return content;
+}
+
+function missing(file: string): CorruptionError {
+  return { kind: 'corrupt-file', file, offset: 0, detail: 'the file is missing' };
+}
+
+/**
+ * Entries that remain after a snapshot: those that follow it, and only if the log agrees with the snapshot
+ * at its position (Raft 5.1); a log that disagrees is stale as a whole.
+ */
+function entriesAfter(position: SnapshotPosition, entries: readonly LogEntry[]): LogEntry[] {
+  const atPosition = entries.find((entry) => entry.index === position.index);
+  const first = entries[0];
+  const follows = first?.index === position.index + 1;
+  const agrees = atPosition?.term === position.term || follows;
+  return agrees ? entries.filter((entry) => entry.index > position.index) : [];
+}
--- /dev/null
+++ b/src/transport/hello.ts
@@ -0,0 +1,42 @@
+/** The first message on every internal connection: who is calling, and proof that it belongs here. */
+import { timingSafeEqual } from 'node:crypto';
+import { z } from 'zod';
+
+/** Version of the internal messages; peers with another version are refused. */
+export const PROTOCOL_VERSION = 1;
+
+/** Which program is at the other end. */
+export const peerRoleSchema = z.enum(['control', 'router', 'agent', 'tool']);
+/** Which program is at the other end. */
+export type PeerRole = z.infer<typeof peerRoleSchema>;
+
+const helloSchema = z.object({
+  kind: z.literal('hello'),
+  version: z.number().int(),
+  token: z.string(),
+  role: peerRoleSchema,
+  name: z.string().min(1).max(200),
+  zone: z.string().max(200),
+});
+
+/** First message of the dialing side. */
+export type Hello = z.infer<typeof helloSchema>;
+
+/** Why a hello was refused. */
+export type HelloRefusal = 'not-a-hello' | 'wrong-version' | 'wrong-token';
+
+/** Checks a first message against the cluster's shared token; returns the hello or why it was refused. */
+export function checkHello(message: unknown, token: string): Hello | HelloRefusal {
+  const parsed = helloSchema.safeParse(message);
+  if (!parsed.success) return 'not-a-hello';
+  if (parsed.data.version !== PROTOCOL_VERSION) return 'wrong-version';
+  if (!sameSecret(parsed.data.token, token)) return 'wrong-token';
+  return parsed.data;
+}
+
+/** Compares two secrets in time that does not depend on where they differ. */
+export function sameSecret(left: string, right: string): boolean {
+  const leftBytes = Buffer.from(left);
+  const rightBytes = Buffer.from(right);
+  return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes);
+}
--- /dev/null
+++ b/src/transport/message-server.ts
@@ -0,0 +1,89 @@
+/** Accepts internal connections: checks the hello, then hands the peer to its owner. */
+import { createServer, type Server, type Socket } from 'node:net';
+import { Err, Ok, type Result } from '../result.js';
+import type { SocketAddress } from '../model/socket-address.js';
+import { checkHello, type Hello } from './hello.js';
+import { MessageConnection } from './message-connection.js';
+
+/** Time in ms that a caller has for its hello before it is cut off. */
+const HELLO_TIMEOUT_MS = 2_000;
+
+/** Owner of the accepted peers. */
+export interface PeerAcceptor {
+  /** A peer has proved that it belongs to the cluster; returns where its messages go. */
+  onPeer(hello: Hello, connection: MessageConnection): PeerHandlers;
+  /** A connection ended before it became a peer. `reason` is for counters. */
+  onRefused(reason: string): void;
+}
+
+/** Receiver of one accepted peer's messages. */
+export interface PeerHandlers {
+  onMessage(message: unknown): void;
+  onClose(reason: string): void;
+}
+
+/** A listener for internal connections. */
+export class MessageServer {
+  private readonly connections = new Set<MessageConnection>();
+  private readonly server: Server;
+
+  constructor(
+    private readonly token: string,
+    private readonly acceptor: PeerAcceptor,
+  ) {
+    this.server = createServer((socket) => {
+      this.accept(socket);
+    });
+  }
+
+  /** Starts listening; the error names the address. */
+  async listen(address: SocketAddress): Promise<Result<void, string>> {
+    return await new Promise((resolve) => {
+      this.server.once('error', (error) => {
+        resolve(Err(`cannot listen on ${address.host}:${address.port}: ${error.message}`));
+      });
+      this.server.listen(address.port, address.host, () => {
+        resolve(Ok(undefined));
+      });
+    });
+  }
+
+  /** Stops listening and closes every connection. */
+  close(): void {
+    this.server.close();
+    for (const connection of this.connections) connection.close('server is stopping');
+  }
+
+  private accept(socket: Socket): void {
+    let handlers: PeerHandlers | null = null;
+    const connection: MessageConnection = new MessageConnection(socket, {
+      onMessage: (message) => {
+        if (handlers !== null) {
+          handlers.onMessage(message);
+          return;
+        }
+        handlers = this.greet(connection, message);
+        if (handlers !== null) clearTimeout(helloTimer);
+      },
+      onClose: (reason) => {
+        clearTimeout(helloTimer);
+        this.connections.delete(connection);
+        if (handlers === null) this.acceptor.onRefused(reason);
+        else handlers.onClose(reason);
+      },
+    });
+    const helloTimer = setTimeout(() => {
+      connection.close('no hello in time');
+    }, HELLO_TIMEOUT_MS);
+    this.connections.add(connection);
+  }
+
+  private greet(connection: MessageConnection, message: unknown): PeerHandlers | null {
+    const hello = checkHello(message, this.token);
+    if (typeof hello === 'string') {
+      connection.close(hello);
+      return null;
+    }
+    return this.acceptor.onPeer(hello, connection);
+  }
+}
