--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -477,8 +477,10 @@
     this.answer(request, true, Math.max(request.position.index, this.committed));
   }
 
+  /** Entries after the snapshot may be counted in a quorum already, so they stay if the log agrees (Raft 5.1). */
   private takeSnapshot(position: SnapshotPosition, data: unknown): void {
-    this.log.reset(position);
+    if (this.log.termAt(position.index) === position.term) this.log.compact(position);
+    else this.log.reset(position);
     this.committed = position.index;
     this.effects.push({ kind: 'install-snapshot', position, data });
   }
