An agent's load report costs the same however many shards it answers for

A new leader also began with half-smoothed numbers.

Ruled out: reporting totals only (the planner needs the load of single shards); sampling (hot shards are few and must be exact).

Change: rates are smoothed at the agent and sent only when they changed by a fifth, 32 shards a report at most, the largest changes first; all again when the channel to control was opened anew. The agent is split: session and load in `agent-node.ts`, grants and handovers in `grant-keeper.ts`, the back end behind `BackendPort`, so that hollow agents can run the same code.

Conclusion: the bound holds by construction; bytes a second follow with the hollow fleet.

--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -1,23 +1,25 @@
 /**
- * The agent beside a back end: holds the back end's session, installs and ends its grants, hands shards
- * over, and tells control when the back end is leaving.
+ * The agent beside a back end: holds the back end's session and reports its load. Grants and handovers are
+ * in `grant-keeper.ts`.
  */
 import { randomUUID } from 'node:crypto';
 import type { AgentSettings } from '../config/daemon-settings.js';
 import { monotonicMs } from '../consensus/replica.js';
 import type { ControlNotice } from '../control/daemon-messages.js';
-import type { ShardRow } from '../model/shard.js';
 import { Ok, type Result } from '../result.js';
 import type { Logger } from '../telemetry/logger.js';
 import { ControlWatch } from '../control-client/control-watch.js';
 import { SessionChannel } from '../control-client/session-channel.js';
 import { WatchedTable } from '../control-client/watched-table.js';
 import type { ClientIdentity } from '../transport/message-client.js';
-import type { Grant, HolderAnswer } from '../backend-contract/grant-messages.js';
-import { BackendClient, type BackendCallError } from './backend-client.js';
+import type { HolderAnswer } from '../backend-contract/grant-messages.js';
+import { BackendClient } from './backend-client.js';
+import type { BackendCallError, BackendPort } from './backend-port.js';
+import { GrantKeeper } from './grant-keeper.js';
 import { HandoverReceiver } from './handover-receiver.js';
 import { HandoverSender } from './handover-sender.js';
 import { LeaseHolder } from './lease-holder.js';
+import { LoadReport } from './load-report.js';
 
 /** Time in ms without an answer of the back end after which its session is no longer renewed. */
 const BACKEND_SILENCE_MS = 800;
@@ -25,48 +27,32 @@
 /** Pause between attempts to open a session, in ms. */
 const OPEN_RETRY_MS = 1_000;
 
-/** Pause between reports of a release that control has not acted on, in ms. */
-const RELEASE_REPORT_MS = 300;
+/** Steps of the session between two renewals. */
+const STEPS_PER_RENEWAL = 4;
 
-/** Counters of an agent. */
+/** Counters of an agent's session. */
 export interface AgentCounters {
   sessionsOpened: number;
   renewals: number;
-  grantsInstalled: number;
-  handoversDone: number;
-  handoversRefused: number;
-  /** Longest time in ms from the stop of admission to the report of release. */
-  longestReleaseMs: number;
 }
 
-/** A shard that was released for a move; it must not be granted again while that move stands. */
-interface ReleasedShard {
-  readonly moveId: number;
-  readonly windowHandedOver: boolean;
-  /** When control was last told, in ms; infinite until the window has been sent. */
-  reportedMs: number;
-}
+/** Makes the port to a back end; `agentInstance` names this life of the agent. */
+export type BackendPortFactory = (agentInstance: string) => BackendPort;
 
 type State = 'taking-holder' | 'opening-session' | 'in-session';
 
 /** A running agent. */
 export class AgentNode {
-  readonly counters: AgentCounters = {
-    sessionsOpened: 0,
-    renewals: 0,
-    grantsInstalled: 0,
-    handoversDone: 0,
-    handoversRefused: 0,
-    longestReleaseMs: 0,
-  };
+  readonly counters: AgentCounters = { sessionsOpened: 0, renewals: 0 };
   readonly table = new WatchedTable();
-  private readonly instance = randomUUID();
+  readonly grants: GrantKeeper;
   private readonly lease = new LeaseHolder();
-  private readonly backend: BackendClient;
+  private readonly backend: BackendPort;
   private readonly channel: SessionChannel;
   private readonly watch: ControlWatch;
   private readonly receiver: HandoverReceiver;
   private readonly sender: HandoverSender;
+  private readonly load: LoadReport;
   private readonly timers: NodeJS.Timeout[] = [];
   private state: State = 'taking-holder';
   private busy = false;
@@ -75,57 +61,37 @@
   private openRequestId = 0;
   private openSentMs = 0;
   private openDueMs = 0;
-  private load = new Map<number, number>();
-  private readonly loadedBefore = new Set<number>();
-  private readonly granted = new Map<number, number>();
-  private readonly handingOver = new Set<number>();
-  private readonly released = new Map<number, ReleasedShard>();
-  private drainSent = false;
-  private syncing = false;
-  private syncAgain = false;
 
   private constructor(
     private readonly settings: AgentSettings,
     token: string,
     private readonly logger: Logger,
+    makeBackend: BackendPortFactory,
   ) {
     const { name, zone, control, service, backend } = settings;
     const identity: ClientIdentity = { role: 'agent', name, zone, token };
-    this.backend = new BackendClient(settings.backendAddress, this.instance);
+    this.backend = makeBackend(randomUUID());
+    this.load = new LoadReport(monotonicMs(), settings.loadReportIntervalMs);
     this.receiver = new HandoverReceiver(token, backend, () => this.ready);
     this.sender = new HandoverSender(identity);
-    this.channel = new SessionChannel(
-      identity,
-      control,
-      (notice) => {
-        this.receiveNotice(notice);
-      },
-      () => {
-        this.openDueMs = 0;
-      },
-    );
+    this.channel = this.openChannel(identity);
+    this.grants = this.makeGrantKeeper();
     this.watch = new ControlWatch(this.table, identity, control, { service, backend }, () => {
       this.tableChanged();
     });
   }
 
-  /** Starts the agent. */
+  /** Starts the agent; `makeBackend` is given where the back end is not reached over HTTP. */
   static async start(
     settings: AgentSettings,
     token: string,
     logger: Logger,
+    makeBackend: BackendPortFactory = (instance) => new BackendClient(settings.backendAddress, instance),
   ): Promise<Result<AgentNode, string>> {
-    const node = new AgentNode(settings, token, logger);
+    const node = new AgentNode(settings, token, logger, makeBackend);
     const listening = await node.receiver.server.listen(settings.listen);
     if (listening.err) return listening;
-    node.timers.push(
-      setInterval(() => {
-        void node.step();
-      }, settings.renewIntervalMs / 4),
-      setInterval(() => {
-        node.renew();
-      }, settings.renewIntervalMs),
-    );
+    node.startTimers();
     return Ok(node);
   }
 
@@ -139,11 +105,6 @@
     return this.lease.session;
   }
 
-  /** Shards that are granted at present. */
-  get grantedShards(): number {
-    return this.granted.size;
-  }
-
   /** Bytes to and from control. */
   traffic(): { bytesSent: number; bytesReceived: number } {
     const watch = this.watch.traffic();
@@ -156,9 +117,15 @@
 
   /** Gives up the session in an orderly way and stops. */
   async stop(): Promise<void> {
-    for (const timer of this.timers) clearInterval(timer);
+    this.stopTimers();
     const session = this.lease.session;
     if (session !== null) await this.endSession(session);
+    await this.abandon();
+  }
+
+  /** Stops at once and tells nobody, as a process does that is killed. */
+  async abandon(): Promise<void> {
+    this.stopTimers();
     this.receiver.server.close();
     this.sender.stop();
     this.channel.stop();
@@ -166,6 +133,55 @@
     await this.backend.close();
   }
 
+  private startTimers(): void {
+    const { renewIntervalMs } = this.settings;
+    this.timers.push(
+      setInterval(() => {
+        void this.step();
+      }, renewIntervalMs / STEPS_PER_RENEWAL),
+      setInterval(() => {
+        this.renew();
+      }, renewIntervalMs),
+    );
+  }
+
+  private stopTimers(): void {
+    for (const timer of this.timers.splice(0)) clearInterval(timer);
+  }
+
+  private openChannel(identity: ClientIdentity): SessionChannel {
+    return new SessionChannel(
+      identity,
+      this.settings.control,
+      (notice) => {
+        this.receiveNotice(notice);
+      },
+      () => {
+        this.openDueMs = 0;
+        this.load.forgetReported();
+      },
+    );
+  }
+
+  private makeGrantKeeper(): GrantKeeper {
+    const { service, backend } = this.settings;
+    return new GrantKeeper({
+      service,
+      backendName: backend,
+      backend: this.backend,
+      table: this.table,
+      lease: this.lease,
+      receiver: this.receiver,
+      sender: this.sender,
+      send: (request) => {
+        this.channel.send(request);
+      },
+      onInstallFailed: () => {
+        this.leaveSession('grants could not be installed');
+      },
+    });
+  }
+
   private get backendAnswers(): boolean {
     return monotonicMs() - this.backendAnsweredMs < BACKEND_SILENCE_MS;
   }
@@ -178,8 +194,6 @@
     this.lease.ended();
   }
 
-  // ---- session
-
   private async step(): Promise<void> {
     if (this.busy) return;
     this.busy = true;
@@ -209,10 +223,7 @@
     if (taken.err) return;
     this.backendInstance = taken.val.instance;
     this.backendAnsweredMs = monotonicMs();
-    this.granted.clear();
-    this.receiver.clear();
-    this.drainSent = false;
-    this.released.clear();
+    this.grants.clear();
     this.openDueMs = 0;
     this.state = 'opening-session';
   }
@@ -236,15 +247,13 @@
     const answer = await this.backend.extendLease(this.lease.deadlineMs);
     if (answer.ok) this.backendAnswered(answer.val);
     else this.backendFailed(answer.val);
-    this.reportReleases();
+    this.grants.reportReleases();
     this.tableChanged();
   }
 
   private backendAnswered(answer: HolderAnswer): void {
     this.backendAnsweredMs = monotonicMs();
-    for (const [shard, requests] of answer.load) {
-      this.load.set(shard, (this.load.get(shard) ?? 0) + requests);
-    }
+    this.load.count(answer.load);
     if (answer.instance === this.backendInstance) return;
     this.giveUpSession('back end was restarted');
   }
@@ -271,20 +280,9 @@
   private renew(): void {
     const { session } = this.lease;
     if (this.state !== 'in-session' || session === null || !this.backendAnswers) return;
-    const load = this.takeLoad();
-    this.channel.send({ kind: 'renew-session', session, sentMs: monotonicMs(), load });
-  }
-
-  /** Load since the last renewal; shards that have just become idle are reported once with 0. */
-  private takeLoad(): [number, number][] {
-    const load = [...this.load];
-    for (const shard of this.loadedBefore) {
-      if (!this.load.has(shard)) load.push([shard, 0]);
-    }
-    this.loadedBefore.clear();
-    for (const shard of this.load.keys()) this.loadedBefore.add(shard);
-    this.load = new Map();
-    return load;
+    const sentMs = monotonicMs();
+    const load = this.load.take(sentMs, this.grants.grantedShards.keys());
+    this.channel.send({ kind: 'renew-session', session, sentMs, load });
   }
 
   private receiveNotice(notice: ControlNotice): void {
@@ -316,144 +314,7 @@
     this.tableChanged();
   }
 
-  // ---- grants
-
   private tableChanged(): void {
-    if (this.state !== 'in-session') return;
-    if (this.syncing) {
-      this.syncAgain = true;
-      return;
-    }
-    void this.syncAll();
-  }
-
-  private async syncAll(): Promise<void> {
-    this.syncing = true;
-    do {
-      this.syncAgain = false;
-      await this.syncDrain();
-      await this.syncGrants();
-    } while (this.syncAgain);
-    this.syncing = false;
-  }
-
-  private async syncDrain(): Promise<void> {
-    const draining = this.table.draining.has(this.settings.backend);
-    if (draining === this.drainSent) return;
-    const sent = await this.backend.setDraining(draining);
-    if (sent.ok) this.drainSent = draining;
-  }
-
-  private async syncGrants(): Promise<void> {
-    const rows = this.ownRows();
-    this.forgetSettledReleases(rows);
-    const grantable = rows.filter((row) => !this.released.has(row.shard));
-    const added = grantable.filter((row) => this.granted.get(row.shard) !== row.epoch);
-    const owned = new Set(rows.map((row) => row.shard));
-    const lost = [...this.granted.keys()].filter((shard) => !owned.has(shard));
-    if (lost.length > 0) await this.revoke(lost);
-    if (added.length > 0) await this.install(added);
-    for (const row of grantable) {
-      if (row.movingTo !== null) void this.handOver(row, row.movingTo);
-    }
-  }
-
-  private ownRows(): ShardRow[] {
-    const { service, backend } = this.settings;
-    return [...this.table.rowsOf(service)].filter((row) => {
-      return row.owner === backend && row.session === this.lease.session;
-    });
-  }
-
-  private async revoke(shards: readonly number[]): Promise<void> {
-    const revoked = await this.backend.revoke(shards);
-    if (revoked.err) return;
-    for (const shard of shards) this.granted.delete(shard);
-  }
-
-  private async install(rows: readonly ShardRow[]): Promise<void> {
-    const grants = rows.map((row): Grant => {
-      const window = [...this.receiver.take(this.settings.service, row.shard, row.epoch - 1)];
-      return { shard: row.shard, epoch: row.epoch, freshAfterMs: row.freshAfterMs, window };
-    });
-    const installed = await this.backend.addGrants(this.lease.deadlineMs, grants);
-    if (installed.err) {
-      // The windows may or may not have arrived; a new session makes control count them as lost.
-      this.giveUpAfterFailedInstall();
-      return;
-    }
-    for (const row of rows) this.granted.set(row.shard, row.epoch);
-    this.counters.grantsInstalled += rows.length;
-  }
-
-  private giveUpAfterFailedInstall(): void {
-    this.leaveSession('grants could not be installed');
-  }
-
-  // ---- handover
-
-  /** A release stands until control has moved the shard or called the move off. */
-  private forgetSettledReleases(rows: readonly ShardRow[]): void {
-    const moveIds = new Map(rows.map((row) => [row.shard, row.moveId]));
-    for (const [shard, { moveId }] of this.released) {
-      if (moveIds.get(shard) !== moveId) this.released.delete(shard);
-    }
-  }
-
-  private reportReleases(): void {
-    const nowMs = monotonicMs();
-    for (const [shard, release] of this.released) {
-      if (nowMs - release.reportedMs >= RELEASE_REPORT_MS) this.reportRelease(shard, release);
-    }
-  }
-
-  private reportRelease(shard: number, release: ReleasedShard): void {
-    const { session } = this.lease;
-    if (session === null) return;
-    const { moveId, windowHandedOver } = release;
-    const { service } = this.settings;
-    release.reportedMs = monotonicMs();
-    this.channel.send({ kind: 'move-released', session, service, shard, moveId, windowHandedOver });
-  }
-
-  private async handOver(row: ShardRow, target: string): Promise<void> {
-    if (this.handingOver.has(row.shard)) return;
-    this.handingOver.add(row.shard);
-    try {
-      await this.handOverShard(row, target);
-    } finally {
-      this.handingOver.delete(row.shard);
-    }
-  }
-
-  private async handOverShard(row: ShardRow, target: string): Promise<void> {
-    const { shard, epoch, moveId } = row;
-    const address = this.table.sessionOf(target)?.agentAddress;
-    const handover = { service: this.settings.service, shard, epoch, target };
-    const prepared = address !== undefined && (await this.sender.prepare(address, handover));
-    if (!prepared) {
-      this.refuseMove(row);
-      return;
-    }
-    const startedMs = monotonicMs();
-    const released = await this.backend.release(shard, epoch);
-    this.granted.delete(shard);
-    if (released.err) {
-      // The move is called off; the shard is granted again once control has said so.
-      this.refuseMove(row);
-      return;
-    }
-    this.released.set(shard, { moveId, windowHandedOver: false, reportedMs: Infinity });
-    const windowHandedOver = await this.sender.sendWindow(address, handover, released.val.window);
-    const release = { moveId, windowHandedOver, reportedMs: 0 };
-    this.released.set(shard, release);
-    this.reportRelease(shard, release);
-    this.counters.handoversDone += 1;
-    this.counters.longestReleaseMs = Math.max(this.counters.longestReleaseMs, monotonicMs() - startedMs);
-  }
-
-  private refuseMove({ session, shard, moveId }: ShardRow): void {
-    this.counters.handoversRefused += 1;
-    this.channel.send({ kind: 'move-refused', session, service: this.settings.service, shard, moveId });
+    if (this.state === 'in-session') void this.grants.sync();
   }
 }
--- a/src/agent/backend-client.ts
+++ b/src/agent/backend-client.ts
@@ -9,6 +9,7 @@
   type Grant,
   type HolderAnswer,
 } from '../backend-contract/grant-messages.js';
+import type { BackendCallError, BackendPort } from './backend-port.js';
 import { formatAddress, type SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 
@@ -18,17 +19,8 @@
 /** Time in ms for a back end to finish what is running on a shard that it releases. */
 const RELEASE_TIMEOUT_MS = 10_000;
 
-/** Why a call failed. */
-export type BackendCallError =
-  /** Nothing listens there: the process is gone, and its grants with it. */
-  | { readonly kind: 'gone' }
-  /** No answer: the back end may be frozen and may still hold its grants. */
-  | { readonly kind: 'no-answer'; readonly detail: string }
-  /** It answered that this agent no longer holds it, or that it cannot do this. */
-  | { readonly kind: 'refused'; readonly status: number };
-
 /** A client for one back end. */
-export class BackendClient {
+export class BackendClient implements BackendPort {
   private readonly pool: Pool;
 
   constructor(
--- a/src/cli/agent-daemon.ts
+++ b/src/cli/agent-daemon.ts
@@ -45,14 +45,19 @@
 }
 
 function exposeAgent(registry: Registry, node: AgentNode): void {
-  const { counters } = node;
+  const { counters, grants } = node;
   exposeValue(registry, 'session_open', '1 while a session is open', () => Number(node.session !== null));
-  exposeValue(registry, 'shards_granted', 'Shards granted to the back end', () => node.grantedShards);
+  exposeValue(registry, 'shards_granted', 'Shards granted to the back end', () => grants.grantedShards.size);
   exposeValue(registry, 'sessions_opened', 'Sessions opened', () => counters.sessionsOpened);
   exposeValue(registry, 'session_renewals', 'Renewals answered', () => counters.renewals);
-  exposeValue(registry, 'handovers_done', 'Shards handed over', () => counters.handoversDone);
-  exposeValue(registry, 'handovers_refused', 'Moves refused', () => counters.handoversRefused);
-  exposeValue(registry, 'longest_release_ms', 'Longest release of a shard', () => counters.longestReleaseMs);
+  exposeValue(registry, 'handovers_done', 'Shards handed over', () => grants.counters.handoversDone);
+  exposeValue(registry, 'handovers_refused', 'Moves refused', () => grants.counters.handoversRefused);
+  exposeValue(
+    registry,
+    'longest_release_ms',
+    'Longest release of a shard',
+    () => grants.counters.longestReleaseMs,
+  );
   exposeValue(registry, 'control_bytes_sent', 'Bytes to control', () => node.traffic().bytesSent);
   exposeValue(registry, 'control_bytes_received', 'Bytes from control', () => node.traffic().bytesReceived);
   exposeValue(registry, 'configuration_revision', 'Configuration in force', () => node.table.revision);
--- a/src/config/daemon-settings.ts
+++ b/src/config/daemon-settings.ts
@@ -70,6 +70,8 @@
   backendAddress: socketAddressSchema,
   /** Pause between lease renewals, in ms. */
   renewIntervalMs: z.number().int().min(20).max(60_000).default(400),
+  /** Shortest time between two reports of load, in ms. */
+  loadReportIntervalMs: z.number().int().min(100).max(600_000).default(2_000),
 });
 
 /** Settings of `aldertide router`. */
--- a/src/control/daemon-messages.ts
+++ b/src/control/daemon-messages.ts
@@ -17,7 +17,7 @@
   session: z.number(),
   /** The agent's clock when it sent this; comes back unchanged. */
   sentMs: z.number(),
-  /** Load by shard since the last report, in requests; only shards with load. */
+  /** Requests a second by shard; only shards whose rate has changed noticeably. */
   load: z.array(z.tuple([z.number(), z.number()])),
 });
 
--- a/src/control/load-table.ts
+++ b/src/control/load-table.ts
@@ -1,23 +1,16 @@
-/** Load of each shard as agents report it, smoothed; kept by the leader only and lost with it. */
-
-/** Weight of the newest report. */
-const SMOOTHING = 0.2;
+/** Load of each shard as agents report it; kept by the leader only and lost with it. */
 
 /** Load that every shard counts for beside what was measured, in requests a second. */
 const BASE_LOAD = 1;
 
-/** Smoothed load by service and shard, in requests a second. */
+/** Load by service and shard, in requests a second. */
 export class LoadTable {
   private readonly services = new Map<string, Map<number, number>>();
 
-  /** Takes an agent's report: requests by shard during `seconds`. */
-  report(service: string, load: readonly (readonly [number, number])[], seconds: number): void {
-    if (seconds <= 0) return;
+  /** Takes an agent's report: requests a second by shard, for shards whose rate has changed. */
+  report(service: string, rates: readonly (readonly [number, number])[]): void {
     const table = this.tableOf(service);
-    for (const [shard, requests] of load) {
-      const previous = table.get(shard) ?? 0;
-      table.set(shard, previous + SMOOTHING * (requests / seconds - previous));
-    }
+    for (const [shard, rate] of rates) table.set(shard, rate);
   }
 
   /** Load of a shard, the base load included. */
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -38,7 +38,6 @@
   readonly counters: SessionCounters = { renewals: 0, opened: 0, expired: 0 };
   private readonly leases: LeaseTable;
   private readonly closing = new Set<number>();
-  private readonly reportedMs = new Map<number, number>();
   private batches = new Map<number, PendingRenewal[]>();
   private openBatch: number | null = null;
   private nextRequestId = 1;
@@ -55,7 +54,6 @@
   /** This replica has become leader and its state is current. */
   startLeading(): void {
     this.closing.clear();
-    this.reportedMs.clear();
     this.batches.clear();
     this.openBatch = null;
     this.leases.restart(this.ports.state().sessions.keys(), this.ports.nowMs());
@@ -153,12 +151,8 @@
   }
 
   private takeLoad(request: RenewSessionRequest): void {
-    const nowMs = this.ports.nowMs();
-    const previousMs = this.reportedMs.get(request.session);
-    this.reportedMs.set(request.session, nowMs);
     const service = this.ports.state().sessions.get(request.session)?.service;
-    if (previousMs === undefined || service === undefined) return;
-    this.loads.report(service, request.load, (nowMs - previousMs) / 1_000);
+    if (service !== undefined && request.load.length > 0) this.loads.report(service, request.load);
   }
 }
 
