A hollow fleet: real control replicas, real agents and table watches, many to a process

Ruled out: a model of the daemons (it would measure the model); containers (not wanted).

Change: `aldertide-lab hollow` runs seven real control processes on their disks and hosts with the real agents (over a back end port without HTTP) and the real table watches of routers.

--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -3,6 +3,7 @@
 import { runCommandLine, type Options } from '../../src/cli/command-line.js';
 import { backendCommand } from './backend-command.js';
 import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
+import { hollowCommand, hollowHostCommand } from './hollow-commands.js';
 import { loadCommand } from './load-command.js';
 
 const VERSION = '0.1.0';
@@ -57,6 +58,22 @@
   .option('--json', 'Print one JSON object')
   .action((options: Options) => fleetFaultsCommand(options));
 
+program
+  .command('hollow')
+  .describe('Run a fleet of hollow daemons, many to a process, against real control replicas.')
+  .option('--daemons', 'Daemons of all roles', 1100)
+  .option('--shards', 'Shards over all services', 120000)
+  .option('--seconds', 'Length of the ordinary stretch', 30)
+  .option('--seed', 'Seed of faults and load', 1)
+  .option('--folder', 'Folder for settings, logs and data')
+  .option('--json', 'Print one JSON object as the last line')
+  .action(async (options: Options) => await hollowCommand(options));
+
+program
+  .command('hollow-host')
+  .describe('Hold hollow daemons; started by `hollow`.')
+  .action(async () => await hollowHostCommand());
+
 program
   .command('demo')
   .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -100,6 +100,11 @@
     return this.state === 'in-session' && !this.lease.expired(monotonicMs()) && this.backendAnswers;
   }
 
+  /** Name in the settings. */
+  get name(): string {
+    return this.settings.name;
+  }
+
   /** The open session, for status. */
   get session(): number | null {
     return this.lease.session;
--- a/src/cli/control-daemon.ts
+++ b/src/cli/control-daemon.ts
@@ -65,4 +65,5 @@
   exposeValue(registry, 'connections_refused', 'Connections refused', () => node.counters.refusedConnections);
   exposeValue(registry, 'messages_unreadable', 'Messages dropped', () => node.counters.unreadableMessages);
   exposeValue(registry, 'peer_bytes_sent', 'Bytes to other replicas', () => node.peerTraffic().bytesSent);
+  exposeValue(registry, 'daemon_bytes_sent', 'Bytes to agents and routers', () => node.daemonBytesSent);
 }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -154,6 +154,11 @@
     return this.network.traffic();
   }
 
+  /** Bytes sent over the connections that were dialed to here: to agents and routers. */
+  get daemonBytesSent(): number {
+    return this.server.bytesSent;
+  }
+
   /** Size of the log on disk, in bytes. */
   get logBytes(): number {
     return this.storage.logBytes;
--- a/src/transport/message-client.ts
+++ b/src/transport/message-client.ts
@@ -56,11 +56,6 @@
     };
   }
 
-  /** Drops the present connection and dials again after the usual pause. */
-  reconnect(reason: string): void {
-    this.connection?.close(reason);
-  }
-
   /** Closes for good; the owner is not told. */
   stop(): void {
     this.stopped = true;
--- a/src/transport/message-server.ts
+++ b/src/transport/message-server.ts
@@ -26,6 +26,7 @@
 export class MessageServer {
   private readonly connections = new Set<MessageConnection>();
   private readonly server: Server;
+  private closedBytesSent = 0;
 
   constructor(
     private readonly token: string,
@@ -48,6 +49,14 @@
     });
   }
 
+  /** Bytes sent over all connections that were ever accepted. */
+  get bytesSent(): number {
+    return [...this.connections].reduce(
+      (sum, connection) => sum + connection.bytesSent,
+      this.closedBytesSent,
+    );
+  }
+
   /** Stops listening and closes every connection. */
   close(): void {
     this.server.close();
@@ -68,6 +77,7 @@
       onClose: (reason) => {
         clearTimeout(helloTimer);
         this.connections.delete(connection);
+        this.closedBytesSent += connection.bytesSent;
         if (handlers === null) this.acceptor.onRefused(reason);
         else handlers.onClose(reason);
       },
