--- a/lab/backend/backend-server.ts
+++ b/lab/backend/backend-server.ts
@@ -11,7 +11,7 @@
   REQUEST_HEADERS,
   type RefusalCode,
 } from '../../src/backend-contract/grant-messages.js';
-import { monotonicMs } from '../../src/consensus/replica.js';
+import { monotonicMs } from '../../src/runtime/clock.js';
 import { JournalWriter } from '../journal.js';
 import { Random } from '../random.js';
 import { registerContract } from './contract-routes.js';
--- a/lab/fleet/fleet-run.ts
+++ b/lab/fleet/fleet-run.ts
@@ -217,7 +217,7 @@
 }
 
 function sumOfEpochs(state: StateSnapshot): number {
-  return state.shards.flatMap((columns) => columns.epochs).reduce((sum, epoch) => sum + epoch, 0);
+  return state.shards.flatMap((columns) => Array.from(columns.epochs)).reduce((sum, epoch) => sum + epoch, 0);
 }
 
 function countRefusals(sendings: readonly SendingRecord[]): Record<string, number> {
--- a/lab/hollow/hollow-backend.ts
+++ b/lab/hollow/hollow-backend.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { BackendCallError, BackendPort } from '../../src/agent/backend-port.js';
 import type { Claim, Grant, HolderAnswer } from '../../src/backend-contract/grant-messages.js';
-import { monotonicMs } from '../../src/consensus/replica.js';
+import { monotonicMs } from '../../src/runtime/clock.js';
 import { Err, Ok, type Result } from '../../src/result.js';
 import { GrantTable } from '../backend/grant-table.js';
 
--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -2,9 +2,10 @@
 import { memoryUsage, cpuUsage } from 'node:process';
 import { AgentNode } from '../../src/agent/agent-node.js';
 import { agentSettingsSchema } from '../../src/config/daemon-settings.js';
-import { monotonicMs } from '../../src/consensus/replica.js';
+import { monotonicMs } from '../../src/runtime/clock.js';
 import { ControlWatch } from '../../src/control-client/control-watch.js';
 import { WatchedTable } from '../../src/control-client/watched-table.js';
+import { nodeRuntime } from '../../src/runtime/node-runtime.js';
 import { createLogger } from '../../src/telemetry/logger.js';
 import { HollowBackend } from './hollow-backend.js';
 import type {
@@ -116,10 +117,17 @@
     const losses = new LossTracker(table, (backend, session) => {
       this.repairs.push({ router: name, backend, session, atMs: monotonicMs() });
     });
-    const watch = new ControlWatch(table, { role: 'router', name, zone, token }, control, null, () => {
-      this.noteRevision(name, table.revision);
-      losses.update();
-    });
+    const watch = new ControlWatch(
+      nodeRuntime,
+      table,
+      { role: 'router', name, zone, token },
+      control,
+      null,
+      () => {
+        this.noteRevision(name, table.revision);
+        losses.update();
+      },
+    );
     this.routers.push({ name, table, watch });
   }
 
--- a/lab/hollow/hollow-run.ts
+++ b/lab/hollow/hollow-run.ts
@@ -8,7 +8,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { OperatorClient } from '../../src/cli/operator-client.js';
 import type { ConfigurationDocument } from '../../src/config/configuration.js';
-import { monotonicMs } from '../../src/consensus/replica.js';
+import { monotonicMs } from '../../src/runtime/clock.js';
 import { formatAddress } from '../../src/model/socket-address.js';
 import { percentile } from '../../src/placement/measures.js';
 import { ManagedProcess } from '../fleet/managed-process.js';
--- a/lab/load/load-run.ts
+++ b/lab/load/load-run.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { v7 as uuidv7 } from 'uuid';
-import { monotonicMs } from '../../src/consensus/replica.js';
+import { monotonicMs } from '../../src/runtime/clock.js';
 import { shardOfKey } from '../../src/model/shard.js';
 import { JournalWriter, type Operation } from '../journal.js';
 import { Random, ZipfSampler } from '../random.js';
--- a/lab/load/sending.ts
+++ b/lab/load/sending.ts
@@ -1,6 +1,6 @@
 /** One sending of a request by a caller, and what the caller was told. */
 import { Agent, type Dispatcher } from 'undici';
-import { monotonicMs } from '../../src/consensus/replica.js';
+import { monotonicMs } from '../../src/runtime/clock.js';
 import { DownloadChecker } from '../backend/download-body.js';
 import type { CallerOutcome, Operation } from '../journal.js';
 
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -2,16 +2,15 @@
  * The agent beside a back end: holds the back end's session and reports its load. Grants and handovers are
  * in `grant-keeper.ts`.
  */
-import { randomUUID } from 'node:crypto';
 import type { AgentSettings } from '../config/daemon-settings.js';
-import { monotonicMs } from '../consensus/replica.js';
 import type { ControlNotice } from '../control/daemon-messages.js';
 import { Ok, type Result } from '../result.js';
 import type { Logger } from '../telemetry/logger.js';
 import { ControlWatch } from '../control-client/control-watch.js';
 import { SessionChannel } from '../control-client/session-channel.js';
 import { WatchedTable } from '../control-client/watched-table.js';
-import type { ClientIdentity } from '../transport/message-client.js';
+import { nodeRuntime } from '../runtime/node-runtime.js';
+import type { CancelTimer, ClientIdentity, Runtime, Traffic } from '../runtime/runtime.js';
 import type { HolderAnswer } from '../backend-contract/grant-messages.js';
 import { BackendClient } from './backend-client.js';
 import type { BackendCallError, BackendPort } from './backend-port.js';
@@ -27,6 +26,9 @@
 /** Pause between attempts to open a session, in ms. */
 const OPEN_RETRY_MS = 1_000;
 
+/** Pause between looks for unused connections to other agents, in ms. */
+const IDLE_CHECK_MS = 10_000;
+
 /** Steps of the session between two renewals. */
 const STEPS_PER_RENEWAL = 4;
 
@@ -53,7 +55,7 @@
   private readonly receiver: HandoverReceiver;
   private readonly sender: HandoverSender;
   private readonly load: LoadReport;
-  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly timers: CancelTimer[] = [];
   private state: State = 'taking-holder';
   private busy = false;
   private backendInstance: string | null = null;
@@ -63,6 +65,7 @@
   private openDueMs = 0;
 
   private constructor(
+    private readonly runtime: Runtime,
     private readonly settings: AgentSettings,
     token: string,
     private readonly logger: Logger,
@@ -70,13 +73,13 @@
   ) {
     const { name, zone, control, service, backend } = settings;
     const identity: ClientIdentity = { role: 'agent', name, zone, token };
-    this.backend = makeBackend(randomUUID());
-    this.load = new LoadReport(monotonicMs(), settings.loadReportIntervalMs);
-    this.receiver = new HandoverReceiver(token, backend, () => this.ready);
-    this.sender = new HandoverSender(identity);
+    this.backend = makeBackend(runtime.randomId());
+    this.load = new LoadReport(runtime.nowMs(), settings.loadReportIntervalMs);
+    this.receiver = new HandoverReceiver(runtime, token, backend, () => this.ready);
+    this.sender = new HandoverSender(runtime, identity);
     this.channel = this.openChannel(identity);
     this.grants = this.makeGrantKeeper();
-    this.watch = new ControlWatch(this.table, identity, control, { service, backend }, () => {
+    this.watch = new ControlWatch(runtime, this.table, identity, control, { service, backend }, () => {
       this.tableChanged();
     });
   }
@@ -87,8 +90,9 @@
     token: string,
     logger: Logger,
     makeBackend: BackendPortFactory = (instance) => new BackendClient(settings.backendAddress, instance),
+    runtime: Runtime = nodeRuntime,
   ): Promise<Result<AgentNode, string>> {
-    const node = new AgentNode(settings, token, logger, makeBackend);
+    const node = new AgentNode(runtime, settings, token, logger, makeBackend);
     const listening = await node.receiver.server.listen(settings.listen);
     if (listening.err) return listening;
     node.startTimers();
@@ -97,7 +101,7 @@
 
   /** Whether the back end can take shards: it answers and its session is open. */
   get ready(): boolean {
-    return this.state === 'in-session' && !this.lease.expired(monotonicMs()) && this.backendAnswers;
+    return this.state === 'in-session' && !this.lease.expired(this.runtime.nowMs()) && this.backendAnswers;
   }
 
   /** Name in the settings. */
@@ -111,7 +115,7 @@
   }
 
   /** Bytes to and from control. */
-  traffic(): { bytesSent: number; bytesReceived: number } {
+  traffic(): Traffic {
     const watch = this.watch.traffic();
     const channel = this.channel.traffic();
     return {
@@ -141,21 +145,25 @@
   private startTimers(): void {
     const { renewIntervalMs } = this.settings;
     this.timers.push(
-      setInterval(() => {
+      this.runtime.every(renewIntervalMs / STEPS_PER_RENEWAL, () => {
         void this.step();
-      }, renewIntervalMs / STEPS_PER_RENEWAL),
-      setInterval(() => {
+      }),
+      this.runtime.every(renewIntervalMs, () => {
         this.renew();
-      }, renewIntervalMs),
+      }),
+      this.runtime.every(IDLE_CHECK_MS, () => {
+        this.sender.closeIdle();
+      }),
     );
   }
 
   private stopTimers(): void {
-    for (const timer of this.timers.splice(0)) clearInterval(timer);
+    for (const cancel of this.timers.splice(0)) cancel();
   }
 
   private openChannel(identity: ClientIdentity): SessionChannel {
     return new SessionChannel(
+      this.runtime,
       identity,
       this.settings.control,
       (notice) => {
@@ -176,6 +184,7 @@
       backend: this.backend,
       table: this.table,
       lease: this.lease,
+      runtime: this.runtime,
       receiver: this.receiver,
       sender: this.sender,
       send: (request) => {
@@ -188,7 +197,7 @@
   }
 
   private get backendAnswers(): boolean {
-    return monotonicMs() - this.backendAnsweredMs < BACKEND_SILENCE_MS;
+    return this.runtime.nowMs() - this.backendAnsweredMs < BACKEND_SILENCE_MS;
   }
 
   /** Grants are ended at the back end before control is told, so nothing is served after the answer. */
@@ -227,14 +236,14 @@
     const taken = await this.backend.takeHolder();
     if (taken.err) return;
     this.backendInstance = taken.val.instance;
-    this.backendAnsweredMs = monotonicMs();
+    this.backendAnsweredMs = this.runtime.nowMs();
     this.grants.clear();
     this.openDueMs = 0;
     this.state = 'opening-session';
   }
 
   private openSession(): void {
-    const nowMs = monotonicMs();
+    const nowMs = this.runtime.nowMs();
     if (nowMs < this.openDueMs) return;
     this.openRequestId += 1;
     this.openSentMs = nowMs;
@@ -245,7 +254,7 @@
   }
 
   private async checkSession(): Promise<void> {
-    if (this.lease.expired(monotonicMs())) {
+    if (this.lease.expired(this.runtime.nowMs())) {
       this.leaveSession('lease ran out');
       return;
     }
@@ -257,7 +266,7 @@
   }
 
   private backendAnswered(answer: HolderAnswer): void {
-    this.backendAnsweredMs = monotonicMs();
+    this.backendAnsweredMs = this.runtime.nowMs();
     this.load.count(answer.load);
     if (answer.instance === this.backendInstance) return;
     this.giveUpSession('back end was restarted');
@@ -285,7 +294,7 @@
   private renew(): void {
     const { session } = this.lease;
     if (this.state !== 'in-session' || session === null || !this.backendAnswers) return;
-    const sentMs = monotonicMs();
+    const sentMs = this.runtime.nowMs();
     const load = this.load.take(sentMs, this.grants.grantedShards.keys());
     this.channel.send({ kind: 'renew-session', session, sentMs, load });
   }
--- a/src/agent/grant-keeper.ts
+++ b/src/agent/grant-keeper.ts
@@ -3,9 +3,9 @@
  * the shards that are to move.
  */
 import type { Grant } from '../backend-contract/grant-messages.js';
-import { monotonicMs } from '../consensus/replica.js';
 import type { DaemonRequest } from '../control/daemon-messages.js';
 import type { WatchedTable } from '../control-client/watched-table.js';
+import type { Runtime } from '../runtime/runtime.js';
 import type { ShardRow } from '../model/shard.js';
 import type { BackendPort } from './backend-port.js';
 import type { HandoverReceiver } from './handover-receiver.js';
@@ -26,6 +26,7 @@
 
 /** What the keeper needs of its agent. */
 export interface GrantKeeperPorts {
+  readonly runtime: Runtime;
   readonly service: string;
   readonly backendName: string;
   readonly backend: BackendPort;
@@ -93,7 +94,7 @@
 
   /** Tells control again of releases that it has not acted on. */
   reportReleases(): void {
-    const nowMs = monotonicMs();
+    const nowMs = this.ports.runtime.nowMs();
     for (const [shard, release] of this.released) {
       if (nowMs - release.reportedMs >= RELEASE_REPORT_MS) this.reportRelease(shard, release);
     }
@@ -163,7 +164,7 @@
     if (session === null) return;
     const { moveId, windowHandedOver } = release;
     const { service } = this.ports;
-    release.reportedMs = monotonicMs();
+    release.reportedMs = this.ports.runtime.nowMs();
     this.ports.send({ kind: 'move-released', session, service, shard, moveId, windowHandedOver });
   }
 
@@ -187,7 +188,7 @@
       this.refuseMove(row);
       return;
     }
-    const startedMs = monotonicMs();
+    const startedMs = this.ports.runtime.nowMs();
     const released = await backend.release(shard, epoch);
     this.granted.delete(shard);
     if (released.err) {
@@ -201,7 +202,10 @@
     this.released.set(shard, release);
     this.reportRelease(shard, release);
     this.counters.handoversDone += 1;
-    this.counters.longestReleaseMs = Math.max(this.counters.longestReleaseMs, monotonicMs() - startedMs);
+    this.counters.longestReleaseMs = Math.max(
+      this.counters.longestReleaseMs,
+      this.ports.runtime.nowMs() - startedMs,
+    );
   }
 
   private refuseMove({ session, shard, moveId }: ShardRow): void {
--- a/src/agent/handover-receiver.ts
+++ b/src/agent/handover-receiver.ts
@@ -1,6 +1,6 @@
 /** The new owner's side of handover: keeps the windows of claimed keys until the shards are granted. */
 import type { Claim } from '../backend-contract/grant-messages.js';
-import { MessageServer } from '../transport/message-server.js';
+import type { Listener, Runtime } from '../runtime/runtime.js';
 import { handoverRequestSchema, type HandoverRequest } from './handover-messages.js';
 
 /** Windows that may wait for their grant. */
@@ -8,16 +8,17 @@
 
 /** Accepts windows from other agents. */
 export class HandoverReceiver {
-  readonly server: MessageServer;
+  readonly server: Listener;
   private readonly windows = new Map<string, readonly Claim[]>();
 
   /** `ready` tells whether this agent's back end can take shards at present. */
   constructor(
+    runtime: Runtime,
     token: string,
     private readonly backend: string,
     private readonly ready: () => boolean,
   ) {
-    this.server = new MessageServer(token, {
+    this.server = runtime.serve(token, {
       onPeer: (_hello, connection) => ({
         onMessage: (message) => {
           const parsed = handoverRequestSchema.safeParse(message);
--- a/src/agent/handover-sender.ts
+++ b/src/agent/handover-sender.ts
@@ -1,7 +1,7 @@
 /** The old owner's side of handover: asks the new owner's agent and sends it the window of claimed keys. */
 import type { Claim } from '../backend-contract/grant-messages.js';
 import { formatAddress, type SocketAddress } from '../model/socket-address.js';
-import { MessageClient, type ClientIdentity } from '../transport/message-client.js';
+import type { Client, ClientIdentity, Runtime } from '../runtime/runtime.js';
 import { handoverAnswerSchema } from './handover-messages.js';
 
 /** Time in ms in which the other agent must answer. */
@@ -10,6 +10,9 @@
 /** Time in ms after which an unused connection to another agent is closed. */
 const IDLE_MS = 30_000;
 
+/** Pause before a message is offered again to a connection that is being opened, in ms. */
+const SEND_RETRY_MS = 20;
+
 /** A shard on its way. */
 export interface Handover {
   readonly service: string;
@@ -19,7 +22,7 @@
 }
 
 interface Peer {
-  readonly client: MessageClient;
+  readonly client: Client;
   readonly waiting: Map<number, (accepted: boolean) => void>;
   lastUsedMs: number;
 }
@@ -29,7 +32,10 @@
   private readonly peers = new Map<string, Peer>();
   private nextRequestId = 1;
 
-  constructor(private readonly identity: ClientIdentity) {}
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly identity: ClientIdentity,
+  ) {}
 
   /** Whether the new owner's agent is there and ready. */
   async prepare(address: SocketAddress, handover: Handover): Promise<boolean> {
@@ -47,7 +53,8 @@
   }
 
   /** Closes connections that were not used lately. */
-  closeIdle(nowMs: number): void {
+  closeIdle(): void {
+    const nowMs = this.runtime.nowMs();
     for (const [key, peer] of this.peers) {
       if (nowMs - peer.lastUsedMs < IDLE_MS) continue;
       peer.client.stop();
@@ -67,20 +74,20 @@
     this.nextRequestId += 1;
     return await new Promise((resolve) => {
       const settle = (accepted: boolean): void => {
-        clearTimeout(timer);
-        clearInterval(retry);
+        cancelTimer();
+        cancelRetry();
         peer.waiting.delete(requestId);
         resolve(accepted);
       };
-      const timer = setTimeout(() => {
+      const cancelTimer = this.runtime.after(ANSWER_TIMEOUT_MS, () => {
         settle(false);
-      }, ANSWER_TIMEOUT_MS);
+      });
       peer.waiting.set(requestId, settle);
       // A connection that is still being opened drops messages, so the first send may have to be repeated.
-      const retry = setInterval(() => {
-        if (peer.client.send(message(requestId))) clearInterval(retry);
-      }, SEND_RETRY_MS);
-      if (peer.client.send(message(requestId))) clearInterval(retry);
+      const cancelRetry = this.runtime.every(SEND_RETRY_MS, () => {
+        if (peer.client.send(message(requestId))) cancelRetry();
+      });
+      if (peer.client.send(message(requestId))) cancelRetry();
     });
   }
 
@@ -88,11 +95,11 @@
     const key = formatAddress(address);
     const known = this.peers.get(key);
     if (known !== undefined) {
-      known.lastUsedMs = performance.now();
+      known.lastUsedMs = this.runtime.nowMs();
       return known;
     }
     const waiting = new Map<number, (accepted: boolean) => void>();
-    const client = new MessageClient(address, this.identity, {
+    const client = this.runtime.dial(address, this.identity, {
       onOpen: () => undefined,
       onMessage: (message) => {
         const answer = handoverAnswerSchema.safeParse(message);
@@ -102,11 +109,8 @@
         for (const settle of waiting.values()) settle(false);
       },
     });
-    const peer = { client, waiting, lastUsedMs: performance.now() };
+    const peer = { client, waiting, lastUsedMs: this.runtime.nowMs() };
     this.peers.set(key, peer);
     return peer;
   }
 }
-
-/** Pause before a message is offered again to a connection that is being opened, in ms. */
-const SEND_RETRY_MS = 20;
--- a/src/cli/control-daemon.ts
+++ b/src/cli/control-daemon.ts
@@ -63,7 +63,12 @@
     () => node.state.configuration.revision,
   );
   exposeValue(registry, 'connections_refused', 'Connections refused', () => node.counters.refusedConnections);
-  exposeValue(registry, 'messages_unreadable', 'Messages dropped', () => node.counters.unreadableMessages);
+  exposeValue(
+    registry,
+    'messages_unreadable',
+    'Messages dropped',
+    () => node.gateway.unreadableMessages + node.counters.unreadablePeerMessages,
+  );
   exposeValue(registry, 'peer_bytes_sent', 'Bytes to other replicas', () => node.peerTraffic().bytesSent);
   exposeValue(registry, 'daemon_bytes_sent', 'Bytes to agents and routers', () => node.daemonBytesSent);
 }
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -2,8 +2,8 @@
  * Driver of the consensus core: feeds it events, makes its effects durable, sends its messages and
  * applies what is committed. Events that arrive during a disk sync wait and share the next one.
  */
-import { hrtime } from 'node:process';
-import type { ReplicaStorage } from '../storage/replica-storage.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { ReplicaStore } from '../storage/replica-store.js';
 import { RaftCore } from './raft-core.js';
 import type {
   LogEntry,
@@ -17,7 +17,6 @@
 } from './raft-types.js';
 
 const TICK_MS = 20;
-const NANOSECONDS_PER_MS = 1_000_000n;
 
 /** The replicated state. */
 export interface StateMachine {
@@ -54,11 +53,6 @@
   snapshotsInstalled: number;
 }
 
-/** Present time of the host's monotonic clock, in ms. */
-export function monotonicMs(): number {
-  return Number(hrtime.bigint() / (NANOSECONDS_PER_MS / 1_000n)) / 1_000;
-}
-
 /** A running replica. */
 export class Replica {
   readonly core: RaftCore;
@@ -70,24 +64,25 @@
     snapshotsInstalled: 0,
   };
   private readonly queue: RaftEvent[] = [];
-  private readonly timer: NodeJS.Timeout;
+  private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
   private stopped = false;
   private appliedIndex: number;
 
   constructor(
     readonly id: ReplicaId,
-    private readonly storage: ReplicaStorage,
+    private readonly runtime: Runtime,
+    private readonly storage: ReplicaStore,
     private readonly stateMachine: StateMachine,
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
-    this.core = new RaftCore(id, storage.initialState, options, monotonicMs());
+    this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     this.appliedIndex = storage.initialState.snapshot.index;
-    this.timer = setInterval(() => {
+    this.cancelTick = runtime.every(TICK_MS, () => {
       this.submit({ kind: 'tick' });
-    }, TICK_MS);
+    });
   }
 
   /** Index of the newest entry that the state machine has taken. */
@@ -105,7 +100,7 @@
   /** Stops taking events, waits for those under way and closes the storage. */
   async stop(): Promise<void> {
     this.stopped = true;
-    clearInterval(this.timer);
+    this.cancelTick();
     await this.running;
     await this.storage.close();
   }
@@ -114,7 +109,7 @@
     try {
       while (this.queue.length > 0) {
         const events = this.queue.splice(0);
-        const effects = events.flatMap((event) => this.core.step(event, monotonicMs()));
+        const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
         await this.persist(effects);
         for (const effect of effects) this.perform(effect);
         await this.compactIfDue();
@@ -203,7 +198,7 @@
     if (position === null) return;
     await this.storage.saveSnapshot(position, this.stateMachine.snapshot());
     this.counters.snapshotsTaken += 1;
-    this.core.step({ kind: 'compacted', position }, monotonicMs());
+    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
   /** Position of the last applied entry, unless a membership change after the last snapshot is uncommitted. */
--- a/src/control-client/control-watch.ts
+++ b/src/control-client/control-watch.ts
@@ -4,8 +4,10 @@
  */
 import type { NamedAddress } from '../config/daemon-settings.js';
 import type { WatchScope } from '../control/changes.js';
-import { controlNoticeSchema, type ControlNotice } from '../control/daemon-messages.js';
-import { MessageClient, type ClientIdentity } from '../transport/message-client.js';
+import type { ControlNotice } from '../control/daemon-messages.js';
+import { decodeChanges } from '../control/wire-changes.js';
+import type { CancelTimer, ClientIdentity, Runtime, Traffic } from '../runtime/runtime.js';
+import { ReplicaLink, spread } from './replica-link.js';
 import type { WatchedTable } from './watched-table.js';
 
 /** Pause before another replica is tried, in ms. */
@@ -18,62 +20,58 @@
 export interface WatchCounters {
   tables: number;
   changes: number;
-  switches: number;
 }
 
 /** A watch of the published state. */
 export class ControlWatch {
-  readonly counters: WatchCounters = { tables: 0, changes: 0, switches: 0 };
-  private client: MessageClient;
-  private position: number;
-  private readonly timer: NodeJS.Timeout;
-  private switchTimer: NodeJS.Timeout | null = null;
+  readonly counters: WatchCounters = { tables: 0, changes: 0 };
+  private readonly link: ReplicaLink;
+  private readonly cancelAcknowledge: CancelTimer;
   private acknowledgedIndex = 0;
 
   constructor(
+    runtime: Runtime,
     private readonly table: WatchedTable,
-    private readonly identity: ClientIdentity,
-    private readonly control: readonly NamedAddress[],
+    identity: ClientIdentity,
+    control: readonly NamedAddress[],
     private readonly scope: WatchScope | null,
     private readonly onUpdate: () => void,
   ) {
-    this.position = spread(identity.name, control.length);
-    this.client = this.dial();
-    this.timer = setInterval(() => {
+    const firstPosition = spread(identity.name, control.length);
+    const options = { firstPosition, switchPauseMs: SWITCH_PAUSE_MS };
+    this.link = new ReplicaLink(runtime, identity, control, options, {
+      onOpen: () => {
+        this.watch();
+      },
+      onNotice: (notice) => {
+        this.receive(notice);
+      },
+      onLost: () => {
+        this.link.switchToNext();
+      },
+    });
+    this.cancelAcknowledge = runtime.every(ACKNOWLEDGE_MS, () => {
       this.acknowledge();
-    }, ACKNOWLEDGE_MS);
+    });
   }
 
-  /** Bytes over the present connection. */
-  traffic(): { readonly bytesSent: number; readonly bytesReceived: number } {
-    return this.client.traffic();
+  /** Bytes over all connections of this watch. */
+  traffic(): Traffic {
+    return this.link.traffic();
   }
 
   /** Stops watching. */
   stop(): void {
-    clearInterval(this.timer);
-    if (this.switchTimer !== null) clearTimeout(this.switchTimer);
-    this.client.stop();
+    this.cancelAcknowledge();
+    this.link.stop();
   }
 
-  private dial(): MessageClient {
-    const { address } = this.control[this.position % this.control.length] ?? missingControl();
-    return new MessageClient(address, this.identity, {
-      onOpen: (connection) => {
-        connection.send({ kind: 'watch', fromIndex: this.table.index, scope: this.scope });
-      },
-      onMessage: (message) => {
-        this.receive(message);
-      },
-      onClose: () => {
-        this.switchReplica();
-      },
-    });
+  private watch(): void {
+    this.acknowledgedIndex = 0;
+    this.link.send({ kind: 'watch', fromIndex: this.table.index, scope: this.scope });
   }
 
-  private receive(message: unknown): void {
-    if (!controlNoticeSchema.safeParse(message).success) return;
-    const notice = message as ControlNotice;
+  private receive(notice: ControlNotice): void {
     switch (notice.kind) {
       case 'table':
         this.counters.tables += 1;
@@ -81,10 +79,10 @@
         break;
       case 'changes':
         this.counters.changes += 1;
-        if (this.table.apply(notice.index, notice.changes)) this.updated();
+        if (this.table.apply(notice.index, decodeChanges(notice.changes))) this.updated();
         break;
       case 'watch-refused':
-        this.switchReplica();
+        this.link.switchToNext();
         break;
       default:
         break;
@@ -99,29 +97,6 @@
   private acknowledge(): void {
     const { index, revision } = this.table;
     if (index === this.acknowledgedIndex) return;
-    if (this.client.send({ kind: 'watched', index, revision })) this.acknowledgedIndex = index;
-  }
-
-  private switchReplica(): void {
-    if (this.switchTimer !== null) return;
-    this.counters.switches += 1;
-    this.switchTimer = setTimeout(() => {
-      this.switchTimer = null;
-      this.client.stop();
-      this.position += 1;
-      this.acknowledgedIndex = 0;
-      this.client = this.dial();
-    }, SWITCH_PAUSE_MS);
+    if (this.link.send({ kind: 'watched', index, revision })) this.acknowledgedIndex = index;
   }
 }
-
-function missingControl(): never {
-  throw new Error('invariant broken: the settings name no control replica');
-}
-
-/** A starting place that differs between daemons, so that replicas share them evenly. */
-export function spread(name: string, places: number): number {
-  let sum = 0;
-  for (const character of name) sum = (Math.imul(sum, 31) + character.charCodeAt(0)) >>> 0;
-  return sum % places;
-}
--- a/src/control-client/watched-table.ts
+++ b/src/control-client/watched-table.ts
@@ -1,8 +1,11 @@
 /** A daemon's copy of the published state. Its index and revision never go back. */
 import type { ServiceConfiguration } from '../config/configuration.js';
-import type { Change, ConfigurationChange, ShardChange } from '../control/changes.js';
+import type { ConfigurationChange } from '../control/changes.js';
 import type { Session } from '../control/control-state.js';
-import { decodeRows, type StateSnapshot } from '../control/state-snapshot.js';
+import type { StateSnapshot } from '../control/state-snapshot.js';
+import type { ReceivedChange } from '../control/wire-changes.js';
+import { decodeRows } from '../model/shard-columns.js';
+import { ShardTable } from '../model/shard-table.js';
 import type { ShardRow } from '../model/shard.js';
 
 /** The published state as far as this daemon has it. */
@@ -10,7 +13,8 @@
   readonly services = new Map<string, ServiceConfiguration>();
   readonly draining = new Set<string>();
   readonly sessions = new Map<number, Session>();
-  private readonly rows = new Map<string, Map<number, ShardRow>>();
+  private readonly sessionsByBackend = new Map<string, Session>();
+  private readonly shards = new Map<string, ShardTable>();
   private currentIndex = 0;
   private currentRevision = 0;
 
@@ -24,22 +28,19 @@
     return this.currentRevision;
   }
 
-  /** Row of one shard. */
+  /** Row of one shard; undefined when nobody has owned it as far as this daemon was told. */
   row(service: string, shard: number): ShardRow | undefined {
-    return this.rows.get(service)?.get(shard);
+    return this.shards.get(service)?.get(shard);
   }
 
   /** All rows of a service that this daemon was told of. */
   rowsOf(service: string): IterableIterator<ShardRow> {
-    return (this.rows.get(service) ?? new Map<number, ShardRow>()).values();
+    return (this.shards.get(service) ?? new ShardTable()).rows();
   }
 
   /** The open session of a back end. */
   sessionOf(backend: string): Session | undefined {
-    for (const session of this.sessions.values()) {
-      if (session.backend === backend) return session;
-    }
-    return undefined;
+    return this.sessionsByBackend.get(backend);
   }
 
   /** Takes a whole table; returns false when it is older than this one. */
@@ -52,41 +53,40 @@
       this.services.set(name, service);
     }
     this.sessions.clear();
-    for (const session of table.sessions) this.sessions.set(session.id, session);
+    this.sessionsByBackend.clear();
+    for (const session of table.sessions) this.openSession(session);
     this.draining.clear();
     for (const backend of table.draining) this.draining.add(backend);
-    this.rows.clear();
-    for (const columns of table.shards) {
-      this.rows.set(columns.service, new Map(decodeRows(columns).map((row) => [row.shard, row])));
-    }
+    this.shards.clear();
+    for (const columns of table.shards) this.setRows(columns.service, decodeRows(columns));
     return true;
   }
 
   /** Takes the changes of one index; returns false when they are in here already. */
-  apply(index: number, changes: readonly Change[]): boolean {
+  apply(index: number, changes: readonly ReceivedChange[]): boolean {
     if (index <= this.currentIndex) return false;
     this.currentIndex = index;
     for (const change of changes) this.applyOne(change);
     return true;
   }
 
-  private applyOne(change: Change): void {
+  private applyOne(change: ReceivedChange): void {
     switch (change.kind) {
       case 'configuration':
         this.applyConfiguration(change);
         break;
       case 'session-opened':
-        this.sessions.set(change.session.id, change.session);
+        this.openSession(change.session);
         break;
       case 'session-closed':
-        this.sessions.delete(change.session);
+        this.closeSession(change.session);
         break;
       case 'drain':
         if (change.draining) this.draining.add(change.backend);
         else this.draining.delete(change.backend);
         break;
       case 'shards':
-        this.applyShards(change.service, change.shards);
+        this.setRows(change.service, change.rows);
         break;
     }
   }
@@ -97,9 +97,22 @@
     for (const name of change.removed) this.services.delete(name);
   }
 
-  private applyShards(service: string, shards: readonly ShardChange[]): void {
-    const known = this.rows.get(service) ?? new Map<number, ShardRow>();
-    this.rows.set(service, known);
-    for (const { row } of shards) known.set(row.shard, row);
+  private openSession(session: Session): void {
+    this.sessions.set(session.id, session);
+    this.sessionsByBackend.set(session.backend, session);
+  }
+
+  private closeSession(id: number): void {
+    const session = this.sessions.get(id);
+    this.sessions.delete(id);
+    if (session !== undefined && this.sessionsByBackend.get(session.backend)?.id === id) {
+      this.sessionsByBackend.delete(session.backend);
+    }
+  }
+
+  private setRows(service: string, rows: readonly ShardRow[]): void {
+    const table = this.shards.get(service) ?? new ShardTable();
+    this.shards.set(service, table);
+    for (const row of rows) table.set(row);
   }
 }
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -31,7 +31,13 @@
 export interface AssignCommand {
   readonly kind: 'assign';
   readonly service: string;
-  readonly assignments: readonly ShardTarget[];
+  readonly assignments: readonly BackendAssignment[];
+}
+
+/** Shards that one back end gets; a typed array, so that a first assignment stays a small log entry. */
+export interface BackendAssignment {
+  readonly backend: string;
+  readonly shards: Uint32Array;
 }
 
 /** Starts planned moves; the owner keeps each shard until it has handed it over. */
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -1,25 +1,28 @@
-/** One control replica: storage, consensus, connections, and what a leader does. */
-import type { ControlSettings, NamedAddress } from '../config/daemon-settings.js';
+/** One control replica: joins storage, consensus, connections and the duties of a leader. */
+import type { ControlSettings } from '../config/daemon-settings.js';
 import { FormationCore, type FormationOutcome } from '../consensus/formation-core.js';
-import { nextMembership } from '../consensus/join-core.js';
-import { monotonicMs, Replica, type ReplicaPorts } from '../consensus/replica.js';
+import { Replica, type ReplicaPorts } from '../consensus/replica.js';
 import { DEFAULT_RAFT_OPTIONS, replicaName, type RaftRole, type ReplicaId } from '../consensus/raft-types.js';
 import { Err, Ok, type Result } from '../result.js';
-import { ReplicaStorage } from '../storage/replica-storage.js';
+import { nodeRuntime } from '../runtime/node-runtime.js';
+import type {
+  CancelTimer,
+  Connection,
+  Listener,
+  PeerHandlers,
+  Runtime,
+  Traffic,
+} from '../runtime/runtime.js';
+import { ReplicaStorage, type StorageError } from '../storage/replica-storage.js';
+import type { ReplicaStore } from '../storage/replica-store.js';
 import type { Logger } from '../telemetry/logger.js';
 import type { Hello } from '../transport/hello.js';
-import type { MessageConnection } from '../transport/message-connection.js';
-import { MessageServer, type PeerHandlers } from '../transport/message-server.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
 import type { ControlState } from './control-state.js';
-import {
-  daemonRequestSchema,
-  type ControlNotice,
-  type DaemonRequest,
-  type WatchRequest,
-} from './daemon-messages.js';
+import { DaemonGateway } from './daemon-gateway.js';
 import { LeaderDuties } from './leader-duties.js';
 import { LoadTable } from './load-table.js';
+import { MembershipAdmission } from './membership-admission.js';
 import { readPeerMessage } from './peer-messages.js';
 import { PeerNetwork, type PeerMessage } from './peer-network.js';
 import { Proposals, type ProposalError } from './proposals.js';
@@ -36,67 +39,75 @@
 /** A follower that heard no leader for this many election timeouts serves no watchers. */
 const STALE_ELECTION_TIMEOUTS = 3;
 
-/** Counters of connections. */
-export interface ControlCounters {
-  refusedConnections: number;
-  unreadableMessages: number;
+/** A member that did not answer for this many election timeouts counts as gone. */
+const INACTIVE_ELECTION_TIMEOUTS = 2;
+
+/** What a replica is started with. */
+export interface ControlNodeOptions {
+  readonly settings: ControlSettings;
+  readonly token: string;
+  readonly runtime: Runtime;
+  readonly storage: ReplicaStore;
+  readonly logger: Logger;
+  /** Called once when the disk fails. */
+  readonly onFatal: (error: unknown) => void;
 }
 
 /** A running control replica. */
 export class ControlNode {
-  readonly counters: ControlCounters = { refusedConnections: 0, unreadableMessages: 0 };
   readonly hub = new WatchHub();
   readonly sessions: SessionService;
+  readonly gateway: DaemonGateway;
   readonly id: ReplicaId;
+  /** Connections that were refused, and unreadable messages of other replicas. */
+  readonly counters = { refusedConnections: 0, unreadablePeerMessages: 0 };
+  private readonly settings: ControlSettings;
+  private readonly runtime: Runtime;
+  private readonly storage: ReplicaStore;
+  private readonly logger: Logger;
   private readonly replicated: ReplicatedState;
   private readonly proposals: Proposals;
   private readonly loads = new LoadTable();
   private readonly duties: LeaderDuties;
-  private readonly server: MessageServer;
+  private readonly admission: MembershipAdmission;
+  private readonly listener: Listener;
   private readonly network: PeerNetwork;
   private readonly formation: FormationCore;
-  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly timers: CancelTimer[] = [];
   private replica: Replica | null = null;
   private leadingTerm = 0;
-  private candidates = new Map<string, ReplicaId>();
-
-  private constructor(
-    private readonly settings: ControlSettings,
-    private readonly token: string,
-    private readonly storage: ReplicaStorage,
-    private readonly logger: Logger,
-    private readonly onFatal: (error: unknown) => void,
-  ) {
+
+  private constructor(private readonly options: ControlNodeOptions) {
+    const { settings, token, runtime, storage, logger } = options;
     const { name, zone, members, timing } = settings;
+    this.settings = settings;
+    this.runtime = runtime;
+    this.storage = storage;
+    this.logger = logger;
     this.id = `${name}/${storage.owner.identity}`;
-    this.proposals = new Proposals((proposalId, command) => {
+    this.proposals = new Proposals(runtime, (proposalId, command) => {
       this.submitProposal(proposalId, command);
     });
-    this.replicated = new ReplicatedState(this.hub, (proposalId, outcome) => {
-      this.proposals.applied(proposalId, outcome);
-    });
-    this.duties = new LeaderDuties(() => this.state, this.proposals, this.loads);
-    this.sessions = new SessionService(
-      timing.sessionTermMs,
-      {
-        state: () => this.state,
-        confirmLeadership: (requestId) => this.replica?.submit({ kind: 'confirm-leadership', requestId }),
-        nowMs: monotonicMs,
-        wallMs: Date.now,
+    this.replicated = new ReplicatedState(
+      this.hub,
+      (proposalId, outcome) => {
+        this.proposals.applied(proposalId, outcome);
+      },
+      (changes) => {
+        this.duties.noteChanges(changes);
       },
-      this.proposals,
-      this.loads,
-    );
-    this.formation = new FormationCore(
-      name,
-      this.id,
-      members.map((member) => member.name),
     );
-    this.server = new MessageServer(token, {
+    this.duties = new LeaderDuties(() => this.state, this.proposals, this.loads);
+    this.sessions = this.makeSessions();
+    this.gateway = this.makeGateway();
+    this.admission = new MembershipAdmission(INACTIVE_ELECTION_TIMEOUTS * timing.electionTimeoutMs);
+    const memberNames = members.map((member) => member.name);
+    this.formation = new FormationCore(name, this.id, memberNames);
+    this.listener = runtime.serve(token, {
       onPeer: (hello, connection) => this.acceptPeer(hello, connection),
       onRefused: () => (this.counters.refusedConnections += 1),
     });
-    this.network = new PeerNetwork({ role: 'control', name, zone, token: this.token }, members);
+    this.network = new PeerNetwork(runtime, { role: 'control', name, zone, token }, members);
   }
 
   /** Opens the data folder and starts to listen. `onFatal` is called once when the disk fails. */
@@ -108,10 +119,16 @@
   ): Promise<Result<ControlNode, string>> {
     const storage = await ReplicaStorage.open(settings.dataFolder, settings.name);
     if (storage.err) return Err(describeStorageError(storage.val));
-    const node = new ControlNode(settings, token, storage.val, logger, onFatal);
-    const listening = await node.server.listen(settings.listen);
+    const options = { settings, token, runtime: nodeRuntime, storage: storage.val, logger, onFatal };
+    return await ControlNode.startWith(options);
+  }
+
+  /** Starts on a disk that is already open. */
+  static async startWith(options: ControlNodeOptions): Promise<Result<ControlNode, string>> {
+    const node = new ControlNode(options);
+    const listening = await node.listener.listen(options.settings.listen);
     if (listening.err) return listening;
-    if (storage.val.formed) node.startReplica();
+    if (options.storage.formed) node.startReplica();
     else node.startFormation();
     return Ok(node);
   }
@@ -134,8 +151,9 @@
   /** Whether a leader is known and was heard lately, so that what is read here is not old. */
   get current(): boolean {
     if (this.replica === null) return false;
+    const { core } = this.replica;
     const staleMs = STALE_ELECTION_TIMEOUTS * this.settings.timing.electionTimeoutMs;
-    return this.replica.core.leader !== null && monotonicMs() - this.replica.core.leaderLastHeardMs < staleMs;
+    return core.leader !== null && this.runtime.nowMs() - core.leaderLastHeardMs < staleMs;
   }
 
   /** Member that leads, by name, as far as is known here. */
@@ -144,19 +162,19 @@
     return leader === null ? null : replicaName(leader);
   }
 
-  /** Members as this replica knows them. */
-  get members(): readonly NamedAddress[] {
+  /** Members by the settings. */
+  get members(): ControlSettings['members'] {
     return this.settings.members;
   }
 
   /** Bytes between control replicas, dialed from here. */
-  peerTraffic(): { bytesSent: number; bytesReceived: number } {
+  peerTraffic(): Traffic {
     return this.network.traffic();
   }
 
   /** Bytes sent over the connections that were dialed to here: to agents and routers. */
   get daemonBytesSent(): number {
-    return this.server.bytesSent;
+    return this.listener.bytesSent;
   }
 
   /** Size of the log on disk, in bytes. */
@@ -171,14 +189,38 @@
 
   /** Stops everything and closes the data folder. */
   async stop(): Promise<void> {
-    for (const timer of this.timers) clearInterval(timer);
-    this.server.close();
+    for (const cancel of this.timers) cancel();
+    this.listener.close();
     this.network.stop();
     this.proposals.abandonAll();
     if (this.replica === null) await this.storage.close();
     else await this.replica.stop();
   }
 
+  private makeSessions(): SessionService {
+    const ports = {
+      state: () => this.state,
+      confirmLeadership: (requestId: number) =>
+        this.replica?.submit({ kind: 'confirm-leadership', requestId }),
+      nowMs: () => this.runtime.nowMs(),
+      wallMs: () => this.runtime.wallMs(),
+    };
+    return new SessionService(this.settings.timing.sessionTermMs, ports, this.proposals, this.loads);
+  }
+
+  private makeGateway(): DaemonGateway {
+    const ports = {
+      state: () => this.state,
+      applied: () => this.replica?.applied ?? 0,
+      current: () => this.current,
+      onDuty: () => this.leading && this.leadingTerm === this.replica?.core.term,
+      leaderName: () => this.leaderName,
+      wallMs: () => this.runtime.wallMs(),
+      propose: (command: ControlCommand) => void this.propose(command),
+    };
+    return new DaemonGateway(ports, this.sessions, this.hub);
+  }
+
   private submitProposal(proposalId: string, command: ControlCommand): void {
     if (this.replica === null) this.proposals.dropped(proposalId);
     else this.replica.submit({ kind: 'propose', proposalId, command });
@@ -188,15 +230,18 @@
 
   private startFormation(): void {
     this.logger.info('waiting for all members to form the cluster');
-    const timer = setInterval(() => {
-      if (this.formation.outcome.kind === 'undecided') this.network.broadcast(this.formation.query());
-      else void this.finishFormation(timer, this.formation.outcome);
-    }, FORMATION_RETRY_MS);
-    this.timers.push(timer);
+    const cancel = this.runtime.every(FORMATION_RETRY_MS, () => {
+      if (this.formation.outcome.kind === 'undecided') {
+        this.network.broadcast(this.formation.query());
+        return;
+      }
+      cancel();
+      void this.finishFormation(this.formation.outcome);
+    });
+    this.timers.push(cancel);
   }
 
-  private async finishFormation(timer: NodeJS.Timeout, outcome: FormationOutcome): Promise<void> {
-    clearInterval(timer);
+  private async finishFormation(outcome: FormationOutcome): Promise<void> {
     if (outcome.kind === 'member') await this.storage.form(outcome.membership);
     this.logger.info('cluster formed', { member: outcome.kind === 'member' });
     this.startReplica();
@@ -211,14 +256,15 @@
       seed: seedFrom(this.id),
       snapshotEveryEntries,
     };
-    this.replica = new Replica(this.id, this.storage, this.replicated, this.replicaPorts(), options);
+    const ports = this.replicaPorts();
+    this.replica = new Replica(this.id, this.runtime, this.storage, this.replicated, ports, options);
     this.timers.push(
-      setInterval(() => {
+      this.runtime.every(timing.planIntervalMs, () => {
         this.runDuties();
-      }, timing.planIntervalMs),
-      setInterval(() => {
+      }),
+      this.runtime.every(JOIN_RETRY_MS, () => {
         this.requestToJoin();
-      }, JOIN_RETRY_MS),
+      }),
     );
   }
 
@@ -236,7 +282,7 @@
       onProposalDropped: (proposalId) => {
         this.proposals.dropped(proposalId);
       },
-      onFatal: this.onFatal,
+      onFatal: this.options.onFatal,
     };
   }
 
@@ -246,27 +292,6 @@
     this.network.broadcast({ kind: 'join-request', id: this.id });
   }
 
-  private admitCandidates(replica: Replica): void {
-    const { core } = replica;
-    for (const [name, id] of this.candidates) {
-      if (core.membership.voters.includes(id)) this.candidates.delete(name);
-      const next = nextMembership(id, {
-        membership: core.membership,
-        commitIndex: core.commitIndex,
-        matchIndexOf: (peer) => core.peerProgress(peer)?.matchIndex ?? null,
-        isActive: (peer) => this.isActive(replica, peer),
-      });
-      if (next === null) continue;
-      replica.submit({ kind: 'change-membership', membership: next });
-      return;
-    }
-  }
-
-  private isActive(replica: Replica, peer: ReplicaId): boolean {
-    const answeredMs = replica.core.peerProgress(peer)?.lastAnswerMs ?? -Infinity;
-    return peer === this.id || monotonicMs() - answeredMs < 2 * this.settings.timing.electionTimeoutMs;
-  }
-
   // ---- leading
 
   private roleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void {
@@ -279,24 +304,26 @@
     if (replica === null) return;
     if (!this.current) this.hub.dismissAll('no-leader');
     if (!replica.core.leaderReady) return;
-    if (this.leadingTerm !== replica.core.term) {
-      this.leadingTerm = replica.core.term;
-      this.sessions.startLeading();
-      this.duties.startLeading();
-    }
+    if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
     this.sessions.expire();
-    this.duties.run(monotonicMs());
-    this.admitCandidates(replica);
+    this.duties.run(this.runtime.nowMs());
+    this.admission.advance(replica, this.runtime.nowMs());
+  }
+
+  private startLeading(term: number): void {
+    this.leadingTerm = term;
+    this.sessions.startLeading();
+    this.duties.startLeading();
   }
 
   // ---- connections
 
-  private acceptPeer(hello: Hello, connection: MessageConnection): PeerHandlers {
+  private acceptPeer(hello: Hello, connection: Connection): PeerHandlers {
     const isControl = hello.role === 'control';
     return {
       onMessage: (message) => {
         if (isControl) this.receiveFromPeer(message, connection);
-        else this.receiveFromDaemon(message, hello, connection);
+        else this.gateway.receive(message, hello, connection);
       },
       onClose: () => {
         this.hub.remove(connection);
@@ -304,10 +331,10 @@
     };
   }
 
-  private receiveFromPeer(message: unknown, connection: MessageConnection): void {
+  private receiveFromPeer(message: unknown, connection: Connection): void {
     const checked = readPeerMessage(message);
     if (checked === null) {
-      this.counters.unreadableMessages += 1;
+      this.counters.unreadablePeerMessages += 1;
       connection.close('unreadable message');
       return;
     }
@@ -323,7 +350,7 @@
         this.formation.receive(message);
         break;
       case 'join-request':
-        this.candidates.set(replicaName(message.id), message.id);
+        this.admission.request(message.id);
         break;
       default:
         this.replica?.submit({ kind: 'message', message });
@@ -336,77 +363,11 @@
     if (this.replica === null || answer.membership !== null) return answer;
     return { ...answer, membership: this.replica.core.membership };
   }
-
-  private receiveFromDaemon(message: unknown, hello: Hello, connection: MessageConnection): void {
-    const parsed = daemonRequestSchema.safeParse(message);
-    if (!parsed.success) {
-      this.counters.unreadableMessages += 1;
-      connection.close('unreadable message');
-      return;
-    }
-    const request = parsed.data;
-    if (request.kind === 'watch') {
-      this.watch(request, hello, connection);
-      return;
-    }
-    if (request.kind === 'watched') {
-      this.hub.acknowledge(connection, request.index, request.revision);
-      return;
-    }
-    this.handleSessionRequest(request, connection);
-  }
-
-  private handleSessionRequest(
-    request: Exclude<DaemonRequest, { kind: 'watch' | 'watched' }>,
-    connection: MessageConnection,
-  ): void {
-    if (!this.leading || this.leadingTerm !== this.replica?.core.term) {
-      const notice: ControlNotice = { kind: 'not-leader', leader: this.leaderName };
-      connection.send(notice);
-      return;
-    }
-    switch (request.kind) {
-      case 'open-session':
-        void this.sessions.open(request, connection);
-        break;
-      case 'renew-session':
-        this.sessions.renew(request, connection);
-        break;
-      case 'close-session':
-        this.sessions.close(request.session);
-        break;
-      case 'move-released':
-        void this.propose({ ...request, kind: 'complete-move', wallMs: Date.now() });
-        break;
-      case 'move-refused':
-        void this.propose({ ...request, kind: 'cancel-move' });
-        break;
-    }
-  }
-
-  private watch(request: WatchRequest, hello: Hello, connection: MessageConnection): void {
-    const applied = this.replica?.applied ?? 0;
-    const reason = !this.current ? 'no-leader' : request.fromIndex > applied ? 'behind' : null;
-    if (reason !== null) {
-      const notice: ControlNotice = { kind: 'watch-refused', reason };
-      connection.send(notice);
-      return;
-    }
-    const watcher = { hello, connection, scope: request.scope, index: 0, revision: 0 };
-    this.hub.add(watcher, request.fromIndex, this.state, applied);
-  }
 }
 
-function describeStorageError(error: {
-  kind: string;
-  detail: string;
-  file?: string;
-  folder?: string;
-  offset?: number;
-}): string {
-  const where = error.file ?? error.folder ?? '';
-  const at = error.offset === undefined ? '' : ` at byte ${error.offset}`;
-  return `${error.kind}: ${where}${at}: ${error.detail}; move the folder away, so that this replica joins anew`;
+function describeStorageError(error: StorageError): string {
+  const place = error.kind === 'corrupt-file' ? `${error.file} at byte ${error.offset}` : error.folder;
+  return `${error.kind}: ${place}: ${error.detail}; move the folder away, so that this replica joins anew`;
 }
 
 /** A number from a replica's id, so that replicas draw different election timeouts. */
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -56,3 +56,8 @@
   }
   return undefined;
 }
+
+/** Open sessions by back end. */
+export function sessionsByBackend(state: ControlState): ReadonlyMap<string, Session> {
+  return new Map([...state.sessions.values()].map((session) => [session.backend, session]));
+}
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -1,4 +1,5 @@
 /** What a control replica tells operators about itself and the deployment. Holds no secrets. */
+import type { ShardRow } from '../model/shard.js';
 import type { ControlNode } from './control-node.js';
 
 /** A daemon that watches this replica. */
@@ -69,17 +70,23 @@
   const { configuration, sessions, draining, shards } = node.state;
   const sessionIds = new Map([...sessions.values()].map(({ backend, id }) => [backend, id]));
   return Object.entries(configuration.document.services).flatMap(([service, { backends }]) => {
-    const rows = shards.get(service) ?? [];
+    const counts = countByOwner(shards.get(service) ?? []);
     return Object.keys(backends).map((backend) => ({
       service,
       backend,
       session: sessionIds.get(backend) ?? null,
       draining: draining.has(backend),
-      shards: rows.filter((row) => row.owner === backend).length,
+      shards: counts.get(backend) ?? 0,
     }));
   });
 }
 
+function countByOwner(rows: readonly ShardRow[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { owner } of rows) if (owner !== null) counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  return counts;
+}
+
 function describeServices(node: ControlNode, backends: readonly BackendStatus[]): ServiceStatus[] {
   return [...node.state.shards].map(([service, rows]) => {
     const counts = backends.filter((backend) => backend.service === service).map(({ shards }) => shards);
--- /dev/null
+++ b/src/control/daemon-gateway.ts
@@ -0,0 +1,100 @@
+/** Takes the requests of agents and routers to the part of the replica that answers them. */
+import type { Hello } from '../transport/hello.js';
+import type { Connection } from '../runtime/runtime.js';
+import type { ControlCommand } from './commands.js';
+import type { ControlState } from './control-state.js';
+import {
+  daemonRequestSchema,
+  type ControlNotice,
+  type DaemonRequest,
+  type WatchRequest,
+} from './daemon-messages.js';
+import type { SessionService } from './session-service.js';
+import type { WatchHub } from './watch-hub.js';
+
+type SessionRequest = Exclude<DaemonRequest, { kind: 'watch' | 'watched' }>;
+
+/** What the gateway needs of its replica. */
+export interface GatewayPorts {
+  readonly state: () => ControlState;
+  /** Index of the newest entry that is in the state. */
+  readonly applied: () => number;
+  /** Whether a leader was heard lately, so that what is read here is not old. */
+  readonly current: () => boolean;
+  /** Whether this replica leads and has begun its duties. */
+  readonly onDuty: () => boolean;
+  readonly leaderName: () => string | null;
+  readonly wallMs: () => number;
+  /** Proposes a command whose outcome nobody waits for. */
+  readonly propose: (command: ControlCommand) => void;
+}
+
+/** The gateway of one replica. */
+export class DaemonGateway {
+  /** Messages that could not be read; their connections were closed. */
+  unreadableMessages = 0;
+
+  constructor(
+    private readonly ports: GatewayPorts,
+    private readonly sessions: SessionService,
+    private readonly hub: WatchHub,
+  ) {}
+
+  /** Takes one message. */
+  receive(message: unknown, hello: Hello, connection: Connection): void {
+    const parsed = daemonRequestSchema.safeParse(message);
+    if (!parsed.success) {
+      this.unreadableMessages += 1;
+      connection.close('unreadable message');
+      return;
+    }
+    const request = parsed.data;
+    switch (request.kind) {
+      case 'watch':
+        this.watch(request, hello, connection);
+        break;
+      case 'watched':
+        this.hub.acknowledge(connection, request.index, request.revision);
+        break;
+      default:
+        this.receiveForLeader(request, connection);
+    }
+  }
+
+  private receiveForLeader(request: SessionRequest, connection: Connection): void {
+    if (!this.ports.onDuty()) {
+      const notice: ControlNotice = { kind: 'not-leader', leader: this.ports.leaderName() };
+      connection.send(notice);
+      return;
+    }
+    switch (request.kind) {
+      case 'open-session':
+        void this.sessions.open(request, connection);
+        break;
+      case 'renew-session':
+        this.sessions.renew(request, connection);
+        break;
+      case 'close-session':
+        this.sessions.close(request.session);
+        break;
+      case 'move-released':
+        this.ports.propose({ ...request, kind: 'complete-move', wallMs: this.ports.wallMs() });
+        break;
+      case 'move-refused':
+        this.ports.propose({ ...request, kind: 'cancel-move' });
+        break;
+    }
+  }
+
+  private watch(request: WatchRequest, hello: Hello, connection: Connection): void {
+    const applied = this.ports.applied();
+    const reason = !this.ports.current() ? 'no-leader' : request.fromIndex > applied ? 'behind' : null;
+    if (reason !== null) {
+      const notice: ControlNotice = { kind: 'watch-refused', reason };
+      connection.send(notice);
+      return;
+    }
+    const watcher = { hello, connection, scope: request.scope, index: 0, revision: 0 };
+    this.hub.add(watcher, request.fromIndex, this.ports.state(), applied);
+  }
+}
--- a/src/control/daemon-messages.ts
+++ b/src/control/daemon-messages.ts
@@ -1,8 +1,8 @@
 /** Messages between control replicas and the other daemons, as they are checked on arrival. */
 import { z } from 'zod';
 import { socketAddressSchema } from '../model/socket-address.js';
-import type { Change } from './changes.js';
 import type { StateSnapshot } from './state-snapshot.js';
+import type { WireChange } from './wire-changes.js';
 
 const openSessionSchema = z.object({
   kind: z.literal('open-session'),
@@ -93,7 +93,7 @@
     }
   | { readonly kind: 'session-ended'; readonly session: number }
   | { readonly kind: 'table'; readonly index: number; readonly table: StateSnapshot }
-  | { readonly kind: 'changes'; readonly index: number; readonly changes: readonly Change[] }
+  | { readonly kind: 'changes'; readonly index: number; readonly changes: readonly WireChange[] }
   | { readonly kind: 'watch-refused'; readonly reason: 'behind' | 'no-leader' };
 
 /** Fields by which a notice of control is told from garbage. */
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -2,6 +2,8 @@
 import type { ServiceConfiguration } from '../config/configuration.js';
 import type { ShardRow } from '../model/shard.js';
 import { planPlacement, type PlacementBackend, type PlacementPlan } from '../placement/planner.js';
+import type { Change } from './changes.js';
+import type { BackendAssignment, ControlCommand, ShardTarget } from './commands.js';
 import type { ControlState } from './control-state.js';
 import type { LoadTable } from './load-table.js';
 import type { Proposals } from './proposals.js';
@@ -12,6 +14,9 @@
 /** Moves of one service that may be under way at a time. */
 const MAX_CONCURRENT_MOVES = 16;
 
+/** Pause between plans for balance, in ms; repairs and drains are planned whenever something has changed. */
+const BALANCE_INTERVAL_MS = 1_000;
+
 const MS_PER_MINUTE = 60_000;
 
 interface ServiceProgress {
@@ -20,6 +25,9 @@
   moveAllowance: number;
   allowanceMs: number;
   proposalUnderWay: boolean;
+  /** Whether something has changed since the last plan. */
+  changed: boolean;
+  balanceDueMs: number;
 }
 
 /** The planning loop of a leader. */
@@ -38,18 +46,41 @@
     this.loads.clear();
   }
 
-  /** Plans every service and proposes what is due. */
+  /** The state has changed: the services concerned are planned anew with the next run. */
+  noteChanges(changes: readonly Change[]): void {
+    for (const change of changes) {
+      if (change.kind === 'configuration' || change.kind === 'drain') {
+        for (const progress of this.progress.values()) progress.changed = true;
+        continue;
+      }
+      const service = change.kind === 'session-opened' ? change.session.service : change.service;
+      const progress = this.progress.get(service);
+      if (progress !== undefined) progress.changed = true;
+    }
+  }
+
+  /** Plans every service that is due and proposes what follows. */
   run(nowMs: number): void {
     const { services } = this.state().configuration.document;
-    for (const [name, service] of Object.entries(services)) this.runService(name, service, nowMs);
+    for (const [name, service] of Object.entries(services)) {
+      const progress = this.progressOf(name, nowMs);
+      const isDue = progress.changed || nowMs >= progress.balanceDueMs;
+      if (isDue && !progress.proposalUnderWay) this.planService(name, service, progress, nowMs);
+    }
   }
 
-  private runService(name: string, service: ServiceConfiguration, nowMs: number): void {
-    const progress = this.progressOf(name, nowMs);
-    if (progress.proposalUnderWay) return;
+  private planService(
+    name: string,
+    service: ServiceConfiguration,
+    progress: ServiceProgress,
+    nowMs: number,
+  ): void {
     const backends = liveBackends(this.state(), name, service);
     const rows = this.state().shards.get(name) ?? [];
-    if (backends.length === 0 || !this.mayPlan(progress, service, backends, rows, nowMs)) return;
+    if (backends.length === 0 || !mayPlan(progress, service, backends, rows, nowMs)) return;
+    const balances = nowMs >= progress.balanceDueMs;
+    if (balances) progress.balanceDueMs = nowMs + BALANCE_INTERVAL_MS;
+    progress.changed = false;
     refillAllowance(progress, service.placement.maxMovesPerMinute, nowMs);
     const underWay = rows.filter((row) => row.movingTo !== null).length;
     const freeMoves = Math.max(0, MAX_CONCURRENT_MOVES - underWay);
@@ -58,7 +89,7 @@
       backends,
       loadOf: (shard) => this.loads.loadOf(name, shard),
       toleratedImbalance: service.placement.toleratedImbalance,
-      maxBalanceMoves: Math.min(freeMoves, Math.floor(progress.moveAllowance)),
+      maxBalanceMoves: balances ? Math.min(freeMoves, Math.floor(progress.moveAllowance)) : 0,
     });
     void this.proposePlan(name, plan, freeMoves, progress);
   }
@@ -70,41 +101,49 @@
     progress: ServiceProgress,
   ): Promise<void> {
     const moves = plan.moves.slice(0, freeMoves);
-    if (plan.assignments.length === 0 && moves.length === 0) return;
-    progress.proposalUnderWay = true;
-    progress.moveAllowance -= moves.length;
-    const proposed = [];
+    const commands: ControlCommand[] = [];
     if (plan.assignments.length > 0) {
-      proposed.push(this.proposals.propose({ kind: 'assign', service, assignments: plan.assignments }));
+      commands.push({ kind: 'assign', service, assignments: groupByBackend(plan.assignments) });
     }
-    if (moves.length > 0) proposed.push(this.proposals.propose({ kind: 'begin-moves', service, moves }));
-    await Promise.all(proposed);
+    if (moves.length > 0) commands.push({ kind: 'begin-moves', service, moves });
+    if (commands.length === 0) return;
+    progress.proposalUnderWay = true;
+    progress.moveAllowance -= moves.length;
+    const results = await Promise.all(commands.map(async (command) => await this.proposals.propose(command)));
     progress.proposalUnderWay = false;
-  }
-
-  /** A first assignment waits for all back ends, so that they need not be balanced at once. */
-  private mayPlan(
-    progress: ServiceProgress,
-    service: ServiceConfiguration,
-    backends: readonly PlacementBackend[],
-    rows: readonly ShardRow[],
-    nowMs: number,
-  ): boolean {
-    progress.firstSessionMs ??= nowMs;
-    const neverOwned = rows.every((row) => row.epoch === 0);
-    const allHere = backends.length >= Object.keys(service.backends).length;
-    return !neverOwned || allHere || nowMs - progress.firstSessionMs >= FIRST_ASSIGNMENT_WAIT_MS;
+    if (results.some((result) => result.err)) progress.changed = true;
   }
 
   private progressOf(name: string, nowMs: number): ServiceProgress {
     const known = this.progress.get(name);
     if (known !== undefined) return known;
-    const progress = { firstSessionMs: null, moveAllowance: 0, allowanceMs: nowMs, proposalUnderWay: false };
+    const progress: ServiceProgress = {
+      firstSessionMs: null,
+      moveAllowance: 0,
+      allowanceMs: nowMs,
+      proposalUnderWay: false,
+      changed: true,
+      balanceDueMs: nowMs + BALANCE_INTERVAL_MS,
+    };
     this.progress.set(name, progress);
     return progress;
   }
 }
 
+/** A first assignment waits for all back ends, so that they need not be balanced at once. */
+function mayPlan(
+  progress: ServiceProgress,
+  service: ServiceConfiguration,
+  backends: readonly PlacementBackend[],
+  rows: readonly ShardRow[],
+  nowMs: number,
+): boolean {
+  progress.firstSessionMs ??= nowMs;
+  const neverOwned = rows.every((row) => row.epoch === 0);
+  const allHere = backends.length >= Object.keys(service.backends).length;
+  return !neverOwned || allHere || nowMs - progress.firstSessionMs >= FIRST_ASSIGNMENT_WAIT_MS;
+}
+
 function refillAllowance(progress: ServiceProgress, perMinute: number, nowMs: number): void {
   const gained = ((nowMs - progress.allowanceMs) / MS_PER_MINUTE) * perMinute;
   progress.moveAllowance = Math.min(perMinute, progress.moveAllowance + gained);
@@ -122,3 +161,13 @@
   }
   return backends;
 }
+
+function groupByBackend(targets: readonly ShardTarget[]): BackendAssignment[] {
+  const groups = new Map<string, number[]>();
+  for (const { shard, backend } of targets) {
+    const group = groups.get(backend) ?? [];
+    groups.set(backend, group);
+    group.push(shard);
+  }
+  return [...groups].map(([backend, shards]) => ({ backend, shards: Uint32Array.from(shards) }));
+}
--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -27,7 +27,7 @@
 import type { CommandOutcome, ControlCommand } from './commands.js';
 import type { ControlNode } from './control-node.js';
 import { describeStatus, type ControlStatus } from './control-status.js';
-import { encodeState, type StateSnapshot } from './state-snapshot.js';
+import { encodeState, plainSnapshot, type StateSnapshot } from './state-snapshot.js';
 import type { ConfigurationRevision } from './control-state.js';
 
 const NODE = Symbol('ControlNode');
@@ -107,7 +107,7 @@
   @Get('snapshot')
   snapshot(): StateSnapshot {
     this.requireLeader();
-    return encodeState(this.node.state);
+    return plainSnapshot(encodeState(this.node.state));
   }
 
   @Put('backends/:name/drain')
--- a/src/control/peer-network.ts
+++ b/src/control/peer-network.ts
@@ -2,7 +2,7 @@
 import type { NamedAddress } from '../config/daemon-settings.js';
 import { replicaName, type RaftMessage } from '../consensus/raft-types.js';
 import type { FormationMessage } from '../consensus/formation-core.js';
-import { MessageClient, type ClientIdentity } from '../transport/message-client.js';
+import type { Client, ClientIdentity, Runtime, Traffic } from '../runtime/runtime.js';
 
 /** Asks the leader to make the sender a member. */
 export interface JoinRequest {
@@ -15,12 +15,12 @@
 
 /** Dials every other member and sends by name. */
 export class PeerNetwork {
-  private readonly clients = new Map<string, MessageClient>();
+  private readonly clients = new Map<string, Client>();
 
-  constructor(identity: ClientIdentity, members: readonly NamedAddress[]) {
+  constructor(runtime: Runtime, identity: ClientIdentity, members: readonly NamedAddress[]) {
     for (const { name, address } of members) {
       if (name === identity.name) continue;
-      this.clients.set(name, new MessageClient(address, identity, IGNORE_ANSWERS));
+      this.clients.set(name, runtime.dial(address, identity, IGNORE_ANSWERS));
     }
   }
 
@@ -40,7 +40,7 @@
   }
 
   /** Bytes sent and received by the connections that this replica dialed. */
-  traffic(): { bytesSent: number; bytesReceived: number } {
+  traffic(): Traffic {
     const total = { bytesSent: 0, bytesReceived: 0 };
     for (const client of this.clients.values()) {
       const { bytesSent, bytesReceived } = client.traffic();
--- a/src/control/proposals.ts
+++ b/src/control/proposals.ts
@@ -1,6 +1,6 @@
 /** Commands that were proposed here and wait to be committed. */
-import { randomUUID } from 'node:crypto';
 import { Err, Ok, type Result } from '../result.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
 
 /** Time in ms after which the proposer is told that the outcome is unknown. */
@@ -13,23 +13,26 @@
 
 interface Pending {
   readonly resolve: Resolve;
-  readonly timer: NodeJS.Timeout;
+  readonly cancelTimer: CancelTimer;
 }
 
 /** Joins proposals to their outcomes. */
 export class Proposals {
   private readonly pending = new Map<string, Pending>();
 
-  constructor(private readonly submit: (proposalId: string, command: ControlCommand) => void) {}
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly submit: (proposalId: string, command: ControlCommand) => void,
+  ) {}
 
   /** Proposes a command and waits for its outcome. */
   async propose(command: ControlCommand): Promise<Result<CommandOutcome, ProposalError>> {
-    const proposalId = randomUUID();
+    const proposalId = this.runtime.randomId();
     return await new Promise((resolve) => {
-      const timer = setTimeout(() => {
+      const cancelTimer = this.runtime.after(PROPOSAL_TIMEOUT_MS, () => {
         this.settle(proposalId, Err({ kind: 'outcome-unknown' }));
-      }, PROPOSAL_TIMEOUT_MS);
-      this.pending.set(proposalId, { resolve, timer });
+      });
+      this.pending.set(proposalId, { resolve, cancelTimer });
       this.submit(proposalId, command);
     });
   }
@@ -54,7 +57,7 @@
   private settle(proposalId: string, result: Result<CommandOutcome, ProposalError>): void {
     const pending = this.pending.get(proposalId);
     if (pending === undefined) return;
-    clearTimeout(pending.timer);
+    pending.cancelTimer();
     this.pending.delete(proposalId);
     pending.resolve(result);
   }
--- a/src/control/replicated-state.ts
+++ b/src/control/replicated-state.ts
@@ -1,6 +1,7 @@
 /** Joins the replicated log to the state machine: applies entries, answers proposals, publishes changes. */
 import type { StateMachine } from '../consensus/replica.js';
 import type { LogEntry } from '../consensus/raft-types.js';
+import type { Change } from './changes.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
 import { emptyControlState, type ControlState } from './control-state.js';
 import { applyCommand } from './state-machine.js';
@@ -14,6 +15,7 @@
   constructor(
     private readonly hub: WatchHub,
     private readonly onOutcome: (proposalId: string, outcome: CommandOutcome) => void,
+    private readonly onChanges: (changes: readonly Change[]) => void,
   ) {}
 
   /** The present state; not to be changed by readers. */
@@ -27,6 +29,7 @@
     const command = entry.payload.command as ControlCommand;
     const { outcome, changes } = applyCommand(this.current, command, entry.index);
     this.hub.publish(entry.index, changes);
+    this.onChanges(changes);
     this.onOutcome(entry.payload.proposalId, outcome);
   }
 
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -5,7 +5,7 @@
  * renewal arrived. A newer leader was therefore elected later, and the term that it waits covers the
  * renewed lease.
  */
-import type { MessageConnection } from '../transport/message-connection.js';
+import type { Connection } from '../runtime/runtime.js';
 import { LeaseTable } from './lease-table.js';
 import type { LoadTable } from './load-table.js';
 import type { OpenSessionRequest, RenewSessionRequest, ControlNotice } from './daemon-messages.js';
@@ -15,7 +15,7 @@
 interface PendingRenewal {
   readonly request: RenewSessionRequest;
   readonly receivedMs: number;
-  readonly connection: MessageConnection;
+  readonly connection: Connection;
 }
 
 /** What the service needs of its replica. */
@@ -60,7 +60,7 @@
   }
 
   /** Opens a session. */
-  async open(request: OpenSessionRequest, connection: MessageConnection): Promise<void> {
+  async open(request: OpenSessionRequest, connection: Connection): Promise<void> {
     const { requestId, service, backend, agentAddress } = request;
     const receivedMs = this.ports.nowMs();
     const wallMs = this.ports.wallMs();
@@ -87,7 +87,7 @@
   }
 
   /** Takes a renewal; it is answered when leadership has been confirmed. */
-  renew(request: RenewSessionRequest, connection: MessageConnection): void {
+  renew(request: RenewSessionRequest, connection: Connection): void {
     const { session } = request;
     if (!this.ports.state().sessions.has(session) || this.closing.has(session)) {
       notify(connection, { kind: 'session-ended', session });
@@ -156,6 +156,6 @@
   }
 }
 
-function notify(connection: MessageConnection, notice: ControlNotice): void {
+function notify(connection: Connection, notice: ControlNotice): void {
   connection.send(notice);
 }
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -17,7 +17,7 @@
   OpenSessionCommand,
   SetDrainCommand,
 } from './commands.js';
-import { sessionOfBackend, type ControlState, type Session } from './control-state.js';
+import { sessionOfBackend, sessionsByBackend, type ControlState, type Session } from './control-state.js';
 
 /** Submissions whose answers are kept for resends. */
 const KEPT_SUBMISSIONS = 1_000;
@@ -71,9 +71,9 @@
   state.configuration = { revision, document };
   state.submissions.push({ submissionId, revision });
   if (state.submissions.length > KEPT_SUBMISSIONS) state.submissions.shift();
-  const shardChanges = createShardTables(state, document);
+  createShardTables(state, document);
   const published = configurationChange(before, document, revision);
-  return { outcome: { kind: 'configured', revision }, changes: [published, ...shardChanges] };
+  return { outcome: { kind: 'configured', revision }, changes: [published] };
 }
 
 function configurationChange(
@@ -116,15 +116,15 @@
   return null;
 }
 
-function createShardTables(state: ControlState, document: ConfigurationDocument): Change[] {
-  const changes: Change[] = [];
+/** Tables of new services are not published: a daemon takes a row that it was not told of as one without owner. */
+function createShardTables(state: ControlState, document: ConfigurationDocument): void {
   for (const [name, service] of Object.entries(document.services)) {
     if (state.shards.has(name)) continue;
-    const rows = Array.from({ length: service.shards }, (_, shard) => emptyShardRow(shard));
-    state.shards.set(name, rows);
-    changes.push({ kind: 'shards', service: name, shards: rows.map((row) => ({ row, formerOwner: null })) });
+    state.shards.set(
+      name,
+      Array.from({ length: service.shards }, (_, shard) => emptyShardRow(shard)),
+    );
   }
-  return changes;
 }
 
 // ---- sessions
@@ -190,20 +190,27 @@
 // ---- ownership
 
 function applyAssign(state: ControlState, command: AssignCommand): Change[] {
-  const targets = new Map(command.assignments.map(({ shard, backend }) => [shard, backend]));
+  const sessions = sessionsByBackend(state);
+  const targets = new Map<number, Session>();
+  for (const { backend, shards } of command.assignments) {
+    const session = sessions.get(backend);
+    if (session === undefined) continue;
+    for (const shard of shards) targets.set(shard, session);
+  }
   return changeRows(state, command.service, (row) => {
-    const backend = targets.get(row.shard);
-    if (backend === undefined || row.owner !== null) return row;
-    return ownedBy(state, row, backend, row.freshAfterMs);
+    const session = targets.get(row.shard);
+    if (session === undefined || row.owner !== null) return row;
+    return ownedBy(session, row, row.freshAfterMs);
   });
 }
 
 function applyBeginMoves(state: ControlState, command: BeginMovesCommand, index: number): Change[] {
   const targets = new Map(command.moves.map(({ shard, backend }) => [shard, backend]));
+  const sessions = sessionsByBackend(state);
   return changeRows(state, command.service, (row) => {
     const backend = targets.get(row.shard);
     const movable = row.owner !== null && row.owner !== backend && row.movingTo === null;
-    if (backend === undefined || !movable || sessionOfBackend(state, backend) === undefined) return row;
+    if (backend === undefined || !movable || !sessions.has(backend)) return row;
     return { ...row, movingTo: backend, moveId: index };
   });
 }
@@ -213,7 +220,8 @@
   return changeRow(state, command.service, shard, (row) => {
     if (row.moveId !== moveId || row.movingTo === null) return row;
     const freshAfterMs = windowHandedOver ? row.freshAfterMs : wallMs;
-    return ownedBy(state, row, row.movingTo, freshAfterMs);
+    const session = sessionOfBackend(state, row.movingTo);
+    return session === undefined ? row : ownedBy(session, row, freshAfterMs);
   });
 }
 
@@ -237,12 +245,11 @@
   return { outcome: DONE, changes: [{ kind: 'drain', backend, draining }] };
 }
 
-/** The row with a new owner and the next epoch; unchanged when the owner has no session. */
-function ownedBy(state: ControlState, row: ShardRow, backend: string, freshAfterMs: number): ShardRow {
-  const session = sessionOfBackend(state, backend);
-  if (session === undefined) return row;
+/** The row with a new owner and the next epoch. */
+function ownedBy(session: Session, row: ShardRow, freshAfterMs: number): ShardRow {
+  const { id, backend } = session;
   const epoch = row.epoch + 1;
-  return { ...row, epoch, owner: backend, session: session.id, movingTo: null, moveId: 0, freshAfterMs };
+  return { ...row, epoch, owner: backend, session: id, movingTo: null, moveId: 0, freshAfterMs };
 }
 
 function changeRows(state: ControlState, service: string, change: (row: ShardRow) => ShardRow): Change[] {
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -1,13 +1,16 @@
 /**
  * Publishes committed changes to the daemons that watch this replica. Each change is encoded once for all
- * watchers of everything; a watcher of one back end gets only the rows that concern it.
+ * watchers of everything, and so is the whole table; a watcher of one back end gets only the rows that
+ * concern it.
  */
 import { encodeFrame } from '../transport/frame-codec.js';
-import type { MessageConnection } from '../transport/message-connection.js';
+import { encodeRows, type ShardColumns } from '../model/shard-columns.js';
+import type { Connection } from '../runtime/runtime.js';
 import type { Hello } from '../transport/hello.js';
 import { changesInScope, rowInScope, type Change, type WatchScope } from './changes.js';
 import type { ControlState } from './control-state.js';
-import { encodeRows, encodeState, type ShardColumns, type StateSnapshot } from './state-snapshot.js';
+import { encodeState, type StateSnapshot } from './state-snapshot.js';
+import { encodeChanges } from './wire-changes.js';
 
 /** Published changes that are kept for watchers that come back. */
 const KEPT_CHANGES = 4_096;
@@ -15,7 +18,7 @@
 /** A daemon that watches this replica. */
 export interface Watcher {
   readonly hello: Hello;
-  readonly connection: MessageConnection;
+  readonly connection: Connection;
   /** What the daemon is told of; null for everything. */
   readonly scope: WatchScope | null;
   /** Newest index that the daemon says it has put in force. */
@@ -29,12 +32,20 @@
   readonly changes: readonly Change[];
 }
 
+interface EncodedTable {
+  readonly index: number;
+  readonly frame: Buffer;
+}
+
 /** The watchers of one replica. */
 export class WatchHub {
-  private readonly watchers = new Map<MessageConnection, Watcher>();
-  private readonly recent: Published[] = [];
+  /** Whole tables that were encoded for watchers of everything. */
+  tablesEncoded = 0;
+  private readonly watchers = new Map<Connection, Watcher>();
+  private recent: Published[] = [];
   /** Changes after this index are all in `recent`. */
   private recentSince = 0;
+  private encodedTable: EncodedTable | null = null;
 
   /** All watchers at present. */
   list(): readonly Watcher[] {
@@ -43,9 +54,10 @@
 
   /** Starts anew after the state was replaced as a whole; watchers must be sent the table. */
   reset(state: ControlState, index: number): void {
-    this.recent.length = 0;
+    this.recent = [];
     this.recentSince = index;
-    for (const watcher of this.watchers.values()) sendTable(watcher, state, index);
+    this.encodedTable = null;
+    for (const watcher of this.watchers.values()) this.sendTable(watcher, state, index);
   }
 
   /** Adds a watcher and brings it up to date. */
@@ -53,7 +65,7 @@
     this.watchers.set(watcher.connection, watcher);
     const canCatchUp = fromIndex > 0 && fromIndex >= this.recentSince;
     if (!canCatchUp) {
-      sendTable(watcher, state, index);
+      this.sendTable(watcher, state, index);
       return;
     }
     for (const published of this.recent) {
@@ -62,7 +74,7 @@
   }
 
   /** A connection has closed or no longer watches. */
-  remove(connection: MessageConnection): void {
+  remove(connection: Connection): void {
     this.watchers.delete(connection);
   }
 
@@ -75,7 +87,7 @@
   }
 
   /** Records what a watcher has put in force. */
-  acknowledge(connection: MessageConnection, index: number, revision: number): void {
+  acknowledge(connection: Connection, index: number, revision: number): void {
     const watcher = this.watchers.get(connection);
     if (watcher === undefined) return;
     watcher.index = Math.max(watcher.index, index);
@@ -85,6 +97,7 @@
   /** Publishes what one committed command changed. */
   publish(index: number, changes: readonly Change[]): void {
     if (changes.length === 0) return;
+    this.encodedTable = null;
     const published = { index, changes };
     this.recent.push(published);
     if (this.recent.length > KEPT_CHANGES) this.recentSince = this.recent.shift()?.index ?? index;
@@ -94,25 +107,34 @@
         sendChanges(watcher, published);
         continue;
       }
-      frameForAll ??= encodeFrame({ kind: 'changes', index, changes });
+      frameForAll ??= encodeFrame({ kind: 'changes', index, changes: encodeChanges(changes) });
       watcher.connection.sendEncoded(frameForAll);
     }
   }
+
+  private sendTable(watcher: Watcher, state: ControlState, index: number): void {
+    if (watcher.scope === null) {
+      watcher.connection.sendEncoded(this.tableFrame(state, index));
+      return;
+    }
+    watcher.connection.send({ kind: 'table', index, table: tableInScope(state, watcher.scope) });
+  }
+
+  /** The whole table, encoded once for each state: many daemons ask for it at the same time. */
+  private tableFrame(state: ControlState, index: number): Buffer {
+    if (this.encodedTable?.index === index) return this.encodedTable.frame;
+    const table: StateSnapshot = { ...encodeState(state), submissions: [] };
+    const frame = encodeFrame({ kind: 'table', index, table });
+    this.tablesEncoded += 1;
+    this.encodedTable = { index, frame };
+    return frame;
+  }
 }
 
 function sendChanges(watcher: Watcher, { index, changes }: Published): void {
   const concerned = watcher.scope === null ? changes : changesInScope(changes, watcher.scope);
   if (concerned.length === 0) return;
-  watcher.connection.send({ kind: 'changes', index, changes: concerned });
-}
-
-function sendTable(watcher: Watcher, state: ControlState, index: number): void {
-  const table = watcher.scope === null ? tableForAll(state) : tableInScope(state, watcher.scope);
-  watcher.connection.send({ kind: 'table', index, table });
-}
-
-function tableForAll(state: ControlState): StateSnapshot {
-  return { ...encodeState(state), submissions: [] };
+  watcher.connection.send({ kind: 'changes', index, changes: encodeChanges(concerned) });
 }
 
 function tableInScope(state: ControlState, scope: WatchScope): StateSnapshot {
--- a/src/router/router-node.ts
+++ b/src/router/router-node.ts
@@ -8,6 +8,7 @@
 import type { RouterSettings } from '../config/daemon-settings.js';
 import { ControlWatch } from '../control-client/control-watch.js';
 import { Err, Ok, type Result } from '../result.js';
+import { nodeRuntime } from '../runtime/node-runtime.js';
 import type { Logger } from '../telemetry/logger.js';
 import { managementModule } from '../telemetry/management.js';
 import { createRegistry, exposeFamily, exposeValue } from '../telemetry/metrics.js';
@@ -44,7 +45,7 @@
     });
     const { name, zone, control } = settings;
     const identity = { role: 'router', name, zone, token } as const;
-    const watch = new ControlWatch(state.table, identity, control, null, () => {
+    const watch = new ControlWatch(nodeRuntime, state.table, identity, control, null, () => {
       state.tableChanged();
     });
     exposeCounters(registry, state, watch);
--- a/src/storage/replica-storage.ts
+++ b/src/storage/replica-storage.ts
@@ -15,20 +15,13 @@
 import { createFolder, readIfPresent, readWholeFile, replaceFile } from './durable-file.js';
 import { LogFile } from './log-file.js';
 import type { CorruptionError } from './record-file.js';
+import type { FolderIdentity, ReplicaStore } from './replica-store.js';
 
 const IDENTITY_FILE = 'identity';
 const HARD_STATE_FILE = 'hard-state';
 const SNAPSHOT_FILE = 'snapshot';
 const LOG_FILE = 'log';
 
-/** Who a data folder belongs to. */
-export interface FolderIdentity {
-  /** The replica's name in the settings. */
-  readonly name: string;
-  /** Random; made once, when the folder was created. */
-  readonly identity: string;
-}
-
 /** Why a data folder cannot be opened. */
 export type StorageError =
   CorruptionError | { readonly kind: 'wrong-owner'; readonly folder: string; readonly detail: string };
@@ -42,7 +35,7 @@
 const EMPTY_POSITION: SnapshotPosition = { index: 0, term: 0, membership: { voters: [], learners: [] } };
 
 /** An open data folder. */
-export class ReplicaStorage {
+export class ReplicaStorage implements ReplicaStore {
   private constructor(
     private readonly folder: string,
     readonly owner: FolderIdentity,
@@ -196,7 +189,7 @@
  * Entries that remain after a snapshot: those that follow it, and only if the log agrees with the snapshot
  * at its position (Raft 5.1); a log that disagrees is stale as a whole.
  */
-function entriesAfter(position: SnapshotPosition, entries: readonly LogEntry[]): LogEntry[] {
+export function entriesAfter(position: SnapshotPosition, entries: readonly LogEntry[]): LogEntry[] {
   const atPosition = entries.find((entry) => entry.index === position.index);
   const first = entries[0];
   const follows = first?.index === position.index + 1;
--- a/src/transport/message-client.ts
+++ b/src/transport/message-client.ts
@@ -1,31 +1,16 @@
 /** Dials one address and keeps a connection to it, with a growing pause between attempts. */
 import { connect, type Socket } from 'node:net';
 import type { SocketAddress } from '../model/socket-address.js';
-import { PROTOCOL_VERSION, type PeerRole } from './hello.js';
+import type { Client, ClientHandlers, ClientIdentity } from '../runtime/runtime.js';
+import { PROTOCOL_VERSION } from './hello.js';
 import { MessageConnection } from './message-connection.js';
 
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Who dials. */
-export interface ClientIdentity {
-  readonly role: PeerRole;
-  readonly name: string;
-  readonly zone: string;
-  /** The cluster's shared secret; never logged. */
-  readonly token: string;
-}
-
-/** What the owner of a client is told. */
-export interface ClientHandlers {
-  onOpen(connection: MessageConnection): void;
-  onMessage(message: unknown): void;
-  onClose(reason: string): void;
-}
-
 /** A self-reconnecting dialer. */
-export class MessageClient {
+export class MessageClient implements Client {
   private connection: MessageConnection | null = null;
   private pauseMs = FIRST_PAUSE_MS;
   private timer: NodeJS.Timeout | null = null;
--- a/src/transport/message-connection.ts
+++ b/src/transport/message-connection.ts
@@ -3,6 +3,7 @@
  * Nothing here retries; a broken connection reports `close` once and is then finished.
  */
 import type { Socket } from 'node:net';
+import type { Connection } from '../runtime/runtime.js';
 import { encodeFrame, FrameDecoder } from './frame-codec.js';
 
 /** Bytes that may wait in the send queue before the peer counts as stuck and is disconnected. */
@@ -16,7 +17,7 @@
 }
 
 /** A connection that carries framed messages both ways. */
-export class MessageConnection {
+export class MessageConnection implements Connection {
   /** Bytes received since the connection was opened. */
   bytesReceived = 0;
   /** Bytes handed to the socket since the connection was opened. */
--- a/src/transport/message-server.ts
+++ b/src/transport/message-server.ts
@@ -2,28 +2,15 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { Err, Ok, type Result } from '../result.js';
 import type { SocketAddress } from '../model/socket-address.js';
-import { checkHello, type Hello } from './hello.js';
+import type { Listener, PeerAcceptor, PeerHandlers } from '../runtime/runtime.js';
+import { checkHello } from './hello.js';
 import { MessageConnection } from './message-connection.js';
 
 /** Time in ms that a caller has for its hello before it is cut off. */
 const HELLO_TIMEOUT_MS = 2_000;
 
-/** Owner of the accepted peers. */
-export interface PeerAcceptor {
-  /** A peer has proved that it belongs to the cluster; returns where its messages go. */
-  onPeer(hello: Hello, connection: MessageConnection): PeerHandlers;
-  /** A connection ended before it became a peer. `reason` is for counters. */
-  onRefused(reason: string): void;
-}
-
-/** Receiver of one accepted peer's messages. */
-export interface PeerHandlers {
-  onMessage(message: unknown): void;
-  onClose(reason: string): void;
-}
-
 /** A listener for internal connections. */
-export class MessageServer {
+export class MessageServer implements Listener {
   private readonly connections = new Set<MessageConnection>();
   private readonly server: Server;
   private closedBytesSent = 0;
