A deterministic simulator of the real daemons

Cause: runs on real processes show one schedule each; the promises are about all of them.

Ruled out: modelling the protocol a second time. The simulator gives the real control nodes, agents, table watches, target selection, attempt policy and the stand-in's grants a virtual clock, network and disk.

The stand-in's checks of a request moved to `request-gate.ts`, used by both.

--- a/lab/backend/backend-server.ts
+++ b/lab/backend/backend-server.ts
@@ -16,7 +16,8 @@
 import { Random } from '../random.js';
 import { registerContract } from './contract-routes.js';
 import { downloadBody } from './download-body.js';
-import { GrantTable, type Admission } from './grant-table.js';
+import { GrantTable } from './grant-table.js';
+import { RequestGate, type KeptAnswer } from './request-gate.js';
 
 /** How a stand-in behaves. */
 export interface BackendOptions {
@@ -70,19 +71,12 @@
   readonly closed: () => boolean;
 }
 
-interface Answer {
-  readonly status: number;
-  readonly contentType: string;
-  readonly body: string;
-}
-
 /** A running stand-in. */
 export class BackendServer {
   readonly instance = randomUUID();
   readonly grants: GrantTable;
   readonly load = new Map<number, number>();
-  draining = false;
-  inFlight = 0;
+  readonly gate: RequestGate;
   private readonly values = new Map<string, number>();
   private readonly random: Random;
   private readonly startedMs = monotonicMs();
@@ -91,6 +85,7 @@
 
   constructor(readonly options: BackendOptions) {
     this.grants = new GrantTable(monotonicMs, options.repeatHorizonMs);
+    this.gate = new RequestGate(this.grants, options.slots);
     this.random = new Random(options.seed);
     this.journal = options.journal === null ? null : new JournalWriter(options.journal);
     this.app = fastify({ forceCloseConnections: 'idle' });
@@ -106,7 +101,7 @@
 
   /** Finishes what is in flight, then stops. */
   async stop(): Promise<void> {
-    this.draining = true;
+    this.gate.draining = true;
     await this.app.close();
     this.journal?.close();
   }
@@ -138,63 +133,29 @@
     const history: { readonly atMs: number; readonly inFlight: number }[] = [];
     this.app.get('/-/health', () => {
       const nowMs = monotonicMs();
-      history.push({ atMs: nowMs, inFlight: this.inFlight });
+      history.push({ atMs: nowMs, inFlight: this.gate.inFlight });
       const old = history.filter((seen) => nowMs - seen.atMs >= HEALTH_LAG_MS).at(-1);
       const lagging = { status: 'ok', inFlight: old?.inFlight ?? 0 };
-      const honest = { status: this.draining ? 'draining' : 'ok', inFlight: this.inFlight };
+      const honest = { status: this.gate.draining ? 'draining' : 'ok', inFlight: this.gate.inFlight };
       const misleading = { status: 'ok', inFlight: 0 };
       return { honest, lagging, misleading }[this.options.health];
     });
   }
 
   private async serve(work: WorkRequest, reply: FastifyReply): Promise<FastifyReply> {
-    const admission = this.admit(work.headers);
-    if (typeof admission === 'string') return refuse(reply, admission);
-    try {
-      return await this.serveAdmitted(work, admission, reply);
-    } finally {
-      admission?.end();
-    }
-  }
-
-  /** Checks the fence of a request; null when it needs none. */
-  private admit(headers: IncomingHttpHeaders): Admission | RefusalCode | null {
-    const shard = headers[REQUEST_HEADERS.shard];
-    if (shard === undefined) return this.draining ? 'draining' : null;
-    const number = Number(shard);
-    this.load.set(number, (this.load.get(number) ?? 0) + 1);
-    return this.grants.admit(number, Number(headers[REQUEST_HEADERS.epoch]));
-  }
-
-  private async serveAdmitted(
-    work: WorkRequest,
-    admission: Admission | null,
-    reply: FastifyReply,
-  ): Promise<FastifyReply> {
-    if (this.inFlight >= this.options.slots) return refuse(reply, 'overloaded');
+    const shard = headerOf(work.headers, REQUEST_HEADERS.shard);
+    const epoch = headerOf(work.headers, REQUEST_HEADERS.epoch);
+    const fence = shard === null ? null : { shard: Number(shard), epoch: Number(epoch) };
+    if (fence !== null) this.load.set(fence.shard, (this.load.get(fence.shard) ?? 0) + 1);
     const claimKey =
       work.operation === 'confirm' ? headerOf(work.headers, REQUEST_HEADERS.idempotencyKey) : null;
-    const window = admission?.window ?? null;
-    if (claimKey !== null && window !== null) {
-      const decision = window.claim(claimKey, Date.now());
-      if (decision.kind === 'replay')
-        return send(reply.header('aldertide-replayed', 'true'), decision.answer);
-      if (decision.kind !== 'run') return refuse(reply, decision.kind);
-    }
-    this.inFlight += 1;
-    try {
-      await sleep(this.workTime());
-      const valid = !work.closed() && (admission?.stillValid() ?? true);
-      if (!valid) {
-        if (claimKey !== null) window?.abandon(claimKey);
-        return refuse(reply, 'lease-expired');
-      }
-      const answer = this.execute(work);
-      if (claimKey !== null) window?.complete(claimKey, answer);
-      return work.operation === 'download' ? sendDownload(reply, work) : send(reply, answer);
-    } finally {
-      this.inFlight -= 1;
-    }
+    const begun = this.gate.begin({ fence, claimKey, wallMs: Date.now() });
+    if (begun.kind === 'refused') return refuse(reply, begun.code);
+    if (begun.kind === 'replay') return send(reply.header('aldertide-replayed', 'true'), begun.answer);
+    await sleep(this.workTime());
+    const answer = begun.work.finish(work.closed(), () => this.execute(work));
+    if (answer === null) return refuse(reply, 'lease-expired');
+    return work.operation === 'download' ? sendDownload(reply, work) : send(reply, answer);
   }
 
   private workTime(): number {
@@ -203,7 +164,7 @@
   }
 
   /** Changes the state and writes the journal, in one turn with the check of the grant. */
-  private execute(work: WorkRequest): Answer {
+  private execute(work: WorkRequest): KeptAnswer {
     const { name, service } = this.options;
     const version = (this.values.get(work.key) ?? 0) + Number(work.operation === 'confirm');
     this.values.set(work.key, version);
@@ -241,7 +202,7 @@
     .send();
 }
 
-function send(reply: FastifyReply, answer: Answer): FastifyReply {
+function send(reply: FastifyReply, answer: KeptAnswer): FastifyReply {
   return reply.status(answer.status).header('content-type', answer.contentType).send(answer.body);
 }
 
--- a/lab/backend/contract-routes.ts
+++ b/lab/backend/contract-routes.ts
@@ -37,7 +37,7 @@
   };
   const takeHolder = async ({ agent }: { agent: string }): Promise<HolderAnswer> => {
     await server.grants.takeHolder(agent);
-    server.draining = false;
+    server.gate.draining = false;
     return holderAnswer(server);
   };
   route('holder', takeHolderSchema, takeHolder, true);
@@ -57,12 +57,12 @@
     return window === null ? null : { window: window.export() };
   });
   route('drain', drainSchema, ({ draining }) => {
-    server.draining = draining;
+    server.gate.draining = draining;
   });
 }
 
 function holderAnswer(server: BackendServer): HolderAnswer {
   const load = [...server.load];
   server.load.clear();
-  return { instance: server.instance, load, inFlight: server.inFlight };
+  return { instance: server.instance, load, inFlight: server.gate.inFlight };
 }
--- a/lab/backend/grant-table.ts
+++ b/lab/backend/grant-table.ts
@@ -77,6 +77,17 @@
     return granted.window;
   }
 
+  /** Epoch under which a shard is granted, whether or not the lease still holds. */
+  epochOf(shard: number): number | null {
+    return this.shards.get(shard)?.epoch ?? null;
+  }
+
+  /** Shards that a request would be admitted to now. */
+  servableShards(): number[] {
+    if (this.nowMs() >= this.deadlineMs) return [];
+    return [...this.shards].filter(([, { releasing }]) => !releasing).map(([shard]) => shard);
+  }
+
   /** Admits a request, or says why not. */
   admit(shard: number, epoch: number): Admission | RefusalCode {
     const granted = this.shards.get(shard);
--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -5,6 +5,7 @@
 import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
 import { hollowCommand, hollowHostCommand } from './hollow-commands.js';
 import { loadCommand } from './load-command.js';
+import { simCommand, simListCommand } from './sim-commands.js';
 
 const VERSION = '0.1.0';
 
@@ -74,6 +75,22 @@
   .describe('Hold hollow daemons; started by `hollow`.')
   .action(async () => await hollowHostCommand());
 
+program
+  .command('sim')
+  .describe('Run simulations of the real daemons on virtual time, over scenarios and seeds.')
+  .option('--scenario', 'Scenario, or all', 'all')
+  .option('--seeds', 'Range of seeds', '1-20')
+  .option('--seed', 'One seed in place of a range')
+  .option('--trace', 'With --seed: file to write for `aldertide replay`')
+  .option('--json', 'Print one JSON object as the last line')
+  .action(async (options: Options) => await simCommand(options));
+
+program
+  .command('sim list')
+  .describe('List the scenarios and the lines of the brief that they provoke.')
+  .option('--json', 'Print one JSON object')
+  .action((options: Options) => simListCommand(options));
+
 program
   .command('demo')
   .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
--- a/lab/fleet/fleet-run.ts
+++ b/lab/fleet/fleet-run.ts
@@ -4,7 +4,7 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import { imbalance, percentile, unavailableTimes } from '../../src/placement/measures.js';
 import { formatAddress } from '../../src/model/socket-address.js';
-import type { StateSnapshot } from '../../src/control/state-snapshot.js';
+import type { StateDocument } from '../../src/control/state-snapshot.js';
 import { readJournal, type ExecutionRecord, type JournalRecord, type SendingRecord } from '../journal.js';
 import type { LoadOptions, Traffic } from '../load/load-options.js';
 import type { LoadSummary } from '../load/load-run.js';
@@ -158,7 +158,7 @@
   options: FleetRunOptions,
   fleet: Fleet,
   load: ReturnType<RunningLoad['read']>,
-  states: { readonly before: StateSnapshot; readonly after: StateSnapshot },
+  states: { readonly before: StateDocument; readonly after: StateDocument },
   faults: readonly FaultReport[],
 ): FleetRunReport {
   const executed = fleet.plan.backends.flatMap((backend) => readJournal(backend.journal));
@@ -216,8 +216,8 @@
   return Math.max(1, ...values);
 }
 
-function sumOfEpochs(state: StateSnapshot): number {
-  return state.shards.flatMap((columns) => Array.from(columns.epochs)).reduce((sum, epoch) => sum + epoch, 0);
+function sumOfEpochs(state: StateDocument): number {
+  return state.shards.flatMap(({ rows }) => rows).reduce((sum, { epoch }) => sum + epoch, 0);
 }
 
 function countRefusals(sendings: readonly SendingRecord[]): Record<string, number> {
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -5,7 +5,7 @@
 import { OperatorClient } from '../../src/cli/operator-client.js';
 import type { ControlStatus } from '../../src/control/control-status.js';
 import { formatAddress } from '../../src/model/socket-address.js';
-import type { StateSnapshot } from '../../src/control/state-snapshot.js';
+import type { StateDocument } from '../../src/control/state-snapshot.js';
 import type { FleetPlan, PlannedProcess } from './fleet-plan.js';
 import { ManagedProcess } from './managed-process.js';
 import { Relay } from './relay.js';
@@ -120,10 +120,10 @@
   }
 
   /** The replicated state, from the leader. */
-  async snapshot(): Promise<StateSnapshot> {
+  async snapshot(): Promise<StateDocument> {
     const answer = await this.operator.call('GET', 'snapshot');
     if (answer.err) throw new Error(`no state could be read: ${answer.val.message}`);
-    return answer.val as StateSnapshot;
+    return answer.val as StateDocument;
   }
 
   /** Waits until the statuses satisfy `condition`. */
--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -46,7 +46,7 @@
   private readonly grants: GrantsInstalled[] = [];
   private readonly failures: BackendFailed[] = [];
   private readonly newestRevision = new Map<string, number>();
-  private hot = new Map<string, ReadonlySet<number>>();
+  private readonly hot = new Map<string, ReadonlySet<number>>();
   /** Bytes of agents that were stopped. */
   private readonly closed = { bytesSent: 0, bytesReceived: 0 };
 
@@ -149,7 +149,7 @@
   }
 
   private shift(hot: HotShards): void {
-    this.hot = new Map(hot.map(([service, shards]) => [service, new Set(shards)]));
+    for (const [service, shards] of hot) this.hot.set(service, new Set(shards));
   }
 
   private noteRevision(daemon: string, revision: number): void {
--- a/lab/hollow/hollow-options.ts
+++ b/lab/hollow/hollow-options.ts
@@ -42,7 +42,7 @@
   readonly requestsPerShard: number;
 }
 
-/** Shards that are hot at present, by service. */
+/** Shards that are hot from now on, for the services that change. */
 export type HotShards = readonly (readonly [service: string, shards: readonly number[]])[];
 
 /** From the driver to a host. */
--- a/lab/hollow/hollow-run.ts
+++ b/lab/hollow/hollow-run.ts
@@ -199,10 +199,11 @@
     return measureSpent(before, after);
   }
 
+  /** One service gets other hot shards. */
   private shift(): void {
-    const hot: HotShards = Object.entries(this.document.services).map(([service, { shards }]) => {
-      return [service, Array.from({ length: HOT_SHARDS_PER_SERVICE }, () => this.random.below(shards))];
-    });
+    const [service, { shards }] = this.random.pick(Object.entries(this.document.services));
+    const drawn = Array.from({ length: HOT_SHARDS_PER_SERVICE }, () => this.random.below(shards));
+    const hot: HotShards = [[service, drawn]];
     for (const host of this.hosts) host.tell({ kind: 'shift', hot });
   }
 
--- /dev/null
+++ b/lab/sim/sim-backend.ts
@@ -0,0 +1,210 @@
+/** A simulated back end: the stand-in's own grants and gate, on virtual time. */
+import type { BackendCallError, BackendPort } from '../../src/agent/backend-port.js';
+import type { Claim, Grant, HolderAnswer, RefusalCode } from '../../src/backend-contract/grant-messages.js';
+import { Err, Ok, type Result } from '../../src/result.js';
+import { GrantTable } from '../backend/grant-table.js';
+import { RequestGate, type KeptAnswer } from '../backend/request-gate.js';
+import type { ExecutionRecord } from '../journal.js';
+import type { Random } from '../random.js';
+import type { SimProcess } from './sim-process.js';
+
+const SLOTS = 6;
+const REPEAT_HORIZON_MS = 30_000;
+const LONGEST_WORK_MS = 12;
+const LOCAL_CALL_MS = 0.2;
+const CALL_TIMEOUT_MS = 500;
+const RELEASE_TIMEOUT_MS = 10_000;
+const HTTP_CONFLICT = 409;
+
+/** A request as it reaches a back end. */
+export interface BackendRequest {
+  readonly shard: number;
+  readonly epoch: number;
+  readonly key: string;
+  readonly sendingId: string;
+  /** Null for a lookup. */
+  readonly idempotencyKey: string | null;
+}
+
+/** What a back end answers. */
+export type BackendAnswer =
+  { readonly kind: 'answered' } | { readonly kind: 'refused'; readonly code: RefusalCode };
+
+/** Makes the table of grants; variants stand in for a back end without a guard. */
+export type GrantTableFactory = (nowMs: () => number) => GrantTable;
+
+/** The usual table. */
+export const makeGrantTable: GrantTableFactory = (nowMs) => new GrantTable(nowMs, REPEAT_HORIZON_MS);
+
+/** One back end over all its lives. */
+export class SimBackend {
+  grants: GrantTable;
+  private gate: RequestGate;
+  private life = 0;
+  private readonly load = new Map<number, number>();
+
+  constructor(
+    readonly name: string,
+    readonly service: string,
+    readonly process: SimProcess,
+    private readonly random: Random,
+    private readonly makeGrants: GrantTableFactory,
+    private readonly record: (execution: ExecutionRecord) => void,
+  ) {
+    this.grants = this.makeGrants(() => this.process.nowMs());
+    this.gate = new RequestGate(this.grants, SLOTS);
+  }
+
+  /** Starts a new life without grants. */
+  start(): void {
+    this.life += 1;
+    this.grants = this.makeGrants(() => this.process.nowMs());
+    this.gate = new RequestGate(this.grants, SLOTS);
+    this.process.start();
+  }
+
+  /** Takes a request; `answer` is called once, or never when this life ends first. */
+  serve(request: BackendRequest, answer: (given: BackendAnswer) => void): void {
+    const { shard, epoch, idempotencyKey } = request;
+    this.load.set(shard, (this.load.get(shard) ?? 0) + 1);
+    const gated = { fence: { shard, epoch }, claimKey: idempotencyKey, wallMs: this.process.wallMs() };
+    const begun = this.gate.begin(gated);
+    if (begun.kind === 'refused') {
+      answer({ kind: 'refused', code: begun.code });
+      return;
+    }
+    if (begun.kind === 'replay') {
+      answer({ kind: 'answered' });
+      return;
+    }
+    this.process.schedule(this.random.fraction() * LONGEST_WORK_MS, () => {
+      const done = begun.work.finish(false, () => this.execute(request));
+      answer(done === null ? { kind: 'refused', code: 'lease-expired' } : { kind: 'answered' });
+    });
+  }
+
+  /** The port that an agent on the same machine uses. */
+  portFor(agent: SimProcess, agentInstance: string): BackendPort {
+    return new SimBackendPort(this, agent, agentInstance);
+  }
+
+  /** Answer to the agent's calls that ask for one. */
+  holderAnswer(): HolderAnswer {
+    const load = [...this.load];
+    this.load.clear();
+    return { instance: `${this.name}-${this.life}`, load, inFlight: this.gate.inFlight };
+  }
+
+  /** Refuses requests without a fence, or takes them again. */
+  setDraining(draining: boolean): void {
+    this.gate.draining = draining;
+  }
+
+  private execute({ shard, epoch, key, sendingId, idempotencyKey }: BackendRequest): KeptAnswer {
+    this.record({
+      kind: 'execution',
+      atMs: this.process.nowTrueMs(),
+      backend: this.name,
+      service: this.service,
+      shard,
+      epoch,
+      key,
+      sendingId,
+      idempotencyKey,
+      repeatable: idempotencyKey === null,
+    });
+    return { status: 200, contentType: 'text/plain', body: '' };
+  }
+}
+
+type CallResult<T> = Result<T, BackendCallError>;
+
+class SimBackendPort implements BackendPort {
+  constructor(
+    private readonly backend: SimBackend,
+    private readonly agent: SimProcess,
+    private readonly agentInstance: string,
+  ) {}
+
+  takeHolder(): Promise<CallResult<HolderAnswer>> {
+    return this.call(RELEASE_TIMEOUT_MS, async (backend) => {
+      await backend.grants.takeHolder(this.agentInstance);
+      return Ok(backend.holderAnswer());
+    });
+  }
+
+  extendLease(deadlineMs: number): Promise<CallResult<HolderAnswer>> {
+    return this.callAsHolder((backend) => {
+      backend.grants.extend(deadlineMs);
+      return backend.holderAnswer();
+    });
+  }
+
+  addGrants(deadlineMs: number, grants: readonly Grant[]): Promise<CallResult<unknown>> {
+    return this.callAsHolder((backend) => {
+      backend.grants.extend(deadlineMs);
+      backend.grants.add(grants);
+    });
+  }
+
+  revoke(shards: readonly number[]): Promise<CallResult<unknown>> {
+    return this.callAsHolder((backend) => {
+      backend.grants.revoke(shards);
+    });
+  }
+
+  release(shard: number, epoch: number): Promise<CallResult<{ window: Claim[] }>> {
+    return this.call(RELEASE_TIMEOUT_MS, async (backend) => {
+      if (!backend.grants.isHolder(this.agentInstance)) return refused();
+      const window = await backend.grants.release(shard, epoch);
+      return window === null ? refused() : Ok({ window: window.export() });
+    });
+  }
+
+  setDraining(draining: boolean): Promise<CallResult<unknown>> {
+    return this.callAsHolder((backend) => {
+      backend.setDraining(draining);
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.resolve();
+  }
+
+  private callAsHolder<T>(run: (backend: SimBackend) => T): Promise<CallResult<T>> {
+    return this.call(CALL_TIMEOUT_MS, (backend) => {
+      const isHolder = backend.grants.isHolder(this.agentInstance);
+      return Promise.resolve(isHolder ? Ok(run(backend)) : refused());
+    });
+  }
+
+  /** A call that times out may still take effect, when a frozen back end goes on. */
+  private async call<T>(
+    timeoutMs: number,
+    run: (backend: SimBackend) => Promise<CallResult<T>>,
+  ): Promise<CallResult<T>> {
+    return await new Promise((resolve) => {
+      const { process } = this.backend;
+      if (!process.alive) {
+        this.agent.schedule(LOCAL_CALL_MS, () => {
+          resolve(Err({ kind: 'gone' }));
+        });
+        return;
+      }
+      process.schedule(LOCAL_CALL_MS, () => {
+        void run(this.backend).then((result) => {
+          this.agent.schedule(LOCAL_CALL_MS, () => {
+            resolve(result);
+          });
+        });
+      });
+      this.agent.schedule(timeoutMs, () => {
+        resolve(Err({ kind: 'no-answer', detail: 'timed out' }));
+      });
+    });
+  }
+}
+
+function refused(): CallResult<never> {
+  return Err({ kind: 'refused', status: HTTP_CONFLICT });
+}
--- /dev/null
+++ b/lab/sim/sim-process.ts
@@ -0,0 +1,102 @@
+/** A simulated process: it can crash, freeze and go on, and its clocks run at their own rate. */
+import type { EventQueue } from './event-queue.js';
+
+/** Clocks of one process. */
+export interface ClockOptions {
+  /** Reading of the monotonic clock at the start, in ms. */
+  readonly startMs: number;
+  /** How fast it runs; 1 is true time. */
+  readonly rate: number;
+  /** How far its wall clock is off, in ms. */
+  readonly wallOffsetMs: number;
+}
+
+/** Wall-clock time at which every simulation starts, in ms since 1970. */
+export const SIMULATION_EPOCH_MS = 1_800_000_000_000;
+
+/** One process. Callbacks of an earlier life never run. */
+export class SimProcess {
+  private life = 0;
+  private isAlive = false;
+  private isFrozen = false;
+  private held: (() => void)[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly queue: EventQueue,
+    private readonly clock: ClockOptions,
+  ) {}
+
+  /** Another process that reads the same clocks. */
+  onSameMachine(name: string): SimProcess {
+    return new SimProcess(name, this.queue, this.clock);
+  }
+
+  /** Whether it has been started and has not crashed; a frozen process is alive. */
+  get alive(): boolean {
+    return this.isAlive;
+  }
+
+  /** Whether it is frozen. */
+  get frozen(): boolean {
+    return this.isFrozen;
+  }
+
+  /** Its monotonic clock, in ms. */
+  nowMs(): number {
+    return this.clock.startMs + this.queue.nowMs * this.clock.rate;
+  }
+
+  /** True time, which no process can read, in ms. */
+  nowTrueMs(): number {
+    return this.queue.nowMs;
+  }
+
+  /** Its wall clock, in ms since 1970. */
+  wallMs(): number {
+    return Math.round(SIMULATION_EPOCH_MS + this.queue.nowMs + this.clock.wallOffsetMs);
+  }
+
+  /** True time that passes while its clock moves on by `ms`. */
+  trueMs(ms: number): number {
+    return ms / this.clock.rate;
+  }
+
+  /** Starts a new life. */
+  start(): void {
+    this.life += 1;
+    this.isAlive = true;
+    this.isFrozen = false;
+  }
+
+  /** Ends the present life; nothing that it has scheduled will run. */
+  crash(): void {
+    this.life += 1;
+    this.isAlive = false;
+    this.isFrozen = false;
+    this.held = [];
+  }
+
+  /** Stops it; what comes due waits. */
+  freeze(): void {
+    if (this.isAlive) this.isFrozen = true;
+  }
+
+  /** Goes on with everything that came due meanwhile, in order. */
+  thaw(): void {
+    if (!this.isFrozen) return;
+    this.isFrozen = false;
+    for (const run of this.held.splice(0)) this.queue.at(this.queue.nowMs, run);
+  }
+
+  /** Runs `run` in this process's present life after `trueMs` of true time; held while it is frozen. */
+  schedule(trueMs: number, run: () => void): void {
+    const { life } = this;
+    const attempt = (): void => {
+      if (life !== this.life) return;
+      if (this.isFrozen) this.held.push(attempt);
+      else run();
+    };
+    this.queue.at(this.queue.nowMs + trueMs, attempt);
+  }
+}
--- /dev/null
+++ b/lab/sim/sim-router.ts
@@ -0,0 +1,154 @@
+/** A simulated router: the real table watch, target selection and attempt policy, without HTTP. */
+import type { NamedAddress } from '../../src/config/daemon-settings.js';
+import { ControlWatch } from '../../src/control-client/control-watch.js';
+import { WatchedTable } from '../../src/control-client/watched-table.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import {
+  decideAfterFailure,
+  OWNER_RETRY_AFTER_MS,
+  type AttemptFailure,
+} from '../../src/router/attempt-policy.js';
+import { refusal, type Refusal } from '../../src/router/refusal.js';
+import { selectOwner, type RoutingView, type Target } from '../../src/router/target-selection.js';
+import type { BackendAnswer, BackendRequest, SimBackend } from './sim-backend.js';
+import type { SimNetwork } from './sim-network.js';
+import type { SimProcess } from './sim-process.js';
+
+const OWNER_WAIT_MS = 300;
+const TOKEN = 'simulation-token-0123';
+
+/** A caller's request. */
+export interface RoutedRequest {
+  readonly service: string;
+  readonly key: string;
+  readonly sendingId: string;
+  readonly idempotencyKey: string | null;
+  /** Time that the caller leaves, in ms. */
+  readonly budgetMs: number;
+}
+
+/** How it ended. */
+export type RoutedEnd = { readonly kind: 'answered' } | { readonly kind: 'ended'; readonly refusal: Refusal };
+
+type AttemptResult =
+  { readonly kind: 'answered' } | { readonly kind: 'failed'; readonly failure: AttemptFailure };
+
+/** One life of a router. */
+export class SimRouter {
+  readonly table = new WatchedTable();
+  private readonly view: RoutingView;
+  private waiting: (() => void)[] = [];
+
+  constructor(
+    readonly name: string,
+    readonly process: SimProcess,
+    private readonly runtime: Runtime,
+    private readonly network: SimNetwork,
+    control: readonly NamedAddress[],
+    private readonly backends: ReadonlyMap<string, SimBackend>,
+    onUpdate: () => void,
+  ) {
+    const identity = { role: 'router', name, zone: 'zone', token: TOKEN } as const;
+    new ControlWatch(runtime, this.table, identity, control, null, () => {
+      for (const wake of this.waiting.splice(0)) wake();
+      onUpdate();
+    });
+    this.view = {
+      row: (service, shard) => this.table.row(service, shard),
+      availableBackends: () => [],
+      admits: () => true,
+      loadOf: () => 0,
+      random: () => 0,
+    };
+  }
+
+  /** Handles one request to its end. */
+  async handle(request: RoutedRequest): Promise<RoutedEnd> {
+    const deadlineMs = this.runtime.nowMs() + request.budgetMs;
+    const service = this.table.services.get(request.service);
+    if (service === undefined) return ended(refusal('not-ready', 'no table yet', OWNER_RETRY_AFTER_MS));
+    let waitedMs = 0;
+    for (let attempts = 0; ;) {
+      const target = selectOwner(this.view, request.service, service, request.key);
+      if (typeof target === 'string') {
+        if (waitedMs >= OWNER_WAIT_MS) return ended(refusal(target, 'no owner', OWNER_RETRY_AFTER_MS));
+        waitedMs += await this.pause(OWNER_WAIT_MS - waitedMs);
+        continue;
+      }
+      attempts += 1;
+      const result = await this.attempt(request, target, deadlineMs - this.runtime.nowMs());
+      if (result.kind === 'answered') return result;
+      const decision = decideAfterFailure(result.failure, {
+        repeatable: request.idempotencyKey === null,
+        bodyAvailable: true,
+        attempts,
+        remainingMs: deadlineMs - this.runtime.nowMs(),
+        takeRetry: () => true,
+      });
+      if (decision.kind === 'end') return ended(decision.refusal);
+      waitedMs += await this.pause(decision.pauseMs);
+      if (waitedMs >= OWNER_WAIT_MS)
+        return ended(refusal('no-owner', 'changing owner', OWNER_RETRY_AFTER_MS));
+    }
+  }
+
+  /** Waits for a newer table for at most `ms`; returns the time that passed. */
+  private async pause(ms: number): Promise<number> {
+    const startedMs = this.runtime.nowMs();
+    await new Promise<void>((resolve) => {
+      const cancel = this.runtime.after(ms, resolve);
+      this.waiting.push(() => {
+        cancel();
+        resolve();
+      });
+    });
+    return this.runtime.nowMs() - startedMs;
+  }
+
+  private async attempt(request: RoutedRequest, target: Target, budgetMs: number): Promise<AttemptResult> {
+    const backend = this.backends.get(target.backend);
+    if (backend?.process.alive !== true || target.fence === null) {
+      await this.pause(0);
+      return { kind: 'failed', failure: { kind: 'not-sent', gone: true } };
+    }
+    const { shard, epoch } = target.fence;
+    const { key, sendingId, idempotencyKey } = request;
+    return await this.exchange(backend, { shard, epoch, key, sendingId, idempotencyKey }, budgetMs);
+  }
+
+  private async exchange(
+    backend: SimBackend,
+    request: BackendRequest,
+    budgetMs: number,
+  ): Promise<AttemptResult> {
+    return await new Promise((resolve) => {
+      this.deliver(backend.process, this.process.name, () => {
+        backend.serve(request, (answer) => {
+          this.deliver(this.process, backend.process.name, () => {
+            resolve(toResult(answer));
+          });
+        });
+      });
+      this.runtime.after(Math.max(0, budgetMs), () => {
+        resolve({ kind: 'failed', failure: { kind: 'deadline-passed', sent: true } });
+      });
+    });
+  }
+
+  /** Carries a message to `process`, waiting while the way is cut. */
+  private deliver(process: SimProcess, from: string, run: () => void): void {
+    process.schedule(this.network.delay(), () => {
+      if (this.network.passes(from, process.name)) run();
+      else this.deliver(process, from, run);
+    });
+  }
+}
+
+function toResult(answer: BackendAnswer): AttemptResult {
+  if (answer.kind === 'answered') return answer;
+  return { kind: 'failed', failure: { kind: 'refused', code: answer.code, retryAfterMs: 0 } };
+}
+
+function ended(given: Refusal): RoutedEnd {
+  return { kind: 'ended', refusal: given };
+}
--- /dev/null
+++ b/lab/sim/sim-run.ts
@@ -0,0 +1,160 @@
+/** Runs one simulation from start to end and judges its history. */
+import { judge } from '../fleet/judge.js';
+import type { ExecutionRecord } from '../journal.js';
+import { Random } from '../random.js';
+import { FaultRunner, type DrainedStretch } from './fault-runner.js';
+import type { SimViolation } from './invariants.js';
+import type { Scenario } from './scenarios.js';
+import type { SimFault } from './sim-faults.js';
+import type { GuardName } from './sim-guards.js';
+import { SERVICE, SimWorld } from './sim-world.js';
+
+const READY_MS = 3_500;
+const CALLS_FROM_MS = 2_000;
+const CALLS_UNTIL_MS = 13_000;
+const LAST_REPAIR_MS = 20_000;
+const SETTLE_MS = 9_000;
+const CHECK_MS = 5;
+const FIRST_DEADLINE_MS = 2_000;
+const SETUP_TRIES = 10;
+
+/** What to run. */
+export interface SimRunOptions {
+  readonly scenario: Scenario;
+  readonly seed: number;
+  /** Faults in place of those that the scenario draws from the seed. */
+  readonly faults?: readonly SimFault[];
+  readonly withoutGuard?: GuardName | null;
+  readonly trace?: (line: string) => void;
+}
+
+/** What came of it. */
+export interface SimResult {
+  readonly scenario: string;
+  readonly seed: number;
+  readonly faults: readonly SimFault[];
+  readonly violations: readonly SimViolation[];
+  readonly steps: number;
+  readonly virtualSeconds: number;
+  readonly requests: number;
+  readonly answered: number;
+}
+
+/** Runs one simulation. The same options give the same trace. */
+export async function runSimulation(options: SimRunOptions): Promise<SimResult> {
+  const { scenario, seed } = options;
+  const faults = options.faults ?? scenario.faults(new Random(seed));
+  const world = new SimWorld({
+    scenario,
+    seed,
+    withoutGuard: options.withoutGuard ?? null,
+    trace: options.trace ?? null,
+  });
+  await world.start();
+  const runner = new FaultRunner(world);
+  const repaired = new Set<SimFault>();
+  void setUp(world);
+  for (const fault of faults) void runner.run(fault).then(() => repaired.add(fault));
+  world.callers.run(CALLS_UNTIL_MS);
+  checkOften(world);
+  await runUntil(world, READY_MS);
+  const sessionsAtStart = sessionsOf(world);
+  await runUntil(world, CALLS_UNTIL_MS);
+  while (repaired.size < faults.length && world.queue.nowMs < LAST_REPAIR_MS) {
+    await runUntil(world, world.queue.nowMs + 500);
+  }
+  world.network.healAll();
+  await runUntil(world, world.queue.nowMs + SETTLE_MS);
+  judgeWorld(world, runner.drained, sessionsAtStart);
+  return {
+    scenario: scenario.name,
+    seed,
+    faults,
+    violations: world.violations,
+    steps: world.queue.steps,
+    virtualSeconds: world.queue.nowMs / 1_000,
+    requests: world.callers.started,
+    answered: world.callers.answered,
+  };
+}
+
+/** Submits the first configuration as soon as somebody leads. */
+async function setUp(world: SimWorld): Promise<void> {
+  for (let attempt = 0; attempt < SETUP_TRIES; attempt += 1) {
+    await world.sleep(CALLS_FROM_MS / SETUP_TRIES);
+    const outcome = await world.configure('first', 0, FIRST_DEADLINE_MS);
+    if (outcome?.kind === 'configured') return;
+  }
+}
+
+function checkOften(world: SimWorld): void {
+  world.queue.at(world.queue.nowMs + CHECK_MS, () => {
+    world.checkMoment();
+    checkOften(world);
+  });
+}
+
+/** Runs events, each followed by everything that it has set off without time passing. */
+async function runUntil(world: SimWorld, untilMs: number): Promise<void> {
+  while (world.queue.runNext(untilMs)) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function sessionsOf(world: SimWorld): readonly number[] {
+  return [...(world.leader()?.node?.state.sessions.keys() ?? [])];
+}
+
+function judgeWorld(
+  world: SimWorld,
+  drained: readonly DrainedStretch[],
+  sessionsAtStart: readonly number[],
+): void {
+  for (const { promise, detail } of judge(world.journal)) world.violated({ invariant: promise, detail });
+  for (const violation of findWorkWhileDrained(world, drained)) world.violated(violation);
+  judgeEnd(world);
+  if (world.options.scenario.keepsOwners) judgeSessions(world, sessionsAtStart);
+}
+
+function findWorkWhileDrained(world: SimWorld, drained: readonly DrainedStretch[]): SimViolation[] {
+  const executions = world.journal.filter((record): record is ExecutionRecord => record.kind === 'execution');
+  return drained.flatMap(({ backend, fromMs, toMs }) => {
+    const late = executions.filter((run) => run.backend === backend && run.atMs > fromMs && run.atMs < toMs);
+    return late.map(({ atMs }) => ({
+      invariant: 'leaving-gets-no-work',
+      detail: `${backend} ran a request at ${atMs.toFixed(1)}, after ${fromMs.toFixed(1)}`,
+    }));
+  });
+}
+
+/** After everything was repaired: one leader, all shards owned, the newest configuration everywhere. */
+function judgeEnd(world: SimWorld): void {
+  const state = world.leader()?.node?.state;
+  if (state === undefined) {
+    world.violated({ invariant: 'recovers', detail: 'no replica leads at the end' });
+    return;
+  }
+  const rows = state.shards.get(SERVICE) ?? [];
+  const unowned = rows.filter((row) => row.owner === null).length;
+  if (rows.length === 0 || unowned > 0) {
+    world.violated({ invariant: 'recovers', detail: `${unowned} of ${rows.length} shards have no owner` });
+  }
+  const { revision } = state.configuration;
+  const { revision: acknowledged } = world.configurations;
+  if (revision < acknowledged) {
+    const detail = `revision ${acknowledged} was acknowledged, ${revision} is in force`;
+    world.violated({ invariant: 'acknowledged-survives', detail });
+  }
+  for (const { name, table } of world.routers) {
+    if (table.revision === revision) continue;
+    const detail = `${name} has revision ${table.revision}, control ${revision}`;
+    world.violated({ invariant: 'in-force-everywhere', detail });
+  }
+}
+
+/** Faults of control and routers alone must not cost anybody a session, and so no key its owner. */
+function judgeSessions(world: SimWorld, sessionsAtStart: readonly number[]): void {
+  const lost = sessionsAtStart.filter((id) => world.leader()?.node?.state.sessions.has(id) !== true);
+  if (lost.length === 0) return;
+  world.violated({ invariant: 'owners-are-kept', detail: `sessions ${lost.join(', ')} were lost` });
+}
--- /dev/null
+++ b/lab/sim/sim-runtime.ts
@@ -0,0 +1,38 @@
+/** The runtime that a daemon gets in a simulation. */
+import type { Runtime } from '../../src/runtime/runtime.js';
+import type { SimNetwork } from './sim-network.js';
+import type { SimProcess } from './sim-process.js';
+
+/** Makes the runtime of a process; `nextId` gives strings that are the same for the same seed. */
+export function simRuntime(process: SimProcess, network: SimNetwork, nextId: () => string): Runtime {
+  return {
+    nowMs: () => process.nowMs(),
+    wallMs: () => process.wallMs(),
+    after(ms, callback) {
+      let cancelled = false;
+      process.schedule(process.trueMs(ms), () => {
+        if (!cancelled) callback();
+      });
+      return () => {
+        cancelled = true;
+      };
+    },
+    every(ms, callback) {
+      let cancelled = false;
+      const next = (): void => {
+        process.schedule(process.trueMs(ms), () => {
+          if (cancelled) return;
+          next();
+          callback();
+        });
+      };
+      next();
+      return () => {
+        cancelled = true;
+      };
+    },
+    randomId: nextId,
+    dial: (address, identity, handlers) => network.dial(process, address, identity, handlers),
+    serve: (token, acceptor) => network.serve(process, token, acceptor),
+  };
+}
--- a/src/control-client/watched-table.ts
+++ b/src/control-client/watched-table.ts
@@ -4,7 +4,7 @@
 import type { Session } from '../control/control-state.js';
 import type { StateSnapshot } from '../control/state-snapshot.js';
 import type { ReceivedChange } from '../control/wire-changes.js';
-import { decodeRows } from '../model/shard-columns.js';
+import { unpackRows } from '../model/packed-rows.js';
 import { ShardTable } from '../model/shard-table.js';
 import type { ShardRow } from '../model/shard.js';
 
@@ -58,7 +58,7 @@
     this.draining.clear();
     for (const backend of table.draining) this.draining.add(backend);
     this.shards.clear();
-    for (const columns of table.shards) this.setRows(columns.service, decodeRows(columns));
+    for (const packed of table.shards) this.setRows(packed.service, unpackRows(packed));
     return true;
   }
 
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -2,7 +2,13 @@
 import type { ControlSettings } from '../config/daemon-settings.js';
 import { FormationCore, type FormationOutcome } from '../consensus/formation-core.js';
 import { Replica, type ReplicaPorts } from '../consensus/replica.js';
-import { DEFAULT_RAFT_OPTIONS, replicaName, type RaftRole, type ReplicaId } from '../consensus/raft-types.js';
+import {
+  DEFAULT_RAFT_OPTIONS,
+  replicaName,
+  type LogEntry,
+  type RaftRole,
+  type ReplicaId,
+} from '../consensus/raft-types.js';
 import { Err, Ok, type Result } from '../result.js';
 import { nodeRuntime } from '../runtime/node-runtime.js';
 import type {
@@ -21,6 +27,7 @@
 import type { ControlState } from './control-state.js';
 import { DaemonGateway } from './daemon-gateway.js';
 import { LeaderDuties } from './leader-duties.js';
+import { LeaseTable } from './lease-table.js';
 import { LoadTable } from './load-table.js';
 import { MembershipAdmission } from './membership-admission.js';
 import { readPeerMessage } from './peer-messages.js';
@@ -51,6 +58,10 @@
   readonly logger: Logger;
   /** Called once when the disk fails. */
   readonly onFatal: (error: unknown) => void;
+  /** Given where the leader's leases are not to be kept in the usual way. */
+  readonly leases?: LeaseTable;
+  /** Told of every committed entry, in order. */
+  readonly onApplied?: (entry: LogEntry) => void;
 }
 
 /** A running control replica. */
@@ -96,6 +107,7 @@
       (changes) => {
         this.duties.noteChanges(changes);
       },
+      options.onApplied,
     );
     this.duties = new LeaderDuties(() => this.state, this.proposals, this.loads);
     this.sessions = this.makeSessions();
@@ -205,7 +217,9 @@
       nowMs: () => this.runtime.nowMs(),
       wallMs: () => this.runtime.wallMs(),
     };
-    return new SessionService(this.settings.timing.sessionTermMs, ports, this.proposals, this.loads);
+    const { sessionTermMs } = this.settings.timing;
+    const leases = this.options.leases ?? new LeaseTable(sessionTermMs);
+    return new SessionService(sessionTermMs, leases, ports, this.proposals, this.loads);
   }
 
   private makeGateway(): DaemonGateway {
--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -27,7 +27,7 @@
 import type { CommandOutcome, ControlCommand } from './commands.js';
 import type { ControlNode } from './control-node.js';
 import { describeStatus, type ControlStatus } from './control-status.js';
-import { encodeState, plainSnapshot, type StateSnapshot } from './state-snapshot.js';
+import { describeState, type StateDocument } from './state-snapshot.js';
 import type { ConfigurationRevision } from './control-state.js';
 
 const NODE = Symbol('ControlNode');
@@ -105,9 +105,9 @@
   }
 
   @Get('snapshot')
-  snapshot(): StateSnapshot {
+  snapshot(): StateDocument {
     this.requireLeader();
-    return plainSnapshot(encodeState(this.node.state));
+    return describeState(this.node.state);
   }
 
   @Put('backends/:name/drain')
--- a/src/control/replicated-state.ts
+++ b/src/control/replicated-state.ts
@@ -16,6 +16,7 @@
     private readonly hub: WatchHub,
     private readonly onOutcome: (proposalId: string, outcome: CommandOutcome) => void,
     private readonly onChanges: (changes: readonly Change[]) => void,
+    private readonly onApplied?: (entry: LogEntry) => void,
   ) {}
 
   /** The present state; not to be changed by readers. */
@@ -25,6 +26,7 @@
 
   /** Applies one committed entry and publishes what it changed. */
   apply(entry: LogEntry): void {
+    this.onApplied?.(entry);
     if (entry.payload.kind !== 'command') return;
     const command = entry.payload.command as ControlCommand;
     const { outcome, changes } = applyCommand(this.current, command, entry.index);
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -6,7 +6,7 @@
  * renewed lease.
  */
 import type { Connection } from '../runtime/runtime.js';
-import { LeaseTable } from './lease-table.js';
+import type { LeaseTable } from './lease-table.js';
 import type { LoadTable } from './load-table.js';
 import type { OpenSessionRequest, RenewSessionRequest, ControlNotice } from './daemon-messages.js';
 import type { ControlState } from './control-state.js';
@@ -36,7 +36,6 @@
 /** Sessions of one leader. */
 export class SessionService {
   readonly counters: SessionCounters = { renewals: 0, opened: 0, expired: 0 };
-  private readonly leases: LeaseTable;
   private readonly closing = new Set<number>();
   private batches = new Map<number, PendingRenewal[]>();
   private openBatch: number | null = null;
@@ -44,12 +43,11 @@
 
   constructor(
     private readonly termMs: number,
+    private readonly leases: LeaseTable,
     private readonly ports: SessionPorts,
     private readonly proposals: Proposals,
     private readonly loads: LoadTable,
-  ) {
-    this.leases = new LeaseTable(termMs);
-  }
+  ) {}
 
   /** This replica has become leader and its state is current. */
   startLeading(): void {
--- a/src/control/state-snapshot.ts
+++ b/src/control/state-snapshot.ts
@@ -1,5 +1,6 @@
 /** The replicated state as plain data, for snapshots on disk and for daemons that need the whole table. */
-import { decodeRows, encodeRows, plainColumns, type ShardColumns } from '../model/shard-columns.js';
+import { packRows, unpackRows, type PackedRows } from '../model/packed-rows.js';
+import type { ShardRow } from '../model/shard.js';
 import type { ConfigurationRevision, ControlState, Session, SubmissionRecord } from './control-state.js';
 
 /** The whole state as plain data. */
@@ -8,7 +9,7 @@
   readonly submissions: readonly SubmissionRecord[];
   readonly sessions: readonly Session[];
   readonly draining: readonly string[];
-  readonly shards: readonly ShardColumns[];
+  readonly shards: readonly PackedRows[];
 }
 
 /** Writes the state as plain data. */
@@ -18,13 +19,19 @@
     submissions: [...state.submissions],
     sessions: [...state.sessions.values()],
     draining: [...state.draining],
-    shards: [...state.shards].map(([service, rows]) => encodeRows(service, rows)),
+    shards: [...state.shards].map(([service, rows]) => packRows(service, rows)),
   };
 }
 
-/** The same as JSON can hold it. */
-export function plainSnapshot(snapshot: StateSnapshot): StateSnapshot {
-  return { ...snapshot, shards: snapshot.shards.map(plainColumns) };
+/** The state as JSON holds it, for operators and tools. */
+export interface StateDocument extends Omit<StateSnapshot, 'shards'> {
+  readonly shards: readonly { readonly service: string; readonly rows: readonly ShardRow[] }[];
+}
+
+/** Writes the state for JSON. */
+export function describeState(state: ControlState): StateDocument {
+  const shards = [...state.shards].map(([service, rows]) => ({ service, rows }));
+  return { ...encodeState(state), shards };
 }
 
 /** Reads a state written by `encodeState`. */
@@ -34,6 +41,6 @@
     submissions: [...snapshot.submissions],
     sessions: new Map(snapshot.sessions.map((session) => [session.id, session])),
     draining: new Set(snapshot.draining),
-    shards: new Map(snapshot.shards.map((columns) => [columns.service, decodeRows(columns)])),
+    shards: new Map(snapshot.shards.map((packed) => [packed.service, unpackRows(packed)])),
   };
 }
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -4,7 +4,7 @@
  * concern it.
  */
 import { encodeFrame } from '../transport/frame-codec.js';
-import { encodeRows, type ShardColumns } from '../model/shard-columns.js';
+import { packRows, type PackedRows } from '../model/packed-rows.js';
 import type { Connection } from '../runtime/runtime.js';
 import type { Hello } from '../transport/hello.js';
 import { changesInScope, rowInScope, type Change, type WatchScope } from './changes.js';
@@ -146,12 +146,12 @@
     submissions: [],
     sessions: [...state.sessions.values()].filter((session) => session.service === scope.service),
     draining: [...state.draining].filter((backend) => backend === scope.backend),
-    shards: columnsInScope(state, scope),
+    shards: rowsInScope(state, scope),
   };
 }
 
-function columnsInScope(state: ControlState, scope: WatchScope): ShardColumns[] {
+function rowsInScope(state: ControlState, scope: WatchScope): PackedRows[] {
   const rows = state.shards.get(scope.service) ?? [];
   const inScope = rows.filter((row) => rowInScope(row, scope));
-  return [encodeRows(scope.service, inScope)];
+  return [packRows(scope.service, inScope)];
 }
