Joins at full size: tables are shared, proposals share messages, opening a session can be repeated; guards and replay

Cause: with 1,100 daemons control still lost its leader 80 times in 90 s. Its metrics: event loop lag up to 2.9 s, 2,953 sessions opened for 547 back ends, hardly any renewal. Every opened session made the encoded table out of date, so each joining router had 120,000 rows encoded for itself again; each proposal sent its own message to six peers; and an agent whose answer came after a second asked for another session, which closed the one before.

Ruled out: the size of the table (4.5 MB, shared); the disk (one sync a batch).

Change: a joining router gets a recent encoded table and the changes since, whose frames are shared too; the replicated log sends at the end of a batch of events; opening a session carries an id, and asking again gets the same session.

Conclusion: the causes are removed one by one; whether the fleet comes up at full size is not shown yet.

--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -3,6 +3,7 @@
 import { runCommandLine, type Options } from '../../src/cli/command-line.js';
 import { backendCommand } from './backend-command.js';
 import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
+import { guardsCommand } from './guards-command.js';
 import { hollowCommand, hollowHostCommand } from './hollow-commands.js';
 import { loadCommand } from './load-command.js';
 import { simCommand, simListCommand } from './sim-commands.js';
@@ -91,6 +92,12 @@
   .option('--json', 'Print one JSON object')
   .action((options: Options) => simListCommand(options));
 
+program
+  .command('guards')
+  .describe('Show that each guard is needed: leave it out, and name the seed that breaks a promise.')
+  .option('--json', 'Print one JSON object')
+  .action(async (options: Options) => await guardsCommand(options));
+
 program
   .command('demo')
   .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
--- /dev/null
+++ b/lab/sim/guard-table.ts
@@ -0,0 +1,63 @@
+/** Shows that each guard is needed: without it, some scenario breaks an invariant within a stated number of seeds. */
+import { GUARD_NAMES, GUARD_PURPOSE, type GuardName } from './sim-guards.js';
+import { runTasks } from './seed-runner.js';
+
+/** Where the absence of a guard shows. */
+interface GuardCase {
+  readonly scenario: string;
+  /** Seeds 1 to this are tried. */
+  readonly seeds: number;
+}
+
+/** The scenario that shows each guard. */
+export const GUARD_CASES: Readonly<Record<GuardName, GuardCase>> = {
+  'vote-is-synced': { scenario: 'everything', seeds: 400 },
+  'log-is-synced': { scenario: 'zone-lost', seeds: 100 },
+  'new-identity-after-lost-disk': { scenario: 'second-failure', seeds: 200 },
+  'new-leader-waits-a-term': { scenario: 'leader-lost', seeds: 40 },
+  'epoch-is-checked': { scenario: 'router-cut', seeds: 100 },
+  'lease-deadline-is-checked': { scenario: 'owner-frozen', seeds: 40 },
+  'grant-is-checked-again-before-the-change': { scenario: 'owner-frozen', seeds: 200 },
+  'window-is-handed-over': { scenario: 'drain', seeds: 100 },
+  'freshness-is-proven': { scenario: 'owner-lost', seeds: 200 },
+  'holder-starts-from-sending': { scenario: 'machine-cut', seeds: 100 },
+};
+
+/** What was found for one guard. */
+export interface GuardFinding {
+  readonly guard: GuardName;
+  readonly purpose: string;
+  readonly scenario: string;
+  /** First seed that shows it, or null when none of those tried does. */
+  readonly seed: number | null;
+  readonly invariant: string | null;
+  readonly seedsTried: number;
+}
+
+/** Tries every guard. */
+export async function findGuards(threads: number): Promise<GuardFinding[]> {
+  const findings: GuardFinding[] = [];
+  for (const guard of GUARD_NAMES) findings.push(await findGuard(guard, threads));
+  return findings;
+}
+
+/** Tries one guard, a batch of seeds at a time. */
+export async function findGuard(guard: GuardName, threads: number): Promise<GuardFinding> {
+  const { scenario, seeds } = GUARD_CASES[guard];
+  const found = { guard, purpose: GUARD_PURPOSE[guard], scenario };
+  const batch = threads * 2;
+  for (let first = 1; first <= seeds; first += batch) {
+    const count = Math.min(batch, seeds - first + 1);
+    const tasks = Array.from({ length: count }, (_, at) => ({
+      scenario,
+      seed: first + at,
+      withoutGuard: guard,
+    }));
+    const results = await runTasks(tasks, threads);
+    const broken = results.find(({ violations }) => violations.length > 0);
+    if (broken === undefined) continue;
+    const invariant = broken.violations[0]?.invariant ?? null;
+    return { ...found, seed: broken.seed, invariant, seedsTried: first + count - 1 };
+  }
+  return { ...found, seed: null, invariant: null, seedsTried: seeds };
+}
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -63,7 +63,7 @@
   private busy = false;
   private backendInstance: string | null = null;
   private backendAnsweredMs = 0;
-  private openRequestId = 0;
+  private openId = '';
   private openSentMs = 0;
   private openDueMs = 0;
 
@@ -243,18 +243,19 @@
     this.backendAnsweredMs = this.runtime.nowMs();
     this.grants.clear();
     this.openDueMs = 0;
+    this.openId = this.runtime.randomId();
+    // The lease counts from the first request, whichever of them is answered.
+    this.openSentMs = this.backendAnsweredMs;
     this.state = 'opening-session';
   }
 
   private openSession(): void {
     const nowMs = this.runtime.nowMs();
     if (nowMs < this.openDueMs) return;
-    this.openRequestId += 1;
-    this.openSentMs = nowMs;
     this.openDueMs = nowMs + OPEN_RETRY_MS;
     const { service, backend, listen } = this.settings;
-    const requestId = this.openRequestId;
-    this.channel.send({ kind: 'open-session', requestId, service, backend, agentAddress: listen });
+    const { openId } = this;
+    this.channel.send({ kind: 'open-session', openId, service, backend, agentAddress: listen });
   }
 
   /**
@@ -323,12 +324,13 @@
   }
 
   private sessionOpened(notice: Extract<ControlNotice, { kind: 'session-opened' }>): void {
-    const awaited = this.state === 'opening-session' && notice.requestId === this.openRequestId;
+    const awaited = this.state === 'opening-session' && notice.openId === this.openId;
     if (!awaited) return;
     this.lease.opened(notice.session, this.openSentMs, notice.termMs);
     this.state = 'in-session';
     this.counters.sessionsOpened += 1;
     this.logger.info('session opened', { session: notice.session });
+    this.renew();
     this.tableChanged();
   }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -65,6 +65,16 @@
   .option('--undo', 'Take the back end back into service')
   .action(async (backend: string, options: Options) => await drainCommand(backend, options));
 
+program
+  .command('replay <file>')
+  .describe('Step through a simulation that was written by `aldertide-lab sim --trace`.')
+  .option('--json', 'Print one JSON object in place of the trace')
+  .action(async (file: string, options: Options) => {
+    // The simulator is part of the lab; daemons never load it.
+    const { replayFile } = await import('../../lab/sim/replay-command.js');
+    return await replayFile(file, options['json'] === true);
+  });
+
 await runCommandLine(program);
 
 function withOperatorOptions(command: sade.Sade): sade.Sade {
--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -145,6 +145,9 @@
       case 'compacted':
         this.log.compact(event.position);
         break;
+      case 'flush':
+        this.flush();
+        break;
     }
     return this.effects;
   }
@@ -326,10 +329,17 @@
     this.log.append([entry]);
     this.effects.push({ kind: 'persist-entries', entries: [entry] });
     if (payload.kind === 'membership') this.progress.update(payload.membership, entry.index, this.nowMs);
-    for (const [id, peer] of this.progress.entries()) this.sendAppend(id, peer, false);
     this.advanceCommit();
   }
 
+  /** Sends what was appended since the last flush: many proposals share one message to each peer. */
+  private flush(): void {
+    if (this.currentRole !== 'leader') return;
+    for (const [id, peer] of this.progress.entries()) {
+      if (peer.nextIndex <= this.log.lastIndex) this.sendAppend(id, peer, false);
+    }
+  }
+
   private sendAppend(to: ReplicaId, peer: PeerProgress, evenIfEmpty: boolean): void {
     const previousIndex = peer.nextIndex - 1;
     const previousTerm = this.log.termAt(previousIndex);
--- a/src/consensus/raft-types.ts
+++ b/src/consensus/raft-types.ts
@@ -126,7 +126,9 @@
   | { readonly kind: 'propose'; readonly proposalId: string; readonly command: unknown }
   | { readonly kind: 'change-membership'; readonly membership: Membership }
   | { readonly kind: 'confirm-leadership'; readonly requestId: number }
-  | { readonly kind: 'compacted'; readonly position: SnapshotPosition };
+  | { readonly kind: 'compacted'; readonly position: SnapshotPosition }
+  /** The end of a batch of events: what was appended in it is sent. */
+  | { readonly kind: 'flush' };
 
 /** Timing of the protocol, all in ms, and limits. */
 export interface RaftOptions {
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -109,6 +109,7 @@
     try {
       while (this.queue.length > 0) {
         const events = this.queue.splice(0);
+        events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
         await this.persist(effects);
         for (const effect of effects) this.perform(effect);
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -16,6 +16,8 @@
   readonly kind: 'open-session';
   readonly service: string;
   readonly backend: string;
+  /** Chosen by the agent; asking again under the same id gets the same session. */
+  readonly openId: string;
   readonly agentAddress: SocketAddress;
   readonly wallMs: number;
 }
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -9,6 +9,8 @@
   readonly id: number;
   readonly backend: string;
   readonly service: string;
+  /** Id under which the agent asked for it. */
+  readonly openId: string;
   /** Where other agents hand over to this one. */
   readonly agentAddress: SocketAddress;
 }
--- a/src/control/daemon-messages.ts
+++ b/src/control/daemon-messages.ts
@@ -6,7 +6,8 @@
 
 const openSessionSchema = z.object({
   kind: z.literal('open-session'),
-  requestId: z.number(),
+  /** Asking again under the same id gets the same session. */
+  openId: z.string(),
   service: z.string(),
   backend: z.string(),
   agentAddress: socketAddressSchema,
@@ -80,11 +81,11 @@
   | { readonly kind: 'not-leader'; readonly leader: string | null }
   | {
       readonly kind: 'session-opened';
-      readonly requestId: number;
+      readonly openId: string;
       readonly session: number;
       readonly termMs: number;
     }
-  | { readonly kind: 'session-refused'; readonly requestId: number; readonly detail: string }
+  | { readonly kind: 'session-refused'; readonly openId: string; readonly detail: string }
   | {
       readonly kind: 'session-renewed';
       readonly session: number;
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -59,29 +59,34 @@
 
   /** Opens a session. */
   async open(request: OpenSessionRequest, connection: Connection): Promise<void> {
-    const { requestId, service, backend, agentAddress } = request;
+    const { openId, service, backend, agentAddress } = request;
     const receivedMs = this.ports.nowMs();
     const wallMs = this.ports.wallMs();
     const result = await this.proposals.propose({
       kind: 'open-session',
       service,
       backend,
+      openId,
       agentAddress,
       wallMs,
     });
     if (result.err) {
-      notify(connection, { kind: 'session-refused', requestId, detail: result.val.kind });
+      notify(connection, { kind: 'session-refused', openId, detail: result.val.kind });
       return;
     }
     if (result.val.kind !== 'session-opened') {
       const detail = result.val.kind === 'refused' ? result.val.detail : result.val.kind;
-      notify(connection, { kind: 'session-refused', requestId, detail });
+      notify(connection, { kind: 'session-refused', openId, detail });
       return;
     }
     const { session } = result.val;
+    if (this.closing.has(session)) {
+      notify(connection, { kind: 'session-refused', openId, detail: 'the session is being ended' });
+      return;
+    }
     this.leases.renew(session, receivedMs);
     this.counters.opened += 1;
-    notify(connection, { kind: 'session-opened', requestId, session, termMs: this.termMs });
+    notify(connection, { kind: 'session-opened', openId, session, termMs: this.termMs });
   }
 
   /** Takes a renewal; it is answered when leadership has been confirmed. */
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -130,7 +130,7 @@
 // ---- sessions
 
 function applyOpenSession(state: ControlState, command: OpenSessionCommand, index: number): Applied {
-  const { service, backend, agentAddress, wallMs } = command;
+  const { service, backend, openId, agentAddress, wallMs } = command;
   const known = state.configuration.document.services[service]?.backends[backend] !== undefined;
   if (!known) {
     return {
@@ -140,8 +140,11 @@
   }
   const changes: Change[] = [];
   const earlier = sessionOfBackend(state, backend);
+  if (earlier?.openId === openId) {
+    return { outcome: { kind: 'session-opened', session: earlier.id }, changes: [] };
+  }
   if (earlier !== undefined) changes.push(...closeSessions(state, [earlier.id], wallMs));
-  const session: Session = { id: index, backend, service, agentAddress };
+  const session: Session = { id: index, backend, service, openId, agentAddress };
   state.sessions.set(index, session);
   changes.push({ kind: 'session-opened', session });
   return { outcome: { kind: 'session-opened', session: index }, changes };
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -15,6 +15,9 @@
 /** Published changes that are kept for watchers that come back. */
 const KEPT_CHANGES = 4_096;
 
+/** Changes after which an encoded table is made anew, rather than sent with the changes since. */
+const CHANGES_ON_TOP_OF_TABLE = 512;
+
 /** A daemon that watches this replica. */
 export interface Watcher {
   readonly hello: Hello;
@@ -30,6 +33,8 @@
 interface Published {
   readonly index: number;
   readonly changes: readonly Change[];
+  /** The changes as a frame for watchers of everything; made when it is first needed. */
+  frame: Buffer | null;
 }
 
 interface EncodedTable {
@@ -68,9 +73,7 @@
       this.sendTable(watcher, state, index);
       return;
     }
-    for (const published of this.recent) {
-      if (published.index > fromIndex) sendChanges(watcher, published);
-    }
+    this.sendRecent(watcher, fromIndex);
   }
 
   /** A connection has closed or no longer watches. */
@@ -97,42 +100,54 @@
   /** Publishes what one committed command changed. */
   publish(index: number, changes: readonly Change[]): void {
     if (changes.length === 0) return;
-    this.encodedTable = null;
-    const published = { index, changes };
+    const published: Published = { index, changes, frame: null };
     this.recent.push(published);
     if (this.recent.length > KEPT_CHANGES) this.recentSince = this.recent.shift()?.index ?? index;
-    let frameForAll: Buffer | null = null;
-    for (const watcher of this.watchers.values()) {
-      if (watcher.scope !== null) {
-        sendChanges(watcher, published);
-        continue;
-      }
-      frameForAll ??= encodeFrame({ kind: 'changes', index, changes: encodeChanges(changes) });
-      watcher.connection.sendEncoded(frameForAll);
+    for (const watcher of this.watchers.values()) sendChanges(watcher, published);
+  }
+
+  private sendRecent(watcher: Watcher, afterIndex: number): void {
+    for (const published of this.recent) {
+      if (published.index > afterIndex) sendChanges(watcher, published);
     }
   }
 
   private sendTable(watcher: Watcher, state: ControlState, index: number): void {
-    if (watcher.scope === null) {
-      watcher.connection.sendEncoded(this.tableFrame(state, index));
+    if (watcher.scope !== null) {
+      watcher.connection.send({ kind: 'table', index, table: tableInScope(state, watcher.scope) });
       return;
     }
-    watcher.connection.send({ kind: 'table', index, table: tableInScope(state, watcher.scope) });
+    const table = this.recentTable(state, index);
+    watcher.connection.sendEncoded(table.frame);
+    this.sendRecent(watcher, table.index);
   }
 
-  /** The whole table, encoded once for each state: many daemons ask for it at the same time. */
-  private tableFrame(state: ControlState, index: number): Buffer {
-    if (this.encodedTable?.index === index) return this.encodedTable.frame;
+  /**
+   * The whole table, encoded for many daemons at once: those that come while the state changes all the time get
+   * a table that is a little older, and the changes since.
+   */
+  private recentTable(state: ControlState, index: number): EncodedTable {
+    if (this.encodedTable !== null && this.isRecent(this.encodedTable)) return this.encodedTable;
     const table: StateSnapshot = { ...encodeState(state), submissions: [] };
-    const frame = encodeFrame({ kind: 'table', index, table });
+    this.encodedTable = { index, frame: encodeFrame({ kind: 'table', index, table }) };
     this.tablesEncoded += 1;
-    this.encodedTable = { index, frame };
-    return frame;
+    return this.encodedTable;
+  }
+
+  private isRecent(table: EncodedTable): boolean {
+    const oldest = this.recent.at(-CHANGES_ON_TOP_OF_TABLE);
+    return table.index >= this.recentSince && (oldest === undefined || table.index >= oldest.index);
   }
 }
 
-function sendChanges(watcher: Watcher, { index, changes }: Published): void {
-  const concerned = watcher.scope === null ? changes : changesInScope(changes, watcher.scope);
+function sendChanges(watcher: Watcher, published: Published): void {
+  const { index, changes } = published;
+  if (watcher.scope === null) {
+    published.frame ??= encodeFrame({ kind: 'changes', index, changes: encodeChanges(changes) });
+    watcher.connection.sendEncoded(published.frame);
+    return;
+  }
+  const concerned = changesInScope(changes, watcher.scope);
   if (concerned.length === 0) return;
   watcher.connection.send({ kind: 'changes', index, changes: encodeChanges(concerned) });
 }
