--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -6,6 +6,8 @@
 import { guardsCommand } from './guards-command.js';
 import { hollowCommand, hollowHostCommand } from './hollow-commands.js';
 import { loadCommand } from './load-command.js';
+import { routerBenchCommand } from './router-bench-command.js';
+import { slopesCommand } from './slopes-command.js';
 import { simCommand, simListCommand } from './sim-commands.js';
 
 const VERSION = '0.1.0';
@@ -98,6 +100,19 @@
   .option('--json', 'Print one JSON object')
   .action(async (options: Options) => await guardsCommand(options));
 
+program
+  .command('slopes')
+  .describe('Measure what one more renewal, shard, change and log entry cost.')
+  .option('--json', 'Print one JSON object')
+  .action(async (options: Options) => await slopesCommand(options));
+
+program
+  .command('router-bench')
+  .describe('Measure a router beside direct connections in one run.')
+  .option('--seconds', 'Length of each stretch', 4)
+  .option('--json', 'Print one JSON object as the last line')
+  .action(async (options: Options) => await routerBenchCommand(options));
+
 program
   .command('demo')
   .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
--- /dev/null
+++ b/test/transport/frame-codec.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { daemonRequestSchema } from '../../src/control/daemon-messages.js';
+import { readPeerMessage } from '../../src/control/peer-messages.js';
+import { encodeFrame, FrameDecoder } from '../../src/transport/frame-codec.js';
+import { checkHello, PROTOCOL_VERSION } from '../../src/transport/hello.js';
+
+const SEED = 1;
+const TOKEN = 'a-token-of-some-length';
+
+test('messages come out whole, however the bytes are cut', (t) => {
+  const messages = [{ kind: 'one', cells: Uint32Array.from([1, 2]) }, 'two', [3, null]];
+  const bytes = Buffer.concat(messages.map((message) => encodeFrame(message)));
+  const property = fc.property(fc.array(fc.nat(bytes.length), { maxLength: 8 }), (cuts) => {
+    const decoder = new FrameDecoder();
+    const places = [0, ...[...cuts].sort((left, right) => left - right), bytes.length];
+    const received = places.flatMap((place, at) => {
+      const next = places[at + 1];
+      return next === undefined ? [] : decoder.push(bytes.subarray(place, next)).unwrap();
+    });
+    t.deepEqual(received, messages);
+  });
+  t.notThrows(() => {
+    fc.assert(property, { seed: SEED });
+  });
+});
+
+test('garbage is an error or a message that no receiver accepts; nothing throws', (t) => {
+  const property = fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+    const framed = Buffer.concat([Buffer.alloc(4), Buffer.from(bytes)]);
+    framed.writeUInt32BE(bytes.length, 0);
+    for (const input of [Buffer.from(bytes), framed]) {
+      const decoded = new FrameDecoder(1_000).push(input);
+      for (const message of decoded.ok ? decoded.val : []) {
+        t.is(checkHello(message, TOKEN), 'not-a-hello');
+        t.is(readPeerMessage(message), null);
+        t.false(daemonRequestSchema.safeParse(message).success);
+      }
+    }
+  });
+  t.notThrows(() => {
+    fc.assert(property, { seed: SEED, numRuns: 500 });
+  });
+});
+
+test('a frame that announces too much is refused before it is read', (t) => {
+  const header = Buffer.alloc(4);
+  header.writeUInt32BE(1_001, 0);
+  const decoded = new FrameDecoder(1_000).push(header);
+  t.is(decoded.err ? decoded.val.kind : '', 'frame-too-large');
+});
+
+const HELLO = {
+  kind: 'hello',
+  version: PROTOCOL_VERSION,
+  token: TOKEN,
+  role: 'router',
+  name: 'router-1',
+  zone: 'zone',
+};
+
+test('a hello is taken only with the right version and token', (t) => {
+  t.deepEqual(checkHello(HELLO, TOKEN), HELLO as never);
+  t.is(checkHello({ ...HELLO, version: PROTOCOL_VERSION + 1 }, TOKEN), 'wrong-version');
+  t.is(checkHello({ ...HELLO, token: 'another' }, TOKEN), 'wrong-token');
+  t.is(checkHello({ ...HELLO, role: 'king' }, TOKEN), 'not-a-hello');
+  t.is(checkHello(null, TOKEN), 'not-a-hello');
+});
