Placement policies in CEL; a first assignment waits until no more back ends come

Cause (policies): operators need to say which back ends may hold a shard and how they rank, in small programs that can be reviewed. Cause (first assignment): the hollow fleet at full size went on moving shards for minutes: its agents came over several seconds, the first assignment was made one second after the first of them, and everything had to be moved to the others at 60 moves a minute a service.

Ruled out: a language of our own; JavaScript (no bound on its cost); more moves a minute (churn).

Change: `eligible`, `rank` and `movable` in CEL, typed and compiled once, with example cases that `aldertide check` runs; a policy that fails never takes a service down, and `status` shows why it was not followed. A first assignment waits until no back end has come for a second, for 15 s at most.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -1,5 +1,6 @@
 /** The configuration document that operators submit: services, their back ends and their limits. */
 import { z } from 'zod';
+import { checkPolicy } from '../policy/policy-check.js';
 import { socketAddressSchema } from '../model/socket-address.js';
 
 const nameSchema = z
@@ -28,11 +29,48 @@
   address: socketAddressSchema,
 });
 
+const expressionSchema = z.string().min(1).max(2_000);
+
+const policyExampleSchema = z.strictObject({
+  backend: z.strictObject({
+    name: z.string().default('backend'),
+    zone: z.string().default('zone'),
+    shards: z.number().default(0),
+    load: z.number().default(0),
+  }),
+  shard: z.strictObject({
+    number: z.number().default(0),
+    load: z.number().default(0),
+    owner: z.string().default(''),
+    ownerZone: z.string().default(''),
+  }),
+  eligible: z.boolean().optional(),
+  rank: z.number().optional(),
+  movable: z.boolean().optional(),
+});
+
+const policySchema = z
+  .strictObject({
+    /** CEL over `backend` and `shard`, gives bool: whether the back end may hold the shard. */
+    eligible: expressionSchema.optional(),
+    /** CEL over `backend` and `shard`, gives double: the highest wins among those with room. */
+    rank: expressionSchema.optional(),
+    /** CEL over `shard`, gives bool: whether the shard may be moved for balance. */
+    movable: expressionSchema.optional(),
+    /** Cases that `aldertide check` runs. */
+    expect: z.array(policyExampleSchema).max(100).default([]),
+  })
+  .superRefine((policy, context) => {
+    for (const { path, message } of checkPolicy(policy)) context.addIssue({ code: 'custom', path, message });
+  });
+
 const placementSchema = z.strictObject({
   /** Largest load over mean load that is left as it is. */
   toleratedImbalance: z.number().min(1).max(10).default(1.1),
   /** Planned moves of shards a minute, repairs and drains not counted. */
   maxMovesPerMinute: z.number().int().min(0).max(100_000).default(60),
+  /** Which back ends may hold a shard, and how they rank. */
+  policy: policySchema.optional(),
 });
 
 const serviceFields = z.strictObject({
@@ -76,6 +114,8 @@
 export type KeySource = z.infer<typeof keySourceSchema>;
 /** Whether requests to a path may be repeated. */
 export type EndpointRule = z.infer<typeof endpointRuleSchema>;
+/** A placement policy with its example cases. */
+export type PolicyConfiguration = z.infer<typeof policySchema>;
 /** A server that owns shards. */
 export type BackendConfiguration = z.infer<typeof backendSchema>;
 /** One service. */
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -174,6 +174,11 @@
     return leader === null ? null : replicaName(leader);
   }
 
+  /** Why the policy of a service could not be followed; known to the leader only. */
+  policyProblem(service: string): string | null {
+    return this.duties.policyProblem(service);
+  }
+
   /** Members by the settings. */
   get members(): ControlSettings['members'] {
     return this.settings.members;
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -28,6 +28,8 @@
   readonly moving: number;
   /** Largest number of shards at a back end over the mean; 1 is even. */
   readonly imbalance: number;
+  /** Why the placement policy could not be followed, as the leader knows; null when it was. */
+  readonly policyProblem: string | null;
 }
 
 /** The whole status. */
@@ -97,6 +99,7 @@
       unowned: rows.filter((row) => row.owner === null).length,
       moving: rows.filter((row) => row.movingTo !== null).length,
       imbalance: mean === 0 ? 1 : Math.max(...counts) / mean,
+      policyProblem: node.policyProblem(service),
     };
   });
 }
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -2,14 +2,18 @@
 import type { ServiceConfiguration } from '../config/configuration.js';
 import type { ShardRow } from '../model/shard.js';
 import { planPlacement, type PlacementBackend, type PlacementPlan } from '../placement/planner.js';
+import { PolicyTable } from '../policy/policy-table.js';
 import type { Change } from './changes.js';
 import type { BackendAssignment, ControlCommand, ShardTarget } from './commands.js';
 import type { ControlState } from './control-state.js';
 import type { LoadTable } from './load-table.js';
 import type { Proposals } from './proposals.js';
 
-/** Time in ms after a service's first session in which its other back ends may still come. */
-const FIRST_ASSIGNMENT_WAIT_MS = 1_000;
+/** Time in ms without a new back end after which a service that was never assigned is assigned. */
+const FIRST_ASSIGNMENT_QUIET_MS = 1_000;
+
+/** Longest time in ms that a first assignment waits for back ends that go on coming. */
+const FIRST_ASSIGNMENT_LIMIT_MS = 15_000;
 
 /** Moves of one service that may be under way at a time. */
 const MAX_CONCURRENT_MOVES = 16;
@@ -21,6 +25,9 @@
 
 interface ServiceProgress {
   firstSessionMs: number | null;
+  /** Back ends that were there when one last came. */
+  backendsSeen: number;
+  lastJoinMs: number;
   /** Moves for balance that may be started now; grows with time up to a minute's worth. */
   moveAllowance: number;
   allowanceMs: number;
@@ -33,6 +40,8 @@
 /** The planning loop of a leader. */
 export class LeaderDuties {
   private readonly progress = new Map<string, ServiceProgress>();
+  private readonly policies = new PolicyTable();
+  private readonly problems = new Map<string, string>();
 
   constructor(
     private readonly state: () => ControlState,
@@ -46,6 +55,11 @@
     this.loads.clear();
   }
 
+  /** Why the policy of a service could not be followed in its last plan; null when it was. */
+  policyProblem(service: string): string | null {
+    return this.problems.get(service) ?? null;
+  }
+
   /** The state has changed: the services concerned are planned anew with the next run. */
   noteChanges(changes: readonly Change[]): void {
     for (const change of changes) {
@@ -89,8 +103,11 @@
       backends,
       loadOf: (shard) => this.loads.loadOf(name, shard),
       toleratedImbalance: service.placement.toleratedImbalance,
+      policy: this.policies.policyOf(name, service),
       maxBalanceMoves: balances ? Math.min(freeMoves, Math.floor(progress.moveAllowance)) : 0,
     });
+    if (plan.policyProblem === null) this.problems.delete(name);
+    else this.problems.set(name, plan.policyProblem);
     void this.proposePlan(name, plan, freeMoves, progress);
   }
 
@@ -119,6 +136,8 @@
     if (known !== undefined) return known;
     const progress: ServiceProgress = {
       firstSessionMs: null,
+      backendsSeen: 0,
+      lastJoinMs: nowMs,
       moveAllowance: 0,
       allowanceMs: nowMs,
       proposalUnderWay: false,
@@ -130,7 +149,10 @@
   }
 }
 
-/** A first assignment waits for all back ends, so that they need not be balanced at once. */
+/**
+ * A first assignment waits for all back ends, or until no more come: what goes to the first few would have to be
+ * moved to the others one by one.
+ */
 function mayPlan(
   progress: ServiceProgress,
   service: ServiceConfiguration,
@@ -139,9 +161,13 @@
   nowMs: number,
 ): boolean {
   progress.firstSessionMs ??= nowMs;
+  if (backends.length > progress.backendsSeen) progress.lastJoinMs = nowMs;
+  progress.backendsSeen = backends.length;
   const neverOwned = rows.every((row) => row.epoch === 0);
   const allHere = backends.length >= Object.keys(service.backends).length;
-  return !neverOwned || allHere || nowMs - progress.firstSessionMs >= FIRST_ASSIGNMENT_WAIT_MS;
+  const quiet = nowMs - progress.lastJoinMs >= FIRST_ASSIGNMENT_QUIET_MS;
+  const limitPassed = nowMs - progress.firstSessionMs >= FIRST_ASSIGNMENT_LIMIT_MS;
+  return !neverOwned || allHere || quiet || limitPassed;
 }
 
 function refillAllowance(progress: ServiceProgress, perMinute: number, nowMs: number): void {
--- /dev/null
+++ b/test/control/leader-duties.test.ts
@@ -0,0 +1,108 @@
+import test from 'ava';
+import { configurationSchema } from '../../src/config/configuration.js';
+import type { ControlCommand } from '../../src/control/commands.js';
+import { emptyControlState, type ControlState } from '../../src/control/control-state.js';
+import { LeaderDuties } from '../../src/control/leader-duties.js';
+import { LoadTable } from '../../src/control/load-table.js';
+import { Proposals } from '../../src/control/proposals.js';
+import { applyCommand } from '../../src/control/state-machine.js';
+import { nodeRuntime } from '../../src/runtime/node-runtime.js';
+
+const BACKENDS = ['one', 'two', 'three'];
+
+/** A leader whose proposals are committed at once. */
+class Leader {
+  readonly state: ControlState = emptyControlState();
+  readonly commands: ControlCommand[] = [];
+  private readonly proposals: Proposals = new Proposals(nodeRuntime, (proposalId, command) => {
+    this.commands.push(command);
+    this.proposals.applied(proposalId, this.apply(command));
+  });
+  readonly duties = new LeaderDuties(() => this.state, this.proposals, new LoadTable());
+  private index = 0;
+
+  constructor() {
+    const backends = BACKENDS.map((name, at) => {
+      return [name, { zone: 'z', address: { host: '10.0.0.1', port: at + 1 } }];
+    });
+    const service = {
+      division: 'keyed',
+      key: { from: 'path', segment: 0 },
+      shards: 6,
+      slots: 6,
+      connections: 130,
+      backends: Object.fromEntries(backends) as unknown,
+    };
+    const document = configurationSchema.parse({ version: 1, services: { stock: service } });
+    this.apply({ kind: 'configure', submissionId: 'first', baseRevision: 0, document });
+  }
+
+  apply(command: ControlCommand): ReturnType<typeof applyCommand>['outcome'] {
+    this.index += 1;
+    const { outcome, changes } = applyCommand(this.state, command, this.index);
+    this.duties.noteChanges(changes);
+    return outcome;
+  }
+
+  join(backend: string): void {
+    const agentAddress = { host: '10.0.0.1', port: 1 };
+    const open = { kind: 'open-session', service: 'stock', backend, openId: backend, agentAddress } as const;
+    this.apply({ ...open, wallMs: 0 });
+  }
+
+  async run(nowMs: number): Promise<void> {
+    this.duties.run(nowMs);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  owned(backend: string): number {
+    return this.state.shards.get('stock')?.filter((row) => row.owner === backend).length ?? 0;
+  }
+}
+
+test('a first assignment waits while back ends go on coming', async (t) => {
+  const leader = new Leader();
+  leader.join('one');
+  await leader.run(0);
+  await leader.run(900);
+  leader.join('two');
+  await leader.run(950);
+  await leader.run(1_800);
+  t.is(leader.commands.length, 0);
+  await leader.run(1_960);
+  t.deepEqual([leader.owned('one'), leader.owned('two')], [3, 3]);
+});
+
+test('a first assignment does not wait when all back ends are there', async (t) => {
+  const leader = new Leader();
+  for (const backend of BACKENDS) leader.join(backend);
+  await leader.run(0);
+  t.deepEqual(
+    BACKENDS.map((backend) => leader.owned(backend)),
+    [2, 2, 2],
+  );
+});
+
+test('shards of a lost owner are assigned at once, and nothing else moves', async (t) => {
+  const leader = new Leader();
+  for (const backend of BACKENDS) leader.join(backend);
+  await leader.run(0);
+  const lost = [...leader.state.sessions.values()].find(({ backend }) => backend === 'two');
+  leader.commands.length = 0;
+  leader.apply({ kind: 'close-sessions', sessions: [lost?.id ?? 0], wallMs: 0 });
+  await leader.run(1);
+  t.deepEqual([leader.owned('one'), leader.owned('three')], [3, 3]);
+  t.deepEqual(
+    leader.commands.map(({ kind }) => kind),
+    ['assign'],
+  );
+});
+
+test('nothing is planned while nothing has changed', async (t) => {
+  const leader = new Leader();
+  for (const backend of BACKENDS) leader.join(backend);
+  await leader.run(0);
+  leader.commands.length = 0;
+  for (let nowMs = 1; nowMs < 5_000; nowMs += 100) await leader.run(nowMs);
+  t.deepEqual(leader.commands, []);
+});
