`aldertide plan` shows what a configuration would do before it is submitted

Cause: operators steer by reviewed changes and had to submit one to see its moves.

Ruled out: estimating; the preview runs the leader's own planner to its end on a copy of the state.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import { runCommandLine, type Options } from './command-line.js';
 import { startControl } from './control-daemon.js';
 import { runDaemon } from './daemon-command.js';
+import { planCommand } from './plan-command.js';
 import { applyCommand, checkCommand, drainCommand, getCommand, statusCommand } from './operator-commands.js';
 
 const VERSION = '0.1.0';
@@ -53,6 +54,12 @@
   .option('--base-revision', 'Revision that the change was made on; the one in force when left out')
   .action(async (file: string, options: Options) => await applyCommand(file, options));
 
+withOperatorOptions(
+  program.command('plan <file>').describe('Show what a configuration would do before it is submitted.'),
+)
+  .option('--snapshot', 'State to plan on, as `GET /v1/snapshot` gives it, in place of the live one')
+  .action(async (file: string, options: Options) => await planCommand(file, options));
+
 withOperatorOptions(program.command('get').describe('Print the configuration in force.')).action(
   async (options: Options) => await getCommand(options),
 );
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -34,6 +34,7 @@
 import { PeerNetwork, type PeerMessage } from './peer-network.js';
 import { Proposals, type ProposalError } from './proposals.js';
 import { ReplicatedState } from './replicated-state.js';
+import type { ServiceLoads } from './state-snapshot.js';
 import { SessionService } from './session-service.js';
 import { WatchHub } from './watch-hub.js';
 
@@ -174,6 +175,11 @@
     return leader === null ? null : replicaName(leader);
   }
 
+  /** Load of the shards as the leader was told. */
+  loadsByService(): ServiceLoads[] {
+    return this.loads.describe();
+  }
+
   /** Why the policy of a service could not be followed; known to the leader only. */
   policyProblem(service: string): string | null {
     return this.duties.policyProblem(service);
--- a/src/control/load-table.ts
+++ b/src/control/load-table.ts
@@ -1,5 +1,7 @@
 /** Load of each shard as agents report it; kept by the leader only and lost with it. */
 
+import type { ServiceLoads } from './state-snapshot.js';
+
 /** Load that every shard counts for beside what was measured, in requests a second. */
 const BASE_LOAD = 1;
 
@@ -18,6 +20,11 @@
     return BASE_LOAD + (this.services.get(service)?.get(shard) ?? 0);
   }
 
+  /** Everything that was reported. */
+  describe(): ServiceLoads[] {
+    return [...this.services].map(([service, rates]) => ({ service, rates: [...rates] }));
+  }
+
   /** Forgets everything. */
   clear(): void {
     this.services.clear();
--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -107,7 +107,7 @@
   @Get('snapshot')
   snapshot(): StateDocument {
     this.requireLeader();
-    return describeState(this.node.state);
+    return describeState(this.node.state, this.node.loadsByService());
   }
 
   @Put('backends/:name/drain')
--- a/src/control/state-snapshot.ts
+++ b/src/control/state-snapshot.ts
@@ -26,12 +26,20 @@
 /** The state as JSON holds it, for operators and tools. */
 export interface StateDocument extends Omit<StateSnapshot, 'shards'> {
   readonly shards: readonly { readonly service: string; readonly rows: readonly ShardRow[] }[];
+  /** Requests a second by service and shard, as the leader was told. */
+  readonly loads: readonly ServiceLoads[];
+}
+
+/** Requests a second by shard of one service. */
+export interface ServiceLoads {
+  readonly service: string;
+  readonly rates: readonly (readonly [shard: number, rate: number])[];
 }
 
 /** Writes the state for JSON. */
-export function describeState(state: ControlState): StateDocument {
+export function describeState(state: ControlState, loads: readonly ServiceLoads[]): StateDocument {
   const shards = [...state.shards].map(([service, rows]) => ({ service, rows }));
-  return { ...encodeState(state), shards };
+  return { ...encodeState(state), shards, loads };
 }
 
 /** Reads a state written by `encodeState`. */
