A stalled replica does not stand for election; agents wait for a leader where they are; a specification in Quint

Cause: the full hollow fleet came up once and then, with another program on the same cores, not at all: 267 terms in four minutes. Profiles of the control processes show them idle for 45% of the time, so it is not their own work: they are kept from running for longer than the election timeout. When a stalled process goes on, its timers run before it reads the heartbeats that wait in its sockets, so it stands for election (and its leader steps down by its own quorum check). Without a leader, 547 agents went to another replica every 50 ms, about 11,000 connections a second, which kept everybody busy.

Ruled out: longer timeouts; priorities (the machine's stay as they are).

Change: a tick that comes late by a quarter of the election timeout postpones election and quorum check by that time. An agent that is told that nobody leads asks the same replica again every 100 ms, and goes to the next after four questions. `spec/ownership.qnt` specifies leases, grants, moves and changes of leader.

--- /dev/null
+++ b/spec/ownership.qnt
@@ -0,0 +1,225 @@
+/// Ownership: session leases, grants, planned moves, change of leader. Time is a counter that everybody reads;
+/// delays and freezes are the absence of steps. Checked by `npm run spec`; traces are replayed on the real state
+/// machine by test/spec/ownership-traces.test.ts.
+module ownership {
+  pure val BACKENDS: Set[str] = Set("one", "two")
+  pure val SHARDS: Set[int] = Set(0, 1)
+  /// Length of a lease, in ticks.
+  pure val TERM: int = 3
+  pure val NOBODY: str = ""
+
+  type Renewal = { backend: str, session: int, sent: int }
+  type Row = { owner: str, epoch: int, session: int, movingTo: str, moveId: int }
+
+  /// The tick, and the number of commands that were committed.
+  var now: int
+  var index: int
+  /// Replicated: rows and open sessions (0 for none).
+  var rows: int -> Row
+  var sessions: str -> int
+  /// The leader's own: when each session was last renewed.
+  var renewedAt: str -> int
+  /// On their way.
+  var renewals: Set[Renewal]
+  var answers: Set[Renewal]
+  /// The agents': session, deadline, grants, and shards that were released for a move.
+  var held: str -> int
+  var deadline: str -> int
+  var grants: str -> Set[{ shard: int, epoch: int }]
+  var released: str -> Set[int]
+
+  action init = all {
+    now' = 0,
+    index' = 0,
+    rows' = SHARDS.mapBy(s => { owner: NOBODY, epoch: 0, session: 0, movingTo: NOBODY, moveId: 0 }),
+    sessions' = BACKENDS.mapBy(b => 0),
+    renewedAt' = BACKENDS.mapBy(b => 0),
+    renewals' = Set(),
+    answers' = Set(),
+    held' = BACKENDS.mapBy(b => 0),
+    deadline' = BACKENDS.mapBy(b => 0),
+    grants' = BACKENDS.mapBy(b => Set()),
+    released' = BACKENDS.mapBy(b => Set()),
+  }
+
+  action keepAgents = all { held' = held, deadline' = deadline, grants' = grants, released' = released }
+  action keepMessages = all { renewals' = renewals, answers' = answers }
+  action keepReplicated = all { index' = index, rows' = rows, sessions' = sessions }
+
+  action tick = all {
+    now' = now + 1,
+    renewedAt' = renewedAt,
+    keepReplicated, keepMessages, keepAgents,
+  }
+
+  /// An agent takes its back end, which ends all grants there, and opens a session, which ends its earlier one.
+  action openSession(b: str): bool = all {
+    index' = index + 1,
+    rows' = rows.keys().mapBy(s => freed(rows.get(s), b)),
+    sessions' = sessions.set(b, index + 1),
+    renewedAt' = renewedAt.set(b, now),
+    held' = held.set(b, index + 1),
+    deadline' = deadline.set(b, now + TERM),
+    grants' = grants.set(b, Set()),
+    released' = released.set(b, Set()),
+    now' = now,
+    keepMessages,
+  }
+
+  /// A row when the session of `b` has ended.
+  pure def freed(row: Row, b: str): Row =
+    if (row.owner == b) { ...row, owner: NOBODY, session: 0, movingTo: NOBODY, moveId: 0 }
+    else if (row.movingTo == b) { ...row, movingTo: NOBODY, moveId: 0 }
+    else row
+
+  action sendRenewal(b: str): bool = all {
+    held.get(b) > 0,
+    renewals' = renewals.union(Set({ backend: b, session: held.get(b), sent: now })),
+    answers' = answers,
+    now' = now, renewedAt' = renewedAt,
+    keepReplicated, keepAgents,
+  }
+
+  /// The leader answers, once a quorum has confirmed that it leads. A message may arrive again.
+  action takeRenewal: bool = {
+    nondet r = renewals.oneOf()
+    all {
+      sessions.get(r.backend) == r.session,
+      renewedAt' = renewedAt.set(r.backend, now),
+      answers' = answers.union(Set(r)),
+      renewals' = renewals,
+      now' = now,
+      keepReplicated, keepAgents,
+    }
+  }
+
+  /// The holder counts from when it sent the renewal.
+  action takeAnswer: bool = {
+    nondet r = answers.oneOf()
+    all {
+      held.get(r.backend) == r.session,
+      deadline' = deadline.setBy(r.backend, old => if (r.sent + TERM > old) r.sent + TERM else old),
+      held' = held, grants' = grants, released' = released,
+      now' = now, renewedAt' = renewedAt,
+      keepReplicated, keepMessages,
+    }
+  }
+
+  /// A new leader knows no renewal, so it gives every session a whole term.
+  action changeLeader = all {
+    renewedAt' = BACKENDS.mapBy(b => now),
+    now' = now,
+    keepReplicated, keepMessages, keepAgents,
+  }
+
+  action closeSession(b: str): bool = all {
+    sessions.get(b) > 0,
+    now > renewedAt.get(b) + TERM,
+    index' = index + 1,
+    rows' = rows.keys().mapBy(s => freed(rows.get(s), b)),
+    sessions' = sessions.set(b, 0),
+    now' = now, renewedAt' = renewedAt,
+    keepMessages, keepAgents,
+  }
+
+  action assignShard(b: str, s: int): bool = all {
+    rows.get(s).owner == NOBODY,
+    sessions.get(b) > 0,
+    index' = index + 1,
+    rows' = rows.setBy(s, row => { ...row, owner: b, session: sessions.get(b), epoch: row.epoch + 1 }),
+    sessions' = sessions,
+    now' = now, renewedAt' = renewedAt,
+    keepMessages, keepAgents,
+  }
+
+  /// The agent learns of a row, as late as it likes, and grants the shard.
+  action install(b: str, s: int): bool = all {
+    rows.get(s).owner == b,
+    rows.get(s).session == held.get(b),
+    not(released.get(b).contains(s)),
+    grants' = grants.setBy(b, old =>
+      old.filter(g => g.shard != s).union(Set({ shard: s, epoch: rows.get(s).epoch }))),
+    held' = held, deadline' = deadline, released' = released,
+    now' = now, renewedAt' = renewedAt,
+    keepReplicated, keepMessages,
+  }
+
+  action beginMove(b: str, s: int): bool = all {
+    rows.get(s).owner != NOBODY,
+    rows.get(s).owner != b,
+    rows.get(s).movingTo == NOBODY,
+    sessions.get(b) > 0,
+    index' = index + 1,
+    rows' = rows.setBy(s, row => { ...row, movingTo: b, moveId: index + 1 }),
+    sessions' = sessions,
+    now' = now, renewedAt' = renewedAt,
+    keepMessages, keepAgents,
+  }
+
+  /// The old owner stops admitting.
+  action release(s: int): bool = {
+    val row = rows.get(s)
+    all {
+      row.movingTo != NOBODY,
+      held.get(row.owner) == row.session,
+      grants' = grants.setBy(row.owner, old => old.filter(g => g.shard != s)),
+      released' = released.setBy(row.owner, old => old.union(Set(s))),
+      held' = held, deadline' = deadline,
+      now' = now, renewedAt' = renewedAt,
+      keepReplicated, keepMessages,
+    }
+  }
+
+  /// Control hears of the release and changes the owner.
+  action completeMove(s: int): bool = {
+    val row = rows.get(s)
+    all {
+      row.movingTo != NOBODY,
+      released.get(row.owner).contains(s),
+      held.get(row.owner) == row.session,
+      sessions.get(row.movingTo) > 0,
+      index' = index + 1,
+      rows' = rows.set(s, {
+        owner: row.movingTo, epoch: row.epoch + 1, session: sessions.get(row.movingTo),
+        movingTo: NOBODY, moveId: 0 }),
+      sessions' = sessions,
+      released' = released.setBy(row.owner, old => old.exclude(Set(s))),
+      held' = held, deadline' = deadline, grants' = grants,
+      now' = now, renewedAt' = renewedAt,
+      keepMessages,
+    }
+  }
+
+  action step = {
+    nondet b = BACKENDS.oneOf()
+    nondet s = SHARDS.oneOf()
+    any {
+      tick,
+      openSession(b),
+      sendRenewal(b),
+      takeRenewal,
+      takeAnswer,
+      changeLeader,
+      closeSession(b),
+      assignShard(b, s),
+      install(b, s),
+      beginMove(b, s),
+      release(s),
+      completeMove(s),
+    }
+  }
+
+  def serves(b: str, s: int): bool = and {
+    now < deadline.get(b),
+    grants.get(b).exists(g => g.shard == s),
+  }
+
+  /// At most one back end would serve a shard at any moment.
+  val oneOwner = SHARDS.forall(s => BACKENDS.filter(b => serves(b, s)).size() <= 1)
+
+  /// Whoever would serve does so under the newest epoch, unless the row has no owner any more.
+  val newestEpoch = BACKENDS.forall(b => grants.get(b).forall(g =>
+    serves(b, g.shard) implies g.epoch == rows.get(g.shard).epoch))
+
+  val safe = oneOwner and newestEpoch
+}
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -165,19 +165,18 @@
   }
 
   private openChannel(identity: ClientIdentity): SessionChannel {
-    return new SessionChannel(
-      this.runtime,
-      identity,
-      this.settings.control,
-      (notice) => {
+    return new SessionChannel(this.runtime, identity, this.settings.control, {
+      onNotice: (notice) => {
         this.receiveNotice(notice);
       },
-      () => {
-        this.openDueMs = 0;
+      onOpen: () => {
         this.load.forgetReported();
+      },
+      onAsk: () => {
+        this.openDueMs = 0;
         this.renew();
       },
-    );
+    });
   }
 
   private makeGrantKeeper(): GrantKeeper {
--- a/src/consensus/election-timer.ts
+++ b/src/consensus/election-timer.ts
@@ -19,6 +19,11 @@
     this.deadlineMs = nowMs + this.timeoutMs + uniformInt(this.generator, 0, Math.floor(this.timeoutMs));
   }
 
+  /** Moves the deadline on, because the time did not count. */
+  postpone(ms: number): void {
+    this.deadlineMs += ms;
+  }
+
   /** Whether the deadline has passed. */
   expired(nowMs: number): boolean {
     return nowMs >= this.deadlineMs;
--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -26,6 +26,12 @@
 } from './raft-types.js';
 import { ReplicationProgress, type PeerProgress } from './replication-progress.js';
 
+/**
+ * Part of the election timeout by which a tick must come late to count as a stall of this process. What the
+ * others sent meanwhile still waits to be read, so the time of a stall does not count as their silence.
+ */
+const STALL_SHARE = 0.25;
+
 interface PendingConfirmation {
   readonly requestId: number;
   readonly round: number;
@@ -50,6 +56,7 @@
   private confirmations: PendingConfirmation[] = [];
   private effects: RaftEffect[] = [];
   private nowMs = 0;
+  private lastTickMs: number;
 
   constructor(
     readonly id: ReplicaId,
@@ -64,6 +71,7 @@
     this.progress = new ReplicationProgress(id);
     this.electionTimer = new ElectionTimer(options.electionTimeoutMs, options.seed);
     this.electionTimer.restart(nowMs);
+    this.lastTickMs = nowMs;
   }
 
   /** What this replica is doing. */
@@ -153,6 +161,8 @@
   }
 
   private tick(): void {
+    this.discountStall(this.nowMs - this.lastTickMs);
+    this.lastTickMs = this.nowMs;
     if (this.currentRole === 'leader') {
       this.tickLeader();
       return;
@@ -162,6 +172,13 @@
     if (this.membership.voters.includes(this.id)) this.startElection(true);
   }
 
+  private discountStall(sinceTickMs: number): void {
+    if (sinceTickMs < this.options.electionTimeoutMs * STALL_SHARE) return;
+    this.electionTimer.postpone(sinceTickMs);
+    this.quorumCheckDueMs += sinceTickMs;
+    this.leaderHeardMs += sinceTickMs;
+  }
+
   private tickLeader(): void {
     if (this.nowMs >= this.quorumCheckDueMs && !this.checkQuorum()) return;
     if (this.nowMs < this.heartbeatDueMs) return;
--- a/src/control-client/replica-link.ts
+++ b/src/control-client/replica-link.ts
@@ -49,6 +49,11 @@
     return addTraffic(this.closedTraffic, this.client.traffic());
   }
 
+  /** Name of the replica that this link goes to at present. */
+  get replicaName(): string | null {
+    return this.control[this.position % this.control.length]?.name ?? null;
+  }
+
   /** Goes to the next replica in order, after the pause; does nothing while a change is under way. */
   switchToNext(): void {
     this.switchTo(this.position + 1);
--- a/src/control-client/session-channel.ts
+++ b/src/control-client/session-channel.ts
@@ -13,25 +13,43 @@
 /** Pause between looks at the silence, in ms. */
 const SILENCE_CHECK_MS = 100;
 
+/** Pause in ms before a replica that knows no leader is asked again. */
+const ASK_AGAIN_MS = 100;
+
+/** Questions to one replica that knows no leader, before another is tried: it may be cut off from the others. */
+const QUESTIONS_BEFORE_SWITCH = 4;
+
+/** What the owner of a channel is told. */
+export interface SessionChannelHandlers {
+  onNotice(notice: ControlNotice): void;
+  /** A connection was opened: this replica may not know what was reported before. */
+  onOpen(): void;
+  /** The replica may lead by now: whatever waits for a leader should be sent. */
+  onAsk(): void;
+}
+
 /** A connection to whichever replica leads. */
 export class SessionChannel {
   private readonly link: ReplicaLink;
   private readonly cancelSilenceCheck: CancelTimer;
   private lastNoticeMs: number;
+  private questions = 0;
+  private cancelQuestion: CancelTimer | null = null;
 
   constructor(
     private readonly runtime: Runtime,
     identity: ClientIdentity,
     control: readonly NamedAddress[],
-    private readonly onNotice: (notice: ControlNotice) => void,
-    private readonly onOpen: () => void,
+    private readonly handlers: SessionChannelHandlers,
   ) {
     this.lastNoticeMs = runtime.nowMs();
     const options = { firstPosition: 0, switchPauseMs: SWITCH_PAUSE_MS };
     this.link = new ReplicaLink(runtime, identity, control, options, {
       onOpen: () => {
         this.lastNoticeMs = runtime.nowMs();
-        this.onOpen();
+        this.questions = 0;
+        this.handlers.onOpen();
+        this.handlers.onAsk();
       },
       onNotice: (notice) => {
         this.receive(notice);
@@ -58,6 +76,7 @@
   /** Closes for good. */
   stop(): void {
     this.cancelSilenceCheck();
+    this.cancelQuestion?.();
     this.link.stop();
   }
 
@@ -70,10 +89,27 @@
 
   private receive(notice: ControlNotice): void {
     if (notice.kind === 'not-leader') {
-      this.link.switchToReplica(notice.leader);
+      const elsewhere = notice.leader !== null && notice.leader !== this.link.replicaName;
+      if (elsewhere) this.link.switchToReplica(notice.leader);
+      else this.askAgain();
       return;
     }
     this.lastNoticeMs = this.runtime.nowMs();
-    this.onNotice(notice);
+    this.questions = 0;
+    this.handlers.onNotice(notice);
+  }
+
+  /** While nobody leads, hundreds of agents that went from replica to replica would keep all of them busy. */
+  private askAgain(): void {
+    if (this.cancelQuestion !== null) return;
+    this.questions += 1;
+    if (this.questions >= QUESTIONS_BEFORE_SWITCH) {
+      this.link.switchToNext();
+      return;
+    }
+    this.cancelQuestion = this.runtime.after(ASK_AGAIN_MS, () => {
+      this.cancelQuestion = null;
+      this.handlers.onAsk();
+    });
   }
 }
