A new leader plans within a budget; changes are split among back ends once

Cause: the profile of a storm at full size shows what the elections come from: a replica that has become leader spends 470 to 740 ms in one turn planning all twelve services of 10,000 shards, longer than the election timeout of 400 to 800 ms, so the others elect the next, which does the same. Applying the first assignments took 500 ms in one turn, mostly filtering 10,000 rows for each of 46 watchers.

Ruled out: scheduling alone (the stalls have these stacks); the disk.

Change: a run of the duties ends after 20 ms and the next goes on with the other services in turn; the rows of a change are grouped by back end once.

--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -58,12 +58,32 @@
   return { ...change, services, removed };
 }
 
-function shardsInScope(change: Extract<Change, { kind: 'shards' }>, scope: WatchScope): Change[] {
+type ShardsChange = Extract<Change, { kind: 'shards' }>;
+
+function shardsInScope(change: ShardsChange, scope: WatchScope): Change[] {
   if (change.service !== scope.service) return [];
-  const shards = change.shards.filter(({ row, formerOwner }) => {
-    return rowInScope(row, scope) || formerOwner === scope.backend;
-  });
-  return shards.length === 0 ? [] : [{ ...change, shards }];
+  const shards = shardsByBackend(change).get(scope.backend);
+  return shards === undefined ? [] : [{ ...change, shards }];
+}
+
+/** Made once for each change, since every back end of a service asks for its part of it. */
+const changesByBackend = new WeakMap<ShardsChange, ReadonlyMap<string, readonly ShardChange[]>>();
+
+function shardsByBackend(change: ShardsChange): ReadonlyMap<string, readonly ShardChange[]> {
+  const known = changesByBackend.get(change);
+  if (known !== undefined) return known;
+  const groups = new Map<string, ShardChange[]>();
+  for (const shard of change.shards) {
+    const { owner, movingTo } = shard.row;
+    for (const backend of new Set([owner, movingTo, shard.formerOwner])) {
+      if (backend === null) continue;
+      const group = groups.get(backend) ?? [];
+      groups.set(backend, group);
+      group.push(shard);
+    }
+  }
+  changesByBackend.set(change, groups);
+  return groups;
 }
 
 /** Whether a row concerns the back end of a scope. */
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -110,7 +110,12 @@
       },
       options.onApplied,
     );
-    this.duties = new LeaderDuties(() => this.state, this.proposals, this.loads);
+    this.duties = new LeaderDuties(
+      () => this.state,
+      this.proposals,
+      this.loads,
+      () => runtime.nowMs(),
+    );
     this.sessions = this.makeSessions();
     this.gateway = this.makeGateway();
     this.admission = new MembershipAdmission(INACTIVE_ELECTION_TIMEOUTS * timing.electionTimeoutMs);
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -21,6 +21,12 @@
 /** Pause between plans for balance, in ms; repairs and drains are planned whenever something has changed. */
 const BALANCE_INTERVAL_MS = 1_000;
 
+/**
+ * Time in ms after which a run leaves the other services to the next one: a new leader that planned all of them at
+ * once would keep its heartbeats waiting for longer than the election timeout.
+ */
+const RUN_BUDGET_MS = 20;
+
 const MS_PER_MINUTE = 60_000;
 
 interface ServiceProgress {
@@ -41,12 +47,15 @@
 export class LeaderDuties {
   private readonly progress = new Map<string, ServiceProgress>();
   private readonly policies = new PolicyTable();
+  /** Service after which the next run goes on. */
+  private lastPlanned = '';
   private readonly problems = new Map<string, string>();
 
   constructor(
     private readonly state: () => ControlState,
     private readonly proposals: Proposals,
     private readonly loads: LoadTable,
+    private readonly clockMs: () => number,
   ) {}
 
   /** This replica has become leader. */
@@ -73,13 +82,17 @@
     }
   }
 
-  /** Plans every service that is due and proposes what follows. */
+  /** Plans the services that are due, in turn, within the budget of one run, and proposes what follows. */
   run(nowMs: number): void {
     const { services } = this.state().configuration.document;
-    for (const [name, service] of Object.entries(services)) {
+    for (const name of inTurn(Object.keys(services), this.lastPlanned)) {
+      const service = services[name];
       const progress = this.progressOf(name, nowMs);
       const isDue = progress.changed || nowMs >= progress.balanceDueMs;
-      if (isDue && !progress.proposalUnderWay) this.planService(name, service, progress, nowMs);
+      if (service === undefined || !isDue || progress.proposalUnderWay) continue;
+      this.lastPlanned = name;
+      this.planService(name, service, progress, nowMs);
+      if (this.clockMs() - nowMs >= RUN_BUDGET_MS) return;
     }
   }
 
@@ -149,6 +162,12 @@
   }
 }
 
+/** Names in order, those after `last` first. */
+function inTurn(names: readonly string[], last: string): string[] {
+  const sorted = [...names].sort();
+  return [...sorted.filter((name) => name > last), ...sorted.filter((name) => name <= last)];
+}
+
 /**
  * A first assignment waits for all back ends, or until no more come: what goes to the first few would have to be
  * moved to the others one by one.
--- a/test/control/leader-duties.test.ts
+++ b/test/control/leader-duties.test.ts
@@ -18,10 +18,17 @@
     this.commands.push(command);
     this.proposals.applied(proposalId, this.apply(command));
   });
-  readonly duties = new LeaderDuties(() => this.state, this.proposals, new LoadTable());
+  clockMs = 0;
+  readonly duties = new LeaderDuties(
+    () => this.state,
+    this.proposals,
+    new LoadTable(),
+    () => this.clockMs,
+  );
+  planTakesMs = 0;
   private index = 0;
 
-  constructor() {
+  constructor(services: readonly string[] = ['stock']) {
     const backends = BACKENDS.map((name, at) => {
       return [name, { zone: 'z', address: { host: '10.0.0.1', port: at + 1 } }];
     });
@@ -33,7 +40,9 @@
       connections: 130,
       backends: Object.fromEntries(backends) as unknown,
     };
-    const document = configurationSchema.parse({ version: 1, services: { stock: service } });
+    const others = services.slice(1).map((name) => [name, { ...service, backends: {} }]);
+    const all = { stock: service, ...(Object.fromEntries(others) as object) };
+    const document = configurationSchema.parse({ version: 1, services: all });
     this.apply({ kind: 'configure', submissionId: 'first', baseRevision: 0, document });
   }
 
@@ -51,6 +60,7 @@
   }
 
   async run(nowMs: number): Promise<void> {
+    this.clockMs = nowMs + this.planTakesMs;
     this.duties.run(nowMs);
     await new Promise((resolve) => setImmediate(resolve));
   }
@@ -106,3 +116,28 @@
   for (let nowMs = 1; nowMs < 5_000; nowMs += 100) await leader.run(nowMs);
   t.deepEqual(leader.commands, []);
 });
+
+test('a run ends after its budget, and the next goes on with the other services', async (t) => {
+  const leader = new Leader(['stock', 'archive', 'ledger']);
+  const planned: string[] = [];
+  const { shards } = leader.state;
+  const get = shards.get.bind(shards);
+  shards.get = (name) => {
+    planned.push(name);
+    return get(name);
+  };
+  for (const name of ['archive', 'ledger', 'stock']) {
+    const id = shards.size + leader.state.sessions.size;
+    leader.state.sessions.set(id, {
+      id,
+      backend: name,
+      service: name,
+      openId: name,
+      agentAddress: { host: '10.0.0.1', port: 1 },
+    });
+  }
+  leader.planTakesMs = 50;
+  for (let run = 0; run < 3; run += 1) await leader.run(run);
+  t.deepEqual([...new Set(planned)], ['archive', 'ledger', 'stock']);
+  t.is(planned.length, 3, 'one service a run');
+});
