Recovery costs what was lost; entries are applied in slices

Cause: with the planning spread out, full-size profiles still show turns of 740 to 1,200 ms: applying a batch of entries, mostly the ends of sessions, each of which went over all 10,000 rows of its service.

Ruled out: planning (no longer in the profile); the watch hub (88 of 1,181 ms).

Change: a service's rows know which of them concern a back end, so that an ended session, an assignment and a move touch only their own; committed entries are applied in slices of 64 or 10 ms, and a replica counts as leading only when everything of earlier terms is applied.

--- a/lab/bench/slopes.ts
+++ b/lab/bench/slopes.ts
@@ -12,6 +12,7 @@
 import { applyCommand } from '../../src/control/state-machine.js';
 import { emptyControlState, type ControlState } from '../../src/control/control-state.js';
 import { daemonRequestSchema } from '../../src/control/daemon-messages.js';
+import { ServiceShards } from '../../src/control/service-shards.js';
 import { encodeState } from '../../src/control/state-snapshot.js';
 import { encodeChanges } from '../../src/control/wire-changes.js';
 import { emptyShardRow } from '../../src/model/shard.js';
@@ -76,7 +77,7 @@
     session: 1_000 + (shard % backends),
     freshAfterMs: 1_800_000_000_000,
   }));
-  state.shards.set('service-1', rows);
+  state.shards.set('service-1', new ServiceShards(rows));
   return state;
 }
 
@@ -189,7 +190,7 @@
 
 function measurePlan(): MeasuredSlope[] {
   const points = [15_000, 30_000, 60_000, 120_000].map((size): SlopePoint => {
-    const rows = stateOf(size, 1_000).shards.get('service-1') ?? [];
+    const rows = stateOf(size, 1_000).shards.get('service-1')?.rows ?? [];
     const lost = rows.map((row) => (row.owner === 'backend-7' ? { ...row, owner: null, session: 0 } : row));
     const backends = Array.from({ length: 1_000 }, (_, at) => {
       return { name: `backend-${at}`, zone: 'zone', draining: false };
--- a/lab/sim/fault-runner.ts
+++ b/lab/sim/fault-runner.ts
@@ -209,7 +209,8 @@
   }
 
   private ownedBy(backend: string): number {
-    const rows = [...(this.world.leader()?.node?.state.shards.values() ?? [])].flat();
+    const services = [...(this.world.leader()?.node?.state.shards.values() ?? [])];
+    const rows = services.flatMap((service) => service.rows);
     return rows.filter((row) => row.owner === backend || row.movingTo === backend).length;
   }
 
--- a/lab/sim/sim-run.ts
+++ b/lab/sim/sim-run.ts
@@ -134,7 +134,7 @@
     world.violated({ invariant: 'recovers', detail: 'no replica leads at the end' });
     return;
   }
-  const rows = state.shards.get(SERVICE) ?? [];
+  const rows = state.shards.get(SERVICE)?.rows ?? [];
   const unowned = rows.filter((row) => row.owner === null).length;
   if (rows.length === 0 || unowned > 0) {
     world.violated({ invariant: 'recovers', detail: `${unowned} of ${rows.length} shards have no owner` });
--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -114,6 +114,11 @@
     return this.currentRole === 'leader' && this.committed >= this.termStartIndex;
   }
 
+  /** Index of the entry that began this replica's latest term as leader; 0 before the first. */
+  get termStart(): number {
+    return this.termStartIndex;
+  }
+
   /** Membership in force, or null while it is not committed yet. */
   committedMembership(): Membership | null {
     const { membership, index } = this.log.membership();
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -4,6 +4,7 @@
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
+import { EntryApplier } from './entry-applier.js';
 import { RaftCore } from './raft-core.js';
 import type {
   LogEntry,
@@ -48,7 +49,6 @@
 export interface ReplicaCounters {
   syncs: number;
   entriesPersisted: number;
-  entriesApplied: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
 }
@@ -59,7 +59,6 @@
   readonly counters: ReplicaCounters = {
     syncs: 0,
     entriesPersisted: 0,
-    entriesApplied: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
   };
@@ -67,7 +66,7 @@
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
   private stopped = false;
-  private appliedIndex: number;
+  private readonly applier: EntryApplier;
 
   constructor(
     readonly id: ReplicaId,
@@ -79,7 +78,10 @@
   ) {
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
-    this.appliedIndex = storage.initialState.snapshot.index;
+    const appliedIndex = storage.initialState.snapshot.index;
+    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
+      this.fail(error);
+    });
     this.cancelTick = runtime.every(TICK_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -87,7 +89,12 @@
 
   /** Index of the newest entry that the state machine has taken. */
   get applied(): number {
-    return this.appliedIndex;
+    return this.applier.appliedIndex;
+  }
+
+  /** Whether this replica leads and its state holds everything that was committed in earlier terms. */
+  get leading(): boolean {
+    return this.core.leaderReady && this.applier.appliedIndex >= this.core.termStart;
   }
 
   /** Queues an event for the core. */
@@ -116,13 +123,17 @@
         await this.compactIfDue();
       }
     } catch (error) {
-      this.stopped = true;
-      this.ports.onFatal(error);
+      this.fail(error);
     } finally {
       this.running = null;
     }
   }
 
+  private fail(error: unknown): void {
+    this.stopped = true;
+    this.ports.onFatal(error);
+  }
+
   /** Makes everything durable that the other effects of the same batch rely on. */
   private async persist(effects: readonly RaftEffect[]): Promise<void> {
     let unsynced = false;
@@ -154,8 +165,7 @@
   private perform(effect: RaftEffect): void {
     switch (effect.kind) {
       case 'install-snapshot':
-        this.stateMachine.restore(effect.data, effect.position.index);
-        this.appliedIndex = effect.position.index;
+        this.applier.restore(effect.data, effect.position.index);
         break;
       case 'send':
         this.ports.send(effect.message);
@@ -164,7 +174,7 @@
         this.sendSnapshot(effect.to, effect.term, effect.round);
         break;
       case 'commit':
-        this.applyAll(effect.entries);
+        this.applier.add(effect.entries);
         break;
       case 'role-changed':
         this.ports.onRoleChanged(effect.role, effect.term, effect.leader);
@@ -178,23 +188,15 @@
     }
   }
 
-  private applyAll(entries: readonly LogEntry[]): void {
-    for (const entry of entries) {
-      if (entry.index <= this.appliedIndex) continue;
-      this.stateMachine.apply(entry);
-      this.appliedIndex = entry.index;
-      this.counters.entriesApplied += 1;
-    }
-  }
-
   private sendSnapshot(to: ReplicaId, term: number, round: number): void {
     const { position, data } = this.storage.currentSnapshot();
     this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
   }
 
   private async compactIfDue(): Promise<void> {
+    if (this.applier.appliedIndex < this.core.commitIndex) return;
     const { index } = this.storage.currentSnapshot().position;
-    if (this.appliedIndex - index < this.options.snapshotEveryEntries) return;
+    if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
     const position = this.appliedPosition();
     if (position === null) return;
     await this.storage.saveSnapshot(position, this.stateMachine.snapshot());
@@ -204,9 +206,9 @@
 
   /** Position of the last applied entry, unless a membership change after the last snapshot is uncommitted. */
   private appliedPosition(): SnapshotPosition | null {
-    const term = this.core.termAt(this.appliedIndex);
+    const term = this.core.termAt(this.applier.appliedIndex);
     const membership = this.core.committedMembership();
     if (term === null || membership === null) return null;
-    return { index: this.appliedIndex, term, membership };
+    return { index: this.applier.appliedIndex, term, membership };
   }
 }
--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -85,8 +85,3 @@
   changesByBackend.set(change, groups);
   return groups;
 }
-
-/** Whether a row concerns the back end of a scope. */
-export function rowInScope(row: ShardRow, scope: WatchScope): boolean {
-  return row.owner === scope.backend || row.movingTo === scope.backend;
-}
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -158,7 +158,7 @@
 
   /** Whether this replica leads and its state is current. */
   get leading(): boolean {
-    return this.replica?.core.leaderReady === true;
+    return this.replica?.leading === true;
   }
 
   /** The consensus replica; null while the cluster is being formed. */
@@ -333,7 +333,7 @@
     const { replica } = this;
     if (replica === null) return;
     if (!this.current) this.hub.dismissAll('no-leader');
-    if (!replica.core.leaderReady) return;
+    if (!replica.leading) return;
     if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
     this.sessions.expire();
     this.duties.run(this.runtime.nowMs());
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -1,7 +1,7 @@
 /** The replicated state: configuration, sessions, shard ownership. Changed only by committed commands. */
 import type { ConfigurationDocument } from '../config/configuration.js';
 import type { SocketAddress } from '../model/socket-address.js';
-import type { ShardRow } from '../model/shard.js';
+import type { ServiceShards } from './service-shards.js';
 
 /** An agent's session: while its lease is renewed, its back end may own shards. */
 export interface Session {
@@ -36,8 +36,8 @@
   readonly sessions: Map<number, Session>;
   /** Names of back ends that are to be emptied. */
   readonly draining: Set<string>;
-  /** Rows by service; a row's place is its shard number. */
-  readonly shards: Map<string, ShardRow[]>;
+  /** Rows by service. */
+  readonly shards: Map<string, ServiceShards>;
 }
 
 /** The state before the first command. */
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -72,7 +72,7 @@
   const { configuration, sessions, draining, shards } = node.state;
   const sessionIds = new Map([...sessions.values()].map(({ backend, id }) => [backend, id]));
   return Object.entries(configuration.document.services).flatMap(([service, { backends }]) => {
-    const counts = countByOwner(shards.get(service) ?? []);
+    const counts = countByOwner(shards.get(service)?.rows ?? []);
     return Object.keys(backends).map((backend) => ({
       service,
       backend,
@@ -90,7 +90,7 @@
 }
 
 function describeServices(node: ControlNode, backends: readonly BackendStatus[]): ServiceStatus[] {
-  return [...node.state.shards].map(([service, rows]) => {
+  return [...node.state.shards].map(([service, { rows }]) => {
     const counts = backends.filter((backend) => backend.service === service).map(({ shards }) => shards);
     const mean = counts.reduce((sum, count) => sum + count, 0) / Math.max(1, counts.length);
     return {
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -103,7 +103,7 @@
     nowMs: number,
   ): void {
     const backends = liveBackends(this.state(), name, service);
-    const rows = this.state().shards.get(name) ?? [];
+    const rows = this.state().shards.get(name)?.rows ?? [];
     if (backends.length === 0 || !mayPlan(progress, service, backends, rows, nowMs)) return;
     const balances = nowMs >= progress.balanceDueMs;
     if (balances) progress.balanceDueMs = nowMs + BALANCE_INTERVAL_MS;
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -17,6 +17,7 @@
   OpenSessionCommand,
   SetDrainCommand,
 } from './commands.js';
+import { ServiceShards } from './service-shards.js';
 import { sessionOfBackend, sessionsByBackend, type ControlState, type Session } from './control-state.js';
 
 /** Submissions whose answers are kept for resends. */
@@ -120,10 +121,8 @@
 function createShardTables(state: ControlState, document: ConfigurationDocument): void {
   for (const [name, service] of Object.entries(document.services)) {
     if (state.shards.has(name)) continue;
-    state.shards.set(
-      name,
-      Array.from({ length: service.shards }, (_, shard) => emptyShardRow(shard)),
-    );
+    const rows = Array.from({ length: service.shards }, (_, shard) => emptyShardRow(shard));
+    state.shards.set(name, new ServiceShards(rows));
   }
 }
 
@@ -180,7 +179,9 @@
 ): Change[] {
   const endedIds = new Set(ended.map((session) => session.id));
   const endedBackends = new Set(ended.map((session) => session.backend));
-  return changeRows(state, service, (row) => {
+  const known = state.shards.get(service);
+  const concerned = new Set([...endedBackends].flatMap((backend) => known?.concerning(backend) ?? []));
+  return changeRows(state, service, concerned, (row) => {
     if (row.owner !== null && endedIds.has(row.session)) {
       return { ...row, owner: null, session: 0, movingTo: null, moveId: 0, freshAfterMs: wallMs };
     }
@@ -200,7 +201,7 @@
     if (session === undefined) continue;
     for (const shard of shards) targets.set(shard, session);
   }
-  return changeRows(state, command.service, (row) => {
+  return changeRows(state, command.service, targets.keys(), (row) => {
     const session = targets.get(row.shard);
     if (session === undefined || row.owner !== null) return row;
     return ownedBy(session, row, row.freshAfterMs);
@@ -210,7 +211,7 @@
 function applyBeginMoves(state: ControlState, command: BeginMovesCommand, index: number): Change[] {
   const targets = new Map(command.moves.map(({ shard, backend }) => [shard, backend]));
   const sessions = sessionsByBackend(state);
-  return changeRows(state, command.service, (row) => {
+  return changeRows(state, command.service, targets.keys(), (row) => {
     const backend = targets.get(row.shard);
     const movable = row.owner !== null && row.owner !== backend && row.movingTo === null;
     if (backend === undefined || !movable || !sessions.has(backend)) return row;
@@ -220,7 +221,7 @@
 
 function applyCompleteMove(state: ControlState, command: CompleteMoveCommand): Change[] {
   const { shard, moveId, windowHandedOver, wallMs } = command;
-  return changeRow(state, command.service, shard, (row) => {
+  return changeRows(state, command.service, [shard], (row) => {
     if (row.moveId !== moveId || row.movingTo === null) return row;
     const freshAfterMs = windowHandedOver ? row.freshAfterMs : wallMs;
     const session = sessionOfBackend(state, row.movingTo);
@@ -229,7 +230,7 @@
 }
 
 function applyCancelMove(state: ControlState, command: CancelMoveCommand): Change[] {
-  return changeRow(state, command.service, command.shard, (row) => {
+  return changeRows(state, command.service, [command.shard], (row) => {
     return row.moveId === command.moveId && row.movingTo !== null
       ? { ...row, movingTo: null, moveId: 0 }
       : row;
@@ -255,30 +256,23 @@
   return { ...row, epoch, owner: backend, session: id, movingTo: null, moveId: 0, freshAfterMs };
 }
 
-function changeRows(state: ControlState, service: string, change: (row: ShardRow) => ShardRow): Change[] {
-  const rows = state.shards.get(service);
-  if (rows === undefined) return [];
-  const shards: ShardChange[] = [];
-  for (const row of rows) {
-    const next = change(row);
-    if (next === row) continue;
-    rows[row.shard] = next;
-    shards.push({ row: next, formerOwner: row.owner });
-  }
-  return shards.length === 0 ? [] : [{ kind: 'shards', service, shards }];
-}
-
-function changeRow(
+/** Changes the rows of some shards; `change` returns the same row where nothing is to change. */
+function changeRows(
   state: ControlState,
   service: string,
-  shard: number,
+  shards: Iterable<number>,
   change: (row: ShardRow) => ShardRow,
 ): Change[] {
-  const rows = state.shards.get(service);
-  const row = rows?.[shard];
-  if (rows === undefined || row === undefined) return [];
-  const next = change(row);
-  if (next === row) return [];
-  rows[shard] = next;
-  return [{ kind: 'shards', service, shards: [{ row: next, formerOwner: row.owner }] }];
+  const known = state.shards.get(service);
+  if (known === undefined) return [];
+  const changes: ShardChange[] = [];
+  for (const shard of shards) {
+    const row = known.get(shard);
+    if (row === undefined) continue;
+    const next = change(row);
+    if (next === row) continue;
+    known.set(next);
+    changes.push({ row: next, formerOwner: row.owner });
+  }
+  return changes.length === 0 ? [] : [{ kind: 'shards', service, shards: changes }];
 }
--- a/src/control/state-snapshot.ts
+++ b/src/control/state-snapshot.ts
@@ -1,5 +1,6 @@
 /** The replicated state as plain data, for snapshots on disk and for daemons that need the whole table. */
 import { packRows, unpackRows, type PackedRows } from '../model/packed-rows.js';
+import { ServiceShards } from './service-shards.js';
 import type { ShardRow } from '../model/shard.js';
 import type { ConfigurationRevision, ControlState, Session, SubmissionRecord } from './control-state.js';
 
@@ -19,7 +20,7 @@
     submissions: [...state.submissions],
     sessions: [...state.sessions.values()],
     draining: [...state.draining],
-    shards: [...state.shards].map(([service, rows]) => packRows(service, rows)),
+    shards: [...state.shards].map(([service, { rows }]) => packRows(service, rows)),
   };
 }
 
@@ -38,7 +39,7 @@
 
 /** Writes the state for JSON. */
 export function describeState(state: ControlState, loads: readonly ServiceLoads[]): StateDocument {
-  const shards = [...state.shards].map(([service, rows]) => ({ service, rows }));
+  const shards = [...state.shards].map(([service, { rows }]) => ({ service, rows }));
   return { ...encodeState(state), shards, loads };
 }
 
@@ -49,6 +50,6 @@
     submissions: [...snapshot.submissions],
     sessions: new Map(snapshot.sessions.map((session) => [session.id, session])),
     draining: new Set(snapshot.draining),
-    shards: new Map(snapshot.shards.map((packed) => [packed.service, unpackRows(packed)])),
+    shards: new Map(snapshot.shards.map((packed) => [packed.service, new ServiceShards(unpackRows(packed))])),
   };
 }
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -7,7 +7,7 @@
 import { packRows, type PackedRows } from '../model/packed-rows.js';
 import type { Connection } from '../runtime/runtime.js';
 import type { Hello } from '../transport/hello.js';
-import { changesInScope, rowInScope, type Change, type WatchScope } from './changes.js';
+import { changesInScope, type Change, type WatchScope } from './changes.js';
 import type { ControlState } from './control-state.js';
 import { encodeState, type StateSnapshot } from './state-snapshot.js';
 import { encodeChanges } from './wire-changes.js';
@@ -166,7 +166,7 @@
 }
 
 function rowsInScope(state: ControlState, scope: WatchScope): PackedRows[] {
-  const rows = state.shards.get(scope.service) ?? [];
-  const inScope = rows.filter((row) => rowInScope(row, scope));
+  const shards = state.shards.get(scope.service);
+  const inScope = (shards?.concerning(scope.backend) ?? []).flatMap((shard) => shards?.get(shard) ?? []);
   return [packRows(scope.service, inScope)];
 }
--- /dev/null
+++ b/test/consensus/entry-applier.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava';
+import { EntryApplier } from '../../src/consensus/entry-applier.js';
+import type { LogEntry } from '../../src/consensus/raft-types.js';
+import { nodeRuntime } from '../../src/runtime/node-runtime.js';
+
+class Recorder {
+  readonly seen: string[] = [];
+  private readonly due: (() => void)[] = [];
+  readonly applier = new EntryApplier(
+    { ...nodeRuntime, nowMs: () => 0, after: (_ms, run) => this.later(run) },
+    {
+      apply: ({ index }) => void this.seen.push(`apply ${index}`),
+      snapshot: () => null,
+      restore: (_data, index) => void this.seen.push(`restore ${index}`),
+    },
+    0,
+    () => undefined,
+  );
+
+  /** Slices that were run. */
+  runAll(): number {
+    let slices = 0;
+    for (let run = this.due.shift(); run !== undefined; run = this.due.shift()) {
+      run();
+      slices += 1;
+    }
+    return slices;
+  }
+
+  private later(run: () => void): () => void {
+    this.due.push(run);
+    return () => undefined;
+  }
+}
+
+function entries(from: number, to: number): LogEntry[] {
+  return Array.from({ length: to - from + 1 }, (_, at) => ({
+    index: from + at,
+    term: 1,
+    payload: { kind: 'no-op' },
+  }));
+}
+
+test('a few entries are applied at once, many in slices, all in order', (t) => {
+  const recorder = new Recorder();
+  recorder.applier.add(entries(1, 3));
+  t.is(recorder.applier.appliedIndex, 3);
+  recorder.applier.add(entries(4, 300));
+  t.true(recorder.applier.appliedIndex < 300);
+  recorder.applier.add(entries(301, 302));
+  t.true(recorder.runAll() > 1);
+  t.deepEqual(
+    recorder.seen,
+    entries(1, 302).map(({ index }) => `apply ${index}`),
+  );
+});
+
+test('a snapshot takes its place in the order, and what it replaces is not applied again', (t) => {
+  const recorder = new Recorder();
+  recorder.applier.add(entries(1, 100));
+  recorder.applier.restore({}, 150);
+  recorder.applier.add(entries(140, 152));
+  recorder.runAll();
+  t.deepEqual(recorder.seen.slice(100), ['restore 150', 'apply 151', 'apply 152']);
+});
--- a/test/control/leader-duties.test.ts
+++ b/test/control/leader-duties.test.ts
@@ -66,7 +66,7 @@
   }
 
   owned(backend: string): number {
-    return this.state.shards.get('stock')?.filter((row) => row.owner === backend).length ?? 0;
+    return this.state.shards.get('stock')?.rows.filter((row) => row.owner === backend).length ?? 0;
   }
 }
 
--- a/test/control/state-machine.test.ts
+++ b/test/control/state-machine.test.ts
@@ -69,7 +69,7 @@
   }
 
   row(shard: number): ShardRow {
-    const row = this.state.shards.get('stock')?.[shard];
+    const row = this.state.shards.get('stock')?.get(shard);
     if (row === undefined) throw new Error(`no shard ${shard}`);
     return row;
   }
@@ -161,7 +161,14 @@
   const machine = ready();
   machine.beginMove(0, 'two');
   machine.apply({ kind: 'set-drain', backend: 'one', draining: true });
-  t.deepEqual(decodeState(encodeState(machine.state)), machine.state);
+  const { shards, ...rest } = machine.state;
+  const { shards: restored, ...restoredRest } = decodeState(encodeState(machine.state));
+  t.deepEqual(restoredRest, rest);
+  t.deepEqual([...restored.keys()], [...shards.keys()]);
+  t.deepEqual(restored.get('stock')?.rows, shards.get('stock')?.rows);
+  for (const backend of ['one', 'two']) {
+    t.deepEqual(restored.get('stock')?.concerning(backend), shards.get('stock')?.concerning(backend));
+  }
 });
 
 test('draining an unknown back end is refused', (t) => {
--- a/test/control/watch-hub.test.ts
+++ b/test/control/watch-hub.test.ts
@@ -4,6 +4,7 @@
 import type { Change, WatchScope } from '../../src/control/changes.js';
 import { emptyControlState, type ControlState } from '../../src/control/control-state.js';
 import type { ControlNotice } from '../../src/control/daemon-messages.js';
+import { ServiceShards } from '../../src/control/service-shards.js';
 import { emptyShardRow } from '../../src/model/shard.js';
 import { parsePayload } from '../../src/transport/frame-codec.js';
 
@@ -42,17 +43,15 @@
   index = 0;
 
   constructor(shards: number) {
-    this.state.shards.set(
-      'stock',
-      Array.from({ length: shards }, (_, shard) => emptyShardRow(shard)),
-    );
+    const rows = Array.from({ length: shards }, (_, shard) => emptyShardRow(shard));
+    this.state.shards.set('stock', new ServiceShards(rows));
   }
 
   own(shard: number, owner: string): void {
-    const rows = this.state.shards.get('stock') ?? [];
-    const before = rows[shard] ?? emptyShardRow(shard);
+    const shards = this.state.shards.get('stock');
+    const before = shards?.get(shard) ?? emptyShardRow(shard);
     const row = { ...before, owner, epoch: before.epoch + 1, session: 1 };
-    rows[shard] = row;
+    shards?.set(row);
     this.index += 1;
     const change: Change = { kind: 'shards', service: 'stock', shards: [{ row, formerOwner: before.owner }] };
     this.hub.publish(this.index, [change]);
