Slices of applied entries yield to what waits to be read

Cause: the slices were chained by timers of 0 ms; a slice of 10 ms makes the next timer due at once, so Node stayed in its timers phase for up to 2.4 s (profile: listOnTimeout) and read no heartbeat.

Change: `Runtime.afterInput`, which is setImmediate.

--- a/lab/sim/sim-runtime.ts
+++ b/lab/sim/sim-runtime.ts
@@ -31,6 +31,9 @@
         cancelled = true;
       };
     },
+    afterInput(callback) {
+      process.schedule(0, callback);
+    },
     randomId: nextId,
     dial: (address, identity, handlers) => network.dial(process, address, identity, handlers),
     serve: (token, acceptor) => network.serve(process, token, acceptor),
--- a/src/consensus/entry-applier.ts
+++ b/src/consensus/entry-applier.ts
@@ -59,7 +59,7 @@
 
   private scheduleSlice(): void {
     this.scheduled = true;
-    this.runtime.after(0, () => {
+    this.runtime.afterInput(() => {
       try {
         this.runSlice();
       } catch (error) {
--- a/src/runtime/node-runtime.ts
+++ b/src/runtime/node-runtime.ts
@@ -21,6 +21,9 @@
       clearInterval(timer);
     };
   },
+  afterInput(callback) {
+    setImmediate(callback);
+  },
   randomId: randomUUID,
   dial: (address, identity, handlers) => new MessageClient(address, identity, handlers),
   serve: (token, acceptor) => new MessageServer(token, acceptor),
--- a/src/runtime/runtime.ts
+++ b/src/runtime/runtime.ts
@@ -85,6 +85,8 @@
   after(ms: number, callback: () => void): CancelTimer;
   /** Calls back every `ms`. */
   every(ms: number, callback: () => void): CancelTimer;
+  /** Calls back as soon as everything that waits to be read has been read; a timer would come before that. */
+  afterInput(callback: () => void): void;
   /** A string that nobody else gets. */
   randomId(): string;
   dial(address: SocketAddress, identity: ClientIdentity, handlers: ClientHandlers): Client;
--- a/test/consensus/entry-applier.test.ts
+++ b/test/consensus/entry-applier.test.ts
@@ -7,7 +7,7 @@
   readonly seen: string[] = [];
   private readonly due: (() => void)[] = [];
   readonly applier = new EntryApplier(
-    { ...nodeRuntime, nowMs: () => 0, after: (_ms, run) => this.later(run) },
+    { ...nodeRuntime, nowMs: () => 0, afterInput: (run) => void this.due.push(run) },
     {
       apply: ({ index }) => void this.seen.push(`apply ${index}`),
       snapshot: () => null,
@@ -26,11 +26,6 @@
     }
     return slices;
   }
-
-  private later(run: () => void): () => void {
-    this.due.push(run);
-    return () => undefined;
-  }
 }
 
 function entries(from: number, to: number): LogEntry[] {
