Assignments and ends of sessions go into commands of bounded size

Cause: the storm begins when 120,000 shards are assigned at once: twelve entries of 10,000 rows, each of which takes every replica some 100 ms to apply and publish, at the same time on all of them.

Change: an assignment has at most 1,000 shards and the next plan goes on; a command ends at most 8 sessions.

--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -27,6 +27,12 @@
  */
 const RUN_BUDGET_MS = 20;
 
+/**
+ * Shards that one command assigns, so that applying and publishing it stays short on every replica; the next plan
+ * goes on with the others.
+ */
+const MAX_ASSIGNMENTS = 1_000;
+
 const MS_PER_MINUTE = 60_000;
 
 interface ServiceProgress {
@@ -130,10 +136,12 @@
     freeMoves: number,
     progress: ServiceProgress,
   ): Promise<void> {
-    const moves = plan.moves.slice(0, freeMoves);
+    const assigned = plan.assignments.slice(0, MAX_ASSIGNMENTS);
+    // Moves wait until every shard has an owner.
+    const moves = assigned.length < plan.assignments.length ? [] : plan.moves.slice(0, freeMoves);
     const commands: ControlCommand[] = [];
-    if (plan.assignments.length > 0) {
-      commands.push({ kind: 'assign', service, assignments: groupByBackend(plan.assignments) });
+    if (assigned.length > 0) {
+      commands.push({ kind: 'assign', service, assignments: groupByBackend(assigned) });
     }
     if (moves.length > 0) commands.push({ kind: 'begin-moves', service, moves });
     if (commands.length === 0) return;
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -12,6 +12,9 @@
 import type { ControlState } from './control-state.js';
 import type { Proposals } from './proposals.js';
 
+/** Sessions that one command ends, so that applying it stays short when a whole zone is lost. */
+const SESSIONS_IN_A_COMMAND = 8;
+
 interface PendingRenewal {
   readonly request: RenewSessionRequest;
   readonly receivedMs: number;
@@ -120,7 +123,9 @@
     const open = sessions.filter((session) => this.ports.state().sessions.has(session));
     if (open.length === 0) return;
     this.counters.expired += open.length;
-    this.propose(open);
+    for (let at = 0; at < open.length; at += SESSIONS_IN_A_COMMAND) {
+      this.propose(open.slice(at, at + SESSIONS_IN_A_COMMAND));
+    }
   }
 
   /** Once this is proposed the sessions must never be renewed again, whatever becomes of the proposal. */
--- a/test/control/leader-duties.test.ts
+++ b/test/control/leader-duties.test.ts
@@ -28,14 +28,14 @@
   planTakesMs = 0;
   private index = 0;
 
-  constructor(services: readonly string[] = ['stock']) {
+  constructor(services: readonly string[] = ['stock'], shards = 6) {
     const backends = BACKENDS.map((name, at) => {
       return [name, { zone: 'z', address: { host: '10.0.0.1', port: at + 1 } }];
     });
     const service = {
       division: 'keyed',
       key: { from: 'path', segment: 0 },
-      shards: 6,
+      shards,
       slots: 6,
       connections: 130,
       backends: Object.fromEntries(backends) as unknown,
@@ -141,3 +141,18 @@
   t.deepEqual([...new Set(planned)], ['archive', 'ledger', 'stock']);
   t.is(planned.length, 3, 'one service a run');
 });
+
+test('a large first assignment is cut into commands of bounded size, and none is left over', async (t) => {
+  const leader = new Leader(['stock'], 2_500);
+  for (const backend of BACKENDS) leader.join(backend);
+  for (let run = 0; run < 5; run += 1) await leader.run(run);
+  const sizes = leader.commands.map((command) => {
+    if (command.kind !== 'assign') return command.kind;
+    return command.assignments.reduce((sum, { shards }) => sum + shards.length, 0);
+  });
+  t.deepEqual(sizes, [1_000, 1_000, 500]);
+  t.deepEqual(
+    BACKENDS.map((backend) => leader.owned(backend)),
+    [834, 833, 833],
+  );
+});
