A plan places only the shards that it will assign

Cause: with 10,000 shards without owner each of ten plans sorted and placed all of them to use 1,000 (profile).

Change: the limit goes into the planner.

Conclusion: tests as before.

--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -122,6 +122,7 @@
       backends,
       loadOf: (shard) => this.loads.loadOf(name, shard),
       toleratedImbalance: service.placement.toleratedImbalance,
+      maxAssignments: MAX_ASSIGNMENTS,
       policy: this.policies.policyOf(name, service),
       maxBalanceMoves: balances ? Math.min(freeMoves, Math.floor(progress.moveAllowance)) : 0,
     });
@@ -136,12 +137,10 @@
     freeMoves: number,
     progress: ServiceProgress,
   ): Promise<void> {
-    const assigned = plan.assignments.slice(0, MAX_ASSIGNMENTS);
-    // Moves wait until every shard has an owner.
-    const moves = assigned.length < plan.assignments.length ? [] : plan.moves.slice(0, freeMoves);
+    const moves = plan.moves.slice(0, freeMoves);
     const commands: ControlCommand[] = [];
-    if (assigned.length > 0) {
-      commands.push({ kind: 'assign', service, assignments: groupByBackend(assigned) });
+    if (plan.assignments.length > 0) {
+      commands.push({ kind: 'assign', service, assignments: groupByBackend(plan.assignments) });
     }
     if (moves.length > 0) commands.push({ kind: 'begin-moves', service, moves });
     if (commands.length === 0) return;
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -27,6 +27,8 @@
   readonly toleratedImbalance: number;
   /** Most moves for balance in this plan; moves off leaving back ends are not counted. */
   readonly maxBalanceMoves: number;
+  /** Most assignments in this plan; moves wait until the last shard has an owner. Without limit when left out. */
+  readonly maxAssignments?: number;
   /** Null where load alone decides. */
   readonly policy?: Policy | null;
 }
@@ -56,11 +58,10 @@
   if (loads.active.length === 0) return { assignments: [], moves: [], policyProblem: null };
   const policy = input.policy ?? null;
   const chooser = policy === null ? new LoadChooser(loads) : new PolicyChooser(policy, loads, input);
-  const assignments = placeAll(
-    input.rows.filter((row) => row.owner === null),
-    input,
-    chooser,
-  );
+  const unowned = input.rows.filter((row) => row.owner === null);
+  const assigned = unowned.slice(0, input.maxAssignments);
+  const assignments = placeAll(assigned, input, chooser);
+  if (assignments.length < unowned.length) return { assignments, moves: [], policyProblem: chooser.problem };
   const drainMoves = placeAll(rowsToDrain(input), input, chooser);
   const balanceMoves = planBalanceMoves(input, loads, chooser);
   return { assignments, moves: [...drainMoves, ...balanceMoves], policyProblem: chooser.problem };
