--- a/lab/hollow/hollow-run.ts
+++ b/lab/hollow/hollow-run.ts
@@ -23,7 +23,10 @@
 const POLL_MS = 500;
 const SETTLE_MS = 10_000;
 
-/** All hosts share this machine's cores with control, so that they are not started at once. */
+/**
+ * All hosts share this machine's cores with control, so they are not started at once, and the configuration comes
+ * when all are there: starting a process costs more than everything that is measured.
+ */
 const HOST_START_PAUSE_MS = 300;
 
 const MS_PER_SHIFT = 60_000 / 12;
@@ -138,12 +141,12 @@
   private async start(): Promise<void> {
     for (const replica of this.control) replica.start();
     await this.waitForLeader();
-    await this.submit();
     for (const [at, host] of this.hosts.entries()) {
       const settings = this.plan.hosts[at];
       if (settings !== undefined) await host.start(settings);
       await sleep(HOST_START_PAUSE_MS);
     }
+    await this.submit();
     const untilMs = monotonicMs() + READY_TIMEOUT_MS;
     while (monotonicMs() < untilMs) {
       if (this.isReady(await this.read())) return;
--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -100,6 +100,7 @@
   readonly logBytes = 0;
   private unsynced: Write[] = [];
   private entries: readonly LogEntry[];
+  private adopted: { readonly position: SnapshotPosition; readonly data: unknown };
 
   constructor(
     private readonly process: SimProcess,
@@ -109,6 +110,7 @@
   ) {
     this.owner = content.owner;
     this.entries = content.entries;
+    this.adopted = { position: content.position, data: content.data };
   }
 
   /** See `ReplicaStore`. */
@@ -124,12 +126,14 @@
 
   /** See `ReplicaStore`. */
   get formed(): boolean {
-    return this.content.position.membership.voters.length > 0 || this.entries.length > 0;
+    return this.adopted.position.membership.voters.length > 0 || this.entries.length > 0;
   }
 
   /** See `ReplicaStore`. */
   async form(membership: Membership): Promise<void> {
-    await this.saveSnapshot({ index: 0, term: 0, membership }, null);
+    const position = { index: 0, term: 0, membership };
+    await this.writeSnapshot(position, null);
+    await this.adoptSnapshot(position, null);
   }
 
   /** See `ReplicaStore`. */
@@ -158,18 +162,24 @@
   }
 
   /** See `ReplicaStore`. */
-  async saveSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
+  async writeSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
     await this.wait();
-    this.apply(this.unsynced.length);
     this.content.position = position;
     this.content.data = data;
+    // Who opens the disk after a crash leaves out the entries that the snapshot has.
     this.content.entries = entriesAfter(position, this.content.entries);
-    this.entries = this.content.entries;
+  }
+
+  /** See `ReplicaStore`. */
+  async adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
+    await this.wait();
+    this.entries = entriesAfter(position, this.entries);
+    this.adopted = { position, data };
   }
 
   /** See `ReplicaStore`. */
   currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown } {
-    return { position: this.content.position, data: this.content.data };
+    return this.adopted;
   }
 
   /** See `ReplicaStore`. */
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -53,6 +53,14 @@
   snapshotsInstalled: number;
 }
 
+/** A snapshot that is being written. */
+interface Compaction {
+  readonly position: SnapshotPosition;
+  readonly data: unknown;
+  written: Promise<void>;
+  done: boolean;
+}
+
 /** A running replica. */
 export class Replica {
   readonly core: RaftCore;
@@ -67,6 +75,7 @@
   private running: Promise<void> | null = null;
   private stopped = false;
   private readonly applier: EntryApplier;
+  private compaction: Compaction | null = null;
 
   constructor(
     readonly id: ReplicaId,
@@ -109,6 +118,7 @@
     this.stopped = true;
     this.cancelTick();
     await this.running;
+    await this.compaction?.written;
     await this.storage.close();
   }
 
@@ -152,7 +162,9 @@
           unsynced = true;
           break;
         case 'install-snapshot':
-          await this.storage.saveSnapshot(effect.position, effect.data);
+          await this.compaction?.written;
+          await this.storage.writeSnapshot(effect.position, effect.data);
+          await this.storage.adoptSnapshot(effect.position, effect.data);
           this.counters.snapshotsInstalled += 1;
           break;
       }
@@ -193,15 +205,40 @@
     this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
   }
 
+  /** Starts a snapshot when one is due, and takes it over when it is written. */
   private async compactIfDue(): Promise<void> {
+    const { compaction } = this;
+    if (compaction === null) {
+      this.startCompaction();
+      return;
+    }
+    if (!compaction.done) return;
+    this.compaction = null;
+    const { position, data } = compaction;
+    if (position.index <= this.storage.currentSnapshot().position.index) return;
+    await this.storage.adoptSnapshot(position, data);
+    this.counters.snapshotsTaken += 1;
+    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
+  }
+
+  /** The file is written beside everything else: it takes longer than an election timeout when it is large. */
+  private startCompaction(): void {
     if (this.applier.appliedIndex < this.core.commitIndex) return;
     const { index } = this.storage.currentSnapshot().position;
     if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
     const position = this.appliedPosition();
     if (position === null) return;
-    await this.storage.saveSnapshot(position, this.stateMachine.snapshot());
-    this.counters.snapshotsTaken += 1;
-    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
+    const data = this.stateMachine.snapshot();
+    const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
+    this.compaction = compaction;
+    compaction.written = this.storage.writeSnapshot(position, data).then(
+      () => {
+        compaction.done = true;
+      },
+      (error: unknown) => {
+        this.fail(error);
+      },
+    );
   }
 
   /** Position of the last applied entry, unless a membership change after the last snapshot is uncommitted. */
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -33,6 +33,7 @@
 import { readPeerMessage } from './peer-messages.js';
 import { PeerNetwork, type PeerMessage } from './peer-network.js';
 import { Proposals, type ProposalError } from './proposals.js';
+import { spread } from '../control-client/replica-link.js';
 import { ReplicatedState } from './replicated-state.js';
 import type { ServiceLoads } from './state-snapshot.js';
 import { SessionService } from './session-service.js';
@@ -284,7 +285,7 @@
       heartbeatMs: timing.heartbeatMs,
       electionTimeoutMs: timing.electionTimeoutMs,
       seed: seedFrom(this.id),
-      snapshotEveryEntries,
+      snapshotEveryEntries: snapshotEveryEntries + spread(this.id, Math.ceil(snapshotEveryEntries / 4)),
     };
     const ports = this.replicaPorts();
     this.replica = new Replica(this.id, this.runtime, this.storage, this.replicated, ports, options);
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -63,6 +63,13 @@
   /** Opens a session. */
   async open(request: OpenSessionRequest, connection: Connection): Promise<void> {
     const { openId, service, backend, agentAddress } = request;
+    const configured = this.ports.state().configuration.document.services[service]?.backends[backend];
+    if (configured === undefined) {
+      // Said without an entry of the log: agents of back ends that are not configured yet ask every second.
+      const detail = `no back end ${backend} in service ${service}`;
+      notify(connection, { kind: 'session-refused', openId, detail });
+      return;
+    }
     const receivedMs = this.ports.nowMs();
     const wallMs = this.ports.wallMs();
     const result = await this.proposals.propose({
--- a/src/storage/replica-storage.ts
+++ b/src/storage/replica-storage.ts
@@ -78,7 +78,9 @@
 
   /** Writes the first membership of a new cluster, durably. */
   async form(membership: Membership): Promise<void> {
-    await this.saveSnapshot({ index: 0, term: 0, membership }, null);
+    const position = { index: 0, term: 0, membership };
+    await this.writeSnapshot(position, null);
+    await this.adoptSnapshot(position, null);
   }
 
   /** Durably replaces the hard state. */
@@ -104,10 +106,14 @@
     await this.log.sync();
   }
 
-  /** Durably saves a snapshot and drops the entries that it replaces. */
-  async saveSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
+  /** See `ReplicaStore`. */
+  async writeSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
     const content: SnapshotFileContent = { position, data };
     await replaceFile(join(this.folder, SNAPSHOT_FILE), content);
+  }
+
+  /** See `ReplicaStore`. A crash before this leaves entries that the snapshot has; `open` drops them. */
+  async adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
     const kept = entriesAfter(position, this.retained);
     if (kept.length !== this.retained.length) await this.log.rewrite(kept);
     this.retained = kept;
--- a/src/storage/replica-store.ts
+++ b/src/storage/replica-store.ts
@@ -15,7 +15,7 @@
   readonly identity: string;
 }
 
-/** Durable state of one replica. Methods are called one at a time. */
+/** Durable state of one replica. Methods are called one at a time, where nothing else is said. */
 export interface ReplicaStore {
   readonly owner: FolderIdentity;
   /** What the consensus core starts from. */
@@ -36,8 +36,10 @@
   truncate(fromIndex: number): Promise<void>;
   /** Makes appended and truncated entries durable. */
   sync(): Promise<void>;
-  /** Durably saves a snapshot and drops the entries that it replaces. */
-  saveSnapshot(position: SnapshotPosition, data: unknown): Promise<void>;
+  /** Durably writes a snapshot; the log stays as it is. May run beside other calls, but one at a time. */
+  writeSnapshot(position: SnapshotPosition, data: unknown): Promise<void>;
+  /** Makes a snapshot that was written the present one, and drops the entries that it replaces. */
+  adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void>;
   /** The newest snapshot, for sending to a replica that is far behind. */
   currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown };
   /** Closes the files. */
--- a/test/storage/replica-storage.test.ts
+++ b/test/storage/replica-storage.test.ts
@@ -95,7 +95,10 @@
     if (effect.kind === 'persist-hard-state') await storage.saveHardState(effect.hardState);
     if (effect.kind === 'persist-entries') await storage.append(effect.entries);
     if (effect.kind === 'truncate-log') await storage.truncate(effect.fromIndex);
-    if (effect.kind === 'install-snapshot') await storage.saveSnapshot(effect.position, effect.data);
+    if (effect.kind === 'install-snapshot') {
+      await storage.writeSnapshot(effect.position, effect.data);
+      await storage.adoptSnapshot(effect.position, effect.data);
+    }
   }
   await storage.sync();
 }
@@ -130,3 +133,23 @@
     });
   });
 }
+
+test('a crash between writing a snapshot and dropping its entries loses nothing', async (t) => {
+  await inFolder(async (folder) => {
+    const storage = await open(folder);
+    await storage.form(MEMBERSHIP);
+    await storage.append(entries(1, 5));
+    await storage.sync();
+    const position = { index: 3, term: 1, membership: MEMBERSHIP };
+    await storage.writeSnapshot(position, { state: 1 });
+    await storage.append(entries(6, 6));
+    await storage.sync();
+    t.deepEqual(storage.currentSnapshot().position.index, 0, 'not adopted yet');
+    await storage.close();
+    const again = await open(folder);
+    t.deepEqual(again.initialState.snapshot, position);
+    t.deepEqual(again.initialState.entries, entries(4, 6));
+    t.deepEqual(again.snapshotData, { state: 1 });
+    await again.close();
+  });
+});
