Proposals of one batch are written at once; a vote is synced in one turn

Cause: instrumented replicas show where a leader of 1,100 daemons loses its followers: persisting 98 proposals took 1,276 ms, as 98 writes one after the other, each with a way through the thread pool on a busy machine; saving a vote took 115 to 271 ms as eight such calls. No heartbeat goes out meanwhile.

Ruled out: the sync itself (1 to 14 ms); applying and planning (no longer in the profile).

Change: entries that follow each other are written by one call; the hard state is replaced in one turn.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -53,6 +53,29 @@
   snapshotsInstalled: number;
 }
 
+/** Joins entries that follow each other: a leader has one effect for each proposal, and each write has its price. */
+function joinAppends(effects: readonly RaftEffect[]): RaftEffect[] {
+  const joined: RaftEffect[] = [];
+  for (const effect of effects) {
+    if (!PERSISTED_EFFECTS.has(effect.kind)) continue;
+    const last = joined.at(-1);
+    if (last?.kind === 'persist-entries' && effect.kind === 'persist-entries') {
+      joined[joined.length - 1] = { ...last, entries: [...last.entries, ...effect.entries] };
+    } else {
+      joined.push(effect);
+    }
+  }
+  return joined;
+}
+
+/** Effects that go to disk. */
+const PERSISTED_EFFECTS: ReadonlySet<RaftEffect['kind']> = new Set([
+  'persist-hard-state',
+  'persist-entries',
+  'truncate-log',
+  'install-snapshot',
+]);
+
 /** A snapshot that is being written. */
 interface Compaction {
   readonly position: SnapshotPosition;
@@ -147,7 +170,7 @@
   /** Makes everything durable that the other effects of the same batch rely on. */
   private async persist(effects: readonly RaftEffect[]): Promise<void> {
     let unsynced = false;
-    for (const effect of effects) {
+    for (const effect of joinAppends(effects)) {
       switch (effect.kind) {
         case 'persist-hard-state':
           await this.storage.saveHardState(effect.hardState);
--- a/src/storage/durable-file.ts
+++ b/src/storage/durable-file.ts
@@ -1,4 +1,5 @@
 /** Small files that are replaced as a whole: written beside, synced, renamed, folder synced. */
+import { closeSync, fsyncSync, openSync, renameSync, writeSync } from 'node:fs';
 import { mkdir, open, readFile, rename } from 'node:fs/promises';
 import { dirname } from 'node:path';
 import { Err, Ok, type Result } from '../result.js';
@@ -18,6 +19,32 @@
   await syncFolder(dirname(file));
 }
 
+/**
+ * The same in one turn. For a few bytes this takes some milliseconds; as eight asynchronous calls it takes some
+ * hundred on a busy machine, and elections wait for it.
+ */
+export function replaceFileNow(file: string, value: unknown): void {
+  const temporary = `${file}.new`;
+  const descriptor = openSync(temporary, 'w');
+  try {
+    writeSync(descriptor, encodeRecord(value));
+    fsyncSync(descriptor);
+  } finally {
+    closeSync(descriptor);
+  }
+  renameSync(temporary, file);
+  syncFolderNow(dirname(file));
+}
+
+function syncFolderNow(folder: string): void {
+  const descriptor = openSync(folder, 'r');
+  try {
+    fsyncSync(descriptor);
+  } finally {
+    closeSync(descriptor);
+  }
+}
+
 /** Reads a file written by `replaceFile`; null when there is none. Torn or flipped content is an error. */
 export async function readWholeFile(file: string): Promise<Result<unknown, CorruptionError>> {
   const bytes = await readIfPresent(file);
--- a/src/storage/replica-storage.ts
+++ b/src/storage/replica-storage.ts
@@ -12,7 +12,7 @@
   SnapshotPosition,
 } from '../consensus/raft-types.js';
 import { Err, Ok, type Result } from '../result.js';
-import { createFolder, readIfPresent, readWholeFile, replaceFile } from './durable-file.js';
+import { createFolder, readIfPresent, readWholeFile, replaceFile, replaceFileNow } from './durable-file.js';
 import { LogFile } from './log-file.js';
 import type { CorruptionError } from './record-file.js';
 import type { FolderIdentity, ReplicaStore } from './replica-store.js';
@@ -84,9 +84,10 @@
   }
 
   /** Durably replaces the hard state. */
-  async saveHardState(hardState: HardState): Promise<void> {
-    await replaceFile(join(this.folder, HARD_STATE_FILE), hardState);
+  saveHardState(hardState: HardState): Promise<void> {
+    replaceFileNow(join(this.folder, HARD_STATE_FILE), hardState);
     this.durable = { ...this.durable, hardState };
+    return Promise.resolve();
   }
 
   /** Adds entries; durable after `sync`. */
