An agent's work follows what concerns its back end, not what it once held

Cause: the leader of a full fleet had answered 2 renewals in 40 s. The agents did not send them: their hosts were busy. Ten times a second each agent went over every row it had ever been told of, which after some changes of owner are thousands.

Change: a scoped table forgets rows that have left the back end; grants are compared with the table when it has changed, or while a move, a release or a failed call is open.

Conclusion: found by reading after the counters of the leader; not profiled at the hosts.

--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -49,7 +49,7 @@
 /** A running agent. */
 export class AgentNode {
   readonly counters: AgentCounters = { sessionsOpened: 0, renewals: 0 };
-  readonly table = new WatchedTable();
+  readonly table: WatchedTable;
   readonly grants: GrantKeeper;
   private readonly lease = new LeaseHolder();
   private readonly backend: BackendPort;
@@ -76,6 +76,7 @@
   ) {
     const { name, zone, control, service, backend } = settings;
     const identity: ClientIdentity = { role: 'agent', name, zone, token };
+    this.table = new WatchedTable(backend);
     this.backend = makeBackend(runtime.randomId());
     this.load = new LoadReport(runtime.nowMs(), settings.loadReportIntervalMs);
     this.receiver = new HandoverReceiver(runtime, token, backend, () => this.ready);
@@ -266,7 +267,7 @@
     if (answer.ok) this.backendAnswered(answer.val);
     else this.backendFailed(answer.val);
     this.grants.reportReleases();
-    this.tableChanged();
+    if (this.grants.unsettled) this.tableChanged();
   }
 
   private backendAnswered(answer: HolderAnswer): void {
--- a/src/agent/grant-keeper.ts
+++ b/src/agent/grant-keeper.ts
@@ -61,6 +61,8 @@
   private drainSent = false;
   private syncing = false;
   private syncAgain = false;
+  private hasMoves = false;
+  private hasFailed = false;
 
   constructor(private readonly ports: GrantKeeperPorts) {}
 
@@ -69,6 +71,11 @@
     return this.granted;
   }
 
+  /** Whether something is still to be done that no change of the table will announce. */
+  get unsettled(): boolean {
+    return this.hasMoves || this.hasFailed || this.released.size > 0;
+  }
+
   /** The back end holds no grants any more. */
   clear(): void {
     this.granted.clear();
@@ -86,6 +93,7 @@
     this.syncing = true;
     do {
       this.syncAgain = false;
+      this.hasFailed = false;
       await this.syncDrain();
       await this.syncGrants();
     } while (this.syncAgain);
@@ -106,6 +114,7 @@
     if (draining === this.drainSent) return;
     const sent = await backend.setDraining(draining);
     if (sent.ok) this.drainSent = draining;
+    else this.hasFailed = true;
   }
 
   private async syncGrants(): Promise<void> {
@@ -117,6 +126,7 @@
     const lost = [...this.granted.keys()].filter((shard) => !owned.has(shard));
     if (lost.length > 0) await this.revoke(lost);
     if (added.length > 0) await this.install(added);
+    this.hasMoves = grantable.some((row) => row.movingTo !== null);
     for (const row of grantable) {
       if (row.movingTo !== null) void this.handOver(row, row.movingTo);
     }
@@ -131,7 +141,10 @@
 
   private async revoke(shards: readonly number[]): Promise<void> {
     const revoked = await this.ports.backend.revoke(shards);
-    if (revoked.err) return;
+    if (revoked.err) {
+      this.hasFailed = true;
+      return;
+    }
     for (const shard of shards) this.granted.delete(shard);
   }
 
--- a/src/control-client/watched-table.ts
+++ b/src/control-client/watched-table.ts
@@ -5,6 +5,7 @@
 import type { StateSnapshot } from '../control/state-snapshot.js';
 import type { WireChange } from '../control/wire-changes.js';
 import type { PackedRows } from '../model/packed-rows.js';
+import { ScopedRows } from '../model/scoped-rows.js';
 import { ShardTable } from '../model/shard-table.js';
 import type { ShardRow } from '../model/shard.js';
 
@@ -14,10 +15,13 @@
   readonly draining = new Set<string>();
   readonly sessions = new Map<number, Session>();
   private readonly sessionsByBackend = new Map<string, Session>();
-  private readonly shards = new Map<string, ShardTable>();
+  private readonly shards = new Map<string, ShardTable | ScopedRows>();
   private currentIndex = 0;
   private currentRevision = 0;
 
+  /** `backend` is given where only what concerns that back end is watched. */
+  constructor(private readonly backend: string | null = null) {}
+
   /** Index of the newest change that is in here; 0 before the first table. */
   get index(): number {
     return this.currentIndex;
@@ -35,7 +39,7 @@
 
   /** All rows of a service that this daemon was told of. */
   rowsOf(service: string): IterableIterator<ShardRow> {
-    return (this.shards.get(service) ?? new ShardTable()).rows();
+    return (this.shards.get(service) ?? this.newRows()).rows();
   }
 
   /** The open session of a back end. */
@@ -111,8 +115,12 @@
   }
 
   private setRows(packed: PackedRows): void {
-    const table = this.shards.get(packed.service) ?? new ShardTable();
+    const table = this.shards.get(packed.service) ?? this.newRows();
     this.shards.set(packed.service, table);
     table.setPacked(packed);
   }
+
+  private newRows(): ShardTable | ScopedRows {
+    return this.backend === null ? new ShardTable() : new ScopedRows(this.backend);
+  }
 }
