A slow leader is not left before it can answer; asking again for a session is answered at once

Cause: agents left a replica after 0.7 s without a notice. When hundreds open sessions at once the leader takes longer; the agent goes to a follower, is sent back over a new connection, and its answer went to the old one. Nobody gets a session for long: 2 renewals in 40 s with one leader.

Change: the silence that an agent bears doubles with each replica that it leaves, up to 6 s; a session that is open under the id that is asked for is named at once, without an entry of the log and without lengthening its lease.

--- a/src/control-client/session-channel.ts
+++ b/src/control-client/session-channel.ts
@@ -10,6 +10,12 @@
 /** Time in ms without any notice after which another replica is tried. */
 const SILENCE_MS = 700;
 
+/**
+ * Longest such time. It doubles with each replica that is left: a leader that is slow because hundreds ask at once
+ * would otherwise be left before it can answer anybody.
+ */
+const LONGEST_SILENCE_MS = 6_000;
+
 /** Pause between looks at the silence, in ms. */
 const SILENCE_CHECK_MS = 100;
 
@@ -33,6 +39,7 @@
   private readonly link: ReplicaLink;
   private readonly cancelSilenceCheck: CancelTimer;
   private lastNoticeMs: number;
+  private silenceMs = SILENCE_MS;
   private questions = 0;
   private cancelQuestion: CancelTimer | null = null;
 
@@ -82,7 +89,8 @@
 
   private leaveIfSilent(): void {
     const nowMs = this.runtime.nowMs();
-    if (nowMs - this.lastNoticeMs <= SILENCE_MS) return;
+    if (nowMs - this.lastNoticeMs <= this.silenceMs) return;
+    this.silenceMs = Math.min(this.silenceMs * 2, LONGEST_SILENCE_MS);
     this.lastNoticeMs = nowMs;
     this.link.switchToNext();
   }
@@ -95,6 +103,7 @@
       return;
     }
     this.lastNoticeMs = this.runtime.nowMs();
+    this.silenceMs = SILENCE_MS;
     this.questions = 0;
     this.handlers.onNotice(notice);
   }
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -9,7 +9,7 @@
 import type { LeaseTable } from './lease-table.js';
 import type { LoadTable } from './load-table.js';
 import type { OpenSessionRequest, RenewSessionRequest, ControlNotice } from './daemon-messages.js';
-import type { ControlState } from './control-state.js';
+import { sessionOfBackend, type ControlState } from './control-state.js';
 import type { Proposals } from './proposals.js';
 
 /**
@@ -73,6 +73,12 @@
       notify(connection, { kind: 'session-refused', openId, detail });
       return;
     }
+    const known = sessionOfBackend(this.ports.state(), backend);
+    if (known?.openId === openId && !this.closing.has(known.id)) {
+      // Asked again because the answer was late. The lease counts from the first request, so it is not renewed.
+      notify(connection, { kind: 'session-opened', openId, session: known.id, termMs: this.termMs });
+      return;
+    }
     const receivedMs = this.ports.nowMs();
     const wallMs = this.ports.wallMs();
     const result = await this.proposals.propose({
--- a/test/control/session-service.test.ts
+++ b/test/control/session-service.test.ts
@@ -14,6 +14,7 @@
   nowMs = 0;
   readonly state = emptyControlState();
   readonly ended: number[][] = [];
+  readonly proposed: string[] = [];
   readonly notices: ControlNotice[] = [];
   readonly confirmations: number[] = [];
   private readonly connection = {
@@ -24,6 +25,7 @@
   private readonly proposals: Proposals = new Proposals(
     { ...nodeRuntime, after: () => () => undefined },
     (_id, command: ControlCommand) => {
+      this.proposed.push(command.kind);
       if (command.kind === 'close-sessions') this.ended.push([...command.sessions]);
     },
   );
@@ -41,6 +43,8 @@
   );
 
   constructor(count: number) {
+    const service = { backends: { b1: {} } } as never;
+    this.state.configuration = { revision: 1, document: { version: 1, services: { s: service } } };
     for (let id = 1; id <= count; id += 1) {
       const agentAddress = { host: '10.0.0.1', port: 1 };
       this.state.sessions.set(id, { id, backend: `b${id}`, service: 's', openId: `o${id}`, agentAddress });
@@ -48,6 +52,12 @@
     this.sessions.startLeading();
   }
 
+  open(openId: string): void {
+    const agentAddress = { host: '10.0.0.1', port: 1 };
+    const request = { kind: 'open-session', openId, service: 's', backend: 'b1', agentAddress } as const;
+    void this.sessions.open(request, this.connection);
+  }
+
   renew(session: number): void {
     this.sessions.renew({ kind: 'renew-session', session, sentMs: 7, load: [] }, this.connection);
   }
@@ -89,3 +99,16 @@
   leader.renew(1);
   t.deepEqual(leader.notices, [{ kind: 'session-ended', session: 1 }]);
 });
+
+test('asking again for a session is answered at once; it costs no entry of the log and lengthens no lease', (t) => {
+  const leader = new Leader(1);
+  leader.nowMs = TERM_MS;
+  leader.open('o1');
+  t.deepEqual(leader.notices, [{ kind: 'session-opened', openId: 'o1', session: 1, termMs: TERM_MS }]);
+  t.deepEqual(leader.proposed, []);
+  leader.nowMs = TERM_MS + 1;
+  leader.sessions.expire();
+  t.deepEqual(leader.ended, [[1]]);
+  leader.open('another');
+  t.deepEqual(leader.proposed, ['close-sessions', 'open-session']);
+});
