Beyond a burst, sessions end by time at a bounded rate

Cause: at full size on one machine sessions still ended in waves (27 to 422 of 547 open, 1,851 ended in 90 s): 80 a second cost the 546 routers more processor time than there is, which makes the next renewals late.

Ruled out: a lower rate for all (a lost zone of 46 back ends would take 4 s and more).

Change: a burst of 64, more than a zone, then 12 a second.

--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -11,6 +11,7 @@
 import type { OpenSessionRequest, RenewSessionRequest, ControlNotice } from './daemon-messages.js';
 import { sessionOfBackend, type ControlState } from './control-state.js';
 import type { Proposals } from './proposals.js';
+import { TokenBucket } from './token-bucket.js';
 
 /**
  * Sessions that one run of the leader's duties ends. Many that run out together mostly mean that the leader or the
@@ -18,6 +19,15 @@
  */
 const SESSIONS_ENDED_IN_A_RUN = 8;
 
+/** Sessions that may end by time one after the other: more than the back ends of a zone at the size designed for. */
+const EXPIRY_BURST = 64;
+
+/**
+ * Sessions a second that may end by time beyond the burst. Each one costs work at every router, and when that makes
+ * the next renewals late this is what ends the circle.
+ */
+const EXPIRIES_PER_SECOND = 12;
+
 interface PendingRenewal {
   readonly request: RenewSessionRequest;
   readonly receivedMs: number;
@@ -46,6 +56,7 @@
   private batches = new Map<number, PendingRenewal[]>();
   private openBatch: number | null = null;
   private nextRequestId = 1;
+  private readonly expiries: TokenBucket;
 
   constructor(
     private readonly termMs: number,
@@ -53,7 +64,9 @@
     private readonly ports: SessionPorts,
     private readonly proposals: Proposals,
     private readonly loads: LoadTable,
-  ) {}
+  ) {
+    this.expiries = new TokenBucket(EXPIRY_BURST, EXPIRIES_PER_SECOND, ports.nowMs());
+  }
 
   /** This replica has become leader and its state is current. */
   startLeading(): void {
@@ -137,7 +150,8 @@
     const isOpen = (session: number): boolean => this.ports.state().sessions.has(session);
     const expired = this.leases.expired(this.ports.nowMs());
     for (const session of expired) if (!isOpen(session)) this.leases.forget(session);
-    const ended = expired.filter(isOpen).slice(0, SESSIONS_ENDED_IN_A_RUN);
+    const open = expired.filter(isOpen).slice(0, SESSIONS_ENDED_IN_A_RUN);
+    const ended = open.slice(0, this.expiries.take(open.length, this.ports.nowMs()));
     if (ended.length === 0) return;
     for (const session of ended) this.leases.forget(session);
     this.counters.expired += ended.length;
--- a/test/control/session-service.test.ts
+++ b/test/control/session-service.test.ts
@@ -112,3 +112,14 @@
   leader.open('another');
   t.deepEqual(leader.proposed, ['close-sessions', 'open-session']);
 });
+
+test('a lost zone is ended at once, a storm at a bounded rate', (t) => {
+  const leader = new Leader(500);
+  const runUntil = (untilMs: number): number => {
+    for (; leader.nowMs <= untilMs; leader.nowMs += 100) leader.sessions.expire();
+    return leader.ended.flat().length;
+  };
+  leader.nowMs = TERM_MS + 1;
+  t.is(runUntil(TERM_MS + 700), 56, 'eight in each of seven runs');
+  t.true(runUntil(TERM_MS + 10_700) <= 64 + 11 * 12);
+});
