An agent that was kept from running does not take that for silence of its back end

An agent renews only if its back end answered in the last 0.4 s; in a host whose turns take longer than that the last answer is always older when the renewal is due, so it never renews.

Ruled out: the leader (it answers what comes); the table work of agents (mended before).

Change: only a call that waits for an answer counts, from when it was made.

--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -21,8 +21,9 @@
 import { LoadReport } from './load-report.js';
 
 /**
- * Time in ms without an answer of the back end after which its session is not renewed. A short pause costs
- * nothing, since the term is longer; a frozen back end must lose its shards within 3 s.
+ * Time in ms for which a call to the back end may wait before its session is not renewed. A short pause costs
+ * nothing, since the term is longer; a frozen back end must lose its shards within 3 s. Only a call that waits
+ * counts: an agent that was itself kept from running must not take that for silence.
  */
 const BACKEND_SILENCE_MS = 400;
 
@@ -62,7 +63,8 @@
   private state: State = 'taking-holder';
   private busy = false;
   private backendInstance: string | null = null;
-  private backendAnsweredMs = 0;
+  /** Since when a call to the back end waits for an answer; null while none does. */
+  private unansweredSinceMs: number | null = null;
   private openId = '';
   private openSentMs = 0;
   private openDueMs = 0;
@@ -201,7 +203,8 @@
   }
 
   private get backendAnswers(): boolean {
-    return this.runtime.nowMs() - this.backendAnsweredMs < BACKEND_SILENCE_MS;
+    if (this.unansweredSinceMs === null) return true;
+    return this.runtime.nowMs() - this.unansweredSinceMs < BACKEND_SILENCE_MS;
   }
 
   /** Grants are ended at the back end before control is told, so nothing is served after the answer. */
@@ -240,12 +243,12 @@
     const taken = await this.backend.takeHolder();
     if (taken.err) return;
     this.backendInstance = taken.val.instance;
-    this.backendAnsweredMs = this.runtime.nowMs();
+    this.unansweredSinceMs = null;
     this.grants.clear();
     this.openDueMs = 0;
     this.openId = this.runtime.randomId();
     // The lease counts from the first request, whichever of them is answered.
-    this.openSentMs = this.backendAnsweredMs;
+    this.openSentMs = this.runtime.nowMs();
     this.state = 'opening-session';
   }
 
@@ -263,6 +266,7 @@
    * has not given the shards away a late renewal brings them back without a change of owner.
    */
   private async checkSession(): Promise<void> {
+    this.unansweredSinceMs ??= this.runtime.nowMs();
     const answer = await this.backend.extendLease(this.lease.deadlineMs);
     if (answer.ok) this.backendAnswered(answer.val);
     else this.backendFailed(answer.val);
@@ -271,7 +275,7 @@
   }
 
   private backendAnswered(answer: HolderAnswer): void {
-    this.backendAnsweredMs = this.runtime.nowMs();
+    this.unansweredSinceMs = null;
     this.load.count(answer.load);
     if (answer.instance === this.backendInstance) return;
     this.giveUpSession('back end was restarted');
