The hollow fleet is up when nearly all shards are granted

Cause: a full fleet with all 547 sessions open and no shard without owner was never called up, since a few shards are always on their way.

Change: 99.5% of the shards must be granted.

--- a/lab/hollow/hollow-run.ts
+++ b/lab/hollow/hollow-run.ts
@@ -21,6 +21,10 @@
 
 const READY_TIMEOUT_MS = 180_000;
 const POLL_MS = 500;
+
+/** Part of the shards that must be granted for the fleet to be up: some are on their way at any moment. */
+const GRANTED_SHARE = 0.995;
+
 const SETTLE_MS = 10_000;
 
 /**
@@ -175,7 +179,7 @@
       (total, service) => total + service.shards,
       0,
     );
-    return sum((reading) => reading.tables) === this.plan.routers.length && granted >= shards;
+    return sum((reading) => reading.tables) === this.plan.routers.length && granted >= shards * GRANTED_SHARE;
   }
 
   private async read(): Promise<HollowReading[]> {
