A report about a move is proposed once, and only while it fits

Cause: in a full fleet that did not settle the newest part of the log held 40 beginnings of moves, 1,004 cancellations and 468 completions: agents repeat a report every 0.1 to 0.3 s until control has acted, and each repeat became an entry on seven disks (190 entries a second).

Ruled out: the planner (40 beginnings in that stretch).

Change: the leader drops reports that no longer fit the row, or whose proposal is under way.

Conclusion: the log now grows with moves, not with the wait for them.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -247,7 +247,7 @@
       onDuty: () => this.leading && this.leadingTerm === this.replica?.core.term,
       leaderName: () => this.leaderName,
       wallMs: () => this.runtime.wallMs(),
-      propose: (command: ControlCommand) => void this.propose(command),
+      propose: async (command: ControlCommand) => await this.propose(command),
     };
     return new DaemonGateway(ports, this.sessions, this.hub);
   }
--- a/src/control/daemon-gateway.ts
+++ b/src/control/daemon-gateway.ts
@@ -1,7 +1,6 @@
 /** Takes the requests of agents and routers to the part of the replica that answers them. */
 import type { Hello } from '../transport/hello.js';
 import type { Connection } from '../runtime/runtime.js';
-import type { ControlCommand } from './commands.js';
 import type { ControlState } from './control-state.js';
 import {
   daemonRequestSchema,
@@ -9,6 +8,7 @@
   type DaemonRequest,
   type WatchRequest,
 } from './daemon-messages.js';
+import { MoveReports, type ProposeCommand } from './move-reports.js';
 import type { SessionService } from './session-service.js';
 import type { WatchHub } from './watch-hub.js';
 
@@ -25,20 +25,22 @@
   readonly onDuty: () => boolean;
   readonly leaderName: () => string | null;
   readonly wallMs: () => number;
-  /** Proposes a command whose outcome nobody waits for. */
-  readonly propose: (command: ControlCommand) => void;
+  readonly propose: ProposeCommand;
 }
 
 /** The gateway of one replica. */
 export class DaemonGateway {
   /** Messages that could not be read; their connections were closed. */
   unreadableMessages = 0;
+  private readonly moveReports: MoveReports;
 
   constructor(
     private readonly ports: GatewayPorts,
     private readonly sessions: SessionService,
     private readonly hub: WatchHub,
-  ) {}
+  ) {
+    this.moveReports = new MoveReports(ports.state, ports.propose);
+  }
 
   /** Takes one message. */
   receive(message: unknown, hello: Hello, connection: Connection): void {
@@ -78,10 +80,10 @@
         this.sessions.close(request.session);
         break;
       case 'move-released':
-        this.ports.propose({ ...request, kind: 'complete-move', wallMs: this.ports.wallMs() });
+        this.moveReports.take({ ...request, kind: 'complete-move', wallMs: this.ports.wallMs() });
         break;
       case 'move-refused':
-        this.ports.propose({ ...request, kind: 'cancel-move' });
+        this.moveReports.take({ ...request, kind: 'cancel-move' });
         break;
     }
   }
