The hollow fleet's own instrument no longer takes its processor time

Cause: with all sessions open, nothing unowned and nothing moving, the hosts still used all cores. The tracker of losses went over 10,000 rows at every router, for every session that had ended and at every change; the losses of a start fed on that.

Ruled out: agents and control, whose counters stood still.

Change: the tracker follows only the back end that was made to fail.

--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -35,6 +35,7 @@
   readonly name: string;
   readonly table: WatchedTable;
   readonly watch: ControlWatch;
+  readonly losses: LossTracker;
 }
 
 /** The daemons of one process. */
@@ -65,6 +66,7 @@
   async handle(request: HollowRequest): Promise<HollowReading | null> {
     switch (request.kind) {
       case 'fail':
+        for (const { losses } of this.routers) losses.awaitLossOf(request.backend);
         await this.fail(request.backend);
         return null;
       case 'revive':
@@ -128,7 +130,7 @@
         losses.update();
       },
     );
-    this.routers.push({ name, table, watch });
+    this.routers.push({ name, table, watch, losses });
   }
 
   private async fail(backend: string): Promise<void> {
--- a/lab/hollow/loss-tracker.ts
+++ b/lab/hollow/loss-tracker.ts
@@ -1,39 +1,29 @@
-/** Notices on a router's table when every shard of a session that ended is owned by another session. */
+/** Notices on a router's table when every shard of a back end that was made to fail is owned by another session. */
 import type { WatchedTable } from '../../src/control-client/watched-table.js';
+import type { Session } from '../../src/control/control-state.js';
 
-interface OpenLoss {
-  readonly service: string;
-  readonly backend: string;
-  readonly session: number;
-}
-
-/** Follows the losses of one table. */
+/** Follows the loss of one back end at a time; costs nothing while none is awaited. */
 export class LossTracker {
-  private sessions = new Map<number, OpenLoss>();
-  private losses: OpenLoss[] = [];
+  private awaited: Session | null = null;
 
   constructor(
     private readonly table: WatchedTable,
     private readonly onRepaired: (backend: string, session: number) => void,
   ) {}
 
-  /** The table has changed. */
-  update(): void {
-    const present = new Map<number, OpenLoss>();
-    for (const { id, backend, service } of this.table.sessions.values()) {
-      present.set(id, { service, backend, session: id });
-    }
-    for (const [id, known] of this.sessions) if (!present.has(id)) this.losses.push(known);
-    this.sessions = present;
-    if (this.losses.length === 0) return;
-    this.losses = this.losses.filter((loss) => !this.reportIfRepaired(loss));
+  /** A back end is about to fail. */
+  awaitLossOf(backend: string): void {
+    this.awaited = this.table.sessionOf(backend) ?? null;
   }
 
-  private reportIfRepaired({ service, backend, session }: OpenLoss): boolean {
-    for (const row of this.table.rowsOf(service)) {
-      if (row.owner === null || row.session === session) return false;
+  /** The table has changed. */
+  update(): void {
+    const { awaited } = this;
+    if (awaited === null || this.table.sessions.has(awaited.id)) return;
+    for (const row of this.table.rowsOf(awaited.service)) {
+      if (row.owner === null || row.session === awaited.id) return;
     }
-    this.onRepaired(backend, session);
-    return true;
+    this.awaited = null;
+    this.onRepaired(awaited.backend, awaited.id);
   }
 }
