One hash of names, one reader of metrics, one base load; unused names go

Cause: reading the whole change again: the hash of a name stood in the control node and in the replica link (which control imported from the daemons' side), the reader of a metric in two benches, the base load of a shard in the leader's table and in the preview; an honest disk, a fault kind and a policy type were used by nobody.

Ruled out: joining the import lists that look alike, and the options of the command line; they share no logic.

Change: `model/text-hash.ts`, `lab/metrics-text.ts`, an exported base load. Behaviour is the same.

Conclusion: large files remain (raft-core, control-node, sim-world).

--- a/lab/bench/bench-fleet.ts
+++ b/lab/bench/bench-fleet.ts
@@ -9,6 +9,7 @@
 import { formatAddress, type SocketAddress } from '../../src/model/socket-address.js';
 import type { ProgramPaths } from '../fleet/fleet-plan.js';
 import { ManagedProcess } from '../fleet/managed-process.js';
+import { metricValue } from '../metrics-text.js';
 import { findFreePorts } from '../fleet/ports.js';
 
 /** Name of the service, whose requests any back end may serve. */
@@ -78,7 +79,7 @@
   async readRouter(): Promise<ProcessReading> {
     const response = await request(`http://${formatAddress(this.router)}/-/metrics`);
     const text = await response.body.text();
-    const value = (name: string): number => Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1] ?? 0);
+    const value = (name: string): number => metricValue(text, name);
     return {
       cpuSeconds: value('process_cpu_seconds_total'),
       memoryBytes: value('process_resident_memory_bytes'),
--- a/lab/hollow/control-reading.ts
+++ b/lab/hollow/control-reading.ts
@@ -1,5 +1,6 @@
 /** Reads the metrics of a control replica. */
 import { request } from 'undici';
+import { metricValue } from '../metrics-text.js';
 import { formatAddress, type SocketAddress } from '../../src/model/socket-address.js';
 
 /** What a replica has used since it was started. */
@@ -22,7 +23,7 @@
 export async function readControl(operator: SocketAddress): Promise<ControlReading> {
   const response = await request(`http://${formatAddress(operator)}/metrics`);
   const text = await response.body.text();
-  const value = (name: string): number => Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1] ?? 0);
+  const value = (name: string): number => metricValue(text, name);
   return {
     cpuSeconds: value('process_cpu_seconds_total'),
     memoryBytes: value('process_resident_memory_bytes'),
--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -29,9 +29,6 @@
   readonly keepsIdentity: boolean;
 }
 
-/** A disk without faults. */
-export const HONEST_DISK: DiskFaults = { forgetsHardState: false, skipsSync: false, keepsIdentity: false };
-
 const NO_MEMBERSHIP: Membership = { voters: [], learners: [] };
 const EMPTY_POSITION: SnapshotPosition = { index: 0, term: 0, membership: NO_MEMBERSHIP };
 const SHORTEST_SYNC_MS = 0.2;
--- a/lab/sim/sim-faults.ts
+++ b/lab/sim/sim-faults.ts
@@ -33,6 +33,3 @@
   /** Many changes of configuration, one after the other. */
   | { readonly kind: 'many-changes'; readonly count: number }
 );
-
-/** Kind of a fault. */
-export type SimFaultKind = SimFault['kind'];
--- a/lab/sim/sim-guards.ts
+++ b/lab/sim/sim-guards.ts
@@ -5,7 +5,7 @@
 import type { Claim, Grant, RefusalCode } from '../../src/backend-contract/grant-messages.js';
 import { LeaseTable } from '../../src/control/lease-table.js';
 import { GrantTable, type Admission } from '../backend/grant-table.js';
-import { HONEST_DISK, type DiskFaults } from './sim-disk.js';
+import type { DiskFaults } from './sim-disk.js';
 import { makeGrantTable, type GrantTableFactory } from './sim-backend.js';
 
 /** Names of the guards. */
@@ -54,11 +54,6 @@
   };
 }
 
-/** Whether a disk is honest. */
-export function isHonest(faults: DiskFaults): boolean {
-  return JSON.stringify(faults) === JSON.stringify(HONEST_DISK);
-}
-
 /** The leader's table of leases without `guard`; undefined for the usual one. */
 export function leaseTable(guard: GuardName | null, termMs: number): LeaseTable | undefined {
   return guard === 'new-leader-waits-a-term' ? new ImpatientLeaseTable(termMs) : undefined;
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -114,8 +114,6 @@
 export type KeySource = z.infer<typeof keySourceSchema>;
 /** Whether requests to a path may be repeated. */
 export type EndpointRule = z.infer<typeof endpointRuleSchema>;
-/** A placement policy with its example cases. */
-export type PolicyConfiguration = z.infer<typeof policySchema>;
 /** A server that owns shards. */
 export type BackendConfiguration = z.infer<typeof backendSchema>;
 /** One service. */
--- a/src/control-client/control-watch.ts
+++ b/src/control-client/control-watch.ts
@@ -6,7 +6,8 @@
 import type { WatchScope } from '../control/changes.js';
 import type { ControlNotice } from '../control/daemon-messages.js';
 import type { CancelTimer, ClientIdentity, Runtime, Traffic } from '../runtime/runtime.js';
-import { ReplicaLink, spread } from './replica-link.js';
+import { spread } from '../model/text-hash.js';
+import { ReplicaLink } from './replica-link.js';
 import type { WatchedTable } from './watched-table.js';
 
 /** Pause before another replica is tried, in ms. */
--- a/src/control-client/replica-link.ts
+++ b/src/control-client/replica-link.ts
@@ -106,10 +106,3 @@
     bytesReceived: left.bytesReceived + right.bytesReceived,
   };
 }
-
-/** A starting place that differs between daemons, so that replicas share them evenly. */
-export function spread(name: string, places: number): number {
-  let sum = 0;
-  for (const character of name) sum = (Math.imul(sum, 31) + character.charCodeAt(0)) >>> 0;
-  return sum % places;
-}
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -33,7 +33,7 @@
 import { readPeerMessage } from './peer-messages.js';
 import { PeerNetwork, type PeerMessage } from './peer-network.js';
 import { Proposals, type ProposalError } from './proposals.js';
-import { spread } from '../control-client/replica-link.js';
+import { spread, textHash } from '../model/text-hash.js';
 import { ReplicatedState } from './replicated-state.js';
 import type { ServiceLoads } from './state-snapshot.js';
 import { SessionService } from './session-service.js';
@@ -284,7 +284,8 @@
       ...DEFAULT_RAFT_OPTIONS,
       heartbeatMs: timing.heartbeatMs,
       electionTimeoutMs: timing.electionTimeoutMs,
-      seed: seedFrom(this.id),
+      // Replicas draw different election timeouts; the generator takes a signed number.
+      seed: textHash(this.id) | 0,
       snapshotEveryEntries: snapshotEveryEntries + spread(this.id, Math.ceil(snapshotEveryEntries / 4)),
     };
     const ports = this.replicaPorts();
@@ -400,10 +401,3 @@
   const place = error.kind === 'corrupt-file' ? `${error.file} at byte ${error.offset}` : error.folder;
   return `${error.kind}: ${place}: ${error.detail}; move the folder away, so that this replica joins anew`;
 }
-
-/** A number from a replica's id, so that replicas draw different election timeouts. */
-function seedFrom(id: ReplicaId): number {
-  let seed = 0;
-  for (const character of id) seed = (Math.imul(seed, 31) + character.charCodeAt(0)) | 0;
-  return seed;
-}
--- a/src/control/load-table.ts
+++ b/src/control/load-table.ts
@@ -2,8 +2,8 @@
 
 import type { ServiceLoads } from './state-snapshot.js';
 
-/** Load that every shard counts for beside what was measured, in requests a second. */
-const BASE_LOAD = 1;
+/** Load that every shard counts for beside what was measured, in requests a second; previews count it alike. */
+export const BASE_LOAD = 1;
 
 /** Load by service and shard, in requests a second. */
 export class LoadTable {
--- a/src/placement/placement-preview.ts
+++ b/src/placement/placement-preview.ts
@@ -1,6 +1,7 @@
 /** What a change of configuration would do to placement: the planner run to its end on a copy of the state. */
 import type { ConfigurationDocument, ServiceConfiguration } from '../config/configuration.js';
 import { emptyShardRow, type ShardRow } from '../model/shard.js';
+import { BASE_LOAD } from '../control/load-table.js';
 import { compilePolicy, type Policy } from '../policy/policy.js';
 import { imbalance } from './measures.js';
 import { planPlacement, type PlacementBackend } from './planner.js';
@@ -12,9 +13,6 @@
 
 const MINUTE = 60;
 
-/** Load that every shard counts for beside what was measured; as the leader counts it. */
-const BASE_LOAD = 1;
-
 /** State that a preview starts from. */
 export interface PreviewState {
   readonly configuration: { readonly revision: number; readonly document: ConfigurationDocument };
