--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,11 +2,11 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', 'runs/**'] },
+  { ignores: ['dist/**', 'node_modules/**', 'runs/**', 'target/**', 'journal/**'] },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
-    files: ['src/**/*.ts', 'lab/**/*.ts'],
+    files: ['src/**/*.ts', 'lab/**/*.ts', 'platform/**/*.ts'],
     plugins: { jsdoc },
     rules: {
       'jsdoc/require-jsdoc': [
--- a/src/control/proposals.ts
+++ b/src/control/proposals.ts
@@ -9,24 +9,22 @@
 /** Why a proposal has no outcome. Only after `not-leader` is it certain that the command will not be applied. */
 export type ProposalError = { readonly kind: 'not-leader' } | { readonly kind: 'outcome-unknown' };
 
-type Resolve = (result: Result<CommandOutcome, ProposalError>) => void;
-
-interface Pending {
-  readonly resolve: Resolve;
+interface Pending<Outcome> {
+  readonly resolve: (result: Result<Outcome, ProposalError>) => void;
   readonly cancelTimer: CancelTimer;
 }
 
-/** Joins proposals to their outcomes. */
-export class Proposals {
-  private readonly pending = new Map<string, Pending>();
+/** Joins proposals to their outcomes, whatever the state machine that the commands are for. */
+export class Proposals<Command = ControlCommand, Outcome = CommandOutcome> {
+  private readonly pending = new Map<string, Pending<Outcome>>();
 
   constructor(
     private readonly runtime: Runtime,
-    private readonly submit: (proposalId: string, command: ControlCommand) => void,
+    private readonly submit: (proposalId: string, command: Command) => void,
   ) {}
 
   /** Proposes a command and waits for its outcome. */
-  async propose(command: ControlCommand): Promise<Result<CommandOutcome, ProposalError>> {
+  async propose(command: Command): Promise<Result<Outcome, ProposalError>> {
     const proposalId = this.runtime.randomId();
     return await new Promise((resolve) => {
       const cancelTimer = this.runtime.after(PROPOSAL_TIMEOUT_MS, () => {
@@ -38,7 +36,7 @@
   }
 
   /** The command was committed and applied here. */
-  applied(proposalId: string, outcome: CommandOutcome): void {
+  applied(proposalId: string, outcome: Outcome): void {
     this.settle(proposalId, Ok(outcome));
   }
 
@@ -54,7 +52,7 @@
     }
   }
 
-  private settle(proposalId: string, result: Result<CommandOutcome, ProposalError>): void {
+  private settle(proposalId: string, result: Result<Outcome, ProposalError>): void {
     const pending = this.pending.get(proposalId);
     if (pending === undefined) return;
     pending.cancelTimer();
--- /dev/null
+++ b/src/directory/directory-commands.ts
@@ -0,0 +1,100 @@
+/** Commands of the directory's state machine, what they do, and the changes that they publish. */
+import type { BackendCondition, BackendInstance, ConfigurationItem, KeyRange } from './directory-state.js';
+
+/** Takes items whose versions are their own: for each name the highest version stands. */
+export interface ConfigureItemsCommand {
+  readonly kind: 'configure-items';
+  readonly items: readonly ConfigurationItem[];
+}
+
+/** Changes the configuration as a whole, if `base` is its present version. */
+export interface ConfigureRevisionCommand {
+  readonly kind: 'configure-revision';
+  readonly base: number;
+  readonly version: number;
+  /** Digest of the call's content; the same call sent again gets the same answer. */
+  readonly digest: string;
+  /** Whether items that the call does not name are dropped. */
+  readonly replacesAll: boolean;
+  readonly items: readonly ConfigurationItem[];
+}
+
+/** Registers one life of a back end; asking again gets the same session. */
+export interface RegisterCommand {
+  readonly kind: 'register';
+  readonly instance: Omit<BackendInstance, 'session'>;
+}
+
+/** A back end has changed its condition. */
+export interface SetConditionCommand {
+  readonly kind: 'set-condition';
+  readonly id: string;
+  readonly session: number;
+  readonly condition: BackendCondition;
+}
+
+/** Back ends whose leases ran out or that are gone; what they own has no owner any more. */
+export interface UnregisterCommand {
+  readonly kind: 'unregister';
+  readonly sessions: readonly InstanceSession[];
+}
+
+/** A back end under one registration. */
+export interface InstanceSession {
+  readonly id: string;
+  readonly session: number;
+}
+
+/** Keys from `from` to `to`, both included. */
+export interface KeySpan {
+  readonly from: number;
+  readonly to: number;
+}
+
+/** Gives ranges without owner to back ends; cuts ranges where needed. */
+export interface AssignRangesCommand {
+  readonly kind: 'assign-ranges';
+  readonly service: string;
+  readonly assignments: readonly (KeySpan & { readonly owner: string })[];
+}
+
+/** Starts moves; the owner keeps each range until it has released it. */
+export interface BeginRangeMovesCommand {
+  readonly kind: 'begin-range-moves';
+  readonly service: string;
+  readonly moves: readonly (KeySpan & { readonly target: string })[];
+}
+
+/** The owner has released a range; the target owns it from now on. */
+export interface CompleteRangeMoveCommand extends KeySpan {
+  readonly kind: 'complete-range-move';
+  readonly service: string;
+  readonly owner: string;
+  readonly fence: number;
+  readonly handover: string;
+}
+
+/** Commands of a directory. */
+export type DirectoryCommand =
+  | ConfigureItemsCommand
+  | ConfigureRevisionCommand
+  | RegisterCommand
+  | SetConditionCommand
+  | UnregisterCommand
+  | AssignRangesCommand
+  | BeginRangeMovesCommand
+  | CompleteRangeMoveCommand;
+
+/** What a command did. */
+export type DirectoryOutcome =
+  | { readonly kind: 'done' }
+  | { readonly kind: 'conflict'; readonly present: number }
+  | { readonly kind: 'invalid'; readonly detail: string }
+  | { readonly kind: 'registered'; readonly session: number };
+
+/** What a committed command changed, for daemons that watch. */
+export type DirectoryChange =
+  | { readonly kind: 'items'; readonly items: readonly ConfigurationItem[] }
+  | { readonly kind: 'instance'; readonly instance: BackendInstance }
+  | { readonly kind: 'instance-gone'; readonly id: string }
+  | { readonly kind: 'ranges'; readonly service: string; readonly ranges: readonly KeyRange[] };
--- /dev/null
+++ b/src/directory/directory-leader.ts
@@ -0,0 +1,134 @@
+/** The leader's part of a directory: registers back ends, renews their leases and ends those that ran out. */
+import type { Proposals } from '../control/proposals.js';
+import type { LeaseTable } from '../control/lease-table.js';
+import type { DirectoryDuties } from './directory-duties.js';
+import type { DirectoryCommand, DirectoryOutcome, InstanceSession } from './directory-commands.js';
+import type { DirectoryNotice, LeaderRequest, RegisterRequest, RenewRequest } from './directory-messages.js';
+import type { BackendInstance, DirectoryState } from './directory-state.js';
+import type { LeadershipConfirmations } from './leadership-confirmations.js';
+
+/** Sends an answer to the daemon that asked. */
+export type Answer = (notice: DirectoryNotice) => void;
+
+/** What the leader needs of its replica. */
+export interface DirectoryLeaderPorts {
+  readonly state: () => DirectoryState;
+  readonly nowMs: () => number;
+  /** Whether acknowledged entries survive the losses that are tolerated. */
+  readonly durable: () => boolean;
+  readonly onExpired: (sessions: readonly InstanceSession[]) => void;
+}
+
+/** Registrations and leases of one leader. */
+export class DirectoryLeader {
+  private readonly closing = new Set<number>();
+
+  constructor(
+    /** Time in ms for which a renewal is good at the holder. */
+    private readonly termMs: number,
+    /** Leases as the leader counts them: from receipt, and longer than the holder's. */
+    private readonly leases: LeaseTable,
+    private readonly ports: DirectoryLeaderPorts,
+    private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>,
+    private readonly confirmations: LeadershipConfirmations,
+    private readonly duties: DirectoryDuties,
+  ) {}
+
+  /** This replica has become leader and its state is current: every lease is good for one whole term. */
+  startLeading(): void {
+    this.closing.clear();
+    const sessions = [...this.ports.state().instances.values()].map(({ session }) => session);
+    this.leases.restart(sessions, this.ports.nowMs());
+  }
+
+  /** Takes a request of a daemon. */
+  async receive(request: LeaderRequest, answer: Answer): Promise<void> {
+    if (!this.ports.durable()) return;
+    switch (request.kind) {
+      case 'register':
+        await this.register(request, answer);
+        break;
+      case 'renew':
+        await this.renew(request, answer);
+        break;
+      case 'condition':
+        await this.proposals.propose({ ...request, kind: 'set-condition' });
+        break;
+      case 'unregister':
+        this.end([{ id: request.id, session: request.session }]);
+        break;
+      case 'released':
+        await this.proposals.propose({ ...request, kind: 'complete-range-move' });
+        break;
+    }
+  }
+
+  /** Ends registrations whose lease has run out. */
+  expire(): void {
+    const bySession = new Map(
+      [...this.ports.state().instances.values()].map((known) => [known.session, known]),
+    );
+    const expired = this.leases.expired(this.ports.nowMs());
+    const ended: InstanceSession[] = [];
+    for (const session of expired) {
+      this.leases.forget(session);
+      const instance = bySession.get(session);
+      if (instance !== undefined) ended.push({ id: instance.id, session });
+    }
+    if (ended.length === 0) return;
+    this.ports.onExpired(ended);
+    this.end(ended);
+  }
+
+  private async register(request: RegisterRequest, answer: Answer): Promise<void> {
+    const { instance, sentMs } = request;
+    const receivedMs = this.ports.nowMs();
+    const known = this.ports.state().instances.get(instance.id);
+    if (known !== undefined && this.closing.has(known.session)) return;
+    if (known === undefined || !isSameRegistration(known, instance)) {
+      const result = await this.proposals.propose({ kind: 'register', instance });
+      if (result.err || result.val.kind !== 'registered') return;
+    }
+    const session = this.ports.state().instances.get(instance.id)?.session;
+    if (session === undefined) return;
+    await this.grant('registered', instance.id, session, receivedMs, sentMs, answer);
+  }
+
+  private async renew(request: RenewRequest, answer: Answer): Promise<void> {
+    const { id, session, sentMs, load } = request;
+    const receivedMs = this.ports.nowMs();
+    const known = this.ports.state().instances.get(id);
+    if (known?.session === session) this.duties.reportLoad(known.service, load, receivedMs);
+    await this.grant('renewed', id, session, receivedMs, sentMs, answer);
+  }
+
+  /** A newer leader was elected after this confirmation, so the whole term that it waits covers the lease. */
+  private async grant(
+    kind: 'registered' | 'renewed',
+    id: string,
+    session: number,
+    receivedMs: number,
+    sentMs: number,
+    answer: Answer,
+  ): Promise<void> {
+    if (!(await this.confirmations.confirm())) return;
+    const stands = this.ports.state().instances.get(id)?.session === session;
+    if (!stands || this.closing.has(session)) {
+      answer({ kind: 'session-ended', id, session });
+      return;
+    }
+    this.leases.renew(session, receivedMs);
+    answer({ kind, id, session, sentMs, termMs: this.termMs });
+  }
+
+  /** Once this is proposed the sessions must never be renewed again, whatever becomes of the proposal. */
+  private end(sessions: readonly InstanceSession[]): void {
+    for (const { session } of sessions) this.closing.add(session);
+    void this.proposals.propose({ kind: 'unregister', sessions });
+  }
+}
+
+function isSameRegistration(known: BackendInstance, asked: RegisterRequest['instance']): boolean {
+  const sameCondition = known.condition === asked.condition || known.condition === 'draining';
+  return sameCondition && known.daemonAddress === asked.daemonAddress && known.slots === asked.slots;
+}
--- /dev/null
+++ b/src/directory/directory-machine.ts
@@ -0,0 +1,236 @@
+/**
+ * Applies committed commands to the directory's state. Deterministic: the same commands in the same order give
+ * the same state on every replica. A command that no longer fits the state does nothing.
+ */
+import type {
+  AssignRangesCommand,
+  BeginRangeMovesCommand,
+  CompleteRangeMoveCommand,
+  ConfigureItemsCommand,
+  ConfigureRevisionCommand,
+  DirectoryChange,
+  DirectoryCommand,
+  DirectoryOutcome,
+  KeySpan,
+  RegisterCommand,
+  SetConditionCommand,
+  UnregisterCommand,
+} from './directory-commands.js';
+import { itemKey, type ConfigurationItem, type DirectoryState, type KeyRange } from './directory-state.js';
+import { changeSpan, joinNeighbours, unownedRanges } from './key-ranges.js';
+
+/** Accepted revisions that are remembered, so that a resend gets the same answer. */
+const REMEMBERED_REVISIONS = 1_024;
+
+/** What applying a command did. */
+export interface AppliedCommand {
+  readonly outcome: DirectoryOutcome;
+  readonly changes: readonly DirectoryChange[];
+}
+
+const DONE: DirectoryOutcome = { kind: 'done' };
+
+/** Applies one command that was committed at `index`. */
+export function applyDirectoryCommand(
+  state: DirectoryState,
+  command: DirectoryCommand,
+  index: number,
+): AppliedCommand {
+  switch (command.kind) {
+    case 'configure-items':
+      return configureItems(state, command);
+    case 'configure-revision':
+      return configureRevision(state, command);
+    case 'register':
+      return register(state, command, index);
+    case 'set-condition':
+      return setCondition(state, command);
+    case 'unregister':
+      return unregister(state, command);
+    case 'assign-ranges':
+      return assignRanges(state, command, index);
+    case 'begin-range-moves':
+      return beginMoves(state, command);
+    case 'complete-range-move':
+      return completeMove(state, command, index);
+  }
+}
+
+// ---- configuration
+
+function configureItems(state: DirectoryState, command: ConfigureItemsCommand): AppliedCommand {
+  const newer = command.items.filter((item) => {
+    const present = state.items.get(itemKey(item.kind, item.name));
+    return present === undefined || item.version > present.version;
+  });
+  const problem = findUnknownService(state, command.items, false);
+  if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
+  state.configured = true;
+  return putItems(state, newer);
+}
+
+function configureRevision(state: DirectoryState, command: ConfigureRevisionCommand): AppliedCommand {
+  const { version, digest } = command;
+  const sentAgain = state.accepted.some((known) => known.version === version && known.digest === digest);
+  if (sentAgain) return unchanged(DONE);
+  if (command.base !== state.revision) return unchanged({ kind: 'conflict', present: state.revision });
+  if (version <= state.revision) {
+    return unchanged({ kind: 'invalid', detail: `version ${version} is not above ${state.revision}` });
+  }
+  const problem = findUnknownService(state, command.items, command.replacesAll);
+  if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
+  state.revision = version;
+  state.configured = true;
+  state.accepted = [...state.accepted, { version, digest }].slice(-REMEMBERED_REVISIONS);
+  const dropped = command.replacesAll ? droppedItems(state, command) : [];
+  return putItems(state, [...dropped, ...command.items]);
+}
+
+function droppedItems(state: DirectoryState, command: ConfigureRevisionCommand): ConfigurationItem[] {
+  const named = new Set(command.items.map((item) => itemKey(item.kind, item.name)));
+  return [...state.items.values()]
+    .filter((item) => item.definition !== null && !named.has(itemKey(item.kind, item.name)))
+    .map((item) => ({ ...item, version: command.version, definition: null, source: null }));
+}
+
+function putItems(state: DirectoryState, items: readonly ConfigurationItem[]): AppliedCommand {
+  for (const item of items) state.items.set(itemKey(item.kind, item.name), item);
+  const changes: DirectoryChange[] = items.length === 0 ? [] : [{ kind: 'items', items }];
+  return { outcome: DONE, changes: [...changes, ...addKeyedServices(state, items)] };
+}
+
+function addKeyedServices(state: DirectoryState, items: readonly ConfigurationItem[]): DirectoryChange[] {
+  const changes: DirectoryChange[] = [];
+  for (const item of items) {
+    if (item.kind !== 'service' || item.definition?.keyed !== true || state.ranges.has(item.name)) continue;
+    changes.push(putRanges(state, item.name, unownedRanges()));
+  }
+  return changes;
+}
+
+/** Every destination of a route must be a service that stands after the change. */
+function findUnknownService(
+  state: DirectoryState,
+  items: readonly ConfigurationItem[],
+  replacesAll: boolean,
+): string | null {
+  const inCall = new Map(items.map((item) => [itemKey(item.kind, item.name), item]));
+  const stands = (service: string): boolean => {
+    const key = itemKey('service', service);
+    const item = inCall.get(key) ?? (replacesAll ? undefined : state.items.get(key));
+    return item !== undefined && item.definition !== null;
+  };
+  for (const item of items) {
+    if (item.kind !== 'route') continue;
+    const unknown = item.definition?.destinations.find(({ service }) => !stands(service));
+    if (unknown !== undefined) return `route ${item.name} names the unknown service ${unknown.service}`;
+  }
+  return null;
+}
+
+// ---- back ends
+
+function register(state: DirectoryState, { instance }: RegisterCommand, index: number): AppliedCommand {
+  const known = state.instances.get(instance.id);
+  const session = known?.session ?? index;
+  const condition = known?.condition === 'draining' ? 'draining' : instance.condition;
+  const registered = { ...instance, condition, session };
+  state.instances.set(instance.id, registered);
+  return {
+    outcome: { kind: 'registered', session },
+    changes: [{ kind: 'instance', instance: registered }],
+  };
+}
+
+function setCondition(state: DirectoryState, command: SetConditionCommand): AppliedCommand {
+  const known = state.instances.get(command.id);
+  if (known?.session !== command.session || known.condition === command.condition) return unchanged(DONE);
+  const instance = { ...known, condition: command.condition };
+  state.instances.set(command.id, instance);
+  return { outcome: DONE, changes: [{ kind: 'instance', instance }] };
+}
+
+function unregister(state: DirectoryState, command: UnregisterCommand): AppliedCommand {
+  const changes: DirectoryChange[] = [];
+  for (const { id, session } of command.sessions) {
+    const known = state.instances.get(id);
+    if (known?.session !== session) continue;
+    state.instances.delete(id);
+    changes.push({ kind: 'instance-gone', id }, ...withdrawRanges(state, known.service, id));
+  }
+  return { outcome: DONE, changes };
+}
+
+function withdrawRanges(state: DirectoryState, service: string, id: string): DirectoryChange[] {
+  const ranges = state.ranges.get(service);
+  const concerned = ranges?.some(({ owner, movingTo }) => owner === id || movingTo === id) ?? false;
+  if (ranges === undefined || !concerned) return [];
+  const withdrawn = ranges.map((range): KeyRange => {
+    if (range.owner === id) return { ...range, owner: null, session: 0, movingTo: null, handover: '' };
+    return range.movingTo === id ? { ...range, movingTo: null } : range;
+  });
+  return [putRanges(state, service, withdrawn)];
+}
+
+// ---- ranges
+
+function assignRanges(state: DirectoryState, command: AssignRangesCommand, index: number): AppliedCommand {
+  let ranges = state.ranges.get(command.service);
+  if (ranges === undefined) return unchanged(DONE);
+  for (const { from, to, owner } of command.assignments) {
+    const instance = state.instances.get(owner);
+    if (instance?.service !== command.service) continue;
+    ranges = changeSpan(ranges, { from, to }, (range) => {
+      if (range.owner !== null) return range;
+      return { ...range, owner, session: instance.session, fence: index, movingTo: null };
+    });
+  }
+  return { outcome: DONE, changes: [putRanges(state, command.service, ranges)] };
+}
+
+function beginMoves(state: DirectoryState, command: BeginRangeMovesCommand): AppliedCommand {
+  let ranges = state.ranges.get(command.service);
+  if (ranges === undefined) return unchanged(DONE);
+  for (const { from, to, target } of command.moves) {
+    const instance = state.instances.get(target);
+    if (instance?.service !== command.service) continue;
+    ranges = changeSpan(ranges, { from, to }, (range) => {
+      const movable = range.owner !== null && range.owner !== target && range.movingTo === null;
+      return movable ? { ...range, movingTo: target } : range;
+    });
+  }
+  return { outcome: DONE, changes: [putRanges(state, command.service, ranges)] };
+}
+
+/** The released span may be a part of the moving range, when the owner let go of it piece by piece. */
+function completeMove(
+  state: DirectoryState,
+  command: CompleteRangeMoveCommand,
+  index: number,
+): AppliedCommand {
+  const ranges = state.ranges.get(command.service);
+  if (ranges === undefined) return unchanged(DONE);
+  const span: KeySpan = command;
+  const changed = changeSpan(ranges, span, (range) => {
+    const released = range.owner === command.owner && range.fence === command.fence;
+    if (!released || range.movingTo === null) return range;
+    return releasedRange(state, range, command.handover, index);
+  });
+  return { outcome: DONE, changes: [putRanges(state, command.service, changed)] };
+}
+
+function releasedRange(state: DirectoryState, range: KeyRange, handover: string, index: number): KeyRange {
+  const target = range.movingTo === null ? undefined : state.instances.get(range.movingTo);
+  if (target === undefined) return { ...range, owner: null, session: 0, movingTo: null, handover };
+  return { ...range, owner: target.id, session: target.session, fence: index, movingTo: null, handover };
+}
+
+function putRanges(state: DirectoryState, service: string, ranges: readonly KeyRange[]): DirectoryChange {
+  const joined = joinNeighbours(ranges);
+  state.ranges.set(service, joined);
+  return { kind: 'ranges', service, ranges: joined };
+}
+
+function unchanged(outcome: DirectoryOutcome): AppliedCommand {
+  return { outcome, changes: [] };
+}
--- /dev/null
+++ b/src/directory/directory-node.ts
@@ -0,0 +1,519 @@
+/** One replica of a directory: joins storage, consensus, connections and the duties of a leader. */
+import { FormationCore } from '../consensus/formation-core.js';
+import { Replica, type ReplicaPorts, type StateMachine } from '../consensus/replica.js';
+import {
+  DEFAULT_RAFT_OPTIONS,
+  replicaName,
+  type LogEntry,
+  type RaftRole,
+  type ReplicaId,
+} from '../consensus/raft-types.js';
+import { LeaseTable } from '../control/lease-table.js';
+import { readPeerMessage } from '../control/peer-messages.js';
+import type { PeerMessage } from '../control/peer-network.js';
+import { Proposals, type ProposalError } from '../control/proposals.js';
+import { formatAddress } from '../model/socket-address.js';
+import { spread, textHash } from '../model/text-hash.js';
+import { Err, Ok, type Result } from '../result.js';
+import type { CancelTimer, Connection, Listener, PeerHandlers, Runtime } from '../runtime/runtime.js';
+import type { ReplicaStore } from '../storage/replica-store.js';
+import type { EventLog } from '../telemetry/event-log.js';
+import { ChangeFeed } from './change-feed.js';
+import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
+import { DirectoryDuties } from './directory-duties.js';
+import { DirectoryLeader, type Answer } from './directory-leader.js';
+import { applyDirectoryCommand } from './directory-machine.js';
+import { nextDirectoryMembership } from './directory-membership.js';
+import {
+  directoryRequestSchema,
+  readRelayMessage,
+  type LeaderRequest,
+  type RelayedNotice,
+  type RelayedRequest,
+} from './directory-messages.js';
+import { LEASE_DRIFT_SHARE, type DirectorySettings } from './directory-settings.js';
+import {
+  decodeDirectory,
+  emptyDirectoryState,
+  encodeDirectory,
+  type DirectorySnapshot,
+  type DirectoryState,
+} from './directory-state.js';
+import { LeadershipConfirmations } from './leadership-confirmations.js';
+import { RelayTable } from './relay-table.js';
+import { ReplicaDialer } from './replica-dialer.js';
+
+/** Pause between questions while the replicas are being formed, in ms. */
+const FORMATION_RETRY_MS = 100;
+
+/** Pause between requests to be made a member, in ms. */
+const JOIN_RETRY_MS = 300;
+
+/** Pause between signs of life to watchers, in ms. */
+const ALIVE_MS = 250;
+
+/** A replica that heard no leader for this many election timeouts serves no watchers. */
+const STALE_ELECTION_TIMEOUTS = 2;
+
+/** A member that did not answer for this many election timeouts counts as gone when its namesake joins. */
+const INACTIVE_ELECTION_TIMEOUTS = 1;
+
+/** A voter that did not answer for this long, in ms, gives way to a replica that stands ready. */
+const LOST_AFTER_MS = 4_000;
+
+/** Fewest places for voters; more replicas than tolerated losses need stay learners beyond them. */
+const USUAL_VOTERS = 5;
+
+/** What a replica is started with. */
+export interface DirectoryNodeOptions {
+  readonly settings: DirectorySettings;
+  readonly token: string;
+  readonly runtime: Runtime;
+  readonly storage: ReplicaStore;
+  readonly log: EventLog;
+  /** Called once when the disk fails. */
+  readonly onFatal: (error: unknown) => void;
+}
+
+/** Why the configuration cannot be read here. */
+export type ReadError =
+  { readonly kind: 'elsewhere'; readonly leader: string } | { readonly kind: 'unavailable' };
+
+/** A running directory replica. */
+export class DirectoryNode implements StateMachine {
+  readonly feed = new ChangeFeed();
+  readonly id: ReplicaId;
+  /** This replica's address. */
+  readonly name: string;
+  private current: DirectoryState = emptyDirectoryState();
+  private appliedIndex = 0;
+  private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>;
+  private readonly confirmations: LeadershipConfirmations;
+  private readonly duties: DirectoryDuties;
+  private readonly leader: DirectoryLeader;
+  private readonly listener: Listener;
+  private readonly dialer: ReplicaDialer;
+  private readonly formation: FormationCore | null;
+  private readonly relays = new RelayTable();
+  private readonly candidates = new Map<string, ReplicaId>();
+  private readonly knownReplicas: Set<string>;
+  private readonly timers: CancelTimer[] = [];
+  private replica: Replica | null = null;
+  private leadingTerm = 0;
+
+  private constructor(private readonly options: DirectoryNodeOptions) {
+    const { settings, token, runtime, storage } = options;
+    this.name = formatAddress(settings.listen);
+    this.id = `${this.name}/${storage.owner.identity}`;
+    this.knownReplicas = new Set(settings.seeds);
+    this.proposals = new Proposals(runtime, (proposalId, command) => {
+      if (this.replica === null) this.proposals.dropped(proposalId);
+      else this.replica.submit({ kind: 'propose', proposalId, command });
+    });
+    this.confirmations = new LeadershipConfirmations((requestId) => {
+      this.replica?.submit({ kind: 'confirm-leadership', requestId });
+    });
+    this.duties = new DirectoryDuties(
+      () => this.current,
+      this.proposals,
+      (service, plan) => {
+        this.options.log.event('ranges-planned', { service, ...plan });
+      },
+    );
+    this.leader = this.makeLeader();
+    const mayForm = storage.owner.founding === true && settings.seeds.includes(this.name);
+    this.formation = mayForm ? new FormationCore(this.name, this.id, settings.seeds) : null;
+    this.listener = runtime.serve(token, {
+      onPeer: (hello, connection) => this.acceptPeer(hello.role === 'control', connection),
+      onRefused: () => undefined,
+    });
+    const identity = { role: 'control', name: this.name, zone: settings.zone, token } as const;
+    this.dialer = new ReplicaDialer(runtime, identity);
+  }
+
+  /** Starts on a disk that is already open. */
+  static async start(options: DirectoryNodeOptions): Promise<Result<DirectoryNode, string>> {
+    const node = new DirectoryNode(options);
+    const listening = await node.listener.listen(options.settings.listen);
+    if (listening.err) return listening;
+    if (options.storage.formed || node.formation === null) node.startReplica();
+    else node.startFormation(node.formation);
+    return Ok(node);
+  }
+
+  /** The replicated state as far as it is known here; not to be changed by readers. */
+  get state(): DirectoryState {
+    return this.current;
+  }
+
+  /** Whether this replica leads and its state is current. */
+  get leading(): boolean {
+    return this.replica?.leading === true && this.leadingTerm === this.replica.core.term;
+  }
+
+  /** Whether a leader was heard lately, so that what is known here is not old. */
+  get hearsLeader(): boolean {
+    if (this.replica === null) return false;
+    const { core } = this.replica;
+    const staleMs = STALE_ELECTION_TIMEOUTS * this.options.settings.timing.electionTimeoutMs;
+    return core.leader !== null && this.options.runtime.nowMs() - core.leaderLastHeardMs < staleMs;
+  }
+
+  /** Address of the replica that leads, as far as is known here. */
+  get leaderAddress(): string | null {
+    const leader = this.replica?.core.leader ?? null;
+    return leader === null ? null : replicaName(leader);
+  }
+
+  /** The consensus replica; null while the replicas are being formed. */
+  get consensus(): Replica | null {
+    return this.replica;
+  }
+
+  /** Whether what is acknowledged now survives the losses that are tolerated. */
+  get durable(): boolean {
+    const { toleratedLosses } = this.options.settings;
+    const voters = this.replica?.core.committedMembership()?.voters.length ?? 0;
+    if (this.current.configured) return voters > 0;
+    return voters >= 2 * toleratedLosses + 1;
+  }
+
+  /** Proposes a command; it is durable on a quorum once an outcome is returned. */
+  async propose(command: DirectoryCommand): Promise<Result<DirectoryOutcome, ProposalError>> {
+    if (!this.leading || !this.durable) return Err({ kind: 'not-leader' });
+    return await this.proposals.propose(command);
+  }
+
+  /** The newest state; only a leader that a quorum has confirmed after this call can be sure of it. */
+  async readState(): Promise<Result<DirectoryState, ReadError>> {
+    const { leaderAddress } = this;
+    if (!this.leading) {
+      const elsewhere = leaderAddress !== null && leaderAddress !== this.name && this.hearsLeader;
+      return Err(elsewhere ? { kind: 'elsewhere', leader: leaderAddress } : { kind: 'unavailable' });
+    }
+    if (!(await this.confirmations.confirm())) return Err({ kind: 'unavailable' });
+    return Ok(this.current);
+  }
+
+  /** Adds addresses of replicas, from settings that were read again. */
+  addSeeds(seeds: readonly string[]): void {
+    for (const seed of seeds) this.knownReplicas.add(seed);
+  }
+
+  /** Stops everything and closes the data folder. */
+  async stop(): Promise<void> {
+    for (const cancel of this.timers) cancel();
+    this.listener.close();
+    this.dialer.stop();
+    this.proposals.abandonAll();
+    this.confirmations.abandonAll();
+    if (this.replica === null) await this.options.storage.close();
+    else await this.replica.stop();
+  }
+
+  // ---- the state machine of the log
+
+  /** Applies one committed entry and publishes what it changed. */
+  apply(entry: LogEntry): void {
+    this.appliedIndex = entry.index;
+    if (entry.payload.kind !== 'command') return;
+    const command = entry.payload.command as DirectoryCommand;
+    const { outcome, changes } = applyDirectoryCommand(this.current, command, entry.index);
+    this.feed.publish(entry.index, changes);
+    this.proposals.applied(entry.payload.proposalId, outcome);
+  }
+
+  /** The state as plain data, for the snapshot file. */
+  snapshot(): unknown {
+    return encodeDirectory(this.current);
+  }
+
+  /** Takes over a snapshot; null stands for the empty state. */
+  restore(data: unknown, index: number): void {
+    this.current = data === null ? emptyDirectoryState() : decodeDirectory(data as DirectorySnapshot);
+    this.appliedIndex = index;
+    this.feed.reset(this.current, index);
+  }
+
+  // ---- starting
+
+  private makeLeader(): DirectoryLeader {
+    const { runtime, settings, log } = this.options;
+    const { leaseTermMs } = settings;
+    const leases = new LeaseTable(leaseTermMs * (1 + LEASE_DRIFT_SHARE));
+    const ports = {
+      state: () => this.current,
+      nowMs: () => runtime.nowMs(),
+      durable: () => this.durable,
+      onExpired: (sessions: unknown) => {
+        log.event('lease-expired', { sessions });
+      },
+    };
+    return new DirectoryLeader(leaseTermMs, leases, ports, this.proposals, this.confirmations, this.duties);
+  }
+
+  private startFormation(formation: FormationCore): void {
+    const step = (): void => {
+      if (formation.outcome.kind === 'undecided') {
+        for (const seed of this.options.settings.seeds) this.dialer.sendTo(seed, formation.query());
+        return;
+      }
+      cancel();
+      void this.finishFormation(formation);
+    };
+    const cancel = this.options.runtime.every(FORMATION_RETRY_MS, step);
+    this.timers.push(cancel);
+    step();
+  }
+
+  private async finishFormation({ outcome }: FormationCore): Promise<void> {
+    if (outcome.kind === 'member') await this.options.storage.form(outcome.membership);
+    this.options.log.event('formed', { member: outcome.kind === 'member' });
+    this.startReplica();
+  }
+
+  private startReplica(): void {
+    const { runtime, storage, settings } = this.options;
+    const { timing } = settings;
+    const options = {
+      ...DEFAULT_RAFT_OPTIONS,
+      heartbeatMs: timing.heartbeatMs,
+      electionTimeoutMs: timing.electionTimeoutMs,
+      // Replicas draw different election timeouts; the generator takes a signed number.
+      seed: textHash(this.id) | 0,
+      snapshotEveryEntries:
+        timing.snapshotEveryEntries + spread(this.id, Math.ceil(timing.snapshotEveryEntries / 4)),
+    };
+    this.replica = new Replica(this.id, runtime, storage, this, this.replicaPorts(), options);
+    this.timers.push(
+      runtime.every(timing.dutyIntervalMs, () => {
+        this.runDuties();
+      }),
+      runtime.every(JOIN_RETRY_MS, () => {
+        this.requestToJoin();
+      }),
+      runtime.every(ALIVE_MS, () => {
+        this.tellWatchers();
+      }),
+    );
+    this.requestToJoin();
+  }
+
+  private replicaPorts(): ReplicaPorts {
+    return {
+      send: (message) => {
+        this.dialer.send(message);
+      },
+      onRoleChanged: (role, term, leader) => {
+        this.roleChanged(role, term, leader);
+      },
+      onLeadershipConfirmed: (requestId) => {
+        this.confirmations.confirmed(requestId);
+      },
+      onProposalDropped: (proposalId) => {
+        this.proposals.dropped(proposalId);
+      },
+      onFatal: this.options.onFatal,
+    };
+  }
+
+  // ---- membership
+
+  /** A replica that was removed while it was cut off is not told, so one that hears no leader asks as well. */
+  private requestToJoin(): void {
+    const core = this.replica?.core;
+    if (core === undefined) return;
+    for (const id of [...core.membership.voters, ...core.membership.learners]) {
+      this.knownReplicas.add(replicaName(id));
+    }
+    if (core.membership.voters.includes(this.id) && this.hearsLeader) return;
+    for (const address of this.knownReplicas) {
+      this.dialer.sendTo(address, { kind: 'join-request', id: this.id });
+    }
+  }
+
+  private takeJoinRequest(id: ReplicaId): void {
+    if (this.leading) {
+      this.candidates.set(replicaName(id), id);
+      return;
+    }
+    const { leaderAddress } = this;
+    const leaderIsElsewhere = leaderAddress !== null && leaderAddress !== replicaName(id);
+    if (leaderIsElsewhere && this.hearsLeader) {
+      this.dialer.sendTo(leaderAddress, { kind: 'join-request', id });
+    }
+  }
+
+  private advanceMembership(replica: Replica): void {
+    const { core } = replica;
+    const nowMs = this.options.runtime.nowMs();
+    const { timing, toleratedLosses } = this.options.settings;
+    for (const [name, id] of this.candidates) {
+      if (core.membership.voters.includes(id)) this.candidates.delete(name);
+    }
+    const silentMs = (peer: ReplicaId): number => {
+      if (peer === this.id) return 0;
+      return nowMs - (core.peerProgress(peer)?.lastAnswerMs ?? nowMs);
+    };
+    const membership = nextDirectoryMembership({
+      membership: core.membership,
+      commitIndex: core.commitIndex,
+      matchIndexOf: (peer) => core.peerProgress(peer)?.matchIndex ?? null,
+      isActive: (peer) => silentMs(peer) < INACTIVE_ELECTION_TIMEOUTS * timing.electionTimeoutMs,
+      candidates: [...this.candidates.values()],
+      maxVoters: Math.max(USUAL_VOTERS, 2 * toleratedLosses + 1),
+      isLost: (peer) => silentMs(peer) > LOST_AFTER_MS,
+    });
+    if (membership === null) return;
+    this.options.log.event('membership-proposed', { membership });
+    replica.submit({ kind: 'change-membership', membership });
+  }
+
+  // ---- leading
+
+  private roleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void {
+    this.options.log.event('role-changed', { role, term, leader });
+    if (role === 'leader') return;
+    this.proposals.abandonAll();
+    this.confirmations.abandonAll();
+  }
+
+  private runDuties(): void {
+    const { replica } = this;
+    if (replica?.leading !== true) return;
+    if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
+    this.advanceMembership(replica);
+    if (!this.durable) return;
+    this.leader.expire();
+    this.duties.run(this.options.runtime.nowMs());
+  }
+
+  private startLeading(term: number): void {
+    this.leadingTerm = term;
+    this.candidates.clear();
+    this.leader.startLeading();
+    this.duties.startLeading();
+  }
+
+  private tellWatchers(): void {
+    const core = this.replica?.core;
+    if (core === undefined) return;
+    if (!this.hearsLeader) {
+      this.feed.dismissAll();
+      return;
+    }
+    const { voters, learners } = core.membership;
+    const members = [...voters, ...learners].map(replicaName);
+    this.feed.broadcast({ kind: 'alive', index: this.appliedIndex, members });
+  }
+
+  // ---- connections
+
+  private acceptPeer(isReplica: boolean, connection: Connection): PeerHandlers {
+    return {
+      onMessage: (message) => {
+        if (isReplica) this.receiveFromReplica(message, connection);
+        else this.receiveFromDaemon(message, connection);
+      },
+      onClose: () => {
+        this.feed.remove(connection);
+        this.relays.forget(connection);
+      },
+    };
+  }
+
+  private receiveFromReplica(message: unknown, connection: Connection): void {
+    const relayed = readRelayMessage(message);
+    if (relayed !== null) {
+      this.receiveRelayed(relayed);
+      return;
+    }
+    const checked = readPeerMessage(message);
+    if (checked === null) {
+      connection.close('unreadable message');
+      return;
+    }
+    this.handlePeerMessage(checked);
+  }
+
+  private handlePeerMessage(message: PeerMessage): void {
+    switch (message.kind) {
+      case 'formation-query':
+        this.answerFormation(message);
+        break;
+      case 'formation-answer':
+        this.formation?.receive(message);
+        break;
+      case 'join-request':
+        this.takeJoinRequest(message.id);
+        break;
+      default:
+        this.replica?.submit({ kind: 'message', message });
+    }
+  }
+
+  /** A replica that was formed in an earlier life answers with its membership, whoever founded it. */
+  private answerFormation(query: Parameters<FormationCore['answer']>[0]): void {
+    const membership = this.replica?.core.membership ?? null;
+    const formed = membership !== null && membership.voters.length > 0;
+    if (formed) {
+      const answer = { kind: 'formation-answer', name: this.name, id: this.id, membership };
+      this.dialer.sendTo(query.name, answer);
+      return;
+    }
+    // A replica whose disk was lost is no member of anything that is being formed.
+    if (this.formation !== null) this.dialer.sendTo(query.name, this.formation.answer(query));
+  }
+
+  private receiveFromDaemon(message: unknown, connection: Connection): void {
+    const parsed = directoryRequestSchema.safeParse(message);
+    if (!parsed.success) {
+      connection.close('unreadable message');
+      return;
+    }
+    const request = parsed.data;
+    if (request.kind === 'watch') {
+      this.watch(request.fromIndex, connection);
+      return;
+    }
+    this.passToLeader(request, connection);
+  }
+
+  private watch(fromIndex: number, connection: Connection): void {
+    if (!this.hearsLeader || fromIndex > this.appliedIndex) {
+      const reason = this.hearsLeader ? 'behind' : 'no-leader';
+      connection.send({ kind: 'watch-refused', reason });
+      return;
+    }
+    this.feed.add(connection, fromIndex, this.current, this.appliedIndex);
+    this.tellWatchers();
+  }
+
+  private passToLeader(request: LeaderRequest, connection: Connection): void {
+    if (this.leading) {
+      void this.leader.receive(request, (notice) => {
+        connection.send(notice);
+      });
+      return;
+    }
+    const { leaderAddress } = this;
+    if (leaderAddress === null || leaderAddress === this.name || !this.hearsLeader) return;
+    const token = this.relays.add(connection);
+    const relayed: RelayedRequest = { kind: 'relayed-request', origin: this.name, token, request };
+    this.dialer.sendTo(leaderAddress, relayed);
+  }
+
+  private receiveRelayed(message: RelayedRequest | RelayedNotice): void {
+    if (message.kind === 'relayed-notice') {
+      this.relays.take(message.token)?.send(message.notice);
+      return;
+    }
+    if (!this.leading) return;
+    const { origin, token } = message;
+    const answer: Answer = (notice) => {
+      const relayed: RelayedNotice = { kind: 'relayed-notice', token, notice };
+      this.dialer.sendTo(origin, relayed);
+    };
+    void this.leader.receive(message.request, answer);
+  }
+}
--- /dev/null
+++ b/src/directory/key-load.ts
@@ -0,0 +1,49 @@
+/** Load by bucket of keys, as the leader was told by the daemons beside the back ends. */
+import { FIRST_KEY, LAST_KEY } from './directory-state.js';
+
+/** Keys that are counted together. */
+export const KEYS_PER_BUCKET = 16;
+
+const BUCKETS = (LAST_KEY - FIRST_KEY + 1) / KEYS_PER_BUCKET;
+
+/** Share of the older value that stays when a window is closed. */
+const KEPT_SHARE = 0.6;
+
+/** Bucket of a key. */
+export function bucketOf(key: number): number {
+  return Math.floor(key / KEYS_PER_BUCKET);
+}
+
+/** Load of one service: slots in use on average, by bucket. */
+export class KeyLoad {
+  /** Slots in use on average. */
+  readonly slots = new Float64Array(BUCKETS);
+  private readonly window = new Float64Array(BUCKETS);
+
+  /** Adds slot time that was used, in ms, by bucket. */
+  add(load: readonly (readonly [number, number])[]): void {
+    for (const [bucket, busyMs] of load) {
+      if (bucket >= 0 && bucket < BUCKETS) this.window[bucket] = (this.window[bucket] ?? 0) + busyMs;
+    }
+  }
+
+  /** Closes a window of `ms`. */
+  closeWindow(ms: number): void {
+    for (let bucket = 0; bucket < BUCKETS; bucket += 1) {
+      const fresh = (this.window[bucket] ?? 0) / ms;
+      this.slots[bucket] = (this.slots[bucket] ?? 0) * KEPT_SHARE + fresh * (1 - KEPT_SHARE);
+      this.window[bucket] = 0;
+    }
+  }
+
+  /** Load of the keys from `from` to `to`; buckets at the ends count by the part that lies inside. */
+  ofSpan(from: number, to: number): number {
+    let sum = 0;
+    for (let bucket = bucketOf(from); bucket <= bucketOf(to); bucket += 1) {
+      const first = Math.max(from, bucket * KEYS_PER_BUCKET);
+      const last = Math.min(to, (bucket + 1) * KEYS_PER_BUCKET - 1);
+      sum += ((this.slots[bucket] ?? 0) * (last - first + 1)) / KEYS_PER_BUCKET;
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/directory/range-planner.ts
@@ -0,0 +1,203 @@
+/**
+ * Decides which back end gets which keys: first assignment, repair after a loss, emptying of leaving back ends, and
+ * balance by load. Pure: the same view gives the same plan.
+ */
+import type { KeySpan } from './directory-commands.js';
+import { FIRST_KEY, LAST_KEY, type BackendInstance, type KeyRange } from './directory-state.js';
+import { KEYS_PER_BUCKET, bucketOf, type KeyLoad } from './key-load.js';
+
+/** Pieces that one lost or leaving range is cut into at most. */
+const MAX_PIECES = 4;
+
+/** Share of its slots that must be in use at a back end before keys leave it for balance. */
+const BALANCE_UTILIZATION = 0.45;
+
+/** Least difference between the busiest and the idlest back end, in shares of slots, for a move. */
+const BALANCE_DIFFERENCE = 0.25;
+
+/** A span that is to go to a back end. */
+export interface SpanTarget extends KeySpan {
+  readonly backend: string;
+}
+
+/** What is known of one service. */
+export interface RangeView {
+  readonly ranges: readonly KeyRange[];
+  readonly instances: readonly BackendInstance[];
+  readonly load: KeyLoad;
+  /** Whether keys may be moved for balance now. */
+  readonly mayBalance: boolean;
+}
+
+/** What is to be done. */
+export interface RangePlan {
+  /** Keys without owner. */
+  readonly assignments: readonly SpanTarget[];
+  /** Keys that change their owner. */
+  readonly moves: readonly SpanTarget[];
+}
+
+/** A back end that can take keys, and how busy it will be. */
+interface Candidate {
+  readonly id: string;
+  readonly slots: number;
+  busy: number;
+  keys: number;
+}
+
+/** Plans one service. */
+export function planRanges(view: RangeView): RangePlan {
+  const candidates = makeCandidates(view);
+  if (candidates.length === 0) return { assignments: [], moves: [] };
+  if (view.ranges.every(({ owner, fence }) => owner === null && fence === 0)) {
+    return { assignments: divideEvenly(candidates), moves: [] };
+  }
+  const unowned = view.ranges.filter(({ owner }) => owner === null);
+  const assignments = unowned.flatMap((range) => placeRange(range, candidates, view.load));
+  const leaving = new Set(view.instances.filter(isLeaving).map(({ id }) => id));
+  const toEmpty = view.ranges.filter(({ owner, movingTo }) => {
+    return owner !== null && leaving.has(owner) && movingTo === null;
+  });
+  const moves = toEmpty.flatMap((range) => placeRange(range, candidates, view.load));
+  if (moves.length > 0 || assignments.length > 0 || !view.mayBalance) return { assignments, moves };
+  return { assignments, moves: planBalance(view, candidates) };
+}
+
+function isLeaving({ condition }: BackendInstance): boolean {
+  return condition === 'draining';
+}
+
+function makeCandidates({ ranges, instances, load }: RangeView): Candidate[] {
+  const ready = instances.filter((instance) => !isLeaving(instance));
+  const candidates = ready.map(({ id, slots }) => ({ id, slots, busy: 0, keys: 0 }));
+  const byId = new Map(candidates.map((candidate) => [candidate.id, candidate]));
+  for (const range of ranges) {
+    const holder = byId.get(range.movingTo ?? range.owner ?? '');
+    if (holder === undefined) continue;
+    holder.busy += load.ofSpan(range.from, range.to);
+    holder.keys += range.to - range.from + 1;
+  }
+  return candidates.sort((left, right) => (left.id < right.id ? -1 : 1));
+}
+
+/** Nothing is known of the load yet, so each back end gets keys in proportion to its slots. */
+function divideEvenly(candidates: readonly Candidate[]): SpanTarget[] {
+  const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
+  const keys = LAST_KEY - FIRST_KEY + 1;
+  const targets: SpanTarget[] = [];
+  let from = FIRST_KEY;
+  let slotsSoFar = 0;
+  for (const candidate of candidates) {
+    slotsSoFar += candidate.slots;
+    const end = FIRST_KEY + Math.floor((keys * slotsSoFar) / slots);
+    targets.push({ from, to: end - 1, backend: candidate.id });
+    from = end;
+  }
+  return targets;
+}
+
+/** Gives a range to the back ends that have most room, in pieces if it would overload one. */
+function placeRange(range: KeyRange, candidates: readonly Candidate[], load: KeyLoad): SpanTarget[] {
+  const targets: SpanTarget[] = [];
+  let from = range.from;
+  let rest = load.ofSpan(range.from, range.to);
+  for (let piece = 1; from <= range.to; piece += 1) {
+    const taker = leastBusy(candidates);
+    if (taker === null) break;
+    const next = candidates.filter((candidate) => candidate !== taker);
+    const room = roomBefore(taker, leastBusy(next));
+    const takesAll = piece >= MAX_PIECES || next.length === 0 || rest <= Math.max(room, taker.slots * 0.1);
+    const to = takesAll ? range.to : endOfLoad(from, range.to, room, load);
+    const taken = load.ofSpan(from, to);
+    targets.push({ from, to, backend: taker.id });
+    taker.busy += taken;
+    taker.keys += to - from + 1;
+    rest -= taken;
+    from = to + 1;
+  }
+  return targets;
+}
+
+/** Load that a back end can take before it is as busy as the next one, plus a fair part of the rest. */
+function roomBefore(taker: Candidate, next: Candidate | null): number {
+  if (next === null) return Infinity;
+  const level = next.busy / next.slots + BALANCE_DIFFERENCE / 2;
+  return Math.max(0, level * taker.slots - taker.busy);
+}
+
+function endOfLoad(from: number, to: number, wanted: number, load: KeyLoad): number {
+  let sum = 0;
+  for (let bucket = bucketOf(from); bucket < bucketOf(to); bucket += 1) {
+    sum += load.slots[bucket] ?? 0;
+    if (sum >= wanted) return Math.max(from, (bucket + 1) * KEYS_PER_BUCKET - 1);
+  }
+  return to;
+}
+
+function leastBusy(candidates: readonly Candidate[]): Candidate | null {
+  let best: Candidate | null = null;
+  for (const candidate of candidates) {
+    if (best === null || isIdler(candidate, best)) best = candidate;
+  }
+  return best;
+}
+
+function isIdler(left: Candidate, right: Candidate): boolean {
+  const difference = left.busy / left.slots - right.busy / right.slots;
+  if (Math.abs(difference) > 0.01) return difference < 0;
+  return left.keys < right.keys;
+}
+
+function planBalance(view: RangeView, candidates: readonly Candidate[]): SpanTarget[] {
+  if (view.ranges.some(({ movingTo }) => movingTo !== null)) return [];
+  const idlest = leastBusy(candidates);
+  const busiest = [...candidates].sort((left, right) => right.busy / right.slots - left.busy / left.slots)[0];
+  if (idlest === null || busiest === undefined || idlest === busiest) return [];
+  const busy = busiest.busy / busiest.slots;
+  const idle = idlest.busy / idlest.slots;
+  if (busy < BALANCE_UTILIZATION || busy - idle < BALANCE_DIFFERENCE) return [];
+  const wanted = ((busy - idle) / 2) * Math.min(busiest.slots, idlest.slots);
+  const owned = view.ranges.filter(({ owner }) => owner === busiest.id);
+  const span = smallestSpan(owned, wanted, view.load);
+  return span === null ? [] : [{ ...span, backend: idlest.id }];
+}
+
+/** The fewest keys that carry about `wanted`; null when a single bucket carries far more. */
+function smallestSpan(owned: readonly KeyRange[], wanted: number, load: KeyLoad): KeySpan | null {
+  let best: KeySpan | null = null;
+  for (const range of owned) {
+    const span = smallestSpanIn(range, wanted, load);
+    if (span === null) continue;
+    if (best === null || span.to - span.from < best.to - best.from) best = span;
+  }
+  return best;
+}
+
+const LEAST_PART_OF_WANTED = 0.6;
+const LARGEST_PART_OF_WANTED = 1.4;
+
+function smallestSpanIn(range: KeyRange, wanted: number, load: KeyLoad): KeySpan | null {
+  const first = bucketOf(range.from);
+  const last = bucketOf(range.to);
+  let best: KeySpan | null = null;
+  let start = first;
+  let sum = 0;
+  for (let end = first; end <= last; end += 1) {
+    sum += load.slots[end] ?? 0;
+    while (start < end && sum - (load.slots[start] ?? 0) >= wanted * LEAST_PART_OF_WANTED) {
+      sum -= load.slots[start] ?? 0;
+      start += 1;
+    }
+    if (sum < wanted * LEAST_PART_OF_WANTED || sum > wanted * LARGEST_PART_OF_WANTED) continue;
+    const span = spanOfBuckets(range, start, end);
+    if (best === null || span.to - span.from < best.to - best.from) best = span;
+  }
+  return best;
+}
+
+function spanOfBuckets(range: KeyRange, start: number, end: number): KeySpan {
+  return {
+    from: Math.max(range.from, start * KEYS_PER_BUCKET),
+    to: Math.min(range.to, (end + 1) * KEYS_PER_BUCKET - 1),
+  };
+}
--- /dev/null
+++ b/src/link/link-connection.ts
@@ -0,0 +1,137 @@
+/** One TCP connection that carries link frames both ways and notices when its peer falls silent. */
+import type { Socket } from 'node:net';
+import {
+  encodeFrameStart,
+  FRAME_KIND,
+  LinkFrameDecoder,
+  type FrameKind,
+  type LinkFrame,
+} from './link-frame.js';
+
+/** Pause between questions for a sign of life while an answer is awaited, in ms. */
+const PING_MS = 200;
+
+/** Silence after which a peer that was asked for a sign of life counts as lost, in ms. */
+const SILENCE_LIMIT_MS = 800;
+
+/** Lateness of this process's own timer, in ms, after which its silence measure starts anew. */
+const STALL_MS = 250;
+
+const NO_BODY = Buffer.alloc(0);
+
+/** What the owner of a connection is told. */
+export interface LinkConnectionHandlers {
+  onFrame(frame: LinkFrame): void;
+  /** Called once. */
+  onClose(reason: string): void;
+}
+
+/** A connection between two daemons. */
+export class LinkConnection {
+  private readonly decoder = new LinkFrameDecoder();
+  private closed = false;
+  private lastHeardMs: number;
+  private watch: NodeJS.Timeout | null = null;
+  private lastCheckMs = 0;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly nowMs: () => number,
+    private readonly handlers: LinkConnectionHandlers,
+  ) {
+    this.lastHeardMs = nowMs();
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => {
+      this.receive(chunk);
+    });
+    socket.on('error', (error) => {
+      this.close(error.message);
+    });
+    socket.on('close', () => {
+      this.close('closed by peer');
+    });
+  }
+
+  /** Whether frames can still be sent. */
+  get open(): boolean {
+    return !this.closed;
+  }
+
+  /** Bytes that wait to be sent. */
+  get waitingBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  /** Queues one frame; dropped when the connection is closed. */
+  send(kind: FrameKind, stream: number, head: unknown, body: Buffer = NO_BODY): void {
+    if (this.closed) return;
+    const start = encodeFrameStart(kind, stream, head, body.length);
+    if (body.length === 0) {
+      this.socket.write(start);
+      return;
+    }
+    this.socket.cork();
+    this.socket.write(start);
+    this.socket.write(body);
+    this.socket.uncork();
+  }
+
+  /** Calls back when everything that was queued has been handed to the system. */
+  onDrain(callback: () => void): void {
+    this.socket.once('drain', callback);
+  }
+
+  /** Watches for silence while something is awaited from the peer. */
+  watchSilence(watch: boolean): void {
+    if (!watch || this.closed) {
+      if (this.watch !== null) clearInterval(this.watch);
+      this.watch = null;
+      return;
+    }
+    if (this.watch !== null) return;
+    this.lastHeardMs = this.nowMs();
+    this.lastCheckMs = this.lastHeardMs;
+    this.watch = setInterval(() => {
+      this.checkSilence();
+    }, PING_MS);
+  }
+
+  /** Closes at once and reports `reason`; later calls do nothing. */
+  close(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.watchSilence(false);
+    this.socket.destroy();
+    this.handlers.onClose(reason);
+  }
+
+  /** A process that did not run itself cannot tell whether its peer was silent. */
+  private checkSilence(): void {
+    const nowMs = this.nowMs();
+    const stalled = nowMs - this.lastCheckMs > PING_MS + STALL_MS;
+    this.lastCheckMs = nowMs;
+    if (stalled) this.lastHeardMs = nowMs;
+    const silentMs = nowMs - this.lastHeardMs;
+    if (silentMs > SILENCE_LIMIT_MS) {
+      this.close('peer is silent');
+      return;
+    }
+    if (silentMs >= PING_MS / 2) this.send(FRAME_KIND.ping, 0, undefined);
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.closed) return;
+    this.lastHeardMs = this.nowMs();
+    const frames = this.decoder.push(chunk);
+    if (frames.err) {
+      this.close(frames.val);
+      return;
+    }
+    for (const frame of frames.val) this.take(frame);
+  }
+
+  private take(frame: LinkFrame): void {
+    if (frame.kind === FRAME_KIND.ping) this.send(FRAME_KIND.pong, 0, undefined);
+    else if (frame.kind !== FRAME_KIND.pong) this.handlers.onFrame(frame);
+  }
+}
--- /dev/null
+++ b/src/link/link-messages.ts
@@ -0,0 +1,91 @@
+/** Heads of the frames between daemons. */
+
+/** First frame of the accepting side: who it is. A daemon that was started anew has another `life`. */
+export interface HelloHead {
+  readonly life: string;
+}
+
+/** A request that is passed on; its body follows the head. */
+export interface RequestHead {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  /** Names and values in turn, without those that concern one connection only. */
+  readonly headers: readonly string[];
+  /** Back end that is to run it. */
+  readonly instance: string;
+  /** Key of the request, or null. */
+  readonly key: number | null;
+  /** Rank; 0 is the most urgent. */
+  readonly priority: number;
+  /** Time left for the whole request, in ms. */
+  readonly remainingMs: number;
+  /** Time for which the request may wait for a free place, in ms. */
+  readonly patienceMs: number;
+}
+
+/** Why a request was not run. */
+export type RefusalReason =
+  /** No place came free in time, or none would. */
+  | 'busy'
+  /** The back end is leaving, or the daemon is stopping. */
+  | 'leaving'
+  /** The daemon has another back end beside it, or none yet. */
+  | 'unknown-instance'
+  /** The back end does not own the key. */
+  | 'not-owner'
+  /** The back end cannot be reached. */
+  | 'unreachable'
+  /** The caller took the request back before it was sent. */
+  | 'cancelled'
+  /** The back end itself says that it did not run the request. */
+  | 'declined';
+
+/** How busy a back end is, as its daemon sees it. */
+export interface StatusHead {
+  readonly instance: string;
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Recent time that a request took at the back end, in ms. */
+  readonly serviceMs: number;
+  readonly accepting: boolean;
+}
+
+/** The request was not run and never will be. */
+export interface RefusalHead {
+  readonly reason: RefusalReason;
+  /** Whether the request reached the back end, which declined it. */
+  readonly arrived: boolean;
+  readonly retryAfterMs: number;
+  readonly status: StatusHead | null;
+}
+
+/** Why there is no answer to a request that may have run. */
+export type FailureReason =
+  /** The connection to the back end broke before the answer was whole. */
+  | 'broken'
+  /** What came back is no answer to this request. */
+  | 'garbled'
+  /** The time was up. */
+  | 'deadline';
+
+/** The request may have run, and there is no answer. */
+export interface FailureHead {
+  readonly reason: FailureReason;
+  readonly detail: string;
+  readonly status: StatusHead | null;
+}
+
+/** The beginning of an answer. */
+export interface AnswerHead {
+  readonly statusCode: number;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  /** Whether `body` and `end` frames follow. */
+  readonly moreFollows: boolean;
+  /** Length of the whole body in bytes; null when the back end did not say. */
+  readonly contentLength: number | null;
+  readonly status: StatusHead | null;
+}
--- /dev/null
+++ b/src/sidecar/admission.ts
@@ -0,0 +1,115 @@
+/**
+ * Places at one back end. No more requests are sent to it than it runs at once; the others wait here, the most
+ * urgent first, each for no longer than it says.
+ */
+
+/** A request that wants a place. */
+export interface Applicant {
+  /** Rank; 0 is the most urgent. */
+  readonly priority: number;
+  /** When it gives up waiting, in ms of the daemon's clock. */
+  readonly expiresMs: number;
+  /** It has a place, which it must give back with `leave`. */
+  start(): void;
+  /** It has waited for too long, or there is no use in waiting. */
+  expire(): void;
+}
+
+/** Weight of the newest sample in the mean service time. */
+const NEWEST_WEIGHT = 0.1;
+
+/** Service time that is assumed before any was seen, in ms. */
+const ASSUMED_SERVICE_MS = 50;
+
+/** The places of one back end. */
+export class Admission {
+  private running = 0;
+  private readonly waiting: Applicant[] = [];
+  private meanMs = ASSUMED_SERVICE_MS;
+
+  constructor(private slotCount: number) {}
+
+  /** Requests that have a place. */
+  get runningCount(): number {
+    return this.running;
+  }
+
+  /** Requests that wait. */
+  get waitingCount(): number {
+    return this.waiting.length;
+  }
+
+  /** Places. */
+  get slots(): number {
+    return this.slotCount;
+  }
+
+  /** Recent mean of the time that a request kept its place, in ms. */
+  get serviceMs(): number {
+    return this.meanMs;
+  }
+
+  /** Sets the number of places. */
+  resize(slots: number): void {
+    this.slotCount = slots;
+    this.fill();
+  }
+
+  /** Gives the applicant a place, lets it wait, or expires it at once when it would wait for too long. */
+  apply(applicant: Applicant, nowMs: number): void {
+    if (this.running < this.slotCount && this.waiting.length === 0) {
+      this.running += 1;
+      applicant.start();
+      return;
+    }
+    const ahead = this.waiting.filter(({ priority }) => priority <= applicant.priority).length;
+    const expectedMs = (this.meanMs * (ahead + 1)) / (this.slotCount + 1);
+    if (nowMs + expectedMs > applicant.expiresMs) {
+      applicant.expire();
+      return;
+    }
+    this.insert(applicant);
+  }
+
+  /** A request gives its place back; `usedMs` is the time for which it had it. */
+  leave(usedMs: number): void {
+    this.running -= 1;
+    this.meanMs += (usedMs - this.meanMs) * NEWEST_WEIGHT;
+    this.fill();
+  }
+
+  /** A waiting applicant has no more use for a place. */
+  withdraw(applicant: Applicant): void {
+    const at = this.waiting.indexOf(applicant);
+    if (at >= 0) this.waiting.splice(at, 1);
+  }
+
+  /** Expires those that have waited for too long. */
+  expireBefore(nowMs: number): void {
+    const expired = this.waiting.filter(({ expiresMs }) => expiresMs <= nowMs);
+    for (const applicant of expired) {
+      this.withdraw(applicant);
+      applicant.expire();
+    }
+  }
+
+  /** Expires everything that waits. */
+  expireAll(): void {
+    for (const applicant of this.waiting.splice(0)) applicant.expire();
+  }
+
+  private insert(applicant: Applicant): void {
+    const at = this.waiting.findIndex(({ priority }) => priority > applicant.priority);
+    if (at < 0) this.waiting.push(applicant);
+    else this.waiting.splice(at, 0, applicant);
+  }
+
+  private fill(): void {
+    while (this.running < this.slotCount) {
+      const next = this.waiting.shift();
+      if (next === undefined) return;
+      this.running += 1;
+      next.start();
+    }
+  }
+}
--- /dev/null
+++ b/src/sidecar/backend-gateway.ts
@@ -0,0 +1,320 @@
+/**
+ * The only way to the back end beside this daemon. It decides what may be sent there: the right life of the back end,
+ * within its places, while it is not leaving, and with keys that it holds.
+ */
+import type { RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
+import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
+import type { SocketAddress } from '../model/socket-address.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { EventLog } from '../telemetry/event-log.js';
+import { Admission, type Applicant } from './admission.js';
+import { BackendPool } from './backend-pool.js';
+import { BackendRun, type RunOutcome } from './backend-run.js';
+import type { HeaderDialect } from './header-dialect.js';
+
+/** Pause between looks at waiting requests, in ms. */
+const STEP_MS = 20;
+
+/** Least pause between reports of how busy the back end is, in ms. */
+const STATUS_MS = 100;
+
+/** When to come back after a refusal for want of a place, in ms. */
+const RETRY_AFTER_MS = 100;
+
+/** Runs in a row that broke off, after which only one request at a time is let through as a trial. */
+const BROKEN_LIMIT = 4;
+
+/** Pause between trials, in ms. */
+const TRIAL_PAUSE_MS = 300;
+
+/** What the gateway needs to know of its back end. */
+export interface GatewayPorts {
+  readonly runtime: Runtime;
+  readonly log: EventLog;
+  readonly dialect: HeaderDialect;
+  readonly address: SocketAddress;
+  /** Id of the present life; null until it has told about itself. */
+  readonly instance: () => string | null;
+  /** Whether this daemon was started a moment ago and its back end may not have told about itself yet. */
+  readonly awaitsBackend: () => boolean;
+  /** When requests stop because the back end leaves or the daemon stops, in ms; infinite while they do not. */
+  readonly closesAtMs: () => number;
+  /** Whether new requests should rather go elsewhere. */
+  readonly leaving: () => boolean;
+  /** Whether the back end holds a key now. */
+  readonly holdsKey: (key: number) => boolean;
+  /** Whether a key belongs here, or will in a moment. */
+  readonly ownsKey: (key: number) => boolean;
+  /** Slot time was used for a key. */
+  readonly onWork: (key: number | null, ms: number) => void;
+  /** No process listens at the back end's address. */
+  readonly onBackendRefused: () => void;
+  readonly broadcast: (status: StatusHead) => void;
+}
+
+/** A request inside the gateway. */
+interface Visit {
+  readonly head: RequestHead;
+  readonly body: Buffer;
+  readonly reply: RequestReply;
+  readonly arrivedMs: number;
+  readonly expiresMs: number;
+  applicant: Applicant | null;
+  run: BackendRun | null;
+  startedMs: number;
+  done: boolean;
+}
+
+/** Counters of the gateway. */
+export interface GatewayCounters {
+  requests: number;
+  runs: number;
+  answered: number;
+  broken: number;
+  refused: Record<RefusalReason, number>;
+}
+
+/** The gateway to one back end. */
+export class BackendGateway {
+  readonly counters: GatewayCounters = {
+    requests: 0,
+    runs: 0,
+    answered: 0,
+    broken: 0,
+    refused: {
+      busy: 0,
+      leaving: 0,
+      'unknown-instance': 0,
+      'not-owner': 0,
+      unreachable: 0,
+      cancelled: 0,
+      declined: 0,
+    },
+  };
+  readonly admission = new Admission(1);
+  readonly pool: BackendPool;
+  /** Requests that wait for the back end to tell about itself, or for keys. */
+  private readonly waiting = new Set<Visit>();
+  private readonly running = new Set<Visit>();
+  private brokenInRow = 0;
+  private lastTrialMs = -Infinity;
+  private statusDueMs = 0;
+  private lastStatus = '';
+  private readonly cancelTimer;
+
+  constructor(private readonly ports: GatewayPorts) {
+    const names = { requestId: ports.dialect.requestId, notRun: ports.dialect.notRun };
+    const nowMs = (): number => ports.runtime.nowMs();
+    this.pool = new BackendPool(ports.address, names, nowMs, ports.onBackendRefused);
+    this.cancelTimer = ports.runtime.every(STEP_MS, () => {
+      this.step();
+    });
+  }
+
+  /** Requests that run at the back end. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  /** How busy the back end is; null while nothing is known of it. */
+  status(): StatusHead | null {
+    const instance = this.ports.instance();
+    if (instance === null) return null;
+    const { runningCount, waitingCount, slots } = this.admission;
+    return {
+      instance,
+      running: runningCount,
+      waiting: waitingCount + this.waiting.size,
+      slots,
+      serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
+      accepting: !this.ports.leaving(),
+    };
+  }
+
+  /** Takes a request of another daemon or of this one. */
+  take(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
+    const nowMs = this.ports.runtime.nowMs();
+    const patienceMs = Math.min(head.patienceMs, head.remainingMs);
+    const visit: Visit = {
+      head,
+      body,
+      reply,
+      arrivedMs: nowMs,
+      expiresMs: nowMs + patienceMs,
+      applicant: null,
+      run: null,
+      startedMs: 0,
+      done: false,
+    };
+    this.counters.requests += 1;
+    this.consider(visit);
+    return {
+      cancel: () => {
+        this.cancel(visit);
+      },
+    };
+  }
+
+  /** Something has changed that requests may wait for. */
+  reconsider(): void {
+    for (const visit of [...this.waiting]) {
+      this.waiting.delete(visit);
+      this.consider(visit);
+    }
+  }
+
+  /** Stops everything; what runs is broken off. */
+  stop(): void {
+    this.cancelTimer();
+    for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
+    this.admission.expireAll();
+    this.pool.destroy();
+  }
+
+  private consider(visit: Visit): void {
+    const { ports } = this;
+    const { instance, key } = visit.head;
+    const nowMs = ports.runtime.nowMs();
+    const present = ports.instance();
+    if (nowMs >= ports.closesAtMs()) this.refuse(visit, 'leaving');
+    else if (present === null && ports.awaitsBackend()) this.wait(visit, 'unknown-instance');
+    else if (present !== instance) this.refuse(visit, 'unknown-instance');
+    else if (key !== null && !ports.holdsKey(key)) this.considerKey(visit, key);
+    else if (this.isOnTrial(nowMs)) this.refuse(visit, 'unreachable');
+    else this.apply(visit, nowMs);
+  }
+
+  private considerKey(visit: Visit, key: number): void {
+    if (this.ports.ownsKey(key)) this.wait(visit, 'not-owner');
+    else this.refuse(visit, 'not-owner');
+  }
+
+  private wait(visit: Visit, reason: RefusalReason): void {
+    if (this.ports.runtime.nowMs() >= visit.expiresMs) this.refuse(visit, reason);
+    else this.waiting.add(visit);
+  }
+
+  private apply(visit: Visit, nowMs: number): void {
+    const applicant: Applicant = {
+      priority: visit.head.priority,
+      expiresMs: visit.expiresMs,
+      start: () => {
+        this.start(visit);
+      },
+      expire: () => {
+        this.refuse(visit, 'busy');
+      },
+    };
+    visit.applicant = applicant;
+    this.admission.apply(applicant, nowMs);
+  }
+
+  /** What held when the request came must hold still when it leaves. */
+  private start(visit: Visit): void {
+    const { ports } = this;
+    const { head } = visit;
+    const nowMs = ports.runtime.nowMs();
+    const stale = nowMs >= ports.closesAtMs() || ports.instance() !== head.instance;
+    const keyLost = head.key !== null && !ports.holdsKey(head.key);
+    const leftMs = head.remainingMs - (nowMs - visit.arrivedMs);
+    visit.startedMs = nowMs;
+    if (stale || keyLost || leftMs <= 1) {
+      this.admission.leave(this.admission.serviceMs);
+      if (keyLost && !stale) this.considerKey(visit, head.key ?? 0);
+      else this.refuse(visit, stale ? 'leaving' : 'busy');
+      return;
+    }
+    this.running.add(visit);
+    this.counters.runs += 1;
+    visit.run = new BackendRun(this.pool, ports.dialect, visit.head, visit.body, leftMs, {
+      status: () => this.status(),
+      reply: visit.reply,
+      onDone: (outcome) => {
+        this.finished(visit, outcome);
+      },
+    });
+    visit.run.start();
+    this.publishSoon();
+  }
+
+  private finished(visit: Visit, outcome: RunOutcome): void {
+    if (visit.done) return;
+    visit.done = true;
+    this.running.delete(visit);
+    const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
+    this.ports.onWork(visit.head.key, usedMs);
+    this.count(visit, outcome, usedMs);
+    this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
+  }
+
+  private count(visit: Visit, outcome: RunOutcome, usedMs: number): void {
+    if (outcome.kind === 'answered') this.counters.answered += 1;
+    if (outcome.kind === 'declined') this.counters.refused.declined += 1;
+    if (outcome.kind === 'broken') this.counters.broken += 1;
+    this.brokenInRow = outcome.kind === 'broken' ? this.brokenInRow + 1 : 0;
+    if (outcome.kind === 'answered') return;
+    const { requestId, instance, key } = visit.head;
+    this.ports.log.event('run-ended', { requestId, instance, key, outcome, usedMs: Math.round(usedMs) });
+  }
+
+  private refuse(visit: Visit, reason: RefusalReason): void {
+    if (visit.done) return;
+    visit.done = true;
+    this.counters.refused[reason] += 1;
+    const { requestId, instance, key } = visit.head;
+    const waitedMs = Math.round(this.ports.runtime.nowMs() - visit.arrivedMs);
+    this.ports.log.event('request-refused', { requestId, reason, instance, key, waitedMs, ...this.status() });
+    visit.reply.refuse({ reason, arrived: false, retryAfterMs: RETRY_AFTER_MS, status: this.status() });
+  }
+
+  private cancel(visit: Visit): void {
+    if (visit.done) return;
+    this.waiting.delete(visit);
+    if (visit.applicant !== null) this.admission.withdraw(visit.applicant);
+    const { run } = visit;
+    if (run === null) {
+      visit.done = true;
+      return;
+    }
+    run.cancel();
+    this.finished(visit, { kind: 'cancelled' });
+  }
+
+  private isOnTrial(nowMs: number): boolean {
+    if (this.brokenInRow < BROKEN_LIMIT) return false;
+    if (nowMs - this.lastTrialMs < TRIAL_PAUSE_MS) return true;
+    this.lastTrialMs = nowMs;
+    return false;
+  }
+
+  private oldestRunMs(): number {
+    const first = this.running.values().next();
+    return first.done === true ? 0 : this.ports.runtime.nowMs() - first.value.startedMs;
+  }
+
+  private step(): void {
+    const nowMs = this.ports.runtime.nowMs();
+    this.admission.expireBefore(nowMs);
+    for (const visit of [...this.waiting]) {
+      if (nowMs < visit.expiresMs && nowMs < this.ports.closesAtMs()) continue;
+      this.waiting.delete(visit);
+      this.consider(visit);
+    }
+    if (nowMs >= this.statusDueMs) this.publish(nowMs);
+  }
+
+  private publishSoon(): void {
+    const nowMs = this.ports.runtime.nowMs();
+    if (nowMs >= this.statusDueMs) this.publish(nowMs);
+  }
+
+  private publish(nowMs: number): void {
+    const status = this.status();
+    if (status === null) return;
+    const text = `${status.instance} ${status.running} ${status.waiting} ${String(status.accepting)}`;
+    if (text === this.lastStatus) return;
+    this.lastStatus = text;
+    this.statusDueMs = nowMs + STATUS_MS;
+    this.ports.broadcast(status);
+  }
+}
--- /dev/null
+++ b/src/sidecar/backend-report.ts
@@ -0,0 +1,54 @@
+/** What a back end and the daemon beside it tell each other, in the product's own terms. */
+import type { BackendCondition } from '../directory/directory-state.js';
+
+/** Keys that a back end holds under a fence. */
+export interface HeldRange {
+  readonly from: number;
+  readonly to: number;
+  readonly fence: number;
+}
+
+/** Keys that a back end has let go, and what it left for the next holder. */
+export interface ReleasedRange {
+  readonly from: number;
+  readonly to: number;
+  readonly handover: string;
+}
+
+/** One heartbeat of a back end. */
+export interface BackendHeartbeat {
+  /** Differs between any two lives of back ends. */
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly condition: BackendCondition;
+  /** Rises with every heartbeat of one life. */
+  readonly sequence: number;
+  /** Null where grants do not travel in heartbeats. */
+  readonly holds: readonly HeldRange[] | null;
+  readonly released: readonly ReleasedRange[];
+}
+
+/** A range that a back end is to hold, with what its last holder left. */
+export interface GrantedRange extends HeldRange {
+  readonly handover: string;
+}
+
+/** Everything that a back end is to hold. */
+export interface HeartbeatGrant {
+  readonly ranges: readonly GrantedRange[];
+  /** Counted from when the heartbeat was sent, in ms. */
+  readonly holdMs: number;
+}
+
+/** What became of a grant that was sent to a back end. */
+export type GrantResult = 'granted' | 'superseded' | 'unanswered';
+
+/** Calls to a back end that is granted keys by calls. */
+export interface BackendCalls {
+  /** Grants a range for `holdMs` from when the call arrives; the same call again renews it. */
+  grant(range: GrantedRange, holdMs: number): Promise<GrantResult>;
+  /** Takes a range back; the handover comes once nothing runs on it. Null when there was no answer. */
+  release(range: HeldRange): Promise<string | null>;
+}
--- /dev/null
+++ b/src/sidecar/backend-view.ts
@@ -0,0 +1,84 @@
+/** What a calling daemon believes of back ends elsewhere: how busy they are, and whether they can be reached. */
+import type { StatusHead } from '../link/link-messages.js';
+
+/** Service time that is assumed before any was told, in ms. */
+const ASSUMED_SERVICE_MS = 50;
+
+/** Pauses in ms for which a back end is avoided after failures, by how many came in a row. */
+const AVOID_MS = [0, 100, 300, 600, 1_000];
+
+/** Age in ms at which a status says nothing about places any more. */
+const STATUS_AGE_LIMIT_MS = 2_000;
+
+/** One back end as it is seen from here. */
+export class BackendView {
+  private lastStatus: StatusHead | null = null;
+  private statusMs = -Infinity;
+  /** Requests that were sent since the last status. */
+  private sentSinceStatus = 0;
+  private failuresInRow = 0;
+  private avoidUntilMs = -Infinity;
+  /** Requests sent from here whose outcome is awaited. */
+  outstanding = 0;
+
+  /** Newest status. */
+  get status(): StatusHead | null {
+    return this.lastStatus;
+  }
+
+  /** Its daemon tells how busy it is. */
+  noteStatus(status: StatusHead, nowMs: number): void {
+    this.lastStatus = status;
+    this.statusMs = nowMs;
+    this.sentSinceStatus = 0;
+  }
+
+  /** A request was sent there. */
+  noteSent(): void {
+    this.outstanding += 1;
+    this.sentSinceStatus += 1;
+  }
+
+  /** A request sent there has ended. */
+  noteEnded(): void {
+    this.outstanding = Math.max(0, this.outstanding - 1);
+  }
+
+  /** It answered. */
+  noteSuccess(): void {
+    this.failuresInRow = 0;
+    this.avoidUntilMs = -Infinity;
+  }
+
+  /** It could not be reached, or broke off. */
+  noteFailure(nowMs: number): void {
+    this.failuresInRow = Math.min(this.failuresInRow + 1, AVOID_MS.length - 1);
+    this.avoidUntilMs = nowMs + (AVOID_MS[this.failuresInRow] ?? 0);
+  }
+
+  /** Whether it failed a moment ago. */
+  avoided(nowMs: number): boolean {
+    return nowMs < this.avoidUntilMs;
+  }
+
+  /** Requests that are there, as far as is known. */
+  busy(nowMs: number): number {
+    const fresh = this.lastStatus !== null && nowMs - this.statusMs < STATUS_AGE_LIMIT_MS;
+    const told = fresh && this.lastStatus !== null ? this.lastStatus.running + this.lastStatus.waiting : 0;
+    return Math.max(this.outstanding, told + this.sentSinceStatus);
+  }
+
+  /** Whether a request would find a place at once. */
+  hasRoom(slots: number, nowMs: number): boolean {
+    return this.busy(nowMs) < slots;
+  }
+
+  /** Time in ms that a request would take there, waiting included. */
+  expectedMs(slots: number, nowMs: number): number {
+    const serviceMs = this.lastStatus?.serviceMs ?? ASSUMED_SERVICE_MS;
+    const ahead = Math.max(0, this.busy(nowMs) + 1 - slots);
+    // Near its limit a back end is slower, and what is known of it is a little old.
+    const crowding = 1 + 0.5 * Math.min(1, this.busy(nowMs) / slots) ** 2;
+    return serviceMs * (crowding + ahead / slots);
+  }
+}
--- /dev/null
+++ b/src/sidecar/directory-client.ts
@@ -0,0 +1,147 @@
+/**
+ * A daemon's connection to the directory: it watches one replica at a time, and sends its requests there. A replica
+ * that is behind this daemon, hears no leader or falls silent is left for the next one; until then the last table
+ * stays in force.
+ */
+import type { DirectoryNotice, DirectoryRequest } from '../directory/directory-messages.js';
+import { parseAddress } from '../directory/replica-address.js';
+import { spread } from '../model/text-hash.js';
+import type { CancelTimer, Client, ClientIdentity, Runtime } from '../runtime/runtime.js';
+import type { EventLog } from '../telemetry/event-log.js';
+import type { DirectoryTable } from './directory-table.js';
+
+/** Silence after which a replica is left, in ms. */
+const SILENCE_LIMIT_MS = 900;
+
+/** Pause between checks of the connection, in ms. */
+const CHECK_MS = 150;
+
+/** What the owner of a client is told. */
+export interface DirectoryClientHandlers {
+  /** The table has changed. */
+  onTable(): void;
+  onNotice(notice: DirectoryNotice): void;
+  /** A replica has answered after a time without any. */
+  onConnected(): void;
+}
+
+/** A connection to the directory. */
+export class DirectoryClient {
+  private readonly known: string[];
+  private position: number;
+  private client: Client | null = null;
+  private lastHeardMs = 0;
+  private lastCheckMs = 0;
+  private watching = false;
+  private readonly cancelCheck: CancelTimer;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly identity: ClientIdentity,
+    seeds: readonly string[],
+    private readonly table: DirectoryTable,
+    private readonly log: EventLog,
+    private readonly handlers: DirectoryClientHandlers,
+  ) {
+    this.known = [...seeds];
+    this.position = spread(identity.name, Math.max(1, seeds.length));
+    this.cancelCheck = runtime.every(CHECK_MS, () => {
+      this.check();
+    });
+    this.dial();
+  }
+
+  /** Whether a replica that hears a leader was heard lately. */
+  get connected(): boolean {
+    return this.watching && this.runtime.nowMs() - this.lastHeardMs < SILENCE_LIMIT_MS;
+  }
+
+  /** Sends to the present replica; false when there is no connection. */
+  send(request: DirectoryRequest): boolean {
+    return this.client?.send(request) ?? false;
+  }
+
+  /** Adds addresses of replicas, from settings that were read again. */
+  addSeeds(seeds: readonly string[]): void {
+    for (const seed of seeds) if (!this.known.includes(seed)) this.known.push(seed);
+  }
+
+  /** Closes for good. */
+  stop(): void {
+    this.cancelCheck();
+    this.client?.stop();
+  }
+
+  private dial(): void {
+    const { runtime } = this;
+    const text = this.known[this.position % this.known.length] ?? '';
+    const address = parseAddress(text);
+    this.watching = false;
+    this.lastHeardMs = runtime.nowMs();
+    if (address === null) return;
+    const client = runtime.dial(address, this.identity, {
+      onOpen: () => {
+        client.send({ kind: 'watch', fromIndex: this.table.index });
+      },
+      onMessage: (message) => {
+        if (this.client === client) this.receive(message as DirectoryNotice, text);
+      },
+      onClose: () => {
+        if (this.client === client) this.next('connection lost');
+      },
+    });
+    this.client = client;
+  }
+
+  private next(reason: string): void {
+    if (this.watching) {
+      this.log.event('directory-lost', { replica: this.known[this.position % this.known.length], reason });
+    }
+    this.client?.stop();
+    this.client = null;
+    this.position += 1;
+    this.dial();
+  }
+
+  /** A process that did not run itself cannot tell whether the replica was silent. */
+  private check(): void {
+    const nowMs = this.runtime.nowMs();
+    const stalled = nowMs - this.lastCheckMs > 2 * CHECK_MS;
+    this.lastCheckMs = nowMs;
+    if (stalled && this.watching) return;
+    if (nowMs - this.lastHeardMs > SILENCE_LIMIT_MS) this.next('silence');
+  }
+
+  private receive(notice: DirectoryNotice, address: string): void {
+    this.lastHeardMs = this.runtime.nowMs();
+    switch (notice.kind) {
+      case 'table':
+        if (this.table.replace(notice.index, notice.table)) this.handlers.onTable();
+        break;
+      case 'changes':
+        if (this.table.apply(notice.index, notice.changes)) this.handlers.onTable();
+        break;
+      case 'alive':
+        this.takeMembers(notice.members);
+        this.becomeConnected(address);
+        break;
+      case 'watch-refused':
+        this.next(notice.reason);
+        break;
+      default:
+        this.handlers.onNotice(notice);
+    }
+  }
+
+  /** Seeds stay known as well: after a loss of everything they may be all that is left. */
+  private takeMembers(members: readonly string[]): void {
+    this.addSeeds(members);
+  }
+
+  private becomeConnected(address: string): void {
+    if (this.watching) return;
+    this.watching = true;
+    this.log.event('directory-connected', { replica: address, index: this.table.index });
+    this.handlers.onConnected();
+  }
+}
--- /dev/null
+++ b/src/sidecar/directory-table.ts
@@ -0,0 +1,128 @@
+/** A daemon's copy of the directory: what it routes by. Its index never goes back during a life of the daemon. */
+import type { DirectoryChange } from '../directory/directory-commands.js';
+import {
+  emptyDirectoryState,
+  decodeDirectory,
+  itemKey,
+  serviceDefinition,
+  type BackendInstance,
+  type DirectorySnapshot,
+  type DirectoryState,
+  type KeyRange,
+  type LimitsDefinition,
+  type ServiceDefinition,
+} from '../directory/directory-state.js';
+import { RouteTable } from './route-table.js';
+
+/** Limits that hold while the configuration names none. */
+const DEFAULT_LIMITS: LimitsDefinition = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 64 * 1024 * 1024,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** The copy. */
+export class DirectoryTable {
+  /** Newest index that is in force here; 0 before the first table. */
+  index = 0;
+  private state: DirectoryState = emptyDirectoryState();
+  private routeTable = new RouteTable([]);
+  private byService = new Map<string, readonly BackendInstance[]>();
+
+  /** Whether a configuration is in force. */
+  get configured(): boolean {
+    return this.state.configured;
+  }
+
+  /** Routes in force. */
+  get routes(): RouteTable {
+    return this.routeTable;
+  }
+
+  /** Limits in force. */
+  get limits(): LimitsDefinition {
+    for (const item of this.state.items.values()) {
+      if (item.kind === 'limits' && item.definition !== null) return item.definition;
+    }
+    return DEFAULT_LIMITS;
+  }
+
+  /** Definition of a service, or null. */
+  service(name: string): ServiceDefinition | null {
+    return serviceDefinition(this.state.items, name);
+  }
+
+  /** Registered back ends of a service. */
+  instancesOf(service: string): readonly BackendInstance[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** One registered back end. */
+  instance(id: string): BackendInstance | undefined {
+    return this.state.instances.get(id);
+  }
+
+  /** All registered back ends. */
+  instances(): IterableIterator<BackendInstance> {
+    return this.state.instances.values();
+  }
+
+  /** Ranges of a keyed service, in the order of keys. */
+  rangesOf(service: string): readonly KeyRange[] {
+    return this.state.ranges.get(service) ?? [];
+  }
+
+  /** Takes a whole table; false when it is older than what is in force. */
+  replace(index: number, table: DirectorySnapshot): boolean {
+    if (index < this.index) return false;
+    this.index = index;
+    this.state = decodeDirectory(table);
+    this.rebuildRoutes();
+    this.rebuildInstances();
+    return true;
+  }
+
+  /** Takes changes; false when they are older than what is in force. */
+  apply(index: number, changes: readonly DirectoryChange[]): boolean {
+    if (index <= this.index) return false;
+    this.index = index;
+    for (const change of changes) this.applyChange(change);
+    return true;
+  }
+
+  private applyChange(change: DirectoryChange): void {
+    switch (change.kind) {
+      case 'items':
+        for (const item of change.items) this.state.items.set(itemKey(item.kind, item.name), item);
+        this.state.configured = true;
+        this.rebuildRoutes();
+        break;
+      case 'instance':
+        this.state.instances.set(change.instance.id, change.instance);
+        this.rebuildInstances();
+        break;
+      case 'instance-gone':
+        this.state.instances.delete(change.id);
+        this.rebuildInstances();
+        break;
+      case 'ranges':
+        this.state.ranges.set(change.service, change.ranges);
+        break;
+    }
+  }
+
+  private rebuildRoutes(): void {
+    this.routeTable = new RouteTable(this.state.items.values(), this.routeTable);
+  }
+
+  private rebuildInstances(): void {
+    const byService = new Map<string, BackendInstance[]>();
+    for (const instance of this.state.instances.values()) {
+      const known = byService.get(instance.service) ?? [];
+      byService.set(instance.service, known);
+      known.push(instance);
+    }
+    this.byService = byService;
+  }
+}
--- /dev/null
+++ b/src/sidecar/heartbeat-grants.ts
@@ -0,0 +1,128 @@
+/**
+ * Grants keys in the answers to a back end's heartbeats. A range that is to move is left out of an answer; a later
+ * heartbeat shows that the back end has let it go.
+ */
+import type { KeyRange } from '../directory/directory-state.js';
+import type { BackendHeartbeat, HeartbeatGrant, HeldRange } from './backend-report.js';
+import { overlaps, rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
+
+/** Least time in ms that is worth granting. */
+const LEAST_HOLD_MS = 300;
+
+/** Handovers that are kept until their range is reported as released. */
+const KEPT_HANDOVERS = 256;
+
+/** Time in ms for which keys count as held that a back end reports before this daemon knows its registration. */
+const RECOVERED_HOLD_MS = 4_000;
+
+/** Grants by heartbeat. */
+export class HeartbeatGrants implements KeyGrants {
+  private held: readonly HeldRange[] = [];
+  private heldUntilMs = -Infinity;
+  private answeredAny = false;
+  /** Sequence of the first heartbeat whose answer left a moving range out, by the range's name. */
+  private readonly leftOut = new Map<string, number>();
+  private readonly handovers = new Map<string, string>();
+  private readonly reporter: ReleaseReporter;
+
+  constructor(private readonly ports: KeyGrantPorts) {
+    this.reporter = new ReleaseReporter(ports);
+  }
+
+  /** See `KeyGrants`. */
+  holds(key: number): boolean {
+    if (this.ports.runtime.nowMs() >= this.heldUntilMs) return false;
+    return this.held.some(({ from, to }) => key >= from && key <= to);
+  }
+
+  /** When nothing that was granted can still be held, in ms of the daemon's clock. */
+  get heldUntil(): number {
+    return this.heldUntilMs;
+  }
+
+  /** Takes what a heartbeat tells of keys. */
+  take(heartbeat: BackendHeartbeat): void {
+    for (const { from, to, handover } of heartbeat.released) this.keepHandover(`${from}-${to}`, handover);
+    this.recover(heartbeat);
+    this.reportReleases(heartbeat);
+  }
+
+  /** What the answer to a heartbeat grants, decided when the answer is sent; null renews nothing. */
+  answer(heartbeat: BackendHeartbeat, arrivedMs: number): HeartbeatGrant | null {
+    const { lease, owned, runtime, holdMs } = this.ports;
+    if (lease.session === null) return null;
+    const remainingMs = Math.min(holdMs, lease.deadlineMs - runtime.nowMs());
+    if (remainingMs < LEAST_HOLD_MS) return null;
+    const mine = owned.list();
+    const kept = mine.filter(({ movingTo }) => movingTo === null);
+    this.noteLeftOut(mine, heartbeat.sequence);
+    this.become(kept, arrivedMs + remainingMs);
+    const ranges = kept.map(({ from, to, fence, handover }) => ({ from, to, fence, handover }));
+    return { ranges, holdMs: remainingMs };
+  }
+
+  /** See `KeyGrants`. */
+  tableChanged(): void {
+    const names = new Set(this.ports.owned.list().map(rangeName));
+    for (const name of this.leftOut.keys()) if (!names.has(name)) this.leftOut.delete(name);
+  }
+
+  /** See `KeyGrants`. */
+  clear(): void {
+    this.held = [];
+    this.heldUntilMs = -Infinity;
+    this.answeredAny = false;
+    this.leftOut.clear();
+    this.handovers.clear();
+    this.reporter.clear();
+  }
+
+  /** See `KeyGrants`. */
+  stop(): void {
+    this.clear();
+  }
+
+  private become(ranges: readonly HeldRange[], untilMs: number): void {
+    const before = new Set(this.held.map(rangeName));
+    this.answeredAny = true;
+    this.held = ranges;
+    this.heldUntilMs = untilMs;
+    if (ranges.some((range) => !before.has(rangeName(range)))) this.ports.onGained();
+  }
+
+  /** After a restart of this daemon the back end goes on with what an earlier life of the daemon granted. */
+  private recover(heartbeat: BackendHeartbeat): void {
+    if (this.answeredAny || heartbeat.holds === null || heartbeat.holds.length === 0) return;
+    this.held = heartbeat.holds;
+    this.heldUntilMs = this.ports.runtime.nowMs() + RECOVERED_HOLD_MS;
+    this.ports.onGained();
+  }
+
+  private noteLeftOut(mine: readonly KeyRange[], sequence: number): void {
+    for (const range of mine) {
+      const name = rangeName(range);
+      if (range.movingTo === null) this.leftOut.delete(name);
+      else if (!this.leftOut.has(name)) this.leftOut.set(name, sequence);
+    }
+  }
+
+  private reportReleases(heartbeat: BackendHeartbeat): void {
+    const { holds, sequence } = heartbeat;
+    if (holds === null) return;
+    for (const range of this.ports.owned.list()) {
+      if (range.movingTo === null) continue;
+      const leftOutAt = this.leftOut.get(rangeName(range));
+      const answered = leftOutAt !== undefined && sequence > leftOutAt;
+      if (!answered || holds.some((held) => overlaps(held, range))) continue;
+      this.reporter.report(range, this.handovers.get(`${range.from}-${range.to}`) ?? '');
+    }
+  }
+
+  private keepHandover(name: string, handover: string): void {
+    this.handovers.delete(name);
+    this.handovers.set(name, handover);
+    if (this.handovers.size <= KEPT_HANDOVERS) return;
+    const oldest = this.handovers.keys().next();
+    if (oldest.done !== true) this.handovers.delete(oldest.value);
+  }
+}
--- /dev/null
+++ b/src/sidecar/invoked-grants.ts
@@ -0,0 +1,218 @@
+/**
+ * Grants keys by calls to the back end, and takes them back by calls. A call that got no answer may still be taken
+ * later, so its time counts as granted although nothing is sent to the back end on the strength of it.
+ */
+import type { KeyRange } from '../directory/directory-state.js';
+import type { CancelTimer } from '../runtime/runtime.js';
+import type { BackendCalls, GrantResult } from './backend-report.js';
+import { rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
+
+/** Pause between looks at what is due, in ms. */
+const STEP_MS = 100;
+
+/** Age at which a grant is renewed, in ms. */
+const RENEW_AFTER_MS = 1_500;
+
+/** Least time in ms that is worth granting. */
+const LEAST_HOLD_MS = 300;
+
+/** Part of a grant's time for which the back end is trusted to hold it. */
+const TRUSTED_SHARE = 0.95;
+
+/** Part by which a back end's clock may stretch a grant, with room for the way. */
+const STRETCH_SHARE = 1.05;
+
+interface GrantRecord {
+  readonly range: KeyRange;
+  sentMs: number;
+  /** Until when the back end certainly holds the range. */
+  heldUntilMs: number;
+  /** Until when it may hold the range. */
+  mayHoldUntilMs: number;
+  underWay: boolean;
+  releasing: boolean;
+  /** What the back end left when it released the range; null before that. */
+  handover: string | null;
+}
+
+/** Grants by calls. */
+export class InvokedGrants implements KeyGrants {
+  private readonly records = new Map<string, GrantRecord>();
+  private readonly reporter: ReleaseReporter;
+  private readonly cancelTimer: CancelTimer;
+  private life = 0;
+
+  constructor(
+    private readonly ports: KeyGrantPorts,
+    private readonly calls: BackendCalls,
+  ) {
+    this.reporter = new ReleaseReporter(ports);
+    this.cancelTimer = ports.runtime.every(STEP_MS, () => {
+      this.step();
+    });
+  }
+
+  /** See `KeyGrants`. */
+  holds(key: number): boolean {
+    const nowMs = this.ports.runtime.nowMs();
+    const fence = this.ports.owned.fenceOf(key);
+    if (fence === null || nowMs >= this.ports.lease.deadlineMs) return false;
+    for (const { range, heldUntilMs, releasing } of this.records.values()) {
+      const covers = key >= range.from && key <= range.to && range.fence === fence;
+      if (covers && !releasing && nowMs < heldUntilMs) return true;
+    }
+    return false;
+  }
+
+  /** When nothing that was granted can still be held, in ms of the daemon's clock. */
+  get heldUntil(): number {
+    return Math.max(-Infinity, ...[...this.records.values()].map(({ mayHoldUntilMs }) => mayHoldUntilMs));
+  }
+
+  /** See `KeyGrants`. */
+  tableChanged(): void {
+    this.step();
+  }
+
+  /** See `KeyGrants`. */
+  clear(): void {
+    this.life += 1;
+    this.records.clear();
+    this.reporter.clear();
+  }
+
+  /** See `KeyGrants`. */
+  stop(): void {
+    this.cancelTimer();
+  }
+
+  private step(): void {
+    const nowMs = this.ports.runtime.nowMs();
+    const owned = this.ports.owned.list();
+    this.forgetPast(owned, nowMs);
+    for (const range of owned) {
+      if (range.movingTo === null) this.grantIfDue(range, nowMs);
+      else this.release(range, nowMs);
+    }
+  }
+
+  /** A record of a range that was cut covers its parts until they have records of their own. */
+  private forgetPast(owned: readonly KeyRange[], nowMs: number): void {
+    const names = new Set(owned.map(rangeName));
+    for (const [name, record] of this.records) {
+      if (!names.has(name) && nowMs >= record.mayHoldUntilMs) this.records.delete(name);
+    }
+  }
+
+  private grantIfDue(range: KeyRange, nowMs: number): void {
+    const record = this.recordOf(range);
+    if (record.releasing) this.takeUpAgain(record);
+    const renewed = nowMs < record.heldUntilMs && nowMs - record.sentMs < RENEW_AFTER_MS;
+    if (record.underWay || renewed) return;
+    const holdMs = Math.min(this.ports.holdMs, this.ports.lease.deadlineMs - nowMs);
+    if (holdMs >= LEAST_HOLD_MS) void this.grant(record, range, holdMs, nowMs);
+  }
+
+  /** A move was called off; the back end may have let go of the range already. */
+  private takeUpAgain(record: GrantRecord): void {
+    record.releasing = false;
+    record.handover = null;
+    record.heldUntilMs = -Infinity;
+  }
+
+  private async grant(record: GrantRecord, range: KeyRange, holdMs: number, nowMs: number): Promise<void> {
+    const { life } = this;
+    record.underWay = true;
+    record.sentMs = nowMs;
+    record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, nowMs + holdMs * STRETCH_SHARE);
+    const result = await this.calls.grant(range, holdMs);
+    record.underWay = false;
+    if (life === this.life) this.granted(record, result, nowMs + holdMs * TRUSTED_SHARE);
+  }
+
+  private granted(record: GrantRecord, result: GrantResult, untilMs: number): void {
+    if (result === 'granted') {
+      const gained = record.heldUntilMs === -Infinity;
+      record.heldUntilMs = Math.max(record.heldUntilMs, untilMs);
+      if (gained) this.ports.onGained();
+      return;
+    }
+    const { from, to, fence } = record.range;
+    this.ports.log.event('grant-failed', { service: this.ports.service, from, to, fence, result });
+  }
+
+  private release(range: KeyRange, nowMs: number): void {
+    this.stopAdmission(range);
+    const record = this.recordOf(range);
+    record.releasing = true;
+    if (record.handover !== null) {
+      this.reporter.report(range, record.handover);
+      return;
+    }
+    if (!record.underWay) void this.callRelease(record, range, nowMs);
+  }
+
+  private async callRelease(record: GrantRecord, range: KeyRange, nowMs: number): Promise<void> {
+    const { life } = this;
+    record.underWay = true;
+    const handover = await this.calls.release(range);
+    record.underWay = false;
+    if (life !== this.life || !record.releasing) return;
+    const expired = nowMs >= this.mayHoldUntil(range);
+    if (handover !== null || expired) record.handover = handover ?? '';
+    if (record.handover !== null) this.reporter.report(range, record.handover);
+  }
+
+  private mayHoldUntil(range: KeyRange): number {
+    let untilMs = -Infinity;
+    for (const record of this.records.values()) {
+      const covers = record.range.from <= range.from && record.range.to >= range.to;
+      if (covers) untilMs = Math.max(untilMs, record.mayHoldUntilMs);
+    }
+    return untilMs;
+  }
+
+  /** Records of wider ranges, from before a cut, must not count for the keys that are being released. */
+  private stopAdmission(range: KeyRange): void {
+    for (const record of this.records.values()) {
+      if (record.range.fence !== range.fence || record.releasing) continue;
+      const inside = record.range.from >= range.from && record.range.to <= range.to;
+      if (inside) record.releasing = true;
+      else if (record.range.from <= range.to && record.range.to >= range.from) this.cut(record, range);
+    }
+  }
+
+  private cut(record: GrantRecord, range: KeyRange): void {
+    this.records.delete(rangeName(record.range));
+    const parts = [
+      { from: record.range.from, to: range.from - 1 },
+      { from: Math.max(range.from, record.range.from), to: Math.min(range.to, record.range.to) },
+      { from: range.to + 1, to: record.range.to },
+    ];
+    for (const { from, to } of parts) {
+      if (from > to) continue;
+      const part = { ...record.range, from, to };
+      const name = rangeName(part);
+      const releasing = from >= range.from && to <= range.to;
+      if (this.records.get(name)?.heldUntilMs !== undefined && !releasing) continue;
+      this.records.set(name, { ...record, range: part, underWay: false, releasing });
+    }
+  }
+
+  private recordOf(range: KeyRange): GrantRecord {
+    const name = rangeName(range);
+    const known = this.records.get(name);
+    if (known !== undefined) return known;
+    const record: GrantRecord = {
+      range,
+      sentMs: -Infinity,
+      heldUntilMs: -Infinity,
+      mayHoldUntilMs: -Infinity,
+      underWay: false,
+      releasing: false,
+      handover: null,
+    };
+    this.records.set(name, record);
+    return record;
+  }
+}
--- /dev/null
+++ b/src/sidecar/request-forwarder.ts
@@ -0,0 +1,421 @@
+/**
+ * Takes a caller's request to a back end: chooses one, passes the request to the daemon beside it, and decides what
+ * follows when that brings no answer. A refusal between daemons costs nothing; a second arrival at a back end is
+ * taken from the retry allowance, and only for requests that may run again.
+ */
+import type { BackendInstance } from '../directory/directory-state.js';
+import type { LinkClient, LinkRequest } from '../link/link-client.js';
+import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from '../link/link-messages.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { EventLog } from '../telemetry/event-log.js';
+import type { BackendChooser } from './backend-chooser.js';
+import type { BackendView } from './backend-view.js';
+import type { Route } from './route-table.js';
+
+/** Longest pause in ms before an owner or a place is looked for again, when nothing announces a change. */
+const LOOK_AGAIN_MS = 25;
+
+/** Part of the target latency for which a request may look for a place, whatever it costs its caller. */
+const LEAST_PATIENCE_SHARE = 0.25;
+
+/** Part of the target latency that must be left for the back end's own work when a place is found. */
+const WORK_SHARE_OF_TARGET = 0.4;
+
+/** Refusals by other daemons after which a request ends as refused. */
+const MAX_REFUSALS = 24;
+
+/** Sooner than this no answer to a refused request can differ, in ms. */
+const LEAST_RETRY_AFTER_MS = 50;
+
+/** A caller's request. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  /** Names and values in turn, ready to be passed on. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly route: Route;
+  readonly service: string;
+  readonly key: number | null;
+  /** Time that the caller waits, in ms from arrival. */
+  readonly deadlineMs: number;
+  readonly arrivedMs: number;
+}
+
+/** How a request ends without a back end's answer. */
+export type GivenUp =
+  /** It was not run and never will be. */
+  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  /** It may have run. */
+  | { readonly kind: 'unknown'; readonly reason: string; readonly timedOut: boolean };
+
+/** Where the outcome goes. Exactly one final call is made, unless the request was cancelled. */
+export interface CallerSink {
+  /** The answer begins; final when nothing more follows. */
+  answer(head: AnswerHead, body: Buffer): void;
+  body(chunk: Buffer): void;
+  /** Final: the answer is whole. */
+  end(): void;
+  /** Final: the answer broke off after it had begun. */
+  breakOff(): void;
+  /** Final: there is no answer. */
+  giveUp(outcome: GivenUp): void;
+}
+
+/** What a forwarder needs of its daemon. */
+export interface ForwarderPorts {
+  readonly runtime: Runtime;
+  readonly log: EventLog;
+  readonly chooser: BackendChooser;
+  readonly view: (instance: string) => BackendView;
+  readonly linkTo: (instance: BackendInstance) => LinkClient;
+  /** Takes a second arrival from the allowance of the service. */
+  readonly takeRepeat: (service: string) => boolean;
+  /** Index of the table in force. */
+  readonly tableIndex: () => number;
+}
+
+/** Counters of all requests of a daemon. */
+export interface ForwarderCounters {
+  attempts: number;
+  repeats: number;
+  answered: number;
+  notRun: number;
+  unknown: number;
+  cancelled: number;
+}
+
+/** New counters. */
+export function forwarderCounters(): ForwarderCounters {
+  return { attempts: 0, repeats: 0, answered: 0, notRun: 0, unknown: 0, cancelled: 0 };
+}
+
+/** One request on its way. */
+export class ForwardedRequest {
+  private readonly excluded = new Set<string>();
+  private current: LinkRequest | null = null;
+  private currentInstance: BackendInstance | null = null;
+  private cancelPause: CancelTimer | null = null;
+  private cancelTimeout: CancelTimer | null = null;
+  private arrivals = 0;
+  private refusals = 0;
+  private streaming = false;
+  private done = false;
+  /** Whether the present attempt may have reached a back end. */
+  private mayRun = false;
+  /** Whether any attempt may have run. */
+  private mayHaveRun = false;
+  private lastReason = 'no back end is known';
+
+  constructor(
+    private readonly request: CallerRequest,
+    private readonly sink: CallerSink,
+    private readonly ports: ForwarderPorts,
+    private readonly counters: ForwarderCounters,
+  ) {}
+
+  /** Starts the first attempt. */
+  start(): void {
+    const leftMs = this.leftMs();
+    if (leftMs <= 0) {
+      this.giveUpNotRun('the deadline had passed');
+      return;
+    }
+    this.cancelTimeout = this.ports.runtime.after(leftMs, () => {
+      this.timeUp();
+    });
+    this.attempt();
+  }
+
+  /** The caller has gone. */
+  cancel(): void {
+    if (this.done) return;
+    this.finish();
+    this.counters.cancelled += 1;
+    this.log('caller-gone', {});
+  }
+
+  /** The table has changed: an attempt that waits for that goes on. */
+  tableChanged(): void {
+    if (this.done || this.cancelPause === null) return;
+    this.cancelPause();
+    this.cancelPause = null;
+    this.attempt();
+  }
+
+  private leftMs(): number {
+    const { deadlineMs, arrivedMs, route } = this.request;
+    const limitMs = Math.min(deadlineMs, route.definition.timeoutMs);
+    return limitMs - (this.ports.runtime.nowMs() - arrivedMs);
+  }
+
+  /** Time in ms for which this request may still look for a place. */
+  private patienceMs(): number {
+    const { arrivedMs, route } = this.request;
+    const { targetLatencyMs } = route.definition;
+    const elapsedMs = this.ports.runtime.nowMs() - arrivedMs;
+    const share = Math.max(LEAST_PATIENCE_SHARE, 1 - WORK_SHARE_OF_TARGET);
+    return Math.min(targetLatencyMs * share - elapsedMs, this.leftMs());
+  }
+
+  private attempt(): void {
+    const instance = this.choose();
+    if (instance === null) {
+      this.lookAgain();
+      return;
+    }
+    const link = this.ports.linkTo(instance);
+    if (link.unreachable) {
+      this.lastReason = 'the daemon beside the back end cannot be reached';
+      this.excluded.add(instance.id);
+      this.lookAgain();
+      return;
+    }
+    this.send(instance, link);
+  }
+
+  private choose(): BackendInstance | null {
+    const { service, key, route } = this.request;
+    const { chooser } = this.ports;
+    const choice = { service, key, excluded: this.excluded, answerBytes: route.answerBytes };
+    const chosen = chooser.choose(choice);
+    if (key === null || chosen === null || !this.excluded.has(chosen.id)) return chosen;
+    const target = chooser.targetOf(service, key);
+    return target === null || this.excluded.has(target.id) ? null : target;
+  }
+
+  /** Nothing can be tried now: waits for a change of the table, or a moment, and tries anew. */
+  private lookAgain(): void {
+    if (this.patienceMs() <= 0 || this.refusals >= MAX_REFUSALS) {
+      this.endWithoutPlace();
+      return;
+    }
+    this.excluded.clear();
+    this.cancelPause = this.ports.runtime.after(Math.min(LOOK_AGAIN_MS, this.patienceMs() + 1), () => {
+      this.cancelPause = null;
+      this.attempt();
+    });
+  }
+
+  private send(instance: BackendInstance, link: LinkClient): void {
+    const view = this.ports.view(instance.id);
+    this.counters.attempts += 1;
+    this.currentInstance = instance;
+    this.mayRun = true;
+    view.noteSent();
+    const { requestId, method, path, headers, body, key, route } = this.request;
+    const head: RequestHead = {
+      requestId,
+      method,
+      path,
+      headers,
+      instance: instance.id,
+      key,
+      priority: route.definition.priority,
+      remainingMs: this.leftMs(),
+      patienceMs: Math.max(0, this.patienceMs()),
+    };
+    this.current = link.request(head, body, {
+      onRefusal: (refusal) => {
+        this.refused(instance, view, refusal);
+      },
+      onFailure: (failure) => {
+        this.failed(instance, view, failure);
+      },
+      onAnswer: (answer, chunk) => {
+        this.answered(view, answer, chunk);
+      },
+      onBody: (chunk) => {
+        if (!this.done) this.sink.body(chunk);
+      },
+      onEnd: () => {
+        this.ended(view);
+      },
+      onLost: (sent) => {
+        this.lost(instance, view, sent);
+      },
+    });
+  }
+
+  // ---- outcomes of an attempt
+
+  private answered(view: BackendView, head: AnswerHead, body: Buffer): void {
+    this.noteStatus(view, head.status);
+    view.noteSuccess();
+    if (this.done) return;
+    if (head.moreFollows) {
+      this.streaming = true;
+      this.sink.answer(head, body);
+      return;
+    }
+    this.attemptEnded(view);
+    this.request.route.noteAnswer(body.length);
+    this.complete();
+    this.sink.answer(head, body);
+  }
+
+  private ended(view: BackendView): void {
+    this.attemptEnded(view);
+    if (this.done) return;
+    this.complete();
+    this.sink.end();
+  }
+
+  private refused(instance: BackendInstance, view: BackendView, refusal: RefusalHead): void {
+    this.noteStatus(view, refusal.status);
+    this.attemptEnded(view);
+    if (this.done) return;
+    this.mayRun = false;
+    this.refusals += 1;
+    if (refusal.arrived) this.arrivals += 1;
+    this.lastReason = `refused: ${refusal.reason}`;
+    if (refusal.reason === 'unreachable') view.noteFailure(this.ports.runtime.nowMs());
+    this.excluded.add(instance.id);
+    this.retryAfterRefusal(refusal);
+  }
+
+  private retryAfterRefusal(refusal: RefusalHead): void {
+    const outOfTime = this.patienceMs() <= 0 || this.refusals >= MAX_REFUSALS;
+    if (outOfTime || (refusal.arrived && !this.mayArriveAgain())) {
+      this.endWithoutPlace();
+      return;
+    }
+    if (this.choose() === null) this.lookAgain();
+    else this.attempt();
+  }
+
+  private failed(instance: BackendInstance, view: BackendView, failure: FailureHead): void {
+    this.noteStatus(view, failure.status);
+    this.attemptEnded(view);
+    if (failure.reason !== 'deadline') view.noteFailure(this.ports.runtime.nowMs());
+    this.afterPossibleRun(
+      instance,
+      `the back end's answer: ${failure.reason}`,
+      failure.reason === 'deadline',
+    );
+  }
+
+  private lost(instance: BackendInstance, view: BackendView, sent: boolean): void {
+    this.attemptEnded(view);
+    view.noteFailure(this.ports.runtime.nowMs());
+    if (sent) {
+      this.afterPossibleRun(instance, 'the connection to the daemon beside the back end was lost', false);
+      return;
+    }
+    if (this.done) return;
+    this.mayRun = false;
+    this.refusals += 1;
+    this.lastReason = 'the daemon beside the back end cannot be reached';
+    this.excluded.add(instance.id);
+    if (this.choose() === null) this.lookAgain();
+    else this.attempt();
+  }
+
+  private afterPossibleRun(instance: BackendInstance, reason: string, timedOut: boolean): void {
+    if (this.done) return;
+    this.mayHaveRun = true;
+    this.arrivals += 1;
+    this.lastReason = reason;
+    if (this.streaming) {
+      this.finish();
+      this.log('answer-broken-off', { instance: instance.id, reason });
+      this.sink.breakOff();
+      return;
+    }
+    const repeatable = this.request.route.definition.kind !== 'non-idempotent';
+    if (timedOut || !repeatable || this.leftMs() <= 0 || !this.mayArriveAgain()) {
+      this.giveUpUnknown(reason, timedOut);
+      return;
+    }
+    this.counters.repeats += 1;
+    this.excluded.add(instance.id);
+    this.log('request-repeated', { instance: instance.id, reason, arrivals: this.arrivals });
+    if (this.choose() === null) this.lookAgain();
+    else this.attempt();
+  }
+
+  private mayArriveAgain(): boolean {
+    const { route, service } = this.request;
+    return this.arrivals < route.definition.maxAttempts && this.ports.takeRepeat(service);
+  }
+
+  // ---- ends
+
+  private timeUp(): void {
+    if (this.done) return;
+    if (this.streaming) {
+      this.finish();
+      this.sink.breakOff();
+      return;
+    }
+    if (this.mayRun || this.mayHaveRun) this.giveUpUnknown('the time was up', true);
+    else this.giveUpNotRun('the time was up');
+  }
+
+  private endWithoutPlace(): void {
+    if (this.mayHaveRun) this.giveUpUnknown(this.lastReason, false);
+    else this.giveUpNotRun(this.lastReason);
+  }
+
+  private giveUpNotRun(reason: string): void {
+    this.finish();
+    this.counters.notRun += 1;
+    const retryAfterMs = Math.max(LEAST_RETRY_AFTER_MS, this.request.route.definition.targetLatencyMs / 4);
+    this.log('request-not-run', { reason, refusals: this.refusals });
+    this.sink.giveUp({ kind: 'not-run', reason, retryAfterMs });
+  }
+
+  private giveUpUnknown(reason: string, timedOut: boolean): void {
+    this.finish();
+    this.counters.unknown += 1;
+    this.log('request-unknown', { reason, arrivals: this.arrivals, instance: this.currentInstance?.id });
+    this.sink.giveUp({ kind: 'unknown', reason, timedOut });
+  }
+
+  private complete(): void {
+    this.finish();
+    this.counters.answered += 1;
+    this.ports.log.routine('request-answered', this.fields({ instance: this.currentInstance?.id }));
+  }
+
+  /** The present attempt, if any, is taken back. */
+  private finish(): void {
+    this.done = true;
+    this.cancelTimeout?.();
+    this.cancelPause?.();
+    this.cancelPause = null;
+    if (this.current === null || this.currentInstance === null) return;
+    this.current.cancel();
+    this.attemptEnded(this.ports.view(this.currentInstance.id));
+  }
+
+  private attemptEnded(view: BackendView): void {
+    if (this.current === null) return;
+    this.current = null;
+    view.noteEnded();
+  }
+
+  private noteStatus(view: BackendView, status: StatusHead | null): void {
+    if (status !== null) view.noteStatus(status, this.ports.runtime.nowMs());
+  }
+
+  private log(event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.ports.log.event(event, this.fields(fields));
+  }
+
+  private fields(fields: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
+    const { requestId, route, service, key, arrivedMs } = this.request;
+    const elapsedMs = Math.round(this.ports.runtime.nowMs() - arrivedMs);
+    return {
+      requestId,
+      route: route.name,
+      service,
+      key,
+      elapsedMs,
+      tableIndex: this.ports.tableIndex(),
+      ...fields,
+    };
+  }
+}
--- /dev/null
+++ b/src/sidecar/sidecar-node.ts
@@ -0,0 +1,531 @@
+/**
+ * The daemon beside one back end. It takes the requests that begin on its machine, passes them to the daemons beside
+ * the back ends that are to run them, and is itself the only way to its own back end.
+ */
+import { LinkClient } from '../link/link-client.js';
+import { LinkServer } from '../link/link-server.js';
+import { formatAddress } from '../model/socket-address.js';
+import { Ok, type Result } from '../result.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { BackendInstance } from '../directory/directory-state.js';
+import { parseAddress } from '../directory/replica-address.js';
+import type { EventLog } from '../telemetry/event-log.js';
+import { BackendChooser } from './backend-chooser.js';
+import { BackendGateway } from './backend-gateway.js';
+import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
+import { BackendView } from './backend-view.js';
+import { CallerServer, ownAnswer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
+import type { IncomingRequest } from './caller-server.js';
+import { DirectoryClient } from './directory-client.js';
+import { DirectoryTable } from './directory-table.js';
+import { endToEndHeaders, headerValue } from './header-dialect.js';
+import { HeartbeatGrants } from './heartbeat-grants.js';
+import { InvokedGrants } from './invoked-grants.js';
+import { LeaseKeeper } from './lease-keeper.js';
+import { LoadMeter } from './load-meter.js';
+import { LocalBackend } from './local-backend.js';
+import { OwnedRanges } from './owned-ranges.js';
+import { RetryAllowance } from './retry-allowance.js';
+import {
+  ForwardedRequest,
+  forwarderCounters,
+  type CallerRequest,
+  type CallerSink,
+  type ForwarderPorts,
+} from './request-forwarder.js';
+import type { SidecarSettings } from './sidecar-settings.js';
+
+/** Pause between looks at the back end's state, in ms. */
+const STEP_MS = 100;
+
+/** Time in ms after the start in which requests wait for the back end to tell about itself. */
+const FIRST_HEARTBEAT_MS = 4_000;
+
+/** Longest time in ms for which a heartbeat's answer waits for keys that are on their way. */
+const ANSWER_WAIT_MS = 700;
+
+/** Pause in ms before a back end that refused a connection is asked once more. */
+const SECOND_LOOK_MS = 120;
+
+/** Time in ms by which a grant may outlast its end here, for clocks that run at different rates. */
+const HOLD_MARGIN_MS = 400;
+
+/** Parts of the grace time after which connections are closed one by one, and all at once. */
+const CLOSING_SHARE = 0.45;
+const LAST_SHARE = 0.92;
+
+/** When to come back while no configuration is known here, in ms. */
+const UNCONFIGURED_RETRY_MS = 300;
+
+const LAST_KEY = 65_535;
+const KEY_TEXT = /^\d{1,5}$/;
+
+/** What a sidecar is started with. */
+export interface SidecarOptions {
+  readonly settings: SidecarSettings;
+  readonly token: string;
+  readonly runtime: Runtime;
+  readonly log: EventLog;
+  /** Calls to the back end, for grants that are not sent in heartbeats. */
+  readonly calls: BackendCalls;
+  /** From 0 to below 1. */
+  readonly random: () => number;
+  /** Asks whether any process listens at the back end's address. */
+  readonly backendListens: () => Promise<boolean>;
+}
+
+/** A running sidecar. */
+export class SidecarNode {
+  readonly table = new DirectoryTable();
+  readonly gateway: BackendGateway;
+  readonly counters = forwarderCounters();
+  readonly directory: DirectoryClient;
+  private readonly settings: SidecarSettings;
+  private readonly runtime: Runtime;
+  private readonly log: EventLog;
+  private readonly backend: LocalBackend;
+  private readonly lease: LeaseKeeper;
+  private readonly owned: OwnedRanges;
+  private grants: HeartbeatGrants | InvokedGrants;
+  private readonly load = new LoadMeter();
+  private readonly chooser: BackendChooser;
+  private readonly links = new Map<string, LinkClient>();
+  private readonly views = new Map<string, BackendView>();
+  private readonly allowances = new Map<string, RetryAllowance>();
+  private readonly requests = new Set<ForwardedRequest>();
+  private readonly callers: CallerServer;
+  private readonly linkServer: LinkServer;
+  private readonly keyWaiters = new Set<() => void>();
+  private readonly startedMs: number;
+  private readonly timers: CancelTimer[] = [];
+  private stoppingSinceMs: number | null = null;
+  private closingConnections = false;
+  private lookingAgain = false;
+  /** Daemons beside back ends, this one included. */
+  private daemonCount = 1;
+
+  private constructor(private readonly options: SidecarOptions) {
+    const { settings, runtime, log } = options;
+    this.settings = settings;
+    this.runtime = runtime;
+    this.log = log;
+    this.startedMs = runtime.nowMs();
+    this.backend = new LocalBackend(settings.drainMs);
+    this.lease = this.makeLease();
+    this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.id);
+    this.grants = this.makeGrants();
+    this.gateway = this.makeGateway();
+    this.chooser = this.makeChooser();
+    this.linkServer = new LinkServer(
+      () => runtime.nowMs(),
+      runtime.randomId(),
+      (head, body, reply) => this.gateway.take(head, body, reply),
+    );
+    this.callers = new CallerServer({
+      limits: () => this.table.limits,
+      closing: () => this.closingConnections,
+      take: (request, sink) => this.takeRequest(request, sink),
+    });
+    this.directory = this.makeDirectory();
+    this.timers.push(
+      runtime.every(STEP_MS, () => {
+        this.step();
+      }),
+    );
+  }
+
+  /** Starts to listen. */
+  static async start(options: SidecarOptions): Promise<Result<SidecarNode, string>> {
+    const node = new SidecarNode(options);
+    const links = await node.linkServer.listen(options.settings.links);
+    if (links.err) return links;
+    const callers = await node.callers.listen(options.settings.callers);
+    if (callers.err) return callers;
+    return Ok(node);
+  }
+
+  /** Why callers should not come here now; null when they may. */
+  get notReady(): string | null {
+    if (this.stoppingSinceMs !== null) return 'stopping';
+    return this.table.configured ? null : 'no configuration is known';
+  }
+
+  /** Whether requests of callers are under way. */
+  get busy(): boolean {
+    return this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
+  }
+
+  /** Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. */
+  async heartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatGrant | null> {
+    const arrivedMs = this.runtime.nowMs();
+    const news = this.backend.take(heartbeat, arrivedMs);
+    if (news === 'stale') return null;
+    if (news === 'new-life') this.newLife(heartbeat);
+    this.gateway.admission.resize(heartbeat.slots);
+    this.updateLease(heartbeat);
+    const { grants } = this;
+    if (!(grants instanceof HeartbeatGrants) || !this.isKeyed()) {
+      this.gateway.reconsider();
+      return null;
+    }
+    grants.take(heartbeat);
+    this.gateway.reconsider();
+    if (heartbeat.condition === 'ready' && this.owned.awaitsKeys()) await this.waitForKeys();
+    if (this.backend.heartbeat !== heartbeat || this.grants !== grants) return null;
+    return grants.answer(heartbeat, arrivedMs);
+  }
+
+  /** The back end says that it leaves and sends no more heartbeats. */
+  leave(id: string): void {
+    if (this.backend.id !== id) return;
+    this.log.event('backend-leaves', { instance: id });
+    this.backend.leave(this.runtime.nowMs());
+    const { heartbeat } = this.backend;
+    if (heartbeat !== null) this.updateLease({ ...heartbeat, condition: 'draining' });
+    this.gateway.reconsider();
+  }
+
+  /** Takes over settings that were read again. */
+  reload(seeds: readonly string[]): void {
+    this.directory.addSeeds(seeds);
+  }
+
+  /** Finishes what runs, within the grace time, and stops. */
+  async stop(): Promise<void> {
+    if (this.stoppingSinceMs !== null) return;
+    const startMs = this.runtime.nowMs();
+    this.stoppingSinceMs = startMs;
+    const { graceMs } = this.settings;
+    await this.waitUntil(startMs + graceMs * CLOSING_SHARE, () => false);
+    this.closingConnections = true;
+    this.callers.closeIdle();
+    await this.waitUntil(startMs + graceMs * LAST_SHARE, () => !this.busy);
+    this.close();
+  }
+
+  private close(): void {
+    for (const cancel of this.timers) cancel();
+    this.lease.stop();
+    this.grants.stop();
+    this.callers.close();
+    this.gateway.stop();
+    this.linkServer.close();
+    for (const link of this.links.values()) link.stop();
+    this.directory.stop();
+  }
+
+  // ---- parts
+
+  private makeLease(): LeaseKeeper {
+    return new LeaseKeeper({
+      runtime: this.runtime,
+      log: this.log,
+      daemonAddress: formatAddress(this.settings.links),
+      send: (request) => this.directory.send(request),
+      takeLoad: () => this.load.take(),
+      onChange: () => {
+        this.tableChanged();
+      },
+    });
+  }
+
+  private makeGrants(): HeartbeatGrants | InvokedGrants {
+    const { settings, runtime, log, lease, owned } = this;
+    const ports = {
+      runtime,
+      log,
+      service: settings.service,
+      lease,
+      owned,
+      holdMs: settings.holdMs,
+      instance: () => this.backend.id,
+      send: (request: Parameters<DirectoryClient['send']>[0]) => this.directory.send(request),
+      onGained: () => {
+        this.gateway.reconsider();
+      },
+    };
+    const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
+    return mode === 'heartbeat' ? new HeartbeatGrants(ports) : new InvokedGrants(ports, this.options.calls);
+  }
+
+  private makeGateway(): BackendGateway {
+    return new BackendGateway({
+      runtime: this.runtime,
+      log: this.log,
+      dialect: this.settings.dialect,
+      address: this.settings.backend,
+      instance: () => this.backend.id,
+      awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
+      closesAtMs: () => this.backend.closesAtMs,
+      leaving: () => this.backend.leaving || this.stoppingSinceMs !== null,
+      holdsKey: (key) => !this.isKeyed() || this.grants.holds(key),
+      ownsKey: (key) => this.owned.placeOf(key) === 'here',
+      onWork: (key, ms) => {
+        if (key !== null) this.load.add(key, ms);
+      },
+      onBackendRefused: () => {
+        void this.lookAgainAtBackend();
+      },
+      broadcast: (status) => {
+        this.linkServer.broadcast(status);
+      },
+    });
+  }
+
+  private makeChooser(): BackendChooser {
+    return new BackendChooser({
+      table: this.table,
+      zone: this.settings.zone,
+      view: (instance) => this.viewOf(instance),
+      nowMs: () => this.runtime.nowMs(),
+      random: this.options.random,
+    });
+  }
+
+  private makeDirectory(): DirectoryClient {
+    const { settings, token } = this.options;
+    const identity = { role: 'sidecar', name: settings.name, zone: settings.zone, token } as const;
+    return new DirectoryClient(this.runtime, identity, settings.seeds, this.table, this.log, {
+      onTable: () => {
+        this.tableChanged();
+      },
+      onNotice: (notice) => {
+        this.lease.receive(notice);
+      },
+      onConnected: () => {
+        this.lease.reconnected();
+      },
+    });
+  }
+
+  // ---- the back end beside this daemon
+
+  private isKeyed(): boolean {
+    return this.table.service(this.settings.service)?.keyed === true;
+  }
+
+  private newLife(heartbeat: BackendHeartbeat): void {
+    this.log.event('backend-known', { instance: heartbeat.id, slots: heartbeat.slots });
+    this.grants.clear();
+  }
+
+  private updateLease({ id, service, zone, slots, condition }: BackendHeartbeat): void {
+    const leaves = condition === 'draining' || this.backend.leaving;
+    this.lease.update({ id, service, zone, slots, condition: leaves ? 'draining' : 'ready' });
+  }
+
+  private async waitForKeys(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const done = (): void => {
+        cancel();
+        this.keyWaiters.delete(done);
+        resolve();
+      };
+      const cancel = this.runtime.after(ANSWER_WAIT_MS, done);
+      this.keyWaiters.add(done);
+    });
+  }
+
+  private async lookAgainAtBackend(): Promise<void> {
+    if (this.lookingAgain || this.backend.id === null) return;
+    this.lookingAgain = true;
+    const { id } = this.backend;
+    await this.waitUntil(this.runtime.nowMs() + SECOND_LOOK_MS, () => false);
+    const listens = await this.options.backendListens();
+    this.lookingAgain = false;
+    if (!listens && this.backend.id === id) this.backendGone('no process listens at its address');
+  }
+
+  private backendGone(reason: string): void {
+    this.log.event('backend-gone', { instance: this.backend.id, reason });
+    this.backend.forget();
+    this.lease.giveUp(reason);
+    this.grants.clear();
+    this.gateway.reconsider();
+  }
+
+  /** A back end that holds nothing any more gives its keys up before its lease ends. */
+  private step(): void {
+    const nowMs = this.runtime.nowMs();
+    const { backend } = this;
+    if (backend.id === null) return;
+    const holdsNothing = nowMs > this.grants.heldUntil + HOLD_MARGIN_MS;
+    const silentMs = nowMs - backend.lastHeardMs;
+    if (backend.left && nowMs > backend.closesAtMs && holdsNothing) this.backendGone('it left');
+    else if (this.isKeyed() && silentMs > this.settings.holdMs && holdsNothing)
+      this.backendGone('it is silent');
+  }
+
+  // ---- the directory
+
+  private tableChanged(): void {
+    this.adoptGrantMode();
+    this.grants.tableChanged();
+    this.callers.applyLimits();
+    this.gateway.reconsider();
+    if (!this.owned.awaitsKeys()) for (const done of [...this.keyWaiters]) done();
+    for (const request of [...this.requests]) request.tableChanged();
+    this.forgetUnknown();
+  }
+
+  private adoptGrantMode(): void {
+    const mode = this.table.service(this.settings.service)?.grantMode ?? this.settings.grantMode;
+    const present = this.grants instanceof HeartbeatGrants ? 'heartbeat' : 'invoke';
+    if (mode === present) return;
+    this.grants.stop();
+    this.grants = this.makeGrants();
+  }
+
+  private forgetUnknown(): void {
+    const addresses = new Set<string>();
+    for (const { daemonAddress } of this.table.instances()) addresses.add(daemonAddress);
+    this.daemonCount = Math.max(1, addresses.size);
+    for (const [address, link] of this.links) {
+      if (addresses.has(address) || link.outstanding > 0) continue;
+      link.stop();
+      this.links.delete(address);
+    }
+    for (const [id, view] of this.views) {
+      if (this.table.instance(id) === undefined && view.outstanding === 0) this.views.delete(id);
+    }
+  }
+
+  // ---- callers
+
+  private takeRequest(incoming: IncomingRequest, sink: CallerSink): TakenRequest | OwnAnswer {
+    const prepared = this.prepare(incoming);
+    if ('statusCode' in prepared) return prepared;
+    this.allowanceOf(prepared.service).noteRequest(this.runtime.nowMs());
+    const forwarded = new ForwardedRequest(
+      prepared,
+      this.forgettingSink(sink, () => this.requests.delete(forwarded)),
+      this.forwarderPorts(),
+      this.counters,
+    );
+    this.requests.add(forwarded);
+    forwarded.start();
+    return {
+      cancel: () => {
+        this.requests.delete(forwarded);
+        forwarded.cancel();
+      },
+    };
+  }
+
+  private prepare(incoming: IncomingRequest): CallerRequest | OwnAnswer {
+    if (!this.table.configured) {
+      const reason = 'no configuration is known here yet';
+      return { statusCode: OWN_STATUS.notRun, reason, retryAfterMs: UNCONFIGURED_RETRY_MS };
+    }
+    const route = this.table.routes.find(incoming.host, incoming.path);
+    const service = route?.nextService() ?? null;
+    if (route === null || service === null) return ownAnswer(OWN_STATUS.noRoute, 'no route fits');
+    const { dialect } = this.settings;
+    const { headers, method, path, body } = incoming;
+    const keyText = headerValue(headers, dialect.key);
+    const keyed = this.table.service(service)?.keyed === true;
+    if (keyed && !isKey(keyText)) return ownAnswer(OWN_STATUS.badRequest, 'the request needs a key');
+    const deadline = Number(headerValue(headers, dialect.deadlineMs));
+    return {
+      requestId: headerValue(headers, dialect.requestId) ?? this.runtime.randomId(),
+      method,
+      path,
+      headers: this.headersToPassOn(headers),
+      body,
+      route,
+      service,
+      key: keyed ? Number(keyText) : null,
+      deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : route.definition.timeoutMs,
+      arrivedMs: this.runtime.nowMs(),
+    };
+  }
+
+  private headersToPassOn(headers: readonly string[]): string[] {
+    const { dialect, service } = this.settings;
+    const passed = endToEndHeaders(headers, new Set([dialect.caller, dialect.deadlineMs]));
+    passed.push(dialect.caller, service);
+    return passed;
+  }
+
+  private forgettingSink(sink: CallerSink, forget: () => void): CallerSink {
+    return {
+      answer: (head, body) => {
+        if (!head.moreFollows) forget();
+        sink.answer(head, body);
+      },
+      body: (chunk) => {
+        sink.body(chunk);
+      },
+      end: () => {
+        forget();
+        sink.end();
+      },
+      breakOff: () => {
+        forget();
+        sink.breakOff();
+      },
+      giveUp: (outcome) => {
+        forget();
+        sink.giveUp(outcome);
+      },
+    };
+  }
+
+  private forwarderPorts(): ForwarderPorts {
+    return {
+      runtime: this.runtime,
+      log: this.log,
+      chooser: this.chooser,
+      view: (instance) => this.viewOf(instance),
+      linkTo: (instance) => this.linkTo(instance),
+      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(this.runtime.nowMs(), this.daemonCount),
+      tableIndex: () => this.table.index,
+    };
+  }
+
+  private allowanceOf(service: string): RetryAllowance {
+    const known = this.allowances.get(service);
+    if (known !== undefined) return known;
+    const allowance = new RetryAllowance(this.settings.retryBudget);
+    this.allowances.set(service, allowance);
+    return allowance;
+  }
+
+  private viewOf(instance: string): BackendView {
+    const known = this.views.get(instance);
+    if (known !== undefined) return known;
+    const view = new BackendView();
+    this.views.set(instance, view);
+    return view;
+  }
+
+  private linkTo({ daemonAddress }: BackendInstance): LinkClient {
+    const known = this.links.get(daemonAddress);
+    if (known !== undefined) return known;
+    const address = parseAddress(daemonAddress) ?? this.settings.links;
+    const link = new LinkClient(address, () => this.runtime.nowMs(), {
+      onStatus: (status) => {
+        this.viewOf(status.instance).noteStatus(status, this.runtime.nowMs());
+      },
+      onDisconnect: (reason) => {
+        this.log.event('link-lost', { daemon: daemonAddress, reason });
+      },
+    });
+    this.links.set(daemonAddress, link);
+    return link;
+  }
+
+  private async waitUntil(untilMs: number, done: () => boolean): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const cancel = this.runtime.every(STEP_MS / 4, () => {
+        if (this.runtime.nowMs() < untilMs && !done()) return;
+        cancel();
+        resolve();
+      });
+    });
+  }
+}
+
+function isKey(text: string | null): boolean {
+  return text !== null && KEY_TEXT.test(text) && Number(text) <= LAST_KEY;
+}
--- a/src/storage/replica-storage.ts
+++ b/src/storage/replica-storage.ts
@@ -46,11 +46,15 @@
   ) {}
 
   /** Opens the folder, creating it and its identity when it does not exist. */
-  static async open(folder: string, name: string): Promise<Result<ReplicaStorage, StorageError>> {
+  static async open(
+    folder: string,
+    name: string,
+    founding = false,
+  ): Promise<Result<ReplicaStorage, StorageError>> {
     await createFolder(folder);
     const identity = await readWholeFile(join(folder, IDENTITY_FILE));
     if (identity.err) return identity;
-    if (identity.val === null) await createFiles(folder, name);
+    if (identity.val === null) await createFiles(folder, name, founding);
     return await openExisting(folder, name, (owner, log, durable, data, retained) => {
       return new ReplicaStorage(folder, owner, log, durable, data, retained);
     });
@@ -134,14 +138,14 @@
 }
 
 /** Creates all files of a new folder; the identity comes last, so that it vouches for the others. */
-async function createFiles(folder: string, name: string): Promise<void> {
+async function createFiles(folder: string, name: string, founding: boolean): Promise<void> {
   const hardState: HardState = { term: 0, votedFor: null };
   const content: SnapshotFileContent = { position: EMPTY_POSITION, data: null };
   await replaceFile(join(folder, HARD_STATE_FILE), hardState);
   await replaceFile(join(folder, SNAPSHOT_FILE), content);
   const log = await LogFile.open(join(folder, LOG_FILE));
   if (log.ok) await log.val.file.close();
-  const owner: FolderIdentity = { name, identity: randomUUID() };
+  const owner: FolderIdentity = { name, identity: randomUUID(), founding };
   await replaceFile(join(folder, IDENTITY_FILE), owner);
 }
 
--- a/src/storage/replica-store.ts
+++ b/src/storage/replica-store.ts
@@ -13,6 +13,8 @@
   readonly name: string;
   /** Random; made once, when the folder was created. */
   readonly identity: string;
+  /** Whether the folder was created at the first start of its deployment, so that it may take part in founding it. */
+  readonly founding?: boolean;
 }
 
 /** Durable state of one replica. Methods are called one at a time, where nothing else is said. */
--- /dev/null
+++ b/src/telemetry/event-log.ts
@@ -0,0 +1,84 @@
+/**
+ * Structured events on standard output: one JSON object a line. The volume is bounded, and a reader that stops
+ * reading never holds the process up: lines that find no room are dropped and counted.
+ */
+import { TokenBucket } from '../control/token-bucket.js';
+import type { LineWriter } from './line-writer.js';
+
+/** Lines that may be written at once, and lines a second after that, for everything out of the ordinary. */
+const NOTABLE_BURST = 400;
+const NOTABLE_PER_SECOND = 100;
+
+/** The same for requests that went as planned. */
+const ROUTINE_BURST = 20;
+const ROUTINE_PER_SECOND = 2;
+
+/** Pause between reports of dropped lines, in ms. */
+const DROP_REPORT_MS = 5_000;
+
+/** Fields of an event. */
+export type EventFields = Readonly<Record<string, unknown>>;
+
+/** What a daemon writes its events to. */
+export interface EventLog {
+  /** A decision or a changed belief. */
+  event(name: string, fields: EventFields): void;
+  /** A request that went as planned; only a sample is written. */
+  routine(name: string, fields: EventFields): void;
+}
+
+/** Where the time of a line comes from. */
+export interface EventClock {
+  nowMs(): number;
+  wallMs(): number;
+}
+
+/** Events of one daemon as JSON lines. */
+export class JsonEventLog implements EventLog {
+  /** Lines that were left out because of their number or because nobody read them. */
+  dropped = 0;
+  private readonly notable: TokenBucket;
+  private readonly ordinary: TokenBucket;
+  private droppedReported = 0;
+  private reportDueMs: number;
+
+  constructor(
+    private readonly daemon: string,
+    private readonly clock: EventClock,
+    private readonly writer: LineWriter,
+  ) {
+    this.notable = new TokenBucket(NOTABLE_BURST, NOTABLE_PER_SECOND, clock.nowMs());
+    this.ordinary = new TokenBucket(ROUTINE_BURST, ROUTINE_PER_SECOND, clock.nowMs());
+    this.reportDueMs = clock.nowMs() + DROP_REPORT_MS;
+  }
+
+  /** See `EventLog`. */
+  event(name: string, fields: EventFields): void {
+    this.reportDropped();
+    if (this.notable.take(1, this.clock.nowMs()) === 1) this.write(name, fields);
+    else this.dropped += 1;
+  }
+
+  /** See `EventLog`. */
+  routine(name: string, fields: EventFields): void {
+    if (this.ordinary.take(1, this.clock.nowMs()) === 1) this.write(name, fields);
+  }
+
+  private reportDropped(): void {
+    const nowMs = this.clock.nowMs();
+    if (this.dropped === this.droppedReported || nowMs < this.reportDueMs) return;
+    this.reportDueMs = nowMs + DROP_REPORT_MS;
+    const lines = this.dropped - this.droppedReported;
+    this.droppedReported = this.dropped;
+    this.write('lines-dropped', { lines });
+  }
+
+  private write(name: string, fields: EventFields): void {
+    const time = new Date(this.clock.wallMs()).toISOString();
+    const line = JSON.stringify({ time, daemon: this.daemon, event: name, ...fields });
+    if (!this.writer.write(line)) this.dropped += 1;
+  }
+}
+
+/** Writes nothing; for tests and tools. */
+export const SILENT_EVENT_LOG: EventLog = { event: () => undefined, routine: () => undefined };
--- a/src/transport/hello.ts
+++ b/src/transport/hello.ts
@@ -6,7 +6,7 @@
 export const PROTOCOL_VERSION = 1;
 
 /** Which program is at the other end. */
-export const peerRoleSchema = z.enum(['control', 'router', 'agent', 'tool']);
+export const peerRoleSchema = z.enum(['control', 'router', 'agent', 'tool', 'sidecar']);
 /** Which program is at the other end. */
 export type PeerRole = z.infer<typeof peerRoleSchema>;
 
