Lives that ended give up their keys at once; unframed answers stay unframed; a stop ends in order; a full disk is waited out

Ruled out: shorter leases (a killed daemon would cost its endpoint the keys). Change: registering a life ends earlier lives at the same daemon; answers say whether they were framed; a stop refuses with Retry-After before it ends; writes wait for room and are repeated in place; unknown load is assumed to be spread evenly, several moves a plan; a busy owner's refusal is final, with time for the work taken off the wait.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -5,6 +5,7 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { EntryApplier } from './entry-applier.js';
+import { whenDiskHasRoom } from './full-disk.js';
 import { RaftCore } from './raft-core.js';
 import type {
   LogEntry,
@@ -131,7 +132,8 @@
 
   /** Queues an event for the core. */
   submit(event: RaftEvent): void {
-    if (this.stopped) return;
+    // While the disk holds the driver up, ticks add nothing to the one that waits.
+    if (this.stopped || (event.kind === 'tick' && this.queue.at(-1)?.kind === 'tick')) return;
     this.queue.push(event);
     this.running ??= this.run();
   }
@@ -173,21 +175,29 @@
     for (const effect of joinAppends(effects)) {
       switch (effect.kind) {
         case 'persist-hard-state':
-          await this.storage.saveHardState(effect.hardState);
+          await this.write(async () => {
+            await this.storage.saveHardState(effect.hardState);
+          });
           break;
         case 'persist-entries':
-          await this.storage.append(effect.entries);
+          await this.write(async () => {
+            await this.storage.append(effect.entries);
+          });
           this.counters.entriesPersisted += effect.entries.length;
           unsynced = true;
           break;
         case 'truncate-log':
-          await this.storage.truncate(effect.fromIndex);
+          await this.write(async () => {
+            await this.storage.truncate(effect.fromIndex);
+          });
           unsynced = true;
           break;
         case 'install-snapshot':
           await this.compaction?.written;
-          await this.storage.writeSnapshot(effect.position, effect.data);
-          await this.storage.adoptSnapshot(effect.position, effect.data);
+          await this.write(async () => {
+            await this.storage.writeSnapshot(effect.position, effect.data);
+            await this.storage.adoptSnapshot(effect.position, effect.data);
+          });
           this.counters.snapshotsInstalled += 1;
           break;
       }
@@ -197,6 +207,10 @@
     this.counters.syncs += 1;
   }
 
+  private async write(write: () => Promise<void>): Promise<void> {
+    await whenDiskHasRoom(this.runtime, write);
+  }
+
   private perform(effect: RaftEffect): void {
     switch (effect.kind) {
       case 'install-snapshot':
@@ -239,7 +253,9 @@
     this.compaction = null;
     const { position, data } = compaction;
     if (position.index <= this.storage.currentSnapshot().position.index) return;
-    await this.storage.adoptSnapshot(position, data);
+    await this.write(async () => {
+      await this.storage.adoptSnapshot(position, data);
+    });
     this.counters.snapshotsTaken += 1;
     this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
@@ -254,7 +270,10 @@
     const data = this.stateMachine.snapshot();
     const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
     this.compaction = compaction;
-    compaction.written = this.storage.writeSnapshot(position, data).then(
+    const written = this.write(async () => {
+      await this.storage.writeSnapshot(position, data);
+    });
+    compaction.written = written.then(
       () => {
         compaction.done = true;
       },
--- a/src/directory/directory-duties.ts
+++ b/src/directory/directory-duties.ts
@@ -1,7 +1,7 @@
 /** What the leader of a directory does by itself: it plans the ranges of every keyed service. */
 import type { Proposals } from '../control/proposals.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
-import type { DirectoryState, KeyRange } from './directory-state.js';
+import { serviceDefinition, type DirectoryState, type KeyRange } from './directory-state.js';
 import { KeyLoad } from './key-load.js';
 import { planRanges, type RangePlan } from './range-planner.js';
 
@@ -12,7 +12,7 @@
 const LOAD_WINDOW_MS = 1_000;
 
 /** Pause after a move for balance, in ms: the load must be seen anew first. */
-const BALANCE_PAUSE_MS = 3_000;
+const BALANCE_PAUSE_MS = 2_000;
 
 interface ServiceProgress {
   readonly load: KeyLoad;
@@ -60,7 +60,9 @@
     if (neverAssigned && nowMs - progress.lastJoinMs < FIRST_ASSIGNMENT_QUIET_MS) return;
     if (progress.proposalUnderWay) return;
     const mayBalance = nowMs >= progress.balanceDueMs;
-    const plan = planRanges({ ranges, instances, load: progress.load, mayBalance });
+    const definition = serviceDefinition(this.state().items, service);
+    const movesAreCostly = definition?.grantMode === 'heartbeat';
+    const plan = planRanges({ ranges, instances, load: progress.load, mayBalance, movesAreCostly });
     if (plan.assignments.length === 0 && plan.moves.length === 0) return;
     if (mayBalance) progress.balanceDueMs = nowMs + BALANCE_PAUSE_MS;
     this.onPlan(service, plan);
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -16,7 +16,13 @@
   SetConditionCommand,
   UnregisterCommand,
 } from './directory-commands.js';
-import { itemKey, type ConfigurationItem, type DirectoryState, type KeyRange } from './directory-state.js';
+import {
+  itemKey,
+  type BackendInstance,
+  type ConfigurationItem,
+  type DirectoryState,
+  type KeyRange,
+} from './directory-state.js';
 import { changeSpan, joinNeighbours, unownedRanges } from './key-ranges.js';
 
 /** Accepted revisions that are remembered, so that a resend gets the same answer. */
@@ -135,13 +141,26 @@
   const session = known?.session ?? index;
   const condition = known?.condition === 'draining' ? 'draining' : instance.condition;
   const registered = { ...instance, condition, session };
+  const ended = endEarlierLives(state, registered);
   state.instances.set(instance.id, registered);
   return {
     outcome: { kind: 'registered', session },
-    changes: [{ kind: 'instance', instance: registered }],
+    changes: [...ended, { kind: 'instance', instance: registered }],
   };
 }
 
+/** A daemon has one back end beside it: a new life there shows that the earlier one has ended. */
+function endEarlierLives(state: DirectoryState, present: BackendInstance): DirectoryChange[] {
+  const changes: DirectoryChange[] = [];
+  for (const earlier of [...state.instances.values()]) {
+    if (earlier.daemonAddress !== present.daemonAddress || earlier.id === present.id) continue;
+    state.instances.delete(earlier.id);
+    changes.push({ kind: 'instance-gone', id: earlier.id });
+    changes.push(...withdrawRanges(state, earlier.service, earlier.id));
+  }
+  return changes;
+}
+
 function setCondition(state: DirectoryState, command: SetConditionCommand): AppliedCommand {
   const known = state.instances.get(command.id);
   if (known?.session !== command.session || known.condition === command.condition) return unchanged(DONE);
--- a/src/directory/key-load.ts
+++ b/src/directory/key-load.ts
@@ -7,7 +7,7 @@
 const BUCKETS = (LAST_KEY - FIRST_KEY + 1) / KEYS_PER_BUCKET;
 
 /** Share of the older value that stays when a window is closed. */
-const KEPT_SHARE = 0.6;
+const KEPT_SHARE = 0.45;
 
 /** Bucket of a key. */
 export function bucketOf(key: number): number {
@@ -19,6 +19,17 @@
   /** Slots in use on average. */
   readonly slots = new Float64Array(BUCKETS);
   private readonly window = new Float64Array(BUCKETS);
+  private assumedPerKey = 0;
+
+  /** Every key counts for at least this, in slots, so that keys whose load is unknown are spread as well. */
+  assume(slotsPerKey: number): void {
+    this.assumedPerKey = slotsPerKey;
+  }
+
+  /** Load of one bucket. */
+  ofBucket(bucket: number): number {
+    return (this.slots[bucket] ?? 0) + this.assumedPerKey * KEYS_PER_BUCKET;
+  }
 
   /** Adds slot time that was used, in ms, by bucket. */
   add(load: readonly (readonly [number, number])[]): void {
@@ -42,7 +53,7 @@
     for (let bucket = bucketOf(from); bucket <= bucketOf(to); bucket += 1) {
       const first = Math.max(from, bucket * KEYS_PER_BUCKET);
       const last = Math.min(to, (bucket + 1) * KEYS_PER_BUCKET - 1);
-      sum += ((this.slots[bucket] ?? 0) * (last - first + 1)) / KEYS_PER_BUCKET;
+      sum += (this.ofBucket(bucket) * (last - first + 1)) / KEYS_PER_BUCKET;
     }
     return sum;
   }
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -4,16 +4,34 @@
  */
 import type { KeySpan } from './directory-commands.js';
 import { FIRST_KEY, LAST_KEY, type BackendInstance, type KeyRange } from './directory-state.js';
+import { changeSpan } from './key-ranges.js';
 import { KEYS_PER_BUCKET, bucketOf, type KeyLoad } from './key-load.js';
 
 /** Pieces that one lost or leaving range is cut into at most. */
 const MAX_PIECES = 4;
 
-/** Share of its slots that must be in use at a back end before keys leave it for balance. */
-const BALANCE_UTILIZATION = 0.45;
+/** Difference in shares of slots that a taker of lost keys may be above the next one. */
+const PLACING_DIFFERENCE = 0.1;
 
-/** Least difference between the busiest and the idlest back end, in shares of slots, for a move. */
-const BALANCE_DIFFERENCE = 0.25;
+/** Moves for balance in one plan. */
+const MAX_BALANCE_MOVES = 6;
+
+/** When keys are moved for balance. */
+interface BalanceLimits {
+  /** Share of its slots that must be in use at a back end before keys leave it. */
+  readonly utilization: number;
+  /** Least difference between the busiest and the idlest back end, in shares of slots. */
+  readonly difference: number;
+}
+
+/** Where a move takes as long as what runs on its keys. */
+const CHEAP_MOVE_LIMITS: BalanceLimits = { utilization: 0.4, difference: 0.15 };
+
+/** Where a move takes about a heartbeat, in which nobody serves its keys. */
+const COSTLY_MOVE_LIMITS: BalanceLimits = { utilization: 0.5, difference: 0.25 };
+
+/** Part of all slots that unknown load is taken to need, spread evenly over the keys. */
+const ASSUMED_SHARE_OF_SLOTS = 0.1;
 
 /** A span that is to go to a back end. */
 export interface SpanTarget extends KeySpan {
@@ -27,6 +45,8 @@
   readonly load: KeyLoad;
   /** Whether keys may be moved for balance now. */
   readonly mayBalance: boolean;
+  /** Whether nobody serves keys for long while they move. */
+  readonly movesAreCostly: boolean;
 }
 
 /** What is to be done. */
@@ -47,6 +67,8 @@
 
 /** Plans one service. */
 export function planRanges(view: RangeView): RangePlan {
+  const slots = view.instances.reduce((sum, instance) => sum + instance.slots, 0);
+  view.load.assume((slots * ASSUMED_SHARE_OF_SLOTS) / (LAST_KEY - FIRST_KEY + 1));
   const candidates = makeCandidates(view);
   if (candidates.length === 0) return { assignments: [], moves: [] };
   if (view.ranges.every(({ owner, fence }) => owner === null && fence === 0)) {
@@ -121,14 +143,14 @@
 /** Load that a back end can take before it is as busy as the next one, plus a fair part of the rest. */
 function roomBefore(taker: Candidate, next: Candidate | null): number {
   if (next === null) return Infinity;
-  const level = next.busy / next.slots + BALANCE_DIFFERENCE / 2;
+  const level = next.busy / next.slots + PLACING_DIFFERENCE / 2;
   return Math.max(0, level * taker.slots - taker.busy);
 }
 
 function endOfLoad(from: number, to: number, wanted: number, load: KeyLoad): number {
   let sum = 0;
   for (let bucket = bucketOf(from); bucket < bucketOf(to); bucket += 1) {
-    sum += load.slots[bucket] ?? 0;
+    sum += load.ofBucket(bucket);
     if (sum >= wanted) return Math.max(from, (bucket + 1) * KEYS_PER_BUCKET - 1);
   }
   return to;
@@ -148,18 +170,41 @@
   return left.keys < right.keys;
 }
 
+/** Moves spans from the busiest to the idlest back end until none is far from the others. */
 function planBalance(view: RangeView, candidates: readonly Candidate[]): SpanTarget[] {
   if (view.ranges.some(({ movingTo }) => movingTo !== null)) return [];
+  const limits = view.movesAreCostly ? COSTLY_MOVE_LIMITS : CHEAP_MOVE_LIMITS;
+  const moves: SpanTarget[] = [];
+  let { ranges } = view;
+  while (moves.length < MAX_BALANCE_MOVES) {
+    const move = nextBalanceMove(ranges, candidates, view.load, limits);
+    if (move === null) break;
+    moves.push(move);
+    ranges = changeSpan(ranges, move, (range) => ({ ...range, owner: move.backend, movingTo: move.backend }));
+  }
+  return moves;
+}
+
+function nextBalanceMove(
+  ranges: readonly KeyRange[],
+  candidates: readonly Candidate[],
+  load: KeyLoad,
+  limits: BalanceLimits,
+): SpanTarget | null {
   const idlest = leastBusy(candidates);
   const busiest = [...candidates].sort((left, right) => right.busy / right.slots - left.busy / left.slots)[0];
-  if (idlest === null || busiest === undefined || idlest === busiest) return [];
+  if (idlest === null || busiest === undefined || idlest === busiest) return null;
   const busy = busiest.busy / busiest.slots;
   const idle = idlest.busy / idlest.slots;
-  if (busy < BALANCE_UTILIZATION || busy - idle < BALANCE_DIFFERENCE) return [];
+  if (busy < limits.utilization || busy - idle < limits.difference) return null;
   const wanted = ((busy - idle) / 2) * Math.min(busiest.slots, idlest.slots);
-  const owned = view.ranges.filter(({ owner }) => owner === busiest.id);
-  const span = smallestSpan(owned, wanted, view.load);
-  return span === null ? [] : [{ ...span, backend: idlest.id }];
+  const owned = ranges.filter(({ owner, movingTo }) => owner === busiest.id && movingTo === null);
+  const span = smallestSpan(owned, wanted, load);
+  if (span === null) return null;
+  const moved = load.ofSpan(span.from, span.to);
+  busiest.busy -= moved;
+  idlest.busy += moved;
+  return { ...span, backend: idlest.id };
 }
 
 /** The fewest keys that carry about `wanted`; null when a single bucket carries far more. */
@@ -183,9 +228,9 @@
   let start = first;
   let sum = 0;
   for (let end = first; end <= last; end += 1) {
-    sum += load.slots[end] ?? 0;
-    while (start < end && sum - (load.slots[start] ?? 0) >= wanted * LEAST_PART_OF_WANTED) {
-      sum -= load.slots[start] ?? 0;
+    sum += load.ofBucket(end);
+    while (start < end && sum - load.ofBucket(start) >= wanted * LEAST_PART_OF_WANTED) {
+      sum -= load.ofBucket(start);
       start += 1;
     }
     if (sum < wanted * LEAST_PART_OF_WANTED || sum > wanted * LARGEST_PART_OF_WANTED) continue;
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -21,8 +21,10 @@
   readonly priority: number;
   /** Time left for the whole request, in ms. */
   readonly remainingMs: number;
-  /** Time for which the request may wait for a free place, in ms. */
+  /** Time for which the request may wait for a place whatever it costs its caller, in ms. */
   readonly patienceMs: number;
+  /** Time left until an answer loses its full value, in ms. */
+  readonly targetLeftMs: number;
 }
 
 /** Why a request was not run. */
@@ -85,7 +87,9 @@
   readonly headers: readonly string[];
   /** Whether `body` and `end` frames follow. */
   readonly moreFollows: boolean;
-  /** Length of the whole body in bytes; null when the back end did not say. */
+  /** Length of the whole body in bytes; null when it is not known yet. */
   readonly contentLength: number | null;
+  /** Whether the back end said where its answer ends; otherwise it is passed on to end with its connection too. */
+  readonly framed: boolean;
   readonly status: StatusHead | null;
 }
--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -3,6 +3,7 @@
  * lengths and chunk sizes that are not numbers, which would make a cut answer look whole.
  */
 import { HTTPParser } from 'http-parser-js';
+import { headerValue } from './header-dialect.js';
 
 /** The beginning of an answer. */
 export interface ParsedAnswer {
@@ -11,6 +12,8 @@
   readonly headers: readonly string[];
   /** Whether the connection may be used again after this answer. */
   readonly keepAlive: boolean;
+  /** Whether the answer says where it ends; otherwise it ends with its connection, and nobody can tell a cut one. */
+  readonly framed: boolean;
 }
 
 /** What the owner of a parser is told. */
@@ -51,7 +54,12 @@
     }): boolean => {
       refuseLenientLength(info.headers);
       const { statusCode, headers, shouldKeepAlive } = info;
-      return handlers.onHeaders({ statusCode, headers, keepAlive: shouldKeepAlive });
+      return handlers.onHeaders({
+        statusCode,
+        headers,
+        keepAlive: shouldKeepAlive,
+        framed: isFramed(headers),
+      });
     }) as never;
     parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
       handlers.onBody(chunk.subarray(offset, offset + length));
@@ -92,6 +100,12 @@
   };
 }
 
+function isFramed(headers: readonly string[]): boolean {
+  return (
+    headerValue(headers, 'content-length') !== null || headerValue(headers, 'transfer-encoding') !== null
+  );
+}
+
 function refuseLenientLength(headers: readonly string[]): void {
   for (let at = 0; at + 1 < headers.length; at += 2) {
     if (headers[at]?.toLowerCase() !== 'content-length') continue;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -24,6 +24,9 @@
 /** Runs in a row that broke off, after which only one request at a time is let through as a trial. */
 const BROKEN_LIMIT = 4;
 
+/** Time that a request may need at the back end, by the mean time that requests need. */
+const WORK_PER_MEAN = 1.5;
+
 /** Pause between trials, in ms. */
 const TRIAL_PAUSE_MS = 300;
 
@@ -134,7 +137,7 @@
   /** Takes a request of another daemon or of this one. */
   take(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
-    const patienceMs = Math.min(head.patienceMs, head.remainingMs);
+    const patienceMs = Math.min(this.patienceFor(head), head.remainingMs);
     const visit: Visit = {
       head,
       body,
@@ -155,6 +158,11 @@
     };
   }
 
+  /** A request may wait as long as it can still be answered in time afterwards. */
+  private patienceFor({ patienceMs, targetLeftMs }: RequestHead): number {
+    return Math.max(0, patienceMs, targetLeftMs - WORK_PER_MEAN * this.admission.serviceMs);
+  }
+
   /** Something has changed that requests may wait for. */
   reconsider(): void {
     for (const visit of [...this.waiting]) {
@@ -263,8 +271,11 @@
     this.counters.refused[reason] += 1;
     const { requestId, instance, key } = visit.head;
     const waitedMs = Math.round(this.ports.runtime.nowMs() - visit.arrivedMs);
-    this.ports.log.event('request-refused', { requestId, reason, instance, key, waitedMs, ...this.status() });
-    visit.reply.refuse({ reason, arrived: false, retryAfterMs: RETRY_AFTER_MS, status: this.status() });
+    const status = this.status();
+    this.ports.log.event('request-refused', { requestId, reason, instance, key, waitedMs, ...status });
+    // Work that finds no place is load of its key as well.
+    if (reason === 'busy') this.ports.onWork(key, this.admission.serviceMs);
+    visit.reply.refuse({ reason, arrived: false, retryAfterMs: RETRY_AFTER_MS, status });
   }
 
   private cancel(visit: Visit): void {
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -201,13 +201,9 @@
     const said = headerValue(headers, 'content-length');
     const saysMore = moreFollows || this.head.method === 'HEAD';
     const contentLength = saysMore && said !== null ? Number(said) : moreFollows ? null : body.length;
-    const head = {
-      statusCode,
-      headers: endToEndHeaders(headers, NO_LENGTH),
-      moreFollows,
-      contentLength,
-      status,
-    };
+    const { framed } = answer;
+    const passed = endToEndHeaders(headers, NO_LENGTH);
+    const head = { statusCode, headers: passed, moreFollows, contentLength, framed, status };
     this.ports.reply.answer(head, body);
   }
 
@@ -217,5 +213,5 @@
   }
 }
 
-/** The length is given anew towards the caller, since an answer without one is passed on with it. */
+/** The length is given anew towards the caller. */
 const NO_LENGTH: ReadonlySet<string> = new Set(['content-length']);
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -108,14 +108,15 @@
     });
   }
 
-  /** Closes the connections that no request is on. */
-  closeIdle(): void {
+  /** Takes no more connections, and closes those that no request is on. */
+  stopListening(): void {
+    this.server.close();
     this.server.closeIdleConnections();
   }
 
   /** Stops listening and closes every connection. */
   close(): void {
-    this.server.close();
+    if (this.server.listening) this.server.close();
     this.server.closeAllConnections();
   }
 
@@ -197,7 +198,11 @@
     if (this.ports.closing()) response.shouldKeepAlive = false;
     response.sendDate = false;
     const headers = [...head.headers];
-    if (head.contentLength !== null) headers.push('content-length', String(head.contentLength));
+    if (!head.framed) {
+      // Nobody can tell whether it is whole, so it must not be given a length that vouches for it.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    } else if (head.contentLength !== null) headers.push('content-length', String(head.contentLength));
     response.writeHead(head.statusCode, headers);
   }
 
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from '../telemetry/event-log.js';
 
 /** Pause between renewals, in ms. */
-const RENEW_MS = 1_000;
+const RENEW_MS = 700;
 
 /** Pause between attempts to register, in ms. */
 const REGISTER_RETRY_MS = 300;
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -18,9 +18,6 @@
 /** Part of the target latency for which a request may look for a place, whatever it costs its caller. */
 const LEAST_PATIENCE_SHARE = 0.25;
 
-/** Part of the target latency that must be left for the back end's own work when a place is found. */
-const WORK_SHARE_OF_TARGET = 0.4;
-
 /** Refusals by other daemons after which a request ends as refused. */
 const MAX_REFUSALS = 24;
 
@@ -151,13 +148,17 @@
     return limitMs - (this.ports.runtime.nowMs() - arrivedMs);
   }
 
-  /** Time in ms for which this request may still look for a place. */
-  private patienceMs(): number {
+  /** Time in ms until an answer loses its full value. */
+  private targetLeftMs(): number {
     const { arrivedMs, route } = this.request;
-    const { targetLatencyMs } = route.definition;
-    const elapsedMs = this.ports.runtime.nowMs() - arrivedMs;
-    const share = Math.max(LEAST_PATIENCE_SHARE, 1 - WORK_SHARE_OF_TARGET);
-    return Math.min(targetLatencyMs * share - elapsedMs, this.leftMs());
+    return route.definition.targetLatencyMs - (this.ports.runtime.nowMs() - arrivedMs);
+  }
+
+  /** Time in ms for which this request may still look for a back end. */
+  private patienceMs(): number {
+    const spentShare = 1 - LEAST_PATIENCE_SHARE;
+    const { targetLatencyMs } = this.request.route.definition;
+    return Math.min(this.targetLeftMs() - targetLatencyMs * spentShare, this.leftMs());
   }
 
   private attempt(): void {
@@ -216,6 +217,7 @@
       priority: route.definition.priority,
       remainingMs: this.leftMs(),
       patienceMs: Math.max(0, this.patienceMs()),
+      targetLeftMs: this.targetLeftMs(),
     };
     this.current = link.request(head, body, {
       onRefusal: (refusal) => {
@@ -277,13 +279,14 @@
   }
 
   private retryAfterRefusal(refusal: RefusalHead): void {
-    const outOfTime = this.patienceMs() <= 0 || this.refusals >= MAX_REFUSALS;
+    const outOfTime = this.refusals >= MAX_REFUSALS || this.leftMs() <= 0;
     if (outOfTime || (refusal.arrived && !this.mayArriveAgain())) {
       this.endWithoutPlace();
       return;
     }
-    if (this.choose() === null) this.lookAgain();
-    else this.attempt();
+    if (this.choose() !== null) this.attempt();
+    else if (refusal.reason === 'busy') this.endWithoutPlace();
+    else this.lookAgain();
   }
 
   private failed(instance: BackendInstance, view: BackendView, failure: FailureHead): void {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -50,10 +50,17 @@
 /** Time in ms by which a grant may outlast its end here, for clocks that run at different rates. */
 const HOLD_MARGIN_MS = 400;
 
-/** Parts of the grace time after which connections are closed one by one, and all at once. */
+/**
+ * Parts of the grace time at a stop: until the first everything goes on, since callers learn of the stop late; until
+ * the second the back end is still sent requests of other daemons; at the last everything ends.
+ */
 const CLOSING_SHARE = 0.45;
+const BACKEND_CLOSING_SHARE = 0.65;
 const LAST_SHARE = 0.92;
 
+/** When to come back after a stop, in ms. */
+const STOPPING_RETRY_MS = 500;
+
 /** When to come back while no configuration is known here, in ms. */
 const UNCONFIGURED_RETRY_MS = 300;
 
@@ -198,7 +205,7 @@
     const { graceMs } = this.settings;
     await this.waitUntil(startMs + graceMs * CLOSING_SHARE, () => false);
     this.closingConnections = true;
-    this.callers.closeIdle();
+    this.callers.stopListening();
     await this.waitUntil(startMs + graceMs * LAST_SHARE, () => !this.busy);
     this.close();
   }
@@ -256,7 +263,7 @@
       address: this.settings.backend,
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
-      closesAtMs: () => this.backend.closesAtMs,
+      closesAtMs: () => this.closesAtMs(),
       leaving: () => this.backend.leaving || this.stoppingSinceMs !== null,
       holdsKey: (key) => !this.isKeyed() || this.grants.holds(key),
       ownsKey: (key) => this.owned.placeOf(key) === 'here',
@@ -300,6 +307,12 @@
 
   // ---- the back end beside this daemon
 
+  private closesAtMs(): number {
+    if (this.stoppingSinceMs === null) return this.backend.closesAtMs;
+    const stopMs = this.stoppingSinceMs + this.settings.graceMs * BACKEND_CLOSING_SHARE;
+    return Math.min(this.backend.closesAtMs, stopMs);
+  }
+
   private isKeyed(): boolean {
     return this.table.service(this.settings.service)?.keyed === true;
   }
@@ -393,6 +406,9 @@
   // ---- callers
 
   private takeRequest(incoming: IncomingRequest, sink: CallerSink): TakenRequest | OwnAnswer {
+    if (this.closingConnections) {
+      return { statusCode: OWN_STATUS.notRun, reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS };
+    }
     const prepared = this.prepare(incoming);
     if ('statusCode' in prepared) return prepared;
     this.allowanceOf(prepared.service).noteRequest(this.runtime.nowMs());
--- a/src/storage/log-file.ts
+++ b/src/storage/log-file.ts
@@ -44,15 +44,14 @@
   async append(entries: readonly LogEntry[]): Promise<void> {
     const first = entries[0];
     if (first === undefined) return;
-    if (this.offsets.length === 0) this.firstIndex = first.index;
     const records = entries.map((entry) => encodeRecord(entry));
-    const start = this.endOffset;
+    await writeWhole(this.handle, Buffer.concat(records), this.endOffset);
+    // Only what was written counts, so that a write that failed can be repeated in the same place.
+    if (this.offsets.length === 0) this.firstIndex = first.index;
     for (const record of records) {
       this.offsets.push(this.endOffset);
       this.endOffset += record.length;
     }
-    const bytes = Buffer.concat(records);
-    await this.handle.write(bytes, 0, bytes.length, start);
   }
 
   /** Forgets `fromIndex` and everything after it, without syncing. */
@@ -74,14 +73,20 @@
   async rewrite(entries: readonly LogEntry[]): Promise<void> {
     const temporary = `${this.path}.new`;
     const handle = await open(temporary, 'w+');
+    const written = new LogFile(temporary, handle, 0, [], 0);
+    try {
+      await written.append(entries);
+      await handle.sync();
+      await rename(temporary, this.path);
+    } catch (error) {
+      await handle.close();
+      throw error;
+    }
     const previous = this.handle;
     this.handle = handle;
-    this.offsets = [];
-    this.endOffset = 0;
-    this.firstIndex = 0;
-    await this.append(entries);
-    await handle.sync();
-    await rename(temporary, this.path);
+    this.offsets = written.offsets;
+    this.endOffset = written.endOffset;
+    this.firstIndex = written.firstIndex;
     await syncFolder(dirname(this.path));
     await previous.close();
   }
@@ -91,3 +96,13 @@
     await this.handle.close();
   }
 }
+
+/** A disk that is nearly full takes a part of a write. */
+async function writeWhole(handle: FileHandle, bytes: Buffer, start: number): Promise<void> {
+  let done = 0;
+  while (done < bytes.length) {
+    const { bytesWritten } = await handle.write(bytes, done, bytes.length - done, start + done);
+    if (bytesWritten === 0) throw new Error('the disk takes no bytes');
+    done += bytesWritten;
+  }
+}
