--- /dev/null
+++ b/test/directory/directory-machine.test.ts
@@ -0,0 +1,186 @@
+/** Commands of a directory as tables of cases. */
+import test from 'ava';
+import type { DirectoryCommand } from '../../src/directory/directory-commands.js';
+import { applyDirectoryCommand } from '../../src/directory/directory-machine.js';
+import {
+  emptyDirectoryState,
+  itemKey,
+  type ConfigurationItem,
+  type DirectoryState,
+} from '../../src/directory/directory-state.js';
+import { rangeOf } from '../../src/directory/key-ranges.js';
+
+const SERVICE = 'stock';
+
+function service(name: string, version = 1): ConfigurationItem {
+  const definition = { maxConnections: 10, keyed: true, grantMode: null };
+  return { kind: 'service', name, version, source: `service ${name} ${version}`, definition };
+}
+
+function route(name: string, version: number, destination: string): ConfigurationItem {
+  return {
+    kind: 'route',
+    name,
+    version,
+    source: `route ${name} ${version}`,
+    definition: {
+      host: 'a.example',
+      pathPrefix: '/a/',
+      kind: 'safe',
+      timeoutMs: 1_000,
+      targetLatencyMs: 100,
+      priority: 1,
+      maxAttempts: 2,
+      destinations: [{ service: destination, weight: 1 }],
+    },
+  };
+}
+
+function register(id: string, daemonAddress: string): DirectoryCommand {
+  const instance = { id, service: SERVICE, zone: 'z', daemonAddress, slots: 4, condition: 'ready' } as const;
+  return { kind: 'register', instance };
+}
+
+class World {
+  readonly state: DirectoryState = emptyDirectoryState();
+  private index = 0;
+
+  apply(command: DirectoryCommand): ReturnType<typeof applyDirectoryCommand>['outcome'] {
+    this.index += 1;
+    return applyDirectoryCommand(this.state, command, this.index).outcome;
+  }
+
+  ownerOf(key: number): string | null {
+    return rangeOf(this.state.ranges.get(SERVICE) ?? [], key)?.owner ?? null;
+  }
+
+  fenceOf(key: number): number {
+    return rangeOf(this.state.ranges.get(SERVICE) ?? [], key)?.fence ?? -1;
+  }
+}
+
+function worldWithOwners(): World {
+  const world = new World();
+  world.apply({ kind: 'configure-items', items: [service(SERVICE)] });
+  world.apply(register('one', 'h1:1'));
+  world.apply(register('two', 'h2:1'));
+  const assignments = [
+    { from: 0, to: 32_767, owner: 'one' },
+    { from: 32_768, to: 65_535, owner: 'two' },
+  ];
+  world.apply({ kind: 'assign-ranges', service: SERVICE, assignments });
+  return world;
+}
+
+test('of two versions of an item the higher one stands, in whatever order they come', (t) => {
+  for (const versions of [
+    [3, 7],
+    [7, 3],
+  ]) {
+    const world = new World();
+    world.apply({ kind: 'configure-items', items: [service(SERVICE)] });
+    for (const version of versions) {
+      const items = [route('r', version, SERVICE)];
+      t.is(world.apply({ kind: 'configure-items', items }).kind, 'done');
+    }
+    t.is(world.state.items.get(itemKey('route', 'r'))?.version, 7);
+  }
+});
+
+test('a dropped item does not return under an older version', (t) => {
+  const world = new World();
+  world.apply({ kind: 'configure-items', items: [service(SERVICE), route('r', 3, SERVICE)] });
+  const dropped: ConfigurationItem = { kind: 'route', name: 'r', version: 9, definition: null, source: null };
+  world.apply({ kind: 'configure-items', items: [dropped] });
+  world.apply({ kind: 'configure-items', items: [route('r', 8, SERVICE)] });
+  t.is(world.state.items.get(itemKey('route', 'r'))?.definition, null);
+});
+
+test('under the version that stands, other content changes nothing', (t) => {
+  const world = new World();
+  world.apply({ kind: 'configure-items', items: [service(SERVICE), route('r', 3, SERVICE)] });
+  world.apply({ kind: 'configure-items', items: [{ ...route('r', 3, SERVICE), source: 'other' }] });
+  t.is(world.state.items.get(itemKey('route', 'r'))?.source, 'route r 3');
+});
+
+test('a route to an unknown service is refused as a whole', (t) => {
+  const world = new World();
+  const items = [service(SERVICE), route('good', 1, SERVICE), route('bad', 1, 'nowhere')];
+  t.is(world.apply({ kind: 'configure-items', items }).kind, 'invalid');
+  t.is(world.state.items.size, 0);
+});
+
+const REVISION = { kind: 'configure-revision', replacesAll: false } as const;
+
+test('whole revisions: one of two on the same base wins, a resend gets its first answer, an old version is refused', (t) => {
+  const world = new World();
+  const first = { ...REVISION, base: 0, version: 5, digest: 'a', items: [service(SERVICE, 5)] };
+  const rival = { ...REVISION, base: 0, version: 5, digest: 'b', items: [service('other', 5)] };
+  t.is(world.apply(first).kind, 'done');
+  t.deepEqual(world.apply(rival), { kind: 'conflict', present: 5 });
+  t.is(world.apply({ ...REVISION, base: 5, version: 9, digest: 'c', items: [] }).kind, 'done');
+  t.is(world.apply(first).kind, 'done', 'sent again, after another change');
+  t.is(world.state.revision, 9);
+  t.is(world.apply({ ...REVISION, base: 9, version: 9, digest: 'd', items: [] }).kind, 'invalid');
+  t.false(world.state.items.has(itemKey('service', 'other')));
+});
+
+test('putting the whole drops what it does not name', (t) => {
+  const world = new World();
+  const items = [service(SERVICE, 1), route('r', 1, SERVICE)];
+  world.apply({ ...REVISION, base: 0, version: 1, digest: 'a', items });
+  const put = {
+    ...REVISION,
+    replacesAll: true,
+    base: 1,
+    version: 2,
+    digest: 'b',
+    items: [service(SERVICE, 2)],
+  };
+  world.apply(put);
+  t.is(world.state.items.get(itemKey('route', 'r'))?.definition, null);
+});
+
+test('registering again gets the same session; a new life at the same daemon ends the earlier one', (t) => {
+  const world = worldWithOwners();
+  const { session } = world.state.instances.get('one') ?? {};
+  const again = world.apply(register('one', 'h1:1'));
+  t.deepEqual(again, { kind: 'registered', session: session ?? -1 });
+  t.is(world.ownerOf(5), 'one');
+  world.apply(register('one-anew', 'h1:1'));
+  t.false(world.state.instances.has('one'));
+  t.is(world.ownerOf(5), null);
+  t.is(world.ownerOf(40_000), 'two');
+});
+
+test('a move changes the owner only once the range was released, and the fence rises', (t) => {
+  const world = worldWithOwners();
+  const fence = world.fenceOf(100);
+  const moves = [{ from: 100, to: 199, target: 'two' }];
+  world.apply({ kind: 'begin-range-moves', service: SERVICE, moves });
+  t.is(world.ownerOf(150), 'one');
+  const span = { service: SERVICE, from: 100, to: 199, owner: 'one', handover: 'h' };
+  world.apply({ kind: 'complete-range-move', ...span, fence: fence - 1 });
+  t.is(world.ownerOf(150), 'one', 'a report about another fence is stale');
+  world.apply({ kind: 'complete-range-move', ...span, fence });
+  t.is(world.ownerOf(150), 'two');
+  t.true(world.fenceOf(150) > fence);
+  t.is(world.ownerOf(99), 'one');
+  t.is(world.ownerOf(200), 'one');
+});
+
+test('when the target of a move is gone its range stays with the owner, or waits for a new one', (t) => {
+  const world = worldWithOwners();
+  const moves = [{ from: 0, to: 99, target: 'two' }];
+  world.apply({ kind: 'begin-range-moves', service: SERVICE, moves });
+  const session = world.state.instances.get('two')?.session ?? 0;
+  world.apply({ kind: 'unregister', sessions: [{ id: 'two', session }] });
+  t.is(world.ownerOf(50), 'one');
+  t.is(world.ownerOf(40_000), null);
+});
+
+test('a registration that was ended under another session stays', (t) => {
+  const world = worldWithOwners();
+  world.apply({ kind: 'unregister', sessions: [{ id: 'one', session: 999 }] });
+  t.is(world.ownerOf(5), 'one');
+});
--- /dev/null
+++ b/test/directory/range-planner.test.ts
@@ -0,0 +1,88 @@
+/** Plans for ranges of keys. */
+import test from 'ava';
+import { KeyLoad, bucketOf } from '../../src/directory/key-load.js';
+import { unownedRanges } from '../../src/directory/key-ranges.js';
+import { planRanges, type RangeView } from '../../src/directory/range-planner.js';
+import type { BackendInstance, KeyRange } from '../../src/directory/directory-state.js';
+
+function instance(id: string, condition: BackendInstance['condition'] = 'ready'): BackendInstance {
+  return { id, service: 's', zone: 'z', daemonAddress: `${id}:1`, slots: 4, condition, session: 1 };
+}
+
+function range(from: number, to: number, owner: string | null): KeyRange {
+  return { from, to, owner, session: 1, fence: 1, movingTo: null, handover: '' };
+}
+
+function view(parts: Partial<RangeView>): RangeView {
+  return {
+    ranges: unownedRanges(),
+    instances: [instance('a'), instance('b')],
+    load: new KeyLoad(),
+    mayBalance: true,
+    movesAreCostly: false,
+    ...parts,
+  };
+}
+
+function loadAt(key: number, slots: number): KeyLoad {
+  const load = new KeyLoad();
+  for (let round = 0; round < 40; round += 1) {
+    load.add([[bucketOf(key), slots * 1_000]]);
+    load.closeWindow(1_000);
+  }
+  return load;
+}
+
+test('a first assignment divides the keys evenly and leaves none out', (t) => {
+  const { assignments } = planRanges(view({}));
+  t.deepEqual(assignments, [
+    { from: 0, to: 32_767, backend: 'a' },
+    { from: 32_768, to: 65_535, backend: 'b' },
+  ]);
+});
+
+test('keys without owner are spread although nothing is known of their load', (t) => {
+  const ranges = [range(0, 65_535, null)];
+  const instances = [instance('a'), instance('b'), instance('c'), instance('d')];
+  const { assignments } = planRanges(view({ ranges, instances }));
+  t.is(new Set(assignments.map(({ backend }) => backend)).size, 4);
+  t.is(
+    assignments.reduce((keys, { from, to }) => keys + to - from + 1, 0),
+    65_536,
+  );
+});
+
+test('a leaving back end is emptied, and nothing is planned for one that is alone', (t) => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const leaving = [instance('a', 'draining'), instance('b')];
+  const { moves } = planRanges(view({ ranges, instances: leaving }));
+  t.is(
+    moves.reduce((keys, { from, to }) => keys + to - from + 1, 0),
+    32_768,
+  );
+  t.true(moves.every(({ backend }) => backend === 'b'));
+  const alone = planRanges(view({ ranges: [range(0, 65_535, 'a')], instances: [instance('a', 'draining')] }));
+  t.deepEqual(alone, { assignments: [], moves: [] });
+});
+
+test('busy keys leave the busiest back end, few keys at a time', (t) => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const load = loadAt(1_000, 1.5);
+  for (let bucket = 70; bucket < 76; bucket += 1) {
+    load.add([[bucket, 2_000]]);
+    load.closeWindow(1_000);
+  }
+  const { moves } = planRanges(view({ ranges, load }));
+  t.true(moves.length > 0);
+  t.true(moves.every(({ backend }) => backend === 'b'));
+  t.true(moves.reduce((keys, { from, to }) => keys + to - from + 1, 0) < 2_000);
+});
+
+test('nothing is moved for balance while a move is under way or when it may not be', (t) => {
+  const load = loadAt(1_000, 4);
+  const moving = { ...range(0, 99, 'a'), movingTo: 'b' };
+  const ranges = [moving, range(100, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  t.deepEqual(planRanges(view({ ranges, load })).moves, []);
+  const still = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  t.deepEqual(planRanges(view({ ranges: still, load, mayBalance: false })).moves, []);
+});
--- /dev/null
+++ b/test/link/link.test.ts
@@ -0,0 +1,156 @@
+/** Links between daemons, over loopback. */
+import { createServer } from 'node:net';
+import test from 'ava';
+import { LinkClient, type RequestHandlers } from '../../src/link/link-client.js';
+import { encodeFrameStart, FRAME_KIND, LinkFrameDecoder } from '../../src/link/link-frame.js';
+import type { RequestHead } from '../../src/link/link-messages.js';
+import { LinkServer, type TakeRequest } from '../../src/link/link-server.js';
+
+const HEAD: RequestHead = {
+  requestId: 'r',
+  method: 'GET',
+  path: '/',
+  headers: ['a', 'b'],
+  instance: 'i',
+  key: 7,
+  priority: 1,
+  remainingMs: 1_000,
+  patienceMs: 100,
+  targetLeftMs: 500,
+};
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  await new Promise<void>((resolve) =>
+    server.close(() => {
+      resolve();
+    }),
+  );
+  return port;
+}
+
+async function linkTo(take: TakeRequest): Promise<{ client: LinkClient; close: () => void }> {
+  const port = await freePort();
+  const server = new LinkServer(() => 0, 'life', take);
+  (await server.listen({ host: '127.0.0.1', port })).unwrap();
+  const handlers = { onStatus: () => undefined, onDisconnect: () => undefined };
+  const client = new LinkClient({ host: '127.0.0.1', port }, () => 0, handlers);
+  return {
+    client,
+    close: () => {
+      client.stop();
+      server.close();
+    },
+  };
+}
+
+function recorder(done: (line: string) => void): RequestHandlers {
+  return {
+    onRefusal: ({ reason }) => {
+      done(`refused ${reason}`);
+    },
+    onFailure: ({ reason }) => {
+      done(`failed ${reason}`);
+    },
+    onAnswer: (head, body) => {
+      done(`answer ${head.statusCode} ${body.toString()} ${String(head.moreFollows)}`);
+    },
+    onBody: (chunk) => {
+      done(`body ${chunk.toString()}`);
+    },
+    onEnd: () => {
+      done('end');
+    },
+    onLost: (sent) => {
+      done(`lost ${String(sent)}`);
+    },
+  };
+}
+
+test('a request reaches the other daemon as it is, and its answer comes back in pieces', async (t) => {
+  const { client, close } = await linkTo((head, body, reply) => {
+    t.deepEqual(head, HEAD);
+    t.is(body.toString(), 'hello');
+    const answer = { statusCode: 200, headers: [], framed: true, contentLength: null, status: null };
+    reply.answer({ ...answer, moreFollows: true }, Buffer.from('one'));
+    reply.body(Buffer.from('two'));
+    reply.end();
+    return { cancel: () => undefined };
+  });
+  const lines: string[] = [];
+  await new Promise<void>((resolve) => {
+    client.request(
+      HEAD,
+      Buffer.from('hello'),
+      recorder((line) => {
+        lines.push(line);
+        if (line === 'end') resolve();
+      }),
+    );
+  });
+  t.deepEqual(lines, ['answer 200 one true', 'body two', 'end']);
+  t.is(client.outstanding, 0);
+  close();
+});
+
+test('a request that is taken back is cancelled at the other daemon', async (t) => {
+  await new Promise<void>((resolve) => {
+    void linkTo(() => {
+      taken();
+      return {
+        cancel: () => {
+          close();
+          resolve();
+        },
+      };
+    }).then((link) => {
+      ({ close } = link);
+      const request = link.client.request(
+        HEAD,
+        Buffer.alloc(0),
+        recorder(() => undefined),
+      );
+      taken = () => {
+        request.cancel();
+      };
+    });
+    let close = (): void => undefined;
+    let taken = (): void => undefined;
+  });
+  t.pass();
+});
+
+test('what was under way is lost with the connection, and what never left is told apart', async (t) => {
+  const { client, close } = await linkTo(() => {
+    close();
+    return { cancel: () => undefined };
+  });
+  const lost = await new Promise<string>((resolve) => {
+    client.request(HEAD, Buffer.alloc(0), recorder(resolve));
+  });
+  t.is(lost, 'lost true');
+  const nobody = new LinkClient({ host: '127.0.0.1', port: await freePort() }, () => 0, {
+    onStatus: () => undefined,
+    onDisconnect: () => undefined,
+  });
+  const unsent = await new Promise<string>((resolve) => {
+    nobody.request(HEAD, Buffer.alloc(0), recorder(resolve));
+  });
+  t.is(unsent, 'lost false');
+});
+
+test('frames are found in any cut of the byte stream, and garbage is refused', (t) => {
+  const body = Buffer.from('body');
+  const start = encodeFrameStart(FRAME_KIND.body, 3, { a: 1 }, body.length);
+  const bytes = Buffer.concat([start, body, start, body]);
+  for (let at = 1; at < bytes.length; at += 1) {
+    const decoder = new LinkFrameDecoder();
+    const frames = [bytes.subarray(0, at), bytes.subarray(at)].flatMap((part) => decoder.push(part).unwrap());
+    t.is(frames.length, 2);
+    t.like(frames[1], { kind: FRAME_KIND.body, stream: 3, head: { a: 1 } });
+    t.is(frames[1]?.body.toString(), 'body');
+  }
+  t.true(new LinkFrameDecoder().push(Buffer.from('GET / HTTP/1.1\r\n\r\n')).err);
+});
--- /dev/null
+++ b/test/sidecar/backend-connection.test.ts
@@ -0,0 +1,197 @@
+/** What a back end may send in place of a proper answer, as a table of cases against a real socket. */
+import { createServer, type Socket } from 'node:net';
+import test from 'ava';
+import { BackendConnection } from '../../src/sidecar/backend-connection.js';
+import { headerValue } from '../../src/sidecar/header-dialect.js';
+
+const REQUEST = {
+  method: 'GET',
+  path: '/x/',
+  headers: ['Host', 'a'],
+  body: Buffer.alloc(0),
+  requestId: 'mine',
+};
+const NAMES = { requestId: 'id', notRun: 'not-run' };
+
+interface Seen {
+  outcome: string;
+  status: number;
+  body: string;
+  framed: boolean;
+  usable: boolean;
+}
+
+/**
+ * Runs one request against a back end that answers with `script`. With `resets` the back end never reads the request
+ * and closes once its answer has begun to arrive, so that the system resets the connection.
+ */
+async function run(script: (socket: Socket) => void, resets = false): Promise<Seen> {
+  let answering: Socket | null = null;
+  const server = createServer({ pauseOnConnect: resets }, (socket) => {
+    answering = socket;
+    socket.on('error', () => undefined);
+    if (resets) {
+      script(socket);
+      return;
+    }
+    socket.once('data', () => {
+      script(socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  const seen: Seen = { outcome: '', status: 0, body: '', framed: true, usable: false };
+  await new Promise<void>((resolve) => {
+    const connection = new BackendConnection(
+      { host: '127.0.0.1', port },
+      NAMES,
+      () => 0,
+      () => undefined,
+    );
+    connection.run(REQUEST, {
+      onAnswer: (answer) => {
+        seen.status = answer.statusCode;
+        seen.framed = answer.framed;
+        seen.body = '';
+        if (resets) answering?.destroy();
+        if (headerValue(answer.headers, 'id') === null) seen.outcome = 'without id';
+      },
+      onBody: (chunk) => {
+        seen.body += chunk.toString();
+      },
+      onEnd: () => {
+        seen.outcome = 'whole';
+        seen.usable = connection.usable;
+        connection.destroy();
+        resolve();
+      },
+      onBroken: (reason) => {
+        seen.outcome = reason;
+        resolve();
+      },
+    });
+  });
+  server.close();
+  return seen;
+}
+
+const OK = 'HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 4\r\n\r\ngood';
+const OTHERS = 'HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 3\r\n\r\nbad';
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nid: mine\r\nconnection: close\r\n\r\npart';
+
+interface Case {
+  readonly name: string;
+  readonly script: (socket: Socket) => void;
+  readonly resets?: boolean;
+  readonly expected: Partial<Seen>;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a proper answer leaves the connection usable',
+    script: (socket) => socket.write(OK),
+    expected: { outcome: 'whole', body: 'good', framed: true, usable: true },
+  },
+  {
+    name: "another request's answer in front is passed over, and the connection is not used again",
+    script: (socket) => socket.write(OTHERS + OK),
+    expected: { outcome: 'whole', body: 'good', usable: false },
+  },
+  {
+    name: 'surplus bytes behind a whole answer end the connection',
+    script: (socket) => socket.write(`${OK}surplus`),
+    expected: { outcome: 'whole', body: 'good', usable: false },
+  },
+  {
+    name: 'an interim answer is not the answer',
+    script: (socket) => socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${OK}`),
+    expected: { outcome: 'whole', status: 200, body: 'good' },
+  },
+  {
+    name: 'bytes that are no answer',
+    script: (socket) => socket.write('nonsense\r\n\r\n'),
+    expected: { outcome: 'garbled' },
+  },
+  {
+    name: 'an answer that is cut short',
+    script: (socket) => socket.end('HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 40\r\n\r\nshort'),
+    expected: { outcome: 'broken' },
+  },
+  {
+    name: 'a chunk size that is no number does not end the body',
+    script: (socket) =>
+      socket.write(
+        'HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\nzz\r\n\r\n',
+      ),
+    expected: { outcome: 'garbled' },
+  },
+  {
+    name: 'a length that is no number',
+    script: (socket) => socket.write('HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 4x\r\n\r\ngood'),
+    expected: { outcome: 'garbled' },
+  },
+  {
+    name: 'a chunked body that stops before its last chunk',
+    script: (socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n'),
+    expected: { outcome: 'broken' },
+  },
+  {
+    name: 'an answer without length ends with its connection, and says that it is not framed',
+    script: (socket) => socket.end(UNFRAMED),
+    expected: { outcome: 'whole', body: 'part', framed: false, usable: false },
+  },
+  {
+    name: 'an answer without length that is reset is not whole',
+    script: (socket) => socket.write(UNFRAMED),
+    resets: true,
+    expected: { outcome: 'broken' },
+  },
+  {
+    name: 'an answer that closes its connection',
+    script: (socket) => socket.write(OK.replace('id:', 'connection: close\r\nid:')),
+    expected: { outcome: 'whole', body: 'good', usable: false },
+  },
+  {
+    name: 'no answer at all',
+    script: (socket) => socket.end(),
+    expected: { outcome: 'broken' },
+  },
+];
+
+for (const { name, script, resets, expected } of CASES) {
+  test(name, async (t) => {
+    t.like(await run(script, resets), expected);
+  });
+}
+
+test('a refused connection was certainly not used', async (t) => {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  await new Promise<void>((resolve) =>
+    server.close(() => {
+      resolve();
+    }),
+  );
+  const refused = await new Promise<boolean>((resolve) => {
+    const address = { host: '127.0.0.1', port };
+    const connection = new BackendConnection(
+      address,
+      NAMES,
+      () => 0,
+      (_closed, wasRefused) => {
+        resolve(wasRefused);
+      },
+    );
+    connection.run(REQUEST, {
+      onAnswer: () => undefined,
+      onBody: () => undefined,
+      onEnd: () => undefined,
+      onBroken: (_reason, _detail, sent) => {
+        t.false(sent);
+      },
+    });
+  });
+  t.true(refused);
+});
--- /dev/null
+++ b/test/sidecar/request-forwarder.test.ts
@@ -0,0 +1,239 @@
+/** What follows an attempt that brought no answer. */
+import test from 'ava';
+import type { BackendInstance, RequestKind } from '../../src/directory/directory-state.js';
+import type { LinkClient, RequestHandlers } from '../../src/link/link-client.js';
+import type { RefusalReason } from '../../src/link/link-messages.js';
+import type { BackendChooser, ChoiceRequest } from '../../src/sidecar/backend-chooser.js';
+import { BackendView } from '../../src/sidecar/backend-view.js';
+import { ForwardedRequest, forwarderCounters, type GivenUp } from '../../src/sidecar/request-forwarder.js';
+import { Route } from '../../src/sidecar/route-table.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { ManualTime } from './manual-runtime.js';
+
+type Reaction = (handlers: RequestHandlers) => void;
+
+function refuse(reason: RefusalReason, arrived = false): Reaction {
+  return (handlers) => {
+    handlers.onRefusal({ reason, arrived, retryAfterMs: 0, status: null });
+  };
+}
+
+const BROKEN: Reaction = (handlers) => {
+  handlers.onFailure({ reason: 'broken', detail: '', status: null });
+};
+const LOST_AFTER_SENDING: Reaction = (handlers) => {
+  handlers.onLost(true);
+};
+const NEVER_SENT: Reaction = (handlers) => {
+  handlers.onLost(false);
+};
+const ANSWER: Reaction = (handlers) => {
+  const head = {
+    statusCode: 200,
+    headers: [],
+    moreFollows: false,
+    framed: true,
+    contentLength: 2,
+    status: null,
+  };
+  handlers.onAnswer(head, Buffer.from('ok'));
+};
+const SILENCE: Reaction = () => undefined;
+
+interface Outcome {
+  readonly tried: string[];
+  result: string;
+  givenUp: GivenUp | null;
+  cancelled: number;
+}
+
+interface Setup {
+  readonly kind?: RequestKind;
+  readonly maxAttempts?: number;
+  readonly mayRepeat?: boolean;
+  readonly passMs?: number;
+}
+
+/** Runs one request against back ends that react in turn. */
+function forward(reactions: Record<string, Reaction[]>, setup: Setup = {}): Outcome {
+  const { kind = 'safe', maxAttempts = 2, mayRepeat = true, passMs = 2_000 } = setup;
+  const time = new ManualTime();
+  const outcome: Outcome = { tried: [], result: '', givenUp: null, cancelled: 0 };
+  const instances = Object.keys(reactions).map((id): BackendInstance => {
+    return { id, service: 's', zone: 'z', daemonAddress: id, slots: 1, condition: 'ready', session: 1 };
+  });
+  const chooser = {
+    choose: ({ excluded }: ChoiceRequest) => instances.find(({ id }) => !excluded.has(id)) ?? null,
+    targetOf: () => null,
+  } as unknown as BackendChooser;
+  const linkTo = ({ id }: BackendInstance): LinkClient =>
+    ({
+      unreachable: false,
+      request: (_head: unknown, _body: unknown, handlers: RequestHandlers) => {
+        outcome.tried.push(id);
+        const reaction = reactions[id]?.shift() ?? SILENCE;
+        time.runtime.after(1, () => {
+          reaction(handlers);
+        });
+        return { cancel: () => (outcome.cancelled += 1) };
+      },
+    }) as unknown as LinkClient;
+  const definition = {
+    host: 'h',
+    pathPrefix: '/',
+    kind,
+    timeoutMs: 1_000,
+    targetLatencyMs: 400,
+    priority: 1,
+    maxAttempts,
+    destinations: [{ service: 's', weight: 1 }],
+  };
+  const request = new ForwardedRequest(
+    {
+      requestId: 'r',
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      route: new Route('route', definition),
+      service: 's',
+      key: null,
+      deadlineMs: 800,
+      arrivedMs: time.nowMs,
+    },
+    {
+      answer: (head) => (outcome.result = `answer ${head.statusCode}`),
+      body: () => undefined,
+      end: () => undefined,
+      breakOff: () => (outcome.result = 'broken off'),
+      giveUp: (givenUp) => {
+        outcome.result = givenUp.kind;
+        outcome.givenUp = givenUp;
+      },
+    },
+    {
+      runtime: time.runtime,
+      log: SILENT_EVENT_LOG,
+      chooser,
+      view: () => new BackendView(),
+      linkTo,
+      takeRepeat: () => mayRepeat,
+      tableIndex: () => 1,
+    },
+    forwarderCounters(),
+  );
+  request.start();
+  time.pass(passMs);
+  return outcome;
+}
+
+interface Case {
+  readonly name: string;
+  readonly reactions: Record<string, Reaction[]>;
+  readonly setup?: Setup;
+  readonly tried: string[];
+  readonly result: string;
+}
+
+const UNSAFE: Setup = { kind: 'non-idempotent' };
+
+const CASES: readonly Case[] = [
+  { name: 'an answer', reactions: { a: [ANSWER] }, tried: ['a'], result: 'answer 200' },
+  {
+    name: 'a refusal between daemons costs nothing, so another back end is tried without the allowance',
+    reactions: { a: [refuse('busy')], b: [ANSWER] },
+    setup: { mayRepeat: false, maxAttempts: 1 },
+    tried: ['a', 'b'],
+    result: 'answer 200',
+  },
+  {
+    name: 'all are busy: it ends at once, and has not run',
+    reactions: { a: [refuse('busy')], b: [refuse('busy')] },
+    setup: { passMs: 5 },
+    tried: ['a', 'b'],
+    result: 'not-run',
+  },
+  {
+    name: 'a refusal by the back end itself is an arrival: without allowance it is final',
+    reactions: { a: [refuse('declined', true)], b: [ANSWER] },
+    setup: { mayRepeat: false },
+    tried: ['a'],
+    result: 'not-run',
+  },
+  {
+    name: 'a request that may not repeat goes on after a refusal',
+    reactions: { a: [refuse('leaving')], b: [ANSWER] },
+    setup: UNSAFE,
+    tried: ['a', 'b'],
+    result: 'answer 200',
+  },
+  {
+    name: 'a safe request is repeated elsewhere after a broken answer',
+    reactions: { a: [BROKEN], b: [ANSWER] },
+    tried: ['a', 'b'],
+    result: 'answer 200',
+  },
+  {
+    name: 'no more back ends than the route allows',
+    reactions: { a: [BROKEN], b: [BROKEN], c: [ANSWER] },
+    tried: ['a', 'b'],
+    result: 'unknown',
+  },
+  {
+    name: 'without allowance a broken answer is final',
+    reactions: { a: [BROKEN], b: [ANSWER] },
+    setup: { mayRepeat: false },
+    tried: ['a'],
+    result: 'unknown',
+  },
+  {
+    name: 'a request that may not repeat is not sent again after a broken answer',
+    reactions: { a: [BROKEN], b: [ANSWER] },
+    setup: UNSAFE,
+    tried: ['a'],
+    result: 'unknown',
+  },
+  {
+    name: 'nor after the connection to the other daemon was lost',
+    reactions: { a: [LOST_AFTER_SENDING], b: [ANSWER] },
+    setup: UNSAFE,
+    tried: ['a'],
+    result: 'unknown',
+  },
+  {
+    name: 'but it is when no byte had left',
+    reactions: { a: [NEVER_SENT], b: [ANSWER] },
+    setup: UNSAFE,
+    tried: ['a', 'b'],
+    result: 'answer 200',
+  },
+  {
+    name: 'a refusal after an attempt that may have run does not say that it has not run',
+    reactions: { a: [BROKEN], b: [refuse('busy')] },
+    tried: ['a', 'b'],
+    result: 'unknown',
+  },
+];
+
+for (const { name, reactions, setup, tried, result } of CASES) {
+  test(name, (t) => {
+    const outcome = forward(reactions, setup);
+    t.deepEqual(outcome.tried, tried);
+    t.is(outcome.result, result);
+  });
+}
+
+test('when the time is up the attempt is taken back, and the outcome is unknown', (t) => {
+  const outcome = forward({ a: [SILENCE] });
+  t.like(outcome.givenUp, { kind: 'unknown', timedOut: true });
+  t.is(outcome.cancelled, 1);
+});
+
+test('a request that has not run says when to come back', (t) => {
+  const outcome = forward({ a: [refuse('busy')] });
+  t.true(outcome.givenUp?.kind === 'not-run' && outcome.givenUp.retryAfterMs > 0);
+});
+
+test('without any back end a request looks for one for a part of its target, and ends', (t) => {
+  t.is(forward({}, { passMs: 150 }).result, 'not-run');
+});
