Smaller daemons: zod/mini in what the platform's bundle loads; the queue goes by target and by the time of each route

In the queue of a back end all requests were taken to need the same time, so that short calls of other back ends gave up behind long ones, and their callers failed with them.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -1,7 +1,7 @@
 /** The configuration document that operators submit: services, their back ends and their limits. */
 import { z } from 'zod';
 import { checkPolicy } from '../policy/policy-check.js';
-import { socketAddressSchema } from '../model/socket-address.js';
+import { socketAddressSchema } from '../model/socket-address-schema.js';
 
 const nameSchema = z
   .string()
--- a/src/config/daemon-settings.ts
+++ b/src/config/daemon-settings.ts
@@ -1,7 +1,7 @@
 /** Settings of each daemon, read from a YAML file. Every field has its unit and default here. */
 import { readFileSync } from 'node:fs';
 import { z } from 'zod';
-import { socketAddressSchema } from '../model/socket-address.js';
+import { socketAddressSchema } from '../model/socket-address-schema.js';
 import { Err, Ok, type Result } from '../result.js';
 import { readYamlFile, type FileProblem } from './yaml-file.js';
 
--- a/src/control/daemon-messages.ts
+++ b/src/control/daemon-messages.ts
@@ -1,6 +1,6 @@
 /** Messages between control replicas and the other daemons, as they are checked on arrival. */
 import { z } from 'zod';
-import { socketAddressSchema } from '../model/socket-address.js';
+import { socketAddressSchema } from '../model/socket-address-schema.js';
 import type { StateSnapshot } from './state-snapshot.js';
 import type { WireChange } from './wire-changes.js';
 
--- a/src/control/peer-messages.ts
+++ b/src/control/peer-messages.ts
@@ -1,8 +1,8 @@
 /** Checks of messages between control replicas on arrival, so that garbage cannot reach the core. */
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import type { PeerMessage } from './peer-network.js';
 
-const index = z.number().int().min(0);
+const index = z.int().check(z.minimum(0));
 const base = { from: z.string(), to: z.string(), term: index };
 const membership = z.object({ voters: z.array(z.string()), learners: z.array(z.string()) });
 const position = z.object({ index, term: index, membership });
@@ -48,7 +48,7 @@
     kind: z.literal('formation-answer'),
     name: z.string(),
     id: z.string(),
-    membership: membership.nullable(),
+    membership: z.nullable(membership),
   }),
   z.object({ kind: z.literal('join-request'), id: z.string() }),
 ]);
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between directory replicas and the daemons beside back ends, and between replicas. */
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import type { DirectoryChange } from './directory-commands.js';
 import type { DirectorySnapshot } from './directory-state.js';
 
@@ -8,7 +8,7 @@
   service: z.string(),
   zone: z.string(),
   daemonAddress: z.string(),
-  slots: z.number().int().min(1),
+  slots: z.int().check(z.minimum(1)),
   condition: z.enum(['ready', 'draining']),
 });
 
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -17,6 +17,8 @@
   readonly instance: string;
   /** Key of the request, or null. */
   readonly key: number | null;
+  /** Name of its route; requests of one route take about the same time. */
+  readonly route: string;
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
   /** Time left for the whole request, in ms. */
--- a/src/model/socket-address.ts
+++ b/src/model/socket-address.ts
@@ -1,14 +1,10 @@
 /** An IP address and port; names are never resolved. */
-import { z } from 'zod';
-
-/** Shape of an address in settings and configuration files. */
-export const socketAddressSchema = z.strictObject({
-  host: z.union([z.ipv4(), z.ipv6()]),
-  port: z.number().int().min(1).max(65_535),
-});
 
 /** An IP address and port. */
-export type SocketAddress = z.infer<typeof socketAddressSchema>;
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
 
 /** Writes an address as `host:port`. */
 export function formatAddress(address: SocketAddress): string {
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -7,6 +7,8 @@
 export interface Applicant {
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
+  /** Among those of one rank the smallest goes first. */
+  readonly order: number;
   /** When it gives up waiting, in ms of the daemon's clock. */
   readonly expiresMs: number;
   /** It has a place, which it must give back with `leave`. */
@@ -21,6 +23,11 @@
 /** Service time that is assumed before any was seen, in ms. */
 const ASSUMED_SERVICE_MS = 50;
 
+function goesBefore(left: Applicant, right: Applicant): boolean {
+  if (left.priority !== right.priority) return left.priority < right.priority;
+  return left.order < right.order;
+}
+
 /** The places of one back end. */
 export class Admission {
   private running = 0;
@@ -62,7 +69,7 @@
       applicant.start();
       return;
     }
-    const ahead = this.waiting.filter(({ priority }) => priority <= applicant.priority).length;
+    const ahead = this.waiting.filter((other) => !goesBefore(applicant, other)).length;
     const expectedMs = (this.meanMs * (ahead + 1)) / (this.slotCount + 1);
     if (nowMs + expectedMs > applicant.expiresMs) {
       applicant.expire();
@@ -99,7 +106,7 @@
   }
 
   private insert(applicant: Applicant): void {
-    const at = this.waiting.findIndex(({ priority }) => priority > applicant.priority);
+    const at = this.waiting.findIndex((other) => goesBefore(applicant, other));
     if (at < 0) this.waiting.push(applicant);
     else this.waiting.splice(at, 0, applicant);
   }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -11,6 +11,7 @@
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
+import { ServiceTimes } from './service-times.js';
 
 /** Pause between looks at waiting requests, in ms. */
 const STEP_MS = 20;
@@ -25,7 +26,13 @@
 const BROKEN_LIMIT = 4;
 
 /** Time that a request may need at the back end, by the mean time that requests need. */
-const WORK_PER_MEAN = 1.5;
+const WORK_PER_MEAN = 1.3;
+
+/** What puts a request that comes too late for its target behind those that do not, in ms. */
+const LATE_ORDER_MS = 1_000_000;
+
+/** Part of the mean time for which a request may wait for a place in any case. */
+const LEAST_PLACE_WAIT_SHARE = 0.2;
 
 /** Pause between trials, in ms. */
 const TRIAL_PAUSE_MS = 300;
@@ -95,6 +102,7 @@
     },
   };
   readonly admission = new Admission(1);
+  private readonly times = new ServiceTimes();
   readonly pool: BackendPool;
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
@@ -119,6 +127,11 @@
     return this.running.size;
   }
 
+  /** The back end says how many requests it runs at once. */
+  setSlots(slots: number): void {
+    this.admission.resize(slots);
+  }
+
   /** How busy the back end is; null while nothing is known of it. */
   status(): StatusHead | null {
     const instance = this.ports.instance();
@@ -137,13 +150,12 @@
   /** Takes a request of another daemon or of this one. */
   take(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
-    const patienceMs = Math.min(this.patienceFor(head), head.remainingMs);
     const visit: Visit = {
       head,
       body,
       reply,
       arrivedMs: nowMs,
-      expiresMs: nowMs + patienceMs,
+      expiresMs: nowMs + Math.min(head.remainingMs, Math.max(head.patienceMs, this.spareMs(head))),
       applicant: null,
       run: null,
       startedMs: 0,
@@ -158,9 +170,20 @@
     };
   }
 
-  /** A request may wait as long as it can still be answered in time afterwards. */
-  private patienceFor({ patienceMs, targetLeftMs }: RequestHead): number {
-    return Math.max(0, patienceMs, targetLeftMs - WORK_PER_MEAN * this.admission.serviceMs);
+  /** Time for which a request can wait and still be answered in time afterwards. */
+  private spareMs({ targetLeftMs, route }: RequestHead): number {
+    return Math.max(0, targetLeftMs - WORK_PER_MEAN * this.meanMs(route));
+  }
+
+  private meanMs(route: string): number {
+    return this.times.meanMs(route, this.admission.serviceMs);
+  }
+
+  /** Where hardly any request can be answered in time, waiting for a place only makes all of them late. */
+  private placeWaitMs({ head, arrivedMs }: Visit, nowMs: number): number {
+    const least = LEAST_PLACE_WAIT_SHARE * this.meanMs(head.route);
+    const leftMs = head.remainingMs - (nowMs - arrivedMs);
+    return Math.min(leftMs, Math.max(least, this.spareMs(head) - (nowMs - arrivedMs)));
   }
 
   /** Something has changed that requests may wait for. */
@@ -205,7 +228,8 @@
   private apply(visit: Visit, nowMs: number): void {
     const applicant: Applicant = {
       priority: visit.head.priority,
-      expiresMs: visit.expiresMs,
+      order: this.orderOf(visit),
+      expiresMs: nowMs + this.placeWaitMs(visit, nowMs),
       start: () => {
         this.start(visit);
       },
@@ -217,6 +241,12 @@
     this.admission.apply(applicant, nowMs);
   }
 
+  /** Requests that can still be answered in time go first, by when that time ends; the others after them. */
+  private orderOf({ head, arrivedMs }: Visit): number {
+    const targetMs = arrivedMs + head.targetLeftMs;
+    return this.spareMs(head) > 0 ? targetMs : targetMs + LATE_ORDER_MS;
+  }
+
   /** What held when the request came must hold still when it leaves. */
   private start(visit: Visit): void {
     const { ports } = this;
@@ -250,6 +280,7 @@
     visit.done = true;
     this.running.delete(visit);
     const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
+    if (outcome.kind === 'answered') this.times.note(visit.head.route, usedMs);
     this.ports.onWork(visit.head.key, usedMs);
     this.count(visit, outcome, usedMs);
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -214,6 +214,7 @@
       headers,
       instance: instance.id,
       key,
+      route: route.name,
       priority: route.definition.priority,
       remainingMs: this.leftMs(),
       patienceMs: Math.max(0, this.patienceMs()),
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -168,7 +168,7 @@
     const news = this.backend.take(heartbeat, arrivedMs);
     if (news === 'stale') return null;
     if (news === 'new-life') this.newLife(heartbeat);
-    this.gateway.admission.resize(heartbeat.slots);
+    this.gateway.setSlots(heartbeat.slots);
     this.updateLease(heartbeat);
     const { grants } = this;
     if (!(grants instanceof HeartbeatGrants) || !this.isKeyed()) {
--- a/src/transport/hello.ts
+++ b/src/transport/hello.ts
@@ -1,6 +1,6 @@
 /** The first message on every internal connection: who is calling, and proof that it belongs here. */
 import { timingSafeEqual } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod/mini';
 
 /** Version of the internal messages; peers with another version are refused. */
 export const PROTOCOL_VERSION = 1;
@@ -12,11 +12,11 @@
 
 const helloSchema = z.object({
   kind: z.literal('hello'),
-  version: z.number().int(),
+  version: z.int(),
   token: z.string(),
   role: peerRoleSchema,
-  name: z.string().min(1).max(200),
-  zone: z.string().max(200),
+  name: z.string().check(z.minLength(1), z.maxLength(200)),
+  zone: z.string().check(z.maxLength(200)),
 });
 
 /** First message of the dialing side. */
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -13,6 +13,7 @@
   headers: ['a', 'b'],
   instance: 'i',
   key: 7,
+  route: 'route',
   priority: 1,
   remainingMs: 1_000,
   patienceMs: 100,
--- a/test/sidecar/admission.test.ts
+++ b/test/sidecar/admission.test.ts
@@ -8,6 +8,7 @@
   applicant(name: string, priority = 1, expiresMs = 1_000): Applicant {
     return {
       priority,
+      order: 0,
       expiresMs,
       start: () => this.log.push(`start ${name}`),
       expire: () => this.log.push(`expire ${name}`),
