Endpoints that left free their keys once they have ended; ranges let go as one share their handover; fewer wakes

Ranges that an endpoint let go as one row lost their handover, since rows were matched to the letter. Processor time: a look every 20 ms whether anything waited or not, and a status to every daemon every 100 ms. Ruled out: giving keys up at DELETE (it serves on, and two would hold them); shorter grants. Change: once an endpoint that left may not be sent anything, its address is tried every 300 ms, and at a stop; a handover is found by cover; timers run only while something waits; status is encoded once, every 250 ms, for callers that were heard in the last 2 s. Tests: a sidecar on manual time (five cases), handover by cover.

--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -9,7 +9,7 @@
 } from './link-frame.js';
 
 /** Pause between questions for a sign of life while an answer is awaited, in ms. */
-const PING_MS = 200;
+const PING_MS = 250;
 
 /** Silence after which a peer that was asked for a sign of life counts as lost, in ms. */
 const SILENCE_LIMIT_MS = 800;
@@ -76,6 +76,16 @@
     this.socket.uncork();
   }
 
+  /** Queues a frame that was encoded once for many peers. */
+  sendEncoded(frame: Buffer): void {
+    if (!this.closed) this.socket.write(frame);
+  }
+
+  /** Time since the peer was heard, in ms. */
+  get silentMs(): number {
+    return this.nowMs() - this.lastHeardMs;
+  }
+
   /** Calls back when everything that was queued has been handed to the system. */
   onDrain(callback: () => void): void {
     this.socket.once('drain', callback);
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -3,12 +3,15 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import { LinkConnection } from './link-connection.js';
-import { FRAME_KIND, type LinkFrame } from './link-frame.js';
+import { encodeFrameStart, FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
 
 /** Bytes of one connection that may wait to be sent before the answers on it are held back. */
 const MAX_WAITING_BYTES = 1024 * 1024;
 
+/** Callers that sent nothing for this long, in ms, are told nothing until they do. */
+const BROADCAST_SILENCE_MS = 2_000;
+
 /** Where the owner of a request says what became of it. */
 export interface RequestReply {
   refuse(head: RefusalHead): void;
@@ -57,9 +60,12 @@
     });
   }
 
-  /** Tells every caller how busy the back end is. */
+  /** Tells callers that were heard lately how busy the back end is. */
   broadcast(status: StatusHead): void {
-    for (const connection of this.connections) connection.send(FRAME_KIND.status, 0, status);
+    const frame = encodeFrameStart(FRAME_KIND.status, 0, status, 0);
+    for (const connection of this.connections) {
+      if (connection.silentMs < BROADCAST_SILENCE_MS) connection.sendEncoded(frame);
+    }
   }
 
   /** Stops listening and closes every connection. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -5,7 +5,7 @@
 import type { RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
-import type { Runtime } from '../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import { Admission, type Applicant } from './admission.js';
 import { BackendPool } from './backend-pool.js';
@@ -16,8 +16,11 @@
 /** Pause between looks at waiting requests, in ms. */
 const STEP_MS = 20;
 
-/** Least pause between reports of how busy the back end is, in ms. */
-const STATUS_MS = 100;
+/**
+ * Least pause between reports of how busy the back end is, in ms. Every answer carries the same, so reports are for
+ * daemons that get none at present.
+ */
+const STATUS_MS = 250;
 
 /** When to come back after a refusal for want of a place, in ms. */
 const RETRY_AFTER_MS = 100;
@@ -109,17 +112,14 @@
   private readonly running = new Set<Visit>();
   private brokenInRow = 0;
   private lastTrialMs = -Infinity;
-  private statusDueMs = 0;
   private lastStatus = '';
-  private readonly cancelTimer;
+  private cancelStep: CancelTimer | null = null;
+  private cancelPublish: CancelTimer | null = null;
 
   constructor(private readonly ports: GatewayPorts) {
     const names = { requestId: ports.dialect.requestId, notRun: ports.dialect.notRun };
     const nowMs = (): number => ports.runtime.nowMs();
     this.pool = new BackendPool(ports.address, names, nowMs, ports.onBackendRefused);
-    this.cancelTimer = ports.runtime.every(STEP_MS, () => {
-      this.step();
-    });
   }
 
   /** Requests that run at the back end. */
@@ -196,7 +196,8 @@
 
   /** Stops everything; what runs is broken off. */
   stop(): void {
-    this.cancelTimer();
+    this.cancelStep?.();
+    this.cancelPublish?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
     this.admission.expireAll();
     this.pool.destroy();
@@ -222,7 +223,10 @@
 
   private wait(visit: Visit, reason: RefusalReason): void {
     if (this.ports.runtime.nowMs() >= visit.expiresMs) this.refuse(visit, reason);
-    else this.waiting.add(visit);
+    else {
+      this.waiting.add(visit);
+      this.stepSoon();
+    }
   }
 
   private apply(visit: Visit, nowMs: number): void {
@@ -239,6 +243,7 @@
     };
     visit.applicant = applicant;
     this.admission.apply(applicant, nowMs);
+    if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
   /** Requests that can still be answered in time go first, by when that time ends; the others after them. */
@@ -283,6 +288,7 @@
     if (outcome.kind === 'answered') this.times.note(visit.head.route, usedMs);
     this.ports.onWork(visit.head.key, usedMs);
     this.count(visit, outcome, usedMs);
+    this.publishSoon();
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
   }
 
@@ -334,6 +340,15 @@
     return first.done === true ? 0 : this.ports.runtime.nowMs() - first.value.startedMs;
   }
 
+  /** Looks at what waits as long as anything does. */
+  private stepSoon(): void {
+    this.cancelStep ??= this.ports.runtime.after(STEP_MS, () => {
+      this.cancelStep = null;
+      this.step();
+      if (this.waiting.size > 0 || this.admission.waitingCount > 0) this.stepSoon();
+    });
+  }
+
   private step(): void {
     const nowMs = this.ports.runtime.nowMs();
     this.admission.expireBefore(nowMs);
@@ -342,21 +357,21 @@
       this.waiting.delete(visit);
       this.consider(visit);
     }
-    if (nowMs >= this.statusDueMs) this.publish(nowMs);
   }
 
   private publishSoon(): void {
-    const nowMs = this.ports.runtime.nowMs();
-    if (nowMs >= this.statusDueMs) this.publish(nowMs);
+    this.cancelPublish ??= this.ports.runtime.after(STATUS_MS, () => {
+      this.cancelPublish = null;
+      this.publish();
+    });
   }
 
-  private publish(nowMs: number): void {
+  private publish(): void {
     const status = this.status();
     if (status === null) return;
     const text = `${status.instance} ${status.running} ${status.waiting} ${String(status.accepting)}`;
     if (text === this.lastStatus) return;
     this.lastStatus = text;
-    this.statusDueMs = nowMs + STATUS_MS;
     this.ports.broadcast(status);
   }
 }
--- a/src/sidecar/heartbeat-grants.ts
+++ b/src/sidecar/heartbeat-grants.ts
@@ -3,7 +3,7 @@
  * heartbeat shows that the back end has let it go.
  */
 import type { KeyRange } from '../directory/directory-state.js';
-import type { BackendHeartbeat, HeartbeatGrant, HeldRange } from './backend-report.js';
+import type { BackendHeartbeat, HeartbeatGrant, HeldRange, ReleasedRange } from './backend-report.js';
 import { overlaps, rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
 
 /** Least time in ms that is worth granting. */
@@ -22,7 +22,8 @@
   private answeredAny = false;
   /** Sequence of the first heartbeat whose answer left a moving range out, by the range's name. */
   private readonly leftOut = new Map<string, number>();
-  private readonly handovers = new Map<string, string>();
+  /** Newest last. */
+  private handovers: ReleasedRange[] = [];
   private readonly reporter: ReleaseReporter;
 
   constructor(private readonly ports: KeyGrantPorts) {
@@ -42,7 +43,7 @@
 
   /** Takes what a heartbeat tells of keys. */
   take(heartbeat: BackendHeartbeat): void {
-    for (const { from, to, handover } of heartbeat.released) this.keepHandover(`${from}-${to}`, handover);
+    this.handovers = [...this.handovers, ...heartbeat.released].slice(-KEPT_HANDOVERS);
     this.recover(heartbeat);
     this.reportReleases(heartbeat);
   }
@@ -73,7 +74,7 @@
     this.heldUntilMs = -Infinity;
     this.answeredAny = false;
     this.leftOut.clear();
-    this.handovers.clear();
+    this.handovers = [];
     this.reporter.clear();
   }
 
@@ -114,15 +115,13 @@
       const leftOutAt = this.leftOut.get(rangeName(range));
       const answered = leftOutAt !== undefined && sequence > leftOutAt;
       if (!answered || holds.some((held) => overlaps(held, range))) continue;
-      this.reporter.report(range, this.handovers.get(`${range.from}-${range.to}`) ?? '');
+      this.reporter.report(range, this.handoverOf(range));
     }
   }
 
-  private keepHandover(name: string, handover: string): void {
-    this.handovers.delete(name);
-    this.handovers.set(name, handover);
-    if (this.handovers.size <= KEPT_HANDOVERS) return;
-    const oldest = this.handovers.keys().next();
-    if (oldest.done !== true) this.handovers.delete(oldest.value);
+  /** A back end may let go of several ranges at once, as one. */
+  private handoverOf(range: KeyRange): string {
+    const covering = this.handovers.findLast(({ from, to }) => from <= range.from && to >= range.to);
+    return covering?.handover ?? '';
   }
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -47,6 +47,12 @@
 /** Pause in ms before a back end that refused a connection is asked once more. */
 const SECOND_LOOK_MS = 120;
 
+/** Pause in ms between looks at a back end that has left. */
+const LOOK_PAUSE_MS = 300;
+
+/** Time in ms in which the last messages of a daemon that stops leave it. */
+const FLUSH_MS = 60;
+
 /** Time in ms by which a grant may outlast its end here, for clocks that run at different rates. */
 const HOLD_MARGIN_MS = 400;
 
@@ -108,6 +114,7 @@
   private stoppingSinceMs: number | null = null;
   private closingConnections = false;
   private lookingAgain = false;
+  private lookDueMs = -Infinity;
   /** Daemons beside back ends, this one included. */
   private daemonCount = 1;
 
@@ -203,10 +210,16 @@
     const startMs = this.runtime.nowMs();
     this.stoppingSinceMs = startMs;
     const { graceMs } = this.settings;
+    void this.lookAgainAtBackend();
     await this.waitUntil(startMs + graceMs * CLOSING_SHARE, () => false);
     this.closingConnections = true;
     this.callers.stopListening();
     await this.waitUntil(startMs + graceMs * LAST_SHARE, () => !this.busy);
+    // A daemon that comes back finds its back end where it was; one whose back end has ended gives its keys up.
+    if (this.backend.id !== null && !(await this.options.backendListens())) {
+      this.backendGone('it ended before its daemon');
+      await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
+    }
     this.close();
   }
 
@@ -342,6 +355,7 @@
   private async lookAgainAtBackend(): Promise<void> {
     if (this.lookingAgain || this.backend.id === null) return;
     this.lookingAgain = true;
+    this.lookDueMs = this.runtime.nowMs() + LOOK_PAUSE_MS;
     const { id } = this.backend;
     await this.waitUntil(this.runtime.nowMs() + SECOND_LOOK_MS, () => false);
     const listens = await this.options.backendListens();
@@ -364,9 +378,12 @@
     if (backend.id === null) return;
     const holdsNothing = nowMs > this.grants.heldUntil + HOLD_MARGIN_MS;
     const silentMs = nowMs - backend.lastHeardMs;
-    if (backend.left && nowMs > backend.closesAtMs && holdsNothing) this.backendGone('it left');
-    else if (this.isKeyed() && silentMs > this.settings.holdMs && holdsNothing)
-      this.backendGone('it is silent');
+    if (backend.left && nowMs > backend.closesAtMs) {
+      if (holdsNothing) this.backendGone('it left');
+      else if (nowMs >= this.lookDueMs) void this.lookAgainAtBackend();
+      return;
+    }
+    if (this.isKeyed() && silentMs > this.settings.holdMs && holdsNothing) this.backendGone('it is silent');
   }
 
   // ---- the directory
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -87,6 +87,18 @@
   t.like(world.sent, [{ kind: 'released', from: 0, to: 49, fence: 5, handover: 'h', owner: 'me' }]);
 });
 
+test('heartbeats: ranges that were let go as one share what was left for the next holder', (t) => {
+  const world = new World();
+  const grants = new HeartbeatGrants(world.ports());
+  world.ranges = [range(0, 49, 5, 'other'), range(50, 99, 5, 'third')];
+  grants.answer(heartbeat(1), world.time.nowMs);
+  grants.take(heartbeat(2, { released: [{ from: 0, to: 99, handover: 'h' }] }));
+  t.deepEqual(
+    world.sent.map((request) => (request.kind === 'released' ? request.handover : '')),
+    ['h', 'h'],
+  );
+});
+
 test('heartbeats: a late heartbeat from before the answer proves nothing', (t) => {
   const world = new World();
   const grants = new HeartbeatGrants(world.ports());
--- /dev/null
+++ b/test/sidecar/sidecar-node.test.ts
@@ -0,0 +1,199 @@
+/** A sidecar between a directory and a back end, on time that the tests move by hand. */
+import { createServer } from 'node:net';
+import test from 'ava';
+import type { DirectoryNotice, DirectoryRequest } from '../../src/directory/directory-messages.js';
+import type { DirectorySnapshot, KeyRange } from '../../src/directory/directory-state.js';
+import type { ClientHandlers, Runtime } from '../../src/runtime/runtime.js';
+import type { BackendHeartbeat, HeartbeatGrant } from '../../src/sidecar/backend-report.js';
+import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
+import { SidecarNode } from '../../src/sidecar/sidecar-node.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { ManualTime } from './manual-runtime.js';
+
+const SERVICE = 'stock';
+const SESSION = 9;
+const LEASE_MS = 9_500;
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  await new Promise<void>((resolve) =>
+    server.close(() => {
+      resolve();
+    }),
+  );
+  return port;
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+}
+
+class World {
+  readonly time = new ManualTime();
+  readonly sent: DirectoryRequest[] = [];
+  listens = true;
+  private handlers: ClientHandlers | null = null;
+  private index = 0;
+
+  constructor(readonly node: SidecarNode | null = null) {}
+
+  async start(): Promise<SidecarNode> {
+    const runtime: Runtime = {
+      ...this.time.runtime,
+      dial: (_address, _identity, handlers) => {
+        this.handlers = handlers;
+        return {
+          send: (message) => {
+            this.sent.push(message as DirectoryRequest);
+            return true;
+          },
+          traffic: () => ({ bytesSent: 0, bytesReceived: 0 }),
+          stop: () => undefined,
+        };
+      },
+    };
+    const [callers, links, backend] = [await freePort(), await freePort(), await freePort()];
+    const started = await SidecarNode.start({
+      settings: {
+        name: 'sidecar',
+        zone: 'z',
+        callers: { host: '127.0.0.1', port: callers },
+        links: { host: '127.0.0.1', port: links },
+        backend: { host: '127.0.0.1', port: backend },
+        service: SERVICE,
+        seeds: ['127.0.0.1:1'],
+        grantMode: 'heartbeat',
+        holdMs: 6_000,
+        drainMs: 2_000,
+        graceMs: 6_000,
+        retryBudget: { ratio: 0.2, extra: 60, windowMs: 10_000 },
+        dialect: DEFAULT_HEADER_DIALECT,
+      },
+      token: 'token',
+      runtime,
+      log: SILENT_EVENT_LOG,
+      calls: {
+        grant: async () => await Promise.resolve('granted'),
+        release: async () => await Promise.resolve(''),
+      },
+      random: () => 0,
+      backendListens: async () => await Promise.resolve(this.listens),
+    });
+    return started.unwrap();
+  }
+
+  notify(notice: DirectoryNotice): void {
+    this.handlers?.onMessage(notice);
+  }
+
+  table(ranges: readonly KeyRange[]): void {
+    this.index += 1;
+    const service = { maxConnections: 9, keyed: true, grantMode: null };
+    const item = { kind: 'service', name: SERVICE, version: 1, source: null, definition: service } as const;
+    const table: DirectorySnapshot = {
+      items: [item],
+      revision: 0,
+      configured: true,
+      accepted: [],
+      instances: [],
+      ranges: [{ service: SERVICE, ranges }],
+    };
+    this.notify({ kind: 'table', index: this.index, table });
+  }
+
+  lease(): void {
+    const sentMs = this.time.nowMs;
+    this.notify({ kind: 'registered', id: 'one', session: SESSION, sentMs, termMs: LEASE_MS });
+  }
+
+  kinds(): string[] {
+    return this.sent.map(({ kind }) => kind);
+  }
+}
+
+function heartbeat(sequence: number): BackendHeartbeat {
+  const common = { id: 'one', service: SERVICE, zone: 'z', slots: 2, condition: 'ready' } as const;
+  return { ...common, sequence, holds: [], released: [] };
+}
+
+function range(from: number, to: number, owner: string | null, movingTo: string | null = null): KeyRange {
+  return { from, to, owner, session: SESSION, fence: 3, movingTo, handover: '' };
+}
+
+async function owner(world: World): Promise<{ node: SidecarNode; grant: HeartbeatGrant | null }> {
+  const node = await world.start();
+  world.table([range(0, 65_535, 'one')]);
+  await node.heartbeat(heartbeat(1));
+  world.lease();
+  const grant = await node.heartbeat(heartbeat(2));
+  return { node, grant };
+}
+
+test('a back end is registered with its first heartbeat, and granted what it owns', async (t) => {
+  const world = new World();
+  const { node, grant } = await owner(world);
+  t.true(world.kinds().includes('register'));
+  t.deepEqual(grant?.ranges, [{ from: 0, to: 65_535, fence: 3, handover: '' }]);
+  t.is(node.notReady, null);
+  await stop(world, node);
+});
+
+test('the answer to a heartbeat waits a moment for keys that are on their way', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  world.table([range(0, 99, 'other', 'one'), range(100, 65_535, 'one')]);
+  const answering = node.heartbeat(heartbeat(3));
+  await settle();
+  world.table([range(0, 99, 'one'), range(100, 65_535, 'one')]);
+  t.is((await answering)?.ranges.length, 2);
+  const late = node.heartbeat(heartbeat(4));
+  t.truthy(await late, 'nothing is on its way any more');
+  await stop(world, node);
+});
+
+test('a back end that left gives its keys up as soon as no process listens there', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  node.leave('one');
+  world.listens = true;
+  await pass(world, 2_500);
+  t.false(world.kinds().includes('unregister'), 'it still runs, and holds its keys');
+  world.listens = false;
+  await pass(world, 1_000);
+  t.true(world.kinds().includes('unregister'));
+  await stop(world, node);
+});
+
+test('a daemon that stops gives the keys up only if its back end has ended', async (t) => {
+  for (const listens of [true, false]) {
+    const world = new World();
+    const { node } = await owner(world);
+    world.listens = listens;
+    await stop(world, node);
+    t.is(world.kinds().includes('unregister'), !listens);
+  }
+});
+
+test('a daemon that stops is not ready at once', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  const stopping = node.stop();
+  t.is(node.notReady, 'stopping');
+  await pass(world, 7_000);
+  await stopping;
+});
+
+async function pass(world: World, ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 50) {
+    world.time.pass(50);
+    await settle();
+  }
+}
+
+async function stop(world: World, node: SidecarNode): Promise<void> {
+  const stopping = node.stop();
+  await pass(world, 7_000);
+  await stopping;
+}
