Metrics of both daemons where the settings name an address; first heartbeats wait for the first grant

Cause: the users' on-call engineers need counters and latency histograms; after a restart of everything an endpoint's first heartbeat was answered before its registration, so its keys came a heartbeat later. Ruled out: loading metrics always (memory).

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -7,6 +7,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
+import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
@@ -45,6 +46,8 @@
   readonly runtime: Runtime;
   readonly log: EventLog;
   readonly dialect: HeaderDialect;
+  readonly service: string;
+  readonly latencies: Latencies;
   readonly address: SocketAddress;
   /** Id of the present life; null until it has told about itself. */
   readonly instance: () => string | null;
@@ -267,6 +270,7 @@
       else this.refuse(visit, stale ? 'leaving' : 'busy');
       return;
     }
+    ports.latencies.observe('waiting', ports.service, nowMs - visit.arrivedMs);
     this.running.add(visit);
     this.counters.runs += 1;
     visit.run = new BackendRun(this.pool, ports.dialect, visit.head, visit.body, leftMs, {
@@ -286,6 +290,7 @@
     this.running.delete(visit);
     const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
     if (outcome.kind === 'answered') this.times.note(visit.head.route, usedMs);
+    this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(visit.head.key, usedMs);
     this.count(visit, outcome, usedMs);
     this.publishSoon();
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -8,6 +8,7 @@
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
+import type { Latencies } from '../telemetry/latencies.js';
 import type { BackendChooser } from './backend-chooser.js';
 import type { BackendView } from './backend-view.js';
 import type { Route } from './route-table.js';
@@ -72,6 +73,7 @@
   readonly takeRepeat: (service: string) => boolean;
   /** Index of the table in force. */
   readonly tableIndex: () => number;
+  readonly latencies: Latencies;
 }
 
 /** Counters of all requests of a daemon. */
@@ -381,6 +383,8 @@
   private complete(): void {
     this.finish();
     this.counters.answered += 1;
+    const { service, arrivedMs } = this.request;
+    this.ports.latencies.observe('request', service, this.ports.runtime.nowMs() - arrivedMs);
     this.ports.log.routine('request-answered', this.fields({ instance: this.currentInstance?.id }));
   }
 
--- /dev/null
+++ b/src/sidecar/sidecar-metrics.ts
@@ -0,0 +1,32 @@
+/** The figures of a sidecar. */
+import type { DaemonMetrics } from '../telemetry/daemon-metrics.js';
+import type { SidecarNode } from './sidecar-node.js';
+
+/** Adds the figures of a sidecar to its metrics. */
+export function exposeSidecar(metrics: DaemonMetrics, node: SidecarNode): void {
+  const { counters, gateway } = node;
+  metrics.family('requests', 'Requests of callers, by outcome', 'outcome', () => [
+    ['answered', counters.answered],
+    ['not-run', counters.notRun],
+    ['unknown', counters.unknown],
+    ['cancelled', counters.cancelled],
+  ]);
+  metrics.value('attempts', 'Attempts at other daemons', () => counters.attempts);
+  metrics.value('repeats', 'Second arrivals at back ends', () => counters.repeats);
+  metrics.family('gateway_refusals', 'Requests refused beside the back end, by reason', 'reason', () =>
+    Object.entries(gateway.counters.refused),
+  );
+  metrics.value('backend_runs', 'Requests sent to the back end', () => gateway.counters.runs);
+  metrics.value('backend_answers', 'Whole answers of the back end', () => gateway.counters.answered);
+  metrics.value('backend_broken', 'Runs without a whole answer', () => gateway.counters.broken);
+  metrics.value('backend_running', 'Requests at the back end', () => gateway.admission.runningCount);
+  metrics.value('backend_waiting', 'Requests that wait for a place', () => gateway.admission.waitingCount);
+  metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
+  metrics.value('backend_connections_opened', 'Connections opened to it', () => gateway.pool.opened);
+  metrics.value('table_index', 'Index of the table in force', () => node.table.index);
+  metrics.value('directory_connected', '1 while a replica is followed', () =>
+    Number(node.directory.connected),
+  );
+  metrics.value('lease_left_ms', 'Time left of the lease', () => Math.max(0, node.leaseLeftMs));
+  metrics.value('ready', '1 while callers may come', () => Number(node.notReady === null));
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -10,6 +10,7 @@
 import type { BackendInstance } from '../directory/directory-state.js';
 import { parseAddress } from '../directory/replica-address.js';
 import type { EventLog } from '../telemetry/event-log.js';
+import type { Latencies } from '../telemetry/latencies.js';
 import { BackendChooser } from './backend-chooser.js';
 import { BackendGateway } from './backend-gateway.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
@@ -85,6 +86,7 @@
   readonly random: () => number;
   /** Asks whether any process listens at the back end's address. */
   readonly backendListens: () => Promise<boolean>;
+  readonly latencies: Latencies;
 }
 
 /** A running sidecar. */
@@ -164,6 +166,11 @@
     return this.table.configured ? null : 'no configuration is known';
   }
 
+  /** Time left of the back end's lease, in ms; not above 0 when there is none. */
+  get leaseLeftMs(): number {
+    return this.lease.deadlineMs - this.runtime.nowMs();
+  }
+
   /** Whether requests of callers are under way. */
   get busy(): boolean {
     return this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
@@ -178,13 +185,11 @@
     this.gateway.setSlots(heartbeat.slots);
     this.updateLease(heartbeat);
     const { grants } = this;
-    if (!(grants instanceof HeartbeatGrants) || !this.isKeyed()) {
-      this.gateway.reconsider();
-      return null;
-    }
-    grants.take(heartbeat);
+    if (grants instanceof HeartbeatGrants) grants.take(heartbeat);
     this.gateway.reconsider();
-    if (heartbeat.condition === 'ready' && this.owned.awaitsKeys()) await this.waitForKeys();
+    if (!(grants instanceof HeartbeatGrants)) return null;
+    if (heartbeat.condition === 'ready' && this.awaitsKeys()) await this.waitForKeys();
+    if (!this.isKeyed()) return null;
     if (this.backend.heartbeat !== heartbeat || this.grants !== grants) return null;
     return grants.answer(heartbeat, arrivedMs);
   }
@@ -273,6 +278,8 @@
       runtime: this.runtime,
       log: this.log,
       dialect: this.settings.dialect,
+      service: this.settings.service,
+      latencies: this.options.latencies,
       address: this.settings.backend,
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
@@ -340,6 +347,12 @@
     this.lease.update({ id, service, zone, slots, condition: leaves ? 'draining' : 'ready' });
   }
 
+  /** A daemon that was started a moment ago may not know yet whether there are any. */
+  private awaitsKeys(): boolean {
+    if (this.table.index === 0) return true;
+    return this.isKeyed() && (this.lease.session === null || this.owned.awaitsKeys());
+  }
+
   private async waitForKeys(): Promise<void> {
     await new Promise<void>((resolve) => {
       const done = (): void => {
@@ -393,7 +406,7 @@
     this.grants.tableChanged();
     this.callers.applyLimits();
     this.gateway.reconsider();
-    if (!this.owned.awaitsKeys()) for (const done of [...this.keyWaiters]) done();
+    if (!this.awaitsKeys()) for (const done of [...this.keyWaiters]) done();
     for (const request of [...this.requests]) request.tableChanged();
     this.forgetUnknown();
   }
@@ -513,6 +526,7 @@
       linkTo: (instance) => this.linkTo(instance),
       takeRepeat: (service) => this.allowanceOf(service).takeRepeat(this.runtime.nowMs(), this.daemonCount),
       tableIndex: () => this.table.index,
+      latencies: this.options.latencies,
     };
   }
 
--- /dev/null
+++ b/src/telemetry/daemon-metrics.ts
@@ -0,0 +1,66 @@
+/** Prometheus metrics of the daemons on a platform, over HTTP. Loaded only where settings name an address for them. */
+import { createServer, type Server } from 'node:http';
+import { Histogram, Registry } from 'prom-client';
+import type { SocketAddress } from '../model/socket-address.js';
+import { Err, Ok, type Result } from '../result.js';
+import type { Latencies, LatencyStage } from './latencies.js';
+import { exposeFamily, exposeValue, type ReadValue } from './metrics.js';
+
+/** Upper ends of the buckets of latency histograms, in seconds. */
+const BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+const MS_PER_SECOND = 1_000;
+const NOT_FOUND = 404;
+
+/** Metrics of one daemon. */
+export class DaemonMetrics implements Latencies {
+  private readonly registry = new Registry();
+  private readonly latencies = new Histogram({
+    name: 'aldertide_latency_seconds',
+    help: 'Time of the stages of requests, by service',
+    labelNames: ['stage', 'service'],
+    buckets: BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  /** Adds a value that is read when the metrics are asked for. */
+  value(name: string, help: string, read: ReadValue): void {
+    exposeValue(this.registry, name, help, read);
+  }
+
+  /** Adds a family of values with one label. */
+  family(name: string, help: string, label: string, read: () => Iterable<readonly [string, number]>): void {
+    exposeFamily(this.registry, name, help, label, read);
+  }
+
+  /** See `Latencies`. */
+  observe(stage: LatencyStage, service: string, ms: number): void {
+    this.latencies.observe({ stage, service }, ms / MS_PER_SECOND);
+  }
+
+  /** The metrics as text. */
+  async text(): Promise<string> {
+    return await this.registry.metrics();
+  }
+
+  /** Serves the metrics at one path of an address. */
+  async serve(address: SocketAddress, path: string): Promise<Result<Server, string>> {
+    const server = createServer((request, response) => {
+      if (request.url?.split('?', 1)[0] !== path) {
+        response.writeHead(NOT_FOUND).end();
+        return;
+      }
+      void this.text().then((text) => {
+        response.writeHead(200, { 'content-type': this.registry.contentType }).end(text);
+      });
+    });
+    return await new Promise((resolve) => {
+      server.once('error', (error) => {
+        resolve(Err(`cannot listen on ${address.host}:${address.port}: ${error.message}`));
+      });
+      server.listen(address.port, address.host, () => {
+        resolve(Ok(server));
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/telemetry/latencies.ts
@@ -0,0 +1,18 @@
+/** Where the stages of requests report how long they took; the metrics collect it, or nobody does. */
+
+/** Stages of a request. */
+export type LatencyStage =
+  /** From a caller's request to the answer, as this daemon saw it. */
+  | 'request'
+  /** Waiting for a place or for keys, beside the back end. */
+  | 'waiting'
+  /** At the back end. */
+  | 'backend';
+
+/** Takes times in ms. */
+export interface Latencies {
+  observe(stage: LatencyStage, service: string, ms: number): void;
+}
+
+/** Collects nothing. */
+export const NO_LATENCIES: Latencies = { observe: () => undefined };
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -8,6 +8,7 @@
 import { ForwardedRequest, forwarderCounters, type GivenUp } from '../../src/sidecar/request-forwarder.js';
 import { Route } from '../../src/sidecar/route-table.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { ManualTime } from './manual-runtime.js';
 
 type Reaction = (handlers: RequestHandlers) => void;
@@ -119,6 +120,7 @@
       linkTo,
       takeRepeat: () => mayRepeat,
       tableIndex: () => 1,
+      latencies: NO_LATENCIES,
     },
     forwarderCounters(),
   );
