Keys leave an endpoint only once it refuses every grant that it may still take

Ruled out: waiting for unanswered grants (their lateness has no stated bound); answering within a shorter time. Change: the daemon remembers grants without answer, and ranges that an earlier life of it may have granted; before such a range leaves, the directory raises its fence where it is, and the endpoint must be seen to take a grant under the new fence; each try has a fence of its own. Tests: two cases of grants, one of the state machine, which fail before.

--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -74,6 +74,17 @@
   readonly handover: string;
 }
 
+/**
+ * Raises the fence of a range that stays where it is, so that its owner can be made to refuse grants that were sent
+ * under the earlier fence and may still be on their way.
+ */
+export interface RaiseFenceCommand extends KeySpan {
+  readonly kind: 'raise-fence';
+  readonly service: string;
+  readonly owner: string;
+  readonly fence: number;
+}
+
 /** Commands of a directory. */
 export type DirectoryCommand =
   | ConfigureItemsCommand
@@ -83,7 +94,8 @@
   | UnregisterCommand
   | AssignRangesCommand
   | BeginRangeMovesCommand
-  | CompleteRangeMoveCommand;
+  | CompleteRangeMoveCommand
+  | RaiseFenceCommand;
 
 /** What a command did. */
 export type DirectoryOutcome =
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -60,6 +60,9 @@
       case 'released':
         await this.proposals.propose({ ...request, kind: 'complete-range-move' });
         break;
+      case 'raise-fence':
+        await this.proposals.propose(request);
+        break;
     }
   }
 
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -12,6 +12,7 @@
   DirectoryCommand,
   DirectoryOutcome,
   KeySpan,
+  RaiseFenceCommand,
   RegisterCommand,
   SetConditionCommand,
   UnregisterCommand,
@@ -59,6 +60,8 @@
       return beginMoves(state, command);
     case 'complete-range-move':
       return completeMove(state, command, index);
+    case 'raise-fence':
+      return raiseFence(state, command, index);
   }
 }
 
@@ -238,6 +241,16 @@
   return { outcome: DONE, changes: [putRanges(state, command.service, changed)] };
 }
 
+function raiseFence(state: DirectoryState, command: RaiseFenceCommand, index: number): AppliedCommand {
+  const ranges = state.ranges.get(command.service);
+  if (ranges === undefined) return unchanged(DONE);
+  const changed = changeSpan(ranges, command, (range) => {
+    const concerned = range.owner === command.owner && range.fence === command.fence;
+    return concerned ? { ...range, fence: index } : range;
+  });
+  return { outcome: DONE, changes: [putRanges(state, command.service, changed)] };
+}
+
 function releasedRange(state: DirectoryState, range: KeyRange, handover: string, index: number): KeyRange {
   const target = range.movingTo === null ? undefined : state.instances.get(range.movingTo);
   if (target === undefined) return { ...range, owner: null, session: 0, movingTo: null, handover };
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -58,12 +58,22 @@
   handover: z.string(),
 });
 
+const raiseFenceSchema = z.object({
+  kind: z.literal('raise-fence'),
+  service: z.string(),
+  from: z.number(),
+  to: z.number(),
+  owner: z.string(),
+  fence: z.number(),
+});
+
 const leaderRequestSchema = z.discriminatedUnion('kind', [
   registerSchema,
   renewSchema,
   conditionSchema,
   unregisterSchema,
   releasedSchema,
+  raiseFenceSchema,
 ]);
 
 /** What a daemon may send to any replica. */
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -6,6 +6,7 @@
 import type { CancelTimer } from '../runtime/runtime.js';
 import type { BackendCalls, GrantResult } from './backend-report.js';
 import { rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
+import { UncertainGrants } from './uncertain-grants.js';
 
 /** Pause between looks at what is due, in ms. */
 const STEP_MS = 100;
@@ -40,7 +41,10 @@
   private readonly records = new Map<string, GrantRecord>();
   private readonly reporter: ReleaseReporter;
   private readonly cancelTimer: CancelTimer;
+  private readonly uncertain = new UncertainGrants();
   private life = 0;
+  /** Session whose ranges were first looked at; null before that. */
+  private inheritedSession: number | null = null;
 
   constructor(
     private readonly ports: KeyGrantPorts,
@@ -79,6 +83,8 @@
     this.life += 1;
     this.records.clear();
     this.reporter.clear();
+    this.uncertain.clear();
+    this.inheritedSession = null;
   }
 
   /** See `KeyGrants`. */
@@ -89,6 +95,7 @@
   private step(): void {
     const nowMs = this.ports.runtime.nowMs();
     const owned = this.ports.owned.list();
+    this.noteInherited(owned);
     this.forgetPast(owned, nowMs);
     for (const range of owned) {
       if (range.movingTo === null) this.grantIfDue(range, nowMs);
@@ -96,6 +103,14 @@
     }
   }
 
+  /** What is owned when a registration is first seen here may have been granted by an earlier life of this daemon. */
+  private noteInherited(owned: readonly KeyRange[]): void {
+    const { session } = this.ports.lease;
+    if (session === null || session === this.inheritedSession) return;
+    this.inheritedSession = session;
+    for (const range of owned) this.uncertain.noteUnanswered(range);
+  }
+
   /** A record of a range that was cut covers its parts until they have records of their own. */
   private forgetPast(owned: readonly KeyRange[], nowMs: number): void {
     const names = new Set(owned.map(rangeName));
@@ -127,7 +142,10 @@
     record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, nowMs + holdMs * STRETCH_SHARE);
     const result = await this.calls.grant(range, holdMs);
     record.underWay = false;
-    if (life === this.life) this.granted(record, result, nowMs + holdMs * TRUSTED_SHARE);
+    if (life !== this.life) return;
+    if (result === 'granted') this.uncertain.noteAnswered(range);
+    if (result === 'unanswered') this.uncertain.noteUnanswered(range);
+    this.granted(record, result, nowMs + holdMs * TRUSTED_SHARE);
   }
 
   private granted(record: GrantRecord, result: GrantResult, untilMs: number): void {
@@ -142,6 +160,7 @@
   }
 
   private release(range: KeyRange, nowMs: number): void {
+    if (!this.makeCertain(range, nowMs)) return;
     this.stopAdmission(range);
     const record = this.recordOf(range);
     record.releasing = true;
@@ -152,6 +171,17 @@
     if (!record.underWay) void this.callRelease(record, range, nowMs);
   }
 
+  /** Whether the range may leave; if not, takes the next step towards that. */
+  private makeCertain(range: KeyRange, nowMs: number): boolean {
+    const record = this.recordOf(range);
+    if (record.releasing) return true;
+    if (record.underWay) return false;
+    const certainty = this.uncertain.certaintyOf(range);
+    if (certainty === 'to-be-fenced') this.reporter.raiseFence(range);
+    if (certainty === 'to-be-granted') this.grantIfDue(range, nowMs);
+    return certainty === 'certain';
+  }
+
   private async callRelease(record: GrantRecord, range: KeyRange, nowMs: number): Promise<void> {
     const { life } = this;
     record.underWay = true;
--- a/src/sidecar/key-grants.ts
+++ b/src/sidecar/key-grants.ts
@@ -36,9 +36,10 @@
   readonly onGained: () => void;
 }
 
-/** Tells the directory of releases until it has acted on them. */
+/** Tells the directory what was done with ranges, again and again until it has acted on that. */
 export class ReleaseReporter {
   private readonly reported = new Map<string, number>();
+  private readonly raised = new Map<string, number>();
 
   constructor(private readonly ports: KeyGrantPorts) {}
 
@@ -58,9 +59,24 @@
     }
   }
 
+  /** Asks for a higher fence, because grants under the present one may still be on their way. */
+  raiseFence(range: KeyRange): void {
+    const key = rangeName(range);
+    const nowMs = this.ports.runtime.nowMs();
+    if (nowMs - (this.raised.get(key) ?? -Infinity) < RELEASE_REPORT_MS) return;
+    const owner = this.ports.instance();
+    if (owner === null) return;
+    const { from, to, fence } = range;
+    const { service } = this.ports;
+    this.ports.log.event('fence-raised', { service, from, to, fence });
+    if (this.ports.send({ kind: 'raise-fence', service, from, to, owner, fence }))
+      this.raised.set(key, nowMs);
+  }
+
   /** Forgets everything. */
   clear(): void {
     this.reported.clear();
+    this.raised.clear();
   }
 }
 
--- a/test/directory/directory-machine.test.ts
+++ b/test/directory/directory-machine.test.ts
@@ -169,6 +169,18 @@
   t.is(world.ownerOf(200), 'one');
 });
 
+test('the fence of a range can be raised where it is, by its owner only', (t) => {
+  const world = worldWithOwners();
+  const fence = world.fenceOf(100);
+  const span = { kind: 'raise-fence', service: SERVICE, from: 100, to: 199 } as const;
+  world.apply({ ...span, owner: 'two', fence });
+  t.is(world.fenceOf(150), fence);
+  world.apply({ ...span, owner: 'one', fence });
+  t.true(world.fenceOf(150) > fence);
+  t.is(world.fenceOf(99), fence);
+  t.is(world.ownerOf(150), 'one');
+});
+
 test('when the target of a move is gone its range stays with the owner, or waits for a new one', (t) => {
   const world = worldWithOwners();
   const moves = [{ from: 0, to: 99, target: 'two' }];
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -133,6 +133,16 @@
   }
 }
 
+/** Grants of a back end that was registered while it owned nothing. */
+function invokedGrants(world: World, calls: Calls): InvokedGrants {
+  const { ranges } = world;
+  world.ranges = [];
+  const grants = new InvokedGrants(world.ports(), calls);
+  grants.tableChanged();
+  world.ranges = ranges;
+  return grants;
+}
+
 async function settle(): Promise<void> {
   for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
 }
@@ -140,7 +150,7 @@
 test('calls: a range counts as held once its grant was answered, and is renewed', async (t) => {
   const world = new World();
   const calls = new Calls();
-  const grants = new InvokedGrants(world.ports(), calls);
+  const grants = invokedGrants(world, calls);
   grants.tableChanged();
   t.false(grants.holds(5));
   await settle();
@@ -155,7 +165,7 @@
   const world = new World();
   const calls = new Calls();
   calls.result = 'unanswered';
-  const grants = new InvokedGrants(world.ports(), calls);
+  const grants = invokedGrants(world, calls);
   grants.tableChanged();
   await settle();
   t.false(grants.holds(5));
@@ -168,7 +178,7 @@
 test('calls: part of a range is released, and the rest stays held', async (t) => {
   const world = new World();
   const calls = new Calls();
-  const grants = new InvokedGrants(world.ports(), calls);
+  const grants = invokedGrants(world, calls);
   grants.tableChanged();
   await settle();
   world.ranges = [range(0, 49, 5, 'other'), range(50, 99, 5)];
@@ -183,7 +193,7 @@
 test('calls: a release without answer is not reported while the back end may hold the range', async (t) => {
   const world = new World();
   const calls = new Calls();
-  const grants = new InvokedGrants(world.ports(), calls);
+  const grants = invokedGrants(world, calls);
   grants.tableChanged();
   await settle();
   calls.handover = null;
@@ -199,12 +209,49 @@
   grants.stop();
 });
 
-test('calls: a move that is called off is granted anew before the range counts as held', async (t) => {
+test('calls: keys leave only once the back end refuses a grant that it may still take', async (t) => {
+  const world = new World();
+  const calls = new Calls();
+  const grants = invokedGrants(world, calls);
+  grants.tableChanged();
+  await settle();
+  calls.result = 'unanswered';
+  world.time.pass(1_600);
+  await settle();
+  calls.result = 'granted';
+  world.ranges = [range(0, 99, 5, 'other')];
+  grants.tableChanged();
+  await settle();
+  t.like(world.sent, [{ kind: 'raise-fence', from: 0, to: 99, fence: 5 }]);
+  world.ranges = [range(0, 99, 8, 'other')];
+  calls.log.length = 0;
+  for (let step = 0; step < 3; step += 1) {
+    grants.tableChanged();
+    await settle();
+  }
+  t.deepEqual(calls.log.slice(0, 2), ['grant 0-99@8 for 6000', 'release 0-99@8']);
+  t.like(world.sent.at(-1), { kind: 'released', fence: 8 });
+  grants.stop();
+});
+
+test('calls: what an earlier life of the daemon may have granted is fenced before it leaves', async (t) => {
   const world = new World();
   const calls = new Calls();
+  world.ranges = [range(0, 99, 5, 'other')];
   const grants = new InvokedGrants(world.ports(), calls);
   grants.tableChanged();
   await settle();
+  t.like(world.sent, [{ kind: 'raise-fence', fence: 5 }]);
+  t.deepEqual(calls.log, []);
+  grants.stop();
+});
+
+test('calls: a move that is called off is granted anew before the range counts as held', async (t) => {
+  const world = new World();
+  const calls = new Calls();
+  const grants = invokedGrants(world, calls);
+  grants.tableChanged();
+  await settle();
   world.ranges = [range(0, 99, 5, 'other')];
   grants.tableChanged();
   await settle();
