--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -184,7 +184,7 @@
 
   /** Where hardly any request can be answered in time, waiting for a place only makes all of them late. */
   private placeWaitMs({ head, arrivedMs }: Visit, nowMs: number): number {
-    const least = LEAST_PLACE_WAIT_SHARE * this.meanMs(head.route);
+    const least = Math.max(LEAST_PLACE_WAIT_SHARE * this.meanMs(head.route), head.patienceMs);
     const leftMs = head.remainingMs - (nowMs - arrivedMs);
     return Math.min(leftMs, Math.max(least, this.spareMs(head) - (nowMs - arrivedMs)));
   }
