--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import { runCommandLine, type Options } from './command-line.js';
 import { startControl } from './control-daemon.js';
 import { runDaemon } from './daemon-command.js';
+import { explainCommand } from './explain-command.js';
 import { planCommand } from './plan-command.js';
 import { applyCommand, checkCommand, drainCommand, getCommand, statusCommand } from './operator-commands.js';
 
@@ -82,6 +83,15 @@
     return await replayFile(file, options['json'] === true);
   });
 
+program
+  .command('explain <request> [files...]')
+  .describe("Find a request's path and the cause of its end in the daemons' logs.")
+  .option('--json', 'Print one JSON object')
+  .action((request: string, file: string | undefined, options: Options & { _: readonly string[] }) => {
+    const files = file === undefined ? [] : [file, ...options._];
+    return explainCommand(request, files, options['json'] === true);
+  });
+
 await runCommandLine(program);
 
 function withOperatorOptions(command: sade.Sade): sade.Sade {
--- /dev/null
+++ b/test/platform/event-docs.test.ts
@@ -0,0 +1,21 @@
+/** Every event that the daemons write stands in the table of docs/OPERATIONS.md. */
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import test from 'ava';
+
+const EVENT_CALL = /(?:\.event|\.routine|this\.log|this\.write)\(\s*'([a-z-]+)'/g;
+
+function eventsIn(folder: string): string[] {
+  const files = readdirSync(folder).filter((file) => file.endsWith('.ts'));
+  return files.flatMap((file) =>
+    [...readFileSync(join(folder, file), 'utf8').matchAll(EVENT_CALL)].map((match) => match[1] ?? ''),
+  );
+}
+
+test('the events of the code are those of the table', (t) => {
+  const written = new Set(['src/sidecar', 'src/directory', 'src/telemetry', 'platform'].flatMap(eventsIn));
+  const table = readFileSync('docs/OPERATIONS.md', 'utf8').split('### Events')[1]?.split('###')[0] ?? '';
+  const described = new Set([...table.matchAll(/`([a-z-]+)`/g)].map((match) => match[1] ?? ''));
+  t.deepEqual([...written].sort(), [...described].sort());
+  t.true(written.size > 20);
+});
--- /dev/null
+++ b/test/platform/explain.test.ts
@@ -0,0 +1,45 @@
+/** From a request's id to its cause, on lines as the daemons write them. */
+import test from 'ava';
+import { explainRequest, readEvents } from '../../src/telemetry/explain.js';
+
+const LOG = [
+  '  4.1 core-1 {"time":"2026-01-01T00:00:04.100Z","daemon":"core-1","event":"ranges-planned","service":"s","moves":[]}',
+  '  4.2 one {"time":"2026-01-01T00:00:04.200Z","daemon":"one","event":"link-lost","reason":"peer is silent"}',
+  '  5.2 one {"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-not-run","requestId":"r","reason":"refused: busy"}',
+  '  5.1 two {"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r","reason":"busy","running":6,"waiting":3,"slots":6}',
+  '  5.3 one {"time":"2026-01-01T00:00:05.300Z","daemon":"one","event":"request-answered","requestId":"other"}',
+  '  5.0 three {"time":"2026-01-01T00:00:05.000Z","daemon":"three","event":"link-lost","reason":"not on the path"}',
+  'node: a line that is no event',
+  '{"time":"cut off',
+].join('\n');
+
+test('a refused request: its path in order, beliefs of the daemons on it, and the cause', (t) => {
+  const { path, beliefs, cause } = explainRequest('r', readEvents(LOG));
+  t.deepEqual(
+    path.map(({ event }) => event),
+    ['request-refused', 'request-not-run'],
+  );
+  t.deepEqual(
+    beliefs.map(({ event }) => event),
+    ['ranges-planned', 'link-lost'],
+  );
+  t.is(
+    cause,
+    'it was refused, and was not run: refused: busy; two refused it as busy (6 ran, 3 waited, 6 places)',
+  );
+});
+
+test('a request whose run broke off', (t) => {
+  const log = [
+    '{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"run-ended","requestId":"r","outcome":{"kind":"broken"}}',
+    '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-unknown","requestId":"r","reason":"x"}',
+  ].join('\n');
+  t.is(
+    explainRequest('r', readEvents(log)).cause,
+    'it may have run, and there is no answer: x; at its back end, beside two, the run ended as {"kind":"broken"}',
+  );
+});
+
+test('a request that is not in the logs has no cause', (t) => {
+  t.is(explainRequest('unknown', readEvents(LOG)).cause, null);
+});
