An agent does not go back to a leader that it has just left for its silence

Found by notices printed in the simulator. Ruled out: the leader's confirmation of renewals (it answered those that reached it). Change: for as long as an election takes a silent replica is not gone back to; the present one is asked again.

--- a/src/control-client/session-channel.ts
+++ b/src/control-client/session-channel.ts
@@ -16,6 +16,12 @@
  */
 const LONGEST_SILENCE_MS = 6_000;
 
+/**
+ * Time in ms for which a replica that was left for its silence is not gone back to: for as long as an election takes,
+ * the others still name it as the leader.
+ */
+const AVOID_SILENT_MS = 1_500;
+
 /** Pause between looks at the silence, in ms. */
 const SILENCE_CHECK_MS = 100;
 
@@ -42,6 +48,8 @@
   private silenceMs = SILENCE_MS;
   private questions = 0;
   private cancelQuestion: CancelTimer | null = null;
+  private silentReplica: string | null = null;
+  private avoidUntilMs = -Infinity;
 
   constructor(
     private readonly runtime: Runtime,
@@ -92,13 +100,15 @@
     if (nowMs - this.lastNoticeMs <= this.silenceMs) return;
     this.silenceMs = Math.min(this.silenceMs * 2, LONGEST_SILENCE_MS);
     this.lastNoticeMs = nowMs;
+    this.silentReplica = this.link.replicaName;
+    this.avoidUntilMs = nowMs + AVOID_SILENT_MS;
     this.link.switchToNext();
   }
 
   private receive(notice: ControlNotice): void {
     if (notice.kind === 'not-leader') {
       const elsewhere = notice.leader !== null && notice.leader !== this.link.replicaName;
-      if (elsewhere) this.link.switchToReplica(notice.leader);
+      if (elsewhere && !this.isAvoided(notice.leader)) this.link.switchToReplica(notice.leader);
       else this.askAgain();
       return;
     }
@@ -108,6 +118,10 @@
     this.handlers.onNotice(notice);
   }
 
+  private isAvoided(replica: string | null): boolean {
+    return replica === this.silentReplica && this.runtime.nowMs() < this.avoidUntilMs;
+  }
+
   /** While nobody leads, hundreds of agents that went from replica to replica would keep all of them busy. */
   private askAgain(): void {
     if (this.cancelQuestion !== null) return;
