aldertide check takes the deployments that the repository ships

Ruled out: moving the deployments (the lab reads them). Change: a file with a deployment's fields is checked as the lab reads it, its configuration included.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -48,7 +48,7 @@
   .command('check <file>')
   .describe('Check a configuration file; all problems are reported at once.')
   .option('--json', 'Print one JSON object')
-  .action((file: string, options: Options) => checkCommand(file, options));
+  .action(async (file: string, options: Options) => await checkCommand(file, options));
 
 withOperatorOptions(program.command('apply <file>').describe('Submit a configuration file.'))
   .option('--submission-id', 'Name of this submission; a resend under the same name gets the first answer')
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -1,8 +1,9 @@
 /** The operators' commands: check, apply, get, status, drain. */
 import { randomUUID } from 'node:crypto';
 import { stringify } from 'yaml';
+import { z } from 'zod';
 import { configurationSchema } from '../config/configuration.js';
-import { formatProblem, readYamlFile } from '../config/yaml-file.js';
+import { formatProblem, readYamlFile, type FileProblem } from '../config/yaml-file.js';
 import type { ConfigurationRevision } from '../control/control-state.js';
 import type { ControlStatus } from '../control/control-status.js';
 import { numberOption, printJson, printLine, textOption, usageError, type Options } from './command-line.js';
@@ -10,19 +11,36 @@
 import { OperatorClient, type OperatorError } from './operator-client.js';
 import { formatStatus } from './status-table.js';
 
-/** `check FILE`: reports every problem of a configuration file. */
-export function checkCommand(file: string, options: Options): number {
+/** Fields that only a deployment of the lab has, never a configuration. */
+const deploymentFields = z.looseObject({
+  routers: z.array(z.unknown()),
+  services: z.record(z.string(), z.unknown()),
+});
+
+/** `check FILE`: reports every problem of a configuration, or of the configuration in a deployment of the lab. */
+export async function checkCommand(file: string, options: Options): Promise<number> {
+  const errors = await findProblems(file);
+  const ok = errors.length === 0;
+  if (options['json'] === true) printJson({ ok, errors });
+  else printLine(ok ? `${file}: ok` : errors.map((problem) => formatProblem(problem)).join('\n'));
+  return ok ? EXIT_CODE.done : EXIT_CODE.refused;
+}
+
+async function findProblems(file: string): Promise<readonly FileProblem[]> {
+  if (readYamlFile(file, deploymentFields).ok) {
+    // Deployments belong to the lab; daemons never load it.
+    const { readDeployment } = await import('../../lab/fleet/deployment.js');
+    const deployment = readDeployment(file);
+    return deployment.err ? deployment.val : [];
+  }
   const read = readYamlFile(file, configurationSchema);
-  const errors = read.err ? read.val : [];
-  if (options['json'] === true) printJson({ ok: read.ok, errors });
-  else printLine(read.ok ? `${file}: ok` : errors.map((problem) => formatProblem(problem)).join('\n'));
-  return read.ok ? EXIT_CODE.done : EXIT_CODE.refused;
+  return read.err ? read.val : [];
 }
 
 /** `apply FILE`: submits a configuration on the revision that is in force, or on `--base-revision`. */
 export async function applyCommand(file: string, options: Options): Promise<number> {
   const read = readYamlFile(file, configurationSchema);
-  if (read.err) return checkCommand(file, options);
+  if (read.err) return await checkCommand(file, options);
   const client = OperatorClient.fromOptions(options);
   if (client.err) return usageError(client.val);
   const base = numberOption(options, 'base-revision', -1);
