A directory in the simulator: real replicas and sidecar clients under crashes, lost disks, freezes and cuts

Ruled out: the existing world (its daemons are agents and routers). Conclusion: kept; ranges and back ends are not in it yet.

--- /dev/null
+++ b/lab/sim/directory-world.ts
@@ -0,0 +1,283 @@
+/**
+ * One simulated directory: real replicas on virtual time, network and disks, the clients of sidecars that watch it,
+ * and an operator. Faults come from a seed; what was acknowledged is held against what is in force at the end.
+ */
+import type { ConfigurationItem } from '../../src/directory/directory-state.js';
+import { DirectoryNode } from '../../src/directory/directory-node.js';
+import { DEFAULT_DIRECTORY_TIMING } from '../../src/directory/directory-settings.js';
+import { DirectoryClient } from '../../src/sidecar/directory-client.js';
+import { DirectoryTable } from '../../src/sidecar/directory-table.js';
+import { LeaseKeeper } from '../../src/sidecar/lease-keeper.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { Random } from '../random.js';
+import { EventQueue } from './event-queue.js';
+import { SimDisk, type SimReplicaStore } from './sim-disk.js';
+import { SimNetwork } from './sim-network.js';
+import { SimProcess } from './sim-process.js';
+import { simRuntime } from './sim-runtime.js';
+
+const TOKEN = 'simulation-token-0123';
+const PORT = 1;
+const REPLICAS = 5;
+const SEEDS = 3;
+const CLIENTS = 3;
+const TOLERATED_LOSSES = 2;
+const LEASE_TERM_MS = 9_500;
+const SERVICE = 'stock';
+const NO_DISK_FAULTS = { forgetsHardState: false, skipsSync: false, keepsIdentity: false } as const;
+
+/** One replica over all its lives. */
+interface SimReplica {
+  readonly name: string;
+  readonly process: SimProcess;
+  readonly disk: SimDisk;
+  node: DirectoryNode | null;
+  store: SimReplicaStore | null;
+}
+
+/** One sidecar's view, over one life. */
+interface SimWatcher {
+  readonly name: string;
+  readonly process: SimProcess;
+  readonly table: DirectoryTable;
+  readonly lease: LeaseKeeper;
+}
+
+/** Faults that strike one replica. */
+export type DirectoryFault = 'crash' | 'lose-disk' | 'freeze' | 'cut';
+
+/** A simulated directory. */
+export class DirectoryWorld {
+  readonly queue = new EventQueue();
+  readonly random: Random;
+  readonly replicas: SimReplica[];
+  readonly watchers: SimWatcher[] = [];
+  readonly violations: string[] = [];
+  /** Highest version of each item that was acknowledged. */
+  readonly acknowledged = new Map<string, number>();
+  private readonly network: SimNetwork;
+  private nextIdNumber = 0;
+  private nextVersion = 1;
+
+  constructor(seed: number) {
+    this.random = new Random(seed);
+    this.network = new SimNetwork(this.random, {
+      delayMs: [0.2, 2.5],
+      lossShare: 0.01,
+      duplicateShare: 0.01,
+      reorderMs: 4,
+    });
+    this.replicas = Array.from({ length: REPLICAS }, (_, at) => this.makeReplica(addressOf(at)));
+  }
+
+  /** Starts all replicas and watchers. */
+  async start(): Promise<void> {
+    for (const replica of this.replicas) await this.startReplica(replica);
+    for (let at = 0; at < CLIENTS; at += 1) this.startWatcher(`sidecar-${at}`);
+  }
+
+  /** Runs events up to a time, each followed by everything that it has set off without time passing. */
+  async runUntil(untilMs: number): Promise<void> {
+    while (this.queue.runNext(untilMs)) {
+      await new Promise((resolve) => setImmediate(resolve));
+      this.checkLeaders();
+    }
+  }
+
+  /** The replica that leads the newest term, if any. */
+  leader(): DirectoryNode | null {
+    const leading = this.replicas.flatMap(({ node, process }) => {
+      return node?.leading === true && process.alive && !process.frozen ? [node] : [];
+    });
+    leading.sort((left, right) => (right.consensus?.core.term ?? 0) - (left.consensus?.core.term ?? 0));
+    return leading[0] ?? null;
+  }
+
+  /** An operator changes one item; what is acknowledged is remembered. */
+  change(name: string): void {
+    const leader = this.leader();
+    if (leader === null) return;
+    const version = this.nextVersion;
+    this.nextVersion += 1;
+    void leader.propose({ kind: 'configure-items', items: [serviceItem(name, version)] }).then((outcome) => {
+      if (outcome.ok && outcome.val.kind === 'done') this.acknowledged.set(name, version);
+    });
+  }
+
+  /** Lets a fault strike, and repairs it after `lastsMs`. */
+  strike(fault: DirectoryFault, replica: SimReplica, lastsMs: number): void {
+    this.begin(fault, replica);
+    this.queue.at(this.queue.nowMs + lastsMs, () => {
+      this.repair(fault, replica);
+    });
+  }
+
+  /** After everything was repaired: one leader, all that was acknowledged, and the same at every watcher. */
+  judge(): void {
+    const state = this.leader()?.state;
+    if (state === undefined) {
+      this.violations.push('no replica leads at the end');
+      return;
+    }
+    for (const [name, version] of this.acknowledged) {
+      const present = state.items.get(`service/${name}`)?.version ?? 0;
+      if (present < version)
+        this.violations.push(`${name} ${version} was acknowledged, ${present} is in force`);
+    }
+    for (const { name, table, lease } of this.watchers) {
+      if (table.instance(name) === undefined)
+        this.violations.push(`${name} is not registered in its own table`);
+      if (lease.session === null) this.violations.push(`${name} has no session`);
+      const items = [...state.items.values()].filter(({ kind }) => kind === 'service');
+      const missing = items.filter((item) => table.service(item.name) === null);
+      if (missing.length > 0) this.violations.push(`${name} lacks ${missing.length} items`);
+    }
+  }
+
+  private begin(fault: DirectoryFault, { process, store, disk }: SimReplica): void {
+    switch (fault) {
+      case 'freeze':
+        process.freeze();
+        break;
+      case 'cut':
+        for (const { name } of this.replicas) {
+          this.network.cut(process.name, name);
+          this.network.cut(name, process.name);
+        }
+        break;
+      default:
+        store?.crash();
+        process.crash();
+        this.network.crashed(process);
+        if (fault === 'lose-disk') disk.lose();
+    }
+  }
+
+  private repair(fault: DirectoryFault, replica: SimReplica): void {
+    if (fault === 'freeze') replica.process.thaw();
+    else if (fault === 'cut') this.network.healAll();
+    else void this.startReplica(replica);
+  }
+
+  private async startReplica(replica: SimReplica): Promise<void> {
+    const { name, process, disk } = replica;
+    process.start();
+    const store = disk.open(process) as SimReplicaStore;
+    replica.store = store;
+    const started = await DirectoryNode.start({
+      settings: {
+        listen: { host: name.slice(0, name.indexOf(':')), port: PORT },
+        zone: 'zone',
+        dataFolder: 'none',
+        seeds: this.replicas.slice(0, SEEDS).map((seed) => seed.name),
+        firstStart: false,
+        toleratedLosses: TOLERATED_LOSSES,
+        leaseTermMs: LEASE_TERM_MS,
+        timing: { ...DEFAULT_DIRECTORY_TIMING, snapshotEveryEntries: 25 },
+      },
+      token: TOKEN,
+      runtime: simRuntime(process, this.network, () => this.nextId()),
+      storage: store,
+      log: SILENT_EVENT_LOG,
+      onFatal: (error) => {
+        throw error;
+      },
+    });
+    replica.node = started.unwrap();
+  }
+
+  private startWatcher(name: string): void {
+    const process = this.makeProcess(name);
+    process.start();
+    const runtime = simRuntime(process, this.network, () => this.nextId());
+    const table = new DirectoryTable();
+    const identity = { role: 'sidecar', name, zone: 'zone', token: TOKEN } as const;
+    const seeds = this.replicas.slice(0, SEEDS).map((seed) => seed.name);
+    let newest = 0;
+    const client: DirectoryClient = new DirectoryClient(runtime, identity, seeds, table, SILENT_EVENT_LOG, {
+      onTable: () => {
+        if (table.index < newest) this.violations.push(`${name} went back to index ${table.index}`);
+        newest = table.index;
+      },
+      onNotice: (notice) => {
+        lease.receive(notice);
+      },
+      onConnected: () => {
+        lease.reconnected();
+      },
+    });
+    const lease = new LeaseKeeper({
+      runtime,
+      log: SILENT_EVENT_LOG,
+      daemonAddress: `${name}:1`,
+      send: (request) => client.send(request),
+      takeLoad: () => [],
+      onChange: () => undefined,
+    });
+    lease.update({ id: name, service: SERVICE, zone: 'zone', slots: 1, condition: 'ready' });
+    this.watchers.push({ name, process, table, lease });
+  }
+
+  /** Two replicas that lead the same term would both acknowledge. */
+  private checkLeaders(): void {
+    const terms = this.replicas.flatMap(({ node, process }) => {
+      return process.alive && node?.leading === true ? [node.consensus?.core.term] : [];
+    });
+    if (new Set(terms).size !== terms.length) this.violations.push('two replicas lead the same term');
+  }
+
+  private makeReplica(name: string): SimReplica {
+    const disk = new SimDisk(name, () => this.nextId(), this.random, NO_DISK_FAULTS, true);
+    return { name, process: this.makeProcess(name), disk, node: null, store: null };
+  }
+
+  private makeProcess(name: string): SimProcess {
+    const startMs = this.random.below(1_000_000);
+    return new SimProcess(name, this.queue, { startMs, rate: 1, wallOffsetMs: 0 });
+  }
+
+  private nextId(): string {
+    this.nextIdNumber += 1;
+    return `id-${this.nextIdNumber}`;
+  }
+}
+
+function addressOf(at: number): string {
+  return `10.0.0.${at + 1}:${PORT}`;
+}
+
+function serviceItem(name: string, version: number): ConfigurationItem {
+  const definition = { maxConnections: 1, keyed: false, grantMode: null };
+  return { kind: 'service', name, version, source: `${version}`, definition };
+}
+
+const READY_MS = 4_000;
+const FAULTS_UNTIL_MS = 16_000;
+const CHANGE_EVERY_MS = 120;
+const SETTLED_MS = 34_000;
+const FAULT_KINDS: readonly DirectoryFault[] = ['crash', 'lose-disk', 'freeze', 'cut'];
+
+/** Runs one seed; returns what was broken, and how many changes were acknowledged. */
+export async function runDirectory(seed: number): Promise<{ violations: string[]; acknowledged: number }> {
+  const world = new DirectoryWorld(seed);
+  await world.start();
+  await world.runUntil(READY_MS);
+  world.change('first');
+  for (let atMs = READY_MS; atMs < FAULTS_UNTIL_MS; atMs += CHANGE_EVERY_MS) {
+    world.queue.at(atMs, () => {
+      world.change(`item-${Math.floor(atMs / CHANGE_EVERY_MS) % 17}`);
+    });
+  }
+  // Disks are lost one after the other, each with the time that a newcomer has to catch up.
+  for (let atMs = READY_MS + 500; atMs < FAULTS_UNTIL_MS; atMs += 4_000) {
+    world.queue.at(atMs, () => {
+      const replica = world.replicas[world.random.below(REPLICAS)];
+      const fault = FAULT_KINDS[world.random.below(FAULT_KINDS.length)];
+      if (replica !== undefined && fault !== undefined)
+        world.strike(fault, replica, 300 + world.random.below(2_000));
+    });
+  }
+  await world.runUntil(SETTLED_MS);
+  world.judge();
+  return { violations: [...new Set(world.violations)], acknowledged: world.acknowledged.size };
+}
--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -44,8 +44,11 @@
     private readonly nextId: () => string,
     private readonly random: Random,
     private readonly faults: DiskFaults,
+    /** Whether the folder is made at the first start of its deployment. */
+    founding = false,
   ) {
     this.durable = this.emptyContent();
+    if (founding) this.durable.owner = { ...this.durable.owner, founding };
     this.earlierHardState = this.durable.hardState;
   }
 
