--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -112,6 +112,16 @@
     });
   }
 
+  /** All replicas lose power at once, and as many as is tolerated lose their disks as well. */
+  losePower(): void {
+    const lost = this.random.below(TOLERATED_LOSSES + 1);
+    const first = this.random.below(REPLICAS);
+    this.replicas.forEach((replica, at) => {
+      const losesDisk = (at - first + REPLICAS) % REPLICAS < lost;
+      this.strike(losesDisk ? 'lose-disk' : 'crash', replica, 300 + this.random.below(1_000));
+    });
+  }
+
   /** After everything was repaired: one leader, all that was acknowledged, and the same at every watcher. */
   judge(): void {
     const state = this.leader()?.state;
@@ -254,6 +264,8 @@
 const READY_MS = 4_000;
 const FAULTS_UNTIL_MS = 16_000;
 const CHANGE_EVERY_MS = 120;
+/** All replicas lose power while changes are still made; faults that struck one alone are over by then. */
+const POWER_LOSS_MS = 19_000;
 const SETTLED_MS = 34_000;
 const FAULT_KINDS: readonly DirectoryFault[] = ['crash', 'lose-disk', 'freeze', 'cut'];
 
@@ -263,7 +275,7 @@
   await world.start();
   await world.runUntil(READY_MS);
   world.change('first');
-  for (let atMs = READY_MS; atMs < FAULTS_UNTIL_MS; atMs += CHANGE_EVERY_MS) {
+  for (let atMs = READY_MS; atMs < POWER_LOSS_MS + CHANGE_EVERY_MS; atMs += CHANGE_EVERY_MS) {
     world.queue.at(atMs, () => {
       world.change(`item-${Math.floor(atMs / CHANGE_EVERY_MS) % 17}`);
     });
@@ -277,6 +289,9 @@
         world.strike(fault, replica, 300 + world.random.below(2_000));
     });
   }
+  world.queue.at(POWER_LOSS_MS + world.random.below(CHANGE_EVERY_MS), () => {
+    world.losePower();
+  });
   await world.runUntil(SETTLED_MS);
   world.judge();
   return { violations: [...new Set(world.violations)], acknowledged: world.acknowledged.size };
