--- a/src/config/yaml-file.ts
+++ b/src/config/yaml-file.ts
@@ -9,7 +9,7 @@
   readonly file: string;
   /** Counted from 1. */
   readonly line: number;
-  /** Path of the field, such as `services.stockdesk.slots`; empty for the whole file. */
+  /** Path of the field, such as `services.stock.slots`; empty for the whole file. */
   readonly path: string;
   /** What was found and what is allowed. */
   readonly message: string;
