--- a/src/router/forward-attempt.ts
+++ b/src/router/forward-attempt.ts
@@ -7,6 +7,7 @@
 import type { Readable } from 'node:stream';
 import type { Dispatcher, Pool } from 'undici';
 import { REFUSAL_HEADER, refusalCodeSchema } from '../backend-contract/grant-messages.js';
+import { CONNECTION_HEADERS } from '../sidecar/header-dialect.js';
 import type { AttemptFailure } from './attempt-policy.js';
 import { RETRY_AFTER_MS_HEADER } from './refusal.js';
 
@@ -30,19 +31,6 @@
   | { readonly kind: 'caller-gone' }
   | { readonly kind: 'failed'; readonly failure: AttemptFailure };
 
-/** Headers that concern one connection only (RFC 9110, 7.6.1). */
-export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 const FIRST_FINAL_STATUS = 200;
 
 /** Makes one attempt; never rejects. */
--- a/src/sidecar/header-dialect.ts
+++ b/src/sidecar/header-dialect.ts
@@ -33,7 +33,7 @@
 };
 
 /** Headers that concern one connection only (RFC 9110, 7.6.1). */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-authenticate',
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -1,6 +1,6 @@
 /** Links between daemons, over loopback. */
-import { createServer } from 'node:net';
 import test from 'ava';
+import { freePort } from '../loopback.js';
 import { LinkClient, type RequestHandlers } from '../../src/link/link-client.js';
 import { encodeFrameStart, FRAME_KIND, LinkFrameDecoder } from '../../src/link/link-frame.js';
 import type { RequestHead } from '../../src/link/link-messages.js';
@@ -20,18 +20,6 @@
   targetLeftMs: 500,
 };
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as { port: number };
-  await new Promise<void>((resolve) =>
-    server.close(() => {
-      resolve();
-    }),
-  );
-  return port;
-}
-
 async function linkTo(take: TakeRequest): Promise<{ client: LinkClient; close: () => void }> {
   const port = await freePort();
   const server = new LinkServer(() => 0, 'life', take);
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -1,6 +1,6 @@
 /** A sidecar between a directory and a back end, on time that the tests move by hand. */
-import { createServer } from 'node:net';
 import test from 'ava';
+import { freePort } from '../loopback.js';
 import type { DirectoryNotice, DirectoryRequest } from '../../src/directory/directory-messages.js';
 import type { DirectorySnapshot, KeyRange } from '../../src/directory/directory-state.js';
 import type { ClientHandlers, Runtime } from '../../src/runtime/runtime.js';
@@ -15,18 +15,6 @@
 const SESSION = 9;
 const LEASE_MS = 9_500;
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as { port: number };
-  await new Promise<void>((resolve) =>
-    server.close(() => {
-      resolve();
-    }),
-  );
-  return port;
-}
-
 async function settle(): Promise<void> {
   for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
 }
