--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -9,6 +9,7 @@
 import { loadCommand } from './load-command.js';
 import { routerBenchCommand } from './router-bench-command.js';
 import { slopesCommand } from './slopes-command.js';
+import { soakCommand } from './soak-command.js';
 import { simCommand, simListCommand } from './sim-commands.js';
 
 const VERSION = '0.1.0';
@@ -123,6 +124,18 @@
   .option('--json', 'Print one JSON object as the last line')
   .action(async (options: Options) => await benchCommand(options));
 
+program
+  .command('soak')
+  .describe("Run the platform's real programs as processes under random troubles, judged while they run.")
+  .option('--minutes', 'Time in which seeds are begun', 1)
+  .option('--seed', 'First seed; the next ones follow it', 1)
+  .option('--jobs', 'Seeds that run side by side', 3)
+  .option('--only', 'Only troubles of this kind')
+  .option('--regressions', 'Play the seeds that failed once')
+  .option('--folder', 'Folder for settings, logs and data')
+  .option('--json', 'Print one JSON object as the last line')
+  .action(async (options: Options) => await soakCommand(options));
+
 program
   .command('demo')
   .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
--- a/lab/fleet/managed-process.ts
+++ b/lab/fleet/managed-process.ts
@@ -14,6 +14,8 @@
     readonly name: string,
     private readonly given: readonly string[],
     private readonly logFile: string,
+    /** Variables beside those of this process. */
+    private readonly environment: Readonly<Record<string, string>> = {},
   ) {}
 
   /** Whether it runs, frozen or not. */
@@ -29,7 +31,8 @@
   /** Starts it; its output goes to the end of the log file. */
   start(): void {
     const log = openSync(this.logFile, 'a');
-    const child = spawn(process.execPath, [...this.given], { stdio: ['ignore', log, log] });
+    const env = { ...process.env, ...this.environment };
+    const child = spawn(process.execPath, [...this.given], { stdio: ['ignore', log, log], env });
     closeSync(log);
     this.child = child;
     this.exited = new Promise((resolve) => {
--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -174,9 +174,11 @@
     process.start();
     const store = disk.open(process) as SimReplicaStore;
     replica.store = store;
+    const listen = { host: name.slice(0, name.indexOf(':')), port: PORT };
     const started = await DirectoryNode.start({
       settings: {
-        listen: { host: name.slice(0, name.indexOf(':')), port: PORT },
+        listen,
+        advertised: listen,
         zone: 'zone',
         dataFolder: 'none',
         seeds: this.replicas.slice(0, SEEDS).map((seed) => seed.name),
--- /dev/null
+++ b/lab/soak/soak-backend.ts
@@ -0,0 +1,453 @@
+/**
+ * A back end of a soak: it holds keys under fences, runs requests within its slots, tells about itself in heartbeats,
+ * and tells the judge what it does. At times it loses an answer, cuts one short or sends a second one.
+ */
+import { createHash } from 'node:crypto';
+import { createServer, request as httpRequest, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
+import type { GrantMode } from '../../src/directory/directory-state.js';
+import type { SocketAddress } from '../../src/model/socket-address.js';
+import type { HeldRange, ReleasedRange } from '../../src/sidecar/backend-report.js';
+import {
+  heartbeatBody,
+  PATHS,
+  PLATFORM_HEADERS,
+  readGrantCall,
+  readHeartbeatAnswer,
+  releaseHeaders,
+} from '../../platform/stand-in-wire.js';
+import type { Random } from '../random.js';
+import type { SoakJudge } from './soak-judge.js';
+
+/** Requests that a back end runs at once, and how many more wait for a slot. */
+const SLOTS = 6;
+const QUEUE = 12;
+
+/** Mean time of a request, in ms. */
+const WORK_MS = 30;
+
+/** Pause between heartbeats, in ms, and until the next one while keys are to be let go. */
+const HEARTBEAT_MS = 500;
+const HURRIED_HEARTBEAT_MS = 80;
+
+/** Time in ms for an answer to a heartbeat. */
+const HEARTBEAT_TIMEOUT_MS = 1_000;
+
+/** Time in ms for which a back end serves on after its leave was acknowledged. */
+const SERVES_ON_MS = 2_500;
+
+/** Time in ms after which it ends without an acknowledgement. */
+const PATIENCE_MS = 6_000;
+
+const STATUS = { ok: 200, notExecuted: 503, superseded: 409, misdirected: 421, lostLease: 500 } as const;
+
+/** How a back end misbehaves: shares of the requests that it ran. */
+export interface Misbehaviour {
+  readonly answerLost: number;
+  readonly answerCut: number;
+  readonly secondAnswer: number;
+}
+
+/** A back end that behaves. */
+export const WELL_BEHAVED: Misbehaviour = { answerLost: 0, answerCut: 0, secondAnswer: 0 };
+
+/** What a back end is started with. */
+export interface SoakBackendOptions {
+  /** Differs between any two lives. */
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly keyed: boolean;
+  readonly grantMode: GrantMode;
+  readonly address: SocketAddress;
+  /** Where its daemon takes heartbeats. */
+  readonly control: SocketAddress;
+  readonly judge: SoakJudge;
+  readonly random: Random;
+}
+
+/** The body that answers a request; a caller knows it as well. */
+export function expectedBody(requestId: string, path: string): string {
+  return createHash('sha256').update(`${requestId} ${path}`).digest('hex').repeat(8);
+}
+
+/** One life of a back end. */
+export class SoakBackend {
+  misbehaviour = WELL_BEHAVED;
+  private readonly server: Server;
+  private held: readonly HeldRange[] = [];
+  private heldUntilMs = -Infinity;
+  private readonly untilByFence = new Map<string, number>();
+  private released: ReleasedRange[] = [];
+  private readonly runningKeys = new Map<number, number>();
+  private running = 0;
+  private readonly queue: (() => void)[] = [];
+  private sequence = 0;
+  private draining = false;
+  private up = true;
+  private timer: NodeJS.Timeout | null = null;
+  private handovers = 0;
+
+  constructor(private readonly options: SoakBackendOptions) {
+    this.server = createServer((request, response) => {
+      void this.receive(request, response);
+    });
+    this.server.keepAliveTimeout = 10_000;
+  }
+
+  /** Id of this life. */
+  get id(): string {
+    return this.options.id;
+  }
+
+  /** Whether it runs and does not leave. */
+  get serving(): boolean {
+    return this.up && !this.draining;
+  }
+
+  /** Listens and begins to send heartbeats. */
+  async start(): Promise<void> {
+    const { host, port } = this.options.address;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    this.beatAfter(0);
+  }
+
+  /** Ends at once, without a word. */
+  async crash(): Promise<void> {
+    this.up = false;
+    if (this.timer !== null) clearTimeout(this.timer);
+    this.options.judge.ended(this.id);
+    await new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+      this.server.closeAllConnections();
+    });
+  }
+
+  /** Says that it leaves, serves on for a while, and ends. */
+  async leave(): Promise<void> {
+    this.draining = true;
+    const acknowledged = await this.acknowledgedWithin(PATIENCE_MS);
+    if (acknowledged) {
+      this.options.judge.drainAcknowledged(this.id, performance.now());
+      await pause(SERVES_ON_MS);
+    }
+    await this.tellGone();
+    await this.crash();
+  }
+
+  // ---- heartbeats
+
+  private beatAfter(ms: number): void {
+    if (this.timer !== null) clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      void this.beat();
+    }, ms);
+  }
+
+  private async beat(): Promise<boolean> {
+    if (!this.up) return false;
+    const sentMs = performance.now();
+    const answer = await this.call('PUT', this.heartbeatText());
+    if (!this.up) return false;
+    if (answer !== null) this.takeAnswer(answer, sentMs);
+    const hurried = this.leavingKeys().length > 0;
+    this.beatAfter(hurried ? HURRIED_HEARTBEAT_MS : HEARTBEAT_MS);
+    return answer !== null;
+  }
+
+  private heartbeatText(): string {
+    const { id, service, zone, keyed, grantMode, address } = this.options;
+    this.sequence += 1;
+    this.forgetExpired();
+    return heartbeatBody(
+      {
+        id,
+        service,
+        zone,
+        slots: SLOTS,
+        condition: this.draining ? 'draining' : 'ready',
+        sequence: this.sequence,
+        holds: keyed && grantMode === 'heartbeat' ? [...this.held, ...this.leavingKeys()] : null,
+        released: this.released,
+      },
+      address,
+    );
+  }
+
+  private takeAnswer(text: string, sentMs: number): void {
+    this.released = [];
+    const { keyed, grantMode } = this.options;
+    if (!keyed || grantMode !== 'heartbeat') return;
+    const grant = readHeartbeatAnswer(text);
+    if (grant === null) return;
+    const kept = new Set(grant.ranges.map(nameOf));
+    for (const range of this.held) if (!kept.has(nameOf(range))) this.letGo(range);
+    this.held = grant.ranges;
+    this.heldUntilMs = sentMs + grant.holdMs;
+    this.tellHolds();
+  }
+
+  private letGo(range: HeldRange): void {
+    this.handovers += 1;
+    const handover = createHash('sha256').update(`${this.id} ${this.handovers}`).digest('hex').slice(0, 16);
+    this.released.push({ from: range.from, to: range.to, handover });
+  }
+
+  /** Ranges that are not granted any more, on which work goes on. */
+  private leavingKeys(): HeldRange[] {
+    return [...this.runningKeys.keys()]
+      .filter((key) => this.options.keyed && !this.holdsKey(key))
+      .map((key) => ({ from: key, to: key, fence: 0 }));
+  }
+
+  private forgetExpired(): void {
+    if (this.options.grantMode === 'invoke' || performance.now() < this.heldUntilMs) return;
+    this.held = [];
+    this.tellHolds();
+  }
+
+  private tellHolds(): void {
+    const { judge, service } = this.options;
+    const nowMs = performance.now();
+    const untilMs = this.options.grantMode === 'heartbeat' ? this.heldUntilMs : this.longestUntilMs();
+    judge.holds(this.id, service, this.held, untilMs, nowMs);
+  }
+
+  private async call(method: string, body: string): Promise<string | null> {
+    const { host, port } = this.options.control;
+    return await new Promise((resolve) => {
+      const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
+      const path = `${PATHS.instances}${this.id}`;
+      const call = httpRequest({ host, port, path, method, headers }, (answer) => {
+        let text = '';
+        answer.on('data', (chunk: Buffer) => (text += chunk.toString()));
+        answer.on('end', () => {
+          resolve(answer.statusCode === STATUS.ok ? text : null);
+        });
+        answer.on('error', () => {
+          resolve(null);
+        });
+      });
+      call.setTimeout(HEARTBEAT_TIMEOUT_MS, () => call.destroy());
+      call.on('error', () => {
+        resolve(null);
+      });
+      call.end(body);
+    });
+  }
+
+  private async acknowledgedWithin(ms: number): Promise<boolean> {
+    const endMs = performance.now() + ms;
+    while (this.up && performance.now() < endMs) {
+      if (await this.beat()) return true;
+      await pause(HURRIED_HEARTBEAT_MS);
+    }
+    return false;
+  }
+
+  private async tellGone(): Promise<void> {
+    const endMs = performance.now() + PATIENCE_MS;
+    while (this.up && performance.now() < endMs) {
+      if ((await this.call('DELETE', '')) !== null) return;
+      await pause(HURRIED_HEARTBEAT_MS);
+    }
+  }
+
+  // ---- keys that are granted by calls
+
+  private takeGrant(body: string, response: ServerResponse): void {
+    const { from, to, fence, holdMs } = readGrantCall(body);
+    const nowMs = performance.now();
+    const newer = this.held.some((range) => range.fence > fence && from <= range.to && range.from <= to);
+    if (newer) {
+      answerPlain(response, STATUS.superseded);
+      return;
+    }
+    const range = { from, to, fence };
+    this.held = [...this.held.filter((other) => from > other.to || other.from > to), range];
+    this.untilByFence.set(nameOf(range), nowMs + holdMs);
+    this.tellHolds();
+    answerPlain(response, STATUS.ok);
+  }
+
+  private async takeRelease(body: string, response: ServerResponse): Promise<void> {
+    const { from, to } = readGrantCall(body);
+    this.held = this.held.flatMap((range) => without(range, from, to, this.untilByFence));
+    this.tellHolds();
+    while (this.up && [...this.runningKeys.keys()].some((key) => key >= from && key <= to)) await pause(5);
+    this.handovers += 1;
+    response.writeHead(STATUS.ok, { ...releaseHeaders(`${this.id}-${this.handovers}`), 'content-length': 0 });
+    response.end();
+  }
+
+  private longestUntilMs(): number {
+    return Math.max(
+      -Infinity,
+      ...this.held.map((range) => this.untilByFence.get(nameOf(range)) ?? -Infinity),
+    );
+  }
+
+  private holdsKey(key: number): boolean {
+    const nowMs = performance.now();
+    const range = this.held.find(({ from, to }) => key >= from && key <= to);
+    if (range === undefined) return false;
+    if (this.options.grantMode === 'heartbeat') return nowMs < this.heldUntilMs;
+    return nowMs < (this.untilByFence.get(nameOf(range)) ?? -Infinity);
+  }
+
+  // ---- requests
+
+  private async receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    const body = await readBody(request);
+    if (body === null || !this.up) return;
+    const path = request.url ?? '/';
+    if (path === PATHS.grant) this.takeGrant(body, response);
+    else if (path === PATHS.release) await this.takeRelease(body, response);
+    else this.takeRequest(request, response, path);
+  }
+
+  private takeRequest(request: IncomingMessage, response: ServerResponse, path: string): void {
+    const requestId = headerOf(request, PLATFORM_HEADERS.requestId);
+    const wanted = headerOf(request, PLATFORM_HEADERS.expectedInstance);
+    const keyText = headerOf(request, PLATFORM_HEADERS.key);
+    const key = this.options.keyed ? Number(keyText) : null;
+    if (wanted !== '' && wanted !== this.id) {
+      this.decline(response, requestId, STATUS.misdirected);
+      return;
+    }
+    this.options.judge.arrived(this.id, performance.now());
+    if (key !== null && !this.holdsKey(key)) {
+      this.decline(response, requestId, STATUS.misdirected);
+      return;
+    }
+    const run = (): void => {
+      void this.run(request, response, { requestId, path, key });
+    };
+    if (this.running < SLOTS) run();
+    else if (this.queue.length < QUEUE) this.queue.push(run);
+    else this.decline(response, requestId, STATUS.notExecuted);
+  }
+
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    work: { readonly requestId: string; readonly path: string; readonly key: number | null },
+  ): Promise<void> {
+    const { judge, random, service } = this.options;
+    const { requestId, path, key } = work;
+    if (response.destroyed || (key !== null && !this.holdsKey(key))) {
+      if (!response.destroyed) this.decline(response, requestId, STATUS.misdirected);
+      this.next();
+      return;
+    }
+    this.running += 1;
+    if (key !== null) this.runningKeys.set(key, (this.runningKeys.get(key) ?? 0) + 1);
+    const repeatable = request.method === 'GET';
+    judge.runStarted({ requestId, backend: this.id, service, key, repeatable }, performance.now());
+    await pause(random.exponential(WORK_MS));
+    this.running -= 1;
+    if (key !== null) this.endKey(key);
+    if (this.up) this.answer(response, requestId, path, key);
+    this.next();
+  }
+
+  private next(): void {
+    if (this.running < SLOTS) this.queue.shift()?.();
+  }
+
+  private endKey(key: number): void {
+    const left = (this.runningKeys.get(key) ?? 1) - 1;
+    if (left > 0) this.runningKeys.set(key, left);
+    else this.runningKeys.delete(key);
+  }
+
+  private answer(response: ServerResponse, requestId: string, path: string, key: number | null): void {
+    const { random } = this.options;
+    const { answerLost, answerCut, secondAnswer } = this.misbehaviour;
+    const chance = random.fraction();
+    if (chance < answerLost) {
+      response.destroy();
+      return;
+    }
+    const body = expectedBody(requestId, path);
+    const headers = {
+      [PLATFORM_HEADERS.requestId]: requestId,
+      [PLATFORM_HEADERS.seal]: `seal-${requestId}`,
+      'content-length': body.length,
+      ...(this.draining ? { connection: 'close' } : {}),
+    };
+    const lostLease = key !== null && !this.holdsKey(key);
+    response.writeHead(lostLease ? STATUS.lostLease : STATUS.ok, headers);
+    if (chance < answerLost + answerCut) {
+      response.write(body.slice(0, body.length / 2));
+      setTimeout(() => response.destroy(), 5);
+      return;
+    }
+    const { socket } = response;
+    response.end(body);
+    if (chance >= answerLost + answerCut + secondAnswer) return;
+    const again = `HTTP/1.1 200 OK\r\n${PLATFORM_HEADERS.requestId}: ${requestId}\r\n`;
+    const seal = `${PLATFORM_HEADERS.seal}: seal-${requestId}\r\n`;
+    setTimeout(() => socket?.write(`${again}${seal}content-length: 4\r\n\r\nmore`), 1);
+  }
+
+  private decline(response: ServerResponse, requestId: string, status: number): void {
+    response.writeHead(status, {
+      [PLATFORM_HEADERS.requestId]: requestId,
+      [PLATFORM_HEADERS.notRun]: '1',
+      'content-length': 0,
+    });
+    response.end();
+  }
+}
+
+function without(
+  range: HeldRange,
+  from: number,
+  to: number,
+  untilByFence: Map<string, number>,
+): readonly HeldRange[] {
+  if (from > range.to || to < range.from) return [range];
+  const untilMs = untilByFence.get(nameOf(range)) ?? -Infinity;
+  const parts = [
+    { ...range, to: from - 1 },
+    { ...range, from: to + 1 },
+  ].filter((part) => part.from <= part.to);
+  for (const part of parts) untilByFence.set(nameOf(part), untilMs);
+  return parts;
+}
+
+function nameOf({ from, to, fence }: HeldRange): string {
+  return `${from}-${to}@${fence}`;
+}
+
+function headerOf(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+function answerPlain(response: ServerResponse, status: number): void {
+  response.writeHead(status, { 'content-length': 0 });
+  response.end();
+}
+
+async function readBody(request: IncomingMessage): Promise<string | null> {
+  let text = '';
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) text += chunk.toString();
+    return text;
+  } catch {
+    return null;
+  }
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/lab/soak/soak-operator.ts
@@ -0,0 +1,149 @@
+/**
+ * The operator of a soak: adds and changes routes through any replica, sends what got no clear answer again, and
+ * reads back what was acknowledged.
+ */
+import { request as httpRequest } from 'node:http';
+import type { SocketAddress } from '../../src/model/socket-address.js';
+import {
+  configurationBody,
+  PATHS,
+  readRouteVersions,
+  type StandInRoute,
+} from '../../platform/stand-in-wire.js';
+import type { Random } from '../random.js';
+import type { SoakJudge } from './soak-judge.js';
+
+/** Time in ms for an answer, and pause before the next replica is asked. */
+const ANSWER_MS = 1_000;
+const RETRY_MS = 120;
+
+/** How often a redirection is followed. */
+const MAX_REDIRECTS = 2;
+
+const STATUS = { ok: 200, firstClientError: 400, firstServerError: 500 } as const;
+
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+  readonly location: string;
+}
+
+/** An acknowledged route, and since when. */
+export interface AcknowledgedRoute {
+  readonly route: StandInRoute;
+  readonly atMs: number;
+}
+
+/** The operator. */
+export class SoakOperator {
+  /** Newest acknowledged version of every route. */
+  readonly routes = new Map<string, AcknowledgedRoute>();
+  /** Part of the acknowledgements that are lost on their way back. */
+  lostShare = 0;
+  changes = 0;
+  private version = 1;
+  private stopped = false;
+
+  constructor(
+    private readonly replicas: readonly SocketAddress[],
+    private readonly judge: SoakJudge,
+    private readonly random: Random,
+  ) {}
+
+  /** Sends a body until it is acknowledged; false when the operator was stopped before. */
+  async change(body: string, routes: readonly StandInRoute[]): Promise<boolean> {
+    while (!this.stopped) {
+      const reply = await this.call('PATCH', body);
+      const lost = this.random.fraction() < this.lostShare;
+      if (reply?.status === STATUS.ok && !lost) {
+        this.acknowledge(routes);
+        return true;
+      }
+      const refused = reply !== null && reply.status >= STATUS.firstClientError;
+      if (refused && reply.status < STATUS.firstServerError) {
+        throw new Error(`a proper change was refused with ${reply.status}: ${reply.body}`);
+      }
+      await pause(RETRY_MS);
+    }
+    return false;
+  }
+
+  /** Changes one known route, or adds one, again and again. */
+  async keepChanging(template: StandInRoute, pauseMs: number): Promise<void> {
+    while (!this.stopped) {
+      await pause(this.random.exponential(pauseMs));
+      this.version += 1 + this.random.below(3);
+      const name = `added-${this.random.below(6)}`;
+      const route = { ...template, name, prefix: `/${name}/`, version: this.version };
+      const sent = await this.change(configurationBody([route], [], this.version), [route]);
+      if (sent) this.changes += 1;
+    }
+  }
+
+  /** Reads at random replicas, again and again. */
+  async keepReading(pauseMs: number): Promise<void> {
+    while (!this.stopped) {
+      await pause(this.random.exponential(pauseMs));
+      await this.read(false);
+    }
+  }
+
+  /** Reads once; false when no replica gave an answer. */
+  async read(atEnd: boolean): Promise<boolean> {
+    const sentMs = performance.now();
+    const reply = await this.call('GET', '');
+    if (reply?.status !== STATUS.ok) return false;
+    this.judge.changesRead(readRouteVersions(reply.body), sentMs, performance.now(), atEnd);
+    return true;
+  }
+
+  /** Sends and reads no more. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private acknowledge(routes: readonly StandInRoute[]): void {
+    const atMs = performance.now();
+    for (const route of routes) {
+      this.routes.set(route.name, { route, atMs });
+      this.judge.changeAcknowledged(route.name, route.version, atMs);
+    }
+  }
+
+  private async call(method: string, body: string): Promise<Reply | null> {
+    let address = this.random.pick(this.replicas);
+    for (let hop = 0; hop <= MAX_REDIRECTS; hop += 1) {
+      const reply = await ask(address, method, body);
+      if (reply === null || reply.location === '') return reply;
+      const url = new URL(reply.location);
+      address = { host: url.hostname, port: Number(url.port) };
+    }
+    return null;
+  }
+}
+
+async function ask({ host, port }: SocketAddress, method: string, body: string): Promise<Reply | null> {
+  return await new Promise((resolve) => {
+    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
+    const options = { host, port, path: PATHS.configuration, method, headers, agent: false };
+    const call = httpRequest(options, (answer) => {
+      let text = '';
+      answer.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      answer.on('error', () => {
+        resolve(null);
+      });
+      answer.on('end', () => {
+        resolve({ status: answer.statusCode ?? 0, body: text, location: answer.headers.location ?? '' });
+      });
+    });
+    call.setTimeout(ANSWER_MS, () => call.destroy());
+    call.on('error', () => {
+      resolve(null);
+    });
+    call.end(body);
+  });
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/lab/soak/soak-plan.ts
@@ -0,0 +1,133 @@
+/** What a soak of one seed does: its machines, its ways of granting keys, and its troubles. Pure. */
+import type { GrantMode } from '../../src/directory/directory-state.js';
+import { Random } from '../random.js';
+
+/** Kinds of trouble; each is brought about from outside the processes. */
+export const SOAK_TROUBLES = [
+  'kill-sidecar',
+  'kill-directory',
+  'kill-leader',
+  'kill-all-directories',
+  'pause-sidecar',
+  'pause-directory',
+  'pause-leader',
+  'stop-sidecar',
+  'stop-directory',
+  'wipe-directory',
+  'tear-log',
+  'cut-sidecar',
+  'cut-directory',
+  'cut-one-way',
+  'slow-link',
+  'reset-connections',
+  'crash-back-end',
+  'leave-back-end',
+  'lose-answers',
+  'spoil-answers',
+  'lose-acknowledgements',
+] as const;
+
+/** A kind of trouble. */
+export type SoakTroubleKind = (typeof SOAK_TROUBLES)[number];
+
+/** One trouble. */
+export interface SoakTrouble {
+  readonly kind: SoakTroubleKind;
+  /** From when traffic starts, in ms. */
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Picks the machine: its number among those that fit. */
+  readonly choice: number;
+}
+
+/** A machine beside a back end. */
+export interface SidecarMachine {
+  readonly name: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly number: number;
+}
+
+/** A machine with a disk. */
+export interface DirectoryMachine {
+  readonly name: string;
+  readonly zone: string;
+  readonly number: number;
+}
+
+/** A service of a soak. */
+export interface SoakService {
+  readonly name: string;
+  readonly keyed: boolean;
+}
+
+/** A whole plan. */
+export interface SoakPlan {
+  readonly seed: number;
+  readonly grantMode: GrantMode;
+  readonly toleratedLosses: number;
+  readonly services: readonly SoakService[];
+  readonly sidecars: readonly SidecarMachine[];
+  readonly directories: readonly DirectoryMachine[];
+  readonly troubles: readonly SoakTrouble[];
+  /** Time with troubles, in ms. */
+  readonly troubledMs: number;
+}
+
+/** Back ends of each service. */
+const BACK_ENDS = 3;
+
+const ZONES = ['zone-1', 'zone-2', 'zone-3'] as const;
+
+const TROUBLED_MS = 16_000;
+const FEWEST_TROUBLES = 3;
+const MOST_TROUBLES = 7;
+const SHORTEST_MS = 600;
+const LONGEST_MS = 5_000;
+
+/** The plan of a seed. */
+export function planSoak(seed: number, only: SoakTroubleKind | null = null): SoakPlan {
+  const random = new Random(seed);
+  const services = [
+    { name: 'keyed', keyed: true },
+    { name: 'plain', keyed: false },
+  ];
+  const sidecars = services.flatMap(({ name }, at) =>
+    Array.from({ length: BACK_ENDS }, (_, copy) => ({
+      name: `${name}-${copy}`,
+      service: name,
+      zone: ZONES[copy % ZONES.length] ?? ZONES[0],
+      number: 10 + at * BACK_ENDS + copy,
+    })),
+  );
+  const toleratedLosses = 1;
+  const directories = Array.from({ length: 2 * toleratedLosses + 1 }, (_, copy) => ({
+    name: `directory-${copy}`,
+    zone: ZONES[copy % ZONES.length] ?? ZONES[0],
+    number: 1 + copy,
+  }));
+  const count = FEWEST_TROUBLES + random.below(MOST_TROUBLES - FEWEST_TROUBLES + 1);
+  const grantMode = random.below(2) === 0 ? 'heartbeat' : 'invoke';
+  const troubles = Array.from({ length: count }, () => drawTrouble(random, only));
+  troubles.sort((left, right) => left.atMs - right.atMs);
+  return {
+    seed,
+    grantMode,
+    toleratedLosses,
+    services,
+    sidecars,
+    directories,
+    troubles,
+    troubledMs: TROUBLED_MS,
+  };
+}
+
+function drawTrouble(random: Random, only: SoakTroubleKind | null): SoakTrouble {
+  const kind = only ?? random.pick(SOAK_TROUBLES);
+  return {
+    kind,
+    atMs: 500 + random.below(TROUBLED_MS - 2_000),
+    forMs: SHORTEST_MS + random.below(LONGEST_MS - SHORTEST_MS),
+    choice: random.below(1_000),
+  };
+}
--- /dev/null
+++ b/lab/soak/soak-run.ts
@@ -0,0 +1,254 @@
+/** Plays one seed of a soak: the real programs under troubles, judged while they run. */
+import { join } from 'node:path';
+import {
+  configurationBody,
+  STAND_IN_BOUNDS,
+  STAND_IN_PORTS,
+  type StandInRoute,
+} from '../../platform/stand-in-wire.js';
+import { Random } from '../random.js';
+import { SoakCallers, type CalledDaemon, type CalledRoute, type CallerCounts } from './soak-callers.js';
+import { SoakFleet } from './soak-fleet.js';
+import { SoakJudge, type SoakViolation } from './soak-judge.js';
+import { SoakOperator } from './soak-operator.js';
+import { planSoak, type SoakPlan, type SoakTroubleKind } from './soak-plan.js';
+import { SoakTroubles } from './soak-troubles.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Requests a second, over all daemons. */
+const REQUESTS_PER_SECOND = 60;
+
+/** Pauses of the operator between changes and between reads, in ms on average. */
+const CHANGE_PAUSE_MS = 1_200;
+const READ_PAUSE_MS = 700;
+
+/** Time in ms for the first configuration, and for the daemons to be ready after it. */
+const FORMATION_LIMIT_MS = 20_000;
+const READY_LIMIT_MS = 15_000;
+
+/** Length of the stretch after recovery in which requests must be answered, in ms. */
+const CALM_STRETCH_MS = 3_000;
+
+/** Least part of the requests that must be answered by then. */
+const LEAST_ANSWERED = 0.6;
+
+/** Time in ms without trouble after which a daemon must know every acknowledged route. */
+const IN_TOUCH_MS = 6_000;
+
+const LOOK_MS = 50;
+const PROBE_MS = 900;
+const HOST = 'soak.example';
+const UNKNOWN_ROUTE_STATUS = 404;
+
+/** What a seed showed. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly grantMode: string;
+  readonly counts: CallerCounts;
+  readonly changes: number;
+  readonly troubles: readonly string[];
+  readonly violations: readonly SoakViolation[];
+}
+
+/** What a seed is played with. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly program: string;
+  readonly folder: string;
+  /** Only troubles of this kind; null for all. */
+  readonly only: SoakTroubleKind | null;
+}
+
+/** Plays one seed. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const plan = planSoak(options.seed, options.only);
+  const random = new Random(options.seed + 1);
+  const drainMs = STAND_IN_BOUNDS.drain_s * MS_PER_SECOND;
+  const judge = new SoakJudge(drainMs, STAND_IN_BOUNDS.config_apply_s * MS_PER_SECOND);
+  const folder = join(options.folder, `seed-${options.seed}`);
+  const fleet = new SoakFleet(plan, { program: options.program, folder }, judge, random);
+  const operator = new SoakOperator(fleet.operatorAddresses, judge, random);
+  const troubles = new SoakTroubles(fleet, operator);
+  const callers = makeCallers(plan, fleet, judge, random, troubles);
+  const timers = [
+    setInterval(() => {
+      judge.look(performance.now());
+    }, LOOK_MS),
+  ];
+  try {
+    await fleet.up();
+    if (await firstConfiguration(plan, operator, judge)) {
+      timers.push(
+        setInterval(() => void probeRoute(fleet, operator, callers, troubles, judge, random), PROBE_MS),
+      );
+      await play(plan, operator, callers, troubles, judge);
+    }
+  } finally {
+    for (const timer of timers) clearInterval(timer);
+    operator.stop();
+    callers.stop();
+    await fleet.down();
+    callers.close();
+  }
+  return {
+    seed: plan.seed,
+    grantMode: plan.grantMode,
+    counts: callers.counts,
+    changes: operator.changes,
+    troubles: troubles.records.map(({ kind, target }) => `${kind} on ${target}`),
+    violations: judge.violations,
+  };
+}
+
+async function play(
+  plan: SoakPlan,
+  operator: SoakOperator,
+  callers: SoakCallers,
+  troubles: SoakTroubles,
+  judge: SoakJudge,
+): Promise<void> {
+  callers.start(REQUESTS_PER_SECOND);
+  const allReady = await waitFor(
+    () => plan.sidecars.every(({ name }) => callers.isReady(name)),
+    READY_LIMIT_MS,
+  );
+  if (!allReady) judge.notRecovered('not all daemons were ready before the troubles', performance.now());
+  const template = routesOf(plan)[1];
+  if (template === undefined) return;
+  const background = [operator.keepChanging(template, CHANGE_PAUSE_MS), operator.keepReading(READ_PAUSE_MS)];
+  const brought = plan.troubles.map(async (trouble) => {
+    await pause(trouble.atMs);
+    await troubles.bring(trouble);
+  });
+  await Promise.all([pause(plan.troubledMs), ...brought]);
+  await pause(IN_TOUCH_MS);
+  await judgeRecovery(callers, judge);
+  operator.stop();
+  await Promise.all(background);
+  const read = await waitForRead(operator);
+  if (!read) judge.notRecovered('the configuration could not be read at the end', performance.now());
+}
+
+async function judgeRecovery(callers: SoakCallers, judge: SoakJudge): Promise<void> {
+  const endMs = performance.now() + STAND_IN_BOUNDS.recovery_s * MS_PER_SECOND;
+  for (;;) {
+    const before = { ...callers.counts };
+    await pause(CALM_STRETCH_MS);
+    const answered = callers.counts.answered - before.answered;
+    const sent = callers.counts.sent - before.sent;
+    if (sent > 0 && answered >= sent * LEAST_ANSWERED) return;
+    if (performance.now() < endMs) continue;
+    judge.notRecovered(
+      `${answered} of ${sent} requests were answered in the last stretch`,
+      performance.now(),
+    );
+    return;
+  }
+}
+
+async function waitForRead(operator: SoakOperator): Promise<boolean> {
+  for (let attempt = 0; attempt < 40; attempt += 1) {
+    if (await operator.read(true)) return true;
+    await pause(100);
+  }
+  return false;
+}
+
+async function firstConfiguration(
+  plan: SoakPlan,
+  operator: SoakOperator,
+  judge: SoakJudge,
+): Promise<boolean> {
+  const services = plan.services.map((service) => ({ ...service, grantMode: plan.grantMode }));
+  const routes = routesOf(plan);
+  const timer = setTimeout(() => {
+    operator.stop();
+  }, FORMATION_LIMIT_MS);
+  const taken = await operator.change(configurationBody(routes, services, 1), routes);
+  clearTimeout(timer);
+  if (!taken) judge.notRecovered('the first configuration was not acknowledged', performance.now());
+  return taken;
+}
+
+/** One route for requests that may be repeated and one for those that may not, for each service. */
+function routesOf(plan: SoakPlan): StandInRoute[] {
+  return plan.services.flatMap(({ name }) => [
+    {
+      name: `${name}-get`,
+      host: HOST,
+      prefix: `/${name}/get/`,
+      kind: 'safe' as const,
+      service: name,
+      version: 1,
+    },
+    {
+      name: `${name}-post`,
+      host: HOST,
+      prefix: `/${name}/post/`,
+      kind: 'non_idempotent' as const,
+      service: name,
+      version: 1,
+    },
+  ]);
+}
+
+function makeCallers(
+  plan: SoakPlan,
+  fleet: SoakFleet,
+  judge: SoakJudge,
+  random: Random,
+  troubles: SoakTroubles,
+): SoakCallers {
+  const daemons = fleet.sidecars.map(({ name, ip }) => calledDaemon(name, ip));
+  const routes = routesOf(plan).map((route): CalledRoute => ({
+    host: route.host,
+    prefix: route.prefix,
+    repeatable: route.kind === 'safe',
+    keyed: plan.services.find(({ name }) => name === route.service)?.keyed === true,
+  }));
+  const quietMs = 3_000;
+  return new SoakCallers(plan.seed, daemons, routes, {
+    judge,
+    random,
+    stopsAsPlanned: (machine, sinceMs) => troubles.onlyStops(machine, sinceMs, quietMs),
+  });
+}
+
+function calledDaemon(machine: string, ip: string): CalledDaemon {
+  return {
+    machine,
+    callers: { host: ip, port: STAND_IN_PORTS.callers },
+    readiness: { host: ip, port: STAND_IN_PORTS.readiness },
+  };
+}
+
+/** Asks one daemon for a route that was acknowledged long enough ago. */
+async function probeRoute(
+  fleet: SoakFleet,
+  operator: SoakOperator,
+  callers: SoakCallers,
+  troubles: SoakTroubles,
+  judge: SoakJudge,
+  random: Random,
+): Promise<void> {
+  const applyMs = STAND_IN_BOUNDS.config_apply_s * MS_PER_SECOND;
+  const old = [...operator.routes.values()].filter(({ atMs }) => performance.now() - atMs > applyMs);
+  const machine = random.pick(fleet.sidecars);
+  if (old.length === 0 || !callers.isReady(machine.name) || !troubles.calmFor(IN_TOUCH_MS)) return;
+  const { route } = random.pick(old);
+  const keyed = fleet.plan.services.find(({ name }) => name === route.service)?.keyed === true;
+  const called = { host: route.host, prefix: route.prefix, repeatable: route.kind === 'safe', keyed };
+  const status = await callers.probe(calledDaemon(machine.name, machine.ip), called);
+  if (status === UNKNOWN_ROUTE_STATUS) judge.routeUnknown(machine.name, route.name, performance.now());
+}
+
+async function waitFor(done: () => boolean, limitMs: number): Promise<boolean> {
+  const endMs = performance.now() + limitMs;
+  while (!done() && performance.now() < endMs) await pause(LOOK_MS);
+  return done();
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/lab/soak/soak-troubles.ts
@@ -0,0 +1,209 @@
+/** Brings about the troubles of a soak, from outside the processes: by signals, on their disks and on the network. */
+import { appendFileSync, rmSync, mkdirSync } from 'node:fs';
+import { join } from 'node:path';
+import type { SoakFleet, SoakMachine } from './soak-fleet.js';
+import type { SoakOperator } from './soak-operator.js';
+import type { SoakTrouble, SoakTroubleKind } from './soak-plan.js';
+
+/** Time in ms for which a directory counts as lost after it came back, so that no two are lost at once. */
+const CATCH_UP_MS = 4_000;
+
+/** Pause before a process that ended is started again, in ms. */
+const RESTART_MS = 300;
+
+/** Time in ms before a back end that has ended is followed by another. */
+const REPLACEMENT_MS = 1_000;
+
+/** Extra delay of a slow link, in ms. */
+const SLOW_LINK_MS = 120;
+
+/** Shares of spoilt answers, and of lost acknowledgements. */
+const LOST_ANSWERS = { answerLost: 0.1, answerCut: 0, secondAnswer: 0 };
+const SPOILT_ANSWERS = { answerLost: 0, answerCut: 0.08, secondAnswer: 0.08 };
+const LOST_ACKNOWLEDGEMENTS = 0.6;
+
+/** Bytes of a write that was torn. */
+const TORN_BYTES = Buffer.from([0, 0, 0, 200, 1, 2, 3, 4, 5, 6, 7]);
+const LOG_FILE = 'log';
+
+/** A trouble that was brought about. */
+export interface TroubleRecord {
+  readonly kind: SoakTroubleKind;
+  readonly target: string;
+  readonly atMs: number;
+  endMs: number;
+}
+
+/** Brings troubles about. */
+export class SoakTroubles {
+  readonly records: TroubleRecord[] = [];
+  private lostUntilMs = 0;
+
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly operator: SoakOperator,
+  ) {}
+
+  /** Brings one about; resolves when it is over. */
+  async bring(trouble: SoakTrouble): Promise<void> {
+    const { kind } = trouble;
+    const machine = this.targetOf(trouble);
+    const record = { kind, target: machine?.name ?? 'all', atMs: performance.now(), endMs: Infinity };
+    if (machine?.troubled === true || (concernsDisks(kind) && !this.takeLoss(trouble))) return;
+    this.records.push(record);
+    if (machine !== undefined) machine.troubled = true;
+    await this.carryOut(trouble, machine);
+    if (machine !== undefined) machine.troubled = false;
+    record.endMs = performance.now();
+  }
+
+  /** Whether the stop of a machine is the only trouble since shortly before `sinceMs`. */
+  onlyStops(machine: string, sinceMs: number, quietMs: number): boolean {
+    const recent = this.records.filter(({ endMs }) => endMs > sinceMs - quietMs);
+    const stops = recent.filter(({ kind }) => kind === 'stop-sidecar' || kind === 'stop-directory');
+    return stops.some(({ target }) => target === machine) && stops.length === recent.length;
+  }
+
+  /** Whether nothing has been amiss for so long. */
+  calmFor(ms: number): boolean {
+    const nowMs = performance.now();
+    return this.records.every(({ endMs }) => endMs < nowMs - ms);
+  }
+
+  /** Directories are lost one at a time, and the one before must have caught up. */
+  private takeLoss({ forMs }: SoakTrouble): boolean {
+    const nowMs = performance.now();
+    if (nowMs < this.lostUntilMs) return false;
+    this.lostUntilMs = nowMs + forMs + RESTART_MS + CATCH_UP_MS;
+    return true;
+  }
+
+  private targetOf({ kind, choice }: SoakTrouble): SoakMachine | undefined {
+    const { directories, sidecars } = this.fleet;
+    if (kind.endsWith('-leader')) return this.fleet.leader();
+    if (kind === 'kill-all-directories' || kind === 'lose-acknowledgements') return undefined;
+    if (kind === 'lose-answers' || kind === 'spoil-answers') return undefined;
+    const onDisks = concernsDisks(kind);
+    const everywhere = kind === 'cut-one-way' || kind === 'slow-link' || kind === 'reset-connections';
+    const machines = everywhere ? [...directories, ...sidecars] : onDisks ? directories : sidecars;
+    return machines[choice % machines.length];
+  }
+
+  private async carryOut(trouble: SoakTrouble, machine: SoakMachine | undefined): Promise<void> {
+    const { kind, forMs } = trouble;
+    switch (kind) {
+      case 'kill-all-directories':
+        await Promise.all(
+          this.fleet.directories.map(async (directory) => await this.killFor(directory, RESTART_MS)),
+        );
+        return;
+      case 'lose-answers':
+      case 'spoil-answers':
+        this.fleet.misbehave(kind === 'lose-answers' ? LOST_ANSWERS : SPOILT_ANSWERS);
+        await pause(forMs);
+        this.fleet.misbehave();
+        return;
+      case 'lose-acknowledgements':
+        this.operator.lostShare = LOST_ACKNOWLEDGEMENTS;
+        await pause(forMs);
+        this.operator.lostShare = 0;
+        return;
+      default:
+        if (machine !== undefined) await this.carryOutOn(machine, trouble);
+    }
+  }
+
+  private async carryOutOn(machine: SoakMachine, { kind, forMs }: SoakTrouble): Promise<void> {
+    switch (kind) {
+      case 'kill-sidecar':
+      case 'kill-directory':
+      case 'kill-leader':
+        await this.killFor(machine, forMs);
+        break;
+      case 'wipe-directory':
+        await this.killFor(machine, forMs, () => {
+          wipe(machine);
+        });
+        break;
+      case 'tear-log':
+        await this.killFor(machine, forMs, () => {
+          tearLog(machine);
+        });
+        break;
+      case 'pause-sidecar':
+      case 'pause-directory':
+      case 'pause-leader':
+        machine.process.signal('SIGSTOP');
+        await pause(forMs);
+        machine.process.signal('SIGCONT');
+        break;
+      case 'stop-sidecar':
+      case 'stop-directory':
+        await machine.process.stop();
+        await pause(RESTART_MS);
+        this.fleet.start(machine);
+        break;
+      case 'crash-back-end':
+      case 'leave-back-end':
+        await this.replaceBackend(machine, kind);
+        break;
+      case 'reset-connections':
+        this.fleet.network.reset(machine.name);
+        break;
+      default:
+        await this.harmLinks(machine, kind, forMs);
+    }
+  }
+
+  private async killFor(machine: SoakMachine, forMs: number, meanwhile?: () => void): Promise<void> {
+    await machine.process.kill();
+    meanwhile?.();
+    await pause(forMs);
+    this.fleet.start(machine);
+  }
+
+  private async replaceBackend(machine: SoakMachine, kind: SoakTroubleKind): Promise<void> {
+    const backend = this.fleet.backends.get(machine.name);
+    const place = this.fleet.plan.sidecars.find(({ name }) => name === machine.name);
+    if (backend === undefined || place === undefined) return;
+    if (kind === 'crash-back-end') await backend.crash();
+    else await backend.leave();
+    await pause(REPLACEMENT_MS);
+    await this.fleet.startBackend(place);
+  }
+
+  private async harmLinks(machine: SoakMachine, kind: SoakTroubleKind, forMs: number): Promise<void> {
+    const { network, directories, sidecars } = this.fleet;
+    const others = [...directories, ...sidecars].filter((other) => other !== machine);
+    const harmed = kind === 'slow-link' ? { delayMs: SLOW_LINK_MS } : { held: true };
+    const sound = { delayMs: 0, held: false };
+    for (const { name } of others) {
+      network.set(machine.name, name, harmed);
+      if (kind !== 'cut-one-way') network.set(name, machine.name, harmed);
+    }
+    await pause(forMs);
+    for (const { name } of others) {
+      network.set(machine.name, name, sound);
+      network.set(name, machine.name, sound);
+    }
+  }
+}
+
+function concernsDisks(kind: SoakTroubleKind): boolean {
+  return kind.endsWith('-directory') || kind.endsWith('-leader') || kind === 'tear-log';
+}
+
+function wipe({ dataFolder }: SoakMachine): void {
+  if (dataFolder === null) return;
+  rmSync(dataFolder, { recursive: true, force: true });
+  mkdirSync(dataFolder, { recursive: true });
+}
+
+/** A write that was under way when the process died: its bytes stand at the end of the log, not whole. */
+function tearLog({ dataFolder }: SoakMachine): void {
+  if (dataFolder !== null) appendFileSync(join(dataFolder, LOG_FILE), TORN_BYTES);
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -5,6 +5,7 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { EntryApplier } from './entry-applier.js';
+import { diskSteps, type DiskStep } from './disk-steps.js';
 import { whenDiskHasRoom } from './full-disk.js';
 import { RaftCore } from './raft-core.js';
 import type {
@@ -54,29 +55,6 @@
   snapshotsInstalled: number;
 }
 
-/** Joins entries that follow each other: a leader has one effect for each proposal, and each write has its price. */
-function joinAppends(effects: readonly RaftEffect[]): RaftEffect[] {
-  const joined: RaftEffect[] = [];
-  for (const effect of effects) {
-    if (!PERSISTED_EFFECTS.has(effect.kind)) continue;
-    const last = joined.at(-1);
-    if (last?.kind === 'persist-entries' && effect.kind === 'persist-entries') {
-      joined[joined.length - 1] = { ...last, entries: [...last.entries, ...effect.entries] };
-    } else {
-      joined.push(effect);
-    }
-  }
-  return joined;
-}
-
-/** Effects that go to disk. */
-const PERSISTED_EFFECTS: ReadonlySet<RaftEffect['kind']> = new Set([
-  'persist-hard-state',
-  'persist-entries',
-  'truncate-log',
-  'install-snapshot',
-]);
-
 /** A snapshot that is being written. */
 interface Compaction {
   readonly position: SnapshotPosition;
@@ -171,40 +149,40 @@
 
   /** Makes everything durable that the other effects of the same batch rely on. */
   private async persist(effects: readonly RaftEffect[]): Promise<void> {
-    let unsynced = false;
-    for (const effect of joinAppends(effects)) {
-      switch (effect.kind) {
-        case 'persist-hard-state':
-          await this.write(async () => {
-            await this.storage.saveHardState(effect.hardState);
-          });
-          break;
-        case 'persist-entries':
-          await this.write(async () => {
-            await this.storage.append(effect.entries);
-          });
-          this.counters.entriesPersisted += effect.entries.length;
-          unsynced = true;
-          break;
-        case 'truncate-log':
-          await this.write(async () => {
-            await this.storage.truncate(effect.fromIndex);
-          });
-          unsynced = true;
-          break;
-        case 'install-snapshot':
-          await this.compaction?.written;
-          await this.write(async () => {
-            await this.storage.writeSnapshot(effect.position, effect.data);
-            await this.storage.adoptSnapshot(effect.position, effect.data);
-          });
-          this.counters.snapshotsInstalled += 1;
-          break;
-      }
+    for (const step of diskSteps(effects)) await this.takeDiskStep(step);
+  }
+
+  private async takeDiskStep(step: DiskStep): Promise<void> {
+    switch (step.kind) {
+      case 'persist-hard-state':
+        await this.write(async () => {
+          await this.storage.saveHardState(step.hardState);
+        });
+        break;
+      case 'persist-entries':
+        await this.write(async () => {
+          await this.storage.append(step.entries);
+        });
+        this.counters.entriesPersisted += step.entries.length;
+        break;
+      case 'truncate-log':
+        await this.write(async () => {
+          await this.storage.truncate(step.fromIndex);
+        });
+        break;
+      case 'install-snapshot':
+        await this.compaction?.written;
+        await this.write(async () => {
+          await this.storage.writeSnapshot(step.position, step.data);
+          await this.storage.adoptSnapshot(step.position, step.data);
+        });
+        this.counters.snapshotsInstalled += 1;
+        break;
+      case 'sync':
+        await this.storage.sync();
+        this.counters.syncs += 1;
+        break;
     }
-    if (!unsynced) return;
-    await this.storage.sync();
-    this.counters.syncs += 1;
   }
 
   private async write(write: () => Promise<void>): Promise<void> {
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -103,7 +103,7 @@
 
   private constructor(private readonly options: DirectoryNodeOptions) {
     const { settings, token, runtime, storage } = options;
-    this.name = formatAddress(settings.listen);
+    this.name = formatAddress(settings.advertised);
     this.id = `${this.name}/${storage.owner.identity}`;
     this.knownReplicas = new Set(settings.seeds);
     this.proposals = new Proposals(runtime, (proposalId, command) => {
--- a/src/directory/directory-settings.ts
+++ b/src/directory/directory-settings.ts
@@ -3,8 +3,9 @@
 
 /** What a directory replica is told when it starts. Times are in ms. */
 export interface DirectorySettings {
-  /** Where replicas and daemons connect; as `host:port` it is the name of this replica. */
   readonly listen: SocketAddress;
+  /** Where replicas and daemons reach `listen`; as `host:port` it is the name of this replica. */
+  readonly advertised: SocketAddress;
   readonly zone: string;
   /** The only folder that is written to. */
   readonly dataFolder: string;
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -3,7 +3,7 @@
  * opened when the first request comes and opened anew when it broke.
  */
 import { connect } from 'node:net';
-import type { SocketAddress } from '../model/socket-address.js';
+import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LinkConnection } from './link-connection.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
@@ -49,6 +49,13 @@
   cancel(): void;
 }
 
+/** Where a link goes, and where it starts. */
+export interface LinkRoute {
+  readonly address: SocketAddress;
+  /** Local IP address to dial from; null leaves that to the system. */
+  readonly localAddress: string | null;
+}
+
 /** A link to one other daemon. */
 export class LinkClient {
   private connection: LinkConnection | null = null;
@@ -59,7 +66,7 @@
   private stopped = false;
 
   constructor(
-    private readonly address: SocketAddress,
+    private readonly route: LinkRoute,
     private readonly nowMs: () => number,
     private readonly handlers: LinkClientHandlers,
   ) {}
@@ -105,7 +112,7 @@
 
   private ensureConnection(): void {
     if (this.connection !== null || this.stopped) return;
-    const socket = connect({ host: this.address.host, port: this.address.port });
+    const socket = connect(connectOptions(this.route.address, this.route.localAddress));
     const connection = new LinkConnection(socket, this.nowMs, {
       onFrame: (frame) => {
         this.receive(frame);
--- a/src/model/socket-address.ts
+++ b/src/model/socket-address.ts
@@ -10,3 +10,11 @@
 export function formatAddress(address: SocketAddress): string {
   return `${address.host}:${address.port}`;
 }
+
+/** Options for dialing an address, from one local IP address where that matters. */
+export function connectOptions(
+  { host, port }: SocketAddress,
+  localAddress: string | null,
+): { readonly host: string; readonly port: number; readonly localAddress?: string } {
+  return localAddress === null ? { host, port } : { host, port, localAddress };
+}
--- a/src/runtime/node-runtime.ts
+++ b/src/runtime/node-runtime.ts
@@ -28,3 +28,12 @@
   dial: (address, identity, handlers) => new MessageClient(address, identity, handlers),
   serve: (token, acceptor) => new MessageServer(token, acceptor),
 };
+
+/** The same runtime, dialing from one local IP address; null leaves that to the system. */
+export function runtimeDialingFrom(localAddress: string | null): Runtime {
+  if (localAddress === null) return nodeRuntime;
+  return {
+    ...nodeRuntime,
+    dial: (address, identity, handlers) => new MessageClient(address, identity, handlers, localAddress),
+  };
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -245,7 +245,7 @@
     return new LeaseKeeper({
       runtime: this.runtime,
       log: this.log,
-      daemonAddress: formatAddress(this.settings.links),
+      daemonAddress: formatAddress(this.settings.advertisedLinks),
       send: (request) => this.directory.send(request),
       takeLoad: () => this.load.take(),
       onChange: () => {
@@ -550,7 +550,8 @@
     const known = this.links.get(daemonAddress);
     if (known !== undefined) return known;
     const address = parseAddress(daemonAddress) ?? this.settings.links;
-    const link = new LinkClient(address, () => this.runtime.nowMs(), {
+    const dialer = { address, localAddress: this.settings.dialFrom };
+    const link = new LinkClient(dialer, () => this.runtime.nowMs(), {
       onStatus: (status) => {
         this.viewOf(status.instance).noteStatus(status, this.runtime.nowMs());
       },
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -13,6 +13,10 @@
   readonly callers: SocketAddress;
   /** Where other daemons pass requests on. */
   readonly links: SocketAddress;
+  /** Where they reach `links`, which differs behind a relay. */
+  readonly advertisedLinks: SocketAddress;
+  /** Local IP address to dial other daemons from; null leaves that to the system. */
+  readonly dialFrom: string | null;
   /** Where the back end on this machine listens. */
   readonly backend: SocketAddress;
   /** Service of that back end; requests that begin here come from it. */
--- a/src/transport/message-client.ts
+++ b/src/transport/message-client.ts
@@ -1,6 +1,6 @@
 /** Dials one address and keeps a connection to it, with a growing pause between attempts. */
 import { connect, type Socket } from 'node:net';
-import type { SocketAddress } from '../model/socket-address.js';
+import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import type { Client, ClientHandlers, ClientIdentity } from '../runtime/runtime.js';
 import { PROTOCOL_VERSION } from './hello.js';
 import { MessageConnection } from './message-connection.js';
@@ -22,6 +22,8 @@
     readonly address: SocketAddress,
     private readonly identity: ClientIdentity,
     private readonly handlers: ClientHandlers,
+    /** Local IP address to dial from; null leaves that to the system. */
+    private readonly localAddress: string | null = null,
   ) {
     this.dial();
   }
@@ -49,7 +51,7 @@
   }
 
   private dial(): void {
-    const socket = connect({ host: this.address.host, port: this.address.port });
+    const socket = connect(connectOptions(this.address, this.localAddress));
     socket.setTimeout(CONNECT_TIMEOUT_MS);
     const connection = new MessageConnection(socket, {
       onMessage: (message) => {
--- /dev/null
+++ b/test/lab/soak/soak-judge.test.ts
@@ -0,0 +1,139 @@
+import test from 'ava';
+import { SoakJudge, type SoakPromise } from '../../../lab/soak/soak-judge.js';
+
+const DRAIN_MS = 2_000;
+const APPLY_MS = 2_000;
+
+function run(requestId: string, backend: string, key: number | null, repeatable = false) {
+  return { requestId, backend, service: 'keyed', key, repeatable };
+}
+
+const ALL = { from: 0, to: 65_535 };
+
+/** What callers, back ends and the operator see, and which promise that breaks. */
+const CASES: readonly { name: string; see: (judge: SoakJudge) => void; broken: readonly SoakPromise[] }[] = [
+  {
+    name: 'a request that may not be repeated runs twice',
+    see: (judge) => {
+      judge.runStarted(run('r', 'a', null), 0);
+      judge.runStarted(run('r', 'b', null), 10);
+    },
+    broken: ['at-most-once'],
+  },
+  {
+    name: 'a request that may be repeated runs twice',
+    see: (judge) => {
+      judge.runStarted(run('r', 'a', null, true), 0);
+      judge.runStarted(run('r', 'b', null, true), 10);
+    },
+    broken: [],
+  },
+  {
+    name: 'a request is refused after it ran',
+    see: (judge) => {
+      judge.runStarted(run('r', 'a', null), 0);
+      judge.refusedAsNotRun('r', false, 10);
+    },
+    broken: ['not-run'],
+  },
+  {
+    name: 'a request runs after it was refused',
+    see: (judge) => {
+      judge.refusedAsNotRun('r', false, 0);
+      judge.runStarted(run('r', 'a', null), 10);
+    },
+    broken: ['not-run'],
+  },
+  {
+    name: 'two back ends hold the same keys, and one begins work',
+    see: (judge) => {
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 1_000, 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 100);
+      judge.runStarted(run('r', 'b', 7), 110);
+      judge.look(590);
+    },
+    broken: [],
+  },
+  {
+    name: 'two back ends hold the same keys, and both begin work',
+    see: (judge) => {
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 1_000, 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 100);
+      judge.runStarted(run('r', 'b', 7), 110);
+      judge.runStarted(run('s', 'a', 7), 120);
+    },
+    broken: ['one-owner'],
+  },
+  {
+    name: 'two back ends hold the same keys for long',
+    see: (judge) => {
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 1_000, 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 100);
+      judge.look(601);
+      judge.look(650);
+    },
+    broken: ['one-owner'],
+  },
+  {
+    name: 'a lease ends before the next one begins',
+    see: (judge) => {
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 100, 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 101);
+      judge.look(900);
+    },
+    broken: [],
+  },
+  {
+    name: 'keys are taken under a fence that is not higher',
+    see: (judge) => {
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 2 }], 100, 0);
+      judge.ended('a');
+      judge.holds('b', 'keyed', [{ from: 3, to: 9, fence: 2 }], 1_000, 200);
+    },
+    broken: ['fence-rises'],
+  },
+  {
+    name: 'work arrives long after a leave was acknowledged',
+    see: (judge) => {
+      judge.drainAcknowledged('a', 0);
+      judge.arrived('a', DRAIN_MS);
+      judge.arrived('a', DRAIN_MS + 1);
+    },
+    broken: ['drain'],
+  },
+  {
+    name: 'an older version is read in time',
+    see: (judge) => {
+      judge.changeAcknowledged('route', 3, 0);
+      judge.changesRead(new Map([['route', 2]]), APPLY_MS, APPLY_MS + 50, false);
+    },
+    broken: [],
+  },
+  {
+    name: 'an older version is read too late',
+    see: (judge) => {
+      judge.changeAcknowledged('route', 3, 0);
+      judge.changesRead(new Map([['route', 2]]), APPLY_MS + 1, APPLY_MS + 50, false);
+    },
+    broken: ['configuration-kept'],
+  },
+  {
+    name: 'an acknowledged item is missing at the end',
+    see: (judge) => {
+      judge.changeAcknowledged('route', 3, 0);
+      judge.changesRead(new Map(), 1, 2, true);
+    },
+    broken: ['configuration-kept'],
+  },
+];
+
+for (const { name, see, broken } of CASES) {
+  test(name, (t) => {
+    const judge = new SoakJudge(DRAIN_MS, APPLY_MS);
+    see(judge);
+    t.deepEqual(
+      judge.violations.map(({ promise }) => promise),
+      broken,
+    );
+  });
+}
--- /dev/null
+++ b/test/lab/soak/soak-network.test.ts
@@ -0,0 +1,100 @@
+import test from 'ava';
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { SoakNetwork } from '../../../lab/soak/soak-network.js';
+import { freePort } from '../../loopback.js';
+
+const LISTENER_IP = '127.0.0.1';
+const RELAY_IP = '127.0.0.2';
+const DIALER_IP = '127.0.0.3';
+
+interface World {
+  readonly network: SoakNetwork;
+  readonly server: Server;
+  readonly port: number;
+  /** What the listener has received. */
+  readonly received: () => string;
+}
+
+async function makeWorld(): Promise<World> {
+  const port = await freePort();
+  let received = '';
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.toString();
+      socket.write(chunk);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(port, LISTENER_IP, resolve));
+  const network = new SoakNetwork((ip) => (ip === DIALER_IP ? 'dialer' : null));
+  await network.relay('listener', RELAY_IP, LISTENER_IP, port);
+  return { network, server, port, received: () => received };
+}
+
+async function dial(port: number): Promise<Socket> {
+  const socket = connect({ host: RELAY_IP, port, localAddress: DIALER_IP });
+  await new Promise((resolve) => socket.once('connect', resolve));
+  return socket;
+}
+
+async function nextText(socket: Socket): Promise<string> {
+  return await new Promise((resolve) => {
+    socket.once('data', (chunk: Buffer) => {
+      resolve(chunk.toString());
+    });
+  });
+}
+
+function close({ network, server }: World, socket: Socket): void {
+  socket.destroy();
+  network.close();
+  server.close();
+}
+
+test('bytes pass both ways', async (t) => {
+  const world = await makeWorld();
+  const socket = await dial(world.port);
+  socket.write('hello');
+  t.is(await nextText(socket), 'hello');
+  close(world, socket);
+});
+
+test('a direction that is held passes nothing, and everything once it is clear', async (t) => {
+  const world = await makeWorld();
+  const socket = await dial(world.port);
+  world.network.set('dialer', 'listener', { held: true });
+  socket.write('held');
+  await new Promise((resolve) => setTimeout(resolve, 60));
+  t.is(world.received(), '');
+  world.network.clear();
+  t.is(await nextText(socket), 'held');
+  close(world, socket);
+});
+
+test('one way can be held while the other passes', async (t) => {
+  const world = await makeWorld();
+  const socket = await dial(world.port);
+  world.network.set('listener', 'dialer', { held: true });
+  const answer = nextText(socket);
+  socket.write('one way');
+  while (world.received() === '') await new Promise((resolve) => setTimeout(resolve, 5));
+  t.is(world.received(), 'one way');
+  world.network.clear();
+  t.is(await answer, 'one way');
+  close(world, socket);
+});
+
+test('a reset ends the connections of a machine', async (t) => {
+  const world = await makeWorld();
+  const socket = await dial(world.port);
+  socket.write('first');
+  await nextText(socket);
+  const ended = new Promise<string>((resolve) => {
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      resolve(error.code ?? '');
+    });
+  });
+  world.network.reset('listener');
+  t.is(await ended, 'ECONNRESET');
+  close(world, socket);
+});
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -25,7 +25,7 @@
   const server = new LinkServer(() => 0, 'life', take);
   (await server.listen({ host: '127.0.0.1', port })).unwrap();
   const handlers = { onStatus: () => undefined, onDisconnect: () => undefined };
-  const client = new LinkClient({ host: '127.0.0.1', port }, () => 0, handlers);
+  const client = new LinkClient({ address: { host: '127.0.0.1', port }, localAddress: null }, () => 0, handlers);
   return {
     client,
     close: () => {
@@ -120,7 +120,8 @@
     client.request(HEAD, Buffer.alloc(0), recorder(resolve));
   });
   t.is(lost, 'lost true');
-  const nobody = new LinkClient({ host: '127.0.0.1', port: await freePort() }, () => 0, {
+  const address = { host: '127.0.0.1', port: await freePort() };
+  const nobody = new LinkClient({ address, localAddress: null }, () => 0, {
     onStatus: () => undefined,
     onDisconnect: () => undefined,
   });
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -50,6 +50,8 @@
         zone: 'z',
         callers: { host: '127.0.0.1', port: callers },
         links: { host: '127.0.0.1', port: links },
+        advertisedLinks: { host: '127.0.0.1', port: links },
+        dialFrom: null,
         backend: { host: '127.0.0.1', port: backend },
         service: SERVICE,
         seeds: ['127.0.0.1:1'],
