A grant that was refused for its fence is not sent again under the same one

Ruled out: grants in heartbeats (the back end leaves a row out, nothing is refused). Change: the record of a refused grant asks the directory for a higher fence and waits for it; the next grant goes out under that one. Test 'refused for its fence' failed before (21 grants in 10 s), and passes.

--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -32,6 +32,8 @@
   mayHoldUntilMs: number;
   underWay: boolean;
   releasing: boolean;
+  /** Whether the back end has refused it for a higher fence: only under a new fence can it be granted. */
+  superseded: boolean;
   /** What the back end left when it released the range; null before that. */
   handover: string | null;
 }
@@ -121,6 +123,10 @@
 
   private grantIfDue(range: KeyRange, nowMs: number): void {
     const record = this.recordOf(range);
+    if (record.superseded) {
+      this.reporter.raiseFence(range);
+      return;
+    }
     if (record.releasing) this.takeUpAgain(record);
     const renewed = nowMs < record.heldUntilMs && nowMs - record.sentMs < RENEW_AFTER_MS;
     if (record.underWay || renewed) return;
@@ -155,6 +161,7 @@
       if (gained) this.ports.onGained();
       return;
     }
+    if (result === 'superseded') record.superseded = true;
     const { from, to, fence } = record.range;
     this.ports.log.event('grant-failed', { service: this.ports.service, from, to, fence, result });
   }
@@ -240,6 +247,7 @@
       mayHoldUntilMs: -Infinity,
       underWay: false,
       releasing: false,
+      superseded: false,
       handover: null,
     };
     this.records.set(name, record);
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -25,7 +25,11 @@
   const server = new LinkServer(() => 0, 'life', take);
   (await server.listen({ host: '127.0.0.1', port })).unwrap();
   const handlers = { onStatus: () => undefined, onDisconnect: () => undefined };
-  const client = new LinkClient({ address: { host: '127.0.0.1', port }, localAddress: null }, () => 0, handlers);
+  const client = new LinkClient(
+    { address: { host: '127.0.0.1', port }, localAddress: null },
+    () => 0,
+    handlers,
+  );
   return {
     client,
     close: () => {
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -262,3 +262,26 @@
   t.false(grants.holds(5));
   grants.stop();
 });
+
+test('calls: a grant that was refused for its fence is not sent again under the same one', async (t) => {
+  const world = new World();
+  const calls = new Calls();
+  calls.result = 'superseded';
+  const grants = invokedGrants(world, calls);
+  grants.tableChanged();
+  await settle();
+  for (let step = 0; step < 20; step += 1) {
+    world.time.pass(500);
+    await settle();
+  }
+  t.deepEqual(calls.log, ['grant 0-99@5 for 6000']);
+  t.true(world.sent.length > 0);
+  t.true(world.sent.every((request) => request.kind === 'raise-fence' && request.fence === 5));
+  calls.result = 'granted';
+  world.ranges = [range(0, 99, 9)];
+  grants.tableChanged();
+  await settle();
+  t.is(calls.log.at(-1), 'grant 0-99@9 for 6000');
+  t.true(grants.holds(5));
+  grants.stop();
+});
