A request whose caller tried before goes behind first tries; the wait for a place is a policy of its own

Ruled out: slower work near the limit (a trial with run times by requests running showed them flat from 1 to 18 at every back end), so no limit below the slots. Change: the time that a caller has spent is read from its deadline, against the deadline that most requests of the route carry (usual-deadline); places go first to requests in time from the first try, then to those in time from this try, then to late ones (place-policy, taken out of the gateway). Tests of both.

--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -25,8 +25,10 @@
   readonly remainingMs: number;
   /** Time for which the request may wait for a place whatever it costs its caller, in ms. */
   readonly patienceMs: number;
-  /** Time left until an answer loses its full value, in ms. */
+  /** Time left until an answer loses its full value, in ms, counted from this try of its caller. */
   readonly targetLeftMs: number;
+  /** Time in ms that its caller has spent on earlier tries. */
+  readonly spentMs: number;
 }
 
 /** Why a request was not run. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -12,6 +12,7 @@
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
+import { placeOrder, placeWaitMs, spareMs } from './place-policy.js';
 import { ServiceTimes } from './service-times.js';
 
 /** Pause between looks at waiting requests, in ms. */
@@ -29,15 +30,6 @@
 /** Runs in a row that broke off, after which only one request at a time is let through as a trial. */
 const BROKEN_LIMIT = 4;
 
-/** Time that a request may need at the back end, by the mean time that requests need. */
-const WORK_PER_MEAN = 1.3;
-
-/** What puts a request that comes too late for its target behind those that do not, in ms. */
-const LATE_ORDER_MS = 1_000_000;
-
-/** Part of the mean time for which a request may wait for a place in any case. */
-const LEAST_PLACE_WAIT_SHARE = 0.2;
-
 /** Pause between trials, in ms. */
 const TRIAL_PAUSE_MS = 300;
 
@@ -158,7 +150,8 @@
       body,
       reply,
       arrivedMs: nowMs,
-      expiresMs: nowMs + Math.min(head.remainingMs, Math.max(head.patienceMs, this.spareMs(head))),
+      expiresMs:
+        nowMs + Math.min(head.remainingMs, Math.max(head.patienceMs, spareMs(head, this.meanMs(head.route)))),
       applicant: null,
       run: null,
       startedMs: 0,
@@ -173,22 +166,10 @@
     };
   }
 
-  /** Time for which a request can wait and still be answered in time afterwards. */
-  private spareMs({ targetLeftMs, route }: RequestHead): number {
-    return Math.max(0, targetLeftMs - WORK_PER_MEAN * this.meanMs(route));
-  }
-
   private meanMs(route: string): number {
     return this.times.meanMs(route, this.admission.serviceMs);
   }
 
-  /** Where hardly any request can be answered in time, waiting for a place only makes all of them late. */
-  private placeWaitMs({ head, arrivedMs }: Visit, nowMs: number): number {
-    const least = Math.max(LEAST_PLACE_WAIT_SHARE * this.meanMs(head.route), head.patienceMs);
-    const leftMs = head.remainingMs - (nowMs - arrivedMs);
-    return Math.min(leftMs, Math.max(least, this.spareMs(head) - (nowMs - arrivedMs)));
-  }
-
   /** Something has changed that requests may wait for. */
   reconsider(): void {
     for (const visit of [...this.waiting]) {
@@ -233,10 +214,12 @@
   }
 
   private apply(visit: Visit, nowMs: number): void {
+    const { head, arrivedMs } = visit;
+    const meanMs = this.meanMs(head.route);
     const applicant: Applicant = {
-      priority: visit.head.priority,
-      order: this.orderOf(visit),
-      expiresMs: nowMs + this.placeWaitMs(visit, nowMs),
+      priority: head.priority,
+      order: placeOrder(head, arrivedMs, meanMs),
+      expiresMs: nowMs + placeWaitMs(head, nowMs - arrivedMs, meanMs),
       start: () => {
         this.start(visit);
       },
@@ -249,12 +232,6 @@
     if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
-  /** Requests that can still be answered in time go first, by when that time ends; the others after them. */
-  private orderOf({ head, arrivedMs }: Visit): number {
-    const targetMs = arrivedMs + head.targetLeftMs;
-    return this.spareMs(head) > 0 ? targetMs : targetMs + LATE_ORDER_MS;
-  }
-
   /** What held when the request came must hold still when it leaves. */
   private start(visit: Visit): void {
     const { ports } = this;
--- /dev/null
+++ b/src/sidecar/place-policy.ts
@@ -0,0 +1,47 @@
+/** Which waiting request gets the next place at a back end, and how long one may wait for it. Pure. */
+
+/** What a request says about its time, in ms. */
+export interface PlaceClaim {
+  /** Left for the whole request. */
+  readonly remainingMs: number;
+  /** For which it may wait whatever that costs its caller. */
+  readonly patienceMs: number;
+  /** Left until an answer loses its full value, counted from this try of its caller. */
+  readonly targetLeftMs: number;
+  /** Spent by its caller on earlier tries. */
+  readonly spentMs: number;
+}
+
+/** Time that a request may need at the back end, by the mean time that requests need. */
+const WORK_PER_MEAN = 1.3;
+
+/** Part of the mean time for which a request may wait for a place in any case. */
+const LEAST_PLACE_WAIT_SHARE = 0.2;
+
+/** What puts a request behind those whose answers are worth more, in ms. */
+const SECOND_TRY_ORDER_MS = 1_000_000;
+const LATE_ORDER_MS = 2_000_000;
+
+/** Time for which a request can wait and still be answered in time, counted from this try. */
+export function spareMs({ targetLeftMs }: PlaceClaim, meanMs: number): number {
+  return Math.max(0, targetLeftMs - WORK_PER_MEAN * meanMs);
+}
+
+/**
+ * Place in the queue: the smallest goes first. A request that can be answered in time, counted from the first try of
+ * its caller, is worth most; one that is in time counted from this try is worth less; one that will be late is worth
+ * least, and makes others late if it goes before them.
+ */
+export function placeOrder(claim: PlaceClaim, arrivedMs: number, meanMs: number): number {
+  const targetMs = arrivedMs + claim.targetLeftMs;
+  const spare = spareMs(claim, meanMs);
+  if (spare <= 0) return targetMs + LATE_ORDER_MS;
+  return spare > claim.spentMs ? targetMs - claim.spentMs : targetMs + SECOND_TRY_ORDER_MS;
+}
+
+/** Time for which a request still waits. Where hardly any can be answered in time, waiting makes all of them late. */
+export function placeWaitMs(claim: PlaceClaim, waitedMs: number, meanMs: number): number {
+  const least = Math.max(LEAST_PLACE_WAIT_SHARE * meanMs, claim.patienceMs);
+  const leftMs = claim.remainingMs - waitedMs;
+  return Math.min(leftMs, Math.max(least, spareMs(claim, meanMs) - waitedMs));
+}
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -39,6 +39,8 @@
   readonly key: number | null;
   /** Time that the caller waits, in ms from arrival. */
   readonly deadlineMs: number;
+  /** Time in ms that the caller has spent on earlier tries, as far as can be told. */
+  readonly spentMs: number;
   readonly arrivedMs: number;
 }
 
@@ -208,7 +210,7 @@
     this.currentInstance = instance;
     this.mayRun = true;
     view.noteSent();
-    const { requestId, method, path, headers, body, key, route } = this.request;
+    const { requestId, method, path, headers, body, key, route, spentMs } = this.request;
     const head: RequestHead = {
       requestId,
       method,
@@ -221,6 +223,7 @@
       remainingMs: this.leftMs(),
       patienceMs: Math.max(0, this.patienceMs()),
       targetLeftMs: this.targetLeftMs(),
+      spentMs,
     };
     this.current = link.request(head, body, {
       onRefusal: (refusal) => {
--- a/src/sidecar/route-table.ts
+++ b/src/sidecar/route-table.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request by host and longest path prefix, and deals its requests out by weight. */
+import { UsualDeadline } from './usual-deadline.js';
 import type { ConfigurationItem, RouteDefinition } from '../directory/directory-state.js';
 
 /** Bytes of an answer that are assumed before any was seen. */
@@ -11,6 +12,8 @@
 export class Route {
   /** Recent mean size of an answer, in bytes. */
   answerBytes = ASSUMED_ANSWER_BYTES;
+  /** Deadlines of its requests. */
+  deadlines = new UsualDeadline();
   private readonly credits: number[];
 
   constructor(
@@ -38,6 +41,12 @@
     return chosen.service;
   }
 
+  /** The route was changed; its requests are the same. */
+  keepWhatWasSeen(earlier: Route): void {
+    this.answerBytes = earlier.answerBytes;
+    this.deadlines = earlier.deadlines;
+  }
+
   /** An answer of this size was seen. */
   noteAnswer(bytes: number): void {
     this.answerBytes += (bytes - this.answerBytes) * NEWEST_WEIGHT;
@@ -70,7 +79,7 @@
     const host = normalHost(definition.host);
     const known = earlier?.byHost.get(host)?.find((route) => route.name === name);
     const route = known?.definition === definition ? known : new Route(name, definition);
-    if (known !== undefined) route.answerBytes = known.answerBytes;
+    if (known !== undefined) route.keepWhatWasSeen(known);
     const routes = this.byHost.get(host) ?? [];
     this.byHost.set(host, routes);
     routes.push(route);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -471,7 +471,8 @@
     const keyText = headerValue(headers, dialect.key);
     const keyed = this.table.service(service)?.keyed === true;
     if (keyed && !isKey(keyText)) return ownAnswer(OWN_STATUS.badRequest, 'the request needs a key');
-    const deadline = Number(headerValue(headers, dialect.deadlineMs));
+    const told = Number(headerValue(headers, dialect.deadlineMs));
+    const hasDeadline = Number.isFinite(told) && told > 0;
     return {
       requestId: headerValue(headers, dialect.requestId) ?? this.runtime.randomId(),
       method,
@@ -481,7 +482,8 @@
       route,
       service,
       key: keyed ? Number(keyText) : null,
-      deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : route.definition.timeoutMs,
+      deadlineMs: hasDeadline ? told : route.definition.timeoutMs,
+      spentMs: hasDeadline ? route.deadlines.spentMs(told) : 0,
       arrivedMs: this.runtime.nowMs(),
     };
   }
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -18,6 +18,7 @@
   remainingMs: 1_000,
   patienceMs: 100,
   targetLeftMs: 500,
+  spentMs: 0,
 };
 
 async function linkTo(take: TakeRequest): Promise<{ client: LinkClient; close: () => void }> {
--- /dev/null
+++ b/test/sidecar/place-policy.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import { placeOrder, placeWaitMs, spareMs, type PlaceClaim } from '../../src/sidecar/place-policy.js';
+
+const MEAN_MS = 100;
+const NOW_MS = 10_000;
+
+function claim(parts: Partial<PlaceClaim> = {}): PlaceClaim {
+  return { remainingMs: 2_000, patienceMs: 75, targetLeftMs: 300, spentMs: 0, ...parts };
+}
+
+/** Claims in the order in which they get places. */
+const ORDERS: readonly { name: string; claims: readonly [PlaceClaim, PlaceClaim] }[] = [
+  { name: 'whose time ends first', claims: [claim({ targetLeftMs: 200 }), claim({ targetLeftMs: 300 })] },
+  {
+    name: 'a first try before one that can only be in time counted from its second',
+    claims: [claim({ targetLeftMs: 300 }), claim({ targetLeftMs: 200, spentMs: 250 })],
+  },
+  {
+    name: 'a second try that can still be in time from the first before a fresh one',
+    claims: [claim({ targetLeftMs: 300, spentMs: 100 }), claim({ targetLeftMs: 300 })],
+  },
+  {
+    name: 'a second try before one that will be late',
+    claims: [claim({ spentMs: 900 }), claim({ targetLeftMs: 120 })],
+  },
+];
+
+for (const { name, claims } of ORDERS) {
+  test(`first comes ${name}`, (t) => {
+    const [first, second] = claims;
+    t.true(placeOrder(first, NOW_MS, MEAN_MS) < placeOrder(second, NOW_MS, MEAN_MS));
+  });
+}
+
+test('a request waits while it can be answered in time afterwards', (t) => {
+  t.is(spareMs(claim(), MEAN_MS), 170);
+  t.is(placeWaitMs(claim(), 0, MEAN_MS), 170);
+  t.is(placeWaitMs(claim(), 50, MEAN_MS), 120);
+});
+
+test('one that will be late anyway waits for a moment, and never beyond its time', (t) => {
+  t.is(placeWaitMs(claim({ targetLeftMs: 50, patienceMs: 0 }), 0, MEAN_MS), 20);
+  t.is(placeWaitMs(claim({ targetLeftMs: 50, patienceMs: 60 }), 0, MEAN_MS), 60);
+  t.is(placeWaitMs(claim({ remainingMs: 15 }), 0, MEAN_MS), 15);
+});
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -100,6 +100,7 @@
       service: 's',
       key: null,
       deadlineMs: 800,
+      spentMs: 0,
       arrivedMs: time.nowMs,
     },
     {
