Large answers are paced on slow network links; keys beside a very busy one move

Processor time was not it (0.046 of 0.27 cores at most). Ruled out: compression between daemons (answers do not compress; trial); more slots. Change: a pacer hands frames of 12 kB or more to links below 100 Mbit/s one after the other at 0.92 of their rate, the smaller first, aged; small frames pass at once; what is not wanted any more is not sent. The time on the link counts when a place is given and when a back end is chosen, and the back end on the own machine is preferred by it. Balance goes on with the next back end, moves the keys beside a hot one, and makes up to one move per two back ends.

--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -13,8 +13,12 @@
 /** Difference in shares of slots that a taker of lost keys may be above the next one. */
 const PLACING_DIFFERENCE = 0.1;
 
-/** Moves for balance in one plan. */
-const MAX_BALANCE_MOVES = 6;
+/** Moves for balance in one plan: so many at least, and more where there are many back ends. */
+const LEAST_BALANCE_MOVES = 6;
+const BACK_ENDS_PER_BALANCE_MOVE = 2;
+
+/** Least load that is worth a move for balance, in slots. */
+const LEAST_MOVED_LOAD = 0.2;
 
 /** When keys are moved for balance. */
 interface BalanceLimits {
@@ -170,13 +174,14 @@
   return left.keys < right.keys;
 }
 
-/** Moves spans from the busiest to the idlest back end until none is far from the others. */
+/** Moves spans from busy to idle back ends until none is far from the others, or none can be helped. */
 function planBalance(view: RangeView, candidates: readonly Candidate[]): SpanTarget[] {
   if (view.ranges.some(({ movingTo }) => movingTo !== null)) return [];
   const limits = view.movesAreCostly ? COSTLY_MOVE_LIMITS : CHEAP_MOVE_LIMITS;
+  const mostMoves = Math.max(LEAST_BALANCE_MOVES, Math.floor(candidates.length / BACK_ENDS_PER_BALANCE_MOVE));
   const moves: SpanTarget[] = [];
   let { ranges } = view;
-  while (moves.length < MAX_BALANCE_MOVES) {
+  while (moves.length < mostMoves) {
     const move = nextBalanceMove(ranges, candidates, view.load, limits);
     if (move === null) break;
     moves.push(move);
@@ -185,6 +190,7 @@
   return moves;
 }
 
+/** The busiest back end may hold nothing that can leave it, such as one very busy key; then the next one is helped. */
 function nextBalanceMove(
   ranges: readonly KeyRange[],
   candidates: readonly Candidate[],
@@ -192,22 +198,31 @@
   limits: BalanceLimits,
 ): SpanTarget | null {
   const idlest = leastBusy(candidates);
-  const busiest = [...candidates].sort((left, right) => right.busy / right.slots - left.busy / left.slots)[0];
-  if (idlest === null || busiest === undefined || idlest === busiest) return null;
-  const busy = busiest.busy / busiest.slots;
-  const idle = idlest.busy / idlest.slots;
-  if (busy < limits.utilization || busy - idle < limits.difference) return null;
-  const wanted = ((busy - idle) / 2) * Math.min(busiest.slots, idlest.slots);
-  const owned = ranges.filter(({ owner, movingTo }) => owner === busiest.id && movingTo === null);
-  const span = smallestSpan(owned, wanted, load);
-  if (span === null) return null;
-  const moved = load.ofSpan(span.from, span.to);
-  busiest.busy -= moved;
-  idlest.busy += moved;
-  return { ...span, backend: idlest.id };
-}
-
-/** The fewest keys that carry about `wanted`; null when a single bucket carries far more. */
+  if (idlest === null) return null;
+  for (const giver of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
+    if (giver === idlest || !isOutOfBalance(giver, idlest, limits)) return null;
+    const wanted = ((utilization(giver) - utilization(idlest)) / 2) * Math.min(giver.slots, idlest.slots);
+    const owned = ranges.filter(({ owner, movingTo }) => owner === giver.id && movingTo === null);
+    const span = smallestSpan(owned, wanted, load) ?? mostLoadedSpan(owned, wanted, load);
+    if (span === null) continue;
+    const moved = load.ofSpan(span.from, span.to);
+    giver.busy -= moved;
+    idlest.busy += moved;
+    return { ...span, backend: idlest.id };
+  }
+  return null;
+}
+
+function utilization({ busy, slots }: Candidate): number {
+  return busy / slots;
+}
+
+function isOutOfBalance(giver: Candidate, idlest: Candidate, limits: BalanceLimits): boolean {
+  const busy = utilization(giver);
+  return busy >= limits.utilization && busy - utilization(idlest) >= limits.difference;
+}
+
+/** The fewest keys that carry about `wanted`; null when there are none, as where one bucket carries far more. */
 function smallestSpan(owned: readonly KeyRange[], wanted: number, load: KeyLoad): KeySpan | null {
   let best: KeySpan | null = null;
   for (const range of owned) {
@@ -218,6 +233,28 @@
   return best;
 }
 
+/** The keys beside a very busy one: the span that carries most without carrying much more than `wanted`. */
+function mostLoadedSpan(owned: readonly KeyRange[], wanted: number, load: KeyLoad): KeySpan | null {
+  let best: KeySpan | null = null;
+  let bestLoad = LEAST_MOVED_LOAD;
+  for (const range of owned) {
+    const last = bucketOf(range.to);
+    let start = bucketOf(range.from);
+    let sum = 0;
+    for (let end = start; end <= last; end += 1) {
+      sum += load.ofBucket(end);
+      while (start <= end && sum > wanted * LARGEST_PART_OF_WANTED) {
+        sum -= load.ofBucket(start);
+        start += 1;
+      }
+      if (sum <= bestLoad) continue;
+      best = spanOfBuckets(range, start, end);
+      bestLoad = sum;
+    }
+  }
+  return best;
+}
+
 const LEAST_PART_OF_WANTED = 0.6;
 const LARGEST_PART_OF_WANTED = 1.4;
 
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -1,5 +1,7 @@
 /** One TCP connection that carries link frames both ways and notices when its peer falls silent. */
 import type { Socket } from 'node:net';
+import type { LinkPacer } from './link-pacer.js';
+import { PacedFrames } from './paced-frames.js';
 import {
   encodeFrameStart,
   FRAME_KIND,
@@ -33,13 +35,20 @@
   private lastHeardMs: number;
   private watch: NodeJS.Timeout | null = null;
   private lastCheckMs = 0;
+  private readonly paced: PacedFrames | null;
 
   constructor(
     private readonly socket: Socket,
     private readonly nowMs: () => number,
     private readonly handlers: LinkConnectionHandlers,
+    /** Paces large frames over a slow network link; null where there is none between the two daemons. */
+    pacer: LinkPacer | null = null,
   ) {
     this.lastHeardMs = nowMs();
+    const write = (bytes: Buffer): void => {
+      socket.write(bytes);
+    };
+    this.paced = pacer === null ? null : new PacedFrames(pacer, write);
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
       this.receive(chunk);
@@ -66,6 +75,10 @@
   send(kind: FrameKind, stream: number, head: unknown, body: Buffer = NO_BODY): void {
     if (this.closed) return;
     const start = encodeFrameStart(kind, stream, head, body.length);
+    if (this.paced !== null) {
+      this.paced.send(stream, start, body);
+      return;
+    }
     if (body.length === 0) {
       this.socket.write(start);
       return;
@@ -78,7 +91,14 @@
 
   /** Queues a frame that was encoded once for many peers. */
   sendEncoded(frame: Buffer): void {
-    if (!this.closed) this.socket.write(frame);
+    if (this.closed) return;
+    if (this.paced === null) this.socket.write(frame);
+    else this.paced.send(0, frame, NO_BODY);
+  }
+
+  /** What waits to be sent for a stream is not wanted any more. */
+  dropStream(stream: number): void {
+    this.paced?.drop(stream);
   }
 
   /** Time since the peer was heard, in ms. */
@@ -111,6 +131,7 @@
     if (this.closed) return;
     this.closed = true;
     this.watchSilence(false);
+    this.paced?.dropAll();
     this.socket.destroy();
     this.handlers.onClose(reason);
   }
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -57,6 +57,8 @@
   /** Recent time that a request took at the back end, in ms. */
   readonly serviceMs: number;
   readonly accepting: boolean;
+  /** Time in ms that a large answer waits there for the network link. */
+  readonly sendWaitMs: number;
 }
 
 /** The request was not run and never will be. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -2,7 +2,8 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
-import { LinkConnection } from './link-connection.js';
+import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import type { LinkPacer } from './link-pacer.js';
 import { encodeFrameStart, FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
 
@@ -42,6 +43,8 @@
     private readonly nowMs: () => number,
     private readonly life: string,
     private readonly takeRequest: TakeRequest,
+    /** Paces answers over a slow network link; null where it is fast. */
+    private readonly pacer: LinkPacer | null = null,
   ) {
     this.server = createServer((socket) => {
       this.accept(socket);
@@ -76,7 +79,7 @@
 
   private accept(socket: Socket): void {
     const requests = new Map<number, AcceptedRequest>();
-    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, {
+    const handlers: LinkConnectionHandlers = {
       onFrame: (frame) => {
         this.receive(frame, connection, requests);
       },
@@ -85,7 +88,10 @@
         for (const request of requests.values()) request.cancel();
         requests.clear();
       },
-    });
+    };
+    // What stays on this machine does not pass the network link.
+    const pacer = socket.remoteAddress === socket.localAddress ? null : this.pacer;
+    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer);
     this.connections.add(connection);
     connection.send(FRAME_KIND.hello, 0, { life: this.life });
   }
@@ -107,6 +113,7 @@
     if (frame.kind !== FRAME_KIND.cancel) return;
     requests.get(frame.stream)?.cancel();
     requests.delete(frame.stream);
+    connection.dropStream(frame.stream);
   }
 }
 
--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -7,6 +7,9 @@
 /** Bytes a ms of expected time is worth when they would cross zones. */
 const CROSS_ZONE_BYTES_PER_MS = 500;
 
+/** Answers from this size on wait for a slow network link, in bytes. */
+const LARGE_ANSWER_BYTES = 12 * 1024;
+
 /** Largest part of the expected time that chance adds, so that daemons do not all choose the same one. */
 const CHANCE_SHARE = 0.15;
 
@@ -28,6 +31,10 @@
 export interface ChooserPorts {
   readonly table: DirectoryTable;
   readonly zone: string;
+  /** Address of this daemon; answers of the back end beside it do not pass the network link. */
+  readonly daemonAddress: string;
+  /** What the network link of a daemon carries, in bytes per ms. */
+  readonly linkBytesPerMs: number;
   readonly view: (instance: string) => BackendView;
   readonly nowMs: () => number;
   /** From 0 to below 1. */
@@ -82,6 +89,18 @@
     const lastResort = !accepting || view.avoided(now) ? LAST_RESORT_MS : 0;
     const crossing = instance.zone === zone ? 0 : answerBytes / CROSS_ZONE_BYTES_PER_MS;
     const expected = view.expectedMs(instance.slots, now) * (1 + random() * CHANCE_SHARE);
-    return expected + crossing + lastResort;
+    return expected + crossing + this.sendingMs(instance, answerBytes, view, now) + lastResort;
+  }
+
+  /** Time in ms that the answer will need on the network link of the back end's daemon. */
+  private sendingMs(
+    { daemonAddress }: BackendInstance,
+    answerBytes: number,
+    view: BackendView,
+    nowMs: number,
+  ): number {
+    if (daemonAddress === this.ports.daemonAddress) return 0;
+    const waitMs = answerBytes < LARGE_ANSWER_BYTES ? 0 : view.sendWaitMs(nowMs);
+    return waitMs + answerBytes / this.ports.linkBytesPerMs;
   }
 }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -3,6 +3,7 @@
  * within its places, while it is not leaving, and with keys that it holds.
  */
 import type { RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
+import { PACED_FRAME_BYTES, type LinkPacer } from '../link/link-pacer.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
@@ -12,8 +13,8 @@
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
-import { placeOrder, placeWaitMs, spareMs } from './place-policy.js';
-import { ServiceTimes } from './service-times.js';
+import { placeOrder, placeWaitMs, spareMs, type PlaceClaim } from './place-policy.js';
+import { RouteMeans } from './route-means.js';
 
 /** Pause between looks at waiting requests, in ms. */
 const STEP_MS = 20;
@@ -40,6 +41,8 @@
   readonly dialect: HeaderDialect;
   readonly service: string;
   readonly latencies: Latencies;
+  /** Paces large answers; null where the network link is fast. */
+  readonly pacer: LinkPacer | null;
   readonly address: SocketAddress;
   /** Id of the present life; null until it has told about itself. */
   readonly instance: () => string | null;
@@ -100,7 +103,8 @@
     },
   };
   readonly admission = new Admission(1);
-  private readonly times = new ServiceTimes();
+  private readonly times = new RouteMeans();
+  private readonly answerBytes = new RouteMeans();
   readonly pool: BackendPool;
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
@@ -139,19 +143,20 @@
       slots,
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving(),
+      sendWaitMs: Math.round(this.ports.pacer?.backlogMs ?? 0),
     };
   }
 
   /** Takes a request of another daemon or of this one. */
   take(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
+    const patienceMs = Math.max(head.patienceMs, spareMs(this.claimOf(head), this.meanMs(head.route)));
     const visit: Visit = {
       head,
       body,
       reply,
       arrivedMs: nowMs,
-      expiresMs:
-        nowMs + Math.min(head.remainingMs, Math.max(head.patienceMs, spareMs(head, this.meanMs(head.route)))),
+      expiresMs: nowMs + Math.min(head.remainingMs, patienceMs),
       applicant: null,
       run: null,
       startedMs: 0,
@@ -167,7 +172,24 @@
   }
 
   private meanMs(route: string): number {
-    return this.times.meanMs(route, this.admission.serviceMs);
+    return this.times.of(route, this.admission.serviceMs);
+  }
+
+  /** Time in ms that an answer of the route will need on the network link, behind those that wait for it. */
+  private sendMs(route: string): number {
+    const { pacer } = this.ports;
+    const bytes = this.answerBytes.of(route, 0);
+    if (pacer === null || bytes < PACED_FRAME_BYTES) return 0;
+    return pacer.backlogMs + pacer.sendingMs(bytes);
+  }
+
+  /** The answer must have passed the network link by the time that its caller tells. */
+  private claimOf(head: RequestHead): PlaceClaim {
+    const sendMs = this.sendMs(head.route);
+    if (sendMs === 0) return head;
+    const { patienceMs, spentMs } = head;
+    const remainingMs = head.remainingMs - sendMs;
+    return { remainingMs, patienceMs, targetLeftMs: head.targetLeftMs - sendMs, spentMs };
   }
 
   /** Something has changed that requests may wait for. */
@@ -216,10 +238,11 @@
   private apply(visit: Visit, nowMs: number): void {
     const { head, arrivedMs } = visit;
     const meanMs = this.meanMs(head.route);
+    const claim = this.claimOf(head);
     const applicant: Applicant = {
       priority: head.priority,
-      order: placeOrder(head, arrivedMs, meanMs),
-      expiresMs: nowMs + placeWaitMs(head, nowMs - arrivedMs, meanMs),
+      order: placeOrder(claim, arrivedMs, meanMs),
+      expiresMs: nowMs + placeWaitMs(claim, nowMs - arrivedMs, meanMs),
       start: () => {
         this.start(visit);
       },
@@ -241,7 +264,7 @@
     const keyLost = head.key !== null && !ports.holdsKey(head.key);
     const leftMs = head.remainingMs - (nowMs - visit.arrivedMs);
     visit.startedMs = nowMs;
-    if (stale || keyLost || leftMs <= 1) {
+    if (stale || keyLost || leftMs - this.sendMs(head.route) <= 1) {
       this.admission.leave(this.admission.serviceMs);
       if (keyLost && !stale) this.considerKey(visit, head.key ?? 0);
       else this.refuse(visit, stale ? 'leaving' : 'busy');
@@ -266,7 +289,10 @@
     visit.done = true;
     this.running.delete(visit);
     const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
-    if (outcome.kind === 'answered') this.times.note(visit.head.route, usedMs);
+    if (outcome.kind === 'answered') {
+      this.times.note(visit.head.route, usedMs);
+      this.answerBytes.note(visit.head.route, outcome.bytes);
+    }
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(visit.head.key, usedMs);
     this.count(visit, outcome, usedMs);
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -21,7 +21,7 @@
 
 /** How a run ended. */
 export type RunOutcome =
-  | { readonly kind: 'answered'; readonly statusCode: number }
+  | { readonly kind: 'answered'; readonly statusCode: number; readonly bytes: number }
   | { readonly kind: 'declined'; readonly statusCode: number }
   | {
       readonly kind: 'broken';
@@ -128,7 +128,7 @@
     this.finish();
     if (this.streaming) {
       ports.reply.end();
-      ports.onDone({ kind: 'answered', statusCode: answer.statusCode });
+      ports.onDone({ kind: 'answered', statusCode: answer.statusCode, bytes: this.bytes });
       return;
     }
     if (this.isDeclined(answer)) {
@@ -140,7 +140,7 @@
       this.fail('garbled', defect, true);
       return;
     }
-    ports.onDone({ kind: 'answered', statusCode: answer.statusCode });
+    ports.onDone({ kind: 'answered', statusCode: answer.statusCode, bytes: this.bytes });
     this.sendAnswer(Buffer.concat(this.chunks), false);
   }
 
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -68,9 +68,10 @@
     return Math.max(this.outstanding, told + this.sentSinceStatus);
   }
 
-  /** Whether a request would find a place at once. */
-  hasRoom(slots: number, nowMs: number): boolean {
-    return this.busy(nowMs) < slots;
+  /** Time in ms that a large answer would wait there for the network link. */
+  sendWaitMs(nowMs: number): number {
+    const fresh = nowMs - this.statusMs < STATUS_AGE_LIMIT_MS;
+    return fresh ? (this.lastStatus?.sendWaitMs ?? 0) : 0;
   }
 
   /** Time in ms that a request would take there, waiting included. */
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -3,6 +3,7 @@
  * the back ends that are to run them, and is itself the only way to its own back end.
  */
 import { LinkClient } from '../link/link-client.js';
+import { LinkPacer } from '../link/link-pacer.js';
 import { LinkServer } from '../link/link-server.js';
 import { formatAddress } from '../model/socket-address.js';
 import { Ok, type Result } from '../result.js';
@@ -36,6 +37,9 @@
 } from './request-forwarder.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 
+/** Network links that carry less than this are slow: an answer may wait there for longer than it is worked on. */
+const SLOW_LINK_BYTES_PER_MS = 12_500;
+
 /** Pause between looks at the back end's state, in ms. */
 const STEP_MS = 100;
 
@@ -93,6 +97,8 @@
 export class SidecarNode {
   readonly table = new DirectoryTable();
   readonly gateway: BackendGateway;
+  /** Paces large answers; null where the network link is fast. */
+  private readonly pacer: LinkPacer | null;
   readonly counters = forwarderCounters();
   readonly directory: DirectoryClient;
   private readonly settings: SidecarSettings;
@@ -130,12 +136,15 @@
     this.lease = this.makeLease();
     this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.id);
     this.grants = this.makeGrants();
+    const { linkBytesPerMs } = settings;
+    this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.gateway = this.makeGateway();
     this.chooser = this.makeChooser();
     this.linkServer = new LinkServer(
       () => runtime.nowMs(),
       runtime.randomId(),
       (head, body, reply) => this.gateway.take(head, body, reply),
+      this.pacer,
     );
     this.callers = new CallerServer({
       limits: () => this.table.limits,
@@ -280,6 +289,7 @@
       dialect: this.settings.dialect,
       service: this.settings.service,
       latencies: this.options.latencies,
+      pacer: this.pacer,
       address: this.settings.backend,
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
@@ -303,6 +313,8 @@
     return new BackendChooser({
       table: this.table,
       zone: this.settings.zone,
+      daemonAddress: formatAddress(this.settings.advertisedLinks),
+      linkBytesPerMs: this.settings.linkBytesPerMs,
       view: (instance) => this.viewOf(instance),
       nowMs: () => this.runtime.nowMs(),
       random: this.options.random,
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -34,4 +34,6 @@
   /** Retry budget of one service, shared by all daemons. */
   readonly retryBudget: RetryBudget;
   readonly dialect: HeaderDialect;
+  /** What the network link of this machine carries each way, in bytes per ms; infinite where it is not known. */
+  readonly linkBytesPerMs: number;
 }
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -86,3 +86,42 @@
   const still = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
   t.deepEqual(planRanges(view({ ranges: still, load, mayBalance: false })).moves, []);
 });
+
+test('beside one very busy key, the other keys of its back end leave', (t) => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const load = new KeyLoad();
+  for (let round = 0; round < 40; round += 1) {
+    load.add([
+      [bucketOf(1_000), 20_000],
+      [bucketOf(8_000), 700],
+      [bucketOf(9_000), 700],
+    ]);
+    load.closeWindow(1_000);
+  }
+  const { moves } = planRanges(view({ ranges, load }));
+  const moved = (key: number): boolean => moves.some(({ from, to }) => key >= from && key <= to);
+  t.true(moved(8_000) && moved(9_000));
+  t.false(moved(1_000), 'wherever it goes it would be too much');
+});
+
+test('a back end that cannot be helped does not keep the next one from being helped', (t) => {
+  const ranges = [
+    range(0, 15, 'a'),
+    range(16, 32_767, 'b'),
+    range(32_768, 49_151, 'c'),
+    range(49_152, 65_535, 'd'),
+  ];
+  const instances = ['a', 'b', 'c', 'd'].map((id) => instance(id));
+  const load = new KeyLoad();
+  for (let round = 0; round < 40; round += 1) {
+    load.add([
+      [bucketOf(0), 20_000],
+      [bucketOf(5_000), 1_500],
+      [bucketOf(6_000), 1_500],
+    ]);
+    load.closeWindow(1_000);
+  }
+  const { moves } = planRanges(view({ ranges, instances, load }));
+  t.true(moves.length > 0);
+  t.true(moves.every(({ from }) => from >= 16));
+});
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -61,6 +61,7 @@
         graceMs: 6_000,
         retryBudget: { ratio: 0.2, extra: 60, windowMs: 10_000 },
         dialect: DEFAULT_HEADER_DIALECT,
+        linkBytesPerMs: Infinity,
       },
       token: 'token',
       runtime,
