Answers that the queue for a slow link would make late are refused; late answers are kept in the log

Every change of a back end's load went to each of 73 other daemons four times a second. The log sampled late answers like any other, so that a complaint about one could not be explained. Ruled out: slots (free), processor time (0.07 of 0.27 cores). Change: a request whose answer could not be sent in time behind those that wait is refused as busy, so that others are looked for or the caller told when to come back (comesTooLateForLink); the pause between broadcasts grows with the number of listeners beyond 20; late answers are events.

--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -63,6 +63,13 @@
     });
   }
 
+  /** Callers that were heard lately. */
+  get listeners(): number {
+    let count = 0;
+    for (const { silentMs } of this.connections) if (silentMs < BROADCAST_SILENCE_MS) count += 1;
+    return count;
+  }
+
   /** Tells callers that were heard lately how busy the back end is. */
   broadcast(status: StatusHead): void {
     const frame = encodeFrameStart(FRAME_KIND.status, 0, status, 0);
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -13,7 +13,7 @@
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
-import { placeOrder, placeWaitMs, spareMs, type PlaceClaim } from './place-policy.js';
+import { comesTooLateForLink, placeOrder, placeWaitMs, spareMs, type PlaceClaim } from './place-policy.js';
 import { RouteMeans } from './route-means.js';
 
 /** Pause between looks at waiting requests, in ms. */
@@ -25,6 +25,9 @@
  */
 const STATUS_MS = 250;
 
+/** Daemons that listen up to which the pause is that short; it grows with their number, so that the cost does not. */
+const STATUS_LISTENERS = 20;
+
 /** When to come back after a refusal for want of a place, in ms. */
 const RETRY_AFTER_MS = 100;
 
@@ -61,6 +64,8 @@
   /** No process listens at the back end's address. */
   readonly onBackendRefused: () => void;
   readonly broadcast: (status: StatusHead) => void;
+  /** Daemons that a broadcast goes to. */
+  readonly listeners: () => number;
 }
 
 /** A request inside the gateway. */
@@ -239,6 +244,10 @@
     const { head, arrivedMs } = visit;
     const meanMs = this.meanMs(head.route);
     const claim = this.claimOf(head);
+    if (claim !== head && comesTooLateForLink(claim, this.ports.pacer?.backlogMs ?? 0, meanMs)) {
+      this.refuse(visit, 'busy');
+      return;
+    }
     const applicant: Applicant = {
       priority: head.priority,
       order: placeOrder(claim, arrivedMs, meanMs),
@@ -368,7 +377,9 @@
   }
 
   private publishSoon(): void {
-    this.cancelPublish ??= this.ports.runtime.after(STATUS_MS, () => {
+    if (this.cancelPublish !== null) return;
+    const pauseMs = STATUS_MS * Math.max(1, this.ports.listeners() / STATUS_LISTENERS);
+    this.cancelPublish = this.ports.runtime.after(pauseMs, () => {
       this.cancelPublish = null;
       this.publish();
     });
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -39,6 +39,14 @@
   return spare > claim.spentMs ? targetMs - claim.spentMs : targetMs + SECOND_TRY_ORDER_MS;
 }
 
+/**
+ * Whether an answer should not be worked on now, since others that wait for the network link would make it late and
+ * it would make those after it late in turn. `claim` counts its own time on the link already.
+ */
+export function comesTooLateForLink(claim: PlaceClaim, backlogMs: number, meanMs: number): boolean {
+  return backlogMs > 0 && spareMs(claim, meanMs) <= 0;
+}
+
 /** Time for which a request still waits. Where hardly any can be answered in time, waiting makes all of them late. */
 export function placeWaitMs(claim: PlaceClaim, waitedMs: number, meanMs: number): number {
   const least = Math.max(LEAST_PLACE_WAIT_SHARE * meanMs, claim.patienceMs);
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -386,9 +386,14 @@
   private complete(): void {
     this.finish();
     this.counters.answered += 1;
-    const { service, arrivedMs } = this.request;
-    this.ports.latencies.observe('request', service, this.ports.runtime.nowMs() - arrivedMs);
-    this.ports.log.routine('request-answered', this.fields({ instance: this.currentInstance?.id }));
+    const { service, arrivedMs, spentMs } = this.request;
+    const { log, latencies, runtime } = this.ports;
+    latencies.observe('request', service, runtime.nowMs() - arrivedMs);
+    const late = this.targetLeftMs() < spentMs;
+    const fields = this.fields({ instance: this.currentInstance?.id, spentMs, late });
+    // A late answer is out of the ordinary, so its line is kept while there is room for any.
+    if (late) log.event('request-answered', fields);
+    else log.routine('request-answered', fields);
   }
 
   /** The present attempt, if any, is taken back. */
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -306,6 +306,7 @@
       broadcast: (status) => {
         this.linkServer.broadcast(status);
       },
+      listeners: () => this.linkServer.listeners,
     });
   }
 
--- a/test/sidecar/place-policy.test.ts
+++ b/test/sidecar/place-policy.test.ts
@@ -1,5 +1,11 @@
 import test from 'ava';
-import { placeOrder, placeWaitMs, spareMs, type PlaceClaim } from '../../src/sidecar/place-policy.js';
+import {
+  comesTooLateForLink,
+  placeOrder,
+  placeWaitMs,
+  spareMs,
+  type PlaceClaim,
+} from '../../src/sidecar/place-policy.js';
 
 const MEAN_MS = 100;
 const NOW_MS = 10_000;
@@ -43,3 +49,9 @@
   t.is(placeWaitMs(claim({ targetLeftMs: 50, patienceMs: 60 }), 0, MEAN_MS), 60);
   t.is(placeWaitMs(claim({ remainingMs: 15 }), 0, MEAN_MS), 15);
 });
+
+test('an answer that the queue for the link would make late is not begun', (t) => {
+  t.true(comesTooLateForLink(claim({ targetLeftMs: 120 }), 400, MEAN_MS));
+  t.false(comesTooLateForLink(claim({ targetLeftMs: 200 }), 400, MEAN_MS));
+  t.false(comesTooLateForLink(claim({ targetLeftMs: 120 }), 0, MEAN_MS), 'a free link is used all the same');
+});
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -7,7 +7,6 @@
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import { ForwardedRequest, forwarderCounters, type GivenUp } from '../../src/sidecar/request-forwarder.js';
 import { Route } from '../../src/sidecar/route-table.js';
-import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { ManualTime } from './manual-runtime.js';
 
@@ -46,6 +45,9 @@
   result: string;
   givenUp: GivenUp | null;
   cancelled: number;
+  /** Events that are kept, and those that are sampled. */
+  readonly kept: string[];
+  readonly sampled: string[];
 }
 
 interface Setup {
@@ -53,13 +55,15 @@
   readonly maxAttempts?: number;
   readonly mayRepeat?: boolean;
   readonly passMs?: number;
+  /** Time that the caller has spent on earlier tries, in ms. */
+  readonly spentMs?: number;
 }
 
 /** Runs one request against back ends that react in turn. */
 function forward(reactions: Record<string, Reaction[]>, setup: Setup = {}): Outcome {
-  const { kind = 'safe', maxAttempts = 2, mayRepeat = true, passMs = 2_000 } = setup;
+  const { kind = 'safe', maxAttempts = 2, mayRepeat = true, passMs = 2_000, spentMs = 0 } = setup;
   const time = new ManualTime();
-  const outcome: Outcome = { tried: [], result: '', givenUp: null, cancelled: 0 };
+  const outcome: Outcome = { tried: [], result: '', givenUp: null, cancelled: 0, kept: [], sampled: [] };
   const instances = Object.keys(reactions).map((id): BackendInstance => {
     return { id, service: 's', zone: 'z', daemonAddress: id, slots: 1, condition: 'ready', session: 1 };
   });
@@ -100,7 +104,7 @@
       service: 's',
       key: null,
       deadlineMs: 800,
-      spentMs: 0,
+      spentMs,
       arrivedMs: time.nowMs,
     },
     {
@@ -115,7 +119,10 @@
     },
     {
       runtime: time.runtime,
-      log: SILENT_EVENT_LOG,
+      log: {
+        event: (name) => outcome.kept.push(name),
+        routine: (name) => outcome.sampled.push(name),
+      },
       chooser,
       view: () => new BackendView(),
       linkTo,
@@ -240,3 +247,10 @@
 test('without any back end a request looks for one for a part of its target, and ends', (t) => {
   t.is(forward({}, { passMs: 150 }).result, 'not-run');
 });
+
+test('an answer in time is sampled in the log, and a late one is kept', (t) => {
+  const inTime = forward({ a: [ANSWER] });
+  t.deepEqual([inTime.kept, inTime.sampled], [[], ['request-answered']]);
+  const late = forward({ a: [ANSWER] }, { spentMs: 399.5 });
+  t.deepEqual([late.kept, late.sampled], [['request-answered'], []]);
+});
