One delayed direction for both relays of the lab, held keys of the soak's back end apart, one pause

Change: lab/delayed-direction and lab/pause serve both; HeldKeys is a class of its own with tests. Nothing of the platform's bundle changes.

--- a/lab/fleet/relay.ts
+++ b/lab/fleet/relay.ts
@@ -5,6 +5,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { SocketAddress } from '../../src/model/socket-address.js';
+import { DelayedDirection } from '../delayed-direction.js';
 
 /** The two processes that a relay joins. */
 export interface RelayLink {
@@ -19,73 +20,6 @@
 /** Decides whether bytes may pass from one process to another now. */
 export type MayPass = (from: string, to: string) => boolean;
 
-const CUT_POLL_MS = 20;
-
-/** A direction of one connection: chunks leave in order, each not before its time, none during a cut. */
-class DelayedDirection {
-  private readonly waiting: { readonly chunk: Buffer | null; readonly dueMs: number }[] = [];
-  private timer: NodeJS.Timeout | null = null;
-
-  constructor(
-    private readonly source: Socket,
-    private readonly target: Socket,
-    private readonly delayMs: number,
-    private readonly mayPass: () => boolean,
-  ) {
-    source.on('data', (chunk: Buffer) => {
-      this.push(chunk);
-    });
-    source.on('end', () => {
-      this.push(null);
-    });
-  }
-
-  stop(): void {
-    if (this.timer !== null) clearTimeout(this.timer);
-    this.waiting.length = 0;
-  }
-
-  private push(chunk: Buffer | null): void {
-    if (this.delayMs === 0 && this.waiting.length === 0 && this.mayPass()) {
-      this.deliver(chunk);
-      return;
-    }
-    this.waiting.push({ chunk, dueMs: performance.now() + this.delayMs });
-    this.timer ??= setTimeout(() => {
-      this.flush();
-    }, this.delayMs);
-  }
-
-  private flush(): void {
-    this.timer = null;
-    const pass = this.mayPass();
-    while (pass) {
-      const next = this.waiting[0];
-      if (next === undefined) return;
-      if (next.dueMs > performance.now()) break;
-      this.waiting.shift();
-      this.deliver(next.chunk);
-    }
-    const dueMs = this.waiting[0]?.dueMs ?? 0;
-    this.timer = setTimeout(
-      () => {
-        this.flush();
-      },
-      pass ? Math.max(0, dueMs - performance.now()) : CUT_POLL_MS,
-    );
-  }
-
-  private deliver(chunk: Buffer | null): void {
-    if (chunk === null) {
-      this.target.end();
-      return;
-    }
-    if (this.target.write(chunk)) return;
-    this.source.pause();
-    this.target.once('drain', () => this.source.resume());
-  }
-}
-
 /** One relay. */
 export class Relay {
   private readonly sockets = new Set<Socket>();
@@ -118,8 +52,8 @@
   private join(dialer: Socket): void {
     const { from, to, delayMs } = this.link;
     const listener = connect({ host: this.target.host, port: this.target.port, allowHalfOpen: true });
-    const out = new DelayedDirection(dialer, listener, delayMs, () => this.mayPass(from, to));
-    const back = new DelayedDirection(listener, dialer, delayMs, () => this.mayPass(to, from));
+    const out = new DelayedDirection(dialer, listener, () => ({ delayMs, held: !this.mayPass(from, to) }));
+    const back = new DelayedDirection(listener, dialer, () => ({ delayMs, held: !this.mayPass(to, from) }));
     const close = (): void => {
       out.stop();
       back.stop();
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -7,7 +7,6 @@
 import type { Server } from 'node:http';
 import type { GrantMode } from '../../src/directory/directory-state.js';
 import type { SocketAddress } from '../../src/model/socket-address.js';
-import type { HeldRange, ReleasedRange } from '../../src/sidecar/backend-report.js';
 import {
   heartbeatBody,
   PATHS,
@@ -16,7 +15,9 @@
   readHeartbeatAnswer,
   releaseHeaders,
 } from '../../platform/stand-in-wire.js';
+import { pause } from '../pause.js';
 import type { Random } from '../random.js';
+import { HeldKeys } from './held-keys.js';
 import type { SoakJudge } from './soak-judge.js';
 
 /** Requests that a back end runs at once, and how many more wait for a slot. */
@@ -30,6 +31,9 @@
 const HEARTBEAT_MS = 500;
 const HURRIED_HEARTBEAT_MS = 80;
 
+/** Pause between looks at whether work on released keys has ended, in ms. */
+const RELEASE_POLL_MS = 5;
+
 /** Time in ms for an answer to a heartbeat. */
 const HEARTBEAT_TIMEOUT_MS = 1_000;
 
@@ -75,20 +79,20 @@
 export class SoakBackend {
   misbehaviour = WELL_BEHAVED;
   private readonly server: Server;
-  private held: readonly HeldRange[] = [];
-  private heldUntilMs = -Infinity;
-  private readonly untilByFence = new Map<string, number>();
-  private released: ReleasedRange[] = [];
-  private readonly runningKeys = new Map<number, number>();
+  private readonly keys: HeldKeys;
   private running = 0;
   private readonly queue: (() => void)[] = [];
   private sequence = 0;
   private draining = false;
   private up = true;
   private timer: NodeJS.Timeout | null = null;
-  private handovers = 0;
 
   constructor(private readonly options: SoakBackendOptions) {
+    const { id, service, grantMode, judge } = options;
+    const nowMs = (): number => performance.now();
+    this.keys = new HeldKeys(id, grantMode, nowMs, (ranges, untilMs) => {
+      judge.holds(id, service, ranges, untilMs, nowMs());
+    });
     this.server = createServer((request, response) => {
       void this.receive(request, response);
     });
@@ -154,68 +158,19 @@
     const sentMs = performance.now();
     const answer = await this.call('PUT', this.heartbeatText());
     if (!this.up) return false;
-    if (answer !== null) this.takeAnswer(answer, sentMs);
-    const hurried = this.leavingKeys().length > 0;
+    if (answer !== null) this.keys.takeAnswer(readHeartbeatAnswer(answer), sentMs);
+    const hurried = this.keys.leaving().length > 0;
     this.beatAfter(hurried ? HURRIED_HEARTBEAT_MS : HEARTBEAT_MS);
     return answer !== null;
   }
 
   private heartbeatText(): string {
-    const { id, service, zone, keyed, grantMode, address } = this.options;
+    const { id, service, zone, keyed, address } = this.options;
     this.sequence += 1;
-    this.forgetExpired();
-    return heartbeatBody(
-      {
-        id,
-        service,
-        zone,
-        slots: SLOTS,
-        condition: this.draining ? 'draining' : 'ready',
-        sequence: this.sequence,
-        holds: keyed && grantMode === 'heartbeat' ? [...this.held, ...this.leavingKeys()] : null,
-        released: this.released,
-      },
-      address,
-    );
-  }
-
-  private takeAnswer(text: string, sentMs: number): void {
-    this.released = [];
-    const { keyed, grantMode } = this.options;
-    if (!keyed || grantMode !== 'heartbeat') return;
-    const grant = readHeartbeatAnswer(text);
-    if (grant === null) return;
-    const kept = new Set(grant.ranges.map(nameOf));
-    for (const range of this.held) if (!kept.has(nameOf(range))) this.letGo(range);
-    this.held = grant.ranges;
-    this.heldUntilMs = sentMs + grant.holdMs;
-    this.tellHolds();
-  }
-
-  private letGo(range: HeldRange): void {
-    this.handovers += 1;
-    const handover = createHash('sha256').update(`${this.id} ${this.handovers}`).digest('hex').slice(0, 16);
-    this.released.push({ from: range.from, to: range.to, handover });
-  }
-
-  /** Ranges that are not granted any more, on which work goes on. */
-  private leavingKeys(): HeldRange[] {
-    return [...this.runningKeys.keys()]
-      .filter((key) => this.options.keyed && !this.holdsKey(key))
-      .map((key) => ({ from: key, to: key, fence: 0 }));
-  }
-
-  private forgetExpired(): void {
-    if (this.options.grantMode === 'invoke' || performance.now() < this.heldUntilMs) return;
-    this.held = [];
-    this.tellHolds();
-  }
-
-  private tellHolds(): void {
-    const { judge, service } = this.options;
-    const nowMs = performance.now();
-    const untilMs = this.options.grantMode === 'heartbeat' ? this.heldUntilMs : this.longestUntilMs();
-    judge.holds(this.id, service, this.held, untilMs, nowMs);
+    const { holds, released } = this.keys.report();
+    const condition = this.draining ? 'draining' : 'ready';
+    const common = { id, service, zone, slots: SLOTS, condition, sequence: this.sequence } as const;
+    return heartbeatBody({ ...common, holds: keyed ? holds : null, released }, address);
   }
 
   private async call(method: string, body: string): Promise<string | null> {
@@ -261,45 +216,18 @@
   // ---- keys that are granted by calls
 
   private takeGrant(body: string, response: ServerResponse): void {
-    const { from, to, fence, holdMs } = readGrantCall(body);
-    const nowMs = performance.now();
-    const newer = this.held.some((range) => range.fence > fence && from <= range.to && range.from <= to);
-    if (newer) {
-      answerPlain(response, STATUS.superseded);
-      return;
-    }
-    const range = { from, to, fence };
-    this.held = [...this.held.filter((other) => from > other.to || other.from > to), range];
-    this.untilByFence.set(nameOf(range), nowMs + holdMs);
-    this.tellHolds();
-    answerPlain(response, STATUS.ok);
+    const taken = this.keys.grant(readGrantCall(body));
+    answerPlain(response, taken ? STATUS.ok : STATUS.superseded);
   }
 
   private async takeRelease(body: string, response: ServerResponse): Promise<void> {
-    const { from, to } = readGrantCall(body);
-    this.held = this.held.flatMap((range) => without(range, from, to, this.untilByFence));
-    this.tellHolds();
-    while (this.up && [...this.runningKeys.keys()].some((key) => key >= from && key <= to)) await pause(5);
-    this.handovers += 1;
-    response.writeHead(STATUS.ok, { ...releaseHeaders(`${this.id}-${this.handovers}`), 'content-length': 0 });
+    const call = readGrantCall(body);
+    this.keys.release(call);
+    while (this.up && this.keys.worksIn(call)) await pause(RELEASE_POLL_MS);
+    response.writeHead(STATUS.ok, { ...releaseHeaders(this.keys.nextHandover()), 'content-length': 0 });
     response.end();
   }
 
-  private longestUntilMs(): number {
-    return Math.max(
-      -Infinity,
-      ...this.held.map((range) => this.untilByFence.get(nameOf(range)) ?? -Infinity),
-    );
-  }
-
-  private holdsKey(key: number): boolean {
-    const nowMs = performance.now();
-    const range = this.held.find(({ from, to }) => key >= from && key <= to);
-    if (range === undefined) return false;
-    if (this.options.grantMode === 'heartbeat') return nowMs < this.heldUntilMs;
-    return nowMs < (this.untilByFence.get(nameOf(range)) ?? -Infinity);
-  }
-
   // ---- requests
 
   private async receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -323,7 +251,7 @@
       return;
     }
     this.options.judge.arrived(this.id, performance.now());
-    if (key !== null && !this.holdsKey(key)) {
+    if (key !== null && !this.keys.holds(key)) {
       this.decline(response, requestId, STATUS.misdirected);
       return;
     }
@@ -342,18 +270,18 @@
   ): Promise<void> {
     const { judge, random, service } = this.options;
     const { requestId, path, key } = work;
-    if (response.destroyed || (key !== null && !this.holdsKey(key))) {
+    if (response.destroyed || (key !== null && !this.keys.holds(key))) {
       if (!response.destroyed) this.decline(response, requestId, STATUS.misdirected);
       this.next();
       return;
     }
     this.running += 1;
-    if (key !== null) this.runningKeys.set(key, (this.runningKeys.get(key) ?? 0) + 1);
+    if (key !== null) this.keys.begin(key);
     const repeatable = request.method === 'GET';
     judge.runStarted({ requestId, backend: this.id, service, key, repeatable }, performance.now());
     await pause(random.exponential(WORK_MS));
     this.running -= 1;
-    if (key !== null) this.endKey(key);
+    if (key !== null) this.keys.end(key);
     if (this.up) this.answer(response, requestId, path, key);
     this.next();
   }
@@ -362,12 +290,6 @@
     if (this.running < SLOTS) this.queue.shift()?.();
   }
 
-  private endKey(key: number): void {
-    const left = (this.runningKeys.get(key) ?? 1) - 1;
-    if (left > 0) this.runningKeys.set(key, left);
-    else this.runningKeys.delete(key);
-  }
-
   private answer(response: ServerResponse, requestId: string, path: string, key: number | null): void {
     const { random } = this.options;
     const { answerLost, answerCut, secondAnswer } = this.misbehaviour;
@@ -383,7 +305,7 @@
       'content-length': body.length,
       ...(this.draining ? { connection: 'close' } : {}),
     };
-    const lostLease = key !== null && !this.holdsKey(key);
+    const lostLease = key !== null && !this.keys.holds(key);
     response.writeHead(lostLease ? STATUS.lostLease : STATUS.ok, headers);
     if (chance < answerLost + answerCut) {
       response.write(body.slice(0, body.length / 2));
@@ -408,26 +330,6 @@
   }
 }
 
-function without(
-  range: HeldRange,
-  from: number,
-  to: number,
-  untilByFence: Map<string, number>,
-): readonly HeldRange[] {
-  if (from > range.to || to < range.from) return [range];
-  const untilMs = untilByFence.get(nameOf(range)) ?? -Infinity;
-  const parts = [
-    { ...range, to: from - 1 },
-    { ...range, from: to + 1 },
-  ].filter((part) => part.from <= part.to);
-  for (const part of parts) untilByFence.set(nameOf(part), untilMs);
-  return parts;
-}
-
-function nameOf({ from, to, fence }: HeldRange): string {
-  return `${from}-${to}@${fence}`;
-}
-
 function headerOf(request: IncomingMessage, name: string): string {
   const value = request.headers[name];
   return typeof value === 'string' ? value : '';
@@ -447,7 +349,3 @@
     return null;
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/lab/soak/soak-network.ts
+++ b/lab/soak/soak-network.ts
@@ -5,68 +5,12 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { connectOptions } from '../../src/model/socket-address.js';
+import { DelayedDirection, type DirectionState } from '../delayed-direction.js';
 
-/** Pause between looks at a direction that is held back, in ms. */
+/** Pause between looks at whether an end may be told, in ms. */
 const HELD_POLL_MS = 15;
 
-/** What happens to the bytes from one machine to another. */
-export interface LinkState {
-  readonly delayMs: number;
-  /** Nothing passes; what was sent arrives when that ends, unless the connection has gone. */
-  readonly held: boolean;
-}
-
-const CLEAR: LinkState = { delayMs: 0, held: false };
-
-/** Chunks in order, none before its time, none while the direction is held. */
-class Direction {
-  private readonly waiting: { readonly chunk: Buffer | null; readonly dueMs: number }[] = [];
-  private timer: NodeJS.Timeout | null = null;
-
-  constructor(
-    source: Socket,
-    private readonly target: Socket,
-    private readonly state: () => LinkState,
-  ) {
-    source.on('data', (chunk: Buffer) => {
-      this.push(chunk);
-    });
-    source.on('end', () => {
-      this.push(null);
-    });
-  }
-
-  stop(): void {
-    if (this.timer !== null) clearTimeout(this.timer);
-    this.waiting.length = 0;
-  }
-
-  private push(chunk: Buffer | null): void {
-    this.waiting.push({ chunk, dueMs: performance.now() + this.state().delayMs });
-    if (this.timer === null) this.flush();
-  }
-
-  private flush(): void {
-    this.timer = null;
-    for (;;) {
-      const next = this.waiting[0];
-      if (next === undefined) return;
-      const leftMs = next.dueMs - performance.now();
-      if (this.state().held || leftMs > 0) {
-        this.timer = setTimeout(
-          () => {
-            this.flush();
-          },
-          this.state().held ? HELD_POLL_MS : Math.max(1, leftMs),
-        );
-        return;
-      }
-      this.waiting.shift();
-      if (next.chunk === null) this.target.end();
-      else this.target.write(next.chunk);
-    }
-  }
-}
+const CLEAR: DirectionState = { delayMs: 0, held: false };
 
 /** A connection that passes through a relay. */
 interface RelayedConnection {
@@ -77,7 +21,7 @@
 
 /** All relays of a soak. */
 export class SoakNetwork {
-  private readonly states = new Map<string, LinkState>();
+  private readonly states = new Map<string, DirectionState>();
   private readonly connections = new Set<RelayedConnection>();
   private readonly servers: Server[] = [];
 
@@ -100,7 +44,7 @@
   }
 
   /** Sets what happens to bytes from one machine to another. */
-  set(from: string, to: string, state: Partial<LinkState>): void {
+  set(from: string, to: string, state: Partial<DirectionState>): void {
     this.states.set(`${from}>${to}`, { ...this.stateOf(from, to), ...state });
   }
 
@@ -122,14 +66,14 @@
     for (const connection of this.connections) connection.close(false);
   }
 
-  private stateOf(from: string, to: string): LinkState {
+  private stateOf(from: string, to: string): DirectionState {
     return this.states.get(`${from}>${to}`) ?? CLEAR;
   }
 
   private join(dialer: Socket, from: string, to: string, ip: string, port: number): void {
     const listener = connect({ ...connectOptions({ host: ip, port }, null), allowHalfOpen: true });
-    const out = new Direction(dialer, listener, () => this.stateOf(from, to));
-    const back = new Direction(listener, dialer, () => this.stateOf(to, from));
+    const out = new DelayedDirection(dialer, listener, () => this.stateOf(from, to));
+    const back = new DelayedDirection(listener, dialer, () => this.stateOf(to, from));
     const sockets = [dialer, listener];
     const connection: RelayedConnection = {
       from,
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -10,6 +10,7 @@
   readRouteVersions,
   type StandInRoute,
 } from '../../platform/stand-in-wire.js';
+import { pause } from '../pause.js';
 import type { Random } from '../random.js';
 import type { SoakJudge } from './soak-judge.js';
 
@@ -143,7 +144,3 @@
     call.end(body);
   });
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -6,6 +6,7 @@
   STAND_IN_PORTS,
   type StandInRoute,
 } from '../../platform/stand-in-wire.js';
+import { pause } from '../pause.js';
 import { Random } from '../random.js';
 import { SoakCallers, type CalledDaemon, type CalledRoute, type CallerCounts } from './soak-callers.js';
 import { SoakFleet } from './soak-fleet.js';
@@ -248,7 +249,3 @@
   while (!done() && performance.now() < endMs) await pause(LOOK_MS);
   return done();
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -4,6 +4,7 @@
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakOperator } from './soak-operator.js';
 import type { SoakTrouble, SoakTroubleKind } from './soak-plan.js';
+import { pause } from '../pause.js';
 
 /** Time in ms for which a directory counts as lost after it came back, so that no two are lost at once. */
 const CATCH_UP_MS = 4_000;
@@ -203,7 +204,3 @@
 function tearLog({ dataFolder }: SoakMachine): void {
   if (dataFolder !== null) appendFileSync(join(dataFolder, LOG_FILE), TORN_BYTES);
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- /dev/null
+++ b/test/lab/soak/held-keys.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava';
+import type { GrantMode } from '../../../src/directory/directory-state.js';
+import { HeldKeys } from '../../../lab/soak/held-keys.js';
+
+class World {
+  nowMs = 0;
+  readonly keys: HeldKeys;
+
+  constructor(mode: GrantMode) {
+    this.keys = new HeldKeys(
+      'life',
+      mode,
+      () => this.nowMs,
+      () => undefined,
+    );
+  }
+}
+
+test('calls: a grant holds for its time, counted from when it came', (t) => {
+  const world = new World('invoke');
+  t.true(world.keys.grant({ from: 0, to: 9, fence: 1, holdMs: 100 }));
+  t.true(world.keys.holds(5));
+  t.false(world.keys.holds(10));
+  world.nowMs = 100;
+  t.false(world.keys.holds(5));
+});
+
+test('calls: a grant under a lower fence is refused, one under a higher fence takes over', (t) => {
+  const { keys } = new World('invoke');
+  keys.grant({ from: 0, to: 9, fence: 5, holdMs: 100 });
+  t.false(keys.grant({ from: 5, to: 20, fence: 4, holdMs: 100 }));
+  t.true(keys.grant({ from: 0, to: 9, fence: 6, holdMs: 100 }));
+});
+
+test('calls: part of a range is released, and the rest is held on', (t) => {
+  const { keys } = new World('invoke');
+  keys.grant({ from: 0, to: 9, fence: 5, holdMs: 100 });
+  keys.release({ from: 3, to: 5, fence: 5, holdMs: 0 });
+  t.deepEqual(
+    [2, 3, 5, 6].map((key) => keys.holds(key)),
+    [true, false, false, true],
+  );
+});
+
+test('heartbeats: an answer grants everything that is to be held, counted from when the heartbeat was sent', (t) => {
+  const world = new World('heartbeat');
+  world.nowMs = 50;
+  world.keys.takeAnswer({ ranges: [{ from: 0, to: 9, fence: 1, handover: '' }], holdMs: 100 }, 10);
+  t.true(world.keys.holds(9));
+  world.nowMs = 110;
+  t.false(world.keys.holds(9));
+  t.deepEqual(world.keys.report(), { holds: [], released: [] });
+});
+
+test('heartbeats: what an answer leaves out is told as released, and as held while it is worked on', (t) => {
+  const { keys } = new World('heartbeat');
+  keys.takeAnswer({ ranges: [{ from: 0, to: 9, fence: 1, handover: '' }], holdMs: 100 }, 0);
+  keys.begin(4);
+  keys.takeAnswer({ ranges: [], holdMs: 100 }, 0);
+  const { holds, released } = keys.report();
+  t.deepEqual(holds, [{ from: 4, to: 4, fence: 0 }]);
+  t.like(released, [{ from: 0, to: 9 }]);
+  keys.end(4);
+  t.deepEqual(keys.report().holds, []);
+});
+
+test('heartbeats: an answer that renews nothing changes nothing', (t) => {
+  const { keys } = new World('heartbeat');
+  keys.takeAnswer({ ranges: [{ from: 0, to: 9, fence: 1, handover: '' }], holdMs: 100 }, 0);
+  keys.takeAnswer(null, 50);
+  t.true(keys.holds(3));
+});
