The soak calls the product's names and overlaps of ranges; what nothing used goes

Cause: a read of the whole change: the judge and the stand-in back end had written rangeName and overlaps of key-grants again, a wrapper only passed on, and a getter had no caller.

--- a/lab/soak/held-keys.ts
+++ b/lab/soak/held-keys.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import type { GrantMode } from '../../src/directory/directory-state.js';
 import type { HeartbeatGrant, HeldRange, ReleasedRange } from '../../src/sidecar/backend-report.js';
+import { rangeName } from '../../src/sidecar/key-grants.js';
 import type { GrantCall } from '../../platform/stand-in-wire.js';
 
 /** Held keys of one life of a back end. */
@@ -66,12 +67,12 @@
   takeAnswer(grant: HeartbeatGrant | null, sentMs: number): void {
     this.released = [];
     if (grant === null || this.grantMode !== 'heartbeat') return;
-    const kept = new Set(grant.ranges.map(nameOf));
-    for (const { from, to } of this.held.filter((range) => !kept.has(nameOf(range)))) {
+    const kept = new Set(grant.ranges.map(rangeName));
+    for (const { from, to } of this.held.filter((range) => !kept.has(rangeName(range)))) {
       this.released.push({ from, to, handover: this.nextHandover() });
     }
     this.held = grant.ranges;
-    for (const range of grant.ranges) this.untilMs.set(nameOf(range), sentMs + grant.holdMs);
+    for (const range of grant.ranges) this.untilMs.set(rangeName(range), sentMs + grant.holdMs);
     this.tell();
   }
 
@@ -83,7 +84,7 @@
     if (overlapping.some((range) => range.fence > fence)) return false;
     const granted = { from, to, fence };
     this.held = [...this.held.filter((range) => !overlapping.includes(range)), granted];
-    this.untilMs.set(nameOf(granted), this.nowMs() + holdMs);
+    this.untilMs.set(rangeName(granted), this.nowMs() + holdMs);
     this.tell();
     return true;
   }
@@ -107,7 +108,7 @@
       { ...range, to: from - 1 },
       { ...range, from: to + 1 },
     ].filter((part) => part.from <= part.to);
-    for (const part of parts) this.untilMs.set(nameOf(part), endMs);
+    for (const part of parts) this.untilMs.set(rangeName(part), endMs);
     return parts;
   }
 
@@ -120,14 +121,10 @@
   }
 
   private endOf(range: HeldRange): number {
-    return this.untilMs.get(nameOf(range)) ?? -Infinity;
+    return this.untilMs.get(rangeName(range)) ?? -Infinity;
   }
 
   private tell(): void {
     this.onChange(this.held, Math.max(-Infinity, ...this.held.map((range) => this.endOf(range))));
   }
 }
-
-function nameOf({ from, to, fence }: HeldRange): string {
-  return `${from}-${to}@${fence}`;
-}
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -104,11 +104,6 @@
     return this.options.id;
   }
 
-  /** Whether it runs and does not leave. */
-  get serving(): boolean {
-    return this.up && !this.draining;
-  }
-
   /** Listens and begins to send heartbeats. */
   async start(): Promise<void> {
     const { host, port } = this.options.address;
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -92,11 +92,6 @@
     this.agent.destroy();
   }
 
-  /** Status of one request on a route at a daemon; null without an answer. */
-  async probe(daemon: CalledDaemon, route: CalledRoute): Promise<number | null> {
-    return await this.send(daemon, route);
-  }
-
   /** Whether a daemon counts as ready. */
   isReady(machine: string): boolean {
     return (this.misses.get(machine) ?? MISSES_LIMIT) < MISSES_LIMIT;
@@ -123,7 +118,8 @@
     this.misses.set(machine, ready ? 0 : (this.misses.get(machine) ?? 0) + 1);
   }
 
-  private async send(daemon: CalledDaemon, route: CalledRoute): Promise<number | null> {
+  /** Sends one request on a route to a daemon; returns its status, null without a whole answer. */
+  async send(daemon: CalledDaemon, route: CalledRoute): Promise<number | null> {
     const { random } = this.ports;
     this.nextId += 1;
     const requestId = `s${this.seed}-${this.nextId}`;
--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -3,6 +3,7 @@
  * given in ms of one clock, and the same calls give the same verdict.
  */
 import type { HeldRange } from '../../src/sidecar/backend-report.js';
+import { overlaps, rangeName } from '../../src/sidecar/key-grants.js';
 
 /** What must hold. */
 export type SoakPromise =
@@ -119,10 +120,10 @@
     nowMs: number,
   ): void {
     const known = this.holders.get(backend);
-    const before = new Set(known?.ranges.map(nameOf));
+    const before = new Set(known?.ranges.map(rangeName));
     this.holders.set(backend, { service, ranges, untilMs });
     for (const range of ranges)
-      if (!before.has(nameOf(range))) this.judgeFence(backend, service, range, nowMs);
+      if (!before.has(rangeName(range))) this.judgeFence(backend, service, range, nowMs);
     this.look(nowMs);
   }
 
@@ -210,7 +211,7 @@
       return other.backend !== backend && other.range.fence >= range.fence && overlaps(other.range, range);
     });
     if (above !== undefined) {
-      const detail = `${backend} takes ${nameOf(range)} after ${above.backend} held ${nameOf(above.range)}`;
+      const detail = `${backend} takes ${rangeName(range)} after ${above.backend} held ${rangeName(above.range)}`;
       this.report('fence-rises', nowMs, detail);
     }
     this.fences.set(service, [...known, { backend, range }]);
@@ -220,11 +221,3 @@
     this.violations.push({ promise, atMs: Math.round(atMs), detail });
   }
 }
-
-function overlaps(left: HeldRange, right: HeldRange): boolean {
-  return left.from <= right.to && right.from <= left.to;
-}
-
-function nameOf({ from, to, fence }: HeldRange): string {
-  return `${from}-${to}@${fence}`;
-}
--- a/lab/soak/soak-network.ts
+++ b/lab/soak/soak-network.ts
@@ -4,7 +4,6 @@
  * silenced or reset by itself.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { connectOptions } from '../../src/model/socket-address.js';
 import { DelayedDirection, type DirectionState } from '../delayed-direction.js';
 
 /** Pause between looks at whether an end may be told, in ms. */
@@ -71,7 +70,7 @@
   }
 
   private join(dialer: Socket, from: string, to: string, ip: string, port: number): void {
-    const listener = connect({ ...connectOptions({ host: ip, port }, null), allowHalfOpen: true });
+    const listener = connect({ host: ip, port, allowHalfOpen: true });
     const out = new DelayedDirection(dialer, listener, () => this.stateOf(from, to));
     const back = new DelayedDirection(listener, dialer, () => this.stateOf(to, from));
     const sockets = [dialer, listener];
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -240,7 +240,7 @@
   const { route } = random.pick(old);
   const keyed = fleet.plan.services.find(({ name }) => name === route.service)?.keyed === true;
   const called = { host: route.host, prefix: route.prefix, repeatable: route.kind === 'safe', keyed };
-  const status = await callers.probe(calledDaemon(machine.name, machine.ip), called);
+  const status = await callers.send(calledDaemon(machine.name, machine.ip), called);
   if (status === UNKNOWN_ROUTE_STATUS) judge.routeUnknown(machine.name, route.name, performance.now());
 }
 
