--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -224,6 +224,7 @@
       daemonAddress: `${name}:1`,
       send: (request) => client.send(request),
       takeLoad: () => [],
+      pressed: () => false,
       onChange: () => undefined,
     });
     lease.update({ id: name, service: SERVICE, zone: 'zone', slots: 1, condition: 'ready' });
--- a/src/directory/directory-duties.ts
+++ b/src/directory/directory-duties.ts
@@ -1,4 +1,5 @@
 /** What the leader of a directory does by itself: it plans the ranges of every keyed service. */
+import { policyIsOn } from '../policy-switches.js';
 import type { Proposals } from '../control/proposals.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { serviceDefinition, type DirectoryState, type KeyRange } from './directory-state.js';
@@ -9,10 +10,10 @@
 const FIRST_ASSIGNMENT_QUIET_MS = 1_500;
 
 /** Length of a window of load, and pause between plans for balance, in ms. */
-const LOAD_WINDOW_MS = 1_000;
+const LOAD_WINDOW_MS = policyIsOn('quick-balance') ? 500 : 1_000;
 
 /** Pause after a move for balance, in ms: the load must be seen anew first. */
-const BALANCE_PAUSE_MS = 2_000;
+const BALANCE_PAUSE_MS = policyIsOn('quick-balance') ? 1_000 : 2_000;
 
 interface ServiceProgress {
   readonly load: KeyLoad;
@@ -62,9 +63,12 @@
     const mayBalance = nowMs >= progress.balanceDueMs;
     const definition = serviceDefinition(this.state().items, service);
     const movesAreCostly = definition?.grantMode === 'heartbeat';
-    const plan = planRanges({ ranges, instances, load: progress.load, mayBalance, movesAreCostly });
+    const { load } = progress;
+    const rests = (bucket: number): boolean => policyIsOn('move-rest') && load.rests(bucket, nowMs);
+    const plan = planRanges({ ranges, instances, load, mayBalance, movesAreCostly, rests });
     if (plan.assignments.length === 0 && plan.moves.length === 0) return;
     if (mayBalance) progress.balanceDueMs = nowMs + BALANCE_PAUSE_MS;
+    if (plan.forBalance) for (const { from, to } of plan.moves) load.noteMoved(from, to, nowMs);
     this.onPlan(service, plan);
     void this.propose(service, plan, progress);
   }
--- a/src/directory/key-load.ts
+++ b/src/directory/key-load.ts
@@ -6,9 +6,14 @@
 
 const BUCKETS = (LAST_KEY - FIRST_KEY + 1) / KEYS_PER_BUCKET;
 
-/** Share of the older value that stays when a window is closed. */
+/** Share of the older value that stays after a second. */
 const KEPT_SHARE = 0.45;
 
+const MS_PER_SECOND = 1_000;
+
+/** Time for which keys that were moved for balance stay where they are, in ms. */
+const REST_MS = 8_000;
+
 /** Bucket of a key. */
 export function bucketOf(key: number): number {
   return Math.floor(key / KEYS_PER_BUCKET);
@@ -20,12 +25,24 @@
   readonly slots = new Float64Array(BUCKETS);
   private readonly window = new Float64Array(BUCKETS);
   private assumedPerKey = 0;
+  /** When each bucket was last moved for balance, in ms. */
+  private readonly movedMs = new Float64Array(BUCKETS).fill(-Infinity);
 
   /** Every key counts for at least this, in slots, so that keys whose load is unknown are spread as well. */
   assume(slotsPerKey: number): void {
     this.assumedPerKey = slotsPerKey;
   }
 
+  /** Keys were moved for balance. */
+  noteMoved(from: number, to: number, nowMs: number): void {
+    for (let bucket = bucketOf(from); bucket <= bucketOf(to); bucket += 1) this.movedMs[bucket] = nowMs;
+  }
+
+  /** Whether a bucket was moved for balance a moment ago, and must show its load where it is before it moves again. */
+  rests(bucket: number, nowMs: number): boolean {
+    return nowMs - (this.movedMs[bucket] ?? -Infinity) < REST_MS;
+  }
+
   /** Load of one bucket. */
   ofBucket(bucket: number): number {
     return (this.slots[bucket] ?? 0) + this.assumedPerKey * KEYS_PER_BUCKET;
@@ -40,9 +57,10 @@
 
   /** Closes a window of `ms`. */
   closeWindow(ms: number): void {
+    const keptShare = KEPT_SHARE ** (ms / MS_PER_SECOND);
     for (let bucket = 0; bucket < BUCKETS; bucket += 1) {
       const fresh = (this.window[bucket] ?? 0) / ms;
-      this.slots[bucket] = (this.slots[bucket] ?? 0) * KEPT_SHARE + fresh * (1 - KEPT_SHARE);
+      this.slots[bucket] = (this.slots[bucket] ?? 0) * keptShare + fresh * (1 - keptShare);
       this.window[bucket] = 0;
     }
   }
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -4,6 +4,7 @@
  */
 import type { KeySpan } from './directory-commands.js';
 import { FIRST_KEY, LAST_KEY, type BackendInstance, type KeyRange } from './directory-state.js';
+import { policyIsOn } from '../policy-switches.js';
 import { changeSpan } from './key-ranges.js';
 import { KEYS_PER_BUCKET, bucketOf, type KeyLoad } from './key-load.js';
 
@@ -32,7 +33,9 @@
 const CHEAP_MOVE_LIMITS: BalanceLimits = { utilization: 0.4, difference: 0.15 };
 
 /** Where a move takes about a heartbeat, in which nobody serves its keys. */
-const COSTLY_MOVE_LIMITS: BalanceLimits = { utilization: 0.5, difference: 0.25 };
+const COSTLY_MOVE_LIMITS: BalanceLimits = policyIsOn('move-rest')
+  ? { utilization: 0.65, difference: 0.25 }
+  : { utilization: 0.5, difference: 0.25 };
 
 /** Part of all slots that unknown load is taken to need, spread evenly over the keys. */
 const ASSUMED_SHARE_OF_SLOTS = 0.1;
@@ -51,6 +54,8 @@
   readonly mayBalance: boolean;
   /** Whether nobody serves keys for long while they move. */
   readonly movesAreCostly: boolean;
+  /** Whether a bucket of keys must stay where it is, unless its owner leaves. */
+  readonly rests: (bucket: number) => boolean;
 }
 
 /** What is to be done. */
@@ -59,6 +64,8 @@
   readonly assignments: readonly SpanTarget[];
   /** Keys that change their owner. */
   readonly moves: readonly SpanTarget[];
+  /** Whether the moves are for balance, and not because an owner leaves. */
+  readonly forBalance: boolean;
 }
 
 /** A back end that can take keys, and how busy it will be. */
@@ -74,9 +81,9 @@
   const slots = view.instances.reduce((sum, instance) => sum + instance.slots, 0);
   view.load.assume((slots * ASSUMED_SHARE_OF_SLOTS) / (LAST_KEY - FIRST_KEY + 1));
   const candidates = makeCandidates(view);
-  if (candidates.length === 0) return { assignments: [], moves: [] };
+  if (candidates.length === 0) return { assignments: [], moves: [], forBalance: false };
   if (view.ranges.every(({ owner, fence }) => owner === null && fence === 0)) {
-    return { assignments: divideEvenly(candidates), moves: [] };
+    return { assignments: divideEvenly(candidates), moves: [], forBalance: false };
   }
   const unowned = view.ranges.filter(({ owner }) => owner === null);
   const assignments = unowned.flatMap((range) => placeRange(range, candidates, view.load));
@@ -85,12 +92,14 @@
     return owner !== null && leaving.has(owner) && movingTo === null;
   });
   const moves = toEmpty.flatMap((range) => placeRange(range, candidates, view.load));
-  if (moves.length > 0 || assignments.length > 0 || !view.mayBalance) return { assignments, moves };
-  return { assignments, moves: planBalance(view, candidates) };
+  if (moves.length > 0 || assignments.length > 0 || !view.mayBalance) {
+    return { assignments, moves, forBalance: false };
+  }
+  return { assignments, moves: planBalance(view, candidates), forBalance: true };
 }
 
 function isLeaving({ condition }: BackendInstance): boolean {
-  return condition === 'draining';
+  return condition !== 'ready';
 }
 
 function makeCandidates({ ranges, instances, load }: RangeView): Candidate[] {
@@ -182,7 +191,7 @@
   const moves: SpanTarget[] = [];
   let { ranges } = view;
   while (moves.length < mostMoves) {
-    const move = nextBalanceMove(ranges, candidates, view.load, limits);
+    const move = nextBalanceMove({ ...view, ranges }, candidates, limits);
     if (move === null) break;
     moves.push(move);
     ranges = changeSpan(ranges, move, (range) => ({ ...range, owner: move.backend, movingTo: move.backend }));
@@ -192,18 +201,18 @@
 
 /** The busiest back end may hold nothing that can leave it, such as one very busy key; then the next one is helped. */
 function nextBalanceMove(
-  ranges: readonly KeyRange[],
+  view: RangeView,
   candidates: readonly Candidate[],
-  load: KeyLoad,
   limits: BalanceLimits,
 ): SpanTarget | null {
+  const { ranges, load } = view;
   const idlest = leastBusy(candidates);
   if (idlest === null) return null;
   for (const giver of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
     if (giver === idlest || !isOutOfBalance(giver, idlest, limits)) return null;
     const wanted = ((utilization(giver) - utilization(idlest)) / 2) * Math.min(giver.slots, idlest.slots);
     const owned = ranges.filter(({ owner, movingTo }) => owner === giver.id && movingTo === null);
-    const span = smallestSpan(owned, wanted, load) ?? mostLoadedSpan(owned, wanted, load);
+    const span = smallestSpan(owned, wanted, view) ?? mostLoadedSpan(owned, wanted, view);
     if (span === null) continue;
     const moved = load.ofSpan(span.from, span.to);
     giver.busy -= moved;
@@ -223,10 +232,10 @@
 }
 
 /** The fewest keys that carry about `wanted`; null when there are none, as where one bucket carries far more. */
-function smallestSpan(owned: readonly KeyRange[], wanted: number, load: KeyLoad): KeySpan | null {
+function smallestSpan(owned: readonly KeyRange[], wanted: number, view: RangeView): KeySpan | null {
   let best: KeySpan | null = null;
   for (const range of owned) {
-    const span = smallestSpanIn(range, wanted, load);
+    const span = smallestSpanIn(range, wanted, view);
     if (span === null) continue;
     if (best === null || span.to - span.from < best.to - best.from) best = span;
   }
@@ -234,7 +243,11 @@
 }
 
 /** The keys beside a very busy one: the span that carries most without carrying much more than `wanted`. */
-function mostLoadedSpan(owned: readonly KeyRange[], wanted: number, load: KeyLoad): KeySpan | null {
+function mostLoadedSpan(
+  owned: readonly KeyRange[],
+  wanted: number,
+  { load, rests }: RangeView,
+): KeySpan | null {
   let best: KeySpan | null = null;
   let bestLoad = LEAST_MOVED_LOAD;
   for (const range of owned) {
@@ -242,6 +255,11 @@
     let start = bucketOf(range.from);
     let sum = 0;
     for (let end = start; end <= last; end += 1) {
+      if (rests(end)) {
+        start = end + 1;
+        sum = 0;
+        continue;
+      }
       sum += load.ofBucket(end);
       while (start <= end && sum > wanted * LARGEST_PART_OF_WANTED) {
         sum -= load.ofBucket(start);
@@ -258,13 +276,18 @@
 const LEAST_PART_OF_WANTED = 0.6;
 const LARGEST_PART_OF_WANTED = 1.4;
 
-function smallestSpanIn(range: KeyRange, wanted: number, load: KeyLoad): KeySpan | null {
+function smallestSpanIn(range: KeyRange, wanted: number, { load, rests }: RangeView): KeySpan | null {
   const first = bucketOf(range.from);
   const last = bucketOf(range.to);
   let best: KeySpan | null = null;
   let start = first;
   let sum = 0;
   for (let end = first; end <= last; end += 1) {
+    if (rests(end)) {
+      start = end + 1;
+      sum = 0;
+      continue;
+    }
     sum += load.ofBucket(end);
     while (start < end && sum - load.ofBucket(start) >= wanted * LEAST_PART_OF_WANTED) {
       sum -= load.ofBucket(start);
--- a/src/link/link-pacer.ts
+++ b/src/link/link-pacer.ts
@@ -4,6 +4,8 @@
  * the pacer.
  */
 
+import { policyIsOn } from '../policy-switches.js';
+
 /** Bytes that are handed over at a time. */
 const SLICE_BYTES = 8 * 1024;
 
@@ -19,8 +21,11 @@
 /** Part of the time that a frame has waited by which it is taken for smaller, so that none waits for ever. */
 const AGING_SHARE = 0.25;
 
-/** Frames from this size on are paced, in bytes. */
-export const PACED_FRAME_BYTES = 12 * 1024;
+/**
+ * Frames from this size on are paced, in bytes. Smaller ones are control and refusals, which must never wait; answers
+ * of a few KB fill a slow link as well as large ones do, only more of them.
+ */
+export const PACED_FRAME_BYTES = policyIsOn('small-answers-paced') ? 2 * 1024 : 12 * 1024;
 
 /** A frame that waits for the link. */
 export interface PacedFrame {
--- /dev/null
+++ b/src/policy-switches.ts
@@ -0,0 +1,35 @@
+/**
+ * The mechanisms that decide, each behind a switch. A trial bundle may be built without some of them, to measure what
+ * each is worth (`deploy/build.mjs --without NAME,...`); a bundle that is shipped has all of them.
+ */
+
+/** The switches, by mechanism. */
+export type PolicySwitch =
+  /** Requests that will be late wait up to their deadline while such waiting brings answers. */
+  | 'late-waiting'
+  /** A caller that came back waits up to its deadline for keys that are on their way. */
+  | 'key-patience'
+  /** Refusals tell when to come back by what is in the way. */
+  | 'retry-hints'
+  /** A back end of the same zone is preferred while it has room. */
+  | 'zone-preference'
+  /** Load of keys counts when it is asked for, not when it has been served. */
+  | 'offered-load'
+  /** Load is reported and planned sooner while requests wait. */
+  | 'quick-balance'
+  /** Keys that were moved for balance stay where they are for some time. */
+  | 'move-rest'
+  /** Answers of a few KB wait for a slow network link in turn, as large ones do. */
+  | 'small-answers-paced'
+  /** A daemon that stops hands the keys of its back end over before. */
+  | 'handover-before-stop';
+
+/** Names of the mechanisms that this bundle was built without, separated by commas; set by the bundler. */
+declare const ALDERTIDE_WITHOUT: string | undefined;
+
+const left = new Set(typeof ALDERTIDE_WITHOUT === 'string' ? ALDERTIDE_WITHOUT.split(',') : []);
+
+/** Whether a mechanism takes part in decisions. */
+export function policyIsOn(name: PolicySwitch): boolean {
+  return !left.has(name);
+}
--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -1,14 +1,13 @@
 /** Chooses the back end for an attempt, by key or by expected time. */
 import { rangeOf } from '../directory/key-ranges.js';
 import type { BackendInstance } from '../directory/directory-state.js';
+import { PACED_FRAME_BYTES } from '../link/link-pacer.js';
+import { policyIsOn } from '../policy-switches.js';
 import type { BackendView } from './backend-view.js';
 import type { DirectoryTable } from './directory-table.js';
 
 /** Bytes a ms of expected time is worth when they would cross zones. */
-const CROSS_ZONE_BYTES_PER_MS = 500;
-
-/** Answers from this size on wait for a slow network link, in bytes. */
-const LARGE_ANSWER_BYTES = 12 * 1024;
+const CROSS_ZONE_BYTES_PER_MS = policyIsOn('zone-preference') ? 50 : 500;
 
 /** Largest part of the expected time that chance adds, so that daemons do not all choose the same one. */
 const CHANCE_SHARE = 0.15;
@@ -100,7 +99,7 @@
     nowMs: number,
   ): number {
     if (daemonAddress === this.ports.daemonAddress) return 0;
-    const waitMs = answerBytes < LARGE_ANSWER_BYTES ? 0 : view.sendWaitMs(nowMs);
+    const waitMs = answerBytes < PACED_FRAME_BYTES ? 0 : view.sendWaitMs(nowMs);
     return waitMs + answerBytes / this.ports.linkBytesPerMs;
   }
 }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -7,13 +7,23 @@
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
-import { comesTooLateForLink, placeOrder, placeWaitMs, spareMs, type PlaceClaim } from './place-policy.js';
+import { LateOutlook } from './late-outlook.js';
+import {
+  comesTooLateForLink,
+  lateOrder,
+  lateWaitMs,
+  placeOrder,
+  placeWaitMs,
+  spareMs,
+  type PlaceClaim,
+} from './place-policy.js';
 import { RouteMeans } from './route-means.js';
 
 /** Pause between looks at waiting requests, in ms. */
@@ -28,8 +38,11 @@
 /** Daemons that listen up to which the pause is that short; it grows with their number, so that the cost does not. */
 const STATUS_LISTENERS = 20;
 
-/** When to come back after a refusal for want of a place, in ms. */
-const RETRY_AFTER_MS = 100;
+/** Longest time in ms after which to come back when the queue was too long. */
+const LONGEST_RETRY_AFTER_MS = 600;
+
+/** When to come back after a refusal for another reason, in ms; keys and daemons are back by then as a rule. */
+const RETRY_AFTER_CHANGE_MS = 350;
 
 /** Runs in a row that broke off, after which only one request at a time is let through as a trial. */
 const BROKEN_LIMIT = 4;
@@ -78,6 +91,10 @@
   applicant: Applicant | null;
   run: BackendRun | null;
   startedMs: number;
+  /** Slot time in ms that was counted as asked for. */
+  offeredMs: number;
+  /** Whether it waits now although it will be late. */
+  late: boolean;
   done: boolean;
 }
 
@@ -110,6 +127,7 @@
   readonly admission = new Admission(1);
   private readonly times = new RouteMeans();
   private readonly answerBytes = new RouteMeans();
+  private readonly lateOutlook = new LateOutlook();
   readonly pool: BackendPool;
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
@@ -155,16 +173,17 @@
   /** Takes a request of another daemon or of this one. */
   take(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
-    const patienceMs = Math.max(head.patienceMs, spareMs(this.claimOf(head), this.meanMs(head.route)));
     const visit: Visit = {
       head,
       body,
       reply,
       arrivedMs: nowMs,
-      expiresMs: nowMs + Math.min(head.remainingMs, patienceMs),
+      expiresMs: nowMs + this.changeWaitMs(head),
       applicant: null,
       run: null,
       startedMs: 0,
+      offeredMs: 0,
+      late: false,
       done: false,
     };
     this.counters.requests += 1;
@@ -176,6 +195,15 @@
     };
   }
 
+  /** Time in ms for which a request may wait for keys, or for the back end to tell about itself. */
+  private changeWaitMs(head: RequestHead): number {
+    const claim = this.claimOf(head);
+    const meanMs = this.meanMs(head.route);
+    const inTimeMs = Math.max(head.patienceMs, spareMs(claim, meanMs));
+    const waitMs = policyIsOn('key-patience') ? Math.max(inTimeMs, lateWaitMs(claim, 0, meanMs)) : inTimeMs;
+    return Math.min(head.remainingMs, waitMs);
+  }
+
   private meanMs(route: string): number {
     return this.times.of(route, this.admission.serviceMs);
   }
@@ -248,6 +276,8 @@
       this.refuse(visit, 'busy');
       return;
     }
+    this.countOffered(visit, meanMs);
+    let waits = false;
     const applicant: Applicant = {
       priority: head.priority,
       order: placeOrder(claim, arrivedMs, meanMs),
@@ -256,6 +286,40 @@
         this.start(visit);
       },
       expire: () => {
+        // A caller that is told at once comes back in time; one that has waited, or come back, gains no more by that.
+        if (waits || head.spentMs > 0) this.applyLate(visit);
+        else this.refuse(visit, 'busy');
+      },
+    };
+    visit.applicant = applicant;
+    this.admission.apply(applicant, nowMs);
+    waits = true;
+    if (this.admission.waitingCount > 0) this.stepSoon();
+  }
+
+  /** Goes on waiting, behind all that can be in time, as long as such waiting brings answers. */
+  private applyLate(visit: Visit): void {
+    const { head, arrivedMs } = visit;
+    const nowMs = this.ports.runtime.nowMs();
+    const claim = this.claimOf(head);
+    const waitMs = lateWaitMs(claim, nowMs - arrivedMs, this.meanMs(head.route));
+    const mayWait = waitMs > 0 && this.lateOutlook.mayWait(waitMs, this.admission.slots, nowMs);
+    if (!policyIsOn('late-waiting') || !mayWait) {
+      this.refuse(visit, 'busy');
+      return;
+    }
+    this.lateOutlook.begin();
+    visit.late = true;
+    const applicant: Applicant = {
+      priority: head.priority,
+      order: lateOrder(claim, arrivedMs),
+      expiresMs: nowMs + waitMs,
+      start: () => {
+        this.endLateWait(visit, 'place');
+        this.start(visit);
+      },
+      expire: () => {
+        this.endLateWait(visit, 'in-vain');
         this.refuse(visit, 'busy');
       },
     };
@@ -264,6 +328,19 @@
     if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
+  private endLateWait(visit: Visit, outcome: 'place' | 'in-vain' | 'withdrawn'): void {
+    if (!visit.late) return;
+    visit.late = false;
+    this.lateOutlook.end(outcome, this.ports.runtime.nowMs());
+  }
+
+  /** Load counts when it is asked for, so that a back end that is asked for too much does not look just full. */
+  private countOffered(visit: Visit, meanMs: number): void {
+    if (!policyIsOn('offered-load') || visit.offeredMs > 0) return;
+    visit.offeredMs = meanMs;
+    this.ports.onWork(visit.head.key, meanMs);
+  }
+
   /** What held when the request came must hold still when it leaves. */
   private start(visit: Visit): void {
     const { ports } = this;
@@ -303,7 +380,7 @@
       this.answerBytes.note(visit.head.route, outcome.bytes);
     }
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
-    this.ports.onWork(visit.head.key, usedMs);
+    this.ports.onWork(visit.head.key, usedMs - visit.offeredMs);
     this.count(visit, outcome, usedMs);
     this.publishSoon();
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
@@ -328,14 +405,22 @@
     const status = this.status();
     this.ports.log.event('request-refused', { requestId, reason, instance, key, waitedMs, ...status });
     // Work that finds no place is load of its key as well.
-    if (reason === 'busy') this.ports.onWork(key, this.admission.serviceMs);
-    visit.reply.refuse({ reason, arrived: false, retryAfterMs: RETRY_AFTER_MS, status });
+    if (reason === 'busy' && visit.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
+    visit.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
+  }
+
+  /** When a caller that comes back would find a place in time, in ms. */
+  private retryAfterMs(reason: RefusalReason): number {
+    if (reason !== 'busy') return RETRY_AFTER_CHANGE_MS;
+    const { serviceMs, waitingCount, slots } = this.admission;
+    return Math.round(Math.min(LONGEST_RETRY_AFTER_MS, (serviceMs * (waitingCount + 1)) / slots));
   }
 
   private cancel(visit: Visit): void {
     if (visit.done) return;
     this.waiting.delete(visit);
     if (visit.applicant !== null) this.admission.withdraw(visit.applicant);
+    this.endLateWait(visit, 'withdrawn');
     const { run } = visit;
     if (run === null) {
       visit.done = true;
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -5,11 +5,15 @@
 import type { DirectoryNotice, DirectoryRequest } from '../directory/directory-messages.js';
 import type { BackendCondition } from '../directory/directory-state.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
 
 /** Pause between renewals, in ms. */
 const RENEW_MS = 700;
 
+/** Pause between renewals while requests wait for places, in ms: their load is news. */
+const RENEW_PRESSED_MS = 300;
+
 /** Pause between attempts to register, in ms. */
 const REGISTER_RETRY_MS = 300;
 
@@ -30,6 +34,8 @@
   readonly send: (request: DirectoryRequest) => boolean;
   /** Slot time used since the last report, by bucket of keys. */
   readonly takeLoad: () => (readonly [number, number])[];
+  /** Whether requests wait for places at the back end. */
+  readonly pressed: () => boolean;
   readonly onChange: () => void;
 }
 
@@ -84,6 +90,13 @@
     this.step();
   }
 
+  /** The table shows that a late word of this daemon's earlier life still stands: it is registered anew. */
+  reconcile(known: BackendCondition): void {
+    if (known !== 'pausing' || this.backend?.condition !== 'ready') return;
+    this.dueMs = 0;
+    this.step();
+  }
+
   /** Takes an answer of the directory. */
   receive(notice: DirectoryNotice): void {
     if (!('id' in notice) || notice.id !== this.backend?.id) return;
@@ -129,7 +142,9 @@
   private step(): void {
     const { backend, ports } = this;
     const nowMs = ports.runtime.nowMs();
-    if (backend === null || nowMs < this.dueMs) return;
+    if (backend === null) return;
+    const pressed = this.currentSession !== null && policyIsOn('quick-balance') && ports.pressed();
+    if (nowMs < this.dueMs - (pressed ? RENEW_MS - RENEW_PRESSED_MS : 0)) return;
     if (this.currentSession === null || this.dueMs === 0) {
       this.dueMs = nowMs + REGISTER_RETRY_MS;
       const instance = { ...backend, daemonAddress: ports.daemonAddress };
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -35,7 +35,7 @@
 export function placeOrder(claim: PlaceClaim, arrivedMs: number, meanMs: number): number {
   const targetMs = arrivedMs + claim.targetLeftMs;
   const spare = spareMs(claim, meanMs);
-  if (spare <= 0) return targetMs + LATE_ORDER_MS;
+  if (spare <= 0) return lateOrder(claim, arrivedMs);
   return spare > claim.spentMs ? targetMs - claim.spentMs : targetMs + SECOND_TRY_ORDER_MS;
 }
 
@@ -47,6 +47,16 @@
   return backlogMs > 0 && spareMs(claim, meanMs) <= 0;
 }
 
+/** Place in the queue of a request that will be late: behind all that can be in time. */
+export function lateOrder({ targetLeftMs }: PlaceClaim, arrivedMs: number): number {
+  return arrivedMs + targetLeftMs + LATE_ORDER_MS;
+}
+
+/** Time for which a request that will be late may still wait and be answered before its deadline. */
+export function lateWaitMs({ remainingMs }: PlaceClaim, waitedMs: number, meanMs: number): number {
+  return Math.max(0, remainingMs - waitedMs - WORK_PER_MEAN * meanMs);
+}
+
 /** Time for which a request still waits. Where hardly any can be answered in time, waiting makes all of them late. */
 export function placeWaitMs(claim: PlaceClaim, waitedMs: number, meanMs: number): number {
   const least = Math.max(LEAST_PLACE_WAIT_SHARE * meanMs, claim.patienceMs);
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -7,14 +7,19 @@
 import type { LinkClient, LinkRequest } from '../link/link-client.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import type { BackendChooser } from './backend-chooser.js';
 import type { BackendView } from './backend-view.js';
 import type { Route } from './route-table.js';
 
-/** Longest pause in ms before an owner or a place is looked for again, when nothing announces a change. */
+/**
+ * Pause in ms before an owner or a place is looked for again, when nothing announces a change. It doubles each time,
+ * since every look may pass the request over the network, up to the longest.
+ */
 const LOOK_AGAIN_MS = 25;
+const LONGEST_LOOK_PAUSE_MS = 200;
 
 /** Part of the target latency for which a request may look for a place, whatever it costs its caller. */
 const LEAST_PATIENCE_SHARE = 0.25;
@@ -22,9 +27,15 @@
 /** Refusals by other daemons after which a request ends as refused. */
 const MAX_REFUSALS = 24;
 
+/** Part of the target latency that a caller that came back leaves for the work when it looks for a place. */
+const LAST_TRY_WORK_SHARE = 0.5;
+
 /** Sooner than this no answer to a refused request can differ, in ms. */
 const LEAST_RETRY_AFTER_MS = 50;
 
+/** Part of the target latency after which a refused caller is told to come back at the soonest. */
+const RETRY_AFTER_SHARE = policyIsOn('retry-hints') ? 0.5 : 0.25;
+
 /** A caller's request. */
 export interface CallerRequest {
   readonly requestId: string;
@@ -102,6 +113,7 @@
   private cancelTimeout: CancelTimer | null = null;
   private arrivals = 0;
   private refusals = 0;
+  private nextLookPauseMs = LOOK_AGAIN_MS;
   private streaming = false;
   private done = false;
   /** Whether the present attempt may have reached a back end. */
@@ -109,6 +121,8 @@
   /** Whether any attempt may have run. */
   private mayHaveRun = false;
   private lastReason = 'no back end is known';
+  /** When the last refusal said to come back, in ms; null before any did. */
+  private toldRetryAfterMs: number | null = null;
 
   constructor(
     private readonly request: CallerRequest,
@@ -165,6 +179,14 @@
     return Math.min(this.targetLeftMs() - targetLatencyMs * spentShare, this.leftMs());
   }
 
+  /** A caller that came back has no more to gain from a refusal, so it looks on for as long as work could follow. */
+  private lookingTimeMs(): number {
+    const { spentMs, route } = this.request;
+    const patienceMs = this.patienceMs();
+    if (spentMs === 0 || !policyIsOn('key-patience')) return patienceMs;
+    return Math.max(patienceMs, this.leftMs() - route.definition.targetLatencyMs * LAST_TRY_WORK_SHARE);
+  }
+
   private attempt(): void {
     const instance = this.choose();
     if (instance === null) {
@@ -193,12 +215,15 @@
 
   /** Nothing can be tried now: waits for a change of the table, or a moment, and tries anew. */
   private lookAgain(): void {
-    if (this.patienceMs() <= 0 || this.refusals >= MAX_REFUSALS) {
+    const lookingTimeMs = this.lookingTimeMs();
+    if (lookingTimeMs <= 0 || this.refusals >= MAX_REFUSALS) {
       this.endWithoutPlace();
       return;
     }
     this.excluded.clear();
-    this.cancelPause = this.ports.runtime.after(Math.min(LOOK_AGAIN_MS, this.patienceMs() + 1), () => {
+    const pauseMs = Math.min(this.nextLookPauseMs, lookingTimeMs + 1);
+    this.nextLookPauseMs = Math.min(this.nextLookPauseMs * 2, LONGEST_LOOK_PAUSE_MS);
+    this.cancelPause = this.ports.runtime.after(pauseMs, () => {
       this.cancelPause = null;
       this.attempt();
     });
@@ -279,6 +304,7 @@
     this.refusals += 1;
     if (refusal.arrived) this.arrivals += 1;
     this.lastReason = `refused: ${refusal.reason}`;
+    this.toldRetryAfterMs = refusal.retryAfterMs;
     if (refusal.reason === 'unreachable') view.noteFailure(this.ports.runtime.nowMs());
     this.excluded.add(instance.id);
     this.retryAfterRefusal(refusal);
@@ -371,7 +397,9 @@
   private giveUpNotRun(reason: string): void {
     this.finish();
     this.counters.notRun += 1;
-    const retryAfterMs = Math.max(LEAST_RETRY_AFTER_MS, this.request.route.definition.targetLatencyMs / 4);
+    const usualMs = this.request.route.definition.targetLatencyMs * RETRY_AFTER_SHARE;
+    const toldMs = policyIsOn('retry-hints') ? (this.toldRetryAfterMs ?? 0) : 0;
+    const retryAfterMs = Math.max(LEAST_RETRY_AFTER_MS, usualMs, toldMs);
     this.log('request-not-run', { reason, refusals: this.refusals });
     this.sink.giveUp({ kind: 'not-run', reason, retryAfterMs });
   }
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -20,6 +20,7 @@
     load: new KeyLoad(),
     mayBalance: true,
     movesAreCostly: false,
+    rests: () => false,
     ...parts,
   };
 }
@@ -62,7 +63,7 @@
   );
   t.true(moves.every(({ backend }) => backend === 'b'));
   const alone = planRanges(view({ ranges: [range(0, 65_535, 'a')], instances: [instance('a', 'draining')] }));
-  t.deepEqual(alone, { assignments: [], moves: [] });
+  t.deepEqual(alone, { assignments: [], moves: [], forBalance: false });
 });
 
 test('busy keys leave the busiest back end, few keys at a time', (t) => {
@@ -125,3 +126,28 @@
   t.true(moves.length > 0);
   t.true(moves.every(({ from }) => from >= 16));
 });
+
+test('a back end whose daemon is about to stop is emptied, and gets nothing', (t) => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const { moves } = planRanges(view({ ranges, instances: [instance('a', 'pausing'), instance('b')] }));
+  t.deepEqual(moves, [{ from: 0, to: 32_767, backend: 'b' }]);
+});
+
+test('keys that were moved a moment ago stay, and others are moved in their place', (t) => {
+  const load = loadAt(100, 2);
+  for (let round = 0; round < 40; round += 1) {
+    load.add([
+      [bucketOf(100), 1_500],
+      [bucketOf(5_000), 1_500],
+    ]);
+    load.closeWindow(1_000);
+  }
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const free = planRanges(view({ ranges, load }));
+  t.true(free.moves.some(({ from, to }) => from <= 100 && to >= 100));
+  load.noteMoved(96, 111, 1_000);
+  const { moves } = planRanges(view({ ranges, load, rests: (bucket) => load.rests(bucket, 5_000) }));
+  t.true(moves.length > 0);
+  t.false(moves.some(({ from, to }) => from <= 100 && to >= 100));
+  t.false(load.rests(bucketOf(100), 9_001));
+});
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -29,6 +29,10 @@
   readonly time = new ManualTime();
   readonly broadcasts: StatusHead[] = [];
   readonly refusals: string[] = [];
+  readonly retryAfterMs: number[] = [];
+  /** Slot time that was counted, in ms. */
+  work = 0;
+  holdsKey = true;
   listeners = 1;
   closesAtMs = Infinity;
 
@@ -46,9 +50,9 @@
       awaitsBackend: () => false,
       closesAtMs: () => this.closesAtMs,
       leaving: () => false,
-      holdsKey: () => true,
+      holdsKey: () => this.holdsKey,
       ownsKey: () => true,
-      onWork: () => undefined,
+      onWork: (_key, ms) => (this.work += ms),
       onBackendRefused: () => undefined,
       broadcast: (status) => this.broadcasts.push(status),
       listeners: () => this.listeners,
@@ -59,7 +63,10 @@
 
   reply(): RequestReply {
     return {
-      refuse: ({ reason }) => this.refusals.push(reason),
+      refuse: ({ reason, retryAfterMs }) => {
+        this.refusals.push(reason);
+        this.retryAfterMs.push(retryAfterMs);
+      },
       fail: () => undefined,
       answer: () => undefined,
       body: () => true,
@@ -105,3 +112,70 @@
   t.is(gateway.status()?.sendWaitMs, 500);
   gateway.stop();
 });
+
+/** Fills both places and lets `waiting` more requests wait for one. */
+async function fullGateway(world: World, waiting = 0): Promise<BackendGateway> {
+  const gateway = await world.gateway();
+  for (let taken = 0; taken < 2 + waiting; taken += 1) gateway.take(HEAD, Buffer.alloc(0), world.reply());
+  return gateway;
+}
+
+test('a first try that would wait for too long is told at once when to come back', async (t) => {
+  const world = new World();
+  const gateway = await fullGateway(world, 40);
+  const refusedBefore = world.refusals.length;
+  gateway.take(HEAD, Buffer.alloc(0), world.reply());
+  t.is(world.refusals.length, refusedBefore + 1);
+  t.true((world.retryAfterMs.at(-1) ?? 0) > 100, 'the queue is long');
+  gateway.stop();
+});
+
+test('one that came back waits behind all others until no time is left for its work', async (t) => {
+  const world = new World();
+  const gateway = await fullGateway(world);
+  const late = { ...HEAD, targetLeftMs: 0, patienceMs: 0, remainingMs: 1_000, spentMs: 700 };
+  gateway.take(late, Buffer.alloc(0), world.reply());
+  world.time.pass(900);
+  t.deepEqual(world.refusals, []);
+  world.time.pass(100);
+  t.deepEqual(world.refusals, ['busy']);
+  gateway.stop();
+});
+
+test('where such waiting brings nothing it ends at once', async (t) => {
+  const world = new World();
+  const gateway = await fullGateway(world);
+  const late = { ...HEAD, targetLeftMs: 0, patienceMs: 0, remainingMs: 300, spentMs: 1_400 };
+  for (let taken = 0; taken < 3; taken += 1) {
+    gateway.take(late, Buffer.alloc(0), world.reply());
+    world.time.pass(300);
+  }
+  t.is(world.refusals.length, 3);
+  gateway.take({ ...late, remainingMs: 1_000 }, Buffer.alloc(0), world.reply());
+  world.time.pass(60);
+  t.is(world.refusals.length, 4);
+  gateway.stop();
+});
+
+test('load counts once, when it is asked for', async (t) => {
+  const world = new World();
+  const gateway = await world.gateway();
+  gateway.take({ ...HEAD, key: 7 }, Buffer.alloc(0), world.reply());
+  const asked = world.work;
+  t.true(asked > 0);
+  world.time.pass(20);
+  t.is(world.work, asked);
+  gateway.stop();
+});
+
+test('a request waits for keys that are on their way for as long as work could follow', async (t) => {
+  const world = new World();
+  world.holdsKey = false;
+  const gateway = await world.gateway();
+  gateway.take({ ...HEAD, key: 7 }, Buffer.alloc(0), world.reply());
+  world.time.pass(1_900);
+  t.deepEqual(world.refusals, []);
+  world.time.pass(100);
+  t.deepEqual(world.refusals, ['not-owner']);
+  gateway.stop();
+});
--- /dev/null
+++ b/test/sidecar/lease-keeper.test.ts
@@ -0,0 +1,58 @@
+/** When a daemon renews its lease, and when it registers its back end anew. */
+import test from 'ava';
+import type { DirectoryRequest } from '../../src/directory/directory-messages.js';
+import { LeaseKeeper } from '../../src/sidecar/lease-keeper.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { ManualTime } from './manual-runtime.js';
+
+const BACKEND = { id: 'life-1', service: 's', zone: 'z', slots: 4, condition: 'ready' } as const;
+
+class World {
+  readonly time = new ManualTime();
+  readonly sent: DirectoryRequest[] = [];
+  pressed = false;
+  readonly keeper = new LeaseKeeper({
+    runtime: this.time.runtime,
+    log: SILENT_EVENT_LOG,
+    daemonAddress: 'h:1',
+    send: (request) => {
+      this.sent.push(request);
+      return true;
+    },
+    takeLoad: () => [],
+    pressed: () => this.pressed,
+    onChange: () => undefined,
+  });
+
+  register(): void {
+    this.keeper.update(BACKEND);
+    const sentMs = this.time.nowMs;
+    this.keeper.receive({ kind: 'registered', id: BACKEND.id, session: 5, sentMs, termMs: 9_000 });
+    this.time.pass(300);
+    this.sent.length = 0;
+  }
+}
+
+for (const { pressed, renewals } of [
+  { pressed: false, renewals: 3 },
+  { pressed: true, renewals: 7 },
+]) {
+  test(`load is reported ${renewals} times in 2.1 s ${pressed ? 'while requests wait' : 'as a rule'}`, (t) => {
+    const world = new World();
+    world.register();
+    world.pressed = pressed;
+    world.time.pass(2_100);
+    t.is(world.sent.filter(({ kind }) => kind === 'renew').length, renewals);
+    world.keeper.stop();
+  });
+}
+
+test('a back end that the table still calls pausing is registered as ready again', (t) => {
+  const world = new World();
+  world.register();
+  world.keeper.reconcile('draining');
+  t.deepEqual(world.sent, []);
+  world.keeper.reconcile('pausing');
+  t.like(world.sent, [{ kind: 'register', instance: { condition: 'ready' } }]);
+  world.keeper.stop();
+});
--- a/test/sidecar/place-policy.test.ts
+++ b/test/sidecar/place-policy.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import {
   comesTooLateForLink,
+  lateOrder,
+  lateWaitMs,
   placeOrder,
   placeWaitMs,
   spareMs,
@@ -55,3 +57,10 @@
   t.false(comesTooLateForLink(claim({ targetLeftMs: 200 }), 400, MEAN_MS));
   t.false(comesTooLateForLink(claim({ targetLeftMs: 120 }), 0, MEAN_MS), 'a free link is used all the same');
 });
+
+test('one that will be late goes behind all others, and waits until no time is left for its work', (t) => {
+  const late = claim({ remainingMs: 1_000, targetLeftMs: 300 });
+  t.true(lateOrder(late, NOW_MS) > placeOrder(claim({ spentMs: 900 }), NOW_MS, MEAN_MS));
+  t.is(lateWaitMs(late, 400, MEAN_MS), 470);
+  t.is(lateWaitMs(late, 900, MEAN_MS), 0);
+});
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -254,3 +254,17 @@
   const late = forward({ a: [ANSWER] }, { spentMs: 399.5 });
   t.deepEqual([late.kept, late.sampled], [['request-answered'], []]);
 });
+
+test('when to come back is what the refusing daemon says', (t) => {
+  const outcome = forward({
+    a: [
+      (handlers) => handlers.onRefusal({ reason: 'busy', arrived: false, retryAfterMs: 321, status: null }),
+    ],
+  });
+  t.like(outcome.givenUp, { kind: 'not-run', retryAfterMs: 321 });
+});
+
+test('a caller that came back looks on for a back end while work could follow', (t) => {
+  t.is(forward({}, { passMs: 550, spentMs: 300 }).result, '');
+  t.is(forward({}, { passMs: 650, spentMs: 300 }).result, 'not-run');
+});
