--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -6,7 +6,7 @@
 import { encodeFrame } from '../transport/frame-codec.js';
 import type { DirectoryChange } from './directory-commands.js';
 import type { DirectoryNotice } from './directory-messages.js';
-import { encodeDirectory, type DirectoryState } from './directory-state.js';
+import { encodeDirectory, type ConfigurationItem, type DirectoryState } from './directory-state.js';
 
 /** Published changes that are kept for watchers that come back. */
 const KEPT_CHANGES = 1_024;
@@ -50,7 +50,7 @@
   publish(index: number, changes: readonly DirectoryChange[]): void {
     if (changes.length === 0) return;
     this.encodedTable = null;
-    const frame = encodeNotice({ kind: 'changes', index, changes });
+    const frame = encodeNotice({ kind: 'changes', index, changes: changes.map(withoutItemSources) });
     this.recent.push({ index, frame });
     if (this.recent.length > KEPT_CHANGES) this.recentSince = this.recent.shift()?.index ?? index;
     for (const watcher of this.watchers) watcher.sendEncoded(frame);
@@ -88,8 +88,17 @@
   }
 }
 
+/** Watchers route by definitions; only operators read what was written. */
 function withoutSources(table: ReturnType<typeof encodeDirectory>): ReturnType<typeof encodeDirectory> {
-  return { ...table, accepted: [], items: table.items.map((item) => ({ ...item, source: null })) };
+  return { ...table, accepted: [], items: table.items.map(withoutSource) };
+}
+
+function withoutItemSources(change: DirectoryChange): DirectoryChange {
+  return change.kind === 'items' ? { ...change, items: change.items.map(withoutSource) } : change;
+}
+
+function withoutSource(item: ConfigurationItem): ConfigurationItem {
+  return { ...item, source: null };
 }
 
 function encodeNotice(notice: DirectoryNotice): Buffer {
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -109,4 +109,5 @@
   | { readonly kind: 'items'; readonly items: readonly ConfigurationItem[] }
   | { readonly kind: 'instance'; readonly instance: BackendInstance }
   | { readonly kind: 'instance-gone'; readonly id: string }
+  /** These ranges stand in the place of those that they overlap; the others are as they were. */
   | { readonly kind: 'ranges'; readonly service: string; readonly ranges: readonly KeyRange[] };
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -24,7 +24,7 @@
   type DirectoryState,
   type KeyRange,
 } from './directory-state.js';
-import { changeSpan, joinNeighbours, unownedRanges } from './key-ranges.js';
+import { changeSpan, changedRanges, joinNeighbours, unownedRanges } from './key-ranges.js';
 
 /** Accepted revisions that are remembered, so that a resend gets the same answer. */
 const REMEMBERED_REVISIONS = 1_024;
@@ -258,9 +258,10 @@
 }
 
 function putRanges(state: DirectoryState, service: string, ranges: readonly KeyRange[]): DirectoryChange {
+  const before = state.ranges.get(service) ?? [];
   const joined = joinNeighbours(ranges);
   state.ranges.set(service, joined);
-  return { kind: 'ranges', service, ranges: joined };
+  return { kind: 'ranges', service, ranges: changedRanges(before, joined) };
 }
 
 function unchanged(outcome: DirectoryOutcome): AppliedCommand {
--- a/src/directory/key-ranges.ts
+++ b/src/directory/key-ranges.ts
@@ -42,6 +42,24 @@
   return result;
 }
 
+/** The ranges of `after` that do not stand in `before` as they are. */
+export function changedRanges(before: readonly KeyRange[], after: readonly KeyRange[]): readonly KeyRange[] {
+  const known = new Map(before.map((range) => [range.from, range]));
+  return after.filter((range) => {
+    const same = known.get(range.from);
+    return same?.to !== range.to || !isSameOwnership(same, range);
+  });
+}
+
+/** Puts ranges in the place of those that they overlap; the opposite of `changedRanges`. */
+export function overlayRanges(
+  ranges: readonly KeyRange[],
+  changed: readonly KeyRange[],
+): readonly KeyRange[] {
+  const kept = ranges.filter((range) => !changed.some((other) => overlap(range, other)));
+  return [...kept, ...changed].sort((left, right) => left.from - right.from);
+}
+
 /** The range that holds `key`; ranges are found by halving. */
 export function rangeOf(ranges: readonly KeyRange[], key: number): KeyRange | null {
   let low = 0;
@@ -57,6 +75,10 @@
   return null;
 }
 
+function overlap(left: KeySpan, right: KeySpan): boolean {
+  return left.from <= right.to && right.from <= left.to;
+}
+
 function isSameOwnership(left: KeyRange, right: KeyRange): boolean {
   const sameOwner = left.owner === right.owner && left.session === right.session;
   const sameMove = left.movingTo === right.movingTo && left.fence === right.fence;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -20,6 +20,7 @@
   lateOrder,
   lateWaitMs,
   placeOrder,
+  placeRank,
   placeWaitMs,
   spareMs,
   type PlaceClaim,
@@ -279,7 +280,7 @@
     this.countOffered(visit, meanMs);
     let waits = false;
     const applicant: Applicant = {
-      priority: head.priority,
+      priority: this.rankOf(head),
       order: placeOrder(claim, arrivedMs, meanMs),
       expiresMs: nowMs + placeWaitMs(claim, nowMs - arrivedMs, meanMs),
       start: () => {
@@ -328,6 +329,11 @@
     if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
+  private rankOf({ priority, route }: RequestHead): number {
+    if (!policyIsOn('short-work-first')) return priority;
+    return placeRank(priority, this.meanMs(route), this.times.largest);
+  }
+
   private endLateWait(visit: Visit, outcome: 'place' | 'in-vain' | 'withdrawn'): void {
     if (!visit.late) return;
     visit.late = false;
--- a/src/sidecar/directory-table.ts
+++ b/src/sidecar/directory-table.ts
@@ -12,6 +12,7 @@
   type LimitsDefinition,
   type ServiceDefinition,
 } from '../directory/directory-state.js';
+import { overlayRanges } from '../directory/key-ranges.js';
 import { RouteTable } from './route-table.js';
 
 /** Limits that hold while the configuration names none. */
@@ -107,7 +108,7 @@
         this.rebuildInstances();
         break;
       case 'ranges':
-        this.state.ranges.set(change.service, change.ranges);
+        this.state.ranges.set(change.service, overlayRanges(this.rangesOf(change.service), change.ranges));
         break;
     }
   }
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -47,6 +47,20 @@
   return backlogMs > 0 && spareMs(claim, meanMs) <= 0;
 }
 
+/** Part of the longest work at a back end up to which work is short. */
+const SHORT_WORK_SHARE = 0.5;
+
+/** Rank that goes before every rank of a route. */
+const SHORT_WORK_RANK = -1;
+
+/**
+ * Rank at one back end. Short work goes first, since it delays others little: such requests are mostly calls of back
+ * ends that keep a place elsewhere until they are answered, and those places would be lost to all who wait there.
+ */
+export function placeRank(priority: number, meanMs: number, longestMs: number): number {
+  return meanMs <= longestMs * SHORT_WORK_SHARE ? SHORT_WORK_RANK : priority;
+}
+
 /** Place in the queue of a request that will be late: behind all that can be in time. */
 export function lateOrder({ targetLeftMs }: PlaceClaim, arrivedMs: number): number {
   return arrivedMs + targetLeftMs + LATE_ORDER_MS;
--- a/src/sidecar/route-means.ts
+++ b/src/sidecar/route-means.ts
@@ -19,6 +19,13 @@
     if (first.done !== true) this.means.delete(first.value);
   }
 
+  /** The largest mean of any route; 0 before any was seen. */
+  get largest(): number {
+    let largest = 0;
+    for (const mean of this.means.values()) largest = Math.max(largest, mean);
+    return largest;
+  }
+
   /** Mean of the route; `otherwise` before any was seen. */
   of(route: string, otherwise: number): number {
     return this.means.get(route) ?? otherwise;
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -20,6 +20,7 @@
       return true;
     },
     takeLoad: () => [],
+    serviceMs: () => null,
     pressed: () => this.pressed,
     onChange: () => undefined,
   });
--- a/test/sidecar/place-policy.test.ts
+++ b/test/sidecar/place-policy.test.ts
@@ -4,6 +4,7 @@
   lateOrder,
   lateWaitMs,
   placeOrder,
+  placeRank,
   placeWaitMs,
   spareMs,
   type PlaceClaim,
@@ -64,3 +65,13 @@
   t.is(lateWaitMs(late, 400, MEAN_MS), 470);
   t.is(lateWaitMs(late, 900, MEAN_MS), 0);
 });
+
+for (const { name, meanMs, longestMs, rank } of [
+  { name: 'short work goes before every rank', meanMs: 50, longestMs: 150, rank: -1 },
+  { name: 'long work goes by its rank', meanMs: 100, longestMs: 150, rank: 2 },
+  { name: 'the longest work by its rank', meanMs: 150, longestMs: 150, rank: 2 },
+]) {
+  test(name, (t) => {
+    t.is(placeRank(2, meanMs, longestMs), rank);
+  });
+}
