Speeds of back ends leave the planner again

Cause: endpoints differ in speed, and a key that fills a slow one was to go to a fast one. Change: reverted.

--- a/src/directory/directory-duties.ts
+++ b/src/directory/directory-duties.ts
@@ -2,13 +2,7 @@
 import { policyIsOn } from '../policy-switches.js';
 import type { Proposals } from '../control/proposals.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
-import { BackendSpeeds } from './backend-speeds.js';
-import {
-  serviceDefinition,
-  type BackendInstance,
-  type DirectoryState,
-  type KeyRange,
-} from './directory-state.js';
+import { serviceDefinition, type DirectoryState, type KeyRange } from './directory-state.js';
 import { KeyLoad } from './key-load.js';
 import { planRanges, type RangePlan } from './range-planner.js';
 
@@ -21,17 +15,8 @@
 /** Pause after a move for balance, in ms: the load must be seen anew first. */
 const BALANCE_PAUSE_MS = policyIsOn('quick-balance') ? 1_000 : 2_000;
 
-/** What a daemon tells of the load of its back end. */
-export interface LoadReport {
-  /** Slot time asked for since the last report, as [bucket of keys, ms]. */
-  readonly load: readonly (readonly [number, number])[];
-  /** Mean time in ms that a request keeps its place; null while that is not known. */
-  readonly serviceMs: number | null;
-}
-
 interface ServiceProgress {
   readonly load: KeyLoad;
-  readonly speeds: BackendSpeeds;
   instancesSeen: number;
   lastJoinMs: number;
   proposalUnderWay: boolean;
@@ -55,11 +40,8 @@
   }
 
   /** A daemon reports the load of its back end. */
-  reportLoad({ id, service }: BackendInstance, { load, serviceMs }: LoadReport, nowMs: number): void {
-    if (load.length === 0) return;
-    const progress = this.progressOf(service, nowMs);
-    progress.speeds.note(id, serviceMs);
-    progress.load.add(load, policyIsOn('back-end-speeds') ? progress.speeds.speedOf(id) : 1);
+  reportLoad(service: string, load: readonly (readonly [number, number])[], nowMs: number): void {
+    if (load.length > 0) this.progressOf(service, nowMs).load.add(load);
   }
 
   /** Plans every keyed service that no earlier plan is under way for. */
@@ -74,7 +56,6 @@
     if (instances.length !== progress.instancesSeen) {
       progress.instancesSeen = instances.length;
       progress.lastJoinMs = nowMs;
-      progress.speeds.keepOnly(new Set(instances.map(({ id }) => id)));
     }
     const neverAssigned = ranges.every(({ fence }) => fence === 0);
     if (neverAssigned && nowMs - progress.lastJoinMs < FIRST_ASSIGNMENT_QUIET_MS) return;
@@ -84,8 +65,7 @@
     const movesAreCostly = definition?.grantMode === 'heartbeat';
     const { load } = progress;
     const rests = (bucket: number): boolean => policyIsOn('move-rest') && load.rests(bucket, nowMs);
-    const speedOf = (id: string): number => (policyIsOn('back-end-speeds') ? progress.speeds.speedOf(id) : 1);
-    const plan = planRanges({ ranges, instances, load, mayBalance, movesAreCostly, rests, speedOf });
+    const plan = planRanges({ ranges, instances, load, mayBalance, movesAreCostly, rests });
     if (plan.assignments.length === 0 && plan.moves.length === 0) return;
     if (mayBalance) progress.balanceDueMs = nowMs + BALANCE_PAUSE_MS;
     if (plan.forBalance) for (const { from, to } of plan.moves) load.noteMoved(from, to, nowMs);
@@ -120,7 +100,6 @@
     if (known !== undefined) return known;
     const progress: ServiceProgress = {
       load: new KeyLoad(),
-      speeds: new BackendSpeeds(),
       instancesSeen: 0,
       lastJoinMs: nowMs,
       proposalUnderWay: false,
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -98,10 +98,10 @@
   }
 
   private async renew(request: RenewRequest, answer: Answer): Promise<void> {
-    const { id, session, sentMs } = request;
+    const { id, session, sentMs, load } = request;
     const receivedMs = this.ports.nowMs();
     const known = this.ports.state().instances.get(id);
-    if (known?.session === session) this.duties.reportLoad(known, request, receivedMs);
+    if (known?.session === session) this.duties.reportLoad(known.service, load, receivedMs);
     await this.grant('renewed', id, session, receivedMs, sentMs, answer);
   }
 
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -33,8 +33,6 @@
   sentMs: z.number(),
   /** Slot time used since the last report, as [bucket of keys, ms]. */
   load: z.array(z.tuple([z.number(), z.number()])),
-  /** Mean time in ms that a request keeps its place at the back end; null while that is not known. */
-  serviceMs: z.nullable(z.number()),
 });
 
 const conditionSchema = z.object({
--- a/src/directory/key-load.ts
+++ b/src/directory/key-load.ts
@@ -19,7 +19,7 @@
   return Math.floor(key / KEYS_PER_BUCKET);
 }
 
-/** Load of one service: slots of a back end of middle speed in use on average, by bucket. */
+/** Load of one service: slots in use on average, by bucket. */
 export class KeyLoad {
   /** Slots in use on average. */
   readonly slots = new Float64Array(BUCKETS);
@@ -48,10 +48,10 @@
     return (this.slots[bucket] ?? 0) + this.assumedPerKey * KEYS_PER_BUCKET;
   }
 
-  /** Adds slot time in ms by bucket, at a back end of a speed; see `BackendSpeeds`. */
-  add(load: readonly (readonly [number, number])[], speed = 1): void {
+  /** Adds slot time that was asked for, in ms, by bucket. */
+  add(load: readonly (readonly [number, number])[]): void {
     for (const [bucket, busyMs] of load) {
-      if (bucket >= 0 && bucket < BUCKETS) this.window[bucket] = (this.window[bucket] ?? 0) + busyMs * speed;
+      if (bucket >= 0 && bucket < BUCKETS) this.window[bucket] = (this.window[bucket] ?? 0) + busyMs;
     }
   }
 
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -37,15 +37,6 @@
   ? { utilization: 0.65, difference: 0.25 }
   : { utilization: 0.5, difference: 0.25 };
 
-/** When a bucket that fills its back end is moved as a whole. */
-const HEAVY_LIMITS: BalanceLimits = { utilization: 0.7, difference: 0.15 };
-
-/** Load from which on a bucket cannot be helped by moving others away from it, in slots. */
-const HEAVY_BUCKET_LOAD = 1.5;
-
-/** What a back end must be faster by to be given such a bucket. */
-const FASTER_BY = 1.2;
-
 /** Part of all slots that unknown load is taken to need, spread evenly over the keys. */
 const ASSUMED_SHARE_OF_SLOTS = 0.1;
 
@@ -65,8 +56,6 @@
   readonly movesAreCostly: boolean;
   /** Whether a bucket of keys must stay where it is, unless its owner leaves. */
   readonly rests: (bucket: number) => boolean;
-  /** Speed of a back end beside the others, 1 being the middle. */
-  readonly speedOf: (id: string) => number;
 }
 
 /** What is to be done. */
@@ -82,7 +71,6 @@
 /** A back end that can take keys, and how busy it will be. */
 interface Candidate {
   readonly id: string;
-  /** Slots, by how fast the back end is. */
   readonly slots: number;
   busy: number;
   keys: number;
@@ -114,9 +102,9 @@
   return condition !== 'ready';
 }
 
-function makeCandidates({ ranges, instances, load, speedOf }: RangeView): Candidate[] {
+function makeCandidates({ ranges, instances, load }: RangeView): Candidate[] {
   const ready = instances.filter((instance) => !isLeaving(instance));
-  const candidates = ready.map(({ id, slots }) => ({ id, slots: slots * speedOf(id), busy: 0, keys: 0 }));
+  const candidates = ready.map(({ id, slots }) => ({ id, slots, busy: 0, keys: 0 }));
   const byId = new Map(candidates.map((candidate) => [candidate.id, candidate]));
   for (const range of ranges) {
     const holder = byId.get(range.movingTo ?? range.owner ?? '');
@@ -221,8 +209,6 @@
   const idlest = leastBusy(candidates);
   if (idlest === null) return null;
   for (const giver of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
-    const heavy = heavyBucketMove(giver, view, candidates);
-    if (heavy !== null) return heavy;
     if (giver === idlest || !isOutOfBalance(giver, idlest, limits)) return null;
     const wanted = ((utilization(giver) - utilization(idlest)) / 2) * Math.min(giver.slots, idlest.slots);
     const owned = ranges.filter(({ owner, movingTo }) => owner === giver.id && movingTo === null);
@@ -236,58 +222,6 @@
   return null;
 }
 
-/** One bucket that fills a slow back end goes to one that is fast enough for it; what else is there leaves it then. */
-function heavyBucketMove(
-  giver: Candidate,
-  { ranges, load, rests }: RangeView,
-  candidates: readonly Candidate[],
-): SpanTarget | null {
-  if (!policyIsOn('back-end-speeds') || utilization(giver) < HEAVY_LIMITS.utilization) return null;
-  const heaviest = heaviestBucket(ranges, giver.id, load);
-  if (heaviest === null || rests(heaviest.bucket)) return null;
-  const taker = leastBusyWith(heaviest.load, giver, candidates);
-  if (taker === null) return null;
-  const before = utilization(giver);
-  const after = (taker.busy + heaviest.load) / taker.slots;
-  if (before - after < HEAVY_LIMITS.difference) return null;
-  giver.busy -= heaviest.load;
-  taker.busy += heaviest.load;
-  return { ...heaviest.span, backend: taker.id };
-}
-
-interface LoadedBucket {
-  readonly bucket: number;
-  readonly load: number;
-  readonly span: KeySpan;
-}
-
-/** The bucket that carries most at one back end; null unless it carries much of what is there. */
-function heaviestBucket(ranges: readonly KeyRange[], owner: string, load: KeyLoad): LoadedBucket | null {
-  let best: LoadedBucket | null = null;
-  for (const range of ranges) {
-    if (range.owner !== owner || range.movingTo !== null) continue;
-    for (let bucket = bucketOf(range.from); bucket <= bucketOf(range.to); bucket += 1) {
-      const bucketLoad = load.ofBucket(bucket);
-      if (bucketLoad < HEAVY_BUCKET_LOAD || bucketLoad <= (best?.load ?? 0)) continue;
-      best = { bucket, load: bucketLoad, span: spanOfBuckets(range, bucket, bucket) };
-    }
-  }
-  return best;
-}
-
-/** Of the back ends that are clearly faster, the one that would be the least busy with so much more. */
-function leastBusyWith(more: number, giver: Candidate, candidates: readonly Candidate[]): Candidate | null {
-  let best: Candidate | null = null;
-  let bestBusy = Infinity;
-  for (const candidate of candidates) {
-    const busy = (candidate.busy + more) / candidate.slots;
-    if (candidate.slots < giver.slots * FASTER_BY || busy >= bestBusy) continue;
-    best = candidate;
-    bestBusy = busy;
-  }
-  return best;
-}
-
 function utilization({ busy, slots }: Candidate): number {
   return busy / slots;
 }
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -17,8 +17,6 @@
   | 'offered-load'
   /** Load is reported and planned sooner while requests wait. */
   | 'quick-balance'
-  /** Back ends that are faster than others get more keys, and the key that fills a slow one. */
-  | 'back-end-speeds'
   /** Keys that were moved for balance stay where they are for some time. */
   | 'move-rest'
   /** Short work gets the next place, whatever its rank. */
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -20,9 +20,6 @@
 /** Weight of the newest sample in the mean service time. */
 const NEWEST_WEIGHT = 0.1;
 
-/** Requests after which the mean says something of the back end. */
-const LEAST_SAMPLES = 20;
-
 /** Service time that is assumed before any was seen, in ms. */
 const ASSUMED_SERVICE_MS = 50;
 
@@ -36,7 +33,6 @@
   private running = 0;
   private readonly waiting: Applicant[] = [];
   private meanMs = ASSUMED_SERVICE_MS;
-  private samples = 0;
 
   constructor(private slotCount: number) {}
 
@@ -60,11 +56,6 @@
     return this.meanMs;
   }
 
-  /** The same; null before enough requests were seen. */
-  get seenServiceMs(): number | null {
-    return this.samples < LEAST_SAMPLES ? null : this.meanMs;
-  }
-
   /** Sets the number of places. */
   resize(slots: number): void {
     this.slotCount = slots;
@@ -90,7 +81,6 @@
   /** A request gives its place back; `usedMs` is the time for which it had it. */
   leave(usedMs: number): void {
     this.running -= 1;
-    this.samples += 1;
     this.meanMs += (usedMs - this.meanMs) * NEWEST_WEIGHT;
     this.fill();
   }
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -34,8 +34,6 @@
   readonly send: (request: DirectoryRequest) => boolean;
   /** Slot time used since the last report, by bucket of keys. */
   readonly takeLoad: () => (readonly [number, number])[];
-  /** Mean time in ms that a request keeps its place at the back end; null while that is not known. */
-  readonly serviceMs: () => number | null;
   /** Whether requests wait for places at the back end. */
   readonly pressed: () => boolean;
   readonly onChange: () => void;
@@ -155,13 +153,6 @@
     }
     this.dueMs = nowMs + RENEW_MS;
     const load = ports.takeLoad().map(([bucket, ms]): [number, number] => [bucket, ms]);
-    ports.send({
-      kind: 'renew',
-      id: backend.id,
-      session: this.currentSession,
-      sentMs: nowMs,
-      load,
-      serviceMs: ports.serviceMs(),
-    });
+    ports.send({ kind: 'renew', id: backend.id, session: this.currentSession, sentMs: nowMs, load });
   }
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -271,7 +271,6 @@
       daemonAddress: formatAddress(this.settings.advertisedLinks),
       send: (request) => this.directory.send(request),
       takeLoad: () => this.load.take(),
-      serviceMs: () => this.gateway.admission.seenServiceMs,
       pressed: () => this.gateway.admission.waitingCount > 0,
       onChange: () => {
         this.tableChanged();
