--- a/lab/emulator/strategies.ts
+++ b/lab/emulator/strategies.ts
@@ -36,7 +36,7 @@
 export type StrategyMaker = (random: Random) => Strategy;
 
 /**
- * New owner after a loss: p50 of `hollow` at 1,100 daemons and 120,000 shards (docs/CAPACITY.md). Planned moves
+ * New owner after a loss: p50 of the one run at 1,100 daemons and 120,000 shards (docs/CAPACITY.md). Planned moves
  * showed no unavailable time in drain runs (docs/PROMISES.md).
  */
 const ALDERTIDE_REPAIR_SECONDS = 2.1;
