A gateway that stops refuses what waits; late waits and handovers are told

Cause: by reading: a stop expired what waited, and a request that may wait although late began to wait anew at a gateway that was gone, so that its caller was told 'unknown' where 'not run' is known. Change: a stopped gateway admits no late wait. Counters of late waits, an event when keys are handed over before a stop. Test: backend-gateway 'when the daemon stops, what waits is refused', seen to fail without the change.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -14,7 +14,7 @@
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
-import { LateOutlook } from './late-outlook.js';
+import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import {
   comesTooLateForLink,
   lateOrder,
@@ -128,7 +128,7 @@
   readonly admission = new Admission(1);
   private readonly times = new RouteMeans();
   private readonly answerBytes = new RouteMeans();
-  private readonly lateOutlook = new LateOutlook();
+  readonly lateOutlook = new LateOutlook();
   readonly pool: BackendPool;
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
@@ -136,6 +136,7 @@
   private brokenInRow = 0;
   private lastTrialMs = -Infinity;
   private lastStatus = '';
+  private stopped = false;
   private cancelStep: CancelTimer | null = null;
   private cancelPublish: CancelTimer | null = null;
 
@@ -236,6 +237,7 @@
 
   /** Stops everything; what runs is broken off. */
   stop(): void {
+    this.stopped = true;
     this.cancelStep?.();
     this.cancelPublish?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
@@ -304,8 +306,8 @@
     const nowMs = this.ports.runtime.nowMs();
     const claim = this.claimOf(head);
     const waitMs = lateWaitMs(claim, nowMs - arrivedMs, this.meanMs(head.route));
-    const mayWait = waitMs > 0 && this.lateOutlook.mayWait(waitMs, this.admission.slots, nowMs);
-    if (!policyIsOn('late-waiting') || !mayWait) {
+    const possible = policyIsOn('late-waiting') && !this.stopped && waitMs > 0;
+    if (!possible || !this.lateOutlook.mayWait(waitMs, this.admission.slots, nowMs)) {
       this.refuse(visit, 'busy');
       return;
     }
@@ -334,7 +336,7 @@
     return placeRank(priority, this.meanMs(route), this.times.largest);
   }
 
-  private endLateWait(visit: Visit, outcome: 'place' | 'in-vain' | 'withdrawn'): void {
+  private endLateWait(visit: Visit, outcome: LateWaitOutcome): void {
     if (!visit.late) return;
     visit.late = false;
     this.lateOutlook.end(outcome, this.ports.runtime.nowMs());
--- a/src/sidecar/late-outlook.ts
+++ b/src/sidecar/late-outlook.ts
@@ -19,8 +19,13 @@
 /** Part of the places at a back end that late requests may wait for when nothing was seen yet. */
 const TRIAL_SHARE_OF_SLOTS = 0.34;
 
+/** How a late wait ends: with a place, without one, or because the caller left. */
+export type LateWaitOutcome = 'place' | 'in-vain' | 'withdrawn';
+
 /** What became of late waits at one back end. */
 export class LateOutlook {
+  /** Ended waits, by how they ended. */
+  readonly counters: Record<LateWaitOutcome, number> = { place: 0, 'in-vain': 0, withdrawn: 0 };
   private share = 1;
   private notedMs = -Infinity;
   private waitingCount = 0;
@@ -46,8 +51,9 @@
   }
 
   /** One no longer waits: it got a place, waited in vain, or its caller left. */
-  end(outcome: 'place' | 'in-vain' | 'withdrawn', nowMs: number): void {
+  end(outcome: LateWaitOutcome, nowMs: number): void {
     this.waitingCount -= 1;
+    this.counters[outcome] += 1;
     if (outcome === 'withdrawn') return;
     if (outcome === 'place') this.placesMs.push(nowMs);
     const share = this.shareAt(nowMs);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -21,6 +21,14 @@
   metrics.value('backend_broken', 'Runs without a whole answer', () => gateway.counters.broken);
   metrics.value('backend_running', 'Requests at the back end', () => gateway.admission.runningCount);
   metrics.value('backend_waiting', 'Requests that wait for a place', () => gateway.admission.waitingCount);
+  metrics.value(
+    'backend_waiting_late',
+    'Of these, requests that will be late',
+    () => gateway.lateOutlook.waiting,
+  );
+  metrics.family('late_waits', 'Ended waits of late requests, by how they ended', 'outcome', () =>
+    Object.entries(gateway.lateOutlook.counters),
+  );
   metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
   metrics.value('backend_connections_opened', 'Connections opened to it', () => gateway.pool.opened);
   metrics.value('table_index', 'Index of the table in force', () => node.table.index);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -246,9 +246,11 @@
   /** The keys of the back end go to others while both can still serve; they come back by load. */
   private handOver(): void {
     if (!policyIsOn('handover-before-stop') || !this.isKeyed()) return;
-    this.pausing = true;
     const { heartbeat } = this.backend;
-    if (heartbeat !== null) this.updateLease(heartbeat);
+    if (heartbeat === null) return;
+    this.pausing = true;
+    this.log.event('keys-handed-over', { instance: heartbeat.id });
+    this.updateLease(heartbeat);
   }
 
   private close(): void {
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -179,3 +179,11 @@
   t.deepEqual(world.refusals, ['not-owner']);
   gateway.stop();
 });
+
+test('when the daemon stops, what waits is refused and does not begin to wait anew', async (t) => {
+  const world = new World();
+  const gateway = await fullGateway(world, 2);
+  gateway.stop();
+  t.deepEqual(world.refusals, ['busy', 'busy']);
+  t.is(gateway.admission.waitingCount, 0);
+});
