--- a/src/directory/directory-duties.ts
+++ b/src/directory/directory-duties.ts
@@ -9,11 +9,11 @@
 /** Time in ms without a new back end after which keys that were never assigned are assigned. */
 const FIRST_ASSIGNMENT_QUIET_MS = 1_500;
 
-/** Length of a window of load, and pause between plans for balance, in ms. */
+/** Length of a window of load, in ms. */
 const LOAD_WINDOW_MS = policyIsOn('quick-balance') ? 500 : 1_000;
 
 /** Pause after a move for balance, in ms: the load must be seen anew first. */
-const BALANCE_PAUSE_MS = policyIsOn('quick-balance') ? 1_000 : 2_000;
+const BALANCE_PAUSE_MS = 2_000;
 
 interface ServiceProgress {
   readonly load: KeyLoad;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -202,7 +202,9 @@
     const claim = this.claimOf(head);
     const meanMs = this.meanMs(head.route);
     const inTimeMs = Math.max(head.patienceMs, spareMs(claim, meanMs));
-    const waitMs = policyIsOn('key-patience') ? Math.max(inTimeMs, lateWaitMs(claim, 0, meanMs)) : inTimeMs;
+    // A first try that is refused comes back; one that came back has nothing to lose by waiting.
+    const hasComeBack = head.spentMs > 0 && policyIsOn('key-patience');
+    const waitMs = hasComeBack ? Math.max(inTimeMs, lateWaitMs(claim, 0, meanMs)) : inTimeMs;
     return Math.min(head.remainingMs, waitMs);
   }
 
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -15,6 +15,9 @@
 /** Time that a request may need at the back end, by the mean time that requests need. */
 const WORK_PER_MEAN = 1.3;
 
+/** Time that a request must still have when it begins late, by the mean time: one that ends too late was work for none. */
+const LATE_WORK_PER_MEAN = 2;
+
 /** Part of the mean time for which a request may wait for a place in any case. */
 const LEAST_PLACE_WAIT_SHARE = 0.2;
 
@@ -68,7 +71,7 @@
 
 /** Time for which a request that will be late may still wait and be answered before its deadline. */
 export function lateWaitMs({ remainingMs }: PlaceClaim, waitedMs: number, meanMs: number): number {
-  return Math.max(0, remainingMs - waitedMs - WORK_PER_MEAN * meanMs);
+  return Math.max(0, remainingMs - waitedMs - LATE_WORK_PER_MEAN * meanMs);
 }
 
 /** Time for which a request still waits. Where hardly any can be answered in time, waiting makes all of them late. */
