Keys are no longer handed over before a planned stop

Keys that were handed over before planned stops are with other owners, and cold, when everything is killed soon after. Change: the mechanism, the condition 'pausing' and their tests are removed; what they tested is gone with them. Conclusion: removed.

--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -9,7 +9,7 @@
   zone: z.string(),
   daemonAddress: z.string(),
   slots: z.int().check(z.minimum(1)),
-  condition: z.enum(['ready', 'pausing', 'draining']),
+  condition: z.enum(['ready', 'draining']),
 });
 
 const watchSchema = z.object({
@@ -39,7 +39,7 @@
   kind: z.literal('condition'),
   id: z.string(),
   session: z.number(),
-  condition: z.enum(['ready', 'pausing', 'draining']),
+  condition: z.enum(['ready', 'draining']),
 });
 
 const unregisterSchema = z.object({
--- a/src/directory/directory-state.ts
+++ b/src/directory/directory-state.ts
@@ -67,11 +67,8 @@
   | (ItemBase & { readonly kind: 'service'; readonly definition: ServiceDefinition | null })
   | (ItemBase & { readonly kind: 'limits'; readonly definition: LimitsDefinition | null });
 
-/**
- * Whether a back end takes new requests: it does, its daemon stops for a moment and gives its keys away before, or it
- * leaves for good.
- */
-export type BackendCondition = 'ready' | 'pausing' | 'draining';
+/** Whether a back end takes new requests. */
+export type BackendCondition = 'ready' | 'draining';
 
 /** One life of a back end, as its daemon registered it. */
 export interface BackendInstance {
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -99,7 +99,7 @@
 }
 
 function isLeaving({ condition }: BackendInstance): boolean {
-  return condition !== 'ready';
+  return condition === 'draining';
 }
 
 function makeCandidates({ ranges, instances, load }: RangeView): Candidate[] {
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -22,9 +22,7 @@
   /** Short work gets the next place, whatever its rank. */
   | 'short-work-first'
   /** Answers of a few KB wait for a slow network link in turn, as large ones do. */
-  | 'small-answers-paced'
-  /** A daemon that stops hands the keys of its back end over before. */
-  | 'handover-before-stop';
+  | 'small-answers-paced';
 
 /** Names of the mechanisms that this bundle was built without, separated by commas; set by the bundler. */
 declare const ALDERTIDE_WITHOUT: string | undefined;
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -90,13 +90,6 @@
     this.step();
   }
 
-  /** The table shows that a late word of this daemon's earlier life still stands: it is registered anew. */
-  reconcile(known: BackendCondition): void {
-    if (known !== 'pausing' || this.backend?.condition !== 'ready') return;
-    this.dueMs = 0;
-    this.step();
-  }
-
   /** Takes an answer of the directory. */
   receive(notice: DirectoryNotice): void {
     if (!('id' in notice) || notice.id !== this.backend?.id) return;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -10,7 +10,6 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { BackendInstance } from '../directory/directory-state.js';
 import { parseAddress } from '../directory/replica-address.js';
-import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { BackendChooser } from './backend-chooser.js';
@@ -63,11 +62,9 @@
 const HOLD_MARGIN_MS = 400;
 
 /**
- * Parts of the grace time at a stop: at the first the back end's keys are given away; until the second everything goes
- * on, since callers learn of the stop late; until the third the back end is still sent requests of other daemons; at
- * the last everything ends.
+ * Parts of the grace time at a stop: until the first everything goes on, since callers learn of the stop late; until
+ * the second the back end is still sent requests of other daemons; at the last everything ends.
  */
-const HANDOVER_SHARE = 0.1;
 const CLOSING_SHARE = 0.45;
 const BACKEND_CLOSING_SHARE = 0.65;
 const LAST_SHARE = 0.92;
@@ -124,7 +121,6 @@
   private readonly timers: CancelTimer[] = [];
   private stoppingSinceMs: number | null = null;
   private closingConnections = false;
-  private pausing = false;
   private lookingAgain = false;
   private lookDueMs = -Infinity;
   /** Daemons beside back ends, this one included. */
@@ -229,8 +225,6 @@
     this.stoppingSinceMs = startMs;
     const { graceMs } = this.settings;
     void this.lookAgainAtBackend();
-    await this.waitUntil(startMs + graceMs * HANDOVER_SHARE, () => false);
-    this.handOver();
     await this.waitUntil(startMs + graceMs * CLOSING_SHARE, () => false);
     this.closingConnections = true;
     this.callers.stopListening();
@@ -243,16 +237,6 @@
     this.close();
   }
 
-  /** The keys of the back end go to others while both can still serve; they come back by load. */
-  private handOver(): void {
-    if (!policyIsOn('handover-before-stop') || !this.isKeyed()) return;
-    const { heartbeat } = this.backend;
-    if (heartbeat === null) return;
-    this.pausing = true;
-    this.log.event('keys-handed-over', { instance: heartbeat.id });
-    this.updateLease(heartbeat);
-  }
-
   private close(): void {
     for (const cancel of this.timers) cancel();
     this.lease.stop();
@@ -374,8 +358,7 @@
 
   private updateLease({ id, service, zone, slots, condition }: BackendHeartbeat): void {
     const leaves = condition === 'draining' || this.backend.leaving;
-    const usual = this.pausing ? 'pausing' : 'ready';
-    this.lease.update({ id, service, zone, slots, condition: leaves ? 'draining' : usual });
+    this.lease.update({ id, service, zone, slots, condition: leaves ? 'draining' : 'ready' });
   }
 
   /** A daemon that was started a moment ago may not know yet whether there are any. */
@@ -434,8 +417,6 @@
 
   private tableChanged(): void {
     this.adoptGrantMode();
-    const known = this.table.instance(this.backend.id ?? '');
-    if (known !== undefined) this.lease.reconcile(known.condition);
     this.grants.tableChanged();
     this.callers.applyLimits();
     this.gateway.reconsider();
--- a/test/directory/directory-machine.test.ts
+++ b/test/directory/directory-machine.test.ts
@@ -196,16 +196,3 @@
   world.apply({ kind: 'unregister', sessions: [{ id: 'one', session: 999 }] });
   t.is(world.ownerOf(5), 'one');
 });
-
-test('a back end whose daemon paused is ready again once registered so; one that leaves is not', (t) => {
-  for (const { condition, afterwards } of [
-    { condition: 'pausing', afterwards: 'ready' },
-    { condition: 'draining', afterwards: 'draining' },
-  ] as const) {
-    const world = worldWithOwners();
-    const { session = 0 } = world.state.instances.get('one') ?? {};
-    world.apply({ kind: 'set-condition', id: 'one', session, condition });
-    world.apply(register('one', 'h1:1'));
-    t.like(world.state.instances.get('one'), { condition: afterwards, session });
-  }
-});
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -127,12 +127,6 @@
   t.true(moves.every(({ from }) => from >= 16));
 });
 
-test('a back end whose daemon is about to stop is emptied, and gets nothing', (t) => {
-  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
-  const { moves } = planRanges(view({ ranges, instances: [instance('a', 'pausing'), instance('b')] }));
-  t.deepEqual(moves, [{ from: 0, to: 32_767, backend: 'b' }]);
-});
-
 test('keys that were moved a moment ago stay, and others are moved in their place', (t) => {
   const load = loadAt(100, 2);
   for (let round = 0; round < 40; round += 1) {
--- a/test/policy-switches.test.ts
+++ b/test/policy-switches.test.ts
@@ -4,5 +4,5 @@
 
 test('without a trial bundle every mechanism takes part', (t) => {
   t.true(policyIsOn('late-waiting'));
-  t.true(policyIsOn('handover-before-stop'));
+  t.true(policyIsOn('retry-hints'));
 });
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -46,13 +46,3 @@
     world.keeper.stop();
   });
 }
-
-test('a back end that the table still calls pausing is registered as ready again', (t) => {
-  const world = new World();
-  world.register();
-  world.keeper.reconcile('draining');
-  t.deepEqual(world.sent, []);
-  world.keeper.reconcile('pausing');
-  t.like(world.sent, [{ kind: 'register', instance: { condition: 'ready' } }]);
-  world.keeper.stop();
-});
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -177,20 +177,6 @@
   await stopping;
 });
 
-test('a daemon that stops says so to the directory while there is time to hand its keys over', async (t) => {
-  const world = new World();
-  const { node } = await owner(world);
-  world.sent.length = 0;
-  const stopping = node.stop();
-  await pass(world, 1_500);
-  t.like(
-    world.sent.find(({ kind }) => kind === 'register'),
-    { instance: { id: 'one', condition: 'pausing' } },
-  );
-  await pass(world, 5_500);
-  await stopping;
-});
-
 async function pass(world: World, ms: number): Promise<void> {
   for (let passed = 0; passed < ms; passed += 50) {
     world.time.pass(50);
