One overlap of spans, beside the operations on ranges

Cause: the differences of ranges brought a second copy of what key-grants had as overlaps. Change: overlaps stands in key-ranges and serves grants, differences and the soak. Behaviour is the same.

--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -3,7 +3,8 @@
  * given in ms of one clock, and the same calls give the same verdict.
  */
 import type { HeldRange } from '../../src/sidecar/backend-report.js';
-import { overlaps, rangeName } from '../../src/sidecar/key-grants.js';
+import { overlaps } from '../../src/directory/key-ranges.js';
+import { rangeName } from '../../src/sidecar/key-grants.js';
 
 /** What must hold. */
 export type SoakPromise =
--- a/src/directory/key-ranges.ts
+++ b/src/directory/key-ranges.ts
@@ -56,7 +56,7 @@
   ranges: readonly KeyRange[],
   changed: readonly KeyRange[],
 ): readonly KeyRange[] {
-  const kept = ranges.filter((range) => !changed.some((other) => overlap(range, other)));
+  const kept = ranges.filter((range) => !changed.some((other) => overlaps(range, other)));
   return [...kept, ...changed].sort((left, right) => left.from - right.from);
 }
 
@@ -75,7 +75,8 @@
   return null;
 }
 
-function overlap(left: KeySpan, right: KeySpan): boolean {
+/** Whether two spans have a key in common. */
+export function overlaps(left: KeySpan, right: KeySpan): boolean {
   return left.from <= right.to && right.from <= left.to;
 }
 
--- a/src/sidecar/heartbeat-grants.ts
+++ b/src/sidecar/heartbeat-grants.ts
@@ -3,8 +3,9 @@
  * heartbeat shows that the back end has let it go.
  */
 import type { KeyRange } from '../directory/directory-state.js';
+import { overlaps } from '../directory/key-ranges.js';
 import type { BackendHeartbeat, HeartbeatGrant, HeldRange, ReleasedRange } from './backend-report.js';
-import { overlaps, rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
+import { rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
 
 /** Least time in ms that is worth granting. */
 const LEAST_HOLD_MS = 300;
--- a/src/sidecar/key-grants.ts
+++ b/src/sidecar/key-grants.ts
@@ -84,8 +84,3 @@
 export function rangeName({ from, to, fence }: HeldRange): string {
   return `${from}-${to}@${fence}`;
 }
-
-/** Whether two ranges share a key. */
-export function overlaps(left: { from: number; to: number }, right: { from: number; to: number }): boolean {
-  return left.from <= right.to && right.from <= left.to;
-}
--- a/src/sidecar/uncertain-grants.ts
+++ b/src/sidecar/uncertain-grants.ts
@@ -3,7 +3,7 @@
  * on would make two back ends hold them. A back end refuses it once it has seen a higher fence on those keys.
  */
 import type { HeldRange } from './backend-report.js';
-import { overlaps } from './key-grants.js';
+import { overlaps } from '../directory/key-ranges.js';
 
 /** Grants that are remembered; the oldest is forgotten first. */
 const REMEMBERED = 512;
