Long changes travel compressed; bytes are signs of life; no 404 from an old table

Cause: a change of 1,808 routes went to every sidecar as one frame of 507 KB, 0.9 s of a link of 4.48 Mbit/s. Until a change arrived, a route that it holds was answered 404 as if there were none. Ruled out: a longer limit (a larger change would meet it again); compressing devalue's text (72 KB: its references hide what repeats; as JSON 25 KB, written and read in a third of the time); resumable pieces: at 25 KB a change takes 45 ms of a link, 10,000 routes about 0.25 s, so there is little to keep. Change: long frames of the change feed are compressed JSON, encoded once for all watchers; bytes that arrive count as signs of life, for 5 s at most without a whole message; a route that is missing here is answered 404 only while the replica says that the table is current, and 503 otherwise. Figures: tests of the client and the 404 fail on the code before (4) and pass.

--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -15,7 +15,7 @@
   PeerHandlers,
   Traffic,
 } from '../../src/runtime/runtime.js';
-import { parsePayload } from '../../src/transport/frame-codec.js';
+import { decodeFrame } from '../../src/transport/frame-codec.js';
 import { checkHello, PROTOCOL_VERSION } from '../../src/transport/hello.js';
 import type { Random } from '../random.js';
 import type { SimProcess } from './sim-process.js';
@@ -33,7 +33,6 @@
 }
 
 const CUT_POLL_MS = 20;
-const FRAME_HEADER_BYTES = 4;
 const FIRST_REDIAL_MS = 50;
 const LONGEST_REDIAL_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -161,7 +160,7 @@
   }
 
   sendEncoded(frame: Buffer): void {
-    const message = parsePayload(frame.subarray(FRAME_HEADER_BYTES));
+    const message = decodeFrame(frame);
     if (message.ok) this.send(message.val);
   }
 
--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -1,9 +1,9 @@
 /**
- * Publishes committed changes to the daemons that watch a replica. Each change and each table is encoded once
- * for all of them.
+ * Publishes committed changes to the daemons that watch a replica. Each change and each table is encoded and
+ * compressed once for all of them.
  */
 import type { Connection } from '../runtime/runtime.js';
-import { encodeFrame } from '../transport/frame-codec.js';
+import { encodeCompactFrame } from '../transport/frame-codec.js';
 import type { DirectoryChange } from './directory-commands.js';
 import type { DirectoryNotice } from './directory-messages.js';
 import { encodeDirectory, type ConfigurationItem, type DirectoryState } from './directory-state.js';
@@ -102,5 +102,5 @@
 }
 
 function encodeNotice(notice: DirectoryNotice): Buffer {
-  return encodeFrame(notice);
+  return encodeCompactFrame(notice);
 }
--- a/src/sidecar/directory-client.ts
+++ b/src/sidecar/directory-client.ts
@@ -10,9 +10,18 @@
 import type { EventLog } from '../telemetry/event-log.js';
 import type { DirectoryTable } from './directory-table.js';
 
-/** Silence after which a replica is left, in ms. */
+/** Silence after which a replica is left, in ms: three of its signs of life and some delay. */
 const SILENCE_LIMIT_MS = 900;
 
+/**
+ * Time without a whole message after which a replica is left although bytes arrive, in ms. A slow link of 0.5 MB/s
+ * carries a table of 100,000 routes in it.
+ */
+const MESSAGE_LIMIT_MS = 5_000;
+
+/** Age of the last sign of life up to which the table counts as current, in ms: two signs of life and some delay. */
+const CURRENT_LIMIT_MS = 600;
+
 /** Pause between checks of the connection, in ms. */
 const CHECK_MS = 150;
 
@@ -30,7 +39,13 @@
   private readonly known: string[];
   private position: number;
   private client: Client | null = null;
+  /** When the replica was dialed, or any bytes came from it. */
   private lastHeardMs = 0;
+  /** When the replica was dialed, or a whole message came from it. */
+  private lastMessageMs = 0;
+  /** When the replica last said that everything before was sent; messages of a connection keep their order. */
+  private lastAliveMs = -Infinity;
+  private bytesSeen = 0;
   private lastCheckMs = 0;
   private watching = false;
   private readonly cancelCheck: CancelTimer;
@@ -56,6 +71,14 @@
     return this.watching && this.runtime.nowMs() - this.lastHeardMs < SILENCE_LIMIT_MS;
   }
 
+  /**
+   * Whether the table holds what the replica held a moment ago. While a long change is on its way here, or no replica
+   * is followed, what is missing in the table may exist all the same.
+   */
+  get current(): boolean {
+    return this.runtime.nowMs() - this.lastAliveMs < CURRENT_LIMIT_MS;
+  }
+
   /** Sends to the present replica; false when there is no connection. */
   send(request: DirectoryRequest): boolean {
     return this.client?.send(request) ?? false;
@@ -78,6 +101,8 @@
     const address = parseAddress(text);
     this.watching = false;
     this.lastHeardMs = runtime.nowMs();
+    this.lastMessageMs = this.lastHeardMs;
+    this.bytesSeen = 0;
     if (address === null) return;
     const client = runtime.dial(address, this.identity, {
       onOpen: () => {
@@ -108,12 +133,22 @@
     const nowMs = this.runtime.nowMs();
     const stalled = nowMs - this.lastCheckMs > 2 * CHECK_MS;
     this.lastCheckMs = nowMs;
+    this.noteBytes(nowMs);
     if (stalled && this.watching) return;
     if (nowMs - this.lastHeardMs > SILENCE_LIMIT_MS) this.next('silence');
+    else if (nowMs - this.lastMessageMs > MESSAGE_LIMIT_MS) this.next('no whole message');
+  }
+
+  /** A long message takes its time on a slow link: bytes of it are signs of life. */
+  private noteBytes(nowMs: number): void {
+    const bytes = this.client?.traffic().bytesReceived ?? 0;
+    if (bytes !== this.bytesSeen) this.lastHeardMs = nowMs;
+    this.bytesSeen = bytes;
   }
 
   private receive(notice: DirectoryNotice, address: string): void {
     this.lastHeardMs = this.runtime.nowMs();
+    this.lastMessageMs = this.lastHeardMs;
     switch (notice.kind) {
       case 'table':
         if (this.table.replace(notice.index, notice.table)) this.handlers.onTable();
@@ -122,6 +157,7 @@
         if (this.table.apply(notice.index, notice.changes)) this.handlers.onTable();
         break;
       case 'alive':
+        this.lastAliveMs = this.lastHeardMs;
         this.takeMembers(notice.members);
         this.becomeConnected(address);
         break;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -72,7 +72,7 @@
 /** When to come back after a stop, in ms. */
 const STOPPING_RETRY_MS = 500;
 
-/** When to come back while no configuration is known here, in ms. */
+/** When to come back while no configuration is known here, or an old one may be, in ms. */
 const UNCONFIGURED_RETRY_MS = 300;
 
 const LAST_KEY = 65_535;
@@ -479,7 +479,7 @@
     }
     const route = this.table.routes.find(incoming.host, incoming.path);
     const service = route?.nextService() ?? null;
-    if (route === null || service === null) return ownAnswer(OWN_STATUS.noRoute, 'no route fits');
+    if (route === null || service === null) return this.noRouteAnswer();
     const { dialect } = this.settings;
     const { headers, method, path, body } = incoming;
     const keyText = headerValue(headers, dialect.key);
@@ -502,6 +502,13 @@
     };
   }
 
+  /** A route that is missing here may exist as long as the table may be old. */
+  private noRouteAnswer(): OwnAnswer {
+    if (this.directory.current) return ownAnswer(OWN_STATUS.noRoute, 'no route fits');
+    const reason = 'the configuration here may be old';
+    return { statusCode: OWN_STATUS.notRun, reason, retryAfterMs: UNCONFIGURED_RETRY_MS };
+  }
+
   private headersToPassOn(headers: readonly string[]): string[] {
     const { dialect, service } = this.settings;
     const passed = endToEndHeaders(headers, new Set([dialect.caller, dialect.deadlineMs]));
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -1,5 +1,6 @@
 /** A sidecar between a directory and a back end, on time that the tests move by hand. */
 import test from 'ava';
+import { request } from 'undici';
 import { freePort } from '../loopback.js';
 import type { DirectoryNotice, DirectoryRequest } from '../../src/directory/directory-messages.js';
 import type { DirectorySnapshot, KeyRange } from '../../src/directory/directory-state.js';
@@ -23,6 +24,7 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   listens = true;
+  callersPort = 0;
   private handlers: ClientHandlers | null = null;
   private index = 0;
 
@@ -44,6 +46,7 @@
       },
     };
     const [callers, links, backend] = [await freePort(), await freePort(), await freePort()];
+    this.callersPort = callers;
     const started = await SidecarNode.start({
       settings: {
         name: 'sidecar',
@@ -177,6 +180,23 @@
   await stopping;
 });
 
+test('a route that is missing is unknown only while the table is current', async (t) => {
+  const world = new World();
+  const node = await world.start();
+  const ask = async (): Promise<number> => {
+    const { statusCode, body } = await request(`http://127.0.0.1:${world.callersPort}/new/`);
+    await body.dump();
+    return statusCode;
+  };
+  world.table([range(0, 65_535, 'one')]);
+  t.is(await ask(), 503, 'the table may be an old one');
+  world.notify({ kind: 'alive', index: 1, members: [] });
+  t.is(await ask(), 404);
+  world.time.pass(700);
+  t.is(await ask(), 503, 'a change may be on its way');
+  await stop(world, node);
+});
+
 async function pass(world: World, ms: number): Promise<void> {
   for (let passed = 0; passed < ms; passed += 50) {
     world.time.pass(50);
--- a/test/transport/frame-codec.test.ts
+++ b/test/transport/frame-codec.test.ts
@@ -2,7 +2,12 @@
 import fc from 'fast-check';
 import { daemonRequestSchema } from '../../src/control/daemon-messages.js';
 import { readPeerMessage } from '../../src/control/peer-messages.js';
-import { encodeFrame, FrameDecoder } from '../../src/transport/frame-codec.js';
+import {
+  decodeFrame,
+  encodeCompactFrame,
+  encodeFrame,
+  FrameDecoder,
+} from '../../src/transport/frame-codec.js';
 import { checkHello, PROTOCOL_VERSION } from '../../src/transport/hello.js';
 
 const SEED = 1;
@@ -43,6 +48,43 @@
   });
 });
 
+function manyRoutes(count: number): unknown {
+  const items = Array.from({ length: count }, (_, at) => ({
+    kind: 'route',
+    name: `route-${at}`,
+    version: at + 1,
+    source: null,
+    definition: { host: `h${at}.example`, pathPrefix: '/', destinations: [{ service: 'stock', weight: 1 }] },
+  }));
+  return { kind: 'changes', index: 7, changes: [{ kind: 'items', items }] };
+}
+
+test('a long message for slow links is compressed to a tenth and comes out as it was, however it is cut', (t) => {
+  const message = manyRoutes(2_000);
+  const frame = encodeCompactFrame(message);
+  t.true(frame.length * 10 < encodeFrame(message).length, `${frame.length} bytes`);
+  t.deepEqual(decodeFrame(frame).unwrap(), message);
+  const bytes = Buffer.concat([frame, encodeFrame('next')]);
+  const decoder = new FrameDecoder();
+  const cut = Math.floor(frame.length / 2);
+  t.deepEqual(decoder.push(bytes.subarray(0, cut)).unwrap(), []);
+  t.deepEqual(decoder.push(bytes.subarray(cut)).unwrap(), [message, 'next']);
+});
+
+test('a short message for slow links is not compressed', (t) => {
+  t.deepEqual(encodeCompactFrame({ kind: 'alive' }), encodeFrame({ kind: 'alive' }));
+});
+
+test('a compact frame whose text would be too large, or is none, is an error', (t) => {
+  const frame = encodeCompactFrame(manyRoutes(2_000));
+  const decoded = new FrameDecoder(64 * 1024).push(frame);
+  t.is(decoded.err ? decoded.val.kind : '', 'not-parseable');
+  const damaged = Buffer.from(frame);
+  damaged.fill(0xff, 40, 80);
+  const garbage = decodeFrame(damaged);
+  t.is(garbage.err ? garbage.val.kind : '', 'not-parseable');
+});
+
 test('a frame that announces too much is refused before it is read', (t) => {
   const header = Buffer.alloc(4);
   header.writeUInt32BE(1_001, 0);
