Back ends are probed just before one is chosen; reports to all daemons go

The cost of broadcasts grows with the square of the fleet. Ruled out: more frequent broadcasts (2.3 MB/s over the fleet at 0.5 s); fixed subsets (a drained zone would have to be reassigned; to be tried if links grow too many). Change, switch `probed-choice`: three back ends of the caller's zone by chance are asked how busy they are, four of other zones when none of these has room; the choice waits 30 ms at most and prefers those that answered. A daemon beside a back end answers from what it knows exactly.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -62,6 +62,8 @@
   private connected = false;
   private refuseUntilMs = 0;
   private nextStream = 1;
+  /** A probe is to be sent as soon as the connection is open. */
+  private probePending = false;
   private readonly pending = new Map<number, PendingRequest>();
   private stopped = false;
 
@@ -96,6 +98,13 @@
     };
   }
 
+  /** Asks how busy the back end is; the answer is a status. Lost without a word when the connection breaks. */
+  probe(): void {
+    this.ensureConnection();
+    if (this.connected) this.connection?.send(FRAME_KIND.probe, 0, undefined);
+    else this.probePending = true;
+  }
+
   /** Closes for good. */
   stop(): void {
     this.stopped = true;
@@ -136,6 +145,8 @@
   private opened(): void {
     this.connected = true;
     this.refuseUntilMs = 0;
+    if (this.probePending) this.connection?.send(FRAME_KIND.probe, 0, undefined);
+    this.probePending = false;
     for (const [stream, pending] of this.pending) this.sendRequest(stream, pending);
     this.watch();
   }
@@ -154,6 +165,7 @@
     if (!this.connected) this.refuseUntilMs = this.nowMs() + REDIAL_PAUSE_MS;
     this.connection = null;
     this.connected = false;
+    this.probePending = false;
     const lost = [...this.pending.values()];
     this.pending.clear();
     this.handlers.onDisconnect(reason);
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -89,23 +89,11 @@
     this.socket.uncork();
   }
 
-  /** Queues a frame that was encoded once for many peers. */
-  sendEncoded(frame: Buffer): void {
-    if (this.closed) return;
-    if (this.paced === null) this.socket.write(frame);
-    else this.paced.send(0, frame, NO_BODY);
-  }
-
   /** What waits to be sent for a stream is not wanted any more. */
   dropStream(stream: number): void {
     this.paced?.drop(stream);
   }
 
-  /** Time since the peer was heard, in ms. */
-  get silentMs(): number {
-    return this.nowMs() - this.lastHeardMs;
-  }
-
   /** Calls back when everything that was queued has been handed to the system. */
   onDrain(callback: () => void): void {
     this.socket.once('drain', callback);
--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -37,6 +37,8 @@
   ping: 10,
   /** A sign of life. */
   pong: 11,
+  /** Asks how busy the back end is; answered with a status. */
+  probe: 12,
 } as const;
 
 /** What a frame is for. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -4,15 +4,12 @@
 import { Err, Ok, type Result } from '../result.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { LinkPacer } from './link-pacer.js';
-import { encodeFrameStart, FRAME_KIND, type LinkFrame } from './link-frame.js';
+import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
 
 /** Bytes of one connection that may wait to be sent before the answers on it are held back. */
 const MAX_WAITING_BYTES = 1024 * 1024;
 
-/** Callers that sent nothing for this long, in ms, are told nothing until they do. */
-const BROADCAST_SILENCE_MS = 2_000;
-
 /** Where the owner of a request says what became of it. */
 export interface RequestReply {
   refuse(head: RefusalHead): void;
@@ -43,6 +40,8 @@
     private readonly nowMs: () => number,
     private readonly life: string,
     private readonly takeRequest: TakeRequest,
+    /** How busy the back end is, for probes; null while nothing is known of it. */
+    private readonly status: () => StatusHead | null,
     /** Paces answers over a slow network link; null where it is fast. */
     private readonly pacer: LinkPacer | null = null,
   ) {
@@ -63,21 +62,6 @@
     });
   }
 
-  /** Callers that were heard lately. */
-  get listeners(): number {
-    let count = 0;
-    for (const { silentMs } of this.connections) if (silentMs < BROADCAST_SILENCE_MS) count += 1;
-    return count;
-  }
-
-  /** Tells callers that were heard lately how busy the back end is. */
-  broadcast(status: StatusHead): void {
-    const frame = encodeFrameStart(FRAME_KIND.status, 0, status, 0);
-    for (const connection of this.connections) {
-      if (connection.silentMs < BROADCAST_SILENCE_MS) connection.sendEncoded(frame);
-    }
-  }
-
   /** Stops listening and closes every connection. */
   close(): void {
     this.server.close();
@@ -117,6 +101,11 @@
       if (!reply.finished()) requests.set(frame.stream, accepted);
       return;
     }
+    if (frame.kind === FRAME_KIND.probe) {
+      const status = this.status();
+      if (status !== null) connection.send(FRAME_KIND.status, 0, status);
+      return;
+    }
     if (frame.kind !== FRAME_KIND.cancel) return;
     requests.get(frame.stream)?.cancel();
     requests.delete(frame.stream);
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -23,7 +23,7 @@
   | 'short-work-first'
   /** Answers of a few KB wait for a slow network link in turn, as large ones do. */
   | 'small-answers-paced'
-  /** A few back ends are asked how busy they are before one is chosen; without it every daemon tells all others. */
+  /** A few back ends are asked how busy they are before one is chosen; without it only answers tell. */
   | 'probed-choice'
   /** Load is counted by key; without it sixteen neighbouring keys are counted together and never divided. */
   | 'load-by-key'
--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -3,6 +3,7 @@
 import type { BackendInstance } from '../directory/directory-state.js';
 import { PACED_FRAME_BYTES } from '../link/link-pacer.js';
 import { policyIsOn } from '../policy-switches.js';
+import { PROBED_AGE_LIMIT_MS } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
 import type { DirectoryTable } from './directory-table.js';
 
@@ -15,6 +16,15 @@
 /** Time in ms that is added to a back end that failed a moment ago or is leaving. */
 const LAST_RESORT_MS = 1_000_000;
 
+/** Time in ms that is added to a candidate that did not answer its probe; it goes before those that failed. */
+const UNANSWERED_MS = 100_000;
+
+/** Back ends of the caller's zone that are asked how busy they are; the gain of more than three is small. */
+const NEAR_CANDIDATES = 3;
+
+/** Back ends of other zones that are asked when none of the near ones has room. */
+const FAR_CANDIDATES = 4;
+
 /** What a choice is made for. */
 export interface ChoiceRequest {
   readonly service: string;
@@ -24,6 +34,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Expected size of the answer, in bytes. */
   readonly answerBytes: number;
+  /** Back ends to choose from; null stands for all of the service. */
+  readonly candidates: readonly BackendInstance[] | null;
 }
 
 /** What the chooser needs of its daemon. */
@@ -67,12 +79,51 @@
     return target === null ? null : (table.instance(target) ?? null);
   }
 
-  private quickest({ service, excluded, answerBytes }: ChoiceRequest): BackendInstance | null {
+  /** A few back ends in the caller's zone, by chance; those that would be a last resort only if there are no others. */
+  nearCandidates(service: string, excluded: ReadonlySet<string>): readonly BackendInstance[] {
+    return this.sample(service, excluded, NEAR_CANDIDATES, ({ zone }) => zone === this.ports.zone);
+  }
+
+  /** A few back ends in other zones, by chance. */
+  farCandidates(service: string, excluded: ReadonlySet<string>): readonly BackendInstance[] {
+    return this.sample(service, excluded, FAR_CANDIDATES, ({ zone }) => zone !== this.ports.zone);
+  }
+
+  /** Whether one of the back ends would take a request at once. */
+  hasRoom(instances: readonly BackendInstance[]): boolean {
+    const now = this.ports.nowMs();
+    return instances.some(
+      (instance) =>
+        !this.isLastResort(instance, now) && this.ports.view(instance.id).hasRoom(instance.slots, now),
+    );
+  }
+
+  private sample(
+    service: string,
+    excluded: ReadonlySet<string>,
+    count: number,
+    fits: (instance: BackendInstance) => boolean,
+  ): readonly BackendInstance[] {
+    const now = this.ports.nowMs();
+    const fitting = this.ports.table
+      .instancesOf(service)
+      .filter((instance) => !excluded.has(instance.id) && fits(instance));
+    const sound = fitting.filter((instance) => !this.isLastResort(instance, now));
+    return drawSome(sound.length > 0 ? sound : fitting, count, this.ports.random);
+  }
+
+  private isLastResort(instance: BackendInstance, nowMs: number): boolean {
+    const view = this.ports.view(instance.id);
+    return instance.condition !== 'ready' || !view.accepting(nowMs) || view.avoided(nowMs);
+  }
+
+  private quickest({ service, excluded, answerBytes, candidates }: ChoiceRequest): BackendInstance | null {
     let best: BackendInstance | null = null;
     let bestMs = Infinity;
-    for (const instance of this.ports.table.instancesOf(service)) {
+    for (const instance of candidates ?? this.ports.table.instancesOf(service)) {
       if (excluded.has(instance.id)) continue;
-      const expectedMs = this.expectedMs(instance, answerBytes);
+      const unansweredMs = candidates !== null && !this.wasProbed(instance) ? UNANSWERED_MS : 0;
+      const expectedMs = this.expectedMs(instance, answerBytes) + unansweredMs;
       if (expectedMs >= bestMs) continue;
       best = instance;
       bestMs = expectedMs;
@@ -80,12 +131,15 @@
     return best;
   }
 
+  private wasProbed({ id }: BackendInstance): boolean {
+    return this.ports.view(id).statusAgeMs(this.ports.nowMs()) <= PROBED_AGE_LIMIT_MS;
+  }
+
   private expectedMs(instance: BackendInstance, answerBytes: number): number {
     const { zone, nowMs, random } = this.ports;
     const view = this.ports.view(instance.id);
     const now = nowMs();
-    const accepting = instance.condition === 'ready' && view.status?.accepting !== false;
-    const lastResort = !accepting || view.avoided(now) ? LAST_RESORT_MS : 0;
+    const lastResort = this.isLastResort(instance, now) ? LAST_RESORT_MS : 0;
     const crossing = instance.zone === zone ? 0 : answerBytes / CROSS_ZONE_BYTES_PER_MS;
     const expected = view.expectedMs(instance.slots, now) * (1 + random() * CHANCE_SHARE);
     return expected + crossing + this.sendingMs(instance, answerBytes, view, now) + lastResort;
@@ -103,3 +157,13 @@
     return waitMs + answerBytes / this.ports.linkBytesPerMs;
   }
 }
+
+/** Draws some members by chance, each at most once. */
+function drawSome<T>(members: readonly T[], count: number, random: () => number): readonly T[] {
+  const left = [...members];
+  const drawn: T[] = [];
+  while (drawn.length < count && left.length > 0) {
+    drawn.push(...left.splice(Math.floor(random() * left.length), 1));
+  }
+  return drawn;
+}
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -30,15 +30,6 @@
 /** Pause between looks at waiting requests, in ms. */
 const STEP_MS = 20;
 
-/**
- * Least pause between reports of how busy the back end is, in ms. Every answer carries the same, so reports are for
- * daemons that get none at present.
- */
-const STATUS_MS = 250;
-
-/** Daemons that listen up to which the pause is that short; it grows with their number, so that the cost does not. */
-const STATUS_LISTENERS = 20;
-
 /** Longest time in ms after which to come back when the queue was too long. */
 const LONGEST_RETRY_AFTER_MS = 600;
 
@@ -77,9 +68,6 @@
   readonly onWork: (key: number | null, ms: number) => void;
   /** No process listens at the back end's address. */
   readonly onBackendRefused: () => void;
-  readonly broadcast: (status: StatusHead) => void;
-  /** Daemons that a broadcast goes to. */
-  readonly listeners: () => number;
 }
 
 /** A request inside the gateway. */
@@ -135,10 +123,8 @@
   private readonly running = new Set<Visit>();
   private brokenInRow = 0;
   private lastTrialMs = -Infinity;
-  private lastStatus = '';
   private stopped = false;
   private cancelStep: CancelTimer | null = null;
-  private cancelPublish: CancelTimer | null = null;
 
   constructor(private readonly ports: GatewayPorts) {
     const names = { requestId: ports.dialect.requestId, notRun: ports.dialect.notRun };
@@ -241,7 +227,6 @@
   stop(): void {
     this.stopped = true;
     this.cancelStep?.();
-    this.cancelPublish?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
     this.admission.expireAll();
     this.pool.destroy();
@@ -377,7 +362,6 @@
       },
     });
     visit.run.start();
-    this.publishSoon();
   }
 
   private finished(visit: Visit, outcome: RunOutcome): void {
@@ -392,7 +376,6 @@
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(visit.head.key, usedMs - visit.offeredMs);
     this.count(visit, outcome, usedMs);
-    this.publishSoon();
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
   }
 
@@ -470,22 +453,4 @@
       this.consider(visit);
     }
   }
-
-  private publishSoon(): void {
-    if (this.cancelPublish !== null) return;
-    const pauseMs = STATUS_MS * Math.max(1, this.ports.listeners() / STATUS_LISTENERS);
-    this.cancelPublish = this.ports.runtime.after(pauseMs, () => {
-      this.cancelPublish = null;
-      this.publish();
-    });
-  }
-
-  private publish(): void {
-    const status = this.status();
-    if (status === null) return;
-    const text = `${status.instance} ${status.running} ${status.waiting} ${String(status.accepting)}`;
-    if (text === this.lastStatus) return;
-    this.lastStatus = text;
-    this.ports.broadcast(status);
-  }
 }
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -7,6 +7,9 @@
 /** Pauses in ms for which a back end is avoided after failures, by how many came in a row. */
 const AVOID_MS = [0, 100, 300, 600, 1_000];
 
+/** Wait for the network link up to which a back end counts as having room, in ms: some slices of other answers. */
+const ROOM_SEND_WAIT_MS = 40;
+
 /** Age in ms at which a status says nothing about places any more. */
 const STATUS_AGE_LIMIT_MS = 2_000;
 
@@ -26,6 +29,21 @@
     return this.lastStatus;
   }
 
+  /** Age of the newest status, in ms; infinite before the first. */
+  statusAgeMs(nowMs: number): number {
+    return nowMs - this.statusMs;
+  }
+
+  /** Whether it takes new requests; what was told long ago counts for nothing, since the daemon may be another now. */
+  accepting(nowMs: number): boolean {
+    return this.lastStatus?.accepting !== false || this.statusAgeMs(nowMs) > STATUS_AGE_LIMIT_MS;
+  }
+
+  /** Whether a request sent now would find a free place, and its answer a free network link. */
+  hasRoom(slots: number, nowMs: number): boolean {
+    return this.busy(nowMs) < slots && this.sendWaitMs(nowMs) < ROOM_SEND_WAIT_MS;
+  }
+
   /** Its daemon tells how busy it is. */
   noteStatus(status: StatusHead, nowMs: number): void {
     this.lastStatus = status;
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -11,6 +11,7 @@
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import type { BackendChooser } from './backend-chooser.js';
+import type { BackendProber } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
 import type { Route } from './route-table.js';
 
@@ -80,6 +81,7 @@
   readonly runtime: Runtime;
   readonly log: EventLog;
   readonly chooser: BackendChooser;
+  readonly prober: BackendProber;
   readonly view: (instance: string) => BackendView;
   readonly linkTo: (instance: BackendInstance) => LinkClient;
   /** Takes a second arrival from the allowance of the service. */
@@ -110,6 +112,7 @@
   private current: LinkRequest | null = null;
   private currentInstance: BackendInstance | null = null;
   private cancelPause: CancelTimer | null = null;
+  private cancelProbes: CancelTimer | null = null;
   private cancelTimeout: CancelTimer | null = null;
   private arrivals = 0;
   private refusals = 0;
@@ -188,7 +191,41 @@
   }
 
   private attempt(): void {
-    const instance = this.choose();
+    if (this.request.key !== null || !policyIsOn('probed-choice')) {
+      this.attemptAt(this.choose());
+      return;
+    }
+    this.attemptProbed();
+  }
+
+  /** Asks a few back ends of this zone how busy they are, and others only when none of these has room. */
+  private attemptProbed(): void {
+    const { chooser } = this.ports;
+    const { service } = this.request;
+    const near = chooser.nearCandidates(service, this.excluded);
+    this.probe(near, () => {
+      if (chooser.hasRoom(near)) {
+        this.attemptAt(this.choose(near));
+        return;
+      }
+      const far = chooser.farCandidates(service, this.excluded);
+      this.probe(far, () => {
+        this.attemptAt(this.choose([...near, ...far]));
+      });
+    });
+  }
+
+  private probe(instances: readonly BackendInstance[], then: () => void): void {
+    let answered = false;
+    const cancel = this.ports.prober.probe(instances, () => {
+      answered = true;
+      this.cancelProbes = null;
+      then();
+    });
+    if (!answered) this.cancelProbes = cancel;
+  }
+
+  private attemptAt(instance: BackendInstance | null): void {
     if (instance === null) {
       this.lookAgain();
       return;
@@ -203,10 +240,10 @@
     this.send(instance, link);
   }
 
-  private choose(): BackendInstance | null {
+  private choose(candidates: readonly BackendInstance[] | null = null): BackendInstance | null {
     const { service, key, route } = this.request;
     const { chooser } = this.ports;
-    const choice = { service, key, excluded: this.excluded, answerBytes: route.answerBytes };
+    const choice = { service, key, excluded: this.excluded, answerBytes: route.answerBytes, candidates };
     const chosen = chooser.choose(choice);
     if (key === null || chosen === null || !this.excluded.has(chosen.id)) return chosen;
     const target = chooser.targetOf(service, key);
@@ -430,6 +467,8 @@
     this.cancelTimeout?.();
     this.cancelPause?.();
     this.cancelPause = null;
+    this.cancelProbes?.();
+    this.cancelProbes = null;
     if (this.current === null || this.currentInstance === null) return;
     this.current.cancel();
     this.attemptEnded(this.ports.view(this.currentInstance.id));
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -13,6 +13,12 @@
   ]);
   metrics.value('attempts', 'Attempts at other daemons', () => counters.attempts);
   metrics.value('repeats', 'Second arrivals at back ends', () => counters.repeats);
+  metrics.value('probes', 'Questions how busy a back end is', () => node.prober.sent);
+  metrics.value(
+    'probes_unanswered',
+    'Choices made before all probed daemons had answered',
+    () => node.prober.unanswered,
+  );
   metrics.family('gateway_refusals', 'Requests refused beside the back end, by reason', 'reason', () =>
     Object.entries(gateway.counters.refused),
   );
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -14,6 +14,7 @@
 import type { Latencies } from '../telemetry/latencies.js';
 import { BackendChooser } from './backend-chooser.js';
 import { BackendGateway } from './backend-gateway.js';
+import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
 import { BackendView } from './backend-view.js';
 import { CallerServer, ownAnswer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
@@ -110,6 +111,8 @@
   private grants: HeartbeatGrants | InvokedGrants;
   private readonly load = new LoadMeter();
   private readonly chooser: BackendChooser;
+  /** Asks other daemons how busy their back ends are. */
+  readonly prober: BackendProber;
   private readonly links = new Map<string, LinkClient>();
   private readonly views = new Map<string, BackendView>();
   private readonly allowances = new Map<string, RetryAllowance>();
@@ -140,10 +143,18 @@
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.gateway = this.makeGateway();
     this.chooser = this.makeChooser();
+    this.prober = new BackendProber({
+      runtime,
+      view: (instance) => this.viewOf(instance),
+      sendProbe: (instance) => {
+        this.linkTo(instance).probe();
+      },
+    });
     this.linkServer = new LinkServer(
       () => runtime.nowMs(),
       runtime.randomId(),
       (head, body, reply) => this.gateway.take(head, body, reply),
+      () => this.gateway.status(),
       this.pacer,
     );
     this.callers = new CallerServer({
@@ -304,10 +315,6 @@
       onBackendRefused: () => {
         void this.lookAgainAtBackend();
       },
-      broadcast: (status) => {
-        this.linkServer.broadcast(status);
-      },
-      listeners: () => this.linkServer.listeners,
     });
   }
 
@@ -545,6 +552,7 @@
       runtime: this.runtime,
       log: this.log,
       chooser: this.chooser,
+      prober: this.prober,
       view: (instance) => this.viewOf(instance),
       linkTo: (instance) => this.linkTo(instance),
       takeRepeat: (service) => this.allowanceOf(service).takeRepeat(this.runtime.nowMs(), this.daemonCount),
@@ -577,6 +585,7 @@
     const link = new LinkClient(dialer, () => this.runtime.nowMs(), {
       onStatus: (status) => {
         this.viewOf(status.instance).noteStatus(status, this.runtime.nowMs());
+        this.prober.answered(status.instance);
       },
       onDisconnect: (reason) => {
         this.log.event('link-lost', { daemon: daemonAddress, reason });
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -3,7 +3,7 @@
 import { freePort } from '../loopback.js';
 import { LinkClient, type RequestHandlers } from '../../src/link/link-client.js';
 import { encodeFrameStart, FRAME_KIND, LinkFrameDecoder } from '../../src/link/link-frame.js';
-import type { RequestHead } from '../../src/link/link-messages.js';
+import type { RequestHead, StatusHead } from '../../src/link/link-messages.js';
 import { LinkServer, type TakeRequest } from '../../src/link/link-server.js';
 
 const HEAD: RequestHead = {
@@ -21,11 +21,29 @@
   spentMs: 0,
 };
 
-async function linkTo(take: TakeRequest): Promise<{ client: LinkClient; close: () => void }> {
+const STATUS: StatusHead = {
+  instance: 'i',
+  running: 2,
+  waiting: 1,
+  slots: 3,
+  serviceMs: 40,
+  accepting: true,
+  sendWaitMs: 0,
+};
+
+async function linkTo(
+  take: TakeRequest,
+  onStatus: (status: StatusHead) => void = () => undefined,
+): Promise<{ client: LinkClient; close: () => void }> {
   const port = await freePort();
-  const server = new LinkServer(() => 0, 'life', take);
+  const server = new LinkServer(
+    () => 0,
+    'life',
+    take,
+    () => STATUS,
+  );
   (await server.listen({ host: '127.0.0.1', port })).unwrap();
-  const handlers = { onStatus: () => undefined, onDisconnect: () => undefined };
+  const handlers = { onStatus, onDisconnect: () => undefined };
   const client = new LinkClient(
     { address: { host: '127.0.0.1', port }, localAddress: null },
     () => 0,
@@ -63,6 +81,27 @@
   };
 }
 
+test('a probe is answered with the status, on a new connection and on an open one', async (t) => {
+  const statuses: StatusHead[] = [];
+  let answered = (): void => undefined;
+  const { client, close } = await linkTo(
+    () => ({ cancel: () => undefined }),
+    (status) => {
+      statuses.push(status);
+      answered();
+    },
+  );
+  for (const count of [1, 2]) {
+    await new Promise<void>((resolve) => {
+      answered = resolve;
+      client.probe();
+    });
+    t.is(statuses.length, count);
+  }
+  t.deepEqual(statuses, [STATUS, STATUS]);
+  close();
+});
+
 test('a request reaches the other daemon as it is, and its answer comes back in pieces', async (t) => {
   const { client, close } = await linkTo((head, body, reply) => {
     t.deepEqual(head, HEAD);
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { freePort } from '../loopback.js';
 import { LinkPacer } from '../../src/link/link-pacer.js';
-import type { RequestHead, StatusHead } from '../../src/link/link-messages.js';
+import type { RequestHead } from '../../src/link/link-messages.js';
 import type { RequestReply } from '../../src/link/link-server.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
@@ -27,13 +27,11 @@
 
 class World {
   readonly time = new ManualTime();
-  readonly broadcasts: StatusHead[] = [];
   readonly refusals: string[] = [];
   readonly retryAfterMs: number[] = [];
   /** Slot time that was counted, in ms. */
   work = 0;
   holdsKey = true;
-  listeners = 1;
   closesAtMs = Infinity;
 
   async gateway(pacer: LinkPacer | null = null): Promise<BackendGateway> {
@@ -54,8 +52,6 @@
       ownsKey: () => true,
       onWork: (_key, ms) => (this.work += ms),
       onBackendRefused: () => undefined,
-      broadcast: (status) => this.broadcasts.push(status),
-      listeners: () => this.listeners,
     });
     gateway.setSlots(2);
     return gateway;
@@ -87,22 +83,13 @@
   gateway.stop();
 });
 
-for (const { listeners, pauseMs } of [
-  { listeners: 5, pauseMs: 250 },
-  { listeners: 80, pauseMs: 1_000 },
-]) {
-  test(`${listeners} daemons are told every ${pauseMs} ms how busy the back end is`, async (t) => {
-    const world = new World();
-    world.listeners = listeners;
-    const gateway = await world.gateway();
-    gateway.take(HEAD, Buffer.alloc(0), world.reply());
-    world.time.pass(pauseMs - 1);
-    t.is(world.broadcasts.length, 0);
-    world.time.pass(1);
-    t.like(world.broadcasts, [{ instance: 'life-1', running: 1 }]);
-    gateway.stop();
-  });
-}
+test('the status, as it is told to a probe, counts what runs and what waits', async (t) => {
+  const world = new World();
+  const gateway = await world.gateway();
+  for (let taken = 0; taken < 3; taken += 1) gateway.take(HEAD, Buffer.alloc(0), world.reply());
+  t.like(gateway.status(), { instance: 'life-1', running: 2, waiting: 1, slots: 2, accepting: true });
+  gateway.stop();
+});
 
 test('the wait for the network link is told with the status', async (t) => {
   const world = new World();
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -4,6 +4,7 @@
 import type { LinkClient, RequestHandlers } from '../../src/link/link-client.js';
 import type { RefusalReason } from '../../src/link/link-messages.js';
 import type { BackendChooser, ChoiceRequest } from '../../src/sidecar/backend-chooser.js';
+import type { BackendProber } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import { ForwardedRequest, forwarderCounters, type GivenUp } from '../../src/sidecar/request-forwarder.js';
 import { Route } from '../../src/sidecar/route-table.js';
@@ -69,8 +70,16 @@
   });
   const chooser = {
     choose: ({ excluded }: ChoiceRequest) => instances.find(({ id }) => !excluded.has(id)) ?? null,
+    nearCandidates: () => instances,
+    hasRoom: () => true,
     targetOf: () => null,
   } as unknown as BackendChooser;
+  const prober = {
+    probe: (_candidates: unknown, done: () => void) => {
+      done();
+      return () => undefined;
+    },
+  } as unknown as BackendProber;
   const linkTo = ({ id }: BackendInstance): LinkClient =>
     ({
       unreachable: false,
@@ -124,6 +133,7 @@
         routine: (name) => outcome.sampled.push(name),
       },
       chooser,
+      prober,
       view: () => new BackendView(),
       linkTo,
       takeRepeat: () => mayRepeat,
