--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -2,37 +2,33 @@
  * The daemon beside one back end. It takes the requests that begin on its machine, passes them to the daemons beside
  * the back ends that are to run them, and is itself the only way to its own back end.
  */
-import { LinkClient } from '../link/link-client.js';
 import { LinkPacer } from '../link/link-pacer.js';
 import { LinkServer } from '../link/link-server.js';
 import { formatAddress } from '../model/socket-address.js';
 import { Ok, type Result } from '../result.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
-import type { BackendInstance } from '../directory/directory-state.js';
-import { parseAddress } from '../directory/replica-address.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { BackendChooser } from './backend-chooser.js';
 import { BackendGateway } from './backend-gateway.js';
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
-import { BackendView } from './backend-view.js';
-import { CallerServer, ownAnswer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
+import { CallerServer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
-import { endToEndHeaders, headerValue } from './header-dialect.js';
 import { HeartbeatGrants } from './heartbeat-grants.js';
 import { InvokedGrants } from './invoked-grants.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
 import { LocalBackend } from './local-backend.js';
 import { OwnedRanges } from './owned-ranges.js';
+import { PeerDaemons } from './peer-daemons.js';
+import { RequestIntake } from './request-intake.js';
 import { RetryAllowance } from './retry-allowance.js';
 import {
   ForwardedRequest,
   forwarderCounters,
-  type CallerRequest,
   type CallerSink,
   type ForwarderPorts,
 } from './request-forwarder.js';
@@ -73,12 +69,6 @@
 /** When to come back after a stop, in ms. */
 const STOPPING_RETRY_MS = 500;
 
-/** When to come back while no configuration is known here, or an old one may be, in ms. */
-const UNCONFIGURED_RETRY_MS = 300;
-
-const LAST_KEY = 65_535;
-const KEY_TEXT = /^\d{1,5}$/;
-
 /** What a sidecar is started with. */
 export interface SidecarOptions {
   readonly settings: SidecarSettings;
@@ -113,8 +103,8 @@
   private readonly chooser: BackendChooser;
   /** Asks other daemons how busy their back ends are. */
   readonly prober: BackendProber;
-  private readonly links = new Map<string, LinkClient>();
-  private readonly views = new Map<string, BackendView>();
+  private readonly peers: PeerDaemons;
+  private readonly intake: RequestIntake;
   private readonly allowances = new Map<string, RetryAllowance>();
   private readonly requests = new Set<ForwardedRequest>();
   private readonly callers: CallerServer;
@@ -126,8 +116,6 @@
   private closingConnections = false;
   private lookingAgain = false;
   private lookDueMs = -Infinity;
-  /** Daemons beside back ends, this one included. */
-  private daemonCount = 1;
 
   private constructor(private readonly options: SidecarOptions) {
     const { settings, runtime, log } = options;
@@ -142,14 +130,30 @@
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.gateway = this.makeGateway();
+    this.peers = new PeerDaemons({
+      runtime,
+      log,
+      dialFrom: settings.dialFrom,
+      ownLinks: settings.links,
+      onStatus: (instance) => {
+        this.prober.answered(instance);
+      },
+    });
     this.chooser = this.makeChooser();
     this.prober = new BackendProber({
       runtime,
-      view: (instance) => this.viewOf(instance),
+      view: (instance) => this.peers.viewOf(instance),
       sendProbe: (instance) => {
-        this.linkTo(instance).probe();
+        this.peers.linkTo(instance).probe();
       },
     });
+    this.intake = new RequestIntake({
+      runtime,
+      table: this.table,
+      dialect: settings.dialect,
+      service: settings.service,
+      tableIsCurrent: () => this.directory.current,
+    });
     this.linkServer = new LinkServer(
       () => runtime.nowMs(),
       runtime.randomId(),
@@ -255,7 +259,7 @@
     this.callers.close();
     this.gateway.stop();
     this.linkServer.close();
-    for (const link of this.links.values()) link.stop();
+    this.peers.stop();
     this.directory.stop();
   }
 
@@ -324,7 +328,7 @@
       zone: this.settings.zone,
       daemonAddress: formatAddress(this.settings.advertisedLinks),
       linkBytesPerMs: this.settings.linkBytesPerMs,
-      view: (instance) => this.viewOf(instance),
+      view: (instance) => this.peers.viewOf(instance),
       nowMs: () => this.runtime.nowMs(),
       random: this.options.random,
     });
@@ -429,7 +433,7 @@
     this.gateway.reconsider();
     if (!this.awaitsKeys()) for (const done of [...this.keyWaiters]) done();
     for (const request of [...this.requests]) request.tableChanged();
-    this.forgetUnknown();
+    this.peers.keepOnly(this.table.instances());
   }
 
   private adoptGrantMode(): void {
@@ -440,27 +444,13 @@
     this.grants = this.makeGrants();
   }
 
-  private forgetUnknown(): void {
-    const addresses = new Set<string>();
-    for (const { daemonAddress } of this.table.instances()) addresses.add(daemonAddress);
-    this.daemonCount = Math.max(1, addresses.size);
-    for (const [address, link] of this.links) {
-      if (addresses.has(address) || link.outstanding > 0) continue;
-      link.stop();
-      this.links.delete(address);
-    }
-    for (const [id, view] of this.views) {
-      if (this.table.instance(id) === undefined && view.outstanding === 0) this.views.delete(id);
-    }
-  }
-
   // ---- callers
 
   private takeRequest(incoming: IncomingRequest, sink: CallerSink): TakenRequest | OwnAnswer {
     if (this.closingConnections) {
       return { statusCode: OWN_STATUS.notRun, reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS };
     }
-    const prepared = this.prepare(incoming);
+    const prepared = this.intake.prepare(incoming);
     if ('statusCode' in prepared) return prepared;
     this.allowanceOf(prepared.service).noteRequest(this.runtime.nowMs());
     const forwarded = new ForwardedRequest(
@@ -479,50 +469,6 @@
     };
   }
 
-  private prepare(incoming: IncomingRequest): CallerRequest | OwnAnswer {
-    if (!this.table.configured) {
-      const reason = 'no configuration is known here yet';
-      return { statusCode: OWN_STATUS.notRun, reason, retryAfterMs: UNCONFIGURED_RETRY_MS };
-    }
-    const route = this.table.routes.find(incoming.host, incoming.path);
-    const service = route?.nextService() ?? null;
-    if (route === null || service === null) return this.noRouteAnswer();
-    const { dialect } = this.settings;
-    const { headers, method, path, body } = incoming;
-    const keyText = headerValue(headers, dialect.key);
-    const keyed = this.table.service(service)?.keyed === true;
-    if (keyed && !isKey(keyText)) return ownAnswer(OWN_STATUS.badRequest, 'the request needs a key');
-    const told = Number(headerValue(headers, dialect.deadlineMs));
-    const hasDeadline = Number.isFinite(told) && told > 0;
-    return {
-      requestId: headerValue(headers, dialect.requestId) ?? this.runtime.randomId(),
-      method,
-      path,
-      headers: this.headersToPassOn(headers),
-      body,
-      route,
-      service,
-      key: keyed ? Number(keyText) : null,
-      deadlineMs: hasDeadline ? told : route.definition.timeoutMs,
-      spentMs: hasDeadline ? route.deadlines.spentMs(told) : 0,
-      arrivedMs: this.runtime.nowMs(),
-    };
-  }
-
-  /** A route that is missing here may exist as long as the table may be old. */
-  private noRouteAnswer(): OwnAnswer {
-    if (this.directory.current) return ownAnswer(OWN_STATUS.noRoute, 'no route fits');
-    const reason = 'the configuration here may be old';
-    return { statusCode: OWN_STATUS.notRun, reason, retryAfterMs: UNCONFIGURED_RETRY_MS };
-  }
-
-  private headersToPassOn(headers: readonly string[]): string[] {
-    const { dialect, service } = this.settings;
-    const passed = endToEndHeaders(headers, new Set([dialect.caller, dialect.deadlineMs]));
-    passed.push(dialect.caller, service);
-    return passed;
-  }
-
   private forgettingSink(sink: CallerSink, forget: () => void): CallerSink {
     return {
       answer: (head, body) => {
@@ -553,9 +499,9 @@
       log: this.log,
       chooser: this.chooser,
       prober: this.prober,
-      view: (instance) => this.viewOf(instance),
-      linkTo: (instance) => this.linkTo(instance),
-      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(this.runtime.nowMs(), this.daemonCount),
+      view: (instance) => this.peers.viewOf(instance),
+      linkTo: (instance) => this.peers.linkTo(instance),
+      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(this.runtime.nowMs(), this.peers.count),
       tableIndex: () => this.table.index,
       latencies: this.options.latencies,
     };
@@ -569,32 +515,6 @@
     return allowance;
   }
 
-  private viewOf(instance: string): BackendView {
-    const known = this.views.get(instance);
-    if (known !== undefined) return known;
-    const view = new BackendView();
-    this.views.set(instance, view);
-    return view;
-  }
-
-  private linkTo({ daemonAddress }: BackendInstance): LinkClient {
-    const known = this.links.get(daemonAddress);
-    if (known !== undefined) return known;
-    const address = parseAddress(daemonAddress) ?? this.settings.links;
-    const dialer = { address, localAddress: this.settings.dialFrom };
-    const link = new LinkClient(dialer, () => this.runtime.nowMs(), {
-      onStatus: (status) => {
-        this.viewOf(status.instance).noteStatus(status, this.runtime.nowMs());
-        this.prober.answered(status.instance);
-      },
-      onDisconnect: (reason) => {
-        this.log.event('link-lost', { daemon: daemonAddress, reason });
-      },
-    });
-    this.links.set(daemonAddress, link);
-    return link;
-  }
-
   private async waitUntil(untilMs: number, done: () => boolean): Promise<void> {
     await new Promise<void>((resolve) => {
       const cancel = this.runtime.every(STEP_MS / 4, () => {
@@ -605,7 +525,3 @@
     });
   }
 }
-
-function isKey(text: string | null): boolean {
-  return text !== null && KEY_TEXT.test(text) && Number(text) <= LAST_KEY;
-}
