A request's time and its types leave the forwarder

Change: `caller-request` (request, outcome, sink) and `request-clock` (time left, patience, time to look for a place) are moved out as they were. Behaviour is the same.

--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -8,7 +8,7 @@
 import type { AnswerHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
-import type { CallerSink, GivenUp } from './request-forwarder.js';
+import type { CallerSink, GivenUp } from './caller-request.js';
 
 /** Largest header block that is read at all, in bytes; the configured limit is checked after that. */
 const LARGEST_HEADER_BYTES = 128 * 1024;
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -13,7 +13,8 @@
 import type { BackendChooser } from './backend-chooser.js';
 import type { BackendProber } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
-import type { Route } from './route-table.js';
+import type { CallerRequest, CallerSink } from './caller-request.js';
+import { RequestClock } from './request-clock.js';
 
 /**
  * Pause in ms before an owner or a place is looked for again, when nothing announces a change. It doubles each time,
@@ -22,60 +23,15 @@
 const LOOK_AGAIN_MS = 25;
 const LONGEST_LOOK_PAUSE_MS = 200;
 
-/** Part of the target latency for which a request may look for a place, whatever it costs its caller. */
-const LEAST_PATIENCE_SHARE = 0.25;
-
 /** Refusals by other daemons after which a request ends as refused. */
 const MAX_REFUSALS = 24;
 
-/** Part of the target latency that a caller that came back leaves for the work when it looks for a place. */
-const LAST_TRY_WORK_SHARE = 0.5;
-
 /** Sooner than this no answer to a refused request can differ, in ms. */
 const LEAST_RETRY_AFTER_MS = 50;
 
 /** Part of the target latency after which a refused caller is told to come back at the soonest. */
 const RETRY_AFTER_SHARE = policyIsOn('retry-hints') ? 0.5 : 0.25;
 
-/** A caller's request. */
-export interface CallerRequest {
-  readonly requestId: string;
-  readonly method: string;
-  /** Path and query. */
-  readonly path: string;
-  /** Names and values in turn, ready to be passed on. */
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  readonly route: Route;
-  readonly service: string;
-  readonly key: number | null;
-  /** Time that the caller waits, in ms from arrival. */
-  readonly deadlineMs: number;
-  /** Time in ms that the caller has spent on earlier tries, as far as can be told. */
-  readonly spentMs: number;
-  readonly arrivedMs: number;
-}
-
-/** How a request ends without a back end's answer. */
-export type GivenUp =
-  /** It was not run and never will be. */
-  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
-  /** It may have run. */
-  | { readonly kind: 'unknown'; readonly reason: string; readonly timedOut: boolean };
-
-/** Where the outcome goes. Exactly one final call is made, unless the request was cancelled. */
-export interface CallerSink {
-  /** The answer begins; final when nothing more follows. */
-  answer(head: AnswerHead, body: Buffer): void;
-  body(chunk: Buffer): void;
-  /** Final: the answer is whole. */
-  end(): void;
-  /** Final: the answer broke off after it had begun. */
-  breakOff(): void;
-  /** Final: there is no answer. */
-  giveUp(outcome: GivenUp): void;
-}
-
 /** What a forwarder needs of its daemon. */
 export interface ForwarderPorts {
   readonly runtime: Runtime;
@@ -108,6 +64,7 @@
 
 /** One request on its way. */
 export class ForwardedRequest {
+  private readonly clock: RequestClock;
   private readonly excluded = new Set<string>();
   private current: LinkRequest | null = null;
   private currentInstance: BackendInstance | null = null;
@@ -132,11 +89,13 @@
     private readonly sink: CallerSink,
     private readonly ports: ForwarderPorts,
     private readonly counters: ForwarderCounters,
-  ) {}
+  ) {
+    this.clock = new RequestClock(request, () => ports.runtime.nowMs());
+  }
 
   /** Starts the first attempt. */
   start(): void {
-    const leftMs = this.leftMs();
+    const leftMs = this.clock.leftMs;
     if (leftMs <= 0) {
       this.giveUpNotRun('the deadline had passed');
       return;
@@ -163,33 +122,6 @@
     this.attempt();
   }
 
-  private leftMs(): number {
-    const { deadlineMs, arrivedMs, route } = this.request;
-    const limitMs = Math.min(deadlineMs, route.definition.timeoutMs);
-    return limitMs - (this.ports.runtime.nowMs() - arrivedMs);
-  }
-
-  /** Time in ms until an answer loses its full value. */
-  private targetLeftMs(): number {
-    const { arrivedMs, route } = this.request;
-    return route.definition.targetLatencyMs - (this.ports.runtime.nowMs() - arrivedMs);
-  }
-
-  /** Time in ms for which this request may still look for a back end. */
-  private patienceMs(): number {
-    const spentShare = 1 - LEAST_PATIENCE_SHARE;
-    const { targetLatencyMs } = this.request.route.definition;
-    return Math.min(this.targetLeftMs() - targetLatencyMs * spentShare, this.leftMs());
-  }
-
-  /** A caller that came back has no more to gain from a refusal, so it looks on for as long as work could follow. */
-  private lookingTimeMs(): number {
-    const { spentMs, route } = this.request;
-    const patienceMs = this.patienceMs();
-    if (spentMs === 0 || !policyIsOn('key-patience')) return patienceMs;
-    return Math.max(patienceMs, this.leftMs() - route.definition.targetLatencyMs * LAST_TRY_WORK_SHARE);
-  }
-
   private attempt(): void {
     if (this.request.key !== null || !policyIsOn('probed-choice')) {
       this.attemptAt(this.choose());
@@ -252,7 +184,7 @@
 
   /** Nothing can be tried now: waits for a change of the table, or a moment, and tries anew. */
   private lookAgain(): void {
-    const lookingTimeMs = this.lookingTimeMs();
+    const lookingTimeMs = this.clock.lookingTimeMs;
     if (lookingTimeMs <= 0 || this.refusals >= MAX_REFUSALS) {
       this.endWithoutPlace();
       return;
@@ -282,9 +214,9 @@
       key,
       route: route.name,
       priority: route.definition.priority,
-      remainingMs: this.leftMs(),
-      patienceMs: Math.max(0, this.patienceMs()),
-      targetLeftMs: this.targetLeftMs(),
+      remainingMs: this.clock.leftMs,
+      patienceMs: Math.max(0, this.clock.patienceMs),
+      targetLeftMs: this.clock.targetLeftMs,
       spentMs,
     };
     this.current = link.request(head, body, {
@@ -348,7 +280,7 @@
   }
 
   private retryAfterRefusal(refusal: RefusalHead): void {
-    const outOfTime = this.refusals >= MAX_REFUSALS || this.leftMs() <= 0;
+    const outOfTime = this.refusals >= MAX_REFUSALS || this.clock.leftMs <= 0;
     if (outOfTime || (refusal.arrived && !this.mayArriveAgain())) {
       this.endWithoutPlace();
       return;
@@ -397,7 +329,7 @@
       return;
     }
     const repeatable = this.request.route.definition.kind !== 'non-idempotent';
-    if (timedOut || !repeatable || this.leftMs() <= 0 || !this.mayArriveAgain()) {
+    if (timedOut || !repeatable || this.clock.leftMs <= 0 || !this.mayArriveAgain()) {
       this.giveUpUnknown(reason, timedOut);
       return;
     }
@@ -454,7 +386,7 @@
     const { service, arrivedMs, spentMs } = this.request;
     const { log, latencies, runtime } = this.ports;
     latencies.observe('request', service, runtime.nowMs() - arrivedMs);
-    const late = this.targetLeftMs() < spentMs;
+    const late = this.clock.targetLeftMs < spentMs;
     const fields = this.fields({ instance: this.currentInstance?.id, spentMs, late });
     // A late answer is out of the ordinary, so its line is kept while there is room for any.
     if (late) log.event('request-answered', fields);
--- a/src/sidecar/request-intake.ts
+++ b/src/sidecar/request-intake.ts
@@ -3,7 +3,7 @@
 import { ownAnswer, OWN_STATUS, type IncomingRequest, type OwnAnswer } from './caller-server.js';
 import type { DirectoryTable } from './directory-table.js';
 import { endToEndHeaders, headerValue, type HeaderDialect } from './header-dialect.js';
-import type { CallerRequest } from './request-forwarder.js';
+import type { CallerRequest } from './caller-request.js';
 
 /** When to come back while no configuration is known here, or an old one may be, in ms. */
 const UNCONFIGURED_RETRY_MS = 300;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -13,6 +13,7 @@
 import { BackendGateway } from './backend-gateway.js';
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
+import type { CallerSink } from './caller-request.js';
 import { CallerServer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
 import { DirectoryClient } from './directory-client.js';
@@ -26,12 +27,7 @@
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
 import { RetryAllowance } from './retry-allowance.js';
-import {
-  ForwardedRequest,
-  forwarderCounters,
-  type CallerSink,
-  type ForwarderPorts,
-} from './request-forwarder.js';
+import { ForwardedRequest, forwarderCounters, type ForwarderPorts } from './request-forwarder.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 
 /** Network links that carry less than this are slow: an answer may wait there for longer than it is worked on. */
