Load by key and fair pieces go again: rushes go to one key

Cause: the planner was changed for hot sets of many neighbouring keys. Ruled out: that many keys share the rush; that the pieces of moves were too large for their takers there. Conclusion: reverted. The bound of such a rush is one owner's places: 23 requests a second of some 240.

--- a/src/directory/key-load.ts
+++ b/src/directory/key-load.ts
@@ -1,27 +1,11 @@
-/** Load by key, as the leader was told by the daemons beside the back ends. */
-import { policyIsOn } from '../policy-switches.js';
+/** Load by bucket of keys, as the leader was told by the daemons beside the back ends. */
 import { FIRST_KEY, LAST_KEY } from './directory-state.js';
 
-/**
- * Keys that are counted together. Sixteen of the keys that a rush goes to can need more places than one back end has,
- * so that whoever owns them is overloaded; keys that are counted one by one can be shared out.
- */
-export const KEYS_PER_BUCKET = policyIsOn('load-by-key') ? 1 : 16;
+/** Keys that are counted together. */
+export const KEYS_PER_BUCKET = 16;
 
 const BUCKETS = (LAST_KEY - FIRST_KEY + 1) / KEYS_PER_BUCKET;
 
-/** Neighbouring keys whose mean stands in for a key of which little was seen. */
-const BLOCK_KEYS = 16;
-
-/** Buckets of a block. */
-const BLOCK_BUCKETS = BLOCK_KEYS / KEYS_PER_BUCKET;
-
-/** What one request of some 130 ms adds to the load of its key, in slots: the memory reaches back some 1.3 s. */
-const REQUEST_SLOTS = 0.1;
-
-/** Load in slots below which a key counts as idle: a hundredth of a request. */
-const IDLE_SLOTS = 0.001;
-
 /** Share of the older value that stays after a second. */
 const KEPT_SHARE = 0.45;
 
@@ -37,12 +21,8 @@
 
 /** Load of one service: slots in use on average, by bucket. */
 export class KeyLoad {
-  /** Slots in use on average, as they were reported. */
-  private readonly slots = new Float64Array(BUCKETS);
-  /** The same, with the mean of the block in place of what is not known well. */
-  private readonly estimate = new Float64Array(BUCKETS);
-  /** Sums of the estimates of all buckets below. */
-  private readonly below = new Float64Array(BUCKETS + 1);
+  /** Slots in use on average. */
+  readonly slots = new Float64Array(BUCKETS);
   private readonly window = new Float64Array(BUCKETS);
   private assumedPerKey = 0;
   /** When each bucket was last moved for balance, in ms. */
@@ -65,7 +45,7 @@
 
   /** Load of one bucket. */
   ofBucket(bucket: number): number {
-    return (this.estimate[bucket] ?? 0) + this.assumedPerKey * KEYS_PER_BUCKET;
+    return (this.slots[bucket] ?? 0) + this.assumedPerKey * KEYS_PER_BUCKET;
   }
 
   /** Adds slot time that was asked for, in ms, by bucket. */
@@ -79,57 +59,20 @@
   closeWindow(ms: number): void {
     const keptShare = KEPT_SHARE ** (ms / MS_PER_SECOND);
     for (let bucket = 0; bucket < BUCKETS; bucket += 1) {
-      const older = this.slots[bucket] ?? 0;
-      const usedMs = this.window[bucket] ?? 0;
-      if (older === 0 && usedMs === 0) continue;
-      const slots = older * keptShare + (usedMs / ms) * (1 - keptShare);
-      this.slots[bucket] = slots < IDLE_SLOTS ? 0 : slots;
+      const fresh = (this.window[bucket] ?? 0) / ms;
+      this.slots[bucket] = (this.slots[bucket] ?? 0) * keptShare + fresh * (1 - keptShare);
       this.window[bucket] = 0;
     }
-    for (let start = 0; start < BUCKETS; start += BLOCK_BUCKETS) this.estimateBlock(start);
-    this.sumUp();
   }
 
   /** Load of the keys from `from` to `to`; buckets at the ends count by the part that lies inside. */
   ofSpan(from: number, to: number): number {
-    return this.belowKey(to + 1) - this.belowKey(from) + this.assumedPerKey * (to - from + 1);
-  }
-
-  /**
-   * One request makes a key look busy for a while. So far as the keys of a block differ no more than chance makes
-   * them (for requests that come independently the variance is the mean times the weight of one), each counts for
-   * their mean; the rest of the difference is taken as it is.
-   */
-  private estimateBlock(start: number): void {
-    const end = start + BLOCK_BUCKETS;
-    let sum = 0;
-    let squares = 0;
-    for (let bucket = start; bucket < end; bucket += 1) {
-      const own = this.slots[bucket] ?? 0;
-      sum += own;
-      squares += own * own;
-    }
-    const mean = sum / BLOCK_BUCKETS;
-    const variance = squares / BLOCK_BUCKETS - mean * mean;
-    const byChance = variance > 0 ? Math.min(1, (mean * REQUEST_SLOTS) / variance) : 0;
-    for (let bucket = start; bucket < end; bucket += 1) {
-      const own = this.slots[bucket] ?? 0;
-      this.estimate[bucket] = own + (mean - own) * byChance;
-    }
-  }
-
-  private sumUp(): void {
     let sum = 0;
-    for (let bucket = 0; bucket < BUCKETS; bucket += 1) {
-      this.below[bucket] = sum;
-      sum += this.estimate[bucket] ?? 0;
+    for (let bucket = bucketOf(from); bucket <= bucketOf(to); bucket += 1) {
+      const first = Math.max(from, bucket * KEYS_PER_BUCKET);
+      const last = Math.min(to, (bucket + 1) * KEYS_PER_BUCKET - 1);
+      sum += (this.ofBucket(bucket) * (last - first + 1)) / KEYS_PER_BUCKET;
     }
-    this.below[BUCKETS] = sum;
-  }
-
-  private belowKey(key: number): number {
-    const bucket = bucketOf(key);
-    const part = (key - bucket * KEYS_PER_BUCKET) / KEYS_PER_BUCKET;
-    return (this.below[bucket] ?? 0) + (this.estimate[bucket] ?? 0) * part;
+    return sum;
   }
 }
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -16,19 +16,7 @@
 
 /** Moves for balance in one plan: so many at least, and more where there are many back ends. */
 const LEAST_BALANCE_MOVES = 6;
-const BACK_ENDS_PER_BALANCE_MOVE = policyIsOn('fair-pieces') ? 1 : 2;
-
-/** Share of its slots that a back end may be given keys for, if the mean share is not above it. */
-const FAIR_UTILIZATION = 0.5;
-
-/** Share of its slots by which a taker may come above the mean: what was measured is a little old. */
-const FAIR_MARGIN = 0.1;
-
-/** Part of the wanted load that a span must carry; where moves are small, many of them must do. */
-const LEAST_PART_OF_WANTED = policyIsOn('fair-pieces') ? 0.85 : 0.6;
-
-/** Part of the wanted load that a span may carry. */
-const LARGEST_PART_OF_WANTED = 1.4;
+const BACK_ENDS_PER_BALANCE_MOVE = 2;
 
 /** Least load that is worth a move for balance, in slots. */
 const LEAST_MOVED_LOAD = 0.2;
@@ -222,7 +210,7 @@
   if (idlest === null) return null;
   for (const giver of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
     if (giver === idlest || !isOutOfBalance(giver, idlest, limits)) return null;
-    const wanted = wantedLoad(giver, idlest, candidates);
+    const wanted = ((utilization(giver) - utilization(idlest)) / 2) * Math.min(giver.slots, idlest.slots);
     const owned = ranges.filter(({ owner, movingTo }) => owner === giver.id && movingTo === null);
     const span = smallestSpan(owned, wanted, view) ?? mostLoadedSpan(owned, wanted, view);
     if (span === null) continue;
@@ -234,17 +222,6 @@
   return null;
 }
 
-/** Load in slots that should move; keys that were moved rest, so the taker must be able to bear all of it. */
-function wantedLoad(giver: Candidate, taker: Candidate, candidates: readonly Candidate[]): number {
-  const half = ((utilization(giver) - utilization(taker)) / 2) * Math.min(giver.slots, taker.slots);
-  if (!policyIsOn('fair-pieces')) return half;
-  const busy = candidates.reduce((sum, candidate) => sum + candidate.busy, 0);
-  const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
-  const fairShare = Math.max(FAIR_UTILIZATION, busy / slots) + FAIR_MARGIN;
-  const room = (fairShare - utilization(taker)) * taker.slots;
-  return Math.min(half, Math.max(room, LEAST_MOVED_LOAD));
-}
-
 function utilization({ busy, slots }: Candidate): number {
   return busy / slots;
 }
@@ -296,6 +273,9 @@
   return best;
 }
 
+const LEAST_PART_OF_WANTED = 0.6;
+const LARGEST_PART_OF_WANTED = 1.4;
+
 function smallestSpanIn(range: KeyRange, wanted: number, { load, rests }: RangeView): KeySpan | null {
   const first = bucketOf(range.from);
   const last = bucketOf(range.to);
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -25,10 +25,6 @@
   | 'small-answers-paced'
   /** A few back ends are asked how busy they are before one is chosen; without it only answers tell. */
   | 'probed-choice'
-  /** Load is counted by key; without it sixteen neighbouring keys are counted together and never divided. */
-  | 'load-by-key'
-  /** A move for balance brings its taker to a fair share of the load at most, so that a rush is shared by many. */
-  | 'fair-pieces'
   /** A replica that has heard no leader since its start stands for election after a heartbeat, not a whole timeout. */
   | 'early-election'
   /** A new life of a back end gets the keys of the one before it beside the same daemon. */
