Inherited keys go again; a link that its owner closes is not told as lost

Cause: `inherited-keys` was to spare the plan after a loss of all, and moves. The 2,692 lines `link-lost` of the grown site were links closed by their own daemon. LinkClient tells of a loss only while it is not stopped (test: fails before).

--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -24,7 +24,6 @@
   type DirectoryState,
   type KeyRange,
 } from './directory-state.js';
-import { policyIsOn } from '../policy-switches.js';
 import { changeSpan, changedRanges, joinNeighbours, unownedRanges } from './key-ranges.js';
 
 /** Accepted revisions that are remembered, so that a resend gets the same answer. */
@@ -145,7 +144,7 @@
   const session = known?.session ?? index;
   const condition = known?.condition === 'draining' ? 'draining' : instance.condition;
   const registered = { ...instance, condition, session };
-  const ended = endEarlierLives(state, registered, index);
+  const ended = endEarlierLives(state, registered);
   state.instances.set(instance.id, registered);
   return {
     outcome: { kind: 'registered', session },
@@ -153,35 +152,18 @@
   };
 }
 
-/**
- * A daemon has one back end beside it: a new life there shows that the earlier one has ended. Its keys go on to the
- * new life, so that a loss of power leaves them divided as they were balanced, and nobody waits for a plan.
- */
-function endEarlierLives(state: DirectoryState, present: BackendInstance, index: number): DirectoryChange[] {
+/** A daemon has one back end beside it: a new life there shows that the earlier one has ended. */
+function endEarlierLives(state: DirectoryState, present: BackendInstance): DirectoryChange[] {
   const changes: DirectoryChange[] = [];
   for (const earlier of [...state.instances.values()]) {
     if (earlier.daemonAddress !== present.daemonAddress || earlier.id === present.id) continue;
     state.instances.delete(earlier.id);
     changes.push({ kind: 'instance-gone', id: earlier.id });
-    const inherits = earlier.service === present.service && present.condition === 'ready';
-    if (inherits && policyIsOn('inherited-keys'))
-      changes.push(...passOnRanges(state, earlier.id, present, index));
-    else changes.push(...withdrawRanges(state, earlier.service, earlier.id));
+    changes.push(...withdrawRanges(state, earlier.service, earlier.id));
   }
   return changes;
 }
 
-function passOnRanges(
-  state: DirectoryState,
-  earlier: string,
-  { id, service, session }: BackendInstance,
-  index: number,
-): DirectoryChange[] {
-  return replaceHolder(state, service, earlier, (range) => {
-    return { ...range, owner: id, session, fence: index, movingTo: null, handover: '' };
-  });
-}
-
 function setCondition(state: DirectoryState, command: SetConditionCommand): AppliedCommand {
   const known = state.instances.get(command.id);
   if (known?.session !== command.session || known.condition === command.condition) return unchanged(DONE);
@@ -202,26 +184,14 @@
 }
 
 function withdrawRanges(state: DirectoryState, service: string, id: string): DirectoryChange[] {
-  return replaceHolder(state, service, id, (range) => {
-    return { ...range, owner: null, session: 0, movingTo: null, handover: '' };
-  });
-}
-
-/** Replaces the ranges that a back end owns, and ends the moves toward it. */
-function replaceHolder(
-  state: DirectoryState,
-  service: string,
-  id: string,
-  replace: (range: KeyRange) => KeyRange,
-): DirectoryChange[] {
   const ranges = state.ranges.get(service);
   const concerned = ranges?.some(({ owner, movingTo }) => owner === id || movingTo === id) ?? false;
   if (ranges === undefined || !concerned) return [];
-  const replaced = ranges.map((range): KeyRange => {
-    if (range.owner === id) return replace(range);
+  const withdrawn = ranges.map((range): KeyRange => {
+    if (range.owner === id) return { ...range, owner: null, session: 0, movingTo: null, handover: '' };
     return range.movingTo === id ? { ...range, movingTo: null } : range;
   });
-  return [putRanges(state, service, replaced)];
+  return [putRanges(state, service, withdrawn)];
 }
 
 // ---- ranges
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -32,7 +32,7 @@
 /** What the owner of a client is told. */
 export interface LinkClientHandlers {
   onStatus(status: StatusHead): void;
-  /** The connection was lost or could not be opened. */
+  /** The connection was lost or could not be opened; not called for a link that its owner closes. */
   onDisconnect(reason: string): void;
 }
 
@@ -168,7 +168,7 @@
     this.probePending = false;
     const lost = [...this.pending.values()];
     this.pending.clear();
-    this.handlers.onDisconnect(reason);
+    if (!this.stopped) this.handlers.onDisconnect(reason);
     for (const pending of lost) pending.handlers.onLost(pending.sent);
   }
 
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -26,9 +26,7 @@
   /** A few back ends are asked how busy they are before one is chosen; without it only answers tell. */
   | 'probed-choice'
   /** A replica that has heard no leader since its start stands for election after a heartbeat, not a whole timeout. */
-  | 'early-election'
-  /** A new life of a back end gets the keys of the one before it beside the same daemon. */
-  | 'inherited-keys';
+  | 'early-election';
 
 /** Names of the mechanisms that this bundle was built without, separated by commas; set by the bundler. */
 declare const ALDERTIDE_WITHOUT: string | undefined;
