Large answers that are being made count as waiting for a slow link

A back end of 3 places makes 29 sheets a second, its link carries 6. Those being made were not counted, so each accepted sheet came a little late, and those behind it too. Ruled out: the receiving links (17.6 MB/s over 195); places (20 of 45 in use). Change, switch `expected-answers`: `link-outlook` counts answers from acceptance until they are on the link, takes off what passes while an answer is made, and tells the sum to probes.

--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -26,7 +26,9 @@
   /** A few back ends are asked how busy they are before one is chosen; without it only answers tell. */
   | 'probed-choice'
   /** A replica that has heard no leader since its start stands for election after a heartbeat, not a whole timeout. */
-  | 'early-election';
+  | 'early-election'
+  /** Large answers that are still being worked on count as waiting for a slow network link. */
+  | 'expected-answers';
 
 /** Names of the mechanisms that this bundle was built without, separated by commas; set by the bundler. */
 declare const ALDERTIDE_WITHOUT: string | undefined;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -3,7 +3,7 @@
  * within its places, while it is not leaving, and with keys that it holds.
  */
 import type { RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
-import { PACED_FRAME_BYTES, type LinkPacer } from '../link/link-pacer.js';
+import type { LinkPacer } from '../link/link-pacer.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
@@ -14,6 +14,7 @@
 import { BackendPool } from './backend-pool.js';
 import { BackendRun, type RunOutcome } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
+import { LinkOutlook } from './link-outlook.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import {
   comesTooLateForLink,
@@ -116,6 +117,7 @@
   readonly admission = new Admission(1);
   private readonly times = new RouteMeans();
   private readonly answerBytes = new RouteMeans();
+  private readonly link: LinkOutlook<Visit>;
   readonly lateOutlook = new LateOutlook();
   readonly pool: BackendPool;
   /** Requests that wait for the back end to tell about itself, or for keys. */
@@ -127,6 +129,7 @@
   private cancelStep: CancelTimer | null = null;
 
   constructor(private readonly ports: GatewayPorts) {
+    this.link = new LinkOutlook(ports.pacer);
     const names = { requestId: ports.dialect.requestId, notRun: ports.dialect.notRun };
     const nowMs = (): number => ports.runtime.nowMs();
     this.pool = new BackendPool(ports.address, names, nowMs, ports.onBackendRefused);
@@ -154,7 +157,7 @@
       slots,
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving(),
-      sendWaitMs: Math.round(this.ports.pacer?.backlogMs ?? 0),
+      sendWaitMs: Math.round(this.link.waitMs),
     };
   }
 
@@ -185,7 +188,7 @@
 
   /** Time in ms for which a request may wait for keys, or for the back end to tell about itself. */
   private changeWaitMs(head: RequestHead): number {
-    const claim = this.claimOf(head);
+    const claim = this.claimOf(head, null);
     const meanMs = this.meanMs(head.route);
     const inTimeMs = Math.max(head.patienceMs, spareMs(claim, meanMs));
     // A first try that is refused comes back; one that came back has nothing to lose by waiting.
@@ -199,16 +202,13 @@
   }
 
   /** Time in ms that an answer of the route will need on the network link, behind those that wait for it. */
-  private sendMs(route: string): number {
-    const { pacer } = this.ports;
-    const bytes = this.answerBytes.of(route, 0);
-    if (pacer === null || bytes < PACED_FRAME_BYTES) return 0;
-    return pacer.backlogMs + pacer.sendingMs(bytes);
+  private sendMs(route: string, visit: Visit | null): number {
+    return this.link.sendMs(visit, this.answerBytes.of(route, 0), this.meanMs(route));
   }
 
   /** The answer must have passed the network link by the time that its caller tells. */
-  private claimOf(head: RequestHead): PlaceClaim {
-    const sendMs = this.sendMs(head.route);
+  private claimOf(head: RequestHead, visit: Visit | null): PlaceClaim {
+    const sendMs = this.sendMs(head.route, visit);
     if (sendMs === 0) return head;
     const { patienceMs, spentMs } = head;
     const remainingMs = head.remainingMs - sendMs;
@@ -261,11 +261,12 @@
   private apply(visit: Visit, nowMs: number): void {
     const { head, arrivedMs } = visit;
     const meanMs = this.meanMs(head.route);
-    const claim = this.claimOf(head);
-    if (claim !== head && comesTooLateForLink(claim, this.ports.pacer?.backlogMs ?? 0, meanMs)) {
+    const claim = this.claimOf(head, visit);
+    if (claim !== head && comesTooLateForLink(claim, this.link.waitMs, meanMs)) {
       this.refuse(visit, 'busy');
       return;
     }
+    this.link.accept(visit, this.answerBytes.of(head.route, 0));
     this.countOffered(visit, meanMs);
     let waits = false;
     const applicant: Applicant = {
@@ -291,7 +292,7 @@
   private applyLate(visit: Visit): void {
     const { head, arrivedMs } = visit;
     const nowMs = this.ports.runtime.nowMs();
-    const claim = this.claimOf(head);
+    const claim = this.claimOf(head, visit);
     const waitMs = lateWaitMs(claim, nowMs - arrivedMs, this.meanMs(head.route));
     const possible = policyIsOn('late-waiting') && !this.stopped && waitMs > 0;
     if (!possible || !this.lateOutlook.mayWait(waitMs, this.admission.slots, nowMs)) {
@@ -345,7 +346,7 @@
     const keyLost = head.key !== null && !ports.holdsKey(head.key);
     const leftMs = head.remainingMs - (nowMs - visit.arrivedMs);
     visit.startedMs = nowMs;
-    if (stale || keyLost || leftMs - this.sendMs(head.route) <= 1) {
+    if (stale || keyLost || leftMs - this.sendMs(head.route, visit) <= 1) {
       this.admission.leave(this.admission.serviceMs);
       if (keyLost && !stale) this.considerKey(visit, head.key ?? 0);
       else this.refuse(visit, stale ? 'leaving' : 'busy');
@@ -367,6 +368,7 @@
   private finished(visit: Visit, outcome: RunOutcome): void {
     if (visit.done) return;
     visit.done = true;
+    this.link.forget(visit);
     this.running.delete(visit);
     const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
     if (outcome.kind === 'answered') {
@@ -392,6 +394,7 @@
   private refuse(visit: Visit, reason: RefusalReason): void {
     if (visit.done) return;
     visit.done = true;
+    this.link.forget(visit);
     this.counters.refused[reason] += 1;
     const { requestId, instance, key } = visit.head;
     const waitedMs = Math.round(this.ports.runtime.nowMs() - visit.arrivedMs);
@@ -416,6 +419,7 @@
     this.endLateWait(visit, 'withdrawn');
     const { run } = visit;
     if (run === null) {
+      this.link.forget(visit);
       visit.done = true;
       return;
     }
