--- a/test/consensus/raft-core.test.ts
+++ b/test/consensus/raft-core.test.ts
@@ -18,6 +18,19 @@
 const FIRST_ELECTION_MS = DEFAULT_RAFT_OPTIONS.heartbeatMs + DEFAULT_RAFT_OPTIONS.electionTimeoutMs / 2;
 const START_MS = LATE_MS - FIRST_ELECTION_MS;
 
+/** A leader's sign of life to `a/1`. */
+const HEARTBEAT: RaftMessage = {
+  kind: 'append-request',
+  from: 'c/1',
+  to: 'a/1',
+  term: 1,
+  previousIndex: 0,
+  previousTerm: 0,
+  entries: [],
+  commitIndex: 0,
+  round: 1,
+};
+
 function durable(given: Partial<DurableState> = {}): DurableState {
   return {
     hardState: { term: 0, votedFor: null },
@@ -167,19 +180,8 @@
 
 test('no pre-vote while a leader is heard', (t) => {
   const replica = core();
-  const heartbeat = {
-    kind: 'append-request',
-    from: 'c/1',
-    to: 'a/1',
-    term: 1,
-    previousIndex: 0,
-    previousTerm: 0,
-    entries: [],
-    commitIndex: 0,
-    round: 1,
-  } as const;
   const heardMs = START_MS + 1_000;
-  replica.step({ kind: 'message', message: heartbeat }, heardMs);
+  replica.step({ kind: 'message', message: HEARTBEAT }, heardMs);
   const request = {
     kind: 'vote-request',
     from: 'b/1',
@@ -262,18 +264,7 @@
 
 test('a replica that has heard a leader waits for a whole election timeout before it stands', (t) => {
   const replica = core();
-  const heartbeat = {
-    kind: 'append-request',
-    from: 'b/1',
-    to: 'a/1',
-    term: 1,
-    previousIndex: 0,
-    previousTerm: 0,
-    entries: [],
-    commitIndex: 0,
-    round: 1,
-  } as const;
-  replica.step({ kind: 'message', message: heartbeat }, START_MS);
+  replica.step({ kind: 'message', message: HEARTBEAT }, START_MS);
   tickUntil(replica, START_MS, START_MS + DEFAULT_RAFT_OPTIONS.electionTimeoutMs - TICK_MS);
   t.is(replica.role, 'follower');
 });
