A round of probes ends its timer with its last answer

Cause: read in the diff: each round left a 30 ms timer behind although all had answered, one for every request of a service without keys. Ruled out: a change of behaviour: the late timer found its round gone. Change: the round holds its timer and cancels it when it ends.

--- a/src/sidecar/backend-prober.ts
+++ b/src/sidecar/backend-prober.ts
@@ -3,7 +3,7 @@
  * used, so that its age and its cost do not depend on how many daemons there are.
  */
 import type { BackendInstance } from '../directory/directory-state.js';
-import type { Runtime } from '../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { BackendView } from './backend-view.js';
 
 /** Age in ms up to which a status needs no probe: about one way over a network between zones. */
@@ -30,6 +30,7 @@
 interface Round {
   readonly awaited: Set<string>;
   readonly done: () => void;
+  cancelTimer: CancelTimer;
 }
 
 /** Sends probes and waits for their answers. */
@@ -46,14 +47,15 @@
   probe(instances: readonly BackendInstance[], done: () => void): () => void {
     const nowMs = this.ports.runtime.nowMs();
     const unknown = instances.filter(({ id }) => this.ports.view(id).statusAgeMs(nowMs) > FRESH_STATUS_MS);
-    const round: Round = { awaited: new Set(unknown.map(({ id }) => id)), done };
+    const awaited = new Set(unknown.map(({ id }) => id));
+    const round: Round = { awaited, done, cancelTimer: () => undefined };
     if (unknown.length === 0) {
       done();
       return () => undefined;
     }
     this.rounds.add(round);
-    const cancelTimer = this.ports.runtime.after(PROBE_WAIT_MS, () => {
-      if (!this.rounds.delete(round)) return;
+    round.cancelTimer = this.ports.runtime.after(PROBE_WAIT_MS, () => {
+      this.rounds.delete(round);
       this.unanswered += 1;
       done();
     });
@@ -62,7 +64,7 @@
       this.ports.sendProbe(instance);
     }
     return () => {
-      cancelTimer();
+      round.cancelTimer();
       this.rounds.delete(round);
     };
   }
@@ -72,6 +74,7 @@
     for (const round of [...this.rounds]) {
       if (!round.awaited.delete(instance) || round.awaited.size > 0) continue;
       this.rounds.delete(round);
+      round.cancelTimer();
       round.done();
     }
   }
