--- /dev/null
+++ b/lab/chain/chain-daemon.ts
@@ -0,0 +1,284 @@
+/** One daemon of a simulated chain, with the real decisions of a sidecar, and the back end beside it. */
+import { LAST_KEY, type BackendInstance } from '../../src/directory/directory-state.js';
+import type { LinkClient, LinkRequest, RequestHandlers } from '../../src/link/link-client.js';
+import type { RequestHead } from '../../src/link/link-messages.js';
+import type { AcceptedRequest, RequestReply } from '../../src/link/link-server.js';
+import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
+import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
+import { BackendProber } from '../../src/sidecar/backend-prober.js';
+import { BackendView } from '../../src/sidecar/backend-view.js';
+import type { CallerSink, GivenUp } from '../../src/sidecar/caller-request.js';
+import { DirectoryTable } from '../../src/sidecar/directory-table.js';
+import { forwarderCounters } from '../../src/sidecar/forwarder-counters.js';
+import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
+import { ForwardedRequest, type ForwarderPorts } from '../../src/sidecar/request-forwarder.js';
+import { RequestIntake } from '../../src/sidecar/request-intake.js';
+import { RetryAllowance } from '../../src/sidecar/retry-allowance.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
+import type { Random } from '../random.js';
+import { ChainBackend } from './chain-backend.js';
+import type { ChainReport } from './chain-report.js';
+import { CHAIN_HOST, type ChainPlace, type ChainSettings } from './chain-settings.js';
+import type { ChainSpec } from './chain-spec.js';
+import type { ChainTime } from './chain-time.js';
+
+/** Retries that all daemons together may make: a part of the requests, and a fixed number in a window. */
+const RETRY_BUDGET = { ratio: 0.2, extra: 60, windowMs: 10_000 };
+
+/** Bytes that links carry in a ms: 1 Gbit/s. */
+const LINK_BYTES_PER_MS = 125_000;
+
+/** The world as a daemon sees it. */
+export interface ChainDaemonPorts {
+  readonly spec: ChainSpec;
+  readonly time: ChainTime;
+  readonly random: Random;
+  readonly settings: ChainSettings;
+  readonly daemons: ReadonlyMap<string, ChainDaemon>;
+  readonly report: ChainReport;
+}
+
+/** A request to a daemon, of a caller or of the back end beside it. */
+export interface ChainRequest {
+  readonly path: string;
+  readonly deadlineMs: number;
+}
+
+/** What becomes of it; one of the two. */
+export interface ChainRequestHandlers {
+  onAnswer(statusCode: number): void;
+  onGivenUp(outcome: GivenUp): void;
+}
+
+/** A daemon. */
+export class ChainDaemon {
+  readonly gateway: BackendGateway;
+  private readonly table = new DirectoryTable();
+  private readonly views = new Map<string, BackendView>();
+  private readonly links = new Map<string, LinkClient>();
+  private readonly allowances = new Map<string, RetryAllowance>();
+  private readonly counters = forwarderCounters();
+  private readonly chooser: BackendChooser;
+  private readonly prober: BackendProber;
+  private readonly intake: RequestIntake;
+  /** Until when this daemon's processor is taken, in ms. */
+  private busyUntilMs = 0;
+
+  constructor(
+    readonly place: ChainPlace,
+    private readonly ports: ChainDaemonPorts,
+  ) {
+    const { time, random, settings, report } = ports;
+    this.table.replace(1, settings.directory);
+    this.chooser = new BackendChooser({
+      table: this.table,
+      zone: 'zone',
+      daemonAddress: place.id,
+      linkBytesPerMs: LINK_BYTES_PER_MS,
+      view: (id) => this.viewOf(id),
+      nowMs: () => time.queue.nowMs,
+      random: () => random.fraction(),
+    });
+    this.prober = new BackendProber({
+      runtime: time.runtime,
+      view: (id) => this.viewOf(id),
+      sendProbe: (instance) => {
+        this.sendProbe(instance);
+      },
+    });
+    this.intake = new RequestIntake({
+      runtime: time.runtime,
+      table: this.table,
+      dialect: DEFAULT_HEADER_DIALECT,
+      service: place.service,
+      tableIsCurrent: () => true,
+    });
+    const backend = new ChainBackend({ spec: ports.spec, time, random, report, daemon: this });
+    this.gateway = this.makeGateway(backend);
+    this.gateway.setSlots(place.slots);
+  }
+
+  /** Takes a request of a caller, or a call of the back end beside this daemon. */
+  callersRequest(request: ChainRequest, handlers: ChainRequestHandlers): void {
+    this.handle(() => {
+      this.take(request, handlers);
+    });
+  }
+
+  private take({ path, deadlineMs }: ChainRequest, handlers: ChainRequestHandlers): void {
+    this.ports.report.requests += 1;
+    const prepared = this.intake.prepare({
+      method: 'POST',
+      path,
+      host: CHAIN_HOST,
+      headers: [
+        DEFAULT_HEADER_DIALECT.deadlineMs,
+        String(deadlineMs),
+        DEFAULT_HEADER_DIALECT.key,
+        String(this.ports.random.below(LAST_KEY + 1)),
+      ],
+      body: Buffer.alloc(0),
+    });
+    if ('statusCode' in prepared) throw new Error(`invariant broken: ${prepared.reason}`);
+    this.allowanceOf(prepared.service).noteRequest(this.ports.time.queue.nowMs);
+    const sink: CallerSink = {
+      answer: (head) => {
+        handlers.onAnswer(head.statusCode);
+      },
+      body: () => undefined,
+      end: () => undefined,
+      breakOff: () => undefined,
+      giveUp: (outcome) => {
+        handlers.onGivenUp(outcome);
+      },
+    };
+    new ForwardedRequest(prepared, sink, this.forwarderPorts(), this.counters).start();
+  }
+
+  /** Does what a message asks for once this daemon's processor is free. */
+  private handle(work: () => void): void {
+    const { time, spec } = this.ports;
+    this.busyUntilMs = Math.max(this.busyUntilMs, time.queue.nowMs) + spec.messageMs;
+    time.queue.at(this.busyUntilMs, work);
+  }
+
+  /** Sends something to another daemon. */
+  private transmit(to: ChainDaemon, work: () => void): void {
+    const { time, spec, report } = this.ports;
+    const sameDaemon = to === this;
+    if (!sameDaemon) report.messages += 1;
+    time.queue.at(time.queue.nowMs + (sameDaemon ? 0 : spec.networkMs), () => {
+      to.handle(work);
+    });
+  }
+
+  private sendProbe({ id }: BackendInstance): void {
+    const other = this.daemon(id);
+    this.transmit(other, () => {
+      const status = other.gateway.status();
+      if (status === null) return;
+      other.transmit(this, () => {
+        this.viewOf(id).noteStatus(status, this.ports.time.queue.nowMs);
+        this.prober.answered(id);
+      });
+    });
+  }
+
+  private send(id: string, head: RequestHead, body: Buffer, handlers: RequestHandlers): LinkRequest {
+    const other = this.daemon(id);
+    let cancelled = false;
+    let accepted: AcceptedRequest | null = null;
+    const back = (deliver: () => void): void => {
+      other.transmit(this, () => {
+        if (!cancelled) deliver();
+      });
+    };
+    const reply = makeReply(handlers, back, () => (this.ports.report.refusals += 1));
+    this.transmit(other, () => {
+      if (!cancelled) accepted = other.gateway.take(head, body, reply);
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        this.transmit(other, () => accepted?.cancel());
+      },
+    };
+  }
+
+  private daemon(id: string): ChainDaemon {
+    const daemon = this.ports.daemons.get(id);
+    if (daemon === undefined) throw new Error(`invariant broken: no daemon ${id}`);
+    return daemon;
+  }
+
+  private viewOf(id: string): BackendView {
+    const known = this.views.get(id);
+    if (known !== undefined) return known;
+    const view = new BackendView();
+    this.views.set(id, view);
+    return view;
+  }
+
+  private linkTo({ id }: BackendInstance): LinkClient {
+    const known = this.links.get(id);
+    if (known !== undefined) return known;
+    const link = {
+      unreachable: false,
+      request: (head: RequestHead, body: Buffer, handlers: RequestHandlers) =>
+        this.send(id, head, body, handlers),
+    } as unknown as LinkClient;
+    this.links.set(id, link);
+    return link;
+  }
+
+  private forwarderPorts(): ForwarderPorts {
+    const { time, daemons } = this.ports;
+    return {
+      runtime: time.runtime,
+      log: SILENT_EVENT_LOG,
+      chooser: this.chooser,
+      prober: this.prober,
+      view: (id) => this.viewOf(id),
+      linkTo: (instance) => this.linkTo(instance),
+      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(time.queue.nowMs, daemons.size),
+      tableIndex: () => 1,
+      latencies: NO_LATENCIES,
+    };
+  }
+
+  private allowanceOf(service: string): RetryAllowance {
+    const known = this.allowances.get(service);
+    if (known !== undefined) return known;
+    const allowance = new RetryAllowance(RETRY_BUDGET);
+    this.allowances.set(service, allowance);
+    return allowance;
+  }
+
+  private makeGateway(backend: ChainBackend): BackendGateway {
+    return new BackendGateway({
+      runtime: this.ports.time.runtime,
+      log: SILENT_EVENT_LOG,
+      service: this.place.service,
+      latencies: NO_LATENCIES,
+      pacer: null,
+      backend,
+      instance: () => this.place.id,
+      awaitsBackend: () => false,
+      closesAtMs: () => Infinity,
+      leaving: () => false,
+      holdsKey: () => true,
+      ownsKey: () => true,
+      onWork: () => undefined,
+    });
+  }
+}
+
+/** Answers of a gateway, on their way back to the daemon that asked. */
+function makeReply(
+  handlers: RequestHandlers,
+  back: (deliver: () => void) => void,
+  noteRefusal: () => void,
+): RequestReply {
+  return {
+    refuse: (head) => {
+      noteRefusal();
+      back(() => {
+        handlers.onRefusal(head);
+      });
+    },
+    fail: (head) => {
+      back(() => {
+        handlers.onFailure(head);
+      });
+    },
+    answer: (head, body) => {
+      back(() => {
+        handlers.onAnswer(head, body);
+      });
+    },
+    body: () => true,
+    end: () => undefined,
+    onRoom: () => undefined,
+  };
+}
--- /dev/null
+++ b/lab/chain/chain-settings.ts
@@ -0,0 +1,100 @@
+/** The directory of a simulated chain: its routes, services and back ends. */
+import {
+  FIRST_KEY,
+  LAST_KEY,
+  type BackendInstance,
+  type ConfigurationItem,
+  type DirectorySnapshot,
+  type KeyRange,
+  type RouteDefinition,
+} from '../../src/directory/directory-state.js';
+import type { ChainSpec } from './chain-spec.js';
+
+/** A back end and the daemon beside it. */
+export interface ChainPlace {
+  readonly id: string;
+  readonly service: string;
+  readonly slots: number;
+}
+
+/** Everything that daemons are told. */
+export interface ChainSettings {
+  readonly places: readonly ChainPlace[];
+  readonly directory: DirectorySnapshot;
+}
+
+/** Host of all routes. */
+export const CHAIN_HOST = 'chain.example';
+
+/** Path of a caller's request to a service. */
+export function callerPath(service: string): string {
+  return `/callers/${service}/`;
+}
+
+/** Path of a call to a service. */
+export function callPath(service: string): string {
+  return `/calls/${service}/`;
+}
+
+/** The directory of a chain. */
+export function makeSettings(spec: ChainSpec): ChainSettings {
+  const places = spec.services.flatMap(({ name, backends, slots }) =>
+    Array.from({ length: backends }, (_, at) => ({ id: `${name}-${at}`, service: name, slots })),
+  );
+  const instances = places.map(({ id, service, slots }, at): BackendInstance => {
+    return { id, service, zone: 'zone', daemonAddress: id, slots, condition: 'ready', session: at + 1 };
+  });
+  const items = spec.services.flatMap((service): ConfigurationItem[] => [
+    {
+      kind: 'service',
+      name: service.name,
+      version: 1,
+      source: null,
+      definition: { maxConnections: 100, keyed: service.keyed, grantMode: null },
+    },
+    route(`callers-${service.name}`, {
+      pathPrefix: callerPath(service.name),
+      timeoutMs: service.deadlineMs,
+      targetLatencyMs: service.targetMs,
+      service: service.name,
+    }),
+    route(`calls-${service.name}`, {
+      pathPrefix: callPath(service.name),
+      timeoutMs: spec.call.deadlineMs,
+      targetLatencyMs: spec.call.targetMs,
+      service: service.name,
+    }),
+  ]);
+  const keyed = spec.services.filter((service) => service.keyed);
+  const ranges = keyed.map(({ name }) => ({ service: name, ranges: divideKeys(places, name) }));
+  const directory = { items, revision: 1, configured: true, accepted: [], instances, ranges };
+  return { places, directory };
+}
+
+/** Each back end of the service owns an equal part of the keys. */
+function divideKeys(places: readonly ChainPlace[], service: string): KeyRange[] {
+  const owners = places.filter((place) => place.service === service);
+  const startOf = (at: number): number =>
+    FIRST_KEY + Math.floor(((LAST_KEY - FIRST_KEY + 1) * at) / owners.length);
+  return owners.map(({ id }, at) => {
+    const span = { from: startOf(at), to: startOf(at + 1) - 1 };
+    return { ...span, owner: id, session: at + 1, fence: 1, movingTo: null, handover: '' };
+  });
+}
+
+interface RouteSpec extends Pick<RouteDefinition, 'pathPrefix' | 'timeoutMs' | 'targetLatencyMs'> {
+  readonly service: string;
+}
+
+function route(name: string, { service, ...spec }: RouteSpec): ConfigurationItem {
+  const destinations = [{ service, weight: 1 }];
+  const definition: RouteDefinition = {
+    ...spec,
+    host: CHAIN_HOST,
+    kind: 'non-idempotent',
+    priority: 1,
+    maxAttempts: 2,
+    destinations,
+  };
+  return { kind: 'route', name, version: 1, source: null, definition };
+}
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -5,15 +5,13 @@
 import type { RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { LinkPacer } from '../link/link-pacer.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
-import type { SocketAddress } from '../model/socket-address.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
-import { BackendPool } from './backend-pool.js';
-import { BackendRun, type RunOutcome } from './backend-run.js';
-import type { HeaderDialect } from './header-dialect.js';
+import type { BackendClient, PreparedRun } from './backend-client.js';
+import type { RunOutcome } from './backend-run.js';
 import { LinkOutlook } from './link-outlook.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import {
@@ -47,12 +45,11 @@
 export interface GatewayPorts {
   readonly runtime: Runtime;
   readonly log: EventLog;
-  readonly dialect: HeaderDialect;
   readonly service: string;
   readonly latencies: Latencies;
   /** Paces large answers; null where the network link is fast. */
   readonly pacer: LinkPacer | null;
-  readonly address: SocketAddress;
+  readonly backend: BackendClient;
   /** Id of the present life; null until it has told about itself. */
   readonly instance: () => string | null;
   /** Whether this daemon was started a moment ago and its back end may not have told about itself yet. */
@@ -67,8 +64,6 @@
   readonly ownsKey: (key: number) => boolean;
   /** Slot time was used for a key. */
   readonly onWork: (key: number | null, ms: number) => void;
-  /** No process listens at the back end's address. */
-  readonly onBackendRefused: () => void;
 }
 
 /** A request inside the gateway. */
@@ -79,7 +74,7 @@
   readonly arrivedMs: number;
   readonly expiresMs: number;
   applicant: Applicant | null;
-  run: BackendRun | null;
+  run: PreparedRun | null;
   startedMs: number;
   /** Slot time in ms that was counted as asked for. */
   offeredMs: number;
@@ -88,9 +83,14 @@
   done: boolean;
 }
 
+/** How slot time was spent: for a success, for an answer that tells of a failure, or for no answer. */
+export type SlotTimeUse = 'success' | 'failure' | 'none';
+
 /** Counters of the gateway. */
 export interface GatewayCounters {
   requests: number;
+  /** Slot time in ms, by what it was spent for. */
+  readonly slotMs: Record<SlotTimeUse, number>;
   runs: number;
   answered: number;
   broken: number;
@@ -101,6 +101,7 @@
 export class BackendGateway {
   readonly counters: GatewayCounters = {
     requests: 0,
+    slotMs: { success: 0, failure: 0, none: 0 },
     runs: 0,
     answered: 0,
     broken: 0,
@@ -119,7 +120,6 @@
   private readonly answerBytes = new RouteMeans();
   private readonly link: LinkOutlook<Visit>;
   readonly lateOutlook = new LateOutlook();
-  readonly pool: BackendPool;
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
   private readonly running = new Set<Visit>();
@@ -130,9 +130,6 @@
 
   constructor(private readonly ports: GatewayPorts) {
     this.link = new LinkOutlook(ports.pacer);
-    const names = { requestId: ports.dialect.requestId, notRun: ports.dialect.notRun };
-    const nowMs = (): number => ports.runtime.nowMs();
-    this.pool = new BackendPool(ports.address, names, nowMs, ports.onBackendRefused);
   }
 
   /** Requests that run at the back end. */
@@ -229,7 +226,7 @@
     this.cancelStep?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
     this.admission.expireAll();
-    this.pool.destroy();
+    this.ports.backend.destroy();
   }
 
   private consider(visit: Visit): void {
@@ -355,7 +352,7 @@
     ports.latencies.observe('waiting', ports.service, nowMs - visit.arrivedMs);
     this.running.add(visit);
     this.counters.runs += 1;
-    visit.run = new BackendRun(this.pool, ports.dialect, visit.head, visit.body, leftMs, {
+    visit.run = ports.backend.prepare(visit.head, visit.body, leftMs, {
       status: () => this.status(),
       reply: visit.reply,
       onDone: (outcome) => {
@@ -382,6 +379,7 @@
   }
 
   private count(visit: Visit, outcome: RunOutcome, usedMs: number): void {
+    this.counters.slotMs[slotTimeUse(outcome)] += usedMs;
     if (outcome.kind === 'answered') this.counters.answered += 1;
     if (outcome.kind === 'declined') this.counters.refused.declined += 1;
     if (outcome.kind === 'broken') this.counters.broken += 1;
@@ -396,10 +394,12 @@
     visit.done = true;
     this.link.forget(visit);
     this.counters.refused[reason] += 1;
-    const { requestId, instance, key } = visit.head;
+    const { requestId, instance, key, route } = visit.head;
     const waitedMs = Math.round(this.ports.runtime.nowMs() - visit.arrivedMs);
+    const leftMs = Math.round(visit.head.remainingMs - waitedMs);
     const status = this.status();
-    this.ports.log.event('request-refused', { requestId, reason, instance, key, waitedMs, ...status });
+    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
+    this.ports.log.event('request-refused', { ...fields, ...status });
     // Work that finds no place is load of its key as well.
     if (reason === 'busy' && visit.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
     visit.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
@@ -458,3 +458,11 @@
     }
   }
 }
+
+/** Statuses from here on tell of a failure at the back end. */
+const FIRST_FAILURE_STATUS = 500;
+
+function slotTimeUse(outcome: RunOutcome): SlotTimeUse {
+  if (outcome.kind !== 'answered') return 'none';
+  return outcome.statusCode < FIRST_FAILURE_STATUS ? 'success' : 'failure';
+}
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -14,6 +14,7 @@
 import type { BackendProber } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
 import type { CallerRequest, CallerSink } from './caller-request.js';
+import { noteRefusals, type ForwarderCounters } from './forwarder-counters.js';
 import { RequestClock } from './request-clock.js';
 
 /**
@@ -47,21 +48,6 @@
   readonly latencies: Latencies;
 }
 
-/** Counters of all requests of a daemon. */
-export interface ForwarderCounters {
-  attempts: number;
-  repeats: number;
-  answered: number;
-  notRun: number;
-  unknown: number;
-  cancelled: number;
-}
-
-/** New counters. */
-export function forwarderCounters(): ForwarderCounters {
-  return { attempts: 0, repeats: 0, answered: 0, notRun: 0, unknown: 0, cancelled: 0 };
-}
-
 /** One request on its way. */
 export class ForwardedRequest {
   private readonly clock: RequestClock;
@@ -72,6 +58,7 @@
   private cancelProbes: CancelTimer | null = null;
   private cancelTimeout: CancelTimer | null = null;
   private arrivals = 0;
+  private lastSentMs = 0;
   private refusals = 0;
   private nextLookPauseMs = LOOK_AGAIN_MS;
   private streaming = false;
@@ -205,6 +192,7 @@
     this.mayRun = true;
     view.noteSent();
     const { requestId, method, path, headers, body, key, route, spentMs } = this.request;
+    this.lastSentMs = this.ports.runtime.nowMs();
     const head: RequestHead = {
       requestId,
       method,
@@ -366,6 +354,7 @@
   private giveUpNotRun(reason: string): void {
     this.finish();
     this.counters.notRun += 1;
+    this.countEnd(false);
     const usualMs = this.request.route.definition.targetLatencyMs * RETRY_AFTER_SHARE;
     const toldMs = policyIsOn('retry-hints') ? (this.toldRetryAfterMs ?? 0) : 0;
     const retryAfterMs = Math.max(LEAST_RETRY_AFTER_MS, usualMs, toldMs);
@@ -376,6 +365,7 @@
   private giveUpUnknown(reason: string, timedOut: boolean): void {
     this.finish();
     this.counters.unknown += 1;
+    this.countEnd(false);
     this.log('request-unknown', { reason, arrivals: this.arrivals, instance: this.currentInstance?.id });
     this.sink.giveUp({ kind: 'unknown', reason, timedOut });
   }
@@ -383,9 +373,11 @@
   private complete(): void {
     this.finish();
     this.counters.answered += 1;
+    this.countEnd(true);
     const { service, arrivedMs, spentMs } = this.request;
     const { log, latencies, runtime } = this.ports;
     latencies.observe('request', service, runtime.nowMs() - arrivedMs);
+    latencies.observe('choice', service, this.lastSentMs - arrivedMs);
     const late = this.clock.targetLeftMs < spentMs;
     const fields = this.fields({ instance: this.currentInstance?.id, spentMs, late });
     // A late answer is out of the ordinary, so its line is kept while there is room for any.
@@ -393,6 +385,13 @@
     else log.routine('request-answered', fields);
   }
 
+  private countEnd(answered: boolean): void {
+    noteRefusals(this.counters, this.refusals);
+    if (this.request.spentMs === 0) return;
+    this.counters.returned += 1;
+    if (answered) this.counters.returnedAnswered += 1;
+  }
+
   /** The present attempt, if any, is taken back. */
   private finish(): void {
     this.done = true;
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -13,6 +13,15 @@
   ]);
   metrics.value('attempts', 'Attempts at other daemons', () => counters.attempts);
   metrics.value('repeats', 'Second arrivals at back ends', () => counters.repeats);
+  metrics.family('request_refusals', 'Ended requests, by how many daemons had refused them', 'refusals', () =>
+    Object.entries(counters.byRefusals),
+  );
+  metrics.value('returned', 'Requests whose caller had been refused before', () => counters.returned);
+  metrics.value(
+    'returned_answered',
+    'Of these, requests that were answered',
+    () => counters.returnedAnswered,
+  );
   metrics.value('probes', 'Questions how busy a back end is', () => node.prober.sent);
   metrics.value(
     'probes_unanswered',
@@ -25,6 +34,9 @@
   metrics.value('backend_runs', 'Requests sent to the back end', () => gateway.counters.runs);
   metrics.value('backend_answers', 'Whole answers of the back end', () => gateway.counters.answered);
   metrics.value('backend_broken', 'Runs without a whole answer', () => gateway.counters.broken);
+  metrics.family('backend_slot_ms', 'Slot time in ms, by what it was spent for', 'use', () =>
+    Object.entries(gateway.counters.slotMs),
+  );
   metrics.value('backend_running', 'Requests at the back end', () => gateway.admission.runningCount);
   metrics.value('backend_waiting', 'Requests that wait for a place', () => gateway.admission.waitingCount);
   metrics.value(
@@ -36,7 +48,7 @@
     Object.entries(gateway.lateOutlook.counters),
   );
   metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
-  metrics.value('backend_connections_opened', 'Connections opened to it', () => gateway.pool.opened);
+  metrics.value('backend_connections_opened', 'Connections opened to it', () => node.backendClient.opened);
   metrics.value('table_index', 'Index of the table in force', () => node.table.index);
   metrics.value('directory_connected', '1 while a replica is followed', () =>
     Number(node.directory.connected),
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { BackendChooser } from './backend-chooser.js';
+import { HttpBackendClient } from './backend-client.js';
 import { BackendGateway } from './backend-gateway.js';
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
@@ -27,7 +28,8 @@
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
 import { RetryAllowance } from './retry-allowance.js';
-import { ForwardedRequest, forwarderCounters, type ForwarderPorts } from './request-forwarder.js';
+import { forwarderCounters } from './forwarder-counters.js';
+import { ForwardedRequest, type ForwarderPorts } from './request-forwarder.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 
 /** Network links that carry less than this are slow: an answer may wait there for longer than it is worked on. */
@@ -84,6 +86,7 @@
 export class SidecarNode {
   readonly table = new DirectoryTable();
   readonly gateway: BackendGateway;
+  readonly backendClient: HttpBackendClient;
   /** Paces large answers; null where the network link is fast. */
   private readonly pacer: LinkPacer | null;
   readonly counters = forwarderCounters();
@@ -125,6 +128,7 @@
     this.grants = this.makeGrants();
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
+    this.backendClient = this.makeBackendClient();
     this.gateway = this.makeGateway();
     this.peers = new PeerDaemons({
       runtime,
@@ -298,11 +302,10 @@
     return new BackendGateway({
       runtime: this.runtime,
       log: this.log,
-      dialect: this.settings.dialect,
       service: this.settings.service,
       latencies: this.options.latencies,
       pacer: this.pacer,
-      address: this.settings.backend,
+      backend: this.backendClient,
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
@@ -312,9 +315,14 @@
       onWork: (key, ms) => {
         if (key !== null) this.load.add(key, ms);
       },
-      onBackendRefused: () => {
-        void this.lookAgainAtBackend();
-      },
+    });
+  }
+
+  private makeBackendClient(): HttpBackendClient {
+    const { backend, dialect } = this.settings;
+    const nowMs = (): number => this.runtime.nowMs();
+    return new HttpBackendClient(backend, dialect, nowMs, () => {
+      void this.lookAgainAtBackend();
     });
   }
 
--- a/src/telemetry/latencies.ts
+++ b/src/telemetry/latencies.ts
@@ -4,6 +4,8 @@
 export type LatencyStage =
   /** From a caller's request to the answer, as this daemon saw it. */
   | 'request'
+  /** From a caller's request to its last attempt at a back end: choosing, probes, and refusals before it. */
+  | 'choice'
   /** Waiting for a place or for keys, beside the back end. */
   | 'waiting'
   /** At the back end. */
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -4,6 +4,7 @@
 import { LinkPacer } from '../../src/link/link-pacer.js';
 import type { RequestHead } from '../../src/link/link-messages.js';
 import type { RequestReply } from '../../src/link/link-server.js';
+import { HttpBackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
@@ -39,11 +40,15 @@
     const gateway = new BackendGateway({
       runtime: this.time.runtime,
       log: SILENT_EVENT_LOG,
-      dialect: DEFAULT_HEADER_DIALECT,
       service: 's',
       latencies: NO_LATENCIES,
       pacer,
-      address: { host: '127.0.0.1', port },
+      backend: new HttpBackendClient(
+        { host: '127.0.0.1', port },
+        DEFAULT_HEADER_DIALECT,
+        () => this.time.nowMs,
+        () => undefined,
+      ),
       instance: () => 'life-1',
       awaitsBackend: () => false,
       closesAtMs: () => this.closesAtMs,
@@ -51,7 +56,6 @@
       holdsKey: () => this.holdsKey,
       ownsKey: () => true,
       onWork: (_key, ms) => (this.work += ms),
-      onBackendRefused: () => undefined,
     });
     gateway.setSlots(2);
     return gateway;
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -7,7 +7,8 @@
 import type { BackendProber } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import type { GivenUp } from '../../src/sidecar/caller-request.js';
-import { ForwardedRequest, forwarderCounters } from '../../src/sidecar/request-forwarder.js';
+import { forwarderCounters } from '../../src/sidecar/forwarder-counters.js';
+import { ForwardedRequest } from '../../src/sidecar/request-forwarder.js';
 import { Route } from '../../src/sidecar/route-table.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { ManualTime } from './manual-runtime.js';
