Calls wait instead of being refused, choices use what is known, late requests leave places free

Cause: under load a request was probed for and passed on up to 24 times, each time after up to 60 ms of probes; a call of a back end had a patience of a quarter of its small target, which the probes used up, so it ended unserved while its caller kept a place, up the whole chain. Late requests took the places of those that could be in time. Ruled out: processor time alone (the untouched code falls without it as well); refused callers that come back too soon as the start of the fall (calls fail before that).

--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -7,6 +7,8 @@
 export type PolicySwitch =
   /** Requests that will be late wait up to their deadline while such waiting brings answers. */
   | 'late-waiting'
+  /** Requests that will be late start only while some places stay free for those that can be in time. */
+  | 'late-reserve'
   /** A caller that came back waits up to its deadline for keys that are on their way. */
   | 'key-patience'
   /** Refusals tell when to come back by what is in the way. */
@@ -25,6 +27,14 @@
   | 'small-answers-paced'
   /** A few back ends are asked how busy they are before one is chosen; without it only answers tell. */
   | 'probed-choice'
+  /** What answers have told lately is used before anyone is asked, and a request waits for probes once at most. */
+  | 'known-first'
+  /** A request that several daemons refused as busy is not taken to further ones. */
+  | 'bounded-refusals'
+  /** Short work waits for a place as long as its time allows. */
+  | 'short-work-waits'
+  /** Requests whose callers do not come back after a refusal wait for a place as long as their time allows. */
+  | 'final-tries-wait'
   /** A replica that has heard no leader since its start stands for election after a heartbeat, not a whole timeout. */
   | 'early-election'
   /** Large answers that are still being worked on count as waiting for a slow network link. */
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -9,6 +9,8 @@
   readonly priority: number;
   /** Among those of one rank the smallest goes first. */
   readonly order: number;
+  /** Places that must stay free for others when it starts. */
+  readonly reserve: number;
   /** When it gives up waiting, in ms of the daemon's clock. */
   readonly expiresMs: number;
   /** It has a place, which it must give back with `leave`. */
@@ -64,7 +66,8 @@
 
   /** Gives the applicant a place, lets it wait, or expires it at once when it would wait for too long. */
   apply(applicant: Applicant, nowMs: number): void {
-    if (this.running < this.slotCount && this.waiting.length === 0) {
+    // Whoever waits has no place now, so nobody is passed over.
+    if (this.hasPlaceFor(applicant)) {
       this.running += 1;
       applicant.start();
       return;
@@ -111,10 +114,15 @@
     else this.waiting.splice(at, 0, applicant);
   }
 
+  private hasPlaceFor({ reserve }: Applicant): boolean {
+    return this.running + reserve < this.slotCount;
+  }
+
   private fill(): void {
-    while (this.running < this.slotCount) {
-      const next = this.waiting.shift();
+    for (;;) {
+      const next = this.waiting.find((applicant) => this.hasPlaceFor(applicant));
       if (next === undefined) return;
+      this.withdraw(next);
       this.running += 1;
       next.start();
     }
--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -3,7 +3,6 @@
 import type { BackendInstance } from '../directory/directory-state.js';
 import { PACED_FRAME_BYTES } from '../link/link-pacer.js';
 import { policyIsOn } from '../policy-switches.js';
-import { PROBED_AGE_LIMIT_MS } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
 import type { DirectoryTable } from './directory-table.js';
 
@@ -28,6 +27,9 @@
 /** Back ends of other zones that are asked when none of the near ones has room: about one for each other zone. */
 const FAR_CANDIDATES = 4;
 
+/** Part of its places up to which a back end is taken to have room by what was told a while ago: others come as well. */
+const KNOWN_ROOM_SHARE = 0.7;
+
 /** What a choice is made for. */
 export interface ChoiceRequest {
   readonly service: string;
@@ -39,6 +41,8 @@
   readonly answerBytes: number;
   /** Back ends to choose from; null stands for all of the service. */
   readonly candidates: readonly BackendInstance[] | null;
+  /** Candidates that have left a probe unanswered. */
+  readonly unanswered: ReadonlySet<string>;
 }
 
 /** What the chooser needs of its daemon. */
@@ -82,9 +86,15 @@
     return target === null ? null : (table.instance(target) ?? null);
   }
 
-  /** A few back ends in the caller's zone, by chance; those that would be a last resort only if there are no others. */
+  /**
+   * A few back ends by chance, those in the caller's zone first; those that would be a last resort only if there are no
+   * others. Where a zone has few, the others are compared with them from the start.
+   */
   nearCandidates(service: string, excluded: ReadonlySet<string>): readonly BackendInstance[] {
-    return this.sample(service, excluded, NEAR_CANDIDATES, ({ zone }) => zone === this.ports.zone);
+    const near = this.sample(service, excluded, NEAR_CANDIDATES, ({ zone }) => zone === this.ports.zone);
+    const missing = policyIsOn('known-first') ? NEAR_CANDIDATES - near.length : 0;
+    if (missing === 0) return near;
+    return [...near, ...this.sample(service, excluded, missing, ({ zone }) => zone !== this.ports.zone)];
   }
 
   /** A few back ends in other zones, by chance. */
@@ -101,6 +111,16 @@
     );
   }
 
+  /** Whether one of the back ends is known to take a request at once, without being asked. */
+  knowsRoom(instances: readonly BackendInstance[]): boolean {
+    const now = this.ports.nowMs();
+    return instances.some((instance) => {
+      const view = this.ports.view(instance.id);
+      const full = view.busy(now) >= instance.slots * KNOWN_ROOM_SHARE;
+      return view.known(now) && !full && this.hasRoom([instance]);
+    });
+  }
+
   private sample(
     service: string,
     excluded: ReadonlySet<string>,
@@ -120,12 +140,13 @@
     return instance.condition !== 'ready' || !view.accepting(nowMs) || view.avoided(nowMs);
   }
 
-  private quickest({ service, excluded, answerBytes, candidates }: ChoiceRequest): BackendInstance | null {
+  private quickest(request: ChoiceRequest): BackendInstance | null {
+    const { service, excluded, answerBytes, candidates, unanswered } = request;
     let best: BackendInstance | null = null;
     let bestMs = Infinity;
     for (const instance of candidates ?? this.ports.table.instancesOf(service)) {
       if (excluded.has(instance.id)) continue;
-      const unansweredMs = candidates !== null && !this.wasProbed(instance) ? UNANSWERED_MS : 0;
+      const unansweredMs = unanswered.has(instance.id) ? UNANSWERED_MS : 0;
       const expectedMs = this.expectedMs(instance, answerBytes) + unansweredMs;
       if (expectedMs >= bestMs) continue;
       best = instance;
@@ -134,10 +155,6 @@
     return best;
   }
 
-  private wasProbed({ id }: BackendInstance): boolean {
-    return this.ports.view(id).statusAgeMs(this.ports.nowMs()) <= PROBED_AGE_LIMIT_MS;
-  }
-
   private expectedMs(instance: BackendInstance, answerBytes: number): number {
     const { zone, nowMs, random } = this.ports;
     const view = this.ports.view(instance.id);
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -17,10 +17,12 @@
 import {
   comesTooLateForLink,
   lateOrder,
+  lateReserve,
   lateWaitMs,
   placeOrder,
   placeRank,
   placeWaitMs,
+  SHORT_WORK_RANK,
   spareMs,
   type PlaceClaim,
 } from './place-policy.js';
@@ -269,7 +271,8 @@
     const applicant: Applicant = {
       priority: this.rankOf(head),
       order: placeOrder(claim, arrivedMs, meanMs),
-      expiresMs: nowMs + placeWaitMs(claim, nowMs - arrivedMs, meanMs),
+      reserve: 0,
+      expiresMs: nowMs + this.placeWaitMs(head, claim, nowMs - arrivedMs),
       start: () => {
         this.start(visit);
       },
@@ -301,6 +304,7 @@
     const applicant: Applicant = {
       priority: head.priority,
       order: lateOrder(claim, arrivedMs),
+      reserve: policyIsOn('late-reserve') ? lateReserve(this.admission.slots) : 0,
       expiresMs: nowMs + waitMs,
       start: () => {
         this.endLateWait(visit, 'place');
@@ -316,6 +320,14 @@
     if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
+  /** Time in ms for which a request waits for a place. Short work goes first, so that its wait is short as well. */
+  private placeWaitMs(head: RequestHead, claim: PlaceClaim, waitedMs: number): number {
+    const meanMs = this.meanMs(head.route);
+    const waitMs = placeWaitMs(claim, waitedMs, meanMs);
+    if (!policyIsOn('short-work-waits') || this.rankOf(head) !== SHORT_WORK_RANK) return waitMs;
+    return Math.max(waitMs, lateWaitMs(claim, waitedMs, meanMs));
+  }
+
   private rankOf({ priority, route }: RequestHead): number {
     if (!policyIsOn('short-work-first')) return priority;
     return placeRank(priority, this.meanMs(route), this.times.largest);
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -13,6 +13,11 @@
 /** Age in ms at which a status says nothing about places any more. */
 const STATUS_AGE_LIMIT_MS = 2_000;
 
+/** Bounds in ms of the age up to which a status still tells about places. Between them it is one service time, since
+ * most of what ran then still runs. */
+const LEAST_KNOWN_MS = 50;
+const LONGEST_KNOWN_MS = 500;
+
 /** One back end as it is seen from here. */
 export class BackendView {
   private lastStatus: StatusHead | null = null;
@@ -34,6 +39,13 @@
     return nowMs - this.statusMs;
   }
 
+  /** Whether the newest status is so young that it need not be asked for. */
+  known(nowMs: number): boolean {
+    if (this.lastStatus === null) return false;
+    const limitMs = Math.min(LONGEST_KNOWN_MS, Math.max(LEAST_KNOWN_MS, this.lastStatus.serviceMs));
+    return this.statusAgeMs(nowMs) <= limitMs;
+  }
+
   /** Whether it takes new requests; what was told long ago counts for nothing, since the daemon may be another now. */
   accepting(nowMs: number): boolean {
     return this.lastStatus?.accepting !== false || this.statusAgeMs(nowMs) > STATUS_AGE_LIMIT_MS;
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -54,7 +54,7 @@
 const SHORT_WORK_SHARE = 0.5;
 
 /** Rank that goes before every rank of a route. */
-const SHORT_WORK_RANK = -1;
+export const SHORT_WORK_RANK = -1;
 
 /**
  * Rank at one back end. Short work goes first, since it delays others little: such requests are mostly calls of back
@@ -64,6 +64,17 @@
   return meanMs <= longestMs * SHORT_WORK_SHARE ? SHORT_WORK_RANK : priority;
 }
 
+/** Part of the places that requests which will be late leave free for those that can be in time. */
+const LATE_RESERVE_SHARE = 0.2;
+
+/**
+ * Places that a request which will be late leaves free. A place that it takes is lost to those that come while it
+ * runs; so it gets what is left over (trunk reservation, as telephone networks bound traffic of lower value).
+ */
+export function lateReserve(slots: number): number {
+  return Math.min(slots - 1, Math.ceil(slots * LATE_RESERVE_SHARE));
+}
+
 /** Place in the queue of a request that will be late: behind all that can be in time. */
 export function lateOrder({ targetLeftMs }: PlaceClaim, arrivedMs: number): number {
   return arrivedMs + targetLeftMs + LATE_ORDER_MS;
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -27,6 +27,12 @@
 /** Refusals by other daemons after which a request ends as refused. */
 const MAX_REFUSALS = 24;
 
+/**
+ * Refusals as busy after which a request is not taken to another daemon: each was the least busy of several that were
+ * looked at, so the service is full, and every further look costs others' time.
+ */
+const MAX_BUSY_REFUSALS = 3;
+
 /** Sooner than this no answer to a refused request can differ, in ms. */
 const LEAST_RETRY_AFTER_MS = 50;
 
@@ -52,6 +58,8 @@
 export class ForwardedRequest {
   private readonly clock: RequestClock;
   private readonly excluded = new Set<string>();
+  /** Back ends that have left the last probes unanswered. */
+  private unanswered: ReadonlySet<string> = new Set();
   private current: LinkRequest | null = null;
   private currentInstance: BackendInstance | null = null;
   private cancelPause: CancelTimer | null = null;
@@ -60,6 +68,7 @@
   private arrivals = 0;
   private lastSentMs = 0;
   private refusals = 0;
+  private busyRefusals = 0;
   private nextLookPauseMs = LOOK_AGAIN_MS;
   private streaming = false;
   private done = false;
@@ -114,31 +123,44 @@
       this.attemptAt(this.choose());
       return;
     }
-    this.attemptProbed();
+    this.attemptSampled();
   }
 
-  /** Asks a few back ends of this zone how busy they are, and others only when none of these has room. */
-  private attemptProbed(): void {
-    const { chooser } = this.ports;
+  /** Looks at a few back ends of this zone, and at others only when none of these has room. */
+  private attemptSampled(): void {
+    const { chooser, prober } = this.ports;
     const { service } = this.request;
     const near = chooser.nearCandidates(service, this.excluded);
-    this.probe(near, () => {
+    if (policyIsOn('known-first') && chooser.knowsRoom(near)) {
+      prober.refresh(near);
+      this.attemptAt(this.choose(near));
+      return;
+    }
+    this.learn(near, () => {
       if (chooser.hasRoom(near)) {
         this.attemptAt(this.choose(near));
         return;
       }
       const far = chooser.farCandidates(service, this.excluded);
-      this.probe(far, () => {
-        this.attemptAt(this.choose([...near, ...far]));
+      const all = [...near, ...far];
+      this.learn(chooser.knowsRoom(far) ? [] : far, () => {
+        this.attemptAt(this.choose(all));
       });
     });
   }
 
-  private probe(instances: readonly BackendInstance[], then: () => void): void {
+  /** Asks back ends whose state is not known. A request that was refused before does not wait for that once more. */
+  private learn(instances: readonly BackendInstance[], then: () => void): void {
+    if (policyIsOn('known-first') && this.refusals > 0) {
+      this.ports.prober.refresh(instances);
+      then();
+      return;
+    }
     let answered = false;
-    const cancel = this.ports.prober.probe(instances, () => {
+    const cancel = this.ports.prober.probe(instances, (unanswered) => {
       answered = true;
       this.cancelProbes = null;
+      this.unanswered = unanswered;
       then();
     });
     if (!answered) this.cancelProbes = cancel;
@@ -162,7 +184,8 @@
   private choose(candidates: readonly BackendInstance[] | null = null): BackendInstance | null {
     const { service, key, route } = this.request;
     const { chooser } = this.ports;
-    const choice = { service, key, excluded: this.excluded, answerBytes: route.answerBytes, candidates };
+    const { excluded, unanswered } = this;
+    const choice = { service, key, excluded, unanswered, answerBytes: route.answerBytes, candidates };
     const chosen = chooser.choose(choice);
     if (key === null || chosen === null || !this.excluded.has(chosen.id)) return chosen;
     const target = chooser.targetOf(service, key);
@@ -262,6 +285,7 @@
     if (refusal.arrived) this.arrivals += 1;
     this.lastReason = `refused: ${refusal.reason}`;
     this.toldRetryAfterMs = refusal.retryAfterMs;
+    if (refusal.reason === 'busy') this.busyRefusals += 1;
     if (refusal.reason === 'unreachable') view.noteFailure(this.ports.runtime.nowMs());
     this.excluded.add(instance.id);
     this.retryAfterRefusal(refusal);
@@ -269,7 +293,7 @@
 
   private retryAfterRefusal(refusal: RefusalHead): void {
     const outOfTime = this.refusals >= MAX_REFUSALS || this.clock.leftMs <= 0;
-    if (outOfTime || (refusal.arrived && !this.mayArriveAgain())) {
+    if (outOfTime || this.isFull() || (refusal.arrived && !this.mayArriveAgain())) {
       this.endWithoutPlace();
       return;
     }
@@ -278,6 +302,11 @@
     else this.lookAgain();
   }
 
+  /** Whether so many daemons were busy that the service is taken to have no room. */
+  private isFull(): boolean {
+    return policyIsOn('bounded-refusals') && this.busyRefusals >= MAX_BUSY_REFUSALS;
+  }
+
   private failed(instance: BackendInstance, view: BackendView, failure: FailureHead): void {
     this.noteStatus(view, failure.status);
     this.attemptEnded(view);
@@ -355,6 +384,7 @@
     this.finish();
     this.counters.notRun += 1;
     this.countEnd(false);
+    this.request.route.returns.noteRefused();
     const usualMs = this.request.route.definition.targetLatencyMs * RETRY_AFTER_SHARE;
     const toldMs = policyIsOn('retry-hints') ? (this.toldRetryAfterMs ?? 0) : 0;
     const retryAfterMs = Math.max(LEAST_RETRY_AFTER_MS, usualMs, toldMs);
--- a/src/sidecar/request-intake.ts
+++ b/src/sidecar/request-intake.ts
@@ -39,6 +39,8 @@
     if (keyed && !isKey(keyText)) return ownAnswer(OWN_STATUS.badRequest, 'the request needs a key');
     const told = Number(headerValue(headers, dialect.deadlineMs));
     const hasDeadline = Number.isFinite(told) && told > 0;
+    const spentMs = hasDeadline ? route.deadlines.spentMs(told) : 0;
+    if (spentMs > 0) route.returns.noteReturned();
     return {
       requestId: headerValue(headers, dialect.requestId) ?? runtime.randomId(),
       method,
@@ -49,7 +51,7 @@
       service,
       key: keyed ? Number(keyText) : null,
       deadlineMs: hasDeadline ? told : route.definition.timeoutMs,
-      spentMs: hasDeadline ? route.deadlines.spentMs(told) : 0,
+      spentMs,
       arrivedMs: runtime.nowMs(),
     };
   }
--- a/src/sidecar/route-table.ts
+++ b/src/sidecar/route-table.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request by host and longest path prefix, and deals its requests out by weight. */
+import { CallerReturns } from './caller-returns.js';
 import { UsualDeadline } from './usual-deadline.js';
 import type { ConfigurationItem, RouteDefinition } from '../directory/directory-state.js';
 
@@ -14,6 +15,8 @@
   answerBytes = ASSUMED_ANSWER_BYTES;
   /** Deadlines of its requests. */
   deadlines = new UsualDeadline();
+  /** Whether its callers come back after a refusal. */
+  returns = new CallerReturns();
   private readonly credits: number[];
 
   constructor(
@@ -45,6 +48,7 @@
   keepWhatWasSeen(earlier: Route): void {
     this.answerBytes = earlier.answerBytes;
     this.deadlines = earlier.deadlines;
+    this.returns = earlier.returns;
   }
 
   /** An answer of this size was seen. */
