Long work leaves places free for short work; first tries are told apart under refusals; waits of calls go again

And where most requests were second and third tries, no deadline had three tenths of the requests any more, so that nobody counted as come back, and late requests went before those that could be in time. Change: short-work-reserve (a tenth of the places), the longest frequent deadline is that of first tries, requests that are late when they come leave the late reserve free; short-work-waits and final-tries-wait are removed; heads of frames are JSON; aldertide-lab chain.

--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -3,6 +3,7 @@
 import { runCommandLine, type Options } from '../../src/cli/command-line.js';
 import { backendCommand } from './backend-command.js';
 import { benchCommand } from './bench-command.js';
+import { chainCommand } from './chain-command.js';
 import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
 import { guardsCommand } from './guards-command.js';
 import { loadCommand } from './load-command.js';
@@ -79,6 +80,16 @@
   .option('--json', 'Print one JSON object')
   .action((options: Options) => simListCommand(options));
 
+program
+  .command('chain')
+  .describe('Play services that call each other under load, with the real choice, forwarding and admission.')
+  .option('--seeds', 'Seeds from 1 to this', 3)
+  .option('--load', 'Factor on the usual traffic', 1)
+  .option('--seconds', 'Length of the traffic', 12)
+  .option('--without', 'Mechanisms that are left out, separated by commas', '')
+  .option('--json', 'Print one JSON object')
+  .action(async (options: Options) => await chainCommand(options));
+
 program
   .command('guards')
   .describe('Show that each guard is needed: leave it out, and name the seed that breaks a promise.')
--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -2,9 +2,10 @@
  * Frames between daemons that pass requests to each other. Many requests share one connection; each is a stream
  * with a number of its own. A frame is
  * `length of the rest (4 bytes) | kind (1) | stream (4) | length of the head (4) | head | body`, big-endian;
- * the head is text written by `devalue`, the body is raw.
+ * the head is JSON, the body is raw. Heads hold nothing but text, finite numbers, booleans, null and lists, and they are
+ * most of what a daemon reads and writes, so Node's own JSON serves them rather than `devalue` (figures in
+ * docs/DESIGN.md).
  */
-import { parse, stringify } from 'devalue';
 import { Err, Ok, type Result } from '../result.js';
 
 const LENGTH_BYTES = 4;
@@ -60,7 +61,7 @@
 
 /** Writes everything of a frame but its body, which follows as it is. */
 export function encodeFrameStart(kind: FrameKind, stream: number, head: unknown, bodyBytes: number): Buffer {
-  const text = head === undefined ? '' : stringify(head);
+  const text = head === undefined ? '' : JSON.stringify(head);
   const headBytes = Buffer.byteLength(text);
   const start = Buffer.allocUnsafe(LENGTH_BYTES + FIXED_BYTES + headBytes);
   start.writeUInt32BE(FIXED_BYTES + headBytes + bodyBytes, 0);
@@ -123,7 +124,12 @@
   const body = headEnd === bytes.length ? EMPTY : bytes.subarray(headEnd);
   if (headEnd === FIXED_BYTES) return Ok({ kind, stream, head: undefined, body });
   try {
-    return Ok({ kind, stream, head: parse(bytes.toString('utf8', FIXED_BYTES, headEnd)) as unknown, body });
+    return Ok({
+      kind,
+      stream,
+      head: JSON.parse(bytes.toString('utf8', FIXED_BYTES, headEnd)) as unknown,
+      body,
+    });
   } catch {
     return Err('unreadable-head');
   }
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -31,10 +31,8 @@
   | 'known-first'
   /** A request that several daemons refused as busy is not taken to further ones. */
   | 'bounded-refusals'
-  /** Short work waits for a place as long as its time allows. */
-  | 'short-work-waits'
-  /** Requests whose callers do not come back after a refusal wait for a place as long as their time allows. */
-  | 'final-tries-wait'
+  /** Long work leaves some places free for short work. */
+  | 'short-work-reserve'
   /** A replica that has heard no leader since its start stands for election after a heartbeat, not a whole timeout. */
   | 'early-election'
   /** Large answers that are still being worked on count as waiting for a slow network link. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -23,6 +23,7 @@
   placeRank,
   placeWaitMs,
   SHORT_WORK_RANK,
+  shortWorkReserve,
   spareMs,
   type PlaceClaim,
 } from './place-policy.js';
@@ -271,8 +272,8 @@
     const applicant: Applicant = {
       priority: this.rankOf(head),
       order: placeOrder(claim, arrivedMs, meanMs),
-      reserve: 0,
-      expiresMs: nowMs + this.placeWaitMs(head, claim, nowMs - arrivedMs),
+      reserve: spareMs(claim, meanMs) > 0 ? this.reserveOf(head) : this.lateReserveOf(head),
+      expiresMs: nowMs + placeWaitMs(claim, nowMs - arrivedMs, meanMs),
       start: () => {
         this.start(visit);
       },
@@ -304,7 +305,7 @@
     const applicant: Applicant = {
       priority: head.priority,
       order: lateOrder(claim, arrivedMs),
-      reserve: policyIsOn('late-reserve') ? lateReserve(this.admission.slots) : 0,
+      reserve: this.lateReserveOf(head),
       expiresMs: nowMs + waitMs,
       start: () => {
         this.endLateWait(visit, 'place');
@@ -320,12 +321,18 @@
     if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
-  /** Time in ms for which a request waits for a place. Short work goes first, so that its wait is short as well. */
-  private placeWaitMs(head: RequestHead, claim: PlaceClaim, waitedMs: number): number {
-    const meanMs = this.meanMs(head.route);
-    const waitMs = placeWaitMs(claim, waitedMs, meanMs);
-    if (!policyIsOn('short-work-waits') || this.rankOf(head) !== SHORT_WORK_RANK) return waitMs;
-    return Math.max(waitMs, lateWaitMs(claim, waitedMs, meanMs));
+  /** Places that a request leaves free for short work, where this back end has lately had any. */
+  private reserveOf(head: RequestHead): number {
+    if (!policyIsOn('short-work-reserve') || this.rankOf(head) === SHORT_WORK_RANK) return 0;
+    const { smallest, largest } = this.times;
+    const hasShortWork = smallest > 0 && placeRank(head.priority, smallest, largest) === SHORT_WORK_RANK;
+    return hasShortWork ? shortWorkReserve(this.admission.slots) : 0;
+  }
+
+  /** Places that a request which will be late leaves free; late short work still ends somebody's wait elsewhere. */
+  private lateReserveOf(head: RequestHead): number {
+    if (!policyIsOn('late-reserve') || this.rankOf(head) === SHORT_WORK_RANK) return this.reserveOf(head);
+    return Math.max(lateReserve(this.admission.slots), this.reserveOf(head));
   }
 
   private rankOf({ priority, route }: RequestHead): number {
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -75,6 +75,17 @@
   return Math.min(slots - 1, Math.ceil(slots * LATE_RESERVE_SHARE));
 }
 
+/** Part of the places, rounded, that long work leaves free for short work: one of ten, none of four. */
+const SHORT_WORK_RESERVE_SHARE = 0.1;
+
+/**
+ * Places that long work leaves free for short work. Short work is mostly calls of back ends that keep a place elsewhere
+ * until they are answered; the time that they would wait for the end of long work is lost there.
+ */
+export function shortWorkReserve(slots: number): number {
+  return Math.round(slots * SHORT_WORK_RESERVE_SHARE);
+}
+
 /** Place in the queue of a request that will be late: behind all that can be in time. */
 export function lateOrder({ targetLeftMs }: PlaceClaim, arrivedMs: number): number {
   return arrivedMs + targetLeftMs + LATE_ORDER_MS;
--- a/src/sidecar/request-clock.ts
+++ b/src/sidecar/request-clock.ts
@@ -28,7 +28,6 @@
 
   /** Time in ms for which the request may still wait for a place at a back end. */
   get patienceMs(): number {
-    if (policyIsOn('final-tries-wait') && !this.request.route.returns.expected) return this.leftMs;
     const spentShare = 1 - LEAST_PATIENCE_SHARE;
     const { targetLatencyMs } = this.request.route.definition;
     return Math.min(this.targetLeftMs - targetLatencyMs * spentShare, this.leftMs);
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -384,7 +384,6 @@
     this.finish();
     this.counters.notRun += 1;
     this.countEnd(false);
-    this.request.route.returns.noteRefused();
     const usualMs = this.request.route.definition.targetLatencyMs * RETRY_AFTER_SHARE;
     const toldMs = policyIsOn('retry-hints') ? (this.toldRetryAfterMs ?? 0) : 0;
     const retryAfterMs = Math.max(LEAST_RETRY_AFTER_MS, usualMs, toldMs);
--- a/src/sidecar/request-intake.ts
+++ b/src/sidecar/request-intake.ts
@@ -39,8 +39,6 @@
     if (keyed && !isKey(keyText)) return ownAnswer(OWN_STATUS.badRequest, 'the request needs a key');
     const told = Number(headerValue(headers, dialect.deadlineMs));
     const hasDeadline = Number.isFinite(told) && told > 0;
-    const spentMs = hasDeadline ? route.deadlines.spentMs(told) : 0;
-    if (spentMs > 0) route.returns.noteReturned();
     return {
       requestId: headerValue(headers, dialect.requestId) ?? runtime.randomId(),
       method,
@@ -51,7 +49,7 @@
       service,
       key: keyed ? Number(keyText) : null,
       deadlineMs: hasDeadline ? told : route.definition.timeoutMs,
-      spentMs,
+      spentMs: hasDeadline ? route.deadlines.spentMs(told) : 0,
       arrivedMs: runtime.nowMs(),
     };
   }
--- a/src/sidecar/route-means.ts
+++ b/src/sidecar/route-means.ts
@@ -26,6 +26,11 @@
     return largest;
   }
 
+  /** The smallest mean of any route; 0 before any was seen. */
+  get smallest(): number {
+    return this.means.size === 0 ? 0 : Math.min(...this.means.values());
+  }
+
   /** Mean of the route; `otherwise` before any was seen. */
   of(route: string, otherwise: number): number {
     return this.means.get(route) ?? otherwise;
--- a/src/sidecar/route-table.ts
+++ b/src/sidecar/route-table.ts
@@ -1,5 +1,4 @@
 /** Finds the route of a request by host and longest path prefix, and deals its requests out by weight. */
-import { CallerReturns } from './caller-returns.js';
 import { UsualDeadline } from './usual-deadline.js';
 import type { ConfigurationItem, RouteDefinition } from '../directory/directory-state.js';
 
@@ -15,8 +14,6 @@
   answerBytes = ASSUMED_ANSWER_BYTES;
   /** Deadlines of its requests. */
   deadlines = new UsualDeadline();
-  /** Whether its callers come back after a refusal. */
-  returns = new CallerReturns();
   private readonly credits: number[];
 
   constructor(
@@ -48,7 +45,6 @@
   keepWhatWasSeen(earlier: Route): void {
     this.answerBytes = earlier.answerBytes;
     this.deadlines = earlier.deadlines;
-    this.returns = earlier.returns;
   }
 
   /** An answer of this size was seen. */
--- a/src/sidecar/usual-deadline.ts
+++ b/src/sidecar/usual-deadline.ts
@@ -1,6 +1,6 @@
 /**
  * Tells how long a caller has been trying already. A caller that comes back after a refusal has less time left than
- * the route's callers have at their first try, and that first time is what most requests of the route carry.
+ * the route's callers have at their first try, and that first time is what many requests of the route carry alike.
  */
 
 /** Deadlines that are counted; the oldest is forgotten first. */
@@ -12,8 +12,11 @@
 /** Requests that must have been seen before anything is concluded. */
 const LEAST_SEEN = 16;
 
-/** Part of the counted requests that the most frequent deadline must have. */
-const LEAST_SHARE = 0.3;
+/**
+ * Part of the counted requests that a deadline must have to be a usual one. Where most are refused and come back twice,
+ * a quarter of the requests are first tries; later tries spread over many deadlines.
+ */
+const LEAST_SHARE = 0.15;
 
 /** The usual deadline of one route. */
 export class UsualDeadline {
@@ -23,7 +26,7 @@
   /** A request came with this time left, in ms; returns the time in ms that its caller has spent before. */
   spentMs(deadlineMs: number): number {
     this.count(Math.round(deadlineMs / STEP_MS));
-    const usual = this.mostFrequent();
+    const usual = this.longestFrequent();
     if (usual === null) return 0;
     const spentMs = usual * STEP_MS - deadlineMs;
     return spentMs < STEP_MS ? 0 : spentMs;
@@ -39,15 +42,14 @@
     else this.counts.delete(oldest);
   }
 
-  private mostFrequent(): number | null {
+  /** A caller's time only becomes shorter, so of all frequent deadlines the longest one is that of first tries. */
+  private longestFrequent(): number | null {
     if (this.recent.length < LEAST_SEEN) return null;
-    let best: number | null = null;
-    let bestCount = this.recent.length * LEAST_SHARE;
+    const least = this.recent.length * LEAST_SHARE;
+    let longest: number | null = null;
     for (const [step, count] of this.counts) {
-      if (count <= bestCount) continue;
-      best = step;
-      bestCount = count;
+      if (count > least && (longest === null || step > longest)) longest = step;
     }
-    return best;
+    return longest;
   }
 }
--- /dev/null
+++ b/test/sidecar/gateway-reserve.test.ts
@@ -0,0 +1,130 @@
+/** Places that some requests leave free for others at one back end. */
+import test from 'ava';
+import type { RequestHead } from '../../src/link/link-messages.js';
+import type { RequestReply } from '../../src/link/link-server.js';
+import type { BackendClient } from '../../src/sidecar/backend-client.js';
+import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
+import type { RunPorts } from '../../src/sidecar/backend-run.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
+import { ManualTime } from './manual-runtime.js';
+
+const SLOTS = 10;
+const LONG_MS = 200;
+const SHORT_MS = 40;
+
+const LONG: RequestHead = {
+  requestId: 'r',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  instance: 'life-1',
+  key: null,
+  route: 'long',
+  priority: 1,
+  remainingMs: 2_000,
+  patienceMs: 100,
+  targetLeftMs: 600,
+  spentMs: 0,
+};
+const SHORT: RequestHead = { ...LONG, route: 'short' };
+
+/** Came back after most of its target had passed. */
+const LATE: RequestHead = { ...LONG, targetLeftMs: 0, spentMs: 600 };
+
+/** A back end whose runs end when the test says so. */
+class HeldBackend implements BackendClient {
+  readonly opened = 0;
+  private readonly ends: (() => void)[] = [];
+
+  prepare(
+    _head: RequestHead,
+    _body: Buffer,
+    _leftMs: number,
+    ports: RunPorts,
+  ): { start(): void; cancel(): void } {
+    return {
+      start: () => {
+        this.ends.push(() => {
+          ports.onDone({ kind: 'answered', statusCode: 200, bytes: 0 });
+        });
+      },
+      cancel: () => undefined,
+    };
+  }
+
+  destroy(): void {
+    this.ends.length = 0;
+  }
+
+  endAll(): void {
+    for (const end of this.ends.splice(0)) end();
+  }
+}
+
+class World {
+  readonly time = new ManualTime();
+  readonly backend = new HeldBackend();
+  readonly refusals: string[] = [];
+  readonly gateway = new BackendGateway({
+    runtime: this.time.runtime,
+    log: SILENT_EVENT_LOG,
+    service: 's',
+    latencies: NO_LATENCIES,
+    pacer: null,
+    backend: this.backend,
+    instance: () => 'life-1',
+    awaitsBackend: () => false,
+    closesAtMs: () => Infinity,
+    leaving: () => false,
+    holdsKey: () => true,
+    ownsKey: () => true,
+    onWork: () => undefined,
+  });
+
+  constructor() {
+    this.gateway.setSlots(SLOTS);
+  }
+
+  take(head: RequestHead, count = 1): void {
+    const reply = {
+      refuse: ({ reason }: { reason: string }) => this.refusals.push(reason),
+    } as unknown as RequestReply;
+    for (let taken = 0; taken < count; taken += 1) this.gateway.take(head, Buffer.alloc(0), reply);
+  }
+
+  /** Lets the back end learn how long both kinds of work take. */
+  learn(): void {
+    this.take(LONG);
+    this.time.pass(LONG_MS);
+    this.backend.endAll();
+    this.take(SHORT);
+    this.time.pass(SHORT_MS);
+    this.backend.endAll();
+  }
+}
+
+test('where all work is alike, it may take every place', (t) => {
+  const world = new World();
+  world.take(LONG, SLOTS + 2);
+  t.is(world.gateway.runningCount, SLOTS);
+});
+
+test('long work leaves a tenth of the places free once short work was seen, and short work takes them', (t) => {
+  const world = new World();
+  world.learn();
+  world.take(LONG, SLOTS + 2);
+  t.is(world.gateway.runningCount, SLOTS - 1);
+  world.take(SHORT);
+  t.is(world.gateway.runningCount, SLOTS);
+});
+
+test('requests that will be late leave a fifth of the places free, and others pass them by', (t) => {
+  const world = new World();
+  world.take(LONG, SLOTS - 2);
+  world.take(LATE);
+  t.is(world.gateway.runningCount, SLOTS - 2);
+  world.take(LONG, 2);
+  t.is(world.gateway.runningCount, SLOTS);
+  t.deepEqual(world.refusals, []);
+});
--- a/test/sidecar/place-policy.test.ts
+++ b/test/sidecar/place-policy.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
 import {
+  lateReserve,
+  shortWorkReserve,
   comesTooLateForLink,
   lateOrder,
   lateWaitMs,
@@ -75,3 +77,8 @@
     t.is(placeRank(2, meanMs, longestMs), rank);
   });
 }
+
+test('reserves are parts of the places, and leave at least one place to use', (t) => {
+  t.deepEqual([1, 2, 4, 10, 18].map(lateReserve), [0, 1, 1, 2, 4]);
+  t.deepEqual([1, 2, 4, 5, 10, 18].map(shortWorkReserve), [0, 0, 0, 1, 1, 2]);
+});
--- a/test/sidecar/usual-deadline.test.ts
+++ b/test/sidecar/usual-deadline.test.ts
@@ -44,3 +44,15 @@
 test('a new usual deadline is learnt', (t) => {
   t.is(seen(...times(128, 2_000), ...times(128, 1_000)).spentMs(900), 100);
 });
+
+test('where most requests are second and third tries, the first tries still tell', (t) => {
+  const tries = Array.from({ length: 32 }, () => [2_000, 1_660, 1_660, 1_340]).flat();
+  t.is(seen(...tries).spentMs(1_340), 660);
+  const spread = Array.from({ length: 32 }, (_, at) => [
+    2_000,
+    1_660 - at * 21,
+    1_340 - at * 21,
+    900 - at * 21,
+  ]);
+  t.is(seen(...spread.flat()).spentMs(1_340), 660);
+});
