--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -58,6 +58,7 @@
   private readonly network: SimNetwork;
   private nextIdNumber = 0;
   private nextVersion = 1;
+  private readonly orders: SimOrder[] = [];
 
   constructor(seed: number) {
     this.random = new Random(seed);
@@ -104,6 +105,19 @@
     });
   }
 
+  /** An operator sends one change, to one replica after the other, until it is acknowledged. */
+  order(name: string): void {
+    const order: SimOrder = {
+      name,
+      version: this.nextVersion,
+      sentMs: this.queue.nowMs,
+      acknowledgedMs: null,
+    };
+    this.nextVersion += 1;
+    this.orders.push(order);
+    this.sendOrder(order, this.random.below(REPLICAS), 0);
+  }
+
   /** Lets a fault strike, and repairs it after `lastsMs`. */
   strike(fault: DirectoryFault, replica: SimReplica, lastsMs: number): void {
     this.begin(fault, replica);
@@ -144,6 +158,47 @@
     }
   }
 
+  /** Orders must be acknowledged within a bound once it is calm; `calmFromMs` is when all had been repaired for a while. */
+  judgeOrders(calmFromMs: number): void {
+    for (const { name, sentMs, acknowledgedMs } of this.orders) {
+      const dueMs = Math.max(sentMs, calmFromMs) + ORDER_BOUND_MS;
+      if (acknowledgedMs !== null && acknowledgedMs <= dueMs) continue;
+      const end = acknowledgedMs === null ? 'never' : `at ${Math.round(acknowledgedMs)} ms`;
+      this.violations.push(`${name}, sent at ${Math.round(sentMs)} ms, was acknowledged ${end}`);
+    }
+  }
+
+  /** One call; where there is no acknowledgement in time, the next replica is asked after a growing pause. */
+  private sendOrder(order: SimOrder, at: number, failures: number): void {
+    let open = true;
+    const goOn = (next: number, pauseMs: number): void => {
+      if (!open || order.acknowledgedMs !== null) return;
+      open = false;
+      this.queue.at(this.queue.nowMs + pauseMs, () => {
+        this.sendOrder(order, next, failures + 1);
+      });
+    };
+    const elsewhere = (at + 1 + this.random.below(REPLICAS - 1)) % REPLICAS;
+    const pauseMs = Math.min(LONGEST_ORDER_PAUSE_MS, FIRST_ORDER_PAUSE_MS * 2 ** failures);
+    this.queue.at(this.queue.nowMs + ORDER_TIMEOUT_MS, () => {
+      goOn(elsewhere, 0);
+    });
+    const replica = this.replicas[at];
+    const node = replica?.process.alive === true && !replica.process.frozen ? replica.node : null;
+    if (node === null) return;
+    if (!node.leading) {
+      const leader = this.replicas.findIndex(({ name }) => name === node.leaderAddress);
+      if (leader >= 0 && leader !== at && node.hearsLeader) goOn(leader, ORDER_REDIRECT_MS);
+      else goOn(elsewhere, pauseMs);
+      return;
+    }
+    const items = [serviceItem(order.name, order.version)];
+    void node.propose({ kind: 'configure-items', items }).then((outcome) => {
+      if (outcome.ok) order.acknowledgedMs ??= this.queue.nowMs;
+      else goOn(elsewhere, pauseMs);
+    });
+  }
+
   private begin(fault: DirectoryFault, { process, store, disk }: SimReplica): void {
     switch (fault) {
       case 'freeze':
@@ -264,12 +319,38 @@
   return { kind: 'service', name, version, source: `${version}`, definition };
 }
 
+/** Time in ms within which an order must be acknowledged in calm. */
+const ORDER_BOUND_MS = 4_000;
+
+/** Time in ms after which an operator asks another replica, and what a redirection takes. */
+const ORDER_TIMEOUT_MS = 1_000;
+const ORDER_REDIRECT_MS = 5;
+
+/** Pauses in ms of an operator before it asks the next replica. */
+const FIRST_ORDER_PAUSE_MS = 100;
+const LONGEST_ORDER_PAUSE_MS = 1_000;
+
+/** A change that an operator sends until it is acknowledged. */
+interface SimOrder {
+  readonly name: string;
+  readonly version: number;
+  readonly sentMs: number;
+  acknowledgedMs: number | null;
+}
+
 const READY_MS = 4_000;
 const FAULTS_UNTIL_MS = 16_000;
 const CHANGE_EVERY_MS = 120;
 /** All replicas lose power while changes are still made; faults that struck one alone are over by then. */
 const POWER_LOSS_MS = 19_000;
 const SETTLED_MS = 34_000;
+
+/** Orders are sent until here; everything has run again for some seconds then. */
+const ORDERS_UNTIL_MS = 29_000;
+const ORDER_EVERY_MS = 700;
+
+/** When everything is back after the loss of power, and the replicas have had a while: what is sent must be acknowledged. */
+const CALM_FROM_MS = 24_000;
 const FAULT_KINDS: readonly DirectoryFault[] = ['crash', 'lose-disk', 'freeze', 'cut'];
 
 /** Runs one seed; returns what was broken, and how many changes were acknowledged. */
@@ -295,7 +376,13 @@
   world.queue.at(POWER_LOSS_MS + world.random.below(CHANGE_EVERY_MS), () => {
     world.losePower();
   });
+  for (let atMs = READY_MS; atMs < ORDERS_UNTIL_MS; atMs += ORDER_EVERY_MS) {
+    world.queue.at(atMs, () => {
+      world.order(`order-${atMs}`);
+    });
+  }
   await world.runUntil(SETTLED_MS);
   world.judge();
+  world.judgeOrders(CALM_FROM_MS);
   return { violations: [...new Set(world.violations)], acknowledged: world.acknowledged.size };
 }
