--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -5,6 +5,7 @@
 import type { AcceptedRequest, RequestReply } from '../../src/link/link-server.js';
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
+import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
 import { BackendProber } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import type { CallerSink, GivenUp } from '../../src/sidecar/caller-request.js';
@@ -243,6 +244,7 @@
       latencies: NO_LATENCIES,
       pacer: null,
       backend,
+      coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
       instance: () => this.place.id,
       awaitsBackend: () => false,
       closesAtMs: () => Infinity,
--- a/lab/chain/chain-settings.ts
+++ b/lab/chain/chain-settings.ts
@@ -50,7 +50,13 @@
       name: service.name,
       version: 1,
       source: null,
-      definition: { maxConnections: 100, keyed: service.keyed, grantMode: null },
+      definition: {
+        maxConnections: 100,
+        keyed: service.keyed,
+        grantMode: null,
+        coldStart: null,
+        healthPath: null,
+      },
     },
     route(`callers-${service.name}`, {
       pathPrefix: callerPath(service.name),
--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -315,7 +315,7 @@
 }
 
 function serviceItem(name: string, version: number): ConfigurationItem {
-  const definition = { maxConnections: 1, keyed: false, grantMode: null };
+  const definition = { maxConnections: 1, keyed: false, grantMode: null, coldStart: null, healthPath: null };
   return { kind: 'service', name, version, source: `${version}`, definition };
 }
 
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -164,7 +164,15 @@
     this.sequence += 1;
     const { holds, released } = this.keys.report();
     const condition = this.draining ? 'draining' : 'ready';
-    const common = { id, service, zone, slots: SLOTS, condition, sequence: this.sequence } as const;
+    const common = {
+      id,
+      service,
+      zone,
+      slots: SLOTS,
+      condition,
+      sequence: this.sequence,
+      coldLeftMs: 0,
+    } as const;
     return heartbeatBody({ ...common, holds: keyed ? holds : null, released }, address);
   }
 
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -85,6 +85,13 @@
   readonly fence: number;
 }
 
+/** The back ends of a zone are to be sent nothing, or may be sent requests again. */
+export interface SetEvacuationCommand {
+  readonly kind: 'set-evacuation';
+  readonly zone: string;
+  readonly evacuated: boolean;
+}
+
 /** Commands of a directory. */
 export type DirectoryCommand =
   | ConfigureItemsCommand
@@ -95,7 +102,8 @@
   | AssignRangesCommand
   | BeginRangeMovesCommand
   | CompleteRangeMoveCommand
-  | RaiseFenceCommand;
+  | RaiseFenceCommand
+  | SetEvacuationCommand;
 
 /** What a command did. */
 export type DirectoryOutcome =
@@ -109,5 +117,6 @@
   | { readonly kind: 'items'; readonly items: readonly ConfigurationItem[] }
   | { readonly kind: 'instance'; readonly instance: BackendInstance }
   | { readonly kind: 'instance-gone'; readonly id: string }
+  | { readonly kind: 'evacuation'; readonly zone: string; readonly evacuated: boolean }
   /** These ranges stand in the place of those that they overlap; the others are as they were. */
   | { readonly kind: 'ranges'; readonly service: string; readonly ranges: readonly KeyRange[] };
--- a/src/directory/directory-duties.ts
+++ b/src/directory/directory-duties.ts
@@ -65,7 +65,16 @@
     const movesAreCostly = definition?.grantMode === 'heartbeat';
     const { load } = progress;
     const rests = (bucket: number): boolean => policyIsOn('move-rest') && load.rests(bucket, nowMs);
-    const plan = planRanges({ ranges, instances, load, mayBalance, movesAreCostly, rests });
+    const { evacuatedZones } = this.state();
+    const plan = planRanges({
+      ranges,
+      instances,
+      load,
+      mayBalance,
+      movesAreCostly,
+      evacuatedZones,
+      rests,
+    });
     if (plan.assignments.length === 0 && plan.moves.length === 0) return;
     if (mayBalance) progress.balanceDueMs = nowMs + BALANCE_PAUSE_MS;
     if (plan.forBalance) for (const { from, to } of plan.moves) load.noteMoved(from, to, nowMs);
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -15,6 +15,7 @@
   RaiseFenceCommand,
   RegisterCommand,
   SetConditionCommand,
+  SetEvacuationCommand,
   UnregisterCommand,
 } from './directory-commands.js';
 import {
@@ -62,6 +63,8 @@
       return completeMove(state, command, index);
     case 'raise-fence':
       return raiseFence(state, command, index);
+    case 'set-evacuation':
+      return setEvacuation(state, command);
   }
 }
 
@@ -194,6 +197,13 @@
   return [putRanges(state, service, withdrawn)];
 }
 
+function setEvacuation(state: DirectoryState, { zone, evacuated }: SetEvacuationCommand): AppliedCommand {
+  if (state.evacuatedZones.has(zone) === evacuated) return unchanged(DONE);
+  if (evacuated) state.evacuatedZones.add(zone);
+  else state.evacuatedZones.delete(zone);
+  return { outcome: DONE, changes: [{ kind: 'evacuation', zone, evacuated }] };
+}
+
 // ---- ranges
 
 function assignRanges(state: DirectoryState, command: AssignRangesCommand, index: number): AppliedCommand {
--- a/src/directory/directory-state.ts
+++ b/src/directory/directory-state.ts
@@ -33,6 +33,14 @@
 /** How keys of a service are granted to a back end: in the answers to its heartbeats, or by calls to it. */
 export type GrantMode = 'heartbeat' | 'invoke';
 
+/** What a service says of the starts of its back ends. */
+export interface ColdStart {
+  /** Time in ms for which a back end is cold after it was started. */
+  readonly durationMs: number;
+  /** Requests a second that a cold back end bears. */
+  readonly requestsPerSecond: number;
+}
+
 /** A service whose back ends register themselves. */
 export interface ServiceDefinition {
   /** Connections that one back end accepts. */
@@ -41,6 +49,10 @@
   readonly keyed: boolean;
   /** How keys are granted; null where the daemon's settings decide. */
   readonly grantMode: GrantMode | null;
+  /** Null where cold back ends bear as much as others, or it is not said. */
+  readonly coldStart: ColdStart | null;
+  /** Path at which a back end tells who it is; null where it does not. */
+  readonly healthPath: string | null;
 }
 
 /** What clients may send. */
@@ -126,6 +138,8 @@
   readonly instances: Map<string, BackendInstance>;
   /** Ranges by service, in the order of keys, without gaps. */
   readonly ranges: Map<string, readonly KeyRange[]>;
+  /** Zones whose back ends are to be sent nothing. */
+  readonly evacuatedZones: Set<string>;
 }
 
 /** The state before the first command. */
@@ -137,6 +151,7 @@
     accepted: [],
     instances: new Map(),
     ranges: new Map(),
+    evacuatedZones: new Set(),
   };
 }
 
@@ -162,6 +177,8 @@
   readonly accepted: readonly AcceptedRevision[];
   readonly instances: readonly BackendInstance[];
   readonly ranges: readonly ServiceRanges[];
+  /** Missing in snapshots of versions that knew no evacuations. */
+  readonly evacuatedZones?: readonly string[];
 }
 
 /** The ranges of one service. */
@@ -179,6 +196,7 @@
     accepted: [...state.accepted],
     instances: [...state.instances.values()],
     ranges: [...state.ranges].map(([service, ranges]) => ({ service, ranges })),
+    evacuatedZones: [...state.evacuatedZones],
   };
 }
 
@@ -191,5 +209,6 @@
     accepted: [...snapshot.accepted],
     instances: new Map(snapshot.instances.map((instance) => [instance.id, instance])),
     ranges: new Map(snapshot.ranges.map(({ service, ranges }) => [service, ranges])),
+    evacuatedZones: new Set(snapshot.evacuatedZones ?? []),
   };
 }
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -54,6 +54,8 @@
   readonly mayBalance: boolean;
   /** Whether nobody serves keys for long while they move. */
   readonly movesAreCostly: boolean;
+  /** Zones whose back ends must hold no keys. */
+  readonly evacuatedZones: ReadonlySet<string>;
   /** Whether a bucket of keys must stay where it is, unless its owner leaves. */
   readonly rests: (bucket: number) => boolean;
 }
@@ -87,7 +89,7 @@
   }
   const unowned = view.ranges.filter(({ owner }) => owner === null);
   const assignments = unowned.flatMap((range) => placeRange(range, candidates, view.load));
-  const leaving = new Set(view.instances.filter(isLeaving).map(({ id }) => id));
+  const leaving = new Set(view.instances.filter((instance) => !mayHold(instance, view)).map(({ id }) => id));
   const toEmpty = view.ranges.filter(({ owner, movingTo }) => {
     return owner !== null && leaving.has(owner) && movingTo === null;
   });
@@ -98,12 +100,13 @@
   return { assignments, moves: planBalance(view, candidates), forBalance: true };
 }
 
-function isLeaving({ condition }: BackendInstance): boolean {
-  return condition === 'draining';
+function mayHold({ condition, zone }: BackendInstance, { evacuatedZones }: RangeView): boolean {
+  return condition === 'ready' && !evacuatedZones.has(zone);
 }
 
-function makeCandidates({ ranges, instances, load }: RangeView): Candidate[] {
-  const ready = instances.filter((instance) => !isLeaving(instance));
+function makeCandidates(view: RangeView): Candidate[] {
+  const { ranges, instances, load } = view;
+  const ready = instances.filter((instance) => mayHold(instance, view));
   const candidates = ready.map(({ id, slots }) => ({ id, slots, busy: 0, keys: 0 }));
   const byId = new Map(candidates.map((candidate) => [candidate.id, candidate]));
   for (const range of ranges) {
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -48,6 +48,16 @@
   /** The back end itself says that it did not run the request. */
   | 'declined';
 
+/** How soon a cold back end takes further requests, in ms. */
+export interface ColdStartOutlook {
+  /** Until the next request may be sent. */
+  readonly delayMs: number;
+  /** Between requests. */
+  readonly intervalMs: number;
+  /** For which it is still cold, as far as is known. */
+  readonly leftMs: number;
+}
+
 /** How busy a back end is, as its daemon sees it. */
 export interface StatusHead {
   readonly instance: string;
@@ -59,6 +69,8 @@
   readonly accepting: boolean;
   /** Time in ms that a large answer waits there for the network link. */
   readonly sendWaitMs: number;
+  /** Null while it may be sent as many requests as it has places. */
+  readonly coldStart: ColdStartOutlook | null;
 }
 
 /** The request was not run and never will be. */
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -19,6 +19,16 @@
   expire(): void;
 }
 
+/** Bounds how soon requests may start, whatever places are free. */
+export interface StartLimit {
+  /** Time in ms until a request may start behind `ahead` others; 0 while nothing is bounded. */
+  delayMs(ahead: number): number;
+  /** A request has started. */
+  noteStarted(): void;
+}
+
+const NO_LIMIT: StartLimit = { delayMs: () => 0, noteStarted: () => undefined };
+
 /** Weight of the newest sample in the mean service time. */
 const NEWEST_WEIGHT = 0.1;
 
@@ -36,7 +46,10 @@
   private readonly waiting: Applicant[] = [];
   private meanMs = ASSUMED_SERVICE_MS;
 
-  constructor(private slotCount: number) {}
+  constructor(
+    private slotCount: number,
+    private readonly startLimit: StartLimit = NO_LIMIT,
+  ) {}
 
   /** Requests that have a place. */
   get runningCount(): number {
@@ -66,14 +79,15 @@
 
   /** Gives the applicant a place, lets it wait, or expires it at once when it would wait for too long. */
   apply(applicant: Applicant, nowMs: number): void {
-    // Whoever waits has no place now, so nobody is passed over.
+    // Whoever waits has no place after this, so nobody is passed over.
+    this.fill();
     if (this.hasPlaceFor(applicant)) {
-      this.running += 1;
-      applicant.start();
+      this.begin(applicant);
       return;
     }
     const ahead = this.waiting.filter((other) => !goesBefore(applicant, other)).length;
-    const expectedMs = (this.meanMs * (ahead + 1)) / (this.slotCount + 1);
+    const placeMs = (this.meanMs * (ahead + 1)) / (this.slotCount + 1);
+    const expectedMs = Math.max(placeMs, this.startLimit.delayMs(ahead));
     if (nowMs + expectedMs > applicant.expiresMs) {
       applicant.expire();
       return;
@@ -108,6 +122,12 @@
     for (const applicant of this.waiting.splice(0)) applicant.expire();
   }
 
+  private begin(applicant: Applicant): void {
+    this.running += 1;
+    this.startLimit.noteStarted();
+    applicant.start();
+  }
+
   private insert(applicant: Applicant): void {
     const at = this.waiting.findIndex((other) => goesBefore(applicant, other));
     if (at < 0) this.waiting.push(applicant);
@@ -115,16 +135,16 @@
   }
 
   private hasPlaceFor({ reserve }: Applicant): boolean {
-    return this.running + reserve < this.slotCount;
+    return this.running + reserve < this.slotCount && this.startLimit.delayMs(0) <= 0;
   }
 
-  private fill(): void {
+  /** Starts those that wait and may start now. */
+  fill(): void {
     for (;;) {
       const next = this.waiting.find((applicant) => this.hasPlaceFor(applicant));
       if (next === undefined) return;
       this.withdraw(next);
-      this.running += 1;
-      next.start();
+      this.begin(next);
     }
   }
 }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -11,6 +11,7 @@
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import type { BackendClient, PreparedRun } from './backend-client.js';
+import type { ColdStartLimit } from './cold-start-limit.js';
 import type { RunOutcome } from './backend-run.js';
 import { LinkOutlook } from './link-outlook.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
@@ -53,6 +54,8 @@
   /** Paces large answers; null where the network link is fast. */
   readonly pacer: LinkPacer | null;
   readonly backend: BackendClient;
+  /** Bounds what is sent while the back end is cold. */
+  readonly coldLimit: ColdStartLimit;
   /** Id of the present life; null until it has told about itself. */
   readonly instance: () => string | null;
   /** Whether this daemon was started a moment ago and its back end may not have told about itself yet. */
@@ -118,7 +121,7 @@
       declined: 0,
     },
   };
-  readonly admission = new Admission(1);
+  readonly admission: Admission;
   private readonly times = new RouteMeans();
   private readonly answerBytes = new RouteMeans();
   private readonly link: LinkOutlook<Visit>;
@@ -133,6 +136,13 @@
 
   constructor(private readonly ports: GatewayPorts) {
     this.link = new LinkOutlook(ports.pacer);
+    const { coldLimit, runtime } = ports;
+    this.admission = new Admission(1, {
+      delayMs: (ahead) => coldLimit.delayMs(ahead, runtime.nowMs()),
+      noteStarted: () => {
+        coldLimit.noteSent(runtime.nowMs());
+      },
+    });
   }
 
   /** Requests that run at the back end. */
@@ -158,6 +168,7 @@
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving(),
       sendWaitMs: Math.round(this.link.waitMs),
+      coldStart: this.ports.coldLimit.outlook(this.ports.runtime.nowMs()),
     };
   }
 
@@ -428,7 +439,9 @@
   private retryAfterMs(reason: RefusalReason): number {
     if (reason !== 'busy') return RETRY_AFTER_CHANGE_MS;
     const { serviceMs, waitingCount, slots } = this.admission;
-    return Math.round(Math.min(LONGEST_RETRY_AFTER_MS, (serviceMs * (waitingCount + 1)) / slots));
+    const coldMs = this.ports.coldLimit.delayMs(waitingCount, this.ports.runtime.nowMs());
+    const queueMs = Math.max(coldMs, (serviceMs * (waitingCount + 1)) / slots);
+    return Math.round(Math.min(LONGEST_RETRY_AFTER_MS, queueMs));
   }
 
   private cancel(visit: Visit): void {
@@ -469,6 +482,7 @@
 
   private step(): void {
     const nowMs = this.ports.runtime.nowMs();
+    this.admission.fill();
     this.admission.expireBefore(nowMs);
     for (const visit of [...this.waiting]) {
       if (nowMs < visit.expiresMs && nowMs < this.ports.closesAtMs()) continue;
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -25,6 +25,8 @@
   readonly condition: BackendCondition;
   /** Rises with every heartbeat of one life. */
   readonly sequence: number;
+  /** Time in ms for which it stays cold, from when it sent this; null when it did not tell. */
+  readonly coldLeftMs: number | null;
   /** Null where grants do not travel in heartbeats. */
   readonly holds: readonly HeldRange[] | null;
   readonly released: readonly ReleasedRange[];
@@ -45,8 +47,18 @@
 /** What became of a grant that was sent to a back end. */
 export type GrantResult = 'granted' | 'superseded' | 'unanswered';
 
-/** Calls to a back end that is granted keys by calls. */
+/** What a back end tells of itself when it is asked. */
+export interface BackendIdentity {
+  /** Id of its life; null when it does not tell. */
+  readonly id: string | null;
+  /** Time in ms for which it stays cold; null when it does not tell. */
+  readonly coldLeftMs: number | null;
+}
+
+/** Calls to a back end: grants of keys where they are sent in calls, and a question. */
 export interface BackendCalls {
+  /** Asks at a path who it is; null when there was no answer. */
+  identify(path: string): Promise<BackendIdentity | null>;
   /** Grants a range for `holdMs` from when the call arrives; the same call again renews it. */
   grant(range: GrantedRange, holdMs: number): Promise<GrantResult>;
   /** Takes a range back; the handover comes once nothing runs on it. Null when there was no answer. */
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -10,6 +10,9 @@
 /** Wait for the network link up to which a back end counts as having room, in ms: some slices of other answers. */
 const ROOM_SEND_WAIT_MS = 40;
 
+/** Wait for a start up to which a cold back end counts as having room, in ms. */
+const ROOM_START_DELAY_MS = 20;
+
 /** Age in ms at which a status says nothing about places any more. */
 const STATUS_AGE_LIMIT_MS = 2_000;
 
@@ -53,6 +56,7 @@
 
   /** Whether a request sent now would find a free place, and its answer a free network link. */
   hasRoom(slots: number, nowMs: number): boolean {
+    if (this.startDelayMs(nowMs) > ROOM_START_DELAY_MS) return false;
     return this.busy(nowMs) < slots && this.sendWaitMs(nowMs) < ROOM_SEND_WAIT_MS;
   }
 
@@ -104,12 +108,20 @@
     return fresh ? (this.lastStatus?.sendWaitMs ?? 0) : 0;
   }
 
+  /** Time in ms until a cold back end would be sent one more request; 0 where it is not cold. */
+  startDelayMs(nowMs: number): number {
+    const cold = this.lastStatus?.coldStart ?? null;
+    const ageMs = this.statusAgeMs(nowMs);
+    if (cold === null || ageMs > cold.leftMs) return 0;
+    return Math.max(0, cold.delayMs + this.sentSinceStatus * cold.intervalMs - ageMs);
+  }
+
   /** Time in ms that a request would take there, waiting included. */
   expectedMs(slots: number, nowMs: number): number {
     const serviceMs = this.lastStatus?.serviceMs ?? ASSUMED_SERVICE_MS;
     const ahead = Math.max(0, this.busy(nowMs) + 1 - slots);
     // Near its limit a back end is slower, and what is known of it is a little old.
     const crowding = 1 + 0.5 * Math.min(1, this.busy(nowMs) / slots) ** 2;
-    return serviceMs * (crowding + ahead / slots);
+    return serviceMs * (crowding + ahead / slots) + this.startDelayMs(nowMs);
   }
 }
--- a/src/sidecar/directory-table.ts
+++ b/src/sidecar/directory-table.ts
@@ -27,6 +27,8 @@
 export class DirectoryTable {
   /** Newest index that is in force here; 0 before the first table. */
   index = 0;
+  /** Whether the newest news was a change, and not a whole table. */
+  isPatched = false;
   private state: DirectoryState = emptyDirectoryState();
   private routeTable = new RouteTable([]);
   private byService = new Map<string, readonly BackendInstance[]>();
@@ -54,7 +56,12 @@
     return serviceDefinition(this.state.items, name);
   }
 
-  /** Registered back ends of a service. */
+  /** Whether the back ends of a zone are to be sent nothing. */
+  isEvacuated(zone: string): boolean {
+    return this.state.evacuatedZones.has(zone);
+  }
+
+  /** Registered back ends of a service that may be sent requests. */
   instancesOf(service: string): readonly BackendInstance[] {
     return this.byService.get(service) ?? [];
   }
@@ -78,6 +85,7 @@
   replace(index: number, table: DirectorySnapshot): boolean {
     if (index < this.index) return false;
     this.index = index;
+    this.isPatched = false;
     this.state = decodeDirectory(table);
     this.rebuildRoutes();
     this.rebuildInstances();
@@ -88,6 +96,7 @@
   apply(index: number, changes: readonly DirectoryChange[]): boolean {
     if (index <= this.index) return false;
     this.index = index;
+    this.isPatched = true;
     for (const change of changes) this.applyChange(change);
     return true;
   }
@@ -107,6 +116,11 @@
         this.state.instances.delete(change.id);
         this.rebuildInstances();
         break;
+      case 'evacuation':
+        if (change.evacuated) this.state.evacuatedZones.add(change.zone);
+        else this.state.evacuatedZones.delete(change.zone);
+        this.rebuildInstances();
+        break;
       case 'ranges':
         this.state.ranges.set(change.service, overlayRanges(this.rangesOf(change.service), change.ranges));
         break;
@@ -120,6 +134,7 @@
   private rebuildInstances(): void {
     const byService = new Map<string, BackendInstance[]>();
     for (const instance of this.state.instances.values()) {
+      if (this.isEvacuated(instance.zone)) continue;
       const known = byService.get(instance.service) ?? [];
       byService.set(instance.service, known);
       known.push(instance);
--- a/src/sidecar/local-backend.ts
+++ b/src/sidecar/local-backend.ts
@@ -53,6 +53,11 @@
     return this.heardMs;
   }
 
+  /** Whether a heartbeat of this life, or of one after it, was taken. */
+  knows(id: string): boolean {
+    return this.present?.id === id || this.past.has(id);
+  }
+
   /** Takes a heartbeat. */
   take(heartbeat: BackendHeartbeat, nowMs: number): HeartbeatNews {
     if (this.past.has(heartbeat.id)) return 'stale';
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -15,6 +15,7 @@
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
 import type { CallerSink } from './caller-request.js';
+import { ColdStartLimit } from './cold-start-limit.js';
 import { CallerServer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
 import { DirectoryClient } from './directory-client.js';
@@ -44,6 +45,9 @@
 /** Longest time in ms for which a heartbeat's answer waits for keys that are on their way. */
 const ANSWER_WAIT_MS = 700;
 
+/** Time in ms after its last heartbeat in which a life gives way to another one only if its address says so. */
+const FRESH_LIFE_MS = 1_500;
+
 /** Pause in ms before a back end that refused a connection is asked once more. */
 const SECOND_LOOK_MS = 120;
 
@@ -53,6 +57,9 @@
 /** Time in ms in which the last messages of a daemon that stops leave it. */
 const FLUSH_MS = 60;
 
+/** Part of the time that an evacuation may take in which keys may still be used where they are, to be handed over. */
+const EVACUATION_HANDOVER_SHARE = 0.4;
+
 /** Time in ms by which a grant may outlast its end here, for clocks that run at different rates. */
 const HOLD_MARGIN_MS = 400;
 
@@ -99,6 +106,9 @@
   private readonly owned: OwnedRanges;
   private grants: HeartbeatGrants | InvokedGrants;
   private readonly load = new LoadMeter();
+  private readonly coldLimit: ColdStartLimit;
+  /** When this daemon learned that its zone is evacuated, in ms; null while it is not. */
+  private evacuatedSinceMs: number | null = null;
   private readonly chooser: BackendChooser;
   /** Asks other daemons how busy their back ends are. */
   readonly prober: BackendProber;
@@ -129,6 +139,7 @@
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.backendClient = this.makeBackendClient();
+    this.coldLimit = new ColdStartLimit(settings.coldStartBound, this.startedMs);
     this.gateway = this.makeGateway();
     this.peers = new PeerDaemons({
       runtime,
@@ -203,9 +214,16 @@
   /** Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. */
   async heartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatGrant | null> {
     const arrivedMs = this.runtime.nowMs();
+    const { healthPath } = this.table.service(this.settings.service) ?? { healthPath: null };
+    const asks = healthPath !== null && !this.backend.knows(heartbeat.id);
+    if (asks && !(await this.isPresentLife(heartbeat.id, healthPath))) {
+      this.log.event('heartbeat-of-past-life', { instance: heartbeat.id, present: this.backend.id });
+      return null;
+    }
     const news = this.backend.take(heartbeat, arrivedMs);
     if (news === 'stale') return null;
     if (news === 'new-life') this.newLife(heartbeat);
+    else this.coldLimit.takeTold(heartbeat.coldLeftMs, arrivedMs);
     this.gateway.setSlots(heartbeat.slots);
     this.updateLease(heartbeat);
     const { grants } = this;
@@ -306,10 +324,11 @@
       latencies: this.options.latencies,
       pacer: this.pacer,
       backend: this.backendClient,
+      coldLimit: this.coldLimit,
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
-      leaving: () => this.backend.leaving || this.stoppingSinceMs !== null,
+      leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuatedSinceMs !== null,
       holdsKey: (key) => !this.isKeyed() || this.grants.holds(key),
       ownsKey: (key) => this.owned.placeOf(key) === 'here',
       onWork: (key, ms) => {
@@ -357,17 +376,48 @@
   // ---- the back end beside this daemon
 
   private closesAtMs(): number {
-    if (this.stoppingSinceMs === null) return this.backend.closesAtMs;
-    const stopMs = this.stoppingSinceMs + this.settings.graceMs * BACKEND_CLOSING_SHARE;
-    return Math.min(this.backend.closesAtMs, stopMs);
+    const { graceMs, evacuationMs } = this.settings;
+    const stopMs = (this.stoppingSinceMs ?? Infinity) + graceMs * BACKEND_CLOSING_SHARE;
+    const handoverMs = this.isKeyed() ? evacuationMs * EVACUATION_HANDOVER_SHARE : 0;
+    const evacuatedMs = (this.evacuatedSinceMs ?? Infinity) + handoverMs;
+    return Math.min(this.backend.closesAtMs, stopMs, evacuatedMs);
+  }
+
+  /**
+   * An evacuation that a whole table brings may have begun long ago. When one ends, the back ends may have become cold
+   * without having told so yet.
+   */
+  private adoptEvacuation(): void {
+    const zone = this.backend.heartbeat?.zone ?? this.settings.zone;
+    const evacuated = this.table.isEvacuated(zone);
+    if (evacuated === (this.evacuatedSinceMs !== null)) return;
+    this.evacuatedSinceMs = evacuated ? (this.table.isPatched ? this.runtime.nowMs() : -Infinity) : null;
+    if (!evacuated) this.coldLimit.assumeCold();
+    this.log.event('evacuation', { zone, evacuated });
   }
 
   private isKeyed(): boolean {
     return this.table.service(this.settings.service)?.keyed === true;
   }
 
+  /**
+   * A heartbeat that was held up may come after its sender has ended and another life has begun at the same address;
+   * taken for news, it would end the registration of the life that is there. So the address is asked who is there. Where
+   * it does not answer, a life that was heard lately stays.
+   */
+  private async isPresentLife(id: string, healthPath: string): Promise<boolean> {
+    const seen = await this.options.calls.identify(healthPath);
+    if (seen?.id === undefined || seen.id === null) {
+      return this.backend.id === null || this.runtime.nowMs() - this.backend.lastHeardMs > FRESH_LIFE_MS;
+    }
+    return seen.id === id;
+  }
+
   private newLife(heartbeat: BackendHeartbeat): void {
-    this.log.event('backend-known', { instance: heartbeat.id, slots: heartbeat.slots });
+    const { id, slots, coldLeftMs } = heartbeat;
+    this.log.event('backend-known', { instance: id, slots, coldLeftMs });
+    this.coldLimit.startLife(coldLeftMs, this.runtime.nowMs());
+    this.adoptEvacuation();
     this.grants.clear();
   }
 
@@ -431,6 +481,8 @@
   // ---- the directory
 
   private tableChanged(): void {
+    this.coldLimit.configure(this.table.service(this.settings.service)?.coldStart ?? null);
+    this.adoptEvacuation();
     this.adoptGrantMode();
     this.grants.tableChanged();
     this.callers.applyLimits();
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a sidecar daemon. Times are in ms. */
 import type { GrantMode } from '../directory/directory-state.js';
 import type { SocketAddress } from '../model/socket-address.js';
+import type { ColdStartBound } from './cold-start-limit.js';
 import type { HeaderDialect } from './header-dialect.js';
 import type { RetryBudget } from './retry-allowance.js';
 
@@ -33,6 +34,10 @@
   readonly graceMs: number;
   /** Retry budget of one service, shared by all daemons. */
   readonly retryBudget: RetryBudget;
+  /** By how much the requests to a cold back end may exceed what it bears. */
+  readonly coldStartBound: ColdStartBound;
+  /** Time after an evacuation was acknowledged in which its back ends may still be sent requests. */
+  readonly evacuationMs: number;
   readonly dialect: HeaderDialect;
   /** What the network link of this machine carries each way, in bytes per ms; infinite where it is not known. */
   readonly linkBytesPerMs: number;
--- a/test/directory/directory-machine.test.ts
+++ b/test/directory/directory-machine.test.ts
@@ -3,7 +3,9 @@
 import type { DirectoryCommand } from '../../src/directory/directory-commands.js';
 import { applyDirectoryCommand } from '../../src/directory/directory-machine.js';
 import {
+  decodeDirectory,
   emptyDirectoryState,
+  encodeDirectory,
   itemKey,
   type ConfigurationItem,
   type DirectoryState,
@@ -13,7 +15,7 @@
 const SERVICE = 'stock';
 
 function service(name: string, version = 1): ConfigurationItem {
-  const definition = { maxConnections: 10, keyed: true, grantMode: null };
+  const definition = { maxConnections: 10, keyed: true, grantMode: null, coldStart: null, healthPath: null };
   return { kind: 'service', name, version, source: `service ${name} ${version}`, definition };
 }
 
@@ -196,3 +198,17 @@
   world.apply({ kind: 'unregister', sessions: [{ id: 'one', session: 999 }] });
   t.is(world.ownerOf(5), 'one');
 });
+
+test('an evacuation stands until it ends, also in a snapshot; asking again changes nothing', (t) => {
+  const world = new World();
+  const begin: DirectoryCommand = { kind: 'set-evacuation', zone: 'z', evacuated: true };
+  t.deepEqual(world.apply(begin), { kind: 'done' });
+  t.deepEqual(world.apply(begin), { kind: 'done' });
+  const restored = decodeDirectory(encodeDirectory(world.state));
+  t.deepEqual([...restored.evacuatedZones], ['z']);
+  t.deepEqual(world.apply({ ...begin, evacuated: false }), { kind: 'done' });
+  t.is(world.state.evacuatedZones.size, 0);
+  const { evacuatedZones, ...older } = encodeDirectory(world.state);
+  t.deepEqual(evacuatedZones, []);
+  t.is(decodeDirectory(older).evacuatedZones.size, 0, 'a snapshot of a version without evacuations');
+});
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -20,6 +20,7 @@
     load: new KeyLoad(),
     mayBalance: true,
     movesAreCostly: false,
+    evacuatedZones: new Set(),
     rests: () => false,
     ...parts,
   };
@@ -145,3 +146,15 @@
   t.false(moves.some(({ from, to }) => from <= 100 && to >= 100));
   t.false(load.rests(bucketOf(100), 9_001));
 });
+
+test('an evacuated zone is emptied and gets no keys; where no other zone is left, nothing moves', (t) => {
+  const instances = [{ ...instance('a'), zone: 'left' }, instance('b')];
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const evacuatedZones = new Set(['left']);
+  const { moves } = planRanges(view({ ranges, instances, evacuatedZones }));
+  t.deepEqual(moves, [{ from: 0, to: 32_767, backend: 'b' }]);
+  const { assignments } = planRanges(view({ ranges: [range(0, 65_535, null)], instances, evacuatedZones }));
+  t.true(assignments.every(({ backend }) => backend === 'b'));
+  const nowhere = planRanges(view({ ranges, instances, evacuatedZones: new Set(['left', 'z']) }));
+  t.deepEqual([nowhere.assignments, nowhere.moves], [[], []]);
+});
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -29,6 +29,7 @@
   serviceMs: 40,
   accepting: true,
   sendWaitMs: 0,
+  coldStart: null,
 };
 
 async function linkTo(
--- a/test/platform/heartbeat-calls.test.ts
+++ b/test/platform/heartbeat-calls.test.ts
@@ -1,6 +1,6 @@
 /** Heartbeats of the platform's endpoints. */
 import test from 'ava';
-import { readHeartbeat } from '../../platform/heartbeat-calls.js';
+import { readHeartbeat, toldColdMs } from '../../platform/heartbeat-calls.js';
 
 const INFO = { service: 's', version: 'v1', zone: 'z', slots: 6 };
 const STATUS = { state: 'ready', call_seq: 4, cold_left_s: 0 };
@@ -20,6 +20,7 @@
     slots: 6,
     condition: 'ready',
     sequence: 4,
+    coldLeftMs: 0,
     holds: [{ from: 0, to: 9, fence: 7 }],
     released: [{ from: 10, to: 19, handover: 'h' }],
   });
@@ -43,3 +44,24 @@
     t.is(readHeartbeat('i-1', body), null);
   });
 }
+
+const COLD: readonly [unknown, number | null][] = [
+  [2.5, 2_500],
+  ['1.5', 1_500],
+  [0, 0],
+  [-3, 0],
+  [1e9, 60_000],
+  [undefined, null],
+  [null, null],
+  ['', null],
+  ['soon', null],
+  [Infinity, null],
+  [NaN, null],
+  [{}, null],
+];
+
+for (const [told, coldLeftMs] of COLD) {
+  test(`cold for ${String(told)} is read as ${String(coldLeftMs)} ms`, (t) => {
+    t.is(toldColdMs(told, 1_000), coldLeftMs);
+  });
+}
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -4,7 +4,9 @@
 import { applyDirectoryCommand } from '../../src/directory/directory-machine.js';
 import { renderConfiguration } from '../../platform/configuration-items.js';
 import type { Call } from '../../platform/json-server.js';
-import { readCommand } from '../../platform/operator-calls.js';
+import { OperatorCalls, readCommand, type OperatedReplica } from '../../platform/operator-calls.js';
+import type { DirectoryCommand } from '../../src/directory/directory-commands.js';
+import { Err, Ok } from '../../src/result.js';
 
 const ROUTE = {
   host: 'h.example',
@@ -102,3 +104,54 @@
   t.not(digest(call('PATCH', body, '1')), digest(call('PATCH', body, '2')));
   t.not(digest(call('PATCH', body, '1')), digest(call('PATCH', { ...body, version: 4 }, '1')));
 });
+
+class Replica implements OperatedReplica {
+  readonly name = '10.0.0.1:7620';
+  readonly leaderAddress = '10.0.0.2:7620';
+  readonly hearsLeader = true;
+  readonly proposed: DirectoryCommand[] = [];
+  accepts = true;
+
+  constructor(readonly leading: boolean) {}
+
+  async propose(command: DirectoryCommand): ReturnType<OperatedReplica['propose']> {
+    this.proposed.push(command);
+    return await Promise.resolve(this.accepts ? Ok({ kind: 'done' }) : Err({ kind: 'not-leader' }));
+  }
+
+  async readState(): ReturnType<OperatedReplica['readState']> {
+    return await Promise.resolve(Err({ kind: 'unavailable' }));
+  }
+}
+
+const EVACUATIONS: readonly [string, string, number][] = [
+  ['POST', '/evacuation/z-1', 200],
+  ['DELETE', '/evacuation/z-1', 200],
+  ['POST', '/evacuation/z%2D1', 200],
+  ['POST', '/evacuation/elsewhere', 404],
+  ['POST', '/evacuation/', 404],
+  ['POST', '/evacuation/%', 404],
+  ['PUT', '/evacuation/z-1', 405],
+];
+
+for (const [method, path, status] of EVACUATIONS) {
+  test(`evacuation: ${method} ${path} is answered ${status}`, async (t) => {
+    const replica = new Replica(true);
+    const calls = new OperatorCalls(replica, 8_306, new Set(['z-1']));
+    t.is((await calls.take({ method, path, headers: {}, body: '' })).status, status);
+    const evacuated = method === 'POST';
+    const command = { kind: 'set-evacuation', zone: 'z-1', evacuated } as const;
+    t.deepEqual(replica.proposed, status === 200 ? [command] : []);
+  });
+}
+
+test('evacuation: without a clear outcome it is not acknowledged, and a follower names the leader', async (t) => {
+  const replica = new Replica(true);
+  replica.accepts = false;
+  const zones = new Set(['z-1']);
+  const begin: Call = { method: 'POST', path: '/evacuation/z-1', headers: {}, body: '' };
+  t.is((await new OperatorCalls(replica, 8_306, zones).take(begin)).status, 503);
+  const answer = await new OperatorCalls(new Replica(false), 8_306, zones).take(begin);
+  t.is(answer.status, 307);
+  t.is(answer.headers?.['location'], 'http://10.0.0.2:8306/evacuation/z-1');
+});
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -6,6 +6,7 @@
 import type { RequestReply } from '../../src/link/link-server.js';
 import { HttpBackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
+import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
@@ -34,6 +35,7 @@
   work = 0;
   holdsKey = true;
   closesAtMs = Infinity;
+  readonly coldLimit = new ColdStartLimit({ factor: 1.5, slack: 8 }, -10_000);
 
   async gateway(pacer: LinkPacer | null = null): Promise<BackendGateway> {
     const port = await freePort();
@@ -49,6 +51,7 @@
         () => this.time.nowMs,
         () => undefined,
       ),
+      coldLimit: this.coldLimit,
       instance: () => 'life-1',
       awaitsBackend: () => false,
       closesAtMs: () => this.closesAtMs,
--- a/test/sidecar/backend-prober.test.ts
+++ b/test/sidecar/backend-prober.test.ts
@@ -52,6 +52,7 @@
       serviceMs: 50,
       accepting: true,
       sendWaitMs: 0,
+      coldStart: null,
     };
     this.views.get(id)?.noteStatus(status, this.time.nowMs);
     this.prober.answered(id);
--- /dev/null
+++ b/test/sidecar/cold-start-limit.test.ts
@@ -0,0 +1,134 @@
+/** What a cold back end may be sent, for any arrivals and any order of tidings. */
+import test from 'ava';
+import fc from 'fast-check';
+import { ColdStartLimit, LONGEST_COLD_MS } from '../../src/sidecar/cold-start-limit.js';
+
+const BOUND = { factor: 1.5, slack: 8 };
+const COLD_START = { durationMs: 3_000, requestsPerSecond: 14 };
+
+/** Most requests in a second that the bound accepts. */
+const ACCEPTED = COLD_START.requestsPerSecond * BOUND.factor + BOUND.slack;
+
+function limitAt(startedMs: number): ColdStartLimit {
+  const limit = new ColdStartLimit(BOUND, startedMs);
+  limit.configure(COLD_START);
+  return limit;
+}
+
+/** Sends whatever may be sent at every ms of a span; returns when. */
+function sendAll(limit: ColdStartLimit, fromMs: number, toMs: number): number[] {
+  const sent: number[] = [];
+  for (let nowMs = fromMs; nowMs < toMs; nowMs += 1) {
+    while (limit.delayMs(0, nowMs) <= 0 && sent.length < 10_000) {
+      limit.noteSent(nowMs);
+      sent.push(nowMs);
+    }
+  }
+  return sent;
+}
+
+function mostInASecond(sentMs: readonly number[]): number {
+  return Math.max(
+    0,
+    ...sentMs.map((fromMs) => sentMs.filter((at) => at >= fromMs && at < fromMs + 1_000).length),
+  );
+}
+
+test('a cold back end is filled evenly to what it bears', (t) => {
+  const limit = limitAt(-10_000);
+  limit.startLife(3_000, 0);
+  const sent = sendAll(limit, 0, 2_999);
+  const gaps = sent.slice(2).map((at, index) => at - (sent[index + 1] ?? 0));
+  t.true(Math.max(...gaps) <= 73 && Math.min(...gaps) >= 70, `gaps of ${gaps.join(', ')} ms`);
+  t.true(mostInASecond(sent) <= COLD_START.requestsPerSecond + 2);
+});
+
+test('a daemon that was started a moment ago gives a cold back end nothing for a window', (t) => {
+  const limit = limitAt(0);
+  limit.startLife(3_000, 100);
+  t.true((sendAll(limit, 100, 2_000)[0] ?? 0) > 1_000);
+});
+
+test('a back end that becomes cold within a second gets no more than the bound in any second from then on', (t) => {
+  const holds = fc.check(
+    fc.property(fc.array(fc.nat(2_000), { maxLength: 200 }), fc.nat(2_000), (arrivals, coldAtMs) => {
+      const limit = limitAt(-10_000);
+      limit.startLife(0, -5_000);
+      const before = arrivals.filter((at) => at < coldAtMs).sort((left, right) => left - right);
+      for (const at of before) limit.noteSent(at);
+      limit.takeTold(3_000, coldAtMs);
+      const sent = sendAll(limit, coldAtMs, coldAtMs + 2_500);
+      for (const fromMs of sent) {
+        const all = [...before, ...sent].filter((at) => at > fromMs - 1_000 && at <= fromMs).length;
+        const unavoidable = before.filter((at) => at > fromMs - 1_000).length;
+        if (all > Math.max(ACCEPTED, unavoidable)) return false;
+      }
+      return true;
+    }),
+  );
+  t.false(holds.failed, fc.defaultReportMessage(holds));
+});
+
+test('whatever order tidings come in, what is sent while it counts as cold stays within the bound', (t) => {
+  const told = fc.record({ at: fc.nat(6_000), toldMs: fc.option(fc.nat(4_000)), assumed: fc.boolean() });
+  const holds = fc.check(
+    fc.property(fc.array(told, { maxLength: 12 }), (tidings) => {
+      const limit = limitAt(-10_000);
+      limit.startLife(6_000, 0);
+      const cold: number[] = [];
+      for (let nowMs = 0; nowMs < 6_000; nowMs += 5) {
+        for (const { at, toldMs, assumed } of tidings) {
+          if (at < nowMs - 4 || at > nowMs) continue;
+          if (assumed) limit.assumeCold();
+          else limit.takeTold(toldMs, nowMs);
+        }
+        // While it counts as warm it is sent nothing here, so every request was sent to a cold one.
+        while (limit.isCold(nowMs) && limit.delayMs(0, nowMs) <= 0) {
+          limit.noteSent(nowMs);
+          cold.push(nowMs);
+        }
+      }
+      return mostInASecond(cold) <= ACCEPTED;
+    }),
+  );
+  t.false(holds.failed, fc.defaultReportMessage(holds));
+});
+
+test('one that may have become cold unseen counts as cold until it has told otherwise twice', (t) => {
+  const limit = limitAt(-10_000);
+  limit.startLife(0, 0);
+  t.false(limit.isCold(10));
+  limit.assumeCold();
+  t.true(limit.isCold(10));
+  limit.takeTold(0, 20);
+  t.true(limit.isCold(30), 'it may have been told before it became cold');
+  limit.takeTold(0, 900);
+  t.false(limit.isCold(910));
+});
+
+test('a tiding without the figure changes nothing, a new life without it is cold, a huge one is clamped', (t) => {
+  const limit = limitAt(-10_000);
+  limit.startLife(null, 0);
+  t.true(limit.isCold(2_999));
+  t.false(limit.isCold(3_001));
+  limit.takeTold(1_000, 4_000);
+  limit.takeTold(null, 4_100);
+  t.true(limit.isCold(4_900));
+  limit.takeTold(1e12, 5_000);
+  t.false(limit.isCold(5_001 + LONGEST_COLD_MS));
+});
+
+test('where the service tells no rate nothing is limited', (t) => {
+  const limit = new ColdStartLimit(BOUND, 0);
+  limit.startLife(3_000, 0);
+  t.is(limit.delayMs(5, 10), 0);
+  t.is(limit.outlook(10), null);
+});
+
+test('the outlook tells how soon further requests are taken', (t) => {
+  const limit = limitAt(-10_000);
+  limit.startLife(2_000, 0);
+  limit.noteSent(0);
+  limit.noteSent(0);
+  t.deepEqual(limit.outlook(0), { delayMs: 71, intervalMs: 71, leftMs: 2_000 });
+});
--- a/test/sidecar/gateway-reserve.test.ts
+++ b/test/sidecar/gateway-reserve.test.ts
@@ -4,6 +4,7 @@
 import type { RequestReply } from '../../src/link/link-server.js';
 import type { BackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
+import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
 import type { RunPorts } from '../../src/sidecar/backend-run.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
@@ -73,6 +74,7 @@
     latencies: NO_LATENCIES,
     pacer: null,
     backend: this.backend,
+    coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
     instance: () => 'life-1',
     awaitsBackend: () => false,
     closesAtMs: () => Infinity,
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -45,7 +45,7 @@
 
 function heartbeat(sequence: number, parts: Partial<BackendHeartbeat> = {}): BackendHeartbeat {
   const common = { id: 'me', service: 's', zone: 'z', slots: 2, condition: 'ready' } as const;
-  return { ...common, sequence, holds: [], released: [], ...parts };
+  return { ...common, sequence, coldLeftMs: 0, holds: [], released: [], ...parts };
 }
 
 test('heartbeats: what is owned is granted, for no longer than the lease has left', (t) => {
@@ -122,6 +122,10 @@
   result: GrantResult = 'granted';
   handover: string | null = 'h';
 
+  async identify(): Promise<null> {
+    return await Promise.resolve(null);
+  }
+
   async grant(granted: { from: number; to: number; fence: number }, holdMs: number): Promise<GrantResult> {
     this.log.push(`grant ${granted.from}-${granted.to}@${granted.fence} for ${holdMs}`);
     return await Promise.resolve(this.result);
--- a/test/sidecar/local-backend.test.ts
+++ b/test/sidecar/local-backend.test.ts
@@ -8,7 +8,17 @@
   sequence: number,
   condition: 'ready' | 'draining' = 'ready',
 ): BackendHeartbeat {
-  return { id, service: 's', zone: 'z', slots: 1, condition, sequence, holds: null, released: [] };
+  return {
+    id,
+    service: 's',
+    zone: 'z',
+    slots: 1,
+    condition,
+    sequence,
+    coldLeftMs: 0,
+    holds: null,
+    released: [],
+  };
 }
 
 test('late heartbeats of the present life and of earlier lives change nothing', (t) => {
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -2,10 +2,11 @@
 import test from 'ava';
 import { request } from 'undici';
 import { freePort } from '../loopback.js';
+import type { DirectoryChange } from '../../src/directory/directory-commands.js';
 import type { DirectoryNotice, DirectoryRequest } from '../../src/directory/directory-messages.js';
 import type { DirectorySnapshot, KeyRange } from '../../src/directory/directory-state.js';
 import type { ClientHandlers, Runtime } from '../../src/runtime/runtime.js';
-import type { BackendHeartbeat, HeartbeatGrant } from '../../src/sidecar/backend-report.js';
+import type { BackendHeartbeat, BackendIdentity, HeartbeatGrant } from '../../src/sidecar/backend-report.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { SidecarNode } from '../../src/sidecar/sidecar-node.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
@@ -24,6 +25,10 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   listens = true;
+  /** What the back end's address says of who is there; null for no answer. */
+  identity: BackendIdentity | null = null;
+  /** Zones that are evacuated in every table from now on. */
+  evacuatedZones: string[] = [];
   callersPort = 0;
   private handlers: ClientHandlers | null = null;
   private index = 0;
@@ -63,6 +68,8 @@
         drainMs: 2_000,
         graceMs: 6_000,
         retryBudget: { ratio: 0.2, extra: 60, windowMs: 10_000 },
+        coldStartBound: { factor: 1.5, slack: 8 },
+        evacuationMs: 5_000,
         dialect: DEFAULT_HEADER_DIALECT,
         linkBytesPerMs: Infinity,
       },
@@ -70,6 +77,7 @@
       runtime,
       log: SILENT_EVENT_LOG,
       calls: {
+        identify: async () => await Promise.resolve(this.identity),
         grant: async () => await Promise.resolve('granted'),
         release: async () => await Promise.resolve(''),
       },
@@ -86,7 +94,13 @@
 
   table(ranges: readonly KeyRange[]): void {
     this.index += 1;
-    const service = { maxConnections: 9, keyed: true, grantMode: null };
+    const service = {
+      maxConnections: 9,
+      keyed: true,
+      grantMode: null,
+      coldStart: { durationMs: 3_000, requestsPerSecond: 14 },
+      healthPath: '/health',
+    };
     const item = { kind: 'service', name: SERVICE, version: 1, source: null, definition: service } as const;
     const table: DirectorySnapshot = {
       items: [item],
@@ -95,10 +109,16 @@
       accepted: [],
       instances: [],
       ranges: [{ service: SERVICE, ranges }],
+      evacuatedZones: this.evacuatedZones,
     };
     this.notify({ kind: 'table', index: this.index, table });
   }
 
+  change(changes: readonly DirectoryChange[]): void {
+    this.index += 1;
+    this.notify({ kind: 'changes', index: this.index, changes });
+  }
+
   lease(): void {
     const sentMs = this.time.nowMs;
     this.notify({ kind: 'registered', id: 'one', session: SESSION, sentMs, termMs: LEASE_MS });
@@ -111,7 +131,7 @@
 
 function heartbeat(sequence: number): BackendHeartbeat {
   const common = { id: 'one', service: SERVICE, zone: 'z', slots: 2, condition: 'ready' } as const;
-  return { ...common, sequence, holds: [], released: [] };
+  return { ...common, sequence, coldLeftMs: 0, holds: [], released: [] };
 }
 
 function range(from: number, to: number, owner: string | null, movingTo: string | null = null): KeyRange {
@@ -122,6 +142,7 @@
   const node = await world.start();
   world.table([range(0, 65_535, 'one')]);
   const first = node.heartbeat(heartbeat(1));
+  await settle();
   world.lease();
   return { node, grant: await first };
 }
@@ -209,3 +230,93 @@
   await pass(world, 7_000);
   await stopping;
 }
+
+test('a heartbeat that was held up changes nothing when its sender has ended and another life is there', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  world.identity = { id: 'one', coldLeftMs: 0 };
+  t.is(await node.heartbeat({ ...heartbeat(90), id: 'zero' }), null);
+  t.is(node.gateway.status()?.instance, 'one');
+  t.truthy(await node.heartbeat(heartbeat(2)), 'the life that is there goes on');
+  await stop(world, node);
+});
+
+test('a daemon that was started anew takes no late heartbeat of a past life for the present one', async (t) => {
+  const world = new World();
+  const node = await world.start();
+  world.table([range(0, 65_535, 'one')]);
+  world.identity = { id: 'one', coldLeftMs: 0 };
+  await node.heartbeat({ ...heartbeat(90), id: 'zero' });
+  t.is(node.gateway.status(), null);
+  t.false(world.kinds().includes('register'));
+  await stop(world, node);
+});
+
+test('where the address does not say who is there, a life that was heard lately stays, a silent one gives way', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  const other = { ...heartbeat(1), id: 'two' };
+  await node.heartbeat(other);
+  t.is(node.gateway.status()?.instance, 'one');
+  world.time.pass(2_000);
+  const taken = node.heartbeat(other);
+  await settle();
+  t.is(node.gateway.status()?.instance, 'two');
+  await pass(world, 1_000);
+  await taken;
+  await stop(world, node);
+});
+
+/** What becomes of a request for a key that is sent straight to the gateway. */
+function refusalAt(node: SidecarNode): string {
+  let refused = 'nothing';
+  const reply = {
+    refuse: ({ reason }: { reason: string }) => (refused = reason),
+    fail: () => undefined,
+    answer: () => undefined,
+    body: () => true,
+    end: () => undefined,
+    onRoom: () => undefined,
+  };
+  const head = {
+    requestId: 'r',
+    method: 'GET',
+    path: '/',
+    headers: [],
+    instance: 'one',
+    key: 7,
+    route: 'route',
+    priority: 1,
+    remainingMs: 500,
+    patienceMs: 0,
+    targetLeftMs: 100,
+    spentMs: 0,
+  };
+  node.gateway.take(head, Buffer.alloc(0), reply);
+  return refused;
+}
+
+test('an evacuation leaves time to hand keys over, and is over well within its bound', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  world.change([{ kind: 'evacuation', zone: 'other', evacuated: true }]);
+  t.true(node.gateway.status()?.accepting);
+  world.change([{ kind: 'evacuation', zone: 'z', evacuated: true }]);
+  t.false(node.gateway.status()?.accepting, 'others send it nothing from now on');
+  t.not(refusalAt(node), 'leaving');
+  world.time.pass(2_100);
+  t.is(refusalAt(node), 'leaving');
+  await stop(world, node);
+});
+
+test('an evacuation that a whole table tells of holds at once; after its end a back end may be cold', async (t) => {
+  const world = new World();
+  world.evacuatedZones = ['z'];
+  const { node } = await owner(world);
+  t.is(refusalAt(node), 'leaving');
+  t.is(node.gateway.status()?.coldStart, null);
+  world.change([{ kind: 'evacuation', zone: 'z', evacuated: false }]);
+  t.true(node.gateway.status()?.accepting);
+  t.is(node.gateway.status()?.coldStart?.intervalMs, 71);
+  await stop(world, node);
+});
