Everything sent over a slow link counts against it; large frames share it slice by slice

Cause: small answers of a publisher's daemon needed 86 ms (median; 195 ms at p90) on the network where 5 ms are usual, by the time that the daemon beside the back end now tells with each answer (waited, back end). The pacer left 8% of the link free, but requests that the daemon sends itself, headers of TCP and IP and acknowledgements need more than that, so a standing queue of the size of TCP's windows stood on the link, and every call over it came late. Change: pacers see requests as well as answers, with what the network adds to each segment and with acknowledgements; the time that an answer needs on the link is told by what small frames leave of it (link-accounting). Frames to different daemons share the link slice by slice, the one with least left first (link-slices). AnswerTiming goes into the sampled lines of answered requests.

--- a/lab/chain/chain-backend.ts
+++ b/lab/chain/chain-backend.ts
@@ -117,7 +117,15 @@
     else this.ports.report.badRuns += 1;
     this.run.onDone({ kind: 'answered', statusCode, bytes: 0 });
     const status = this.run.status();
-    const head = { statusCode, headers: [], moreFollows: false, contentLength: 0, framed: true, status };
+    const head = {
+      statusCode,
+      headers: [],
+      moreFollows: false,
+      contentLength: 0,
+      framed: true,
+      timing: this.run.timing(),
+      status,
+    };
     this.run.reply.answer(head, Buffer.alloc(0));
   }
 
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -4,8 +4,9 @@
  */
 import { connect } from 'node:net';
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
-import { LinkConnection } from './link-connection.js';
+import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
+import type { LinkPacer } from './link-pacer.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
 
 /** Time in ms for a connection to open. */
@@ -54,6 +55,8 @@
   readonly address: SocketAddress;
   /** Local IP address to dial from; null leaves that to the system. */
   readonly localAddress: string | null;
+  /** Paces large frames over a slow network link; null where there is none on the way. */
+  readonly pacer: LinkPacer | null;
 }
 
 /** A link to one other daemon. */
@@ -122,7 +125,7 @@
   private ensureConnection(): void {
     if (this.connection !== null || this.stopped) return;
     const socket = connect(connectOptions(this.route.address, this.route.localAddress));
-    const connection = new LinkConnection(socket, this.nowMs, {
+    const handlers: LinkConnectionHandlers = {
       onFrame: (frame) => {
         this.receive(frame);
       },
@@ -130,7 +133,8 @@
         clearTimeout(timer);
         this.lost(reason);
       },
-    });
+    };
+    const connection = new LinkConnection(socket, this.nowMs, handlers, this.route.pacer);
     const timer = setTimeout(() => {
       connection.close('connect timed out');
     }, CONNECT_TIMEOUT_MS);
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -42,7 +42,7 @@
     private readonly nowMs: () => number,
     private readonly handlers: LinkConnectionHandlers,
     /** Paces large frames over a slow network link; null where there is none between the two daemons. */
-    pacer: LinkPacer | null = null,
+    private readonly pacer: LinkPacer | null = null,
   ) {
     this.lastHeardMs = nowMs();
     const write = (bytes: Buffer): void => {
@@ -141,6 +141,7 @@
   private receive(chunk: Buffer): void {
     if (this.closed) return;
     this.lastHeardMs = this.nowMs();
+    this.pacer?.noteReceived(chunk.length);
     const frames = this.decoder.push(chunk);
     if (frames.err) {
       this.close(frames.val);
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -98,6 +98,14 @@
   readonly status: StatusHead | null;
 }
 
+/** How the daemon beside the back end spent its time on a request, in ms. */
+export interface AnswerTiming {
+  /** Until the request was sent to the back end. */
+  readonly waitedMs: number;
+  /** From then on until the answer began to be passed on. */
+  readonly backendMs: number;
+}
+
 /** The beginning of an answer. */
 export interface AnswerHead {
   readonly statusCode: number;
@@ -109,5 +117,6 @@
   readonly contentLength: number | null;
   /** Whether the back end said where its answer ends; otherwise it is passed on to end with its connection too. */
   readonly framed: boolean;
+  readonly timing: AnswerTiming;
   readonly status: StatusHead | null;
 }
--- a/src/link/link-pacer.ts
+++ b/src/link/link-pacer.ts
@@ -5,10 +5,14 @@
  */
 
 import { policyIsOn } from '../policy-switches.js';
+import { LinkLoad } from './link-load.js';
 
 /** Bytes that are handed over at a time. */
 const SLICE_BYTES = 8 * 1024;
 
+/** Longest time in ms that small frames beside the pacer may hold up the next slice, so that large ones go on. */
+const MOST_DEBT_MS = 100;
+
 /** Part of the link that is used; the rest is for what does not pass here. */
 const USED_SHARE = 0.92;
 
@@ -33,6 +37,10 @@
   readonly remainingBytes: number;
   /** Whether it is not wanted any more; it is passed over. */
   readonly dropped: boolean;
+  /** Whether its first bytes have been written; then no other frame of its connection may come between. */
+  readonly begun: boolean;
+  /** What carries it. */
+  readonly connection: object;
   /** Hands over at most so many bytes; returns how many it were. */
   write(bytes: number): number;
 }
@@ -51,9 +59,8 @@
 
 /** The pacer of one link. */
 export class LinkPacer {
-  private readonly waiting: QueuedFrame[] = [];
-  /** Its first bytes have been handed over. */
-  private current: PacedFrame | null = null;
+  private waiting: QueuedFrame[] = [];
+  private readonly load: LinkLoad;
   /** Bytes that may be handed over now; below 0 after a slice. */
   private credit = 0;
   private lastMs: number;
@@ -67,25 +74,35 @@
     private readonly bytesPerMs = linkBytesPerMs * USED_SHARE,
   ) {
     this.lastMs = clock.nowMs();
+    this.load = new LinkLoad(this.lastMs);
   }
 
   /** Time in ms until everything that waits has been handed over. */
   get backlogMs(): number {
     let bytes = 0;
-    if (this.current?.dropped === false) bytes += this.current.remainingBytes;
     for (const { frame } of this.waiting) if (!frame.dropped) bytes += frame.remainingBytes;
-    return bytes / this.bytesPerMs;
+    return this.sendingMs(bytes);
   }
 
-  /** Time in ms that an answer of this size takes on the link. */
+  /** Time in ms that an answer of this size takes on the link, beside the small frames that go before it. */
   sendingMs(bytes: number): number {
-    return bytes / this.bytesPerMs;
+    return bytes / this.load.leftOf(this.bytesPerMs, this.clock.nowMs());
   }
 
   /** Bytes were sent beside the pacer; they use the link as well. */
   noteSent(bytes: number): void {
+    this.use(wireBytes(bytes));
+  }
+
+  /** Bytes have come; that they came is told over the link. */
+  noteReceived(bytes: number): void {
+    if (policyIsOn('link-accounting')) this.use(acknowledgementBytes(bytes));
+  }
+
+  private use(bytes: number): void {
     this.earn();
-    this.credit -= bytes;
+    this.load.note(bytes, this.lastMs);
+    this.credit = Math.max(this.credit - bytes, -MOST_DEBT_MS * this.bytesPerMs);
   }
 
   /** Queues a frame. */
@@ -100,7 +117,7 @@
     this.running = true;
     this.handOver();
     this.running = false;
-    if (!isWanted(this.current) && this.waiting.length === 0) return;
+    if (this.waiting.length === 0) return;
     this.scheduled = true;
     const pauseMs = Math.max(LEAST_PAUSE_MS, -this.credit / this.bytesPerMs);
     this.clock.after(pauseMs, () => {
@@ -109,29 +126,33 @@
   }
 
   private handOver(): void {
-    while (this.credit > 0) {
-      this.current = this.chooseNext();
-      if (this.current === null) return;
-      this.credit -= this.current.write(SLICE_BYTES);
+    for (;;) {
+      this.waiting = this.waiting.filter(({ frame }) => isWanted(frame));
+      const next = this.credit > 0 ? this.chooseNext() : null;
+      if (next === null) return;
+      this.credit -= wireBytes(next.write(SLICE_BYTES));
     }
   }
 
-  /** The frame that has begun, or else the one that needs least time, which makes the sum of the waits smallest. */
+  /**
+   * The frame that needs least time, which makes the sum of the waits smallest. On its own connection one that has begun
+   * goes on first.
+   */
   private chooseNext(): PacedFrame | null {
-    if (isWanted(this.current)) return this.current;
     const nowMs = this.clock.nowMs();
-    let best = -1;
+    const begun = this.waiting.filter(({ frame }) => frame.begun).map(({ frame }) => frame);
+    if (!policyIsOn('link-slices') && begun[0] !== undefined) return begun[0];
+    const taken = new Set(begun.map(({ connection }) => connection));
+    let best: PacedFrame | null = null;
     let bestMs = Infinity;
-    this.waiting.forEach(({ frame, sinceMs }, at) => {
-      const neededMs = frame.dropped ? -Infinity : this.sendingMs(frame.remainingBytes);
-      const orderMs = neededMs - (nowMs - sinceMs) * AGING_SHARE;
-      if (orderMs >= bestMs) return;
-      best = at;
+    for (const { frame, sinceMs } of this.waiting) {
+      if (!frame.begun && taken.has(frame.connection)) continue;
+      const orderMs = frame.remainingBytes / this.bytesPerMs - (nowMs - sinceMs) * AGING_SHARE;
+      if (orderMs >= bestMs) continue;
+      best = frame;
       bestMs = orderMs;
-    });
-    const [chosen] = best < 0 ? [] : this.waiting.splice(best, 1);
-    if (chosen === undefined) return null;
-    return isWanted(chosen.frame) ? chosen.frame : this.chooseNext();
+    }
+    return best;
   }
 
   private earn(): void {
@@ -142,6 +163,24 @@
   }
 }
 
-function isWanted(frame: PacedFrame | null): frame is PacedFrame {
-  return frame !== null && !frame.dropped && frame.remainingBytes > 0;
+function isWanted(frame: PacedFrame): boolean {
+  return !frame.dropped && frame.remainingBytes > 0;
+}
+
+/** Bytes of payload in a segment on the network, and what TCP and IP add to each (RFC 9293, RFC 791, timestamps). */
+const SEGMENT_BYTES = 1_448;
+const SEGMENT_OVERHEAD_BYTES = 52;
+
+/** Segments that one acknowledgement answers (RFC 1122, 4.2.3.2). */
+const SEGMENTS_PER_ACKNOWLEDGEMENT = 2;
+
+/** Bytes on the network for a payload. */
+function wireBytes(bytes: number): number {
+  if (!policyIsOn('link-accounting')) return bytes;
+  return bytes + Math.ceil(bytes / SEGMENT_BYTES) * SEGMENT_OVERHEAD_BYTES;
+}
+
+/** Bytes on the network for the acknowledgements of a payload that came. */
+function acknowledgementBytes(bytes: number): number {
+  return Math.ceil(bytes / (SEGMENT_BYTES * SEGMENTS_PER_ACKNOWLEDGEMENT)) * SEGMENT_OVERHEAD_BYTES;
 }
--- a/src/link/paced-frames.ts
+++ b/src/link/paced-frames.ts
@@ -9,8 +9,6 @@
 interface WaitingFrame extends PacedFrame {
   readonly stream: number;
   drop(): void;
-  /** Whether its first bytes have been written. */
-  readonly begun: boolean;
   /** Whether the pacer knows of it; it does not while an earlier frame of the stream waits. */
   submitted: boolean;
 }
@@ -57,6 +55,7 @@
     let dropped = false;
     const frame: WaitingFrame = {
       stream,
+      connection: this,
       submitted: false,
       get remainingBytes() {
         return bytes.length - at;
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -35,6 +35,10 @@
   | 'short-work-reserve'
   /** A replica that has heard no leader since its start stands for election after a heartbeat, not a whole timeout. */
   | 'early-election'
+  /** Everything that a daemon sends over a slow network link counts against the link, with what the network adds. */
+  | 'link-accounting'
+  /** Large frames share a slow network link slice by slice, the one with least left first. */
+  | 'link-slices'
   /** Large answers that are still being worked on count as waiting for a slow network link. */
   | 'expected-answers';
 
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -2,7 +2,7 @@
  * The only way to the back end beside this daemon. It decides what may be sent there: the right life of the back end,
  * within its places, while it is not leaving, and with keys that it holds.
  */
-import type { RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
+import type { AnswerTiming, RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { LinkPacer } from '../link/link-pacer.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
@@ -384,6 +384,7 @@
     this.counters.runs += 1;
     visit.run = ports.backend.prepare(visit.head, visit.body, leftMs, {
       status: () => this.status(),
+      timing: () => this.timingOf(visit),
       reply: visit.reply,
       onDone: (outcome) => {
         this.finished(visit, outcome);
@@ -392,6 +393,11 @@
     visit.run.start();
   }
 
+  private timingOf({ arrivedMs, startedMs }: Visit): AnswerTiming {
+    const backendMs = Math.round(this.ports.runtime.nowMs() - startedMs);
+    return { waitedMs: Math.round(startedMs - arrivedMs), backendMs };
+  }
+
   private finished(visit: Visit, outcome: RunOutcome): void {
     if (visit.done) return;
     visit.done = true;
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -2,7 +2,7 @@
  * One request at the back end. A short answer is kept until it is whole, so that a cut one never reaches the caller;
  * a long one is passed on as it comes.
  */
-import type { RequestHead, StatusHead } from '../link/link-messages.js';
+import type { AnswerTiming, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { RequestReply } from '../link/link-server.js';
 import type { ParsedAnswer } from './answer-parser.js';
 import type { BrokenReason } from './backend-connection.js';
@@ -35,6 +35,7 @@
 /** What a run needs of its gateway. */
 export interface RunPorts {
   readonly status: () => StatusHead | null;
+  readonly timing: () => AnswerTiming;
   readonly reply: RequestReply;
   /** Called once, unless the run was cancelled. */
   readonly onDone: (outcome: RunOutcome) => void;
@@ -198,12 +199,13 @@
     if (answer === null) return;
     const { statusCode, headers } = answer;
     const status = this.ports.status();
+    const timing = this.ports.timing();
     const said = headerValue(headers, 'content-length');
     const saysMore = moreFollows || this.head.method === 'HEAD';
     const contentLength = saysMore && said !== null ? Number(said) : moreFollows ? null : body.length;
     const { framed } = answer;
     const passed = endToEndHeaders(headers, NO_LENGTH);
-    const head = { statusCode, headers: passed, moreFollows, contentLength, framed, status };
+    const head = { statusCode, headers: passed, moreFollows, contentLength, framed, timing, status };
     this.ports.reply.answer(head, body);
   }
 
--- a/src/sidecar/peer-daemons.ts
+++ b/src/sidecar/peer-daemons.ts
@@ -2,8 +2,10 @@
 import type { BackendInstance } from '../directory/directory-state.js';
 import { parseAddress } from '../directory/replica-address.js';
 import { LinkClient } from '../link/link-client.js';
+import type { LinkPacer } from '../link/link-pacer.js';
 import type { StatusHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
+import { policyIsOn } from '../policy-switches.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import { BackendView } from './backend-view.js';
@@ -16,6 +18,8 @@
   readonly dialFrom: string | null;
   /** Where a daemon is taken to be whose address cannot be read. */
   readonly ownLinks: SocketAddress;
+  /** Paces large frames over a slow network link; null where it is fast. */
+  readonly pacer: LinkPacer | null;
   /** A back end's daemon has told how busy it is, outside of an answer. */
   readonly onStatus: (instance: string) => void;
 }
@@ -46,9 +50,13 @@
   linkTo({ daemonAddress }: BackendInstance): LinkClient {
     const known = this.links.get(daemonAddress);
     if (known !== undefined) return known;
-    const { runtime, dialFrom, ownLinks } = this.ports;
+    const { runtime, dialFrom, ownLinks, pacer } = this.ports;
     const address = parseAddress(daemonAddress) ?? ownLinks;
-    const link = new LinkClient({ address, localAddress: dialFrom }, () => runtime.nowMs(), {
+    // What stays on this machine does not pass the network link.
+    const isOwn = address.host === ownLinks.host;
+    const usedPacer = isOwn || !policyIsOn('link-accounting') ? null : pacer;
+    const route = { address, localAddress: dialFrom, pacer: usedPacer };
+    const link = new LinkClient(route, () => runtime.nowMs(), {
       onStatus: (status) => {
         this.noteStatus(status);
       },
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -5,7 +5,14 @@
  */
 import type { BackendInstance } from '../directory/directory-state.js';
 import type { LinkClient, LinkRequest } from '../link/link-client.js';
-import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from '../link/link-messages.js';
+import type {
+  AnswerHead,
+  AnswerTiming,
+  FailureHead,
+  RefusalHead,
+  RequestHead,
+  StatusHead,
+} from '../link/link-messages.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
@@ -67,6 +74,8 @@
   private cancelTimeout: CancelTimer | null = null;
   private arrivals = 0;
   private lastSentMs = 0;
+  /** How the time of the answered attempt was spent; null before an answer. */
+  private timing: AnswerTiming | null = null;
   private refusals = 0;
   private busyRefusals = 0;
   private nextLookPauseMs = LOOK_AGAIN_MS;
@@ -257,6 +266,7 @@
   private answered(view: BackendView, head: AnswerHead, body: Buffer): void {
     this.noteStatus(view, head.status);
     view.noteSuccess();
+    this.timing = head.timing;
     if (this.done) return;
     if (head.moreFollows) {
       this.streaming = true;
@@ -408,7 +418,9 @@
     latencies.observe('request', service, runtime.nowMs() - arrivedMs);
     latencies.observe('choice', service, this.lastSentMs - arrivedMs);
     const late = this.clock.targetLeftMs < spentMs;
-    const fields = this.fields({ instance: this.currentInstance?.id, spentMs, late });
+    const sentMs = Math.round(this.lastSentMs - arrivedMs);
+    const instance = this.currentInstance?.id;
+    const fields = this.fields({ instance, spentMs, late, sentMs, ...this.timing });
     // A late answer is out of the ordinary, so its line is kept while there is room for any.
     if (late) log.event('request-answered', fields);
     else log.routine('request-answered', fields);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -146,6 +146,7 @@
       log,
       dialFrom: settings.dialFrom,
       ownLinks: settings.links,
+      pacer: this.pacer,
       onStatus: (instance) => {
         this.prober.answered(instance);
       },
--- a/test/link/link-pacer.test.ts
+++ b/test/link/link-pacer.test.ts
@@ -160,3 +160,53 @@
   world.time.pass(1_000);
   t.deepEqual(runs(written()), ['a100000', 'p1', `c${LARGE}`, `b${LARGE}`]);
 });
+
+test('of two large frames to different daemons the one with less left goes on first, also when the other has begun', (t) => {
+  const world = new World();
+  const large = world.connection();
+  large.frames.send(1, EMPTY, frame('a', 100_000));
+  world.time.pass(20);
+  const small = world.connection();
+  small.frames.send(1, EMPTY, frame('b', LARGE));
+  world.time.pass(30);
+  t.is(small.written().length, LARGE);
+  t.true(large.written().length < 60_000);
+  world.time.pass(200);
+  t.is(large.written().length, 100_000);
+});
+
+test('what passes beside the pacer, with what the network adds, is taken off what large frames get', (t) => {
+  const world = new World();
+  const { frames, written } = world.connection();
+  frames.send(1, EMPTY, frame('a', 400_000));
+  for (let turn = 0; turn < 20; turn += 1) {
+    for (let sent = 0; sent < 20; sent += 1) world.pacer.noteSent(148);
+    world.pacer.noteReceived(2_000);
+    world.time.pass(10);
+  }
+  const large = written().length;
+  const small = 400 * 200 + 20 * 52;
+  t.true(large + small < 200 * BYTES_PER_MS, `${large} bytes of large frames`);
+  t.true(large + small > 170 * BYTES_PER_MS, `${large} bytes of large frames`);
+});
+
+test('small frames beyond the link hold large ones up for a bounded time only', (t) => {
+  const world = new World();
+  const { frames, written } = world.connection();
+  world.pacer.noteSent(1_000_000);
+  frames.send(1, EMPTY, frame('a', LARGE));
+  world.time.pass(150);
+  t.is(written().length, LARGE);
+});
+
+test('the time that an answer needs counts the small frames that go before it', (t) => {
+  const world = new World();
+  t.is(Math.round(world.pacer.sendingMs(92_000)), 100);
+  for (let turn = 0; turn < 200; turn += 1) {
+    for (let sent = 0; sent < 10; sent += 1) world.pacer.noteSent(448);
+    world.time.pass(10);
+  }
+  t.true(world.pacer.sendingMs(92_000) > 190 && world.pacer.sendingMs(92_000) < 230);
+  world.time.pass(10_000);
+  t.true(world.pacer.sendingMs(92_000) < 102);
+});
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -47,7 +47,7 @@
   (await server.listen({ host: '127.0.0.1', port })).unwrap();
   const handlers = { onStatus, onDisconnect };
   const client = new LinkClient(
-    { address: { host: '127.0.0.1', port }, localAddress: null },
+    { address: { host: '127.0.0.1', port }, localAddress: null, pacer: null },
     () => 0,
     handlers,
   );
@@ -127,7 +127,14 @@
   const { client, close } = await linkTo((head, body, reply) => {
     t.deepEqual(head, HEAD);
     t.is(body.toString(), 'hello');
-    const answer = { statusCode: 200, headers: [], framed: true, contentLength: null, status: null };
+    const answer = {
+      statusCode: 200,
+      headers: [],
+      framed: true,
+      contentLength: null,
+      timing: { waitedMs: 0, backendMs: 0 },
+      status: null,
+    };
     reply.answer({ ...answer, moreFollows: true }, Buffer.from('one'));
     reply.body(Buffer.from('two'));
     reply.end();
@@ -186,7 +193,7 @@
   });
   t.is(lost, 'lost true');
   const address = { host: '127.0.0.1', port: await freePort() };
-  const nobody = new LinkClient({ address, localAddress: null }, () => 0, {
+  const nobody = new LinkClient({ address, localAddress: null, pacer: null }, () => 0, {
     onStatus: () => undefined,
     onDisconnect: () => undefined,
   });
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -102,7 +102,7 @@
   const world = new World();
   const pacer = new LinkPacer(1_000, world.time.runtime);
   const gateway = await world.gateway(pacer);
-  pacer.add({ remainingBytes: 460_000, dropped: false, write: () => 0 });
+  pacer.add({ remainingBytes: 460_000, dropped: false, begun: false, connection: {}, write: () => 0 });
   t.is(gateway.status()?.sendWaitMs, 500);
   gateway.stop();
 });
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -36,6 +36,7 @@
     headers: [],
     moreFollows: false,
     framed: true,
+    timing: { waitedMs: 0, backendMs: 0 },
     contentLength: 2,
     status: null,
   };
