Choices use what back ends tell of the time that work takes there at this moment, and the time of each route

Cause: back ends share machines, so work takes one to three times as long in spells of some 100 ms, and some are slower than others for good; a mean time of all routes at a back end stood for both, and for calls of 14 ms and requests of 76. Change: the fourth figure of a back end's load is read in the adapter; the gateway keeps times at the usual pace and tells pace and its mean with every status, faded by age; callers' daemons compare back ends by the work of the route at that pace (told-pace). What cannot be read counts as not told, is counted, and is logged once.

--- a/lab/chain/chain-backend.ts
+++ b/lab/chain/chain-backend.ts
@@ -115,7 +115,7 @@
     this.ended = true;
     if (statusCode === SUCCESS_STATUS) this.ports.report.goodRuns += 1;
     else this.ports.report.badRuns += 1;
-    this.run.onDone({ kind: 'answered', statusCode, bytes: 0 });
+    this.run.onDone({ kind: 'answered', statusCode, bytes: 0, pace: null });
     const status = this.run.status();
     const head = {
       statusCode,
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -71,6 +71,9 @@
   readonly sendWaitMs: number;
   /** Null while it may be sent as many requests as it has places. */
   readonly coldStart: ColdStartOutlook | null;
+  /** How long work takes there at this moment, and in the mean, as factors on the usual; 1 where it is not told. */
+  readonly pace: number;
+  readonly meanPace: number;
 }
 
 /** The request was not run and never will be. */
--- a/src/policy-switches.ts
+++ b/src/policy-switches.ts
@@ -37,6 +37,8 @@
   | 'early-election'
   /** Everything that a daemon sends over a slow network link counts against the link, with what the network adds. */
   | 'link-accounting'
+  /** What back ends tell of how long work takes there at this moment, and the time that each route takes, are used. */
+  | 'told-pace'
   /** Large frames share a slow network link slice by slice, the one with least left first. */
   | 'link-slices'
   /** Large answers that are still being worked on count as waiting for a slow network link. */
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -19,15 +19,17 @@
   expire(): void;
 }
 
-/** Bounds how soon requests may start, whatever places are free. */
-export interface StartLimit {
+/** What the places need to know of the back end. */
+export interface AdmissionPorts {
   /** Time in ms until a request may start behind `ahead` others; 0 while nothing is bounded. */
   delayMs(ahead: number): number;
   /** A request has started. */
   noteStarted(): void;
+  /** How long work takes there at this moment, as a factor on the usual. */
+  pace(): number;
 }
 
-const NO_LIMIT: StartLimit = { delayMs: () => 0, noteStarted: () => undefined };
+const STEADY: AdmissionPorts = { delayMs: () => 0, noteStarted: () => undefined, pace: () => 1 };
 
 /** Weight of the newest sample in the mean service time. */
 const NEWEST_WEIGHT = 0.1;
@@ -44,11 +46,12 @@
 export class Admission {
   private running = 0;
   private readonly waiting: Applicant[] = [];
+  /** At the usual pace. */
   private meanMs = ASSUMED_SERVICE_MS;
 
   constructor(
     private slotCount: number,
-    private readonly startLimit: StartLimit = NO_LIMIT,
+    private readonly ports: AdmissionPorts = STEADY,
   ) {}
 
   /** Requests that have a place. */
@@ -66,9 +69,9 @@
     return this.slotCount;
   }
 
-  /** Recent mean of the time that a request kept its place, in ms. */
+  /** Time in ms that a request is to be expected to keep its place, by a recent mean. */
   get serviceMs(): number {
-    return this.meanMs;
+    return this.meanMs * this.ports.pace();
   }
 
   /** Sets the number of places. */
@@ -86,8 +89,8 @@
       return;
     }
     const ahead = this.waiting.filter((other) => !goesBefore(applicant, other)).length;
-    const placeMs = (this.meanMs * (ahead + 1)) / (this.slotCount + 1);
-    const expectedMs = Math.max(placeMs, this.startLimit.delayMs(ahead));
+    const placeMs = (this.serviceMs * (ahead + 1)) / (this.slotCount + 1);
+    const expectedMs = Math.max(placeMs, this.ports.delayMs(ahead));
     if (nowMs + expectedMs > applicant.expiresMs) {
       applicant.expire();
       return;
@@ -95,10 +98,10 @@
     this.insert(applicant);
   }
 
-  /** A request gives its place back; `usedMs` is the time for which it had it. */
+  /** A request gives its place back; `usedMs` is the time for which it had it, at the pace of that time. */
   leave(usedMs: number): void {
     this.running -= 1;
-    this.meanMs += (usedMs - this.meanMs) * NEWEST_WEIGHT;
+    this.meanMs += (usedMs / this.ports.pace() - this.meanMs) * NEWEST_WEIGHT;
     this.fill();
   }
 
@@ -124,7 +127,7 @@
 
   private begin(applicant: Applicant): void {
     this.running += 1;
-    this.startLimit.noteStarted();
+    this.ports.noteStarted();
     applicant.start();
   }
 
@@ -135,7 +138,7 @@
   }
 
   private hasPlaceFor({ reserve }: Applicant): boolean {
-    return this.running + reserve < this.slotCount && this.startLimit.delayMs(0) <= 0;
+    return this.running + reserve < this.slotCount && this.ports.delayMs(0) <= 0;
   }
 
   /** Starts those that wait and may start now. */
--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -39,6 +39,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Expected size of the answer, in bytes. */
   readonly answerBytes: number;
+  /** Time that the work usually takes, in ms; null where it is not known. */
+  readonly workMs: number | null;
   /** Back ends to choose from; null stands for all of the service. */
   readonly candidates: readonly BackendInstance[] | null;
   /** Candidates that have left a probe unanswered. */
@@ -141,13 +143,13 @@
   }
 
   private quickest(request: ChoiceRequest): BackendInstance | null {
-    const { service, excluded, answerBytes, candidates, unanswered } = request;
+    const { service, excluded, candidates, unanswered } = request;
     let best: BackendInstance | null = null;
     let bestMs = Infinity;
     for (const instance of candidates ?? this.ports.table.instancesOf(service)) {
       if (excluded.has(instance.id)) continue;
       const unansweredMs = unanswered.has(instance.id) ? UNANSWERED_MS : 0;
-      const expectedMs = this.expectedMs(instance, answerBytes) + unansweredMs;
+      const expectedMs = this.expectedMs(instance, request) + unansweredMs;
       if (expectedMs >= bestMs) continue;
       best = instance;
       bestMs = expectedMs;
@@ -155,13 +157,13 @@
     return best;
   }
 
-  private expectedMs(instance: BackendInstance, answerBytes: number): number {
+  private expectedMs(instance: BackendInstance, { answerBytes, workMs }: ChoiceRequest): number {
     const { zone, nowMs, random } = this.ports;
     const view = this.ports.view(instance.id);
     const now = nowMs();
     const lastResort = this.isLastResort(instance, now) ? LAST_RESORT_MS : 0;
     const crossing = instance.zone === zone ? 0 : answerBytes / CROSS_ZONE_BYTES_PER_MS;
-    const expected = view.expectedMs(instance.slots, now) * (1 + random() * CHANCE_SHARE);
+    const expected = view.expectedMs(instance.slots, now, workMs) * (1 + random() * CHANCE_SHARE);
     return expected + crossing + this.sendingMs(instance, answerBytes, view, now) + lastResort;
   }
 
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -11,6 +11,7 @@
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import type { BackendClient, PreparedRun } from './backend-client.js';
+import { BackendPace, believedPace } from './backend-pace.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { RunOutcome } from './backend-run.js';
 import { LinkOutlook } from './link-outlook.js';
@@ -100,6 +101,8 @@
   runs: number;
   answered: number;
   broken: number;
+  /** Figures that the back end told and that could not be read; they count as not told. */
+  unreadableFigures: number;
   refused: Record<RefusalReason, number>;
 }
 
@@ -111,6 +114,7 @@
     runs: 0,
     answered: 0,
     broken: 0,
+    unreadableFigures: 0,
     refused: {
       busy: 0,
       leaving: 0,
@@ -122,6 +126,8 @@
     },
   };
   readonly admission: Admission;
+  readonly pace = new BackendPace();
+  /** At the usual pace. */
   private readonly times = new RouteMeans();
   private readonly answerBytes = new RouteMeans();
   private readonly link: LinkOutlook<Visit>;
@@ -142,6 +148,7 @@
       noteStarted: () => {
         coldLimit.noteSent(runtime.nowMs());
       },
+      pace: () => this.paceNow,
     });
   }
 
@@ -160,6 +167,8 @@
     const instance = this.ports.instance();
     if (instance === null) return null;
     const { runningCount, waitingCount, slots } = this.admission;
+    const nowMs = this.ports.runtime.nowMs();
+    const pace = this.pace.at(nowMs);
     return {
       instance,
       running: runningCount,
@@ -168,7 +177,9 @@
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving(),
       sendWaitMs: Math.round(this.link.waitMs),
-      coldStart: this.ports.coldLimit.outlook(this.ports.runtime.nowMs()),
+      coldStart: this.ports.coldLimit.outlook(nowMs),
+      pace: rounded(pace.now),
+      meanPace: rounded(pace.mean),
     };
   }
 
@@ -209,7 +220,8 @@
   }
 
   private meanMs(route: string): number {
-    return this.times.of(route, this.admission.serviceMs);
+    const usualMs = this.times.of(route, NaN);
+    return Number.isNaN(usualMs) ? this.admission.serviceMs : usualMs * this.paceNow;
   }
 
   /** Time in ms that an answer of the route will need on the network link, behind those that wait for it. */
@@ -348,7 +360,8 @@
 
   private rankOf({ priority, route }: RequestHead): number {
     if (!policyIsOn('short-work-first')) return priority;
-    return placeRank(priority, this.meanMs(route), this.times.largest);
+    const meanMs = this.times.of(route, this.admission.serviceMs);
+    return placeRank(priority, meanMs, this.times.largest);
   }
 
   private endLateWait(visit: Visit, outcome: LateWaitOutcome): void {
@@ -405,7 +418,8 @@
     this.running.delete(visit);
     const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
     if (outcome.kind === 'answered') {
-      this.times.note(visit.head.route, usedMs);
+      this.notePace(outcome.pace);
+      this.times.note(visit.head.route, usedMs / this.paceNow);
       this.answerBytes.note(visit.head.route, outcome.bytes);
     }
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
@@ -414,6 +428,22 @@
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
   }
 
+  private get paceNow(): number {
+    return this.pace.at(this.ports.runtime.nowMs()).now;
+  }
+
+  private notePace(told: number | null): void {
+    if (told === null) return;
+    const pace = believedPace(told);
+    if (pace !== null) {
+      this.pace.note(pace, this.ports.runtime.nowMs());
+      return;
+    }
+    this.counters.unreadableFigures += 1;
+    // One line is enough: the counter tells how many there were.
+    if (this.counters.unreadableFigures === 1) this.ports.log.event('figure-unreadable', { figure: 'pace' });
+  }
+
   private count(visit: Visit, outcome: RunOutcome, usedMs: number): void {
     this.counters.slotMs[slotTimeUse(outcome)] += usedMs;
     if (outcome.kind === 'answered') this.counters.answered += 1;
@@ -498,6 +528,11 @@
   }
 }
 
+/** A factor as it travels: two digits say as much as is known. */
+function rounded(factor: number): number {
+  return Math.round(factor * 100) / 100;
+}
+
 /** Statuses from here on tell of a failure at the back end. */
 const FIRST_FAILURE_STATUS = 500;
 
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -21,7 +21,13 @@
 
 /** How a run ended. */
 export type RunOutcome =
-  | { readonly kind: 'answered'; readonly statusCode: number; readonly bytes: number }
+  | {
+      readonly kind: 'answered';
+      readonly statusCode: number;
+      readonly bytes: number;
+      /** How long work takes there, as a factor; null when the answer does not tell, NaN when it cannot be read. */
+      readonly pace: number | null;
+    }
   | { readonly kind: 'declined'; readonly statusCode: number }
   | {
       readonly kind: 'broken';
@@ -129,7 +135,7 @@
     this.finish();
     if (this.streaming) {
       ports.reply.end();
-      ports.onDone({ kind: 'answered', statusCode: answer.statusCode, bytes: this.bytes });
+      ports.onDone(this.answeredOutcome(answer));
       return;
     }
     if (this.isDeclined(answer)) {
@@ -141,10 +147,16 @@
       this.fail('garbled', defect, true);
       return;
     }
-    ports.onDone({ kind: 'answered', statusCode: answer.statusCode, bytes: this.bytes });
+    ports.onDone(this.answeredOutcome(answer));
     this.sendAnswer(Buffer.concat(this.chunks), false);
   }
 
+  private answeredOutcome({ statusCode, headers }: ParsedAnswer): RunOutcome {
+    const told = headerValue(headers, this.dialect.pace);
+    const pace = told === null ? null : this.dialect.readPace(told);
+    return { kind: 'answered', statusCode, bytes: this.bytes, pace };
+  }
+
   private isDeclined({ statusCode, headers }: ParsedAnswer): boolean {
     return statusCode === MISDIRECTED_STATUS || headerValue(headers, this.dialect.notRun) !== null;
   }
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -1,4 +1,5 @@
 /** What a calling daemon believes of back ends elsewhere: how busy they are, and whether they can be reached. */
+import { fadedPace } from './backend-pace.js';
 import type { StatusHead } from '../link/link-messages.js';
 
 /** Service time that is assumed before any was told, in ms. */
@@ -116,12 +117,25 @@
     return Math.max(0, cold.delayMs + this.sentSinceStatus * cold.intervalMs - ageMs);
   }
 
-  /** Time in ms that a request would take there, waiting included. */
-  expectedMs(slots: number, nowMs: number): number {
-    const serviceMs = this.lastStatus?.serviceMs ?? ASSUMED_SERVICE_MS;
+  /** How long work takes there now, as a factor on the usual, by what was told last. */
+  private paceAt(nowMs: number): number {
+    if (this.lastStatus === null) return 1;
+    const { pace: now, meanPace: mean } = this.lastStatus;
+    return fadedPace({ now, mean }, this.statusAgeMs(nowMs));
+  }
+
+  /**
+   * Time in ms that a request would take there, waiting included. `workMs` is the time that its own work usually takes;
+   * null where that is not known.
+   */
+  expectedMs(slots: number, nowMs: number, workMs: number | null): number {
+    const pace = this.paceAt(nowMs);
+    const told = this.lastStatus;
+    const serviceMs = told === null ? ASSUMED_SERVICE_MS : (told.serviceMs / told.pace) * pace;
+    const ownMs = workMs === null ? serviceMs : workMs * pace;
     const ahead = Math.max(0, this.busy(nowMs) + 1 - slots);
     // Near its limit a back end is slower, and what is known of it is a little old.
     const crowding = 1 + 0.5 * Math.min(1, this.busy(nowMs) / slots) ** 2;
-    return serviceMs * (crowding + ahead / slots) + this.startDelayMs(nowMs);
+    return ownMs * crowding + (serviceMs * ahead) / slots + this.startDelayMs(nowMs);
   }
 }
--- a/src/sidecar/header-dialect.ts
+++ b/src/sidecar/header-dialect.ts
@@ -19,6 +19,10 @@
   readonly notRun: string;
   /** On an answer: the back end's mark that the answer is its own. */
   readonly seal: string;
+  /** On an answer: how long work takes at the back end at this moment. */
+  readonly pace: string;
+  /** Reads `pace` as a factor on the usual time; null when it tells none, NaN when it cannot be read. */
+  readonly readPace: (value: string) => number | null;
 }
 
 /** The product's own names. */
@@ -30,6 +34,8 @@
   caller: 'aldertide-caller',
   notRun: 'aldertide-not-run',
   seal: 'aldertide-seal',
+  pace: 'aldertide-pace',
+  readPace: Number,
 };
 
 /** Headers that concern one connection only (RFC 9110, 7.6.1). */
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -46,6 +46,9 @@
 /** Part of the target latency after which a refused caller is told to come back at the soonest. */
 const RETRY_AFTER_SHARE = policyIsOn('retry-hints') ? 0.5 : 0.25;
 
+/** Answers from this status on tell of a failure, which may have come sooner than the work would have ended. */
+const FIRST_FAILURE_STATUS = 500;
+
 /** What a forwarder needs of its daemon. */
 export interface ForwarderPorts {
   readonly runtime: Runtime;
@@ -194,7 +197,8 @@
     const { service, key, route } = this.request;
     const { chooser } = this.ports;
     const { excluded, unanswered } = this;
-    const choice = { service, key, excluded, unanswered, answerBytes: route.answerBytes, candidates };
+    const { answerBytes, workMs } = route;
+    const choice = { service, key, excluded, unanswered, answerBytes, workMs, candidates };
     const chosen = chooser.choose(choice);
     if (key === null || chosen === null || !this.excluded.has(chosen.id)) return chosen;
     const target = chooser.targetOf(service, key);
@@ -275,10 +279,16 @@
     }
     this.attemptEnded(view);
     this.request.route.noteAnswer(body.length);
+    if (policyIsOn('told-pace')) this.noteWork(head);
     this.complete();
     this.sink.answer(head, body);
   }
 
+  private noteWork({ statusCode, timing, status }: AnswerHead): void {
+    if (statusCode >= FIRST_FAILURE_STATUS) return;
+    this.request.route.noteWork(timing.backendMs / (status?.pace ?? 1));
+  }
+
   private ended(view: BackendView): void {
     this.attemptEnded(view);
     if (this.done) return;
--- a/src/sidecar/route-table.ts
+++ b/src/sidecar/route-table.ts
@@ -12,6 +12,8 @@
 export class Route {
   /** Recent mean size of an answer, in bytes. */
   answerBytes = ASSUMED_ANSWER_BYTES;
+  /** Recent mean time of its work at the usual pace, in ms; null before any was seen. */
+  workMs: number | null = null;
   /** Deadlines of its requests. */
   deadlines = new UsualDeadline();
   private readonly credits: number[];
@@ -44,6 +46,7 @@
   /** The route was changed; its requests are the same. */
   keepWhatWasSeen(earlier: Route): void {
     this.answerBytes = earlier.answerBytes;
+    this.workMs = earlier.workMs;
     this.deadlines = earlier.deadlines;
   }
 
@@ -51,6 +54,12 @@
   noteAnswer(bytes: number): void {
     this.answerBytes += (bytes - this.answerBytes) * NEWEST_WEIGHT;
   }
+
+  /** Work took so long, reduced to the usual pace. */
+  noteWork(ms: number): void {
+    const mean = this.workMs ?? ms;
+    this.workMs = mean + (ms - mean) * NEWEST_WEIGHT;
+  }
 }
 
 /** The routes of one configuration. */
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -33,6 +33,16 @@
   );
   metrics.value('backend_runs', 'Requests sent to the back end', () => gateway.counters.runs);
   metrics.value('backend_answers', 'Whole answers of the back end', () => gateway.counters.answered);
+  metrics.value(
+    'backend_pace',
+    'How long work takes there now, as a factor on the usual',
+    () => gateway.pace.at(node.nowMs).now,
+  );
+  metrics.value(
+    'backend_unreadable_figures',
+    'Figures of its load that could not be read',
+    () => gateway.counters.unreadableFigures,
+  );
   metrics.value('backend_broken', 'Runs without a whole answer', () => gateway.counters.broken);
   metrics.family('backend_slot_ms', 'Slot time in ms, by what it was spent for', 'use', () =>
     Object.entries(gateway.counters.slotMs),
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -202,6 +202,11 @@
     return this.table.configured ? null : 'no configuration is known';
   }
 
+  /** The daemon's clock, in ms. */
+  get nowMs(): number {
+    return this.runtime.nowMs();
+  }
+
   /** Time left of the back end's lease, in ms; not above 0 when there is none. */
   get leaseLeftMs(): number {
     return this.lease.deadlineMs - this.runtime.nowMs();
@@ -418,6 +423,7 @@
     const { id, slots, coldLeftMs } = heartbeat;
     this.log.event('backend-known', { instance: id, slots, coldLeftMs });
     this.coldLimit.startLife(coldLeftMs, this.runtime.nowMs());
+    this.gateway.pace.forget();
     this.adoptEvacuation();
     this.grants.clear();
   }
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -30,6 +30,8 @@
   accepting: true,
   sendWaitMs: 0,
   coldStart: null,
+  pace: 1,
+  meanPace: 1,
 };
 
 async function linkTo(
--- a/test/sidecar/backend-prober.test.ts
+++ b/test/sidecar/backend-prober.test.ts
@@ -53,6 +53,8 @@
       accepting: true,
       sendWaitMs: 0,
       coldStart: null,
+      pace: 1,
+      meanPace: 1,
     };
     this.views.get(id)?.noteStatus(status, this.time.nowMs);
     this.prober.answered(id);
@@ -60,7 +62,15 @@
 
   choose(candidates: readonly BackendInstance[], unanswered = NOTHING_EXCLUDED): string | null {
     const excluded = NOTHING_EXCLUDED;
-    const choice = { service: SERVICE, key: null, excluded, unanswered, answerBytes: 100, candidates };
+    const choice = {
+      service: SERVICE,
+      key: null,
+      excluded,
+      unanswered,
+      answerBytes: 100,
+      workMs: null,
+      candidates,
+    };
     return this.chooser.choose(choice)?.id ?? null;
   }
 
--- a/test/sidecar/gateway-reserve.test.ts
+++ b/test/sidecar/gateway-reserve.test.ts
@@ -36,6 +36,8 @@
 /** A back end whose runs end when the test says so. */
 class HeldBackend implements BackendClient {
   readonly opened = 0;
+  /** What its answers tell of the time that work takes. */
+  pace: number | null = null;
   private readonly ends: (() => void)[] = [];
 
   prepare(
@@ -47,7 +49,7 @@
     return {
       start: () => {
         this.ends.push(() => {
-          ports.onDone({ kind: 'answered', statusCode: 200, bytes: 0 });
+          ports.onDone({ kind: 'answered', statusCode: 200, bytes: 0, pace: this.pace });
         });
       },
       cancel: () => undefined,
@@ -130,3 +132,16 @@
   t.is(world.gateway.runningCount, SLOTS);
   t.deepEqual(world.refusals, []);
 });
+
+test('a pace that cannot be read counts as not told, and is counted', (t) => {
+  const world = new World();
+  world.take(LONG);
+  world.backend.pace = 2;
+  world.backend.endAll();
+  t.is(world.gateway.status()?.pace, 2);
+  world.take(LONG);
+  world.backend.pace = NaN;
+  world.backend.endAll();
+  t.is(world.gateway.counters.unreadableFigures, 1);
+  t.is(world.gateway.status()?.pace, 2);
+});
