Requests that never began end as not run: taken back in time, and refused by daemons that stop

Cause: a request that still waited beside a back end when its time was up ended as of unknown outcome (504), and so did one on its way to a daemon that was being stopped (502); callers may not repeat those when they are not safe. Ruled out: asking only after the time was up (the caller has left by then). Change: waits for a place end while the mean work would still fit; work that its deadline would break off is not begun; 25 ms before its end a request is taken back, which refuses it if it has not begun. A daemon that stops fails what runs, writes out all answers, and ends each link with a goodbye: what has no answer then was not run and goes elsewhere. It also waits for its paced answers.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -184,6 +184,9 @@
         cancelled = true;
         this.transmit(other, () => accepted?.cancel());
       },
+      withdraw: () => {
+        this.transmit(other, () => accepted?.withdraw());
+      },
     };
   }
 
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -48,6 +48,8 @@
 export interface LinkRequest {
   /** Takes the request back; no handler is called any more. */
   cancel(): void;
+  /** Takes the request back if it has not begun; then it is refused. */
+  withdraw(): void;
 }
 
 /** Where a link goes, and where it starts. */
@@ -98,6 +100,10 @@
       cancel: () => {
         this.cancel(stream);
       },
+      withdraw: () => {
+        if (this.pending.get(stream)?.sent === true)
+          this.connection?.send(FRAME_KIND.withdraw, stream, undefined);
+      },
     };
   }
 
@@ -167,13 +173,14 @@
 
   private lost(reason: string): void {
     if (!this.connected) this.refuseUntilMs = this.nowMs() + REDIAL_PAUSE_MS;
+    const ranNothing = this.connection?.peerSaidGoodbye === true;
     this.connection = null;
     this.connected = false;
     this.probePending = false;
     const lost = [...this.pending.values()];
     this.pending.clear();
     if (!this.stopped) this.handlers.onDisconnect(reason);
-    for (const pending of lost) pending.handlers.onLost(pending.sent);
+    for (const pending of lost) pending.handlers.onLost(pending.sent && !ranNothing);
   }
 
   private receive(frame: LinkFrame): void {
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -32,6 +32,8 @@
 export class LinkConnection {
   private readonly decoder = new LinkFrameDecoder();
   private closed = false;
+  /** The peer has said that it ran nothing of what it has not answered. */
+  private peerLeft = false;
   private lastHeardMs: number;
   private watch: NodeJS.Timeout | null = null;
   private lastCheckMs = 0;
@@ -61,6 +63,11 @@
     });
   }
 
+  /** Whether the peer has run nothing of what it has not answered, and never will. */
+  get peerSaidGoodbye(): boolean {
+    return this.peerLeft;
+  }
+
   /** Whether frames can still be sent. */
   get open(): boolean {
     return !this.closed;
@@ -114,6 +121,17 @@
     }, PING_MS);
   }
 
+  /** Sends what is queued and a last frame, takes nothing more, and ends the connection. */
+  sayGoodbye(): void {
+    if (this.closed) return;
+    this.paced?.flush();
+    this.socket.write(encodeFrameStart(FRAME_KIND.goodbye, 0, undefined, 0));
+    this.closed = true;
+    this.watchSilence(false);
+    this.socket.end();
+    this.handlers.onClose('goodbye');
+  }
+
   /** Closes at once and reports `reason`; later calls do nothing. */
   close(reason: string): void {
     if (this.closed) return;
@@ -151,7 +169,8 @@
   }
 
   private take(frame: LinkFrame): void {
-    if (frame.kind === FRAME_KIND.ping) this.send(FRAME_KIND.pong, 0, undefined);
+    if (frame.kind === FRAME_KIND.goodbye) this.peerLeft = true;
+    else if (frame.kind === FRAME_KIND.ping) this.send(FRAME_KIND.pong, 0, undefined);
     else if (frame.kind !== FRAME_KIND.pong) this.handlers.onFrame(frame);
   }
 }
--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -40,6 +40,10 @@
   pong: 11,
   /** Asks how busy the back end is; answered with a status. */
   probe: 12,
+  /** Takes a request back if it has not begun; answered with a refusal then, and not at all otherwise. */
+  withdraw: 13,
+  /** Last frame of a side that stops: whatever it has not answered it has not run, and never will. */
+  goodbye: 14,
 } as const;
 
 /** What a frame is for. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -26,6 +26,8 @@
 export interface AcceptedRequest {
   /** The caller has gone or has given up. */
   cancel(): void;
+  /** The request is not wanted any more; it is refused if it has not begun. */
+  withdraw(): void;
 }
 
 /** Takes a request; returns how it is cancelled. */
@@ -62,10 +64,13 @@
     });
   }
 
-  /** Stops listening and closes every connection. */
+  /**
+   * Stops listening and ends every connection. Nothing runs any more, so callers' daemons are told that what has no
+   * answer was not run: they may send it elsewhere, also what must not run twice.
+   */
   close(): void {
     this.server.close();
-    for (const connection of this.connections) connection.close('daemon is stopping');
+    for (const connection of this.connections) connection.sayGoodbye();
   }
 
   private accept(socket: Socket): void {
@@ -106,6 +111,7 @@
       if (status !== null) connection.send(FRAME_KIND.status, 0, status);
       return;
     }
+    if (frame.kind === FRAME_KIND.withdraw) requests.get(frame.stream)?.withdraw();
     if (frame.kind !== FRAME_KIND.cancel) return;
     requests.get(frame.stream)?.cancel();
     requests.delete(frame.stream);
--- a/src/link/paced-frames.ts
+++ b/src/link/paced-frames.ts
@@ -43,6 +43,15 @@
     this.advance();
   }
 
+  /** Writes everything that waits at once, however long the link takes for it. */
+  flush(): void {
+    while (this.waiting.length > 0) {
+      const next = this.waiting.find(({ begun }) => begun) ?? this.waiting[0];
+      if (next === undefined || next.remainingBytes === 0) return;
+      next.write(next.remainingBytes);
+    }
+  }
+
   /** Nothing can be sent any more. */
   dropAll(): void {
     for (const frame of this.waiting) frame.drop();
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -18,6 +18,7 @@
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import {
   comesTooLateForLink,
+  isTooLateToBegin,
   lateOrder,
   lateReserve,
   lateWaitMs,
@@ -205,6 +206,9 @@
       cancel: () => {
         this.cancel(visit);
       },
+      withdraw: () => {
+        if (visit.run === null) this.withdraw(visit);
+      },
     };
   }
 
@@ -216,7 +220,7 @@
     // A first try that is refused comes back; one that came back has nothing to lose by waiting.
     const hasComeBack = head.spentMs > 0 && policyIsOn('key-patience');
     const waitMs = hasComeBack ? Math.max(inTimeMs, lateWaitMs(claim, 0, meanMs)) : inTimeMs;
-    return Math.min(head.remainingMs, waitMs);
+    return Math.min(Math.max(0, head.remainingMs - meanMs), waitMs);
   }
 
   private meanMs(route: string): number {
@@ -246,12 +250,15 @@
     }
   }
 
-  /** Stops everything; what runs is broken off. */
+  /** Stops everything; what runs is broken off, and its callers' daemons are told so. */
   stop(): void {
     this.stopped = true;
     this.cancelStep?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
     this.admission.expireAll();
+    for (const { reply } of this.running) {
+      reply.fail({ reason: 'broken', detail: 'the daemon stops', status: null });
+    }
     this.ports.backend.destroy();
   }
 
@@ -386,7 +393,8 @@
     const keyLost = head.key !== null && !ports.holdsKey(head.key);
     const leftMs = head.remainingMs - (nowMs - visit.arrivedMs);
     visit.startedMs = nowMs;
-    if (stale || keyLost || leftMs - this.sendMs(head.route, visit) <= 1) {
+    const tooLate = isTooLateToBegin(leftMs - this.sendMs(head.route, visit), this.meanMs(head.route));
+    if (stale || keyLost || tooLate) {
       this.admission.leave(this.admission.serviceMs);
       if (keyLost && !stale) this.considerKey(visit, head.key ?? 0);
       else this.refuse(visit, stale ? 'leaving' : 'busy');
@@ -495,6 +503,14 @@
     this.finished(visit, { kind: 'cancelled' });
   }
 
+  /** The caller's daemon has no more use for it, if it has not begun, and wants to know. */
+  private withdraw(visit: Visit): void {
+    this.waiting.delete(visit);
+    if (visit.applicant !== null) this.admission.withdraw(visit.applicant);
+    this.endLateWait(visit, 'withdrawn');
+    this.refuse(visit, 'cancelled');
+  }
+
   private isOnTrial(nowMs: number): boolean {
     if (this.brokenInRow < BROKEN_LIMIT) return false;
     if (nowMs - this.lastTrialMs < TRIAL_PAUSE_MS) return true;
--- a/src/sidecar/place-policy.ts
+++ b/src/sidecar/place-policy.ts
@@ -18,6 +18,14 @@
 /** Time that a request must still have when it begins late, by the mean time: one that ends too late was work for none. */
 const LATE_WORK_PER_MEAN = 2;
 
+/** Time that must be left for a request to begin, by the mean time: less is hardly ever enough. */
+const LEAST_WORK_PER_MEAN = 0.5;
+
+/** Whether so little time is left that work would be broken off by the deadline and be lost. */
+export function isTooLateToBegin(leftMs: number, meanMs: number): boolean {
+  return leftMs <= Math.max(1, LEAST_WORK_PER_MEAN * meanMs);
+}
+
 /** Part of the mean time for which a request may wait for a place in any case. */
 const LEAST_PLACE_WAIT_SHARE = 0.2;
 
@@ -99,9 +107,12 @@
   return Math.max(0, remainingMs - waitedMs - LATE_WORK_PER_MEAN * meanMs);
 }
 
-/** Time for which a request still waits. Where hardly any can be answered in time, waiting makes all of them late. */
+/**
+ * Time for which a request still waits. Where hardly any can be answered in time, waiting makes all of them late. It
+ * ends while the mean work would still fit, so that a caller who gets no place is told so before it has given up.
+ */
 export function placeWaitMs(claim: PlaceClaim, waitedMs: number, meanMs: number): number {
   const least = Math.max(LEAST_PLACE_WAIT_SHARE * meanMs, claim.patienceMs);
-  const leftMs = claim.remainingMs - waitedMs;
+  const leftMs = Math.max(0, claim.remainingMs - waitedMs - meanMs);
   return Math.min(leftMs, Math.max(least, spareMs(claim, meanMs) - waitedMs));
 }
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -49,6 +49,13 @@
 /** Answers from this status on tell of a failure, which may have come sooner than the work would have ended. */
 const FIRST_FAILURE_STATUS = 500;
 
+/**
+ * Time in ms before its end at which a request that may still wait beside a back end is taken back, so that its caller
+ * is told in time that it was not run; and the part of its time that this may be at most.
+ */
+const WITHDRAW_LEAD_MS = 25;
+const LONGEST_LEAD_SHARE = 0.1;
+
 /** What a forwarder needs of its daemon. */
 export interface ForwarderPorts {
   readonly runtime: Runtime;
@@ -88,6 +95,8 @@
   private mayRun = false;
   /** Whether any attempt may have run. */
   private mayHaveRun = false;
+  /** Whether so little time is left that no further attempt is made. */
+  private withdrawn = false;
   private lastReason = 'no back end is known';
   /** When the last refusal said to come back, in ms; null before any did. */
   private toldRetryAfterMs: number | null = null;
@@ -108,8 +117,9 @@
       this.giveUpNotRun('the deadline had passed');
       return;
     }
-    this.cancelTimeout = this.ports.runtime.after(leftMs, () => {
-      this.timeUp();
+    const leadMs = Math.min(WITHDRAW_LEAD_MS, leftMs * LONGEST_LEAD_SHARE);
+    this.cancelTimeout = this.ports.runtime.after(leftMs - leadMs, () => {
+      this.nearlyTimeUp(leadMs);
     });
     this.attempt();
   }
@@ -312,7 +322,7 @@
   }
 
   private retryAfterRefusal(refusal: RefusalHead): void {
-    const outOfTime = this.refusals >= MAX_REFUSALS || this.clock.leftMs <= 0;
+    const outOfTime = this.refusals >= MAX_REFUSALS || this.withdrawn;
     if (outOfTime || this.isFull() || (refusal.arrived && !this.mayArriveAgain())) {
       this.endWithoutPlace();
       return;
@@ -341,7 +351,7 @@
   private lost(instance: BackendInstance, view: BackendView, sent: boolean): void {
     this.attemptEnded(view);
     view.noteFailure(this.ports.runtime.nowMs());
-    if (sent) {
+    if (sent || this.streaming) {
       this.afterPossibleRun(instance, 'the connection to the daemon beside the back end was lost', false);
       return;
     }
@@ -350,7 +360,8 @@
     this.refusals += 1;
     this.lastReason = 'the daemon beside the back end cannot be reached';
     this.excluded.add(instance.id);
-    if (this.choose() === null) this.lookAgain();
+    if (this.withdrawn) this.endWithoutPlace();
+    else if (this.choose() === null) this.lookAgain();
     else this.attempt();
   }
 
@@ -366,7 +377,7 @@
       return;
     }
     const repeatable = this.request.route.definition.kind !== 'non-idempotent';
-    if (timedOut || !repeatable || this.clock.leftMs <= 0 || !this.mayArriveAgain()) {
+    if (timedOut || !repeatable || this.withdrawn || !this.mayArriveAgain()) {
       this.giveUpUnknown(reason, timedOut);
       return;
     }
@@ -384,6 +395,16 @@
 
   // ---- ends
 
+  private nearlyTimeUp(leadMs: number): void {
+    if (this.done) return;
+    this.withdrawn = true;
+    this.cancelTimeout = this.ports.runtime.after(leadMs, () => {
+      this.timeUp();
+    });
+    if (this.current === null) this.endWithoutPlace();
+    else this.current.withdraw();
+  }
+
   private timeUp(): void {
     if (this.done) return;
     if (this.streaming) {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -212,9 +212,10 @@
     return this.lease.deadlineMs - this.runtime.nowMs();
   }
 
-  /** Whether requests of callers are under way. */
+  /** Whether requests of callers, or answers to other daemons, are under way. */
   get busy(): boolean {
-    return this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
+    const sends = this.pacer !== null && this.pacer.backlogMs > 0;
+    return sends || this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
   }
 
   /** Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. */
@@ -274,6 +275,8 @@
       await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
     }
     this.close();
+    // The last frames to other daemons are on their way for a moment.
+    await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
   }
 
   private close(): void {
--- a/test/link/link-pacer.test.ts
+++ b/test/link/link-pacer.test.ts
@@ -210,3 +210,15 @@
   world.time.pass(10_000);
   t.true(world.pacer.sendingMs(92_000) < 102);
 });
+
+test('a connection that ends well sends everything that waits, each frame whole', (t) => {
+  const world = new World();
+  const { frames, written } = world.connection();
+  frames.send(1, EMPTY, frame('a', 100_000));
+  frames.send(2, EMPTY, frame('b', LARGE));
+  world.time.pass(20);
+  frames.send(0, frame('p'), EMPTY);
+  frames.flush();
+  t.is(written().length, 100_000 + LARGE + 1);
+  t.is(runs(written()).length, 3);
+});
