Connections that fall silent without a reset are noticed and replaced, also between replicas and while they rest

Cause: replicas of the directory send to each other on connections of one direction each, and no answer ever came back on them: one that stopped to carry bytes without a reset would have been used for good, and with all of them silent at once no leader could have been elected any more. Links between sidecars were watched only while an answer was awaited. Ruled out: keep-alives of the system (Node sets neither their interval nor a time-out for unacknowledged bytes). Change: SilenceWatch, one copy for links and for messages: both sides must be known to read and to write within 2.5 s (dialed connections of messages), 0.8 s (links while an answer is awaited) and 4 s (links at rest). A request that must not run twice takes no connection to its back end that rested for more than 200 ms, since a forgotten one would leave its outcome unknown.

--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -1,5 +1,6 @@
 /** One TCP connection that carries link frames both ways and notices when its peer falls silent. */
 import type { Socket } from 'node:net';
+import { SilenceWatch, type SilenceTiming } from '../transport/silence-watch.js';
 import type { LinkPacer } from './link-pacer.js';
 import { PacedFrames } from './paced-frames.js';
 import {
@@ -10,14 +11,11 @@
   type LinkFrame,
 } from './link-frame.js';
 
-/** Pause between questions for a sign of life while an answer is awaited, in ms. */
-const PING_MS = 250;
+/** While an answer is awaited: silence of 0.8 s costs a request most of its time, and stalls of a busy daemon are shorter. */
+const AWAITING: SilenceTiming = { askEveryMs: 250, limitMs: 800 };
 
-/** Silence after which a peer that was asked for a sign of life counts as lost, in ms. */
-const SILENCE_LIMIT_MS = 800;
-
-/** Lateness of this process's own timer, in ms, after which its silence measure starts anew. */
-const STALL_MS = 250;
+/** While nothing is awaited: the connection must be known to work, or be gone, within 4 s. */
+const IDLE: SilenceTiming = { askEveryMs: 2_000, limitMs: 1_900 };
 
 const NO_BODY = Buffer.alloc(0);
 
@@ -34,19 +32,25 @@
   private closed = false;
   /** The peer has said that it ran nothing of what it has not answered. */
   private peerLeft = false;
-  private lastHeardMs: number;
-  private watch: NodeJS.Timeout | null = null;
-  private lastCheckMs = 0;
+  private readonly silence: SilenceWatch;
   private readonly paced: PacedFrames | null;
 
   constructor(
     private readonly socket: Socket,
-    private readonly nowMs: () => number,
+    nowMs: () => number,
     private readonly handlers: LinkConnectionHandlers,
     /** Paces large frames over a slow network link; null where there is none between the two daemons. */
     private readonly pacer: LinkPacer | null = null,
   ) {
-    this.lastHeardMs = nowMs();
+    this.silence = new SilenceWatch({
+      nowMs,
+      ask: () => {
+        this.send(FRAME_KIND.ping, 0, undefined);
+      },
+      onSilence: () => {
+        this.close('peer is silent');
+      },
+    });
     const write = (bytes: Buffer): void => {
       socket.write(bytes);
     };
@@ -106,19 +110,9 @@
     this.socket.once('drain', callback);
   }
 
-  /** Watches for silence while something is awaited from the peer. */
-  watchSilence(watch: boolean): void {
-    if (!watch || this.closed) {
-      if (this.watch !== null) clearInterval(this.watch);
-      this.watch = null;
-      return;
-    }
-    if (this.watch !== null) return;
-    this.lastHeardMs = this.nowMs();
-    this.lastCheckMs = this.lastHeardMs;
-    this.watch = setInterval(() => {
-      this.checkSilence();
-    }, PING_MS);
+  /** Watches for silence, closely while something is awaited from the peer. */
+  watchSilence(awaiting: boolean): void {
+    if (!this.closed) this.silence.watch(awaiting ? AWAITING : IDLE);
   }
 
   /** Sends what is queued and a last frame, takes nothing more, and ends the connection. */
@@ -127,7 +121,7 @@
     this.paced?.flush();
     this.socket.write(encodeFrameStart(FRAME_KIND.goodbye, 0, undefined, 0));
     this.closed = true;
-    this.watchSilence(false);
+    this.silence.stop();
     this.socket.end();
     this.handlers.onClose('goodbye');
   }
@@ -136,29 +130,15 @@
   close(reason: string): void {
     if (this.closed) return;
     this.closed = true;
-    this.watchSilence(false);
+    this.silence.stop();
     this.paced?.dropAll();
     this.socket.destroy();
     this.handlers.onClose(reason);
   }
 
-  /** A process that did not run itself cannot tell whether its peer was silent. */
-  private checkSilence(): void {
-    const nowMs = this.nowMs();
-    const stalled = nowMs - this.lastCheckMs > PING_MS + STALL_MS;
-    this.lastCheckMs = nowMs;
-    if (stalled) this.lastHeardMs = nowMs;
-    const silentMs = nowMs - this.lastHeardMs;
-    if (silentMs > SILENCE_LIMIT_MS) {
-      this.close('peer is silent');
-      return;
-    }
-    if (silentMs >= PING_MS / 2) this.send(FRAME_KIND.ping, 0, undefined);
-  }
-
   private receive(chunk: Buffer): void {
     if (this.closed) return;
-    this.lastHeardMs = this.nowMs();
+    this.silence.heard();
     this.pacer?.noteReceived(chunk.length);
     const frames = this.decoder.push(chunk);
     if (frames.err) {
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -21,6 +21,8 @@
   readonly route: string;
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether it may run more than once. */
+  readonly repeatable: boolean;
   /** Time left for the whole request, in ms. */
   readonly remainingMs: number;
   /** Time for which the request may wait for a place whatever it costs its caller, in ms. */
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -28,6 +28,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly requestId: string;
+  /** Whether it may run more than once. */
+  readonly repeatable: boolean;
 }
 
 /** Why a request that was sent has no whole answer. */
@@ -61,6 +63,7 @@
   private answering = false;
   private reusable = true;
   private idleUntilMs = 0;
+  private usedMs = Infinity;
   private readonly connectTimer: NodeJS.Timeout;
 
   constructor(
@@ -91,6 +94,11 @@
     return !this.dead && this.reusable && this.request === null && this.nowMs() < this.idleUntilMs;
   }
 
+  /** Time in ms since it was last used; 0 before that. */
+  get restedMs(): number {
+    return Math.max(0, this.nowMs() - this.usedMs);
+  }
+
   /** Whether a request is under way. */
   get busy(): boolean {
     return this.request !== null;
@@ -193,6 +201,7 @@
       return;
     }
     this.answering = false;
+    this.usedMs = this.nowMs();
     const bodyIsUnsent = this.socket.writableLength > 0;
     if (surplus || bodyIsUnsent) this.reusable = false;
     const { handlers } = this;
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -7,6 +7,12 @@
   type ConnectionHeaders,
 } from './backend-connection.js';
 
+/**
+ * Longest rest in ms of a connection that is used for a request which must not run twice. Back ends may forget a
+ * connection that rests, without a word; such a request would then end with its outcome unknown.
+ */
+const LONGEST_REST_MS = 200;
+
 /** A request under way. */
 export interface RunningRequest {
   /** Breaks the connection off, so that the back end can stop working. */
@@ -30,7 +36,7 @@
 
   /** Sends a request on an idle connection or a new one. */
   run(request: BackendRequest, handlers: BackendRequestHandlers): RunningRequest {
-    const connection = this.takeIdle() ?? this.open();
+    const connection = this.takeIdle(request.repeatable ? Infinity : LONGEST_REST_MS) ?? this.open();
     connection.run(request, {
       ...handlers,
       onAnswer: (answer) => {
@@ -61,10 +67,13 @@
     this.idle = [];
   }
 
-  private takeIdle(): BackendConnection | null {
+  /** The one that was used last; the others have rested for longer. */
+  private takeIdle(longestRestMs: number): BackendConnection | null {
     for (;;) {
-      const connection = this.idle.pop();
+      const connection = this.idle.at(-1);
       if (connection === undefined) return null;
+      if (connection.usable && connection.restedMs > longestRestMs) return null;
+      this.idle.pop();
       if (connection.usable) return connection;
       connection.destroy();
     }
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -72,7 +72,8 @@
       this.deadlinePassed();
     }, this.leftMs);
     const { method, path, requestId } = this.head;
-    const request = { method, path, headers: this.headers(), body: this.body, requestId };
+    const { repeatable } = this.head;
+    const request = { method, path, headers: this.headers(), body: this.body, requestId, repeatable };
     this.request = this.pool.run(request, {
       onAnswer: (answer) => {
         this.answer = answer;
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -248,6 +248,7 @@
       key,
       route: route.name,
       priority: route.definition.priority,
+      repeatable: route.definition.kind !== 'non-idempotent',
       remainingMs: this.clock.leftMs,
       patienceMs: Math.max(0, this.clock.patienceMs),
       targetLeftMs: this.clock.targetLeftMs,
--- a/src/transport/message-client.ts
+++ b/src/transport/message-client.ts
@@ -77,6 +77,7 @@
   }
 
   private greet(connection: MessageConnection): void {
+    connection.watchSilence();
     connection.send({ kind: 'hello', version: PROTOCOL_VERSION, ...this.identity });
     this.handlers.onOpen(connection);
   }
--- a/src/transport/message-connection.ts
+++ b/src/transport/message-connection.ts
@@ -4,11 +4,19 @@
  */
 import type { Socket } from 'node:net';
 import type { Connection } from '../runtime/runtime.js';
+import { SilenceWatch, type SilenceTiming } from './silence-watch.js';
 import { encodeFrame, FrameDecoder } from './frame-codec.js';
 
 /** Bytes that may wait in the send queue before the peer counts as stuck and is disconnected. */
 const MAX_QUEUED_BYTES = 64 * 1024 * 1024;
 
+/** Asks for a sign of life, and is one. */
+const PING = { kind: 'transport-ping' } as const;
+const PONG = { kind: 'transport-pong' } as const;
+
+/** The other side of a connection must be known to read and to write within 2.5 s. */
+const LIVENESS: SilenceTiming = { askEveryMs: 500, limitMs: 2_000 };
+
 /** What the owner of a connection is told. */
 export interface ConnectionHandlers {
   onMessage(message: unknown): void;
@@ -24,6 +32,15 @@
   bytesSent = 0;
   private readonly decoder = new FrameDecoder();
   private closed = false;
+  private readonly silence = new SilenceWatch({
+    nowMs: () => performance.now(),
+    ask: () => {
+      this.send(PING);
+    },
+    onSilence: () => {
+      this.close('peer is silent');
+    },
+  });
 
   constructor(
     private readonly socket: Socket,
@@ -46,6 +63,11 @@
     return !this.closed;
   }
 
+  /** Closes the connection when the peer falls silent, in either direction, although it is not reset. */
+  watchSilence(): void {
+    if (!this.closed) this.silence.watch(LIVENESS);
+  }
+
   /** Queues one message; dropped without a word when the connection is already closed. */
   send(message: unknown): void {
     if (this.closed) return;
@@ -67,6 +89,7 @@
   close(reason: string): void {
     if (this.closed) return;
     this.closed = true;
+    this.silence.stop();
     this.socket.destroy();
     this.handlers.onClose(reason);
   }
@@ -74,13 +97,21 @@
   private receive(chunk: Buffer): void {
     if (this.closed) return;
     this.bytesReceived += chunk.length;
+    this.silence.heard();
     const decoded = this.decoder.push(chunk);
     if (decoded.err) {
       this.close(`${decoded.val.kind}: ${decoded.val.detail}`);
       return;
     }
-    for (const message of decoded.val) {
-      this.handlers.onMessage(message);
-    }
+    for (const message of decoded.val) this.take(message);
   }
+
+  private take(message: unknown): void {
+    if (isKind(message, PING.kind)) this.send(PONG);
+    else if (!isKind(message, PONG.kind)) this.handlers.onMessage(message);
+  }
+}
+
+function isKind(message: unknown, kind: string): boolean {
+  return typeof message === 'object' && message !== null && 'kind' in message && message.kind === kind;
 }
--- /dev/null
+++ b/src/transport/silence-watch.ts
@@ -0,0 +1,75 @@
+/**
+ * Notices that the peer of a connection has fallen silent: open connections may stop to carry bytes without a reset,
+ * while new ones work. The peer is asked for a sign of life at intervals; any bytes that arrive are one.
+ */
+
+/** Lateness of this process's own timer, in ms, after which its measure of silence starts anew. */
+const STALL_MS = 250;
+
+/** When a peer counts as silent, in ms. */
+export interface SilenceTiming {
+  /** Pause between questions for a sign of life. */
+  readonly askEveryMs: number;
+  /** Silence after which a peer that was asked counts as lost. */
+  readonly limitMs: number;
+}
+
+/** What a watch does. */
+export interface SilenceWatchPorts {
+  nowMs(): number;
+  /** Asks the peer for a sign of life. */
+  ask(): void;
+  /** Called once. */
+  onSilence(): void;
+}
+
+/** A watch over one connection. */
+export class SilenceWatch {
+  private timer: NodeJS.Timeout | null = null;
+  private timing: SilenceTiming | null = null;
+  private heardMs: number;
+  private checkedMs = 0;
+
+  constructor(private readonly ports: SilenceWatchPorts) {
+    this.heardMs = ports.nowMs();
+  }
+
+  /** Bytes have arrived. */
+  heard(): void {
+    this.heardMs = this.ports.nowMs();
+  }
+
+  /** Watches from now on by this timing; going on by the same one changes nothing. */
+  watch(timing: SilenceTiming): void {
+    if (this.timing === timing) return;
+    this.stop();
+    this.timing = timing;
+    this.heard();
+    this.checkedMs = this.heardMs;
+    this.timer = setInterval(() => {
+      this.check(timing);
+    }, timing.askEveryMs);
+  }
+
+  /** Watches no more. */
+  stop(): void {
+    if (this.timer !== null) clearInterval(this.timer);
+    this.timer = null;
+    this.timing = null;
+  }
+
+  /** A process that did not run itself cannot tell whether its peer was silent. */
+  private check({ askEveryMs, limitMs }: SilenceTiming): void {
+    const nowMs = this.ports.nowMs();
+    const stalled = nowMs - this.checkedMs > askEveryMs + STALL_MS;
+    this.checkedMs = nowMs;
+    if (stalled) this.heardMs = nowMs;
+    const silentMs = nowMs - this.heardMs;
+    if (silentMs > limitMs) {
+      this.stop();
+      this.ports.onSilence();
+      return;
+    }
+    if (silentMs >= askEveryMs / 2) this.ports.ask();
+  }
+}
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -15,6 +15,7 @@
   key: 7,
   route: 'route',
   priority: 1,
+  repeatable: true,
   remainingMs: 1_000,
   patienceMs: 100,
   targetLeftMs: 500,
--- a/test/sidecar/backend-connection.test.ts
+++ b/test/sidecar/backend-connection.test.ts
@@ -10,6 +10,7 @@
   headers: ['Host', 'a'],
   body: Buffer.alloc(0),
   requestId: 'mine',
+  repeatable: true,
 };
 const NAMES = { requestId: 'id', notRun: 'not-run' };
 
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -21,6 +21,7 @@
   key: null,
   route: 'route',
   priority: 1,
+  repeatable: true,
   remainingMs: 2_000,
   patienceMs: 100,
   targetLeftMs: 500,
--- a/test/sidecar/gateway-reserve.test.ts
+++ b/test/sidecar/gateway-reserve.test.ts
@@ -23,6 +23,7 @@
   key: null,
   route: 'long',
   priority: 1,
+  repeatable: true,
   remainingMs: 2_000,
   patienceMs: 100,
   targetLeftMs: 600,
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -287,6 +287,7 @@
     key: 7,
     route: 'route',
     priority: 1,
+    repeatable: true,
     remainingMs: 500,
     patienceMs: 0,
     targetLeftMs: 100,
--- /dev/null
+++ b/test/transport/silence-watch.test.ts
@@ -0,0 +1,133 @@
+/** Connections that carry nothing any more without being reset. */
+import { createServer, type Socket } from 'node:net';
+import test from 'ava';
+import { LinkClient } from '../../src/link/link-client.js';
+import { MessageClient } from '../../src/transport/message-client.js';
+import { MessageServer } from '../../src/transport/message-server.js';
+import { SilenceWatch } from '../../src/transport/silence-watch.js';
+import { freePort } from '../loopback.js';
+
+const TIMING = { askEveryMs: 20, limitMs: 50 };
+const TOKEN = 'token-of-the-tests-0123';
+const IDENTITY = { role: 'control', name: 'one', zone: 'z', token: TOKEN } as const;
+
+test('a peer that gives no sign of life is noticed', async (t) => {
+  let asked = 0;
+  await new Promise<void>((resolve) => {
+    const watch = new SilenceWatch({
+      nowMs: () => performance.now(),
+      ask: () => (asked += 1),
+      onSilence: resolve,
+    });
+    watch.watch(TIMING);
+  });
+  t.true(asked > 0);
+});
+
+test('one that answers is never taken for silent', async (t) => {
+  let asked = 0;
+  let silent = false;
+  await new Promise<void>((resolve) => {
+    const watch = new SilenceWatch({
+      nowMs: () => performance.now(),
+      ask: () => {
+        asked += 1;
+        watch.heard();
+        if (asked === 20) resolve();
+      },
+      onSilence: () => {
+        silent = true;
+        resolve();
+      },
+    });
+    watch.watch({ ...TIMING, limitMs: 60_000 });
+    t.teardown(() => {
+      watch.stop();
+    });
+  });
+  t.false(silent);
+});
+
+/** A relay that lets nothing through on the connections that stand when it is told so; new ones work. */
+async function relayTo(target: number): Promise<{ port: number; swallow: () => void; close: () => void }> {
+  const { connect } = await import('node:net');
+  const pairs: { readonly from: Socket; readonly to: Socket }[] = [];
+  const server = createServer((from) => {
+    const to = connect(target, '127.0.0.1');
+    for (const socket of [from, to]) socket.on('error', () => undefined);
+    from.pipe(to);
+    to.pipe(from);
+    pairs.push({ from, to });
+  });
+  const port = await freePort();
+  await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+  return {
+    port,
+    swallow: () => {
+      for (const { from, to } of pairs) {
+        from.unpipe(to);
+        to.unpipe(from);
+        from.resume();
+        to.resume();
+      }
+    },
+    close: () => {
+      server.close();
+      for (const { from, to } of pairs) {
+        from.destroy();
+        to.destroy();
+      }
+    },
+  };
+}
+
+test('a connection between daemons that falls silent for good is replaced, also while nothing is sent', async (t) => {
+  const port = await freePort();
+  const server = new MessageServer(TOKEN, {
+    onPeer: () => ({ onMessage: () => undefined, onClose: () => undefined }),
+    onRefused: () => undefined,
+  });
+  (await server.listen({ host: '127.0.0.1', port })).unwrap();
+  const relay = await relayTo(port);
+  let opened = 0;
+  const reason = await new Promise<string>((resolve) => {
+    const address = { host: '127.0.0.1', port: relay.port };
+    let closed = '';
+    const client = new MessageClient(address, IDENTITY, {
+      onOpen: () => {
+        opened += 1;
+        if (opened === 1) relay.swallow();
+        else resolve(closed);
+      },
+      onMessage: () => undefined,
+      onClose: (cause) => {
+        closed = cause;
+      },
+    });
+    t.teardown(() => {
+      client.stop();
+    });
+  });
+  t.is(reason, 'peer is silent');
+  server.close();
+  relay.close();
+});
+
+test('a link that rests and falls silent for good is given up', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.resume();
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  const reason = await new Promise<string>((resolve) => {
+    const route = { address: { host: '127.0.0.1', port }, localAddress: null, pacer: null };
+    const client = new LinkClient(route, () => performance.now(), {
+      onStatus: () => undefined,
+      onDisconnect: resolve,
+    });
+    client.probe();
+  });
+  t.is(reason, 'peer is silent');
+  server.close();
+});
