Soak: connections silenced for good, evacuations, cold back ends

Change: a relay that swallows both directions of the connections that stand (silence-connections), an operator who evacuates a zone for longer than its bound (evacuate-zone), back ends that are cold for 1.5 s when they come back and bear 6 requests a second then; the judge has the promises evacuation and cold-start. The plans of old seeds stay what they were; each gets one trouble of the new kinds, drawn by itself. The stand-in answers who it is. Seen and not traced: a warning of Node in the lab's own process on drain listeners of one relayed socket.

--- a/lab/delayed-direction.ts
+++ b/lab/delayed-direction.ts
@@ -15,6 +15,7 @@
 export class DelayedDirection {
   private readonly waiting: { readonly chunk: Buffer | null; readonly dueMs: number }[] = [];
   private timer: NodeJS.Timeout | null = null;
+  private swallows = false;
 
   constructor(
     private readonly source: Socket,
@@ -29,6 +30,12 @@
     });
   }
 
+  /** Takes what comes and passes nothing any more, also not the end. */
+  swallow(): void {
+    this.swallows = true;
+    this.waiting.length = 0;
+  }
+
   /** Passes nothing any more. */
   stop(): void {
     if (this.timer !== null) clearTimeout(this.timer);
@@ -36,6 +43,7 @@
   }
 
   private push(chunk: Buffer | null): void {
+    if (this.swallows) return;
     this.waiting.push({ chunk, dueMs: performance.now() + this.state().delayMs });
     if (this.timer === null) this.flush();
   }
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -8,12 +8,15 @@
 import type { GrantMode } from '../../src/directory/directory-state.js';
 import type { SocketAddress } from '../../src/model/socket-address.js';
 import {
+  healthHeaders,
   heartbeatBody,
   PATHS,
   PLATFORM_HEADERS,
   readGrantCall,
   readHeartbeatAnswer,
   releaseHeaders,
+  STAND_IN_BOUNDS,
+  STAND_IN_COLD_START,
 } from '../../platform/stand-in-wire.js';
 import { pause } from '../pause.js';
 import type { Random } from '../random.js';
@@ -34,6 +37,10 @@
 /** Pause between looks at whether work on released keys has ended, in ms. */
 const RELEASE_POLL_MS = 5;
 
+/** Requests that a cold back end may be sent in a second. */
+const MOST_WHILE_COLD =
+  STAND_IN_COLD_START.cold_per_s * STAND_IN_BOUNDS.cold_excess + STAND_IN_BOUNDS.cold_slack;
+
 /** Time in ms for an answer to a heartbeat. */
 const HEARTBEAT_TIMEOUT_MS = 1_000;
 
@@ -62,6 +69,8 @@
   readonly service: string;
   readonly zone: string;
   readonly keyed: boolean;
+  /** Time for which it is cold after its start, in ms. */
+  readonly coldMs: number;
   readonly grantMode: GrantMode;
   readonly address: SocketAddress;
   /** Where its daemon takes heartbeats. */
@@ -85,6 +94,7 @@
   private sequence = 0;
   private draining = false;
   private up = true;
+  private startedMs = 0;
   private timer: NodeJS.Timeout | null = null;
 
   constructor(private readonly options: SoakBackendOptions) {
@@ -107,6 +117,7 @@
   /** Listens and begins to send heartbeats. */
   async start(): Promise<void> {
     const { host, port } = this.options.address;
+    this.startedMs = performance.now();
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, resolve);
@@ -139,6 +150,10 @@
     await this.crash();
   }
 
+  private get coldLeftMs(): number {
+    return Math.max(0, this.startedMs + this.options.coldMs - performance.now());
+  }
+
   // ---- heartbeats
 
   private beatAfter(ms: number): void {
@@ -171,7 +186,7 @@
       slots: SLOTS,
       condition,
       sequence: this.sequence,
-      coldLeftMs: 0,
+      coldLeftMs: this.coldLeftMs,
     } as const;
     return heartbeatBody({ ...common, holds: keyed ? holds : null, released }, address);
   }
@@ -241,6 +256,7 @@
     const path = request.url ?? '/';
     if (path === PATHS.grant) this.takeGrant(body, response);
     else if (path === PATHS.release) await this.takeRelease(body, response);
+    else if (path === PATHS.health) answerPlain(response, STATUS.ok, healthHeaders(this.id, this.coldLeftMs));
     else this.takeRequest(request, response, path);
   }
 
@@ -253,7 +269,7 @@
       this.decline(response, requestId, STATUS.misdirected);
       return;
     }
-    this.options.judge.arrived(this.id, performance.now());
+    this.noteArrival(performance.now());
     if (key !== null && !this.keys.holds(key)) {
       this.decline(response, requestId, STATUS.misdirected);
       return;
@@ -266,6 +282,13 @@
     else this.decline(response, requestId, STATUS.notExecuted);
   }
 
+  private noteArrival(nowMs: number): void {
+    const { judge, zone } = this.options;
+    judge.arrived(this.id, nowMs);
+    judge.arrivedInZone(this.id, zone, nowMs);
+    if (this.coldLeftMs > 0) judge.arrivedCold(this.id, MOST_WHILE_COLD, nowMs);
+  }
+
   private async run(
     request: IncomingMessage,
     response: ServerResponse,
@@ -338,8 +361,8 @@
   return typeof value === 'string' ? value : '';
 }
 
-function answerPlain(response: ServerResponse, status: number): void {
-  response.writeHead(status, { 'content-length': 0 });
+function answerPlain(response: ServerResponse, status: number, headers: object = {}): void {
+  response.writeHead(status, { ...headers, 'content-length': 0 });
   response.end();
 }
 
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { SocketAddress } from '../../src/model/socket-address.js';
-import { settingsText, STAND_IN_PORTS } from '../../platform/stand-in-wire.js';
+import { settingsText, STAND_IN_COLD_START, STAND_IN_PORTS } from '../../platform/stand-in-wire.js';
 import { ManagedProcess } from '../fleet/managed-process.js';
 import type { Random } from '../random.js';
 import { SoakBackend, WELL_BEHAVED, type Misbehaviour } from './soak-backend.js';
@@ -10,6 +10,8 @@
 import { SoakNetwork } from './soak-network.js';
 import type { DirectoryMachine, SidecarMachine, SoakPlan } from './soak-plan.js';
 
+const MS_PER_SECOND = 1_000;
+
 /** Memory that a daemon may take, as its deploy file says. */
 const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--optimize-for-size'];
 
@@ -98,6 +100,7 @@
       id: `${machine.name}-life-${this.lives}`,
       service: machine.service,
       zone: machine.zone,
+      coldMs: this.backends.has(machine.name) ? STAND_IN_COLD_START.cold_start_s * MS_PER_SECOND : 0,
       keyed: this.plan.services.find(({ name }) => name === machine.service)?.keyed === true,
       grantMode: this.plan.grantMode,
       address: { host: ip, port: STAND_IN_PORTS.backend },
@@ -147,6 +150,7 @@
     return settingsText({
       name: machine.name,
       zone: sidecar?.zone ?? directory?.zone ?? '',
+      zones: [...new Set(plan.sidecars.map(({ zone }) => zone))],
       ip: machine.ip,
       advertisedIp: machine.advertisedIp,
       seeds: this.operatorAddresses,
--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -17,7 +17,9 @@
   | 'planned-stop'
   | 'configuration-kept'
   | 'configuration-in-force'
-  | 'recovery';
+  | 'recovery'
+  | 'evacuation'
+  | 'cold-start';
 
 /** A promise that was broken. */
 export interface SoakViolation {
@@ -26,6 +28,8 @@
   readonly detail: string;
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** Time in ms for which two back ends may be seen to hold the same keys when neither begins work on them. */
 const OVERLAP_LIMIT_MS = 500;
 
@@ -63,12 +67,19 @@
   private readonly fences = new Map<string, { backend: string; range: HeldRange }[]>();
   private readonly overlaps = new Map<string, Overlap>();
   private readonly drainedSince = new Map<string, number>();
+  /** When evacuations were acknowledged, by zone; those that were taken back are not here. */
+  private readonly evacuatedSince = new Map<string, number>();
+  /** When requests reached each cold back end in the last second. */
+  private readonly coldArrivals = new Map<string, number[]>();
   /** Newest acknowledged version of each item, and when it was acknowledged. */
   private readonly acknowledged = new Map<string, { version: number; atMs: number }>();
 
   constructor(
     private readonly drainMs: number,
     private readonly applyMs: number,
+    private readonly evacuationMs = Infinity,
+    /** Whether nothing has been amiss for long enough that every daemon must have been reached. */
+    private readonly inTouch: () => boolean = () => true,
   ) {}
 
   /** A back end begins to run a request. */
@@ -94,6 +105,36 @@
     this.report('drain', nowMs, `${backend} is sent work ${Math.round(nowMs - since)} ms after its leave`);
   }
 
+  /** A request reaches a back end of a zone. */
+  arrivedInZone(backend: string, zone: string, nowMs: number): void {
+    const since = this.evacuatedSince.get(zone) ?? Infinity;
+    if (nowMs - since <= this.evacuationMs || !this.inTouch()) return;
+    this.report(
+      'evacuation',
+      nowMs,
+      `${backend} is sent work ${Math.round(nowMs - since)} ms after its zone's evacuation`,
+    );
+  }
+
+  /** A request reaches a back end that is cold and may be sent `most` in a second. */
+  arrivedCold(backend: string, most: number, nowMs: number): void {
+    const recent = (this.coldArrivals.get(backend) ?? []).filter((atMs) => atMs > nowMs - MS_PER_SECOND);
+    recent.push(nowMs);
+    this.coldArrivals.set(backend, recent);
+    if (recent.length > most)
+      this.report('cold-start', nowMs, `${backend} is cold and got ${recent.length} requests in a second`);
+  }
+
+  /** The evacuation of a zone was acknowledged. */
+  evacuationAcknowledged(zone: string, nowMs: number): void {
+    this.evacuatedSince.set(zone, nowMs);
+  }
+
+  /** The evacuation of a zone is about to be taken back. */
+  evacuationEnds(zone: string): void {
+    this.evacuatedSince.delete(zone);
+  }
+
   /** A back end was told that its leave is known. */
   drainAcknowledged(backend: string, nowMs: number): void {
     if (!this.drainedSince.has(backend)) this.drainedSince.set(backend, nowMs);
--- a/lab/soak/soak-network.ts
+++ b/lab/soak/soak-network.ts
@@ -16,6 +16,8 @@
   readonly from: string;
   readonly to: string;
   readonly close: (reset: boolean) => void;
+  /** Passes nothing any more, and tells neither side. */
+  readonly swallow: () => void;
 }
 
 /** All relays of a soak. */
@@ -59,6 +61,13 @@
     }
   }
 
+  /** The connections of a machine that stand now carry nothing any more, for good; new ones work. */
+  silence(machine: string): void {
+    for (const connection of this.connections) {
+      if (connection.from === machine || connection.to === machine) connection.swallow();
+    }
+  }
+
   /** Closes everything. */
   close(): void {
     for (const server of this.servers) server.close();
@@ -77,6 +86,10 @@
     const connection: RelayedConnection = {
       from,
       to,
+      swallow: () => {
+        out.swallow();
+        back.swallow();
+      },
       close: (reset) => {
         out.stop();
         back.stop();
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -69,6 +69,18 @@
     return false;
   }
 
+  /** Begins or ends the evacuation of a zone; sent until it is acknowledged. */
+  async evacuate(zone: string, evacuated: boolean): Promise<void> {
+    if (!evacuated) this.judge.evacuationEnds(zone);
+    const path = `${PATHS.evacuation}${encodeURIComponent(zone)}`;
+    while (!this.stopped) {
+      const reply = await this.call(evacuated ? 'POST' : 'DELETE', '', path);
+      if (reply?.status === STATUS.ok) break;
+      await pause(RETRY_MS);
+    }
+    if (evacuated && !this.stopped) this.judge.evacuationAcknowledged(zone, performance.now());
+  }
+
   /** Changes one known route, or adds one, again and again. */
   async keepChanging(template: StandInRoute, pauseMs: number): Promise<void> {
     while (!this.stopped) {
@@ -111,10 +123,14 @@
     }
   }
 
-  private async call(method: string, body: string): Promise<Reply | null> {
+  private async call(
+    method: string,
+    body: string,
+    path: string = PATHS.configuration,
+  ): Promise<Reply | null> {
     let address = this.random.pick(this.replicas);
     for (let hop = 0; hop <= MAX_REDIRECTS; hop += 1) {
-      const reply = await ask(address, method, body);
+      const reply = await ask(address, method, body, path);
       if (reply === null || reply.location === '') return reply;
       const url = new URL(reply.location);
       address = { host: url.hostname, port: Number(url.port) };
@@ -123,10 +139,15 @@
   }
 }
 
-async function ask({ host, port }: SocketAddress, method: string, body: string): Promise<Reply | null> {
+async function ask(
+  { host, port }: SocketAddress,
+  method: string,
+  body: string,
+  path: string,
+): Promise<Reply | null> {
   return await new Promise((resolve) => {
     const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
-    const options = { host, port, path: PATHS.configuration, method, headers, agent: false };
+    const options = { host, port, path, method, headers, agent: false };
     const call = httpRequest(options, (answer) => {
       let text = '';
       answer.on('data', (chunk: Buffer) => (text += chunk.toString()));
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -27,8 +27,14 @@
   'lose-acknowledgements',
 ] as const;
 
+/** Kinds that come beside the others, drawn by themselves, so that the plan of a seed stays what it was. */
+export const FURTHER_SOAK_TROUBLES = ['silence-connections', 'evacuate-zone'] as const;
+
 /** A kind of trouble. */
-export type SoakTroubleKind = (typeof SOAK_TROUBLES)[number];
+export type SoakTroubleKind = (typeof SOAK_TROUBLES)[number] | (typeof FURTHER_SOAK_TROUBLES)[number];
+
+/** What sets the draws of further troubles apart from those of the seed itself. */
+const FURTHER_SEED_OFFSET = 7_000_003;
 
 /** One trouble. */
 export interface SoakTrouble {
@@ -108,7 +114,12 @@
   }));
   const count = FEWEST_TROUBLES + random.below(MOST_TROUBLES - FEWEST_TROUBLES + 1);
   const grantMode = random.below(2) === 0 ? 'heartbeat' : 'invoke';
-  const troubles = Array.from({ length: count }, () => drawTrouble(random, only));
+  const kinds = only === null ? SOAK_TROUBLES : [only];
+  const troubles = Array.from({ length: count }, () => drawTrouble(random, kinds));
+  if (only === null) {
+    const further = new Random(seed + FURTHER_SEED_OFFSET);
+    troubles.push(drawTrouble(further, FURTHER_SOAK_TROUBLES));
+  }
   troubles.sort((left, right) => left.atMs - right.atMs);
   return {
     seed,
@@ -122,8 +133,9 @@
   };
 }
 
-function drawTrouble(random: Random, only: SoakTroubleKind | null): SoakTrouble {
-  const kind = only ?? random.pick(SOAK_TROUBLES);
+function drawTrouble(random: Random, kinds: readonly SoakTroubleKind[]): SoakTrouble {
+  // A single kind needs no draw, as when it is asked for by itself.
+  const kind = kinds.length === 1 && kinds[0] !== undefined ? kinds[0] : random.pick(kinds);
   return {
     kind,
     atMs: 500 + random.below(TROUBLED_MS - 2_000),
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -66,11 +66,13 @@
   const plan = planSoak(options.seed, options.only);
   const random = new Random(options.seed + 1);
   const drainMs = STAND_IN_BOUNDS.drain_s * MS_PER_SECOND;
-  const judge = new SoakJudge(drainMs, STAND_IN_BOUNDS.config_apply_s * MS_PER_SECOND);
+  const applyMs = STAND_IN_BOUNDS.config_apply_s * MS_PER_SECOND;
+  const evacuationMs = STAND_IN_BOUNDS.evacuate_s * MS_PER_SECOND;
+  const judge = new SoakJudge(drainMs, applyMs, evacuationMs, () => troubles.calmFor(IN_TOUCH_MS));
   const folder = join(options.folder, `seed-${options.seed}`);
   const fleet = new SoakFleet(plan, { program: options.program, folder }, judge, random);
   const operator = new SoakOperator(fleet.operatorAddresses, judge, random);
-  const troubles = new SoakTroubles(fleet, operator);
+  const troubles: SoakTroubles = new SoakTroubles(fleet, operator);
   const callers = makeCallers(plan, fleet, judge, random, troubles);
   const timers = [
     setInterval(() => {
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -4,11 +4,14 @@
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakOperator } from './soak-operator.js';
 import type { SoakTrouble, SoakTroubleKind } from './soak-plan.js';
+import { STAND_IN_BOUNDS } from '../../platform/stand-in-wire.js';
 import { pause } from '../pause.js';
 
 /** Time in ms for which a directory counts as lost after it came back, so that no two are lost at once. */
 const CATCH_UP_MS = 4_000;
 
+const MS_PER_SECOND = 1_000;
+
 /** Pause before a process that ended is started again, in ms. */
 const RESTART_MS = 300;
 
@@ -18,6 +21,9 @@
 /** Extra delay of a slow link, in ms. */
 const SLOW_LINK_MS = 120;
 
+/** Time in ms in which silent connections must be noticed. */
+const SILENCE_NOTICED_MS = 4_500;
+
 /** Shares of spoilt answers, and of lost acknowledgements. */
 const LOST_ANSWERS = { answerLost: 0.1, answerCut: 0, secondAnswer: 0 };
 const SPOILT_ANSWERS = { answerLost: 0, answerCut: 0.08, secondAnswer: 0.08 };
@@ -27,6 +33,14 @@
 const TORN_BYTES = Buffer.from([0, 0, 0, 200, 1, 2, 3, 4, 5, 6, 7]);
 const LOG_FILE = 'log';
 
+/** Kinds that may strike machines of both sorts. */
+const EVERYWHERE: ReadonlySet<SoakTroubleKind> = new Set([
+  'cut-one-way',
+  'slow-link',
+  'reset-connections',
+  'silence-connections',
+]);
+
 /** A trouble that was brought about. */
 export interface TroubleRecord {
   readonly kind: SoakTroubleKind;
@@ -65,10 +79,10 @@
     return stops.some(({ target }) => target === machine) && stops.length === recent.length;
   }
 
-  /** Whether nothing has been amiss for so long. */
+  /** Whether nothing has been amiss for so long; an evacuation is planned work. */
   calmFor(ms: number): boolean {
     const nowMs = performance.now();
-    return this.records.every(({ endMs }) => endMs < nowMs - ms);
+    return this.records.every(({ kind, endMs }) => kind === 'evacuate-zone' || endMs < nowMs - ms);
   }
 
   /** Directories are lost one at a time, and the one before must have caught up. */
@@ -83,9 +97,9 @@
     const { directories, sidecars } = this.fleet;
     if (kind.endsWith('-leader')) return this.fleet.leader();
     if (kind === 'kill-all-directories' || kind === 'lose-acknowledgements') return undefined;
-    if (kind === 'lose-answers' || kind === 'spoil-answers') return undefined;
+    if (kind === 'lose-answers' || kind === 'spoil-answers' || kind === 'evacuate-zone') return undefined;
     const onDisks = concernsDisks(kind);
-    const everywhere = kind === 'cut-one-way' || kind === 'slow-link' || kind === 'reset-connections';
+    const everywhere = EVERYWHERE.has(kind);
     const machines = everywhere ? [...directories, ...sidecars] : onDisks ? directories : sidecars;
     return machines[choice % machines.length];
   }
@@ -104,6 +118,9 @@
         await pause(forMs);
         this.fleet.misbehave();
         return;
+      case 'evacuate-zone':
+        await this.evacuate(trouble);
+        return;
       case 'lose-acknowledgements':
         this.operator.lostShare = LOST_ACKNOWLEDGEMENTS;
         await pause(forMs);
@@ -114,6 +131,16 @@
     }
   }
 
+  /** Longer than the bound, so that there is a time in which nothing may arrive. */
+  private async evacuate({ choice, forMs }: SoakTrouble): Promise<void> {
+    const zones = [...new Set(this.fleet.plan.sidecars.map(({ zone }) => zone))];
+    const zone = zones[choice % zones.length];
+    if (zone === undefined) return;
+    await this.operator.evacuate(zone, true);
+    await pause(STAND_IN_BOUNDS.evacuate_s * MS_PER_SECOND + forMs);
+    await this.operator.evacuate(zone, false);
+  }
+
   private async carryOutOn(machine: SoakMachine, { kind, forMs }: SoakTrouble): Promise<void> {
     switch (kind) {
       case 'kill-sidecar':
@@ -151,6 +178,10 @@
       case 'reset-connections':
         this.fleet.network.reset(machine.name);
         break;
+      case 'silence-connections':
+        this.fleet.network.silence(machine.name);
+        await pause(SILENCE_NOTICED_MS);
+        break;
       default:
         await this.harmLinks(machine, kind, forMs);
     }
--- a/test/lab/soak/soak-judge.test.ts
+++ b/test/lab/soak/soak-judge.test.ts
@@ -137,3 +137,24 @@
     );
   });
 }
+
+test('work is sent to an evacuated zone after the bound', (t) => {
+  const judge = new SoakJudge(2_000, 2_000, 5_000);
+  judge.evacuationAcknowledged('z', 1_000);
+  judge.arrivedInZone('a', 'z', 5_900);
+  judge.arrivedInZone('b', 'other', 9_000);
+  t.deepEqual(judge.violations, []);
+  judge.arrivedInZone('a', 'z', 6_100);
+  t.is(judge.violations[0]?.promise, 'evacuation');
+  judge.evacuationEnds('z');
+  judge.arrivedInZone('a', 'z', 6_200);
+  t.is(judge.violations.length, 1);
+});
+
+test('a cold back end gets more in a second than it may', (t) => {
+  const judge = new SoakJudge(2_000, 2_000);
+  for (let at = 0; at < 20; at += 1) judge.arrivedCold('a', 20, at * 50);
+  t.deepEqual(judge.violations, []);
+  judge.arrivedCold('a', 20, 990);
+  t.is(judge.violations[0]?.promise, 'cold-start');
+});
--- a/test/lab/soak/soak-plan.test.ts
+++ b/test/lab/soak/soak-plan.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { planSoak, SOAK_TROUBLES } from '../../../lab/soak/soak-plan.js';
+import { FURTHER_SOAK_TROUBLES, planSoak, SOAK_TROUBLES } from '../../../lab/soak/soak-plan.js';
 
 const SEEDS = Array.from({ length: 300 }, (_, at) => at + 1);
 
@@ -10,7 +10,7 @@
 test('over the seeds every kind of trouble and both ways of granting come', (t) => {
   const plans = SEEDS.map((seed) => planSoak(seed));
   const kinds = new Set(plans.flatMap(({ troubles }) => troubles.map(({ kind }) => kind)));
-  t.deepEqual([...kinds].sort(), [...SOAK_TROUBLES].sort());
+  t.deepEqual([...kinds].sort(), [...SOAK_TROUBLES, ...FURTHER_SOAK_TROUBLES].sort());
   t.deepEqual([...new Set(plans.map(({ grantMode }) => grantMode))].sort(), ['heartbeat', 'invoke']);
 });
 
