The forecast of work, callers' requests and evacuations leave the gateway and the sidecar node

Change: WorkForecast (what a request needs at one back end), CallerRequests (requests under way, retry allowances; their ports are made once, not for each request) and ZoneEvacuation stand in files of their own. Behaviour stays; tests are the same, but for where a counter is read.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -11,27 +11,11 @@
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import type { BackendClient, PreparedRun } from './backend-client.js';
-import { BackendPace, believedPace } from './backend-pace.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
-import type { RunOutcome } from './backend-run.js';
-import { LinkOutlook } from './link-outlook.js';
+import type { AnsweredRun, RunOutcome } from './backend-run.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
-import {
-  comesTooLateForLink,
-  isTooLateToBegin,
-  lateOrder,
-  lateReserve,
-  lateWaitMs,
-  linkTimeMs,
-  placeOrder,
-  placeRank,
-  placeWaitMs,
-  SHORT_WORK_RANK,
-  shortWorkReserve,
-  spareMs,
-  type PlaceClaim,
-} from './place-policy.js';
-import { RouteMeans } from './route-means.js';
+import { isTooLateToBegin, lateOrder, lateWaitMs, placeOrder, placeWaitMs, spareMs } from './place-policy.js';
+import { WorkForecast } from './work-forecast.js';
 
 /** Pause between looks at waiting requests, in ms. */
 const STEP_MS = 20;
@@ -103,8 +87,6 @@
   runs: number;
   answered: number;
   broken: number;
-  /** Figures that the back end told and that could not be read; they count as not told. */
-  unreadableFigures: number;
   refused: Record<RefusalReason, number>;
 }
 
@@ -116,7 +98,6 @@
     runs: 0,
     answered: 0,
     broken: 0,
-    unreadableFigures: 0,
     refused: {
       busy: 0,
       leaving: 0,
@@ -128,11 +109,7 @@
     },
   };
   readonly admission: Admission;
-  readonly pace = new BackendPace();
-  /** At the usual pace. */
-  private readonly times = new RouteMeans();
-  private readonly answerBytes = new RouteMeans();
-  private readonly link: LinkOutlook<Visit>;
+  readonly forecast: WorkForecast<Visit>;
   readonly lateOutlook = new LateOutlook();
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
@@ -143,14 +120,19 @@
   private cancelStep: CancelTimer | null = null;
 
   constructor(private readonly ports: GatewayPorts) {
-    this.link = new LinkOutlook(ports.pacer);
-    const { coldLimit, runtime } = ports;
+    const { coldLimit, runtime, pacer } = ports;
+    this.forecast = new WorkForecast({
+      nowMs: () => runtime.nowMs(),
+      serviceMs: () => this.admission.serviceMs,
+      slots: () => this.admission.slots,
+      pacer,
+    });
     this.admission = new Admission(1, {
       delayMs: (ahead) => coldLimit.delayMs(ahead, runtime.nowMs()),
       noteStarted: () => {
         coldLimit.noteSent(runtime.nowMs());
       },
-      pace: () => this.paceNow,
+      pace: () => this.forecast.paceNow,
     });
   }
 
@@ -170,7 +152,7 @@
     if (instance === null) return null;
     const { runningCount, waitingCount, slots } = this.admission;
     const nowMs = this.ports.runtime.nowMs();
-    const pace = this.pace.at(nowMs);
+    const pace = this.forecast.pace.at(nowMs);
     return {
       instance,
       running: runningCount,
@@ -178,7 +160,7 @@
       slots,
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving(),
-      sendWaitMs: Math.round(this.link.waitMs),
+      sendWaitMs: Math.round(this.forecast.sendWaitMs),
       coldStart: this.ports.coldLimit.outlook(nowMs),
       pace: rounded(pace.now),
       meanPace: rounded(pace.mean),
@@ -215,8 +197,8 @@
 
   /** Time in ms for which a request may wait for keys, or for the back end to tell about itself. */
   private changeWaitMs(head: RequestHead): number {
-    const claim = this.claimOf(head, null);
-    const meanMs = this.meanMs(head.route);
+    const claim = this.forecast.claimOf(head, null);
+    const meanMs = this.forecast.workMs(head.route);
     const inTimeMs = Math.max(head.patienceMs, spareMs(claim, meanMs));
     // A first try that is refused comes back; one that came back has nothing to lose by waiting.
     const hasComeBack = head.spentMs > 0 && policyIsOn('key-patience');
@@ -224,25 +206,6 @@
     return Math.min(Math.max(0, head.remainingMs - meanMs), waitMs);
   }
 
-  private meanMs(route: string): number {
-    const usualMs = this.times.of(route, NaN);
-    return Number.isNaN(usualMs) ? this.admission.serviceMs : usualMs * this.paceNow;
-  }
-
-  /** Time in ms that an answer of the route will need on the network link, behind those that wait for it. */
-  private sendMs(route: string, visit: Visit | null): number {
-    return this.link.sendMs(visit, this.answerBytes.of(route, 0), this.meanMs(route));
-  }
-
-  /** The answer must have passed the network link by the time that its caller tells. */
-  private claimOf(head: RequestHead, visit: Visit | null): PlaceClaim {
-    const sendMs = linkTimeMs(this.sendMs(head.route, visit));
-    if (sendMs === 0) return head;
-    const { patienceMs, spentMs } = head;
-    const remainingMs = head.remainingMs - sendMs;
-    return { remainingMs, patienceMs, targetLeftMs: head.targetLeftMs - sendMs, spentMs };
-  }
-
   /** Something has changed that requests may wait for. */
   reconsider(): void {
     for (const visit of [...this.waiting]) {
@@ -291,19 +254,20 @@
 
   private apply(visit: Visit, nowMs: number): void {
     const { head, arrivedMs } = visit;
-    const meanMs = this.meanMs(head.route);
-    const claim = this.claimOf(head, visit);
-    if (claim !== head && comesTooLateForLink(claim, this.link.waitMs, meanMs)) {
+    const { forecast } = this;
+    const meanMs = forecast.workMs(head.route);
+    if (forecast.isTooLateForLink(head, visit)) {
       this.refuse(visit, 'busy');
       return;
     }
-    this.link.accept(visit, this.answerBytes.of(head.route, 0));
+    const claim = forecast.claimOf(head, visit);
+    forecast.expectAnswer(head.route, visit);
     this.countOffered(visit, meanMs);
     let waits = false;
     const applicant: Applicant = {
-      priority: this.rankOf(head),
+      priority: forecast.rankOf(head),
       order: placeOrder(claim, arrivedMs, meanMs),
-      reserve: spareMs(claim, meanMs) > 0 ? this.reserveOf(head) : this.lateReserveOf(head),
+      reserve: spareMs(claim, meanMs) > 0 ? forecast.reserveOf(head) : forecast.lateReserveOf(head),
       expiresMs: nowMs + placeWaitMs(claim, nowMs - arrivedMs, meanMs),
       start: () => {
         this.start(visit);
@@ -324,9 +288,11 @@
   private applyLate(visit: Visit): void {
     const { head, arrivedMs } = visit;
     const nowMs = this.ports.runtime.nowMs();
-    const claim = this.claimOf(head, visit);
-    const waitMs = lateWaitMs(claim, nowMs - arrivedMs, this.meanMs(head.route));
-    const possible = policyIsOn('late-waiting') && !this.stopped && waitMs > 0 && !this.missesLink(visit);
+    const { forecast } = this;
+    const claim = forecast.claimOf(head, visit);
+    const waitMs = lateWaitMs(claim, nowMs - arrivedMs, forecast.workMs(head.route));
+    const missesLink = forecast.hasMissedLink(head, visit, nowMs - arrivedMs);
+    const possible = policyIsOn('late-waiting') && !this.stopped && waitMs > 0 && !missesLink;
     if (!possible || !this.lateOutlook.mayWait(waitMs, this.admission.slots, nowMs)) {
       this.refuse(visit, 'busy');
       return;
@@ -336,7 +302,7 @@
     const applicant: Applicant = {
       priority: head.priority,
       order: lateOrder(claim, arrivedMs),
-      reserve: this.lateReserveOf(head),
+      reserve: forecast.lateReserveOf(head),
       expiresMs: nowMs + waitMs,
       start: () => {
         this.endLateWait(visit, 'place');
@@ -352,26 +318,6 @@
     if (this.admission.waitingCount > 0) this.stepSoon();
   }
 
-  /** Places that a request leaves free for short work, where this back end has lately had any. */
-  private reserveOf(head: RequestHead): number {
-    if (!policyIsOn('short-work-reserve') || this.rankOf(head) === SHORT_WORK_RANK) return 0;
-    const { smallest, largest } = this.times;
-    const hasShortWork = smallest > 0 && placeRank(head.priority, smallest, largest) === SHORT_WORK_RANK;
-    return hasShortWork ? shortWorkReserve(this.admission.slots) : 0;
-  }
-
-  /** Places that a request which will be late leaves free; late short work still ends somebody's wait elsewhere. */
-  private lateReserveOf(head: RequestHead): number {
-    if (!policyIsOn('late-reserve') || this.rankOf(head) === SHORT_WORK_RANK) return this.reserveOf(head);
-    return Math.max(lateReserve(this.admission.slots), this.reserveOf(head));
-  }
-
-  private rankOf({ priority, route }: RequestHead): number {
-    if (!policyIsOn('short-work-first')) return priority;
-    const meanMs = this.times.of(route, this.admission.serviceMs);
-    return placeRank(priority, meanMs, this.times.largest);
-  }
-
   private endLateWait(visit: Visit, outcome: LateWaitOutcome): void {
     if (!visit.late) return;
     visit.late = false;
@@ -392,10 +338,10 @@
     const nowMs = ports.runtime.nowMs();
     const stale = nowMs >= ports.closesAtMs() || ports.instance() !== head.instance;
     const keyLost = head.key !== null && !ports.holdsKey(head.key);
-    const leftMs = head.remainingMs - (nowMs - visit.arrivedMs);
+    const waitedMs = nowMs - visit.arrivedMs;
+    const leftMs = head.remainingMs - waitedMs;
     visit.startedMs = nowMs;
-    const tooLate = isTooLateToBegin(leftMs - this.sendMs(head.route, visit), this.meanMs(head.route));
-    if (stale || keyLost || tooLate || this.missesLink(visit)) {
+    if (stale || keyLost || this.isTooLate(visit, leftMs, waitedMs)) {
       this.admission.leave(this.admission.serviceMs);
       if (keyLost && !stale) this.considerKey(visit, head.key ?? 0);
       else this.refuse(visit, stale ? 'leaving' : 'busy');
@@ -415,15 +361,12 @@
     visit.run.start();
   }
 
-  /** Whether the wait for a place has made a large answer too late for a network link that others wait for. */
-  private missesLink(visit: Visit): boolean {
-    if (!policyIsOn('link-margin')) return false;
-    const { head, arrivedMs } = visit;
-    const waitedMs = this.ports.runtime.nowMs() - arrivedMs;
-    const claim = this.claimOf(head, visit);
-    if (claim === head) return false;
-    const present = { ...claim, targetLeftMs: claim.targetLeftMs - waitedMs };
-    return comesTooLateForLink(present, this.link.waitMsBeside(visit), this.meanMs(head.route));
+  /** Whether the work, or its answer on the network link, would come too late to be worth its place. */
+  private isTooLate(visit: Visit, leftMs: number, waitedMs: number): boolean {
+    const { head } = visit;
+    const workLeftMs = leftMs - this.forecast.sendMs(head.route, visit);
+    const tooLate = isTooLateToBegin(workLeftMs, this.forecast.workMs(head.route));
+    return tooLate || this.forecast.hasMissedLink(head, visit, waitedMs);
   }
 
   private timingOf({ arrivedMs, startedMs }: Visit): AnswerTiming {
@@ -434,34 +377,23 @@
   private finished(visit: Visit, outcome: RunOutcome): void {
     if (visit.done) return;
     visit.done = true;
-    this.link.forget(visit);
+    this.forecast.forgetAnswer(visit);
     this.running.delete(visit);
     const usedMs = this.ports.runtime.nowMs() - visit.startedMs;
-    if (outcome.kind === 'answered') {
-      this.notePace(outcome.pace);
-      this.times.note(visit.head.route, usedMs / this.paceNow);
-      this.answerBytes.note(visit.head.route, outcome.bytes);
-    }
+    if (outcome.kind === 'answered') this.learn(visit.head.route, usedMs, outcome);
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(visit.head.key, usedMs - visit.offeredMs);
     this.count(visit, outcome, usedMs);
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
   }
 
-  private get paceNow(): number {
-    return this.pace.at(this.ports.runtime.nowMs()).now;
-  }
-
-  private notePace(told: number | null): void {
-    if (told === null) return;
-    const pace = believedPace(told);
-    if (pace !== null) {
-      this.pace.note(pace, this.ports.runtime.nowMs());
-      return;
-    }
-    this.counters.unreadableFigures += 1;
+  private learn(route: string, usedMs: number, { bytes, pace }: AnsweredRun): void {
+    const { forecast } = this;
+    const unreadableBefore = forecast.unreadableFigures;
+    forecast.learn({ route, usedMs, bytes, pace });
     // One line is enough: the counter tells how many there were.
-    if (this.counters.unreadableFigures === 1) this.ports.log.event('figure-unreadable', { figure: 'pace' });
+    const isFirst = unreadableBefore === 0 && forecast.unreadableFigures > 0;
+    if (isFirst) this.ports.log.event('figure-unreadable', { figure: 'pace' });
   }
 
   private count(visit: Visit, outcome: RunOutcome, usedMs: number): void {
@@ -478,7 +410,7 @@
   private refuse(visit: Visit, reason: RefusalReason): void {
     if (visit.done) return;
     visit.done = true;
-    this.link.forget(visit);
+    this.forecast.forgetAnswer(visit);
     this.counters.refused[reason] += 1;
     const { requestId, instance, key, route } = visit.head;
     const waitedMs = Math.round(this.ports.runtime.nowMs() - visit.arrivedMs);
@@ -507,7 +439,7 @@
     this.endLateWait(visit, 'withdrawn');
     const { run } = visit;
     if (run === null) {
-      this.link.forget(visit);
+      this.forecast.forgetAnswer(visit);
       visit.done = true;
       return;
     }
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -19,15 +19,18 @@
 /** When to come back after the back end declined a request, in ms. */
 const DECLINED_RETRY_AFTER_MS = 100;
 
+/** The back end answered, with a success or with a failure of its own. */
+export interface AnsweredRun {
+  readonly kind: 'answered';
+  readonly statusCode: number;
+  readonly bytes: number;
+  /** How long work takes there, as a factor; null when the answer does not tell, NaN when it cannot be read. */
+  readonly pace: number | null;
+}
+
 /** How a run ended. */
 export type RunOutcome =
-  | {
-      readonly kind: 'answered';
-      readonly statusCode: number;
-      readonly bytes: number;
-      /** How long work takes there, as a factor; null when the answer does not tell, NaN when it cannot be read. */
-      readonly pace: number | null;
-    }
+  | AnsweredRun
   | { readonly kind: 'declined'; readonly statusCode: number }
   | {
       readonly kind: 'broken';
--- /dev/null
+++ b/src/sidecar/caller-requests.ts
@@ -0,0 +1,93 @@
+/** The requests of callers that are under way at one daemon. */
+import type { CallerSink } from './caller-request.js';
+import type { IncomingRequest, OwnAnswer, TakenRequest } from './caller-server.js';
+import type { ForwarderCounters } from './forwarder-counters.js';
+import { ForwardedRequest, type ForwarderPorts } from './request-forwarder.js';
+import type { RequestIntake } from './request-intake.js';
+import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
+
+/** What the requests need of their daemon. */
+export interface CallerRequestsPorts {
+  readonly intake: RequestIntake;
+  readonly forwarding: Omit<ForwarderPorts, 'takeRepeat'>;
+  readonly retryBudget: RetryBudget;
+  /** Daemons that share the retry budget. */
+  readonly daemons: () => number;
+}
+
+/** All of them. */
+export class CallerRequests {
+  private readonly underWay = new Set<ForwardedRequest>();
+  private readonly allowances = new Map<string, RetryAllowance>();
+  private readonly forwarderPorts: ForwarderPorts;
+
+  constructor(
+    private readonly ports: CallerRequestsPorts,
+    private readonly counters: ForwarderCounters,
+  ) {
+    const { forwarding, daemons } = ports;
+    this.forwarderPorts = {
+      ...forwarding,
+      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(forwarding.runtime.nowMs(), daemons()),
+    };
+  }
+
+  /** Takes a request, or answers it at once. */
+  take(incoming: IncomingRequest, sink: CallerSink): TakenRequest | OwnAnswer {
+    const prepared = this.ports.intake.prepare(incoming);
+    if ('statusCode' in prepared) return prepared;
+    this.allowanceOf(prepared.service).noteRequest(this.ports.forwarding.runtime.nowMs());
+    const forwarded = new ForwardedRequest(
+      prepared,
+      forgettingSink(sink, () => this.underWay.delete(forwarded)),
+      this.forwarderPorts,
+      this.counters,
+    );
+    this.underWay.add(forwarded);
+    forwarded.start();
+    return {
+      cancel: () => {
+        this.underWay.delete(forwarded);
+        forwarded.cancel();
+      },
+    };
+  }
+
+  /** The table has changed; requests may wait for that. */
+  tableChanged(): void {
+    for (const request of [...this.underWay]) request.tableChanged();
+  }
+
+  private allowanceOf(service: string): RetryAllowance {
+    const known = this.allowances.get(service);
+    if (known !== undefined) return known;
+    const allowance = new RetryAllowance(this.ports.retryBudget);
+    this.allowances.set(service, allowance);
+    return allowance;
+  }
+}
+
+/** A sink that also tells that a request has ended. */
+function forgettingSink(sink: CallerSink, forget: () => void): CallerSink {
+  return {
+    answer: (head, body) => {
+      if (!head.moreFollows) forget();
+      sink.answer(head, body);
+    },
+    body: (chunk) => {
+      sink.body(chunk);
+    },
+    end: () => {
+      forget();
+      sink.end();
+    },
+    breakOff: () => {
+      forget();
+      sink.breakOff();
+    },
+    giveUp: (outcome) => {
+      forget();
+      sink.giveUp(outcome);
+    },
+  };
+}
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -36,12 +36,12 @@
   metrics.value(
     'backend_pace',
     'How long work takes there now, as a factor on the usual',
-    () => gateway.pace.at(node.nowMs).now,
+    () => gateway.forecast.pace.at(node.nowMs).now,
   );
   metrics.value(
     'backend_unreadable_figures',
     'Figures of its load that could not be read',
-    () => gateway.counters.unreadableFigures,
+    () => gateway.forecast.unreadableFigures,
   );
   metrics.value('backend_broken', 'Runs without a whole answer', () => gateway.counters.broken);
   metrics.family('backend_slot_ms', 'Slot time in ms, by what it was spent for', 'use', () =>
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -2,6 +2,7 @@
  * The daemon beside one back end. It takes the requests that begin on its machine, passes them to the daemons beside
  * the back ends that are to run them, and is itself the only way to its own back end.
  */
+import type { BackendInstance } from '../directory/directory-state.js';
 import { LinkPacer } from '../link/link-pacer.js';
 import { LinkServer } from '../link/link-server.js';
 import { formatAddress } from '../model/socket-address.js';
@@ -15,6 +16,7 @@
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
 import type { CallerSink } from './caller-request.js';
+import { CallerRequests } from './caller-requests.js';
 import { ColdStartLimit } from './cold-start-limit.js';
 import { CallerServer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
@@ -28,10 +30,9 @@
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
-import { RetryAllowance } from './retry-allowance.js';
 import { forwarderCounters } from './forwarder-counters.js';
-import { ForwardedRequest, type ForwarderPorts } from './request-forwarder.js';
 import type { SidecarSettings } from './sidecar-settings.js';
+import { ZoneEvacuation } from './zone-evacuation.js';
 
 /** Network links that carry less than this are slow: an answer may wait there for longer than it is worked on. */
 const SLOW_LINK_BYTES_PER_MS = 12_500;
@@ -57,9 +58,6 @@
 /** Time in ms in which the last messages of a daemon that stops leave it. */
 const FLUSH_MS = 60;
 
-/** Part of the time that an evacuation may take in which keys may still be used where they are, to be handed over. */
-const EVACUATION_HANDOVER_SHARE = 0.4;
-
 /** Time in ms by which a grant may outlast its end here, for clocks that run at different rates. */
 const HOLD_MARGIN_MS = 400;
 
@@ -107,15 +105,13 @@
   private grants: HeartbeatGrants | InvokedGrants;
   private readonly load = new LoadMeter();
   private readonly coldLimit: ColdStartLimit;
-  /** When this daemon learned that its zone is evacuated, in ms; null while it is not. */
-  private evacuatedSinceMs: number | null = null;
+  private readonly evacuation: ZoneEvacuation;
   private readonly chooser: BackendChooser;
   /** Asks other daemons how busy their back ends are. */
   readonly prober: BackendProber;
   private readonly peers: PeerDaemons;
   private readonly intake: RequestIntake;
-  private readonly allowances = new Map<string, RetryAllowance>();
-  private readonly requests = new Set<ForwardedRequest>();
+  private readonly requests: CallerRequests;
   private readonly callers: CallerServer;
   private readonly linkServer: LinkServer;
   private readonly keyWaiters = new Set<() => void>();
@@ -140,6 +136,7 @@
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.backendClient = this.makeBackendClient();
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, this.startedMs);
+    this.evacuation = new ZoneEvacuation(settings.evacuationMs);
     this.gateway = this.makeGateway();
     this.peers = new PeerDaemons({
       runtime,
@@ -166,6 +163,7 @@
       service: settings.service,
       tableIsCurrent: () => this.directory.current,
     });
+    this.requests = this.makeRequests();
     this.linkServer = new LinkServer(
       () => runtime.nowMs(),
       runtime.randomId(),
@@ -337,7 +335,7 @@
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
-      leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuatedSinceMs !== null,
+      leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuation.standing,
       holdsKey: (key) => !this.isKeyed() || this.grants.holds(key),
       ownsKey: (key) => this.owned.placeOf(key) === 'here',
       onWork: (key, ms) => {
@@ -366,6 +364,24 @@
     });
   }
 
+  private makeRequests(): CallerRequests {
+    const { settings, runtime, log, chooser, prober, peers } = this;
+    const { latencies } = this.options;
+    const forwarding = {
+      runtime,
+      log,
+      chooser,
+      prober,
+      latencies,
+      view: (instance: string) => peers.viewOf(instance),
+      linkTo: (instance: BackendInstance) => peers.linkTo(instance),
+      tableIndex: () => this.table.index,
+    };
+    const { retryBudget } = settings;
+    const ports = { intake: this.intake, forwarding, retryBudget, daemons: () => peers.count };
+    return new CallerRequests(ports, this.counters);
+  }
+
   private makeDirectory(): DirectoryClient {
     const { settings, token } = this.options;
     const identity = { role: 'sidecar', name: settings.name, zone: settings.zone, token } as const;
@@ -385,11 +401,8 @@
   // ---- the back end beside this daemon
 
   private closesAtMs(): number {
-    const { graceMs, evacuationMs } = this.settings;
-    const stopMs = (this.stoppingSinceMs ?? Infinity) + graceMs * BACKEND_CLOSING_SHARE;
-    const handoverMs = this.isKeyed() ? evacuationMs * EVACUATION_HANDOVER_SHARE : 0;
-    const evacuatedMs = (this.evacuatedSinceMs ?? Infinity) + handoverMs;
-    return Math.min(this.backend.closesAtMs, stopMs, evacuatedMs);
+    const stopMs = (this.stoppingSinceMs ?? Infinity) + this.settings.graceMs * BACKEND_CLOSING_SHARE;
+    return Math.min(this.backend.closesAtMs, stopMs, this.evacuation.closesAtMs(this.isKeyed()));
   }
 
   /**
@@ -399,9 +412,12 @@
   private adoptEvacuation(): void {
     const zone = this.backend.heartbeat?.zone ?? this.settings.zone;
     const evacuated = this.table.isEvacuated(zone);
-    if (evacuated === (this.evacuatedSinceMs !== null)) return;
-    this.evacuatedSinceMs = evacuated ? (this.table.isPatched ? this.runtime.nowMs() : -Infinity) : null;
-    if (!evacuated) this.coldLimit.assumeCold();
+    if (evacuated === this.evacuation.standing) return;
+    if (evacuated) this.evacuation.begin(this.table.isPatched ? this.runtime.nowMs() : -Infinity);
+    else {
+      this.evacuation.end();
+      this.coldLimit.assumeCold();
+    }
     this.log.event('evacuation', { zone, evacuated });
   }
 
@@ -426,7 +442,7 @@
     const { id, slots, coldLeftMs } = heartbeat;
     this.log.event('backend-known', { instance: id, slots, coldLeftMs });
     this.coldLimit.startLife(coldLeftMs, this.runtime.nowMs());
-    this.gateway.pace.forget();
+    this.gateway.forecast.pace.forget();
     this.adoptEvacuation();
     this.grants.clear();
   }
@@ -498,7 +514,7 @@
     this.callers.applyLimits();
     this.gateway.reconsider();
     if (!this.awaitsKeys()) for (const done of [...this.keyWaiters]) done();
-    for (const request of [...this.requests]) request.tableChanged();
+    this.requests.tableChanged();
     this.peers.keepOnly(this.table.instances());
   }
 
@@ -516,69 +532,7 @@
     if (this.closingConnections) {
       return { statusCode: OWN_STATUS.notRun, reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS };
     }
-    const prepared = this.intake.prepare(incoming);
-    if ('statusCode' in prepared) return prepared;
-    this.allowanceOf(prepared.service).noteRequest(this.runtime.nowMs());
-    const forwarded = new ForwardedRequest(
-      prepared,
-      this.forgettingSink(sink, () => this.requests.delete(forwarded)),
-      this.forwarderPorts(),
-      this.counters,
-    );
-    this.requests.add(forwarded);
-    forwarded.start();
-    return {
-      cancel: () => {
-        this.requests.delete(forwarded);
-        forwarded.cancel();
-      },
-    };
-  }
-
-  private forgettingSink(sink: CallerSink, forget: () => void): CallerSink {
-    return {
-      answer: (head, body) => {
-        if (!head.moreFollows) forget();
-        sink.answer(head, body);
-      },
-      body: (chunk) => {
-        sink.body(chunk);
-      },
-      end: () => {
-        forget();
-        sink.end();
-      },
-      breakOff: () => {
-        forget();
-        sink.breakOff();
-      },
-      giveUp: (outcome) => {
-        forget();
-        sink.giveUp(outcome);
-      },
-    };
-  }
-
-  private forwarderPorts(): ForwarderPorts {
-    return {
-      runtime: this.runtime,
-      log: this.log,
-      chooser: this.chooser,
-      prober: this.prober,
-      view: (instance) => this.peers.viewOf(instance),
-      linkTo: (instance) => this.peers.linkTo(instance),
-      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(this.runtime.nowMs(), this.peers.count),
-      tableIndex: () => this.table.index,
-      latencies: this.options.latencies,
-    };
-  }
-
-  private allowanceOf(service: string): RetryAllowance {
-    const known = this.allowances.get(service);
-    if (known !== undefined) return known;
-    const allowance = new RetryAllowance(this.settings.retryBudget);
-    this.allowances.set(service, allowance);
-    return allowance;
+    return this.requests.take(incoming, sink);
   }
 
   private async waitUntil(untilMs: number, done: () => boolean): Promise<void> {
--- a/test/sidecar/gateway-reserve.test.ts
+++ b/test/sidecar/gateway-reserve.test.ts
@@ -150,7 +150,7 @@
   world.take(LONG);
   world.backend.pace = NaN;
   world.backend.endAll();
-  t.is(world.gateway.counters.unreadableFigures, 1);
+  t.is(world.gateway.forecast.unreadableFigures, 1);
   t.is(world.gateway.status()?.pace, 2);
 });
 
