Sight: broken runs carry the fingerprint of their request, and the end of a back end names the runs it ended under

Cause: nothing in the lines said that two requests are the same; the record of the incident decided between its hypotheses by the key alone. Ruled out: the caller's service as a part of the identity (the record shows one request coming in beside three services). Change: requestFingerprint (method, host, path, key, credential, body); run-ended and backend-gone carry it; SidecarNode takes its transport as an option, so that it can run on virtual time.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -1,6 +1,6 @@
 /** One daemon of a simulated chain, with the real decisions of a sidecar, and the back end beside it. */
 import { LAST_KEY, type BackendInstance } from '../../src/directory/directory-state.js';
-import type { LinkClient, LinkRequest, RequestHandlers } from '../../src/link/link-client.js';
+import type { Link, LinkRequest, RequestHandlers } from '../../src/link/link-client.js';
 import type { RequestHead } from '../../src/link/link-messages.js';
 import type { AcceptedRequest, RequestReply } from '../../src/link/link-server.js';
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
@@ -57,7 +57,7 @@
   readonly gateway: BackendGateway;
   private readonly table = new DirectoryTable();
   private readonly views = new Map<string, BackendView>();
-  private readonly links = new Map<string, LinkClient>();
+  private readonly links = new Map<string, Link>();
   private readonly allowances = new Map<string, RetryAllowance>();
   private readonly counters = forwarderCounters();
   private readonly chooser: BackendChooser;
@@ -204,14 +204,16 @@
     return view;
   }
 
-  private linkTo({ id }: BackendInstance): LinkClient {
+  private linkTo({ id }: BackendInstance): Link {
     const known = this.links.get(id);
     if (known !== undefined) return known;
-    const link = {
+    const link: Link = {
       unreachable: false,
-      request: (head: RequestHead, body: Buffer, handlers: RequestHandlers) =>
-        this.send(id, head, body, handlers),
-    } as unknown as LinkClient;
+      outstanding: 0,
+      request: (head, body, handlers) => this.send(id, head, body, handlers),
+      probe: () => undefined,
+      stop: () => undefined,
+    };
     this.links.set(id, link);
     return link;
   }
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -61,8 +61,22 @@
   readonly pacer: LinkPacer | null;
 }
 
-/** A link to one other daemon. */
-export class LinkClient {
+/** A link to one other daemon, as the owner of requests uses it. */
+export interface Link {
+  /** Whether the last attempt to connect failed a moment ago. */
+  readonly unreachable: boolean;
+  /** Requests whose outcome is awaited. */
+  readonly outstanding: number;
+  /** Passes a request on. */
+  request(head: RequestHead, body: Buffer, handlers: RequestHandlers): LinkRequest;
+  /** Asks how busy the back end is; the answer is a status. */
+  probe(): void;
+  /** Closes for good. */
+  stop(): void;
+}
+
+/** A link to one other daemon over TCP. */
+export class LinkClient implements Link {
   private connection: LinkConnection | null = null;
   private connected = false;
   private refuseUntilMs = 0;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -13,6 +13,7 @@
 import type { BackendClient, PreparedRun } from './backend-client.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
+import { InterruptedRuns } from './interrupted-runs.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import { isTooLateToBegin, lateOrder, lateWaitMs, placeOrder, placeWaitMs, spareMs } from './place-policy.js';
 import { WorkForecast } from './work-forecast.js';
@@ -111,6 +112,8 @@
   readonly admission: Admission;
   readonly forecast: WorkForecast<Visit>;
   readonly lateOutlook = new LateOutlook();
+  /** Runs without an answer; they tell under which requests the back end has ended. */
+  readonly interrupted = new InterruptedRuns();
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
   private readonly running = new Set<Visit>();
@@ -403,8 +406,17 @@
     if (outcome.kind === 'broken') this.counters.broken += 1;
     this.brokenInRow = outcome.kind === 'broken' ? this.brokenInRow + 1 : 0;
     if (outcome.kind === 'answered') return;
+    const fingerprint = this.noteInterrupted(visit, outcome, usedMs);
     const { requestId, instance, key } = visit.head;
-    this.ports.log.event('run-ended', { requestId, instance, key, outcome, usedMs: Math.round(usedMs) });
+    const fields = { requestId, instance, key, outcome, usedMs: Math.round(usedMs), fingerprint };
+    this.ports.log.event('run-ended', fields);
+  }
+
+  /** A run that was sent, and not answered, may be what its back end ends under. */
+  private noteInterrupted({ head, body }: Visit, outcome: RunOutcome, usedMs: number): string | undefined {
+    const wasNotRun = outcome.kind === 'declined' || (outcome.kind === 'broken' && !outcome.sent);
+    if (wasNotRun) return undefined;
+    return this.interrupted.note(head, body, this.ports.runtime.nowMs(), usedMs).fingerprint;
   }
 
   private refuse(visit: Visit, reason: RefusalReason): void {
--- a/src/sidecar/peer-daemons.ts
+++ b/src/sidecar/peer-daemons.ts
@@ -1,7 +1,7 @@
 /** Links to the other daemons, and what is believed of the back ends beside them. */
 import type { BackendInstance } from '../directory/directory-state.js';
 import { parseAddress } from '../directory/replica-address.js';
-import { LinkClient } from '../link/link-client.js';
+import type { Link, LinkClientHandlers, LinkRoute } from '../link/link-client.js';
 import type { LinkPacer } from '../link/link-pacer.js';
 import type { StatusHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
@@ -14,6 +14,8 @@
 export interface PeerDaemonsPorts {
   readonly runtime: Runtime;
   readonly log: EventLog;
+  /** Opens a link when it is first used. */
+  readonly dialLink: (route: LinkRoute, handlers: LinkClientHandlers) => Link;
   /** Local IP address to dial from; null leaves that to the system. */
   readonly dialFrom: string | null;
   /** Where a daemon is taken to be whose address cannot be read. */
@@ -26,7 +28,7 @@
 
 /** The daemons beside all registered back ends, this one included. */
 export class PeerDaemons {
-  private readonly links = new Map<string, LinkClient>();
+  private readonly links = new Map<string, Link>();
   private readonly views = new Map<string, BackendView>();
   private addressCount = 1;
 
@@ -47,16 +49,16 @@
   }
 
   /** The link to the daemon beside a back end. */
-  linkTo({ daemonAddress }: BackendInstance): LinkClient {
+  linkTo({ daemonAddress }: BackendInstance): Link {
     const known = this.links.get(daemonAddress);
     if (known !== undefined) return known;
-    const { runtime, dialFrom, ownLinks, pacer } = this.ports;
+    const { dialFrom, ownLinks, pacer } = this.ports;
     const address = parseAddress(daemonAddress) ?? ownLinks;
     // What stays on this machine does not pass the network link.
     const isOwn = address.host === ownLinks.host;
     const usedPacer = isOwn || !policyIsOn('link-accounting') ? null : pacer;
     const route = { address, localAddress: dialFrom, pacer: usedPacer };
-    const link = new LinkClient(route, () => runtime.nowMs(), {
+    const link = this.ports.dialLink(route, {
       onStatus: (status) => {
         this.noteStatus(status);
       },
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -4,7 +4,7 @@
  * taken from the retry allowance, and only for requests that may run again.
  */
 import type { BackendInstance } from '../directory/directory-state.js';
-import type { LinkClient, LinkRequest } from '../link/link-client.js';
+import type { Link, LinkRequest } from '../link/link-client.js';
 import type {
   AnswerHead,
   AnswerTiming,
@@ -63,7 +63,7 @@
   readonly chooser: BackendChooser;
   readonly prober: BackendProber;
   readonly view: (instance: string) => BackendView;
-  readonly linkTo: (instance: BackendInstance) => LinkClient;
+  readonly linkTo: (instance: BackendInstance) => Link;
   /** Takes a second arrival from the allowance of the service. */
   readonly takeRepeat: (service: string) => boolean;
   /** Index of the table in force. */
@@ -231,7 +231,7 @@
     });
   }
 
-  private send(instance: BackendInstance, link: LinkClient): void {
+  private send(instance: BackendInstance, link: Link): void {
     const view = this.ports.view(instance.id);
     this.counters.attempts += 1;
     this.currentInstance = instance;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -4,21 +4,20 @@
  */
 import type { BackendInstance } from '../directory/directory-state.js';
 import { LinkPacer } from '../link/link-pacer.js';
-import { LinkServer } from '../link/link-server.js';
 import { formatAddress } from '../model/socket-address.js';
 import { Ok, type Result } from '../result.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { BackendChooser } from './backend-chooser.js';
-import { HttpBackendClient } from './backend-client.js';
+import type { BackendClient } from './backend-client.js';
 import { BackendGateway } from './backend-gateway.js';
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
 import type { CallerSink } from './caller-request.js';
 import { CallerRequests } from './caller-requests.js';
 import { ColdStartLimit } from './cold-start-limit.js';
-import { CallerServer, OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
+import { OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
@@ -32,6 +31,12 @@
 import { RequestIntake } from './request-intake.js';
 import { forwarderCounters } from './forwarder-counters.js';
 import type { SidecarSettings } from './sidecar-settings.js';
+import {
+  socketTransport,
+  type CallerListener,
+  type LinkListener,
+  type SidecarTransport,
+} from './sidecar-transport.js';
 import { ZoneEvacuation } from './zone-evacuation.js';
 
 /** Network links that carry less than this are slow: an answer may wait there for longer than it is worked on. */
@@ -85,13 +90,15 @@
   /** Asks whether any process listens at the back end's address. */
   readonly backendListens: () => Promise<boolean>;
   readonly latencies: Latencies;
+  /** How it meets callers, other daemons and its back end; sockets where it is left out. */
+  readonly transport?: SidecarTransport;
 }
 
 /** A running sidecar. */
 export class SidecarNode {
   readonly table = new DirectoryTable();
   readonly gateway: BackendGateway;
-  readonly backendClient: HttpBackendClient;
+  readonly backendClient: BackendClient;
   /** Paces large answers; null where the network link is fast. */
   private readonly pacer: LinkPacer | null;
   readonly counters = forwarderCounters();
@@ -112,8 +119,9 @@
   private readonly peers: PeerDaemons;
   private readonly intake: RequestIntake;
   private readonly requests: CallerRequests;
-  private readonly callers: CallerServer;
-  private readonly linkServer: LinkServer;
+  private readonly callers: CallerListener;
+  private readonly linkServer: LinkListener;
+  private readonly transport: SidecarTransport;
   private readonly keyWaiters = new Set<() => void>();
   private readonly startedMs: number;
   private readonly timers: CancelTimer[] = [];
@@ -128,19 +136,23 @@
     this.runtime = runtime;
     this.log = log;
     this.startedMs = runtime.nowMs();
+    this.transport = options.transport ?? socketTransport(settings, runtime);
     this.backend = new LocalBackend(settings.drainMs);
     this.lease = this.makeLease();
     this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.id);
     this.grants = this.makeGrants();
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
-    this.backendClient = this.makeBackendClient();
+    this.backendClient = this.transport.backend(() => {
+      void this.lookAgainAtBackend();
+    });
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, this.startedMs);
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
     this.gateway = this.makeGateway();
     this.peers = new PeerDaemons({
       runtime,
       log,
+      dialLink: (route, handlers) => this.transport.dialLink(route, handlers),
       dialFrom: settings.dialFrom,
       ownLinks: settings.links,
       pacer: this.pacer,
@@ -164,14 +176,12 @@
       tableIsCurrent: () => this.directory.current,
     });
     this.requests = this.makeRequests();
-    this.linkServer = new LinkServer(
-      () => runtime.nowMs(),
-      runtime.randomId(),
-      (head, body, reply) => this.gateway.take(head, body, reply),
-      () => this.gateway.status(),
-      this.pacer,
-    );
-    this.callers = new CallerServer({
+    this.linkServer = this.transport.links({
+      take: (head, body, reply) => this.gateway.take(head, body, reply),
+      status: () => this.gateway.status(),
+      pacer: this.pacer,
+    });
+    this.callers = this.transport.callers({
       limits: () => this.table.limits,
       closing: () => this.closingConnections,
       take: (request, sink) => this.takeRequest(request, sink),
@@ -344,14 +354,6 @@
     });
   }
 
-  private makeBackendClient(): HttpBackendClient {
-    const { backend, dialect } = this.settings;
-    const nowMs = (): number => this.runtime.nowMs();
-    return new HttpBackendClient(backend, dialect, nowMs, () => {
-      void this.lookAgainAtBackend();
-    });
-  }
-
   private makeChooser(): BackendChooser {
     return new BackendChooser({
       table: this.table,
@@ -482,7 +484,10 @@
   }
 
   private backendGone(reason: string): void {
-    this.log.event('backend-gone', { instance: this.backend.id, reason });
+    const runs = this.gateway.interrupted.take().map(({ requestId, fingerprint, usedMs }) => {
+      return { requestId, fingerprint, usedMs };
+    });
+    this.log.event('backend-gone', { instance: this.backend.id, reason, runs });
     this.backend.forget();
     this.lease.giveUp(reason);
     this.grants.clear();
