--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -3,37 +3,22 @@
  * and an operator. Faults come from a seed; what was acknowledged is held against what is in force at the end.
  */
 import type { ConfigurationItem } from '../../src/directory/directory-state.js';
-import { DirectoryNode } from '../../src/directory/directory-node.js';
-import { DEFAULT_DIRECTORY_TIMING } from '../../src/directory/directory-settings.js';
+import type { DirectoryNode } from '../../src/directory/directory-node.js';
 import { DirectoryClient } from '../../src/sidecar/directory-client.js';
 import { DirectoryTable } from '../../src/sidecar/directory-table.js';
 import { LeaseKeeper } from '../../src/sidecar/lease-keeper.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { Random } from '../random.js';
 import { EventQueue } from './event-queue.js';
-import { SimDisk, type SimReplicaStore } from './sim-disk.js';
-import { SimNetwork } from './sim-network.js';
-import { SimProcess } from './sim-process.js';
+import { SIM_TOKEN, SimDirectory, type DirectoryFault, type SimReplica } from './sim-directory.js';
+import type { SimProcess } from './sim-process.js';
 import { simRuntime } from './sim-runtime.js';
 
-const TOKEN = 'simulation-token-0123';
-const PORT = 1;
 const REPLICAS = 5;
 const SEEDS = 3;
 const CLIENTS = 3;
 const TOLERATED_LOSSES = 2;
-const LEASE_TERM_MS = 9_500;
 const SERVICE = 'stock';
-const NO_DISK_FAULTS = { forgetsHardState: false, skipsSync: false, keepsIdentity: false } as const;
-
-/** One replica over all its lives. */
-interface SimReplica {
-  readonly name: string;
-  readonly process: SimProcess;
-  readonly disk: SimDisk;
-  node: DirectoryNode | null;
-  store: SimReplicaStore | null;
-}
 
 /** One sidecar's view, over one life. */
 interface SimWatcher {
@@ -43,20 +28,11 @@
   readonly lease: LeaseKeeper;
 }
 
-/** Faults that strike one replica. */
-export type DirectoryFault =
-  | 'crash'
-  | 'lose-disk'
-  | 'freeze'
-  | 'cut'
-  /** The other replicas hear nothing of it, and it hears them. */
-  | 'mute';
-
 /** A simulated directory. */
 export class DirectoryWorld {
   readonly queue = new EventQueue();
   readonly random: Random;
-  readonly replicas: SimReplica[];
+  readonly directory: SimDirectory;
   readonly watchers: SimWatcher[] = [];
   readonly violations: string[] = [];
   /** Highest version of each item that was acknowledged. */
@@ -66,25 +42,28 @@
   private evacuationUnderWay = false;
   /** Whether the newest order has a clear outcome. */
   private evacuationIsCertain = true;
-  private readonly network: SimNetwork;
-  private nextIdNumber = 0;
   private nextVersion = 1;
   private readonly orders: SimOrder[] = [];
 
   constructor(seed: number) {
     this.random = new Random(seed);
-    this.network = new SimNetwork(this.random, {
-      delayMs: [0.2, 2.5],
-      lossShare: 0.01,
-      duplicateShare: 0.01,
-      reorderMs: 4,
-    });
-    this.replicas = Array.from({ length: REPLICAS }, (_, at) => this.makeReplica(addressOf(at)));
+    const size = {
+      replicas: REPLICAS,
+      seeds: SEEDS,
+      toleratedLosses: TOLERATED_LOSSES,
+      snapshotEveryEntries: 25,
+    };
+    this.directory = new SimDirectory(this.queue, this.random, size);
+  }
+
+  /** The replicas. */
+  get replicas(): readonly SimReplica[] {
+    return this.directory.replicas;
   }
 
   /** Starts all replicas and watchers. */
   async start(): Promise<void> {
-    for (const replica of this.replicas) await this.startReplica(replica);
+    await this.directory.start();
     for (let at = 0; at < CLIENTS; at += 1) this.startWatcher(`sidecar-${at}`);
   }
 
@@ -98,11 +77,7 @@
 
   /** The replica that leads the newest term, if any. */
   leader(): DirectoryNode | null {
-    const leading = this.replicas.flatMap(({ node, process }) => {
-      return node?.leading === true && process.alive && !process.frozen ? [node] : [];
-    });
-    leading.sort((left, right) => (right.consensus?.core.term ?? 0) - (left.consensus?.core.term ?? 0));
-    return leading[0] ?? null;
+    return this.directory.leader();
   }
 
   /** An operator changes one item; what is acknowledged is remembered. */
@@ -149,10 +124,7 @@
 
   /** Lets a fault strike, and repairs it after `lastsMs`. */
   strike(fault: DirectoryFault, replica: SimReplica, lastsMs: number): void {
-    this.begin(fault, replica);
-    this.queue.at(this.queue.nowMs + lastsMs, () => {
-      this.repair(fault, replica);
-    });
+    this.directory.strike(fault, replica, lastsMs);
   }
 
   /** All replicas lose power at once, and as many as is tolerated lose their disks as well. */
@@ -241,70 +213,13 @@
     });
   }
 
-  private begin(fault: DirectoryFault, { process, store, disk }: SimReplica): void {
-    switch (fault) {
-      case 'freeze':
-        process.freeze();
-        break;
-      case 'cut':
-        for (const { name } of this.replicas) {
-          this.network.cut(process.name, name);
-          this.network.cut(name, process.name);
-        }
-        break;
-      case 'mute':
-        for (const { name } of this.replicas) this.network.cut(process.name, name);
-        break;
-      default:
-        store?.crash();
-        process.crash();
-        this.network.crashed(process);
-        if (fault === 'lose-disk') disk.lose();
-    }
-  }
-
-  private repair(fault: DirectoryFault, replica: SimReplica): void {
-    if (fault === 'freeze') replica.process.thaw();
-    else if (fault === 'cut' || fault === 'mute') this.network.healAll();
-    else void this.startReplica(replica);
-  }
-
-  private async startReplica(replica: SimReplica): Promise<void> {
-    const { name, process, disk } = replica;
-    process.start();
-    const store = disk.open(process) as SimReplicaStore;
-    replica.store = store;
-    const listen = { host: name.slice(0, name.indexOf(':')), port: PORT };
-    const started = await DirectoryNode.start({
-      settings: {
-        listen,
-        advertised: listen,
-        zone: 'zone',
-        dataFolder: 'none',
-        seeds: this.replicas.slice(0, SEEDS).map((seed) => seed.name),
-        firstStart: false,
-        toleratedLosses: TOLERATED_LOSSES,
-        leaseTermMs: LEASE_TERM_MS,
-        timing: { ...DEFAULT_DIRECTORY_TIMING, snapshotEveryEntries: 25 },
-      },
-      token: TOKEN,
-      runtime: simRuntime(process, this.network, () => this.nextId()),
-      storage: store,
-      log: SILENT_EVENT_LOG,
-      onFatal: (error) => {
-        throw error;
-      },
-    });
-    replica.node = started.unwrap();
-  }
-
   private startWatcher(name: string): void {
-    const process = this.makeProcess(name);
+    const process = this.directory.makeProcess(name);
     process.start();
-    const runtime = simRuntime(process, this.network, () => this.nextId());
+    const runtime = simRuntime(process, this.directory.network, () => this.directory.nextId());
     const table = new DirectoryTable();
-    const identity = { role: 'sidecar', name, zone: 'zone', token: TOKEN } as const;
-    const seeds = this.replicas.slice(0, SEEDS).map((seed) => seed.name);
+    const identity = { role: 'sidecar', name, zone: 'zone', token: SIM_TOKEN } as const;
+    const { seeds } = this.directory;
     let newest = 0;
     const client: DirectoryClient = new DirectoryClient(runtime, identity, seeds, table, SILENT_EVENT_LOG, {
       onTable: () => {
@@ -338,25 +253,6 @@
     });
     if (new Set(terms).size !== terms.length) this.violations.push('two replicas lead the same term');
   }
-
-  private makeReplica(name: string): SimReplica {
-    const disk = new SimDisk(name, () => this.nextId(), this.random, NO_DISK_FAULTS, true);
-    return { name, process: this.makeProcess(name), disk, node: null, store: null };
-  }
-
-  private makeProcess(name: string): SimProcess {
-    const startMs = this.random.below(1_000_000);
-    return new SimProcess(name, this.queue, { startMs, rate: 1, wallOffsetMs: 0 });
-  }
-
-  private nextId(): string {
-    this.nextIdNumber += 1;
-    return `id-${this.nextIdNumber}`;
-  }
-}
-
-function addressOf(at: number): string {
-  return `10.0.0.${at + 1}:${PORT}`;
 }
 
 function serviceItem(name: string, version: number): ConfigurationItem {
--- /dev/null
+++ b/lab/sim/fleet/fleet-world.ts
@@ -0,0 +1,177 @@
+/**
+ * A whole fleet on virtual time: real directory replicas and real sidecars, simulated links, callers and back ends. It
+ * shows what daemons do together when a back end ends, most of all under a request that ends every one that runs it.
+ */
+import type { ConfigurationItem } from '../../../src/directory/directory-state.js';
+import { SILENT_EVENT_LOG, type EventLog } from '../../../src/telemetry/event-log.js';
+import { Random } from '../../random.js';
+import { EventQueue } from '../event-queue.js';
+import { SimDirectory } from '../sim-directory.js';
+import type { FleetRun } from './fleet-backend.js';
+import { FleetCallers, routeOf, type FleetRequestRecord } from './fleet-callers.js';
+import { FleetLinks } from './fleet-links.js';
+import { FleetMachine } from './fleet-machine.js';
+import type { FleetSpec, FleetTraffic } from './fleet-spec.js';
+
+const REPLICAS = 3;
+const TOLERATED_LOSSES = 1;
+const ZONES = ['zone-1', 'zone-2'] as const;
+
+/** When the configuration is there and every back end has its keys, in ms; traffic should begin after that. */
+export const FLEET_READY_MS = 6_000;
+
+/** When the first configuration is proposed, and pause until it is proposed again, in ms. */
+const CONFIGURE_AT_MS = 2_000;
+const CONFIGURE_RETRY_MS = 300;
+
+/** The end of a back end. */
+export interface FleetEnd {
+  readonly instance: string;
+  readonly atMs: number;
+  /** Kinds of requests that ran there. */
+  readonly under: readonly string[];
+}
+
+/** The fleet. */
+export class FleetWorld {
+  readonly queue = new EventQueue();
+  readonly random: Random;
+  readonly directory: SimDirectory;
+  readonly machines: readonly FleetMachine[];
+  readonly callers: FleetCallers;
+  readonly runs: FleetRun[] = [];
+  /** Version of the software of back ends that start from now on. */
+  version = 'v1';
+
+  constructor(
+    seed: number,
+    readonly spec: FleetSpec,
+    log: EventLog = SILENT_EVENT_LOG,
+  ) {
+    this.random = new Random(seed);
+    const size = {
+      replicas: REPLICAS,
+      seeds: REPLICAS,
+      toleratedLosses: TOLERATED_LOSSES,
+      snapshotEveryEntries: 100,
+    };
+    this.directory = new SimDirectory(this.queue, this.random, size);
+    const links = new FleetLinks(this.directory.network);
+    const ports = {
+      directory: this.directory,
+      links,
+      log,
+      slots: spec.slots,
+      backAfterMs: spec.backAfterMs,
+      backend: {
+        queue: this.queue,
+        random: this.random,
+        slots: spec.slots,
+        trafficOf: (path: string) => this.trafficOf(path),
+        onRun: (run: FleetRun) => this.runs.push(run),
+      },
+      version: () => this.version,
+    };
+    this.machines = spec.services.flatMap((service, at) =>
+      Array.from({ length: service.backends }, (_, copy) => {
+        const zone = ZONES[copy % ZONES.length] ?? ZONES[0];
+        return new FleetMachine(`${service.name}-${copy}`, `10.1.${at}.${copy + 1}`, zone, service, ports);
+      }),
+    );
+    this.callers = new FleetCallers(this.queue, this.random, this.machines);
+  }
+
+  /** Starts everything, and waits until it is ready for traffic. */
+  async start(): Promise<void> {
+    await this.directory.start();
+    for (const machine of this.machines) {
+      await machine.start();
+      machine.startBackend();
+    }
+    this.queue.at(CONFIGURE_AT_MS, () => {
+      this.configure();
+    });
+    await this.runUntil(FLEET_READY_MS);
+  }
+
+  /** Lets all kinds of requests come until a time, and back ends end by themselves where the spec says so. */
+  startTraffic(untilMs: number): void {
+    for (const traffic of this.spec.traffic) this.callers.start(traffic, untilMs);
+    const everyMs = this.spec.endsByItselfEveryMs;
+    if (everyMs === null) return;
+    const next = (): void => {
+      if (this.queue.nowMs >= untilMs) return;
+      // One that works is the harder case: whatever it works on was there when it ended.
+      const busy = this.machines.filter(({ backend }) => backend?.busy === true);
+      this.random.pick(busy.length > 0 ? busy : this.machines).endBackend();
+      this.queue.at(this.queue.nowMs + everyMs, next);
+    };
+    this.queue.at(this.queue.nowMs + everyMs, next);
+  }
+
+  /** Runs events up to a time, each followed by everything that it has set off without time passing. */
+  async runUntil(untilMs: number): Promise<void> {
+    while (this.queue.runNext(untilMs)) await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  /** Ends of back ends, in the order of time. */
+  ends(): readonly FleetEnd[] {
+    const ends = new Map<string, { instance: string; atMs: number; under: string[] }>();
+    for (const { end, instance, endMs, traffic } of this.runs) {
+      if (end !== 'backend-ended') continue;
+      const known = ends.get(instance) ?? { instance, atMs: endMs, under: [] };
+      ends.set(instance, known);
+      known.under.push(traffic);
+    }
+    return [...ends.values()].sort((left, right) => left.atMs - right.atMs);
+  }
+
+  /** Share of the requests of one kind that were served, among those that came in a span of time. */
+  servedShare(traffic: string, fromMs = 0, untilMs = Infinity): number {
+    const sent = this.requestsOf(traffic).filter(({ atMs }) => atMs >= fromMs && atMs < untilMs);
+    return sent.filter(({ served }) => served).length / Math.max(1, sent.length);
+  }
+
+  /** Requests of one kind. */
+  requestsOf(traffic: string): readonly FleetRequestRecord[] {
+    return this.callers.requests.filter((request) => request.traffic === traffic);
+  }
+
+  /** Runs of one kind that began after a time. */
+  runsSince(traffic: string, sinceMs: number): readonly FleetRun[] {
+    return this.runs.filter((run) => run.traffic === traffic && run.atMs > sinceMs);
+  }
+
+  private trafficOf(path: string): FleetTraffic {
+    const traffic = this.spec.traffic.find(({ name }) => path.startsWith(`/${name}/`));
+    if (traffic === undefined) throw new Error(`invariant broken: no requests of ${path}`);
+    return traffic;
+  }
+
+  private configure(): void {
+    const leader = this.directory.leader();
+    const again = (): void => {
+      this.queue.at(this.queue.nowMs + CONFIGURE_RETRY_MS, () => {
+        this.configure();
+      });
+    };
+    if (leader === null) {
+      again();
+      return;
+    }
+    void leader.propose({ kind: 'configure-items', items: this.items() }).then((outcome) => {
+      if (outcome.err || outcome.val.kind !== 'done') again();
+    });
+  }
+
+  private items(): ConfigurationItem[] {
+    const services = this.spec.services.map(({ name, keyed, grantMode }): ConfigurationItem => {
+      const definition = { maxConnections: 100, keyed, grantMode, coldStart: null, healthPath: '/health' };
+      return { kind: 'service', name, version: 1, source: '', definition };
+    });
+    const routes = this.spec.traffic.map((traffic): ConfigurationItem => {
+      return { kind: 'route', name: traffic.name, version: 1, source: '', definition: routeOf(traffic) };
+    });
+    return [...services, ...routes];
+  }
+}
--- /dev/null
+++ b/lab/sim/sim-directory.ts
@@ -0,0 +1,182 @@
+/** The replicas of one simulated directory: real ones, on virtual time, network and disks, and the faults that strike them. */
+import { DirectoryNode } from '../../src/directory/directory-node.js';
+import { DEFAULT_DIRECTORY_TIMING } from '../../src/directory/directory-settings.js';
+import { SILENT_EVENT_LOG, type EventLog } from '../../src/telemetry/event-log.js';
+import type { Random } from '../random.js';
+import type { EventQueue } from './event-queue.js';
+import { SimDisk, type SimReplicaStore } from './sim-disk.js';
+import { SimNetwork } from './sim-network.js';
+import { SimProcess } from './sim-process.js';
+import { simRuntime } from './sim-runtime.js';
+
+/** Secret of all simulated daemons. */
+export const SIM_TOKEN = 'simulation-token-0123';
+
+const PORT = 1;
+const LEASE_TERM_MS = 9_500;
+const NO_DISK_FAULTS = { forgetsHardState: false, skipsSync: false, keepsIdentity: false } as const;
+
+/** One replica over all its lives. */
+export interface SimReplica {
+  readonly name: string;
+  readonly process: SimProcess;
+  readonly disk: SimDisk;
+  node: DirectoryNode | null;
+  store: SimReplicaStore | null;
+}
+
+/** Faults that strike one replica. */
+export type DirectoryFault =
+  | 'crash'
+  | 'lose-disk'
+  | 'freeze'
+  /** The machine stands still, and its steady clock with it. */
+  | 'suspend'
+  | 'cut'
+  /** The other replicas hear nothing of it, and it hears them. */
+  | 'mute';
+
+/** How many replicas there are, and what they stand. */
+export interface SimDirectorySize {
+  readonly replicas: number;
+  /** Replicas whose addresses everybody starts with. */
+  readonly seeds: number;
+  readonly toleratedLosses: number;
+  readonly snapshotEveryEntries: number;
+}
+
+/** The replicas. */
+export class SimDirectory {
+  readonly replicas: SimReplica[];
+  readonly network: SimNetwork;
+  private nextIdNumber = 0;
+
+  constructor(
+    readonly queue: EventQueue,
+    readonly random: Random,
+    private readonly size: SimDirectorySize,
+    private readonly log: EventLog = SILENT_EVENT_LOG,
+  ) {
+    this.network = new SimNetwork(random, {
+      delayMs: [0.2, 2.5],
+      lossShare: 0.01,
+      duplicateShare: 0.01,
+      reorderMs: 4,
+    });
+    this.replicas = Array.from({ length: size.replicas }, (_, at) => this.makeReplica(addressOf(at)));
+  }
+
+  /** Addresses that everybody starts with. */
+  get seeds(): string[] {
+    return this.replicas.slice(0, this.size.seeds).map(({ name }) => name);
+  }
+
+  /** Starts all replicas. */
+  async start(): Promise<void> {
+    for (const replica of this.replicas) await this.startReplica(replica);
+  }
+
+  /** The replica that leads the newest term, if any. */
+  leader(): DirectoryNode | null {
+    return this.leadingReplica()?.node ?? null;
+  }
+
+  /** The replica that leads the newest term, with its process. */
+  leadingReplica(): SimReplica | null {
+    const leading = this.replicas.filter(({ node, process }) => {
+      return node?.leading === true && process.alive && !process.frozen;
+    });
+    const termOf = ({ node }: SimReplica): number => node?.consensus?.core.term ?? 0;
+    leading.sort((left, right) => termOf(right) - termOf(left));
+    return leading[0] ?? null;
+  }
+
+  /** Lets a fault strike, and repairs it after `lastsMs`. */
+  strike(fault: DirectoryFault, replica: SimReplica, lastsMs: number): void {
+    this.begin(fault, replica);
+    this.queue.at(this.queue.nowMs + lastsMs, () => {
+      this.repair(fault, replica);
+    });
+  }
+
+  /** A process with clocks of its own. */
+  makeProcess(name: string): SimProcess {
+    const startMs = this.random.below(1_000_000);
+    return new SimProcess(name, this.queue, { startMs, rate: 1, wallOffsetMs: 0 });
+  }
+
+  /** A string that nobody else gets. */
+  nextId(): string {
+    this.nextIdNumber += 1;
+    return `id-${this.nextIdNumber}`;
+  }
+
+  private begin(fault: DirectoryFault, { process, store, disk }: SimReplica): void {
+    switch (fault) {
+      case 'freeze':
+        process.freeze();
+        break;
+      case 'suspend':
+        process.suspend();
+        break;
+      case 'cut':
+        for (const { name } of this.replicas) {
+          this.network.cut(process.name, name);
+          this.network.cut(name, process.name);
+        }
+        break;
+      case 'mute':
+        for (const { name } of this.replicas) this.network.cut(process.name, name);
+        break;
+      default:
+        store?.crash();
+        process.crash();
+        this.network.crashed(process);
+        if (fault === 'lose-disk') disk.lose();
+    }
+  }
+
+  private repair(fault: DirectoryFault, replica: SimReplica): void {
+    if (fault === 'freeze' || fault === 'suspend') replica.process.thaw();
+    else if (fault === 'cut' || fault === 'mute') this.network.healAll();
+    else void this.startReplica(replica);
+  }
+
+  private async startReplica(replica: SimReplica): Promise<void> {
+    const { name, process, disk } = replica;
+    process.start();
+    const store = disk.open(process) as SimReplicaStore;
+    replica.store = store;
+    const listen = { host: name.slice(0, name.indexOf(':')), port: PORT };
+    const started = await DirectoryNode.start({
+      settings: {
+        listen,
+        advertised: listen,
+        zone: 'zone',
+        dataFolder: 'none',
+        seeds: this.seeds,
+        firstStart: false,
+        toleratedLosses: this.size.toleratedLosses,
+        leaseTermMs: LEASE_TERM_MS,
+        timing: { ...DEFAULT_DIRECTORY_TIMING, snapshotEveryEntries: this.size.snapshotEveryEntries },
+      },
+      token: SIM_TOKEN,
+      runtime: simRuntime(process, this.network, () => this.nextId()),
+      storage: store,
+      log: this.log,
+      onFatal: (error) => {
+        throw error;
+      },
+    });
+    replica.node = started.unwrap();
+  }
+
+  private makeReplica(name: string): SimReplica {
+    const disk = new SimDisk(name, () => this.nextId(), this.random, NO_DISK_FAULTS, true);
+    return { name, process: this.makeProcess(name), disk, node: null, store: null };
+  }
+}
+
+function addressOf(at: number): string {
+  return `10.0.0.${at + 1}:${PORT}`;
+}
--- a/lab/sim/sim-process.ts
+++ b/lab/sim/sim-process.ts
@@ -14,12 +14,18 @@
 /** Wall-clock time at which every simulation starts, in ms since 1970. */
 export const SIMULATION_EPOCH_MS = 1_800_000_000_000;
 
+/** What two readings of a clock may differ by through rounding, in ms. */
+const CLOCK_GRAIN_MS = 0.001;
+
 /** One process. Callbacks of an earlier life never run. */
 export class SimProcess {
   private life = 0;
   private isAlive = false;
   private isFrozen = false;
   private held: (() => void)[] = [];
+  /** Time for which its steady clock stood still, in ms of true time, and since when it does; null while it runs. */
+  private suspendedMs = 0;
+  private suspendedSinceMs: number | null = null;
 
   constructor(
     readonly name: string,
@@ -42,9 +48,10 @@
     return this.isFrozen;
   }
 
-  /** Its monotonic clock, in ms. */
+  /** Its monotonic clock, in ms; it does not count the time for which its machine was suspended. */
   nowMs(): number {
-    return this.clock.startMs + this.queue.nowMs * this.clock.rate;
+    const sinceMs = this.suspendedSinceMs === null ? 0 : this.queue.nowMs - this.suspendedSinceMs;
+    return this.clock.startMs + (this.queue.nowMs - this.suspendedMs - sinceMs) * this.clock.rate;
   }
 
   /** True time, which no process can read, in ms. */
@@ -71,6 +78,7 @@
 
   /** Ends the present life; nothing that it has scheduled will run. */
   crash(): void {
+    this.countSuspension();
     this.life += 1;
     this.isAlive = false;
     this.isFrozen = false;
@@ -82,13 +90,36 @@
     if (this.isAlive) this.isFrozen = true;
   }
 
+  /** Its machine is suspended: it stands still, and its monotonic clock with it; the wall clock does not. */
+  suspend(): void {
+    if (!this.isAlive || this.isFrozen) return;
+    this.isFrozen = true;
+    this.suspendedSinceMs = this.queue.nowMs;
+  }
+
   /** Goes on with everything that came due meanwhile, in order. */
   thaw(): void {
     if (!this.isFrozen) return;
     this.isFrozen = false;
+    this.countSuspension();
     for (const run of this.held.splice(0)) this.queue.at(this.queue.nowMs, run);
   }
 
+  /** Runs `run` once the steady clock has moved on by `ms`; a timer, which stands still with its clock. */
+  scheduleOnClock(ms: number, run: () => void): void {
+    const dueMs = this.nowMs() + ms;
+    this.schedule(this.trueMs(ms), () => {
+      const leftMs = dueMs - this.nowMs();
+      if (leftMs > CLOCK_GRAIN_MS) this.scheduleOnClock(leftMs, run);
+      else run();
+    });
+  }
+
+  private countSuspension(): void {
+    if (this.suspendedSinceMs !== null) this.suspendedMs += this.queue.nowMs - this.suspendedSinceMs;
+    this.suspendedSinceMs = null;
+  }
+
   /** Runs `run` in this process's present life after `trueMs` of true time; held while it is frozen. */
   schedule(trueMs: number, run: () => void): void {
     const { life } = this;
--- a/lab/sim/sim-runtime.ts
+++ b/lab/sim/sim-runtime.ts
@@ -10,7 +10,7 @@
     wallMs: () => process.wallMs(),
     after(ms, callback) {
       let cancelled = false;
-      process.schedule(process.trueMs(ms), () => {
+      process.scheduleOnClock(ms, () => {
         if (!cancelled) callback();
       });
       return () => {
@@ -20,7 +20,7 @@
     every(ms, callback) {
       let cancelled = false;
       const next = (): void => {
-        process.schedule(process.trueMs(ms), () => {
+        process.scheduleOnClock(ms, () => {
           if (cancelled) return;
           next();
           callback();
--- a/src/sidecar/backend-client.ts
+++ b/src/sidecar/backend-client.ts
@@ -1,7 +1,8 @@
 /** The back end beside this daemon, as its gateway uses it: a place to run requests at. */
 import type { RequestHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
-import { BackendPool } from './backend-pool.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { BackendPool, type RequestPool } from './backend-pool.js';
 import { BackendRun, type RunPorts } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
 
@@ -23,20 +24,13 @@
   destroy(): void;
 }
 
-/** Runs requests over HTTP/1.1 connections. */
-export class HttpBackendClient implements BackendClient {
-  private readonly pool: BackendPool;
-
+/** Runs requests over the connections of a pool. */
+export class PooledBackendClient implements BackendClient {
   constructor(
-    address: SocketAddress,
+    private readonly pool: RequestPool,
     private readonly dialect: HeaderDialect,
-    nowMs: () => number,
-    /** No process listens at the back end's address. */
-    onRefused: () => void,
-  ) {
-    const names = { requestId: dialect.requestId, notRun: dialect.notRun };
-    this.pool = new BackendPool(address, names, nowMs, onRefused);
-  }
+    private readonly runtime: Runtime,
+  ) {}
 
   /** See `BackendClient`. */
   get opened(): number {
@@ -45,7 +39,16 @@
 
   /** See `BackendClient`. */
   prepare(head: RequestHead, body: Buffer, leftMs: number, ports: RunPorts): PreparedRun {
-    return new BackendRun(this.pool, this.dialect, head, body, leftMs, ports);
+    const { pool, dialect, runtime } = this;
+    return new BackendRun(
+      pool,
+      (ms, callback) => runtime.after(ms, callback),
+      dialect,
+      head,
+      body,
+      leftMs,
+      ports,
+    );
   }
 
   /** See `BackendClient`. */
@@ -53,3 +56,18 @@
     this.pool.destroy();
   }
 }
+
+/** Runs requests over HTTP/1.1 connections. `onRefused`: no process listens at the back end's address. */
+export function httpBackendClient(
+  address: SocketAddress,
+  dialect: HeaderDialect,
+  runtime: Runtime,
+  onRefused: () => void,
+): BackendClient {
+  const names = { requestId: dialect.requestId, notRun: dialect.notRun };
+  return new PooledBackendClient(
+    new BackendPool(address, names, () => runtime.nowMs(), onRefused),
+    dialect,
+    runtime,
+  );
+}
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -19,8 +19,18 @@
   cancel(): void;
 }
 
+/** Sends requests to one back end. */
+export interface RequestPool {
+  /** Connections that were opened. */
+  readonly opened: number;
+  /** Sends a request. */
+  run(request: BackendRequest, handlers: BackendRequestHandlers): RunningRequest;
+  /** Closes all connections; requests under way are broken off without a word. */
+  destroy(): void;
+}
+
 /** Connections to one back end. */
-export class BackendPool {
+export class BackendPool implements RequestPool {
   /** Connections that were opened. */
   opened = 0;
   private readonly connections = new Set<BackendConnection>();
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -6,7 +6,8 @@
 import type { RequestReply } from '../link/link-server.js';
 import type { ParsedAnswer } from './answer-parser.js';
 import type { BrokenReason } from './backend-connection.js';
-import type { BackendPool, RunningRequest } from './backend-pool.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { RequestPool, RunningRequest } from './backend-pool.js';
 import { endToEndHeaders, headerValue, type HeaderDialect } from './header-dialect.js';
 
 /** Longest answer that is kept until it is whole, in bytes. */
@@ -58,10 +59,11 @@
   private bytes = 0;
   private streaming = false;
   private done = false;
-  private timer: NodeJS.Timeout | null = null;
+  private cancelTimer: CancelTimer | null = null;
 
   constructor(
-    private readonly pool: BackendPool,
+    private readonly pool: RequestPool,
+    private readonly after: Runtime['after'],
     private readonly dialect: HeaderDialect,
     private readonly head: RequestHead,
     private readonly body: Buffer,
@@ -71,9 +73,9 @@
 
   /** Sends the request. */
   start(): void {
-    this.timer = setTimeout(() => {
+    this.cancelTimer = this.after(this.leftMs, () => {
       this.deadlinePassed();
-    }, this.leftMs);
+    });
     const { method, path, requestId } = this.head;
     const { repeatable } = this.head;
     const request = { method, path, headers: this.headers(), body: this.body, requestId, repeatable };
@@ -227,7 +229,7 @@
 
   private finish(): void {
     this.done = true;
-    if (this.timer !== null) clearTimeout(this.timer);
+    this.cancelTimer?.();
   }
 }
 
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -225,7 +225,8 @@
   return { statusCode, reason, retryAfterMs: null };
 }
 
-function answerGivenUp(outcome: GivenUp): OwnAnswer {
+/** The answer to a request that ended without a back end's answer. */
+export function answerGivenUp(outcome: GivenUp): OwnAnswer {
   if (outcome.kind === 'not-run') {
     const { reason, retryAfterMs } = outcome;
     return { statusCode: OWN_STATUS.notRun, reason, retryAfterMs };
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -9,7 +9,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import type { Result } from '../result.js';
 import type { Runtime } from '../runtime/runtime.js';
-import { HttpBackendClient, type BackendClient } from './backend-client.js';
+import { httpBackendClient, type BackendClient } from './backend-client.js';
 import { CallerServer, type CallerServerPorts } from './caller-server.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 
@@ -60,6 +60,6 @@
     callers: (ports) => new CallerServer(ports),
     links: ({ take, status, pacer }) => new LinkServer(nowMs, runtime.randomId(), take, status, pacer),
     dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers),
-    backend: (onRefused) => new HttpBackendClient(settings.backend, settings.dialect, nowMs, onRefused),
+    backend: (onRefused) => httpBackendClient(settings.backend, settings.dialect, runtime, onRefused),
   };
 }
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -4,7 +4,7 @@
 import { LinkPacer } from '../../src/link/link-pacer.js';
 import type { RequestHead } from '../../src/link/link-messages.js';
 import type { RequestReply } from '../../src/link/link-server.js';
-import { HttpBackendClient } from '../../src/sidecar/backend-client.js';
+import { httpBackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
@@ -46,10 +46,10 @@
       service: 's',
       latencies: NO_LATENCIES,
       pacer,
-      backend: new HttpBackendClient(
+      backend: httpBackendClient(
         { host: '127.0.0.1', port },
         DEFAULT_HEADER_DIALECT,
-        () => this.time.nowMs,
+        this.time.runtime,
         () => undefined,
       ),
       coldLimit: this.coldLimit,
