A request under which back ends end runs alone and by permit, and is quarantined once it has ended one that ran nothing else

Cause: nothing that the daemons knew outlived a request, so one that ended every back end was sent to the next one at each coming. Ruled out: counting ends by presence (an innocent request that comes often stands beside the guilty one at most ends); a limit on repeats (a request that is never repeated fails as well). Change: the daemon beside a back end finds out at once whether it ended under the runs that broke off, and reports them; the directory keeps a record by fingerprint (crash-records, crash-commands); from the second end on a request runs by permit, one run at a time in the deployment, alone at its back end (SuspectRuns); an end then is proof and quarantines it, a good run clears it for that version; three runs may follow the third end. Callers get a final 400 at once. Failures are told when the end is on record. A new life is no longer refused for what broke off at the one before.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -6,6 +6,7 @@
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
+import { OPEN_GUARD } from '../../src/sidecar/crash-guard.js';
 import { BackendProber } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import type { CallerSink, GivenUp } from '../../src/sidecar/caller-request.js';
@@ -13,6 +14,7 @@
 import { forwarderCounters } from '../../src/sidecar/forwarder-counters.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { ForwardedRequest, type ForwarderPorts } from '../../src/sidecar/request-forwarder.js';
+import { InterruptedRuns } from '../../src/sidecar/interrupted-runs.js';
 import { RequestIntake } from '../../src/sidecar/request-intake.js';
 import { RetryAllowance } from '../../src/sidecar/retry-allowance.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
@@ -227,6 +229,7 @@
       prober: this.prober,
       view: (id) => this.viewOf(id),
       linkTo: (instance) => this.linkTo(instance),
+      mayRepeat: () => true,
       takeRepeat: (service) => this.allowanceOf(service).takeRepeat(time.queue.nowMs, daemons.size),
       tableIndex: () => 1,
       latencies: NO_LATENCIES,
@@ -250,6 +253,8 @@
       pacer: null,
       backend,
       coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
+      interrupted: new InterruptedRuns(),
+      guard: OPEN_GUARD,
       instance: () => this.place.id,
       awaitsBackend: () => false,
       closesAtMs: () => Infinity,
--- a/lab/chain/chain-settings.ts
+++ b/lab/chain/chain-settings.ts
@@ -42,7 +42,16 @@
     Array.from({ length: backends }, (_, at) => ({ id: `${name}-${at}`, service: name, slots })),
   );
   const instances = places.map(({ id, service, slots }, at): BackendInstance => {
-    return { id, service, zone: 'zone', daemonAddress: id, slots, condition: 'ready', session: at + 1 };
+    return {
+      id,
+      service,
+      zone: 'zone',
+      daemonAddress: id,
+      slots,
+      condition: 'ready',
+      version: '',
+      session: at + 1,
+    };
   });
   const items = spec.services.flatMap((service): ConfigurationItem[] => [
     {
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -138,6 +138,7 @@
       service: this.service.name,
       zone: this.zone,
       slots: this.ports.slots,
+      version: backend.version,
       condition: backend.draining ? 'draining' : 'ready',
       sequence: backend.sequence,
       coldLeftMs: 0,
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -184,6 +184,7 @@
       service,
       zone,
       slots: SLOTS,
+      version: 'v1',
       condition,
       sequence: this.sequence,
       coldLeftMs: this.coldLeftMs,
--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -6,7 +6,12 @@
 import { encodeCompactFrame } from '../transport/frame-codec.js';
 import type { DirectoryChange } from './directory-commands.js';
 import type { DirectoryNotice } from './directory-messages.js';
-import { encodeDirectory, type ConfigurationItem, type DirectoryState } from './directory-state.js';
+import {
+  encodeDirectory,
+  forWatchers,
+  type ConfigurationItem,
+  type DirectoryState,
+} from './directory-state.js';
 
 /** Published changes that are kept for watchers that come back. */
 const KEPT_CHANGES = 1_024;
@@ -90,7 +95,7 @@
 
 /** Watchers route by definitions; only operators read what was written. */
 function withoutSources(table: ReturnType<typeof encodeDirectory>): ReturnType<typeof encodeDirectory> {
-  return { ...table, accepted: [], items: table.items.map(withoutSource) };
+  return { ...forWatchers(table), items: table.items.map(withoutSource) };
 }
 
 function withoutItemSources(change: DirectoryChange): DirectoryChange {
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -1,4 +1,6 @@
 /** Commands of the directory's state machine, what they do, and the changes that they publish. */
+import type { CrashCommand } from '../quarantine/crash-commands.js';
+import type { CrashRecord } from '../quarantine/crash-records.js';
 import type { BackendCondition, BackendInstance, ConfigurationItem, KeyRange } from './directory-state.js';
 
 /** Takes items whose versions are their own: for each name the highest version stands. */
@@ -103,7 +105,8 @@
   | BeginRangeMovesCommand
   | CompleteRangeMoveCommand
   | RaiseFenceCommand
-  | SetEvacuationCommand;
+  | SetEvacuationCommand
+  | CrashCommand;
 
 /** What a command did. */
 export type DirectoryOutcome =
@@ -118,5 +121,11 @@
   | { readonly kind: 'instance'; readonly instance: BackendInstance }
   | { readonly kind: 'instance-gone'; readonly id: string }
   | { readonly kind: 'evacuation'; readonly zone: string; readonly evacuated: boolean }
+  /** Records of requests under which back ends ended; those whose fingerprints are `removed` hold nothing any more. */
+  | {
+      readonly kind: 'crash-records';
+      readonly changed: readonly CrashRecord[];
+      readonly removed: readonly string[];
+    }
   /** These ranges stand in the place of those that they overlap; the others are as they were. */
   | { readonly kind: 'ranges'; readonly service: string; readonly ranges: readonly KeyRange[] };
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -3,7 +3,13 @@
 import type { LeaseTable } from '../control/lease-table.js';
 import type { DirectoryDuties } from './directory-duties.js';
 import type { DirectoryCommand, DirectoryOutcome, InstanceSession } from './directory-commands.js';
-import type { DirectoryNotice, LeaderRequest, RegisterRequest, RenewRequest } from './directory-messages.js';
+import type {
+  DirectoryNotice,
+  LeaderRequest,
+  RegisterRequest,
+  RenewRequest,
+  RunRequest,
+} from './directory-messages.js';
 import type { BackendInstance, DirectoryState } from './directory-state.js';
 import type { LeadershipConfirmations } from './leadership-confirmations.js';
 
@@ -63,6 +69,32 @@
       case 'raise-fence':
         await this.proposals.propose(request);
         break;
+      default:
+        await this.receiveAboutRuns(request, answer);
+    }
+  }
+
+  private async receiveAboutRuns(request: RunRequest, answer: Answer): Promise<void> {
+    switch (request.kind) {
+      case 'backend-ended': {
+        const recorded = await this.proposals.propose({ ...request, kind: 'record-end' });
+        if (recorded.ok) answer({ kind: 'end-recorded', token: request.token });
+        break;
+      }
+      case 'run-completed':
+        if (!this.ports.state().crashRecords.has(request.fingerprint)) return;
+        await this.proposals.propose({ ...request, kind: 'record-completion' });
+        break;
+      case 'run-permit': {
+        const permitted = await this.proposals.propose({ ...request, kind: 'permit-run' });
+        const { fingerprint, life } = request;
+        if (permitted.ok && permitted.val.kind === 'done')
+          answer({ kind: 'run-permitted', fingerprint, life });
+        break;
+      }
+      case 'permit-released':
+        await this.proposals.propose({ ...request, kind: 'release-permit' });
+        break;
     }
   }
 
@@ -133,5 +165,6 @@
 
 function isSameRegistration(known: BackendInstance, asked: RegisterRequest['instance']): boolean {
   const sameCondition = known.condition === asked.condition || known.condition === 'draining';
-  return sameCondition && known.daemonAddress === asked.daemonAddress && known.slots === asked.slots;
+  const sameSoftware = known.slots === asked.slots && known.version === asked.version;
+  return sameCondition && sameSoftware && known.daemonAddress === asked.daemonAddress;
 }
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -2,6 +2,8 @@
  * Applies committed commands to the directory's state. Deterministic: the same commands in the same order give
  * the same state on every replica. A command that no longer fits the state does nothing.
  */
+import { applyCrashCommand, withdrawPermits, type CrashCommand } from '../quarantine/crash-commands.js';
+import type { CrashRecord } from '../quarantine/crash-records.js';
 import type {
   AssignRangesCommand,
   BeginRangeMovesCommand,
@@ -65,9 +67,27 @@
       return raiseFence(state, command, index);
     case 'set-evacuation':
       return setEvacuation(state, command);
+    default:
+      return changeCrashRecords(state, command, index);
   }
 }
 
+// ---- requests under which back ends ended
+
+function changeCrashRecords(state: DirectoryState, command: CrashCommand, index: number): AppliedCommand {
+  const { outcome, changed, removed } = applyCrashCommand(state.crashRecords, command, index);
+  return { outcome, changes: crashChanges(changed, removed) };
+}
+
+function crashChanges(changed: readonly CrashRecord[], removed: readonly string[]): DirectoryChange[] {
+  return changed.length + removed.length === 0 ? [] : [{ kind: 'crash-records', changed, removed }];
+}
+
+/** What is gone runs nothing any more. */
+function endPermits(state: DirectoryState, lives: readonly string[]): DirectoryChange[] {
+  return crashChanges(withdrawPermits(state.crashRecords, new Set(lives)), []);
+}
+
 // ---- configuration
 
 function configureItems(state: DirectoryState, command: ConfigureItemsCommand): AppliedCommand {
@@ -163,6 +183,7 @@
     state.instances.delete(earlier.id);
     changes.push({ kind: 'instance-gone', id: earlier.id });
     changes.push(...withdrawRanges(state, earlier.service, earlier.id));
+    changes.push(...endPermits(state, [earlier.id]));
   }
   return changes;
 }
@@ -182,6 +203,7 @@
     if (known?.session !== session) continue;
     state.instances.delete(id);
     changes.push({ kind: 'instance-gone', id }, ...withdrawRanges(state, known.service, id));
+    changes.push(...endPermits(state, [id]));
   }
   return { outcome: DONE, changes };
 }
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -10,6 +10,7 @@
   daemonAddress: z.string(),
   slots: z.int().check(z.minimum(1)),
   condition: z.enum(['ready', 'draining']),
+  version: z._default(z.string(), ''),
 });
 
 const watchSchema = z.object({
@@ -67,6 +68,36 @@
   fence: z.number(),
 });
 
+const backendEndedSchema = z.object({
+  kind: z.literal('backend-ended'),
+  /** Comes back with the answer. */
+  token: z.number(),
+  life: z.string(),
+  service: z.string(),
+  version: z.string(),
+  runs: z.array(z.object({ fingerprint: z.string(), alone: z.boolean() })),
+});
+
+const runCompletedSchema = z.object({
+  kind: z.literal('run-completed'),
+  fingerprint: z.string(),
+  version: z.string(),
+});
+
+const runPermitSchema = z.object({
+  kind: z.literal('run-permit'),
+  fingerprint: z.string(),
+  life: z.string(),
+  version: z.string(),
+});
+
+const permitReleasedSchema = z.object({
+  kind: z.literal('permit-released'),
+  fingerprint: z.string(),
+  life: z.string(),
+  begun: z.boolean(),
+});
+
 const leaderRequestSchema = z.discriminatedUnion('kind', [
   registerSchema,
   renewSchema,
@@ -74,6 +105,10 @@
   unregisterSchema,
   releasedSchema,
   raiseFenceSchema,
+  backendEndedSchema,
+  runCompletedSchema,
+  runPermitSchema,
+  permitReleasedSchema,
 ]);
 
 /** What a daemon may send to any replica. */
@@ -85,6 +120,11 @@
 export type LeaderRequest = z.infer<typeof leaderRequestSchema>;
 /** Registers a back end. */
 export type RegisterRequest = z.infer<typeof registerSchema>;
+/** Tells of runs under which back ends ended, or asks to run such a request. */
+export type RunRequest = Extract<
+  LeaderRequest,
+  { kind: 'backend-ended' | 'run-completed' | 'run-permit' | 'permit-released' }
+>;
 /** Renews the lease of a back end. */
 export type RenewRequest = z.infer<typeof renewSchema>;
 
@@ -102,7 +142,11 @@
       readonly sentMs: number;
       readonly termMs: number;
     }
-  | { readonly kind: 'session-ended'; readonly id: string; readonly session: number };
+  | { readonly kind: 'session-ended'; readonly id: string; readonly session: number }
+  /** The end of a back end is on record. */
+  | { readonly kind: 'end-recorded'; readonly token: number }
+  /** A life of a back end may run a suspect once. */
+  | { readonly kind: 'run-permitted'; readonly fingerprint: string; readonly life: string };
 
 /** A daemon's request that a replica passes on to the leader. */
 export interface RelayedRequest {
--- a/src/directory/directory-state.ts
+++ b/src/directory/directory-state.ts
@@ -3,6 +3,8 @@
  * of keys that they own. Changed only by committed commands (`directory-commands.ts`).
  */
 
+import { isWatched, type CrashRecord, type CrashRecords } from '../quarantine/crash-records.js';
+
 /** What may be done with a request: a safe one may run more than once, another at most once. */
 export type RequestKind = 'safe' | 'non-idempotent' | 'download';
 
@@ -92,6 +94,8 @@
   /** Requests that it runs at once. */
   readonly slots: number;
   readonly condition: BackendCondition;
+  /** Version of its software, as it tells; empty where it does not. */
+  readonly version: string;
   /** Index of the log entry that registered it; ranges that it owns carry the same number. */
   readonly session: number;
 }
@@ -140,6 +144,8 @@
   readonly ranges: Map<string, readonly KeyRange[]>;
   /** Zones whose back ends are to be sent nothing. */
   readonly evacuatedZones: Set<string>;
+  /** Requests under which back ends have ended, by fingerprint. */
+  readonly crashRecords: CrashRecords;
 }
 
 /** The state before the first command. */
@@ -152,6 +158,7 @@
     instances: new Map(),
     ranges: new Map(),
     evacuatedZones: new Set(),
+    crashRecords: new Map(),
   };
 }
 
@@ -179,6 +186,8 @@
   readonly ranges: readonly ServiceRanges[];
   /** Missing in snapshots of versions that knew no evacuations. */
   readonly evacuatedZones?: readonly string[];
+  /** Missing in snapshots of versions that knew none. */
+  readonly crashRecords?: readonly CrashRecord[];
 }
 
 /** The ranges of one service. */
@@ -197,6 +206,7 @@
     instances: [...state.instances.values()],
     ranges: [...state.ranges].map(([service, ranges]) => ({ service, ranges })),
     evacuatedZones: [...state.evacuatedZones],
+    crashRecords: [...state.crashRecords.values()],
   };
 }
 
@@ -207,8 +217,20 @@
     revision: snapshot.revision,
     configured: snapshot.configured,
     accepted: [...snapshot.accepted],
-    instances: new Map(snapshot.instances.map((instance) => [instance.id, instance])),
+    instances: new Map(snapshot.instances.map((instance) => [instance.id, withVersion(instance)])),
     ranges: new Map(snapshot.ranges.map(({ service, ranges }) => [service, ranges])),
     evacuatedZones: new Set(snapshot.evacuatedZones ?? []),
+    crashRecords: new Map((snapshot.crashRecords ?? []).map((record) => [record.fingerprint, record])),
   };
 }
+
+/** The part of a snapshot that daemons which watch need. */
+export function forWatchers(snapshot: DirectorySnapshot): DirectorySnapshot {
+  const crashRecords = (snapshot.crashRecords ?? []).filter(isWatched);
+  return { ...snapshot, accepted: [], crashRecords };
+}
+
+/** Registrations of earlier versions of this program told no version. */
+function withVersion(instance: BackendInstance & { readonly version?: string }): BackendInstance {
+  return { ...instance, version: instance.version ?? '' };
+}
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -48,7 +48,9 @@
   /** The caller took the request back before it was sent. */
   | 'cancelled'
   /** The back end itself says that it did not run the request. */
-  | 'declined';
+  | 'declined'
+  /** It has ended the back ends that ran it. */
+  | 'quarantined';
 
 /** How soon a cold back end takes further requests, in ms. */
 export interface ColdStartOutlook {
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -45,6 +45,7 @@
 /** The places of one back end. */
 export class Admission {
   private running = 0;
+  private paused = false;
   private readonly waiting: Applicant[] = [];
   /** At the usual pace. */
   private meanMs = ASSUMED_SERVICE_MS;
@@ -80,6 +81,27 @@
     this.fill();
   }
 
+  /** Whether a request may be sent now and nothing runs. */
+  get isIdle(): boolean {
+    return this.running === 0 && this.ports.delayMs(0) <= 0;
+  }
+
+  /** Begins nothing until `resume`, but for what is begun past the others. */
+  pause(): void {
+    this.paused = true;
+  }
+
+  /** Begins what waits again. */
+  resume(): void {
+    this.paused = false;
+    this.fill();
+  }
+
+  /** Begins an applicant past all that wait. */
+  beginPast(applicant: Applicant): void {
+    this.begin(applicant);
+  }
+
   /** Gives the applicant a place, lets it wait, or expires it at once when it would wait for too long. */
   apply(applicant: Applicant, nowMs: number): void {
     // Whoever waits has no place after this, so nobody is passed over.
@@ -138,7 +160,7 @@
   }
 
   private hasPlaceFor({ reserve }: Applicant): boolean {
-    return this.running + reserve < this.slotCount && this.ports.delayMs(0) <= 0;
+    return !this.paused && this.running + reserve < this.slotCount && this.ports.delayMs(0) <= 0;
   }
 
   /** Starts those that wait and may start now. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -2,20 +2,29 @@
  * The only way to the back end beside this daemon. It decides what may be sent there: the right life of the back end,
  * within its places, while it is not leaving, and with keys that it holds.
  */
-import type { AnswerTiming, RefusalReason, RequestHead, StatusHead } from '../link/link-messages.js';
+import type {
+  AnswerTiming,
+  FailureHead,
+  RefusalReason,
+  RequestHead,
+  StatusHead,
+} from '../link/link-messages.js';
 import type { LinkPacer } from '../link/link-pacer.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
+import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import type { BackendClient, PreparedRun } from './backend-client.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
+import type { CrashGuard } from './crash-guard.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
-import { InterruptedRuns } from './interrupted-runs.js';
+import type { InterruptedRuns } from './interrupted-runs.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import { isTooLateToBegin, lateOrder, lateWaitMs, placeOrder, placeWaitMs, spareMs } from './place-policy.js';
+import { SuspectRuns, type Suspect } from './suspect-runs.js';
 import { WorkForecast } from './work-forecast.js';
 
 /** Pause between looks at waiting requests, in ms. */
@@ -33,6 +42,9 @@
 /** Pause between trials, in ms. */
 const TRIAL_PAUSE_MS = 300;
 
+/** Longest time in ms for which a request may wait to run alone; most that are cleared are so within a run of theirs. */
+const LONGEST_SUSPECT_WAIT_MS = 1_000;
+
 /** What the gateway needs to know of its back end. */
 export interface GatewayPorts {
   readonly runtime: Runtime;
@@ -44,6 +56,9 @@
   readonly backend: BackendClient;
   /** Bounds what is sent while the back end is cold. */
   readonly coldLimit: ColdStartLimit;
+  /** Keeps runs without an answer; they tell under which requests the back end has ended. */
+  readonly interrupted: InterruptedRuns;
+  readonly guard: CrashGuard;
   /** Id of the present life; null until it has told about itself. */
   readonly instance: () => string | null;
   /** Whether this daemon was started a moment ago and its back end may not have told about itself yet. */
@@ -68,7 +83,11 @@
   readonly arrivedMs: number;
   readonly expiresMs: number;
   applicant: Applicant | null;
+  /** Set while it is treated as a suspect. */
+  suspect: Suspect | null;
   run: PreparedRun | null;
+  /** Whether nothing else has run beside it. */
+  alone: boolean;
   startedMs: number;
   /** Slot time in ms that was counted as asked for. */
   offeredMs: number;
@@ -107,13 +126,15 @@
       unreachable: 0,
       cancelled: 0,
       declined: 0,
+      quarantined: 0,
     },
   };
   readonly admission: Admission;
   readonly forecast: WorkForecast<Visit>;
   readonly lateOutlook = new LateOutlook();
-  /** Runs without an answer; they tell under which requests the back end has ended. */
-  readonly interrupted = new InterruptedRuns();
+  readonly suspects: SuspectRuns;
+  /** Answers to broken runs that wait until it is known whether the back end has ended. */
+  private readonly heldFailures = new Set<() => void>();
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
   private readonly running = new Set<Visit>();
@@ -137,6 +158,17 @@
       },
       pace: () => this.forecast.paceNow,
     });
+    this.suspects = new SuspectRuns({
+      runtime,
+      permits: ports.guard.permits,
+      isFree: () => this.admission.isIdle,
+      pause: () => {
+        this.admission.pause();
+      },
+      resume: () => {
+        this.admission.resume();
+      },
+    });
   }
 
   /** Requests that run at the back end. */
@@ -159,10 +191,10 @@
     return {
       instance,
       running: runningCount,
-      waiting: waitingCount + this.waiting.size,
+      waiting: waitingCount + this.waiting.size + this.suspects.waitingCount,
       slots,
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
-      accepting: !this.ports.leaving(),
+      accepting: !this.ports.leaving() && !this.suspects.isolating,
       sendWaitMs: Math.round(this.forecast.sendWaitMs),
       coldStart: this.ports.coldLimit.outlook(nowMs),
       pace: rounded(pace.now),
@@ -180,7 +212,9 @@
       arrivedMs: nowMs,
       expiresMs: nowMs + this.changeWaitMs(head),
       applicant: null,
+      suspect: null,
       run: null,
+      alone: false,
       startedMs: 0,
       offeredMs: 0,
       late: false,
@@ -209,12 +243,19 @@
     return Math.min(Math.max(0, head.remainingMs - meanMs), waitMs);
   }
 
+  /** Another life of the back end has begun; what broke off at the one before says nothing of it. */
+  startLife(): void {
+    this.brokenInRow = 0;
+  }
+
   /** Something has changed that requests may wait for. */
   reconsider(): void {
     for (const visit of [...this.waiting]) {
       this.waiting.delete(visit);
       this.consider(visit);
     }
+    for (const suspect of this.suspects.takeWaiting()) suspect.reconsider();
+    this.suspects.step();
   }
 
   /** Stops everything; what runs is broken off, and its callers' daemons are told so. */
@@ -222,6 +263,9 @@
     this.stopped = true;
     this.cancelStep?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
+    for (const suspect of this.suspects.takeWaiting()) suspect.refuse();
+    // Once this daemon has said goodbye, what has no answer counts as not run.
+    for (const fail of [...this.heldFailures]) fail();
     this.admission.expireAll();
     for (const { reply } of this.running) {
       reply.fail({ reason: 'broken', detail: 'the daemon stops', status: null });
@@ -238,10 +282,52 @@
     else if (present === null && ports.awaitsBackend()) this.wait(visit, 'unknown-instance');
     else if (present !== instance) this.refuse(visit, 'unknown-instance');
     else if (key !== null && !ports.holdsKey(key)) this.considerKey(visit, key);
+    else this.considerRecord(visit, nowMs);
+  }
+
+  /** Requests under which back ends have ended run alone, or not at all. */
+  private considerRecord(visit: Visit, nowMs: number): void {
+    const { stage, fingerprint } = this.ports.guard.judge(identified(visit));
+    if (stage === 'quarantined') this.refuse(visit, 'quarantined');
+    else if (stage === 'suspect' && fingerprint !== null) this.addSuspect(visit, fingerprint);
     else if (this.isOnTrial(nowMs)) this.refuse(visit, 'unreachable');
     else this.apply(visit, nowMs);
   }
 
+  private addSuspect(visit: Visit, fingerprint: string): void {
+    const { head, arrivedMs } = visit;
+    const spareTimeMs = Math.max(0, head.remainingMs - this.forecast.workMs(head.route));
+    const suspect: Suspect = {
+      fingerprint,
+      expiresMs: arrivedMs + Math.min(LONGEST_SUSPECT_WAIT_MS, spareTimeMs),
+      begin: () => this.beginAlone(visit),
+      refuse: () => {
+        this.refuse(visit, this.stopped ? 'leaving' : 'busy');
+      },
+      reconsider: () => {
+        visit.suspect = null;
+        this.consider(visit);
+      },
+    };
+    visit.suspect = suspect;
+    this.suspects.add(suspect);
+    this.stepSoon();
+  }
+
+  private beginAlone(visit: Visit): boolean {
+    this.admission.beginPast({
+      priority: visit.head.priority,
+      order: 0,
+      reserve: 0,
+      expiresMs: Infinity,
+      start: () => {
+        this.start(visit);
+      },
+      expire: () => undefined,
+    });
+    return visit.run !== null;
+  }
+
   private considerKey(visit: Visit, key: number): void {
     if (this.ports.ownsKey(key)) this.wait(visit, 'not-owner');
     else this.refuse(visit, 'not-owner');
@@ -351,12 +437,14 @@
       return;
     }
     ports.latencies.observe('waiting', ports.service, nowMs - visit.arrivedMs);
+    visit.alone = this.running.size === 0;
+    for (const other of this.running) other.alone = false;
     this.running.add(visit);
     this.counters.runs += 1;
     visit.run = ports.backend.prepare(visit.head, visit.body, leftMs, {
       status: () => this.status(),
       timing: () => this.timingOf(visit),
-      reply: visit.reply,
+      reply: { ...visit.reply, fail: (failure) => this.fail(visit, failure) },
       onDone: (outcome) => {
         this.finished(visit, outcome);
       },
@@ -388,6 +476,38 @@
     this.ports.onWork(visit.head.key, usedMs - visit.offeredMs);
     this.count(visit, outcome, usedMs);
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
+    this.tellGuard(visit, outcome);
+  }
+
+  /** What the run says of its request. An answer that tells of a failure clears nothing and proves nothing. */
+  private tellGuard(visit: Visit, outcome: RunOutcome): void {
+    const { guard, interrupted, runtime } = this.ports;
+    const isGood = outcome.kind === 'answered' && outcome.statusCode < FIRST_FAILURE_STATUS;
+    if (outcome.kind === 'answered') interrupted.backendAnswered(runtime.nowMs());
+    if (isGood) guard.completed(identified(visit));
+    const { suspect } = visit;
+    if (suspect === null) return;
+    if (!isBroken(outcome)) {
+      this.suspects.ended(suspect, isGood);
+      return;
+    }
+    // Another daemon may try it next only when it is known whether this one has lost its back end.
+    void guard.runBroke().then(() => {
+      this.suspects.ended(suspect, false);
+    });
+  }
+
+  /** The caller comes back at once after a failure, so it is told only when other daemons know what there is to know. */
+  private fail(visit: Visit, failure: FailureHead): void {
+    if (failure.reason !== 'broken') {
+      visit.reply.fail(failure);
+      return;
+    }
+    const fail = (): void => {
+      if (this.heldFailures.delete(fail)) visit.reply.fail(failure);
+    };
+    this.heldFailures.add(fail);
+    void this.ports.guard.runBroke().then(fail);
   }
 
   private learn(route: string, usedMs: number, { bytes, pace }: AnsweredRun): void {
@@ -413,10 +533,14 @@
   }
 
   /** A run that was sent, and not answered, may be what its back end ends under. */
-  private noteInterrupted({ head, body }: Visit, outcome: RunOutcome, usedMs: number): string | undefined {
-    const wasNotRun = outcome.kind === 'declined' || (outcome.kind === 'broken' && !outcome.sent);
-    if (wasNotRun) return undefined;
-    return this.interrupted.note(head, body, this.ports.runtime.nowMs(), usedMs).fingerprint;
+  private noteInterrupted(visit: Visit, outcome: RunOutcome, usedMs: number): string | undefined {
+    const { head, body, alone } = visit;
+    const byBackend = isBroken(outcome);
+    const wasBrokenOff = outcome.kind === 'cancelled' || outcome.kind === 'deadline';
+    if (!byBackend && !wasBrokenOff) return undefined;
+    const endedMs = this.ports.runtime.nowMs();
+    const how = { byBackend, alone, endedMs, usedMs: Math.round(usedMs) };
+    return this.ports.interrupted.note(head, body, how);
   }
 
   private refuse(visit: Visit, reason: RefusalReason): void {
@@ -446,7 +570,7 @@
 
   private cancel(visit: Visit): void {
     if (visit.done) return;
-    this.waiting.delete(visit);
+    this.forgetWaiting(visit);
     if (visit.applicant !== null) this.admission.withdraw(visit.applicant);
     this.endLateWait(visit, 'withdrawn');
     const { run } = visit;
@@ -461,12 +585,17 @@
 
   /** The caller's daemon has no more use for it, if it has not begun, and wants to know. */
   private withdraw(visit: Visit): void {
-    this.waiting.delete(visit);
+    this.forgetWaiting(visit);
     if (visit.applicant !== null) this.admission.withdraw(visit.applicant);
     this.endLateWait(visit, 'withdrawn');
     this.refuse(visit, 'cancelled');
   }
 
+  private forgetWaiting(visit: Visit): void {
+    this.waiting.delete(visit);
+    if (visit.suspect !== null && visit.run === null) this.suspects.remove(visit.suspect);
+  }
+
   private isOnTrial(nowMs: number): boolean {
     if (this.brokenInRow < BROKEN_LIMIT) return false;
     if (nowMs - this.lastTrialMs < TRIAL_PAUSE_MS) return true;
@@ -484,7 +613,7 @@
     this.cancelStep ??= this.ports.runtime.after(STEP_MS, () => {
       this.cancelStep = null;
       this.step();
-      if (this.waiting.size > 0 || this.admission.waitingCount > 0) this.stepSoon();
+      if (this.waiting.size > 0 || this.admission.waitingCount > 0 || this.suspects.active) this.stepSoon();
     });
   }
 
@@ -492,6 +621,7 @@
     const nowMs = this.ports.runtime.nowMs();
     this.admission.fill();
     this.admission.expireBefore(nowMs);
+    this.suspects.step();
     for (const visit of [...this.waiting]) {
       if (nowMs < visit.expiresMs && nowMs < this.ports.closesAtMs()) continue;
       this.waiting.delete(visit);
@@ -500,6 +630,16 @@
   }
 }
 
+function identified({ head, body }: Visit): IdentifiedRequest {
+  const { method, path, headers, key } = head;
+  return { method, path, headers, key, body };
+}
+
+/** Whether the back end broke the connection of a run that had reached it. */
+function isBroken(outcome: RunOutcome): boolean {
+  return outcome.kind === 'broken' && outcome.reason === 'broken' && outcome.sent;
+}
+
 /** A factor as it travels: two digits say as much as is known. */
 function rounded(factor: number): number {
   return Math.round(factor * 100) / 100;
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -23,6 +23,8 @@
   readonly zone: string;
   readonly slots: number;
   readonly condition: BackendCondition;
+  /** Version of its software; empty where it tells none. */
+  readonly version: string;
   /** Rises with every heartbeat of one life. */
   readonly sequence: number;
   /** Time in ms for which it stays cold, from when it sent this; null when it did not tell. */
--- a/src/sidecar/caller-request.ts
+++ b/src/sidecar/caller-request.ts
@@ -21,10 +21,15 @@
   readonly arrivedMs: number;
 }
 
+/** Why a quarantined request is not run. */
+export const QUARANTINE_REASON = 'back ends have ended under this request; it is not run again';
+
 /** How a request ends without a back end's answer. */
 export type GivenUp =
   /** It was not run and never will be. */
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  /** It was not run and must not be sent again: it has ended the back ends that ran it. */
+  | { readonly kind: 'quarantined'; readonly reason: string }
   /** It may have run. */
   | { readonly kind: 'unknown'; readonly reason: string; readonly timedOut: boolean };
 
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -1,6 +1,13 @@
 /** The requests of callers that are under way at one daemon. */
-import type { CallerSink } from './caller-request.js';
-import type { IncomingRequest, OwnAnswer, TakenRequest } from './caller-server.js';
+import { QUARANTINE_REASON, type CallerRequest, type CallerSink } from './caller-request.js';
+import {
+  ownAnswer,
+  OWN_STATUS,
+  type IncomingRequest,
+  type OwnAnswer,
+  type TakenRequest,
+} from './caller-server.js';
+import type { DirectoryTable } from './directory-table.js';
 import type { ForwarderCounters } from './forwarder-counters.js';
 import { ForwardedRequest, type ForwarderPorts } from './request-forwarder.js';
 import type { RequestIntake } from './request-intake.js';
@@ -9,7 +16,8 @@
 /** What the requests need of their daemon. */
 export interface CallerRequestsPorts {
   readonly intake: RequestIntake;
-  readonly forwarding: Omit<ForwarderPorts, 'takeRepeat'>;
+  readonly table: DirectoryTable;
+  readonly forwarding: Omit<ForwarderPorts, 'takeRepeat' | 'mayRepeat'>;
   readonly retryBudget: RetryBudget;
   /** Daemons that share the retry budget. */
   readonly daemons: () => number;
@@ -28,6 +36,7 @@
     const { forwarding, daemons } = ports;
     this.forwarderPorts = {
       ...forwarding,
+      mayRepeat: (request) => this.quarantineOf(request) === null,
       takeRepeat: (service) => this.allowanceOf(service).takeRepeat(forwarding.runtime.nowMs(), daemons()),
     };
   }
@@ -36,6 +45,8 @@
   take(incoming: IncomingRequest, sink: CallerSink): TakenRequest | OwnAnswer {
     const prepared = this.ports.intake.prepare(incoming);
     if ('statusCode' in prepared) return prepared;
+    const refused = this.refusedForGood(prepared);
+    if (refused !== null) return refused;
     this.allowanceOf(prepared.service).noteRequest(this.ports.forwarding.runtime.nowMs());
     const forwarded = new ForwardedRequest(
       prepared,
@@ -53,6 +64,23 @@
     };
   }
 
+  /** A request that ended every back end which ran it gets its final answer before it costs anybody anything. */
+  private refusedForGood(request: CallerRequest): OwnAnswer | null {
+    const { forwarding } = this.ports;
+    const fingerprint = this.quarantineOf(request);
+    if (fingerprint === null) return null;
+    this.counters.quarantined += 1;
+    const { requestId, route, service } = request;
+    forwarding.log.event('request-quarantined', { requestId, route: route.name, service, fingerprint });
+    return ownAnswer(OWN_STATUS.quarantined, QUARANTINE_REASON);
+  }
+
+  /** The fingerprint of a request that no back end of its service may run; null where one may. */
+  private quarantineOf(request: CallerRequest): string | null {
+    const { table } = this.ports;
+    return table.quarantine.refusedEverywhere(request, () => table.versionsOf(request.service));
+  }
+
   /** The table has changed; requests may wait for that. */
   tableChanged(): void {
     for (const request of [...this.underWay]) request.tableChanged();
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -57,6 +57,8 @@
 /** Statuses of this daemon's own answers. */
 export const OWN_STATUS = {
   badRequest: 400,
+  /** Final for every caller: coming back cannot help. */
+  quarantined: 400,
   noRoute: 404,
   bodyTooLarge: 413,
   headersTooLarge: 431,
@@ -231,6 +233,7 @@
     const { reason, retryAfterMs } = outcome;
     return { statusCode: OWN_STATUS.notRun, reason, retryAfterMs };
   }
+  if (outcome.kind === 'quarantined') return ownAnswer(OWN_STATUS.quarantined, outcome.reason);
   const statusCode = outcome.timedOut ? OWN_STATUS.timeUp : OWN_STATUS.unknownOutcome;
   return ownAnswer(statusCode, outcome.reason);
 }
--- /dev/null
+++ b/src/sidecar/crash-guard.ts
@@ -0,0 +1,25 @@
+/** What a gateway must know of requests under which back ends have ended, and whom it tells what it saw. */
+import type { Judged } from '../quarantine/quarantine-view.js';
+import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
+import type { SuspectPermits } from './suspect-runs.js';
+
+/** The guard of one gateway. */
+export interface CrashGuard {
+  readonly permits: SuspectPermits;
+  /** What holds for a request at the present back end. */
+  judge(request: IdentifiedRequest): Judged;
+  /** A run ended well; told for every run, so that it has to cost nothing while there are no records. */
+  completed(request: IdentifiedRequest): void;
+  /** Resolves once it is known whether the back end has ended under a run that broke off, and that is recorded. */
+  runBroke(): Promise<void>;
+}
+
+/** The guard of a gateway that knows nothing of any request, and tells nobody. */
+export const OPEN_GUARD: CrashGuard = {
+  permits: { holds: () => false, ask: () => undefined, release: () => undefined, settled: () => undefined },
+  judge: () => ({ stage: 'free', fingerprint: null, record: null }),
+  completed: () => undefined,
+  runBroke: async () => {
+    await Promise.resolve();
+  },
+};
--- a/src/sidecar/directory-table.ts
+++ b/src/sidecar/directory-table.ts
@@ -13,6 +13,7 @@
   type ServiceDefinition,
 } from '../directory/directory-state.js';
 import { overlayRanges } from '../directory/key-ranges.js';
+import { QuarantineView } from '../quarantine/quarantine-view.js';
 import { RouteTable } from './route-table.js';
 
 /** Limits that hold while the configuration names none. */
@@ -29,6 +30,8 @@
   index = 0;
   /** Whether the newest news was a change, and not a whole table. */
   isPatched = false;
+  /** Requests under which back ends have ended. */
+  readonly quarantine = new QuarantineView();
   private state: DirectoryState = emptyDirectoryState();
   private routeTable = new RouteTable([]);
   private byService = new Map<string, readonly BackendInstance[]>();
@@ -66,6 +69,11 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Versions of the software of a service's back ends. */
+  versionsOf(service: string): ReadonlySet<string> {
+    return new Set(this.instancesOf(service).map(({ version }) => version));
+  }
+
   /** One registered back end. */
   instance(id: string): BackendInstance | undefined {
     return this.state.instances.get(id);
@@ -87,6 +95,7 @@
     this.index = index;
     this.isPatched = false;
     this.state = decodeDirectory(table);
+    this.quarantine.replace(this.state.crashRecords.values());
     this.rebuildRoutes();
     this.rebuildInstances();
     return true;
@@ -121,6 +130,9 @@
         else this.state.evacuatedZones.delete(change.zone);
         this.rebuildInstances();
         break;
+      case 'crash-records':
+        this.quarantine.apply(change.changed, change.removed);
+        break;
       case 'ranges':
         this.state.ranges.set(change.service, overlayRanges(this.rangesOf(change.service), change.ranges));
         break;
--- a/src/sidecar/forwarder-counters.ts
+++ b/src/sidecar/forwarder-counters.ts
@@ -17,6 +17,8 @@
   notRun: number;
   unknown: number;
   cancelled: number;
+  /** Requests that were refused for good, since back ends ended under them. */
+  quarantined: number;
   /** Ended requests whose caller had been refused before. */
   returned: number;
   /** Of these, requests that were answered. */
@@ -34,6 +36,7 @@
     notRun: 0,
     unknown: 0,
     cancelled: 0,
+    quarantined: 0,
     returned: 0,
     returnedAnswered: 0,
     byRefusals: { '0': 0, '1': 0, '2-3': 0, '4-7': 0, '8+': 0 },
--- a/src/sidecar/interrupted-runs.ts
+++ b/src/sidecar/interrupted-runs.ts
@@ -11,6 +11,9 @@
  */
 const LINGERING_MS = 250;
 
+/** Time in ms within which an answer may be read after a connection broke although it was sent before that. */
+const SAME_BURST_MS = 50;
+
 /** Runs that are kept; more cannot have been at work at once. */
 const MOST_KEPT = 256;
 
@@ -18,6 +21,10 @@
 export interface InterruptedRun {
   readonly requestId: string;
   readonly fingerprint: string;
+  /** Whether the back end broke the connection; otherwise the run was broken off from here. */
+  readonly byBackend: boolean;
+  /** Whether nothing else ran at the back end from its begin to its end. */
+  readonly alone: boolean;
   /** When it ended, in ms of the daemon's clock. */
   readonly endedMs: number;
   readonly usedMs: number;
@@ -28,22 +35,25 @@
   private runs: InterruptedRun[] = [];
 
   /** A run has ended without an answer. */
-  note(head: RequestHead, body: Buffer, endedMs: number, usedMs: number): InterruptedRun {
-    const run = {
-      requestId: head.requestId,
-      fingerprint: requestFingerprint({ ...head, body }),
-      endedMs,
-      usedMs: Math.round(usedMs),
-    };
-    this.runs = [...this.runs, run].slice(-MOST_KEPT);
-    return run;
+  note(head: RequestHead, body: Buffer, how: Omit<InterruptedRun, 'requestId' | 'fingerprint'>): string {
+    const fingerprint = requestFingerprint({ ...head, body });
+    this.runs = [...this.runs, { requestId: head.requestId, fingerprint, ...how }].slice(-MOST_KEPT);
+    return fingerprint;
+  }
+
+  /** The back end has answered: it lives, so what broke off before has not ended it. */
+  backendAnswered(nowMs: number): void {
+    if (this.runs.length > 0) this.runs = this.runs.filter(({ endedMs }) => endedMs > nowMs - SAME_BURST_MS);
   }
 
-  /** The runs under which the back end has ended; they are not kept any longer. */
-  take(): readonly InterruptedRun[] {
-    const lastMs = this.runs.at(-1)?.endedMs ?? -Infinity;
-    const taken = this.runs.filter(({ endedMs }) => endedMs >= lastMs - LINGERING_MS);
+  /**
+   * The runs under which the back end has ended, if their connections broke after `sinceMs`; they are not kept any longer.
+   * Without a broken connection there is no sign that anything ended.
+   */
+  take(sinceMs: number): readonly InterruptedRun[] {
+    const lastMs = this.runs.findLast(({ byBackend }) => byBackend)?.endedMs ?? -Infinity;
+    const taken = this.runs.filter(({ endedMs }) => Math.abs(endedMs - lastMs) <= LINGERING_MS);
     this.runs = [];
-    return taken;
+    return lastMs >= sinceMs && lastMs !== -Infinity ? taken : [];
   }
 }
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -24,6 +24,7 @@
   readonly zone: string;
   readonly slots: number;
   readonly condition: BackendCondition;
+  readonly version: string;
 }
 
 /** What the keeper needs of its daemon. */
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -20,7 +20,7 @@
 import type { BackendChooser } from './backend-chooser.js';
 import type { BackendProber } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
-import type { CallerRequest, CallerSink } from './caller-request.js';
+import { QUARANTINE_REASON, type CallerRequest, type CallerSink } from './caller-request.js';
 import { noteRefusals, type ForwarderCounters } from './forwarder-counters.js';
 import { RequestClock } from './request-clock.js';
 
@@ -40,6 +40,9 @@
  */
 const MAX_BUSY_REFUSALS = 3;
 
+/** Refusals of a quarantined request after which no further back end is asked: some for each version there may be. */
+const MAX_QUARANTINE_REFUSALS = 4;
+
 /** Sooner than this no answer to a refused request can differ, in ms. */
 const LEAST_RETRY_AFTER_MS = 50;
 
@@ -64,6 +67,8 @@
   readonly prober: BackendProber;
   readonly view: (instance: string) => BackendView;
   readonly linkTo: (instance: BackendInstance) => Link;
+  /** Whether a request may still be sent to a second back end; false once it is known to end them. */
+  readonly mayRepeat: (request: CallerRequest) => boolean;
   /** Takes a second arrival from the allowance of the service. */
   readonly takeRepeat: (service: string) => boolean;
   /** Index of the table in force. */
@@ -88,6 +93,7 @@
   private timing: AnswerTiming | null = null;
   private refusals = 0;
   private busyRefusals = 0;
+  private quarantineRefusals = 0;
   private nextLookPauseMs = LOOK_AGAIN_MS;
   private streaming = false;
   private done = false;
@@ -324,6 +330,10 @@
 
   private retryAfterRefusal(refusal: RefusalHead): void {
     const outOfTime = this.refusals >= MAX_REFUSALS || this.withdrawn;
+    if (refusal.reason === 'quarantined') {
+      this.afterQuarantine(outOfTime);
+      return;
+    }
     if (outOfTime || this.isFull() || (refusal.arrived && !this.mayArriveAgain())) {
       this.endWithoutPlace();
       return;
@@ -333,6 +343,15 @@
     else this.lookAgain();
   }
 
+  /** Back ends of another version of the software may take it; where there are none its end is final. */
+  private afterQuarantine(outOfTime: boolean): void {
+    this.quarantineRefusals += 1;
+    const mayLookOn = !outOfTime && this.quarantineRefusals < MAX_QUARANTINE_REFUSALS;
+    if (mayLookOn && this.choose() !== null) this.attempt();
+    else if (this.mayHaveRun) this.giveUpUnknown(this.lastReason, false);
+    else this.giveUpQuarantined();
+  }
+
   /** Whether so many daemons were busy that the service is taken to have no room. */
   private isFull(): boolean {
     return policyIsOn('bounded-refusals') && this.busyRefusals >= MAX_BUSY_REFUSALS;
@@ -378,7 +397,9 @@
       return;
     }
     const repeatable = this.request.route.definition.kind !== 'non-idempotent';
-    if (timedOut || !repeatable || this.withdrawn || !this.mayArriveAgain()) {
+    // A repeat of what is known to end back ends would end the next one.
+    const mayRepeat = repeatable && this.ports.mayRepeat(this.request);
+    if (timedOut || !mayRepeat || this.withdrawn || !this.mayArriveAgain()) {
       this.giveUpUnknown(reason, timedOut);
       return;
     }
@@ -433,6 +454,14 @@
     this.sink.giveUp({ kind: 'not-run', reason, retryAfterMs });
   }
 
+  private giveUpQuarantined(): void {
+    this.finish();
+    this.counters.quarantined += 1;
+    this.countEnd(false);
+    this.log('request-quarantined', { refusals: this.refusals });
+    this.sink.giveUp({ kind: 'quarantined', reason: QUARANTINE_REASON });
+  }
+
   private giveUpUnknown(reason: string, timedOut: boolean): void {
     this.finish();
     this.counters.unknown += 1;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -19,9 +19,12 @@
 import { ColdStartLimit } from './cold-start-limit.js';
 import { OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
+import type { CrashGuard } from './crash-guard.js';
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
+import { EndReporter, type EndedLife } from './end-reporter.js';
 import { HeartbeatGrants } from './heartbeat-grants.js';
+import { InterruptedRuns } from './interrupted-runs.js';
 import { InvokedGrants } from './invoked-grants.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
@@ -29,6 +32,7 @@
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
+import { RunPermits } from './run-permits.js';
 import { forwarderCounters } from './forwarder-counters.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 import {
@@ -113,6 +117,9 @@
   private readonly load = new LoadMeter();
   private readonly coldLimit: ColdStartLimit;
   private readonly evacuation: ZoneEvacuation;
+  private readonly interrupted = new InterruptedRuns();
+  private readonly permits: RunPermits;
+  readonly ends: EndReporter;
   private readonly chooser: BackendChooser;
   /** Asks other daemons how busy their back ends are. */
   readonly prober: BackendProber;
@@ -148,6 +155,8 @@
     });
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, this.startedMs);
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
+    this.permits = this.makePermits();
+    this.ends = this.makeEndReporter();
     this.gateway = this.makeGateway();
     this.peers = new PeerDaemons({
       runtime,
@@ -235,7 +244,9 @@
       this.log.event('heartbeat-of-past-life', { instance: heartbeat.id, present: this.backend.id });
       return null;
     }
+    const before = this.presentLife();
     const news = this.backend.take(heartbeat, arrivedMs);
+    if (news === 'new-life' && before !== null) this.ends.lifeReplaced(before);
     if (news === 'stale') return null;
     if (news === 'new-life') this.newLife(heartbeat);
     else this.coldLimit.takeTold(heartbeat.coldLeftMs, arrivedMs);
@@ -290,6 +301,7 @@
   private close(): void {
     for (const cancel of this.timers) cancel();
     this.lease.stop();
+    this.ends.stop();
     this.grants.stop();
     this.callers.close();
     this.gateway.stop();
@@ -342,6 +354,8 @@
       pacer: this.pacer,
       backend: this.backendClient,
       coldLimit: this.coldLimit,
+      interrupted: this.interrupted,
+      guard: this.makeGuard(),
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
@@ -354,6 +368,51 @@
     });
   }
 
+  private makeEndReporter(): EndReporter {
+    return new EndReporter({
+      runtime: this.runtime,
+      log: this.log,
+      interrupted: this.interrupted,
+      life: () => this.presentLife(),
+      listens: this.options.backendListens,
+      send: (request) => this.directory.send(request),
+    });
+  }
+
+  private makePermits(): RunPermits {
+    return new RunPermits({
+      runtime: this.runtime,
+      life: () => this.presentLife(),
+      send: (request) => this.directory.send(request),
+      onPermit: () => {
+        this.gateway.suspects.step();
+      },
+    });
+  }
+
+  private makeGuard(): CrashGuard {
+    const version = (): string => this.backend.heartbeat?.version ?? '';
+    return {
+      permits: this.permits,
+      judge: (request) => this.table.quarantine.judge(request, version()),
+      completed: (request) => {
+        const { record, fingerprint } = this.table.quarantine.judge(request, version());
+        if (record !== null && fingerprint !== null) this.permits.completed(fingerprint, version());
+      },
+      runBroke: async () => {
+        await this.ends.runBroke();
+      },
+    };
+  }
+
+  /** The life of the back end, as long as it does not leave and this daemon does not stop. */
+  private presentLife(): EndedLife | null {
+    const { heartbeat } = this.backend;
+    if (heartbeat === null || this.backend.leaving || this.stoppingSinceMs !== null) return null;
+    const { id, service, version } = heartbeat;
+    return { id, service, version };
+  }
+
   private makeChooser(): BackendChooser {
     return new BackendChooser({
       table: this.table,
@@ -380,7 +439,8 @@
       tableIndex: () => this.table.index,
     };
     const { retryBudget } = settings;
-    const ports = { intake: this.intake, forwarding, retryBudget, daemons: () => peers.count };
+    const { intake, table } = this;
+    const ports = { intake, table, forwarding, retryBudget, daemons: () => peers.count };
     return new CallerRequests(ports, this.counters);
   }
 
@@ -393,6 +453,8 @@
       },
       onNotice: (notice) => {
         this.lease.receive(notice);
+        this.ends.receive(notice);
+        this.permits.receive(notice);
       },
       onConnected: () => {
         this.lease.reconnected();
@@ -444,14 +506,15 @@
     const { id, slots, coldLeftMs } = heartbeat;
     this.log.event('backend-known', { instance: id, slots, coldLeftMs });
     this.coldLimit.startLife(coldLeftMs, this.runtime.nowMs());
+    this.gateway.startLife();
     this.gateway.forecast.pace.forget();
     this.adoptEvacuation();
     this.grants.clear();
   }
 
-  private updateLease({ id, service, zone, slots, condition }: BackendHeartbeat): void {
+  private updateLease({ id, service, zone, slots, condition, version }: BackendHeartbeat): void {
     const leaves = condition === 'draining' || this.backend.leaving;
-    this.lease.update({ id, service, zone, slots, condition: leaves ? 'draining' : 'ready' });
+    this.lease.update({ id, service, zone, slots, version, condition: leaves ? 'draining' : 'ready' });
   }
 
   /** A daemon that was started a moment ago may not know yet whether there are any. */
@@ -484,10 +547,7 @@
   }
 
   private backendGone(reason: string): void {
-    const runs = this.gateway.interrupted.take().map(({ requestId, fingerprint, usedMs }) => {
-      return { requestId, fingerprint, usedMs };
-    });
-    this.log.event('backend-gone', { instance: this.backend.id, reason, runs });
+    this.log.event('backend-gone', { instance: this.backend.id, reason });
     this.backend.forget();
     this.lease.giveUp(reason);
     this.grants.clear();
--- a/test/platform/heartbeat-calls.test.ts
+++ b/test/platform/heartbeat-calls.test.ts
@@ -19,6 +19,7 @@
     zone: 'z',
     slots: 6,
     condition: 'ready',
+    version: 'v1',
     sequence: 4,
     coldLeftMs: 0,
     holds: [{ from: 0, to: 9, fence: 7 }],
--- a/test/sidecar/local-backend.test.ts
+++ b/test/sidecar/local-backend.test.ts
@@ -13,6 +13,7 @@
     service: 's',
     zone: 'z',
     slots: 1,
+    version: 'v1',
     condition,
     sequence,
     coldLeftMs: 0,
