--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -21,6 +21,7 @@
 import { ChangeFeed } from './change-feed.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { DirectoryDuties } from './directory-duties.js';
+import { CrashDuties } from '../quarantine/crash-duties.js';
 import { DirectoryLeader, type Answer } from './directory-leader.js';
 import { applyDirectoryCommand } from './directory-machine.js';
 import { nextDirectoryMembership } from './directory-membership.js';
@@ -90,6 +91,7 @@
   private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>;
   private readonly confirmations: LeadershipConfirmations;
   private readonly duties: DirectoryDuties;
+  private readonly crashDuties: CrashDuties;
   private readonly leader: DirectoryLeader;
   private readonly listener: Listener;
   private readonly dialer: ReplicaDialer;
@@ -120,6 +122,10 @@
         this.options.log.event('ranges-planned', { service, ...plan });
       },
     );
+    this.crashDuties = new CrashDuties(
+      () => this.current.crashRecords,
+      (command) => void this.proposals.propose(command),
+    );
     this.leader = this.makeLeader();
     const mayForm = storage.owner.founding === true && settings.seeds.includes(this.name);
     this.formation = mayForm ? new FormationCore(this.name, this.id, settings.seeds) : null;
@@ -401,6 +407,7 @@
     if (!this.durable) return;
     this.leader.expire();
     this.duties.run(this.options.runtime.nowMs());
+    this.crashDuties.run(this.options.runtime.nowMs());
   }
 
   private startLeading(term: number): void {
@@ -408,6 +415,7 @@
     this.candidates.clear();
     this.leader.startLeading();
     this.duties.startLeading();
+    this.crashDuties.startLeading();
   }
 
   private tellWatchers(): void {
