Failing test: a machine that wakes from suspension grants keys by a lease that has ended

Cause: every time that daemons compare comes from CLOCK_MONOTONIC, which does not count suspended time.

--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -3,6 +3,7 @@
 import type { BackendRequest, BackendRequestHandlers } from '../../../src/sidecar/backend-connection.js';
 import { headerValue, DEFAULT_HEADER_DIALECT } from '../../../src/sidecar/header-dialect.js';
 import { HeldKeys } from '../../soak/held-keys.js';
+import type { SoakJudge } from '../../soak/soak-judge.js';
 import type { Random } from '../../random.js';
 import type { EventQueue } from '../event-queue.js';
 import type { FleetService, FleetTraffic } from './fleet-spec.js';
@@ -30,6 +31,7 @@
   readonly queue: EventQueue;
   readonly random: Random;
   readonly slots: number;
+  readonly judge: SoakJudge;
   readonly trafficOf: (path: string) => FleetTraffic;
   readonly onRun: (run: FleetRun) => void;
   /** A request has ended it. */
@@ -59,7 +61,9 @@
       id,
       service.grantMode,
       () => ports.queue.nowMs,
-      () => undefined,
+      (ranges, untilMs) => {
+        if (this.up) ports.judge.holds(id, service.name, ranges, untilMs, ports.queue.nowMs);
+      },
     );
   }
 
@@ -88,6 +92,7 @@
   /** Ends at once; whatever it works on breaks off. */
   end(): void {
     this.up = false;
+    this.ports.judge.ended(this.id);
     for (const { run, handlers } of this.working) {
       this.close(run, 'backend-ended');
       handlers.onBroken('broken', 'the answer was cut short', true);
@@ -110,6 +115,11 @@
     };
     const work = { run, handlers };
     onRun(run);
+    const repeatable = method === 'GET';
+    this.ports.judge.runStarted(
+      { requestId, backend: this.id, service: this.service.name, key, repeatable },
+      queue.nowMs,
+    );
     this.working.add(work);
     if (key !== null) this.keys.begin(key);
     const workMs = traffic.workMs * (LEAST_WORK + WORK_SPREAD * random.fraction());
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationItem } from '../../../src/directory/directory-state.js';
 import { SILENT_EVENT_LOG, type EventLog } from '../../../src/telemetry/event-log.js';
 import { Random } from '../../random.js';
+import { SoakJudge, type SoakViolation } from '../../soak/soak-judge.js';
 import { EventQueue } from '../event-queue.js';
 import { SimDirectory } from '../sim-directory.js';
 import type { FleetRun } from './fleet-backend.js';
@@ -17,6 +18,12 @@
 const TOLERATED_LOSSES = 1;
 const ZONES = ['zone-1', 'zone-2'] as const;
 
+/** Bounds that the judge goes by, as the daemons' settings give them, and pause between its looks, in ms. */
+const DRAIN_MS = 2_000;
+const APPLY_MS = 2_000;
+const EVACUATION_MS = 5_000;
+const LOOK_MS = 50;
+
 /** When the configuration is there and every back end has its keys, in ms; traffic should begin after that. */
 export const FLEET_READY_MS = 6_000;
 
@@ -40,6 +47,7 @@
   readonly machines: readonly FleetMachine[];
   readonly callers: FleetCallers;
   readonly runs: FleetRun[] = [];
+  private readonly judge = new SoakJudge(DRAIN_MS, APPLY_MS, EVACUATION_MS, () => true);
   /** Version of the software of back ends that start from now on. */
   version = 'v1';
 
@@ -67,6 +75,7 @@
         queue: this.queue,
         random: this.random,
         slots: spec.slots,
+        judge: this.judge,
         trafficOf: (path: string) => this.trafficOf(path),
         onRun: (run: FleetRun) => this.runs.push(run),
       },
@@ -81,6 +90,11 @@
     this.callers = new FleetCallers(this.queue, this.random, this.machines);
   }
 
+  /** Promises that were broken: owners of keys, runs of what must not be repeated. */
+  get violations(): readonly SoakViolation[] {
+    return this.judge.violations;
+  }
+
   /** Starts everything, and waits until it is ready for traffic. */
   async start(): Promise<void> {
     await this.directory.start();
@@ -91,6 +105,7 @@
     this.queue.at(CONFIGURE_AT_MS, () => {
       this.configure();
     });
+    this.look();
     await this.runUntil(FLEET_READY_MS);
   }
 
@@ -114,6 +129,20 @@
     while (this.queue.runNext(untilMs)) await new Promise((resolve) => setImmediate(resolve));
   }
 
+  /** Cuts a machine off from all replicas, both ways; other machines reach it. */
+  cutFromDirectory({ name }: FleetMachine): void {
+    const { network, replicas } = this.directory;
+    for (const replica of replicas) {
+      network.cut(name, replica.process.name);
+      network.cut(replica.process.name, name);
+    }
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    this.directory.network.healAll();
+  }
+
   /** Ends of back ends, in the order of time. */
   ends(): readonly FleetEnd[] {
     const ends = new Map<string, { instance: string; atMs: number; under: string[] }>();
@@ -142,6 +171,13 @@
     return this.runs.filter((run) => run.traffic === traffic && run.atMs > sinceMs);
   }
 
+  private look(): void {
+    this.judge.look(this.queue.nowMs);
+    this.queue.at(this.queue.nowMs + LOOK_MS, () => {
+      this.look();
+    });
+  }
+
   private trafficOf(path: string): FleetTraffic {
     const traffic = this.spec.traffic.find(({ name }) => path.startsWith(`/${name}/`));
     if (traffic === undefined) throw new Error(`invariant broken: no requests of ${path}`);
--- a/lab/sim/sim-process.ts
+++ b/lab/sim/sim-process.ts
@@ -26,6 +26,7 @@
   /** Time for which its steady clock stood still, in ms of true time, and since when it does; null while it runs. */
   private suspendedMs = 0;
   private suspendedSinceMs: number | null = null;
+  private wallStepMs = 0;
 
   constructor(
     readonly name: string,
@@ -61,7 +62,8 @@
 
   /** Its wall clock, in ms since 1970. */
   wallMs(): number {
-    return Math.round(SIMULATION_EPOCH_MS + this.queue.nowMs + this.clock.wallOffsetMs);
+    const offsetMs = this.clock.wallOffsetMs + this.wallStepMs;
+    return Math.round(SIMULATION_EPOCH_MS + this.queue.nowMs + offsetMs);
   }
 
   /** True time that passes while its clock moves on by `ms`. */
@@ -90,6 +92,11 @@
     if (this.isAlive) this.isFrozen = true;
   }
 
+  /** Sets its wall clock forward, or back. */
+  stepWall(ms: number): void {
+    this.wallStepMs += ms;
+  }
+
   /** Its machine is suspended: it stands still, and its monotonic clock with it; the wall clock does not. */
   suspend(): void {
     if (!this.isAlive || this.isFrozen) return;
