One rule for all times that are compared: what a daemon may do ends by a clock that counts suspension, what others may do by the steady one

Cause: CLOCK_MONOTONIC does not count the time for which a machine was suspended; a daemon that woke up granted keys by a lease that had ended. Ruled out: os.uptime (on the users' machines it is not their clock: a trial read the host's); wall time alone (a clock that steps forward would make a leader end leases early). Change: SuspensionClock takes a wall clock that moved on further than the steady one for time that has passed; Runtime.steadyMs for leases of others, grants that may still be held, windows of cold starts and retries; timers that are due after a suspension fire at once; the router and links read the same clock; deadlines for back ends are handed over on the host's steady clock, and the contract says what a back end must count. Tests: clocks and timers as tables, crash records as a table and for any order of commands, twelve kinds of ends and near-ends.

--- a/lab/backend/backend-server.ts
+++ b/lab/backend/backend-server.ts
@@ -11,7 +11,7 @@
   REQUEST_HEADERS,
   type RefusalCode,
 } from '../../src/backend-contract/grant-messages.js';
-import { monotonicMs } from '../../src/runtime/clock.js';
+import { clockMs, steadyMs } from '../../src/runtime/clock.js';
 import { JournalWriter } from '../journal.js';
 import { Random } from '../random.js';
 import { registerContract } from './contract-routes.js';
@@ -79,12 +79,12 @@
   readonly gate: RequestGate;
   private readonly values = new Map<string, number>();
   private readonly random: Random;
-  private readonly startedMs = monotonicMs();
+  private readonly startedMs = steadyMs();
   private readonly journal: JournalWriter | null;
   private readonly app: FastifyInstance;
 
   constructor(readonly options: BackendOptions) {
-    this.grants = new GrantTable(monotonicMs, options.repeatHorizonMs);
+    this.grants = new GrantTable({ nowMs: clockMs, steadyMs }, options.repeatHorizonMs);
     this.gate = new RequestGate(this.grants, options.slots);
     this.random = new Random(options.seed);
     this.journal = options.journal === null ? null : new JournalWriter(options.journal);
@@ -132,7 +132,7 @@
   private registerHealth(): void {
     const history: { readonly atMs: number; readonly inFlight: number }[] = [];
     this.app.get('/-/health', () => {
-      const nowMs = monotonicMs();
+      const nowMs = steadyMs();
       history.push({ atMs: nowMs, inFlight: this.gate.inFlight });
       const old = history.filter((seen) => nowMs - seen.atMs >= HEALTH_LAG_MS).at(-1);
       const lagging = { status: 'ok', inFlight: old?.inFlight ?? 0 };
@@ -159,7 +159,7 @@
   }
 
   private workTime(): number {
-    const cold = monotonicMs() - this.startedMs < this.options.coldMs;
+    const cold = steadyMs() - this.startedMs < this.options.coldMs;
     return this.random.exponential(this.options.workMs) * (cold ? this.options.coldFactor : 1);
   }
 
@@ -173,7 +173,7 @@
     const sendingId = headerOf(work.headers, 'x-sending-id') ?? '';
     this.journal?.write({
       kind: 'execution',
-      atMs: monotonicMs(),
+      atMs: steadyMs(),
       backend: name,
       service,
       shard: shard === null ? null : Number(shard),
--- a/lab/backend/grant-table.ts
+++ b/lab/backend/grant-table.ts
@@ -1,5 +1,6 @@
 /** The fence of a stand-in back end: which shards it may serve, under which epoch, and until when. */
 import type { Grant, RefusalCode } from '../../src/backend-contract/grant-messages.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
 import { ClaimWindow } from './claim-window.js';
 
 interface GrantedShard {
@@ -19,14 +20,17 @@
   end(): void;
 }
 
-/** Grants of one back end. Times are ms of the machine's monotonic clock. */
+/** Clocks that a back end reads, as `Runtime` gives them to daemons. */
+export type BackendClocks = Pick<Runtime, 'nowMs' | 'steadyMs'>;
+
+/** Grants of one back end. Deadlines come as readings of the host's steady clock, and end by a clock that skips nothing. */
 export class GrantTable {
   private readonly shards = new Map<number, GrantedShard>();
   private holder: string | null = null;
   private deadlineMs = 0;
 
   constructor(
-    private readonly nowMs: () => number,
+    private readonly clocks: BackendClocks,
     private readonly repeatHorizonMs: number,
   ) {}
 
@@ -45,8 +49,9 @@
   }
 
   /** Lengthens all grants; a deadline never goes back. */
-  extend(deadlineMs: number): void {
-    this.deadlineMs = Math.max(this.deadlineMs, deadlineMs);
+  extend(steadyDeadlineMs: number): void {
+    const skippedMs = this.clocks.nowMs() - this.clocks.steadyMs();
+    this.deadlineMs = Math.max(this.deadlineMs, steadyDeadlineMs + skippedMs);
   }
 
   /** Adds grants. A grant that is there under the same epoch is admitted to again and keeps its claims. */
@@ -84,7 +89,7 @@
 
   /** Shards that a request would be admitted to now. */
   servableShards(): number[] {
-    if (this.nowMs() >= this.deadlineMs) return [];
+    if (this.clocks.nowMs() >= this.deadlineMs) return [];
     return [...this.shards].filter(([, { releasing }]) => !releasing).map(([shard]) => shard);
   }
 
@@ -92,12 +97,12 @@
   admit(shard: number, epoch: number): Admission | RefusalCode {
     const granted = this.shards.get(shard);
     if (granted?.epoch !== epoch) return 'not-owner';
-    if (this.nowMs() >= this.deadlineMs) return 'lease-expired';
+    if (this.clocks.nowMs() >= this.deadlineMs) return 'lease-expired';
     if (granted.releasing) return 'releasing';
     granted.running += 1;
     return {
       window: granted.window,
-      stillValid: () => this.shards.get(shard) === granted && this.nowMs() < this.deadlineMs,
+      stillValid: () => this.shards.get(shard) === granted && this.clocks.nowMs() < this.deadlineMs,
       end: () => {
         granted.running -= 1;
         if (granted.running === 0) for (const wake of granted.idleWaiters.splice(0)) wake();
--- a/lab/chain/chain-time.ts
+++ b/lab/chain/chain-time.ts
@@ -25,6 +25,7 @@
   };
   return {
     nowMs: () => queue.nowMs,
+    steadyMs: () => queue.nowMs,
     wallMs: () => queue.nowMs,
     after,
     every: (ms, callback) => {
--- a/lab/load/load-run.ts
+++ b/lab/load/load-run.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { v7 as uuidv7 } from 'uuid';
-import { monotonicMs } from '../../src/runtime/clock.js';
+import { steadyMs } from '../../src/runtime/clock.js';
 import { shardOfKey } from '../../src/model/shard.js';
 import { JournalWriter, type Operation } from '../journal.js';
 import { Random, ZipfSampler } from '../random.js';
@@ -80,10 +80,10 @@
   private async generate(traffic: Traffic, position: number): Promise<void> {
     const random = new Random(this.options.seed * 1_000 + position);
     const keys = new ZipfSampler(random, traffic.keys, traffic.zipf);
-    const endMs = monotonicMs() + this.options.seconds * 1_000;
-    let dueMs = monotonicMs();
+    const endMs = steadyMs() + this.options.seconds * 1_000;
+    let dueMs = steadyMs();
     while (dueMs < endMs) {
-      const waitMs = dueMs - monotonicMs();
+      const waitMs = dueMs - steadyMs();
       if (waitMs > 0) await sleep(waitMs);
       this.start(this.draw(traffic, random, keys));
       dueMs += random.exponential(1_000 / traffic.rate);
@@ -117,7 +117,7 @@
 
   /** One caller: sends until it has an answer or has tried often enough. */
   private async call(request: CallerRequest): Promise<void> {
-    const startedMs = monotonicMs();
+    const startedMs = steadyMs();
     let last: SendingResult | null = null;
     let router = this.random.pick(this.options.routers);
     for (let sending = 0; sending < this.options.maxSendings; sending += 1) {
@@ -126,7 +126,7 @@
       await sleep(last.retryAfterMs ?? DEFAULT_RETRY_MS);
       router = this.random.pick(this.options.routers);
     }
-    if (last !== null) this.count(last, monotonicMs() - startedMs);
+    if (last !== null) this.count(last, steadyMs() - startedMs);
     const sendAgain = request.idempotencyKey !== null && this.random.fraction() < this.options.duplicateShare;
     if (sendAgain) await this.send(request, this.random.pick(this.options.routers));
   }
--- a/lab/load/sending.ts
+++ b/lab/load/sending.ts
@@ -1,6 +1,6 @@
 /** One sending of a request by a caller, and what the caller was told. */
 import { Agent, type Dispatcher } from 'undici';
-import { monotonicMs } from '../../src/runtime/clock.js';
+import { steadyMs } from '../../src/runtime/clock.js';
 import { DownloadChecker } from '../backend/download-body.js';
 import type { CallerOutcome, Operation } from '../journal.js';
 
@@ -44,9 +44,9 @@
 
 /** Sends once; never rejects. */
 export async function sendOnce(agent: Agent, request: SendingRequest): Promise<SendingResult> {
-  const sentMs = monotonicMs();
+  const sentMs = steadyMs();
   const finish = (ending: Omit<SendingResult, 'sentMs' | 'endedMs'>): SendingResult => {
-    return { ...ending, sentMs, endedMs: monotonicMs() };
+    return { ...ending, sentMs, endedMs: steadyMs() };
   };
   try {
     const response = await agent.request({
--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -89,6 +89,32 @@
     return this.begin(request, handlers, key);
   }
 
+  /** Closes connections under requests, and goes on; at most `count` of them. */
+  reset(count = Infinity): void {
+    for (const work of [...this.working].slice(0, count)) {
+      this.working.delete(work);
+      this.close(work.run, 'cut');
+      work.handlers.onBroken('broken', 'the answer was cut short', true);
+    }
+  }
+
+  /** Answers what it works on with bytes that are no answer. */
+  garble(): void {
+    for (const work of [...this.working]) {
+      this.working.delete(work);
+      this.close(work.run, 'cut');
+      work.handlers.onBroken('garbled', 'no answer', true);
+    }
+  }
+
+  /** Ends without a sign: nothing is closed, and nothing answers. */
+  goDark(): void {
+    this.up = false;
+    this.ports.judge.ended(this.id);
+    for (const { run } of this.working) this.close(run, 'backend-ended');
+    this.working.clear();
+  }
+
   /** Ends at once; whatever it works on breaks off. */
   end(): void {
     this.up = false;
--- a/lab/sim/fleet/fleet-links.ts
+++ b/lab/sim/fleet/fleet-links.ts
@@ -84,7 +84,7 @@
   ) {}
 
   get unreachable(): boolean {
-    return this.process.nowMs() < this.refuseUntilMs;
+    return this.process.steadyMs() < this.refuseUntilMs;
   }
 
   get outstanding(): number {
@@ -99,7 +99,7 @@
     this.underWay.add(request);
     if (peer === null) {
       this.process.schedule(0, () => {
-        this.refuseUntilMs = this.process.nowMs() + REDIAL_PAUSE_MS;
+        this.refuseUntilMs = this.process.steadyMs() + REDIAL_PAUSE_MS;
         request.lost(false);
       });
     } else request.send(head, body);
@@ -137,7 +137,7 @@
     private readonly handlers: RequestHandlers,
     private readonly forget: () => void,
   ) {
-    this.heardMs = process.nowMs();
+    this.heardMs = process.steadyMs();
   }
 
   send(head: RequestHead, body: Buffer): void {
@@ -177,8 +177,8 @@
   private watch(peer: Listening): void {
     const { alive, frozen, name } = peer.process;
     if (alive && !frozen && this.links.passesBothWays(this.process.name, name))
-      this.heardMs = this.process.nowMs();
-    if (!alive || this.process.nowMs() - this.heardMs > SILENCE_MS) {
+      this.heardMs = this.process.steadyMs();
+    if (!alive || this.process.steadyMs() - this.heardMs > SILENCE_MS) {
       this.lost(true);
       return;
     }
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -100,6 +100,29 @@
     this.beat(backend);
   }
 
+  /** The back end falls silent: its address refuses nothing, and nothing answers there. */
+  darkenBackend(): void {
+    this.backend?.goDark();
+  }
+
+  /** The back end ends and another life listens at once, so that no connection is refused. */
+  restartBackend(): void {
+    this.backend?.end();
+    this.startBackend();
+  }
+
+  /** The back end says that it leaves, and ends a moment later. */
+  retireBackend(afterMs: number): void {
+    const { queue } = this.ports.directory;
+    const { backend } = this;
+    if (backend === null) return;
+    backend.draining = true;
+    this.tell(backend);
+    queue.at(queue.nowMs + afterMs, () => {
+      this.endBackend();
+    });
+  }
+
   /** The back end ends, and is back after a while. */
   endBackend(): void {
     const { queue } = this.ports.directory;
@@ -121,6 +144,11 @@
     queue.at(queue.nowMs + next, () => {
       this.beat(backend);
     });
+    this.tell(backend);
+  }
+
+  private tell(backend: FleetBackend): void {
+    const { queue } = this.ports.directory;
     const sentMs = queue.nowMs;
     backend.sequence += 1;
     const heartbeat = this.heartbeatOf(backend);
@@ -206,6 +234,7 @@
         let breakOff = (): void => undefined;
         let cancelled = false;
         const back = (run: () => void): void => {
+          if (!process.alive) return;
           process.schedule(LOCAL_DELAY_MS, () => {
             if (!cancelled) run();
           });
--- a/lab/sim/sim-backend.ts
+++ b/lab/sim/sim-backend.ts
@@ -2,7 +2,7 @@
 import type { BackendCallError, BackendPort } from '../../src/agent/backend-port.js';
 import type { Claim, Grant, HolderAnswer, RefusalCode } from '../../src/backend-contract/grant-messages.js';
 import { Err, Ok, type Result } from '../../src/result.js';
-import { GrantTable } from '../backend/grant-table.js';
+import { type BackendClocks, GrantTable } from '../backend/grant-table.js';
 import { RequestGate, type KeptAnswer } from '../backend/request-gate.js';
 import type { ExecutionRecord } from '../journal.js';
 import type { Random } from '../random.js';
@@ -31,10 +31,10 @@
   { readonly kind: 'answered' } | { readonly kind: 'refused'; readonly code: RefusalCode };
 
 /** Makes the table of grants; variants stand in for a back end without a guard. */
-export type GrantTableFactory = (nowMs: () => number) => GrantTable;
+export type GrantTableFactory = (clocks: BackendClocks) => GrantTable;
 
 /** The usual table. */
-export const makeGrantTable: GrantTableFactory = (nowMs) => new GrantTable(nowMs, REPEAT_HORIZON_MS);
+export const makeGrantTable: GrantTableFactory = (clocks) => new GrantTable(clocks, REPEAT_HORIZON_MS);
 
 /** One back end over all its lives. */
 export class SimBackend {
@@ -51,14 +51,14 @@
     private readonly makeGrants: GrantTableFactory,
     private readonly record: (execution: ExecutionRecord) => void,
   ) {
-    this.grants = this.makeGrants(() => this.process.nowMs());
+    this.grants = this.makeGrants(this.process.clocks());
     this.gate = new RequestGate(this.grants, SLOTS);
   }
 
   /** Starts a new life without grants. */
   start(): void {
     this.life += 1;
-    this.grants = this.makeGrants(() => this.process.nowMs());
+    this.grants = this.makeGrants(this.process.clocks());
     this.gate = new RequestGate(this.grants, SLOTS);
     this.process.start();
   }
--- a/lab/sim/sim-guards.ts
+++ b/lab/sim/sim-guards.ts
@@ -69,17 +69,17 @@
 export function grantTables(guard: GuardName | null): GrantTableFactory {
   switch (guard) {
     case 'epoch-is-checked':
-      return (nowMs) => new AnyEpochGrantTable(nowMs, REPEAT_HORIZON_MS);
+      return (clocks) => new AnyEpochGrantTable(clocks, REPEAT_HORIZON_MS);
     case 'lease-deadline-is-checked':
-      return (nowMs) => new EndlessGrantTable(nowMs, REPEAT_HORIZON_MS);
+      return (clocks) => new EndlessGrantTable(clocks, REPEAT_HORIZON_MS);
     case 'grant-is-checked-again-before-the-change':
-      return (nowMs) => new OnceCheckedGrantTable(nowMs, REPEAT_HORIZON_MS);
+      return (clocks) => new OnceCheckedGrantTable(clocks, REPEAT_HORIZON_MS);
     case 'window-is-handed-over':
-      return (nowMs) => new ForgetfulGrantTable(nowMs, REPEAT_HORIZON_MS);
+      return (clocks) => new ForgetfulGrantTable(clocks, REPEAT_HORIZON_MS);
     case 'freshness-is-proven':
-      return (nowMs) => new TrustingGrantTable(nowMs, REPEAT_HORIZON_MS);
+      return (clocks) => new TrustingGrantTable(clocks, REPEAT_HORIZON_MS);
     case 'holder-starts-from-sending':
-      return (nowMs) => new LateGrantTable(nowMs, REPEAT_HORIZON_MS);
+      return (clocks) => new LateGrantTable(clocks, REPEAT_HORIZON_MS);
     default:
       return makeGrantTable;
   }
--- a/lab/sim/sim-process.ts
+++ b/lab/sim/sim-process.ts
@@ -1,4 +1,5 @@
 /** A simulated process: it can crash, freeze and go on, and its clocks run at their own rate. */
+import { SuspensionClock } from '../../src/runtime/suspension-clock.js';
 import type { EventQueue } from './event-queue.js';
 
 /** Clocks of one process. */
@@ -49,12 +50,21 @@
     return this.isFrozen;
   }
 
-  /** Its monotonic clock, in ms; it does not count the time for which its machine was suspended. */
-  nowMs(): number {
+  /** Its steady clock, in ms; it does not count the time for which its machine was suspended. */
+  steadyMs(): number {
     const sinceMs = this.suspendedSinceMs === null ? 0 : this.queue.nowMs - this.suspendedSinceMs;
     return this.clock.startMs + (this.queue.nowMs - this.suspendedMs - sinceMs) * this.clock.rate;
   }
 
+  /** The clocks that a daemon of this process reads; a new life reads new ones. */
+  clocks(): { nowMs(): number; steadyMs(): number } {
+    const clock = new SuspensionClock(
+      () => this.steadyMs(),
+      () => this.wallMs(),
+    );
+    return { nowMs: () => clock.nowMs(), steadyMs: () => this.steadyMs() };
+  }
+
   /** True time, which no process can read, in ms. */
   nowTrueMs(): number {
     return this.queue.nowMs;
@@ -114,9 +124,9 @@
 
   /** Runs `run` once the steady clock has moved on by `ms`; a timer, which stands still with its clock. */
   scheduleOnClock(ms: number, run: () => void): void {
-    const dueMs = this.nowMs() + ms;
+    const dueMs = this.steadyMs() + ms;
     this.schedule(this.trueMs(ms), () => {
-      const leftMs = dueMs - this.nowMs();
+      const leftMs = dueMs - this.steadyMs();
       if (leftMs > CLOCK_GRAIN_MS) this.scheduleOnClock(leftMs, run);
       else run();
     });
--- a/lab/sim/sim-runtime.ts
+++ b/lab/sim/sim-runtime.ts
@@ -6,7 +6,7 @@
 /** Makes the runtime of a process; `nextId` gives strings that are the same for the same seed. */
 export function simRuntime(process: SimProcess, network: SimNetwork, nextId: () => string): Runtime {
   return {
-    nowMs: () => process.nowMs(),
+    ...process.clocks(),
     wallMs: () => process.wallMs(),
     after(ms, callback) {
       let cancelled = false;
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -17,7 +17,7 @@
 import { GrantKeeper } from './grant-keeper.js';
 import { HandoverReceiver } from './handover-receiver.js';
 import { HandoverSender } from './handover-sender.js';
-import { LeaseHolder } from './lease-holder.js';
+import { LeaseHolder, steadyDeadline } from './lease-holder.js';
 import { LoadReport } from './load-report.js';
 
 /**
@@ -267,7 +267,7 @@
    */
   private async checkSession(): Promise<void> {
     this.unansweredSinceMs ??= this.runtime.nowMs();
-    const answer = await this.backend.extendLease(this.lease.deadlineMs);
+    const answer = await this.backend.extendLease(steadyDeadline(this.runtime, this.lease.deadlineMs));
     if (answer.ok) this.backendAnswered(answer.val);
     else this.backendFailed(answer.val);
     this.grants.reportReleases();
--- a/src/agent/grant-keeper.ts
+++ b/src/agent/grant-keeper.ts
@@ -10,7 +10,7 @@
 import type { BackendPort } from './backend-port.js';
 import type { HandoverReceiver } from './handover-receiver.js';
 import type { HandoverSender } from './handover-sender.js';
-import type { LeaseHolder } from './lease-holder.js';
+import { steadyDeadline, type LeaseHolder } from './lease-holder.js';
 
 /** Pause between reports of a release that control has not acted on, in ms. */
 const RELEASE_REPORT_MS = 300;
@@ -154,7 +154,8 @@
       const window = [...receiver.take(service, row.shard, row.epoch - 1)];
       return { shard: row.shard, epoch: row.epoch, freshAfterMs: row.freshAfterMs, window };
     });
-    const installed = await backend.addGrants(lease.deadlineMs, grants);
+    const deadlineMs = steadyDeadline(this.ports.runtime, lease.deadlineMs);
+    const installed = await backend.addGrants(deadlineMs, grants);
     if (installed.err) {
       // The windows may or may not have arrived; a new session makes control count them as lost.
       this.ports.onInstallFailed();
--- a/src/agent/lease-holder.ts
+++ b/src/agent/lease-holder.ts
@@ -4,10 +4,12 @@
  * at different rates.
  */
 
+import type { Runtime } from '../runtime/runtime.js';
+
 /** Part of a term by which the holder stops early: clocks may differ in rate by this much together. */
 export const CLOCK_DRIFT_MARGIN = 0.02;
 
-/** A lease as its holder sees it. Times are ms of the machine's monotonic clock. */
+/** A lease as its holder sees it. Times are ms of the agent's clock, which counts suspended time. */
 export class LeaseHolder {
   private sessionId: number | null = null;
   private currentDeadlineMs = 0;
@@ -46,6 +48,14 @@
   }
 }
 
+/**
+ * A deadline of the agent's clock as a reading of the host's steady clock, which the back end reads as well. What the
+ * agent's clock has skipped in suspension is taken off, since the steady clock has not counted it.
+ */
+export function steadyDeadline(clocks: Pick<Runtime, 'nowMs' | 'steadyMs'>, deadlineMs: number): number {
+  return deadlineMs - (clocks.nowMs() - clocks.steadyMs());
+}
+
 function deadline(sentMs: number, termMs: number): number {
   return sentMs + termMs * (1 - CLOCK_DRIFT_MARGIN);
 }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -234,7 +234,7 @@
       state: () => this.state,
       confirmLeadership: (requestId: number) =>
         this.replica?.submit({ kind: 'confirm-leadership', requestId }),
-      nowMs: () => this.runtime.nowMs(),
+      steadyMs: () => this.runtime.steadyMs(),
       wallMs: () => this.runtime.wallMs(),
     };
     const { sessionTermMs } = this.settings.timing;
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -38,7 +38,8 @@
 export interface SessionPorts {
   readonly state: () => ControlState;
   readonly confirmLeadership: (requestId: number) => void;
-  readonly nowMs: () => number;
+  /** Time that certainly has passed, in ms: leases of others end by it. */
+  readonly steadyMs: () => number;
   readonly wallMs: () => number;
 }
 
@@ -65,7 +66,7 @@
     private readonly proposals: Proposals,
     private readonly loads: LoadTable,
   ) {
-    this.expiries = new TokenBucket(EXPIRY_BURST, EXPIRIES_PER_SECOND, ports.nowMs());
+    this.expiries = new TokenBucket(EXPIRY_BURST, EXPIRIES_PER_SECOND, ports.steadyMs());
   }
 
   /** This replica has become leader and its state is current. */
@@ -73,7 +74,7 @@
     this.closing.clear();
     this.batches.clear();
     this.openBatch = null;
-    this.leases.restart(this.ports.state().sessions.keys(), this.ports.nowMs());
+    this.leases.restart(this.ports.state().sessions.keys(), this.ports.steadyMs());
   }
 
   /** Opens a session. */
@@ -92,7 +93,7 @@
       notify(connection, { kind: 'session-opened', openId, session: known.id, termMs: this.termMs });
       return;
     }
-    const receivedMs = this.ports.nowMs();
+    const receivedMs = this.ports.steadyMs();
     const wallMs = this.ports.wallMs();
     const result = await this.proposals.propose({
       kind: 'open-session',
@@ -129,7 +130,7 @@
       return;
     }
     this.takeLoad(request);
-    this.batch().push({ request, receivedMs: this.ports.nowMs(), connection });
+    this.batch().push({ request, receivedMs: this.ports.steadyMs(), connection });
   }
 
   /** A quorum has confirmed leadership for the renewals of one batch. */
@@ -148,10 +149,10 @@
   /** Ends sessions whose lease has run out, those that are longest overdue first. */
   expire(): void {
     const isOpen = (session: number): boolean => this.ports.state().sessions.has(session);
-    const expired = this.leases.expired(this.ports.nowMs());
+    const expired = this.leases.expired(this.ports.steadyMs());
     for (const session of expired) if (!isOpen(session)) this.leases.forget(session);
     const open = expired.filter(isOpen).slice(0, SESSIONS_ENDED_IN_A_RUN);
-    const ended = open.slice(0, this.expiries.take(open.length, this.ports.nowMs()));
+    const ended = open.slice(0, this.expiries.take(open.length, this.ports.steadyMs()));
     if (ended.length === 0) return;
     for (const session of ended) this.leases.forget(session);
     this.counters.expired += ended.length;
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -20,6 +20,8 @@
 export interface DirectoryLeaderPorts {
   readonly state: () => DirectoryState;
   readonly nowMs: () => number;
+  /** Time that certainly has passed, in ms: leases of others end by it. */
+  readonly steadyMs: () => number;
   /** Whether acknowledged entries survive the losses that are tolerated. */
   readonly durable: () => boolean;
   readonly onExpired: (sessions: readonly InstanceSession[]) => void;
@@ -44,7 +46,7 @@
   startLeading(): void {
     this.closing.clear();
     const sessions = [...this.ports.state().instances.values()].map(({ session }) => session);
-    this.leases.restart(sessions, this.ports.nowMs());
+    this.leases.restart(sessions, this.ports.steadyMs());
   }
 
   /** Takes a request of a daemon. */
@@ -103,7 +105,7 @@
     const bySession = new Map(
       [...this.ports.state().instances.values()].map((known) => [known.session, known]),
     );
-    const expired = this.leases.expired(this.ports.nowMs());
+    const expired = this.leases.expired(this.ports.steadyMs());
     const ended: InstanceSession[] = [];
     for (const session of expired) {
       this.leases.forget(session);
@@ -117,7 +119,7 @@
 
   private async register(request: RegisterRequest, answer: Answer): Promise<void> {
     const { instance, sentMs } = request;
-    const receivedMs = this.ports.nowMs();
+    const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(instance.id);
     if (known !== undefined && this.closing.has(known.session)) return;
     if (known === undefined || !isSameRegistration(known, instance)) {
@@ -131,9 +133,9 @@
 
   private async renew(request: RenewRequest, answer: Answer): Promise<void> {
     const { id, session, sentMs, load } = request;
-    const receivedMs = this.ports.nowMs();
+    const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(id);
-    if (known?.session === session) this.duties.reportLoad(known.service, load, receivedMs);
+    if (known?.session === session) this.duties.reportLoad(known.service, load, this.ports.nowMs());
     await this.grant('renewed', id, session, receivedMs, sentMs, answer);
   }
 
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -102,6 +102,9 @@
   private readonly timers: CancelTimer[] = [];
   private replica: Replica | null = null;
   private leadingTerm = 0;
+  /** Time that this replica's clock has skipped, and when that last grew on its steady clock, in ms. */
+  private skippedMs = 0;
+  private skippedAtMs = -Infinity;
 
   private constructor(private readonly options: DirectoryNodeOptions) {
     const { settings, token, runtime, storage } = options;
@@ -258,6 +261,7 @@
     const ports = {
       state: () => this.current,
       nowMs: () => runtime.nowMs(),
+      steadyMs: () => runtime.steadyMs(),
       durable: () => this.durable,
       onExpired: (sessions: unknown) => {
         log.event('lease-expired', { sessions });
@@ -403,13 +407,23 @@
     const { replica } = this;
     if (replica?.leading !== true) return;
     if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
-    this.advanceMembership(replica);
+    if (!this.clockSkippedLately()) this.advanceMembership(replica);
     if (!this.durable) return;
     this.leader.expire();
     this.duties.run(this.options.runtime.nowMs());
     this.crashDuties.run(this.options.runtime.nowMs());
   }
 
+  /** After a suspension nobody seems to have answered for as long; that says nothing of the others. */
+  private clockSkippedLately(): boolean {
+    const { runtime, settings } = this.options;
+    const steadyMs = runtime.steadyMs();
+    const skippedMs = Math.round(runtime.nowMs() - steadyMs);
+    if (skippedMs !== this.skippedMs) this.skippedAtMs = steadyMs;
+    this.skippedMs = skippedMs;
+    return steadyMs - this.skippedAtMs < settings.timing.electionTimeoutMs;
+  }
+
   private startLeading(term: number): void {
     this.leadingTerm = term;
     this.candidates.clear();
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -1,4 +1,5 @@
 /** Takes a caller's request to the back end that owns its key, within its deadline. */
+import { clockMs } from '../runtime/clock.js';
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { REQUEST_HEADERS } from '../backend-contract/grant-messages.js';
@@ -43,11 +44,11 @@
 
   /** Handles one request to its end. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const startedMs = performance.now();
+    const startedMs = clockMs();
     this.state.requestStarted();
     const prepared = await this.prepare(request, response, startedMs);
     const end = 'code' in prepared ? this.refuse(response, prepared) : await this.run(prepared);
-    this.state.requestEnded(end, performance.now() - startedMs);
+    this.state.requestEnded(end, clockMs() - startedMs);
   }
 
   private async prepare(
@@ -118,15 +119,15 @@
     const shard = shardOfKey(flow.serviceName, flow.key, flow.service.shards);
     const owner = this.state.table.row(flow.serviceName, shard)?.owner ?? null;
     const downSinceMs = owner === null ? null : (this.state.backends.peek(owner)?.health.downSinceMs ?? null);
-    return downSinceMs !== null && performance.now() - downSinceMs > this.state.settings.ownerWaitMs;
+    return downSinceMs !== null && clockMs() - downSinceMs > this.state.settings.ownerWaitMs;
   }
 
   /** Waits for a newer table for at most `ms`, within the owner wait and the deadline. */
   private async pause(flow: Flow, ms: number): Promise<boolean> {
-    const startedMs = performance.now();
+    const startedMs = clockMs();
     const leftMs = this.state.settings.ownerWaitMs - flow.waitedMs;
     const updated = await this.state.waiters.next(Math.min(ms, leftMs, flow.deadlineMs - startedMs));
-    flow.waitedMs += performance.now() - startedMs;
+    flow.waitedMs += clockMs() - startedMs;
     return updated;
   }
 
@@ -135,18 +136,18 @@
     const backend = this.state.backends.get(flow.service, target.backend);
     if (backend === null)
       return this.refuse(flow.response, refusal('no-owner', target.backend, OWNER_RETRY_AFTER_MS));
-    const slot = await backend.limiter.acquire(flow.deadlineMs - performance.now());
+    const slot = await backend.limiter.acquire(flow.deadlineMs - clockMs());
     if (slot.kind === 'refused') {
       const detail = `${target.backend} has no free slot`;
       return this.refuse(flow.response, refusal('overloaded', detail, slot.retryAfterMs));
     }
     if (slot.kind === 'deadline-passed')
       return await this.afterFailure(flow, { kind: 'deadline-passed', sent: false });
-    const startedMs = performance.now();
+    const startedMs = clockMs();
     flow.attempts += 1;
     flow.tried.add(target.backend);
     const result = await forwardAttempt(backend.pool, this.attemptRequest(flow, target), flow.response);
-    backend.limiter.release(performance.now() - startedMs);
+    backend.limiter.release(clockMs() - startedMs);
     if (result.kind === 'failed') {
       this.observeFailure(backend, result.failure);
       return await this.afterFailure(flow, result.failure);
@@ -156,7 +157,7 @@
   }
 
   private attemptRequest(flow: Flow, target: Target): Parameters<typeof forwardAttempt>[1] {
-    const budgetMs = Math.max(1, flow.deadlineMs - performance.now());
+    const budgetMs = Math.max(1, flow.deadlineMs - clockMs());
     const headers = [...flow.headers, REQUEST_HEADERS.deadline, String(Math.floor(budgetMs))];
     headers.push(REQUEST_HEADERS.attempt, randomUUID());
     if (target.fence !== null) {
@@ -168,7 +169,7 @@
   }
 
   private observeFailure(backend: BackendState, failure: AttemptFailure): void {
-    const nowMs = performance.now();
+    const nowMs = clockMs();
     switch (failure.kind) {
       case 'refused':
         backend.health.answered();
@@ -190,7 +191,7 @@
       repeatable: flow.repeatable,
       bodyAvailable: flow.body.repeatable,
       attempts: flow.attempts,
-      remainingMs: flow.deadlineMs - performance.now(),
+      remainingMs: flow.deadlineMs - clockMs(),
       takeRetry: () => flow.budget.tryTake(),
     });
     if (decision.kind === 'end') return this.refuse(flow.response, decision.refusal);
--- a/src/router/router-node.ts
+++ b/src/router/router-node.ts
@@ -1,4 +1,5 @@
 /** A running router: its table, its HTTP listener, and an orderly stop. */
+import { clockMs } from '../runtime/clock.js';
 import 'reflect-metadata';
 import { Module } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
@@ -72,8 +73,8 @@
       });
     });
     server.closeIdleConnections();
-    const untilMs = performance.now() + drainMs;
-    while (this.state.inFlight > 0 && performance.now() < untilMs) await pause(STOP_POLL_MS);
+    const untilMs = clockMs() + drainMs;
+    while (this.state.inFlight > 0 && clockMs() < untilMs) await pause(STOP_POLL_MS);
     if (this.state.inFlight > 0) this.logger.warn('requests were cut off', { count: this.state.inFlight });
     server.closeIdleConnections();
     await Promise.race([closed, pause(STOP_POLL_MS)]);
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -1,4 +1,5 @@
 /** The shared state of one router: table, back ends, budgets, counters. */
+import { clockMs } from '../runtime/clock.js';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { RouterSettings } from '../config/daemon-settings.js';
@@ -40,7 +41,7 @@
     this.view = {
       row: (service, shard) => this.table.row(service, shard),
       availableBackends: (service) => this.available.get(service) ?? [],
-      admits: (backend) => this.backends.peek(backend)?.health.admits(performance.now()) ?? true,
+      admits: (backend) => this.backends.peek(backend)?.health.admits(clockMs()) ?? true,
       loadOf: (backend) => this.loadOf(backend),
       random: (limit) => uniformInt(this.generator, 0, limit - 1),
     };
--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -1,10 +1,28 @@
-/** Clocks of the machine. */
+/**
+ * Clocks of the machine. One rule holds for all times that are compared: what this process may still do ends by `clockMs`,
+ * which counts all time that may have passed; what others may still do ends by `steadyMs`, which counts only time that
+ * certainly has.
+ */
 import { hrtime } from 'node:process';
+import { ProcessTimers } from './process-timers.js';
+import { SuspensionClock } from './suspension-clock.js';
 
 const NANOSECONDS_PER_MICROSECOND = 1_000n;
 const MICROSECONDS_PER_MS = 1_000;
 
-/** Present time of the host's monotonic clock (CLOCK_MONOTONIC), in ms; all processes on it read the same. */
-export function monotonicMs(): number {
+/** The host's steady clock (CLOCK_MONOTONIC), in ms; all processes on it read the same. It stands still in suspension. */
+export function steadyMs(): number {
   return Number(hrtime.bigint() / NANOSECONDS_PER_MICROSECOND) / MICROSECONDS_PER_MS;
 }
+
+const clock = new SuspensionClock(steadyMs, Date.now, () => {
+  processTimers.clockSkipped();
+});
+
+/** This process's clock, in ms: the steady one, moved on by the time for which the machine may have been suspended. */
+export function clockMs(): number {
+  return clock.nowMs();
+}
+
+/** Timers of this process that follow its clock. */
+export const processTimers = new ProcessTimers(clockMs);
--- a/src/runtime/node-runtime.ts
+++ b/src/runtime/node-runtime.ts
@@ -2,19 +2,15 @@
 import { randomUUID } from 'node:crypto';
 import { MessageClient } from '../transport/message-client.js';
 import { MessageServer } from '../transport/message-server.js';
-import { monotonicMs } from './clock.js';
+import { clockMs, processTimers, steadyMs } from './clock.js';
 import type { Runtime } from './runtime.js';
 
 /** The runtime of this process. */
 export const nodeRuntime: Runtime = {
-  nowMs: monotonicMs,
+  nowMs: clockMs,
+  steadyMs,
   wallMs: Date.now,
-  after(ms, callback) {
-    const timer = setTimeout(callback, ms);
-    return () => {
-      clearTimeout(timer);
-    };
-  },
+  after: (ms, callback) => processTimers.after(ms, callback),
   every(ms, callback) {
     const timer = setInterval(callback, ms);
     return () => {
--- a/src/runtime/runtime.ts
+++ b/src/runtime/runtime.ts
@@ -77,8 +77,10 @@
 
 /** The machine as a daemon sees it. */
 export interface Runtime {
-  /** Monotonic clock of the machine, in ms. */
+  /** Time that may have passed, in ms: what this process may do ends by it. It counts suspended time. */
   nowMs(): number;
+  /** Time that certainly has passed, in ms: what others may do ends by it. It stands still in suspension. */
+  steadyMs(): number;
   /** Wall clock, in ms since 1970. */
   wallMs(): number;
   /** Calls back once after `ms`. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -152,9 +152,9 @@
       pacer,
     });
     this.admission = new Admission(1, {
-      delayMs: (ahead) => coldLimit.delayMs(ahead, runtime.nowMs()),
+      delayMs: (ahead) => coldLimit.delayMs(ahead, runtime.steadyMs()),
       noteStarted: () => {
-        coldLimit.noteSent(runtime.nowMs());
+        coldLimit.noteSent(runtime.steadyMs());
       },
       pace: () => this.forecast.paceNow,
     });
@@ -196,7 +196,7 @@
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving() && !this.suspects.isolating,
       sendWaitMs: Math.round(this.forecast.sendWaitMs),
-      coldStart: this.ports.coldLimit.outlook(nowMs),
+      coldStart: this.ports.coldLimit.outlook(this.ports.runtime.steadyMs()),
       pace: rounded(pace.now),
       meanPace: rounded(pace.mean),
     };
@@ -563,7 +563,7 @@
   private retryAfterMs(reason: RefusalReason): number {
     if (reason !== 'busy') return RETRY_AFTER_CHANGE_MS;
     const { serviceMs, waitingCount, slots } = this.admission;
-    const coldMs = this.ports.coldLimit.delayMs(waitingCount, this.ports.runtime.nowMs());
+    const coldMs = this.ports.coldLimit.delayMs(waitingCount, this.ports.runtime.steadyMs());
     const queueMs = Math.max(coldMs, (serviceMs * (waitingCount + 1)) / slots);
     return Math.round(Math.min(LONGEST_RETRY_AFTER_MS, queueMs));
   }
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -37,7 +37,7 @@
     this.forwarderPorts = {
       ...forwarding,
       mayRepeat: (request) => this.quarantineOf(request) === null,
-      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(forwarding.runtime.nowMs(), daemons()),
+      takeRepeat: (service) => this.allowanceOf(service).takeRepeat(forwarding.runtime.steadyMs(), daemons()),
     };
   }
 
@@ -47,7 +47,7 @@
     if ('statusCode' in prepared) return prepared;
     const refused = this.refusedForGood(prepared);
     if (refused !== null) return refused;
-    this.allowanceOf(prepared.service).noteRequest(this.ports.forwarding.runtime.nowMs());
+    this.allowanceOf(prepared.service).noteRequest(this.ports.forwarding.runtime.steadyMs());
     const forwarded = new ForwardedRequest(
       prepared,
       forgettingSink(sink, () => this.underWay.delete(forwarded)),
--- a/src/sidecar/cold-start-limit.ts
+++ b/src/sidecar/cold-start-limit.ts
@@ -31,7 +31,7 @@
   readonly slack: number;
 }
 
-/** Paces what is sent to one back end while it is cold. */
+/** Paces what is sent to one back end while it is cold. Times are ms of the steady clock: only what has passed counts. */
 export class ColdStartLimit {
   private coldStart: ColdStart | null = null;
   private coldUntilMs = -Infinity;
--- a/src/sidecar/heartbeat-grants.ts
+++ b/src/sidecar/heartbeat-grants.ts
@@ -20,6 +20,8 @@
 export class HeartbeatGrants implements KeyGrants {
   private held: readonly HeldRange[] = [];
   private heldUntilMs = -Infinity;
+  /** The same on the steady clock: until then it may hold them, whatever time may have passed. */
+  private mayHoldUntilMs = -Infinity;
   private answeredAny = false;
   /** Sequence of the first heartbeat whose answer left a moving range out, by the range's name. */
   private readonly leftOut = new Map<string, number>();
@@ -37,9 +39,9 @@
     return this.held.some(({ from, to }) => key >= from && key <= to);
   }
 
-  /** When nothing that was granted can still be held, in ms of the daemon's clock. */
+  /** When nothing that was granted can still be held, in ms of the steady clock. */
   get heldUntil(): number {
-    return this.heldUntilMs;
+    return this.mayHoldUntilMs;
   }
 
   /** Takes what a heartbeat tells of keys. */
@@ -73,6 +75,7 @@
   clear(): void {
     this.held = [];
     this.heldUntilMs = -Infinity;
+    this.mayHoldUntilMs = -Infinity;
     this.answeredAny = false;
     this.leftOut.clear();
     this.handovers = [];
@@ -88,7 +91,9 @@
     const before = new Set(this.held.map(rangeName));
     this.answeredAny = true;
     this.held = ranges;
+    const { runtime } = this.ports;
     this.heldUntilMs = untilMs;
+    this.mayHoldUntilMs = runtime.steadyMs() + (untilMs - runtime.nowMs());
     if (ranges.some((range) => !before.has(rangeName(range)))) this.ports.onGained();
   }
 
@@ -97,6 +102,7 @@
     if (this.answeredAny || heartbeat.holds === null || heartbeat.holds.length === 0) return;
     this.held = heartbeat.holds;
     this.heldUntilMs = this.ports.runtime.nowMs() + RECOVERED_HOLD_MS;
+    this.mayHoldUntilMs = this.ports.runtime.steadyMs() + RECOVERED_HOLD_MS;
     this.ports.onGained();
   }
 
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -28,7 +28,7 @@
   sentMs: number;
   /** Until when the back end certainly holds the range. */
   heldUntilMs: number;
-  /** Until when it may hold the range. */
+  /** Until when it may hold the range, on the steady clock. */
   mayHoldUntilMs: number;
   underWay: boolean;
   releasing: boolean;
@@ -70,7 +70,7 @@
     return false;
   }
 
-  /** When nothing that was granted can still be held, in ms of the daemon's clock. */
+  /** When nothing that was granted can still be held, in ms of the steady clock. */
   get heldUntil(): number {
     return Math.max(-Infinity, ...[...this.records.values()].map(({ mayHoldUntilMs }) => mayHoldUntilMs));
   }
@@ -98,7 +98,7 @@
     const nowMs = this.ports.runtime.nowMs();
     const owned = this.ports.owned.list();
     this.noteInherited(owned);
-    this.forgetPast(owned, nowMs);
+    this.forgetPast(owned, this.ports.runtime.steadyMs());
     for (const range of owned) {
       if (range.movingTo === null) this.grantIfDue(range, nowMs);
       else this.release(range, nowMs);
@@ -114,10 +114,10 @@
   }
 
   /** A record of a range that was cut covers its parts until they have records of their own. */
-  private forgetPast(owned: readonly KeyRange[], nowMs: number): void {
+  private forgetPast(owned: readonly KeyRange[], steadyMs: number): void {
     const names = new Set(owned.map(rangeName));
     for (const [name, record] of this.records) {
-      if (!names.has(name) && nowMs >= record.mayHoldUntilMs) this.records.delete(name);
+      if (!names.has(name) && steadyMs >= record.mayHoldUntilMs) this.records.delete(name);
     }
   }
 
@@ -145,7 +145,8 @@
     const { life } = this;
     record.underWay = true;
     record.sentMs = nowMs;
-    record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, nowMs + holdMs * STRETCH_SHARE);
+    const mayHoldUntilMs = this.ports.runtime.steadyMs() + holdMs * STRETCH_SHARE;
+    record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, mayHoldUntilMs);
     const result = await this.calls.grant(range, holdMs);
     record.underWay = false;
     if (life !== this.life) return;
@@ -175,7 +176,7 @@
       this.reporter.report(range, record.handover);
       return;
     }
-    if (!record.underWay) void this.callRelease(record, range, nowMs);
+    if (!record.underWay) void this.callRelease(record, range);
   }
 
   /** Whether the range may leave; if not, takes the next step towards that. */
@@ -189,13 +190,14 @@
     return certainty === 'certain';
   }
 
-  private async callRelease(record: GrantRecord, range: KeyRange, nowMs: number): Promise<void> {
+  private async callRelease(record: GrantRecord, range: KeyRange): Promise<void> {
     const { life } = this;
+    const calledMs = this.ports.runtime.steadyMs();
     record.underWay = true;
     const handover = await this.calls.release(range);
     record.underWay = false;
     if (life !== this.life || !record.releasing) return;
-    const expired = nowMs >= this.mayHoldUntil(range);
+    const expired = calledMs >= this.mayHoldUntil(range);
     if (handover !== null || expired) record.handover = handover ?? '';
     if (record.handover !== null) this.reporter.report(range, record.handover);
   }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -153,7 +153,7 @@
     this.backendClient = this.transport.backend(() => {
       void this.lookAgainAtBackend();
     });
-    this.coldLimit = new ColdStartLimit(settings.coldStartBound, this.startedMs);
+    this.coldLimit = new ColdStartLimit(settings.coldStartBound, runtime.steadyMs());
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
     this.permits = this.makePermits();
     this.ends = this.makeEndReporter();
@@ -249,7 +249,7 @@
     if (news === 'new-life' && before !== null) this.ends.lifeReplaced(before);
     if (news === 'stale') return null;
     if (news === 'new-life') this.newLife(heartbeat);
-    else this.coldLimit.takeTold(heartbeat.coldLeftMs, arrivedMs);
+    else this.coldLimit.takeTold(heartbeat.coldLeftMs, this.runtime.steadyMs());
     this.gateway.setSlots(heartbeat.slots);
     this.updateLease(heartbeat);
     const { grants } = this;
@@ -505,7 +505,7 @@
   private newLife(heartbeat: BackendHeartbeat): void {
     const { id, slots, coldLeftMs } = heartbeat;
     this.log.event('backend-known', { instance: id, slots, coldLeftMs });
-    this.coldLimit.startLife(coldLeftMs, this.runtime.nowMs());
+    this.coldLimit.startLife(coldLeftMs, this.runtime.steadyMs());
     this.gateway.startLife();
     this.gateway.forecast.pace.forget();
     this.adoptEvacuation();
@@ -559,7 +559,7 @@
     const nowMs = this.runtime.nowMs();
     const { backend } = this;
     if (backend.id === null) return;
-    const holdsNothing = nowMs > this.grants.heldUntil + HOLD_MARGIN_MS;
+    const holdsNothing = this.runtime.steadyMs() > this.grants.heldUntil + HOLD_MARGIN_MS;
     const silentMs = nowMs - backend.lastHeardMs;
     if (backend.left && nowMs > backend.closesAtMs) {
       if (holdsNothing) this.backendGone('it left');
--- a/src/transport/message-connection.ts
+++ b/src/transport/message-connection.ts
@@ -2,6 +2,7 @@
  * One TCP connection of the internal protocol: whole messages out, whole messages in.
  * Nothing here retries; a broken connection reports `close` once and is then finished.
  */
+import { clockMs } from '../runtime/clock.js';
 import type { Socket } from 'node:net';
 import type { Connection } from '../runtime/runtime.js';
 import { SilenceWatch, type SilenceTiming } from './silence-watch.js';
@@ -33,7 +34,7 @@
   private readonly decoder = new FrameDecoder();
   private closed = false;
   private readonly silence = new SilenceWatch({
-    nowMs: () => performance.now(),
+    nowMs: clockMs,
     ask: () => {
       this.send(PING);
     },
--- a/test/control/session-service.test.ts
+++ b/test/control/session-service.test.ts
@@ -35,7 +35,7 @@
     {
       state: () => this.state,
       confirmLeadership: (requestId) => void this.confirmations.push(requestId),
-      nowMs: () => this.nowMs,
+      steadyMs: () => this.nowMs,
       wallMs: () => 0,
     },
     this.proposals,
--- a/test/lab/grant-table.test.ts
+++ b/test/lab/grant-table.test.ts
@@ -8,7 +8,7 @@
 
 class Setting {
   nowMs = 0;
-  readonly grants = new GrantTable(() => this.nowMs, HORIZON_MS);
+  readonly grants = new GrantTable({ nowMs: () => this.nowMs, steadyMs: () => this.nowMs }, HORIZON_MS);
   readonly gate = new RequestGate(this.grants, 2);
 
   constructor() {
--- a/test/sidecar/manual-runtime.ts
+++ b/test/sidecar/manual-runtime.ts
@@ -15,6 +15,7 @@
   /** A runtime on this time; it has no network. */
   readonly runtime: Runtime = {
     nowMs: () => this.nowMs,
+    steadyMs: () => this.nowMs,
     wallMs: () => this.nowMs,
     after: (ms, callback) => this.add(ms, null, callback),
     every: (ms, callback) => this.add(ms, ms, callback),
