--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -151,7 +151,7 @@
     const workMs = traffic.workMs * (LEAST_WORK + WORK_SPREAD * random.fraction());
     queue.at(queue.nowMs + workMs, () => {
       if (!this.working.has(work)) return;
-      if (traffic.endsBackend) this.ports.onEnd();
+      if (this.endsUnder(traffic)) this.ports.onEnd();
       else this.answer(work, key);
     });
     return () => {
@@ -161,6 +161,10 @@
     };
   }
 
+  private endsUnder({ endsBackend }: FleetTraffic): boolean {
+    return typeof endsBackend === 'boolean' ? endsBackend : endsBackend.includes(this.version);
+  }
+
   private answer(work: Work, key: number | null): void {
     this.working.delete(work);
     if (key !== null) this.keys.end(key);
--- a/lab/sim/fleet/fleet-spec.ts
+++ b/lab/sim/fleet/fleet-spec.ts
@@ -26,8 +26,8 @@
   readonly deadlineMs: number;
   /** Mean time at the back end. */
   readonly workMs: number;
-  /** Whether each back end that begins one ends when its work is done. */
-  readonly endsBackend: boolean;
+  /** Whether each back end that begins one ends when its work is done; or only those of some versions. */
+  readonly endsBackend: boolean | readonly string[];
   /** How often its caller tries again, at once. */
   readonly retries: number;
 }
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -9,7 +9,7 @@
 import { EventQueue } from '../event-queue.js';
 import { SimDirectory } from '../sim-directory.js';
 import type { FleetRun } from './fleet-backend.js';
-import { FleetCallers, routeOf, type FleetRequestRecord } from './fleet-callers.js';
+import { FleetCallers, routeOf, type FleetRequestRecord, type FleetTry } from './fleet-callers.js';
 import { FleetLinks } from './fleet-links.js';
 import { FleetMachine } from './fleet-machine.js';
 import type { FleetSpec, FleetTraffic } from './fleet-spec.js';
@@ -161,6 +161,11 @@
     return sent.filter(({ served }) => served).length / Math.max(1, sent.length);
   }
 
+  /** Tries that came in at one machine. */
+  triesAt(machine: string): readonly FleetTry[] {
+    return this.callers.requests.flatMap(({ tries }) => tries.filter((one) => one.machine === machine));
+  }
+
   /** Requests of one kind. */
   requestsOf(traffic: string): readonly FleetRequestRecord[] {
     return this.callers.requests.filter((request) => request.traffic === traffic);
