--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -1,15 +1,10 @@
 /** The leader's part of a directory: registers back ends, renews their leases and ends those that ran out. */
+import { answerRunRequest, type RunRequestPorts } from '../quarantine/crash-messages.js';
 import type { Proposals } from '../control/proposals.js';
 import type { LeaseTable } from '../control/lease-table.js';
 import type { DirectoryDuties } from './directory-duties.js';
 import type { DirectoryCommand, DirectoryOutcome, InstanceSession } from './directory-commands.js';
-import type {
-  DirectoryNotice,
-  LeaderRequest,
-  RegisterRequest,
-  RenewRequest,
-  RunRequest,
-} from './directory-messages.js';
+import type { DirectoryNotice, LeaderRequest, RegisterRequest, RenewRequest } from './directory-messages.js';
 import type { BackendInstance, DirectoryState } from './directory-state.js';
 import type { LeadershipConfirmations } from './leadership-confirmations.js';
 
@@ -30,6 +25,13 @@
 /** Registrations and leases of one leader. */
 export class DirectoryLeader {
   private readonly closing = new Set<number>();
+  private readonly runRequests: RunRequestPorts = {
+    records: () => this.ports.state().crashRecords,
+    propose: async (command) => {
+      const result = await this.proposals.propose(command);
+      return result.ok && result.val.kind === 'done';
+    },
+  };
 
   constructor(
     /** Time in ms for which a renewal is good at the holder. */
@@ -72,31 +74,7 @@
         await this.proposals.propose(request);
         break;
       default:
-        await this.receiveAboutRuns(request, answer);
-    }
-  }
-
-  private async receiveAboutRuns(request: RunRequest, answer: Answer): Promise<void> {
-    switch (request.kind) {
-      case 'backend-ended': {
-        const recorded = await this.proposals.propose({ ...request, kind: 'record-end' });
-        if (recorded.ok) answer({ kind: 'end-recorded', token: request.token });
-        break;
-      }
-      case 'run-completed':
-        if (!this.ports.state().crashRecords.has(request.fingerprint)) return;
-        await this.proposals.propose({ ...request, kind: 'record-completion' });
-        break;
-      case 'run-permit': {
-        const permitted = await this.proposals.propose({ ...request, kind: 'permit-run' });
-        const { fingerprint, life } = request;
-        if (permitted.ok && permitted.val.kind === 'done')
-          answer({ kind: 'run-permitted', fingerprint, life });
-        break;
-      }
-      case 'permit-released':
-        await this.proposals.propose({ ...request, kind: 'release-permit' });
-        break;
+        await answerRunRequest(request, this.runRequests, answer);
     }
   }
 
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -1,5 +1,12 @@
 /** Messages between directory replicas and the daemons beside back ends, and between replicas. */
 import * as z from 'zod/mini';
+import {
+  backendEndedSchema,
+  permitReleasedSchema,
+  runCompletedSchema,
+  runPermitSchema,
+  type RunNotice,
+} from '../quarantine/crash-messages.js';
 import type { DirectoryChange } from './directory-commands.js';
 import type { DirectorySnapshot } from './directory-state.js';
 
@@ -68,36 +75,6 @@
   fence: z.number(),
 });
 
-const backendEndedSchema = z.object({
-  kind: z.literal('backend-ended'),
-  /** Comes back with the answer. */
-  token: z.number(),
-  life: z.string(),
-  service: z.string(),
-  version: z.string(),
-  runs: z.array(z.object({ fingerprint: z.string(), alone: z.boolean() })),
-});
-
-const runCompletedSchema = z.object({
-  kind: z.literal('run-completed'),
-  fingerprint: z.string(),
-  version: z.string(),
-});
-
-const runPermitSchema = z.object({
-  kind: z.literal('run-permit'),
-  fingerprint: z.string(),
-  life: z.string(),
-  version: z.string(),
-});
-
-const permitReleasedSchema = z.object({
-  kind: z.literal('permit-released'),
-  fingerprint: z.string(),
-  life: z.string(),
-  begun: z.boolean(),
-});
-
 const leaderRequestSchema = z.discriminatedUnion('kind', [
   registerSchema,
   renewSchema,
@@ -120,11 +97,6 @@
 export type LeaderRequest = z.infer<typeof leaderRequestSchema>;
 /** Registers a back end. */
 export type RegisterRequest = z.infer<typeof registerSchema>;
-/** Tells of runs under which back ends ended, or asks to run such a request. */
-export type RunRequest = Extract<
-  LeaderRequest,
-  { kind: 'backend-ended' | 'run-completed' | 'run-permit' | 'permit-released' }
->;
 /** Renews the lease of a back end. */
 export type RenewRequest = z.infer<typeof renewSchema>;
 
@@ -143,10 +115,7 @@
       readonly termMs: number;
     }
   | { readonly kind: 'session-ended'; readonly id: string; readonly session: number }
-  /** The end of a back end is on record. */
-  | { readonly kind: 'end-recorded'; readonly token: number }
-  /** A life of a back end may run a suspect once. */
-  | { readonly kind: 'run-permitted'; readonly fingerprint: string; readonly life: string };
+  | RunNotice;
 
 /** A daemon's request that a replica passes on to the leader. */
 export interface RelayedRequest {
--- a/src/sidecar/end-reporter.ts
+++ b/src/quarantine/end-reporter.ts
@@ -1,18 +1,18 @@
 /**
  * Finds out whether the back end beside this daemon has ended under the runs that broke off, and reports it to the
- * directory until it is recorded there. Callers are answered after that, so that the next coming of the request that did
+ * leader until it is recorded there. Callers are answered after that, so that the next coming of the request that did
  * it meets daemons that know.
  */
-import type { DirectoryNotice, DirectoryRequest } from '../directory/directory-messages.js';
-import type { EndedRun } from '../quarantine/crash-commands.js';
+import type { EndedRun } from './crash-commands.js';
+import type { RunNotice, RunRequest } from './crash-messages.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
-import type { EventLog } from '../telemetry/event-log.js';
+import type { EventFields } from '../telemetry/event-log.js';
 import type { InterruptedRun, InterruptedRuns } from './interrupted-runs.js';
 
 /** Pause between reports of one end that was not acknowledged, in ms: some rounds between replicas. */
 const RESEND_MS = 150;
 
-/** Reports of one end; a directory that is away for longer is told by the ends that follow. */
+/** Reports of one end; a leader that is away for longer is told by the ends that follow. */
 const MOST_REPORTS = 40;
 
 /**
@@ -37,13 +37,13 @@
 /** What the reporter needs of its daemon. */
 export interface EndReporterPorts {
   readonly runtime: Runtime;
-  readonly log: EventLog;
+  readonly log: { event(name: string, fields: EventFields): void };
   readonly interrupted: InterruptedRuns;
   /** The life that is beside this daemon now, if it was not leaving. */
   readonly life: () => EndedLife | null;
   /** Asks whether any process listens at the back end's address. */
   readonly listens: () => Promise<boolean>;
-  readonly send: (request: DirectoryRequest) => boolean;
+  readonly send: (request: RunRequest) => boolean;
 }
 
 interface Report {
@@ -79,8 +79,8 @@
     if (runs.length > 0) void this.report(life, runs);
   }
 
-  /** Takes an answer of the directory. */
-  receive(notice: DirectoryNotice): void {
+  /** Takes an answer of the leader. */
+  receive(notice: RunNotice): void {
     if (notice.kind !== 'end-recorded') return;
     const report = this.reports.get(notice.token);
     if (report !== undefined) this.finish(report);
--- a/src/sidecar/interrupted-runs.ts
+++ b/src/quarantine/interrupted-runs.ts
@@ -2,9 +2,6 @@
  * Runs of one life of a back end that ended without its answer a moment ago. When the back end turns out to have ended,
  * they are the runs that it ended under.
  */
-import type { RequestHead } from '../link/link-messages.js';
-import { requestFingerprint } from '../quarantine/request-fingerprint.js';
-
 /**
  * Time in ms for which a run that was broken off from here may still be at work at the back end: the way there, and a
  * look of the back end at its connections.
@@ -35,10 +32,8 @@
   private runs: InterruptedRun[] = [];
 
   /** A run has ended without an answer. */
-  note(head: RequestHead, body: Buffer, how: Omit<InterruptedRun, 'requestId' | 'fingerprint'>): string {
-    const fingerprint = requestFingerprint({ ...head, body });
-    this.runs = [...this.runs, { requestId: head.requestId, fingerprint, ...how }].slice(-MOST_KEPT);
-    return fingerprint;
+  note(run: InterruptedRun): void {
+    this.runs = [...this.runs, run].slice(-MOST_KEPT);
   }
 
   /** The back end has answered: it lives, so what broke off before has not ended it. */
--- a/src/sidecar/run-permits.ts
+++ b/src/quarantine/run-permits.ts
@@ -1,11 +1,10 @@
 /**
- * Permits to run suspects at the back end beside this daemon. The directory gives one at a time for each of them, so that
- * a request that ends what runs it is not tried at two places at once.
+ * Permits to run suspects. The leader gives one at a time for each of them, so that a request that ends what runs it is not
+ * tried at two places at once.
  */
-import type { DirectoryNotice, DirectoryRequest } from '../directory/directory-messages.js';
 import type { Runtime } from '../runtime/runtime.js';
+import type { RunNotice, RunRequest } from './crash-messages.js';
 import type { EndedLife } from './end-reporter.js';
-import type { SuspectPermits } from './suspect-runs.js';
 
 /** Pause before a permit is asked for again, in ms: about as long as a run that has it takes. */
 const ASK_AGAIN_MS = 120;
@@ -19,14 +18,15 @@
 /** What the permits need of their daemon. */
 export interface RunPermitPorts {
   readonly runtime: Runtime;
-  readonly life: () => EndedLife | null;
-  readonly send: (request: DirectoryRequest) => boolean;
+  readonly send: (request: RunRequest) => boolean;
+  /** Whether a life of a back end is still there to use a permit. */
+  readonly isPresent: (life: string) => boolean;
   /** A permit has come. */
   readonly onPermit: (fingerprint: string) => void;
 }
 
 /** Permits of one daemon. */
-export class RunPermits implements SuspectPermits {
+export class RunPermits {
   private readonly askedMs = new Map<string, number>();
   private readonly reportedMs = new Map<string, number>();
   /** Life for which each permit is held. */
@@ -34,25 +34,22 @@
 
   constructor(private readonly ports: RunPermitPorts) {}
 
-  /** See `SuspectPermits`. */
-  holds(fingerprint: string): boolean {
-    const life = this.ports.life();
-    return life !== null && this.held.get(fingerprint) === life.id;
+  /** Whether a life of a back end may run a request now. */
+  holds(fingerprint: string, life: string): boolean {
+    return this.held.get(fingerprint) === life;
   }
 
-  /** See `SuspectPermits`. */
-  ask(fingerprint: string): void {
-    const life = this.ports.life();
-    if (life === null || this.holds(fingerprint)) return;
-    if (!this.isDue(this.askedMs, fingerprint, ASK_AGAIN_MS)) return;
-    this.ports.send({ kind: 'run-permit', fingerprint, life: life.id, version: life.version });
+  /** Asks for a permit, unless that was done a moment ago. */
+  ask(fingerprint: string, { id, version }: EndedLife): void {
+    if (this.holds(fingerprint, id) || !this.isDue(this.askedMs, fingerprint, ASK_AGAIN_MS)) return;
+    this.ports.send({ kind: 'run-permit', fingerprint, life: id, version });
   }
 
-  /** Takes an answer of the directory. */
-  receive(notice: DirectoryNotice): void {
+  /** Takes an answer of the leader. */
+  receive(notice: RunNotice): void {
     if (notice.kind !== 'run-permitted') return;
     const { fingerprint, life } = notice;
-    if (life !== this.ports.life()?.id) {
+    if (!this.ports.isPresent(life)) {
       this.ports.send({ kind: 'permit-released', fingerprint, life, begun: false });
       return;
     }
@@ -60,15 +57,14 @@
     this.ports.onPermit(fingerprint);
   }
 
-  /** See `SuspectPermits`; a back end that ended, and a run that ended well, settle it by themselves. */
+  /** The permit is given back; `begun`: a run of it may have begun. */
   release(fingerprint: string, begun: boolean): void {
     const life = this.held.get(fingerprint);
-    this.held.delete(fingerprint);
-    this.askedMs.delete(fingerprint);
+    this.settled(fingerprint);
     if (life !== undefined) this.ports.send({ kind: 'permit-released', fingerprint, life, begun });
   }
 
-  /** See `SuspectPermits`. */
+  /** The permitted run is over; an end of its back end, or a good end of its own, settles the permit by itself. */
   settled(fingerprint: string): void {
     this.held.delete(fingerprint);
     this.askedMs.delete(fingerprint);
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -13,7 +13,8 @@
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
-import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
+import type { InterruptedRuns } from '../quarantine/interrupted-runs.js';
+import { requestFingerprint, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
@@ -21,7 +22,6 @@
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
-import type { InterruptedRuns } from './interrupted-runs.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import { isTooLateToBegin, lateOrder, lateWaitMs, placeOrder, placeWaitMs, spareMs } from './place-policy.js';
 import { SuspectRuns, type Suspect } from './suspect-runs.js';
@@ -534,13 +534,16 @@
 
   /** A run that was sent, and not answered, may be what its back end ends under. */
   private noteInterrupted(visit: Visit, outcome: RunOutcome, usedMs: number): string | undefined {
-    const { head, body, alone } = visit;
+    const { alone } = visit;
     const byBackend = isBroken(outcome);
     const wasBrokenOff = outcome.kind === 'cancelled' || outcome.kind === 'deadline';
     if (!byBackend && !wasBrokenOff) return undefined;
     const endedMs = this.ports.runtime.nowMs();
-    const how = { byBackend, alone, endedMs, usedMs: Math.round(usedMs) };
-    return this.ports.interrupted.note(head, body, how);
+    const { requestId } = visit.head;
+    const fingerprint = requestFingerprint(identified(visit));
+    const run = { requestId, fingerprint, byBackend, alone, endedMs, usedMs: Math.round(usedMs) };
+    this.ports.interrupted.note(run);
+    return fingerprint;
   }
 
   private refuse(visit: Visit, reason: RefusalReason): void {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -22,9 +22,9 @@
 import type { CrashGuard } from './crash-guard.js';
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
-import { EndReporter, type EndedLife } from './end-reporter.js';
+import { EndReporter, type EndedLife } from '../quarantine/end-reporter.js';
 import { HeartbeatGrants } from './heartbeat-grants.js';
-import { InterruptedRuns } from './interrupted-runs.js';
+import { InterruptedRuns } from '../quarantine/interrupted-runs.js';
 import { InvokedGrants } from './invoked-grants.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
@@ -32,7 +32,7 @@
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
-import { RunPermits } from './run-permits.js';
+import { RunPermits } from '../quarantine/run-permits.js';
 import { forwarderCounters } from './forwarder-counters.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 import {
@@ -382,8 +382,8 @@
   private makePermits(): RunPermits {
     return new RunPermits({
       runtime: this.runtime,
-      life: () => this.presentLife(),
       send: (request) => this.directory.send(request),
+      isPresent: (life) => this.presentLife()?.id === life,
       onPermit: () => {
         this.gateway.suspects.step();
       },
@@ -392,8 +392,24 @@
 
   private makeGuard(): CrashGuard {
     const version = (): string => this.backend.heartbeat?.version ?? '';
+    const { permits } = this;
     return {
-      permits: this.permits,
+      permits: {
+        holds: (fingerprint) => {
+          const life = this.presentLife();
+          return life !== null && permits.holds(fingerprint, life.id);
+        },
+        ask: (fingerprint) => {
+          const life = this.presentLife();
+          if (life !== null) permits.ask(fingerprint, life);
+        },
+        release: (fingerprint, begun) => {
+          permits.release(fingerprint, begun);
+        },
+        settled: (fingerprint) => {
+          permits.settled(fingerprint);
+        },
+      },
       judge: (request) => this.table.quarantine.judge(request, version()),
       completed: (request) => {
         const { record, fingerprint } = this.table.quarantine.judge(request, version());
@@ -453,8 +469,8 @@
       },
       onNotice: (notice) => {
         this.lease.receive(notice);
-        this.ends.receive(notice);
-        this.permits.receive(notice);
+        if (notice.kind === 'end-recorded') this.ends.receive(notice);
+        if (notice.kind === 'run-permitted') this.permits.receive(notice);
       },
       onConnected: () => {
         this.lease.reconnected();
--- a/test/incidents/request-that-ends-back-ends.test.ts
+++ b/test/incidents/request-that-ends-back-ends.test.ts
@@ -31,6 +31,7 @@
 const TRAFFIC_MS = 24_000;
 const UNTIL_MS = FLEET_READY_MS + TRAFFIC_MS;
 const SEEDS = [1, 2, 3];
+const MANY_SEEDS = Array.from({ length: 10 }, (_, at) => at + 1);
 
 const KEYS = 65_536;
 const GUILTY_KEY = 18_124;
@@ -136,7 +137,7 @@
 
 test('back ends that end by themselves shut out no request, however often it comes', async (t) => {
   let sharesSum = 0;
-  for (const seed of SEEDS) {
+  for (const seed of MANY_SEEDS) {
     const world = await play(seed, fleet([], 900));
     const under = world.ends().filter((end) => end.under.some((traffic) => POPULAR.has(traffic)));
     t.true(under.length >= 4, `seed ${seed}: ${under.length} back ends ended under requests that come often`);
@@ -145,7 +146,8 @@
     t.is(shutOut, 0, `seed ${seed}: ${shutOut} requests were refused for good`);
     sharesSum += leastShare(world);
   }
-  // One owner that ends thrice in a row costs its busiest key 0.1; the mean does not hang on which owner that is.
-  const share = sharesSum / SEEDS.length;
+  // An owner that ends thrice in a row costs its busiest key 0.1: 40 seeds of the untouched code gave 0.968 on average
+  // with a deviation of 0.015, so the mean of ten tells a loss of 0.02 from luck.
+  const share = sharesSum / MANY_SEEDS.length;
   t.true(share >= 0.95, `${share} were served`);
 });
