Routers and control quarantine requests as sidecars and the directory do

Cause: the product's own stack repeats a request whose back end ended up to eight times, and no router knows what another saw. A router cannot keep a back end free of other routers' requests: a suspect runs by permit, and counts as alone where its router ran nothing else there.

--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -133,7 +133,14 @@
     const run: FleetRun = {
       requestId,
       traffic: traffic.name,
-      fingerprint: requestFingerprint({ method, path, headers, key, body }),
+      fingerprint: requestFingerprint({
+        method,
+        host: headerValue(headers, 'host'),
+        path,
+        headers,
+        key,
+        body,
+      }),
       instance: this.id,
       atMs: queue.nowMs,
       end: null,
--- a/src/control-client/watched-table.ts
+++ b/src/control-client/watched-table.ts
@@ -4,6 +4,7 @@
 import type { Session } from '../control/control-state.js';
 import type { StateSnapshot } from '../control/state-snapshot.js';
 import type { WireChange } from '../control/wire-changes.js';
+import { QuarantineView } from '../quarantine/quarantine-view.js';
 import type { PackedRows } from '../model/packed-rows.js';
 import { ScopedRows } from '../model/scoped-rows.js';
 import { ShardTable } from '../model/shard-table.js';
@@ -13,6 +14,8 @@
 export class WatchedTable {
   readonly services = new Map<string, ServiceConfiguration>();
   readonly draining = new Set<string>();
+  /** Requests under which back ends have ended. */
+  readonly quarantine = new QuarantineView();
   readonly sessions = new Map<number, Session>();
   private readonly sessionsByBackend = new Map<string, Session>();
   private readonly shards = new Map<string, ShardTable | ScopedRows>();
@@ -56,6 +59,7 @@
     for (const [name, service] of Object.entries(table.configuration.document.services)) {
       this.services.set(name, service);
     }
+    this.quarantine.replace(table.crashRecords ?? []);
     this.sessions.clear();
     this.sessionsByBackend.clear();
     for (const session of table.sessions) this.openSession(session);
@@ -89,6 +93,9 @@
         if (change.draining) this.draining.add(change.backend);
         else this.draining.delete(change.backend);
         break;
+      case 'crash-records':
+        this.quarantine.apply(change.changed, change.removed);
+        break;
       case 'shards':
         this.setRows(change.rows);
         break;
--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -1,6 +1,7 @@
 /** What a committed command changed, as it is published to routers and agents. */
 import type { ServiceConfiguration } from '../config/configuration.js';
 import type { ShardRow } from '../model/shard.js';
+import type { CrashRecord } from '../quarantine/crash-records.js';
 import type { Session } from './control-state.js';
 
 /** A new configuration revision, as the services that differ from the revision before. */
@@ -25,6 +26,12 @@
   | { readonly kind: 'session-opened'; readonly session: Session }
   | { readonly kind: 'session-closed'; readonly session: number; readonly service: string }
   | { readonly kind: 'drain'; readonly backend: string; readonly draining: boolean }
+  /** Records of requests under which back ends ended; those whose fingerprints are `removed` hold nothing any more. */
+  | {
+      readonly kind: 'crash-records';
+      readonly changed: readonly CrashRecord[];
+      readonly removed: readonly string[];
+    }
   | { readonly kind: 'shards'; readonly service: string; readonly shards: readonly ShardChange[] };
 
 /** Part of the state that a daemon watches. */
@@ -45,6 +52,8 @@
         return change.service === scope.service ? [change] : [];
       case 'drain':
         return change.backend === scope.backend ? [change] : [];
+      case 'crash-records':
+        return [];
       case 'shards':
         return shardsInScope(change, scope);
     }
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -1,6 +1,7 @@
 /** Commands of the replicated state machine. Times are wall-clock ms, taken by the leader that proposed. */
 import type { ConfigurationDocument } from '../config/configuration.js';
 import type { SocketAddress } from '../model/socket-address.js';
+import type { CrashCommand } from '../quarantine/crash-commands.js';
 
 /** Replaces the configuration if `baseRevision` is the present one. */
 export interface ConfigureCommand {
@@ -92,7 +93,8 @@
   | BeginMovesCommand
   | CompleteMoveCommand
   | CancelMoveCommand
-  | SetDrainCommand;
+  | SetDrainCommand
+  | CrashCommand;
 
 /** What a command did. */
 export type CommandOutcome =
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -25,6 +25,7 @@
 import type { Hello } from '../transport/hello.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
 import type { ControlState } from './control-state.js';
+import { CrashDuties } from '../quarantine/crash-duties.js';
 import { DaemonGateway } from './daemon-gateway.js';
 import { LeaderDuties } from './leader-duties.js';
 import { LeaseTable } from './lease-table.js';
@@ -85,6 +86,7 @@
   private readonly proposals: Proposals;
   private readonly loads = new LoadTable();
   private readonly duties: LeaderDuties;
+  private readonly crashDuties: CrashDuties;
   private readonly admission: MembershipAdmission;
   private readonly listener: Listener;
   private readonly network: PeerNetwork;
@@ -120,6 +122,10 @@
       this.loads,
       () => runtime.nowMs(),
     );
+    this.crashDuties = new CrashDuties(
+      () => this.state.crashRecords,
+      (command) => void this.proposals.propose(command),
+    );
     this.sessions = this.makeSessions();
     this.gateway = this.makeGateway();
     this.admission = new MembershipAdmission(INACTIVE_ELECTION_TIMEOUTS * timing.electionTimeoutMs);
@@ -345,6 +351,7 @@
     if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
     this.sessions.expire();
     this.duties.run(this.runtime.nowMs());
+    this.crashDuties.run(this.runtime.nowMs());
     this.admission.advance(replica, this.runtime.nowMs());
   }
 
@@ -352,6 +359,7 @@
     this.leadingTerm = term;
     this.sessions.startLeading();
     this.duties.startLeading();
+    this.crashDuties.startLeading();
   }
 
   // ---- connections
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -1,6 +1,7 @@
 /** The replicated state: configuration, sessions, shard ownership. Changed only by committed commands. */
 import type { ConfigurationDocument } from '../config/configuration.js';
 import type { SocketAddress } from '../model/socket-address.js';
+import type { CrashRecords } from '../quarantine/crash-records.js';
 import type { ServiceShards } from './service-shards.js';
 
 /** An agent's session: while its lease is renewed, its back end may own shards. */
@@ -38,6 +39,8 @@
   readonly draining: Set<string>;
   /** Rows by service. */
   readonly shards: Map<string, ServiceShards>;
+  /** Requests under which back ends have ended, by fingerprint. */
+  readonly crashRecords: CrashRecords;
 }
 
 /** The state before the first command. */
@@ -48,6 +51,7 @@
     sessions: new Map(),
     draining: new Set(),
     shards: new Map(),
+    crashRecords: new Map(),
   };
 }
 
@@ -63,3 +67,8 @@
 export function sessionsByBackend(state: ControlState): ReadonlyMap<string, Session> {
   return new Map([...state.sessions.values()].map((session) => [session.backend, session]));
 }
+
+/** How records of ends name the life of a back end that one session stands for. */
+export function sessionLife(backend: string, session: number): string {
+  return `${backend}#${session}`;
+}
--- a/src/control/daemon-gateway.ts
+++ b/src/control/daemon-gateway.ts
@@ -1,5 +1,6 @@
 /** Takes the requests of agents and routers to the part of the replica that answers them. */
 import type { Hello } from '../transport/hello.js';
+import { answerRunRequest, type RunRequestPorts } from '../quarantine/crash-messages.js';
 import type { Connection } from '../runtime/runtime.js';
 import type { ControlState } from './control-state.js';
 import {
@@ -8,7 +9,10 @@
   type DaemonRequest,
   type WatchRequest,
 } from './daemon-messages.js';
-import { MoveReports, type ProposeCommand } from './move-reports.js';
+import type { CommandOutcome, ControlCommand } from './commands.js';
+import { MoveReports } from './move-reports.js';
+import type { ProposalError } from './proposals.js';
+import type { Result } from '../result.js';
 import type { SessionService } from './session-service.js';
 import type { WatchHub } from './watch-hub.js';
 
@@ -25,7 +29,7 @@
   readonly onDuty: () => boolean;
   readonly leaderName: () => string | null;
   readonly wallMs: () => number;
-  readonly propose: ProposeCommand;
+  readonly propose: (command: ControlCommand) => Promise<Result<CommandOutcome, ProposalError>>;
 }
 
 /** The gateway of one replica. */
@@ -33,6 +37,13 @@
   /** Messages that could not be read; their connections were closed. */
   unreadableMessages = 0;
   private readonly moveReports: MoveReports;
+  private readonly runRequests: RunRequestPorts = {
+    records: () => this.ports.state().crashRecords,
+    propose: async (command) => {
+      const result = await this.ports.propose(command);
+      return result.ok && result.val.kind === 'done';
+    },
+  };
 
   constructor(
     private readonly ports: GatewayPorts,
@@ -85,6 +96,10 @@
       case 'move-refused':
         this.moveReports.take({ ...request, kind: 'cancel-move' });
         break;
+      default:
+        void answerRunRequest(request, this.runRequests, (notice) => {
+          connection.send(notice);
+        });
     }
   }
 
--- a/src/control/daemon-messages.ts
+++ b/src/control/daemon-messages.ts
@@ -1,6 +1,13 @@
 /** Messages between control replicas and the other daemons, as they are checked on arrival. */
 import { z } from 'zod';
 import { socketAddressSchema } from '../model/socket-address-schema.js';
+import {
+  backendEndedSchema,
+  permitReleasedSchema,
+  runCompletedSchema,
+  runPermitSchema,
+  type RunNotice,
+} from '../quarantine/crash-messages.js';
 import type { StateSnapshot } from './state-snapshot.js';
 import type { WireChange } from './wire-changes.js';
 
@@ -65,6 +72,10 @@
   moveRefusedSchema,
   watchSchema,
   watchedSchema,
+  backendEndedSchema,
+  runCompletedSchema,
+  runPermitSchema,
+  permitReleasedSchema,
 ]);
 
 /** What an agent or router may send to control. */
@@ -103,7 +114,8 @@
     }
   /** The replica hears a leader; `index` is that of the newest change that it has published. */
   | { readonly kind: 'watch-alive'; readonly index: number }
-  | { readonly kind: 'watch-refused'; readonly reason: 'behind' | 'no-leader' };
+  | { readonly kind: 'watch-refused'; readonly reason: 'behind' | 'no-leader' }
+  | RunNotice;
 
 /** Fields by which a notice of control is told from garbage. */
 export const controlNoticeSchema = z.object({
@@ -117,5 +129,7 @@
     'changes',
     'watch-alive',
     'watch-refused',
+    'end-recorded',
+    'run-permitted',
   ]),
 });
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -78,6 +78,7 @@
   /** The state has changed: the services concerned are planned anew with the next run. */
   noteChanges(changes: readonly Change[]): void {
     for (const change of changes) {
+      if (change.kind === 'crash-records') continue;
       if (change.kind === 'configuration' || change.kind === 'drain') {
         for (const progress of this.progress.values()) progress.changed = true;
         continue;
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -3,6 +3,7 @@
  * give the same state on every replica. A command that no longer fits the state does nothing.
  */
 import type { ConfigurationDocument, ServiceConfiguration } from '../config/configuration.js';
+import { applyCrashCommand, withdrawPermits, type CrashCommand } from '../quarantine/crash-commands.js';
 import { emptyShardRow, type ShardRow } from '../model/shard.js';
 import type { Change, ConfigurationChange, ShardChange } from './changes.js';
 import type {
@@ -18,7 +19,13 @@
   SetDrainCommand,
 } from './commands.js';
 import { ServiceShards } from './service-shards.js';
-import { sessionOfBackend, sessionsByBackend, type ControlState, type Session } from './control-state.js';
+import {
+  sessionLife,
+  sessionOfBackend,
+  sessionsByBackend,
+  type ControlState,
+  type Session,
+} from './control-state.js';
 
 /** Submissions whose answers are kept for resends. */
 const KEPT_SUBMISSIONS = 1_000;
@@ -50,9 +57,19 @@
       return { outcome: DONE, changes: applyCancelMove(state, command) };
     case 'set-drain':
       return applySetDrain(state, command);
+    default:
+      return applyToCrashRecords(state, command, index);
   }
 }
 
+function applyToCrashRecords(state: ControlState, command: CrashCommand, index: number): Applied {
+  const { outcome, changed, removed } = applyCrashCommand(state.crashRecords, command, index);
+  const published: Change[] =
+    changed.length + removed.length === 0 ? [] : [{ kind: 'crash-records', changed, removed }];
+  const isDone = outcome.kind === 'done';
+  return { outcome: isDone ? DONE : { kind: 'refused', detail: outcome.detail }, changes: published };
+}
+
 // ---- configuration
 
 function applyConfigure(state: ControlState, command: ConfigureCommand): Applied {
@@ -162,6 +179,7 @@
     service,
   }));
   for (const session of closed) state.sessions.delete(session.id);
+  changes.push(...endPermits(state, closed));
   const services = new Set(closed.map((session) => session.service));
   for (const service of services) {
     const ended = closed.filter((session) => session.service === service);
@@ -170,6 +188,13 @@
   return changes;
 }
 
+/** What is gone runs nothing any more. */
+function endPermits(state: ControlState, closed: readonly Session[]): Change[] {
+  const lives = closed.map(({ backend, id }) => sessionLife(backend, id));
+  const changed = withdrawPermits(state.crashRecords, new Set(lives));
+  return changed.length === 0 ? [] : [{ kind: 'crash-records', changed, removed: [] }];
+}
+
 /** Takes shards from ended sessions and calls off the moves that were going to them. */
 function releaseShards(
   state: ControlState,
--- a/src/control/state-snapshot.ts
+++ b/src/control/state-snapshot.ts
@@ -1,5 +1,6 @@
 /** The replicated state as plain data, for snapshots on disk and for daemons that need the whole table. */
 import { packRows, unpackRows, type PackedRows } from '../model/packed-rows.js';
+import { isWatched, type CrashRecord } from '../quarantine/crash-records.js';
 import { ServiceShards } from './service-shards.js';
 import type { ShardRow } from '../model/shard.js';
 import type { ConfigurationRevision, ControlState, Session, SubmissionRecord } from './control-state.js';
@@ -11,6 +12,8 @@
   readonly sessions: readonly Session[];
   readonly draining: readonly string[];
   readonly shards: readonly PackedRows[];
+  /** Missing in snapshots of versions that knew none. */
+  readonly crashRecords?: readonly CrashRecord[];
 }
 
 /** Writes the state as plain data. */
@@ -21,6 +24,7 @@
     sessions: [...state.sessions.values()],
     draining: [...state.draining],
     shards: [...state.shards].map(([service, { rows }]) => packRows(service, rows)),
+    crashRecords: [...state.crashRecords.values()],
   };
 }
 
@@ -51,5 +55,12 @@
     sessions: new Map(snapshot.sessions.map((session) => [session.id, session])),
     draining: new Set(snapshot.draining),
     shards: new Map(snapshot.shards.map((packed) => [packed.service, new ServiceShards(unpackRows(packed))])),
+    crashRecords: new Map((snapshot.crashRecords ?? []).map((record) => [record.fingerprint, record])),
   };
 }
+
+/** The state as daemons that watch everything need it. */
+export function encodeForWatchers(state: ControlState): StateSnapshot {
+  const snapshot = encodeState(state);
+  return { ...snapshot, submissions: [], crashRecords: (snapshot.crashRecords ?? []).filter(isWatched) };
+}
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -9,7 +9,7 @@
 import type { Hello } from '../transport/hello.js';
 import { changesInScope, type Change, type WatchScope } from './changes.js';
 import type { ControlState } from './control-state.js';
-import { encodeState, type StateSnapshot } from './state-snapshot.js';
+import { encodeForWatchers, type StateSnapshot } from './state-snapshot.js';
 import { encodeChanges } from './wire-changes.js';
 
 /** Published changes that are kept for watchers that come back. */
@@ -142,7 +142,7 @@
    */
   private recentTable(state: ControlState, index: number): EncodedTable {
     if (this.encodedTable !== null && this.isRecent(this.encodedTable)) return this.encodedTable;
-    const table: StateSnapshot = { ...encodeState(state), submissions: [] };
+    const table = encodeForWatchers(state);
     this.encodedTable = { index, frame: encodeFrame({ kind: 'table', index, table }) };
     this.tablesEncoded += 1;
     return this.encodedTable;
--- a/src/quarantine/request-fingerprint.ts
+++ b/src/quarantine/request-fingerprint.ts
@@ -8,12 +8,13 @@
 /** Bytes that are kept of the SHA-256 digest: to find two requests of one digest takes some 2^96 trials. */
 const KEPT_BYTES = 24;
 
-const HOST_HEADER = 'host';
 const CREDENTIAL_HEADER = 'authorization';
 
 /** The parts of a request that its fingerprint is made of. */
 export interface IdentifiedRequest {
   readonly method: string;
+  /** Where requests are routed by host; null where the host only names the daemon that was called. */
+  readonly host: string | null;
   /** Path and query. */
   readonly path: string;
   /** Names and values in turn. */
@@ -24,12 +25,11 @@
 }
 
 /** The fingerprint of a request, in base64url. */
-export function requestFingerprint({ method, path, headers, key, body }: IdentifiedRequest): string {
+export function requestFingerprint({ method, host, path, headers, key, body }: IdentifiedRequest): string {
   const hash = createHash('sha256');
-  const host = headerValue(headers, HOST_HEADER) ?? '';
   const credential = headerValue(headers, CREDENTIAL_HEADER) ?? '';
   const keyText = key === null ? '' : String(key);
   // Each part stands behind its length, so that no two lists of parts give the same bytes.
-  for (const part of [method, host, path, keyText, credential]) hash.update(`${part.length}:${part}`);
+  for (const part of [method, host ?? '', path, keyText, credential]) hash.update(`${part.length}:${part}`);
   return hash.update(body).digest().subarray(0, KEPT_BYTES).toString('base64url');
 }
--- a/src/router/forward-attempt.ts
+++ b/src/router/forward-attempt.ts
@@ -24,7 +24,7 @@
 
 /** How an attempt ended. */
 export type AttemptResult =
-  | { readonly kind: 'answered' }
+  | { readonly kind: 'answered'; readonly statusCode: number }
   /** The answer broke off after it had begun; the caller's connection was broken off as well. */
   | { readonly kind: 'cut' }
   /** The caller went away; the back end's connection was closed so that it can stop working. */
@@ -50,6 +50,7 @@
   private controller: Dispatcher.DispatchController | null = null;
   private sent = false;
   private streaming = false;
+  private statusCode = 0;
   private refused: AttemptFailure | null = null;
   private settled = false;
   private readonly timer: NodeJS.Timeout;
@@ -89,6 +90,7 @@
     this.refused = readRefusal(headers);
     if (this.refused !== null) return;
     this.streaming = true;
+    this.statusCode = status;
     this.response.writeHead(status, endToEndHeaders(headers));
   }
 
@@ -107,7 +109,7 @@
       return;
     }
     if (this.settled) return;
-    this.settle({ kind: 'answered' });
+    this.settle({ kind: 'answered', statusCode: this.statusCode });
     this.response.end();
   }
 
--- a/src/router/refusal.ts
+++ b/src/router/refusal.ts
@@ -12,6 +12,7 @@
   | 'not-ready'
   | 'freshness-unproven'
   | 'in-progress'
+  | 'quarantined'
   | 'outcome-unknown';
 
 /** What is known about the execution of the request. */
@@ -47,6 +48,7 @@
     title: 'An earlier attempt under this key may have run at a lost owner',
   },
   'in-progress': { status: 409, outcome: 'unknown', title: 'An earlier attempt under this key is running' },
+  quarantined: { status: 400, outcome: 'not-run', title: 'Back ends have ended under this request' },
   'outcome-unknown': { status: 504, outcome: 'unknown', title: 'The request may or may not have run' },
 };
 
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -7,8 +7,10 @@
 import { decideAfterFailure, OWNER_RETRY_AFTER_MS, type AttemptFailure } from './attempt-policy.js';
 import type { BackendState } from './backend-state.js';
 import { CONNECTION_HEADERS } from '../sidecar/header-dialect.js';
-import { forwardAttempt } from './forward-attempt.js';
+import { forwardAttempt, type AttemptResult } from './forward-attempt.js';
 import { shardOfKey } from '../model/shard.js';
+import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
+import type { Clearance, GuardedBackend, GuardedRun } from './run-guard.js';
 import { refusal, refusalResponse, type Refusal, type RefusalCode } from './refusal.js';
 import { takeBody, type RequestBody } from './request-body.js';
 import { deadlineBudgetMs, idempotencyKey, isRepeatable, parsePath, requestKey } from './request-key.js';
@@ -28,6 +30,8 @@
   readonly deadlineMs: number;
   readonly headers: string[];
   readonly body: RequestBody;
+  /** What tells it from other requests; null where its body is streamed and cannot be known. */
+  readonly identity: IdentifiedRequest | null;
   readonly budget: RetryBudget;
   readonly tried: Set<string>;
   attempts: number;
@@ -68,6 +72,9 @@
       return refusal('missing-key', describeKey(service), null);
     const body = await takeBody(request);
     if (body === null) return refusal('malformed-request', 'the body broke off', null);
+    const requestedKey = service.division === 'keyed' ? key : null;
+    const identity = identityOf(request, body, requestedKey);
+    if (identity !== null && this.state.guard.judge(identity).stage === 'quarantined') return quarantined();
     const budget = this.state.budgetOf(path.service);
     budget.requestStarted();
     return {
@@ -75,11 +82,12 @@
       response,
       serviceName: path.service,
       service,
-      key: service.division === 'keyed' ? key : claimKey(repeatable, idempotencyKey(headers)),
+      key: requestedKey ?? claimKey(repeatable, idempotencyKey(headers)),
       repeatable,
       deadlineMs: startedMs + deadlineBudgetMs(service, headers),
       headers: forwardedHeaders(request.rawHeaders),
       body,
+      identity,
       budget,
       tried: new Set(),
       attempts: 0,
@@ -136,7 +144,11 @@
     const backend = this.state.backends.get(flow.service, target.backend);
     if (backend === null)
       return this.refuse(flow.response, refusal('no-owner', target.backend, OWNER_RETRY_AFTER_MS));
+    const guarded = { name: target.backend, service: flow.serviceName, address: backend.address };
+    const clearance = await this.clear(flow, guarded);
+    if (clearance.kind === 'refused') return this.refuse(flow.response, this.notCleared(flow));
     const slot = await backend.limiter.acquire(flow.deadlineMs - clockMs());
+    if (slot.kind !== 'granted') this.state.guard.giveBack(clearance, false);
     if (slot.kind === 'refused') {
       const detail = `${target.backend} has no free slot`;
       return this.refuse(flow.response, refusal('overloaded', detail, slot.retryAfterMs));
@@ -146,8 +158,11 @@
     const startedMs = clockMs();
     flow.attempts += 1;
     flow.tried.add(target.backend);
-    const result = await forwardAttempt(backend.pool, this.attemptRequest(flow, target), flow.response);
+    const request = this.attemptRequest(flow, target);
+    const alone = backend.limiter.inFlight === 1;
+    const result = await forwardAttempt(backend.pool, request, flow.response);
     backend.limiter.release(clockMs() - startedMs);
+    await this.tellGuard(flow, guarded, result, { startedMs, alone, clearance });
     if (result.kind === 'failed') {
       this.observeFailure(backend, result.failure);
       return await this.afterFailure(flow, result.failure);
@@ -156,6 +171,36 @@
     return result.kind;
   }
 
+  /** A suspect waits for its permit; a stream cannot be recognized, and is not held up. */
+  private async clear({ identity, deadlineMs }: Flow, backend: GuardedBackend): Promise<Clearance> {
+    if (identity === null) return { kind: 'free' };
+    return await this.state.guard.acquire(identity, backend, deadlineMs);
+  }
+
+  private notCleared(flow: Flow): Refusal {
+    if (this.isQuarantined(flow)) return quarantined();
+    return refusal('overloaded', 'it runs alone, one run at a time', OWNER_RETRY_AFTER_MS);
+  }
+
+  /** The caller is told of a failure only when other routers know what there is to know: it comes back at once. */
+  private async tellGuard(
+    flow: Flow,
+    backend: GuardedBackend,
+    result: AttemptResult,
+    how: Pick<GuardedRun, 'startedMs' | 'alone' | 'clearance'>,
+  ): Promise<void> {
+    const { identity } = flow;
+    if (identity === null) return;
+    const run = { ...how, requestId: requestIdOf(flow.request), request: identity };
+    const { guard } = this.state;
+    const isBroken =
+      result.kind === 'cut' || (result.kind === 'failed' && result.failure.kind === 'no-answer');
+    if (isBroken) await guard.broke(run, backend);
+    else if (result.kind === 'answered')
+      guard.answered(run, backend, result.statusCode < FIRST_FAILURE_STATUS);
+    else guard.giveBack(how.clearance, result.kind !== 'failed' || result.failure.kind !== 'not-sent');
+  }
+
   private attemptRequest(flow: Flow, target: Target): Parameters<typeof forwardAttempt>[1] {
     const budgetMs = Math.max(1, flow.deadlineMs - clockMs());
     const headers = [...flow.headers, REQUEST_HEADERS.deadline, String(Math.floor(budgetMs))];
@@ -188,7 +233,7 @@
 
   private async afterFailure(flow: Flow, failure: AttemptFailure): Promise<FlowEnd | null> {
     const decision = decideAfterFailure(failure, {
-      repeatable: flow.repeatable,
+      repeatable: flow.repeatable && !this.isQuarantined(flow),
       bodyAvailable: flow.body.repeatable,
       attempts: flow.attempts,
       remainingMs: flow.deadlineMs - clockMs(),
@@ -204,6 +249,10 @@
     );
   }
 
+  private isQuarantined({ identity }: Flow): boolean {
+    return identity !== null && this.state.guard.judge(identity).stage === 'quarantined';
+  }
+
   private refuse(response: ServerResponse, given: Refusal): FlowEnd {
     if (response.headersSent || response.destroyed) return 'caller-gone';
     const { status, headers, body } = refusalResponse(given);
@@ -213,6 +262,30 @@
   }
 }
 
+/** Answers from this status on tell of a failure. */
+const FIRST_FAILURE_STATUS = 500;
+
+const REQUEST_ID_HEADER = 'x-request-id';
+
+function quarantined(): Refusal {
+  return refusal('quarantined', 'it has ended the back ends that ran it', null);
+}
+
+function requestIdOf({ headers }: IncomingMessage): string {
+  const id = headers[REQUEST_ID_HEADER];
+  return typeof id === 'string' ? id : '';
+}
+
+function identityOf(
+  { method = 'GET', url = '/', rawHeaders }: IncomingMessage,
+  { content }: RequestBody,
+  key: string | null,
+): IdentifiedRequest | null {
+  if (content !== null && !Buffer.isBuffer(content)) return null;
+  // The host names the router that was called; the same request may come to another one next.
+  return { method, host: null, path: url, headers: rawHeaders, key, body: content ?? Buffer.alloc(0) };
+}
+
 /** A request that may not be repeated goes where its idempotency key is claimed, also in a spread service. */
 function claimKey(repeatable: boolean, key: string | null): string | null {
   return repeatable ? null : key;
--- a/src/router/router-node.ts
+++ b/src/router/router-node.ts
@@ -8,6 +8,7 @@
 import { Histogram, type Registry } from 'prom-client';
 import type { RouterSettings } from '../config/daemon-settings.js';
 import { ControlWatch } from '../control-client/control-watch.js';
+import { LeaderCalls } from '../control-client/leader-calls.js';
 import { Err, Ok, type Result } from '../result.js';
 import { nodeRuntime } from '../runtime/node-runtime.js';
 import type { Logger } from '../telemetry/logger.js';
@@ -30,6 +31,7 @@
     private readonly application: NestFastifyApplication,
     private readonly state: RouterState,
     private readonly watch: ControlWatch,
+    private readonly calls: LeaderCalls,
     private readonly logger: Logger,
   ) {}
 
@@ -41,11 +43,24 @@
   ): Promise<Result<RouterNode, string>> {
     const registry = createRegistry();
     const time = requestTimeHistogram(registry);
-    const state = new RouterState(settings, (ms) => {
-      time.observe(ms);
-    });
     const { name, zone, control } = settings;
     const identity = { role: 'router', name, zone, token } as const;
+    const calls: LeaderCalls = new LeaderCalls(nodeRuntime, identity, control, (notice) => {
+      if (notice.kind === 'end-recorded' || notice.kind === 'run-permitted') state.guard.receive(notice);
+    });
+    const state = new RouterState(
+      settings,
+      (ms) => {
+        time.observe(ms);
+      },
+      {
+        runtime: nodeRuntime,
+        send: (request) => calls.send(request),
+        log: (event, fields) => {
+          logger.warn(event, fields);
+        },
+      },
+    );
     const watch = new ControlWatch(nodeRuntime, state.table, identity, control, null, () => {
       state.tableChanged();
     });
@@ -61,7 +76,7 @@
       );
     }
     logger.info('router listens', settings.listen);
-    return Ok(new RouterNode(application, state, watch, logger));
+    return Ok(new RouterNode(application, state, watch, calls, logger));
   }
 
   /** Accepts nothing new, finishes what is under way for at most `drainMs`, then stops. */
@@ -80,6 +95,7 @@
     await Promise.race([closed, pause(STOP_POLL_MS)]);
     server.closeAllConnections();
     this.watch.stop();
+    this.calls.stop();
     await this.state.backends.close();
   }
 }
@@ -132,6 +148,9 @@
   exposeValue(registry, 'request_retries', 'Attempts after the first', () => counters.retries);
   exposeValue(registry, 'requests_in_flight', 'Requests that have not ended', () => state.inFlight);
   exposeFamily(registry, 'requests_ended', 'Requests by their end', 'end', () => counters.ended);
+  exposeValue(registry, 'crash_records', 'Requests under which back ends ended twice or more', () => {
+    return table.quarantine.all.size;
+  });
   exposeValue(registry, 'table_index', 'Index of the newest change in force', () => table.index);
   exposeValue(registry, 'configuration_revision', 'Configuration in force', () => table.revision);
   exposeValue(registry, 'control_bytes_received', 'Bytes from control', () => watch.traffic().bytesReceived);
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -8,6 +8,7 @@
 import { BackendHealth } from './backend-health.js';
 import type { FlowEnd } from './request-router.js';
 import { RetryBudget } from './retry-budget.js';
+import { RunGuard, type RunGuardPorts } from './run-guard.js';
 import { TableWaiters } from './table-waiters.js';
 import type { RoutingView } from './target-selection.js';
 
@@ -18,6 +19,9 @@
   readonly ended: Map<FlowEnd, number>;
 }
 
+/** How a router reaches control and its log. */
+export type RouterPorts = Pick<RunGuardPorts, 'runtime' | 'send' | 'log'>;
+
 /** State of one router. */
 export class RouterState {
   readonly table = new WatchedTable();
@@ -25,6 +29,8 @@
   readonly backends: BackendStates;
   readonly counters: RouterCounters = { started: 0, retries: 0, ended: new Map() };
   readonly view: RoutingView;
+  /** Knows requests under which back ends end. */
+  readonly guard: RunGuard;
   private readonly budgets = new Map<string, RetryBudget>();
   private available = new Map<string, readonly string[]>();
   private readonly generator = xoroshiro128plus(Date.now());
@@ -32,7 +38,13 @@
   constructor(
     readonly settings: RouterSettings,
     private readonly observeMs: (ms: number) => void,
+    ports: RouterPorts,
   ) {
+    this.guard = new RunGuard({
+      ...ports,
+      quarantine: this.table.quarantine,
+      sessionOf: (backend) => this.table.sessionOf(backend)?.id ?? null,
+    });
     this.backends = new BackendStates(
       settings.routers,
       settings.maxQueuedPerBackend,
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -22,6 +22,7 @@
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
+import { headerValue } from './header-dialect.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import { isTooLateToBegin, lateOrder, lateWaitMs, placeOrder, placeWaitMs, spareMs } from './place-policy.js';
 import { SuspectRuns, type Suspect } from './suspect-runs.js';
@@ -635,7 +636,7 @@
 
 function identified({ head, body }: Visit): IdentifiedRequest {
   const { method, path, headers, key } = head;
-  return { method, path, headers, key, body };
+  return { method, host: headerValue(headers, 'host'), path, headers, key, body };
 }
 
 /** Whether the back end broke the connection of a run that had reached it. */
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -10,6 +10,7 @@
 import type { DirectoryTable } from './directory-table.js';
 import type { ForwarderCounters } from './forwarder-counters.js';
 import { ForwardedRequest, type ForwarderPorts } from './request-forwarder.js';
+import { headerValue } from './header-dialect.js';
 import type { RequestIntake } from './request-intake.js';
 import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
 
@@ -78,7 +79,8 @@
   /** The fingerprint of a request that no back end of its service may run; null where one may. */
   private quarantineOf(request: CallerRequest): string | null {
     const { table } = this.ports;
-    return table.quarantine.refusedEverywhere(request, () => table.versionsOf(request.service));
+    const identified = { ...request, host: headerValue(request.headers, 'host') };
+    return table.quarantine.refusedEverywhere(identified, () => table.versionsOf(request.service));
   }
 
   /** The table has changed; requests may wait for that. */
--- /dev/null
+++ b/src/transport/listen-check.ts
@@ -0,0 +1,27 @@
+/** Finds out whether a process listens at an address. */
+import { connect } from 'node:net';
+import type { SocketAddress } from '../model/socket-address.js';
+
+/** Time in ms to find out whether anything listens at an address. */
+const LISTEN_CHECK_MS = 400;
+
+/** Whether any process listens at an address; silence counts as yes. */
+export async function listensAt({ host, port }: SocketAddress): Promise<boolean> {
+  return await new Promise((resolve) => {
+    const socket = connect({ host, port });
+    const done = (listens: boolean): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(listens);
+    };
+    const timer = setTimeout(() => {
+      done(true);
+    }, LISTEN_CHECK_MS);
+    socket.on('connect', () => {
+      done(true);
+    });
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      done(error.code !== 'ECONNREFUSED');
+    });
+  });
+}
--- a/test/platform/event-docs.test.ts
+++ b/test/platform/event-docs.test.ts
@@ -13,7 +13,9 @@
 }
 
 test('the events of the code are those of the table', (t) => {
-  const written = new Set(['src/sidecar', 'src/directory', 'src/telemetry', 'platform'].flatMap(eventsIn));
+  const written = new Set(
+    ['src/sidecar', 'src/quarantine', 'src/directory', 'src/telemetry', 'platform'].flatMap(eventsIn),
+  );
   const table = readFileSync('docs/OPERATIONS.md', 'utf8').split('### Events')[1]?.split('###')[0] ?? '';
   const described = new Set([...table.matchAll(/`([a-z-]+)`/g)].map((match) => match[1] ?? ''));
   t.deepEqual([...written].sort(), [...described].sort());
--- a/test/quarantine/request-fingerprint.test.ts
+++ b/test/quarantine/request-fingerprint.test.ts
@@ -4,6 +4,7 @@
 
 const REQUEST: IdentifiedRequest = {
   method: 'POST',
+  host: 'shop.example',
   path: '/orders/7?full=1',
   headers: ['Host', 'shop.example', 'Authorization', 'Bearer one', 'Aldertide-Request-Id', 'a'],
   key: 7,
@@ -27,7 +28,7 @@
   'no key': { key: null },
   'another body': { body: Buffer.from('{"count":2}') },
   'no body': { body: Buffer.alloc(0) },
-  'another host': { headers: ['Host', 'other.example', 'Authorization', 'Bearer one'] },
+  'another host': { host: 'other.example' },
   'another credential': { headers: ['Host', 'shop.example', 'Authorization', 'Bearer two'] },
   'bytes that move from the path to the body': {
     path: '/orders/7?full=',
