Operators see requests in quarantine, reopen or forget them; logs, metrics and explain tell of them

Change: aldertide quarantine, GET, POST and DELETE /quarantine on the users' platform, request-held, request-cleared, request-quarantined and backend-ended events, crash_records and backend_ends figures.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -13,7 +13,14 @@
 import { runDaemon } from './daemon-command.js';
 import { explainCommand } from './explain-command.js';
 import { planCommand } from './plan-command.js';
-import { applyCommand, checkCommand, drainCommand, getCommand, statusCommand } from './operator-commands.js';
+import {
+  applyCommand,
+  checkCommand,
+  drainCommand,
+  getCommand,
+  quarantineCommand,
+  statusCommand,
+} from './operator-commands.js';
 
 const VERSION = '0.1.0';
 
@@ -73,6 +80,17 @@
   .option('--undo', 'Take the back end back into service')
   .action(async (backend: string, options: Options) => await drainCommand(backend, options));
 
+withOperatorOptions(
+  program
+    .command('quarantine [fingerprint]')
+    .describe('Show the requests under which back ends end, or give one of them another chance.'),
+)
+  .option('--reopen', 'Let it run once more; three runs may follow its third end')
+  .option('--forget', 'Hold nothing against it any more; it may end three back ends again')
+  .action(async (fingerprint: string | undefined, options: Options) => {
+    return await quarantineCommand(fingerprint, options);
+  });
+
 program
   .command('replay <file>')
   .describe('Step through a simulation that was written by `aldertide-lab sim --trace`.')
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -1,4 +1,4 @@
-/** The operators' commands: check, apply, get, status, drain. */
+/** The operators' commands: check, apply, get, status, drain, quarantine. */
 import { randomUUID } from 'node:crypto';
 import { stringify } from 'yaml';
 import { z } from 'zod';
@@ -6,10 +6,11 @@
 import { formatProblem, readYamlFile, type FileProblem } from '../config/yaml-file.js';
 import type { ConfigurationRevision } from '../control/control-state.js';
 import type { ControlStatus } from '../control/control-status.js';
+import type { CrashReport } from '../quarantine/crash-report.js';
 import { numberOption, printJson, printLine, textOption, usageError, type Options } from './command-line.js';
 import { EXIT_CODE } from './exit-code.js';
 import { OperatorClient, type OperatorError } from './operator-client.js';
-import { formatStatus } from './status-table.js';
+import { formatCrashes, formatStatus } from './status-table.js';
 
 /** Fields that only a deployment of the lab has, never a configuration. */
 const deploymentFields = z.looseObject({
@@ -96,6 +97,37 @@
   return EXIT_CODE.done;
 }
 
+/**
+ * `quarantine`: shows the requests under which back ends end; with a fingerprint and `--reopen` or `--forget` gives one
+ * another chance, or holds nothing against it any more.
+ */
+export async function quarantineCommand(fingerprint: string | undefined, options: Options): Promise<number> {
+  const client = OperatorClient.fromOptions(options);
+  if (client.err) return usageError(client.val);
+  const reopen = options['reopen'] === true;
+  const forget = options['forget'] === true;
+  if (fingerprint === undefined && !reopen && !forget) return await showQuarantine(client.val, options);
+  if (fingerprint === undefined || reopen === forget) {
+    return usageError('give a fingerprint and one of --reopen and --forget');
+  }
+  const path = `quarantine/${encodeURIComponent(fingerprint)}`;
+  const answer = await client.val.call(forget ? 'DELETE' : 'PUT', forget ? path : `${path}/reopen`);
+  if (answer.err) return fail(answer.val, options);
+  if (options['json'] === true)
+    printJson({ ok: true, fingerprint, change: forget ? 'forgotten' : 'reopened' });
+  else printLine(forget ? `${fingerprint} is forgotten` : `${fingerprint} may be run once more`);
+  return EXIT_CODE.done;
+}
+
+async function showQuarantine(client: OperatorClient, options: Options): Promise<number> {
+  const answer = await client.call('GET', 'quarantine');
+  if (answer.err) return fail(answer.val, options);
+  const reports = answer.val as readonly CrashReport[];
+  if (options['json'] === true) printJson({ requests: reports });
+  else printLine(formatCrashes(reports));
+  return EXIT_CODE.done;
+}
+
 async function presentRevision(client: OperatorClient): Promise<number | OperatorError> {
   const answer = await client.call('GET', 'configuration');
   return answer.ok ? (answer.val as ConfigurationRevision).revision : answer.val;
--- a/src/cli/status-table.ts
+++ b/src/cli/status-table.ts
@@ -1,5 +1,17 @@
 /** Status as text for people. */
 import type { ControlStatus } from '../control/control-status.js';
+import type { CrashReport } from '../quarantine/crash-report.js';
+
+/** Writes the requests under which back ends end as a table. */
+export function formatCrashes(reports: readonly CrashReport[]): string {
+  if (reports.length === 0) return 'no request is held to end back ends';
+  return table(
+    ['REQUEST', 'SERVICE', 'STAGE', 'ENDS', 'RUNS LEFT', 'ENDED', 'RAN WELL'],
+    reports.map(({ fingerprint, service, stage, ends, runsLeft, endedVersions, goodVersions }) => {
+      return [fingerprint, service, stage, ends, runsLeft, endedVersions.join(' '), goodVersions.join(' ')];
+    }),
+  );
+}
 
 /** Writes the status of all replicas that answered as tables. */
 export function formatStatus(statuses: readonly ControlStatus[]): string {
--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -25,6 +25,7 @@
 import { managementModule } from '../telemetry/management.js';
 import { sameSecret } from '../transport/hello.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
+import { reportCrashes, type CrashReport } from '../quarantine/crash-report.js';
 import type { ControlNode } from './control-node.js';
 import { describeStatus, type ControlStatus } from './control-status.js';
 import { describeState, type StateDocument } from './state-snapshot.js';
@@ -120,6 +121,29 @@
     return await this.setDraining(backend, false);
   }
 
+  @Get('quarantine')
+  quarantine(): CrashReport[] {
+    this.requireLeader();
+    return reportCrashes(this.node.state.crashRecords.values());
+  }
+
+  @Put('quarantine/:fingerprint/reopen')
+  async reopen(@Param('fingerprint') fingerprint: string): Promise<{ reopened: string }> {
+    await this.changeQuarantine({ kind: 'reopen-request', fingerprint, by: 'operator' });
+    return { reopened: fingerprint };
+  }
+
+  @Delete('quarantine/:fingerprint')
+  async forget(@Param('fingerprint') fingerprint: string): Promise<{ forgotten: string }> {
+    await this.changeQuarantine({ kind: 'forget-request', fingerprint });
+    return { forgotten: fingerprint };
+  }
+
+  private async changeQuarantine(command: ControlCommand): Promise<void> {
+    const outcome = await this.run(command);
+    if (outcome.kind === 'refused') throw new Problem('refused', outcome.detail);
+  }
+
   private async setDraining(backend: string, draining: boolean): Promise<{ draining: boolean }> {
     const outcome = await this.run({ kind: 'set-drain', backend, draining });
     if (outcome.kind === 'refused') throw new Problem('refused', outcome.detail);
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -19,9 +19,10 @@
 import type { ReplicaStore } from '../storage/replica-store.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import { ChangeFeed } from './change-feed.js';
-import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
+import type { DirectoryChange, DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { DirectoryDuties } from './directory-duties.js';
 import { CrashDuties } from '../quarantine/crash-duties.js';
+import { reportCrashes } from '../quarantine/crash-report.js';
 import { DirectoryLeader, type Answer } from './directory-leader.js';
 import { applyDirectoryCommand } from './directory-machine.js';
 import { nextDirectoryMembership } from './directory-membership.js';
@@ -237,9 +238,21 @@
     const command = entry.payload.command as DirectoryCommand;
     const { outcome, changes } = applyDirectoryCommand(this.current, command, entry.index);
     this.feed.publish(entry.index, changes);
+    this.logCrashRecords(changes);
     this.proposals.applied(entry.payload.proposalId, outcome);
   }
 
+  /** Every replica knows; the leader says so. */
+  private logCrashRecords(changes: readonly DirectoryChange[]): void {
+    if (!this.leading) return;
+    for (const change of changes) {
+      if (change.kind !== 'crash-records') continue;
+      for (const report of reportCrashes(change.changed))
+        this.options.log.event('request-held', { ...report });
+      for (const fingerprint of change.removed) this.options.log.event('request-cleared', { fingerprint });
+    }
+  }
+
   /** The state as plain data, for the snapshot file. */
   snapshot(): unknown {
     return encodeDirectory(this.current);
--- a/src/quarantine/crash-commands.ts
+++ b/src/quarantine/crash-commands.ts
@@ -70,9 +70,20 @@
   readonly by: 'operator' | 'time';
 }
 
+/** An operator says that nothing is to be held against a request any more. */
+export interface ForgetRequestCommand {
+  readonly kind: 'forget-request';
+  readonly fingerprint: string;
+}
+
 /** All commands on crash records. */
 export type CrashCommand =
-  RecordEndCommand | RecordCompletionCommand | PermitRunCommand | ReleasePermitCommand | ReopenRequestCommand;
+  | RecordEndCommand
+  | RecordCompletionCommand
+  | PermitRunCommand
+  | ReleasePermitCommand
+  | ReopenRequestCommand
+  | ForgetRequestCommand;
 
 /** What a command did. */
 export interface AppliedCrashCommand {
@@ -102,6 +113,8 @@
       return releasePermit(records, command);
     case 'reopen-request':
       return reopen(records, command);
+    case 'forget-request':
+      return forget(records, command);
   }
 }
 
@@ -182,6 +195,11 @@
   return { ...NOTHING, changed: [next] };
 }
 
+function forget(records: CrashRecords, { fingerprint }: ForgetRequestCommand): AppliedCrashCommand {
+  if (!records.delete(fingerprint)) return invalid('nothing is known of such a request');
+  return { ...NOTHING, removed: [fingerprint] };
+}
+
 function invalid(detail: string): AppliedCrashCommand {
   return { ...NOTHING, outcome: { kind: 'invalid', detail } };
 }
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -1,4 +1,5 @@
 /** The figures of a sidecar. */
+import { crashStages } from '../quarantine/crash-report.js';
 import type { DaemonMetrics } from '../telemetry/daemon-metrics.js';
 import type { SidecarNode } from './sidecar-node.js';
 
@@ -10,6 +11,7 @@
     ['not-run', counters.notRun],
     ['unknown', counters.unknown],
     ['cancelled', counters.cancelled],
+    ['quarantined', counters.quarantined],
   ]);
   metrics.value('attempts', 'Attempts at other daemons', () => counters.attempts);
   metrics.value('repeats', 'Second arrivals at back ends', () => counters.repeats);
@@ -43,6 +45,11 @@
     'Figures of its load that could not be read',
     () => gateway.forecast.unreadableFigures,
   );
+  metrics.value('backend_ends', 'Times that it ended by itself under requests', () => node.ends.ends);
+  metrics.value('suspects_waiting', 'Requests that wait to run alone', () => gateway.suspects.waitingCount);
+  metrics.family('crash_records', 'Requests under which back ends end, by stage', 'stage', () =>
+    crashStages(node.table.quarantine.all.values()),
+  );
   metrics.value('backend_broken', 'Runs without a whole answer', () => gateway.counters.broken);
   metrics.family('backend_slot_ms', 'Slot time in ms, by what it was spent for', 'use', () =>
     Object.entries(gateway.counters.slotMs),
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -8,6 +8,7 @@
 
 /** Events that change what a daemon believes about others. */
 const BELIEF_EVENTS: ReadonlySet<string> = new Set([
+  'backend-ended',
   'backend-gone',
   'backend-known',
   'backend-leaves',
@@ -22,6 +23,7 @@
   'link-lost',
   'membership-proposed',
   'range-released',
+  'request-held',
   'ranges-planned',
   'registered',
   'registration-ended',
@@ -36,6 +38,7 @@
 const CAUSES: Readonly<Record<string, string>> = {
   'request-answered': 'it was answered',
   'request-not-run': 'it was refused, and was not run',
+  'request-quarantined': 'it was refused for good: back ends had ended under it',
   'request-unknown': 'it may have run, and there is no answer',
   'answer-broken-off': 'its answer broke off after it had begun',
   'caller-gone': 'its caller left',
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -43,3 +43,16 @@
 test('a request that is not in the logs has no cause', (t) => {
   t.is(explainRequest('unknown', readEvents(LOG)).cause, null);
 });
+
+test('a request that is refused for good, and one that ran beside the request that ended its back end', (t) => {
+  const log = [
+    '{"time":"2026-01-01T00:00:04.000Z","daemon":"two","event":"backend-ended","instance":"i","runs":[{"requestId":"r","fingerprint":"f"},{"requestId":"beside","fingerprint":"g"}]}',
+    '{"time":"2026-01-01T00:00:04.000Z","daemon":"two","event":"run-ended","requestId":"beside","outcome":{"kind":"broken"}}',
+    '{"time":"2026-01-01T00:00:04.100Z","daemon":"one","event":"request-unknown","requestId":"beside","reason":"x"}',
+    '{"time":"2026-01-01T00:00:09.000Z","daemon":"one","event":"request-quarantined","requestId":"again","fingerprint":"f"}',
+  ].join('\n');
+  const refused = explainRequest('again', readEvents(log));
+  t.is(refused.cause, 'it was refused for good: back ends had ended under it');
+  const beside = explainRequest('beside', readEvents(log));
+  t.true(beside.beliefs.some(({ event }) => event === 'backend-ended'));
+});
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -155,3 +155,21 @@
   t.is(answer.status, 307);
   t.is(answer.headers?.['location'], 'http://10.0.0.2:8306/evacuation/z-1');
 });
+
+const QUARANTINE: readonly [string, string, number, string | null][] = [
+  ['POST', '/quarantine/abc_-9', 200, 'reopen-request'],
+  ['DELETE', '/quarantine/abc_-9', 200, 'forget-request'],
+  ['POST', '/quarantine/', 404, null],
+  ['POST', '/quarantine/a%2Fb', 404, null],
+  ['PUT', '/quarantine/abc', 405, null],
+  ['GET', '/quarantine', 503, null],
+];
+
+for (const [method, path, status, kind] of QUARANTINE) {
+  test(`quarantine: ${method} ${path} is answered ${status}`, async (t) => {
+    const replica = new Replica(true);
+    const calls = new OperatorCalls(replica, 8_306, new Set());
+    t.is((await calls.take({ method, path, headers: {}, body: '' })).status, status);
+    t.is(replica.proposed[0]?.kind ?? null, kind);
+  });
+}
