The soak learns requests that end what runs them, and suspended machines

Cause: no stand-in back end ever ended under a request, and a stopped process still has a clock that counts. Change: ending-request (comes every 350 ms until the soak is over; not more than three runs long after the third end), suspend-sidecar and suspend-directory (a steady clock that stands still while the process is stopped); drawn by themselves, so that the plans of earlier seeds stay.

--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -11,7 +11,12 @@
   usageError,
   type Options,
 } from '../../src/cli/command-line.js';
-import { FURTHER_SOAK_TROUBLES, SOAK_TROUBLES, type SoakTroubleKind } from '../soak/soak-plan.js';
+import {
+  BESIDE_SOAK_TROUBLES,
+  FURTHER_SOAK_TROUBLES,
+  SOAK_TROUBLES,
+  type SoakTroubleKind,
+} from '../soak/soak-plan.js';
 import { SOAK_REGRESSIONS } from '../soak/soak-regressions.js';
 import { runSoak, type SoakReport } from '../soak/soak-run.js';
 
@@ -37,7 +42,7 @@
   if (sideBySide < 1 || sideBySide > MOST_SIDE_BY_SIDE) {
     return usageError(`--jobs takes a number from 1 to ${MOST_SIDE_BY_SIDE}`);
   }
-  const kinds = [...SOAK_TROUBLES, ...FURTHER_SOAK_TROUBLES];
+  const kinds = [...SOAK_TROUBLES, ...FURTHER_SOAK_TROUBLES, ...BESIDE_SOAK_TROUBLES];
   const kind = kinds.find((known) => known === only) ?? null;
   if (only !== null && kind === null) return usageError(`--only takes one of ${kinds.join(', ')}`);
   execFileSync(process.execPath, ['deploy/build.mjs'], { cwd: ROOT, stdio: 'ignore' });
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -52,6 +52,9 @@
 
 const STATUS = { ok: 200, notExecuted: 503, superseded: 409, misdirected: 421, lostLease: 500 } as const;
 
+/** End of the path of requests that end every back end which runs them. */
+export const ENDING_PATH = '/ends-what-runs-it';
+
 /** How a back end misbehaves: shares of the requests that it ran. */
 export interface Misbehaviour {
   readonly answerLost: number;
@@ -77,6 +80,8 @@
   readonly control: SocketAddress;
   readonly judge: SoakJudge;
   readonly random: Random;
+  /** A request that ends every back end has been run. */
+  readonly onEndingRequest: () => void;
 }
 
 /** The body that answers a request; a caller knows it as well. */
@@ -306,7 +311,13 @@
     if (key !== null) this.keys.begin(key);
     const repeatable = request.method === 'GET';
     judge.runStarted({ requestId, backend: this.id, service, key, repeatable }, performance.now());
+    if (path.endsWith(ENDING_PATH)) judge.endingRequestRun(path, performance.now());
     await pause(random.exponential(WORK_MS));
+    if (path.endsWith(ENDING_PATH) && this.up) {
+      judge.endedUnder(path, performance.now());
+      this.options.onEndingRequest();
+      return;
+    }
     this.running -= 1;
     if (key !== null) this.keys.end(key);
     if (this.up) this.answer(response, requestId, path, key);
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -3,7 +3,7 @@
 import type { SocketAddress } from '../../src/model/socket-address.js';
 import { PATHS, PLATFORM_HEADERS } from '../../platform/stand-in-wire.js';
 import type { Random } from '../random.js';
-import { expectedBody } from './soak-backend.js';
+import { ENDING_PATH, expectedBody } from './soak-backend.js';
 import type { SoakJudge } from './soak-judge.js';
 
 /** Time that a caller waits, in ms, and by how much longer it listens. */
@@ -106,6 +106,15 @@
       void this.send(this.ports.random.pick(usable), this.ports.random.pick(this.routes));
   }
 
+  /** Sends the request that ends what runs it, at any ready daemon; its route and key follow from the choice. */
+  sendEnding(choice: number): void {
+    const route = this.routes[choice % this.routes.length];
+    const usable = this.daemons.filter(({ machine }) => this.isReady(machine));
+    if (route === undefined || usable.length === 0) return;
+    const path = `${route.prefix}${choice}${ENDING_PATH}`;
+    void this.send(this.ports.random.pick(usable), route, { path, key: choice });
+  }
+
   private hasIdleConnection({ callers: { host, port } }: CalledDaemon): boolean {
     const prefix = `${host}:${port}:`;
     return Object.entries(this.agent.freeSockets).some(([name, sockets]) => {
@@ -130,17 +139,21 @@
   }
 
   /** Sends one request on a route to a daemon; returns its status, null without a whole answer. */
-  async send(daemon: CalledDaemon, route: CalledRoute): Promise<number | null> {
+  async send(
+    daemon: CalledDaemon,
+    route: CalledRoute,
+    same: { readonly path: string; readonly key: number } | null = null,
+  ): Promise<number | null> {
     const { random } = this.ports;
     this.nextId += 1;
     const requestId = `s${this.seed}-${this.nextId}`;
-    const path = `${route.prefix}${requestId}`;
+    const path = same?.path ?? `${route.prefix}${requestId}`;
     const headers: Record<string, string> = {
       host: route.host,
       [PLATFORM_HEADERS.requestId]: requestId,
       [PLATFORM_HEADERS.deadlineMs]: String(DEADLINE_MS),
     };
-    if (route.keyed) headers[PLATFORM_HEADERS.key] = String(drawKey(random));
+    if (route.keyed) headers[PLATFORM_HEADERS.key] = String(same?.key ?? drawKey(random));
     this.counts.sent += 1;
     const sentMs = performance.now();
     const { host, port } = daemon.callers;
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -1,9 +1,11 @@
 /** The machines of a soak: the real programs as processes, their settings files, relays and back ends. */
 import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import type { SocketAddress } from '../../src/model/socket-address.js';
 import { settingsText, STAND_IN_COLD_START, STAND_IN_PORTS } from '../../platform/stand-in-wire.js';
 import { ManagedProcess } from '../fleet/managed-process.js';
+import { pause } from '../pause.js';
 import type { Random } from '../random.js';
 import { SoakBackend, WELL_BEHAVED, type Misbehaviour } from './soak-backend.js';
 import type { SoakJudge } from './soak-judge.js';
@@ -15,6 +17,12 @@
 /** Memory that a daemon may take, as its deploy file says. */
 const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--optimize-for-size'];
 
+/** Runs the program on a clock that can stand still. */
+const SUSPENDABLE = fileURLToPath(new URL('./suspendable-program.js', import.meta.url));
+
+/** Time in ms after which a back end that a request has ended is followed by another. */
+const BACK_MS = 1_500;
+
 /** Loopback networks of the soaks that may run side by side. */
 const NETWORKS = 200;
 
@@ -46,6 +54,7 @@
   readonly backends = new Map<string, SoakBackend>();
   private readonly byIp = new Map<string, string>();
   private lives = 0;
+  private isDown = false;
 
   constructor(
     readonly plan: SoakPlan,
@@ -79,6 +88,7 @@
 
   /** Ends everything that was started, by its pid. */
   async down(): Promise<void> {
+    this.isDown = true;
     for (const backend of this.backends.values()) await backend.crash();
     await Promise.all(
       [...this.directories, ...this.sidecars].map(async ({ process }) => await process.kill()),
@@ -96,7 +106,7 @@
   async startBackend(machine: SidecarMachine): Promise<void> {
     const ip = this.ipOf(machine.number, 0);
     this.lives += 1;
-    const backend = new SoakBackend({
+    const backend: SoakBackend = new SoakBackend({
       id: `${machine.name}-life-${this.lives}`,
       service: machine.service,
       zone: machine.zone,
@@ -107,11 +117,19 @@
       control: { host: ip, port: STAND_IN_PORTS.control },
       judge: this.judge,
       random: this.random,
+      onEndingRequest: () => void this.endBackend(machine, backend),
     });
     await backend.start();
     this.backends.set(machine.name, backend);
   }
 
+  /** A back end has ended under a request, and is back after a while unless another has taken its place. */
+  private async endBackend(machine: SidecarMachine, backend: SoakBackend): Promise<void> {
+    await backend.crash();
+    await pause(BACK_MS);
+    if (!this.isDown && this.backends.get(machine.name) === backend) await this.startBackend(machine);
+  }
+
   /** Has all back ends misbehave, or behave again. */
   misbehave(misbehaviour: Misbehaviour = WELL_BEHAVED): void {
     for (const backend of this.backends.values()) backend.misbehaviour = misbehaviour;
@@ -135,7 +153,7 @@
     this.byIp.set(ip, name);
     const role = hasDisk ? 'directory' : 'sidecar';
     const environment = { ALDERTIDE_SETTINGS: this.settingsFile(name) };
-    const command = [...NODE_OPTIONS, this.places.program, role];
+    const command = [...NODE_OPTIONS, SUSPENDABLE, this.places.program, role];
     const process = new ManagedProcess(name, command, this.logFile(name), environment);
     const dataFolder = hasDisk ? join(this.places.folder, `${name}-data`) : null;
     if (dataFolder !== null) mkdirSync(dataFolder, { recursive: true });
--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -19,6 +19,7 @@
   | 'configuration-in-force'
   | 'recovery'
   | 'evacuation'
+  | 'contained-request'
   | 'cold-start';
 
 /** A promise that was broken. */
@@ -33,6 +34,11 @@
 /** Time in ms for which two back ends may be seen to hold the same keys when neither begins work on them. */
 const OVERLAP_LIMIT_MS = 500;
 
+/** Ends after which a request is known to end what runs it, time in ms for all to know, and runs that may follow. */
+const ENDS_THAT_TELL = 3;
+const CONTACT_MS = 3_000;
+const RUNS_ALLOWED = 3;
+
 /** A request that a back end begins to run. */
 export interface RunStart {
   readonly requestId: string;
@@ -71,6 +77,9 @@
   private readonly evacuatedSince = new Map<string, number>();
   /** When requests reached each cold back end in the last second. */
   private readonly coldArrivals = new Map<string, number[]>();
+  /** Ends under requests that end what runs them, and runs of them long after the third, by path. */
+  private readonly endsUnder = new Map<string, number[]>();
+  private readonly runsAfter = new Map<string, number>();
   /** Newest acknowledged version of each item, and when it was acknowledged. */
   private readonly acknowledged = new Map<string, { version: number; atMs: number }>();
 
@@ -93,6 +102,21 @@
     if (run.key !== null) this.judgeOwner(run.backend, run.key, nowMs);
   }
 
+  /** A back end has ended under a request that ends what runs it. */
+  endedUnder(path: string, nowMs: number): void {
+    this.endsUnder.set(path, [...(this.endsUnder.get(path) ?? []), nowMs]);
+  }
+
+  /** Such a request begins to run: long after it has ended three back ends only so many more may follow. */
+  endingRequestRun(path: string, nowMs: number): void {
+    const thirdMs = this.endsUnder.get(path)?.[ENDS_THAT_TELL - 1];
+    if (thirdMs === undefined || nowMs - thirdMs <= CONTACT_MS || !this.inTouch()) return;
+    const runs = (this.runsAfter.get(path) ?? 0) + 1;
+    this.runsAfter.set(path, runs);
+    if (runs <= RUNS_ALLOWED) return;
+    this.report('contained-request', nowMs, `${path} ran ${runs} times long after its third end`);
+  }
+
   /** Whether a back end has begun to run a request. */
   hasRun(requestId: string): boolean {
     return this.runs.has(requestId);
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -30,11 +30,18 @@
 /** Kinds that come beside the others, drawn by themselves, so that the plan of a seed stays what it was. */
 export const FURTHER_SOAK_TROUBLES = ['silence-connections', 'evacuate-zone'] as const;
 
+/** Kinds that come beside all others, drawn by themselves for the same reason. */
+export const BESIDE_SOAK_TROUBLES = ['ending-request', 'suspend-sidecar', 'suspend-directory'] as const;
+
 /** A kind of trouble. */
-export type SoakTroubleKind = (typeof SOAK_TROUBLES)[number] | (typeof FURTHER_SOAK_TROUBLES)[number];
+export type SoakTroubleKind =
+  | (typeof SOAK_TROUBLES)[number]
+  | (typeof FURTHER_SOAK_TROUBLES)[number]
+  | (typeof BESIDE_SOAK_TROUBLES)[number];
 
 /** What sets the draws of further troubles apart from those of the seed itself. */
 const FURTHER_SEED_OFFSET = 7_000_003;
+const BESIDE_SEED_OFFSET = 13_000_027;
 
 /** One trouble. */
 export interface SoakTrouble {
@@ -119,6 +126,7 @@
   if (only === null) {
     const further = new Random(seed + FURTHER_SEED_OFFSET);
     troubles.push(drawTrouble(further, FURTHER_SOAK_TROUBLES));
+    troubles.push(drawTrouble(new Random(seed + BESIDE_SEED_OFFSET), BESIDE_SOAK_TROUBLES));
   }
   troubles.sort((left, right) => left.atMs - right.atMs);
   return {
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -72,8 +72,10 @@
   const folder = join(options.folder, `seed-${options.seed}`);
   const fleet = new SoakFleet(plan, { program: options.program, folder }, judge, random);
   const operator = new SoakOperator(fleet.operatorAddresses, judge, random);
-  const troubles: SoakTroubles = new SoakTroubles(fleet, operator);
-  const callers = makeCallers(plan, fleet, judge, random, troubles);
+  const troubles: SoakTroubles = new SoakTroubles(fleet, operator, (choice) => {
+    callers.sendEnding(choice);
+  });
+  const callers: SoakCallers = makeCallers(plan, fleet, judge, random, troubles);
   const timers = [
     setInterval(() => {
       judge.look(performance.now());
@@ -90,6 +92,7 @@
   } finally {
     for (const timer of timers) clearInterval(timer);
     operator.stop();
+    troubles.stop();
     callers.stop();
     await fleet.down();
     callers.close();
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -41,6 +41,16 @@
   'silence-connections',
 ]);
 
+/** Kinds that concern no machine and no link of the daemons. */
+const BESIDE_CALM: ReadonlySet<SoakTroubleKind> = new Set(['evacuate-zone', 'ending-request']);
+
+/** Pause in ms between two comings of a request that ends what runs it. */
+const ENDING_EVERY_MS = 350;
+
+/** Time in ms in which a process takes note that its stop is a suspension, and how much longer than others it lasts. */
+const ANNOUNCED_MS = 60;
+const SUSPENSION_FACTOR = 2.5;
+
 /** A trouble that was brought about. */
 export interface TroubleRecord {
   readonly kind: SoakTroubleKind;
@@ -53,10 +63,13 @@
 export class SoakTroubles {
   readonly records: TroubleRecord[] = [];
   private lostUntilMs = 0;
+  private readonly timers: NodeJS.Timeout[] = [];
 
   constructor(
     private readonly fleet: SoakFleet,
     private readonly operator: SoakOperator,
+    /** Sends a request that ends every back end which runs it, the same for the same choice. */
+    private readonly sendEnding: (choice: number) => void,
   ) {}
 
   /** Brings one about; resolves when it is over. */
@@ -82,7 +95,7 @@
   /** Whether nothing has been amiss for so long; an evacuation is planned work. */
   calmFor(ms: number): boolean {
     const nowMs = performance.now();
-    return this.records.every(({ kind, endMs }) => kind === 'evacuate-zone' || endMs < nowMs - ms);
+    return this.records.every(({ kind, endMs }) => BESIDE_CALM.has(kind) || endMs < nowMs - ms);
   }
 
   /** Directories are lost one at a time, and the one before must have caught up. */
@@ -97,7 +110,7 @@
     const { directories, sidecars } = this.fleet;
     if (kind.endsWith('-leader')) return this.fleet.leader();
     if (kind === 'kill-all-directories' || kind === 'lose-acknowledgements') return undefined;
-    if (kind === 'lose-answers' || kind === 'spoil-answers' || kind === 'evacuate-zone') return undefined;
+    if (kind === 'lose-answers' || kind === 'spoil-answers' || BESIDE_CALM.has(kind)) return undefined;
     const onDisks = concernsDisks(kind);
     const everywhere = EVERYWHERE.has(kind);
     const machines = everywhere ? [...directories, ...sidecars] : onDisks ? directories : sidecars;
@@ -121,6 +134,9 @@
       case 'evacuate-zone':
         await this.evacuate(trouble);
         return;
+      case 'ending-request':
+        this.keepSendingEnding(trouble);
+        return;
       case 'lose-acknowledgements':
         this.operator.lostShare = LOST_ACKNOWLEDGEMENTS;
         await pause(forMs);
@@ -131,6 +147,20 @@
     }
   }
 
+  /** Comes until the soak is over, so that the time when all is calm again tells whether it is contained. */
+  private keepSendingEnding({ choice }: SoakTrouble): void {
+    this.timers.push(
+      setInterval(() => {
+        this.sendEnding(choice);
+      }, ENDING_EVERY_MS),
+    );
+  }
+
+  /** Brings nothing about any more. */
+  stop(): void {
+    for (const timer of this.timers.splice(0)) clearInterval(timer);
+  }
+
   /** Longer than the bound, so that there is a time in which nothing may arrive. */
   private async evacuate({ choice, forMs }: SoakTrouble): Promise<void> {
     const zones = [...new Set(this.fleet.plan.sidecars.map(({ zone }) => zone))];
@@ -165,6 +195,10 @@
         await pause(forMs);
         machine.process.signal('SIGCONT');
         break;
+      case 'suspend-sidecar':
+      case 'suspend-directory':
+        await suspend(machine, forMs * SUSPENSION_FACTOR);
+        break;
       case 'stop-sidecar':
       case 'stop-directory':
         await machine.process.stop();
@@ -225,6 +259,14 @@
   return kind.endsWith('-directory') || kind.endsWith('-leader') || kind === 'tear-log';
 }
 
+async function suspend({ process }: SoakMachine, forMs: number): Promise<void> {
+  process.signal('SIGUSR2');
+  await pause(ANNOUNCED_MS);
+  process.signal('SIGSTOP');
+  await pause(forMs);
+  process.signal('SIGCONT');
+}
+
 function wipe({ dataFolder }: SoakMachine): void {
   if (dataFolder === null) return;
   rmSync(dataFolder, { recursive: true, force: true });
--- a/test/lab/soak/soak-judge.test.ts
+++ b/test/lab/soak/soak-judge.test.ts
@@ -158,3 +158,14 @@
   judge.arrivedCold('a', 20, 990);
   t.is(judge.violations[0]?.promise, 'cold-start');
 });
+
+test('a request that ends what runs it runs more than three times long after its third end', (t) => {
+  const judge = new SoakJudge(2_000, 2_000);
+  for (const atMs of [0, 500, 1_000]) judge.endedUnder('/path', atMs);
+  for (let at = 0; at < 5; at += 1) judge.endingRequestRun('/path', 1_500);
+  for (let at = 0; at < 3; at += 1) judge.endingRequestRun('/path', 4_100 + at);
+  judge.endingRequestRun('/other', 9_000);
+  t.deepEqual(judge.violations, []);
+  judge.endingRequestRun('/path', 9_000);
+  t.is(judge.violations[0]?.promise, 'contained-request');
+});
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -156,7 +156,7 @@
   t.is(answer.headers?.['location'], 'http://10.0.0.2:8306/evacuation/z-1');
 });
 
-const QUARANTINE: readonly [string, string, number, string | null][] = [
+const QUARANTINE: readonly [string, string, number, DirectoryCommand['kind'] | null][] = [
   ['POST', '/quarantine/abc_-9', 200, 'reopen-request'],
   ['DELETE', '/quarantine/abc_-9', 200, 'forget-request'],
   ['POST', '/quarantine/', 404, null],
