A failure that the back end outlives says less than a success: three in a row clear a suspect

Cause: a request that always fails would stay a suspect for ever once two back ends had ended beside it, and run alone at each coming. A fingerprint is worked out once for a request at each daemon.

--- a/src/quarantine/crash-commands.ts
+++ b/src/quarantine/crash-commands.ts
@@ -12,6 +12,7 @@
   stageAt,
   withCompletion,
   withEnd,
+  withFailure,
   type CrashRecord,
   type CrashRecords,
 } from './crash-records.js';
@@ -40,11 +41,13 @@
   readonly runs: readonly EndedRun[];
 }
 
-/** A run of a suspect ended well. */
+/** A back end answered a run of a watched request, and goes on. */
 export interface RecordCompletionCommand {
   readonly kind: 'record-completion';
   readonly fingerprint: string;
   readonly version: string;
+  /** Whether the answer was a success; a failure says less. */
+  readonly isGood: boolean;
 }
 
 /** A life of a back end asks to run a suspect. */
@@ -151,7 +154,7 @@
 function recordCompletion(records: CrashRecords, command: RecordCompletionCommand): AppliedCrashCommand {
   const known = records.get(command.fingerprint);
   if (known === undefined) return NOTHING;
-  const next = withCompletion(known, command.version);
+  const next = command.isGood ? withCompletion(known, command.version) : withFailure(known, command.version);
   if (next === null) {
     records.delete(command.fingerprint);
     return { ...NOTHING, removed: [command.fingerprint] };
--- a/src/quarantine/crash-messages.ts
+++ b/src/quarantine/crash-messages.ts
@@ -14,11 +14,12 @@
   runs: z.array(z.object({ fingerprint: z.string(), alone: z.boolean() })),
 });
 
-/** A run of a watched request has ended well. */
+/** A back end has answered a run of a watched request, and goes on. */
 export const runCompletedSchema = z.object({
   kind: z.literal('run-completed'),
   fingerprint: z.string(),
   version: z.string(),
+  isGood: z.boolean(),
 });
 
 /** Asks to run a suspect at a life of a back end. */
@@ -72,9 +73,9 @@
       break;
     }
     case 'run-completed': {
-      const { fingerprint, version } = request;
+      const { fingerprint, version, isGood } = request;
       if (ports.records().has(fingerprint)) {
-        await ports.propose({ kind: 'record-completion', fingerprint, version });
+        await ports.propose({ kind: 'record-completion', fingerprint, version, isGood });
       }
       break;
     }
--- a/src/quarantine/crash-records.ts
+++ b/src/quarantine/crash-records.ts
@@ -12,6 +12,12 @@
 /** See `ENDS_BEFORE_COUNT`; the users' limit. */
 export const MOST_COUNTED_RUNS = 3;
 
+/**
+ * Runs in a row that the back end answered with a failure after which they count as a good one: it has outlived them all.
+ * A single one says less, since a call that failed may have ended the run before it came to the harm.
+ */
+const FAILURES_OUTLIVED = 3;
+
 /** Versions of the software that a record tells apart; those that were seen first are forgotten first. */
 const MOST_VERSIONS = 4;
 
@@ -34,6 +40,8 @@
   readonly lives: readonly string[];
   /** Whether a run of it has ended well there. */
   readonly endedWell: boolean;
+  /** Runs in a row that the back end outlived and answered with a failure. */
+  readonly outlived: number;
 }
 
 /** What is known of one request. */
@@ -96,20 +104,28 @@
 export function withEnd(record: CrashRecord, version: string, life: string): CrashRecord {
   const known = record.versions.find((one) => one.version === version) ?? newVersion(version);
   if (known.lives.includes(life)) return record;
-  const changed = { ...known, lives: [...known.lives, life].slice(-MOST_LIVES) };
+  const changed = { ...known, outlived: 0, lives: [...known.lives, life].slice(-MOST_LIVES) };
   return { ...record, versions: replaceVersion(record.versions, changed) };
 }
 
+/** The record after the back end has outlived a run and answered it with a failure; null as for a good one. */
+export function withFailure(record: CrashRecord, version: string): CrashRecord | null {
+  const known = record.versions.find((one) => one.version === version) ?? newVersion(version);
+  const outlived = known.outlived + 1;
+  if (outlived >= FAILURES_OUTLIVED) return withCompletion(record, version);
+  return { ...record, versions: replaceVersion(record.versions, { ...known, outlived }) };
+}
+
 /** The record after a run has ended well; null when nothing is held against the request any more. */
 export function withCompletion(record: CrashRecord, version: string): CrashRecord | null {
-  const changed = { version, lives: [], endedWell: true };
+  const changed = { version, lives: [], endedWell: true, outlived: 0 };
   const versions = replaceVersion(record.versions, changed);
   const next = { ...record, versions };
   return endsOf(next) === 0 ? null : next;
 }
 
 function newVersion(version: string): VersionRecord {
-  return { version, lives: [], endedWell: false };
+  return { version, lives: [], endedWell: false, outlived: 0 };
 }
 
 function replaceVersion(versions: readonly VersionRecord[], changed: VersionRecord): VersionRecord[] {
--- a/src/quarantine/quarantine-view.ts
+++ b/src/quarantine/quarantine-view.ts
@@ -1,6 +1,6 @@
 /** A daemon's copy of the crash records that it must know, and what they say of a request. */
 import { stageAt, type CrashRecord, type CrashRecords, type CrashStage } from './crash-records.js';
-import { requestFingerprint, type IdentifiedRequest } from './request-fingerprint.js';
+import { fingerprintOf, type IdentifiedRequest } from './request-fingerprint.js';
 
 /** What the records say of a request. */
 export interface Judged {
@@ -40,7 +40,7 @@
   /** What holds for a request at back ends of a version. As long as there are no records it costs nothing. */
   judge(request: IdentifiedRequest, version: string): Judged {
     if (this.records.size === 0) return UNKNOWN;
-    const fingerprint = requestFingerprint(request);
+    const fingerprint = fingerprintOf(request);
     const record = this.records.get(fingerprint) ?? null;
     return { stage: record === null ? 'free' : stageAt(record, version), fingerprint, record };
   }
@@ -48,7 +48,7 @@
   /** The fingerprint of a request that no back end of these versions may run; null where one may. */
   refusedEverywhere(request: IdentifiedRequest, versions: () => ReadonlySet<string>): string | null {
     if (this.records.size === 0) return null;
-    const fingerprint = requestFingerprint(request);
+    const fingerprint = fingerprintOf(request);
     const record = this.records.get(fingerprint);
     if (record === undefined) return null;
     const present = [...versions()];
--- a/src/quarantine/request-fingerprint.ts
+++ b/src/quarantine/request-fingerprint.ts
@@ -24,6 +24,16 @@
   readonly body: Buffer;
 }
 
+/** Fingerprints that were worked out, so that a long body is read once for a request. */
+const known = new WeakMap<IdentifiedRequest, string>();
+
+/** The fingerprint of a request, worked out once for each of its objects. */
+export function fingerprintOf(request: IdentifiedRequest): string {
+  const fingerprint = known.get(request) ?? requestFingerprint(request);
+  known.set(request, fingerprint);
+  return fingerprint;
+}
+
 /** The fingerprint of a request, in base64url. */
 export function requestFingerprint({ method, host, path, headers, key, body }: IdentifiedRequest): string {
   const hash = createHash('sha256');
--- a/src/quarantine/run-permits.ts
+++ b/src/quarantine/run-permits.ts
@@ -60,20 +60,15 @@
   /** The permit is given back; `begun`: a run of it may have begun. */
   release(fingerprint: string, begun: boolean): void {
     const life = this.held.get(fingerprint);
-    this.settled(fingerprint);
-    if (life !== undefined) this.ports.send({ kind: 'permit-released', fingerprint, life, begun });
-  }
-
-  /** The permitted run is over; an end of its back end, or a good end of its own, settles the permit by itself. */
-  settled(fingerprint: string): void {
     this.held.delete(fingerprint);
     this.askedMs.delete(fingerprint);
+    if (life !== undefined) this.ports.send({ kind: 'permit-released', fingerprint, life, begun });
   }
 
-  /** A run of a watched request has ended well. */
-  completed(fingerprint: string, version: string): void {
+  /** A back end has answered a run of a watched request, with a success or a failure, and goes on. */
+  completed(fingerprint: string, version: string, isGood: boolean): void {
     if (!this.isDue(this.reportedMs, fingerprint, COMPLETION_REPORT_MS)) return;
-    this.ports.send({ kind: 'run-completed', fingerprint, version });
+    this.ports.send({ kind: 'run-completed', fingerprint, version, isGood });
   }
 
   private isDue(times: Map<string, number>, fingerprint: string, pauseMs: number): boolean {
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -196,8 +196,7 @@
     const isBroken =
       result.kind === 'cut' || (result.kind === 'failed' && result.failure.kind === 'no-answer');
     if (isBroken) await guard.broke(run, backend);
-    else if (result.kind === 'answered')
-      guard.answered(run, backend, result.statusCode < FIRST_FAILURE_STATUS);
+    else if (result.kind === 'answered') guard.answered(run, backend, result.statusCode);
     else guard.giveBack(how.clearance, result.kind !== 'failed' || result.failure.kind !== 'not-sent');
   }
 
@@ -262,9 +261,6 @@
   }
 }
 
-/** Answers from this status on tell of a failure. */
-const FIRST_FAILURE_STATUS = 500;
-
 const REQUEST_ID_HEADER = 'x-request-id';
 
 function quarantined(): Refusal {
--- a/src/router/run-guard.ts
+++ b/src/router/run-guard.ts
@@ -9,6 +9,7 @@
 import { EndReporter, type EndedLife } from '../quarantine/end-reporter.js';
 import { InterruptedRuns } from '../quarantine/interrupted-runs.js';
 import type { Judged, QuarantineView } from '../quarantine/quarantine-view.js';
+import { saysOfRun } from '../quarantine/run-answer.js';
 import { requestFingerprint, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import { RunPermits } from '../quarantine/run-permits.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -103,10 +104,13 @@
   }
 
   /** A run has ended with an answer of the back end. */
-  answered(run: GuardedRun, backend: GuardedBackend, isGood: boolean): void {
+  answered(run: GuardedRun, backend: GuardedBackend, statusCode: number): void {
     this.watched(backend).interrupted.backendAnswered(this.ports.runtime.nowMs());
     const { fingerprint, record } = this.judge(run.request);
-    if (isGood && record !== null && fingerprint !== null) this.permits.completed(fingerprint, NO_VERSION);
+    const says = saysOfRun(statusCode);
+    if (says !== null && record !== null && fingerprint !== null) {
+      this.permits.completed(fingerprint, NO_VERSION, says === 'good');
+    }
     this.giveBack(run.clearance, true);
   }
 
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -14,7 +14,7 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
 import type { InterruptedRuns } from '../quarantine/interrupted-runs.js';
-import { requestFingerprint, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
+import { fingerprintOf, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
@@ -80,6 +80,8 @@
 interface Visit {
   readonly head: RequestHead;
   readonly body: Buffer;
+  /** What tells it from other requests. */
+  readonly identity: IdentifiedRequest;
   readonly reply: RequestReply;
   readonly arrivedMs: number;
   readonly expiresMs: number;
@@ -209,6 +211,7 @@
     const visit: Visit = {
       head,
       body,
+      identity: identityOf(head, body),
       reply,
       arrivedMs: nowMs,
       expiresMs: nowMs + this.changeWaitMs(head),
@@ -288,7 +291,7 @@
 
   /** Requests under which back ends have ended run alone, or not at all. */
   private considerRecord(visit: Visit, nowMs: number): void {
-    const { stage, fingerprint } = this.ports.guard.judge(identified(visit));
+    const { stage, fingerprint } = this.ports.guard.judge(visit.identity);
     if (stage === 'quarantined') this.refuse(visit, 'quarantined');
     else if (stage === 'suspect' && fingerprint !== null) this.addSuspect(visit, fingerprint);
     else if (this.isOnTrial(nowMs)) this.refuse(visit, 'unreachable');
@@ -480,21 +483,22 @@
     this.tellGuard(visit, outcome);
   }
 
-  /** What the run says of its request. An answer that tells of a failure clears nothing and proves nothing. */
+  /** What the run says of its request. */
   private tellGuard(visit: Visit, outcome: RunOutcome): void {
     const { guard, interrupted, runtime } = this.ports;
-    const isGood = outcome.kind === 'answered' && outcome.statusCode < FIRST_FAILURE_STATUS;
-    if (outcome.kind === 'answered') interrupted.backendAnswered(runtime.nowMs());
-    if (isGood) guard.completed(identified(visit));
+    if (outcome.kind === 'answered') {
+      interrupted.backendAnswered(runtime.nowMs());
+      guard.answered(visit.identity, outcome.statusCode);
+    }
     const { suspect } = visit;
     if (suspect === null) return;
     if (!isBroken(outcome)) {
-      this.suspects.ended(suspect, isGood);
+      this.suspects.ended(suspect);
       return;
     }
     // Another daemon may try it next only when it is known whether this one has lost its back end.
     void guard.runBroke().then(() => {
-      this.suspects.ended(suspect, false);
+      this.suspects.ended(suspect);
     });
   }
 
@@ -541,7 +545,7 @@
     if (!byBackend && !wasBrokenOff) return undefined;
     const endedMs = this.ports.runtime.nowMs();
     const { requestId } = visit.head;
-    const fingerprint = requestFingerprint(identified(visit));
+    const fingerprint = fingerprintOf(visit.identity);
     const run = { requestId, fingerprint, byBackend, alone, endedMs, usedMs: Math.round(usedMs) };
     this.ports.interrupted.note(run);
     return fingerprint;
@@ -634,8 +638,7 @@
   }
 }
 
-function identified({ head, body }: Visit): IdentifiedRequest {
-  const { method, path, headers, key } = head;
+function identityOf({ method, path, headers, key }: RequestHead, body: Buffer): IdentifiedRequest {
   return { method, host: headerValue(headers, 'host'), path, headers, key, body };
 }
 
--- a/src/sidecar/crash-guard.ts
+++ b/src/sidecar/crash-guard.ts
@@ -8,17 +8,17 @@
   readonly permits: SuspectPermits;
   /** What holds for a request at the present back end. */
   judge(request: IdentifiedRequest): Judged;
-  /** A run ended well; told for every run, so that it has to cost nothing while there are no records. */
-  completed(request: IdentifiedRequest): void;
+  /** A back end answered a run; told for every run, so that it has to cost nothing while there are no records. */
+  answered(request: IdentifiedRequest, statusCode: number): void;
   /** Resolves once it is known whether the back end has ended under a run that broke off, and that is recorded. */
   runBroke(): Promise<void>;
 }
 
 /** The guard of a gateway that knows nothing of any request, and tells nobody. */
 export const OPEN_GUARD: CrashGuard = {
-  permits: { holds: () => false, ask: () => undefined, release: () => undefined, settled: () => undefined },
+  permits: { holds: () => false, ask: () => undefined, release: () => undefined },
   judge: () => ({ stage: 'free', fingerprint: null, record: null }),
-  completed: () => undefined,
+  answered: () => undefined,
   runBroke: async () => {
     await Promise.resolve();
   },
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -32,6 +32,7 @@
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
+import { saysOfRun } from '../quarantine/run-answer.js';
 import { RunPermits } from '../quarantine/run-permits.js';
 import { forwarderCounters } from './forwarder-counters.js';
 import type { SidecarSettings } from './sidecar-settings.js';
@@ -406,14 +407,13 @@
         release: (fingerprint, begun) => {
           permits.release(fingerprint, begun);
         },
-        settled: (fingerprint) => {
-          permits.settled(fingerprint);
-        },
       },
       judge: (request) => this.table.quarantine.judge(request, version()),
-      completed: (request) => {
+      answered: (request, statusCode) => {
         const { record, fingerprint } = this.table.quarantine.judge(request, version());
-        if (record !== null && fingerprint !== null) this.permits.completed(fingerprint, version());
+        const says = saysOfRun(statusCode);
+        if (record === null || fingerprint === null || says === null) return;
+        permits.completed(fingerprint, version(), says === 'good');
       },
       runBroke: async () => {
         await this.ends.runBroke();
--- a/src/sidecar/suspect-runs.ts
+++ b/src/sidecar/suspect-runs.ts
@@ -37,8 +37,6 @@
   ask(fingerprint: string): void;
   /** The permit is given back; `begun`: a run of it may have begun. */
   release(fingerprint: string, begun: boolean): void;
-  /** The permitted run is over and its end is reported in another way. */
-  settled(fingerprint: string): void;
 }
 
 /** What the suspects need of their gateway. */
@@ -101,13 +99,12 @@
     return taken;
   }
 
-  /** The run of a suspect has ended; `settled`: its end is reported in another way. */
-  ended(suspect: Suspect, settled: boolean): void {
+  /** The run of a suspect has ended; what it showed was reported before. */
+  ended(suspect: Suspect): void {
     const { turn } = this;
     if (turn?.suspect !== suspect) return;
     this.turn = null;
-    if (settled) this.ports.permits.settled(suspect.fingerprint);
-    else this.ports.permits.release(suspect.fingerprint, true);
+    this.ports.permits.release(suspect.fingerprint, true);
     if (turn.alone) this.ports.resume();
     this.step();
   }
--- a/test/quarantine/crash-records.test.ts
+++ b/test/quarantine/crash-records.test.ts
@@ -35,8 +35,8 @@
   return { kind: 'release-permit', fingerprint: REQUEST, life, begun };
 }
 
-function good(version = 'v1'): Step {
-  return { kind: 'record-completion', fingerprint: REQUEST, version };
+function good(version = 'v1', isGood = true): Step {
+  return { kind: 'record-completion', fingerprint: REQUEST, version, isGood };
 }
 
 function reopen(by: 'operator' | 'time'): Step {
@@ -75,6 +75,21 @@
   { name: 'two ends make a suspect', steps: [end('a'), end('b')], stage: 'suspect' },
   { name: 'a good run between two ends clears it', steps: [end('a'), good(), end('b')], stage: 'free' },
   { name: 'a good run clears a suspect', steps: [end('a'), end('b'), good()], stage: 'free' },
+  {
+    name: 'a failure that the back end outlives clears nothing',
+    steps: [end('a'), end('b'), good('v1', false), good('v1', false)],
+    stage: 'suspect',
+  },
+  {
+    name: 'three failures in a row that it outlives clear a suspect',
+    steps: [end('a'), end('b'), good('v1', false), good('v1', false), good('v1', false)],
+    stage: 'free',
+  },
+  {
+    name: 'an end between them begins the row anew',
+    steps: [end('a'), end('b'), good('v1', false), good('v1', false), end('c'), good('v1', false)],
+    stage: 'suspect',
+  },
   {
     name: 'any number of ends beside others prove nothing',
     steps: [end('a'), end('b'), end('c'), end('d'), end('e')],
