The gateway's reports, its counters and the sidecar's watch over ends stand in files of their own

Change: RunReports (what ended runs show, when callers are told), CrashWatch (the guard of a sidecar), gateway counters.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -14,7 +14,6 @@
 import { forwarderCounters } from '../../src/sidecar/forwarder-counters.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { ForwardedRequest, type ForwarderPorts } from '../../src/sidecar/request-forwarder.js';
-import { InterruptedRuns } from '../../src/quarantine/interrupted-runs.js';
 import { RequestIntake } from '../../src/sidecar/request-intake.js';
 import { RetryAllowance } from '../../src/sidecar/retry-allowance.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
@@ -253,7 +252,6 @@
       pacer: null,
       backend,
       coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-      interrupted: new InterruptedRuns(),
       guard: OPEN_GUARD,
       instance: () => this.place.id,
       awaitsBackend: () => false,
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -13,8 +13,7 @@
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
-import type { InterruptedRuns } from '../quarantine/interrupted-runs.js';
-import { fingerprintOf, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
+import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
@@ -22,9 +21,11 @@
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
+import { gatewayCounters, slotTimeUse } from './gateway-counters.js';
 import { headerValue } from './header-dialect.js';
 import { LateOutlook, type LateWaitOutcome } from './late-outlook.js';
 import { isTooLateToBegin, lateOrder, lateWaitMs, placeOrder, placeWaitMs, spareMs } from './place-policy.js';
+import { RunReports } from './run-reports.js';
 import { SuspectRuns, type Suspect } from './suspect-runs.js';
 import { WorkForecast } from './work-forecast.js';
 
@@ -57,8 +58,6 @@
   readonly backend: BackendClient;
   /** Bounds what is sent while the back end is cold. */
   readonly coldLimit: ColdStartLimit;
-  /** Keeps runs without an answer; they tell under which requests the back end has ended. */
-  readonly interrupted: InterruptedRuns;
   readonly guard: CrashGuard;
   /** Id of the present life; null until it has told about itself. */
   readonly instance: () => string | null;
@@ -99,45 +98,14 @@
   done: boolean;
 }
 
-/** How slot time was spent: for a success, for an answer that tells of a failure, or for no answer. */
-export type SlotTimeUse = 'success' | 'failure' | 'none';
-
-/** Counters of the gateway. */
-export interface GatewayCounters {
-  requests: number;
-  /** Slot time in ms, by what it was spent for. */
-  readonly slotMs: Record<SlotTimeUse, number>;
-  runs: number;
-  answered: number;
-  broken: number;
-  refused: Record<RefusalReason, number>;
-}
-
 /** The gateway to one back end. */
 export class BackendGateway {
-  readonly counters: GatewayCounters = {
-    requests: 0,
-    slotMs: { success: 0, failure: 0, none: 0 },
-    runs: 0,
-    answered: 0,
-    broken: 0,
-    refused: {
-      busy: 0,
-      leaving: 0,
-      'unknown-instance': 0,
-      'not-owner': 0,
-      unreachable: 0,
-      cancelled: 0,
-      declined: 0,
-      quarantined: 0,
-    },
-  };
+  readonly counters = gatewayCounters();
   readonly admission: Admission;
   readonly forecast: WorkForecast<Visit>;
   readonly lateOutlook = new LateOutlook();
   readonly suspects: SuspectRuns;
-  /** Answers to broken runs that wait until it is known whether the back end has ended. */
-  private readonly heldFailures = new Set<() => void>();
+  private readonly reports: RunReports;
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
   private readonly running = new Set<Visit>();
@@ -147,7 +115,8 @@
   private cancelStep: CancelTimer | null = null;
 
   constructor(private readonly ports: GatewayPorts) {
-    const { coldLimit, runtime, pacer } = ports;
+    const { coldLimit, runtime, pacer, guard } = ports;
+    this.reports = new RunReports(guard, runtime);
     this.forecast = new WorkForecast({
       nowMs: () => runtime.nowMs(),
       serviceMs: () => this.admission.serviceMs,
@@ -163,7 +132,7 @@
     });
     this.suspects = new SuspectRuns({
       runtime,
-      permits: ports.guard.permits,
+      permits: guard.permits,
       isFree: () => this.admission.isIdle,
       pause: () => {
         this.admission.pause();
@@ -268,8 +237,7 @@
     this.cancelStep?.();
     for (const visit of [...this.waiting]) this.refuse(visit, 'leaving');
     for (const suspect of this.suspects.takeWaiting()) suspect.refuse();
-    // Once this daemon has said goodbye, what has no answer counts as not run.
-    for (const fail of [...this.heldFailures]) fail();
+    this.reports.flush();
     this.admission.expireAll();
     for (const { reply } of this.running) {
       reply.fail({ reason: 'broken', detail: 'the daemon stops', status: null });
@@ -448,7 +416,7 @@
     visit.run = ports.backend.prepare(visit.head, visit.body, leftMs, {
       status: () => this.status(),
       timing: () => this.timingOf(visit),
-      reply: { ...visit.reply, fail: (failure) => this.fail(visit, failure) },
+      reply: this.replyOf(visit),
       onDone: (outcome) => {
         this.finished(visit, outcome);
       },
@@ -456,6 +424,15 @@
     visit.run.start();
   }
 
+  private replyOf({ reply }: Visit): RequestReply {
+    const fail = (failure: FailureHead): void => {
+      this.reports.fail(failure, (head) => {
+        reply.fail(head);
+      });
+    };
+    return { ...reply, fail };
+  }
+
   /** Whether the work, or its answer on the network link, would come too late to be worth its place. */
   private isTooLate(visit: Visit, leftMs: number, waitedMs: number): boolean {
     const { head } = visit;
@@ -480,41 +457,14 @@
     this.ports.onWork(visit.head.key, usedMs - visit.offeredMs);
     this.count(visit, outcome, usedMs);
     this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
-    this.tellGuard(visit, outcome);
-  }
-
-  /** What the run says of its request. */
-  private tellGuard(visit: Visit, outcome: RunOutcome): void {
-    const { guard, interrupted, runtime } = this.ports;
-    if (outcome.kind === 'answered') {
-      interrupted.backendAnswered(runtime.nowMs());
-      guard.answered(visit.identity, outcome.statusCode);
-    }
     const { suspect } = visit;
     if (suspect === null) return;
-    if (!isBroken(outcome)) {
-      this.suspects.ended(suspect);
-      return;
-    }
     // Another daemon may try it next only when it is known whether this one has lost its back end.
-    void guard.runBroke().then(() => {
+    this.reports.whenKnown(outcome, () => {
       this.suspects.ended(suspect);
     });
   }
 
-  /** The caller comes back at once after a failure, so it is told only when other daemons know what there is to know. */
-  private fail(visit: Visit, failure: FailureHead): void {
-    if (failure.reason !== 'broken') {
-      visit.reply.fail(failure);
-      return;
-    }
-    const fail = (): void => {
-      if (this.heldFailures.delete(fail)) visit.reply.fail(failure);
-    };
-    this.heldFailures.add(fail);
-    void this.ports.guard.runBroke().then(fail);
-  }
-
   private learn(route: string, usedMs: number, { bytes, pace }: AnsweredRun): void {
     const { forecast } = this;
     const unreadableBefore = forecast.unreadableFigures;
@@ -530,27 +480,14 @@
     if (outcome.kind === 'declined') this.counters.refused.declined += 1;
     if (outcome.kind === 'broken') this.counters.broken += 1;
     this.brokenInRow = outcome.kind === 'broken' ? this.brokenInRow + 1 : 0;
-    if (outcome.kind === 'answered') return;
-    const fingerprint = this.noteInterrupted(visit, outcome, usedMs);
     const { requestId, instance, key } = visit.head;
+    const { identity, alone } = visit;
+    const fingerprint = this.reports.report({ requestId, identity, alone, usedMs }, outcome);
+    if (outcome.kind === 'answered') return;
     const fields = { requestId, instance, key, outcome, usedMs: Math.round(usedMs), fingerprint };
     this.ports.log.event('run-ended', fields);
   }
 
-  /** A run that was sent, and not answered, may be what its back end ends under. */
-  private noteInterrupted(visit: Visit, outcome: RunOutcome, usedMs: number): string | undefined {
-    const { alone } = visit;
-    const byBackend = isBroken(outcome);
-    const wasBrokenOff = outcome.kind === 'cancelled' || outcome.kind === 'deadline';
-    if (!byBackend && !wasBrokenOff) return undefined;
-    const endedMs = this.ports.runtime.nowMs();
-    const { requestId } = visit.head;
-    const fingerprint = fingerprintOf(visit.identity);
-    const run = { requestId, fingerprint, byBackend, alone, endedMs, usedMs: Math.round(usedMs) };
-    this.ports.interrupted.note(run);
-    return fingerprint;
-  }
-
   private refuse(visit: Visit, reason: RefusalReason): void {
     if (visit.done) return;
     visit.done = true;
@@ -642,20 +579,7 @@
   return { method, host: headerValue(headers, 'host'), path, headers, key, body };
 }
 
-/** Whether the back end broke the connection of a run that had reached it. */
-function isBroken(outcome: RunOutcome): boolean {
-  return outcome.kind === 'broken' && outcome.reason === 'broken' && outcome.sent;
-}
-
 /** A factor as it travels: two digits say as much as is known. */
 function rounded(factor: number): number {
   return Math.round(factor * 100) / 100;
 }
-
-/** Statuses from here on tell of a failure at the back end. */
-const FIRST_FAILURE_STATUS = 500;
-
-function slotTimeUse(outcome: RunOutcome): SlotTimeUse {
-  if (outcome.kind !== 'answered') return 'none';
-  return outcome.statusCode < FIRST_FAILURE_STATUS ? 'success' : 'failure';
-}
--- a/src/sidecar/crash-guard.ts
+++ b/src/sidecar/crash-guard.ts
@@ -1,4 +1,5 @@
 /** What a gateway must know of requests under which back ends have ended, and whom it tells what it saw. */
+import type { InterruptedRun } from '../quarantine/interrupted-runs.js';
 import type { Judged } from '../quarantine/quarantine-view.js';
 import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { SuspectPermits } from './suspect-runs.js';
@@ -10,6 +11,8 @@
   judge(request: IdentifiedRequest): Judged;
   /** A back end answered a run; told for every run, so that it has to cost nothing while there are no records. */
   answered(request: IdentifiedRequest, statusCode: number): void;
+  /** A run has ended without an answer; the back end may have ended under it. */
+  interrupted(run: InterruptedRun): void;
   /** Resolves once it is known whether the back end has ended under a run that broke off, and that is recorded. */
   runBroke(): Promise<void>;
 }
@@ -19,6 +22,7 @@
   permits: { holds: () => false, ask: () => undefined, release: () => undefined },
   judge: () => ({ stage: 'free', fingerprint: null, record: null }),
   answered: () => undefined,
+  interrupted: () => undefined,
   runBroke: async () => {
     await Promise.resolve();
   },
--- /dev/null
+++ b/src/sidecar/gateway-counters.ts
@@ -0,0 +1,47 @@
+/** Counters of a gateway: requests, runs, refusals and slot time. */
+import type { RefusalReason } from '../link/link-messages.js';
+import type { RunOutcome } from './backend-run.js';
+
+/** How slot time was spent: for a success, for an answer that tells of a failure, or for no answer. */
+export type SlotTimeUse = 'success' | 'failure' | 'none';
+
+/** Counters of the gateway. */
+export interface GatewayCounters {
+  requests: number;
+  /** Slot time in ms, by what it was spent for. */
+  readonly slotMs: Record<SlotTimeUse, number>;
+  runs: number;
+  answered: number;
+  broken: number;
+  refused: Record<RefusalReason, number>;
+}
+
+/** New counters. */
+export function gatewayCounters(): GatewayCounters {
+  return {
+    requests: 0,
+    slotMs: { success: 0, failure: 0, none: 0 },
+    runs: 0,
+    answered: 0,
+    broken: 0,
+    refused: {
+      busy: 0,
+      leaving: 0,
+      'unknown-instance': 0,
+      'not-owner': 0,
+      unreachable: 0,
+      cancelled: 0,
+      declined: 0,
+      quarantined: 0,
+    },
+  };
+}
+
+/** Statuses from here on tell of a failure at the back end. */
+const FIRST_FAILURE_STATUS = 500;
+
+/** What the slot time of a run was spent for. */
+export function slotTimeUse(outcome: RunOutcome): SlotTimeUse {
+  if (outcome.kind !== 'answered') return 'none';
+  return outcome.statusCode < FIRST_FAILURE_STATUS ? 'success' : 'failure';
+}
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -45,7 +45,7 @@
     'Figures of its load that could not be read',
     () => gateway.forecast.unreadableFigures,
   );
-  metrics.value('backend_ends', 'Times that it ended by itself under requests', () => node.ends.ends);
+  metrics.value('backend_ends', 'Times that it ended by itself under requests', () => node.crashes.ends);
   metrics.value('suspects_waiting', 'Requests that wait to run alone', () => gateway.suspects.waitingCount);
   metrics.family('crash_records', 'Requests under which back ends end, by stage', 'stage', () =>
     crashStages(node.table.quarantine.all.values()),
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -19,12 +19,11 @@
 import { ColdStartLimit } from './cold-start-limit.js';
 import { OWN_STATUS, type OwnAnswer, type TakenRequest } from './caller-server.js';
 import type { IncomingRequest } from './caller-server.js';
-import type { CrashGuard } from './crash-guard.js';
+import { CrashWatch } from './crash-watch.js';
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
-import { EndReporter, type EndedLife } from '../quarantine/end-reporter.js';
+import type { EndedLife } from '../quarantine/end-reporter.js';
 import { HeartbeatGrants } from './heartbeat-grants.js';
-import { InterruptedRuns } from '../quarantine/interrupted-runs.js';
 import { InvokedGrants } from './invoked-grants.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
@@ -32,8 +31,6 @@
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
-import { saysOfRun } from '../quarantine/run-answer.js';
-import { RunPermits } from '../quarantine/run-permits.js';
 import { forwarderCounters } from './forwarder-counters.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 import {
@@ -118,9 +115,7 @@
   private readonly load = new LoadMeter();
   private readonly coldLimit: ColdStartLimit;
   private readonly evacuation: ZoneEvacuation;
-  private readonly interrupted = new InterruptedRuns();
-  private readonly permits: RunPermits;
-  readonly ends: EndReporter;
+  readonly crashes: CrashWatch;
   private readonly chooser: BackendChooser;
   /** Asks other daemons how busy their back ends are. */
   readonly prober: BackendProber;
@@ -156,8 +151,7 @@
     });
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, runtime.steadyMs());
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
-    this.permits = this.makePermits();
-    this.ends = this.makeEndReporter();
+    this.crashes = this.makeCrashWatch();
     this.gateway = this.makeGateway();
     this.peers = new PeerDaemons({
       runtime,
@@ -247,7 +241,7 @@
     }
     const before = this.presentLife();
     const news = this.backend.take(heartbeat, arrivedMs);
-    if (news === 'new-life' && before !== null) this.ends.lifeReplaced(before);
+    if (news === 'new-life' && before !== null) this.crashes.lifeReplaced(before);
     if (news === 'stale') return null;
     if (news === 'new-life') this.newLife(heartbeat);
     else this.coldLimit.takeTold(heartbeat.coldLeftMs, this.runtime.steadyMs());
@@ -302,7 +296,7 @@
   private close(): void {
     for (const cancel of this.timers) cancel();
     this.lease.stop();
-    this.ends.stop();
+    this.crashes.stop();
     this.grants.stop();
     this.callers.close();
     this.gateway.stop();
@@ -355,8 +349,7 @@
       pacer: this.pacer,
       backend: this.backendClient,
       coldLimit: this.coldLimit,
-      interrupted: this.interrupted,
-      guard: this.makeGuard(),
+      guard: this.crashes,
       instance: () => this.backend.id,
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
@@ -369,58 +362,20 @@
     });
   }
 
-  private makeEndReporter(): EndReporter {
-    return new EndReporter({
+  private makeCrashWatch(): CrashWatch {
+    return new CrashWatch({
       runtime: this.runtime,
       log: this.log,
-      interrupted: this.interrupted,
+      quarantine: this.table.quarantine,
       life: () => this.presentLife(),
       listens: this.options.backendListens,
       send: (request) => this.directory.send(request),
-    });
-  }
-
-  private makePermits(): RunPermits {
-    return new RunPermits({
-      runtime: this.runtime,
-      send: (request) => this.directory.send(request),
-      isPresent: (life) => this.presentLife()?.id === life,
       onPermit: () => {
         this.gateway.suspects.step();
       },
     });
   }
 
-  private makeGuard(): CrashGuard {
-    const version = (): string => this.backend.heartbeat?.version ?? '';
-    const { permits } = this;
-    return {
-      permits: {
-        holds: (fingerprint) => {
-          const life = this.presentLife();
-          return life !== null && permits.holds(fingerprint, life.id);
-        },
-        ask: (fingerprint) => {
-          const life = this.presentLife();
-          if (life !== null) permits.ask(fingerprint, life);
-        },
-        release: (fingerprint, begun) => {
-          permits.release(fingerprint, begun);
-        },
-      },
-      judge: (request) => this.table.quarantine.judge(request, version()),
-      answered: (request, statusCode) => {
-        const { record, fingerprint } = this.table.quarantine.judge(request, version());
-        const says = saysOfRun(statusCode);
-        if (record === null || fingerprint === null || says === null) return;
-        permits.completed(fingerprint, version(), says === 'good');
-      },
-      runBroke: async () => {
-        await this.ends.runBroke();
-      },
-    };
-  }
-
   /** The life of the back end, as long as it does not leave and this daemon does not stop. */
   private presentLife(): EndedLife | null {
     const { heartbeat } = this.backend;
@@ -469,8 +424,7 @@
       },
       onNotice: (notice) => {
         this.lease.receive(notice);
-        if (notice.kind === 'end-recorded') this.ends.receive(notice);
-        if (notice.kind === 'run-permitted') this.permits.receive(notice);
+        this.crashes.receive(notice);
       },
       onConnected: () => {
         this.lease.reconnected();
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -8,7 +8,6 @@
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
 import { OPEN_GUARD } from '../../src/sidecar/crash-guard.js';
-import { InterruptedRuns } from '../../src/quarantine/interrupted-runs.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
@@ -55,7 +54,6 @@
         () => undefined,
       ),
       coldLimit: this.coldLimit,
-      interrupted: new InterruptedRuns(),
       guard: OPEN_GUARD,
       instance: () => 'life-1',
       awaitsBackend: () => false,
--- a/test/sidecar/gateway-reserve.test.ts
+++ b/test/sidecar/gateway-reserve.test.ts
@@ -8,7 +8,6 @@
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
 import { OPEN_GUARD } from '../../src/sidecar/crash-guard.js';
-import { InterruptedRuns } from '../../src/quarantine/interrupted-runs.js';
 import type { RunPorts } from '../../src/sidecar/backend-run.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
@@ -86,7 +85,6 @@
     pacer: this.pacer,
     backend: this.backend,
     coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-    interrupted: new InterruptedRuns(),
     guard: OPEN_GUARD,
     instance: () => 'life-1',
     awaitsBackend: () => false,
