A new leader serves no daemon before an entry of its own term is committed, and nobody who follows it does

Ruled out: the quarantine (the code of the mend is not on the way), a clock. Change: up to date means that an entry of the present term is committed and held; a table is given only once what is committed is applied; control likewise.

--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -116,10 +116,11 @@
 
   /**
    * When everything that was committed was last held here, in ms of the core's clock. A replica whose answers are lost
-   * may hear its leader and still miss entries for as long as that lasts.
+   * may hear its leader and still miss entries for as long as that lasts; and until an entry of its own term is committed,
+   * a leader does not know what else is.
    */
   get upToDateMs(): number {
-    return this.currentRole === 'leader' ? this.nowMs : this.heldAllMs;
+    return this.leaderReady ? this.nowMs : this.heldAllMs;
   }
 
   /** As leader: whether an entry of its own term is committed, so that its state is current. */
@@ -491,7 +492,8 @@
     this.takeEntries(request.entries);
     const matchIndex = request.previousIndex + request.entries.length;
     this.commitTo(Math.min(request.commitIndex, matchIndex));
-    if (this.committed >= request.commitIndex) this.heldAllMs = this.nowMs;
+    const leaderIsReady = this.log.termAt(request.commitIndex) === this.currentTerm;
+    if (leaderIsReady && this.committed >= request.commitIndex) this.heldAllMs = this.nowMs;
     this.answer(request, true, matchIndex);
   }
 
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -176,12 +176,19 @@
     return this.replica;
   }
 
-  /** Whether a leader is known and was heard lately, so that what is read here is not old. */
+  /** Whether a leader was heard lately, and all that was committed is held here, so that what is read is not old. */
   get current(): boolean {
     if (this.replica === null) return false;
     const { core } = this.replica;
     const staleMs = STALE_ELECTION_TIMEOUTS * this.settings.timing.electionTimeoutMs;
-    return core.leader !== null && this.runtime.nowMs() - core.leaderLastHeardMs < staleMs;
+    const sinceMs = this.runtime.nowMs() - staleMs;
+    return core.leader !== null && core.leaderLastHeardMs > sinceMs && core.upToDateMs > sinceMs;
+  }
+
+  /** Whether a daemon that begins to watch is given all that was committed, and not only what is applied so far. */
+  private get servesTables(): boolean {
+    const { replica } = this;
+    return this.current && replica !== null && replica.applied >= replica.core.commitIndex;
   }
 
   /** Member that leads, by name, as far as is known here. */
@@ -252,7 +259,7 @@
     const ports = {
       state: () => this.state,
       applied: () => this.replica?.applied ?? 0,
-      current: () => this.current,
+      current: () => this.servesTables,
       onDuty: () => this.leading && this.leadingTerm === this.replica?.core.term,
       leaderName: () => this.leaderName,
       wallMs: () => this.runtime.wallMs(),
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -530,7 +530,9 @@
   }
 
   private watch(fromIndex: number, connection: Connection): void {
-    if (!this.isCurrent || fromIndex > this.appliedIndex) {
+    // What is committed and not yet applied would be missing in the table that a new watcher is given.
+    const isApplying = this.appliedIndex < (this.replica?.core.commitIndex ?? 0);
+    if (!this.isCurrent || isApplying || fromIndex > this.appliedIndex) {
       const reason = this.hearsLeader ? 'behind' : 'no-leader';
       connection.send({ kind: 'watch-refused', reason });
       return;
