A record that comes while a request waits for a place or a slot holds it as well

Cause: gateway and router looked at the crash records before a request waited for its place; one that was proved to end back ends meanwhile ran when its turn came, beside others. Found by reading. Ruled out: looking again with each change of the records only (waiting requests are many, changes rare but sent to all daemons). Change: both look again when the place is given. A slot that is not used says nothing of how long slots are held. With it: control waits an election timeout after its clock has skipped before it changes its membership, as the directory does; requests that have used all their runs are shown as quarantined, and operators are told why they are not reopened; trials of a back end at which runs break off stand in a file of their own.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -10,6 +10,7 @@
   type ReplicaId,
 } from '../consensus/raft-types.js';
 import { Err, Ok, type Result } from '../result.js';
+import { ClockSkips } from '../runtime/clock-skips.js';
 import { nodeRuntime } from '../runtime/node-runtime.js';
 import type {
   CancelTimer,
@@ -88,6 +89,7 @@
   private readonly duties: LeaderDuties;
   private readonly crashDuties: CrashDuties;
   private readonly admission: MembershipAdmission;
+  private readonly clockSkips: ClockSkips;
   private readonly listener: Listener;
   private readonly network: PeerNetwork;
   private readonly formation: FormationCore;
@@ -100,6 +102,7 @@
     const { name, zone, members, timing } = settings;
     this.settings = settings;
     this.runtime = runtime;
+    this.clockSkips = new ClockSkips(runtime);
     this.storage = storage;
     this.logger = logger;
     this.id = `${name}/${storage.owner.identity}`;
@@ -359,7 +362,9 @@
     this.sessions.expire();
     this.duties.run(this.runtime.nowMs());
     this.crashDuties.run(this.runtime.nowMs());
-    this.admission.advance(replica, this.runtime.nowMs());
+    const { electionTimeoutMs } = this.settings.timing;
+    // After a suspension nobody seems to have answered for as long; that says nothing of the others.
+    if (!this.clockSkips.lately(electionTimeoutMs)) this.admission.advance(replica, this.runtime.nowMs());
   }
 
   private startLeading(term: number): void {
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -16,6 +16,7 @@
 import { spread, textHash } from '../model/text-hash.js';
 import { Err, Ok, type Result } from '../result.js';
 import type { CancelTimer, Connection, Listener, PeerHandlers, Runtime } from '../runtime/runtime.js';
+import { ClockSkips } from '../runtime/clock-skips.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import { ChangeFeed } from './change-feed.js';
@@ -103,12 +104,11 @@
   private readonly timers: CancelTimer[] = [];
   private replica: Replica | null = null;
   private leadingTerm = 0;
-  /** Time that this replica's clock has skipped, and when that last grew on its steady clock, in ms. */
-  private skippedMs = 0;
-  private skippedAtMs = -Infinity;
+  private readonly clockSkips: ClockSkips;
 
   private constructor(private readonly options: DirectoryNodeOptions) {
     const { settings, token, runtime, storage } = options;
+    this.clockSkips = new ClockSkips(runtime);
     this.name = formatAddress(settings.advertised);
     this.id = `${this.name}/${storage.owner.identity}`;
     this.knownReplicas = new Set(settings.seeds);
@@ -420,23 +420,15 @@
     const { replica } = this;
     if (replica?.leading !== true) return;
     if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
-    if (!this.clockSkippedLately()) this.advanceMembership(replica);
+    const { electionTimeoutMs } = this.options.settings.timing;
+    // After a suspension nobody seems to have answered for as long; that says nothing of the others.
+    if (!this.clockSkips.lately(electionTimeoutMs)) this.advanceMembership(replica);
     if (!this.durable) return;
     this.leader.expire();
     this.duties.run(this.options.runtime.nowMs());
     this.crashDuties.run(this.options.runtime.nowMs());
   }
 
-  /** After a suspension nobody seems to have answered for as long; that says nothing of the others. */
-  private clockSkippedLately(): boolean {
-    const { runtime, settings } = this.options;
-    const steadyMs = runtime.steadyMs();
-    const skippedMs = Math.round(runtime.nowMs() - steadyMs);
-    if (skippedMs !== this.skippedMs) this.skippedAtMs = steadyMs;
-    this.skippedMs = skippedMs;
-    return steadyMs - this.skippedAtMs < settings.timing.electionTimeoutMs;
-  }
-
   private startLeading(term: number): void {
     this.leadingTerm = term;
     this.candidates.clear();
--- a/src/quarantine/crash-commands.ts
+++ b/src/quarantine/crash-commands.ts
@@ -188,11 +188,11 @@
 
 function reopen(records: CrashRecords, { fingerprint, by }: ReopenRequestCommand): AppliedCrashCommand {
   const known = records.get(fingerprint);
-  if (known?.quarantined !== true) return invalid('no such request is quarantined');
   const kept = by === 'operator' ? 0 : RUNS_LEFT_TO_OPERATORS;
-  if (isExhausted(known) || known.countedRuns >= MOST_COUNTED_RUNS - kept) {
+  if (known !== undefined && (isExhausted(known) || known.countedRuns >= MOST_COUNTED_RUNS - kept)) {
     return invalid('all runs that may follow its third end have been used');
   }
+  if (known?.quarantined !== true) return invalid('no such request is quarantined');
   const next = { ...known, quarantined: false };
   records.set(fingerprint, next);
   return { ...NOTHING, changed: [next] };
--- a/src/quarantine/crash-report.ts
+++ b/src/quarantine/crash-report.ts
@@ -1,5 +1,5 @@
 /** Crash records as operators are shown them. */
-import { endsOf, isWatched, MOST_COUNTED_RUNS, type CrashRecord } from './crash-records.js';
+import { endsOf, isExhausted, isWatched, MOST_COUNTED_RUNS, type CrashRecord } from './crash-records.js';
 
 /** One watched request. */
 export interface CrashReport {
@@ -29,7 +29,7 @@
   return {
     fingerprint,
     service,
-    stage: quarantined ? 'quarantined' : 'suspect',
+    stage: quarantined || isExhausted(record) ? 'quarantined' : 'suspect',
     ends: endsOf(record),
     endedVersions: versions.filter(({ lives }) => lives.length > 0).map(({ version }) => version),
     goodVersions: versions.filter(({ endedWell }) => endedWell).map(({ version }) => version),
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -147,14 +147,13 @@
     const guarded = { name: target.backend, service: flow.serviceName, address: backend.address };
     const clearance = await this.clear(flow, guarded);
     if (clearance.kind === 'refused') return this.refuse(flow.response, this.notCleared(flow));
-    const slot = await backend.limiter.acquire(flow.deadlineMs - clockMs());
-    if (slot.kind !== 'granted') this.state.guard.giveBack(clearance, false);
-    if (slot.kind === 'refused') {
-      const detail = `${target.backend} has no free slot`;
-      return this.refuse(flow.response, refusal('overloaded', detail, slot.retryAfterMs));
+    const noSlot = await this.takeSlot(flow, backend, target.backend, clearance);
+    if (noSlot !== null) {
+      this.state.guard.giveBack(clearance, false);
+      if (noSlot === 'deadline-passed')
+        return await this.afterFailure(flow, { kind: 'deadline-passed', sent: false });
+      return this.refuse(flow.response, noSlot);
     }
-    if (slot.kind === 'deadline-passed')
-      return await this.afterFailure(flow, { kind: 'deadline-passed', sent: false });
     const startedMs = clockMs();
     flow.attempts += 1;
     flow.tried.add(target.backend);
@@ -171,6 +170,22 @@
     return result.kind;
   }
 
+  /** Waits for a slot; returns why there is none, or why it is not used. */
+  private async takeSlot(
+    flow: Flow,
+    { limiter }: BackendState,
+    name: string,
+    clearance: Clearance,
+  ): Promise<Refusal | 'deadline-passed' | null> {
+    const slot = await limiter.acquire(flow.deadlineMs - clockMs());
+    if (slot.kind === 'deadline-passed') return 'deadline-passed';
+    if (slot.kind === 'refused') return refusal('overloaded', `${name} has no free slot`, slot.retryAfterMs);
+    // Back ends may have ended under it while it waited.
+    if (clearance.kind !== 'free' || !this.isHeld(flow)) return null;
+    limiter.releaseUnused();
+    return this.notCleared(flow);
+  }
+
   /** A suspect waits for its permit; a stream cannot be recognized, and is not held up. */
   private async clear({ identity, deadlineMs }: Flow, backend: GuardedBackend): Promise<Clearance> {
     if (identity === null) return { kind: 'free' };
@@ -252,6 +267,11 @@
     return identity !== null && this.state.guard.judge(identity).stage === 'quarantined';
   }
 
+  /** Whether it may run by permit only, or not at all. */
+  private isHeld({ identity }: Flow): boolean {
+    return identity !== null && this.state.guard.judge(identity).stage !== 'free';
+  }
+
   private refuse(response: ServerResponse, given: Refusal): FlowEnd {
     if (response.headersSent || response.destroyed) return 'caller-gone';
     const { status, headers, body } = refusalResponse(given);
--- a/src/router/slot-limiter.ts
+++ b/src/router/slot-limiter.ts
@@ -77,6 +77,11 @@
   /** Gives a slot back after it was held for `heldMs`. */
   release(heldMs: number): void {
     this.smoothedHoldMs += SMOOTHING * (heldMs - this.smoothedHoldMs);
+    this.releaseUnused();
+  }
+
+  /** Gives a slot back that nothing was sent for. */
+  releaseUnused(): void {
     this.inUse -= 1;
     this.admitWaiting();
   }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -18,6 +18,7 @@
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type Applicant } from './admission.js';
 import type { BackendClient, PreparedRun } from './backend-client.js';
+import { BackendTrials } from './backend-trials.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
@@ -38,12 +39,6 @@
 /** When to come back after a refusal for another reason, in ms; keys and daemons are back by then as a rule. */
 const RETRY_AFTER_CHANGE_MS = 350;
 
-/** Runs in a row that broke off, after which only one request at a time is let through as a trial. */
-const BROKEN_LIMIT = 4;
-
-/** Pause between trials, in ms. */
-const TRIAL_PAUSE_MS = 300;
-
 /** Longest time in ms for which a request may wait to run alone; most that are cleared are so within a run of theirs. */
 const LONGEST_SUSPECT_WAIT_MS = 1_000;
 
@@ -109,8 +104,7 @@
   /** Requests that wait for the back end to tell about itself, or for keys. */
   private readonly waiting = new Set<Visit>();
   private readonly running = new Set<Visit>();
-  private brokenInRow = 0;
-  private lastTrialMs = -Infinity;
+  private readonly trials = new BackendTrials();
   private stopped = false;
   private cancelStep: CancelTimer | null = null;
 
@@ -218,7 +212,7 @@
 
   /** Another life of the back end has begun; what broke off at the one before says nothing of it. */
   startLife(): void {
-    this.brokenInRow = 0;
+    this.trials.startLife();
   }
 
   /** Something has changed that requests may wait for. */
@@ -262,7 +256,7 @@
     const { stage, fingerprint } = this.ports.guard.judge(visit.identity);
     if (stage === 'quarantined') this.refuse(visit, 'quarantined');
     else if (stage === 'suspect' && fingerprint !== null) this.addSuspect(visit, fingerprint);
-    else if (this.isOnTrial(nowMs)) this.refuse(visit, 'unreachable');
+    else if (!this.trials.admits(nowMs)) this.refuse(visit, 'unreachable');
     else this.apply(visit, nowMs);
   }
 
@@ -408,6 +402,11 @@
       else this.refuse(visit, stale ? 'leaving' : 'busy');
       return;
     }
+    if (this.isHeldByRecord(visit)) {
+      this.admission.leave(this.admission.serviceMs);
+      this.considerRecord(visit, nowMs);
+      return;
+    }
     ports.latencies.observe('waiting', ports.service, nowMs - visit.arrivedMs);
     visit.alone = this.running.size === 0;
     for (const other of this.running) other.alone = false;
@@ -424,6 +423,12 @@
     visit.run.start();
   }
 
+  /** Whether back ends have ended under it while it waited for a place, so that it may not begin beside others. */
+  private isHeldByRecord({ identity, suspect }: Visit): boolean {
+    const { stage } = this.ports.guard.judge(identity);
+    return stage === 'quarantined' || (stage === 'suspect' && suspect === null);
+  }
+
   private replyOf({ reply }: Visit): RequestReply {
     const fail = (failure: FailureHead): void => {
       this.reports.fail(failure, (head) => {
@@ -479,7 +484,7 @@
     if (outcome.kind === 'answered') this.counters.answered += 1;
     if (outcome.kind === 'declined') this.counters.refused.declined += 1;
     if (outcome.kind === 'broken') this.counters.broken += 1;
-    this.brokenInRow = outcome.kind === 'broken' ? this.brokenInRow + 1 : 0;
+    this.trials.noteRun(outcome.kind === 'broken');
     const { requestId, instance, key } = visit.head;
     const { identity, alone } = visit;
     const fingerprint = this.reports.report({ requestId, identity, alone, usedMs }, outcome);
@@ -541,13 +546,6 @@
     if (visit.suspect !== null && visit.run === null) this.suspects.remove(visit.suspect);
   }
 
-  private isOnTrial(nowMs: number): boolean {
-    if (this.brokenInRow < BROKEN_LIMIT) return false;
-    if (nowMs - this.lastTrialMs < TRIAL_PAUSE_MS) return true;
-    this.lastTrialMs = nowMs;
-    return false;
-  }
-
   private oldestRunMs(): number {
     const first = this.running.values().next();
     return first.done === true ? 0 : this.ports.runtime.nowMs() - first.value.startedMs;
--- a/src/sidecar/suspect-runs.ts
+++ b/src/sidecar/suspect-runs.ts
@@ -92,7 +92,7 @@
     if (this.turn?.suspect === suspect && !this.turn.begun) this.giveUpTurn(this.turn);
   }
 
-  /** Takes all that wait, for another look at each; a turn that has not begun is given up. */
+  /** Takes all that wait, for another look at each; the turn goes on. */
   takeWaiting(): readonly Suspect[] {
     const taken = [...this.waiting];
     this.waiting.clear();
--- a/test/quarantine/crash-records.test.ts
+++ b/test/quarantine/crash-records.test.ts
@@ -15,6 +15,7 @@
   type CrashRecords,
   type CrashStage,
 } from '../../src/quarantine/crash-records.js';
+import { reportCrashes } from '../../src/quarantine/crash-report.js';
 
 const REQUEST = 'request';
 const SERVICE = 'service';
@@ -176,6 +177,17 @@
   t.is(play([...ambiguous, ...used]).given.length, MOST_COUNTED_RUNS);
 });
 
+test('what has used all its runs is shown as quarantined, and an operator is told why it is not reopened', (t) => {
+  const used = ['d', 'e', 'f'].flatMap((at) => [permit(at), release(at, true)]);
+  const { records } = play([end('a'), end('b'), end('c'), ...used]);
+  t.like(reportCrashes(records.values())[0], { stage: 'quarantined', runsLeft: 0 });
+  const command = { kind: 'reopen-request', fingerprint: REQUEST, by: 'operator' } as const;
+  t.deepEqual(applyCrashCommand(records, command, 1).outcome, {
+    kind: 'invalid',
+    detail: 'all runs that may follow its third end have been used',
+  });
+});
+
 const LIVES = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
 const VERSIONS = ['v1', 'v2'];
 const life = fc.constantFrom(...LIVES);
--- /dev/null
+++ b/test/runtime/clock-skips.test.ts
@@ -0,0 +1,16 @@
+/** What a leader believes of others' silence after its machine was suspended. */
+import test from 'ava';
+import { ClockSkips } from '../../src/runtime/clock-skips.js';
+
+test('a clock that has skipped time says so for a while', (t) => {
+  let steadyMs = 1_000;
+  let skippedMs = 0;
+  const skips = new ClockSkips({ steadyMs: () => steadyMs, nowMs: () => steadyMs + skippedMs });
+  t.false(skips.lately(500));
+  skippedMs = 4_000;
+  t.true(skips.lately(500));
+  steadyMs += 499;
+  t.true(skips.lately(500));
+  steadyMs += 1;
+  t.false(skips.lately(500));
+});
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -7,6 +7,7 @@
 import { httpBackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
+import type { CrashStage } from '../../src/quarantine/crash-records.js';
 import { OPEN_GUARD } from '../../src/sidecar/crash-guard.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
@@ -37,6 +38,8 @@
   work = 0;
   holdsKey = true;
   closesAtMs = Infinity;
+  /** What the records say of every request. */
+  stage: CrashStage = 'free';
   readonly coldLimit = new ColdStartLimit({ factor: 1.5, slack: 8 }, -10_000);
 
   async gateway(pacer: LinkPacer | null = null): Promise<BackendGateway> {
@@ -54,7 +57,10 @@
         () => undefined,
       ),
       coldLimit: this.coldLimit,
-      guard: OPEN_GUARD,
+      guard: {
+        ...OPEN_GUARD,
+        judge: () => ({ stage: this.stage, fingerprint: 'fingerprint', record: null }),
+      },
       instance: () => 'life-1',
       awaitsBackend: () => false,
       closesAtMs: () => this.closesAtMs,
@@ -101,6 +107,20 @@
   gateway.stop();
 });
 
+for (const stage of ['suspect', 'quarantined'] as const) {
+  test(`what has become ${stage} while it waited for a place does not take it`, async (t) => {
+    const world = new World();
+    const gateway = await world.gateway();
+    for (let taken = 0; taken < 3; taken += 1) gateway.take(HEAD, Buffer.alloc(0), world.reply());
+    world.stage = stage;
+    gateway.setSlots(3);
+    t.is(gateway.runningCount, 2);
+    t.is(gateway.suspects.waitingCount, stage === 'suspect' ? 1 : 0);
+    t.deepEqual(world.refusals, stage === 'suspect' ? [] : ['quarantined']);
+    gateway.stop();
+  });
+}
+
 test('the wait for the network link is told with the status', async (t) => {
   const world = new World();
   const pacer = new LinkPacer(1_000, world.time.runtime);
