A daemon that stood still asks who is at its back end's address before it grants by calls

Cause: after a pause the daemon renewed its grants before it read the heartbeat of another life that had begun at the address meanwhile, so that life took keys under the fence of the one before it. What it believed of the back end was as old as the pause: the same class as the beliefs of suspended machines. Ruled out: waiting for a heartbeat (those of the old life may still be unread and look like news); refusing grants for a time after each pause (nobody knows how long). Change: after more than 500 ms without a step the back end is asked for its id, where its service names a path for that; until it answers with the life that is known nothing is granted.

--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -17,6 +17,9 @@
 /** Least time in ms that is worth granting. */
 const LEAST_HOLD_MS = 300;
 
+/** Pause between two steps in ms after which another life of the back end may have begun at its address unnoticed. */
+const LONGEST_PAUSE_MS = 500;
+
 /** Part of a grant's time for which the back end is trusted to hold it. */
 const TRUSTED_SHARE = 0.95;
 
@@ -45,13 +48,20 @@
   private readonly cancelTimer: CancelTimer;
   private readonly uncertain = new UncertainGrants();
   private life = 0;
+  private steppedMs: number;
+  /** Whether the back end must be asked who it is before anything is granted. */
+  private unconfirmed = false;
+  private confirming = false;
   /** Session whose ranges were first looked at; null before that. */
   private inheritedSession: number | null = null;
 
   constructor(
     private readonly ports: KeyGrantPorts,
     private readonly calls: BackendCalls,
+    /** Asks at the back end's address whether the present life is there. */
+    private readonly isPresent: () => Promise<boolean>,
   ) {
+    this.steppedMs = ports.runtime.nowMs();
     this.reporter = new ReleaseReporter(ports);
     this.cancelTimer = ports.runtime.every(STEP_MS, () => {
       this.step();
@@ -87,6 +97,7 @@
     this.reporter.clear();
     this.uncertain.clear();
     this.inheritedSession = null;
+    this.unconfirmed = false;
   }
 
   /** See `KeyGrants`. */
@@ -96,6 +107,12 @@
 
   private step(): void {
     const nowMs = this.ports.runtime.nowMs();
+    if (nowMs - this.steppedMs > LONGEST_PAUSE_MS) this.unconfirmed = true;
+    this.steppedMs = nowMs;
+    if (this.unconfirmed) {
+      void this.confirm();
+      return;
+    }
     const owned = this.ports.owned.list();
     this.noteInherited(owned);
     this.forgetPast(owned, this.ports.runtime.steadyMs());
@@ -105,6 +122,16 @@
     }
   }
 
+  /** A back end that began at the address while this daemon stood still must not be given what its forerunner held. */
+  private async confirm(): Promise<void> {
+    if (this.confirming) return;
+    const { life } = this;
+    this.confirming = true;
+    const isPresent = await this.isPresent();
+    this.confirming = false;
+    if (isPresent && life === this.life) this.unconfirmed = false;
+  }
+
   /** What is owned when a registration is first seen here may have been granted by an earlier life of this daemon. */
   private noteInherited(owned: readonly KeyRange[]): void {
     const { session } = this.ports.lease;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -337,7 +337,8 @@
       },
     };
     const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
-    return mode === 'heartbeat' ? new HeartbeatGrants(ports) : new InvokedGrants(ports, this.options.calls);
+    if (mode === 'heartbeat') return new HeartbeatGrants(ports);
+    return new InvokedGrants(ports, this.options.calls, async () => await this.isKnownLife());
   }
 
   private makeGateway(): BackendGateway {
@@ -472,6 +473,15 @@
     return seen.id === id;
   }
 
+  /** Whether the life that is known is the one at the address; where nobody can be asked, it is taken to be. */
+  private async isKnownLife(): Promise<boolean> {
+    const { id } = this.backend;
+    const { healthPath } = this.table.service(this.settings.service) ?? { healthPath: null };
+    if (healthPath === null || id === null) return true;
+    const seen = await this.options.calls.identify(healthPath);
+    return seen !== null && (seen.id ?? id) === id;
+  }
+
   private newLife(heartbeat: BackendHeartbeat): void {
     const { id, slots, coldLeftMs } = heartbeat;
     this.log.event('backend-known', { instance: id, slots, coldLeftMs });
--- a/test/incidents/suspended-machines.test.ts
+++ b/test/incidents/suspended-machines.test.ts
@@ -14,6 +14,8 @@
 
 /** Longer than a lease, and for how long the machine is cut off from the directory after it has woken. */
 const SUSPENDED_MS = 12_000;
+/** Shorter than a lease, and long enough for another life of the back end to begin. */
+const FROZEN_MS = 3_000;
 const STILL_CUT_MS = 3_000;
 const SEEDS = [1, 2, 3];
 
@@ -67,6 +69,30 @@
   });
 }
 
+for (const grantMode of ['heartbeat', 'invoke'] as const) {
+  test(`a daemon that stood still grants nothing to a back end that has begun at the address meanwhile: ${grantMode}`, async (t) => {
+    for (const seed of SEEDS) {
+      const world = new FleetWorld(seed, keyedFleet(grantMode));
+      await world.start();
+      const untilMs = FLEET_READY_MS + 8_000;
+      world.startTraffic(untilMs);
+      const machine = world.machines[0];
+      if (machine === undefined) throw new Error('invariant broken: no machine');
+      await world.runUntil(FLEET_READY_MS + 1_000);
+      machine.process.freeze();
+      machine.retireBackend(400);
+      await world.runUntil(FLEET_READY_MS + 1_000 + FROZEN_MS);
+      machine.process.thaw();
+      await world.runUntil(untilMs);
+      t.deepEqual(world.violations, [], `seed ${seed}`);
+      t.true(
+        world.servedShare('reads', untilMs - 3_000, untilMs - 500) > 0.95,
+        `seed ${seed}: not served again`,
+      );
+    }
+  });
+}
+
 test('the wall clock of a leader that steps forward ends no lease before its time', async (t) => {
   const world = new DirectoryWorld(1);
   await world.start();
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -43,6 +43,8 @@
   }
 }
 
+const isPresent = async (): Promise<boolean> => await Promise.resolve(true);
+
 function heartbeat(sequence: number, parts: Partial<BackendHeartbeat> = {}): BackendHeartbeat {
   const common = { version: 'v1', id: 'me', service: 's', zone: 'z', slots: 2, condition: 'ready' } as const;
   return { ...common, sequence, coldLeftMs: 0, holds: [], released: [], ...parts };
@@ -141,7 +143,7 @@
 function invokedGrants(world: World, calls: Calls): InvokedGrants {
   const { ranges } = world;
   world.ranges = [];
-  const grants = new InvokedGrants(world.ports(), calls);
+  const grants = new InvokedGrants(world.ports(), calls, isPresent);
   grants.tableChanged();
   world.ranges = ranges;
   return grants;
@@ -242,7 +244,7 @@
   const world = new World();
   const calls = new Calls();
   world.ranges = [range(0, 99, 5, 'other')];
-  const grants = new InvokedGrants(world.ports(), calls);
+  const grants = new InvokedGrants(world.ports(), calls, isPresent);
   grants.tableChanged();
   await settle();
   t.like(world.sent, [{ kind: 'raise-fence', fence: 5 }]);
