A replica that never led drops what it is asked, and says so, through all changes of its role

Cause: with each change of role but to leader a control replica gave up everything that waited, also a proposal that it had taken a moment ago and not looked at; its asker was told that the outcome is unknown although it was certain that nothing is applied. Ruled out: a resend in the lab (operators meet the same); refusing at the interface while not leading (the role may change after it). Change: proposals are given up only by a replica that has led until then.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -96,6 +96,8 @@
   private readonly timers: CancelTimer[] = [];
   private replica: Replica | null = null;
   private leadingTerm = 0;
+  /** Whether it led until its role changed last. */
+  private hasLed = false;
 
   private constructor(private readonly options: ControlNodeOptions) {
     const { settings, token, runtime, storage, logger } = options;
@@ -350,7 +352,9 @@
 
   private roleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void {
     this.logger.info('role changed', { role, term, leader: leader === null ? null : replicaName(leader) });
-    if (role !== 'leader') this.proposals.abandonAll();
+    // Only a leader appends proposals; what others were asked is dropped for certain, and is told so.
+    if (role !== 'leader' && this.hasLed) this.proposals.abandonAll();
+    this.hasLed = role === 'leader';
   }
 
   private runDuties(): void {
