Operators evacuate zones behind agents and routers: aldertide evacuate ZONE

Cause: a zone could be evacuated on the platform only; the product's own operators had to drain back end after back end, and one that came into the zone later stayed in service. Ruled out: a second mark for daemons to watch (agents and routers act on leaving back ends already); draining once at the call (later changes of the configuration would undo it). Change: replicated zones beside the names that operators drain; who is to be emptied follows from both, and from the configuration.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -17,6 +17,7 @@
   applyCommand,
   checkCommand,
   drainCommand,
+  evacuateCommand,
   getCommand,
   quarantineCommand,
   statusCommand,
@@ -80,6 +81,12 @@
   .option('--undo', 'Take the back end back into service')
   .action(async (backend: string, options: Options) => await drainCommand(backend, options));
 
+withOperatorOptions(
+  program.command('evacuate <zone>').describe('Move everything off all back ends of a zone.'),
+)
+  .option('--end', 'Take the zone back into service')
+  .action(async (zone: string, options: Options) => await evacuateCommand(zone, options));
+
 withOperatorOptions(
   program
     .command('quarantine [fingerprint]')
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -1,4 +1,4 @@
-/** The operators' commands: check, apply, get, status, drain, quarantine. */
+/** The operators' commands: check, apply, get, status, drain, evacuate, quarantine. */
 import { randomUUID } from 'node:crypto';
 import { stringify } from 'yaml';
 import { z } from 'zod';
@@ -97,6 +97,19 @@
   return EXIT_CODE.done;
 }
 
+/** `evacuate ZONE`: moves everything off all back ends of a zone, or with `--end` takes them back into service. */
+export async function evacuateCommand(zone: string, options: Options): Promise<number> {
+  const client = OperatorClient.fromOptions(options);
+  if (client.err) return usageError(client.val);
+  const end = options['end'] === true;
+  const path = `zones/${encodeURIComponent(zone)}/evacuation`;
+  const answer = await client.val.call(end ? 'DELETE' : 'PUT', path);
+  if (answer.err) return fail(answer.val, options);
+  if (options['json'] === true) printJson({ ok: true, zone, evacuated: !end });
+  else printLine(end ? `${zone} is back in service` : `${zone} is evacuated`);
+  return EXIT_CODE.done;
+}
+
 /**
  * `quarantine`: shows the requests under which back ends end; with a fingerprint and `--reopen` or `--forget` gives one
  * another chance, or holds nothing against it any more.
--- a/src/cli/status-table.ts
+++ b/src/cli/status-table.ts
@@ -46,6 +46,7 @@
         ];
       }),
     ),
+    ...evacuations(newest.evacuatedZones),
     table(
       ['DAEMON', 'ROLE', 'ZONE', 'INDEX', 'REVISION'],
       watchers.map(({ name, role, zone, index, revision }) => [name, role, zone, index, revision]),
@@ -53,6 +54,18 @@
   ].join('\n\n');
 }
 
+/** Replicas of versions that cannot evacuate zones tell none. */
+function evacuations(zones: readonly string[] = []): string[] {
+  return zones.length === 0
+    ? []
+    : [
+        table(
+          ['EVACUATED ZONE'],
+          zones.map((zone) => [zone]),
+        ),
+      ];
+}
+
 type Cell = string | number;
 
 const COLUMN_GAP = 2;
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -78,6 +78,13 @@
   readonly draining: boolean;
 }
 
+/** All back ends of a zone are to be emptied, or are back in service. */
+export interface SetEvacuationCommand {
+  readonly kind: 'set-evacuation';
+  readonly zone: string;
+  readonly evacuated: boolean;
+}
+
 /** A shard and the back end that it should go to. */
 export interface ShardTarget {
   readonly shard: number;
@@ -94,6 +101,7 @@
   | CompleteMoveCommand
   | CancelMoveCommand
   | SetDrainCommand
+  | SetEvacuationCommand
   | CrashCommand;
 
 /** What a command did. */
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -35,7 +35,11 @@
   /** Newest last. */
   submissions: SubmissionRecord[];
   readonly sessions: Map<number, Session>;
-  /** Names of back ends that are to be emptied. */
+  /** Names of back ends that an operator has named to be emptied. */
+  readonly drained: Set<string>;
+  /** Zones whose back ends are all to be emptied. */
+  readonly evacuatedZones: Set<string>;
+  /** Names of back ends that are to be emptied, for one reason or the other. */
   readonly draining: Set<string>;
   /** Rows by service. */
   readonly shards: Map<string, ServiceShards>;
@@ -49,6 +53,8 @@
     configuration: { revision: 0, document: { version: 1, services: {} } },
     submissions: [],
     sessions: new Map(),
+    drained: new Set(),
+    evacuatedZones: new Set(),
     draining: new Set(),
     shards: new Map(),
     crashRecords: new Map(),
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -44,6 +44,8 @@
   readonly revision: number;
   readonly services: readonly ServiceStatus[];
   readonly backends: readonly BackendStatus[];
+  /** Zones whose back ends are all to be emptied. */
+  readonly evacuatedZones: readonly string[];
   readonly watchers: readonly WatcherStatus[];
 }
 
@@ -62,6 +64,7 @@
     revision: node.state.configuration.revision,
     services: describeServices(node, backends),
     backends,
+    evacuatedZones: [...node.state.evacuatedZones],
     watchers: node.hub.list().map(({ hello, index, revision }) => {
       return { role: hello.role, name: hello.name, zone: hello.zone, index, revision };
     }),
--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -121,6 +121,16 @@
     return await this.setDraining(backend, false);
   }
 
+  @Put('zones/:zone/evacuation')
+  async evacuate(@Param('zone') zone: string): Promise<{ zone: string; evacuated: boolean }> {
+    return await this.setEvacuation(zone, true);
+  }
+
+  @Delete('zones/:zone/evacuation')
+  async endEvacuation(@Param('zone') zone: string): Promise<{ zone: string; evacuated: boolean }> {
+    return await this.setEvacuation(zone, false);
+  }
+
   @Get('quarantine')
   quarantine(): CrashReport[] {
     this.requireLeader();
@@ -150,6 +160,15 @@
     return { draining };
   }
 
+  private async setEvacuation(
+    zone: string,
+    evacuated: boolean,
+  ): Promise<{ zone: string; evacuated: boolean }> {
+    const outcome = await this.run({ kind: 'set-evacuation', zone, evacuated });
+    if (outcome.kind === 'refused') throw new Problem('refused', outcome.detail);
+    return { zone, evacuated };
+  }
+
   private async run(command: ControlCommand): Promise<CommandOutcome> {
     const result = await this.node.propose(command);
     if (result.ok) return result.val;
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -17,7 +17,9 @@
   ControlCommand,
   OpenSessionCommand,
   SetDrainCommand,
+  SetEvacuationCommand,
 } from './commands.js';
+import { isConfiguredBackend, isConfiguredZone, refreshLeaving } from './leaving-backends.js';
 import { ServiceShards } from './service-shards.js';
 import {
   sessionLife,
@@ -57,6 +59,8 @@
       return { outcome: DONE, changes: applyCancelMove(state, command) };
     case 'set-drain':
       return applySetDrain(state, command);
+    case 'set-evacuation':
+      return applySetEvacuation(state, command);
     default:
       return applyToCrashRecords(state, command, index);
   }
@@ -91,7 +95,7 @@
   if (state.submissions.length > KEPT_SUBMISSIONS) state.submissions.shift();
   createShardTables(state, document);
   const published = configurationChange(before, document, revision);
-  return { outcome: { kind: 'configured', revision }, changes: [published] };
+  return { outcome: { kind: 'configured', revision }, changes: [published, ...refreshLeaving(state)] };
 }
 
 function configurationChange(
@@ -264,14 +268,20 @@
 
 function applySetDrain(state: ControlState, command: SetDrainCommand): Applied {
   const { backend, draining } = command;
-  const known = Object.values(state.configuration.document.services).some(
-    (service) => service.backends[backend] !== undefined,
-  );
-  if (!known) return { outcome: { kind: 'refused', detail: `no back end ${backend}` }, changes: [] };
-  if (state.draining.has(backend) === draining) return { outcome: DONE, changes: [] };
-  if (draining) state.draining.add(backend);
-  else state.draining.delete(backend);
-  return { outcome: DONE, changes: [{ kind: 'drain', backend, draining }] };
+  if (!isConfiguredBackend(state, backend)) {
+    return { outcome: { kind: 'refused', detail: `no back end ${backend}` }, changes: [] };
+  }
+  if (draining) state.drained.add(backend);
+  else state.drained.delete(backend);
+  return { outcome: DONE, changes: refreshLeaving(state) };
+}
+
+function applySetEvacuation(state: ControlState, { zone, evacuated }: SetEvacuationCommand): Applied {
+  const known = isConfiguredZone(state, zone) || state.evacuatedZones.has(zone);
+  if (!known) return { outcome: { kind: 'refused', detail: `no back end in zone ${zone}` }, changes: [] };
+  if (evacuated) state.evacuatedZones.add(zone);
+  else state.evacuatedZones.delete(zone);
+  return { outcome: DONE, changes: refreshLeaving(state) };
 }
 
 /** The row with a new owner and the next epoch. */
--- a/src/control/state-snapshot.ts
+++ b/src/control/state-snapshot.ts
@@ -10,6 +10,10 @@
   readonly configuration: ConfigurationRevision;
   readonly submissions: readonly SubmissionRecord[];
   readonly sessions: readonly Session[];
+  /** Missing in snapshots of versions that could not evacuate zones, where it is the same as `draining`. */
+  readonly drained?: readonly string[];
+  /** Missing in snapshots of versions that knew none. */
+  readonly evacuatedZones?: readonly string[];
   readonly draining: readonly string[];
   readonly shards: readonly PackedRows[];
   /** Missing in snapshots of versions that knew none. */
@@ -22,6 +26,8 @@
     configuration: state.configuration,
     submissions: [...state.submissions],
     sessions: [...state.sessions.values()],
+    drained: [...state.drained],
+    evacuatedZones: [...state.evacuatedZones],
     draining: [...state.draining],
     shards: [...state.shards].map(([service, { rows }]) => packRows(service, rows)),
     crashRecords: [...state.crashRecords.values()],
@@ -53,6 +59,8 @@
     configuration: snapshot.configuration,
     submissions: [...snapshot.submissions],
     sessions: new Map(snapshot.sessions.map((session) => [session.id, session])),
+    drained: new Set(snapshot.drained ?? snapshot.draining),
+    evacuatedZones: new Set(snapshot.evacuatedZones ?? []),
     draining: new Set(snapshot.draining),
     shards: new Map(snapshot.shards.map((packed) => [packed.service, new ServiceShards(unpackRows(packed))])),
     crashRecords: new Map((snapshot.crashRecords ?? []).map((record) => [record.fingerprint, record])),
--- /dev/null
+++ b/test/control/leaving-backends.test.ts
@@ -0,0 +1,139 @@
+/** Which back ends are to be emptied, by operators' names and by evacuated zones. */
+import test from 'ava';
+import fc from 'fast-check';
+import { configurationSchema, type ConfigurationDocument } from '../../src/config/configuration.js';
+import type { Change } from '../../src/control/changes.js';
+import type { ControlCommand } from '../../src/control/commands.js';
+import { emptyControlState } from '../../src/control/control-state.js';
+import { applyCommand } from '../../src/control/state-machine.js';
+import { decodeState, encodeState } from '../../src/control/state-snapshot.js';
+
+const ZONES = ['north', 'south'];
+const BACKENDS = ['one', 'two', 'three'];
+
+/** A configuration that has each back end in the zone at its place. */
+function document(zones: readonly string[]): ConfigurationDocument {
+  const backends = zones.map((zone, at) => [
+    BACKENDS[at],
+    { zone, address: { host: '10.0.0.1', port: at + 1 } },
+  ]);
+  const service = { division: 'spread', shards: 1, slots: 6, connections: 60 };
+  const services = { stock: { ...service, backends: Object.fromEntries(backends) } };
+  return configurationSchema.parse({ version: 1, services });
+}
+
+class World {
+  readonly state = emptyControlState();
+  /** What a daemon that watches believes. */
+  readonly watched = new Set<string>();
+  private index = 0;
+
+  apply(command: ControlCommand): string {
+    this.index += 1;
+    const { outcome, changes } = applyCommand(this.state, command, this.index);
+    for (const change of changes) this.watch(change);
+    return outcome.kind;
+  }
+
+  configure(zones: readonly string[]): void {
+    const { revision } = this.state.configuration;
+    const submissionId = `submission-${this.index}`;
+    this.apply({ kind: 'configure', submissionId, baseRevision: revision, document: document(zones) });
+  }
+
+  evacuate(zone: string, evacuated = true): string {
+    return this.apply({ kind: 'set-evacuation', zone, evacuated });
+  }
+
+  drain(backend: string, draining = true): string {
+    return this.apply({ kind: 'set-drain', backend, draining });
+  }
+
+  get leaving(): string[] {
+    return [...this.state.draining].sort();
+  }
+
+  private watch(change: Change): void {
+    if (change.kind !== 'drain') return;
+    if (change.draining) this.watched.add(change.backend);
+    else this.watched.delete(change.backend);
+  }
+}
+
+function ready(): World {
+  const world = new World();
+  world.configure(['north', 'north', 'south']);
+  return world;
+}
+
+test('all back ends of an evacuated zone leave, and come back when it ends', (t) => {
+  const world = ready();
+  t.is(world.evacuate('north'), 'done');
+  t.deepEqual(world.leaving, ['one', 'two']);
+  t.is(world.evacuate('north'), 'done', 'asking again changes nothing');
+  t.is(world.evacuate('north', false), 'done');
+  t.deepEqual(world.leaving, []);
+});
+
+test('a back end that an operator has named stays away when the evacuation of its zone ends', (t) => {
+  const world = ready();
+  world.drain('one');
+  world.evacuate('north');
+  world.evacuate('north', false);
+  t.deepEqual(world.leaving, ['one']);
+});
+
+test('a back end that comes into an evacuated zone leaves, one that goes to another zone does not', (t) => {
+  const world = ready();
+  world.evacuate('north');
+  world.configure(['south', 'north', 'north']);
+  t.deepEqual(world.leaving, ['three', 'two']);
+});
+
+test('a zone without back ends is refused; its evacuation can be ended as long as it stands', (t) => {
+  const world = ready();
+  t.is(world.evacuate('east'), 'refused');
+  world.evacuate('south');
+  world.configure(['north', 'north', 'north']);
+  t.is(world.evacuate('south', false), 'done');
+  t.is(world.evacuate('south', false), 'refused');
+});
+
+test('a snapshot of a version that knew no zones keeps what an operator has named', (t) => {
+  const world = ready();
+  world.drain('one');
+  const { drained, evacuatedZones, ...earlier } = encodeState(world.state);
+  t.deepEqual([drained, evacuatedZones], [['one'], []]);
+  const restored = decodeState(earlier);
+  t.deepEqual([...restored.drained], ['one']);
+});
+
+test('after any commands watchers know who leaves: those who are named, and those in evacuated zones', (t) => {
+  const flag = fc.boolean();
+  const zone = fc.constantFrom(...ZONES);
+  const step = fc.oneof(
+    fc.record({ backend: fc.constantFrom(...BACKENDS), draining: flag }).map((given) => {
+      return (world: World): unknown => world.drain(given.backend, given.draining);
+    }),
+    fc.record({ zone, evacuated: flag }).map((given) => {
+      return (world: World): unknown => world.evacuate(given.zone, given.evacuated);
+    }),
+    fc.array(zone, { minLength: 1, maxLength: 3 }).map((zones) => {
+      return (world: World): unknown => {
+        world.configure(zones);
+        return null;
+      };
+    }),
+  );
+  const property = fc.property(fc.array(step, { maxLength: 20 }), (steps) => {
+    const world = ready();
+    for (const take of steps) take(world);
+    const { drained, evacuatedZones, configuration } = world.state;
+    const configured = Object.entries(configuration.document.services['stock']?.backends ?? {});
+    const evacuated = configured.filter(([, backend]) => evacuatedZones.has(backend.zone));
+    const wanted = new Set([...drained, ...evacuated.map(([name]) => name)]);
+    t.deepEqual(world.leaving, [...wanted].sort());
+    t.deepEqual([...world.watched].sort(), world.leaving);
+  });
+  fc.assert(property, { seed: 1, numRuns: 500 });
+});
