--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -52,17 +52,21 @@
   private readonly working = new Set<Work>();
 
   constructor(
+    /** Name that it goes by; another life may go by the same. */
     readonly id: string,
+    /** Tells this life from all others, for whoever judges. */
+    readonly life: string,
+    readonly bornMs: number,
     readonly service: FleetService,
     readonly version: string,
     private readonly ports: FleetBackendPorts,
   ) {
     this.keys = new HeldKeys(
-      id,
+      life,
       service.grantMode,
       () => ports.queue.nowMs,
       (ranges, untilMs) => {
-        if (this.up) ports.judge.holds(id, service.name, ranges, untilMs, ports.queue.nowMs);
+        if (this.up) ports.judge.holds(life, service.name, ranges, untilMs, ports.queue.nowMs);
       },
     );
   }
@@ -78,6 +82,7 @@
     const keyText = headerValue(headers, DEFAULT_HEADER_DIALECT.key);
     const key = this.service.keyed ? Number(keyText) : null;
     const misdirected = headerValue(headers, DEFAULT_HEADER_DIALECT.expectedInstance) !== this.id;
+    if (!misdirected) this.ports.judge.arrived(this.life, this.ports.queue.nowMs);
     if (misdirected || (key !== null && !this.keys.holds(key))) {
       decline(handlers, requestId, STATUS.misdirected);
       return () => undefined;
@@ -110,7 +115,7 @@
   /** Ends without a sign: nothing is closed, and nothing answers. */
   goDark(): void {
     this.up = false;
-    this.ports.judge.ended(this.id);
+    this.ports.judge.ended(this.life);
     for (const { run } of this.working) this.close(run, 'backend-ended');
     this.working.clear();
   }
@@ -118,7 +123,7 @@
   /** Ends at once; whatever it works on breaks off. */
   end(): void {
     this.up = false;
-    this.ports.judge.ended(this.id);
+    this.ports.judge.ended(this.life);
     for (const { run, handlers } of this.working) {
       this.close(run, 'backend-ended');
       handlers.onBroken('broken', 'the answer was cut short', true);
@@ -141,7 +146,7 @@
         key,
         body,
       }),
-      instance: this.id,
+      instance: this.life,
       atMs: queue.nowMs,
       end: null,
       endMs: Infinity,
@@ -150,7 +155,7 @@
     onRun(run);
     const repeatable = method === 'GET';
     this.ports.judge.runStarted(
-      { requestId, backend: this.id, service: this.service.name, key, repeatable },
+      { requestId, backend: this.life, service: this.service.name, key, repeatable },
       queue.nowMs,
     );
     this.working.add(work);
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -48,6 +48,12 @@
   backend: FleetBackend | null = null;
   /** Takes the requests of callers on this machine; null while its daemon does not listen. */
   callers: CallerServerPorts | null = null;
+  /** Whether lives that begin from now on go by the same name. */
+  sameId = false;
+  /** Whether the back end sends no heartbeats any more, since it has said goodbye. */
+  private saidGoodbye = false;
+  /** Way of the next heartbeat, in ms, where it is to come late; null for the usual one. */
+  private nextWayMs: number | null = null;
   private lives = 0;
 
   constructor(
@@ -90,7 +96,11 @@
   /** Starts a new life of the back end. */
   startBackend(): void {
     this.lives += 1;
-    const backend = new FleetBackend(`${this.name}-life-${this.lives}`, this.service, this.ports.version(), {
+    this.saidGoodbye = false;
+    const life = `${this.name}-life-${this.lives}`;
+    const id = this.sameId ? this.name : life;
+    const version = this.ports.version();
+    const backend = new FleetBackend(id, life, Math.floor(this.process.wallMs()), this.service, version, {
       ...this.ports.backend,
       onEnd: () => {
         if (this.backend === backend) this.endBackend();
@@ -123,6 +133,36 @@
     });
   }
 
+  /** The back end says in its heartbeats that it leaves, and serves on. */
+  announceLeave(): void {
+    const { backend } = this;
+    if (backend === null) return;
+    backend.draining = true;
+    this.tell(backend);
+  }
+
+  /** The back end says that it leaves, sends no more heartbeats, and serves on. */
+  sayGoodbye(): void {
+    const { backend } = this;
+    if (backend === null) return;
+    this.saidGoodbye = true;
+    this.sayGoodbyeOf(backend);
+  }
+
+  /** The goodbye of a life, which may have ended before it arrives. */
+  sayGoodbyeOf(backend: FleetBackend): void {
+    this.process.schedule(LOCAL_DELAY_MS, () => {
+      if (this.node === null) return;
+      this.node.leave(backend.id);
+      this.acknowledged(backend);
+    });
+  }
+
+  /** The next heartbeat is on its way for so long. */
+  delayNextHeartbeat(ms: number): void {
+    this.nextWayMs = ms;
+  }
+
   /** The back end ends, and is back after a while. */
   endBackend(): void {
     const { queue } = this.ports.directory;
@@ -139,7 +179,7 @@
 
   private beat(backend: FleetBackend): void {
     const { queue } = this.ports.directory;
-    if (!backend.up) return;
+    if (!backend.up || this.saidGoodbye) return;
     const next = backend.keys.leaving().length > 0 ? HURRIED_HEARTBEAT_MS : HEARTBEAT_MS;
     queue.at(queue.nowMs + next, () => {
       this.beat(backend);
@@ -152,17 +192,27 @@
     const sentMs = queue.nowMs;
     backend.sequence += 1;
     const heartbeat = this.heartbeatOf(backend);
-    this.process.schedule(LOCAL_DELAY_MS, () => {
+    const deliver = (): void => {
       void this.node?.heartbeat(heartbeat).then((grant) => {
+        if (heartbeat.condition === 'draining') this.acknowledged(backend);
         if (backend.up) backend.keys.takeAnswer(grant, sentMs);
       });
-    });
+    };
+    if (this.nextWayMs === null) this.process.schedule(LOCAL_DELAY_MS, deliver);
+    // What is on its way for long outlives the daemon that it was sent to.
+    else queue.at(queue.nowMs + this.nextWayMs, deliver);
+    this.nextWayMs = null;
+  }
+
+  private acknowledged(backend: FleetBackend): void {
+    this.ports.backend.judge.drainAcknowledged(backend.life, this.ports.directory.queue.nowMs);
   }
 
   private heartbeatOf(backend: FleetBackend): BackendHeartbeat {
     const { holds, released } = backend.keys.report();
     return {
       id: backend.id,
+      bornMs: backend.bornMs,
       service: this.service.name,
       zone: this.zone,
       slots: this.ports.slots,
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -100,6 +100,7 @@
   private draining = false;
   private up = true;
   private startedMs = 0;
+  private bornMs = 0;
   private timer: NodeJS.Timeout | null = null;
 
   constructor(private readonly options: SoakBackendOptions) {
@@ -123,6 +124,7 @@
   async start(): Promise<void> {
     const { host, port } = this.options.address;
     this.startedMs = performance.now();
+    this.bornMs = Date.now();
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, resolve);
@@ -186,6 +188,7 @@
     const condition = this.draining ? 'draining' : 'ready';
     const common = {
       id,
+      bornMs: this.bornMs,
       service,
       zone,
       slots: SLOTS,
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -17,8 +17,10 @@
 
 /** One heartbeat of a back end. */
 export interface BackendHeartbeat {
-  /** Differs between any two lives of back ends. */
+  /** Name that the back end goes by; another life may go by the same. */
   readonly id: string;
+  /** When this life started, in ms of its machine's wall clock; null where it does not tell. */
+  readonly bornMs: number | null;
   readonly service: string;
   readonly zone: string;
   readonly slots: number;
--- a/test/platform/heartbeat-calls.test.ts
+++ b/test/platform/heartbeat-calls.test.ts
@@ -15,6 +15,7 @@
   };
   t.deepEqual(readHeartbeat('i-1', JSON.stringify(body)), {
     id: 'i-1',
+    bornMs: null,
     service: 's',
     zone: 'z',
     slots: 6,
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -46,8 +46,8 @@
 const isPresent = async (): Promise<boolean> => await Promise.resolve(true);
 
 function heartbeat(sequence: number, parts: Partial<BackendHeartbeat> = {}): BackendHeartbeat {
-  const common = { version: 'v1', id: 'me', service: 's', zone: 'z', slots: 2, condition: 'ready' } as const;
-  return { ...common, sequence, coldLeftMs: 0, holds: [], released: [], ...parts };
+  const common = { version: 'v1', service: 's', zone: 'z', slots: 2, condition: 'ready' } as const;
+  return { ...common, id: 'me', bornMs: null, sequence, coldLeftMs: 0, holds: [], released: [], ...parts };
 }
 
 test('heartbeats: what is owned is granted, for no longer than the lease has left', (t) => {
--- a/test/sidecar/local-backend.test.ts
+++ b/test/sidecar/local-backend.test.ts
@@ -10,6 +10,7 @@
 ): BackendHeartbeat {
   return {
     id,
+    bornMs: null,
     service: 's',
     zone: 'z',
     slots: 1,
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -133,6 +133,7 @@
   const common = {
     version: 'v1',
     id: 'one',
+    bornMs: null,
     service: SERVICE,
     zone: 'z',
     slots: 2,
