What is acknowledged of a leave binds under the life that said it, and outlives the daemon that acknowledged it

Cause: a leave was kept in the memory of one process, counted from the heartbeat that this process heard, and acknowledged also where nothing was made of the call (unknown life, past life, late sequence); a back end that was back under its id was taken for late. Ruled out: a time in the registration (wall clocks step, and the directory may be out of reach when the leave is acknowledged); asking the back end whether it is well (health may lie); holding the acknowledgement until the directory knows (leaves must be acknowledged without it). Change: lives are named by id and start, so that directory, sessions, fences, quarantine and pace know them apart; a leave is noted under its life before anything else is made of the call; a process that may not be the first to hear of a leave closes at once; soon after its start it serves a life only on a second heartbeat, on its first one, or on the directory's word; a registration that leaves closes; heartbeats of services that are not named, or with fields of another type, are turned away.

--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -153,8 +153,10 @@
   sayGoodbyeOf(backend: FleetBackend): void {
     this.process.schedule(LOCAL_DELAY_MS, () => {
       if (this.node === null) return;
-      this.node.leave(backend.id);
-      this.acknowledged(backend);
+      const { id, bornMs } = backend;
+      void this.node.leave({ id, bornMs }).then(() => {
+        this.acknowledged(backend);
+      });
     });
   }
 
@@ -229,7 +231,9 @@
     return {
       identify: async () =>
         await this.afterWay(() => {
-          return this.backend === null ? null : { id: this.backend.id, coldLeftMs: 0 };
+          if (this.backend === null) return null;
+          const { id, draining } = this.backend;
+          return { id, bornMs: null, isWell: !draining && !this.saidGoodbye, coldLeftMs: 0 };
         }),
       grant: async (range, holdMs) =>
         await this.afterWay(() => {
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -53,8 +53,12 @@
 
 /** What a back end tells of itself when it is asked. */
 export interface BackendIdentity {
-  /** Id of its life; null when it does not tell. */
+  /** Id that it goes by; null when it does not tell. */
   readonly id: string | null;
+  /** When it started, in ms of its machine's wall clock; null when it does not tell. */
+  readonly bornMs: number | null;
+  /** Whether it says that it is well and stays. */
+  readonly isWell: boolean;
   /** Time in ms for which it stays cold; null when it does not tell. */
   readonly coldLeftMs: number | null;
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendInstance } from '../directory/directory-state.js';
 import { LinkPacer } from '../link/link-pacer.js';
+import { lifeName, type BackendLife } from '../model/backend-life.js';
 import { formatAddress } from '../model/socket-address.js';
 import { Ok, type Result } from '../result.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
@@ -27,6 +28,7 @@
 import { InvokedGrants } from './invoked-grants.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
+import { LifeCheck } from './life-check.js';
 import { LocalBackend } from './local-backend.js';
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
@@ -53,9 +55,6 @@
 /** Longest time in ms for which a heartbeat's answer waits for keys that are on their way. */
 const ANSWER_WAIT_MS = 700;
 
-/** Time in ms after its last heartbeat in which a life gives way to another one only if its address says so. */
-const FRESH_LIFE_MS = 1_500;
-
 /** Pause in ms before a back end that refused a connection is asked once more. */
 const SECOND_LOOK_MS = 120;
 
@@ -109,6 +108,7 @@
   private readonly runtime: Runtime;
   private readonly log: EventLog;
   private readonly backend: LocalBackend;
+  private readonly lifeCheck: LifeCheck;
   private readonly lease: LeaseKeeper;
   private readonly owned: OwnedRanges;
   private grants: HeartbeatGrants | InvokedGrants;
@@ -140,9 +140,10 @@
     this.log = log;
     this.startedMs = runtime.nowMs();
     this.transport = options.transport ?? socketTransport(settings, runtime);
-    this.backend = new LocalBackend(settings.drainMs);
+    this.backend = new LocalBackend(settings.drainMs, this.startedMs);
+    this.lifeCheck = this.makeLifeCheck();
     this.lease = this.makeLease();
-    this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.id);
+    this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.life);
     this.grants = this.makeGrants();
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
@@ -230,23 +231,29 @@
     return sends || this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
   }
 
-  /** Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. */
+  /**
+   * Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. Whatever becomes of it,
+   * a leave that it tells binds this daemon from now on, since its sender is told that it is known.
+   */
   async heartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatGrant | null> {
     const arrivedMs = this.runtime.nowMs();
-    const { healthPath } = this.table.service(this.settings.service) ?? { healthPath: null };
-    const asks = healthPath !== null && !this.backend.knows(heartbeat.id);
-    if (asks && !(await this.isPresentLife(heartbeat.id, healthPath))) {
-      this.log.event('heartbeat-of-past-life', { instance: heartbeat.id, present: this.backend.id });
+    if (heartbeat.condition === 'draining') this.noteLeave(heartbeat, 'heartbeat');
+    if (!(await this.lifeCheck.isPresent(heartbeat))) {
+      this.log.event('heartbeat-of-past-life', { instance: lifeName(heartbeat), present: this.backend.life });
       return null;
     }
     const before = this.presentLife();
     const news = this.backend.take(heartbeat, arrivedMs);
     if (news === 'new-life' && before !== null) this.crashes.lifeReplaced(before);
-    if (news === 'stale') return null;
+    if (news === 'stale') {
+      this.ignore(heartbeat);
+      return null;
+    }
     if (news === 'new-life') this.newLife(heartbeat);
     else this.coldLimit.takeTold(heartbeat.coldLeftMs, this.runtime.steadyMs());
     this.gateway.setSlots(heartbeat.slots);
-    this.updateLease(heartbeat);
+    this.adoptRegistration();
+    this.updateLease();
     const { grants } = this;
     if (grants instanceof HeartbeatGrants) grants.take(heartbeat);
     this.gateway.reconsider();
@@ -257,16 +264,20 @@
     return grants.answer(heartbeat, arrivedMs);
   }
 
-  /** The back end says that it leaves and sends no more heartbeats. */
-  leave(id: string): void {
-    if (this.backend.id !== id) return;
-    this.log.event('backend-leaves', { instance: id });
-    this.backend.leave(this.runtime.nowMs());
-    const { heartbeat } = this.backend;
-    if (heartbeat !== null) this.updateLease({ ...heartbeat, condition: 'draining' });
+  /** A life of the back end says that it leaves and sends no more heartbeats; what it said binds, also if it is not known. */
+  async leave(said: BackendLife): Promise<void> {
+    const life = await this.lifeCheck.saysGoodbye(said);
+    this.noteLeave(life, 'goodbye');
+    this.backend.leave(life, this.runtime.nowMs());
+    this.updateLease();
     this.gateway.reconsider();
   }
 
+  /** Whether back ends of a service are named here, as far as the configuration is known. */
+  namesService(service: string): boolean {
+    return service === this.settings.service || this.table.service(service) !== null;
+  }
+
   /** Takes over settings that were read again. */
   reload(seeds: readonly string[]): void {
     this.directory.addSeeds(seeds);
@@ -284,7 +295,7 @@
     this.callers.stopListening();
     await this.waitUntil(startMs + graceMs * LAST_SHARE, () => !this.busy);
     // A daemon that comes back finds its back end where it was; one whose back end has ended gives its keys up.
-    if (this.backend.id !== null && !(await this.options.backendListens())) {
+    if (this.backend.life !== null && !(await this.options.backendListens())) {
       this.backendGone('it ended before its daemon');
       await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
     }
@@ -331,7 +342,7 @@
       lease,
       owned,
       holdMs: settings.holdMs,
-      instance: () => this.backend.id,
+      instance: () => this.backend.life,
       send: (request: Parameters<DirectoryClient['send']>[0]) => this.directory.send(request),
       onGained: () => {
         this.gateway.reconsider();
@@ -339,7 +350,13 @@
     };
     const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
     if (mode === 'heartbeat') return new HeartbeatGrants(ports);
-    return new InvokedGrants(ports, this.options.calls, async () => await this.isKnownLife());
+    return new InvokedGrants(ports, this.options.calls, async () => await this.lifeCheck.isKnown());
+  }
+
+  private makeLifeCheck(): LifeCheck {
+    const { runtime, backend } = this;
+    const healthPath = (): string | null => this.table.service(this.settings.service)?.healthPath ?? null;
+    return new LifeCheck({ runtime, backend, calls: this.options.calls, healthPath });
   }
 
   private makeGateway(): BackendGateway {
@@ -352,7 +369,7 @@
       backend: this.backendClient,
       coldLimit: this.coldLimit,
       guard: this.crashes,
-      instance: () => this.backend.id,
+      instance: () => (this.backend.confirmed || this.backend.leaving ? this.backend.life : null),
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
       leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuation.standing,
@@ -382,8 +399,8 @@
   private presentLife(): EndedLife | null {
     const { heartbeat } = this.backend;
     if (heartbeat === null || this.backend.leaving || this.stoppingSinceMs !== null) return null;
-    const { id, service, version } = heartbeat;
-    return { id, service, version };
+    const { service, version } = heartbeat;
+    return { id: lifeName(heartbeat), service, version };
   }
 
   private makeChooser(): BackendChooser {
@@ -461,31 +478,10 @@
     return this.table.service(this.settings.service)?.keyed === true;
   }
 
-  /**
-   * A heartbeat that was held up may come after its sender has ended and another life has begun at the same address;
-   * taken for news, it would end the registration of the life that is there. So the address is asked who is there. Where
-   * it does not answer, a life that was heard lately stays.
-   */
-  private async isPresentLife(id: string, healthPath: string): Promise<boolean> {
-    const seen = await this.options.calls.identify(healthPath);
-    if (seen?.id === undefined || seen.id === null) {
-      return this.backend.id === null || this.runtime.nowMs() - this.backend.lastHeardMs > FRESH_LIFE_MS;
-    }
-    return seen.id === id;
-  }
-
-  /** Whether the life that is known is the one at the address; where nobody can be asked, it is taken to be. */
-  private async isKnownLife(): Promise<boolean> {
-    const { id } = this.backend;
-    const { healthPath } = this.table.service(this.settings.service) ?? { healthPath: null };
-    if (healthPath === null || id === null) return true;
-    const seen = await this.options.calls.identify(healthPath);
-    return seen !== null && (seen.id ?? id) === id;
-  }
-
   private newLife(heartbeat: BackendHeartbeat): void {
-    const { id, slots, coldLeftMs } = heartbeat;
-    this.log.event('backend-known', { instance: id, slots, coldLeftMs });
+    const { sequence, slots, coldLeftMs } = heartbeat;
+    const { life, confirmed } = this.backend;
+    this.log.event('backend-known', { instance: life, sequence, slots, coldLeftMs, confirmed });
     this.coldLimit.startLife(coldLeftMs, this.runtime.steadyMs());
     this.gateway.startLife();
     this.gateway.forecast.pace.forget();
@@ -493,9 +489,53 @@
     this.grants.clear();
   }
 
-  private updateLease({ id, service, zone, slots, condition, version }: BackendHeartbeat): void {
-    const leaves = condition === 'draining' || this.backend.leaving;
-    this.lease.update({ id, service, zone, slots, version, condition: leaves ? 'draining' : 'ready' });
+  private noteLeave(life: BackendLife, by: 'heartbeat' | 'goodbye'): void {
+    const instance = lifeName(life);
+    const nowMs = this.runtime.nowMs();
+    const isPresent = this.backend.life === instance;
+    const isKnown = isPresent && this.backend.leaving;
+    this.backend.noteLeave(life, nowMs);
+    if (isKnown && by === 'heartbeat') return;
+    const closesInMs = isPresent ? Math.round(this.backend.closesAtMs - nowMs) : null;
+    const upMs = Math.round(nowMs - this.startedMs);
+    this.log.event('leave-acknowledged', { instance, by, isPresent, closesInMs, upMs });
+    if (!isPresent) this.reportLeave(instance);
+  }
+
+  /** A life that this process has not heard of may be registered from the process before it, and be sent work by others. */
+  private reportLeave(id: string): void {
+    const known = this.table.instance(id);
+    if (known === undefined || known.condition === 'draining') return;
+    this.directory.send({ kind: 'condition', id, session: known.session, condition: 'draining' });
+  }
+
+  private ignore(heartbeat: BackendHeartbeat): void {
+    const { condition, sequence } = heartbeat;
+    const present = this.backend.heartbeat;
+    this.log.event('heartbeat-ignored', {
+      instance: lifeName(heartbeat),
+      condition,
+      sequence,
+      present: this.backend.life,
+      presentSequence: present?.sequence ?? null,
+    });
+  }
+
+  /** What the directory knows of the present life it was told by the process before this one, or by this one. */
+  private adoptRegistration(): void {
+    const { life } = this.backend;
+    const known = life === null ? undefined : this.table.instance(life);
+    if (known === undefined) return;
+    if (known.condition === 'ready') this.backend.confirm();
+    else this.backend.adoptLeave(this.runtime.nowMs());
+  }
+
+  /** A life that is not confirmed is not offered to others: it may have left before this process began. */
+  private updateLease(): void {
+    const { heartbeat, life, leaving, confirmed } = this.backend;
+    if (heartbeat === null || life === null || !(confirmed || leaving)) return;
+    const { service, zone, slots, version } = heartbeat;
+    this.lease.update({ id: life, service, zone, slots, version, condition: leaving ? 'draining' : 'ready' });
   }
 
   /** A daemon that was started a moment ago may not know yet whether there are any. */
@@ -517,18 +557,18 @@
   }
 
   private async lookAgainAtBackend(): Promise<void> {
-    if (this.lookingAgain || this.backend.id === null) return;
+    if (this.lookingAgain || this.backend.life === null) return;
     this.lookingAgain = true;
     this.lookDueMs = this.runtime.nowMs() + LOOK_PAUSE_MS;
-    const { id } = this.backend;
+    const { life } = this.backend;
     await this.waitUntil(this.runtime.nowMs() + SECOND_LOOK_MS, () => false);
     const listens = await this.options.backendListens();
     this.lookingAgain = false;
-    if (!listens && this.backend.id === id) this.backendGone('no process listens at its address');
+    if (!listens && this.backend.life === life) this.backendGone('no process listens at its address');
   }
 
   private backendGone(reason: string): void {
-    this.log.event('backend-gone', { instance: this.backend.id, reason });
+    this.log.event('backend-gone', { instance: this.backend.life, reason });
     this.backend.forget();
     this.lease.giveUp(reason);
     this.grants.clear();
@@ -539,7 +579,7 @@
   private step(): void {
     const nowMs = this.runtime.nowMs();
     const { backend } = this;
-    if (backend.id === null) return;
+    if (backend.life === null) return;
     const holdsNothing = this.runtime.steadyMs() > this.grants.heldUntil + HOLD_MARGIN_MS;
     const silentMs = nowMs - backend.lastHeardMs;
     if (backend.left && nowMs > backend.closesAtMs) {
@@ -556,6 +596,8 @@
     this.coldLimit.configure(this.table.service(this.settings.service)?.coldStart ?? null);
     this.adoptEvacuation();
     this.adoptGrantMode();
+    this.adoptRegistration();
+    this.updateLease();
     this.lease.tableChanged();
     this.grants.tableChanged();
     this.callers.applyLimits();
--- a/test/platform/heartbeat-calls.test.ts
+++ b/test/platform/heartbeat-calls.test.ts
@@ -1,6 +1,8 @@
 /** Heartbeats of the platform's endpoints. */
 import test from 'ava';
-import { readHeartbeat, toldColdMs } from '../../platform/heartbeat-calls.js';
+import { PATHS } from '../../platform/wire-names.js';
+import type { BackendHeartbeat } from '../../src/sidecar/backend-report.js';
+import { readGoodbye, readHeartbeat, takeBackendCall, toldColdMs } from '../../platform/heartbeat-calls.js';
 
 const INFO = { service: 's', version: 'v1', zone: 'z', slots: 6 };
 const STATUS = { state: 'ready', call_seq: 4, cold_left_s: 0 };
@@ -67,3 +69,80 @@
     t.is(toldColdMs(told, 1_000), coldLeftMs);
   });
 }
+
+const GOOD = { address: '10.0.0.1:1', born: 1_700_000_000_000, info: INFO, status: STATUS };
+
+type Part = Readonly<Record<string, unknown>>;
+
+function without(part: Part, field: string): Part {
+  return Object.fromEntries(Object.entries(part).filter(([name]) => name !== field));
+}
+
+/** Heartbeats of another writer: a good one but for one field, which is missing or of another type. */
+const OTHER_WRITERS: readonly [string, string][] = [
+  ...['info', 'status'].map((field): [string, string] => [
+    `without ${field}`,
+    JSON.stringify(without(GOOD, field)),
+  ]),
+  ...['service', 'slots'].map((field): [string, string] => [
+    `without ${field}`,
+    JSON.stringify({ ...GOOD, info: without(INFO, field) }),
+  ]),
+  ...['state', 'call_seq'].map((field): [string, string] => [
+    `without ${field}`,
+    JSON.stringify({ ...GOOD, status: without(STATUS, field) }),
+  ]),
+  ['a service of another type', JSON.stringify({ ...GOOD, info: { ...INFO, service: 3 } })],
+  ['a zone of another type', JSON.stringify({ ...GOOD, info: { ...INFO, zone: 3 } })],
+  ['a version of another type', JSON.stringify({ ...GOOD, info: { ...INFO, version: {} } })],
+  ['slots as a text', JSON.stringify({ ...GOOD, info: { ...INFO, slots: '6' } })],
+  ['slots in parts', JSON.stringify({ ...GOOD, info: { ...INFO, slots: 1.5 } })],
+  ['a state that has no name here', JSON.stringify({ ...GOOD, status: { ...STATUS, state: 'resting' } })],
+  ['a count as a text', JSON.stringify({ ...GOOD, status: { ...STATUS, call_seq: '4' } })],
+  ['a count in parts', JSON.stringify({ ...GOOD, status: { ...STATUS, call_seq: 4.5 } })],
+  ['a start as a text', JSON.stringify({ ...GOOD, born: '1700000000000' })],
+  ['a start in parts', JSON.stringify({ ...GOOD, born: 1.5 })],
+  ['a start that is null', JSON.stringify({ ...GOOD, born: null })],
+  ['rows of another type', JSON.stringify({ ...GOOD, holds: 'all' })],
+  ['released rows of another type', JSON.stringify({ ...GOOD, released: [[0, 1, 2]] })],
+  ['a service that is not named here', JSON.stringify({ ...GOOD, info: { ...INFO, service: 'other' } })],
+  ['a list', '[]'],
+  ['a number', '7'],
+  ['nothing', ''],
+  ['bytes that are no text', Buffer.from([0xff, 0xfe, 0x00, 0x7b]).toString('latin1')],
+];
+
+function callOf(method: string, body: string): Parameters<typeof takeBackendCall>[1] {
+  return { method, path: `${PATHS.instances}i-1`, headers: {}, body };
+}
+
+for (const [name, body] of OTHER_WRITERS) {
+  test(`a heartbeat of another writer is turned away, and a good one beside it holds: ${name}`, async (t) => {
+    const taken: string[] = [];
+    const node = {
+      namesService: (service: string) => service === INFO.service,
+      heartbeat: (heartbeat: BackendHeartbeat) => {
+        taken.push(`${heartbeat.id} ${String(heartbeat.bornMs)}`);
+        return Promise.resolve(null);
+      },
+      leave: () => Promise.resolve(),
+    };
+    t.is((await takeBackendCall(node, callOf('PUT', JSON.stringify(GOOD)))).status, 200);
+    t.is((await takeBackendCall(node, callOf('PUT', body))).status, 400);
+    t.deepEqual(taken, ['i-1 1700000000000']);
+  });
+}
+
+const GOODBYES: readonly [string, number | null | undefined][] = [
+  ['', null],
+  ['{"born":1700000000000}', 1_700_000_000_000],
+  ['{"later":1}', null],
+  ['{"born":"now"}', undefined],
+  ['{"born":', undefined],
+];
+
+for (const [body, bornMs] of GOODBYES) {
+  test(`a goodbye with the body ${body === '' ? 'left out' : body}`, (t) => {
+    t.deepEqual(readGoodbye('i-1', body), bornMs === undefined ? null : { id: 'i-1', bornMs });
+  });
+}
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -180,7 +180,7 @@
 test('a back end that left gives its keys up as soon as no process listens there', async (t) => {
   const world = new World();
   const { node } = await owner(world);
-  node.leave('one');
+  await node.leave({ id: 'one', bornMs: null });
   world.listens = true;
   await pass(world, 2_500);
   t.false(world.kinds().includes('unregister'), 'it still runs, and holds its keys');
@@ -242,7 +242,7 @@
 test('a heartbeat that was held up changes nothing when its sender has ended and another life is there', async (t) => {
   const world = new World();
   const { node } = await owner(world);
-  world.identity = { id: 'one', coldLeftMs: 0 };
+  world.identity = { id: 'one', bornMs: null, isWell: true, coldLeftMs: 0 };
   t.is(await node.heartbeat({ ...heartbeat(90), id: 'zero' }), null);
   t.is(node.gateway.status()?.instance, 'one');
   t.truthy(await node.heartbeat(heartbeat(2)), 'the life that is there goes on');
@@ -253,7 +253,7 @@
   const world = new World();
   const node = await world.start();
   world.table([range(0, 65_535, 'one')]);
-  world.identity = { id: 'one', coldLeftMs: 0 };
+  world.identity = { id: 'one', bornMs: null, isWell: true, coldLeftMs: 0 };
   await node.heartbeat({ ...heartbeat(90), id: 'zero' });
   t.is(node.gateway.status(), null);
   t.false(world.kinds().includes('register'));
