--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -38,6 +38,7 @@
 export class SimDisk {
   private durable: Content;
   private earlierHardState: HardState;
+  private stallMs = 0;
 
   constructor(
     private readonly replica: string,
@@ -66,6 +67,11 @@
     return new SimReplicaStore(process, this.durable, this, this.faults);
   }
 
+  /** The next access takes so long, as on a disk that stalls. */
+  stallFor(ms: number): void {
+    this.stallMs = ms;
+  }
+
   /** Remembers the hard state that a forgetful disk goes back to. */
   hardStateReplaced(earlier: HardState): void {
     this.earlierHardState = earlier;
@@ -73,7 +79,9 @@
 
   /** Time that a sync takes, in ms. */
   syncMs(): number {
-    return SHORTEST_SYNC_MS + this.random.fraction() * (LONGEST_SYNC_MS - SHORTEST_SYNC_MS);
+    const { stallMs } = this;
+    this.stallMs = 0;
+    return stallMs + SHORTEST_SYNC_MS + this.random.fraction() * (LONGEST_SYNC_MS - SHORTEST_SYNC_MS);
   }
 
   /** How many of `count` unsynced writes have reached the disk at a crash. */
