A replica that cannot commit takes no calls, and a change that was taken is told as taken whenever it is sent again

Cause: a replica judged itself by its role, so one whose disk stalls took changes and reads and held them for 5 s, longer than the bound of 4 s; items of a change that was sent again were checked against what stands now, and a valid order got a 400, which ends it for good. Ruled out: a shorter limit for all proposals (daemons' registrations gain nothing by it); checking newer items only (an invalid change with old versions would be acknowledged). Change: the driver's wait for its disk counts (an election timeout); operators' calls get an outcome or 503 within 0.8 s and 3 ms an item, reads within 0.8 s; digests of accepted item changes are kept beside those of whole revisions; the steps of changes are measured (change-read, -queue, -sync, -quorum), slow ones logged. Conclusion: two ways to lose the calm are closed; that either was the one reported cannot be shown.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -37,6 +37,8 @@
   onRoleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void;
   onLeadershipConfirmed(requestId: number): void;
   onProposalDropped(proposalId: string): void;
+  /** Proposals that were taken at a time, in ms, are durable on this replica's disk. */
+  onProposalsSynced?(proposalIds: readonly string[], takenMs: number): void;
   /** The disk failed; the process must stop, since it can promise nothing any more. */
   onFatal(error: unknown): void;
 }
@@ -75,6 +77,8 @@
   private readonly queue: RaftEvent[] = [];
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
+  /** Since when the disk has held up the present batch; null while none is under way. */
+  private batchSinceMs: number | null = null;
   private stopped = false;
   private readonly applier: EntryApplier;
   private compaction: Compaction | null = null;
@@ -103,11 +107,21 @@
     return this.applier.appliedIndex;
   }
 
-  /** Whether this replica leads and its state holds everything that was committed in earlier terms. */
+  /**
+   * Whether this replica leads, its state holds everything that was committed in earlier terms, and its disk lets it commit.
+   * One whose disk stalls sends nothing, so the others elect another leader; judged by its role alone it held each
+   * operator's call for 5 s, with a bound of 4 s.
+   */
   get leading(): boolean {
+    if (this.heldUpMs >= this.options.electionTimeoutMs) return false;
     return this.core.leaderReady && this.applier.appliedIndex >= this.core.termStart;
   }
 
+  /** Time in ms for which the disk has held up the present batch of events; 0 while none is under way. */
+  private get heldUpMs(): number {
+    return this.batchSinceMs === null ? 0 : this.runtime.nowMs() - this.batchSinceMs;
+  }
+
   /** Queues an event for the core. */
   submit(event: RaftEvent): void {
     // While the disk holds the driver up, ticks add nothing to the one that waits.
@@ -128,10 +142,13 @@
   private async run(): Promise<void> {
     try {
       while (this.queue.length > 0) {
+        const takenMs = this.runtime.nowMs();
+        this.batchSinceMs = takenMs;
         const events = this.queue.splice(0);
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
         await this.persist(effects);
+        this.tellSynced(events, takenMs);
         for (const effect of effects) this.perform(effect);
         await this.compactIfDue();
       }
@@ -139,9 +156,15 @@
       this.fail(error);
     } finally {
       this.running = null;
+      this.batchSinceMs = null;
     }
   }
 
+  private tellSynced(events: readonly RaftEvent[], takenMs: number): void {
+    const proposals = events.flatMap((event) => (event.kind === 'propose' ? [event.proposalId] : []));
+    if (proposals.length > 0) this.ports.onProposalsSynced?.(proposals, takenMs);
+  }
+
   private fail(error: unknown): void {
     this.stopped = true;
     this.ports.onFatal(error);
--- a/src/control/proposals.ts
+++ b/src/control/proposals.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from '../result.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
+import { proposalSteps, type ProposalSteps, type ProposalTimes } from './proposal-times.js';
 
 /** Time in ms after which the proposer is told that the outcome is unknown. */
 const PROPOSAL_TIMEOUT_MS = 5_000;
@@ -12,6 +13,7 @@
 interface Pending<Outcome> {
   readonly resolve: (result: Result<Outcome, ProposalError>) => void;
   readonly cancelTimer: CancelTimer;
+  readonly times: ProposalTimes;
 }
 
 /** Joins proposals to their outcomes, whatever the state machine that the commands are for. */
@@ -21,18 +23,32 @@
   constructor(
     private readonly runtime: Runtime,
     private readonly submit: (proposalId: string, command: Command) => void,
+    /** A proposal has ended, with or without an outcome. */
+    private readonly onEnd: (command: Command, steps: ProposalSteps) => void = () => undefined,
   ) {}
 
-  /** Proposes a command and waits for its outcome. */
-  async propose(command: Command): Promise<Result<Outcome, ProposalError>> {
+  /** Proposes a command and waits for its outcome, for so many ms. */
+  async propose(command: Command, timeoutMs = PROPOSAL_TIMEOUT_MS): Promise<Result<Outcome, ProposalError>> {
     const proposalId = this.runtime.randomId();
-    return await new Promise((resolve) => {
-      const cancelTimer = this.runtime.after(PROPOSAL_TIMEOUT_MS, () => {
+    const times: ProposalTimes = { proposedMs: this.runtime.nowMs(), takenMs: null, syncedMs: null };
+    const outcome = await new Promise<Result<Outcome, ProposalError>>((resolve) => {
+      const cancelTimer = this.runtime.after(timeoutMs, () => {
         this.settle(proposalId, Err({ kind: 'outcome-unknown' }));
       });
-      this.pending.set(proposalId, { resolve, cancelTimer });
+      this.pending.set(proposalId, { resolve, cancelTimer, times });
       this.submit(proposalId, command);
     });
+    this.onEnd(command, proposalSteps(times, this.runtime.nowMs()));
+    return outcome;
+  }
+
+  /** Proposals were taken from the queue at a time, and are durable on this replica's disk now. */
+  synced(proposalIds: readonly string[], takenMs: number): void {
+    const syncedMs = this.runtime.nowMs();
+    for (const proposalId of proposalIds) {
+      const times = this.pending.get(proposalId)?.times;
+      if (times !== undefined) Object.assign(times, { takenMs, syncedMs });
+    }
   }
 
   /** The command was committed and applied here. */
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -6,6 +6,8 @@
 /** Takes items whose versions are their own: for each name the highest version stands. */
 export interface ConfigureItemsCommand {
   readonly kind: 'configure-items';
+  /** Digest of the call's content; the same call sent again gets the same answer. Missing where nothing is sent again. */
+  readonly digest?: string | undefined;
   readonly items: readonly ConfigurationItem[];
 }
 
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -8,6 +8,9 @@
 import type { BackendInstance, DirectoryState } from './directory-state.js';
 import type { LeadershipConfirmations } from './leadership-confirmations.js';
 
+/** Time in ms after which a daemon that asked for a lease asks again anyway. */
+const CONFIRMATION_LIMIT_MS = 5_000;
+
 /** Sends an answer to the daemon that asked. */
 export type Answer = (notice: DirectoryNotice) => void;
 
@@ -126,7 +129,7 @@
     sentMs: number,
     answer: Answer,
   ): Promise<void> {
-    if (!(await this.confirmations.confirm())) return;
+    if (!(await this.confirmations.confirm(CONFIRMATION_LIMIT_MS))) return;
     const stands = this.ports.state().instances.get(id)?.session === session;
     if (!stands || this.closing.has(session)) {
       answer({ kind: 'session-ended', id, session });
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -22,6 +22,7 @@
 } from './directory-commands.js';
 import {
   itemKey,
+  type AcceptedRevision,
   type BackendInstance,
   type ConfigurationItem,
   type DirectoryState,
@@ -91,6 +92,9 @@
 // ---- configuration
 
 function configureItems(state: DirectoryState, command: ConfigureItemsCommand): AppliedCommand {
+  const { digest } = command;
+  // Later changes may have dropped what it names; it was valid when it was taken, and stays taken.
+  if (state.accepted.some((known) => known.digest === digest)) return unchanged(DONE);
   const newer = command.items.filter((item) => {
     const present = state.items.get(itemKey(item.kind, item.name));
     return present === undefined || item.version > present.version;
@@ -98,6 +102,7 @@
   const problem = findUnknownService(state, command.items, false);
   if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
   state.configured = true;
+  if (digest !== undefined) accept(state, { version: newestVersion(command.items), digest });
   return putItems(state, newer);
 }
 
@@ -113,11 +118,19 @@
   if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
   state.revision = version;
   state.configured = true;
-  state.accepted = [...state.accepted, { version, digest }].slice(-REMEMBERED_REVISIONS);
+  accept(state, { version, digest });
   const dropped = command.replacesAll ? droppedItems(state, command) : [];
   return putItems(state, [...dropped, ...command.items]);
 }
 
+function accept(state: DirectoryState, change: AcceptedRevision): void {
+  state.accepted = [...state.accepted, change].slice(-REMEMBERED_REVISIONS);
+}
+
+function newestVersion(items: readonly ConfigurationItem[]): number {
+  return items.reduce((newest, { version }) => Math.max(newest, version), 0);
+}
+
 function droppedItems(state: DirectoryState, command: ConfigureRevisionCommand): ConfigurationItem[] {
   const named = new Set(command.items.map((item) => itemKey(item.kind, item.name)));
   return [...state.items.values()]
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -19,6 +19,8 @@
 import { ClockSkips } from '../runtime/clock-skips.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import type { EventLog } from '../telemetry/event-log.js';
+import { NO_LATENCIES, type Latencies } from '../telemetry/latencies.js';
+import type { ProposalSteps } from '../control/proposal-times.js';
 import { ChangeFeed } from './change-feed.js';
 import type { DirectoryChange, DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { DirectoryDuties } from './directory-duties.js';
@@ -67,6 +69,21 @@
 /** Fewest places for voters; more replicas than tolerated losses need stay learners beyond them. */
 const USUAL_VOTERS = 5;
 
+/**
+ * Time in ms in which a call gets its outcome or is told that there is none yet. Callers give a call up after a second;
+ * told before that, they go on to another replica 0.2 s sooner and know that this one is alive.
+ */
+const ANSWER_LIMIT_MS = 800;
+
+/** Time in ms that a change may take longer for each of its items. */
+const ANSWER_LIMIT_PER_ITEM_MS = 3;
+
+/** Time in ms from which on a change is written to the log with its steps. */
+const SLOW_CHANGE_MS = 200;
+
+/** Label of changes of the configuration in the latencies. */
+const CHANGES = 'configuration';
+
 /** What a replica is started with. */
 export interface DirectoryNodeOptions {
   readonly settings: DirectorySettings;
@@ -74,6 +91,8 @@
   readonly runtime: Runtime;
   readonly storage: ReplicaStore;
   readonly log: EventLog;
+  /** Takes the steps of changes; nobody where it is left out. */
+  readonly latencies?: Latencies;
   /** Called once when the disk fails. */
   readonly onFatal: (error: unknown) => void;
 }
@@ -102,6 +121,7 @@
   private readonly candidates = new Map<string, ReplicaId>();
   private readonly knownReplicas: Set<string>;
   private readonly timers: CancelTimer[] = [];
+  private readonly latencies: Latencies;
   private replica: Replica | null = null;
   private leadingTerm = 0;
   private readonly clockSkips: ClockSkips;
@@ -109,14 +129,21 @@
   private constructor(private readonly options: DirectoryNodeOptions) {
     const { settings, token, runtime, storage } = options;
     this.clockSkips = new ClockSkips(runtime);
+    this.latencies = options.latencies ?? NO_LATENCIES;
     this.name = formatAddress(settings.advertised);
     this.id = `${this.name}/${storage.owner.identity}`;
     this.knownReplicas = new Set(settings.seeds);
-    this.proposals = new Proposals(runtime, (proposalId, command) => {
-      if (this.replica === null) this.proposals.dropped(proposalId);
-      else this.replica.submit({ kind: 'propose', proposalId, command });
-    });
-    this.confirmations = new LeadershipConfirmations((requestId) => {
+    this.proposals = new Proposals(
+      runtime,
+      (proposalId, command) => {
+        if (this.replica === null) this.proposals.dropped(proposalId);
+        else this.replica.submit({ kind: 'propose', proposalId, command });
+      },
+      (command, steps) => {
+        this.reportChange(command, steps);
+      },
+    );
+    this.confirmations = new LeadershipConfirmations(runtime, (requestId) => {
       this.replica?.submit({ kind: 'confirm-leadership', requestId });
     });
     this.duties = new DirectoryDuties(
@@ -195,10 +222,13 @@
     return voters >= 2 * toleratedLosses + 1;
   }
 
-  /** Proposes a command; it is durable on a quorum once an outcome is returned. */
+  /**
+   * Proposes a command; it is durable on a quorum once an outcome is returned. What has none in time may be committed later,
+   * and is told as taken to whoever sends it again.
+   */
   async propose(command: DirectoryCommand): Promise<Result<DirectoryOutcome, ProposalError>> {
     if (!this.leading || !this.durable) return Err({ kind: 'not-leader' });
-    return await this.proposals.propose(command);
+    return await this.proposals.propose(command, answerLimitMs(command));
   }
 
   /** The newest state; only a leader that a quorum has confirmed after this call can be sure of it. */
@@ -208,7 +238,7 @@
       const elsewhere = leaderAddress !== null && leaderAddress !== this.name && this.hearsLeader;
       return Err(elsewhere ? { kind: 'elsewhere', leader: leaderAddress } : { kind: 'unavailable' });
     }
-    if (!(await this.confirmations.confirm())) return Err({ kind: 'unavailable' });
+    if (!(await this.confirmations.confirm(ANSWER_LIMIT_MS))) return Err({ kind: 'unavailable' });
     return Ok(this.current);
   }
 
@@ -242,6 +272,23 @@
     this.proposals.applied(entry.payload.proposalId, outcome);
   }
 
+  /** Where the time of an operator's change went, so that a slow one can be explained. */
+  private reportChange(command: DirectoryCommand, steps: ProposalSteps): void {
+    const items = itemsOf(command).length;
+    if (items === 0) return;
+    const { queueMs, syncMs, quorumMs } = steps;
+    this.latencies.observe('change-queue', CHANGES, queueMs);
+    this.latencies.observe('change-sync', CHANGES, syncMs);
+    this.latencies.observe('change-quorum', CHANGES, quorumMs);
+    const total = Math.round(queueMs + syncMs + quorumMs);
+    const rounded = {
+      queueMs: Math.round(queueMs),
+      syncMs: Math.round(syncMs),
+      quorumMs: Math.round(quorumMs),
+    };
+    if (total >= SLOW_CHANGE_MS) this.options.log.event('change-slow', { items, total, ...rounded });
+  }
+
   /** Every replica knows; the leader says so. */
   private logCrashRecords(changes: readonly DirectoryChange[]): void {
     if (!this.leading) return;
@@ -344,6 +391,9 @@
       onProposalDropped: (proposalId) => {
         this.proposals.dropped(proposalId);
       },
+      onProposalsSynced: (proposalIds, takenMs) => {
+        this.proposals.synced(proposalIds, takenMs);
+      },
       onFatal: this.options.onFatal,
     };
   }
@@ -561,3 +611,11 @@
     void this.leader.receive(message.request, answer);
   }
 }
+
+function itemsOf(command: DirectoryCommand): readonly unknown[] {
+  return 'items' in command ? command.items : [];
+}
+
+function answerLimitMs(command: DirectoryCommand): number {
+  return ANSWER_LIMIT_MS + itemsOf(command).length * ANSWER_LIMIT_PER_ITEM_MS;
+}
--- a/src/directory/directory-state.ts
+++ b/src/directory/directory-state.ts
@@ -121,8 +121,9 @@
   readonly handover: string;
 }
 
-/** An accepted change of the configuration as a whole, kept so that a resend gets the same answer. */
+/** An accepted change of the configuration, kept so that a resend gets the same answer. */
 export interface AcceptedRevision {
+  /** Version of the whole, or the newest of the change's items. */
   readonly version: number;
   /** Digest of the call's content. */
   readonly digest: string;
--- a/src/directory/leadership-confirmations.ts
+++ b/src/directory/leadership-confirmations.ts
@@ -3,19 +3,33 @@
  * its own: the heartbeat round of an earlier question may have begun before the caller came.
  */
 
+import type { Runtime } from '../runtime/runtime.js';
+
 /** Callers that wait for leadership to be confirmed. */
 export class LeadershipConfirmations {
   private readonly waiting = new Map<number, (confirmed: boolean) => void>();
   private nextRequestId = 1;
 
-  constructor(private readonly ask: (requestId: number) => void) {}
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly ask: (requestId: number) => void,
+  ) {}
 
-  /** Resolves with true once a quorum has confirmed leadership after this call; false when it was lost. */
-  async confirm(): Promise<boolean> {
+  /**
+   * Resolves with true once a quorum has confirmed leadership after this call; false when it was lost, or not confirmed
+   * within so many ms.
+   */
+  async confirm(timeoutMs: number): Promise<boolean> {
     const requestId = this.nextRequestId;
     this.nextRequestId += 1;
     return await new Promise((resolve) => {
-      this.waiting.set(requestId, resolve);
+      const cancel = this.runtime.after(timeoutMs, () => {
+        this.settle(requestId, false);
+      });
+      this.waiting.set(requestId, (confirmed) => {
+        cancel();
+        resolve(confirmed);
+      });
       this.ask(requestId);
     });
   }
--- a/src/telemetry/latencies.ts
+++ b/src/telemetry/latencies.ts
@@ -1,6 +1,6 @@
 /** Where the stages of requests report how long they took; the metrics collect it, or nobody does. */
 
-/** Stages of a request. */
+/** Stages of a request, and of a change of the configuration. */
 export type LatencyStage =
   /** From a caller's request to the answer, as this daemon saw it. */
   | 'request'
@@ -9,7 +9,12 @@
   /** Waiting for a place or for keys, beside the back end. */
   | 'waiting'
   /** At the back end. */
-  | 'backend';
+  | 'backend'
+  /** A change of the configuration at a directory: until it is read, waiting for the batch before, its own disk, a quorum. */
+  | 'change-read'
+  | 'change-queue'
+  | 'change-sync'
+  | 'change-quorum';
 
 /** Takes times in ms. */
 export interface Latencies {
