Agents tell lives of a back end apart that go by one instance; the simulator's back ends start again under the instance that they had

Cause: a back end that starts again under the instance that it had was told from its earlier life by the loss of its holder only. Ruled out: a new instance at each start as the only way (the contract of the platform's back ends allows the same id). Change: holder answers may say when the life started; the agent compares both. All back ends of the simulator use it.

--- a/lab/backend/backend-server.ts
+++ b/lab/backend/backend-server.ts
@@ -74,6 +74,7 @@
 /** A running stand-in. */
 export class BackendServer {
   readonly instance = randomUUID();
+  readonly bornMs = Date.now();
   readonly grants: GrantTable;
   readonly load = new Map<number, number>();
   readonly gate: RequestGate;
--- a/lab/backend/contract-routes.ts
+++ b/lab/backend/contract-routes.ts
@@ -64,5 +64,5 @@
 function holderAnswer(server: BackendServer): HolderAnswer {
   const load = [...server.load];
   server.load.clear();
-  return { instance: server.instance, load, inFlight: server.gate.inFlight };
+  return { instance: server.instance, bornMs: server.bornMs, load, inFlight: server.gate.inFlight };
 }
--- a/lab/sim/sim-backend.ts
+++ b/lab/sim/sim-backend.ts
@@ -40,7 +40,7 @@
 export class SimBackend {
   grants: GrantTable;
   private gate: RequestGate;
-  private life = 0;
+  private bornMs = 0;
   private readonly load = new Map<number, number>();
 
   constructor(
@@ -57,7 +57,8 @@
 
   /** Starts a new life without grants. */
   start(): void {
-    this.life += 1;
+    // Clocks of the simulation step; two lives of a back end never begin at the same time.
+    this.bornMs = Math.max(this.bornMs + 1, Math.floor(this.process.wallMs()));
     this.grants = this.makeGrants(this.process.clocks());
     this.gate = new RequestGate(this.grants, SLOTS);
     this.process.start();
@@ -92,7 +93,7 @@
   holderAnswer(): HolderAnswer {
     const load = [...this.load];
     this.load.clear();
-    return { instance: `${this.name}-${this.life}`, load, inFlight: this.gate.inFlight };
+    return { instance: this.name, bornMs: this.bornMs, load, inFlight: this.gate.inFlight };
   }
 
   /** Refuses requests without a fence, or takes them again. */
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -11,7 +11,7 @@
 import { WatchedTable } from '../control-client/watched-table.js';
 import { nodeRuntime } from '../runtime/node-runtime.js';
 import type { CancelTimer, ClientIdentity, Runtime, Traffic } from '../runtime/runtime.js';
-import type { HolderAnswer } from '../backend-contract/grant-messages.js';
+import { holderLife, type HolderAnswer } from '../backend-contract/grant-messages.js';
 import { BackendClient } from './backend-client.js';
 import type { BackendCallError, BackendPort } from './backend-port.js';
 import { GrantKeeper } from './grant-keeper.js';
@@ -62,7 +62,7 @@
   private readonly timers: CancelTimer[] = [];
   private state: State = 'taking-holder';
   private busy = false;
-  private backendInstance: string | null = null;
+  private backendLife: string | null = null;
   /** Since when a call to the back end waits for an answer; null while none does. */
   private unansweredSinceMs: number | null = null;
   private openId = '';
@@ -242,7 +242,7 @@
   private async takeHolder(): Promise<void> {
     const taken = await this.backend.takeHolder();
     if (taken.err) return;
-    this.backendInstance = taken.val.instance;
+    this.backendLife = holderLife(taken.val);
     this.unansweredSinceMs = null;
     this.grants.clear();
     this.openDueMs = 0;
@@ -277,7 +277,7 @@
   private backendAnswered(answer: HolderAnswer): void {
     this.unansweredSinceMs = null;
     this.load.count(answer.load);
-    if (answer.instance === this.backendInstance) return;
+    if (holderLife(answer) === this.backendLife) return;
     this.giveUpSession('back end was restarted');
   }
 
--- a/src/backend-contract/grant-messages.ts
+++ b/src/backend-contract/grant-messages.ts
@@ -6,6 +6,7 @@
  * same machine, so both read the same clock, and a message that was delayed by a frozen process cannot
  * lengthen a grant.
  */
+import { lifeName } from '../model/backend-life.js';
 import { z } from 'zod';
 
 /** Path prefix of the contract on a back end. */
@@ -93,8 +94,10 @@
 
 /** Answer to `PUT holder` and `PUT lease`. */
 export const holderAnswerSchema = z.object({
-  /** Made anew at every start of the back end. */
+  /** Made anew at every start of the back end, unless it tells when it started. */
   instance: z.string(),
+  /** When it started, in ms of its machine's wall clock; another start under the same instance is another life. */
+  bornMs: z.optional(z.int()),
   /** Requests by shard since the last answer. */
   load: z.array(z.tuple([z.number(), z.number()])),
   inFlight: z.number(),
@@ -103,5 +106,10 @@
 /** Answer to `PUT holder` and `PUT lease`. */
 export type HolderAnswer = z.infer<typeof holderAnswerSchema>;
 
+/** Name of the life that answered. */
+export function holderLife({ instance, bornMs }: HolderAnswer): string {
+  return lifeName({ id: instance, bornMs: bornMs ?? null });
+}
+
 /** Answer to `PUT release`. */
 export const releaseAnswerSchema = z.object({ window: z.array(claimSchema) });
