The soak learns leaves beside daemons that end, goodbyes, and lives under the id of the one before

Change: leave-then-kill, goodbye-then-kill, leave-then-stop, drawn by themselves; every other life goes by its machine's id, with the time of its start; goodbyes are judged like leaves.

--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -11,12 +11,7 @@
   usageError,
   type Options,
 } from '../../src/cli/command-line.js';
-import {
-  BESIDE_SOAK_TROUBLES,
-  FURTHER_SOAK_TROUBLES,
-  SOAK_TROUBLES,
-  type SoakTroubleKind,
-} from '../soak/soak-plan.js';
+import { ALL_SOAK_TROUBLES, type SoakTroubleKind } from '../soak/soak-plan.js';
 import { SOAK_REGRESSIONS } from '../soak/soak-regressions.js';
 import { runSoak, type SoakReport } from '../soak/soak-run.js';
 
@@ -42,9 +37,9 @@
   if (sideBySide < 1 || sideBySide > MOST_SIDE_BY_SIDE) {
     return usageError(`--jobs takes a number from 1 to ${MOST_SIDE_BY_SIDE}`);
   }
-  const kinds = [...SOAK_TROUBLES, ...FURTHER_SOAK_TROUBLES, ...BESIDE_SOAK_TROUBLES];
-  const kind = kinds.find((known) => known === only) ?? null;
-  if (only !== null && kind === null) return usageError(`--only takes one of ${kinds.join(', ')}`);
+  const kind = ALL_SOAK_TROUBLES.find((known) => known === only) ?? null;
+  if (only !== null && kind === null)
+    return usageError(`--only takes one of ${ALL_SOAK_TROUBLES.join(', ')}`);
   execFileSync(process.execPath, ['deploy/build.mjs'], { cwd: ROOT, stdio: 'ignore' });
   const regressions = options['regressions'] === true;
   const seeds = seedsToPlay({ regressions, count, first, minutes });
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -8,6 +8,7 @@
 import type { GrantMode } from '../../src/directory/directory-state.js';
 import type { SocketAddress } from '../../src/model/socket-address.js';
 import {
+  goodbyeBody,
   healthHeaders,
   heartbeatBody,
   PATHS,
@@ -67,8 +68,10 @@
 
 /** What a back end is started with. */
 export interface SoakBackendOptions {
-  /** Differs between any two lives. */
+  /** Name that it goes by; another life may go by the same. */
   readonly id: string;
+  /** Differs between any two lives; the judge goes by it. */
+  readonly life: string;
   readonly service: string;
   readonly zone: string;
   readonly keyed: boolean;
@@ -98,16 +101,17 @@
   private readonly queue: (() => void)[] = [];
   private sequence = 0;
   private draining = false;
+  private saidGoodbye = false;
   private up = true;
   private startedMs = 0;
   private bornMs = 0;
   private timer: NodeJS.Timeout | null = null;
 
   constructor(private readonly options: SoakBackendOptions) {
-    const { id, service, grantMode, judge } = options;
+    const { life, service, grantMode, judge } = options;
     const nowMs = (): number => performance.now();
-    this.keys = new HeldKeys(id, grantMode, nowMs, (ranges, untilMs) => {
-      judge.holds(id, service, ranges, untilMs, nowMs());
+    this.keys = new HeldKeys(life, grantMode, nowMs, (ranges, untilMs) => {
+      judge.holds(life, service, ranges, untilMs, nowMs());
     });
     this.server = createServer((request, response) => {
       void this.receive(request, response);
@@ -136,7 +140,7 @@
   async crash(): Promise<void> {
     this.up = false;
     if (this.timer !== null) clearTimeout(this.timer);
-    this.options.judge.ended(this.id);
+    this.options.judge.ended(this.options.life);
     await new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
@@ -147,14 +151,30 @@
 
   /** Says that it leaves, serves on for a while, and ends. */
   async leave(): Promise<void> {
+    if (await this.announceLeave()) await pause(SERVES_ON_MS);
+    await this.sayGoodbye();
+    await this.crash();
+  }
+
+  /** Says in its heartbeats that it leaves, until that is acknowledged; whether it was. */
+  async announceLeave(): Promise<boolean> {
     this.draining = true;
     const acknowledged = await this.acknowledgedWithin(PATIENCE_MS);
-    if (acknowledged) {
-      this.options.judge.drainAcknowledged(this.id, performance.now());
-      await pause(SERVES_ON_MS);
+    if (acknowledged) this.options.judge.drainAcknowledged(this.options.life, performance.now());
+    return acknowledged;
+  }
+
+  /** Says that it leaves and sends no more heartbeats, until that is acknowledged. */
+  async sayGoodbye(): Promise<void> {
+    this.saidGoodbye = true;
+    const endMs = performance.now() + PATIENCE_MS;
+    while (this.up && performance.now() < endMs) {
+      if ((await this.call('DELETE', goodbyeBody(this.bornMs))) !== null) {
+        this.options.judge.drainAcknowledged(this.options.life, performance.now());
+        return;
+      }
+      await pause(HURRIED_HEARTBEAT_MS);
     }
-    await this.tellGone();
-    await this.crash();
   }
 
   private get coldLeftMs(): number {
@@ -171,7 +191,7 @@
   }
 
   private async beat(): Promise<boolean> {
-    if (!this.up) return false;
+    if (!this.up || this.saidGoodbye) return false;
     const sentMs = performance.now();
     const answer = await this.call('PUT', this.heartbeatText());
     if (!this.up) return false;
@@ -232,14 +252,6 @@
     return false;
   }
 
-  private async tellGone(): Promise<void> {
-    const endMs = performance.now() + PATIENCE_MS;
-    while (this.up && performance.now() < endMs) {
-      if ((await this.call('DELETE', '')) !== null) return;
-      await pause(HURRIED_HEARTBEAT_MS);
-    }
-  }
-
   // ---- keys that are granted by calls
 
   private takeGrant(body: string, response: ServerResponse): void {
@@ -292,10 +304,10 @@
   }
 
   private noteArrival(nowMs: number): void {
-    const { judge, zone } = this.options;
-    judge.arrived(this.id, nowMs);
-    judge.arrivedInZone(this.id, zone, nowMs);
-    if (this.coldLeftMs > 0) judge.arrivedCold(this.id, MOST_WHILE_COLD, nowMs);
+    const { judge, zone, life } = this.options;
+    judge.arrived(life, nowMs);
+    judge.arrivedInZone(life, zone, nowMs);
+    if (this.coldLeftMs > 0) judge.arrivedCold(life, MOST_WHILE_COLD, nowMs);
   }
 
   private async run(
@@ -313,7 +325,7 @@
     this.running += 1;
     if (key !== null) this.keys.begin(key);
     const repeatable = request.method === 'GET';
-    judge.runStarted({ requestId, backend: this.id, service, key, repeatable }, performance.now());
+    judge.runStarted({ requestId, backend: this.options.life, service, key, repeatable }, performance.now());
     if (path.endsWith(ENDING_PATH)) judge.endingRequestRun(path, performance.now());
     await pause(random.exponential(WORK_MS));
     if (path.endsWith(ENDING_PATH) && this.up) {
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -106,8 +106,11 @@
   async startBackend(machine: SidecarMachine): Promise<void> {
     const ip = this.ipOf(machine.number, 0);
     this.lives += 1;
+    const life = `${machine.name}-life-${this.lives}`;
     const backend: SoakBackend = new SoakBackend({
-      id: `${machine.name}-life-${this.lives}`,
+      // Every other life goes by the id that its machine's back ends share.
+      id: this.lives % 2 === 0 ? machine.name : life,
+      life,
       service: machine.service,
       zone: machine.zone,
       coldMs: this.backends.has(machine.name) ? STAND_IN_COLD_START.cold_start_s * MS_PER_SECOND : 0,
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -33,15 +33,24 @@
 /** Kinds that come beside all others, drawn by themselves for the same reason. */
 export const BESIDE_SOAK_TROUBLES = ['ending-request', 'suspend-sidecar', 'suspend-directory'] as const;
 
+/** Leaves of back ends, and what strikes their daemons a moment after the acknowledgement; drawn by themselves as well. */
+export const LEAVE_SOAK_TROUBLES = ['leave-then-kill', 'goodbye-then-kill', 'leave-then-stop'] as const;
+
+/** All kinds, in the order in which they were added. */
+export const ALL_SOAK_TROUBLES = [
+  ...SOAK_TROUBLES,
+  ...FURTHER_SOAK_TROUBLES,
+  ...BESIDE_SOAK_TROUBLES,
+  ...LEAVE_SOAK_TROUBLES,
+] as const;
+
 /** A kind of trouble. */
-export type SoakTroubleKind =
-  | (typeof SOAK_TROUBLES)[number]
-  | (typeof FURTHER_SOAK_TROUBLES)[number]
-  | (typeof BESIDE_SOAK_TROUBLES)[number];
+export type SoakTroubleKind = (typeof ALL_SOAK_TROUBLES)[number];
 
 /** What sets the draws of further troubles apart from those of the seed itself. */
 const FURTHER_SEED_OFFSET = 7_000_003;
 const BESIDE_SEED_OFFSET = 13_000_027;
+const LEAVE_SEED_OFFSET = 19_000_013;
 
 /** One trouble. */
 export interface SoakTrouble {
@@ -127,6 +136,7 @@
     const further = new Random(seed + FURTHER_SEED_OFFSET);
     troubles.push(drawTrouble(further, FURTHER_SOAK_TROUBLES));
     troubles.push(drawTrouble(new Random(seed + BESIDE_SEED_OFFSET), BESIDE_SOAK_TROUBLES));
+    troubles.push(drawTrouble(new Random(seed + LEAVE_SEED_OFFSET), LEAVE_SOAK_TROUBLES));
   }
   troubles.sort((left, right) => left.atMs - right.atMs);
   return {
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -1,6 +1,7 @@
 /** Brings about the troubles of a soak, from outside the processes: by signals, on their disks and on the network. */
 import { appendFileSync, rmSync, mkdirSync } from 'node:fs';
 import { join } from 'node:path';
+import type { SoakBackend } from './soak-backend.js';
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakOperator } from './soak-operator.js';
 import type { SoakTrouble, SoakTroubleKind } from './soak-plan.js';
@@ -29,6 +30,10 @@
 const SPOILT_ANSWERS = { answerLost: 0, answerCut: 0.08, secondAnswer: 0.08 };
 const LOST_ACKNOWLEDGEMENTS = 0.6;
 
+/** Time in ms from the acknowledgement of a leave until its daemon is struck, and for which the back end serves on. */
+const STRUCK_AFTER_LEAVE_MS = 300;
+const SERVES_ON_AFTER_STRIKE_MS = 6_000;
+
 /** Bytes of a write that was torn. */
 const TORN_BYTES = Buffer.from([0, 0, 0, 200, 1, 2, 3, 4, 5, 6, 7]);
 const LOG_FILE = 'log';
@@ -209,6 +214,11 @@
       case 'leave-back-end':
         await this.replaceBackend(machine, kind);
         break;
+      case 'leave-then-kill':
+      case 'goodbye-then-kill':
+      case 'leave-then-stop':
+        await this.leaveUnder(machine, kind);
+        break;
       case 'reset-connections':
         this.fleet.network.reset(machine.name);
         break;
@@ -238,6 +248,32 @@
     await this.fleet.startBackend(place);
   }
 
+  /**
+   * All back ends of a service leave, so that nobody can choose another, and serve on; the daemon of one of them ends just
+   * after it has acknowledged that, and is started at once.
+   */
+  private async leaveUnder(machine: SoakMachine, kind: SoakTroubleKind): Promise<void> {
+    const { sidecars } = this.fleet.plan;
+    const service = sidecars.find(({ name }) => name === machine.name)?.service;
+    const places = sidecars.filter((place) => place.service === service);
+    const leaving = places.flatMap(({ name }) => this.fleet.backends.get(name) ?? []);
+    const leave = async (backend: SoakBackend): Promise<void> => {
+      if (kind === 'goodbye-then-kill') await backend.sayGoodbye();
+      else await backend.announceLeave();
+    };
+    await Promise.all(leaving.map(leave));
+    await pause(STRUCK_AFTER_LEAVE_MS);
+    if (kind === 'leave-then-stop') await machine.process.stop();
+    else await machine.process.kill();
+    this.fleet.start(machine);
+    await pause(SERVES_ON_AFTER_STRIKE_MS);
+    await Promise.all(leaving.map(async (backend) => await backend.crash()));
+    await pause(REPLACEMENT_MS);
+    for (const [at, place] of places.entries()) {
+      if (this.fleet.backends.get(place.name) === leaving[at]) await this.fleet.startBackend(place);
+    }
+  }
+
   private async harmLinks(machine: SoakMachine, kind: SoakTroubleKind, forMs: number): Promise<void> {
     const { network, directories, sidecars } = this.fleet;
     const others = [...directories, ...sidecars].filter((other) => other !== machine);
--- a/test/lab/soak/soak-plan.test.ts
+++ b/test/lab/soak/soak-plan.test.ts
@@ -1,10 +1,5 @@
 import test from 'ava';
-import {
-  BESIDE_SOAK_TROUBLES,
-  FURTHER_SOAK_TROUBLES,
-  planSoak,
-  SOAK_TROUBLES,
-} from '../../../lab/soak/soak-plan.js';
+import { ALL_SOAK_TROUBLES, planSoak } from '../../../lab/soak/soak-plan.js';
 
 const SEEDS = Array.from({ length: 300 }, (_, at) => at + 1);
 
@@ -15,8 +10,7 @@
 test('over the seeds every kind of trouble and both ways of granting come', (t) => {
   const plans = SEEDS.map((seed) => planSoak(seed));
   const kinds = new Set(plans.flatMap(({ troubles }) => troubles.map(({ kind }) => kind)));
-  const all = [...SOAK_TROUBLES, ...FURTHER_SOAK_TROUBLES, ...BESIDE_SOAK_TROUBLES];
-  t.deepEqual([...kinds].sort(), all.sort());
+  t.deepEqual([...kinds].sort(), [...ALL_SOAK_TROUBLES].sort());
   t.deepEqual([...new Set(plans.map(({ grantMode }) => grantMode))].sort(), ['heartbeat', 'invoke']);
 });
 
