--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -13,6 +13,7 @@
 import { BackendChooser } from './backend-chooser.js';
 import type { BackendClient } from './backend-client.js';
 import { BackendGateway } from './backend-gateway.js';
+import { BackendPresence } from './backend-presence.js';
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
 import type { CallerSink } from './caller-request.js';
@@ -28,8 +29,7 @@
 import { InvokedGrants } from './invoked-grants.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
-import { LifeCheck } from './life-check.js';
-import { LocalBackend } from './local-backend.js';
+import type { LocalBackend } from './local-backend.js';
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
@@ -55,12 +55,6 @@
 /** Longest time in ms for which a heartbeat's answer waits for keys that are on their way. */
 const ANSWER_WAIT_MS = 700;
 
-/** Pause in ms before a back end that refused a connection is asked once more. */
-const SECOND_LOOK_MS = 120;
-
-/** Pause in ms between looks at a back end that has left. */
-const LOOK_PAUSE_MS = 300;
-
 /** Time in ms in which the last messages of a daemon that stops leave it. */
 const FLUSH_MS = 60;
 
@@ -107,8 +101,8 @@
   private readonly settings: SidecarSettings;
   private readonly runtime: Runtime;
   private readonly log: EventLog;
+  private readonly presence: BackendPresence;
   private readonly backend: LocalBackend;
-  private readonly lifeCheck: LifeCheck;
   private readonly lease: LeaseKeeper;
   private readonly owned: OwnedRanges;
   private grants: HeartbeatGrants | InvokedGrants;
@@ -130,8 +124,6 @@
   private readonly timers: CancelTimer[] = [];
   private stoppingSinceMs: number | null = null;
   private closingConnections = false;
-  private lookingAgain = false;
-  private lookDueMs = -Infinity;
 
   private constructor(private readonly options: SidecarOptions) {
     const { settings, runtime, log } = options;
@@ -140,15 +132,15 @@
     this.log = log;
     this.startedMs = runtime.nowMs();
     this.transport = options.transport ?? socketTransport(settings, runtime);
-    this.backend = new LocalBackend(settings.drainMs, this.startedMs);
-    this.lifeCheck = this.makeLifeCheck();
+    this.presence = this.makePresence();
+    this.backend = this.presence.backend;
     this.lease = this.makeLease();
     this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.life);
     this.grants = this.makeGrants();
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.backendClient = this.transport.backend(() => {
-      void this.lookAgainAtBackend();
+      void this.presence.lookAgain();
     });
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, runtime.steadyMs());
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
@@ -194,7 +186,7 @@
     this.directory = this.makeDirectory();
     this.timers.push(
       runtime.every(STEP_MS, () => {
-        this.step();
+        this.presence.step(this.isKeyed());
       }),
     );
   }
@@ -231,29 +223,18 @@
     return sends || this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
   }
 
-  /**
-   * Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. Whatever becomes of it,
-   * a leave that it tells binds this daemon from now on, since its sender is told that it is known.
-   */
+  /** Takes a heartbeat of the back end; the answer may wait a moment for keys that are on their way. */
   async heartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatGrant | null> {
     const arrivedMs = this.runtime.nowMs();
-    if (heartbeat.condition === 'draining') this.noteLeave(heartbeat, 'heartbeat');
-    if (!(await this.lifeCheck.isPresent(heartbeat))) {
-      this.log.event('heartbeat-of-past-life', { instance: lifeName(heartbeat), present: this.backend.life });
-      return null;
-    }
+    if (!(await this.presence.admits(heartbeat))) return null;
     const before = this.presentLife();
-    const news = this.backend.take(heartbeat, arrivedMs);
+    const news = this.presence.take(heartbeat, arrivedMs);
     if (news === 'new-life' && before !== null) this.crashes.lifeReplaced(before);
-    if (news === 'stale') {
-      this.ignore(heartbeat);
-      return null;
-    }
+    if (news === 'stale') return null;
     if (news === 'new-life') this.newLife(heartbeat);
     else this.coldLimit.takeTold(heartbeat.coldLeftMs, this.runtime.steadyMs());
     this.gateway.setSlots(heartbeat.slots);
-    this.adoptRegistration();
-    this.updateLease();
+    this.presence.register();
     const { grants } = this;
     if (grants instanceof HeartbeatGrants) grants.take(heartbeat);
     this.gateway.reconsider();
@@ -266,10 +247,7 @@
 
   /** A life of the back end says that it leaves and sends no more heartbeats; what it said binds, also if it is not known. */
   async leave(said: BackendLife): Promise<void> {
-    const life = await this.lifeCheck.saysGoodbye(said);
-    this.noteLeave(life, 'goodbye');
-    this.backend.leave(life, this.runtime.nowMs());
-    this.updateLease();
+    await this.presence.leave(said);
     this.gateway.reconsider();
   }
 
@@ -289,14 +267,14 @@
     const startMs = this.runtime.nowMs();
     this.stoppingSinceMs = startMs;
     const { graceMs } = this.settings;
-    void this.lookAgainAtBackend();
+    void this.presence.lookAgain();
     await this.waitUntil(startMs + graceMs * CLOSING_SHARE, () => false);
     this.closingConnections = true;
     this.callers.stopListening();
     await this.waitUntil(startMs + graceMs * LAST_SHARE, () => !this.busy);
     // A daemon that comes back finds its back end where it was; one whose back end has ended gives its keys up.
     if (this.backend.life !== null && !(await this.options.backendListens())) {
-      this.backendGone('it ended before its daemon');
+      this.presence.gone('it ended before its daemon');
       await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
     }
     this.close();
@@ -350,13 +328,28 @@
     };
     const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
     if (mode === 'heartbeat') return new HeartbeatGrants(ports);
-    return new InvokedGrants(ports, this.options.calls, async () => await this.lifeCheck.isKnown());
+    return new InvokedGrants(ports, this.options.calls, async () => await this.presence.isKnownLife());
   }
 
-  private makeLifeCheck(): LifeCheck {
-    const { runtime, backend } = this;
-    const healthPath = (): string | null => this.table.service(this.settings.service)?.healthPath ?? null;
-    return new LifeCheck({ runtime, backend, calls: this.options.calls, healthPath });
+  private makePresence(): BackendPresence {
+    const { settings, runtime, log, table } = this;
+    return new BackendPresence({
+      runtime,
+      log,
+      table,
+      service: settings.service,
+      drainMs: settings.drainMs,
+      silenceMs: settings.holdMs,
+      calls: this.options.calls,
+      lease: () => this.lease,
+      send: (request) => this.directory.send(request),
+      listens: this.options.backendListens,
+      holdsNothing: () => runtime.steadyMs() > this.grants.heldUntil + HOLD_MARGIN_MS,
+      onGone: () => {
+        this.grants.clear();
+        this.gateway.reconsider();
+      },
+    });
   }
 
   private makeGateway(): BackendGateway {
@@ -489,55 +482,6 @@
     this.grants.clear();
   }
 
-  private noteLeave(life: BackendLife, by: 'heartbeat' | 'goodbye'): void {
-    const instance = lifeName(life);
-    const nowMs = this.runtime.nowMs();
-    const isPresent = this.backend.life === instance;
-    const isKnown = isPresent && this.backend.leaving;
-    this.backend.noteLeave(life, nowMs);
-    if (isKnown && by === 'heartbeat') return;
-    const closesInMs = isPresent ? Math.round(this.backend.closesAtMs - nowMs) : null;
-    const upMs = Math.round(nowMs - this.startedMs);
-    this.log.event('leave-acknowledged', { instance, by, isPresent, closesInMs, upMs });
-    if (!isPresent) this.reportLeave(instance);
-  }
-
-  /** A life that this process has not heard of may be registered from the process before it, and be sent work by others. */
-  private reportLeave(id: string): void {
-    const known = this.table.instance(id);
-    if (known === undefined || known.condition === 'draining') return;
-    this.directory.send({ kind: 'condition', id, session: known.session, condition: 'draining' });
-  }
-
-  private ignore(heartbeat: BackendHeartbeat): void {
-    const { condition, sequence } = heartbeat;
-    const present = this.backend.heartbeat;
-    this.log.event('heartbeat-ignored', {
-      instance: lifeName(heartbeat),
-      condition,
-      sequence,
-      present: this.backend.life,
-      presentSequence: present?.sequence ?? null,
-    });
-  }
-
-  /** What the directory knows of the present life it was told by the process before this one, or by this one. */
-  private adoptRegistration(): void {
-    const { life } = this.backend;
-    const known = life === null ? undefined : this.table.instance(life);
-    if (known === undefined) return;
-    if (known.condition === 'ready') this.backend.confirm();
-    else this.backend.adoptLeave(this.runtime.nowMs());
-  }
-
-  /** A life that is not confirmed is not offered to others: it may have left before this process began. */
-  private updateLease(): void {
-    const { heartbeat, life, leaving, confirmed } = this.backend;
-    if (heartbeat === null || life === null || !(confirmed || leaving)) return;
-    const { service, zone, slots, version } = heartbeat;
-    this.lease.update({ id: life, service, zone, slots, version, condition: leaving ? 'draining' : 'ready' });
-  }
-
   /** A daemon that was started a moment ago may not know yet whether there are any. */
   private awaitsKeys(): boolean {
     if (this.table.index === 0) return true;
@@ -556,48 +500,13 @@
     });
   }
 
-  private async lookAgainAtBackend(): Promise<void> {
-    if (this.lookingAgain || this.backend.life === null) return;
-    this.lookingAgain = true;
-    this.lookDueMs = this.runtime.nowMs() + LOOK_PAUSE_MS;
-    const { life } = this.backend;
-    await this.waitUntil(this.runtime.nowMs() + SECOND_LOOK_MS, () => false);
-    const listens = await this.options.backendListens();
-    this.lookingAgain = false;
-    if (!listens && this.backend.life === life) this.backendGone('no process listens at its address');
-  }
-
-  private backendGone(reason: string): void {
-    this.log.event('backend-gone', { instance: this.backend.life, reason });
-    this.backend.forget();
-    this.lease.giveUp(reason);
-    this.grants.clear();
-    this.gateway.reconsider();
-  }
-
-  /** A back end that holds nothing any more gives its keys up before its lease ends. */
-  private step(): void {
-    const nowMs = this.runtime.nowMs();
-    const { backend } = this;
-    if (backend.life === null) return;
-    const holdsNothing = this.runtime.steadyMs() > this.grants.heldUntil + HOLD_MARGIN_MS;
-    const silentMs = nowMs - backend.lastHeardMs;
-    if (backend.left && nowMs > backend.closesAtMs) {
-      if (holdsNothing) this.backendGone('it left');
-      else if (nowMs >= this.lookDueMs) void this.lookAgainAtBackend();
-      return;
-    }
-    if (this.isKeyed() && silentMs > this.settings.holdMs && holdsNothing) this.backendGone('it is silent');
-  }
-
   // ---- the directory
 
   private tableChanged(): void {
     this.coldLimit.configure(this.table.service(this.settings.service)?.coldStart ?? null);
     this.adoptEvacuation();
     this.adoptGrantMode();
-    this.adoptRegistration();
-    this.updateLease();
+    this.presence.tableChanged();
     this.lease.tableChanged();
     this.grants.tableChanged();
     this.callers.applyLimits();
