A daemon that starts anew serves a life on the directory's word only where the back end says that it stays

Cause: a goodbye that the directory could not be told was forgotten with its daemon; a heartbeat from before, come late, and a registration that still said ready made the next process serve a back end that had left. Change: the address is asked before the directory's word counts; where it does not say that it is well, the next heartbeat tells. Conclusion: left: the same with a back end whose health lies.

--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -35,6 +35,8 @@
   readonly listens: () => Promise<boolean>;
   /** Whether the back end certainly holds no keys any more. */
   readonly holdsNothing: () => boolean;
+  /** The present life may be sent requests from now on. */
+  readonly onConfirmed: () => void;
   /** The present life is gone. */
   readonly onGone: () => void;
 }
@@ -45,6 +47,7 @@
   private readonly check: LifeCheck;
   private readonly startedMs: number;
   private lookingAgain = false;
+  private confirming = false;
   private lookDueMs = -Infinity;
 
   constructor(private readonly ports: BackendPresencePorts) {
@@ -176,8 +179,25 @@
     const { life } = this.backend;
     const known = life === null ? undefined : this.ports.table.instance(life);
     if (known === undefined) return;
-    if (known.condition === 'ready') this.backend.confirm();
-    else this.backend.adoptLeave(this.ports.runtime.nowMs());
+    if (known.condition === 'draining') this.backend.adoptLeave(this.ports.runtime.nowMs());
+    else if (!this.backend.confirmed) void this.confirmAtAddress();
+  }
+
+  /**
+   * The directory knows the present life as one that stays, but the process before this one may have acknowledged a leave
+   * without having reached it: the back end is asked as well. Where it does not say that it is well, its next heartbeat
+   * tells; served on the directory's word alone, one that had left got requests for as long as it was there.
+   */
+  private async confirmAtAddress(): Promise<void> {
+    const { life } = this.backend;
+    if (this.confirming) return;
+    this.confirming = true;
+    const staysThere = await this.check.staysThere();
+    this.confirming = false;
+    if (!staysThere || life === null || this.backend.life !== life || this.backend.confirmed) return;
+    this.backend.confirm();
+    this.register();
+    this.ports.onConfirmed();
   }
 
   private async pause(ms: number): Promise<void> {
--- a/src/sidecar/life-check.ts
+++ b/src/sidecar/life-check.ts
@@ -49,6 +49,15 @@
     );
   }
 
+  /** Whether the present life is at the address and says that it stays; where nobody can be asked, it is taken to. */
+  async staysThere(): Promise<boolean> {
+    const path = this.ports.healthPath();
+    if (path === null) return true;
+    const seen = await this.ports.calls.identify(path);
+    const { heartbeat } = this.ports.backend;
+    return seen?.isWell === true && (seen.id ?? heartbeat?.id) === heartbeat?.id;
+  }
+
   /**
    * Which life says goodbye. One that does not say when it started is taken for the present one of its id, unless an
    * earlier life had the same id and the address says that the present one is well: the word of the earlier one came late.
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -345,6 +345,9 @@
       send: (request) => this.directory.send(request),
       listens: this.options.backendListens,
       holdsNothing: () => runtime.steadyMs() > this.grants.heldUntil + HOLD_MARGIN_MS,
+      onConfirmed: () => {
+        this.gateway.reconsider();
+      },
       onGone: () => {
         this.grants.clear();
         this.gateway.reconsider();
--- a/test/incidents/acknowledged-leave.test.ts
+++ b/test/incidents/acknowledged-leave.test.ts
@@ -154,6 +154,18 @@
     ],
     servedAtEnd: false,
   },
+  {
+    name: 'a goodbye that the directory cannot be told, its daemon is killed, and a heartbeat from before comes late',
+    steps: [
+      [1_400, late(1_800)],
+      [1_900, cutOff],
+      [2_000, goodbye],
+      [2_300, killDaemon],
+      [2_310, startDaemon],
+      [2_500, heal],
+    ],
+    servedAtEnd: false,
+  },
   {
     name: 'a goodbye to a daemon that has not heard of the life yet, and a heartbeat from before comes late',
     steps: [
