Grants by calls stop where the life at the address is in doubt

Cause: a daemon that grants by calls renewed at whatever answers at the address, until the first heartbeat of another life. Ruled out: asking before each renewal (a life under the same id answers the same); renewing with heartbeats only (keys that are gained would wait for the next one). Change: a run that breaks off, a refused connection and a 421 begin a doubt; nothing is granted until the address names the life, or, for one that shares its id, a later heartbeat came.

--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -140,6 +140,7 @@
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.backendClient = this.transport.backend(() => {
+      this.doubtLife();
       void this.presence.lookAgain();
     });
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, runtime.steadyMs());
@@ -328,7 +329,10 @@
     };
     const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
     if (mode === 'heartbeat') return new HeartbeatGrants(ports);
-    return new InvokedGrants(ports, this.options.calls, async () => await this.presence.isKnownLife());
+    const isPresent = async (doubtedSequence: number): Promise<boolean> =>
+      await this.presence.isKnownLife(doubtedSequence);
+    const heardSequence = (): number => this.backend.heartbeat?.sequence ?? 0;
+    return new InvokedGrants(ports, this.options.calls, isPresent, heardSequence);
   }
 
   private makePresence(): BackendPresence {
@@ -385,6 +389,9 @@
       life: () => this.presentLife(),
       listens: this.options.backendListens,
       send: (request) => this.directory.send(request),
+      onDoubt: () => {
+        this.doubtLife();
+      },
       onPermit: () => {
         this.gateway.suspects.step();
       },
@@ -470,6 +477,10 @@
     this.log.event('evacuation', { zone, evacuated });
   }
 
+  private doubtLife(): void {
+    if (this.grants instanceof InvokedGrants) this.grants.doubtLife();
+  }
+
   private isKeyed(): boolean {
     return this.table.service(this.settings.service)?.keyed === true;
   }
