--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -59,8 +59,8 @@
   }
 
   /** Whether the life that is known is the one at the address; where nobody can be asked, it is taken to be. */
-  async isKnownLife(doubtedSequence: number): Promise<boolean> {
-    return await this.check.isKnown(doubtedSequence);
+  async isKnownLife(): Promise<boolean> {
+    return await this.check.isKnown();
   }
 
   /**
--- a/src/sidecar/crash-watch.ts
+++ b/src/sidecar/crash-watch.ts
@@ -21,8 +21,6 @@
   /** Asks whether any process listens at the back end's address. */
   readonly listens: () => Promise<boolean>;
   readonly send: (request: DirectoryRequest) => boolean;
-  /** A run broke off or was misdirected: another life may be at the back end's address. */
-  readonly onDoubt: () => void;
   /** A suspect may run now. */
   readonly onPermit: () => void;
 }
@@ -61,11 +59,6 @@
     this.runPermits.completed(fingerprint, this.version, says === 'good');
   }
 
-  /** See `CrashGuard`. */
-  misdirected(): void {
-    this.ports.onDoubt();
-  }
-
   /** See `CrashGuard`. */
   interrupted(run: InterruptedRun): void {
     this.runs.note(run);
@@ -73,7 +66,6 @@
 
   /** See `CrashGuard`. */
   async runBroke(): Promise<void> {
-    this.ports.onDoubt();
     await this.reporter.runBroke();
   }
 
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -52,18 +52,14 @@
   /** Whether the back end must be asked who it is before anything is granted. */
   private unconfirmed = false;
   private confirming = false;
-  /** Newest heartbeat that had been heard when the doubt began: only a later one is of the life that is there. */
-  private doubtedSequence = 0;
   /** Session whose ranges were first looked at; null before that. */
   private inheritedSession: number | null = null;
 
   constructor(
     private readonly ports: KeyGrantPorts,
     private readonly calls: BackendCalls,
-    /** Asks whether the present life is there; what was heard of it up to a sequence does not tell. */
-    private readonly isPresent: (doubtedSequence: number) => Promise<boolean>,
-    /** Sequence of the newest heartbeat of the present life. */
-    private readonly heardSequence: () => number = () => 0,
+    /** Asks at the back end's address whether the present life is there. */
+    private readonly isPresent: () => Promise<boolean>,
   ) {
     this.steppedMs = ports.runtime.nowMs();
     this.reporter = new ReleaseReporter(ports);
@@ -104,15 +100,6 @@
     this.unconfirmed = false;
   }
 
-  /**
-   * The back end may have ended, and another life may be at its address. Renewed on, that one took keys under the fence of
-   * the life before, which were given to others as soon as it told about itself.
-   */
-  doubtLife(): void {
-    this.unconfirmed = true;
-    this.doubtedSequence = this.heardSequence();
-  }
-
   /** See `KeyGrants`. */
   stop(): void {
     this.cancelTimer();
@@ -120,7 +107,7 @@
 
   private step(): void {
     const nowMs = this.ports.runtime.nowMs();
-    if (nowMs - this.steppedMs > LONGEST_PAUSE_MS) this.doubtLife();
+    if (nowMs - this.steppedMs > LONGEST_PAUSE_MS) this.unconfirmed = true;
     this.steppedMs = nowMs;
     if (this.unconfirmed) {
       void this.confirm();
@@ -138,12 +125,11 @@
   /** A back end that began at the address while this daemon stood still must not be given what its forerunner held. */
   private async confirm(): Promise<void> {
     if (this.confirming) return;
-    const { life, doubtedSequence } = this;
+    const { life } = this;
     this.confirming = true;
-    const isPresent = await this.isPresent(doubtedSequence);
+    const isPresent = await this.isPresent();
     this.confirming = false;
-    const stillDoubted = life !== this.life || doubtedSequence !== this.doubtedSequence;
-    if (isPresent && !stillDoubted) this.unconfirmed = false;
+    if (isPresent && life === this.life) this.unconfirmed = false;
   }
 
   /** What is owned when a registration is first seen here may have been granted by an earlier life of this daemon. */
--- a/src/sidecar/life-check.ts
+++ b/src/sidecar/life-check.ts
@@ -36,15 +36,10 @@
     return seen.id === life.id && (seen.bornMs ?? life.bornMs) === life.bornMs;
   }
 
-  /**
-   * Whether the life that is known is the one at the address; where nobody can be asked, it is taken to be. One that shares its
-   * id with others is known by a heartbeat after the doubted one.
-   */
-  async isKnown(doubtedSequence: number): Promise<boolean> {
+  /** Whether the life that is known is the one at the address; where nobody can be asked, it is taken to be. */
+  async isKnown(): Promise<boolean> {
     const { backend, calls } = this.ports;
     const { heartbeat, life } = backend;
-    const sharesId = heartbeat !== null && heartbeat.bornMs !== null;
-    if (sharesId && heartbeat.sequence <= doubtedSequence) return false;
     const path = this.ports.healthPath();
     if (path === null || life === null || heartbeat === null) return true;
     const seen = await calls.identify(path);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -140,7 +140,6 @@
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.backendClient = this.transport.backend(() => {
-      this.doubtLife();
       void this.presence.lookAgain();
     });
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, runtime.steadyMs());
@@ -329,10 +328,7 @@
     };
     const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
     if (mode === 'heartbeat') return new HeartbeatGrants(ports);
-    const isPresent = async (doubtedSequence: number): Promise<boolean> =>
-      await this.presence.isKnownLife(doubtedSequence);
-    const heardSequence = (): number => this.backend.heartbeat?.sequence ?? 0;
-    return new InvokedGrants(ports, this.options.calls, isPresent, heardSequence);
+    return new InvokedGrants(ports, this.options.calls, async () => await this.presence.isKnownLife());
   }
 
   private makePresence(): BackendPresence {
@@ -389,9 +385,6 @@
       life: () => this.presentLife(),
       listens: this.options.backendListens,
       send: (request) => this.directory.send(request),
-      onDoubt: () => {
-        this.doubtLife();
-      },
       onPermit: () => {
         this.gateway.suspects.step();
       },
@@ -477,10 +470,6 @@
     this.log.event('evacuation', { zone, evacuated });
   }
 
-  private doubtLife(): void {
-    if (this.grants instanceof InvokedGrants) this.grants.doubtLife();
-  }
-
   private isKeyed(): boolean {
     return this.table.service(this.settings.service)?.keyed === true;
   }
