Sight: what a replica held when it began, by which table a daemon registered, and beliefs that keep their lines

Lines on requests that fail have a budget of their own now and take none from lines on decisions and beliefs; each replica says at its start which entry and term it holds; a daemon says with its registration the index of its table; a grant that fails says how long ago it was sent. No logic is changed.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -238,6 +238,7 @@
       log: SILENT_EVENT_LOG,
       daemonAddress: `${name}:1`,
       otherLife: (id) => table.otherLife(id, `${name}:1`),
+      tableIndex: () => table.index,
       send: (request) => client.send(request),
       takeLoad: () => [],
       pressed: () => false,
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -363,6 +363,7 @@
         timing.snapshotEveryEntries + spread(this.id, Math.ceil(timing.snapshotEveryEntries / 4)),
     };
     this.replica = new Replica(this.id, runtime, storage, this, this.replicaPorts(), options);
+    this.reportRecovery(this.replica);
     this.timers.push(
       runtime.every(timing.dutyIntervalMs, () => {
         this.runDuties();
@@ -377,6 +378,13 @@
     this.requestToJoin();
   }
 
+  /** What this replica held when its process began: one that came back with less than it had shows it here. */
+  private reportRecovery({ core }: Replica): void {
+    const { lastIndex, term, commitIndex: snapshotIndex, membership } = core;
+    const voters = membership.voters.length;
+    this.options.log.event('replica-recovered', { lastIndex, term, snapshotIndex, voters });
+  }
+
   private replicaPorts(): ReplicaPorts {
     return {
       send: (message) => {
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -490,7 +490,7 @@
     const fingerprint = this.reports.report({ requestId, identity, alone, usedMs }, outcome);
     if (outcome.kind === 'answered') return;
     const fields = { requestId, instance, key, outcome, usedMs: Math.round(usedMs), fingerprint };
-    this.ports.log.event('run-ended', fields);
+    this.ports.log.failure('run-ended', fields);
   }
 
   private refuse(visit: Visit, reason: RefusalReason): void {
@@ -503,7 +503,7 @@
     const leftMs = Math.round(visit.head.remainingMs - waitedMs);
     const status = this.status();
     const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
-    this.ports.log.event('request-refused', { ...fields, ...status });
+    this.ports.log.failure('request-refused', { ...fields, ...status });
     // Work that finds no place is load of its key as well.
     if (reason === 'busy' && visit.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
     visit.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -191,7 +191,8 @@
     }
     if (result === 'superseded') record.superseded = true;
     const { from, to, fence } = record.range;
-    this.ports.log.event('grant-failed', { service: this.ports.service, from, to, fence, result });
+    const sentAgoMs = Math.round(this.ports.runtime.nowMs() - record.sentMs);
+    this.ports.log.event('grant-failed', { service: this.ports.service, from, to, fence, result, sentAgoMs });
   }
 
   private release(range: KeyRange, nowMs: number): void {
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -34,6 +34,8 @@
   readonly daemonAddress: string;
   /** Another life that is registered at this daemon, null for none; undefined while the table is not known. */
   readonly otherLife: (id: string) => string | null | undefined;
+  /** Index of the table in force here. */
+  readonly tableIndex: () => number;
   readonly send: (request: DirectoryRequest) => boolean;
   /** Slot time used since the last report, by bucket of keys. */
   readonly takeLoad: () => (readonly [number, number])[];
@@ -124,7 +126,8 @@
     this.currentSession = session;
     this.leaseDeadlineMs = isNew ? deadlineMs : Math.max(this.leaseDeadlineMs, deadlineMs);
     if (!isNew) return;
-    this.ports.log.event('registered', { instance: this.backend?.id, session });
+    const tableIndex = this.ports.tableIndex();
+    this.ports.log.event('registered', { instance: this.backend?.id, session, tableIndex });
     this.ports.onChange();
   }
 
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -483,7 +483,7 @@
     const instance = this.currentInstance?.id;
     const fields = this.fields({ instance, spentMs, late, sentMs, ...this.timing });
     // A late answer is out of the ordinary, so its line is kept while there is room for any.
-    if (late) log.event('request-answered', fields);
+    if (late) log.failure('request-answered', fields);
     else log.routine('request-answered', fields);
   }
 
@@ -518,7 +518,7 @@
   }
 
   private log(event: string, fields: Readonly<Record<string, unknown>>): void {
-    this.ports.log.event(event, this.fields(fields));
+    this.ports.log.failure(event, this.fields(fields));
   }
 
   private fields(fields: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -302,6 +302,7 @@
       log: this.log,
       daemonAddress: formatAddress(this.settings.advertisedLinks),
       otherLife: (id) => this.table.otherLife(id, formatAddress(this.settings.advertisedLinks)),
+      tableIndex: () => this.table.index,
       send: (request) => this.directory.send(request),
       takeLoad: () => this.load.take(),
       pressed: () => this.gateway.admission.waitingCount > 0,
--- a/src/telemetry/event-log.ts
+++ b/src/telemetry/event-log.ts
@@ -5,10 +5,14 @@
 import { TokenBucket } from '../control/token-bucket.js';
 import type { LineWriter } from './line-writer.js';
 
-/** Lines that may be written at once, and lines a second after that, for everything out of the ordinary. */
+/** Lines that may be written at once, and lines a second after that, for decisions and changed beliefs. */
 const NOTABLE_BURST = 400;
 const NOTABLE_PER_SECOND = 100;
 
+/** The same for requests that failed or came late. */
+const FAILURE_BURST = 400;
+const FAILURE_PER_SECOND = 100;
+
 /** The same for requests that went as planned. */
 const ROUTINE_BURST = 20;
 const ROUTINE_PER_SECOND = 2;
@@ -23,6 +27,8 @@
 export interface EventLog {
   /** A decision or a changed belief. */
   event(name: string, fields: EventFields): void;
+  /** A request that failed or came late: many at once leave the lines on decisions and beliefs their room. */
+  failure(name: string, fields: EventFields): void;
   /** A request that went as planned; only a sample is written. */
   routine(name: string, fields: EventFields): void;
 }
@@ -38,6 +44,7 @@
   /** Lines that were left out because of their number or because nobody read them. */
   dropped = 0;
   private readonly notable: TokenBucket;
+  private readonly failures: TokenBucket;
   private readonly ordinary: TokenBucket;
   private droppedReported = 0;
   private reportDueMs: number;
@@ -48,15 +55,19 @@
     private readonly writer: LineWriter,
   ) {
     this.notable = new TokenBucket(NOTABLE_BURST, NOTABLE_PER_SECOND, clock.nowMs());
+    this.failures = new TokenBucket(FAILURE_BURST, FAILURE_PER_SECOND, clock.nowMs());
     this.ordinary = new TokenBucket(ROUTINE_BURST, ROUTINE_PER_SECOND, clock.nowMs());
     this.reportDueMs = clock.nowMs() + DROP_REPORT_MS;
   }
 
   /** See `EventLog`. */
   event(name: string, fields: EventFields): void {
-    this.reportDropped();
-    if (this.notable.take(1, this.clock.nowMs()) === 1) this.write(name, fields);
-    else this.dropped += 1;
+    this.writeWithin(this.notable, name, fields);
+  }
+
+  /** See `EventLog`. */
+  failure(name: string, fields: EventFields): void {
+    this.writeWithin(this.failures, name, fields);
   }
 
   /** See `EventLog`. */
@@ -64,6 +75,12 @@
     if (this.ordinary.take(1, this.clock.nowMs()) === 1) this.write(name, fields);
   }
 
+  private writeWithin(budget: TokenBucket, name: string, fields: EventFields): void {
+    this.reportDropped();
+    if (budget.take(1, this.clock.nowMs()) === 1) this.write(name, fields);
+    else this.dropped += 1;
+  }
+
   private reportDropped(): void {
     const nowMs = this.clock.nowMs();
     if (this.dropped === this.droppedReported || nowMs < this.reportDueMs) return;
@@ -81,4 +98,8 @@
 }
 
 /** Writes nothing; for tests and tools. */
-export const SILENT_EVENT_LOG: EventLog = { event: () => undefined, routine: () => undefined };
+export const SILENT_EVENT_LOG: EventLog = {
+  event: () => undefined,
+  failure: () => undefined,
+  routine: () => undefined,
+};
--- a/test/incidents/late-registration.test.ts
+++ b/test/incidents/late-registration.test.ts
@@ -52,6 +52,10 @@
       this.followed = fields['replica'];
   }
 
+  failure(): void {
+    // Nor do those that fail.
+  }
+
   routine(): void {
     // Requests say nothing here.
   }
--- a/test/platform/event-docs.test.ts
+++ b/test/platform/event-docs.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import test from 'ava';
 
-const EVENT_CALL = /(?:\.event|\.routine|this\.log|this\.write)\(\s*'([a-z-]+)'/g;
+const EVENT_CALL = /(?:\.event|\.failure|\.routine|this\.log|this\.write)\(\s*'([a-z-]+)'/g;
 
 function eventsIn(folder: string): string[] {
   const files = readdirSync(folder).filter((file) => file.endsWith('.ts'));
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -23,6 +23,7 @@
     log: SILENT_EVENT_LOG,
     daemonAddress: 'h:1',
     otherLife: () => null,
+    tableIndex: () => 1,
     send: (request) => {
       this.sent.push(request);
       return true;
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -148,6 +148,7 @@
       runtime: time.runtime,
       log: {
         event: (name) => outcome.kept.push(name),
+        failure: (name) => outcome.kept.push(name),
         routine: (name) => outcome.sampled.push(name),
       },
       chooser,
