Stand-in back ends remember each fence that they have seen, and each range that they hold ends at its own time

A back end refuses a grant under a fence below one that it has seen on any of the keys, also after these were let go; the stand-in forgot the fence with the keys. The judge took the latest end of all ranges for the end of each, which would count a range as held that has run out.

--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -67,8 +67,8 @@
       life,
       service.grantMode,
       () => ports.queue.nowMs,
-      (ranges, untilMs) => {
-        if (this.up) ports.judge.holds(life, service.name, ranges, untilMs, ports.queue.nowMs);
+      (ranges) => {
+        if (this.up) ports.judge.holds(life, service.name, ranges, ports.queue.nowMs);
       },
     );
   }
--- a/lab/soak/held-keys.ts
+++ b/lab/soak/held-keys.ts
@@ -3,16 +3,22 @@
  * it works. Pure but for the clock that it is given.
  */
 import { createHash } from 'node:crypto';
+import type { KeySpan } from '../../src/directory/directory-commands.js';
 import type { GrantMode } from '../../src/directory/directory-state.js';
+import { overlaps } from '../../src/directory/key-ranges.js';
 import type { HeartbeatGrant, HeldRange, ReleasedRange } from '../../src/sidecar/backend-report.js';
-import { rangeName } from '../../src/sidecar/key-grants.js';
 import type { GrantCall } from '../../platform/stand-in-wire.js';
 
+/** A range, and until when it is held, in ms. */
+export interface TimedRange extends HeldRange {
+  readonly untilMs: number;
+}
+
 /** Held keys of one life of a back end. */
 export class HeldKeys {
-  private held: readonly HeldRange[] = [];
-  /** Until when each range is held, by its name; ranges of a heartbeat's answer share one end. */
-  private readonly untilMs = new Map<string, number>();
+  private held: readonly TimedRange[] = [];
+  /** Highest fences seen; a key that was let go keeps its own. */
+  private seen: readonly HeldRange[] = [];
   private released: ReleasedRange[] = [];
   private readonly running = new Map<number, number>();
   private handovers = 0;
@@ -21,13 +27,13 @@
     private readonly id: string,
     private readonly grantMode: GrantMode,
     private readonly nowMs: () => number,
-    private readonly onChange: (ranges: readonly HeldRange[], untilMs: number) => void,
+    private readonly onChange: (ranges: readonly TimedRange[]) => void,
   ) {}
 
   /** Whether a key is held now. */
   holds(key: number): boolean {
     const range = this.held.find(({ from, to }) => key >= from && key <= to);
-    return range !== undefined && this.nowMs() < this.endOf(range);
+    return range !== undefined && this.nowMs() < range.untilMs;
   }
 
   /** Work on a key begins. */
@@ -60,38 +66,39 @@
   report(): { readonly holds: readonly HeldRange[] | null; readonly released: readonly ReleasedRange[] } {
     if (this.grantMode !== 'heartbeat') return { holds: null, released: [] };
     this.forgetExpired();
-    return { holds: [...this.held, ...this.leaving()], released: this.released };
+    const holds = this.held.map(({ from, to, fence }) => ({ from, to, fence }));
+    return { holds: [...holds, ...this.leaving()], released: this.released };
   }
 
-  /** Takes the answer to a heartbeat; null renews nothing. */
+  /** Takes the answer to a heartbeat; null renews nothing. Rows under a fence that is not the highest seen are left. */
   takeAnswer(grant: HeartbeatGrant | null, sentMs: number): void {
     this.released = [];
     if (grant === null || this.grantMode !== 'heartbeat') return;
-    const kept = new Set(grant.ranges.map(rangeName));
-    for (const { from, to } of this.held.filter((range) => !kept.has(rangeName(range)))) {
-      this.released.push({ from, to, handover: this.nextHandover() });
-    }
-    this.held = grant.ranges;
-    for (const range of grant.ranges) this.untilMs.set(rangeName(range), sentMs + grant.holdMs);
+    const untilMs = sentMs + grant.holdMs;
+    const rows = grant.ranges.filter((range) => this.mayTake(range));
+    let letGo = this.held;
+    for (const row of rows) letGo = letGo.flatMap((range) => without(range, row));
+    for (const { from, to } of letGo) this.released.push({ from, to, handover: this.nextHandover() });
+    this.held = rows.map(({ from, to, fence }) => ({ from, to, fence, untilMs }));
+    for (const row of rows) this.noteSeen(row);
     this.tell();
   }
 
   // ---- granted by calls
 
-  /** Takes a grant; false when a higher fence holds any of its keys. */
+  /** Takes a grant; false when a higher fence was seen on any of its keys, whether or not they are still held. */
   grant({ from, to, fence, holdMs }: GrantCall): boolean {
-    const overlapping = this.held.filter((range) => from <= range.to && range.from <= to);
-    if (overlapping.some((range) => range.fence > fence)) return false;
-    const granted = { from, to, fence };
-    this.held = [...this.held.filter((range) => !overlapping.includes(range)), granted];
-    this.untilMs.set(rangeName(granted), this.nowMs() + holdMs);
+    const granted = { from, to, fence, untilMs: this.nowMs() + holdMs };
+    if (!this.mayTake(granted)) return false;
+    this.held = [...this.held.flatMap((range) => without(range, granted)), granted];
+    this.noteSeen(granted);
     this.tell();
     return true;
   }
 
   /** Holds a span no more; what runs on it goes on. */
-  release({ from, to }: GrantCall): void {
-    this.held = this.held.flatMap((range) => this.without(range, from, to));
+  release(call: GrantCall): void {
+    this.held = this.held.flatMap((range) => without(range, call));
     this.tell();
   }
 
@@ -101,30 +108,33 @@
     return createHash('sha256').update(`${this.id} ${this.handovers}`).digest('hex').slice(0, 16);
   }
 
-  private without(range: HeldRange, from: number, to: number): HeldRange[] {
-    if (from > range.to || to < range.from) return [range];
-    const endMs = this.endOf(range);
-    const parts = [
-      { ...range, to: from - 1 },
-      { ...range, from: to + 1 },
-    ].filter((part) => part.from <= part.to);
-    for (const part of parts) this.untilMs.set(rangeName(part), endMs);
-    return parts;
+  private mayTake(range: HeldRange): boolean {
+    return !this.seen.some((other) => other.fence > range.fence && overlaps(other, range));
+  }
+
+  private noteSeen({ from, to, fence }: HeldRange): void {
+    this.seen = [...this.seen.flatMap((range) => without(range, { from, to })), { from, to, fence }];
   }
 
   private forgetExpired(): void {
     const nowMs = this.nowMs();
-    const standing = this.held.filter((range) => nowMs < this.endOf(range));
+    const standing = this.held.filter(({ untilMs }) => nowMs < untilMs);
     if (standing.length === this.held.length) return;
     this.held = standing;
     this.tell();
   }
 
-  private endOf(range: HeldRange): number {
-    return this.untilMs.get(rangeName(range)) ?? -Infinity;
-  }
-
   private tell(): void {
-    this.onChange(this.held, Math.max(-Infinity, ...this.held.map((range) => this.endOf(range))));
+    this.onChange(this.held);
   }
 }
+
+/** What is left of a range when a span is taken out of it. */
+function without<T extends HeldRange>(range: T, span: KeySpan): T[] {
+  if (!overlaps(range, span)) return [range];
+  const parts = [
+    { ...range, to: span.from - 1 },
+    { ...range, from: span.to + 1 },
+  ];
+  return parts.filter((part) => part.from <= part.to);
+}
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -110,8 +110,8 @@
   constructor(private readonly options: SoakBackendOptions) {
     const { life, service, grantMode, judge } = options;
     const nowMs = (): number => performance.now();
-    this.keys = new HeldKeys(life, grantMode, nowMs, (ranges, untilMs) => {
-      judge.holds(life, service, ranges, untilMs, nowMs());
+    this.keys = new HeldKeys(life, grantMode, nowMs, (ranges) => {
+      judge.holds(life, service, ranges, nowMs());
     });
     this.server = createServer((request, response) => {
       void this.receive(request, response);
--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -5,6 +5,7 @@
 import type { HeldRange } from '../../src/sidecar/backend-report.js';
 import { overlaps } from '../../src/directory/key-ranges.js';
 import { rangeName } from '../../src/sidecar/key-grants.js';
+import type { TimedRange } from './held-keys.js';
 
 /** What must hold. */
 export type SoakPromise =
@@ -51,8 +52,7 @@
 /** A back end that is up, and what it holds. */
 interface Holder {
   readonly service: string;
-  ranges: readonly HeldRange[];
-  untilMs: number;
+  readonly ranges: readonly TimedRange[];
 }
 
 /** Two back ends that hold keys together. */
@@ -182,17 +182,11 @@
     this.report('planned-stop', nowMs, `${requestId} was cut when ${machine} stopped as planned`);
   }
 
-  /** What a back end holds from now on, until `untilMs`. */
-  holds(
-    backend: string,
-    service: string,
-    ranges: readonly HeldRange[],
-    untilMs: number,
-    nowMs: number,
-  ): void {
+  /** What a back end holds from now on, each range until its own time. */
+  holds(backend: string, service: string, ranges: readonly TimedRange[], nowMs: number): void {
     const known = this.holders.get(backend);
     const before = new Set(known?.ranges.map(rangeName));
-    this.holders.set(backend, { service, ranges, untilMs });
+    this.holders.set(backend, { service, ranges });
     for (const range of ranges)
       if (!before.has(rangeName(range))) this.judgeFence(backend, service, range, nowMs);
     this.look(nowMs);
@@ -243,8 +237,8 @@
   }
 
   private lookAtPair(pair: string, left: Holder, right: Holder, nowMs: number): void {
-    const both = nowMs < left.untilMs && nowMs < right.untilMs;
-    if (!both || !left.ranges.some((range) => right.ranges.some((other) => overlaps(range, other)))) {
+    const held = heldAt(right, nowMs);
+    if (!heldAt(left, nowMs).some((range) => held.some((other) => overlaps(range, other)))) {
       this.overlaps.delete(pair);
       return;
     }
@@ -271,8 +265,8 @@
 
   private holdsKey(backend: string, key: number, nowMs: number): boolean {
     const holder = this.holders.get(backend);
-    if (holder === undefined || nowMs >= holder.untilMs) return false;
-    return holder.ranges.some(({ from, to }) => key >= from && key <= to);
+    if (holder === undefined) return false;
+    return heldAt(holder, nowMs).some(({ from, to }) => key >= from && key <= to);
   }
 
   /** A key is taken under a fence above every fence with which others held it. */
@@ -292,3 +286,7 @@
     this.violations.push({ promise, atMs: Math.round(atMs), detail });
   }
 }
+
+function heldAt({ ranges }: Holder, nowMs: number): readonly TimedRange[] {
+  return ranges.filter(({ untilMs }) => nowMs < untilMs);
+}
--- a/test/lab/soak/held-keys.test.ts
+++ b/test/lab/soak/held-keys.test.ts
@@ -32,6 +32,24 @@
   t.true(keys.grant({ from: 0, to: 9, fence: 6, holdMs: 100 }));
 });
 
+test('calls: a fence that was seen is remembered when its keys were let go', (t) => {
+  const { keys } = new World('invoke');
+  keys.grant({ from: 0, to: 9, fence: 5, holdMs: 100 });
+  keys.release({ from: 0, to: 9, fence: 5, holdMs: 0 });
+  t.false(keys.grant({ from: 9, to: 20, fence: 4, holdMs: 100 }));
+  t.true(keys.grant({ from: 10, to: 20, fence: 4, holdMs: 100 }));
+});
+
+test('calls: a grant of a part leaves the rest of the range held until its own end', (t) => {
+  const world = new World('invoke');
+  world.keys.grant({ from: 0, to: 9, fence: 5, holdMs: 100 });
+  world.nowMs = 50;
+  world.keys.grant({ from: 0, to: 4, fence: 6, holdMs: 100 });
+  t.true(world.keys.holds(7));
+  world.nowMs = 100;
+  t.deepEqual([world.keys.holds(4), world.keys.holds(7)], [true, false]);
+});
+
 test('calls: part of a range is released, and the rest is held on', (t) => {
   const { keys } = new World('invoke');
   keys.grant({ from: 0, to: 9, fence: 5, holdMs: 100 });
@@ -64,6 +82,13 @@
   t.deepEqual(keys.report().holds, []);
 });
 
+test('heartbeats: a row under a lower fence than one that was seen is left', (t) => {
+  const { keys } = new World('heartbeat');
+  keys.takeAnswer({ ranges: [{ from: 0, to: 9, fence: 5, handover: '' }], holdMs: 100 }, 0);
+  keys.takeAnswer({ ranges: [{ from: 0, to: 9, fence: 4, handover: '' }], holdMs: 100 }, 10);
+  t.false(keys.holds(3));
+});
+
 test('heartbeats: an answer that renews nothing changes nothing', (t) => {
   const { keys } = new World('heartbeat');
   keys.takeAnswer({ ranges: [{ from: 0, to: 9, fence: 1, handover: '' }], holdMs: 100 }, 0);
--- a/test/lab/soak/soak-judge.test.ts
+++ b/test/lab/soak/soak-judge.test.ts
@@ -47,8 +47,8 @@
   {
     name: 'two back ends hold the same keys, and one begins work',
     see: (judge) => {
-      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 1_000, 0);
-      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 100);
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1, untilMs: 1_000 }], 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2, untilMs: 1_000 }], 100);
       judge.runStarted(run('r', 'b', 7), 110);
       judge.look(590);
     },
@@ -57,8 +57,8 @@
   {
     name: 'two back ends hold the same keys, and both begin work',
     see: (judge) => {
-      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 1_000, 0);
-      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 100);
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1, untilMs: 1_000 }], 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2, untilMs: 1_000 }], 100);
       judge.runStarted(run('r', 'b', 7), 110);
       judge.runStarted(run('s', 'a', 7), 120);
     },
@@ -67,8 +67,8 @@
   {
     name: 'two back ends hold the same keys for long',
     see: (judge) => {
-      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 1_000, 0);
-      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 100);
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1, untilMs: 1_000 }], 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2, untilMs: 1_000 }], 100);
       judge.look(601);
       judge.look(650);
     },
@@ -77,8 +77,8 @@
   {
     name: 'a lease ends before the next one begins',
     see: (judge) => {
-      judge.holds('a', 'keyed', [{ ...ALL, fence: 1 }], 100, 0);
-      judge.holds('b', 'keyed', [{ ...ALL, fence: 2 }], 1_000, 101);
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 1, untilMs: 100 }], 0);
+      judge.holds('b', 'keyed', [{ ...ALL, fence: 2, untilMs: 1_000 }], 101);
       judge.look(900);
     },
     broken: [],
@@ -86,9 +86,9 @@
   {
     name: 'keys are taken under a fence that is not higher',
     see: (judge) => {
-      judge.holds('a', 'keyed', [{ ...ALL, fence: 2 }], 100, 0);
+      judge.holds('a', 'keyed', [{ ...ALL, fence: 2, untilMs: 100 }], 0);
       judge.ended('a');
-      judge.holds('b', 'keyed', [{ from: 3, to: 9, fence: 2 }], 1_000, 200);
+      judge.holds('b', 'keyed', [{ from: 3, to: 9, fence: 2, untilMs: 1_000 }], 200);
     },
     broken: ['fence-rises'],
   },
