--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -138,6 +138,26 @@
     }
   }
 
+  /** All replicas and all daemons lose power at one moment; back ends live on. Each is back after a time of its own. */
+  losePower(downMs: () => number): void {
+    const { replicas } = this.directory;
+    for (const replica of replicas) this.directory.strike('crash', replica, downMs());
+    for (const machine of this.machines) {
+      if (machine.node === null) continue;
+      machine.crash();
+      this.queue.at(this.queue.nowMs + downMs(), () => {
+        if (machine.node === null) void machine.start();
+      });
+    }
+  }
+
+  /** The leader begins to move keys of a service; whether there was one. */
+  beginMove(service: string, from: number, to: number, target: string): boolean {
+    const leader = this.directory.leader();
+    void leader?.propose({ kind: 'begin-range-moves', service, moves: [{ from, to, target }] });
+    return leader !== null;
+  }
+
   /** Ends all cuts. */
   heal(): void {
     this.directory.network.healAll();
