--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -20,7 +20,7 @@
 import type { FleetService } from './fleet-spec.js';
 
 /** Pause between heartbeats of a back end, and until the next one while it lets keys go, in ms. */
-const HEARTBEAT_MS = 500;
+export const HEARTBEAT_MS = 500;
 const HURRIED_HEARTBEAT_MS = 80;
 
 /** Way between a daemon and the back end beside it, in ms. */
