A lease waits until the table holds what the leader held when it gave it

Callers could meet two owners of the same keys after a daemon had started anew. Cause: a session outlives the daemon that opened it, the lease came from the leader, the table from a replica that may be 1.2 s behind, and nothing compared the two. Ruled out: the sessions of agents and routers, which begin anew with each process, so that no row of an older table stands under them. Change: an answer to a registration or a renewal carries the index that the leader held when it was asked; a daemon that joins the session uses the lease once its table holds that index.

Why it holds: whatever the process before has let go was committed before the new one asked, so it stands in the table by then; what it had only begun to move is still marked as moving. A session that begins with the answer waits for nothing. Ruled out as a mend: to judge replicas by a shorter time, which would only narrow the window, and a new session for each process, which commits an entry for every daemon that restarts.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -238,7 +238,7 @@
       log: SILENT_EVENT_LOG,
       daemonAddress: `${name}:1`,
       otherLife: (id) => table.otherLife(id, `${name}:1`),
-      tableIndex: () => table.index,
+      heldIndex: () => table.heldIndex,
       send: (request) => client.send(request),
       takeLoad: () => [],
       pressed: () => false,
--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -28,12 +28,18 @@
   /** Changes after this index are all in `recent`. */
   private recentSince = 0;
   private encodedTable: Published | null = null;
+  private newest = 0;
 
   /** Number of watchers. */
   get size(): number {
     return this.watchers.size;
   }
 
+  /** Index of the newest change, or of the state that was taken over as a whole. */
+  get newestIndex(): number {
+    return this.newest;
+  }
+
   /** Adds a watcher that holds everything up to `fromIndex`, and brings it up to date. */
   add(connection: Connection, fromIndex: number, state: DirectoryState, index: number): void {
     this.watchers.add(connection);
@@ -55,6 +61,7 @@
   publish(index: number, changes: readonly DirectoryChange[]): void {
     if (changes.length === 0) return;
     this.encodedTable = null;
+    this.newest = index;
     const frame = encodeNotice({ kind: 'changes', index, changes: changes.map(withoutItemSources) });
     this.recent.push({ index, frame });
     if (this.recent.length > KEPT_CHANGES) this.recentSince = this.recent.shift()?.index ?? index;
@@ -66,6 +73,7 @@
     this.recent = [];
     this.recentSince = index;
     this.encodedTable = null;
+    this.newest = index;
     if (this.watchers.size === 0) return;
     const frame = this.table(state, index);
     for (const watcher of this.watchers) watcher.sendEncoded(frame);
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -4,7 +4,13 @@
 import type { LeaseTable } from '../control/lease-table.js';
 import type { DirectoryDuties } from './directory-duties.js';
 import type { DirectoryCommand, DirectoryOutcome, InstanceSession } from './directory-commands.js';
-import type { DirectoryNotice, LeaderRequest, RegisterRequest, RenewRequest } from './directory-messages.js';
+import type {
+  DirectoryNotice,
+  LeaderRequest,
+  LeaseNotice,
+  RegisterRequest,
+  RenewRequest,
+} from './directory-messages.js';
 import type { BackendInstance, DirectoryState } from './directory-state.js';
 import type { LeadershipConfirmations } from './leadership-confirmations.js';
 
@@ -17,6 +23,8 @@
 /** What the leader needs of its replica. */
 export interface DirectoryLeaderPorts {
   readonly state: () => DirectoryState;
+  /** Index of the newest change in `state`. */
+  readonly newestIndex: () => number;
   readonly nowMs: () => number;
   /** Time that certainly has passed, in ms: leases of others end by it. */
   readonly steadyMs: () => number;
@@ -102,6 +110,7 @@
     const { instance, replaces, sentMs } = request;
     const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(instance.id);
+    const index = known === undefined ? 0 : this.ports.newestIndex();
     if (known !== undefined && this.closing.has(known.session)) return;
     if (known === undefined || !isSameRegistration(known, instance)) {
       const result = await this.proposals.propose({ kind: 'register', instance, replaces });
@@ -109,26 +118,30 @@
     }
     const session = this.ports.state().instances.get(instance.id)?.session;
     if (session === undefined) return;
-    await this.grant('registered', instance.id, session, receivedMs, sentMs, answer);
+    const lease = {
+      kind: 'registered',
+      id: instance.id,
+      session,
+      sentMs,
+      termMs: this.termMs,
+      index,
+    } as const;
+    await this.grant(lease, receivedMs, answer);
   }
 
   private async renew(request: RenewRequest, answer: Answer): Promise<void> {
     const { id, session, sentMs, load } = request;
     const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(id);
+    const index = this.ports.newestIndex();
     if (known?.session === session) this.duties.reportLoad(known.service, load, this.ports.nowMs());
-    await this.grant('renewed', id, session, receivedMs, sentMs, answer);
+    const lease = { kind: 'renewed', id, session, sentMs, termMs: this.termMs, index } as const;
+    await this.grant(lease, receivedMs, answer);
   }
 
   /** A newer leader was elected after this confirmation, so the whole term that it waits covers the lease. */
-  private async grant(
-    kind: 'registered' | 'renewed',
-    id: string,
-    session: number,
-    receivedMs: number,
-    sentMs: number,
-    answer: Answer,
-  ): Promise<void> {
+  private async grant(lease: LeaseNotice, receivedMs: number, answer: Answer): Promise<void> {
+    const { id, session } = lease;
     if (!(await this.confirmations.confirm(CONFIRMATION_LIMIT_MS))) return;
     const stands = this.ports.state().instances.get(id)?.session === session;
     if (!stands || this.closing.has(session)) {
@@ -136,7 +149,7 @@
       return;
     }
     this.leases.renew(session, receivedMs);
-    answer({ kind, id, session, sentMs, termMs: this.termMs });
+    answer(lease);
   }
 
   /** Once this is proposed the sessions must never be renewed again, whatever becomes of the proposal. */
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -102,6 +102,18 @@
 /** Renews the lease of a back end. */
 export type RenewRequest = z.infer<typeof renewSchema>;
 
+/** The lease of a registered back end is good for `termMs`, counted from when the daemon asked. */
+export interface LeaseNotice {
+  readonly kind: 'registered' | 'renewed';
+  readonly id: string;
+  readonly session: number;
+  /** When the daemon asked, on its own clock. */
+  readonly sentMs: number;
+  readonly termMs: number;
+  /** Index of the newest change that the leader held when it was asked; 0 where the session begins with this. */
+  readonly index: number;
+}
+
 /** What a replica sends to a daemon. */
 export type DirectoryNotice =
   | { readonly kind: 'table'; readonly index: number; readonly table: DirectorySnapshot }
@@ -109,13 +121,7 @@
   /** The replica hears a leader; `members` are the addresses of all replicas. */
   | { readonly kind: 'alive'; readonly index: number; readonly members: readonly string[] }
   | { readonly kind: 'watch-refused'; readonly reason: 'behind' | 'no-leader' }
-  | {
-      readonly kind: 'registered' | 'renewed';
-      readonly id: string;
-      readonly session: number;
-      readonly sentMs: number;
-      readonly termMs: number;
-    }
+  | LeaseNotice
   | { readonly kind: 'session-ended'; readonly id: string; readonly session: number }
   | RunNotice;
 
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -320,6 +320,7 @@
     const leases = new LeaseTable(leaseTermMs * (1 + LEASE_DRIFT_SHARE));
     const ports = {
       state: () => this.current,
+      newestIndex: () => this.feed.newestIndex,
       nowMs: () => runtime.nowMs(),
       steadyMs: () => runtime.steadyMs(),
       durable: () => this.durable,
--- a/src/sidecar/directory-client.ts
+++ b/src/sidecar/directory-client.ts
@@ -158,6 +158,7 @@
         break;
       case 'alive':
         this.lastAliveMs = this.lastHeardMs;
+        this.table.noteHeld(notice.index);
         this.takeMembers(notice.members);
         this.becomeConnected(address);
         break;
--- a/src/sidecar/directory-table.ts
+++ b/src/sidecar/directory-table.ts
@@ -28,6 +28,8 @@
 export class DirectoryTable {
   /** Newest index that is in force here; 0 before the first table. */
   index = 0;
+  /** Index up to which every change is held here, also where there was none. */
+  heldIndex = 0;
   /** Whether the newest news was a change, and not a whole table. */
   isPatched = false;
   /** Requests under which back ends have ended. */
@@ -102,6 +104,7 @@
   replace(index: number, table: DirectorySnapshot): boolean {
     if (index < this.index) return false;
     this.index = index;
+    this.noteHeld(index);
     this.isPatched = false;
     this.state = decodeDirectory(table);
     this.quarantine.replace(this.state.crashRecords.values());
@@ -114,11 +117,17 @@
   apply(index: number, changes: readonly DirectoryChange[]): boolean {
     if (index <= this.index) return false;
     this.index = index;
+    this.noteHeld(index);
     this.isPatched = true;
     for (const change of changes) this.applyChange(change);
     return true;
   }
 
+  /** A replica has sent everything up to an index. */
+  noteHeld(index: number): void {
+    this.heldIndex = Math.max(this.heldIndex, index);
+  }
+
   private applyChange(change: DirectoryChange): void {
     switch (change.kind) {
       case 'items':
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -2,7 +2,7 @@
  * Registers the back end beside this daemon at the directory and keeps its lease. The lease counts from when a
  * request was sent, so that it ends here before it ends at the directory.
  */
-import type { DirectoryNotice, DirectoryRequest } from '../directory/directory-messages.js';
+import type { DirectoryNotice, DirectoryRequest, LeaseNotice } from '../directory/directory-messages.js';
 import type { BackendCondition } from '../directory/directory-state.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
@@ -34,8 +34,8 @@
   readonly daemonAddress: string;
   /** Another life that is registered at this daemon, null for none; undefined while the table is not known. */
   readonly otherLife: (id: string) => string | null | undefined;
-  /** Index of the table in force here. */
-  readonly tableIndex: () => number;
+  /** Index up to which every change of the table is held here. */
+  readonly heldIndex: () => number;
   readonly send: (request: DirectoryRequest) => boolean;
   /** Slot time used since the last report, by bucket of keys. */
   readonly takeLoad: () => (readonly [number, number])[];
@@ -44,8 +44,16 @@
   readonly onChange: () => void;
 }
 
+/** A lease that is not used before the table holds everything up to an index. */
+interface AwaitedLease {
+  readonly session: number;
+  readonly deadlineMs: number;
+  readonly index: number;
+}
+
 /** The registration of one daemon's back end. */
 export class LeaseKeeper {
+  private awaited: AwaitedLease | null = null;
   private backend: RegisteredBackend | null = null;
   private currentSession: number | null = null;
   private leaseDeadlineMs = -Infinity;
@@ -95,8 +103,9 @@
     this.step();
   }
 
-  /** The table has changed; a registration may have waited for it. */
+  /** The table has changed; a registration or a lease may have waited for it. */
   tableChanged(): void {
+    this.adoptAwaited();
     if (this.currentSession === null) this.step();
   }
 
@@ -106,7 +115,7 @@
     switch (notice.kind) {
       case 'registered':
       case 'renewed':
-        this.takeLease(notice.session, notice.sentMs + notice.termMs);
+        this.takeLease(notice);
         break;
       case 'session-ended':
         if (notice.session === this.currentSession) this.ended();
@@ -121,13 +130,29 @@
     this.cancelTimer();
   }
 
-  private takeLease(session: number, deadlineMs: number): void {
-    const isNew = this.currentSession !== session;
+  private takeLease({ session, sentMs, termMs, index }: LeaseNotice): void {
+    const deadlineMs = sentMs + termMs;
+    if (session === this.currentSession) {
+      this.leaseDeadlineMs = Math.max(this.leaseDeadlineMs, deadlineMs);
+      return;
+    }
+    const known = this.awaited?.session === session ? this.awaited : null;
+    this.awaited = { session, deadlineMs, index: Math.min(index, known?.index ?? index) };
+    this.adoptAwaited();
+  }
+
+  /**
+   * A session outlives the process that opened it. Joined to a table of before what that process released, its lease
+   * brought keys back that another back end held.
+   */
+  private adoptAwaited(): void {
+    const heldIndex = this.ports.heldIndex();
+    if (this.awaited === null || heldIndex < this.awaited.index) return;
+    const { session, deadlineMs, index } = this.awaited;
+    this.awaited = null;
     this.currentSession = session;
-    this.leaseDeadlineMs = isNew ? deadlineMs : Math.max(this.leaseDeadlineMs, deadlineMs);
-    if (!isNew) return;
-    const tableIndex = this.ports.tableIndex();
-    this.ports.log.event('registered', { instance: this.backend?.id, session, tableIndex });
+    this.leaseDeadlineMs = deadlineMs;
+    this.ports.log.event('registered', { instance: this.backend?.id, session, heldIndex, leaseIndex: index });
     this.ports.onChange();
   }
 
@@ -138,6 +163,7 @@
 
   private restart(): void {
     this.currentSession = null;
+    this.awaited = null;
     this.leaseDeadlineMs = -Infinity;
     this.dueMs = 0;
     this.ports.onChange();
@@ -155,6 +181,7 @@
     const { backend, ports } = this;
     const nowMs = ports.runtime.nowMs();
     if (backend === null) return;
+    this.adoptAwaited();
     const pressed = this.currentSession !== null && policyIsOn('quick-balance') && ports.pressed();
     if (nowMs < this.dueMs - (pressed ? RENEW_MS - RENEW_PRESSED_MS : 0)) return;
     if (this.currentSession === null || this.dueMs === 0) {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -302,7 +302,7 @@
       log: this.log,
       daemonAddress: formatAddress(this.settings.advertisedLinks),
       otherLife: (id) => this.table.otherLife(id, formatAddress(this.settings.advertisedLinks)),
-      tableIndex: () => this.table.index,
+      heldIndex: () => this.table.heldIndex,
       send: (request) => this.directory.send(request),
       takeLoad: () => this.load.take(),
       pressed: () => this.gateway.admission.waitingCount > 0,
--- a/test/incidents/lease-beside-an-older-table.test.ts
+++ b/test/incidents/lease-beside-an-older-table.test.ts
@@ -1,9 +1,12 @@
 /**
  * A daemon that was started anew granted its back end keys which the process before it had released, and which another
- * back end held.
+ * back end held. The replica that it followed had a disk that held it up and counted as current for 1.2 s more, so its table
+ * was of before the move; the lease came from the leader, by way of the same replica, and was good for the session that
+ * both processes shared. Nothing told the daemon that the one was older than the other.
  *
- * The replica that it followed had a disk that held it up, so its table was of before the move, while the lease came from
- * the leader.
+ * What settled it, in all seeds, with grants by calls and in heartbeats:
+ *   registered: session 8, table of index 12; the move is complete since index 13
+ *   keyed-0 takes 0-16383@11 after keyed-1 held 0-16383@13
  */
 import test from 'ava';
 import { HEARTBEAT_MS, type FleetMachine } from '../../lab/sim/fleet/fleet-machine.js';
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -18,12 +18,13 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   pressed = false;
+  heldIndex = 1;
   readonly keeper = new LeaseKeeper({
     runtime: this.time.runtime,
     log: SILENT_EVENT_LOG,
     daemonAddress: 'h:1',
     otherLife: () => null,
-    tableIndex: () => 1,
+    heldIndex: () => this.heldIndex,
     send: (request) => {
       this.sent.push(request);
       return true;
@@ -36,7 +37,7 @@
   register(): void {
     this.keeper.update(BACKEND);
     const sentMs = this.time.nowMs;
-    this.keeper.receive({ kind: 'registered', id: BACKEND.id, session: 5, sentMs, termMs: 9_000 });
+    this.keeper.receive({ kind: 'registered', id: BACKEND.id, session: 5, sentMs, termMs: 9_000, index: 1 });
     this.time.pass(300);
     this.sent.length = 0;
   }
@@ -55,3 +56,42 @@
     world.keeper.stop();
   });
 }
+
+test('a lease waits until the table holds what the directory held when it gave it', (t) => {
+  const world = new World();
+  world.heldIndex = 4;
+  world.keeper.update(BACKEND);
+  const lease = {
+    kind: 'registered',
+    id: BACKEND.id,
+    session: 2,
+    sentMs: world.time.nowMs,
+    termMs: 9_000,
+  } as const;
+  world.keeper.receive({ ...lease, index: 6 });
+  t.is(world.keeper.session, null);
+  world.keeper.receive({ ...lease, kind: 'renewed', index: 9 });
+  world.heldIndex = 6;
+  world.keeper.tableChanged();
+  t.is(world.keeper.session, 2, 'the first answer was after whatever an earlier process did');
+  world.keeper.stop();
+});
+
+test('a lease that waits is forgotten with the life that it is for', (t) => {
+  const world = new World();
+  world.heldIndex = 4;
+  world.keeper.update(BACKEND);
+  const lease = {
+    kind: 'registered',
+    id: BACKEND.id,
+    session: 2,
+    sentMs: world.time.nowMs,
+    termMs: 9_000,
+  } as const;
+  world.keeper.receive({ ...lease, index: 6 });
+  world.keeper.update({ ...BACKEND, id: 'life-2' });
+  world.heldIndex = 6;
+  world.keeper.tableChanged();
+  t.is(world.keeper.session, null);
+  world.keeper.stop();
+});
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -121,7 +121,7 @@
 
   lease(): void {
     const sentMs = this.time.nowMs;
-    this.notify({ kind: 'registered', id: 'one', session: SESSION, sentMs, termMs: LEASE_MS });
+    this.notify({ kind: 'registered', id: 'one', session: SESSION, sentMs, termMs: LEASE_MS, index: 0 });
   }
 
   kinds(): string[] {
