--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -138,6 +138,21 @@
     }
   }
 
+  /** What a machine sends to the replicas is held up; it hears them. */
+  muteToDirectory({ name }: FleetMachine): void {
+    const { network, replicas } = this.directory;
+    for (const replica of replicas) network.cut(name, replica.process.name);
+  }
+
+  /** What was held up arrives, and from now on the machine hears nothing of the replicas. */
+  deafenToDirectory({ name }: FleetMachine): void {
+    const { network, replicas } = this.directory;
+    for (const { process } of replicas) {
+      network.heal(name, process.name);
+      network.cut(process.name, name);
+    }
+  }
+
   /** All replicas and all daemons lose power at one moment; back ends live on. Each is back after a time of its own. */
   losePower(downMs: () => number): void {
     const { replicas } = this.directory;
@@ -158,6 +173,13 @@
     return leader !== null;
   }
 
+  /** The leader ends a registration; the daemon there registers anew. */
+  endRegistration(id: string): void {
+    const leader = this.directory.leader();
+    const session = leader?.state.instances.get(id)?.session;
+    if (session !== undefined) void leader?.propose({ kind: 'unregister', sessions: [{ id, session }] });
+  }
+
   /** Ends all cuts. */
   heal(): void {
     this.directory.network.healAll();
--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -60,6 +60,11 @@
     this.cuts.add(`${from}>${to}`);
   }
 
+  /** Ends one cut; what was held back arrives. */
+  heal(from: string, to: string): void {
+    this.cuts.delete(`${from}>${to}`);
+  }
+
   /** Ends all cuts. */
   healAll(): void {
     this.cuts.clear();
