A daemon that is back keeps a registration while its back end may hold what was granted before

Callers could meet two owners of the same keys. Cause: whether a back end may still hold keys was told by the grants of the present process alone; after a restart that is nothing, or what its next heartbeat says for 4 s, while the process before had granted up to 6 s; a back end that left gave its registration up too early. Change: for one longest grant after its start, and after the way of granting has changed, a daemon counts its back end as one that may hold keys. Why it holds: no grant of the process before was sent after this one began. Cost: a back end that leaves in the 6 s after a restart of its daemon keeps its keys until its address refuses connections or that time is over.

--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -121,6 +121,8 @@
   private readonly transport: SidecarTransport;
   private readonly keyWaiters = new Set<() => void>();
   private readonly startedMs: number;
+  /** When nothing can be held any more that the process before this one granted, or that was granted another way. */
+  private earlierGrantsEndMs: number;
   private readonly timers: CancelTimer[] = [];
   private stoppingSinceMs: number | null = null;
   private closingConnections = false;
@@ -131,6 +133,7 @@
     this.runtime = runtime;
     this.log = log;
     this.startedMs = runtime.nowMs();
+    this.earlierGrantsEndMs = runtime.steadyMs() + settings.holdMs;
     this.transport = options.transport ?? socketTransport(settings, runtime);
     this.presence = this.makePresence();
     this.backend = this.presence.backend;
@@ -345,7 +348,7 @@
       lease: () => this.lease,
       send: (request) => this.directory.send(request),
       listens: this.options.backendListens,
-      holdsNothing: () => runtime.steadyMs() > this.grants.heldUntil + HOLD_MARGIN_MS,
+      holdsNothing: () => runtime.steadyMs() > this.mayHoldUntilMs + HOLD_MARGIN_MS,
       onConfirmed: () => {
         this.gateway.reconsider();
       },
@@ -471,6 +474,11 @@
     this.log.event('evacuation', { zone, evacuated });
   }
 
+  /** Taken to hold nothing after a restart, a back end lost its keys to others while it held them. */
+  private get mayHoldUntilMs(): number {
+    return Math.max(this.earlierGrantsEndMs, this.grants.heldUntil);
+  }
+
   private isKeyed(): boolean {
     return this.table.service(this.settings.service)?.keyed === true;
   }
@@ -524,6 +532,7 @@
     const mode = this.table.service(this.settings.service)?.grantMode ?? this.settings.grantMode;
     const present = this.grants instanceof HeartbeatGrants ? 'heartbeat' : 'invoke';
     if (mode === present) return;
+    this.earlierGrantsEndMs = this.mayHoldUntilMs;
     this.grants.stop();
     this.grants = this.makeGrants();
   }
