Calls that may still be taken are remembered when keys are granted in heartbeats from then on

Two back ends could hold the same keys after the way of granting a service had been changed. Cause: what is known of calls without answer belonged to the object that sends calls, and went with it when heartbeats took over. Change: it belongs to the daemon; a range that such a call covers is granted on in heartbeats until the back end has shown that it holds it under a higher fence, and only then left out. Why it holds: as with calls, a range leaves only when no call that may still be taken covers any of its keys. The test fails before (the release is reported at once) and passes after. Left: calls of the process before, where the way of granting changes and the daemon is started anew within the few seconds for which a call can be held up.

--- a/src/sidecar/heartbeat-grants.ts
+++ b/src/sidecar/heartbeat-grants.ts
@@ -47,6 +47,8 @@
   /** Takes what a heartbeat tells of keys. */
   take(heartbeat: BackendHeartbeat): void {
     this.handovers = [...this.handovers, ...heartbeat.released].slice(-KEPT_HANDOVERS);
+    for (const range of heartbeat.holds ?? []) this.ports.outstanding.noteSeen(range);
+    this.raiseFences();
     this.recover(heartbeat);
     this.reportReleases(heartbeat);
   }
@@ -58,7 +60,7 @@
     const remainingMs = Math.min(holdMs, lease.deadlineMs - runtime.nowMs());
     if (remainingMs < LEAST_HOLD_MS) return null;
     const mine = owned.list();
-    const kept = mine.filter(({ movingTo }) => movingTo === null);
+    const kept = mine.filter((range) => !this.mayLeave(range));
     this.noteLeftOut(mine, heartbeat.sequence);
     this.become(kept, arrivedMs + remainingMs);
     const ranges = kept.map(({ from, to, fence, handover }) => ({ from, to, fence, handover }));
@@ -67,12 +69,36 @@
 
   /** See `KeyGrants`. */
   tableChanged(): void {
+    this.raiseFences();
     const names = new Set(this.ports.owned.list().map(rangeName));
     for (const name of this.leftOut.keys()) if (!names.has(name)) this.leftOut.delete(name);
   }
 
   /** See `KeyGrants`. */
   clear(): void {
+    this.ports.outstanding.clear();
+    this.forget();
+  }
+
+  /** See `KeyGrants`. */
+  stop(): void {
+    this.forget();
+  }
+
+  /** A grant by call from before the way of granting changed may still be taken: its keys stay until it is refused. */
+  private mayLeave(range: KeyRange): boolean {
+    return range.movingTo !== null && this.ports.outstanding.certaintyOf(range) === 'certain';
+  }
+
+  private raiseFences(): void {
+    const { outstanding, owned } = this.ports;
+    for (const range of owned.list()) {
+      const isUncertain = range.movingTo !== null && outstanding.certaintyOf(range) === 'to-be-fenced';
+      if (isUncertain) this.reporter.raiseFence(range);
+    }
+  }
+
+  private forget(): void {
     this.held = [];
     this.heldUntilMs = -Infinity;
     this.mayHoldUntilMs = -Infinity;
@@ -82,11 +108,6 @@
     this.reporter.clear();
   }
 
-  /** See `KeyGrants`. */
-  stop(): void {
-    this.clear();
-  }
-
   private become(ranges: readonly HeldRange[], untilMs: number): void {
     const before = new Set(this.held.map(rangeName));
     this.answeredAny = true;
@@ -109,7 +130,7 @@
   private noteLeftOut(mine: readonly KeyRange[], sequence: number): void {
     for (const range of mine) {
       const name = rangeName(range);
-      if (range.movingTo === null) this.leftOut.delete(name);
+      if (!this.mayLeave(range)) this.leftOut.delete(name);
       else if (!this.leftOut.has(name)) this.leftOut.set(name, sequence);
     }
   }
@@ -118,7 +139,7 @@
     const { holds, sequence } = heartbeat;
     if (holds === null) return;
     for (const range of this.ports.owned.list()) {
-      if (range.movingTo === null) continue;
+      if (!this.mayLeave(range)) continue;
       const leftOutAt = this.leftOut.get(rangeName(range));
       const answered = leftOutAt !== undefined && sequence > leftOutAt;
       if (!answered || holds.some((held) => overlaps(held, range))) continue;
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -7,7 +7,6 @@
 import type { CancelTimer } from '../runtime/runtime.js';
 import type { BackendCalls, GrantResult } from './backend-report.js';
 import { rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
-import { OutstandingGrants } from './outstanding-grants.js';
 
 /** Pause between looks at what is due, in ms. */
 const STEP_MS = 100;
@@ -47,7 +46,6 @@
   private readonly records = new Map<string, GrantRecord>();
   private readonly reporter: ReleaseReporter;
   private readonly cancelTimer: CancelTimer;
-  private readonly outstanding = new OutstandingGrants();
   private life = 0;
   private steppedMs: number;
   /** Whether the back end must be asked who it is before anything is granted. */
@@ -96,7 +94,7 @@
     this.life += 1;
     this.records.clear();
     this.reporter.clear();
-    this.outstanding.clear();
+    this.ports.outstanding.clear();
     this.inheritedSession = null;
     this.unconfirmed = false;
   }
@@ -138,7 +136,7 @@
     const { session } = this.ports.lease;
     if (session === null || session === this.inheritedSession) return;
     this.inheritedSession = session;
-    for (const range of owned) this.outstanding.inherit(range);
+    for (const range of owned) this.ports.outstanding.inherit(range);
   }
 
   /** A record of a range that was cut covers its parts until they have records of their own. */
@@ -175,10 +173,10 @@
     record.sentMs = nowMs;
     const mayHoldUntilMs = this.ports.runtime.steadyMs() + holdMs * STRETCH_SHARE;
     record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, mayHoldUntilMs);
-    const call = this.outstanding.sent(range);
+    const call = this.ports.outstanding.sent(range);
     const result = await this.calls.grant(range, holdMs);
     record.underWay = false;
-    this.outstanding.settled(call, range, result);
+    this.ports.outstanding.settled(call, range, result);
     if (life !== this.life) return;
     this.granted(record, result, nowMs + holdMs * TRUSTED_SHARE);
   }
@@ -212,7 +210,7 @@
   private makeCertain(range: KeyRange, nowMs: number): boolean {
     const record = this.recordOf(range);
     if (record.releasing) return true;
-    const certainty = this.outstanding.certaintyOf(range);
+    const certainty = this.ports.outstanding.certaintyOf(range);
     if (certainty === 'to-be-fenced') this.reporter.raiseFence(range);
     if (certainty === 'to-be-granted') this.grantIfDue(range, nowMs);
     return certainty === 'certain';
--- a/src/sidecar/key-grants.ts
+++ b/src/sidecar/key-grants.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '../telemetry/event-log.js';
 import type { HeldRange } from './backend-report.js';
 import type { LeaseKeeper } from './lease-keeper.js';
+import type { OutstandingGrants } from './outstanding-grants.js';
 import type { OwnedRanges } from './owned-ranges.js';
 
 /** Pause between reports of a release that the directory has not acted on, in ms. */
@@ -30,6 +31,8 @@
   readonly owned: OwnedRanges;
   /** Longest time for which a back end is granted keys, in ms. */
   readonly holdMs: number;
+  /** What the back end may still take, whichever way it was granted. */
+  readonly outstanding: OutstandingGrants;
   readonly instance: () => string | null;
   readonly send: (request: DirectoryRequest) => boolean;
   /** The back end may hold more keys than before. */
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -30,6 +30,7 @@
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
 import type { LocalBackend } from './local-backend.js';
+import { OutstandingGrants } from './outstanding-grants.js';
 import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
@@ -105,6 +106,7 @@
   private readonly backend: LocalBackend;
   private readonly lease: LeaseKeeper;
   private readonly owned: OwnedRanges;
+  private readonly outstanding = new OutstandingGrants();
   private grants: HeartbeatGrants | InvokedGrants;
   private readonly load = new LoadMeter();
   private readonly coldLimit: ColdStartLimit;
@@ -324,6 +326,7 @@
       lease,
       owned,
       holdMs: settings.holdMs,
+      outstanding: this.outstanding,
       instance: () => this.backend.life,
       send: (request: Parameters<DirectoryClient['send']>[0]) => this.directory.send(request),
       onGained: () => {
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -5,6 +5,7 @@
 import type { BackendHeartbeat, GrantResult } from '../../src/sidecar/backend-report.js';
 import { HeartbeatGrants } from '../../src/sidecar/heartbeat-grants.js';
 import { InvokedGrants } from '../../src/sidecar/invoked-grants.js';
+import { OutstandingGrants } from '../../src/sidecar/outstanding-grants.js';
 import type { KeyGrantPorts } from '../../src/sidecar/key-grants.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { ManualTime } from './manual-runtime.js';
@@ -19,6 +20,7 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   ranges: KeyRange[] = [range(0, 99, 5)];
+  readonly outstanding = new OutstandingGrants();
   deadlineMs = 20_000;
   session: number | null = 1;
 
@@ -33,6 +35,7 @@
         fenceOf: (key: number) => this.ranges.find(({ from, to }) => key >= from && key <= to)?.fence ?? null,
       } as KeyGrantPorts['owned'],
       holdMs: HOLD_MS,
+      outstanding: this.outstanding,
       instance: () => 'me',
       send: (request) => {
         this.sent.push(request);
@@ -309,3 +312,27 @@
   t.like(world.sent.at(-1), { kind: 'released', handover: '' });
   grants.stop();
 });
+
+test('a grant by call that got no answer keeps its keys back when they are granted in heartbeats from then on', async (t) => {
+  const world = new World();
+  const calls = new Calls();
+  const invoked = invokedGrants(world, calls);
+  calls.result = 'unanswered';
+  invoked.tableChanged();
+  await settle();
+  invoked.stop();
+  const grants = new HeartbeatGrants(world.ports());
+  world.ranges = [range(0, 99, 5, 'other')];
+  grants.answer(heartbeat(1), world.time.nowMs);
+  grants.take(heartbeat(2));
+  t.like(world.sent, [{ kind: 'raise-fence', from: 0, to: 99, fence: 5 }]);
+  world.ranges = [range(0, 99, 8, 'other')];
+  const granted = { ranges: [{ from: 0, to: 99, fence: 8, handover: '' }] };
+  t.like(grants.answer(heartbeat(2), world.time.nowMs), granted, 'the back end must see the higher fence');
+  world.sent.length = 0;
+  const held = { holds: [{ from: 0, to: 99, fence: 8 }] };
+  grants.take(heartbeat(3, held));
+  t.like(grants.answer(heartbeat(3, held), world.time.nowMs), { ranges: [] });
+  grants.take(heartbeat(4));
+  t.like(world.sent, [{ kind: 'released', from: 0, to: 99, fence: 8 }]);
+});
