Grants and releases name the back end that they are meant for

Cause: calls went to an address, whoever listened there. Change: each call names the id that it is meant for, as requests do; where another back end answers, nothing is granted until the present life is there again or a new one has told of itself. Why it holds: the address is not what is granted to, and the refusal comes from the life itself, so that no question can be overtaken by a change.

--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -239,12 +239,14 @@
           const { id, draining, saidGoodbye } = this.backend;
           return { id, bornMs: null, isWell: !draining && !saidGoodbye, coldLeftMs: 0 };
         }),
-      grant: async (range, holdMs) =>
+      grant: async (id, range, holdMs) =>
         await this.order<GrantResult>('unanswered', (backend) => {
+          if (backend.id !== id) return 'misdirected';
           return backend.keys.grant({ ...range, holdMs }) ? 'granted' : 'superseded';
         }),
-      release: async (range) =>
+      release: async (id, range) =>
         await this.order<string | null>(null, (backend) => {
+          if (backend.id !== id) return null;
           backend.keys.release({ ...range, holdMs: 0 });
           return backend.keys.nextHandover();
         }),
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -275,7 +275,9 @@
     const body = await readBody(request);
     if (body === null || !this.up) return;
     const path = request.url ?? '/';
-    if (path === PATHS.grant) this.takeGrant(body, response);
+    const isOrder = path === PATHS.grant || path === PATHS.release;
+    if (isOrder && this.isMisdirected(request)) answerPlain(response, STATUS.misdirected);
+    else if (path === PATHS.grant) this.takeGrant(body, response);
     else if (path === PATHS.release) await this.takeRelease(body, response);
     else if (path === PATHS.health) answerPlain(response, STATUS.ok, healthHeaders(this.id, this.coldLeftMs));
     else this.takeRequest(request, response, path);
@@ -283,10 +285,9 @@
 
   private takeRequest(request: IncomingMessage, response: ServerResponse, path: string): void {
     const requestId = headerOf(request, PLATFORM_HEADERS.requestId);
-    const wanted = headerOf(request, PLATFORM_HEADERS.expectedInstance);
     const keyText = headerOf(request, PLATFORM_HEADERS.key);
     const key = this.options.keyed ? Number(keyText) : null;
-    if (wanted !== '' && wanted !== this.id) {
+    if (this.isMisdirected(request)) {
       this.decline(response, requestId, STATUS.misdirected);
       return;
     }
@@ -303,6 +304,11 @@
     else this.decline(response, requestId, STATUS.notExecuted);
   }
 
+  private isMisdirected(request: IncomingMessage): boolean {
+    const wanted = headerOf(request, PLATFORM_HEADERS.expectedInstance);
+    return wanted !== '' && wanted !== this.id;
+  }
+
   private noteArrival(nowMs: number): void {
     const { judge, zone, life } = this.options;
     judge.arrived(life, nowMs);
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -48,8 +48,8 @@
   readonly holdMs: number;
 }
 
-/** What became of a grant that was sent to a back end. */
-export type GrantResult = 'granted' | 'superseded' | 'unanswered';
+/** What became of a grant that was sent to a back end; a misdirected one came to a life that goes by another id. */
+export type GrantResult = 'granted' | 'superseded' | 'misdirected' | 'unanswered';
 
 /** What a back end tells of itself when it is asked. */
 export interface BackendIdentity {
@@ -63,12 +63,15 @@
   readonly coldLeftMs: number | null;
 }
 
-/** Calls to a back end: grants of keys where they are sent in calls, and a question. */
+/**
+ * Calls to a back end: grants of keys where they are sent in calls, and a question. A call that names the id it is meant for
+ * is carried out by no other.
+ */
 export interface BackendCalls {
   /** Asks at a path who it is; null when there was no answer. */
   identify(path: string): Promise<BackendIdentity | null>;
   /** Grants a range for `holdMs` from when the call arrives; the same call again renews it. */
-  grant(range: GrantedRange, holdMs: number): Promise<GrantResult>;
-  /** Takes a range back; the handover comes once nothing runs on it. Null when there was no answer. */
-  release(range: HeldRange): Promise<string | null>;
+  grant(id: string, range: GrantedRange, holdMs: number): Promise<GrantResult>;
+  /** Takes a range back; the handover comes once nothing runs on it. Null when it was not answered, or misdirected. */
+  release(id: string, range: HeldRange): Promise<string | null>;
 }
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -4,6 +4,7 @@
  */
 import type { KeyRange } from '../directory/directory-state.js';
 import { overlaps, withoutSpan } from '../directory/key-ranges.js';
+import { idOfLife } from '../model/backend-life.js';
 import type { CancelTimer } from '../runtime/runtime.js';
 import type { BackendCalls, GrantResult } from './backend-report.js';
 import { rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
@@ -41,6 +42,14 @@
   handover: string | null;
 }
 
+/** A grant that is to be sent. */
+interface GrantOrder {
+  readonly range: KeyRange;
+  readonly holdMs: number;
+  /** Id of the back end that it is meant for. */
+  readonly id: string;
+}
+
 /** Grants by calls. */
 export class InvokedGrants implements KeyGrants {
   private readonly records = new Map<string, GrantRecord>();
@@ -157,7 +166,9 @@
     const renewed = nowMs < record.heldUntilMs && nowMs - record.sentMs < RENEW_AFTER_MS;
     if (record.underWay || renewed) return;
     const holdMs = Math.min(this.ports.holdMs, this.ports.lease.deadlineMs - nowMs);
-    if (holdMs >= LEAST_HOLD_MS) void this.grant(record, range, holdMs, nowMs);
+    const life = this.ports.instance();
+    if (life === null || holdMs < LEAST_HOLD_MS) return;
+    void this.grant(record, { range, holdMs, id: idOfLife(life) }, nowMs);
   }
 
   /** A move was called off; the back end may have let go of the range already. */
@@ -167,14 +178,15 @@
     record.heldUntilMs = -Infinity;
   }
 
-  private async grant(record: GrantRecord, range: KeyRange, holdMs: number, nowMs: number): Promise<void> {
+  /** The call names the back end: another life that begins at the address takes nothing under its forerunner's fence. */
+  private async grant(record: GrantRecord, { range, holdMs, id }: GrantOrder, nowMs: number): Promise<void> {
     const { life } = this;
     record.underWay = true;
     record.sentMs = nowMs;
     const mayHoldUntilMs = this.ports.runtime.steadyMs() + holdMs * STRETCH_SHARE;
     record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, mayHoldUntilMs);
     const call = this.ports.outstanding.sent(range);
-    const result = await this.calls.grant(range, holdMs);
+    const result = await this.calls.grant(id, range, holdMs);
     record.underWay = false;
     this.ports.outstanding.settled(call, range, result);
     if (life !== this.life) return;
@@ -189,6 +201,7 @@
       return;
     }
     if (result === 'superseded') record.superseded = true;
+    if (result === 'misdirected') this.unconfirmed = true;
     const { from, to, fence } = record.range;
     const sentAgoMs = Math.round(this.ports.runtime.nowMs() - record.sentMs);
     this.ports.log.event('grant-failed', { service: this.ports.service, from, to, fence, result, sentAgoMs });
@@ -218,9 +231,11 @@
 
   private async callRelease(record: GrantRecord, range: KeyRange): Promise<void> {
     const { life } = this;
+    const instance = this.ports.instance();
+    if (instance === null) return;
     const calledMs = this.ports.runtime.steadyMs();
     record.underWay = true;
-    const handover = await this.calls.release(range);
+    const handover = await this.calls.release(idOfLife(instance), range);
     record.underWay = false;
     if (life !== this.life || !record.releasing) return;
     const expired = calledMs >= this.mayHoldUntil(range);
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -124,6 +124,8 @@
 
 class Calls {
   readonly log: string[] = [];
+  /** Id of the back end that is called. */
+  id = 'me';
   result: GrantResult = 'granted';
   handover: string | null = 'h';
 
@@ -131,12 +133,18 @@
     return await Promise.resolve(null);
   }
 
-  async grant(granted: { from: number; to: number; fence: number }, holdMs: number): Promise<GrantResult> {
+  async grant(
+    id: string,
+    granted: { from: number; to: number; fence: number },
+    holdMs: number,
+  ): Promise<GrantResult> {
+    if (id !== this.id) return 'misdirected';
     this.log.push(`grant ${granted.from}-${granted.to}@${granted.fence} for ${holdMs}`);
     return await Promise.resolve(this.result);
   }
 
-  async release(released: { from: number; to: number; fence: number }): Promise<string | null> {
+  async release(id: string, released: { from: number; to: number; fence: number }): Promise<string | null> {
+    if (id !== this.id) return null;
     this.log.push(`release ${released.from}-${released.to}@${released.fence}`);
     return await Promise.resolve(this.handover);
   }
@@ -336,3 +344,33 @@
   grants.take(heartbeat(4));
   t.like(world.sent, [{ kind: 'released', from: 0, to: 99, fence: 8 }]);
 });
+
+test('calls: where another life is at the address nothing is granted until the present one is there', async (t) => {
+  const world = new World();
+  const calls = new Calls();
+  const { ranges } = world;
+  const there = { isPresent: false, asked: 0 };
+  world.ranges = [];
+  const grants = new InvokedGrants(world.ports(), calls, async () => {
+    there.asked += 1;
+    return await Promise.resolve(there.isPresent);
+  });
+  grants.tableChanged();
+  world.ranges = ranges;
+  calls.id = 'other';
+  grants.tableChanged();
+  await settle();
+  t.false(grants.holds(5));
+  calls.id = 'me';
+  world.time.pass(1_000);
+  await settle();
+  t.deepEqual(calls.log, []);
+  t.true(there.asked > 0);
+  there.isPresent = true;
+  world.time.pass(100);
+  await settle();
+  world.time.pass(100);
+  await settle();
+  t.true(grants.holds(5));
+  grants.stop();
+});
