Where lives may share an id, calls grant nothing between a sign of an end and the next heartbeat

A life that began at once under the id of the one before took its keys under the old fence. A grant that names the id does not tell them apart. Change: where the back end tells when it started, and so may come back under its id, a run that broke off and work that was turned away stop grants until its next heartbeat; releases go on. Why it holds: the next heartbeat is of the life that was granted, sent after the sign, or of another one, which clears all grants. Cost: at most a pause of heartbeats in the renewal of grants, which last four of them; back ends that tell no start are not concerned. Left: a life that begins at once, while nothing runs and nothing comes, until its first heartbeat.

--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -14,7 +14,8 @@
 /** Longest answer that is kept until it is whole, in bytes. */
 const MAX_KEPT_BYTES = 1024 * 1024;
 
-const MISDIRECTED_STATUS = 421;
+/** Status by which a back end says that it is not the one meant, or does not hold the key. */
+export const MISDIRECTED_STATUS = 421;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 
--- a/src/sidecar/crash-guard.ts
+++ b/src/sidecar/crash-guard.ts
@@ -11,6 +11,8 @@
   judge(request: IdentifiedRequest): Judged;
   /** A back end answered a run; told for every run, so that it has to cost nothing while there are no records. */
   answered(request: IdentifiedRequest, statusCode: number): void;
+  /** The back end does not know itself as the one that a request was meant for, or does not hold its key. */
+  misdirected(): void;
   /** A run has ended without an answer; the back end may have ended under it. */
   interrupted(run: InterruptedRun): void;
   /** Resolves once it is known whether the back end has ended under a run that broke off, and that is recorded. */
@@ -22,6 +24,7 @@
   permits: { holds: () => false, ask: () => undefined, release: () => undefined },
   judge: () => ({ stage: 'free', fingerprint: null, record: null }),
   answered: () => undefined,
+  misdirected: () => undefined,
   interrupted: () => undefined,
   runBroke: async () => {
     await Promise.resolve();
--- a/src/sidecar/crash-watch.ts
+++ b/src/sidecar/crash-watch.ts
@@ -21,6 +21,8 @@
   /** Asks whether any process listens at the back end's address. */
   readonly listens: () => Promise<boolean>;
   readonly send: (request: DirectoryRequest) => boolean;
+  /** The back end broke off a run, or holds no key that it was sent work on: it may have begun another life. */
+  readonly onDoubt: () => void;
   /** A suspect may run now. */
   readonly onPermit: () => void;
 }
@@ -59,6 +61,11 @@
     this.runPermits.completed(fingerprint, this.version, says === 'good');
   }
 
+  /** See `CrashGuard`. */
+  misdirected(): void {
+    this.ports.onDoubt();
+  }
+
   /** See `CrashGuard`. */
   interrupted(run: InterruptedRun): void {
     this.runs.note(run);
@@ -66,6 +73,7 @@
 
   /** See `CrashGuard`. */
   async runBroke(): Promise<void> {
+    this.ports.onDoubt();
     await this.reporter.runBroke();
   }
 
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -60,6 +60,8 @@
   /** Whether the back end must be asked who it is before anything is granted. */
   private unconfirmed = false;
   private confirming = false;
+  /** Newest heartbeat that had been heard when another life was suspected; null while none is. */
+  private doubtedSequence: number | null = null;
   /** Session whose ranges were first looked at; null before that. */
   private inheritedSession: number | null = null;
 
@@ -68,6 +70,8 @@
     private readonly calls: BackendCalls,
     /** Asks at the back end's address whether the present life is there. */
     private readonly isPresent: () => Promise<boolean>,
+    /** Sequence of the newest heartbeat of the present life. */
+    private readonly heardSequence: () => number = () => 0,
   ) {
     this.steppedMs = ports.runtime.nowMs();
     this.reporter = new ReleaseReporter(ports);
@@ -106,6 +110,15 @@
     this.ports.outstanding.clear();
     this.inheritedSession = null;
     this.unconfirmed = false;
+    this.doubtedSequence = null;
+  }
+
+  /**
+   * Another life may have begun under the same id. It would take a grant that names the id, so nothing is granted before a
+   * later heartbeat of the present life, or the first one of another.
+   */
+  awaitHeartbeat(): void {
+    this.doubtedSequence = this.heardSequence();
   }
 
   /** See `KeyGrants`. */
@@ -121,6 +134,8 @@
       void this.confirm();
       return;
     }
+    if (this.doubtedSequence !== null && this.heardSequence() > this.doubtedSequence)
+      this.doubtedSequence = null;
     const owned = this.ports.owned.list();
     this.noteInherited(owned);
     this.forgetPast(owned, this.ports.runtime.steadyMs());
@@ -167,7 +182,7 @@
     if (record.underWay || renewed) return;
     const holdMs = Math.min(this.ports.holdMs, this.ports.lease.deadlineMs - nowMs);
     const life = this.ports.instance();
-    if (life === null || holdMs < LEAST_HOLD_MS) return;
+    if (life === null || holdMs < LEAST_HOLD_MS || this.doubtedSequence !== null) return;
     void this.grant(record, { range, holdMs, id: idOfLife(life) }, nowMs);
   }
 
--- a/src/sidecar/run-reports.ts
+++ b/src/sidecar/run-reports.ts
@@ -5,7 +5,7 @@
 import type { FailureHead } from '../link/link-messages.js';
 import { fingerprintOf, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { Runtime } from '../runtime/runtime.js';
-import type { RunOutcome } from './backend-run.js';
+import { MISDIRECTED_STATUS, type RunOutcome } from './backend-run.js';
 import type { CrashGuard } from './crash-guard.js';
 
 /** A run that has ended. */
@@ -30,6 +30,7 @@
   /** Reports how a run ended; returns the fingerprint of one that its back end may have ended under. */
   report({ requestId, identity, alone, usedMs }: ReportedRun, outcome: RunOutcome): string | undefined {
     if (outcome.kind === 'answered') this.guard.answered(identity, outcome.statusCode);
+    if (outcome.kind === 'declined' && outcome.statusCode === MISDIRECTED_STATUS) this.guard.misdirected();
     const byBackend = isBroken(outcome);
     const wasBrokenOff = outcome.kind === 'cancelled' || outcome.kind === 'deadline';
     if (!byBackend && !wasBrokenOff) return undefined;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -242,6 +242,7 @@
     this.presence.register();
     const { grants } = this;
     if (grants instanceof HeartbeatGrants) grants.take(heartbeat);
+    else grants.tableChanged();
     this.gateway.reconsider();
     if (!(grants instanceof HeartbeatGrants)) return null;
     if (heartbeat.condition === 'ready' && this.awaitsKeys()) await this.waitForKeys();
@@ -335,7 +336,13 @@
     };
     const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
     if (mode === 'heartbeat') return new HeartbeatGrants(ports);
-    return new InvokedGrants(ports, this.options.calls, async () => await this.presence.isKnownLife());
+    const isPresent = async (): Promise<boolean> => await this.presence.isKnownLife();
+    return new InvokedGrants(
+      ports,
+      this.options.calls,
+      isPresent,
+      () => this.backend.heartbeat?.sequence ?? 0,
+    );
   }
 
   private makePresence(): BackendPresence {
@@ -392,6 +399,9 @@
       life: () => this.presentLife(),
       listens: this.options.backendListens,
       send: (request) => this.directory.send(request),
+      onDoubt: () => {
+        this.doubtLife();
+      },
       onPermit: () => {
         this.gateway.suspects.step();
       },
@@ -482,6 +492,12 @@
     return Math.max(this.earlierGrantsEndMs, this.grants.heldUntil);
   }
 
+  /** Lives that tell when they started may share an id; others are told apart by the id that a grant names. */
+  private doubtLife(): void {
+    const mayShareId = this.backend.heartbeat !== null && this.backend.heartbeat.bornMs !== null;
+    if (mayShareId && this.grants instanceof InvokedGrants) this.grants.awaitHeartbeat();
+  }
+
   private isKeyed(): boolean {
     return this.table.service(this.settings.service)?.keyed === true;
   }
--- a/test/incidents/grants-to-a-new-life.test.ts
+++ b/test/incidents/grants-to-a-new-life.test.ts
@@ -1,9 +1,11 @@
 /**
  * A back end ended and started again at once, so that no connection was refused, and its first heartbeat came late. Until
  * then the daemon beside it, which grants keys by calls, renewed what it had granted to the life before, and the new life
- * took it under the old fence.
+ * took it under the old fence: the calls went to whoever listened at the address. A life with an id of its own now turns
+ * away a grant that names another id; one under the same id is granted nothing between a run that broke off, or work that
+ * was turned away, and the next heartbeat.
  *
- * What settled it, with a first heartbeat that is 1.5 s late (2 of 6 seeds, with an id of its own or the same one):
+ * What settled it, with a first heartbeat that is 1.5 s late (1 of 6 seeds each, with an id of its own and the same one):
  *   fence-rises: keyed-0-life-2 takes 0-16383@11 after keyed-0-life-1 held 0-16383@11
  */
 import test from 'ava';
