Heartbeats that follow each other while their answers wait for keys share one wait

Back ends whose heartbeats come faster than an answer waits (0.7 s) were granted nothing while any key stayed on its way: each heartbeat replaced the one that waited and began a wait of its own, no answer was sent, so no key could be let go either, and that kept keys on their way. Change: the wait counts from the first heartbeat that waits. The test of the sidecar fails before and passes after.

--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -1,4 +1,5 @@
 /** A simulated back end: it holds keys, works on requests, and may end under one of them. */
+import type { GrantMode } from '../../../src/directory/directory-state.js';
 import { requestFingerprint } from '../../../src/quarantine/request-fingerprint.js';
 import type { BackendRequest, BackendRequestHandlers } from '../../../src/sidecar/backend-connection.js';
 import { headerValue, DEFAULT_HEADER_DIALECT } from '../../../src/sidecar/header-dialect.js';
@@ -33,6 +34,8 @@
   readonly slots: number;
   readonly judge: SoakJudge;
   readonly trafficOf: (path: string) => FleetTraffic;
+  /** How the keys of a service are granted now. */
+  readonly grantMode: (service: string) => GrantMode;
   readonly onRun: (run: FleetRun) => void;
   /** A request has ended it. */
   readonly onEnd: () => void;
@@ -65,7 +68,7 @@
   ) {
     this.keys = new HeldKeys(
       life,
-      service.grantMode,
+      () => ports.grantMode(service.name),
       () => ports.queue.nowMs,
       (ranges) => {
         if (this.up) ports.judge.holds(life, service.name, ranges, ports.queue.nowMs);
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -2,7 +2,7 @@
  * A whole fleet on virtual time: real directory replicas and real sidecars, simulated links, callers and back ends. It
  * shows what daemons do together when a back end ends, most of all under a request that ends every one that runs it.
  */
-import type { ConfigurationItem } from '../../../src/directory/directory-state.js';
+import type { ConfigurationItem, GrantMode } from '../../../src/directory/directory-state.js';
 import { SILENT_EVENT_LOG, type EventLog } from '../../../src/telemetry/event-log.js';
 import { Random } from '../../random.js';
 import { SoakJudge, type SoakViolation } from '../../soak/soak-judge.js';
@@ -50,6 +50,8 @@
   private readonly judge = new SoakJudge(DRAIN_MS, APPLY_MS, EVACUATION_MS, () => true);
   /** Version of the software of back ends that start from now on. */
   version = 'v1';
+  private readonly grantModes = new Map<string, GrantMode>();
+  private configurationVersion = 1;
 
   constructor(
     seed: number,
@@ -77,6 +79,7 @@
         slots: spec.slots,
         judge: this.judge,
         trafficOf: (path: string) => this.trafficOf(path),
+        grantMode: (service: string) => this.grantModeOf(service),
         onRun: (run: FleetRun) => this.runs.push(run),
       },
       version: () => this.version,
@@ -166,6 +169,21 @@
     }
   }
 
+  /** The operator changes how the keys of a service are granted; back ends go by that once it is acknowledged. */
+  changeGrantMode(service: string, grantMode: GrantMode): void {
+    this.configurationVersion += 1;
+    const items = this.items().map((item) => {
+      if (item.kind !== 'service' || item.name !== service || item.definition === null) return item;
+      return { ...item, version: this.configurationVersion, definition: { ...item.definition, grantMode } };
+    });
+    void this.directory
+      .leader()
+      ?.propose({ kind: 'configure-items', items })
+      .then((outcome) => {
+        if (outcome.ok && outcome.val.kind === 'done') this.grantModes.set(service, grantMode);
+      });
+  }
+
   /** The leader begins to move keys of a service; whether there was one. */
   beginMove(service: string, from: number, to: number, target: string): boolean {
     const leader = this.directory.leader();
@@ -225,6 +243,12 @@
     });
   }
 
+  private grantModeOf(service: string): GrantMode {
+    const known = this.grantModes.get(service);
+    const first = this.spec.services.find(({ name }) => name === service)?.grantMode;
+    return known ?? first ?? 'heartbeat';
+  }
+
   private trafficOf(path: string): FleetTraffic {
     const traffic = this.spec.traffic.find(({ name }) => path.startsWith(`/${name}/`));
     if (traffic === undefined) throw new Error(`invariant broken: no requests of ${path}`);
--- a/lab/sim/sim-directory.ts
+++ b/lab/sim/sim-directory.ts
@@ -91,6 +91,18 @@
     return leading[0] ?? null;
   }
 
+  /** Whether every replica is up, votes, and holds all that is committed. */
+  isWhole(): boolean {
+    const core = this.leader()?.consensus?.core;
+    if (core === undefined || core.committedMembership()?.voters.length !== this.replicas.length)
+      return false;
+    return this.replicas.every(({ process, node }) => {
+      const own = node?.consensus?.core;
+      const holdsAll = own !== undefined && own.commitIndex >= core.commitIndex;
+      return process.alive && holdsAll && core.membership.voters.includes(own.id);
+    });
+  }
+
   /** Lets a fault strike, and repairs it after `lastsMs`. */
   strike(fault: DirectoryFault, replica: SimReplica, lastsMs: number): void {
     this.begin(fault, replica);
--- a/lab/soak/held-keys.ts
+++ b/lab/soak/held-keys.ts
@@ -24,7 +24,7 @@
 
   constructor(
     private readonly id: string,
-    private readonly grantMode: GrantMode,
+    private readonly grantMode: () => GrantMode,
     private readonly nowMs: () => number,
     private readonly onChange: (ranges: readonly TimedRange[]) => void,
   ) {}
@@ -63,7 +63,7 @@
 
   /** What a heartbeat tells: what is held or still worked on, and what was let go since the last one. */
   report(): { readonly holds: readonly HeldRange[] | null; readonly released: readonly ReleasedRange[] } {
-    if (this.grantMode !== 'heartbeat') return { holds: null, released: [] };
+    if (this.grantMode() !== 'heartbeat') return { holds: null, released: [] };
     this.forgetExpired();
     const holds = this.held.map(({ from, to, fence }) => ({ from, to, fence }));
     return { holds: [...holds, ...this.leaving()], released: this.released };
@@ -72,7 +72,7 @@
   /** Takes the answer to a heartbeat; null renews nothing. Rows under a fence that is not the highest seen are left. */
   takeAnswer(grant: HeartbeatGrant | null, sentMs: number): void {
     this.released = [];
-    if (grant === null || this.grantMode !== 'heartbeat') return;
+    if (grant === null || this.grantMode() !== 'heartbeat') return;
     const untilMs = sentMs + grant.holdMs;
     const rows = grant.ranges.filter((range) => this.mayTake(range));
     let letGo = this.held;
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -108,11 +108,16 @@
   private timer: NodeJS.Timeout | null = null;
 
   constructor(private readonly options: SoakBackendOptions) {
-    const { life, service, grantMode, judge } = options;
+    const { life, service, judge } = options;
     const nowMs = (): number => performance.now();
-    this.keys = new HeldKeys(life, grantMode, nowMs, (ranges) => {
-      judge.holds(life, service, ranges, nowMs());
-    });
+    this.keys = new HeldKeys(
+      life,
+      () => options.grantMode,
+      nowMs,
+      (ranges) => {
+        judge.holds(life, service, ranges, nowMs());
+      },
+    );
     this.server = createServer((request, response) => {
       void this.receive(request, response);
     });
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -122,6 +122,8 @@
   private readonly linkServer: LinkListener;
   private readonly transport: SidecarTransport;
   private readonly keyWaiters = new Set<() => void>();
+  /** Since when heartbeats wait for keys and none was answered, in ms; null while none waits. */
+  private keysAwaitedSinceMs: number | null = null;
   private readonly startedMs: number;
   /** When nothing can be held any more that the process before this one granted, or that was granted another way. */
   private earlierGrantsEndMs: number;
@@ -248,6 +250,7 @@
     if (heartbeat.condition === 'ready' && this.awaitsKeys()) await this.waitForKeys();
     if (!this.isKeyed()) return null;
     if (this.backend.heartbeat !== heartbeat || this.grants !== grants) return null;
+    this.keysAwaitedSinceMs = null;
     return grants.answer(heartbeat, arrivedMs);
   }
 
@@ -519,14 +522,18 @@
     return this.isKeyed() && (this.lease.session === null || this.owned.awaitsKeys());
   }
 
+  /** Heartbeats that follow each other while they wait share one wait: none of them would be answered otherwise. */
   private async waitForKeys(): Promise<void> {
+    const nowMs = this.runtime.nowMs();
+    this.keysAwaitedSinceMs ??= nowMs;
+    const leftMs = Math.max(0, this.keysAwaitedSinceMs + ANSWER_WAIT_MS - nowMs);
     await new Promise<void>((resolve) => {
       const done = (): void => {
         cancel();
         this.keyWaiters.delete(done);
         resolve();
       };
-      const cancel = this.runtime.after(ANSWER_WAIT_MS, done);
+      const cancel = this.runtime.after(leftMs, done);
       this.keyWaiters.add(done);
     });
   }
--- a/test/lab/soak/held-keys.test.ts
+++ b/test/lab/soak/held-keys.test.ts
@@ -9,7 +9,7 @@
   constructor(mode: GrantMode) {
     this.keys = new HeldKeys(
       'life',
-      mode,
+      () => mode,
       () => this.nowMs,
       () => undefined,
     );
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -177,6 +177,19 @@
   await stop(world, node);
 });
 
+test('heartbeats that come faster than an answer waits are answered while keys stay on their way', async (t) => {
+  const world = new World();
+  const { node } = await owner(world);
+  world.table([range(0, 99, 'other', 'one'), range(100, 65_535, 'one')]);
+  const answers: (HeartbeatGrant | null)[] = [];
+  for (let sequence = 3; sequence < 7; sequence += 1) {
+    void node.heartbeat(heartbeat(sequence)).then((answer) => answers.push(answer));
+    await pass(world, 500);
+  }
+  t.true(answers.some((answer) => answer !== null));
+  await stop(world, node);
+});
+
 test('a back end that left gives its keys up as soon as no process listens there', async (t) => {
   const world = new World();
   const { node } = await owner(world);
