A change of the way of granting raises fences, and a range leaves a heartbeat only once it was shown under its own

Cause: the new process has no memory of calls, and in heartbeats nothing made the back end see a fence above them. Change: the command that changes the way raises the fences of all owned ranges; a heartbeat's answer leaves a range out once the back end has shown it under its present fence. Why it holds: calls of before the change are under lower fences, and a back end that has shown the present one refuses them. Ruled out: to raise fences at each move after a restart, which costs every move a heartbeat. Two tests of heartbeats showed nothing as held before a range was left out; they now show what a back end does, and one more asks for the rule itself.

--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -22,6 +22,7 @@
 } from './directory-commands.js';
 import {
   itemKey,
+  serviceDefinition,
   type AcceptedRevision,
   type BackendInstance,
   type ConfigurationItem,
@@ -49,9 +50,9 @@
 ): AppliedCommand {
   switch (command.kind) {
     case 'configure-items':
-      return configureItems(state, command);
+      return configureItems(state, command, index);
     case 'configure-revision':
-      return configureRevision(state, command);
+      return configureRevision(state, command, index);
     case 'register':
       return register(state, command, index);
     case 'set-condition':
@@ -91,7 +92,11 @@
 
 // ---- configuration
 
-function configureItems(state: DirectoryState, command: ConfigureItemsCommand): AppliedCommand {
+function configureItems(
+  state: DirectoryState,
+  command: ConfigureItemsCommand,
+  index: number,
+): AppliedCommand {
   const { digest } = command;
   // Later changes may have dropped what it names; it was valid when it was taken, and stays taken.
   if (state.accepted.some((known) => known.digest === digest)) return unchanged(DONE);
@@ -103,10 +108,14 @@
   if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
   state.configured = true;
   if (digest !== undefined) accept(state, { version: newestVersion(command.items), digest });
-  return putItems(state, newer);
+  return putItems(state, newer, index);
 }
 
-function configureRevision(state: DirectoryState, command: ConfigureRevisionCommand): AppliedCommand {
+function configureRevision(
+  state: DirectoryState,
+  command: ConfigureRevisionCommand,
+  index: number,
+): AppliedCommand {
   const { version, digest } = command;
   const sentAgain = state.accepted.some((known) => known.version === version && known.digest === digest);
   if (sentAgain) return unchanged(DONE);
@@ -120,7 +129,7 @@
   state.configured = true;
   accept(state, { version, digest });
   const dropped = command.replacesAll ? droppedItems(state, command) : [];
-  return putItems(state, [...dropped, ...command.items]);
+  return putItems(state, [...dropped, ...command.items], index);
 }
 
 function accept(state: DirectoryState, change: AcceptedRevision): void {
@@ -138,10 +147,27 @@
     .map((item) => ({ ...item, version: command.version, definition: null, source: null }));
 }
 
-function putItems(state: DirectoryState, items: readonly ConfigurationItem[]): AppliedCommand {
+function putItems(state: DirectoryState, items: readonly ConfigurationItem[], index: number): AppliedCommand {
+  const granted = items.filter((item) => changesGrantMode(state, item)).map(({ name }) => name);
   for (const item of items) state.items.set(itemKey(item.kind, item.name), item);
   const changes: DirectoryChange[] = items.length === 0 ? [] : [{ kind: 'items', items }];
-  return { outcome: DONE, changes: [...changes, ...addKeyedServices(state, items)] };
+  changes.push(...addKeyedServices(state, items));
+  for (const service of granted) changes.push(...raiseFences(state, service, index));
+  return { outcome: DONE, changes };
+}
+
+function changesGrantMode(state: DirectoryState, item: ConfigurationItem): boolean {
+  if (item.kind !== 'service' || item.definition === null) return false;
+  const present = serviceDefinition(state.items, item.name);
+  return present !== null && present.grantMode !== item.definition.grantMode;
+}
+
+/** A grant that was sent the other way, and may still be taken, is under an older fence than all that is granted from now on. */
+function raiseFences(state: DirectoryState, service: string, index: number): DirectoryChange[] {
+  const ranges = state.ranges.get(service);
+  if (ranges === undefined) return [];
+  const raised = ranges.map((range) => (range.owner === null ? range : { ...range, fence: index }));
+  return [putRanges(state, service, raised)];
 }
 
 function addKeyedServices(state: DirectoryState, items: readonly ConfigurationItem[]): DirectoryChange[] {
--- a/src/sidecar/heartbeat-grants.ts
+++ b/src/sidecar/heartbeat-grants.ts
@@ -3,7 +3,7 @@
  * heartbeat shows that the back end has let it go.
  */
 import type { KeyRange } from '../directory/directory-state.js';
-import { overlaps } from '../directory/key-ranges.js';
+import { overlaps, withoutSpan } from '../directory/key-ranges.js';
 import type { BackendHeartbeat, HeartbeatGrant, HeldRange, ReleasedRange } from './backend-report.js';
 import { rangeName, ReleaseReporter, type KeyGrantPorts, type KeyGrants } from './key-grants.js';
 
@@ -60,8 +60,8 @@
     const remainingMs = Math.min(holdMs, lease.deadlineMs - runtime.nowMs());
     if (remainingMs < LEAST_HOLD_MS) return null;
     const mine = owned.list();
-    const kept = mine.filter((range) => !this.mayLeave(range));
-    this.noteLeftOut(mine, heartbeat.sequence);
+    const kept = mine.filter((range) => !this.leaves(range, heartbeat));
+    this.noteLeftOut(mine, kept, heartbeat.sequence);
     this.become(kept, arrivedMs + remainingMs);
     const ranges = kept.map(({ from, to, fence, handover }) => ({ from, to, fence, handover }));
     return { ranges, holdMs: remainingMs };
@@ -127,10 +127,19 @@
     this.ports.onGained();
   }
 
-  private noteLeftOut(mine: readonly KeyRange[], sequence: number): void {
+  /**
+   * Whether an answer leaves a range out. The back end must have shown it under its present fence: a call of the process
+   * before, from before the way of granting changed, is refused only then.
+   */
+  private leaves(range: KeyRange, { holds }: BackendHeartbeat): boolean {
+    if (!this.mayLeave(range)) return false;
+    return this.leftOut.has(rangeName(range)) || isShown(range, holds ?? []);
+  }
+
+  private noteLeftOut(mine: readonly KeyRange[], kept: readonly KeyRange[], sequence: number): void {
     for (const range of mine) {
       const name = rangeName(range);
-      if (!this.mayLeave(range)) this.leftOut.delete(name);
+      if (kept.includes(range)) this.leftOut.delete(name);
       else if (!this.leftOut.has(name)) this.leftOut.set(name, sequence);
     }
   }
@@ -153,3 +162,12 @@
     return covering?.handover ?? '';
   }
 }
+
+/** Whether rows that a back end holds cover a range under its fence. */
+function isShown(range: KeyRange, holds: readonly HeldRange[]): boolean {
+  let missing: KeyRange[] = [range];
+  for (const held of holds) {
+    if (held.fence === range.fence) missing = missing.flatMap((part) => withoutSpan(part, held));
+  }
+  return missing.length === 0;
+}
--- a/test/directory/directory-machine.test.ts
+++ b/test/directory/directory-machine.test.ts
@@ -229,6 +229,23 @@
   t.is(world.ownerOf(50), 'one');
 });
 
+test('a change of the way of granting raises the fences of what is owned', (t) => {
+  const world = worldWithOwners();
+  const fence = world.fenceOf(50);
+  const before = world.state.items.get(itemKey('service', SERVICE));
+  if (before?.kind !== 'service' || before.definition === null) throw new Error('invariant broken');
+  const grantMode = before.definition.grantMode === 'invoke' ? 'heartbeat' : 'invoke';
+  const change = (version: number): void => {
+    const item = { ...before, version, definition: { ...before.definition, grantMode } } as ConfigurationItem;
+    world.apply({ kind: 'configure-items', items: [item] });
+  };
+  change(before.version + 1);
+  const raised = world.fenceOf(50);
+  t.true(raised > fence);
+  change(before.version + 2);
+  t.is(world.fenceOf(50), raised, 'the same way once more changes nothing');
+});
+
 test('a registration that was ended under another session stays', (t) => {
   const world = worldWithOwners();
   world.apply({ kind: 'unregister', sessions: [{ id: 'one', session: 999 }] });
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -96,7 +96,7 @@
   const world = new World();
   const grants = new HeartbeatGrants(world.ports());
   world.ranges = [range(0, 49, 5, 'other'), range(50, 99, 5, 'third')];
-  grants.answer(heartbeat(1), world.time.nowMs);
+  grants.answer(heartbeat(1, { holds: [{ from: 0, to: 99, fence: 5 }] }), world.time.nowMs);
   grants.take(heartbeat(2, { released: [{ from: 0, to: 99, handover: 'h' }] }));
   t.deepEqual(
     world.sent.map((request) => (request.kind === 'released' ? request.handover : '')),
@@ -104,11 +104,27 @@
   );
 });
 
+test('heartbeats: a range is left out once the back end has shown it under its present fence, in parts or whole', (t) => {
+  const world = new World();
+  const grants = new HeartbeatGrants(world.ports());
+  world.ranges = [range(0, 99, 8, 'other')];
+  const older = { holds: [{ from: 0, to: 99, fence: 5 }] };
+  t.is(grants.answer(heartbeat(1, older), world.time.nowMs)?.ranges.length, 1);
+  const parts = {
+    holds: [
+      { from: 0, to: 49, fence: 8 },
+      { from: 50, to: 120, fence: 8 },
+    ],
+  };
+  t.deepEqual(grants.answer(heartbeat(2, parts), world.time.nowMs)?.ranges, []);
+  t.deepEqual(grants.answer(heartbeat(3), world.time.nowMs)?.ranges, [], 'it has let go of it');
+});
+
 test('heartbeats: a late heartbeat from before the answer proves nothing', (t) => {
   const world = new World();
   const grants = new HeartbeatGrants(world.ports());
   world.ranges = [range(0, 99, 5, 'other')];
-  grants.answer(heartbeat(7), world.time.nowMs);
+  grants.answer(heartbeat(7, { holds: [{ from: 0, to: 99, fence: 5 }] }), world.time.nowMs);
   grants.take(heartbeat(6, { holds: [] }));
   t.deepEqual(world.sent, []);
 });
