An agent holds its back end under another name with each taking, so that late calls of before it are refused

Cause: a grant that got no answer makes the agent give its session up and take the back end anew, and the call, when it is carried out after that, comes from the agent that holds it. The lease of the new session then lengthened the grant of the old one. Change: each taking has a name of its own. Why it holds: the back end refuses every call of another name than that of the last taking, and nothing is granted between. Test: fails before (shards 7 and 9 are served), passes after.

--- a/lab/sim/sim-backend.ts
+++ b/lab/sim/sim-backend.ts
@@ -1,5 +1,6 @@
 /** A simulated back end: the stand-in's own grants and gate, on virtual time. */
 import type { BackendCallError, BackendPort } from '../../src/agent/backend-port.js';
+import { HolderName } from '../../src/agent/holder-name.js';
 import type { Claim, Grant, HolderAnswer, RefusalCode } from '../../src/backend-contract/grant-messages.js';
 import { Err, Ok, type Result } from '../../src/result.js';
 import { type BackendClocks, GrantTable } from '../backend/grant-table.js';
@@ -39,6 +40,8 @@
 /** One back end over all its lives. */
 export class SimBackend {
   grants: GrantTable;
+  /** Time in ms by which calls that are sent now are carried out late. */
+  heldUpMs = 0;
   private gate: RequestGate;
   private bornMs = 0;
   private readonly load = new Map<number, number>();
@@ -121,15 +124,20 @@
 type CallResult<T> = Result<T, BackendCallError>;
 
 class SimBackendPort implements BackendPort {
+  private readonly holder: HolderName;
+
   constructor(
     private readonly backend: SimBackend,
     private readonly agent: SimProcess,
-    private readonly agentInstance: string,
-  ) {}
+    agentInstance: string,
+  ) {
+    this.holder = new HolderName(agentInstance);
+  }
 
   takeHolder(): Promise<CallResult<HolderAnswer>> {
+    const holder = this.holder.next();
     return this.call(RELEASE_TIMEOUT_MS, async (backend) => {
-      await backend.grants.takeHolder(this.agentInstance);
+      await backend.grants.takeHolder(holder);
       return Ok(backend.holderAnswer());
     });
   }
@@ -155,8 +163,9 @@
   }
 
   release(shard: number, epoch: number): Promise<CallResult<{ window: Claim[] }>> {
+    const holder = this.holder.current;
     return this.call(RELEASE_TIMEOUT_MS, async (backend) => {
-      if (!backend.grants.isHolder(this.agentInstance)) return refused();
+      if (!backend.grants.isHolder(holder)) return refused();
       const window = await backend.grants.release(shard, epoch);
       return window === null ? refused() : Ok({ window: window.export() });
     });
@@ -173,8 +182,9 @@
   }
 
   private callAsHolder<T>(run: (backend: SimBackend) => T): Promise<CallResult<T>> {
+    const holder = this.holder.current;
     return this.call(CALL_TIMEOUT_MS, (backend) => {
-      const isHolder = backend.grants.isHolder(this.agentInstance);
+      const isHolder = backend.grants.isHolder(holder);
       return Promise.resolve(isHolder ? Ok(run(backend)) : refused());
     });
   }
@@ -192,7 +202,7 @@
         });
         return;
       }
-      process.schedule(LOCAL_CALL_MS, () => {
+      process.schedule(LOCAL_CALL_MS + this.backend.heldUpMs, () => {
         void run(this.backend).then((result) => {
           this.agent.schedule(LOCAL_CALL_MS, () => {
             resolve(result);
--- a/src/agent/backend-client.ts
+++ b/src/agent/backend-client.ts
@@ -10,6 +10,7 @@
   type HolderAnswer,
 } from '../backend-contract/grant-messages.js';
 import type { BackendCallError, BackendPort } from './backend-port.js';
+import { HolderName } from './holder-name.js';
 import { formatAddress, type SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 
@@ -22,16 +23,16 @@
 /** A client for one back end. */
 export class BackendClient implements BackendPort {
   private readonly pool: Pool;
+  private readonly holder: HolderName;
 
-  constructor(
-    address: SocketAddress,
-    private readonly agentInstance: string,
-  ) {
+  constructor(address: SocketAddress, agentInstance: string) {
+    this.holder = new HolderName(agentInstance);
     this.pool = new Pool(`http://${formatAddress(address)}`, { connections: 4 });
   }
 
   /** Makes this agent the only holder; earlier grants have ended once this returns. */
   async takeHolder(): Promise<Result<HolderAnswer, BackendCallError>> {
+    this.holder.next();
     return await this.call('holder', {}, holderAnswerSchema, RELEASE_TIMEOUT_MS);
   }
 
@@ -76,7 +77,7 @@
         method: 'PUT',
         path: `${CONTRACT_PREFIX}/${name}`,
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ agent: this.agentInstance, ...body }),
+        body: JSON.stringify({ agent: this.holder.current, ...body }),
         signal: AbortSignal.timeout(timeoutMs),
       });
       const text = await response.body.text();
--- /dev/null
+++ b/test/agent/late-calls.test.ts
@@ -0,0 +1,55 @@
+/**
+ * A call by which an agent granted shards got no answer, so the agent gave its session up and took the back end anew. The call
+ * was carried out after that, and the back end held shards under an epoch that had been given to another one.
+ */
+import test from 'ava';
+import { Random } from '../../lab/random.js';
+import { EventQueue } from '../../lab/sim/event-queue.js';
+import { makeGrantTable, SimBackend } from '../../lab/sim/sim-backend.js';
+import { SimProcess } from '../../lab/sim/sim-process.js';
+
+const LATE_MS = 3_000;
+const DEADLINE_MS = 60_000;
+const CLOCK = { startMs: 0, rate: 1, wallOffsetMs: 0 };
+
+function grantOf(
+  shard: number,
+  epoch: number,
+): { shard: number; epoch: number; freshAfterMs: number; window: [] } {
+  return { shard, epoch, freshAfterMs: 0, window: [] };
+}
+
+test('a grant of a session that was left is refused when it is carried out late', async (t) => {
+  const queue = new EventQueue();
+  const machine = new SimProcess('back-end', queue, CLOCK);
+  const agent = machine.onSameMachine('agent');
+  const backend = new SimBackend(
+    'back-end',
+    'service',
+    machine,
+    new Random(1),
+    makeGrantTable,
+    () => undefined,
+  );
+  backend.start();
+  agent.start();
+  const port = backend.portFor(agent, 'agent-1');
+  const settle = async (untilMs: number): Promise<void> => {
+    while (queue.runNext(untilMs)) await new Promise((resolve) => setImmediate(resolve));
+  };
+  const taken = port.takeHolder();
+  await settle(100);
+  t.true((await taken).ok);
+  backend.heldUpMs = LATE_MS;
+  const late = port.addGrants(DEADLINE_MS, [grantOf(7, 3)]);
+  backend.heldUpMs = 0;
+  await settle(1_000);
+  t.true((await late).err, 'it got no answer');
+  const takenAgain = port.takeHolder();
+  await settle(1_100);
+  t.true((await takenAgain).ok);
+  const granted = port.addGrants(DEADLINE_MS, [grantOf(9, 5)]);
+  await settle(LATE_MS * 2);
+  t.true((await granted).ok);
+  t.deepEqual(backend.grants.servableShards(), [9]);
+});
