--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -106,7 +106,7 @@
       machine.startBackend();
     }
     this.queue.at(CONFIGURE_AT_MS, () => {
-      this.configure();
+      this.sendUntilTaken(this.items(), () => undefined);
     });
     this.look();
     await this.runUntil(FLEET_READY_MS);
@@ -172,16 +172,14 @@
   /** The operator changes how the keys of a service are granted; back ends go by that once it is acknowledged. */
   changeGrantMode(service: string, grantMode: GrantMode): void {
     this.configurationVersion += 1;
+    const version = this.configurationVersion;
     const items = this.items().map((item) => {
       if (item.kind !== 'service' || item.name !== service || item.definition === null) return item;
-      return { ...item, version: this.configurationVersion, definition: { ...item.definition, grantMode } };
+      return { ...item, version, definition: { ...item.definition, grantMode } };
+    });
+    this.sendUntilTaken(items, () => {
+      if (version === this.configurationVersion) this.grantModes.set(service, grantMode);
     });
-    void this.directory
-      .leader()
-      ?.propose({ kind: 'configure-items', items })
-      .then((outcome) => {
-        if (outcome.ok && outcome.val.kind === 'done') this.grantModes.set(service, grantMode);
-      });
   }
 
   /** The leader begins to move keys of a service; whether there was one. */
@@ -255,19 +253,21 @@
     return traffic;
   }
 
-  private configure(): void {
-    const leader = this.directory.leader();
+  /** Sends a change again and again, as an operator does. */
+  private sendUntilTaken(items: readonly ConfigurationItem[], onTaken: () => void): void {
     const again = (): void => {
       this.queue.at(this.queue.nowMs + CONFIGURE_RETRY_MS, () => {
-        this.configure();
+        this.sendUntilTaken(items, onTaken);
       });
     };
+    const leader = this.directory.leader();
     if (leader === null) {
       again();
       return;
     }
-    void leader.propose({ kind: 'configure-items', items: this.items() }).then((outcome) => {
-      if (outcome.err || outcome.val.kind !== 'done') again();
+    void leader.propose({ kind: 'configure-items', items }).then((outcome) => {
+      if (outcome.ok && outcome.val.kind === 'done') onTaken();
+      else again();
     });
   }
 
--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -146,6 +146,7 @@
 class Endpoint implements Connection {
   peer: Endpoint | null = null;
   private open = true;
+  private held: unknown[] = [];
   private lastArrivalMs = 0;
 
   constructor(
@@ -202,9 +203,20 @@
 
   private arrive(message: unknown, afterMs: number): void {
     this.process.schedule(afterMs, () => {
-      if (!this.open) return;
-      if (this.network.passes(this.peerProcess.name, this.process.name)) this.handlers.onMessage(message);
-      else this.arrive(message, CUT_POLL_MS);
+      this.held.push(message);
+      if (this.held.length === 1) this.takeHeld();
+    });
+  }
+
+  /** What a cut holds back arrives in its order once the cut has healed, and before all that was sent later. */
+  private takeHeld(): void {
+    if (!this.open) return;
+    if (this.network.passes(this.peerProcess.name, this.process.name)) {
+      for (const message of this.held.splice(0)) if (this.open) this.handlers.onMessage(message);
+      return;
+    }
+    this.process.schedule(CUT_POLL_MS, () => {
+      this.takeHeld();
     });
   }
 }
