--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -66,6 +66,15 @@
 /** A back end that behaves. */
 export const WELL_BEHAVED: Misbehaviour = { answerLost: 0, answerCut: 0, secondAnswer: 0 };
 
+/** Calls that change what a back end holds: a share gets no answer, and is carried out within a time in ms. */
+export interface HeldUpCalls {
+  readonly share: number;
+  readonly latestMs: number;
+}
+
+/** No call is held up. */
+export const NO_CALLS_HELD_UP: HeldUpCalls = { share: 0, latestMs: 0 };
+
 /** What a back end is started with. */
 export interface SoakBackendOptions {
   /** Name that it goes by; another life may go by the same. */
@@ -95,6 +104,7 @@
 /** One life of a back end. */
 export class SoakBackend {
   misbehaviour = WELL_BEHAVED;
+  heldUp = NO_CALLS_HELD_UP;
   private readonly server: Server;
   private readonly keys: HeldKeys;
   private running = 0;
@@ -272,6 +282,17 @@
     response.end();
   }
 
+  /** Carries a call out late, whatever has become of its sender; it gets no answer. */
+  private holdUp(path: string, body: string): void {
+    const call = readGrantCall(body);
+    const lateMs = this.options.random.fraction() * this.heldUp.latestMs;
+    setTimeout(() => {
+      if (!this.up) return;
+      if (path === PATHS.grant) this.keys.grant(call);
+      else this.keys.release(call);
+    }, lateMs);
+  }
+
   // ---- requests
 
   private async receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -282,6 +303,7 @@
     const path = request.url ?? '/';
     const isOrder = path === PATHS.grant || path === PATHS.release;
     if (isOrder && this.isMisdirected(request)) answerPlain(response, STATUS.misdirected);
+    else if (isOrder && this.options.random.fraction() < this.heldUp.share) this.holdUp(path, body);
     else if (path === PATHS.grant) this.takeGrant(body, response);
     else if (path === PATHS.release) await this.takeRelease(body, response);
     else if (path === PATHS.health) answerPlain(response, STATUS.ok, healthHeaders(this.id, this.coldLeftMs));
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -7,7 +7,13 @@
 import { ManagedProcess } from '../fleet/managed-process.js';
 import { pause } from '../pause.js';
 import type { Random } from '../random.js';
-import { SoakBackend, WELL_BEHAVED, type Misbehaviour } from './soak-backend.js';
+import {
+  NO_CALLS_HELD_UP,
+  SoakBackend,
+  WELL_BEHAVED,
+  type HeldUpCalls,
+  type Misbehaviour,
+} from './soak-backend.js';
 import type { SoakJudge } from './soak-judge.js';
 import { SoakNetwork } from './soak-network.js';
 import type { DirectoryMachine, SidecarMachine, SoakPlan } from './soak-plan.js';
@@ -138,6 +144,11 @@
     for (const backend of this.backends.values()) backend.misbehaviour = misbehaviour;
   }
 
+  /** Has calls to all back ends be held up, or none. */
+  holdUpCalls(heldUp: HeldUpCalls = NO_CALLS_HELD_UP): void {
+    for (const backend of this.backends.values()) backend.heldUp = heldUp;
+  }
+
   /** The directory that said last that it leads, or one of them. */
   leader(): SoakMachine | undefined {
     const named = this.directories.map((machine) => ({ machine, term: this.lastTermLed(machine.name) }));
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -36,12 +36,19 @@
 /** Leaves of back ends, and what strikes their daemons a moment after the acknowledgement; drawn by themselves as well. */
 export const LEAVE_SOAK_TROUBLES = ['leave-then-kill', 'goodbye-then-kill', 'leave-then-stop'] as const;
 
+/**
+ * What brings older knowledge of who owns keys back: all daemons and directories lose power while back ends live on, and
+ * grants are carried out late; drawn by themselves as well.
+ */
+export const KEY_SOAK_TROUBLES = ['lose-all-power', 'hold-up-grants'] as const;
+
 /** All kinds, in the order in which they were added. */
 export const ALL_SOAK_TROUBLES = [
   ...SOAK_TROUBLES,
   ...FURTHER_SOAK_TROUBLES,
   ...BESIDE_SOAK_TROUBLES,
   ...LEAVE_SOAK_TROUBLES,
+  ...KEY_SOAK_TROUBLES,
 ] as const;
 
 /** A kind of trouble. */
@@ -51,6 +58,7 @@
 const FURTHER_SEED_OFFSET = 7_000_003;
 const BESIDE_SEED_OFFSET = 13_000_027;
 const LEAVE_SEED_OFFSET = 19_000_013;
+const KEY_SEED_OFFSET = 23_000_009;
 
 /** One trouble. */
 export interface SoakTrouble {
@@ -137,6 +145,8 @@
     troubles.push(drawTrouble(further, FURTHER_SOAK_TROUBLES));
     troubles.push(drawTrouble(new Random(seed + BESIDE_SEED_OFFSET), BESIDE_SOAK_TROUBLES));
     troubles.push(drawTrouble(new Random(seed + LEAVE_SEED_OFFSET), LEAVE_SOAK_TROUBLES));
+    const beside = new Random(seed + KEY_SEED_OFFSET);
+    for (const kind of KEY_SOAK_TROUBLES) troubles.push(drawTrouble(beside, [kind]));
   }
   troubles.sort((left, right) => left.atMs - right.atMs);
   return {
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -7,6 +7,7 @@
 import type { SoakTrouble, SoakTroubleKind } from './soak-plan.js';
 import { STAND_IN_BOUNDS } from '../../platform/stand-in-wire.js';
 import { pause } from '../pause.js';
+import { Random } from '../random.js';
 
 /** Time in ms for which a directory counts as lost after it came back, so that no two are lost at once. */
 const CATCH_UP_MS = 4_000;
@@ -34,6 +35,13 @@
 const STRUCK_AFTER_LEAVE_MS = 300;
 const SERVES_ON_AFTER_STRIKE_MS = 6_000;
 
+/** Calls that are held up: their share, and the longest time in ms. */
+const HELD_UP = { share: 0.4, latestMs: 8_000 };
+
+/** Shortest and longest time in ms for which a machine has no power. */
+const SHORTEST_OUTAGE_MS = 200;
+const LONGEST_OUTAGE_MS = 900;
+
 /** Bytes of a write that was torn. */
 const TORN_BYTES = Buffer.from([0, 0, 0, 200, 1, 2, 3, 4, 5, 6, 7]);
 const LOG_FILE = 'log';
@@ -116,6 +124,7 @@
     if (kind.endsWith('-leader')) return this.fleet.leader();
     if (kind === 'kill-all-directories' || kind === 'lose-acknowledgements') return undefined;
     if (kind === 'lose-answers' || kind === 'spoil-answers' || BESIDE_CALM.has(kind)) return undefined;
+    if (kind === 'lose-all-power' || kind === 'hold-up-grants') return undefined;
     const onDisks = concernsDisks(kind);
     const everywhere = EVERYWHERE.has(kind);
     const machines = everywhere ? [...directories, ...sidecars] : onDisks ? directories : sidecars;
@@ -136,6 +145,14 @@
         await pause(forMs);
         this.fleet.misbehave();
         return;
+      case 'lose-all-power':
+        await this.loseAllPower(trouble);
+        return;
+      case 'hold-up-grants':
+        this.fleet.holdUpCalls(HELD_UP);
+        await pause(forMs);
+        this.fleet.holdUpCalls();
+        return;
       case 'evacuate-zone':
         await this.evacuate(trouble);
         return;
@@ -231,6 +248,23 @@
     }
   }
 
+  /** Every process is killed at one moment; where no disk was lost lately, one of the directories loses its own. */
+  private async loseAllPower(trouble: SoakTrouble): Promise<void> {
+    const machines = [...this.fleet.directories, ...this.fleet.sidecars].filter(({ troubled }) => !troubled);
+    const wiped = this.takeLoss(trouble)
+      ? this.fleet.directories[trouble.choice % this.fleet.directories.length]
+      : undefined;
+    await Promise.all(
+      machines.map(async (machine, at) => {
+        machine.troubled = true;
+        await this.killFor(machine, outageMs(trouble.choice, at), () => {
+          if (machine === wiped) wipe(machine);
+        });
+        machine.troubled = false;
+      }),
+    );
+  }
+
   private async killFor(machine: SoakMachine, forMs: number, meanwhile?: () => void): Promise<void> {
     await machine.process.kill();
     meanwhile?.();
@@ -291,6 +325,12 @@
   }
 }
 
+/** Machines come back in an order that differs from trouble to trouble. */
+function outageMs(choice: number, at: number): number {
+  const random = new Random(choice + at);
+  return SHORTEST_OUTAGE_MS + random.below(LONGEST_OUTAGE_MS - SHORTEST_OUTAGE_MS);
+}
+
 function concernsDisks(kind: SoakTroubleKind): boolean {
   return kind.endsWith('-directory') || kind.endsWith('-leader') || kind === 'tear-log';
 }
