--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -200,7 +200,7 @@
     record.sentMs = nowMs;
     const mayHoldUntilMs = this.ports.runtime.steadyMs() + holdMs * STRETCH_SHARE;
     record.mayHoldUntilMs = Math.max(record.mayHoldUntilMs, mayHoldUntilMs);
-    const call = this.ports.outstanding.sent(range);
+    const call = this.ports.outstanding.sent(range, range.movingTo !== null);
     const result = await this.calls.grant(id, range, holdMs);
     record.underWay = false;
     this.ports.outstanding.settled(call, range, result);
--- a/src/sidecar/outstanding-grants.ts
+++ b/src/sidecar/outstanding-grants.ts
@@ -13,7 +13,7 @@
 export type Certainty =
   /** No grant that may still be taken could bring the range back. */
   | 'certain'
-  /** A call is under way; its answer may make the range certain. */
+  /** The grant that makes the range certain is under way. */
   | 'to-be-awaited'
   /** The back end must be seen to take the range under its present fence. */
   | 'to-be-granted'
@@ -25,8 +25,10 @@
  * cut the range, and brought keys back that another back end held.
  */
 interface OutstandingGrant extends HeldRange {
-  /** Number of the call while its answer is awaited; null when none came. */
+  /** Number of the call while it is under way; null when no answer came. */
   readonly call: number | null;
+  /** Whether it was sent to make a moving range certain. */
+  readonly forMove: boolean;
 }
 
 /** Outstanding grants of one life of a back end, whichever way they were granted. */
@@ -34,10 +36,10 @@
   private grants: readonly OutstandingGrant[] = [];
   private lastCall = 0;
 
-  /** A grant is sent; returns the number of the call. */
-  sent({ from, to, fence }: HeldRange): number {
+  /** A grant is sent, of a range that is to move or of one that stays; returns the number of the call. */
+  sent({ from, to, fence }: HeldRange, forMove: boolean): number {
     this.lastCall += 1;
-    this.add({ from, to, fence, call: this.lastCall });
+    this.add({ from, to, fence, call: this.lastCall, forMove });
     return this.lastCall;
   }
 
@@ -62,12 +64,17 @@
     );
   }
 
-  /** What is needed before a range may leave. */
+  /**
+   * What is needed before a range may leave. A renewal that is under way is fenced like one without answer: a move that
+   * waited for it would wait for as long as a call may. A grant that was sent for the move is awaited, since raising the
+   * fence once more would make it worthless.
+   */
   certaintyOf(range: HeldRange): Certainty {
     const pending = this.grants.filter((grant) => overlaps(grant, range));
     if (pending.length === 0) return 'certain';
-    if (pending.some(({ call }) => call !== null)) return 'to-be-awaited';
-    return pending.some(({ fence }) => fence >= range.fence) ? 'to-be-fenced' : 'to-be-granted';
+    const present = pending.filter(({ fence }) => fence >= range.fence);
+    if (present.length === 0) return 'to-be-granted';
+    return present.every(({ call, forMove }) => call !== null && forMove) ? 'to-be-awaited' : 'to-be-fenced';
   }
 
   /** The back end has another life. */
@@ -79,7 +86,7 @@
     const isKnown = this.grants.some((grant) => {
       return grant.call === null && grant.fence === fence && grant.from <= from && grant.to >= to;
     });
-    if (!isKnown) this.add({ from, to, fence, call: null });
+    if (!isKnown) this.add({ from, to, fence, call: null, forMove: false });
   }
 
   private add(grant: OutstandingGrant): void {
@@ -94,5 +101,5 @@
 function joined(one: OutstandingGrant, other: OutstandingGrant): OutstandingGrant {
   const from = Math.min(one.from, other.from);
   const to = Math.max(one.to, other.to);
-  return { from, to, fence: Math.max(one.fence, other.fence), call: null };
+  return { from, to, fence: Math.max(one.fence, other.fence), call: null, forMove: false };
 }
