--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -25,13 +25,10 @@
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
 import type { EndedLife } from '../quarantine/end-reporter.js';
-import { HeartbeatGrants } from './heartbeat-grants.js';
-import { InvokedGrants } from './invoked-grants.js';
+import { KeyOwnership } from './key-ownership.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
 import type { LocalBackend } from './local-backend.js';
-import { OutstandingGrants } from './outstanding-grants.js';
-import { OwnedRanges } from './owned-ranges.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
 import { forwarderCounters } from './forwarder-counters.js';
@@ -53,15 +50,9 @@
 /** Time in ms after the start in which requests wait for the back end to tell about itself. */
 const FIRST_HEARTBEAT_MS = 4_000;
 
-/** Longest time in ms for which a heartbeat's answer waits for keys that are on their way. */
-const ANSWER_WAIT_MS = 700;
-
 /** Time in ms in which the last messages of a daemon that stops leave it. */
 const FLUSH_MS = 60;
 
-/** Time in ms by which a grant may outlast its end here, for clocks that run at different rates. */
-const HOLD_MARGIN_MS = 400;
-
 /**
  * Parts of the grace time at a stop: until the first everything goes on, since callers learn of the stop late; until
  * the second the back end is still sent requests of other daemons; at the last everything ends.
@@ -105,9 +96,7 @@
   private readonly presence: BackendPresence;
   private readonly backend: LocalBackend;
   private readonly lease: LeaseKeeper;
-  private readonly owned: OwnedRanges;
-  private readonly outstanding = new OutstandingGrants();
-  private grants: HeartbeatGrants | InvokedGrants;
+  private readonly keys: KeyOwnership;
   private readonly load = new LoadMeter();
   private readonly coldLimit: ColdStartLimit;
   private readonly evacuation: ZoneEvacuation;
@@ -121,12 +110,7 @@
   private readonly callers: CallerListener;
   private readonly linkServer: LinkListener;
   private readonly transport: SidecarTransport;
-  private readonly keyWaiters = new Set<() => void>();
-  /** Since when heartbeats wait for keys and none was answered, in ms; null while none waits. */
-  private keysAwaitedSinceMs: number | null = null;
   private readonly startedMs: number;
-  /** When nothing can be held any more that the process before this one granted, or that was granted another way. */
-  private earlierGrantsEndMs: number;
   private readonly timers: CancelTimer[] = [];
   private stoppingSinceMs: number | null = null;
   private closingConnections = false;
@@ -137,13 +121,11 @@
     this.runtime = runtime;
     this.log = log;
     this.startedMs = runtime.nowMs();
-    this.earlierGrantsEndMs = runtime.steadyMs() + settings.holdMs;
     this.transport = options.transport ?? socketTransport(settings, runtime);
     this.presence = this.makePresence();
     this.backend = this.presence.backend;
     this.lease = this.makeLease();
-    this.owned = new OwnedRanges(this.table, this.lease, settings.service, () => this.backend.life);
-    this.grants = this.makeGrants();
+    this.keys = this.makeKeys();
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
     this.backendClient = this.transport.backend(() => {
@@ -193,7 +175,7 @@
     this.directory = this.makeDirectory();
     this.timers.push(
       runtime.every(STEP_MS, () => {
-        this.presence.step(this.isKeyed());
+        this.presence.step(this.keys.isKeyed);
       }),
     );
   }
@@ -242,16 +224,9 @@
     else this.coldLimit.takeTold(heartbeat.coldLeftMs, this.runtime.steadyMs());
     this.gateway.setSlots(heartbeat.slots);
     this.presence.register();
-    const { grants } = this;
-    if (grants instanceof HeartbeatGrants) grants.take(heartbeat);
-    else grants.tableChanged();
+    this.keys.take(heartbeat);
     this.gateway.reconsider();
-    if (!(grants instanceof HeartbeatGrants)) return null;
-    if (heartbeat.condition === 'ready' && this.awaitsKeys()) await this.waitForKeys();
-    if (!this.isKeyed()) return null;
-    if (this.backend.heartbeat !== heartbeat || this.grants !== grants) return null;
-    this.keysAwaitedSinceMs = null;
-    return grants.answer(heartbeat, arrivedMs);
+    return await this.keys.answer(heartbeat, arrivedMs);
   }
 
   /** A life of the back end says that it leaves and sends no more heartbeats; what it said binds, also if it is not known. */
@@ -295,7 +270,7 @@
     for (const cancel of this.timers) cancel();
     this.lease.stop();
     this.crashes.stop();
-    this.grants.stop();
+    this.keys.stop();
     this.callers.close();
     this.gateway.stop();
     this.linkServer.close();
@@ -321,31 +296,24 @@
     });
   }
 
-  private makeGrants(): HeartbeatGrants | InvokedGrants {
-    const { settings, runtime, log, lease, owned } = this;
-    const ports = {
+  private makeKeys(): KeyOwnership {
+    const { settings, runtime, log, table, lease, backend } = this;
+    return new KeyOwnership({
       runtime,
       log,
-      service: settings.service,
+      table,
       lease,
-      owned,
+      backend,
+      calls: this.options.calls,
+      service: settings.service,
+      usualGrantMode: settings.grantMode,
       holdMs: settings.holdMs,
-      outstanding: this.outstanding,
-      instance: () => this.backend.life,
-      send: (request: Parameters<DirectoryClient['send']>[0]) => this.directory.send(request),
+      send: (request) => this.directory.send(request),
+      isPresent: async () => await this.presence.isKnownLife(),
       onGained: () => {
         this.gateway.reconsider();
       },
-    };
-    const mode = this.table.service(settings.service)?.grantMode ?? settings.grantMode;
-    if (mode === 'heartbeat') return new HeartbeatGrants(ports);
-    const isPresent = async (): Promise<boolean> => await this.presence.isKnownLife();
-    return new InvokedGrants(
-      ports,
-      this.options.calls,
-      isPresent,
-      () => this.backend.heartbeat?.sequence ?? 0,
-    );
+    });
   }
 
   private makePresence(): BackendPresence {
@@ -361,12 +329,12 @@
       lease: () => this.lease,
       send: (request) => this.directory.send(request),
       listens: this.options.backendListens,
-      holdsNothing: () => runtime.steadyMs() > this.mayHoldUntilMs + HOLD_MARGIN_MS,
+      holdsNothing: () => this.keys.holdsNothing,
       onConfirmed: () => {
         this.gateway.reconsider();
       },
       onGone: () => {
-        this.grants.clear();
+        this.keys.clear();
         this.gateway.reconsider();
       },
     });
@@ -386,8 +354,8 @@
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_MS,
       closesAtMs: () => this.closesAtMs(),
       leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuation.standing,
-      holdsKey: (key) => !this.isKeyed() || this.grants.holds(key),
-      ownsKey: (key) => this.owned.placeOf(key) === 'here',
+      holdsKey: (key) => this.keys.holds(key),
+      ownsKey: (key) => this.keys.owns(key),
       onWork: (key, ms) => {
         if (key !== null) this.load.add(key, ms);
       },
@@ -403,7 +371,7 @@
       listens: this.options.backendListens,
       send: (request) => this.directory.send(request),
       onDoubt: () => {
-        this.doubtLife();
+        this.keys.doubtLife();
       },
       onPermit: () => {
         this.gateway.suspects.step();
@@ -471,7 +439,7 @@
 
   private closesAtMs(): number {
     const stopMs = (this.stoppingSinceMs ?? Infinity) + this.settings.graceMs * BACKEND_CLOSING_SHARE;
-    return Math.min(this.backend.closesAtMs, stopMs, this.evacuation.closesAtMs(this.isKeyed()));
+    return Math.min(this.backend.closesAtMs, stopMs, this.evacuation.closesAtMs(this.keys.isKeyed));
   }
 
   /**
@@ -490,21 +458,6 @@
     this.log.event('evacuation', { zone, evacuated });
   }
 
-  /** Taken to hold nothing after a restart, a back end lost its keys to others while it held them. */
-  private get mayHoldUntilMs(): number {
-    return Math.max(this.earlierGrantsEndMs, this.grants.heldUntil);
-  }
-
-  /** Lives that tell when they started may share an id; others are told apart by the id that a grant names. */
-  private doubtLife(): void {
-    const mayShareId = this.backend.heartbeat !== null && this.backend.heartbeat.bornMs !== null;
-    if (mayShareId && this.grants instanceof InvokedGrants) this.grants.awaitHeartbeat();
-  }
-
-  private isKeyed(): boolean {
-    return this.table.service(this.settings.service)?.keyed === true;
-  }
-
   private newLife(heartbeat: BackendHeartbeat): void {
     const { sequence, slots, coldLeftMs } = heartbeat;
     const { life, confirmed } = this.backend;
@@ -513,29 +466,7 @@
     this.gateway.startLife();
     this.gateway.forecast.pace.forget();
     this.adoptEvacuation();
-    this.grants.clear();
-  }
-
-  /** A daemon that was started a moment ago may not know yet whether there are any. */
-  private awaitsKeys(): boolean {
-    if (this.table.index === 0) return true;
-    return this.isKeyed() && (this.lease.session === null || this.owned.awaitsKeys());
-  }
-
-  /** Heartbeats that follow each other while they wait share one wait: none of them would be answered otherwise. */
-  private async waitForKeys(): Promise<void> {
-    const nowMs = this.runtime.nowMs();
-    this.keysAwaitedSinceMs ??= nowMs;
-    const leftMs = Math.max(0, this.keysAwaitedSinceMs + ANSWER_WAIT_MS - nowMs);
-    await new Promise<void>((resolve) => {
-      const done = (): void => {
-        cancel();
-        this.keyWaiters.delete(done);
-        resolve();
-      };
-      const cancel = this.runtime.after(leftMs, done);
-      this.keyWaiters.add(done);
-    });
+    this.keys.clear();
   }
 
   // ---- the directory
@@ -543,26 +474,16 @@
   private tableChanged(): void {
     this.coldLimit.configure(this.table.service(this.settings.service)?.coldStart ?? null);
     this.adoptEvacuation();
-    this.adoptGrantMode();
+    this.keys.adoptGrantMode();
     this.presence.tableChanged();
     this.lease.tableChanged();
-    this.grants.tableChanged();
+    this.keys.tableChanged();
     this.callers.applyLimits();
     this.gateway.reconsider();
-    if (!this.awaitsKeys()) for (const done of [...this.keyWaiters]) done();
     this.requests.tableChanged();
     this.peers.keepOnly(this.table.instances());
   }
 
-  private adoptGrantMode(): void {
-    const mode = this.table.service(this.settings.service)?.grantMode ?? this.settings.grantMode;
-    const present = this.grants instanceof HeartbeatGrants ? 'heartbeat' : 'invoke';
-    if (mode === present) return;
-    this.earlierGrantsEndMs = this.mayHoldUntilMs;
-    this.grants.stop();
-    this.grants = this.makeGrants();
-  }
-
   // ---- callers
 
   private takeRequest(incoming: IncomingRequest, sink: CallerSink): TakenRequest | OwnAnswer {
