--- a/src/consensus/full-disk.ts
+++ b/src/consensus/full-disk.ts
@@ -2,6 +2,7 @@
  * A disk that is full refuses writes and may have room again later. Until then a replica does nothing at all: to
  * others it looks like one that is frozen, and it has promised nothing that is not on its disk.
  */
+import { pause } from '../runtime/pause.js';
 import type { Runtime } from '../runtime/runtime.js';
 
 /** Pause before a refused write is repeated, in ms. */
@@ -19,8 +20,6 @@
     } catch (error) {
       if (!FULL_DISK_CODES.has((error as NodeJS.ErrnoException).code ?? '')) throw error;
     }
-    await new Promise<void>((resolve) => {
-      runtime.after(REPEAT_PAUSE_MS, resolve);
-    });
+    await pause(runtime, REPEAT_PAUSE_MS);
   }
 }
--- a/src/quarantine/end-reporter.ts
+++ b/src/quarantine/end-reporter.ts
@@ -5,6 +5,7 @@
  */
 import type { EndedRun } from './crash-commands.js';
 import type { RunNotice, RunRequest } from './crash-messages.js';
+import { pause } from '../runtime/pause.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventFields } from '../telemetry/event-log.js';
 import type { InterruptedRun, InterruptedRuns } from './interrupted-runs.js';
@@ -70,7 +71,7 @@
   async runBroke(): Promise<void> {
     this.looking ??= this.look();
     const { looking } = this;
-    await Promise.race([looking, this.pause(LONGEST_HOLD_MS)]);
+    await Promise.race([looking, pause(this.ports.runtime, LONGEST_HOLD_MS)]);
   }
 
   /** Another life has begun, and no connection to the one before was refused. */
@@ -94,7 +95,7 @@
   private async look(): Promise<void> {
     const life = this.ports.life();
     const listens = life === null || (await this.ports.listens());
-    if (!listens) await this.pause(SETTLE_MS);
+    if (!listens) await pause(this.ports.runtime, SETTLE_MS);
     this.looking = null;
     if (listens) return;
     const runs = this.ports.interrupted.take(-Infinity);
@@ -135,12 +136,6 @@
     this.reports.delete(report.token);
     report.done();
   }
-
-  private async pause(ms: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.ports.runtime.after(ms, resolve);
-    });
-  }
 }
 
 /** One entry for each request; one that ran beside another was not alone. */
--- a/src/router/run-guard.ts
+++ b/src/router/run-guard.ts
@@ -12,6 +12,7 @@
 import { saysOfRun } from '../quarantine/run-answer.js';
 import { requestFingerprint, type IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import { RunPermits } from '../quarantine/run-permits.js';
+import { pause } from '../runtime/pause.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { EventFields } from '../telemetry/event-log.js';
 import { listensAt } from '../transport/listen-check.js';
@@ -99,7 +100,7 @@
         return { kind: 'permitted', fingerprint };
       }
       this.permits.ask(fingerprint, life);
-      await this.pause(PERMIT_LOOK_MS);
+      await pause(this.ports.runtime, PERMIT_LOOK_MS);
     }
   }
 
@@ -170,10 +171,4 @@
     const session = this.ports.sessionOf(name);
     return session !== null && sessionLife(name, session) === life;
   }
-
-  private async pause(ms: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.ports.runtime.after(ms, resolve);
-    });
-  }
 }
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -4,7 +4,8 @@
  */
 import type { DirectoryRequest } from '../directory/directory-messages.js';
 import { lifeName, type BackendLife } from '../model/backend-life.js';
-import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { pause } from '../runtime/pause.js';
+import type { Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { BackendCalls, BackendHeartbeat } from './backend-report.js';
 import type { DirectoryTable } from './directory-table.js';
@@ -90,12 +91,7 @@
     this.register();
   }
 
-  /** The table has changed: it may know of the present life from the process before this one. */
-  tableChanged(): void {
-    this.register();
-  }
-
-  /** Registers what is known of the present life. */
+  /** Registers what is known of the present life; the table may know it from the process before this one. */
   register(): void {
     this.adoptRegistration();
     const { heartbeat, life, leaving, confirmed } = this.backend;
@@ -113,7 +109,7 @@
     if (this.lookingAgain || life === null) return;
     this.lookingAgain = true;
     this.lookDueMs = runtime.nowMs() + LOOK_PAUSE_MS;
-    await this.pause(SECOND_LOOK_MS);
+    await pause(this.ports.runtime, SECOND_LOOK_MS);
     const isThere = await listens();
     this.lookingAgain = false;
     if (!isThere && this.backend.life === life) this.gone('no process listens at its address');
@@ -200,13 +196,4 @@
     this.register();
     this.ports.onConfirmed();
   }
-
-  private async pause(ms: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const cancel: CancelTimer = this.ports.runtime.after(ms, () => {
-        cancel();
-        resolve();
-      });
-    });
-  }
 }
--- a/src/sidecar/life-check.ts
+++ b/src/sidecar/life-check.ts
@@ -1,7 +1,7 @@
 /** Asks at the back end's address which life is there, where a heartbeat alone cannot tell. */
-import { idOfLife, type BackendLife } from '../model/backend-life.js';
+import type { BackendLife } from '../model/backend-life.js';
 import type { Runtime } from '../runtime/runtime.js';
-import type { BackendCalls } from './backend-report.js';
+import type { BackendCalls, BackendIdentity } from './backend-report.js';
 import type { LocalBackend } from './local-backend.js';
 
 /** Time in ms after its last heartbeat in which a life gives way to another one only if its address says so. */
@@ -33,20 +33,17 @@
     if (seen?.id === undefined || seen.id === null) {
       return backend.life === null || runtime.nowMs() - backend.lastHeardMs > FRESH_LIFE_MS;
     }
-    return seen.id === life.id && (seen.bornMs ?? life.bornMs) === life.bornMs;
+    return isThatLife(seen, life);
   }
 
   /** Whether the life that is known is the one at the address; where nobody can be asked, it is taken to be. */
   async isKnown(): Promise<boolean> {
     const { backend, calls } = this.ports;
-    const { heartbeat, life } = backend;
+    const { heartbeat } = backend;
     const path = this.ports.healthPath();
-    if (path === null || life === null || heartbeat === null) return true;
+    if (path === null || heartbeat === null) return true;
     const seen = await calls.identify(path);
-    if (seen === null) return false;
-    return (
-      (seen.id ?? heartbeat.id) === idOfLife(life) && (seen.bornMs ?? heartbeat.bornMs) === heartbeat.bornMs
-    );
+    return seen !== null && isThatLife(seen, heartbeat);
   }
 
   /** Whether the present life is at the address and says that it stays; where nobody can be asked, it is taken to. */
@@ -55,7 +52,7 @@
     if (path === null) return true;
     const seen = await this.ports.calls.identify(path);
     const { heartbeat } = this.ports.backend;
-    return seen?.isWell === true && (seen.id ?? heartbeat?.id) === heartbeat?.id;
+    return seen?.isWell === true && heartbeat !== null && isThatLife(seen, heartbeat);
   }
 
   /**
@@ -72,3 +69,8 @@
     return seen?.isWell === true ? said : heartbeat;
   }
 }
+
+/** Whether what a back end tells of itself fits a life; what it does not tell fits any. */
+function isThatLife(seen: BackendIdentity, { id, bornMs }: BackendLife): boolean {
+  return (seen.id ?? id) === id && (seen.bornMs ?? bornMs) === bornMs;
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -475,7 +475,7 @@
     this.coldLimit.configure(this.table.service(this.settings.service)?.coldStart ?? null);
     this.adoptEvacuation();
     this.keys.adoptGrantMode();
-    this.presence.tableChanged();
+    this.presence.register();
     this.lease.tableChanged();
     this.keys.tableChanged();
     this.callers.applyLimits();
