--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -20,15 +20,12 @@
 import type { ReplicaStore } from '../storage/replica-store.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import { NO_LATENCIES, type Latencies } from '../telemetry/latencies.js';
-import type { ProposalSteps } from '../control/proposal-times.js';
 import { ChangeFeed } from './change-feed.js';
-import type { DirectoryChange, DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
+import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { DirectoryDuties } from './directory-duties.js';
 import { CrashDuties } from '../quarantine/crash-duties.js';
-import { reportCrashes } from '../quarantine/crash-report.js';
 import { DirectoryLeader, type Answer } from './directory-leader.js';
 import { applyDirectoryCommand } from './directory-machine.js';
-import { nextDirectoryMembership } from './directory-membership.js';
 import {
   directoryRequestSchema,
   readRelayMessage,
@@ -44,7 +41,9 @@
   type DirectorySnapshot,
   type DirectoryState,
 } from './directory-state.js';
+import { DirectoryReports } from './directory-reports.js';
 import { LeadershipConfirmations } from './leadership-confirmations.js';
+import { MembershipKeeper } from './membership-keeper.js';
 import { RelayTable } from './relay-table.js';
 import { ReplicaDialer } from './replica-dialer.js';
 
@@ -60,15 +59,6 @@
 /** A replica that heard no leader, or missed what was committed, for this many election timeouts serves no watchers. */
 const STALE_ELECTION_TIMEOUTS = 2;
 
-/** A member that did not answer for this many election timeouts counts as gone when its namesake joins. */
-const INACTIVE_ELECTION_TIMEOUTS = 1;
-
-/** A voter that did not answer for this long, in ms, gives way to a replica that stands ready. */
-const LOST_AFTER_MS = 4_000;
-
-/** Fewest places for voters; more replicas than tolerated losses need stay learners beyond them. */
-const USUAL_VOTERS = 5;
-
 /**
  * Time in ms in which a call gets its outcome or is told that there is none yet. Callers give a call up after a second;
  * told before that, they go on to another replica 0.2 s sooner and know that this one is alive.
@@ -78,12 +68,6 @@
 /** Time in ms that a change may take longer for each of its items. */
 const ANSWER_LIMIT_PER_ITEM_MS = 3;
 
-/** Time in ms from which on a change is written to the log with its steps. */
-const SLOW_CHANGE_MS = 200;
-
-/** Label of changes of the configuration in the latencies. */
-const CHANGES = 'configuration';
-
 /** What a replica is started with. */
 export interface DirectoryNodeOptions {
   readonly settings: DirectorySettings;
@@ -118,10 +102,9 @@
   private readonly dialer: ReplicaDialer;
   private readonly formation: FormationCore | null;
   private readonly relays = new RelayTable();
-  private readonly candidates = new Map<string, ReplicaId>();
-  private readonly knownReplicas: Set<string>;
+  private readonly membership: MembershipKeeper;
   private readonly timers: CancelTimer[] = [];
-  private readonly latencies: Latencies;
+  private readonly reports: DirectoryReports;
   private replica: Replica | null = null;
   private leadingTerm = 0;
   private readonly clockSkips: ClockSkips;
@@ -129,10 +112,9 @@
   private constructor(private readonly options: DirectoryNodeOptions) {
     const { settings, token, runtime, storage } = options;
     this.clockSkips = new ClockSkips(runtime);
-    this.latencies = options.latencies ?? NO_LATENCIES;
+    this.reports = new DirectoryReports(options.log, options.latencies ?? NO_LATENCIES);
     this.name = formatAddress(settings.advertised);
     this.id = `${this.name}/${storage.owner.identity}`;
-    this.knownReplicas = new Set(settings.seeds);
     this.proposals = new Proposals(
       runtime,
       (proposalId, command) => {
@@ -140,7 +122,8 @@
         else this.replica.submit({ kind: 'propose', proposalId, command });
       },
       (command, steps) => {
-        this.reportChange(command, steps);
+        const items = itemsOf(command).length;
+        if (items > 0) this.reports.changed(items, steps);
       },
     );
     this.confirmations = new LeadershipConfirmations(runtime, (requestId) => {
@@ -166,6 +149,7 @@
     });
     const identity = { role: 'control', name: this.name, zone: settings.zone, token } as const;
     this.dialer = new ReplicaDialer(runtime, identity);
+    this.membership = this.makeMembership();
   }
 
   /** Starts on a disk that is already open. */
@@ -244,7 +228,7 @@
 
   /** Adds addresses of replicas, from settings that were read again. */
   addSeeds(seeds: readonly string[]): void {
-    for (const seed of seeds) this.knownReplicas.add(seed);
+    this.membership.addSeeds(seeds);
   }
 
   /** Stops everything and closes the data folder. */
@@ -268,38 +252,11 @@
     const command = entry.payload.command as DirectoryCommand;
     const { outcome, changes } = applyDirectoryCommand(this.current, command, entry.index);
     this.feed.publish(entry.index, changes);
-    this.logCrashRecords(changes);
+    // Every replica knows; the leader says so.
+    if (this.leading) this.reports.crashRecords(changes);
     this.proposals.applied(entry.payload.proposalId, outcome);
   }
 
-  /** Where the time of an operator's change went, so that a slow one can be explained. */
-  private reportChange(command: DirectoryCommand, steps: ProposalSteps): void {
-    const items = itemsOf(command).length;
-    if (items === 0) return;
-    const { queueMs, syncMs, quorumMs } = steps;
-    this.latencies.observe('change-queue', CHANGES, queueMs);
-    this.latencies.observe('change-sync', CHANGES, syncMs);
-    this.latencies.observe('change-quorum', CHANGES, quorumMs);
-    const total = Math.round(queueMs + syncMs + quorumMs);
-    const rounded = {
-      queueMs: Math.round(queueMs),
-      syncMs: Math.round(syncMs),
-      quorumMs: Math.round(quorumMs),
-    };
-    if (total >= SLOW_CHANGE_MS) this.options.log.event('change-slow', { items, total, ...rounded });
-  }
-
-  /** Every replica knows; the leader says so. */
-  private logCrashRecords(changes: readonly DirectoryChange[]): void {
-    if (!this.leading) return;
-    for (const change of changes) {
-      if (change.kind !== 'crash-records') continue;
-      for (const report of reportCrashes(change.changed))
-        this.options.log.event('request-held', { ...report });
-      for (const fingerprint of change.removed) this.options.log.event('request-cleared', { fingerprint });
-    }
-  }
-
   /** The state as plain data, for the snapshot file. */
   snapshot(): unknown {
     return encodeDirectory(this.current);
@@ -331,6 +288,23 @@
     return new DirectoryLeader(leaseTermMs, leases, ports, this.proposals, this.confirmations, this.duties);
   }
 
+  private makeMembership(): MembershipKeeper {
+    const { runtime, settings, log } = this.options;
+    return new MembershipKeeper({
+      id: this.id,
+      settings,
+      runtime,
+      log,
+      replica: () => this.replica,
+      leading: () => this.leading,
+      hearsLeader: () => this.hearsLeader,
+      leaderAddress: () => this.leaderAddress,
+      sendTo: (address, request) => {
+        this.dialer.sendTo(address, request);
+      },
+    });
+  }
+
   private startFormation(formation: FormationCore): void {
     const step = (): void => {
       if (formation.outcome.kind === 'undecided') {
@@ -364,26 +338,19 @@
         timing.snapshotEveryEntries + spread(this.id, Math.ceil(timing.snapshotEveryEntries / 4)),
     };
     this.replica = new Replica(this.id, runtime, storage, this, this.replicaPorts(), options);
-    this.reportRecovery(this.replica);
+    this.reports.recovered(this.replica);
     this.timers.push(
       runtime.every(timing.dutyIntervalMs, () => {
         this.runDuties();
       }),
       runtime.every(JOIN_RETRY_MS, () => {
-        this.requestToJoin();
+        this.membership.requestToJoin();
       }),
       runtime.every(ALIVE_MS, () => {
         this.tellWatchers();
       }),
     );
-    this.requestToJoin();
-  }
-
-  /** What this replica held when its process began: one that came back with less than it had shows it here. */
-  private reportRecovery({ core }: Replica): void {
-    const { lastIndex, term, commitIndex: snapshotIndex, membership } = core;
-    const voters = membership.voters.length;
-    this.options.log.event('replica-recovered', { lastIndex, term, snapshotIndex, voters });
+    this.membership.requestToJoin();
   }
 
   private replicaPorts(): ReplicaPorts {
@@ -407,58 +374,6 @@
     };
   }
 
-  // ---- membership
-
-  /** A replica that was removed while it was cut off is not told, so one that hears no leader asks as well. */
-  private requestToJoin(): void {
-    const core = this.replica?.core;
-    if (core === undefined) return;
-    for (const id of [...core.membership.voters, ...core.membership.learners]) {
-      this.knownReplicas.add(replicaName(id));
-    }
-    if (core.membership.voters.includes(this.id) && this.hearsLeader) return;
-    for (const address of this.knownReplicas) {
-      this.dialer.sendTo(address, { kind: 'join-request', id: this.id });
-    }
-  }
-
-  private takeJoinRequest(id: ReplicaId): void {
-    if (this.leading) {
-      this.candidates.set(replicaName(id), id);
-      return;
-    }
-    const { leaderAddress } = this;
-    const leaderIsElsewhere = leaderAddress !== null && leaderAddress !== replicaName(id);
-    if (leaderIsElsewhere && this.hearsLeader) {
-      this.dialer.sendTo(leaderAddress, { kind: 'join-request', id });
-    }
-  }
-
-  private advanceMembership(replica: Replica): void {
-    const { core } = replica;
-    const nowMs = this.options.runtime.nowMs();
-    const { timing, toleratedLosses } = this.options.settings;
-    for (const [name, id] of this.candidates) {
-      if (core.membership.voters.includes(id)) this.candidates.delete(name);
-    }
-    const silentMs = (peer: ReplicaId): number => {
-      if (peer === this.id) return 0;
-      return nowMs - (core.peerProgress(peer)?.lastAnswerMs ?? nowMs);
-    };
-    const membership = nextDirectoryMembership({
-      membership: core.membership,
-      commitIndex: core.commitIndex,
-      matchIndexOf: (peer) => core.peerProgress(peer)?.matchIndex ?? null,
-      isActive: (peer) => silentMs(peer) < INACTIVE_ELECTION_TIMEOUTS * timing.electionTimeoutMs,
-      candidates: [...this.candidates.values()],
-      maxVoters: Math.max(USUAL_VOTERS, 2 * toleratedLosses + 1),
-      isLost: (peer) => silentMs(peer) > LOST_AFTER_MS,
-    });
-    if (membership === null) return;
-    this.options.log.event('membership-proposed', { membership });
-    replica.submit({ kind: 'change-membership', membership });
-  }
-
   // ---- leading
 
   private roleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void {
@@ -481,7 +396,7 @@
     if (this.leadingTerm !== replica.core.term) this.startLeading(replica.core.term);
     const { electionTimeoutMs } = this.options.settings.timing;
     // After a suspension nobody seems to have answered for as long; that says nothing of the others.
-    if (!this.clockSkips.lately(electionTimeoutMs)) this.advanceMembership(replica);
+    if (!this.clockSkips.lately(electionTimeoutMs)) this.membership.advance(replica);
     if (!this.durable) return;
     this.leader.expire();
     this.duties.run(this.options.runtime.nowMs());
@@ -490,7 +405,7 @@
 
   private startLeading(term: number): void {
     this.leadingTerm = term;
-    this.candidates.clear();
+    this.membership.startLeading();
     this.leader.startLeading();
     this.duties.startLeading();
     this.crashDuties.startLeading();
@@ -546,7 +461,7 @@
         this.formation?.receive(message);
         break;
       case 'join-request':
-        this.takeJoinRequest(message.id);
+        this.membership.takeRequest(message.id);
         break;
       default:
         this.replica?.submit({ kind: 'message', message });
