Answers that wait for one link connection to drain share one listener

Each waiting answer added a listener to the socket; Node warns from the eleventh on. The warning that the soak's own process prints (11 drain listeners) is of its relays and is not explained by this; it stays open. Test: one listener for 20 waits.

--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -30,6 +30,7 @@
 export class LinkConnection {
   private readonly decoder = new LinkFrameDecoder();
   private closed = false;
+  private drainWaiters: (() => void)[] = [];
   /** The peer has said that it ran nothing of what it has not answered. */
   private peerLeft = false;
   private readonly silence: SilenceWatch;
@@ -107,7 +108,11 @@
 
   /** Calls back when everything that was queued has been handed to the system. */
   onDrain(callback: () => void): void {
-    this.socket.once('drain', callback);
+    this.drainWaiters.push(callback);
+    if (this.drainWaiters.length > 1) return;
+    this.socket.once('drain', () => {
+      for (const waiter of this.drainWaiters.splice(0)) waiter();
+    });
   }
 
   /** Watches for silence, closely while something is awaited from the peer. */
