--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -10,16 +10,28 @@
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { Random } from '../random.js';
 import { EventQueue } from './event-queue.js';
-import { SIM_TOKEN, SimDirectory, type DirectoryFault, type SimReplica } from './sim-directory.js';
+import {
+  SIM_TOKEN,
+  SimDirectory,
+  type DirectoryFault,
+  type SimDirectorySize,
+  type SimReplica,
+} from './sim-directory.js';
 import type { SimProcess } from './sim-process.js';
 import { simRuntime } from './sim-runtime.js';
 
-const REPLICAS = 5;
-const SEEDS = 3;
 const CLIENTS = 3;
 const TOLERATED_LOSSES = 2;
 const SERVICE = 'stock';
 
+/** The directory of most plays. */
+export const USUAL_SIZE: SimDirectorySize = {
+  replicas: 5,
+  seeds: 3,
+  toleratedLosses: TOLERATED_LOSSES,
+  snapshotEveryEntries: 25,
+};
+
 /** One sidecar's view, over one life. */
 interface SimWatcher {
   readonly name: string;
@@ -45,14 +57,8 @@
   private nextVersion = 1;
   private readonly orders: SimOrder[] = [];
 
-  constructor(seed: number) {
+  constructor(seed: number, size: SimDirectorySize = USUAL_SIZE) {
     this.random = new Random(seed);
-    const size = {
-      replicas: REPLICAS,
-      seeds: SEEDS,
-      toleratedLosses: TOLERATED_LOSSES,
-      snapshotEveryEntries: 25,
-    };
     this.directory = new SimDirectory(this.queue, this.random, size);
   }
 
@@ -119,7 +125,7 @@
     };
     this.nextVersion += 1;
     this.orders.push(order);
-    this.sendOrder(order, this.random.below(REPLICAS), 0);
+    this.sendOrder(order, this.random.below(this.replicas.length), 0);
   }
 
   /** Lets a fault strike, and repairs it after `lastsMs`. */
@@ -130,9 +136,10 @@
   /** All replicas lose power at once, and as many as is tolerated lose their disks as well. */
   losePower(): void {
     const lost = this.random.below(TOLERATED_LOSSES + 1);
-    const first = this.random.below(REPLICAS);
+    const count = this.replicas.length;
+    const first = this.random.below(count);
     this.replicas.forEach((replica, at) => {
-      const losesDisk = (at - first + REPLICAS) % REPLICAS < lost;
+      const losesDisk = (at - first + count) % count < lost;
       this.strike(losesDisk ? 'lose-disk' : 'crash', replica, 300 + this.random.below(1_000));
     });
   }
@@ -192,7 +199,8 @@
         this.sendOrder(order, next, failures + 1);
       });
     };
-    const elsewhere = (at + 1 + this.random.below(REPLICAS - 1)) % REPLICAS;
+    const count = this.replicas.length;
+    const elsewhere = (at + 1 + this.random.below(count - 1)) % count;
     const pauseMs = Math.min(LONGEST_ORDER_PAUSE_MS, FIRST_ORDER_PAUSE_MS * 2 ** failures);
     this.queue.at(this.queue.nowMs + ORDER_TIMEOUT_MS, () => {
       goOn(elsewhere, 0);
@@ -311,7 +319,7 @@
   // Disks are lost one after the other, each with the time that a newcomer has to catch up.
   for (let atMs = READY_MS + 500; atMs < FAULTS_UNTIL_MS; atMs += 4_000) {
     world.queue.at(atMs, () => {
-      const replica = world.replicas[world.random.below(REPLICAS)];
+      const replica = world.replicas[world.random.below(world.replicas.length)];
       const fault = FAULT_KINDS[world.random.below(FAULT_KINDS.length)];
       if (replica !== undefined && fault !== undefined)
         world.strike(fault, replica, 300 + world.random.below(2_000));
--- a/lab/sim/sim-directory.ts
+++ b/lab/sim/sim-directory.ts
@@ -43,6 +43,8 @@
   readonly seeds: number;
   readonly toleratedLosses: number;
   readonly snapshotEveryEntries: number;
+  /** Processor time of writing or reading 1,000 characters of a message, in ms; next to none where it is left out. */
+  readonly workMsPerKilobyte?: number;
 }
 
 /** The replicas. */
@@ -62,6 +64,7 @@
       lossShare: 0.01,
       duplicateShare: 0.01,
       reorderMs: 4,
+      workMsPerKilobyte: size.workMsPerKilobyte ?? 0,
     });
     this.replicas = Array.from({ length: size.replicas }, (_, at) => this.makeReplica(addressOf(at)));
   }
--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -30,8 +30,12 @@
   readonly duplicateShare: number;
   /** Longest additional delay of a message between control replicas that is overtaken, in ms. */
   readonly reorderMs: number;
+  /** Processor time of writing or reading 1,000 characters of a message, in ms. */
+  readonly workMsPerKilobyte: number;
 }
 
+const BYTES_PER_KILOBYTE = 1_000;
+
 const CUT_POLL_MS = 20;
 const FIRST_REDIAL_MS = 50;
 const LONGEST_REDIAL_MS = 1_000;
@@ -81,6 +85,13 @@
     return shortest + this.random.fraction() * (longest - shortest);
   }
 
+  /** Processor time of writing a message once, or of reading it, in ms. */
+  workMs(message: unknown): number {
+    const { workMsPerKilobyte } = this.options;
+    if (workMsPerKilobyte === 0) return 0;
+    return (JSON.stringify(message).length / BYTES_PER_KILOBYTE) * workMsPerKilobyte;
+  }
+
   /** A listener of a process. */
   serve(process: SimProcess, token: string, acceptor: PeerAcceptor): Listener {
     return new SimListener(this, { process, token, acceptor, connections: new Set() });
@@ -159,15 +170,21 @@
 
   send(message: unknown): void {
     if (!this.open) return;
-    const { random, options } = this.network;
-    if (this.betweenControl && random.fraction() < options.lossShare) return;
-    this.transmit(message);
-    if (this.betweenControl && random.fraction() < options.duplicateShare) this.transmit(message);
+    this.process.work(this.network.workMs(message));
+    this.pass(message);
   }
 
+  /** What was written once is sent to many without further work. */
   sendEncoded(frame: Buffer): void {
     const message = decodeFrame(frame);
-    if (message.ok) this.send(message.val);
+    if (this.open && message.ok) this.pass(message.val);
+  }
+
+  private pass(message: unknown): void {
+    const { random, options } = this.network;
+    if (this.betweenControl && random.fraction() < options.lossShare) return;
+    this.transmit(message);
+    if (this.betweenControl && random.fraction() < options.duplicateShare) this.transmit(message);
   }
 
   close(reason: string): void {
@@ -195,7 +212,8 @@
     const { network, peer } = this;
     if (peer === null) return;
     const overtaken = this.betweenControl ? network.random.fraction() * network.options.reorderMs : 0;
-    const arrival = this.process.nowTrueMs() + network.delay() + overtaken;
+    const departure = this.process.nowTrueMs() + this.process.workLeftMs;
+    const arrival = departure + network.delay() + overtaken;
     const inOrder = this.betweenControl ? arrival : Math.max(arrival, this.lastArrivalMs);
     this.lastArrivalMs = inOrder;
     peer.arrive(message, inOrder - this.process.nowTrueMs());
@@ -208,11 +226,17 @@
     });
   }
 
+  private take(message: unknown): void {
+    if (!this.open) return;
+    this.process.work(this.network.workMs(message));
+    this.handlers.onMessage(message);
+  }
+
   /** What a cut holds back arrives in its order once the cut has healed, and before all that was sent later. */
   private takeHeld(): void {
     if (!this.open) return;
     if (this.network.passes(this.peerProcess.name, this.process.name)) {
-      for (const message of this.held.splice(0)) if (this.open) this.handlers.onMessage(message);
+      for (const message of this.held.splice(0)) this.take(message);
       return;
     }
     this.process.schedule(CUT_POLL_MS, () => {
--- a/lab/sim/sim-process.ts
+++ b/lab/sim/sim-process.ts
@@ -18,7 +18,7 @@
 /** What two readings of a clock may differ by through rounding, in ms. */
 const CLOCK_GRAIN_MS = 0.001;
 
-/** One process. Callbacks of an earlier life never run. */
+/** One process with one processor. Callbacks of an earlier life never run. */
 export class SimProcess {
   private life = 0;
   private isAlive = false;
@@ -28,6 +28,8 @@
   private suspendedMs = 0;
   private suspendedSinceMs: number | null = null;
   private wallStepMs = 0;
+  /** When its processor has done all that it was given, in ms of true time. */
+  private idleAtMs = 0;
 
   constructor(
     readonly name: string,
@@ -76,6 +78,16 @@
     return Math.round(SIMULATION_EPOCH_MS + this.queue.nowMs + offsetMs);
   }
 
+  /** Its processor works for so many ms of true time; what comes due meanwhile waits. */
+  work(ms: number): void {
+    this.idleAtMs = this.nowTrueMs() + this.workLeftMs + ms;
+  }
+
+  /** Time until its processor has done all that it was given, in ms of true time. */
+  get workLeftMs(): number {
+    return Math.max(0, this.idleAtMs - this.nowTrueMs());
+  }
+
   /** True time that passes while its clock moves on by `ms`. */
   trueMs(ms: number): number {
     return ms / this.clock.rate;
@@ -86,6 +98,7 @@
     this.life += 1;
     this.isAlive = true;
     this.isFrozen = false;
+    this.idleAtMs = 0;
   }
 
   /** Ends the present life; nothing that it has scheduled will run. */
@@ -146,6 +159,7 @@
     const attempt = (): void => {
       if (life !== this.life || !this.isAlive) return;
       if (this.isFrozen) this.held.push(attempt);
+      else if (this.workLeftMs > 0) this.queue.at(this.idleAtMs, attempt);
       else run();
     };
     this.queue.at(this.queue.nowMs + trueMs, attempt);
--- a/lab/sim/sim-world.ts
+++ b/lab/sim/sim-world.ts
@@ -92,6 +92,7 @@
       lossShare: 0.01,
       duplicateShare: 0.01,
       reorderMs: 4,
+      workMsPerKilobyte: 0,
     });
     this.control = Array.from({ length: SIM_SIZE.control }, (_, at) => this.makeControl(at));
     this.machines = Array.from({ length: SIM_SIZE.machines }, (_, at) => this.makeMachine(at));
