A change enters the log once however often it is sent, and a long one is read in turns

This is what kept the failure going: each time that the operator sent the change again, it was read, proposed and passed on to ten replicas anew.

Cause: a replica knew that a change had been taken only when it applied the second copy from the log; nobody knew that one was under way; a replica that does not lead read a change whole before it named the leader; and reading 1,400 routes took 30 to 98 ms of a whole core in one turn, in which a leader sends no heartbeat.

Change: what is committed is acknowledged by any replica that has applied it, by its digest, before it is read. A change that is under way is joined (`OperatorChanges`). Replicas that do not lead redirect first.

Why it works: sending again costs a digest, so load does not grow with the impatience of callers.

--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -44,6 +44,7 @@
 import { DirectoryReports } from './directory-reports.js';
 import { LeadershipConfirmations } from './leadership-confirmations.js';
 import { MembershipKeeper } from './membership-keeper.js';
+import { ANSWER_LIMIT_MS, itemsOf, OperatorChanges } from './operator-changes.js';
 import { RelayTable } from './relay-table.js';
 import { ReplicaDialer } from './replica-dialer.js';
 
@@ -59,15 +60,6 @@
 /** A replica that heard no leader, or missed what was committed, for this many election timeouts serves no watchers. */
 const STALE_ELECTION_TIMEOUTS = 2;
 
-/**
- * Time in ms in which a call gets its outcome or is told that there is none yet. Callers give a call up after a second;
- * told before that, they go on to another replica 0.2 s sooner and know that this one is alive.
- */
-const ANSWER_LIMIT_MS = 800;
-
-/** Time in ms that a change may take longer for each of its items. */
-const ANSWER_LIMIT_PER_ITEM_MS = 3;
-
 /** What a replica is started with. */
 export interface DirectoryNodeOptions {
   readonly settings: DirectorySettings;
@@ -94,6 +86,7 @@
   private current: DirectoryState = emptyDirectoryState();
   private appliedIndex = 0;
   private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>;
+  private readonly changes: OperatorChanges;
   private readonly confirmations: LeadershipConfirmations;
   private readonly duties: DirectoryDuties;
   private readonly crashDuties: CrashDuties;
@@ -126,6 +119,7 @@
         if (items > 0) this.reports.changed(items, steps);
       },
     );
+    this.changes = new OperatorChanges(runtime, this.proposals);
     this.confirmations = new LeadershipConfirmations(runtime, (requestId) => {
       this.replica?.submit({ kind: 'confirm-leadership', requestId });
     });
@@ -212,7 +206,12 @@
    */
   async propose(command: DirectoryCommand): Promise<Result<DirectoryOutcome, ProposalError>> {
     if (!this.leading || !this.durable) return Err({ kind: 'not-leader' });
-    return await this.proposals.propose(command, answerLimitMs(command));
+    return await this.changes.propose(command);
+  }
+
+  /** Whether a change is known here to be committed. */
+  hasAccepted(digest: string): boolean {
+    return this.current.accepted.some((change) => change.digest === digest);
   }
 
   /** The newest state; only a leader that a quorum has confirmed after this call can be sure of it. */
@@ -535,11 +534,3 @@
     void this.leader.receive(message.request, answer);
   }
 }
-
-function itemsOf(command: DirectoryCommand): readonly unknown[] {
-  return 'items' in command ? command.items : [];
-}
-
-function answerLimitMs(command: DirectoryCommand): number {
-  return ANSWER_LIMIT_MS + itemsOf(command).length * ANSWER_LIMIT_PER_ITEM_MS;
-}
--- a/src/runtime/pause.ts
+++ b/src/runtime/pause.ts
@@ -1,4 +1,4 @@
-/** A wait on the clock of a runtime. */
+/** Waits on the clock of a runtime. */
 import type { Runtime } from './runtime.js';
 
 /** Resolves after a time in ms. */
@@ -7,3 +7,20 @@
     runtime.after(ms, resolve);
   });
 }
+
+/** What a promise resolves with within a time in ms; null when that takes longer. */
+export async function within<T>(
+  runtime: Pick<Runtime, 'after'>,
+  promise: Promise<T>,
+  ms: number,
+): Promise<T | null> {
+  return await new Promise((resolve, reject) => {
+    const cancel = runtime.after(ms, () => {
+      resolve(null);
+    });
+    promise.then((value) => {
+      cancel();
+      resolve(value);
+    }, reject);
+  });
+}
--- /dev/null
+++ b/test/directory/operator-changes.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import { Proposals } from '../../src/control/proposals.js';
+import type { DirectoryCommand, DirectoryOutcome } from '../../src/directory/directory-commands.js';
+import { OperatorChanges } from '../../src/directory/operator-changes.js';
+import { ManualTime } from '../sidecar/manual-runtime.js';
+
+const CHANGE: DirectoryCommand = { kind: 'configure-items', digest: 'd', items: [] };
+const ANSWER_MS = 800;
+
+function setUp(): {
+  time: ManualTime;
+  submitted: string[];
+  proposals: Proposals<DirectoryCommand, DirectoryOutcome>;
+  changes: OperatorChanges;
+} {
+  const time = new ManualTime();
+  const submitted: string[] = [];
+  let nextId = 0;
+  const runtime = { ...time.runtime, randomId: () => `p-${(nextId += 1)}` };
+  const proposals = new Proposals<DirectoryCommand, DirectoryOutcome>(runtime, (id) => submitted.push(id));
+  return { time, submitted, proposals, changes: new OperatorChanges(time.runtime, proposals) };
+}
+
+test('a change that is sent again while it is under way enters the log once, and each call gets its outcome', async (t) => {
+  const { submitted, proposals, changes } = setUp();
+  const calls = [changes.propose(CHANGE), changes.propose(CHANGE)];
+  t.is(submitted.length, 1);
+  proposals.applied('p-1', { kind: 'done' });
+  for (const outcome of await Promise.all(calls)) t.deepEqual(outcome.unwrap(), { kind: 'done' });
+  void changes.propose(CHANGE);
+  t.is(submitted.length, 2);
+});
+
+test('a call is answered in time while its change is under way, and a later one still joins that', async (t) => {
+  const { time, submitted, proposals, changes } = setUp();
+  const first = changes.propose(CHANGE);
+  time.pass(ANSWER_MS);
+  t.true((await first).err);
+  const second = changes.propose(CHANGE);
+  t.is(submitted.length, 1);
+  proposals.applied('p-1', { kind: 'done' });
+  t.true((await second).ok);
+});
+
+test('a change whose leader lost its office enters the log anew', async (t) => {
+  const { submitted, proposals, changes } = setUp();
+  const first = changes.propose(CHANGE);
+  proposals.abandonAll();
+  t.true((await first).err);
+  void changes.propose(CHANGE);
+  t.is(submitted.length, 2);
+});
+
+test('changes without a digest are never taken for each other', (t) => {
+  const { submitted, changes } = setUp();
+  const begin: DirectoryCommand = { kind: 'set-evacuation', zone: 'z', evacuated: true };
+  void changes.propose(begin);
+  void changes.propose(begin);
+  t.is(submitted.length, 2);
+});
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -53,16 +53,16 @@
 ];
 
 for (const [name, invalid] of INVALID) {
-  test(`invalid: ${name}`, (t) => {
-    t.true(readCommand(invalid).err);
+  test(`invalid: ${name}`, async (t) => {
+    t.true((await readCommand(invalid)).err);
   });
 }
 
-test('a time-out of exactly ten minutes and unknown fields are taken', (t) => {
-  t.true(readCommand(put({ ...ROUTE, timeout_s: 600, later: true })).ok);
+test('a time-out of exactly ten minutes and unknown fields are taken', async (t) => {
+  t.true((await readCommand(put({ ...ROUTE, timeout_s: 600, later: true }))).ok);
 });
 
-test('the whole configuration is read back as it was put', (t) => {
+test('the whole configuration is read back as it was put', async (t) => {
   const state = emptyDirectoryState();
   const body = {
     version: 3,
@@ -70,12 +70,12 @@
     services: { s: SERVICE },
     limits: LIMITS,
   };
-  const command = readCommand(call('PUT', body, '0')).unwrap();
+  const command = (await readCommand(call('PUT', body, '0'))).unwrap();
   t.is(applyDirectoryCommand(state, command, 1).outcome.kind, 'done');
   t.deepEqual(JSON.parse(renderConfiguration(state, true)), body);
 });
 
-test('items are read back with their own versions, and a dropped one is gone', (t) => {
+test('items are read back with their own versions, and a dropped one is gone', async (t) => {
   const state = emptyDirectoryState();
   const first = {
     upsert: {
@@ -86,23 +86,24 @@
     remove: { routes: [] },
   };
   const second = { upsert: {}, remove: { routes: [{ name: 'q', version: 9 }] } };
-  [first, second].forEach((body, at) => {
-    applyDirectoryCommand(state, readCommand(call('PATCH', body)).unwrap(), at + 1);
-  });
+  for (const [at, body] of [first, second].entries()) {
+    applyDirectoryCommand(state, (await readCommand(call('PATCH', body))).unwrap(), at + 1);
+  }
   const { q, ...routes } = first.upsert.routes;
   t.truthy(q);
   t.deepEqual(JSON.parse(renderConfiguration(state, false)), { ...first.upsert, routes });
 });
 
-test('the same call has the same digest, and another base or body another', (t) => {
-  const digest = (sent: Call): string => {
-    const command = readCommand(sent).unwrap();
+test('the same call has the same digest, and another base or body another', async (t) => {
+  const digest = async (sent: Call): Promise<string> => {
+    const command = (await readCommand(sent)).unwrap();
     return command.kind === 'configure-revision' ? command.digest : '';
   };
   const body = { version: 3, upsert: {}, remove: { routes: ['a'] } };
-  t.is(digest(call('PATCH', body, '1')), digest(call('PATCH', body, '1')));
-  t.not(digest(call('PATCH', body, '1')), digest(call('PATCH', body, '2')));
-  t.not(digest(call('PATCH', body, '1')), digest(call('PATCH', { ...body, version: 4 }, '1')));
+  const first = await digest(call('PATCH', body, '1'));
+  t.is(await digest(call('PATCH', body, '1')), first);
+  t.not(await digest(call('PATCH', body, '2')), first);
+  t.not(await digest(call('PATCH', { ...body, version: 4 }, '1')), first);
 });
 
 class Replica implements OperatedReplica {
@@ -110,6 +111,8 @@
   readonly leaderAddress = '10.0.0.2:7620';
   readonly hearsLeader = true;
   readonly proposed: DirectoryCommand[] = [];
+  /** Digests of changes that are known to be committed. */
+  readonly accepted = new Set<string>();
   accepts = true;
 
   constructor(readonly leading: boolean) {}
@@ -119,11 +122,49 @@
     return await Promise.resolve(this.accepts ? Ok({ kind: 'done' }) : Err({ kind: 'not-leader' }));
   }
 
+  hasAccepted(digest: string): boolean {
+    return this.accepted.has(digest);
+  }
+
   async readState(): ReturnType<OperatedReplica['readState']> {
     return await Promise.resolve(Err({ kind: 'unavailable' }));
   }
 }
 
+test('a change that was taken is acknowledged by any replica that knows, without another proposal', async (t) => {
+  const sent = call('PATCH', { version: 3, upsert: {}, remove: {} }, '1');
+  const command = (await readCommand(sent)).unwrap();
+  for (const leading of [true, false]) {
+    const replica = new Replica(leading);
+    const calls = new OperatorCalls(replica, 8_306, new Set());
+    t.is((await calls.take(sent)).status, leading ? 200 : 307, 'sent for the first time');
+    replica.proposed.length = 0;
+    if (command.kind === 'configure-revision') replica.accepted.add(command.digest);
+    t.is((await calls.take(sent)).status, 200, 'sent again');
+    t.deepEqual(replica.proposed, []);
+    t.is((await calls.take({ ...sent, headers: { 'if-match': '2' } })).status, leading ? 200 : 307);
+  }
+});
+
+test('a replica that does not lead sends a change on without reading it', async (t) => {
+  const calls = new OperatorCalls(new Replica(false), 8_306, new Set());
+  t.is((await calls.take(call('PUT', '{"version":3,"rou', '0'))).status, 307);
+});
+
+test('a long change is read in turns, between which other work goes on', async (t) => {
+  const routes = Object.fromEntries(Array.from({ length: 1_000 }, (_, at) => [`r-${at}`, ROUTE]));
+  let turns = 0;
+  let reading = true;
+  const takeTurn = (): void => {
+    turns += 1;
+    if (reading) setImmediate(takeTurn);
+  };
+  setImmediate(takeTurn);
+  t.true((await readCommand(call('PUT', { version: 3, routes, services: { s: SERVICE } }, '0'))).ok);
+  reading = false;
+  t.true(turns >= 10, `${turns} turns`);
+});
+
 const EVACUATIONS: readonly [string, string, number][] = [
   ['POST', '/evacuation/z-1', 200],
   ['DELETE', '/evacuation/z-1', 200],
