Intervals of a process share their wake-ups

An idle sidecar woke up 49 times a second for nine timers.

Ruled out: flags of the engine (no optimization, baseline compiler, larger or smaller new space, one thread): within 5% of each other on a fleet of 12 sidecars and 500 requests a second (trial, 2.9 to 3.4 ms of processor time a try).

Change: `ProcessIntervals`. Intervals of one length come due together, counted from the start of the process so that processes do not wake up together; what is due within 2 ms shares a wake-up. Watches over silent connections use them as well, which also saves a timer for each request that a link begins or ends to await.

--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -4,6 +4,7 @@
  * certainly has.
  */
 import { hrtime } from 'node:process';
+import { ProcessIntervals } from './process-intervals.js';
 import { ProcessTimers } from './process-timers.js';
 import { SuspensionClock } from './suspension-clock.js';
 
@@ -26,3 +27,9 @@
 
 /** Timers of this process that follow its clock. */
 export const processTimers = new ProcessTimers(clockMs);
+
+/** Intervals of this process. */
+export const processIntervals = new ProcessIntervals({
+  nowMs: clockMs,
+  after: (ms, callback) => processTimers.after(ms, callback),
+});
--- a/src/runtime/node-runtime.ts
+++ b/src/runtime/node-runtime.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { MessageClient } from '../transport/message-client.js';
 import { MessageServer } from '../transport/message-server.js';
-import { clockMs, processTimers, steadyMs } from './clock.js';
+import { clockMs, processIntervals, processTimers, steadyMs } from './clock.js';
 import type { Runtime } from './runtime.js';
 
 /** The runtime of this process. */
@@ -11,12 +11,7 @@
   steadyMs,
   wallMs: Date.now,
   after: (ms, callback) => processTimers.after(ms, callback),
-  every(ms, callback) {
-    const timer = setInterval(callback, ms);
-    return () => {
-      clearInterval(timer);
-    };
-  },
+  every: (ms, callback) => processIntervals.every(ms, callback),
   afterInput(callback) {
     setImmediate(callback);
   },
--- a/src/transport/silence-watch.ts
+++ b/src/transport/silence-watch.ts
@@ -3,6 +3,8 @@
  * while new ones work. The peer is asked for a sign of life at intervals; any bytes that arrive are one.
  */
 
+import { processIntervals } from '../runtime/clock.js';
+
 /** Lateness of this process's own timer, in ms, after which its measure of silence starts anew. */
 const STALL_MS = 250;
 
@@ -28,7 +30,7 @@
 
 /** A watch over one connection. */
 export class SilenceWatch {
-  private timer: NodeJS.Timeout | null = null;
+  private cancelChecks: (() => void) | null = null;
   private timing: SilenceTiming | null = null;
   private heardMs: number;
   private checkedMs = 0;
@@ -52,15 +54,15 @@
     this.timing = timing;
     this.heard();
     this.checkedMs = this.heardMs;
-    this.timer = setInterval(() => {
+    this.cancelChecks = processIntervals.every(timing.askEveryMs, () => {
       this.check(timing);
-    }, timing.askEveryMs);
+    });
   }
 
   /** Watches no more. */
   stop(): void {
-    if (this.timer !== null) clearInterval(this.timer);
-    this.timer = null;
+    this.cancelChecks?.();
+    this.cancelChecks = null;
     this.timing = null;
   }
 
