--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -24,15 +24,9 @@
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { DirectoryDuties } from './directory-duties.js';
 import { CrashDuties } from '../quarantine/crash-duties.js';
-import { DirectoryLeader, type Answer } from './directory-leader.js';
+import { DirectoryLeader } from './directory-leader.js';
 import { applyDirectoryCommand } from './directory-machine.js';
-import {
-  directoryRequestSchema,
-  readRelayMessage,
-  type LeaderRequest,
-  type RelayedNotice,
-  type RelayedRequest,
-} from './directory-messages.js';
+import { directoryRequestSchema, readRelayMessage } from './directory-messages.js';
 import { LEASE_DRIFT_SHARE, type DirectorySettings } from './directory-settings.js';
 import {
   decodeDirectory,
@@ -42,10 +36,10 @@
   type DirectoryState,
 } from './directory-state.js';
 import { DirectoryReports } from './directory-reports.js';
+import { LeaderRequests } from './leader-requests.js';
 import { LeadershipConfirmations } from './leadership-confirmations.js';
 import { MembershipKeeper } from './membership-keeper.js';
 import { ANSWER_LIMIT_MS, itemsOf, OperatorChanges } from './operator-changes.js';
-import { RelayTable } from './relay-table.js';
 import { ReplicaDialer } from './replica-dialer.js';
 
 /** Pause between questions while the replicas are being formed, in ms. */
@@ -94,7 +88,7 @@
   private readonly listener: Listener;
   private readonly dialer: ReplicaDialer;
   private readonly formation: FormationCore | null;
-  private readonly relays = new RelayTable();
+  private readonly leaderRequests: LeaderRequests;
   private readonly membership: MembershipKeeper;
   private readonly timers: CancelTimer[] = [];
   private readonly reports: DirectoryReports;
@@ -143,6 +137,7 @@
     });
     const identity = { role: 'control', name: this.name, zone: settings.zone, token } as const;
     this.dialer = new ReplicaDialer(runtime, identity);
+    this.leaderRequests = this.makeLeaderRequests();
     this.membership = this.makeMembership();
   }
 
@@ -187,6 +182,12 @@
     return leader === null ? null : replicaName(leader);
   }
 
+  /** Address of another replica that leads and was heard lately; null where none is known. */
+  get leaderElsewhere(): string | null {
+    const { leaderAddress, hearsLeader, name } = this;
+    return leaderAddress !== name && hearsLeader ? leaderAddress : null;
+  }
+
   /** The consensus replica; null while the replicas are being formed. */
   get consensus(): Replica | null {
     return this.replica;
@@ -216,10 +217,9 @@
 
   /** The newest state; only a leader that a quorum has confirmed after this call can be sure of it. */
   async readState(): Promise<Result<DirectoryState, ReadError>> {
-    const { leaderAddress } = this;
     if (!this.leading) {
-      const elsewhere = leaderAddress !== null && leaderAddress !== this.name && this.hearsLeader;
-      return Err(elsewhere ? { kind: 'elsewhere', leader: leaderAddress } : { kind: 'unavailable' });
+      const leader = this.leaderElsewhere;
+      return Err(leader === null ? { kind: 'unavailable' } : { kind: 'elsewhere', leader });
     }
     if (!(await this.confirmations.confirm(ANSWER_LIMIT_MS))) return Err({ kind: 'unavailable' });
     return Ok(this.current);
@@ -287,6 +287,18 @@
     return new DirectoryLeader(leaseTermMs, leases, ports, this.proposals, this.confirmations, this.duties);
   }
 
+  private makeLeaderRequests(): LeaderRequests {
+    return new LeaderRequests({
+      name: this.name,
+      leading: () => this.leading,
+      leaderElsewhere: () => this.leaderElsewhere,
+      leader: this.leader,
+      sendTo: (address, message) => {
+        this.dialer.sendTo(address, message);
+      },
+    });
+  }
+
   private makeMembership(): MembershipKeeper {
     const { runtime, settings, log } = this.options;
     return new MembershipKeeper({
@@ -432,7 +444,7 @@
       },
       onClose: () => {
         this.feed.remove(connection);
-        this.relays.forget(connection);
+        this.leaderRequests.forget(connection);
       },
     };
   }
@@ -440,7 +452,7 @@
   private receiveFromReplica(message: unknown, connection: Connection): void {
     const relayed = readRelayMessage(message);
     if (relayed !== null) {
-      this.receiveRelayed(relayed);
+      this.leaderRequests.takeRelayed(relayed);
       return;
     }
     const checked = readPeerMessage(message);
@@ -491,7 +503,7 @@
       this.watch(request.fromIndex, connection);
       return;
     }
-    this.passToLeader(request, connection);
+    this.leaderRequests.take(request, connection);
   }
 
   private watch(fromIndex: number, connection: Connection): void {
@@ -505,32 +517,4 @@
     this.feed.add(connection, fromIndex, this.current, this.appliedIndex);
     this.tellWatchers();
   }
-
-  private passToLeader(request: LeaderRequest, connection: Connection): void {
-    if (this.leading) {
-      void this.leader.receive(request, (notice) => {
-        connection.send(notice);
-      });
-      return;
-    }
-    const { leaderAddress } = this;
-    if (leaderAddress === null || leaderAddress === this.name || !this.hearsLeader) return;
-    const token = this.relays.add(connection);
-    const relayed: RelayedRequest = { kind: 'relayed-request', origin: this.name, token, request };
-    this.dialer.sendTo(leaderAddress, relayed);
-  }
-
-  private receiveRelayed(message: RelayedRequest | RelayedNotice): void {
-    if (message.kind === 'relayed-notice') {
-      this.relays.take(message.token)?.send(message.notice);
-      return;
-    }
-    if (!this.leading) return;
-    const { origin, token } = message;
-    const answer: Answer = (notice) => {
-      const relayed: RelayedNotice = { kind: 'relayed-notice', token, notice };
-      this.dialer.sendTo(origin, relayed);
-    };
-    void this.leader.receive(message.request, answer);
-  }
 }
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -107,9 +107,7 @@
 });
 
 class Replica implements OperatedReplica {
-  readonly name = '10.0.0.1:7620';
-  readonly leaderAddress = '10.0.0.2:7620';
-  readonly hearsLeader = true;
+  readonly leaderElsewhere = '10.0.0.2:7620';
   readonly proposed: DirectoryCommand[] = [];
   /** Digests of changes that are known to be committed. */
   readonly accepted = new Set<string>();
