Daemons that come together share one encoded table, although changes go on

Change: a table that was encoded is sent with the changes after it, up to 128 of them. What an operator ordered still makes it anew: a daemon that starts is to know it as long in force (an evacuation that came as a change would be taken for one that begins).

--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -16,6 +16,9 @@
 /** Published changes that are kept for watchers that come back. */
 const KEPT_CHANGES = 1_024;
 
+/** Changes that a watcher is sent after a table that was encoded before them; then the table is encoded anew. */
+const MOST_AFTER_TABLE = 128;
+
 interface Published {
   readonly index: number;
   readonly frame: Buffer;
@@ -43,15 +46,20 @@
   /** Adds a watcher that holds everything up to `fromIndex`, and brings it up to date. */
   add(connection: Connection, fromIndex: number, state: DirectoryState, index: number): void {
     this.watchers.add(connection);
-    if (fromIndex === 0 || fromIndex < this.recentSince) {
-      connection.sendEncoded(this.table(state, index));
-      return;
-    }
+    const needsTable = fromIndex === 0 || fromIndex < this.recentSince;
+    const heldIndex = needsTable ? this.sendTable(connection, state, index) : fromIndex;
     for (const published of this.recent) {
-      if (published.index > fromIndex) connection.sendEncoded(published.frame);
+      if (published.index > heldIndex) connection.sendEncoded(published.frame);
     }
   }
 
+  /** Sends a whole table, which may be some changes old; returns its index. */
+  private sendTable(connection: Connection, state: DirectoryState, index: number): number {
+    const table = this.table(state, index);
+    connection.sendEncoded(table.frame);
+    return table.index;
+  }
+
   /** A connection has closed. */
   remove(connection: Connection): void {
     this.watchers.delete(connection);
@@ -60,7 +68,7 @@
   /** Publishes what one committed command changed. */
   publish(index: number, changes: readonly DirectoryChange[]): void {
     if (changes.length === 0) return;
-    this.encodedTable = null;
+    if (changes.some(isOrder)) this.encodedTable = null;
     this.newest = index;
     const frame = encodeNotice({ kind: 'changes', index, changes: changes.map(withoutItemSources) });
     this.recent.push({ index, frame });
@@ -75,7 +83,7 @@
     this.encodedTable = null;
     this.newest = index;
     if (this.watchers.size === 0) return;
-    const frame = this.table(state, index);
+    const { frame } = this.table(state, index);
     for (const watcher of this.watchers) watcher.sendEncoded(frame);
   }
 
@@ -92,13 +100,27 @@
     this.watchers.clear();
   }
 
-  private table(state: DirectoryState, index: number): Buffer {
-    if (this.encodedTable?.index === index) return this.encodedTable.frame;
+  /** Daemons that come together while changes go on share one table: encoding a long one takes longer than a change. */
+  private table(state: DirectoryState, index: number): Published {
+    const known = this.encodedTable;
+    if (known !== null && this.canFollow(known.index)) return known;
     const table = withoutSources(encodeDirectory(state));
-    const frame = encodeNotice({ kind: 'table', index, table });
-    this.encodedTable = { index, frame };
-    return frame;
+    const encoded = { index, frame: encodeNotice({ kind: 'table', index, table }) };
+    this.encodedTable = encoded;
+    return encoded;
   }
+
+  /** Whether the changes after an index are held, and few. */
+  private canFollow(index: number): boolean {
+    if (index < this.recentSince) return false;
+    const later = this.recent.length - MOST_AFTER_TABLE;
+    return later <= 0 || (this.recent[later - 1]?.index ?? 0) <= index;
+  }
+}
+
+/** Whether an operator ordered it. A daemon that starts is to know of it from its table, since it may be long in force. */
+function isOrder({ kind }: DirectoryChange): boolean {
+  return kind === 'items' || kind === 'evacuation';
 }
 
 /** Watchers route by definitions; only operators read what was written. */
