--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -7,6 +7,8 @@
 import { OperatorCalls, readCommand, type OperatedReplica } from '../../platform/operator-calls.js';
 import type { DirectoryCommand } from '../../src/directory/directory-commands.js';
 import { Err, Ok } from '../../src/result.js';
+import { SILENT_EVENT_LOG, type EventFields, type EventLog } from '../../src/telemetry/event-log.js';
+import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 
 const ROUTE = {
   host: 'h.example',
@@ -144,6 +146,26 @@
   }
 });
 
+test('an order that is not acknowledged is told with the reason, and one that is, or a read, is not', async (t) => {
+  const told: EventFields[] = [];
+  const log: EventLog = { ...SILENT_EVENT_LOG, event: (_name, fields) => told.push(fields) };
+  const leader = new Replica(true);
+  const calls = new OperatorCalls(leader, 8_306, new Set(), NO_LATENCIES, log);
+  await calls.take(call('PATCH', { version: 3, upsert: {}, remove: {} }, '1'));
+  await calls.take(call('GET', ''));
+  t.deepEqual(told, []);
+  await calls.take(call('PUT', '{"version":3,"rou', '0'));
+  leader.accepts = false;
+  await calls.take(call('PATCH', { version: 3, upsert: {}, remove: {} }, '1'));
+  await new OperatorCalls(new Replica(false), 8_306, new Set(), NO_LATENCIES, log).take(call('PUT', '', '0'));
+  t.deepEqual(
+    told.map(({ status }) => status),
+    [400, 503, 307],
+  );
+  t.deepEqual(told[0]?.['reason'], { error: 'the body is not JSON' });
+  t.is(told[2]?.['leader'], 'http://10.0.0.2:8306/config');
+});
+
 test('a replica that does not lead sends a change on without reading it', async (t) => {
   const calls = new OperatorCalls(new Replica(false), 8_306, new Set());
   t.is((await calls.take(call('PUT', '{"version":3,"rou', '0'))).status, 307);
