--- a/lab/sim/sim-operator.ts
+++ b/lab/sim/sim-operator.ts
@@ -48,6 +48,16 @@
   lostAcknowledgements: number;
 }
 
+/** One try of a call. */
+interface Attempt {
+  readonly call: Call;
+  readonly sent: SentCall;
+  /** Redirections that led to it. */
+  readonly redirections: number;
+  /** Tries before it that had no clear answer. */
+  readonly failures: number;
+}
+
 /** An operator. */
 export class SimOperator {
   constructor(private readonly directory: OperatedDirectory) {}
@@ -56,7 +66,7 @@
   send(call: Call): SentCall {
     const { queue } = this.directory;
     const sent: SentCall = { sentMs: queue.nowMs, acknowledgedMs: null, status: null, tries: 0 };
-    this.ask(call, sent, this.anyReplica(), 0, 0);
+    this.ask(this.anyReplica(), { call, sent, redirections: 0, failures: 0 });
     return sent;
   }
 
@@ -65,19 +75,13 @@
     return replicas[random.below(replicas.length)];
   }
 
-  private ask(
-    call: Call,
-    sent: SentCall,
-    replica: SimReplica | undefined,
-    redirections: number,
-    failures: number,
-  ): void {
+  private ask(replica: SimReplica | undefined, attempt: Attempt): void {
     const { queue } = this.directory;
+    const { call, sent } = attempt;
     let open = true;
     const end = (answer: CallAnswer | null): void => {
-      if (!open) return;
+      if (open) this.takeAnswer(attempt, answer);
       open = false;
-      this.takeAnswer(call, sent, answer, redirections, failures);
     };
     sent.tries += 1;
     queue.at(queue.nowMs + timeoutMs(call), () => {
@@ -104,25 +108,20 @@
     return status === STATUS.ok && random.fraction() < lostAcknowledgements;
   }
 
-  private takeAnswer(
-    call: Call,
-    sent: SentCall,
-    answer: CallAnswer | null,
-    redirections: number,
-    failures: number,
-  ): void {
-    const { queue } = this.directory;
+  private takeAnswer(attempt: Attempt, answer: CallAnswer | null): void {
+    const { sent, redirections } = attempt;
     if (answer?.status === STATUS.elsewhere && redirections < MOST_REDIRECTIONS) {
-      this.ask(call, sent, this.namedIn(answer), redirections + 1, failures);
-      return;
-    }
-    if (answer !== null && isClear(answer.status)) {
-      sent.status = answer.status;
-      return;
-    }
+      this.ask(this.namedIn(answer), { ...attempt, redirections: redirections + 1 });
+    } else if (answer !== null && isClear(answer.status)) sent.status = answer.status;
+    else this.askLater(attempt);
+  }
+
+  private askLater(attempt: Attempt): void {
+    const { queue } = this.directory;
+    const { failures } = attempt;
     const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** failures);
     queue.at(queue.nowMs + pauseMs, () => {
-      this.ask(call, sent, this.anyReplica(), 0, failures + 1);
+      this.ask(this.anyReplica(), { ...attempt, redirections: 0, failures: failures + 1 });
     });
   }
 
