Log and count the request limits that back ends name in their answers

Ruled out: reading it at the end of an answer; a long answer would tell of its limit only when it is complete. Change: the heads of answers are read for a limit and for a leave (own header names; the platform's names in its dialect). The daemon beside the back end tracks the limit in force: events limit-named, limit-changed, limit-lifted, limit-forgotten with instance, values and the request whose answer told; gauges of the limit, of what was sent in 4 s, a counter of unreadable ones. Nothing acts on it yet.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -19,6 +19,7 @@
 import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type SlotRequest } from './admission.js';
 import type { BackendClient, PreparedRun } from './backend-client.js';
+import type { BackendSignals } from './backend-signals.js';
 import { CircuitBreaker } from './circuit-breaker.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { CrashGuard } from './crash-guard.js';
@@ -34,6 +35,7 @@
   maxSlotWaitMs,
   slackTimeMs,
 } from './slot-policy.js';
+import { RequestPacing } from './request-pacing.js';
 import { RunReporter } from './run-reporter.js';
 import { SuspectScheduler, type SuspectRequest } from './suspect-scheduler.js';
 import { WorkForecast } from './work-forecast.js';
@@ -97,6 +99,8 @@
   /** Whether no other request has run at the back end at the same time. */
   alone: boolean;
   startedMs: number;
+  /** Number of the request among those sent to the back end. */
+  sendNumber: number;
   /** Slot time in ms that was reported as offered load when the request arrived. */
   offeredMs: number;
   /** Whether the request is queued although its answer will miss the target latency. */
@@ -111,6 +115,7 @@
   readonly forecast: WorkForecast<GatewayRequest>;
   readonly lateWaitLimiter = new LateWaitLimiter();
   readonly suspects: SuspectScheduler;
+  readonly pacing: RequestPacing;
   private readonly reporter: RunReporter;
   /** Requests that wait for the back end's first heartbeat, or for their key to be granted. */
   private readonly waiting = new Set<GatewayRequest>();
@@ -120,8 +125,9 @@
   private cancelCheck: CancelTimer | null = null;
 
   constructor(private readonly ports: GatewayPorts) {
-    const { coldLimit, runtime, pacer, guard } = ports;
+    const { runtime, pacer, guard } = ports;
     this.reporter = new RunReporter(guard, runtime);
+    this.pacing = new RequestPacing(ports);
     this.forecast = new WorkForecast({
       nowMs: () => runtime.nowMs(),
       serviceMs: () => this.admission.serviceMs,
@@ -129,9 +135,9 @@
       pacer,
     });
     this.admission = new Admission(1, {
-      delayMs: (ahead) => coldLimit.delayMs(ahead, runtime.steadyMs()),
+      delayMs: (ahead) => this.pacing.delayMs(ahead),
       recordStart: () => {
-        coldLimit.recordSent(runtime.steadyMs());
+        this.pacing.recordStart();
       },
       pace: () => this.forecast.currentPace,
     });
@@ -173,7 +179,7 @@
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving() && !this.suspects.isIsolating,
       sendWaitMs: Math.round(this.forecast.sendWaitMs),
-      coldStart: this.ports.coldLimit.estimate(this.ports.runtime.steadyMs()),
+      coldStart: this.pacing.estimate(),
       pace: roundToHundredths(pace.now),
       meanPace: roundToHundredths(pace.mean),
     };
@@ -194,6 +200,7 @@
       run: null,
       alone: false,
       startedMs: 0,
+      sendNumber: 0,
       offeredMs: 0,
       waitsLate: false,
       done: false,
@@ -222,8 +229,9 @@
   }
 
   /** Resets the state of the previous incarnation: its broken runs are no evidence about the new one. */
-  startIncarnation(): void {
+  startIncarnation(incarnation: string): void {
     this.circuitBreaker.reset();
+    this.pacing.startIncarnation(incarnation);
   }
 
   /** Re-evaluates the waiting requests after a change of the back end's state, keys or crash records. */
@@ -426,10 +434,14 @@
     for (const other of this.running) other.alone = false;
     this.running.add(request);
     this.counters.runs += 1;
+    request.sendNumber = this.pacing.recordSent();
     request.run = ports.backend.prepare(request.head, request.body, leftMs, {
       status: () => this.status(),
       timing: () => this.timingOf(request),
       reply: this.replyOf(request),
+      onSignals: (signals) => {
+        this.receiveSignals(request, signals);
+      },
       onDone: (outcome) => {
         this.handleDone(request, outcome);
       },
@@ -437,6 +449,11 @@
     request.run.start();
   }
 
+  private receiveSignals({ head, sendNumber }: GatewayRequest, { limit }: BackendSignals): void {
+    const isCurrent = head.instance === this.ports.instance();
+    if (isCurrent) this.pacing.recordStatement(limit, head.requestId, sendNumber);
+  }
+
   /** Whether the request was quarantined or became a suspect while it waited, so that it must not run now. */
   private isRestrictedByCrashRecord({ identity, suspect }: GatewayRequest): boolean {
     const { stage } = this.ports.guard.classify(identity);
@@ -527,8 +544,7 @@
   private retryAfterMs(reason: RefusalReason): number {
     if (reason !== 'busy') return DEFAULT_RETRY_AFTER_MS;
     const { serviceMs, waitingCount, slots } = this.admission;
-    const coldMs = this.ports.coldLimit.delayMs(waitingCount, this.ports.runtime.steadyMs());
-    const queueMs = Math.max(coldMs, (serviceMs * (waitingCount + 1)) / slots);
+    const queueMs = Math.max(this.pacing.delayMs(waitingCount), (serviceMs * (waitingCount + 1)) / slots);
     return Math.round(Math.min(MAX_BUSY_RETRY_AFTER_MS, queueMs));
   }
 
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -9,6 +9,7 @@
 import type { BrokenReason } from './backend-connection.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { RequestPool, InFlightRequest } from './backend-pool.js';
+import { readSignals, type BackendSignals } from './backend-signals.js';
 import { endToEndHeaders, headerValue, type HeaderDialect } from './header-dialect.js';
 
 /** Maximum size in bytes of an answer that is buffered until it is complete. */
@@ -49,6 +50,8 @@
   readonly status: () => StatusHead | null;
   readonly timing: () => AnswerTiming;
   readonly reply: RequestReply;
+  /** Called when the head of an answer of the back end itself has arrived. */
+  readonly onSignals: (signals: BackendSignals) => void;
   /** Called once, unless the run is cancelled. */
   readonly onDone: (outcome: RunOutcome) => void;
 }
@@ -83,7 +86,7 @@
     const request = { method, path, headers: this.headers(), body: this.body, requestId, repeatable };
     this.request = this.pool.run(request, {
       onAnswer: (answer) => {
-        this.answer = answer;
+        this.receiveHead(answer);
       },
       onBody: (chunk) => {
         this.receiveBody(chunk);
@@ -117,6 +120,13 @@
     return headers;
   }
 
+  /** A misdirected request may have reached another incarnation, whose statements say nothing about this one. */
+  private receiveHead(answer: ParsedAnswer): void {
+    this.answer = answer;
+    if (answer.statusCode === MISDIRECTED_STATUS || this.defect(answer) !== null) return;
+    this.ports.onSignals(readSignals(answer.headers, this.dialect));
+  }
+
   private receiveBody(chunk: Buffer): void {
     this.bytes += chunk.length;
     if (this.streaming) {
--- a/src/sidecar/header-dialect.ts
+++ b/src/sidecar/header-dialect.ts
@@ -19,6 +19,10 @@
   readonly notRun: string;
   /** Answer header: the back end's seal, which marks the answer as its own. */
   readonly seal: string;
+  /** Answer header: requests per second that the back end accepts from all daemons together, as a decimal number. */
+  readonly requestLimit: string;
+  /** Answer header: the back end leaves; any value but 0. */
+  readonly leaving: string;
   /** Answer header: current work time at the back end. */
   readonly pace: string;
   /** Parses the pace header as a factor on the usual work time; null if it states none, NaN if it cannot be parsed. */
@@ -34,6 +38,8 @@
   caller: 'aldertide-caller',
   notRun: 'aldertide-not-run',
   seal: 'aldertide-seal',
+  requestLimit: 'aldertide-request-limit',
+  leaving: 'aldertide-leaving',
   pace: 'aldertide-pace',
   readPace: Number,
 };
@@ -59,6 +65,15 @@
   return null;
 }
 
+/** Returns the values of a header that may be repeated, in order. */
+export function headerValues(headers: readonly string[], name: string): readonly string[] {
+  const values: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === name) values.push(headers[index + 1] ?? '');
+  }
+  return values;
+}
+
 /** Returns the headers without hop-by-hop headers, those that `Connection` names, and those in `dropped`. */
 export function endToEndHeaders(headers: readonly string[], dropped: ReadonlySet<string>): string[] {
   const named = headersNamedByConnection(headers);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -3,6 +3,9 @@
 import type { DaemonMetrics } from '../telemetry/daemon-metrics.js';
 import type { SidecarNode } from './sidecar-node.js';
 
+/** Value of the limit metric while there is no limit. */
+const NO_LIMIT = -1;
+
 /** Registers the metrics of a sidecar. */
 export function exposeSidecar(metrics: DaemonMetrics, node: SidecarNode): void {
   const { counters, gateway } = node;
@@ -45,6 +48,21 @@
     'Figures of its load that could not be read',
     () => gateway.forecast.unreadablePaceReports,
   );
+  metrics.value(
+    'backend_limit_per_s',
+    'Requests a second that it accepts; -1 while it names no limit',
+    () => gateway.pacing.limitPerSecond ?? NO_LIMIT,
+  );
+  metrics.value(
+    'backend_sent_recently',
+    'Requests sent to it in the last 4 s',
+    () => gateway.pacing.recentlySent,
+  );
+  metrics.value(
+    'backend_unreadable_limits',
+    'Limits of its requests that could not be read',
+    () => gateway.pacing.unreadableLimits,
+  );
   metrics.value('backend_ends', 'Times that it ended by itself under requests', () => node.crashes.ends);
   metrics.value('suspects_waiting', 'Requests that wait to run alone', () => gateway.suspects.waitingCount);
   metrics.family('crash_records', 'Requests under which back ends end, by stage', 'stage', () =>
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -472,7 +472,7 @@
     const { life, confirmed } = this.backend;
     this.log.event('backend-known', { instance: life, sequence, slots, coldLeftMs, confirmed });
     this.coldLimit.startIncarnation(coldLeftMs, this.runtime.steadyMs());
-    this.gateway.startIncarnation();
+    this.gateway.startIncarnation(incarnationName(heartbeat));
     this.gateway.forecast.pace.forget();
     this.applyEvacuation();
     this.keys.clear();
