--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -9,6 +9,9 @@
 import type { EventQueue } from '../event-queue.js';
 import type { FleetService, FleetTraffic } from './fleet-spec.js';
 
+/** Header with the unique name of the answering incarnation, for the judge. */
+export const LIFE_HEADER = 'fleet-life';
+
 const STATUS = { ok: 200, misdirected: 421, full: 503 } as const;
 
 /** Minimum processing time, and width of the range it is drawn from, as fractions of the mean. */
@@ -54,6 +57,10 @@
   draining = false;
   /** Whether it has announced its end and sends no more heartbeats. */
   hasAnnouncedLeave = false;
+  /** Whether it states in its answers that it leaves. */
+  statesLeave = false;
+  /** Value of the limit header in its answers; null for none. */
+  private limitText: string | null = null;
   private readonly inProgress = new Set<RequestInProgress>();
 
   constructor(
@@ -76,6 +83,14 @@
     );
   }
 
+  /** States a limit in all answers from now on, or none; an unreadable text states nothing. */
+  stateLimit(text: string | null): void {
+    this.limitText = text;
+    const perSecond = text === null ? null : Number(text);
+    if (!Number.isNaN(perSecond))
+      this.ports.judge.requestLimits.stated(this.life, perSecond, this.ports.queue.nowMs);
+  }
+
   /** Whether any request is in progress. */
   get busy(): boolean {
     return this.inProgress.size > 0;
@@ -87,13 +102,13 @@
     const keyText = headerValue(headers, DEFAULT_HEADER_DIALECT.key);
     const key = this.service.keyed ? Number(keyText) : null;
     const misdirected = headerValue(headers, DEFAULT_HEADER_DIALECT.expectedInstance) !== this.id;
-    if (!misdirected) this.ports.judge.arrived(this.life, this.ports.queue.nowMs);
+    if (!misdirected) this.ports.judge.arrived(this.life, requestId, this.ports.queue.nowMs);
     if (misdirected || (key !== null && !this.keys.holds(key))) {
-      decline(handlers, requestId, STATUS.misdirected);
+      this.decline(handlers, requestId, STATUS.misdirected);
       return () => undefined;
     }
     if (this.inProgress.size >= this.ports.slots) {
-      decline(handlers, requestId, STATUS.full);
+      this.decline(handlers, requestId, STATUS.full);
       return () => undefined;
     }
     return this.begin(request, handlers, key);
@@ -187,12 +202,31 @@
     if (key !== null) this.keys.end(key);
     const { run, handlers } = work;
     this.close(run, 'answered');
-    answerWith(handlers, STATUS.ok, [
+    this.answerWith(handlers, STATUS.ok, run.requestId, [DEFAULT_HEADER_DIALECT.seal, 'seal']);
+  }
+
+  private decline(handlers: BackendRequestHandlers, requestId: string, statusCode: number): void {
+    this.answerWith(handlers, statusCode, requestId, [DEFAULT_HEADER_DIALECT.notRun, '1']);
+  }
+
+  private answerWith(
+    handlers: BackendRequestHandlers,
+    statusCode: number,
+    requestId: string,
+    ownHeaders: readonly string[],
+  ): void {
+    const { limitText, statesLeave } = this;
+    const headers = [
       DEFAULT_HEADER_DIALECT.requestId,
-      run.requestId,
-      DEFAULT_HEADER_DIALECT.seal,
-      'seal',
-    ]);
+      requestId,
+      LIFE_HEADER,
+      this.life,
+      ...ownHeaders,
+      ...(limitText === null ? [] : [DEFAULT_HEADER_DIALECT.requestLimit, limitText]),
+      ...(statesLeave ? [DEFAULT_HEADER_DIALECT.leaving, '1'] : []),
+    ];
+    handlers.onAnswer({ statusCode, headers, keepAlive: true, framed: true });
+    handlers.onEnd();
   }
 
   private close(run: FleetRun, end: Exclude<FleetRun['end'], null>): void {
@@ -200,13 +234,3 @@
     run.endMs = this.ports.queue.nowMs;
   }
 }
-
-function decline(handlers: BackendRequestHandlers, requestId: string, statusCode: number): void {
-  const headers = [DEFAULT_HEADER_DIALECT.requestId, requestId, DEFAULT_HEADER_DIALECT.notRun, '1'];
-  answerWith(handlers, statusCode, headers);
-}
-
-function answerWith(handlers: BackendRequestHandlers, statusCode: number, headers: readonly string[]): void {
-  handlers.onAnswer({ statusCode, headers, keepAlive: true, framed: true });
-  handlers.onEnd();
-}
--- a/lab/sim/fleet/fleet-callers.ts
+++ b/lab/sim/fleet/fleet-callers.ts
@@ -1,6 +1,7 @@
 /** Callers of a simulated fleet: they send requests to any machine and retry where the answer allows it. */
 import type { RouteDefinition } from '../../../src/directory/directory-state.js';
 import { localAnswerFor } from '../../../src/sidecar/caller-server.js';
+import type { AnswerHead } from '../../../src/link/link-messages.js';
 import type { CallerSink } from '../../../src/sidecar/caller-request.js';
 import { DEFAULT_HEADER_DIALECT } from '../../../src/sidecar/header-dialect.js';
 import type { Random } from '../../random.js';
@@ -38,6 +39,12 @@
   served: boolean;
 }
 
+/** Observes what callers send and receive. */
+export interface FleetCallerObserver {
+  requestSent(requestId: string, machine: string): void;
+  answerReceived(machine: string, head: AnswerHead): void;
+}
+
 /** All callers of a fleet. */
 export class FleetCallers {
   readonly requests: FleetRequestRecord[] = [];
@@ -47,6 +54,7 @@
     private readonly queue: EventQueue,
     private readonly random: Random,
     private readonly machines: readonly FleetMachine[],
+    private readonly observer: FleetCallerObserver,
   ) {}
 
   /** Sends requests of one kind until `untilMs`. */
@@ -91,6 +99,7 @@
       answeredMs: Infinity,
     };
     record.attempts.push(current);
+    this.observer.requestSent(requestId, machine.name);
     const onAnswered = (status: number, retryAfterMs: number): void => {
       if (current.status !== null) return;
       current.status = status;
@@ -117,6 +126,7 @@
   ): void {
     const sink: CallerSink = {
       answer: (head) => {
+        this.observer.answerReceived(machine.name, head);
         onAnswered(head.statusCode, 0);
       },
       body: () => undefined,
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -92,12 +92,24 @@
 
   /** Crashes the daemon. */
   crash(): void {
+    this.ports.backend.judge.toldLeaves.excuse(this.name);
     this.process.crash();
     this.ports.directory.network.breakConnectionsOf(this.process);
     this.node = null;
     this.callers = null;
   }
 
+  /** Freezes the daemon; its back end keeps running. */
+  freeze(): void {
+    this.process.freeze();
+  }
+
+  /** Lets a frozen daemon continue. */
+  thaw(): void {
+    this.ports.backend.judge.toldLeaves.excuse(this.name);
+    this.process.thaw();
+  }
+
   /** Starts a new incarnation of the back end. */
   startBackend(): void {
     this.lives += 1;
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -8,7 +8,10 @@
 import { SoakJudge, type SoakViolation } from '../../soak/soak-judge.js';
 import { EventQueue } from '../event-queue.js';
 import { SimDirectory } from '../sim-directory.js';
-import type { FleetRun } from './fleet-backend.js';
+import { readSignals } from '../../../src/sidecar/backend-signals.js';
+import { DEFAULT_HEADER_DIALECT, headerValue } from '../../../src/sidecar/header-dialect.js';
+import type { AnswerHead } from '../../../src/link/link-messages.js';
+import { LIFE_HEADER, type FleetRun } from './fleet-backend.js';
 import { FleetCallers, routeOf, type FleetRequestRecord, type FleetAttempt } from './fleet-callers.js';
 import { FleetLinks } from './fleet-links.js';
 import { FleetMachine } from './fleet-machine.js';
@@ -90,7 +93,14 @@
         return new FleetMachine(`${service.name}-${copy}`, `10.1.${at}.${copy + 1}`, zone, service, ports);
       }),
     );
-    this.callers = new FleetCallers(this.queue, this.random, this.machines);
+    this.callers = new FleetCallers(this.queue, this.random, this.machines, {
+      requestSent: (requestId, machine) => {
+        this.judge.toldLeaves.requestSent(requestId, machine, this.queue.nowMs);
+      },
+      answerReceived: (machine, head) => {
+        this.recordSignals(machine, head);
+      },
+    });
   }
 
   /** Broken guarantees, such as keys with two owners and repeated runs of non-idempotent requests. */
@@ -196,6 +206,16 @@
     if (session !== undefined) void leader?.propose({ kind: 'unregister', sessions: [{ id, session }] });
   }
 
+  /** Cuts a machine off from all other machines of the fleet in both directions; it still reaches the replicas. */
+  cutFromMachines({ name }: FleetMachine): void {
+    const { network } = this.directory;
+    for (const other of this.machines) {
+      if (other.name === name) continue;
+      network.cut(name, other.name);
+      network.cut(other.name, name);
+    }
+  }
+
   /** Removes all cuts. */
   heal(): void {
     this.directory.network.healAll();
@@ -236,6 +256,15 @@
     return this.runs.filter((run) => run.traffic === traffic && run.atMs > sinceMs);
   }
 
+  private recordSignals(machine: string, { headers }: AnswerHead): void {
+    const life = headerValue(headers, LIFE_HEADER);
+    if (life === null) return;
+    const { limit, leaving } = readSignals(headers, DEFAULT_HEADER_DIALECT);
+    const { nowMs } = this.queue;
+    if (limit.kind === 'limited') this.judge.requestLimits.told(life, limit.requestsPerSecond, nowMs);
+    if (leaving) this.judge.toldLeaves.answerPassedOn(life, machine, nowMs);
+  }
+
   private checkPeriodically(): void {
     this.judge.checkOverlaps(this.queue.nowMs);
     this.queue.at(this.queue.nowMs + CHECK_INTERVAL_MS, () => {
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -319,7 +319,7 @@
       this.reject(response, requestId, STATUS.misdirected);
       return;
     }
-    this.reportArrival(performance.now());
+    this.reportArrival(requestId, performance.now());
     if (key !== null && !this.keys.holds(key)) {
       this.reject(response, requestId, STATUS.misdirected);
       return;
@@ -337,9 +337,9 @@
     return expectedId !== '' && expectedId !== this.id;
   }
 
-  private reportArrival(nowMs: number): void {
+  private reportArrival(requestId: string, nowMs: number): void {
     const { judge, zone, life } = this.options;
-    judge.arrived(life, nowMs);
+    judge.arrived(life, requestId, nowMs);
     judge.arrivedInZone(life, zone, nowMs);
     if (this.coldLeftMs > 0) judge.arrivedCold(life, MAX_COLD_REQUESTS_PER_S, nowMs);
   }
--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -6,6 +6,8 @@
 import { overlaps } from '../../src/directory/key-ranges.js';
 import { rangeName } from '../../src/sidecar/key-grants.js';
 import type { TimedRange } from './held-keys.js';
+import { RequestLimitRule } from './request-limit-rule.js';
+import { ToldLeaveRule } from './told-leave-rule.js';
 
 /** Guarantees that must hold. */
 export type SoakRule =
@@ -22,7 +24,9 @@
   | 'recovery'
   | 'evacuation'
   | 'contained-request'
-  | 'cold-start';
+  | 'cold-start'
+  | 'request-limit'
+  | 'told-leave';
 
 /** Violation of a guarantee. */
 export interface SoakViolation {
@@ -67,6 +71,12 @@
 /** Records what is seen and reports violations. */
 export class SoakJudge {
   readonly violations: SoakViolation[] = [];
+  /** Requests beyond the limits that back ends name. */
+  readonly requestLimits = new RequestLimitRule((atMs, detail) => {
+    this.report('request-limit', atMs, detail);
+  });
+  /** Requests after leaves that back ends state in their answers. */
+  readonly toldLeaves: ToldLeaveRule;
   private readonly runs = new Map<string, number>();
   private readonly refused = new Map<string, number>();
   private readonly holdings = new Map<string, Holdings>();
@@ -90,7 +100,11 @@
     private readonly evacuationMs = Infinity,
     /** Whether there has been no fault for long enough that every daemon must have been reached. */
     private readonly isSettled: () => boolean = () => true,
-  ) {}
+  ) {
+    this.toldLeaves = new ToldLeaveRule(drainMs, (atMs, detail) => {
+      this.report('told-leave', atMs, detail);
+    });
+  }
 
   /** Records that a back end begins to run a request. */
   runStarted(run: RunStart, nowMs: number): void {
@@ -124,7 +138,9 @@
   }
 
   /** Records that a request reaches a back end, whether or not it is run. */
-  arrived(backend: string, nowMs: number): void {
+  arrived(backend: string, requestId: string, nowMs: number): void {
+    this.requestLimits.arrived(backend, nowMs);
+    this.toldLeaves.arrived(backend, requestId, nowMs);
     const since = this.drainedSince.get(backend);
     if (since === undefined || nowMs - since <= this.drainMs) return;
     this.report('drain', nowMs, `${backend} is sent work ${Math.round(nowMs - since)} ms after its leave`);
--- a/src/sidecar/request-pacing.ts
+++ b/src/sidecar/request-pacing.ts
@@ -15,13 +15,6 @@
   readonly coldLimit: ColdStartLimit;
 }
 
-/** Log event of each kind of change. */
-const CHANGE_EVENTS: Readonly<Record<LimitChange['kind'], string>> = {
-  named: 'limit-named',
-  changed: 'limit-changed',
-  lifted: 'limit-lifted',
-};
-
 /** Request rate to one back end. */
 export class RequestPacing {
   private readonly limit = new LimitTracker();
@@ -82,8 +75,14 @@
     // Only the first one is logged; a counter holds the total.
     const isFirstUnreadable = unreadableBefore === 0 && this.limit.unreadable > 0;
     if (isFirstUnreadable) log.event('figure-unreadable', { figure: 'limit', requestId });
-    if (change === null) return;
-    const { before, after } = change;
-    log.event(CHANGE_EVENTS[change.kind], { instance: this.incarnation, before, after, requestId });
+    if (change !== null) this.logChange(change, requestId);
+  }
+
+  private logChange({ kind, before, after }: LimitChange, requestId: string): void {
+    const { log } = this.ports;
+    const fields = { instance: this.incarnation, before, after, requestId };
+    if (kind === 'named') log.event('limit-named', fields);
+    else if (kind === 'changed') log.event('limit-changed', fields);
+    else log.event('limit-lifted', fields);
   }
 }
--- a/test/lab/soak/soak-judge.test.ts
+++ b/test/lab/soak/soak-judge.test.ts
@@ -96,8 +96,8 @@
     name: 'a request arrives long after a leave was acknowledged',
     see: (judge) => {
       judge.drainAcknowledged('a', 0);
-      judge.arrived('a', DRAIN_MS);
-      judge.arrived('a', DRAIN_MS + 1);
+      judge.arrived('a', 'r1', DRAIN_MS);
+      judge.arrived('a', 'r2', DRAIN_MS + 1);
     },
     broken: ['drain'],
   },
