Move the ports and the requests of the gateway into modules of their own

Ruled out: splitting its queues; they share the state of a request. Change: gateway-ports.ts and gateway-request.ts; no logic changes.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -10,22 +10,16 @@
   RequestHead,
   StatusHead,
 } from '../link/link-messages.js';
-import type { LinkPacer } from '../link/link-pacer.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
-import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { CancelTimer } from '../runtime/runtime.js';
 import { policyIsOn } from '../policy-switches.js';
-import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
-import type { EventLog } from '../telemetry/event-log.js';
-import type { Latencies } from '../telemetry/latencies.js';
 import { Admission, type SlotRequest } from './admission.js';
-import type { BackendClient, PreparedRun } from './backend-client.js';
 import type { BackendSignals } from './backend-signals.js';
 import { CircuitBreaker } from './circuit-breaker.js';
-import type { ColdStartLimit } from './cold-start-limit.js';
-import type { CrashGuard } from './crash-guard.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
 import { createGatewayCounters, slotTimeUse } from './gateway-counters.js';
-import { headerValue } from './header-dialect.js';
+import type { GatewayPorts } from './gateway-ports.js';
+import { createGatewayRequest, type GatewayRequest } from './gateway-request.js';
 import { LateWaitLimiter, type LateWaitOutcome } from './late-wait-limiter.js';
 import {
   isTooLateToStart,
@@ -55,59 +49,6 @@
  */
 const MAX_SUSPECT_WAIT_MS = 1_000;
 
-/** Dependencies of a gateway, and the state of its back end. */
-export interface GatewayPorts {
-  readonly runtime: Runtime;
-  readonly log: EventLog;
-  readonly service: string;
-  readonly latencies: Latencies;
-  /** Paces large answers; null if the network link is fast. */
-  readonly pacer: LinkPacer | null;
-  readonly backend: BackendClient;
-  /** Limits the request rate while the back end is cold. */
-  readonly coldLimit: ColdStartLimit;
-  readonly guard: CrashGuard;
-  /** Id of the present incarnation; null before its first heartbeat, and until it is known whether it leaves. */
-  readonly instance: () => string | null;
-  /** Whether this daemon has only just started, so that the first heartbeat may still be on the way. */
-  readonly awaitsBackend: () => boolean;
-  /** Time in ms from which requests are refused because the back end leaves or the daemon stops; infinite otherwise. */
-  readonly closesAtMs: () => number;
-  /** Whether callers should prefer other instances for new requests. */
-  readonly leaving: () => boolean;
-  /** Whether the back end holds the key now. */
-  readonly holdsKey: (key: number) => boolean;
-  /** Whether the key is assigned to the back end, or is about to be. */
-  readonly ownsKey: (key: number) => boolean;
-  /** Called when slot time is used for a key; `ms` may be negative to correct an estimate. */
-  readonly onWork: (key: number | null, ms: number) => void;
-}
-
-/** State of a request in the gateway. */
-interface GatewayRequest {
-  readonly head: RequestHead;
-  readonly body: Buffer;
-  /** The parts of the request that its fingerprint is computed from. */
-  readonly identity: IdentifiedRequest;
-  readonly reply: RequestReply;
-  readonly arrivedMs: number;
-  readonly expiresMs: number;
-  slotRequest: SlotRequest | null;
-  /** Set while the request is handled as a suspect. */
-  suspect: SuspectRequest | null;
-  run: PreparedRun | null;
-  /** Whether no other request has run at the back end at the same time. */
-  alone: boolean;
-  startedMs: number;
-  /** Number of the request among those sent to the back end. */
-  sendNumber: number;
-  /** Slot time in ms that was reported as offered load when the request arrived. */
-  offeredMs: number;
-  /** Whether the request is queued although its answer will miss the target latency. */
-  waitsLate: boolean;
-  done: boolean;
-}
-
 /** Gateway to one back end. */
 export class BackendGateway {
   readonly counters = createGatewayCounters();
@@ -188,23 +129,7 @@
   /** Accepts a request from this daemon or a peer. */
   accept(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
-    const request: GatewayRequest = {
-      head,
-      body,
-      identity: identityOf(head, body),
-      reply,
-      arrivedMs: nowMs,
-      expiresMs: nowMs + this.maxReadinessWaitMs(head),
-      slotRequest: null,
-      suspect: null,
-      run: null,
-      alone: false,
-      startedMs: 0,
-      sendNumber: 0,
-      offeredMs: 0,
-      waitsLate: false,
-      done: false,
-    };
+    const request = createGatewayRequest(head, body, reply, nowMs, nowMs + this.maxReadinessWaitMs(head));
     this.counters.requests += 1;
     this.evaluate(request);
     return {
@@ -604,10 +529,6 @@
   }
 }
 
-function identityOf({ method, path, headers, key }: RequestHead, body: Buffer): IdentifiedRequest {
-  return { method, host: headerValue(headers, 'host'), path, headers, key, body };
-}
-
 /** Rounds a factor for transmission; more than two decimal places would exceed its precision. */
 function roundToHundredths(factor: number): number {
   return Math.round(factor * 100) / 100;
