Count a request against the rate of a back end only when it is sent

What callers saw: requests to a cold back end waited or were refused for turns that nobody had used. Cause: a turn was taken when a slot was granted; a request that then found too little time left, its key gone or its back end leaving was not sent, and its turn was lost. With a limit of one request in some seconds that would be most of the limit. Ruled out: giving turns back; a turn that is given back later than it was taken may break the sliding bound. Change: the turn is taken where the request is sent. Conclusion: the cold-start limit and the request limit count what reaches the back end.

--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -23,13 +23,11 @@
 export interface AdmissionPorts {
   /** Returns the time in ms until a request may start behind `ahead` others; 0 if the rate is not limited. */
   delayMs(ahead: number): number;
-  /** Called when a request starts. */
-  recordStart(): void;
   /** Returns the current processing time as a factor of the usual one. */
   pace(): number;
 }
 
-const DEFAULT_PORTS: AdmissionPorts = { delayMs: () => 0, recordStart: () => undefined, pace: () => 1 };
+const DEFAULT_PORTS: AdmissionPorts = { delayMs: () => 0, pace: () => 1 };
 
 /** Weight of the newest sample in the mean service time. */
 const EWMA_WEIGHT = 0.1;
@@ -149,7 +147,6 @@
 
   private grantSlot(request: SlotRequest): void {
     this.running += 1;
-    this.ports.recordStart();
     request.start();
   }
 
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -77,9 +77,6 @@
     });
     this.admission = new Admission(1, {
       delayMs: (ahead) => this.pacing.delayMs(ahead),
-      recordStart: () => {
-        this.pacing.recordStart();
-      },
       pace: () => this.forecast.currentPace,
     });
     this.suspects = new SuspectScheduler({
--- a/src/sidecar/request-pacing.ts
+++ b/src/sidecar/request-pacing.ts
@@ -56,14 +56,11 @@
     this.limit.startIncarnation();
   }
 
-  /** Records that a request gets a slot. */
-  recordStart(): void {
-    this.ports.coldLimit.recordSent(this.ports.runtime.steadyMs());
-  }
-
   /** Records that a request is sent; returns its number. */
   recordSent(): number {
-    this.sent.record(this.ports.runtime.steadyMs());
+    const nowMs = this.ports.runtime.steadyMs();
+    this.ports.coldLimit.recordSent(nowMs);
+    this.sent.record(nowMs);
     return this.limit.recordSent();
   }
 
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -174,6 +174,18 @@
   gateway.stop();
 });
 
+test('a request that gets a slot but is not sent does not count against the rate of a cold back end', async (t) => {
+  const world = new World();
+  world.coldLimit.configure({ durationMs: 10_000, requestsPerSecond: 1 });
+  world.coldLimit.startIncarnation(10_000, world.time.nowMs);
+  const gateway = await world.gateway();
+  gateway.accept({ ...HEAD, remainingMs: 1 }, Buffer.alloc(0), world.reply());
+  t.deepEqual(world.refusals, ['busy']);
+  for (let sent = 0; sent < 2; sent += 1) gateway.accept(HEAD, Buffer.alloc(0), world.reply());
+  t.is(gateway.runningCount, 2);
+  gateway.stop();
+});
+
 test('load is counted once, on arrival', async (t) => {
   const world = new World();
   const gateway = await world.gateway();
