Keep the request limit that a back end names, over all daemons together

What callers saw: a back end in need named in its answers how many requests a second it takes and got three to six times as many (51 and 60 in 4 s where 28 and 20 were allowed); its callers waited for a back end that could not keep up. Cause: nobody acted on the header; it went through both daemons to the caller like any unknown one. Class: a statement of a back end that is passed on and acted on by nobody. Why this works: every request to a back end passes the daemon beside it, so its count covers all machines. It gives turns at the named rate with a burst of half a second (at least one request), from the head of the first answer on; what waits in its queue needs a turn as well, in the order of the queue (priority, target, time left). A request that gets no turn within its target is refused at once as rate-limited, with the time of a turn that nobody else was told; one that others push beyond its time is refused then. Answers are ordered by cause and effect: only the answer to a request sent after a limit was read can raise or lift it. After a restart the limit of a running incarnation is unknown: requests go one at a time until an answer tells, or a peer's request carries the limit that it knows. A status of a restarted daemon says that it does not know, and peers keep what they knew. Choices see the limited rate (pacing in the status, which the cold start already used), so that requests go to other back ends. Ruled out: counting at the senders (thirteen of them add up, and they come and go); a share for each sender.

--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -31,12 +31,16 @@
   readonly targetLeftMs: number;
   /** Time in ms that the caller has spent on earlier attempts. */
   readonly spentMs: number;
+  /** Request limit of the back end per second, as the sending daemon knows it; missing if it knows of none. */
+  readonly knownLimitPerSecond?: number;
 }
 
 /** Reason why a request was not executed. */
 export type RefusalReason =
   /** No slot became free in time, or none is expected to. */
   | 'busy'
+  /** No turn within the request limit that the back end has named becomes free in time. */
+  | 'rate-limited'
   /** The back end is draining, or the daemon is stopping. */
   | 'leaving'
   /** The daemon serves a different back-end instance, or none yet. */
@@ -52,13 +56,13 @@
   /** Back ends that executed the request have crashed. */
   | 'quarantined';
 
-/** Admission rate of a back end that is warming up; times in ms. */
-export interface ColdStartEstimate {
+/** Limited admission rate of a back end that is warming up or has named a request limit; times in ms. */
+export interface PacingEstimate {
   /** Time until the next request may be sent. */
   readonly delayMs: number;
   /** Interval between further requests. */
   readonly intervalMs: number;
-  /** Estimated time until the back end has warmed up. */
+  /** Time for which the estimate is valid. */
   readonly leftMs: number;
 }
 
@@ -74,7 +78,9 @@
   /** Time in ms that a large answer waits at the daemon for the network link. */
   readonly sendWaitMs: number;
   /** Null while as many requests may be sent to the back end as it has slots. */
-  readonly coldStart: ColdStartEstimate | null;
+  readonly pacing: PacingEstimate | null;
+  /** Request limit that the back end has named, per second; null while it is unknown, missing if there is none. */
+  readonly limitPerSecond?: number | null;
   /** Current and mean service time as a multiple of the normal one; 1 if the back end does not report it. */
   readonly pace: number;
   readonly meanPace: number;
--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -116,6 +116,7 @@
       return;
     }
     this.insert(request);
+    this.expireUnreachable(nowMs);
   }
 
   /** Returns a slot that was held for `usedMs`, measured at the current pace. */
@@ -156,6 +157,26 @@
     else this.waiting.splice(at, 0, request);
   }
 
+  /**
+   * Expires queued requests whose turn at the limited rate would come too late, because others have gone ahead of them.
+   * A request that expires may queue again with another order.
+   */
+  private expireUnreachable(nowMs: number): void {
+    for (;;) {
+      const unreachable = this.firstUnreachable(nowMs);
+      if (unreachable === null) return;
+      this.withdraw(unreachable);
+      unreachable.expire();
+    }
+  }
+
+  private firstUnreachable(nowMs: number): SlotRequest | null {
+    if (this.ports.delayMs(0) <= 0) return null;
+    const isUnreachable = ({ expiresMs }: SlotRequest, ahead: number): boolean =>
+      nowMs + this.ports.delayMs(ahead) > expiresMs;
+    return this.waiting.find(isUnreachable) ?? null;
+  }
+
   private hasSlotFor({ reserve }: SlotRequest): boolean {
     return !this.paused && this.running + reserve < this.slotCount && this.ports.delayMs(0) <= 0;
   }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -117,17 +117,25 @@
       serviceMs: Math.round(Math.max(this.admission.serviceMs, this.oldestRunMs() / 2)),
       accepting: !this.ports.leaving() && !this.suspects.isIsolating,
       sendWaitMs: Math.round(this.forecast.sendWaitMs),
-      coldStart: this.pacing.estimate(),
+      pacing: this.pacing.estimate(),
+      ...this.limitStatus(),
       pace: roundToHundredths(pace.now),
       meanPace: roundToHundredths(pace.mean),
     };
   }
 
+  private limitStatus(): Pick<StatusHead, 'limitPerSecond'> {
+    const { isLimitKnown, limitPerSecond } = this.pacing;
+    if (isLimitKnown && limitPerSecond === null) return {};
+    return { limitPerSecond };
+  }
+
   /** Accepts a request from this daemon or a peer. */
   accept(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
     const request = createGatewayRequest(head, body, reply, nowMs, nowMs + this.maxReadinessWaitMs(head));
     this.counters.requests += 1;
+    this.adoptLimit(head);
     this.evaluate(request);
     return {
       cancel: () => {
@@ -139,6 +147,11 @@
     };
   }
 
+  private adoptLimit({ instance, knownLimitPerSecond }: RequestHead): void {
+    const isCurrent = instance === this.ports.instance();
+    if (isCurrent && knownLimitPerSecond !== undefined) this.pacing.adopt(knownLimitPerSecond);
+  }
+
   /** Returns the time in ms for which a request may wait for its key, or for the back end's first heartbeat. */
   private maxReadinessWaitMs(head: RequestHead): number {
     const claim = this.forecast.claimOf(head, null);
@@ -150,10 +163,13 @@
     return Math.min(Math.max(0, head.remainingMs - meanMs), waitMs);
   }
 
-  /** Resets the state of the previous incarnation: its broken runs are no evidence about the new one. */
-  startIncarnation(incarnation: string): void {
+  /**
+   * Resets the state of the previous incarnation, which is no evidence about the new one. `isNewToDaemon` states that no
+   * previous process of this daemon can have served it.
+   */
+  startIncarnation(incarnation: string, isNewToDaemon: boolean): void {
     this.circuitBreaker.reset();
-    this.pacing.startIncarnation(incarnation);
+    this.pacing.startIncarnation(incarnation, isNewToDaemon);
   }
 
   /** Re-evaluates the waiting requests after a change of the back end's state, keys or crash records. */
@@ -271,7 +287,7 @@
       expire: () => {
         // An immediate refusal leaves the caller time to retry. After a wait, or for a retry, it would be of no use.
         if (waits || head.spentMs > 0) this.applyLate(request);
-        else this.refuse(request, 'busy');
+        else this.refuse(request, this.noSlotReason());
       },
     };
     request.slotRequest = slotRequest;
@@ -290,7 +306,7 @@
     const missesLink = forecast.isTooLateForLinkAfterWait(head, request, nowMs - arrivedMs);
     const mayBeAnswered = policyIsOn('late-waiting') && !this.stopped && waitMs > 0 && !missesLink;
     if (!mayBeAnswered || !this.lateWaitLimiter.mayWait(waitMs, this.admission.slots, nowMs)) {
-      this.refuse(request, 'busy');
+      this.refuse(request, this.noSlotReason());
       return;
     }
     this.lateWaitLimiter.begin();
@@ -306,7 +322,7 @@
       },
       expire: () => {
         this.endLateWait(request, 'in-vain');
-        this.refuse(request, 'busy');
+        this.refuse(request, this.noSlotReason());
       },
     };
     request.slotRequest = slotRequest;
@@ -462,10 +478,16 @@
     request.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
   }
 
+  /** Returns why a request gets no slot in time. */
+  private noSlotReason(): RefusalReason {
+    return this.pacing.isLimiting ? 'rate-limited' : 'busy';
+  }
+
   /** Returns the delay in ms after which a retry can expect a slot in time. */
   private retryAfterMs(reason: RefusalReason): number {
-    if (reason !== 'busy') return DEFAULT_RETRY_AFTER_MS;
     const { serviceMs, waitingCount, slots } = this.admission;
+    if (reason === 'rate-limited') return Math.round(this.pacing.retryAfterMs(waitingCount));
+    if (reason !== 'busy') return DEFAULT_RETRY_AFTER_MS;
     const queueMs = Math.max(this.pacing.delayMs(waitingCount), (serviceMs * (waitingCount + 1)) / slots);
     return Math.round(Math.min(MAX_BUSY_RETRY_AFTER_MS, queueMs));
   }
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -11,7 +11,7 @@
 /** Wait in ms for the network link below which a back end counts as free: a few slices of other answers. */
 const MAX_FREE_SEND_WAIT_MS = 40;
 
-/** Start delay in ms up to which a cold back end counts as free. */
+/** Start delay in ms up to which a back end with a limited rate counts as free. */
 const MAX_FREE_START_DELAY_MS = 20;
 
 /** Age in ms at which a status expires. */
@@ -32,6 +32,7 @@
   private sentSinceStatus = 0;
   private consecutiveFailures = 0;
   private backoffUntilMs = -Infinity;
+  private lastKnownLimit: number | null = null;
   /** Requests sent by this sidecar that are still in flight. */
   outstanding = 0;
 
@@ -40,6 +41,11 @@
     return this.lastStatus;
   }
 
+  /** Request limit of the back end per second, as its sidecar last knew it; null if there was none. */
+  get knownLimitPerSecond(): number | null {
+    return this.lastKnownLimit;
+  }
+
   /** Returns the age in ms of the newest status; infinite before the first. */
   statusAgeMs(nowMs: number): number {
     return nowMs - this.statusReceivedMs;
@@ -68,6 +74,8 @@
   /** Records a status reported by the back end's sidecar. */
   recordStatus(status: StatusHead, nowMs: number): void {
     this.lastStatus = status;
+    // A sidecar that does not know the limit has restarted and is told this one.
+    if (status.limitPerSecond !== null) this.lastKnownLimit = status.limitPerSecond ?? null;
     this.statusReceivedMs = nowMs;
     this.sentSinceStatus = 0;
   }
@@ -114,12 +122,12 @@
     return fresh ? (this.lastStatus?.sendWaitMs ?? 0) : 0;
   }
 
-  /** Returns the time in ms until a cold back end would start another request; 0 if it is not cold. */
+  /** Returns the time in ms until a back end with a limited rate would start another request; 0 if it has none. */
   startDelayMs(nowMs: number): number {
-    const cold = this.lastStatus?.coldStart ?? null;
+    const pacing = this.lastStatus?.pacing ?? null;
     const ageMs = this.statusAgeMs(nowMs);
-    if (cold === null || ageMs > cold.leftMs) return 0;
-    return Math.max(0, cold.delayMs + this.sentSinceStatus * cold.intervalMs - ageMs);
+    if (pacing === null || ageMs > pacing.leftMs) return 0;
+    return Math.max(0, pacing.delayMs + this.sentSinceStatus * pacing.intervalMs - ageMs);
   }
 
   /** Returns the estimated current work time as a factor on the usual one, based on the newest status. */
--- a/src/sidecar/cold-start-limit.ts
+++ b/src/sidecar/cold-start-limit.ts
@@ -3,7 +3,7 @@
  * it can sustain fails and starts cold again. Pure: every call passes the time.
  */
 import type { ColdStart } from '../directory/directory-state.js';
-import type { ColdStartEstimate } from '../link/link-messages.js';
+import type { PacingEstimate } from '../link/link-messages.js';
 
 /** Length in ms of the sliding window in which requests are counted. */
 const WINDOW_MS = 1_000;
@@ -96,7 +96,7 @@
   }
 
   /** Returns the current delay, interval and remaining cold time; null if the rate is not limited. */
-  estimate(nowMs: number): ColdStartEstimate | null {
+  estimate(nowMs: number): PacingEstimate | null {
     if (!this.isCold(nowMs)) return null;
     const leftMs = Math.max(0, this.coldUntilMs - nowMs);
     const assumedMs = this.pendingWarmReports > 0 ? (this.coldStart?.durationMs ?? 0) : 0;
--- a/src/sidecar/gateway-counters.ts
+++ b/src/sidecar/gateway-counters.ts
@@ -26,6 +26,7 @@
     broken: 0,
     refused: {
       busy: 0,
+      'rate-limited': 0,
       leaving: 0,
       'unknown-instance': 0,
       'not-owner': 0,
--- a/src/sidecar/local-backend.ts
+++ b/src/sidecar/local-backend.ts
@@ -20,7 +20,7 @@
 const LATE_MESSAGE_MS = 5_000;
 
 /** Sequence of an incarnation's first heartbeat. */
-const FIRST_SEQUENCE = 1;
+export const FIRST_SEQUENCE = 1;
 
 /** Number of heartbeats with condition "ready" after which at least one was certainly sent to this process. */
 const MIN_READY_HEARTBEATS = 2;
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -110,8 +110,8 @@
   /** Whether too little time is left for a further attempt. */
   private withdrawn = false;
   private lastReason = 'no back end is known';
-  /** Retry-after time of the most recent refusal, in ms; null before a refusal that states one. */
-  private lastRetryAfterMs: number | null = null;
+  /** Shortest retry-after time of the refusals, in ms; null before the first. */
+  private shortestRetryAfterMs: number | null = null;
 
   constructor(
     private readonly request: CallerRequest,
@@ -255,6 +255,7 @@
     this.currentMayRun = true;
     view.recordSent();
     const { requestId, method, path, headers, body, key, route, spentMs } = this.request;
+    const { knownLimitPerSecond } = view;
     this.lastSentMs = this.ports.runtime.nowMs();
     const head: RequestHead = {
       requestId,
@@ -270,6 +271,7 @@
       patienceMs: Math.max(0, this.clock.patienceMs),
       targetLeftMs: this.clock.targetLeftMs,
       spentMs,
+      ...(knownLimitPerSecond === null ? {} : { knownLimitPerSecond }),
     };
     this.currentAttempt = link.request(head, body, {
       onRefusal: (refusal) => {
@@ -332,7 +334,7 @@
     this.refusals += 1;
     if (refusal.arrived) this.arrivals += 1;
     this.lastReason = `refused: ${refusal.reason}`;
-    this.lastRetryAfterMs = refusal.retryAfterMs;
+    this.shortestRetryAfterMs = Math.min(this.shortestRetryAfterMs ?? Infinity, refusal.retryAfterMs);
     if (refusal.reason === 'busy') this.busyRefusals += 1;
     if (refusal.reason === 'unreachable') view.recordFailure(this.ports.runtime.nowMs());
     this.excluded.add(instance.id);
@@ -350,7 +352,7 @@
       return;
     }
     if (this.choose() !== null) this.startAttempt();
-    else if (refusal.reason === 'busy') this.endWithoutSlot();
+    else if (refusal.reason === 'busy' || refusal.reason === 'rate-limited') this.endWithoutSlot();
     else this.scheduleReselection();
   }
 
@@ -463,7 +465,7 @@
     this.counters.notRun += 1;
     this.countOutcome(false);
     const targetShareMs = this.request.route.definition.targetLatencyMs * RETRY_AFTER_TARGET_SHARE;
-    const requestedMs = policyIsOn('retry-hints') ? (this.lastRetryAfterMs ?? 0) : 0;
+    const requestedMs = policyIsOn('retry-hints') ? (this.shortestRetryAfterMs ?? 0) : 0;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, targetShareMs, requestedMs);
     this.log('request-not-run', { reason, refusals: this.refusals });
     this.sink.fail({ kind: 'not-run', reason, retryAfterMs });
--- a/src/sidecar/request-pacing.ts
+++ b/src/sidecar/request-pacing.ts
@@ -1,12 +1,16 @@
-/** Paces the requests to one back end, and tracks the request limit that it names in its answers. */
-import type { ColdStartEstimate } from '../link/link-messages.js';
+/** Paces the requests to one back end: while it is cold, and by the request limit that it names in its answers. */
+import type { PacingEstimate } from '../link/link-messages.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { StatedLimit } from './backend-signals.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
-import { LimitTracker, type LimitChange } from './limit-tracker.js';
+import type { LimitChange } from './limit-tracker.js';
+import { RequestLimit } from './request-limit.js';
 import { SentRequests } from './sent-requests.js';
 
+/** Time in ms for which an estimate of a limited rate is valid; the limit itself has no end. */
+const LIMIT_ESTIMATE_VALID_MS = 10_000;
+
 /** Dependencies of the pacing. */
 export interface RequestPacingPorts {
   readonly runtime: Pick<Runtime, 'steadyMs'>;
@@ -15,19 +19,29 @@
   readonly coldLimit: ColdStartLimit;
 }
 
+/** Source of a limit: an answer to a request, or what another daemon knows. */
+type LimitSource = { readonly requestId: string } | { readonly adopted: true };
+
 /** Request rate to one back end. */
 export class RequestPacing {
-  private readonly limit = new LimitTracker();
+  private readonly limit: RequestLimit;
   private readonly sent = new SentRequests();
   private incarnation: string | null = null;
 
-  constructor(private readonly ports: RequestPacingPorts) {}
+  constructor(private readonly ports: RequestPacingPorts) {
+    this.limit = new RequestLimit(ports.runtime.steadyMs());
+  }
 
-  /** Limit that the back end has named, in requests per second; null if none is in force. */
+  /** Limit that the back end has named, in requests per second; null if none is in force or known. */
   get limitPerSecond(): number | null {
     return this.limit.perSecond;
   }
 
+  /** Whether it is known if the back end has named a limit. */
+  get isLimitKnown(): boolean {
+    return this.limit.isKnown;
+  }
+
   /** Number of statements of a limit that were not readable. */
   get unreadableLimits(): number {
     return this.limit.unreadable;
@@ -35,49 +49,80 @@
 
   /** Number of requests sent in the last seconds. */
   get recentlySent(): number {
-    return this.sent.count(this.ports.runtime.steadyMs());
+    return this.sent.count(this.nowMs);
+  }
+
+  /** Whether the next request has to wait because of the limit that the back end has named. */
+  get isLimiting(): boolean {
+    return this.limit.delayMs(0, this.nowMs) > 0;
   }
 
   /** Returns the time in ms until a request may be sent behind `ahead` others. */
   delayMs(ahead: number): number {
-    return this.ports.coldLimit.delayMs(ahead, this.ports.runtime.steadyMs());
+    const { nowMs } = this;
+    return Math.max(this.ports.coldLimit.delayMs(ahead, nowMs), this.limit.delayMs(ahead, nowMs));
+  }
+
+  /** Returns the time in ms after which a request that is refused now may find a turn, with `queued` others waiting. */
+  retryAfterMs(queued: number): number {
+    return this.limit.promiseTurn(queued, this.nowMs);
   }
 
   /** Returns the current rate; null if it is not limited. */
-  estimate(): ColdStartEstimate | null {
-    return this.ports.coldLimit.estimate(this.ports.runtime.steadyMs());
+  estimate(): PacingEstimate | null {
+    const { nowMs } = this;
+    const cold = this.ports.coldLimit.estimate(nowMs);
+    const intervalMs = this.limit.currentIntervalMs(nowMs);
+    if (intervalMs === null) return cold;
+    return {
+      delayMs: Math.round(this.delayMs(0)),
+      intervalMs: Math.round(Math.max(intervalMs, cold?.intervalMs ?? 0)),
+      leftMs: LIMIT_ESTIMATE_VALID_MS,
+    };
   }
 
-  /** Starts tracking a new incarnation, or none; nothing that the previous one stated applies to it. */
-  startIncarnation(incarnation: string | null): void {
+  /**
+   * Starts pacing for a new incarnation; nothing that the previous one stated applies to it. `isNewToDaemon` states
+   * that no previous process of this daemon can have served it.
+   */
+  startIncarnation(incarnation: string, isNewToDaemon: boolean): void {
     const before = this.limit.perSecond;
     if (before !== null) this.ports.log.event('limit-forgotten', { instance: this.incarnation, before });
     this.incarnation = incarnation;
-    this.limit.startIncarnation();
+    this.limit.startIncarnation(isNewToDaemon);
   }
 
   /** Records that a request is sent; returns its number. */
   recordSent(): number {
-    const nowMs = this.ports.runtime.steadyMs();
+    const { nowMs } = this;
     this.ports.coldLimit.recordSent(nowMs);
     this.sent.record(nowMs);
-    return this.limit.recordSent();
+    return this.limit.recordSent(nowMs);
   }
 
   /** Records the limit that an answer states. */
   recordStatement(stated: StatedLimit, requestId: string, requestNumber: number): void {
-    const { log } = this.ports;
     const unreadableBefore = this.limit.unreadable;
-    const change = this.limit.recordStatement(stated, requestNumber);
+    const change = this.limit.recordStatement(stated, requestNumber, this.nowMs);
     // Only the first one is logged; a counter holds the total.
     const isFirstUnreadable = unreadableBefore === 0 && this.limit.unreadable > 0;
-    if (isFirstUnreadable) log.event('figure-unreadable', { figure: 'limit', requestId });
-    if (change !== null) this.logChange(change, requestId);
+    if (isFirstUnreadable) this.ports.log.event('figure-unreadable', { figure: 'limit', requestId });
+    if (change !== null) this.logChange(change, { requestId });
+  }
+
+  /** Adopts a limit that another daemon knows, if this one does not know yet which one is in force. */
+  adopt(perSecond: number): void {
+    const change = this.limit.adopt(perSecond);
+    if (change !== null) this.logChange(change, { adopted: true });
+  }
+
+  private get nowMs(): number {
+    return this.ports.runtime.steadyMs();
   }
 
-  private logChange({ kind, before, after }: LimitChange, requestId: string): void {
+  private logChange({ kind, before, after }: LimitChange, source: LimitSource): void {
     const { log } = this.ports;
-    const fields = { instance: this.incarnation, before, after, requestId };
+    const fields = { instance: this.incarnation, before, after, ...source };
     if (kind === 'named') log.event('limit-named', fields);
     else if (kind === 'changed') log.event('limit-changed', fields);
     else log.event('limit-lifted', fields);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -28,7 +28,7 @@
 import { KeyOwnership } from './key-ownership.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
-import type { LocalBackend } from './local-backend.js';
+import { FIRST_SEQUENCE, type LocalBackend } from './local-backend.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
 import { createForwarderCounters } from './forwarder-counters.js';
@@ -472,7 +472,7 @@
     const { life, confirmed } = this.backend;
     this.log.event('backend-known', { instance: life, sequence, slots, coldLeftMs, confirmed });
     this.coldLimit.startIncarnation(coldLeftMs, this.runtime.steadyMs());
-    this.gateway.startIncarnation(incarnationName(heartbeat));
+    this.gateway.startIncarnation(incarnationName(heartbeat), sequence === FIRST_SEQUENCE);
     this.gateway.forecast.pace.forget();
     this.applyEvacuation();
     this.keys.clear();
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -118,7 +118,13 @@
       slots === undefined
         ? ''
         : ` (${String(running)} ran, ${String(waiting)} waited, ${String(slots)} places)`;
-    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}`;
+    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${describeLimit(event)}`;
   }
   return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(event['outcome'])}`;
 }
+
+function describeLimit({ reason, limitPerSecond }: LoggedEvent): string {
+  if (reason !== 'rate-limited') return '';
+  if (typeof limitPerSecond !== 'number') return '; whether its back end names a limit was not known yet';
+  return `; its back end names a limit of ${limitPerSecond} requests a second`;
+}
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -56,3 +56,19 @@
   const beside = explainRequest('beside', readEvents(log));
   t.true(beside.beliefs.some(({ event }) => event === 'backend-ended'));
 });
+
+for (const [limit, cause] of [
+  ['"limitPerSecond":2.5,', 'its back end names a limit of 2.5 requests a second'],
+  ['"limitPerSecond":null,', 'whether its back end names a limit was not known yet'],
+] as const) {
+  test(`a request that was refused because of a limit: ${limit}`, (t) => {
+    const log = [
+      `{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r",${limit}"reason":"rate-limited"}`,
+      '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-not-run","requestId":"r","reason":"refused: rate-limited"}',
+    ].join('\n');
+    t.is(
+      explainRequest('r', readEvents(log)).cause,
+      `it was refused, and was not run: refused: rate-limited; two refused it as rate-limited; ${cause}`,
+    );
+  });
+}
--- a/test/sidecar/admission.test.ts
+++ b/test/sidecar/admission.test.ts
@@ -74,3 +74,14 @@
   admission.leave(10);
   t.deepEqual(recorder.log.slice(3), ['start late']);
 });
+
+test('at a limited rate, a queued request expires as soon as others have taken its last turn', (t) => {
+  const admission = new Admission(2, { delayMs: (ahead) => 100 + ahead * 250, pace: () => 1 });
+  const recorder = new Recorder();
+  admission.apply(recorder.request('a', 2, 400), 0);
+  admission.apply(recorder.request('b', 2, 400), 0);
+  t.deepEqual(recorder.log, []);
+  admission.apply(recorder.request('c', 1, 400), 0);
+  t.deepEqual(recorder.log, ['expire b']);
+  t.is(admission.waitingCount, 2);
+});
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -186,6 +186,46 @@
   gateway.stop();
 });
 
+test('requests over a named limit are refused at once, each with another turn', async (t) => {
+  const world = new World();
+  const gateway = await world.gateway();
+  gateway.startIncarnation('life-1', true);
+  gateway.pacing.recordStatement(
+    { kind: 'limited', requestsPerSecond: 0.5 },
+    'r',
+    gateway.pacing.recordSent(),
+  );
+  t.like(gateway.status(), { limitPerSecond: 0.5, pacing: { delayMs: 2_000, intervalMs: 2_000 } });
+  for (let taken = 0; taken < 2; taken += 1) gateway.accept(HEAD, Buffer.alloc(0), world.reply());
+  t.deepEqual(world.refusals, ['rate-limited', 'rate-limited']);
+  t.deepEqual(world.retryAfterMs, [2_000, 4_000]);
+  gateway.stop();
+});
+
+test('a request that can get a turn within its target waits for it', async (t) => {
+  const world = new World();
+  const gateway = await world.gateway();
+  gateway.startIncarnation('life-1', true);
+  gateway.pacing.recordStatement({ kind: 'limited', requestsPerSecond: 4 }, 'r', gateway.pacing.recordSent());
+  gateway.accept(HEAD, Buffer.alloc(0), world.reply());
+  t.is(gateway.runningCount, 0);
+  world.time.pass(260);
+  t.is(gateway.runningCount, 1);
+  t.deepEqual(world.refusals, []);
+  gateway.stop();
+});
+
+test('a limit that a peer knows is kept by a daemon that has restarted', async (t) => {
+  const world = new World();
+  const gateway = await world.gateway();
+  gateway.startIncarnation('life-1', false);
+  t.is(gateway.status()?.limitPerSecond, null);
+  gateway.accept({ ...HEAD, knownLimitPerSecond: 0.25 }, Buffer.alloc(0), world.reply());
+  t.is(gateway.status()?.limitPerSecond, 0.25);
+  t.deepEqual(world.refusals, ['rate-limited']);
+  gateway.stop();
+});
+
 test('load is counted once, on arrival', async (t) => {
   const world = new World();
   const gateway = await world.gateway();
--- /dev/null
+++ b/test/sidecar/backend-view.test.ts
@@ -0,0 +1,37 @@
+/** What a sidecar concludes from the status of a back end. */
+import test from 'ava';
+import type { StatusHead } from '../../src/link/link-messages.js';
+import { BackendView } from '../../src/sidecar/backend-view.js';
+
+const STATUS: StatusHead = {
+  instance: 'life-1',
+  running: 0,
+  waiting: 0,
+  slots: 6,
+  serviceMs: 50,
+  accepting: true,
+  sendWaitMs: 0,
+  pacing: null,
+  pace: 1,
+  meanPace: 1,
+};
+
+test('a back end whose rate is limited has no capacity before its next turn', (t) => {
+  const view = new BackendView();
+  const pacing = { delayMs: 200, intervalMs: 250, leftMs: 10_000 };
+  view.recordStatus({ ...STATUS, pacing, limitPerSecond: 4 }, 0);
+  t.false(view.hasCapacity(6, 100));
+  t.is(view.startDelayMs(100), 100);
+  view.recordSent();
+  t.is(view.startDelayMs(100), 350);
+  t.true(view.hasCapacity(6, 500));
+});
+
+test('the known limit outlives statuses of a daemon that has restarted, until one reports that there is none', (t) => {
+  const view = new BackendView();
+  view.recordStatus({ ...STATUS, limitPerSecond: 2.5 }, 0);
+  view.recordStatus({ ...STATUS, limitPerSecond: null }, 10);
+  t.is(view.knownLimitPerSecond, 2.5);
+  view.recordStatus(STATUS, 20);
+  t.is(view.knownLimitPerSecond, null);
+});
