Plan key ownership with the request rate that owners accept

Cause: the plan divides keys by slots; a limit of 4 requests a second of 40 ms is 0.16 of 6 slots. Why this works: each renewal reports how many slots the rate leaves (half of the limit, since requests of a limited rate have to wait for each other); the leader plans with it. The load to move between back ends of different capacity is what makes their utilization equal (the same as before where they are equal); load that is only assumed counts by capacity. Ruled out: the capacity in the replicated registration; it changes with every answer and a new leader learns it within 0.7 s.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -258,6 +258,7 @@
       heldIndex: () => table.heldIndex,
       send: (request) => client.send(request),
       takeLoad: () => [],
+      usableSlots: () => null,
       hasQueuedRequests: () => false,
       onChange: () => undefined,
     });
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -130,11 +130,14 @@
   }
 
   private async renew(request: RenewRequest, answer: SendAnswer): Promise<void> {
-    const { id, session, sentMs, load } = request;
+    const { id, session, sentMs, load, usableSlots } = request;
     const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(id);
     const index = this.ports.newestIndex();
-    if (known?.session === session) this.rangePlanning.reportLoad(known.service, load, this.ports.nowMs());
+    if (known?.session === session) {
+      this.rangePlanning.reportLoad(known.service, load, this.ports.nowMs());
+      this.rangePlanning.reportCapacity(known.service, id, usableSlots ?? null, this.ports.nowMs());
+    }
     const lease = { kind: 'renewed', id, session, sentMs, termMs: this.termMs, index } as const;
     await this.grant(lease, receivedMs, answer);
   }
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -43,6 +43,8 @@
   sentMs: z.number(),
   /** Slot time used since the last report, as pairs of [key bucket, ms]. */
   load: z.array(z.tuple([z.number(), z.number()])),
+  /** Slots that the back end can use at the request rate that it accepts; missing if it can use all of them. */
+  usableSlots: z.optional(z.number()),
 });
 
 const conditionSchema = z.object({
--- a/src/directory/key-load.ts
+++ b/src/directory/key-load.ts
@@ -66,6 +66,11 @@
     }
   }
 
+  /** Returns the assumed part of the load of the keys from `from` to `to`. */
+  assumedOfSpan(from: number, to: number): number {
+    return this.assumedLoadPerKey * (to - from + 1);
+  }
+
   /** Returns the load of the keys from `from` to `to`; buckets at the ends count in proportion to their keys inside. */
   ofSpan(from: number, to: number): number {
     let sum = 0;
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -49,6 +49,8 @@
 export interface RangeView {
   readonly ranges: readonly KeyRange[];
   readonly instances: readonly BackendInstance[];
+  /** Slots that can be used at back ends that accept only a limited request rate, by id. */
+  readonly usableSlots: ReadonlyMap<string, number>;
   readonly load: KeyLoad;
   /** Whether keys may be moved for balance now. */
   readonly mayBalance: boolean;
@@ -73,7 +75,10 @@
 /** A back end that may receive keys, with its planned load in slots and its planned number of keys. */
 interface Candidate {
   readonly id: string;
+  /** Slots that can be used. */
   readonly slots: number;
+  /** Share of the back end's slots that can be used. */
+  readonly usableShare: number;
   busy: number;
   keys: number;
 }
@@ -107,19 +112,30 @@
 }
 
 function makeCandidates(view: RangeView): Candidate[] {
-  const { ranges, instances, load } = view;
+  const { ranges, instances, usableSlots, load } = view;
   const ready = instances.filter((instance) => mayOwnKeys(instance, view));
-  const candidates = ready.map(({ id, slots }) => ({ id, slots, busy: 0, keys: 0 }));
+  const candidates = ready.map(({ id, slots }) => {
+    const usable = usableSlots.get(id) ?? slots;
+    return { id, slots: usable, usableShare: usable / slots, busy: 0, keys: 0 };
+  });
   const byId = new Map(candidates.map((candidate) => [candidate.id, candidate]));
   for (const range of ranges) {
     const owner = byId.get(range.movingTo ?? range.owner ?? '');
     if (owner === undefined) continue;
-    owner.busy += load.ofSpan(range.from, range.to);
+    owner.busy += loadAt(owner, range, load);
     owner.keys += range.to - range.from + 1;
   }
   return candidates.sort((left, right) => (left.id < right.id ? -1 : 1));
 }
 
+/**
+ * Returns the load of a span at a back end. The assumed load is a share of the capacity, so that unused keys do not
+ * overload a back end with little of it.
+ */
+function loadAt({ usableShare }: Candidate, { from, to }: KeySpan, load: KeyLoad): number {
+  return load.ofSpan(from, to) - load.assumedOfSpan(from, to) * (1 - usableShare);
+}
+
 /** Divides all keys in proportion to the back ends' slots, for a first assignment without load figures. */
 function divideEvenly(candidates: readonly Candidate[]): SpanTarget[] {
   const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
@@ -153,7 +169,7 @@
     const to = assignsAll ? range.to : endOfSpanWithLoad(from, range.to, capacity, load);
     const assignedLoad = load.ofSpan(from, to);
     targets.push({ from, to, backend: receiver.id });
-    receiver.busy += assignedLoad;
+    receiver.busy += loadAt(receiver, { from, to }, load);
     receiver.keys += to - from + 1;
     remainingLoad -= assignedLoad;
     from = to + 1;
@@ -224,14 +240,12 @@
   if (receiver === null) return null;
   for (const source of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
     if (source === receiver || !isOutOfBalance(source, receiver, thresholds)) return null;
-    const targetLoad =
-      ((utilization(source) - utilization(receiver)) / 2) * Math.min(source.slots, receiver.slots);
+    const targetLoad = loadToEqualize(source, receiver);
     const owned = ranges.filter(({ owner, movingTo }) => owner === source.id && movingTo === null);
     const span = smallestSpan(owned, targetLoad, view) ?? mostLoadedSpan(owned, targetLoad, view);
     if (span === null) continue;
-    const moved = load.ofSpan(span.from, span.to);
-    source.busy -= moved;
-    receiver.busy += moved;
+    source.busy -= loadAt(source, span, load);
+    receiver.busy += loadAt(receiver, span, load);
     return { ...span, backend: receiver.id };
   }
   return null;
@@ -241,6 +255,12 @@
   return busy / slots;
 }
 
+/** Returns the load in slots whose move makes the utilization of both equal. */
+function loadToEqualize(source: Candidate, receiver: Candidate): number {
+  const difference = utilization(source) - utilization(receiver);
+  return (difference * source.slots * receiver.slots) / (source.slots + receiver.slots);
+}
+
 function isOutOfBalance(source: Candidate, receiver: Candidate, thresholds: BalanceThresholds): boolean {
   const used = utilization(source);
   return used >= thresholds.minUtilization && used - utilization(receiver) >= thresholds.minDifference;
--- a/src/directory/range-planning-loop.ts
+++ b/src/directory/range-planning-loop.ts
@@ -1,6 +1,7 @@
 /** Periodic task of the directory's leader that plans the key ranges of every keyed service. */
 import { policyIsOn } from '../policy-switches.js';
 import type { Proposals } from '../control/proposals.js';
+import { BackendCapacities } from './backend-capacities.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { serviceDefinition, type DirectoryState, type KeyRange } from './directory-state.js';
 import { KeyLoad } from './key-load.js';
@@ -17,6 +18,7 @@
 
 interface ServicePlanningState {
   readonly load: KeyLoad;
+  readonly capacities: BackendCapacities;
   lastInstanceCount: number;
   lastInstanceChangeMs: number;
   proposalInFlight: boolean;
@@ -44,6 +46,11 @@
     if (load.length > 0) this.planningStateOf(service, nowMs).load.add(load);
   }
 
+  /** Records how many slots of a back end can be used, as its daemon reported; null if all can. */
+  reportCapacity(service: string, id: string, usableSlots: number | null, nowMs: number): void {
+    this.planningStateOf(service, nowMs).capacities.report(id, usableSlots, nowMs);
+  }
+
   /** Plans every keyed service whose previous plan is no longer in flight. */
   run(nowMs: number): void {
     for (const [service, ranges] of this.state().ranges) this.planService(service, ranges, nowMs);
@@ -70,6 +77,7 @@
     const plan = planRanges({
       ranges,
       instances,
+      usableSlots: progress.capacities.usableSlots(instances, nowMs),
       load,
       mayBalance,
       movesAreCostly,
@@ -110,6 +118,7 @@
     if (known !== undefined) return known;
     const progress: ServicePlanningState = {
       load: new KeyLoad(),
+      capacities: new BackendCapacities(),
       lastInstanceCount: 0,
       lastInstanceChangeMs: nowMs,
       proposalInFlight: false,
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -34,6 +34,11 @@
 import { SuspectScheduler, type SuspectRequest } from './suspect-scheduler.js';
 import { WorkForecast } from './work-forecast.js';
 
+const MS_PER_SECOND = 1_000;
+
+/** Share of a request limit that key ownership is planned with; the rest absorbs requests that come close together. */
+const PLANNED_LIMIT_SHARE = 0.5;
+
 /** Interval in ms at which waiting requests are checked. */
 const CHECK_INTERVAL_MS = 20;
 
@@ -97,6 +102,13 @@
     return this.running.size;
   }
 
+  /** Number of slots to plan with at the request rate that the back end has named; null for all. */
+  get usableSlots(): number | null {
+    const plannedPerSecond = (this.pacing.limitPerSecond ?? Infinity) * PLANNED_LIMIT_SHARE;
+    const usable = (plannedPerSecond * this.admission.serviceMs) / MS_PER_SECOND;
+    return usable < this.admission.slots ? usable : null;
+  }
+
   /** Sets the number of requests that the back end runs concurrently. */
   setSlots(slots: number): void {
     this.admission.resize(slots);
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -42,6 +42,8 @@
   readonly send: (request: DirectoryRequest) => boolean;
   /** Returns and resets the slot time used since the last report, by bucket of keys. */
   readonly takeLoad: () => (readonly [number, number])[];
+  /** Returns how many slots can be used at the request rate that the back end accepts; null if all can. */
+  readonly usableSlots: () => number | null;
   /** Whether requests are queued for slots of the back end. */
   readonly hasQueuedRequests: () => boolean;
   readonly onChange: () => void;
@@ -194,6 +196,14 @@
     }
     this.nextSendMs = nowMs + RENEW_INTERVAL_MS;
     const load = ports.takeLoad().map(([bucket, ms]): [number, number] => [bucket, ms]);
-    ports.send({ kind: 'renew', id: backend.id, session: this.currentSession, sentMs: nowMs, load });
+    const usableSlots = ports.usableSlots();
+    const renewal = {
+      kind: 'renew',
+      id: backend.id,
+      session: this.currentSession,
+      sentMs: nowMs,
+      load,
+    } as const;
+    ports.send(usableSlots === null ? renewal : { ...renewal, usableSlots });
   }
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -297,6 +297,7 @@
       heldIndex: () => this.table.heldIndex,
       send: (request) => this.directory.send(request),
       takeLoad: () => this.load.take(),
+      usableSlots: () => this.gateway.usableSlots,
       hasQueuedRequests: () => this.gateway.admission.waitingCount > 0,
       onChange: () => {
         this.tableChanged();
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -26,6 +26,7 @@
   return {
     ranges: unownedRanges(),
     instances: [instance('a'), instance('b')],
+    usableSlots: new Map(),
     load: new KeyLoad(),
     mayBalance: true,
     movesAreCostly: false,
@@ -169,3 +170,48 @@
   const nowhere = planRanges(view({ ranges, instances, evacuatedZones: new Set(['left', 'z']) }));
   t.deepEqual([nowhere.assignments, nowhere.moves], [[], []]);
 });
+
+/** Load of `slots` slots, spread evenly over all keys. */
+function evenLoad(slots: number): KeyLoad {
+  const load = new KeyLoad();
+  const buckets = bucketOf(65_535) + 1;
+  const busyMs = (slots * 1_000) / buckets;
+  for (let round = 0; round < 40; round += 1) {
+    load.add(Array.from({ length: buckets }, (_, bucket) => [bucket, busyMs] as const));
+    load.closeWindow(1_000);
+  }
+  return load;
+}
+
+function loadOf(
+  owner: string,
+  ranges: readonly KeyRange[],
+  moves: readonly { from: number; to: number }[],
+  load: KeyLoad,
+): number {
+  const owned = ranges.filter((known) => known.owner === owner);
+  const sum = (spans: readonly { from: number; to: number }[]): number =>
+    spans.reduce((total, { from, to }) => total + load.ofSpan(from, to), 0);
+  return sum(owned) - sum(moves);
+}
+
+test('an owner that accepts a limited rate hands over the load that it cannot serve', (t) => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const { moves } = planRanges(view({ ranges, load: evenLoad(2), usableSlots: new Map([['a', 0.4]]) }));
+  t.true(moves.length > 0);
+  t.true(moves.every(({ backend }) => backend === 'b'));
+  t.true(loadOf('a', ranges, moves, evenLoad(2)) < 0.4);
+});
+
+test('an owner that accepts a limited rate keeps keys that are not used', (t) => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  t.deepEqual(planRanges(view({ ranges, usableSlots: new Map([['a', 0.1]]) })).moves, []);
+});
+
+test('unowned keys go mostly to back ends that accept more', (t) => {
+  const ranges = [range(0, 65_535, null)];
+  const load = evenLoad(2);
+  const { assignments } = planRanges(view({ ranges, load, usableSlots: new Map([['a', 0.4]]) }));
+  const assigned = assignments.filter(({ backend }) => backend === 'a');
+  t.true(assigned.reduce((sum, { from, to }) => sum + load.ofSpan(from, to), 0) < 0.4);
+});
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -18,6 +18,7 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   hasQueue = false;
+  usableSlots: number | null = null;
   heldIndex = 1;
   readonly keeper = new LeaseKeeper({
     runtime: this.time.runtime,
@@ -30,6 +31,7 @@
       return true;
     },
     takeLoad: () => [],
+    usableSlots: () => this.usableSlots,
     hasQueuedRequests: () => this.hasQueue,
     onChange: () => undefined,
   });
@@ -95,3 +97,14 @@
   t.is(world.keeper.session, null);
   world.keeper.stop();
 });
+
+test('a renewal reports how many slots can be used only if not all can', (t) => {
+  const world = new World();
+  world.register();
+  world.time.pass(800);
+  world.usableSlots = 0.5;
+  world.time.pass(800);
+  const renewals = world.sent.filter(({ kind }) => kind === 'renew');
+  t.false('usableSlots' in (renewals[0] ?? {}));
+  t.like(renewals.at(-1), { usableSlots: 0.5 });
+});
