Move small loads away from owners that accept little

What callers saw: after the first plan a limited owner kept about half of its load in ranges between those that had moved; a tenth of all requests went on being refused there. Cause: no load below 0.2 slots was moved for balance, and what was left lay in ranges of 0.01 slots; to an owner that can use 0.08 of its 6 slots that is much. Why this works: the least load that is worth a move is in proportion to what its owner can use; back ends that can use all their slots are planned as before.

--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -18,7 +18,7 @@
 const MIN_BALANCE_MOVE_LIMIT = 6;
 const BACK_ENDS_PER_BALANCE_MOVE = 2;
 
-/** Minimum load in slots that justifies a balance move. */
+/** Minimum load in slots that justifies a balance move away from a back end that can use all its slots. */
 const MIN_MOVED_LOAD = 0.2;
 
 /** Thresholds for moving keys for balance. */
@@ -242,7 +242,8 @@
     if (source === receiver || !isOutOfBalance(source, receiver, thresholds)) return null;
     const targetLoad = loadToEqualize(source, receiver);
     const owned = ranges.filter(({ owner, movingTo }) => owner === source.id && movingTo === null);
-    const span = smallestSpan(owned, targetLoad, view) ?? mostLoadedSpan(owned, targetLoad, view);
+    const minLoad = MIN_MOVED_LOAD * source.usableShare;
+    const span = smallestSpan(owned, targetLoad, view) ?? mostLoadedSpan(owned, targetLoad, minLoad, view);
     if (span === null) continue;
     source.busy -= loadAt(source, span, load);
     receiver.busy += loadAt(receiver, span, load);
@@ -281,10 +282,11 @@
 function mostLoadedSpan(
   owned: readonly KeyRange[],
   targetLoad: number,
+  minLoad: number,
   { load, isCoolingDown }: RangeView,
 ): KeySpan | null {
   let best: KeySpan | null = null;
-  let bestLoad = MIN_MOVED_LOAD;
+  let bestLoad = minLoad;
   for (const range of owned) {
     const last = bucketOf(range.to);
     let start = bucketOf(range.from);
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -215,3 +215,13 @@
   const assigned = assignments.filter(({ backend }) => backend === 'a');
   t.true(assigned.reduce((sum, { from, to }) => sum + load.ofSpan(from, to), 0) < 0.4);
 });
+
+test('an owner that accepts a limited rate hands over small loads, too', (t) => {
+  const fragments = Array.from({ length: 32 }, (_, at) =>
+    range(at * 2_048, (at + 1) * 2_048 - 1, at % 2 === 0 ? 'a' : 'b'),
+  );
+  const load = evenLoad(0.4);
+  const { moves } = planRanges(view({ ranges: fragments, load, usableSlots: new Map([['a', 0.05]]) }));
+  t.true(moves.length > 0);
+  t.deepEqual(planRanges(view({ ranges: fragments, load: evenLoad(0.4) })).moves, []);
+});
