Act on a leave that a back end states in its answers

What callers saw: a back end whose answers said that it leaves got requests for as long as it ran, because its heartbeats had not said so. Cause: nobody acted on the header, as with the request limit; a leave was known from heartbeats and goodbyes only. Why this works: the daemon beside the back end takes the first such answer for a leave that it has acknowledged: requests stop 1.6 s later, the directory is told, keys are handed over, callers prefer others at once. Its process may be a new one: unless this process has had an answer without the statement, or the very first heartbeat, the leave may be old, and it closes at once. Each daemon that passes such an answer on keeps that by itself, by incarnation and without the table: the back end is its last resort at once and gets nothing from it after 1.6 s, whatever the daemon beside it or the directory know. Ruled out: telling the other daemons of it beside the directory; a daemon that has not passed an answer on is not bound, and the daemon beside the back end refuses for all. Change: stated-leaves, leave-deadlines (was acknowledged-leaves), local-backend, chooser; event leave-stated.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -16,6 +16,7 @@
 import { ForwardedRequest, type ForwarderPorts } from '../../src/sidecar/request-forwarder.js';
 import { RequestIntake } from '../../src/sidecar/request-intake.js';
 import { RetryAllowance } from '../../src/sidecar/retry-allowance.js';
+import { StatedLeaves } from '../../src/sidecar/stated-leaves.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import type { Random } from '../random.js';
@@ -61,6 +62,7 @@
   private readonly links = new Map<string, Link>();
   private readonly allowances = new Map<string, RetryAllowance>();
   private readonly counters = createForwarderCounters();
+  private readonly statedLeaves: StatedLeaves;
   private readonly chooser: BackendChooser;
   private readonly prober: BackendProber;
   private readonly intake: RequestIntake;
@@ -73,12 +75,14 @@
   ) {
     const { time, random, settings, report } = ports;
     this.table.replace(1, settings.directory);
+    this.statedLeaves = new StatedLeaves({ runtime: time.runtime, log: SILENT_EVENT_LOG, drainMs: Infinity });
     this.chooser = new BackendChooser({
       table: this.table,
       zone: 'zone',
       daemonAddress: place.id,
       linkBytesPerMs: LINK_BYTES_PER_MS,
       view: (id) => this.viewOf(id),
+      statedLeaves: this.statedLeaves,
       nowMs: () => time.queue.nowMs,
       random: () => random.fraction(),
     });
@@ -225,6 +229,7 @@
       runtime: time.runtime,
       log: SILENT_EVENT_LOG,
       chooser: this.chooser,
+      statedLeaves: this.statedLeaves,
       prober: this.prober,
       view: (id) => this.viewOf(id),
       linkTo: (instance) => this.linkTo(instance),
@@ -259,6 +264,7 @@
       leaving: () => false,
       holdsKey: () => true,
       ownsKey: () => true,
+      onAnswer: () => undefined,
       onWork: () => undefined,
     });
   }
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -132,4 +132,6 @@
   readonly framed: boolean;
   readonly timing: AnswerTiming;
   readonly status: StatusHead | null;
+  /** Whether the back end states in this answer that it leaves; missing if not. */
+  readonly leaving?: true;
 }
--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -5,6 +5,7 @@
 import { policyIsOn } from '../policy-switches.js';
 import type { BackendView } from './backend-view.js';
 import type { DirectoryTable } from './directory-table.js';
+import type { StatedLeaves } from './stated-leaves.js';
 
 /** Answer bytes sent across zones that weigh as much as 1 ms of expected time. */
 const CROSS_ZONE_BYTES_PER_MS = policyIsOn('zone-preference') ? 50 : 500;
@@ -59,6 +60,7 @@
   /** Bandwidth of a sidecar's network link, in bytes per ms. */
   readonly linkBytesPerMs: number;
   readonly view: (instance: string) => BackendView;
+  readonly statedLeaves: StatedLeaves;
   readonly nowMs: () => number;
   /** Returns a random number from 0 up to, but not including, 1. */
   readonly random: () => number;
@@ -80,15 +82,19 @@
     const { table } = this.ports;
     const range = rangeOf(table.rangesOf(service), key);
     if (range === null) return null;
-    const id = range.owner;
-    return id === null ? null : (table.instance(id) ?? null);
+    return this.openInstance(range.owner);
   }
 
   /** Returns the back end to which the range of a key is moving; null if it is not moving. */
   moveTargetOf(service: string, key: number): BackendInstance | null {
     const { table } = this.ports;
-    const target = rangeOf(table.rangesOf(service), key)?.movingTo ?? null;
-    return target === null ? null : (table.instance(target) ?? null);
+    return this.openInstance(rangeOf(table.rangesOf(service), key)?.movingTo ?? null);
+  }
+
+  /** Returns a registered back end that may receive requests; null if it is unknown or closed. */
+  private openInstance(id: string | null): BackendInstance | null {
+    if (id === null || this.ports.statedLeaves.isClosed(id)) return null;
+    return this.ports.table.instance(id) ?? null;
   }
 
   /**
@@ -135,13 +141,15 @@
     const now = this.ports.nowMs();
     const matching = this.ports.table
       .instancesOf(service)
-      .filter((instance) => !excluded.has(instance.id) && matches(instance));
+      .filter((instance) => !excluded.has(instance.id) && matches(instance))
+      .filter(({ id }) => !this.ports.statedLeaves.isClosed(id));
     const healthy = matching.filter((instance) => !this.isLastResort(instance, now));
     return sampleWithoutReplacement(healthy.length > 0 ? healthy : matching, count, this.ports.random);
   }
 
   private isLastResort(instance: BackendInstance, nowMs: number): boolean {
     const view = this.ports.view(instance.id);
+    if (this.ports.statedLeaves.isLeaving(instance.id)) return true;
     return instance.condition !== 'ready' || !view.accepting(nowMs) || view.isBackingOff(nowMs);
   }
 
@@ -150,7 +158,7 @@
     let best: BackendInstance | null = null;
     let bestMs = Infinity;
     for (const instance of candidates ?? this.ports.table.instancesOf(service)) {
-      if (excluded.has(instance.id)) continue;
+      if (excluded.has(instance.id) || this.ports.statedLeaves.isClosed(instance.id)) continue;
       const penaltyMs = unanswered.has(instance.id) ? UNANSWERED_PENALTY_MS : 0;
       const expectedMs = this.expectedMs(instance, request) + penaltyMs;
       if (expectedMs >= bestMs) continue;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -399,9 +399,11 @@
     request.run.start();
   }
 
-  private receiveSignals({ head, sendNumber }: GatewayRequest, { limit }: BackendSignals): void {
-    const isCurrent = head.instance === this.ports.instance();
-    if (isCurrent) this.pacing.recordStatement(limit, head.requestId, sendNumber);
+  /** A late answer of an earlier incarnation says nothing about the present one. */
+  private receiveSignals({ head, sendNumber }: GatewayRequest, { limit, leaving }: BackendSignals): void {
+    if (head.instance !== this.ports.instance()) return;
+    this.pacing.recordStatement(limit, head.requestId, sendNumber);
+    this.ports.onAnswer(leaving);
   }
 
   /** Whether the request was quarantined or became a suspect while it waited, so that it must not run now. */
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -42,6 +42,9 @@
   readonly onRemoved: () => void;
 }
 
+/** How a back end has announced its leave. */
+type LeaveSource = 'heartbeat' | 'goodbye' | 'answer';
+
 /** Presence of the local back end. */
 export class BackendPresence {
   readonly backend: LocalBackend;
@@ -97,6 +100,17 @@
     this.register();
   }
 
+  /** Processes an answer of the current incarnation. A leave that it states is binding like one in a heartbeat. */
+  recordAnswer(leaving: boolean): void {
+    const { backend } = this;
+    if (!leaving) backend.recordServing();
+    if (!leaving || backend.leaving) return;
+    const nowMs = this.ports.runtime.nowMs();
+    backend.recordStatedLeave(nowMs);
+    this.logLeave(backend.life, 'answer', nowMs);
+    this.register();
+  }
+
   /**
    * Registers the current incarnation. The table may already hold its registration, made by the previous process of
    * this daemon.
@@ -154,18 +168,22 @@
     this.ports.onRemoved();
   }
 
-  private recordLeave(incarnation: BackendIncarnation, by: 'heartbeat' | 'goodbye'): void {
-    const { runtime, log } = this.ports;
+  private recordLeave(incarnation: BackendIncarnation, by: LeaveSource): void {
     const instance = incarnationName(incarnation);
-    const nowMs = runtime.nowMs();
+    const nowMs = this.ports.runtime.nowMs();
     const isPresent = this.backend.life === instance;
     const isRepeated = isPresent && this.backend.leaving;
     this.backend.recordLeave(incarnation, nowMs);
     if (isRepeated && by === 'heartbeat') return;
+    this.logLeave(instance, by, nowMs);
+    if (!isPresent) this.reportLeaveToDirectory(instance);
+  }
+
+  private logLeave(instance: string | null, by: LeaveSource, nowMs: number): void {
+    const isPresent = this.backend.life === instance;
     const closesInMs = isPresent ? Math.round(this.backend.closesAtMs - nowMs) : null;
     const upMs = Math.round(nowMs - this.startedMs);
-    log.event('leave-acknowledged', { instance, by, isPresent, closesInMs, upMs });
-    if (!isPresent) this.reportLeaveToDirectory(instance);
+    this.ports.log.event('leave-acknowledged', { instance, by, isPresent, closesInMs, upMs });
   }
 
   /**
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -60,6 +60,7 @@
 export class BackendRun {
   private request: InFlightRequest | null = null;
   private answer: ParsedAnswer | null = null;
+  private statesLeave = false;
   private chunks: Buffer[] = [];
   private bytes = 0;
   private streaming = false;
@@ -124,7 +125,9 @@
   private receiveHead(answer: ParsedAnswer): void {
     this.answer = answer;
     if (answer.statusCode === MISDIRECTED_STATUS || this.defect(answer) !== null) return;
-    this.ports.onSignals(readSignals(answer.headers, this.dialect));
+    const signals = readSignals(answer.headers, this.dialect);
+    this.statesLeave = signals.leaving;
+    this.ports.onSignals(signals);
   }
 
   private receiveBody(chunk: Buffer): void {
@@ -248,6 +251,7 @@
       framed,
       timing,
       status,
+      ...(this.statesLeave ? { leaving: true as const } : {}),
     };
     this.ports.reply.answer(head, body);
   }
--- a/src/sidecar/gateway-ports.ts
+++ b/src/sidecar/gateway-ports.ts
@@ -31,6 +31,8 @@
   readonly holdsKey: (key: number) => boolean;
   /** Whether the key is assigned to the back end, or is about to be. */
   readonly ownsKey: (key: number) => boolean;
+  /** Called with each answer of the present incarnation; `leaving` tells whether it states that the back end leaves. */
+  readonly onAnswer: (leaving: boolean) => void;
   /** Called when slot time is used for a key; `ms` may be negative to correct an estimate. */
   readonly onWork: (key: number | null, ms: number) => void;
 }
--- a/src/sidecar/acknowledged-leaves.ts
+++ b/src/sidecar/leave-deadlines.ts
@@ -1,19 +1,18 @@
-/**
- * Leaves of back ends that this daemon has acknowledged, with the time after which each incarnation receives no
- * requests.
- */
-
-/** Maximum number of stored leaves; a daemon sees one back end at a time. */
-const MAX_LEAVES = 64;
+/** Times after which leaving incarnations of back ends receive no requests. */
 
 /** Closing times by incarnation name; a closing time can only move earlier. */
-export class AcknowledgedLeaves {
+export class LeaveDeadlines {
   private readonly closingTimes = new Map<string, number>();
 
+  constructor(
+    /** Maximum number of stored incarnations; the oldest are discarded first. */
+    private readonly maxIncarnations: number,
+  ) {}
+
   /** Records the time after which an incarnation receives no requests, in ms of the daemon's clock. */
   record(incarnation: string, closesAtMs: number): void {
     this.closingTimes.set(incarnation, Math.min(this.closesAtMs(incarnation), closesAtMs));
-    if (this.closingTimes.size <= MAX_LEAVES) return;
+    if (this.closingTimes.size <= this.maxIncarnations) return;
     const [oldest] = this.closingTimes.keys();
     if (oldest !== undefined) this.closingTimes.delete(oldest);
   }
--- a/src/sidecar/local-backend.ts
+++ b/src/sidecar/local-backend.ts
@@ -4,15 +4,18 @@
  * acknowledged; it assumes the worst case for both.
  */
 import { idOfIncarnation, incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
-import { AcknowledgedLeaves } from './acknowledged-leaves.js';
 import type { BackendHeartbeat } from './backend-report.js';
+import { LeaveDeadlines } from './leave-deadlines.js';
 
 /** Part of the drain time in ms that is reserved for requests already in flight to the back end. */
-const DRAIN_MARGIN_MS = 400;
+export const DRAIN_MARGIN_MS = 400;
 
 /** Maximum number of past incarnations that are stored to recognize their delayed heartbeats. */
 const MAX_PAST_INCARNATIONS = 64;
 
+/** Maximum number of stored leaves; a daemon sees one back end at a time. */
+const MAX_LEAVES = 64;
+
 /**
  * Time in ms after the start of this process during which a received message may have been sent to the previous
  * process.
@@ -38,12 +41,14 @@
 export class LocalBackend {
   private present: BackendHeartbeat | null = null;
   private readonly pastIncarnations = new Set<string>();
-  private readonly acknowledgedLeaves = new AcknowledgedLeaves();
+  private readonly acknowledgedLeaves = new LeaveDeadlines(MAX_LEAVES);
   private hasLeft = false;
   private newestHeartbeatMs = -Infinity;
   private firstSeenMs = -Infinity;
   private readyCount = 0;
   private isConfirmed = false;
+  /** Whether the current incarnation has told this process, in its first heartbeat or an answer, that it does not leave. */
+  private hasServed = false;
 
   constructor(
     private readonly drainMs: number,
@@ -110,6 +115,21 @@
     this.acknowledgedLeaves.record(name, nowMs + remainingMs);
   }
 
+  /** Records an answer of the current incarnation that does not state its leave. */
+  recordServing(): void {
+    this.hasServed = true;
+  }
+
+  /**
+   * Records that the current incarnation states its leave in its answers. If this process has never received an answer
+   * without it, the previous process may have passed such answers on, and the incarnation is closed at once.
+   */
+  recordStatedLeave(nowMs: number): void {
+    if (this.life === null) return;
+    const remainingMs = this.hasServed ? Math.max(0, this.drainMs - DRAIN_MARGIN_MS) : 0;
+    this.acknowledgedLeaves.record(this.life, nowMs + remainingMs);
+  }
+
   /** Processes a heartbeat. A leave is binding even if the heartbeat is stale, because it is acknowledged. */
   recordHeartbeat(heartbeat: BackendHeartbeat, nowMs: number): HeartbeatOutcome {
     const name = incarnationName(heartbeat);
@@ -176,6 +196,7 @@
     this.forget();
     this.readyCount = 0;
     this.firstSeenMs = nowMs;
+    this.hasServed = sequence === FIRST_SEQUENCE;
     this.isConfirmed = sequence === FIRST_SEQUENCE || nowMs - this.startedMs > LATE_MESSAGE_MS;
   }
 
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -21,6 +21,7 @@
 import type { BackendChooser } from './backend-chooser.js';
 import type { BackendProber } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
+import type { StatedLeaves } from './stated-leaves.js';
 import { QUARANTINE_REASON, type CallerRequest, type CallerSink } from './caller-request.js';
 import { countRefusals, type ForwarderCounters } from './forwarder-counters.js';
 import { RequestClock } from './request-clock.js';
@@ -41,6 +42,12 @@
  */
 const MAX_BUSY_REFUSALS = 3;
 
+/**
+ * Refusals because of a request limit after which no further sidecar is tried. They say less about the others than busy
+ * refusals do.
+ */
+const MAX_RATE_LIMITED_REFUSALS = 6;
+
 /**
  * Quarantine refusals after which no further back end is tried; allows a few attempts per version that may be deployed.
  */
@@ -69,6 +76,7 @@
   readonly runtime: Runtime;
   readonly log: EventLog;
   readonly chooser: BackendChooser;
+  readonly statedLeaves: StatedLeaves;
   readonly prober: BackendProber;
   readonly view: (instance: string) => BackendView;
   readonly linkTo: (instance: BackendInstance) => Link;
@@ -99,6 +107,7 @@
   private timing: AnswerTiming | null = null;
   private refusals = 0;
   private busyRefusals = 0;
+  private rateLimitedRefusals = 0;
   private quarantineRefusals = 0;
   private nextReselectionPauseMs = INITIAL_RESELECTION_PAUSE_MS;
   private streaming = false;
@@ -281,7 +290,7 @@
         this.failed(instance, view, failure);
       },
       onAnswer: (answer, chunk) => {
-        this.answered(view, answer, chunk);
+        this.answered(instance, view, answer, chunk);
       },
       onBody: (chunk) => {
         if (!this.done) this.sink.body(chunk);
@@ -297,9 +306,10 @@
 
   // ---- outcomes of an attempt
 
-  private answered(view: BackendView, head: AnswerHead, body: Buffer): void {
+  private answered(instance: BackendInstance, view: BackendView, head: AnswerHead, body: Buffer): void {
     this.recordStatus(view, head.status);
     view.recordSuccess();
+    if (head.leaving === true) this.ports.statedLeaves.record(instance.id, this.request.requestId);
     this.timing = head.timing;
     if (this.done) return;
     if (head.moreFollows) {
@@ -336,6 +346,7 @@
     this.lastReason = `refused: ${refusal.reason}`;
     this.shortestRetryAfterMs = Math.min(this.shortestRetryAfterMs ?? Infinity, refusal.retryAfterMs);
     if (refusal.reason === 'busy') this.busyRefusals += 1;
+    if (refusal.reason === 'rate-limited') this.rateLimitedRefusals += 1;
     if (refusal.reason === 'unreachable') view.recordFailure(this.ports.runtime.nowMs());
     this.excluded.add(instance.id);
     this.retryAfterRefusal(refusal);
@@ -365,9 +376,10 @@
     else this.endQuarantined();
   }
 
-  /** Whether enough sidecars were busy for the whole service to be considered full. */
+  /** Whether enough sidecars had no slot or turn for the whole service to be considered full. */
   private isServiceFull(): boolean {
-    return policyIsOn('bounded-refusals') && this.busyRefusals >= MAX_BUSY_REFUSALS;
+    if (!policyIsOn('bounded-refusals')) return false;
+    return this.busyRefusals >= MAX_BUSY_REFUSALS || this.rateLimitedRefusals >= MAX_RATE_LIMITED_REFUSALS;
   }
 
   private failed(instance: BackendInstance, view: BackendView, failure: FailureHead): void {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -39,6 +39,7 @@
   type LinkListener,
   type SidecarTransport,
 } from './sidecar-transport.js';
+import { StatedLeaves } from './stated-leaves.js';
 import { ZoneEvacuation } from './zone-evacuation.js';
 
 /** Bandwidth below which answers are paced: their wait in the link's send queue may exceed the processing time. */
@@ -102,6 +103,7 @@
   private readonly coldLimit: ColdStartLimit;
   private readonly evacuation: ZoneEvacuation;
   readonly crashes: CrashWatch;
+  private readonly statedLeaves: StatedLeaves;
   private readonly chooser: BackendChooser;
   /** Probes other daemons for the load of their back ends. */
   readonly prober: BackendProber;
@@ -147,6 +149,7 @@
         this.prober.answered(instance);
       },
     });
+    this.statedLeaves = new StatedLeaves({ runtime, log, drainMs: settings.drainMs });
     this.chooser = this.makeChooser();
     this.prober = new BackendProber({
       runtime,
@@ -365,6 +368,9 @@
       leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuation.isActive,
       holdsKey: (key) => this.keys.holds(key),
       ownsKey: (key) => this.keys.owns(key),
+      onAnswer: (leaving) => {
+        this.presence.recordAnswer(leaving);
+      },
       onWork: (key, ms) => {
         if (key !== null) this.load.add(key, ms);
       },
@@ -403,18 +409,20 @@
       daemonAddress: formatAddress(this.settings.advertisedLinks),
       linkBytesPerMs: this.settings.linkBytesPerMs,
       view: (instance) => this.peers.viewOf(instance),
+      statedLeaves: this.statedLeaves,
       nowMs: () => this.runtime.nowMs(),
       random: this.options.random,
     });
   }
 
   private makeRequests(): CallerRequests {
-    const { settings, runtime, log, chooser, prober, peers } = this;
+    const { settings, runtime, log, chooser, statedLeaves, prober, peers } = this;
     const { latencies } = this.options;
     const forwarding = {
       runtime,
       log,
       chooser,
+      statedLeaves,
       prober,
       latencies,
       view: (instance: string) => peers.viewOf(instance),
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -20,6 +20,7 @@
   'heartbeat-ignored',
   'heartbeat-of-past-life',
   'leave-acknowledged',
+  'leave-stated',
   'lease-expired',
   'limit-changed',
   'limit-forgotten',
--- a/test/incidents/leave-told-in-answers.test.ts
+++ b/test/incidents/leave-told-in-answers.test.ts
@@ -142,6 +142,7 @@
       [LEAVE_MS + 900, startDaemon],
       [LEAVE_MS + 2_700, killDaemon],
       [LEAVE_MS + 2_900, startDaemon],
+      [LEAVE_MS + 3_500, heal],
     ],
     servedShare: 0.97,
     maxLateRuns: 2,
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -67,6 +67,7 @@
       leaving: () => false,
       holdsKey: () => this.holdsKey,
       ownsKey: () => true,
+      onAnswer: () => undefined,
       onWork: (_key, ms) => (this.countedWorkMs += ms),
     });
     gateway.setSlots(2);
--- a/test/sidecar/backend-prober.test.ts
+++ b/test/sidecar/backend-prober.test.ts
@@ -2,6 +2,8 @@
 import test from 'ava';
 import type { BackendInstance } from '../../src/directory/directory-state.js';
 import type { StatusHead } from '../../src/link/link-messages.js';
+import { StatedLeaves } from '../../src/sidecar/stated-leaves.js';
+import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
 import { BackendProber } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
@@ -18,6 +20,11 @@
   readonly views = new Map<string, BackendView>();
   readonly instances: BackendInstance[] = [];
   readonly prober: BackendProber;
+  readonly statedLeaves = new StatedLeaves({
+    runtime: this.time.runtime,
+    log: SILENT_EVENT_LOG,
+    drainMs: 2_000,
+  });
   readonly chooser: BackendChooser;
 
   constructor(near: number, far: number) {
@@ -38,6 +45,7 @@
       daemonAddress: 'own',
       linkBytesPerMs: Infinity,
       view,
+      statedLeaves: this.statedLeaves,
       nowMs: () => this.time.nowMs,
       random: () => 0.5,
     });
@@ -203,3 +211,16 @@
   fleet.answer('far-0', 0);
   t.true(fleet.chooser.hasCapacity(fleet.chooser.farCandidates(SERVICE, NONE_EXCLUDED)));
 });
+
+test('a back end that has stated its leave is a last resort at first, and receives no request in the end', (t) => {
+  const fleet = new Fleet(2, 0);
+  fleet.statedLeaves.record('near-0', 'r');
+  const ids = (): string[] => fleet.chooser.nearCandidates(SERVICE, NONE_EXCLUDED).map(({ id }) => id);
+  t.deepEqual(ids(), ['near-1']);
+  const leavingOnly = new Fleet(1, 0);
+  leavingOnly.statedLeaves.record('near-0', 'r');
+  leavingOnly.time.pass(1_500);
+  t.is(leavingOnly.chooser.nearCandidates(SERVICE, NONE_EXCLUDED).length, 1);
+  leavingOnly.time.pass(200);
+  t.is(leavingOnly.chooser.nearCandidates(SERVICE, NONE_EXCLUDED).length, 0);
+});
--- a/test/sidecar/gateway-reserved-slots.test.ts
+++ b/test/sidecar/gateway-reserved-slots.test.ts
@@ -92,6 +92,7 @@
     leaving: () => false,
     holdsKey: () => true,
     ownsKey: () => true,
+    onAnswer: () => undefined,
     onWork: () => undefined,
   });
 
--- a/test/sidecar/local-backend.test.ts
+++ b/test/sidecar/local-backend.test.ts
@@ -44,6 +44,30 @@
   t.false(backend.leaving, 'another incarnation is not leaving');
 });
 
+test('a leave stated in answers counts from the first of them, if an earlier answer was without it', (t) => {
+  const backend = new LocalBackend(2_000);
+  backend.recordHeartbeat(heartbeat('one', 7), 0);
+  backend.recordServing();
+  backend.recordStatedLeave(1_000);
+  backend.recordStatedLeave(1_500);
+  t.is(backend.closesAtMs, 2_600);
+  backend.recordHeartbeat(heartbeat('one', 8), 1_600);
+  t.true(backend.leaving, 'heartbeats do not revoke it');
+  backend.recordHeartbeat(heartbeat('two', 1), 1_700);
+  t.false(backend.leaving, 'another incarnation is not leaving');
+});
+
+test('a leave stated in the first answer closes a back end that a previous process may have served at once', (t) => {
+  const known = new LocalBackend(2_000);
+  known.recordHeartbeat(heartbeat('one', 7), 0);
+  known.recordStatedLeave(1_000);
+  t.is(known.closesAtMs, 1_000);
+  const started = new LocalBackend(2_000);
+  started.recordHeartbeat(heartbeat('one', 1), 0);
+  started.recordStatedLeave(1_000);
+  t.is(started.closesAtMs, 2_600, 'no previous process can have served it');
+});
+
 interface ReceivedHeartbeat {
   readonly id: string;
   readonly bornMs: number | null;
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -10,6 +10,8 @@
 import { createForwarderCounters } from '../../src/sidecar/forwarder-counters.js';
 import { ForwardedRequest } from '../../src/sidecar/request-forwarder.js';
 import { Route } from '../../src/sidecar/route-table.js';
+import { StatedLeaves } from '../../src/sidecar/stated-leaves.js';
+import type { EventLog } from '../../src/telemetry/event-log.js';
 import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { ManualTime } from './manual-runtime.js';
 
@@ -120,6 +122,11 @@
     maxAttempts,
     destinations: [{ service: 's', weight: 1 }],
   };
+  const log: EventLog = {
+    event: (name) => outcome.logged.push(name),
+    failure: (name) => outcome.logged.push(name),
+    routine: (name) => outcome.sampled.push(name),
+  };
   const request = new ForwardedRequest(
     {
       requestId: 'r',
@@ -146,12 +153,9 @@
     },
     {
       runtime: time.runtime,
-      log: {
-        event: (name) => outcome.logged.push(name),
-        failure: (name) => outcome.logged.push(name),
-        routine: (name) => outcome.sampled.push(name),
-      },
+      log,
       chooser,
+      statedLeaves: new StatedLeaves({ runtime: time.runtime, log, drainMs: 2_000 }),
       prober,
       view: () => new BackendView(),
       linkTo,
@@ -199,6 +203,24 @@
     tried: ['a', 'b', 'c', 'd'],
     result: 'answer 200',
   },
+  {
+    name: 'refusals because of request limits do not count as busy ones',
+    reactions: {
+      a: [refuse('rate-limited')],
+      b: [refuse('rate-limited')],
+      c: [refuse('rate-limited')],
+      d: [ANSWER],
+    },
+    tried: ['a', 'b', 'c', 'd'],
+    result: 'answer 200',
+  },
+  {
+    name: 'with all back ends at their request limits the request ends at once as not run',
+    reactions: { a: [refuse('rate-limited')], b: [refuse('rate-limited')] },
+    setup: { passMs: 5 },
+    tried: ['a', 'b'],
+    result: 'not-run',
+  },
   {
     name: 'with all back ends busy the request ends at once as not run',
     reactions: { a: [refuse('busy')], b: [refuse('busy')] },
@@ -319,6 +341,40 @@
   t.like(outcome.unanswered, { kind: 'not-run', retryAfterMs: 321 });
 });
 
+test('of several refusals the shortest retry-after time counts', (t) => {
+  const refuseFor = (retryAfterMs: number): Reaction => {
+    return (handlers) => {
+      handlers.onRefusal({ reason: 'rate-limited', arrived: false, retryAfterMs, status: null });
+    };
+  };
+  const outcome = forward({ a: [refuseFor(900)], b: [refuseFor(400)], c: [refuseFor(2_000)] });
+  t.like(outcome.unanswered, { kind: 'not-run', retryAfterMs: 400 });
+});
+
+test('an answer that states a leave is logged once by the daemon that passes it on', (t) => {
+  const outcome = forward({
+    a: [
+      (handlers) => {
+        const timing = { waitedMs: 0, backendMs: 1 };
+        handlers.onAnswer(
+          {
+            statusCode: 200,
+            headers: [],
+            moreFollows: false,
+            contentLength: 0,
+            framed: true,
+            timing,
+            status: null,
+            leaving: true,
+          },
+          Buffer.alloc(0),
+        );
+      },
+    ],
+  });
+  t.deepEqual(outcome.logged, ['leave-stated']);
+});
+
 test('a retry of a caller searches for a back end as long as the work could still be done', (t) => {
   t.is(forward({}, { passMs: 550, spentMs: 300 }).result, '');
   t.is(forward({}, { passMs: 650, spentMs: 300 }).result, 'not-run');
