Read limits and leaves from the answers to identity probes

What callers saw: nothing yet; a daemon that starts beside a running back end asks it for its identity before it serves it, and did not read what that answer says of a limit or a leave. Evidence: two tests of the daemon, red before (limit unknown, back end open). Why this works: an answer of the present incarnation is an answer of it, whoever asked: a limit is adopted while none is known, a leave is binding. An answer to a probe without the headers proves nothing, since back ends need not state them there. Ruled out: probing for limits regularly; a probe costs the back end as much as a request. Conclusion: in many restarts no request is needed to learn the limit.

--- a/lab/sim/fleet/fleet-backend.ts
+++ b/lab/sim/fleet/fleet-backend.ts
@@ -91,6 +91,14 @@
       this.ports.judge.requestLimits.stated(this.life, perSecond, this.ports.queue.nowMs);
   }
 
+  private get signalHeaders(): readonly string[] {
+    const { limitText, statesLeave } = this;
+    return [
+      ...(limitText === null ? [] : [DEFAULT_HEADER_DIALECT.requestLimit, limitText]),
+      ...(statesLeave ? [DEFAULT_HEADER_DIALECT.leaving, '1'] : []),
+    ];
+  }
+
   /** Whether any request is in progress. */
   get busy(): boolean {
     return this.inProgress.size > 0;
@@ -215,15 +223,13 @@
     requestId: string,
     ownHeaders: readonly string[],
   ): void {
-    const { limitText, statesLeave } = this;
     const headers = [
       DEFAULT_HEADER_DIALECT.requestId,
       requestId,
       LIFE_HEADER,
       this.life,
       ...ownHeaders,
-      ...(limitText === null ? [] : [DEFAULT_HEADER_DIALECT.requestLimit, limitText]),
-      ...(statesLeave ? [DEFAULT_HEADER_DIALECT.leaving, '1'] : []),
+      ...this.signalHeaders,
     ];
     handlers.onAnswer({ statusCode, headers, keepAlive: true, framed: true });
     handlers.onEnd();
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -4,6 +4,7 @@
 import type { BackendRequest, BackendRequestHandlers } from '../../../src/sidecar/backend-connection.js';
 import type { RequestPool } from '../../../src/sidecar/backend-pool.js';
 import type { CallerServerPorts } from '../../../src/sidecar/caller-server.js';
+import { NO_SIGNALS } from '../../../src/sidecar/backend-signals.js';
 import { DEFAULT_HEADER_DIALECT } from '../../../src/sidecar/header-dialect.js';
 import { SidecarNode } from '../../../src/sidecar/sidecar-node.js';
 import type { SidecarSettings } from '../../../src/sidecar/sidecar-settings.js';
@@ -249,7 +250,9 @@
         await this.afterLocalLatency(() => {
           if (this.backend === null) return null;
           const { id, draining, hasAnnouncedLeave } = this.backend;
-          return { id, bornMs: null, isHealthy: !draining && !hasAnnouncedLeave, coldLeftMs: 0 };
+          const isHealthy = !draining && !hasAnnouncedLeave;
+          // Probes tell nothing of limits and leaves, so that daemons have to learn them from the answers to requests.
+          return { id, bornMs: null, isHealthy, coldLeftMs: 0, signals: NO_SIGNALS };
         }),
       grant: async (id, range, holdMs) =>
         await this.sendCall<GrantResult>('not-sent', 'unanswered', (backend) => {
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -8,6 +8,7 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { BackendCalls, BackendHeartbeat } from './backend-report.js';
+import type { BackendSignals } from './backend-signals.js';
 import type { DirectoryTable } from './directory-table.js';
 import type { LeaseKeeper } from './lease-keeper.js';
 import { IncarnationProbe } from './incarnation-probe.js';
@@ -36,6 +37,8 @@
   readonly listens: () => Promise<boolean>;
   /** Whether the back end is certain to hold no keys any more. */
   readonly holdsNoKeys: () => boolean;
+  /** Called when the current incarnation names a request limit in its answer to a probe. */
+  readonly onLimit: (requestsPerSecond: number) => void;
   /** Called when the current incarnation is confirmed and may receive requests. */
   readonly onConfirmed: () => void;
   /** Called when the current incarnation has ended. */
@@ -59,7 +62,10 @@
     this.startedMs = runtime.nowMs();
     this.backend = new LocalBackend(drainMs, this.startedMs);
     const healthPath = (): string | null => ports.table.service(ports.service)?.healthPath ?? null;
-    this.probe = new IncarnationProbe({ runtime, backend: this.backend, calls, healthPath });
+    const onSignals = (signals: BackendSignals): void => {
+      this.receiveSignals(signals);
+    };
+    this.probe = new IncarnationProbe({ runtime, backend: this.backend, calls, healthPath, onSignals });
   }
 
   /**
@@ -168,6 +174,11 @@
     this.ports.onRemoved();
   }
 
+  private receiveSignals({ leaving, limit }: BackendSignals): void {
+    if (leaving) this.recordAnswer(leaving);
+    if (limit.kind === 'limited') this.ports.onLimit(limit.requestsPerSecond);
+  }
+
   private recordLeave(incarnation: BackendIncarnation, by: LeaveSource): void {
     const instance = incarnationName(incarnation);
     const nowMs = this.ports.runtime.nowMs();
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -1,5 +1,6 @@
 /** Messages between a back end and its daemon, independent of the wire format. */
 import type { BackendCondition } from '../directory/directory-state.js';
+import type { BackendSignals } from './backend-signals.js';
 
 /** Range of keys that a back end holds under a fence. */
 export interface HeldRange {
@@ -65,6 +66,8 @@
   readonly isHealthy: boolean;
   /** Time in ms for which the back end stays cold; null if not reported. */
   readonly coldLeftMs: number | null;
+  /** What the answer to the probe states, like any other answer. */
+  readonly signals: BackendSignals;
 }
 
 /**
--- a/src/sidecar/backend-signals.ts
+++ b/src/sidecar/backend-signals.ts
@@ -15,6 +15,9 @@
   readonly leaving: boolean;
 }
 
+/** Signals of an answer that states nothing. */
+export const NO_SIGNALS: BackendSignals = { limit: { kind: 'none' }, leaving: false };
+
 const DECIMAL_NUMBER = /^\d+(?:\.\d+)?$/;
 
 /** Value of the leave header that states that the back end does not leave. */
--- a/src/sidecar/incarnation-probe.ts
+++ b/src/sidecar/incarnation-probe.ts
@@ -4,6 +4,7 @@
 import type { BackendIncarnation } from '../model/backend-incarnation.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { BackendCalls, BackendIdentity } from './backend-report.js';
+import type { BackendSignals } from './backend-signals.js';
 import type { LocalBackend } from './local-backend.js';
 
 /**
@@ -19,6 +20,8 @@
   readonly calls: BackendCalls;
   /** Returns the path at which the back end reports its identity; null if it cannot be probed. */
   readonly healthPath: () => string | null;
+  /** Called with what the current incarnation states in its answer to a probe. */
+  readonly onSignals: (signals: BackendSignals) => void;
 }
 
 /** Probes the identity and health of the local back end. */
@@ -43,12 +46,9 @@
 
   /** Whether the known incarnation is the one at the address; true if the back end cannot be probed. */
   async isKnownIncarnationPresent(): Promise<boolean> {
-    const { backend, calls } = this.ports;
-    const { heartbeat } = backend;
     const path = this.ports.healthPath();
-    if (path === null || heartbeat === null) return true;
-    const identity = await calls.identify(path);
-    return identity !== null && matchesIncarnation(identity, heartbeat);
+    if (path === null || this.ports.backend.heartbeat === null) return true;
+    return (await this.identifyCurrent(path)) !== null;
   }
 
   /**
@@ -58,9 +58,17 @@
   async isCurrentHealthy(): Promise<boolean> {
     const path = this.ports.healthPath();
     if (path === null) return true;
+    const identity = await this.identifyCurrent(path);
+    return identity?.isHealthy === true && !identity.signals.leaving;
+  }
+
+  /** Probes the back end; null unless the current incarnation answers. */
+  private async identifyCurrent(path: string): Promise<BackendIdentity | null> {
     const identity = await this.ports.calls.identify(path);
     const { heartbeat } = this.ports.backend;
-    return identity?.isHealthy === true && heartbeat !== null && matchesIncarnation(identity, heartbeat);
+    if (identity === null || heartbeat === null || !matchesIncarnation(identity, heartbeat)) return null;
+    this.ports.onSignals(identity.signals);
+    return identity;
   }
 
   /**
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -342,6 +342,9 @@
       send: (request) => this.directory.send(request),
       listens: this.options.backendListens,
       holdsNoKeys: () => this.keys.holdsNoKeys,
+      onLimit: (requestsPerSecond) => {
+        this.gateway.pacing.adopt(requestsPerSecond);
+      },
       onConfirmed: () => {
         this.gateway.reevaluateWaiting();
       },
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -6,6 +6,7 @@
 import type { DirectoryNotice, DirectoryRequest } from '../../src/directory/directory-messages.js';
 import type { DirectorySnapshot, KeyRange } from '../../src/directory/directory-state.js';
 import type { ClientHandlers, Runtime } from '../../src/runtime/runtime.js';
+import { NO_SIGNALS } from '../../src/sidecar/backend-signals.js';
 import type { BackendHeartbeat, BackendIdentity, HeartbeatGrant } from '../../src/sidecar/backend-report.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { SidecarNode } from '../../src/sidecar/sidecar-node.js';
@@ -258,7 +259,7 @@
 test('a delayed heartbeat is ignored if its sender has ended and another incarnation is at the address', async (t) => {
   const world = new World();
   const { node } = await startWithOwnedKeys(world);
-  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 0 };
+  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 0, signals: NO_SIGNALS };
   t.is(await node.heartbeat({ ...heartbeat(90), id: 'zero' }), null);
   t.is(node.gateway.status()?.instance, 'one');
   t.truthy(await node.heartbeat(heartbeat(2)), 'the current incarnation continues');
@@ -269,13 +270,42 @@
   const world = new World();
   const node = await world.start();
   world.table([range(0, 65_535, 'one')]);
-  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 0 };
+  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 0, signals: NO_SIGNALS };
   await node.heartbeat({ ...heartbeat(90), id: 'zero' });
   t.is(node.gateway.status(), null);
   t.false(world.kinds().includes('register'));
   await stop(world, node);
 });
 
+test('a restarted daemon knows the limit that its back end names in the answer to a probe', async (t) => {
+  const world = new World();
+  const node = await world.start();
+  world.table([range(0, 65_535, 'one')]);
+  const limit = { kind: 'limited', requestsPerSecond: 2.5 } as const;
+  const signals = { limit, leaving: false };
+  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 0, signals };
+  const answered = node.heartbeat(heartbeat(7));
+  await settle();
+  t.is(node.gateway.pacing.limitPerSecond, 2.5);
+  await pass(world, 1_000);
+  await answered;
+  await stop(world, node);
+});
+
+test('a restarted daemon does not open a back end whose answer to a probe states its leave', async (t) => {
+  const world = new World();
+  const node = await world.start();
+  world.table([range(0, 65_535, 'one')]);
+  const signals = { limit: { kind: 'none' }, leaving: true } as const;
+  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 0, signals };
+  const answered = node.heartbeat(heartbeat(7));
+  await settle();
+  t.is(node.gateway.status()?.accepting, false);
+  await pass(world, 1_000);
+  await answered;
+  await stop(world, node);
+});
+
 test('without an identity answer, an incarnation with a recent heartbeat stays and a silent one is replaced', async (t) => {
   const world = new World();
   const { node } = await startWithOwnedKeys(world);
