Soak: back ends that name request limits and leaves in their answers, while daemons end in series

Cause: the soak's back ends named neither, so it could neither find the incident nor prove its end. Ruled out: reserving the machines of such a trouble; then kills, freezes and cuts of the same machines would not overlap with it.

--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -23,6 +23,7 @@
 import type { Random } from '../random.js';
 import { HeldKeys } from './held-keys.js';
 import type { SoakJudge } from './soak-judge.js';
+import { SoakSignals } from './soak-signals.js';
 
 /** Requests that a back end runs concurrently, and requests that wait for a slot. */
 const SLOTS = 6;
@@ -105,6 +106,7 @@
 export class SoakBackend {
   answerFaults = NO_ANSWER_FAULTS;
   delayedCalls = NO_DELAYED_CALLS;
+  readonly signals: SoakSignals;
   private readonly server: Server;
   private readonly keys: HeldKeys;
   private running = 0;
@@ -119,6 +121,7 @@
 
   constructor(private readonly options: SoakBackendOptions) {
     const { life, service, judge } = options;
+    this.signals = new SoakSignals(life, judge.requestLimits);
     const nowMs = (): number => performance.now();
     this.keys = new HeldKeys(
       life,
@@ -389,6 +392,7 @@
     const headers = {
       [PLATFORM_HEADERS.requestId]: requestId,
       [PLATFORM_HEADERS.seal]: `seal-${requestId}`,
+      ...this.signals.headers(),
       'content-length': body.length,
       ...(this.draining ? { connection: 'close' } : {}),
     };
@@ -411,6 +415,7 @@
     response.writeHead(status, {
       [PLATFORM_HEADERS.requestId]: requestId,
       [PLATFORM_HEADERS.notRun]: '1',
+      ...this.signals.headers(),
       'content-length': 0,
     });
     response.end();
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -4,7 +4,9 @@
 import { PATHS, PLATFORM_HEADERS } from '../../platform/stand-in-wire.js';
 import type { Random } from '../random.js';
 import { CRASHING_PATH_SUFFIX, expectedBody } from './soak-backend.js';
+import { readSignals } from '../../src/sidecar/backend-signals.js';
 import type { SoakJudge } from './soak-judge.js';
+import { LIFE_HEADER } from './soak-signals.js';
 
 /** Deadline of a request in ms, and time after which a caller closes the connection. */
 const DEADLINE_MS = 2_000;
@@ -156,10 +158,12 @@
     if (route.keyed) headers[PLATFORM_HEADERS.key] = String(fixed?.key ?? drawKey(random));
     this.counts.sent += 1;
     const sentMs = performance.now();
+    this.ports.judge.toldLeaves.requestSent(requestId, daemon.machine, sentMs);
     const { host, port } = daemon.callers;
     const method = route.repeatable ? 'GET' : 'POST';
     return await new Promise((resolve) => {
       const call = httpRequest({ host, port, path, method, headers, agent: this.agent }, (answer) => {
+        this.reportSignals(answer, daemon);
         this.receiveAnswer(answer, requestId, path, route, resolve);
       });
       call.setTimeout(SOCKET_TIMEOUT_MS, () => call.destroy());
@@ -191,6 +195,17 @@
     });
   }
 
+  /** Reports what a back end states in an answer, and which machine has passed it on. */
+  private reportSignals({ headers, rawHeaders }: IncomingMessage, { machine }: CalledDaemon): void {
+    const life = headers[LIFE_HEADER];
+    if (typeof life !== 'string') return;
+    const { limit, leaving } = readSignals(rawHeaders, PLATFORM_HEADERS);
+    const { requestLimits, toldLeaves } = this.ports.judge;
+    const nowMs = performance.now();
+    if (limit.kind === 'limited') requestLimits.told(life, limit.requestsPerSecond, nowMs);
+    if (leaving) toldLeaves.answerPassedOn(life, machine, nowMs);
+  }
+
   private checkAnswer(
     status: number,
     answer: IncomingMessage,
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -108,6 +108,11 @@
     machine.process.start();
   }
 
+  /** Excuses the daemon of a machine, after a restart or a freeze, from the leaves that it has passed on. */
+  excuse({ name }: SoakMachine): void {
+    this.judge.toldLeaves.excuse(name);
+  }
+
   /** Starts a new incarnation of the back end of a machine. */
   async startBackend(machine: SidecarMachine): Promise<void> {
     const ip = this.ipOf(machine.number, 0);
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -45,6 +45,16 @@
 /** Long changes of the configuration, which a directory must accept alongside its other work; drawn separately as well. */
 export const CHANGE_SOAK_TROUBLES = ['long-change'] as const;
 
+/** Back ends that name a request limit in their answers; drawn separately as well. */
+export const LIMIT_SOAK_TROUBLES = ['name-limit', 'limit-in-series'] as const;
+
+/** Back ends that state their leave in their answers; drawn separately as well. */
+export const TOLD_LEAVE_SOAK_TROUBLES = ['told-leave', 'told-leave-in-series'] as const;
+
+/** A kind of trouble in which a back end states something in its answers. */
+export type SignalTroubleKind =
+  (typeof LIMIT_SOAK_TROUBLES)[number] | (typeof TOLD_LEAVE_SOAK_TROUBLES)[number];
+
 /** All kinds, in the order in which they were added. */
 export const ALL_SOAK_TROUBLES = [
   ...SOAK_TROUBLES,
@@ -53,6 +63,8 @@
   ...LEAVE_SOAK_TROUBLES,
   ...KEY_SOAK_TROUBLES,
   ...CHANGE_SOAK_TROUBLES,
+  ...LIMIT_SOAK_TROUBLES,
+  ...TOLD_LEAVE_SOAK_TROUBLES,
 ] as const;
 
 /** A kind of trouble. */
@@ -64,6 +76,7 @@
 const LEAVE_SEED_OFFSET = 19_000_013;
 const KEY_SEED_OFFSET = 23_000_009;
 const CHANGE_SEED_OFFSET = 29_000_029;
+const SIGNAL_SEED_OFFSET = 31_000_003;
 
 /** A trouble of a plan. */
 export interface SoakTrouble {
@@ -153,6 +166,9 @@
     const keyRandom = new Random(seed + KEY_SEED_OFFSET);
     for (const kind of KEY_SOAK_TROUBLES) troubles.push(drawTrouble(keyRandom, [kind]));
     troubles.push(drawTrouble(new Random(seed + CHANGE_SEED_OFFSET), CHANGE_SOAK_TROUBLES));
+    const signalRandom = new Random(seed + SIGNAL_SEED_OFFSET);
+    troubles.push(drawTrouble(signalRandom, LIMIT_SOAK_TROUBLES));
+    troubles.push(drawTrouble(signalRandom, TOLD_LEAVE_SOAK_TROUBLES));
   }
   troubles.sort((left, right) => left.atMs - right.atMs);
   return {
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -4,7 +4,14 @@
 import type { SoakBackend } from './soak-backend.js';
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakOperator } from './soak-operator.js';
-import type { SoakTrouble, SoakTroubleKind } from './soak-plan.js';
+import {
+  LIMIT_SOAK_TROUBLES,
+  TOLD_LEAVE_SOAK_TROUBLES,
+  type SignalTroubleKind,
+  type SoakTrouble,
+  type SoakTroubleKind,
+} from './soak-plan.js';
+import { SoakSignalTroubles } from './soak-signal-troubles.js';
 import { STAND_IN_BOUNDS, type StandInRoute } from '../../platform/stand-in-wire.js';
 import { pause } from '../pause.js';
 import { Random } from '../random.js';
@@ -61,6 +68,12 @@
   'long-change',
 ]);
 
+/** Kinds that reserve no machine, so that other troubles of the same machines overlap with them. */
+const SIGNAL_KINDS: ReadonlySet<SoakTroubleKind> = new Set([
+  ...LIMIT_SOAK_TROUBLES,
+  ...TOLD_LEAVE_SOAK_TROUBLES,
+]);
+
 /** Minimum number of routes of a long change, and range of the number added by the trouble's choice. */
 const MIN_LONG_CHANGE_ROUTES = 200;
 const LONG_CHANGE_ROUTES_SPREAD = 1_000;
@@ -85,6 +98,7 @@
   readonly records: TroubleRecord[] = [];
   private lostUntilMs = 0;
   private readonly timers: NodeJS.Timeout[] = [];
+  private readonly signalTroubles: SoakSignalTroubles;
 
   constructor(
     private readonly fleet: SoakFleet,
@@ -93,7 +107,19 @@
     private readonly template: StandInRoute,
     /** Sends a request that crashes every back end that runs it; the same choice sends the same request. */
     private readonly sendCrashingRequest: (choice: number) => void,
-  ) {}
+  ) {
+    this.signalTroubles = new SoakSignalTroubles(fleet, {
+      killAndRestart: async (machine, downMs) => {
+        await this.killAndRestart(machine, downMs);
+      },
+      freeze: async (machine, durationMs) => {
+        await this.freeze(machine, durationMs);
+      },
+      cut: async (machine, durationMs) => {
+        await this.degradeLinks(machine, 'cut-sidecar', durationMs);
+      },
+    });
+  }
 
   /** Injects a trouble; resolves when it is over. */
   async inject(trouble: SoakTrouble): Promise<void> {
@@ -134,7 +160,7 @@
     if (kind.endsWith('-leader')) return this.fleet.leader();
     if (kind === 'kill-all-directories' || kind === 'lose-acknowledgements') return undefined;
     if (kind === 'lose-answers' || kind === 'spoil-answers' || UNDISTURBING.has(kind)) return undefined;
-    if (kind === 'lose-all-power' || kind === 'hold-up-grants') return undefined;
+    if (kind === 'lose-all-power' || kind === 'hold-up-grants' || isSignalKind(kind)) return undefined;
     const directoriesOnly = targetsDirectories(kind);
     const anyMachine = ANY_MACHINE.has(kind);
     const machines = anyMachine ? [...directories, ...sidecars] : directoriesOnly ? directories : sidecars;
@@ -143,6 +169,10 @@
 
   private async apply(trouble: SoakTrouble, machine: SoakMachine | undefined): Promise<void> {
     const { kind, durationMs } = trouble;
+    if (isSignalKind(kind)) {
+      await this.signalTroubles.inject(kind, trouble);
+      return;
+    }
     switch (kind) {
       case 'kill-all-directories':
         await Promise.all(
@@ -229,17 +259,17 @@
       case 'pause-sidecar':
       case 'pause-directory':
       case 'pause-leader':
-        machine.process.signal('SIGSTOP');
-        await pause(durationMs);
-        machine.process.signal('SIGCONT');
+        await this.freeze(machine, durationMs);
         break;
       case 'suspend-sidecar':
       case 'suspend-directory':
         await suspend(machine, durationMs * SUSPENSION_FACTOR);
+        this.fleet.excuse(machine);
         break;
       case 'stop-sidecar':
       case 'stop-directory':
         await machine.process.stop();
+        this.fleet.excuse(machine);
         await pause(RESTART_MS);
         this.fleet.start(machine);
         break;
@@ -281,8 +311,16 @@
     );
   }
 
+  private async freeze(machine: SoakMachine, durationMs: number): Promise<void> {
+    machine.process.signal('SIGSTOP');
+    await pause(durationMs);
+    machine.process.signal('SIGCONT');
+    this.fleet.excuse(machine);
+  }
+
   private async killAndRestart(machine: SoakMachine, downMs: number, whileDown?: () => void): Promise<void> {
     await machine.process.kill();
+    this.fleet.excuse(machine);
     whileDown?.();
     await pause(downMs);
     this.fleet.start(machine);
@@ -315,6 +353,7 @@
     await pause(DAEMON_END_AFTER_LEAVE_MS);
     if (kind === 'leave-then-stop') await machine.process.stop();
     else await machine.process.kill();
+    this.fleet.excuse(machine);
     this.fleet.start(machine);
     await pause(SERVING_AFTER_DAEMON_END_MS);
     await Promise.all(leaving.map(async (backend) => await backend.crash()));
@@ -341,6 +380,10 @@
   }
 }
 
+function isSignalKind(kind: SoakTroubleKind): kind is SignalTroubleKind {
+  return SIGNAL_KINDS.has(kind);
+}
+
 /** Returns the outage of a machine; the order of restarts differs between troubles. */
 function outageMs(choice: number, at: number): number {
   const random = new Random(choice + at);
