Routers act on the request limits and leaves that back ends state

What callers saw: a back end of the own stack could not ask for fewer requests at all; its headers went through the router to callers. Cause: as in the sidecar: nobody acts on what an answer states. Why this works: slots of a back end are divided among the routers by a fixed share, and so is its limit; the shares add up to it, with no message between routers. A router counts from the head of the first answer that it reads; after its start, and with each new session of a back end, requests go one by one until an answer has told. Ruled out: a count at control (a message a request); the agent as a counter (it is not on the way of requests). Also: what a router had observed of a back end was reset with the next change of the table after its first request, because the session was not recorded when the state was created.

--- a/lab/sim/sim-router.ts
+++ b/lab/sim/sim-router.ts
@@ -58,6 +58,7 @@
       row: (service, shard) => this.table.row(service, shard),
       availableBackends: () => [],
       admits: () => true,
+      hasTurn: () => true,
       loadOf: () => 0,
       random: () => 0,
     };
--- a/src/router/backend-state.ts
+++ b/src/router/backend-state.ts
@@ -2,7 +2,9 @@
 import { Pool } from 'undici';
 import type { ServiceConfiguration } from '../config/configuration.js';
 import { formatAddress, type SocketAddress } from '../model/socket-address.js';
+import { clockMs } from '../runtime/clock.js';
 import { BackendHealth } from './backend-health.js';
+import { BackendStatements, type StatementLog } from './backend-statements.js';
 import { SlotLimiter } from './slot-limiter.js';
 
 /** Maximum time to open a connection, in ms. */
@@ -16,6 +18,7 @@
   readonly address: SocketAddress;
   readonly pool: Pool;
   readonly limiter: SlotLimiter;
+  readonly statements: BackendStatements;
   health: BackendHealth;
   /** Session under which `health` was observed; health is reset with each new session. */
   session: number;
@@ -29,6 +32,9 @@
     private readonly routers: number,
     private readonly maxQueued: number,
     private readonly addressOverrides: Readonly<Record<string, SocketAddress>>,
+    private readonly log: StatementLog,
+    /** Returns the session of a back end; 0 while it has none. */
+    private readonly sessionOf: (backend: string) => number,
   ) {}
 
   /** Returns the state of a back end, or undefined before its first use. */
@@ -49,7 +55,7 @@
     const existing = this.states.get(backend);
     if (existing !== undefined && formatAddress(existing.address) === formatAddress(address)) return existing;
     if (existing !== undefined) void existing.pool.close();
-    const created = this.create(service, address);
+    const created = this.create(backend, service, address);
     this.states.set(backend, created);
     return created;
   }
@@ -68,7 +74,7 @@
     await Promise.all([...this.states.values()].map(({ pool }) => pool.destroy()));
   }
 
-  private create(service: ServiceConfiguration, address: SocketAddress): BackendState {
+  private create(backend: string, service: ServiceConfiguration, address: SocketAddress): BackendState {
     const slots = this.shareOf(service.slots);
     const pool = new Pool(`http://${formatAddress(address)}`, {
       connections: Math.min(slots, this.shareOf(service.connections)),
@@ -77,8 +83,10 @@
       headersTimeout: 0,
       bodyTimeout: BODY_IDLE_TIMEOUT_MS,
     });
-    const limiter = new SlotLimiter(slots, this.maxQueued);
-    return { address, pool, limiter, health: new BackendHealth(), session: 0 };
+    const statements = new BackendStatements(backend, clockMs, 1 / this.routers, this.log);
+    const limiter = new SlotLimiter(slots, this.maxQueued, statements);
+    const session = this.sessionOf(backend);
+    return { address, pool, limiter, statements, health: new BackendHealth(), session };
   }
 
   /** Returns this router's share of a limit that applies to all routers together. */
--- a/src/router/forward-attempt.ts
+++ b/src/router/forward-attempt.ts
@@ -7,7 +7,8 @@
 import type { Readable } from 'node:stream';
 import type { Dispatcher, Pool } from 'undici';
 import { REFUSAL_HEADER, refusalCodeSchema } from '../backend-contract/grant-messages.js';
-import { CONNECTION_HEADERS } from '../sidecar/header-dialect.js';
+import { readSignals, type BackendSignals } from '../sidecar/backend-signals.js';
+import { CONNECTION_HEADERS, DEFAULT_HEADER_DIALECT } from '../sidecar/header-dialect.js';
 import type { AttemptFailure } from './attempt-policy.js';
 import { RETRY_AFTER_MS_HEADER } from './refusal.js';
 
@@ -20,6 +21,8 @@
   readonly body: Buffer | Readable | null;
   /** Time in ms within which the answer must start. */
   readonly budgetMs: number;
+  /** Called with what the answer states as soon as its head has arrived. */
+  readonly onSignals: (signals: BackendSignals) => void;
 }
 
 /** How an attempt ended. */
@@ -41,7 +44,7 @@
   response: ServerResponse,
 ): Promise<AttemptResult> {
   return await new Promise((resolve) => {
-    const handler = new AttemptHandler(response, request.budgetMs, resolve);
+    const handler = new AttemptHandler(response, request, resolve);
     const { method, path, headers, body } = request;
     pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, handler);
   });
@@ -62,13 +65,13 @@
 
   constructor(
     private readonly response: ServerResponse,
-    budgetMs: number,
+    private readonly request: AttemptRequest,
     private readonly resolve: (result: AttemptResult) => void,
   ) {
     this.timer = setTimeout(() => {
       this.settle({ kind: 'failed', failure: { kind: 'deadline-passed', sent: this.sent } });
       this.controller?.abort(new Error('the deadline passed'));
-    }, budgetMs);
+    }, request.budgetMs);
     response.once('close', this.onCallerDisconnect);
   }
 
@@ -88,6 +91,7 @@
   ): void {
     if (this.settled || status < MIN_FINAL_STATUS) return;
     clearTimeout(this.timer);
+    this.request.onSignals(readSignals(flattenHeaders(headers), DEFAULT_HEADER_DIALECT));
     this.refused = readRefusal(headers);
     if (this.refused !== null) return;
     this.streaming = true;
@@ -148,6 +152,13 @@
   return { kind: 'refused', code: code.data, retryAfterMs };
 }
 
+/** Returns alternating names and values; a repeated header gives one pair for each value. */
+function flattenHeaders(headers: IncomingHttpHeaders): string[] {
+  return Object.entries(headers).flatMap(([name, value]) =>
+    [value ?? []].flat().flatMap((text) => [name, text]),
+  );
+}
+
 function endToEndHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
   const forwarded: IncomingHttpHeaders = {};
   for (const [name, value] of Object.entries(headers)) {
--- a/src/router/refusal.ts
+++ b/src/router/refusal.ts
@@ -8,6 +8,7 @@
   | 'no-owner'
   | 'owner-unreachable'
   | 'overloaded'
+  | 'rate-limited'
   | 'deadline-passed'
   | 'not-ready'
   | 'freshness-unproven'
@@ -40,6 +41,11 @@
   'no-owner': { status: 503, outcome: 'not-run', title: 'The key has no owner at present' },
   'owner-unreachable': { status: 503, outcome: 'not-run', title: 'The owner of the key cannot be reached' },
   overloaded: { status: 503, outcome: 'not-run', title: 'All slots are taken' },
+  'rate-limited': {
+    status: 503,
+    outcome: 'not-run',
+    title: 'The back end accepts no more requests at present',
+  },
   'deadline-passed': { status: 504, outcome: 'not-run', title: 'The deadline passed before the request ran' },
   'not-ready': { status: 503, outcome: 'not-run', title: 'The router has no table yet' },
   'freshness-unproven': {
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -7,7 +7,7 @@
 import { decideAfterFailure, OWNER_RETRY_AFTER_MS, type AttemptFailure } from './attempt-policy.js';
 import type { BackendState } from './backend-state.js';
 import { CONNECTION_HEADERS } from '../sidecar/header-dialect.js';
-import { forwardAttempt, type AttemptResult } from './forward-attempt.js';
+import { forwardAttempt, type AttemptRequest, type AttemptResult } from './forward-attempt.js';
 import { shardOfKey } from '../model/shard.js';
 import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { Clearance, GuardedBackend, GuardedRun } from './run-guard.js';
@@ -16,6 +16,7 @@
 import { deadlineBudgetMs, idempotencyKey, isRepeatable, parsePath, requestKey } from './request-key.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { RouterState } from './router-state.js';
+import type { SlotOutcome } from './slot-limiter.js';
 import { selectAny, selectOwner, type NoTargetReason, type Target } from './target-selection.js';
 
 /** State of one request in flight. */
@@ -153,17 +154,20 @@
     const guarded = { name: target.backend, service: routed.serviceName, address: backend.address };
     const clearance = await this.acquireClearance(routed, guarded);
     if (clearance.kind === 'refused') return this.refuse(routed.response, this.clearanceRefusal(routed));
-    const slotFailure = await this.acquireSlot(routed, backend, target.backend, clearance);
-    if (slotFailure !== null) {
+    const slot = await this.acquireSlot(routed, backend, target.backend, clearance);
+    if (typeof slot !== 'number') {
       this.state.guard.releaseClearance(clearance, false);
-      if (slotFailure === 'deadline-passed')
+      if (slot === 'deadline-passed')
         return await this.afterFailure(routed, { kind: 'deadline-passed', sent: false });
-      return this.refuse(routed.response, slotFailure);
+      return this.refuse(routed.response, slot);
     }
     const startedMs = clockMs();
     routed.attempts += 1;
     routed.tried.add(target.backend);
-    const request = this.attemptRequest(routed, target);
+    const request = this.attemptRequest(routed, target, (signals) => {
+      backend.statements.recordAnswer(signals, slot);
+      backend.limiter.admitWaiting();
+    });
     const alone = backend.limiter.inFlight === 1;
     const result = await forwardAttempt(backend.pool, request, routed.response);
     backend.limiter.release(clockMs() - startedMs);
@@ -176,21 +180,22 @@
     return result.kind;
   }
 
-  /** Waits for a slot; returns null once it is acquired, otherwise why it was not acquired or not used. */
+  /** Waits for a slot; returns the number of the request once it is acquired, otherwise why it was not or is not used. */
   private async acquireSlot(
     routed: RoutedRequest,
-    { limiter }: BackendState,
+    { limiter, statements }: BackendState,
     name: string,
     clearance: Clearance,
-  ): Promise<Refusal | 'deadline-passed' | null> {
+  ): Promise<Refusal | 'deadline-passed' | number> {
     const slot = await limiter.acquire(routed.deadlineMs - clockMs());
     if (slot.kind === 'deadline-passed') return 'deadline-passed';
-    if (slot.kind === 'refused')
-      return createRefusal('overloaded', `${name} has no free slot`, slot.retryAfterMs);
-    // Back ends may have ended while running the same request during the wait.
-    if (clearance.kind !== 'free' || !this.isRestricted(routed)) return null;
+    if (slot.kind === 'refused') return slotRefusal(slot, name, statements.limitPerSecond);
+    // Back ends may have ended while running the same request, or have left, during the wait.
+    const isRestricted = clearance.kind === 'free' && this.isRestricted(routed);
+    if (!isRestricted && !statements.closed) return slot.requestNumber;
     limiter.releaseUnused();
-    return this.clearanceRefusal(routed);
+    if (isRestricted) return this.clearanceRefusal(routed);
+    return createRefusal('no-owner', `${name} is leaving`, OWNER_RETRY_AFTER_MS);
   }
 
   /** Waits for a permit if the request is a suspect. A request with a streamed body cannot be identified and passes. */
@@ -232,7 +237,11 @@
       );
   }
 
-  private attemptRequest(routed: RoutedRequest, target: Target): Parameters<typeof forwardAttempt>[1] {
+  private attemptRequest(
+    routed: RoutedRequest,
+    target: Target,
+    onSignals: AttemptRequest['onSignals'],
+  ): AttemptRequest {
     const budgetMs = Math.max(1, routed.deadlineMs - clockMs());
     const headers = [...routed.headers, REQUEST_HEADERS.deadline, String(Math.floor(budgetMs))];
     headers.push(REQUEST_HEADERS.attempt, randomUUID());
@@ -241,7 +250,7 @@
       headers.push(REQUEST_HEADERS.epoch, String(target.fence.epoch));
     }
     const { method = 'GET', url = '/' } = routed.request;
-    return { method, path: url, headers, body: routed.body.content, budgetMs };
+    return { method, path: url, headers, body: routed.body.content, budgetMs, onSignals };
   }
 
   private recordFailure(backend: BackendState, failure: AttemptFailure): void {
@@ -300,6 +309,16 @@
 
 const REQUEST_ID_HEADER = 'x-request-id';
 
+function slotRefusal(
+  { retryAfterMs, rateLimited }: Extract<SlotOutcome, { kind: 'refused' }>,
+  name: string,
+  limitPerSecond: number | null,
+): Refusal {
+  if (!rateLimited) return createRefusal('overloaded', `${name} has no free slot`, retryAfterMs);
+  const limit = limitPerSecond === null ? 'an unknown number of' : String(limitPerSecond);
+  return createRefusal('rate-limited', `${name} accepts ${limit} requests a second`, retryAfterMs);
+}
+
 function quarantineRefusal(): Refusal {
   return createRefusal('quarantined', 'it has ended the back ends that ran it', null);
 }
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -49,11 +49,14 @@
       settings.routers,
       settings.maxQueuedPerBackend,
       settings.backendAddresses,
+      ports.log,
+      (backend) => this.table.sessionOf(backend)?.id ?? 0,
     );
     this.routingView = {
       row: (service, shard) => this.table.row(service, shard),
       availableBackends: (service) => this.available.get(service) ?? [],
-      admits: (backend) => this.backends.peek(backend)?.health.admits(clockMs()) ?? true,
+      admits: (backend) => this.admits(backend),
+      hasTurn: (backend) => this.hasTurn(backend),
       loadOf: (backend) => this.loadOf(backend),
       random: (limit) => uniformInt(this.randomGenerator, 0, limit - 1),
     };
@@ -69,8 +72,7 @@
   tableChanged(): void {
     this.available = this.availableByService();
     this.backends.resize(this.table.services);
-    for (const session of this.table.sessions.values())
-      this.resetHealthOnNewSession(session.backend, session.id);
+    for (const session of this.table.sessions.values()) this.resetOnNewSession(session.backend, session.id);
     this.tableWaiters.notifyUpdated();
   }
 
@@ -99,6 +101,16 @@
     this.counters.retries += 1;
   }
 
+  private admits(backend: string): boolean {
+    const state = this.backends.peek(backend);
+    return state === undefined || (!state.statements.closed && state.health.admits(clockMs()));
+  }
+
+  private hasTurn(backend: string): boolean {
+    const statements = this.backends.peek(backend)?.statements;
+    return statements === undefined || (!statements.leaving && statements.delayMs(0) <= 0);
+  }
+
   private loadOf(backend: string): number {
     const limiter = this.backends.peek(backend)?.limiter;
     return limiter === undefined ? 0 : limiter.inFlight + limiter.queued;
@@ -116,11 +128,12 @@
     return available;
   }
 
-  /** Resets the health of a back end on a new session, since earlier observations concern the previous incarnation. */
-  private resetHealthOnNewSession(backend: string, session: number): void {
+  /** Resets what was observed of a back end on a new session, since it concerns the previous incarnation. */
+  private resetOnNewSession(backend: string, session: number): void {
     const state = this.backends.peek(backend);
     if (state === undefined || state.session === session) return;
     state.session = session;
     state.health = new BackendHealth();
+    state.statements.startSession();
   }
 }
--- a/src/router/target-selection.ts
+++ b/src/router/target-selection.ts
@@ -9,6 +9,8 @@
   availableBackends(service: string): readonly string[];
   /** Whether the observed health of a back end allows a request now. */
   admits(backend: string): boolean;
+  /** Whether a back end would be sent a request at once: it is not leaving, and its request limit has a free turn. */
+  hasTurn(backend: string): boolean;
   /** Number of this router's requests in flight or queued at a back end. */
   loadOf(backend: string): number;
   /** Random integer in [0, `limit`). */
@@ -48,7 +50,8 @@
   const available = view.availableBackends(serviceName);
   if (available.length === 0) return 'no-owner';
   const untried = available.filter((backend) => !tried.has(backend));
-  const candidates = untried.length > 0 ? [...untried] : [...available];
+  const withTurn = untried.filter((backend) => view.hasTurn(backend));
+  const candidates = [...firstNonEmpty(withTurn, untried, available)];
   const first = drawAdmitted(view, candidates);
   if (first === null) return 'owner-unreachable';
   const second = drawAdmitted(view, candidates);
@@ -56,6 +59,10 @@
   return { backend: lessLoaded, fence: null };
 }
 
+function firstNonEmpty(...lists: readonly (readonly string[])[]): readonly string[] {
+  return lists.find((list) => list.length > 0) ?? [];
+}
+
 /** Draws random back ends until one admits a request; drawn ones are removed from `candidates`. */
 function drawAdmitted(view: RoutingView, candidates: string[]): string | null {
   while (candidates.length > 0) {
--- a/src/sidecar/request-limit.ts
+++ b/src/sidecar/request-limit.ts
@@ -1,6 +1,7 @@
 /**
- * Enforces the request limit that a back end names in its answers, for all daemons together: every request to it passes
- * through this daemon. Requests get turns at the named rate. Pure: every call passes the time in ms of the steady clock.
+ * Enforces the request limit that a back end names in its answers: requests get turns at the named rate, or at this
+ * daemon's share of it where several daemons send to the back end. Pure: every call passes the time in ms of the steady
+ * clock.
  */
 import type { StatedLimit } from './backend-signals.js';
 import { LimitTracker, type LimitChange } from './limit-tracker.js';
@@ -41,7 +42,11 @@
   private isUnknown = false;
   private trialSentMs = -Infinity;
 
-  constructor(startedMs: number) {
+  constructor(
+    startedMs: number,
+    /** Share of the limit that this daemon may use; the shares of all daemons that send to the back end add up to 1. */
+    private readonly share = 1,
+  ) {
     this.nextTurnMs = startedMs;
     this.lastSentMs = startedMs;
   }
@@ -85,7 +90,7 @@
     if (stated.kind !== 'unreadable') this.isUnknown = false;
     if (change === null) return null;
     if (change.kind === 'lifted') this.startRamp(change.before ?? 0, nowMs);
-    else this.nextTurnMs = this.lastSentMs + intervalMs(change.after ?? 0);
+    else this.nextTurnMs = this.lastSentMs + this.intervalMs(change.after ?? 0);
     return change;
   }
 
@@ -94,7 +99,7 @@
     this.lastSentMs = nowMs;
     if (this.isUnknown) this.trialSentMs = nowMs;
     const rate = this.rateAt(nowMs);
-    if (rate !== Infinity) this.nextTurnMs = this.earliestTurnMs(rate, nowMs) + intervalMs(rate);
+    if (rate !== Infinity) this.nextTurnMs = this.earliestTurnMs(rate, nowMs) + this.intervalMs(rate);
     return this.tracker.recordSent();
   }
 
@@ -103,14 +108,14 @@
     if (this.isUnknown) return this.trialDelayMs(ahead, nowMs);
     const rate = this.rateAt(nowMs);
     if (rate === Infinity) return 0;
-    return Math.max(0, this.earliestTurnMs(rate, nowMs) - nowMs + ahead * intervalMs(rate));
+    return Math.max(0, this.earliestTurnMs(rate, nowMs) - nowMs + ahead * this.intervalMs(rate));
   }
 
   /** Returns the interval in ms between requests; null if they are not limited. */
   currentIntervalMs(nowMs: number): number | null {
     if (this.isUnknown) return EXPECTED_ANSWER_MS;
     const rate = this.rateAt(nowMs);
-    return rate === Infinity ? null : intervalMs(rate);
+    return rate === Infinity ? null : this.intervalMs(rate);
   }
 
   /**
@@ -140,8 +145,8 @@
 
   /** Returns the time of the next turn; turns that were not used accumulate up to the burst size. */
   private earliestTurnMs(rate: number, nowMs: number): number {
-    const burst = Math.max(1, rate * BURST_S);
-    return Math.max(this.nextTurnMs, nowMs - (burst - 1) * intervalMs(rate));
+    const burst = Math.max(1, rate * this.share * BURST_S);
+    return Math.max(this.nextTurnMs, nowMs - (burst - 1) * this.intervalMs(rate));
   }
 
   private trialDelayMs(ahead: number, nowMs: number): number {
@@ -150,8 +155,9 @@
       return Math.max(MIN_ANSWER_WAIT_MS, EXPECTED_ANSWER_MS - sinceTrialMs);
     return ahead === 0 ? 0 : EXPECTED_ANSWER_MS;
   }
-}
 
-function intervalMs(perSecond: number): number {
-  return Math.min(MAX_INTERVAL_MS, MS_PER_SECOND / perSecond);
+  /** Returns the interval in ms between requests of this daemon. */
+  private intervalMs(perSecond: number): number {
+    return Math.min(MAX_INTERVAL_MS, MS_PER_SECOND / perSecond) / this.share;
+  }
 }
