Agents report request limits and leaves of back ends, and control plans with them

What callers saw: nothing yet; shards stayed with an owner that takes few requests or leaves by itself. Cause: answers of a back end to its agent could name neither, and control knew a drain only from operators. Why this works: a leave is marked at the session, in the replicated state, and ends with it; an operator's drain is kept beside it. Ruled out: draining by the back end's configured name; the drain would outlive the incarnation that left. Change: reduced-capacities is shared with the directory; the test back end states both, set by PUT /-/statements.

--- a/lab/backend/backend-server.ts
+++ b/lab/backend/backend-server.ts
@@ -6,12 +6,15 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingHttpHeaders } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { z } from 'zod';
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import {
+  holderAnswerSchema,
   REFUSAL_HEADER,
   REQUEST_HEADERS,
   type RefusalCode,
 } from '../../src/backend-contract/grant-messages.js';
+import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { clockMs, steadyMs } from '../../src/runtime/clock.js';
 import { JournalWriter } from '../journal.js';
 import { Random } from '../random.js';
@@ -62,6 +65,11 @@
   'in-progress': STATUS_CONFLICT,
 };
 
+const statementsSchema = holderAnswerSchema.pick({ requestLimit: true, leaving: true });
+
+/** Request limit and leave that a back end states. */
+type BackendStatements = z.infer<typeof statementsSchema>;
+
 type Operation = 'items' | 'confirm' | 'download';
 
 interface WorkRequest {
@@ -79,6 +87,8 @@
   readonly grants: GrantTable;
   readonly load = new Map<number, number>();
   readonly gate: RequestGate;
+  /** What the back end states in all its answers; set by `PUT /-/statements`. */
+  statements: BackendStatements = {};
   private readonly values = new Map<string, number>();
   private readonly random: Random;
   private readonly startedMs = steadyMs();
@@ -94,6 +104,7 @@
     registerContract(this.app, this);
     this.registerOperations();
     this.registerHealth();
+    this.registerStatements();
   }
 
   /** Starts listening. */
@@ -131,6 +142,19 @@
     );
   }
 
+  private registerStatements(): void {
+    this.app.put('/-/statements', (request) => {
+      this.statements = statementsSchema.parse(request.body);
+      return {};
+    });
+    this.app.addHook('onSend', async (_request, reply) => {
+      const { requestLimit, leaving } = this.statements;
+      if (requestLimit !== undefined) reply.header(DEFAULT_HEADER_DIALECT.requestLimit, String(requestLimit));
+      if (leaving === true) reply.header(DEFAULT_HEADER_DIALECT.leaving, '1');
+      return await Promise.resolve();
+    });
+  }
+
   private registerHealth(): void {
     const samples: { readonly atMs: number; readonly inFlight: number }[] = [];
     this.app.get('/-/health', () => {
--- a/lab/backend/contract-routes.ts
+++ b/lab/backend/contract-routes.ts
@@ -64,5 +64,6 @@
 function buildHolderAnswer(server: BackendServer): HolderAnswer {
   const load = [...server.load];
   server.load.clear();
-  return { instance: server.instance, bornMs: server.bornMs, load, inFlight: server.gate.inFlight };
+  const { instance, bornMs, gate, statements } = server;
+  return { instance, bornMs, load, inFlight: gate.inFlight, ...statements };
 }
--- a/lab/sim/sim-backend.ts
+++ b/lab/sim/sim-backend.ts
@@ -42,6 +42,8 @@
   grants: GrantTable;
   /** Additional delay in ms until a call sent now takes effect. */
   callDelayMs = 0;
+  /** What this incarnation states about itself in its answers to the agent. */
+  statements: Pick<HolderAnswer, 'requestLimit' | 'leaving'> = {};
   private gate: RequestGate;
   private bornMs = 0;
   private readonly load = new Map<number, number>();
@@ -64,6 +66,7 @@
     this.bornMs = Math.max(this.bornMs + 1, Math.floor(this.process.wallMs()));
     this.grants = this.createGrants(this.process.clocks());
     this.gate = new RequestGate(this.grants, SLOTS);
+    this.statements = {};
     this.process.start();
   }
 
@@ -96,7 +99,8 @@
   holderAnswer(): HolderAnswer {
     const load = [...this.load];
     this.load.clear();
-    return { instance: this.name, bornMs: this.bornMs, load, inFlight: this.gate.inFlight };
+    const { name: instance, bornMs, statements } = this;
+    return { instance, bornMs, load, inFlight: this.gate.inFlight, ...statements };
   }
 
   /** Sets whether requests without a fence are refused. */
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -63,6 +63,8 @@
   private state: State = 'taking-holder';
   private busy = false;
   private backendIncarnation: string | null = null;
+  /** Newest answer of the back end. */
+  private backendAnswer: HolderAnswer | null = null;
   /** Start time of the pending call to the back end; null if none is pending. */
   private unansweredSinceMs: number | null = null;
   private openId = '';
@@ -243,6 +245,7 @@
     const taken = await this.backend.takeHolder();
     if (taken.err) return;
     this.backendIncarnation = holderIncarnation(taken.val);
+    this.backendAnswer = taken.val;
     this.unansweredSinceMs = null;
     this.grants.clear();
     this.nextOpenMs = 0;
@@ -276,6 +279,7 @@
 
   private backendAnswered(answer: HolderAnswer): void {
     this.unansweredSinceMs = null;
+    this.backendAnswer = answer;
     this.load.count(answer.load);
     if (holderIncarnation(answer) === this.backendIncarnation) return;
     this.closeSession('back end was restarted');
@@ -305,7 +309,11 @@
     if (this.state !== 'in-session' || session === null || !this.backendAnswers) return;
     const sentMs = this.runtime.nowMs();
     const load = this.load.takeReport(sentMs, this.grants.grantedShards.keys());
-    this.channel.send({ kind: 'renew-session', session, sentMs, load });
+    const { requestLimit, leaving } = this.backendAnswer ?? {};
+    const renewal = { kind: 'renew-session', session, sentMs, load } as const;
+    this.channel.send(requestLimit === undefined ? renewal : { ...renewal, requestLimit });
+    const isDraining = this.table.draining.has(this.settings.backend);
+    if (leaving === true && !isDraining) this.channel.send({ kind: 'session-leaving', session });
   }
 
   private receiveNotice(notice: ControlNotice): void {
--- a/src/backend-contract/grant-messages.ts
+++ b/src/backend-contract/grant-messages.ts
@@ -104,6 +104,10 @@
   /** Requests admitted by shard since the last answer. */
   load: z.array(z.tuple([z.number(), z.number()])),
   inFlight: z.number(),
+  /** Requests per second that the back end accepts from all routers together; missing if it names no limit. */
+  requestLimit: z.optional(z.number().min(0)),
+  /** Whether the back end leaves by itself; missing if not. */
+  leaving: z.optional(z.boolean()),
 });
 
 /** Answer to `PUT holder` and `PUT lease`. */
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -71,6 +71,12 @@
   readonly moveId: number;
 }
 
+/** Marks a session whose back end leaves by itself, which drains the back end until the session is closed. */
+export interface MarkLeavingCommand {
+  readonly kind: 'mark-leaving';
+  readonly session: number;
+}
+
 /** Starts or stops draining a back end. */
 export interface SetDrainCommand {
   readonly kind: 'set-drain';
@@ -100,6 +106,7 @@
   | BeginMovesCommand
   | CompleteMoveCommand
   | CancelMoveCommand
+  | MarkLeavingCommand
   | SetDrainCommand
   | SetEvacuationCommand
   | CrashCommand;
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -14,6 +14,8 @@
   readonly openId: string;
   /** Address at which this agent accepts handovers from other agents. */
   readonly agentAddress: SocketAddress;
+  /** Whether the back end leaves by itself; missing if not. */
+  readonly leaving?: true;
 }
 
 /** Stored answer of a submission, so that a resend receives the same answer. */
@@ -39,7 +41,7 @@
   readonly drained: Set<string>;
   /** Zones under evacuation, whose back ends are all drained. */
   readonly evacuatedZones: Set<string>;
-  /** Names of all draining back ends: those in `drained` and those in evacuated zones. */
+  /** Names of all draining back ends: those in `drained`, those in evacuated zones and those that leave by themselves. */
   readonly draining: Set<string>;
   /** Shard rows by service. */
   readonly shards: Map<string, ServiceShards>;
--- a/src/control/daemon-gateway.ts
+++ b/src/control/daemon-gateway.ts
@@ -90,6 +90,9 @@
       case 'close-session':
         this.sessions.close(request.session);
         break;
+      case 'session-leaving':
+        void this.ports.propose({ kind: 'mark-leaving', session: request.session });
+        break;
       case 'move-released':
         this.moveReports.proposeReport({ ...request, kind: 'complete-move', wallMs: this.ports.wallMs() });
         break;
--- a/src/control/daemon-messages.ts
+++ b/src/control/daemon-messages.ts
@@ -27,8 +27,13 @@
   sentMs: z.number(),
   /** Requests per second by shard, only for shards whose rate has changed noticeably. */
   load: z.array(z.tuple([z.number(), z.number()])),
+  /** Requests per second that the back end accepts; missing if it names no limit. */
+  requestLimit: z.optional(z.number().min(0)),
 });
 
+/** The back end of a session leaves by itself; its shards are to be moved. */
+const sessionLeavingSchema = z.object({ kind: z.literal('session-leaving'), session: z.number() });
+
 const closeSessionSchema = z.object({ kind: z.literal('close-session'), session: z.number() });
 
 const moveReleasedSchema = z.object({
@@ -67,6 +72,7 @@
 export const daemonRequestSchema = z.discriminatedUnion('kind', [
   openSessionSchema,
   renewSessionSchema,
+  sessionLeavingSchema,
   closeSessionSchema,
   moveReleasedSchema,
   moveRefusedSchema,
--- a/src/control/draining-backends.ts
+++ b/src/control/draining-backends.ts
@@ -1,4 +1,4 @@
-/** Draining back ends: those that an operator drains, and all back ends in evacuated zones. */
+/** Draining back ends: those that an operator drains, all in evacuated zones, and those that leave by themselves. */
 import type { Change } from './changes.js';
 import type { ControlState } from './control-state.js';
 
@@ -15,7 +15,12 @@
 /** Recomputes the set of draining back ends; returns the changes. */
 export function updateDraining(state: ControlState): Change[] {
   const inEvacuatedZones = configuredBackends(state).filter(({ zone }) => state.evacuatedZones.has(zone));
-  const toDrain = new Set([...state.drained, ...inEvacuatedZones.map(({ name }) => name)]);
+  const leaving = [...state.sessions.values()].filter((session) => session.leaving === true);
+  const toDrain = new Set([
+    ...state.drained,
+    ...inEvacuatedZones.map(({ name }) => name),
+    ...leaving.map(({ backend }) => backend),
+  ]);
   const changes: Change[] = [];
   for (const backend of toDrain) {
     if (!state.draining.has(backend)) changes.push({ kind: 'drain', backend, draining: true });
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -2,11 +2,12 @@
 import type { ServiceConfiguration } from '../config/configuration.js';
 import type { ShardRow } from '../model/shard.js';
 import { planPlacement, type PlacementBackend, type PlacementPlan } from '../placement/planner.js';
+import { PLANNED_LIMIT_SHARE } from '../placement/reduced-capacities.js';
 import { PolicyTable } from '../policy/policy-table.js';
 import type { Change } from './changes.js';
 import type { BackendAssignment, ControlCommand, ShardTarget } from './commands.js';
 import type { ControlState } from './control-state.js';
-import type { LoadTable } from './load-table.js';
+import { BASE_LOAD, type LoadTable } from './load-table.js';
 import type { Proposals } from './proposals.js';
 
 /** Time in ms without a new back end after which the first assignment of a service is made. */
@@ -109,8 +110,12 @@
     progress: ServiceProgress,
     nowMs: number,
   ): void {
-    const backends = liveBackends(this.state(), name, service);
+    const live = liveBackends(this.state(), name, service);
     const rows = this.state().shards.get(name)?.rows ?? [];
+    const backends = live.map((backend) => ({
+      ...backend,
+      capacity: this.capacityOf(backend, rows, live, nowMs),
+    }));
     if (backends.length === 0 || !isReadyToPlan(progress, service, backends, rows, nowMs)) return;
     const includesBalancing = nowMs >= progress.balanceDueMs;
     if (includesBalancing) progress.balanceDueMs = nowMs + BALANCE_INTERVAL_MS;
@@ -132,6 +137,18 @@
     void this.proposePlan(name, plan, availableMoves, progress);
   }
 
+  /** Returns the load that a back end with a request limit may have, and the base load of its share of the shards. */
+  private capacityOf(
+    { name }: LiveBackend,
+    rows: readonly ShardRow[],
+    backends: readonly LiveBackend[],
+    nowMs: number,
+  ): number | null {
+    const limit = this.loads.limitOf(name, nowMs);
+    if (limit === null) return null;
+    return limit * PLANNED_LIMIT_SHARE + (BASE_LOAD * rows.length) / backends.length;
+  }
+
   private async proposePlan(
     service: string,
     plan: PlacementPlan,
@@ -203,8 +220,10 @@
   progress.allowanceRefilledMs = nowMs;
 }
 
-function liveBackends(state: ControlState, name: string, service: ServiceConfiguration): PlacementBackend[] {
-  const backends: PlacementBackend[] = [];
+type LiveBackend = Omit<PlacementBackend, 'capacity'>;
+
+function liveBackends(state: ControlState, name: string, service: ServiceConfiguration): LiveBackend[] {
+  const backends: LiveBackend[] = [];
   for (const session of state.sessions.values()) {
     if (session.service !== name) continue;
     const configured = service.backends[session.backend];
--- a/src/control/session-service.ts
+++ b/src/control/session-service.ts
@@ -191,8 +191,10 @@
   }
 
   private recordLoad(request: RenewSessionRequest): void {
-    const service = this.ports.state().sessions.get(request.session)?.service;
-    if (service !== undefined && request.load.length > 0) this.loads.report(service, request.load);
+    const session = this.ports.state().sessions.get(request.session);
+    if (session === undefined) return;
+    if (request.load.length > 0) this.loads.report(session.service, request.load);
+    this.loads.reportLimit(session.backend, request.requestLimit ?? null, this.ports.steadyMs());
   }
 }
 
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -15,6 +15,7 @@
   CompleteMoveCommand,
   ConfigureCommand,
   ControlCommand,
+  MarkLeavingCommand,
   OpenSessionCommand,
   SetDrainCommand,
   SetEvacuationCommand,
@@ -57,6 +58,8 @@
       return { outcome: DONE, changes: applyCompleteMove(state, command) };
     case 'cancel-move':
       return { outcome: DONE, changes: applyCancelMove(state, command) };
+    case 'mark-leaving':
+      return { outcome: DONE, changes: applyMarkLeaving(state, command) };
     case 'set-drain':
       return applySetDrain(state, command);
     case 'set-evacuation':
@@ -189,9 +192,17 @@
     const ended = closed.filter((session) => session.service === service);
     changes.push(...releaseShards(state, service, ended, wallMs));
   }
+  if (closed.some(({ leaving }) => leaving === true)) changes.push(...updateDraining(state));
   return changes;
 }
 
+function applyMarkLeaving(state: ControlState, { session: id }: MarkLeavingCommand): Change[] {
+  const session = state.sessions.get(id);
+  if (session === undefined || session.leaving === true) return [];
+  state.sessions.set(id, { ...session, leaving: true });
+  return updateDraining(state);
+}
+
 /** Withdraws the run permits of ended back ends, since they no longer run any request. */
 function withdrawPermitsOf(state: ControlState, closed: readonly Session[]): Change[] {
   const incarnations = closed.map(({ backend, id }) => sessionIncarnation(backend, id));
--- a/src/directory/range-planning-loop.ts
+++ b/src/directory/range-planning-loop.ts
@@ -1,9 +1,14 @@
 /** Periodic task of the directory's leader that plans the key ranges of every keyed service. */
 import { policyIsOn } from '../policy-switches.js';
 import type { Proposals } from '../control/proposals.js';
-import { BackendCapacities } from './backend-capacities.js';
+import { ReducedCapacities } from '../placement/reduced-capacities.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
-import { serviceDefinition, type DirectoryState, type KeyRange } from './directory-state.js';
+import {
+  serviceDefinition,
+  type BackendInstance,
+  type DirectoryState,
+  type KeyRange,
+} from './directory-state.js';
 import { KeyLoad } from './key-load.js';
 import { planRanges, type RangePlan } from './range-planner.js';
 
@@ -16,9 +21,13 @@
 /** Minimum time in ms between plans that may move keys for balance: the load must be measured again first. */
 const MIN_REBALANCE_INTERVAL_MS = 2_000;
 
+/** Minimum of usable slots, so that the utilization of a back end that accepts no requests is finite. */
+const MIN_USABLE_SLOTS = 0.05;
+
 interface ServicePlanningState {
   readonly load: KeyLoad;
-  readonly capacities: BackendCapacities;
+  /** Usable slots of back ends that accept a limited request rate. */
+  readonly capacities: ReducedCapacities;
   lastInstanceCount: number;
   lastInstanceChangeMs: number;
   proposalInFlight: boolean;
@@ -77,7 +86,7 @@
     const plan = planRanges({
       ranges,
       instances,
-      usableSlots: progress.capacities.usableSlots(instances, nowMs),
+      usableSlots: usableSlots(instances, progress.capacities, nowMs),
       load,
       mayBalance,
       movesAreCostly,
@@ -118,7 +127,7 @@
     if (known !== undefined) return known;
     const progress: ServicePlanningState = {
       load: new KeyLoad(),
-      capacities: new BackendCapacities(),
+      capacities: new ReducedCapacities(),
       lastInstanceCount: 0,
       lastInstanceChangeMs: nowMs,
       proposalInFlight: false,
@@ -129,3 +138,16 @@
     return progress;
   }
 }
+
+function usableSlots(
+  instances: readonly BackendInstance[],
+  capacities: ReducedCapacities,
+  nowMs: number,
+): ReadonlyMap<string, number> {
+  const usable = new Map<string, number>();
+  for (const { id, slots } of instances) {
+    const capacity = capacities.capacityOf(id, nowMs);
+    if (capacity !== null) usable.set(id, Math.max(MIN_USABLE_SLOTS, Math.min(slots, capacity)));
+  }
+  return usable;
+}
--- a/src/placement/backend-loads.ts
+++ b/src/placement/backend-loads.ts
@@ -6,6 +6,8 @@
 export interface BackendLoad {
   readonly name: string;
   readonly zone: string;
+  readonly capacity: number | null;
+  /** Planned load, with the part that is reserved because of a limited capacity. */
   load: number;
   /** Number of shards that it owns, including those moving to it. */
   shards: number;
@@ -16,7 +18,7 @@
 /** Loads of the back ends that may receive shards. */
 export class BackendLoads {
   readonly active: readonly BackendLoad[];
-  /** Mean load when every shard is owned by one of them. */
+  /** Mean load, including reserved load, when every shard is owned by one of them. */
   readonly mean: number;
   private readonly byName = new Map<string, BackendLoad>();
   private heap: LeastLoadedHeap | null = null;
@@ -26,8 +28,8 @@
     rows: readonly ShardRow[],
     loadOf: (shard: number) => number,
   ) {
-    for (const { name, zone, draining } of backends) {
-      if (!draining) this.byName.set(name, { name, zone, load: 0, shards: 0, stationary: [] });
+    for (const { name, zone, draining, capacity = null } of backends) {
+      if (!draining) this.byName.set(name, { name, zone, capacity, load: 0, shards: 0, stationary: [] });
     }
     this.active = [...this.byName.values()];
     let total = 0;
@@ -36,7 +38,26 @@
       total += load;
       this.count(row, load);
     }
-    this.mean = total / Math.max(1, this.active.length);
+    this.mean = (total + this.reserveLimited(total)) / Math.max(1, this.active.length);
+  }
+
+  /**
+   * Reserves load at back ends with a limited capacity, so that equal planned loads leave them no more than that. Returns
+   * the reserved load.
+   */
+  private reserveLimited(total: number): number {
+    const limited = this.active.filter(({ capacity }) => capacity !== null);
+    const othersCount = this.active.length - limited.length;
+    if (limited.length === 0 || othersCount === 0) return 0;
+    const limitedCapacity = limited.reduce((sum, { capacity }) => sum + (capacity ?? 0), 0);
+    const loadOfOthers = Math.max(0, total - limitedCapacity) / othersCount;
+    let reserved = 0;
+    for (const backend of limited) {
+      const reservedHere = Math.max(0, loadOfOthers - (backend.capacity ?? 0));
+      backend.load += reservedHere;
+      reserved += reservedHere;
+    }
+    return reserved;
   }
 
   /** Adds load to the least loaded back end and returns its name. */
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -14,6 +14,8 @@
   readonly zone: string;
   /** Whether the back end is leaving: it keeps its shards until they are moved and receives no new ones. */
   readonly draining: boolean;
+  /** Load that a back end with a request limit may have; null or missing if it is not limited. */
+  readonly capacity?: number | null;
 }
 
 /** Input of a plan. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -12,6 +12,7 @@
 } from '../link/link-messages.js';
 import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
 import type { CancelTimer } from '../runtime/runtime.js';
+import { PLANNED_LIMIT_SHARE } from '../placement/reduced-capacities.js';
 import { policyIsOn } from '../policy-switches.js';
 import { Admission, type SlotRequest } from './admission.js';
 import type { BackendSignals } from './backend-signals.js';
@@ -36,9 +37,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Share of a request limit that key ownership is planned with; the rest absorbs requests that come close together. */
-const PLANNED_LIMIT_SHARE = 0.5;
-
 /** Interval in ms at which waiting requests are checked. */
 const CHECK_INTERVAL_MS = 20;
 
--- a/test/control/draining-backends.test.ts
+++ b/test/control/draining-backends.test.ts
@@ -137,3 +137,33 @@
   });
   fc.assert(property, { seed: 1, numRuns: 500 });
 });
+
+function openSession(world: World, backend: string): number {
+  const agentAddress = { host: '10.0.0.2', port: 1 };
+  const openId = `${backend}-${world.state.sessions.size}`;
+  world.apply({ kind: 'open-session', service: 'stock', backend, openId, agentAddress, wallMs: 0 });
+  return Math.max(...world.state.sessions.keys());
+}
+
+test('a back end that leaves by itself drains until its session is closed', (t) => {
+  const world = new World();
+  world.configure(['north', 'north', 'south']);
+  const session = openSession(world, 'two');
+  world.apply({ kind: 'mark-leaving', session });
+  world.apply({ kind: 'mark-leaving', session });
+  t.deepEqual(world.leaving, ['two']);
+  world.drain('two', false);
+  t.deepEqual(world.leaving, ['two'], 'an operator cannot take it back');
+  t.deepEqual([...decodeState(encodeState(world.state)).draining], ['two']);
+  world.apply({ kind: 'close-sessions', sessions: [session], wallMs: 0 });
+  t.deepEqual(world.leaving, []);
+  t.deepEqual([...world.watched], []);
+});
+
+test('a new session of a back end that left is not draining', (t) => {
+  const world = new World();
+  world.configure(['north', 'north', 'south']);
+  world.apply({ kind: 'mark-leaving', session: openSession(world, 'two') });
+  openSession(world, 'two');
+  t.deepEqual(world.leaving, []);
+});
--- a/test/placement/planner.test.ts
+++ b/test/placement/planner.test.ts
@@ -101,3 +101,16 @@
   t.true(plan.moves.length >= fairShare / 1.1 - 1, String(plan.moves.length));
   t.true(plan.moves.length <= fairShare * 1.1, String(plan.moves.length));
 });
+
+test('a back end with a limited capacity is left no more than that, and receives the rest of nothing', (t) => {
+  const count = 3;
+  const rows = owned(Array.from({ length: 90 }, (_, shard) => `backend-${shard % count}`));
+  const limited = backends(count).map((backend, at) => ({ ...backend, capacity: at === 0 ? 6 : null }));
+  const plan = planPlacement(
+    input(rows, { backends: limited, toleratedImbalance: 1.05, maxBalanceMoves: 1_000 }),
+  );
+  const movedAway = plan.moves.filter(({ shard }) => shard % count === 0).length;
+  t.true(plan.moves.every(({ backend }) => backend !== 'backend-0'));
+  t.true(30 - movedAway <= 6 * 1.5, `${30 - movedAway} of 30 shards stay`);
+  t.true(30 - movedAway >= 3, 'what it can serve stays');
+});
