Expire queued requests one at a time

Cause: requests that expired together were taken from a list made before the first of them was expired. Its end queues it as a late request, which may start another one of the list; that was then expired although it ran, waited late, and started a second time. Why this works: the next request to expire is looked up after each one, among those that still wait. And a request that has been started or has ended is never sent again: it gives its slot back and leaves the line second-start-ignored. Ruled out: ending the process on a second start; it would cost the callers of the whole back end. Conclusion: at-most-once holds beside limited rates.

--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -134,11 +134,7 @@
 
   /** Expires queued requests whose time has passed. */
   expireBefore(nowMs: number): void {
-    const expired = this.waiting.filter(({ expiresMs }) => expiresMs <= nowMs);
-    for (const request of expired) {
-      this.withdraw(request);
-      request.expire();
-    }
+    this.expireWhile(() => this.waiting.find(({ expiresMs }) => expiresMs <= nowMs));
   }
 
   /** Expires all queued requests. */
@@ -162,19 +158,18 @@
    * A request that expires may queue again with another order.
    */
   private expireUnreachable(nowMs: number): void {
-    for (;;) {
-      const unreachable = this.firstUnreachable(nowMs);
-      if (unreachable === null) return;
-      this.withdraw(unreachable);
-      unreachable.expire();
-    }
+    this.expireWhile(() => {
+      if (this.ports.delayMs(0) <= 0) return undefined;
+      return this.waiting.find(({ expiresMs }, ahead) => nowMs + this.ports.delayMs(ahead) > expiresMs);
+    });
   }
 
-  private firstUnreachable(nowMs: number): SlotRequest | null {
-    if (this.ports.delayMs(0) <= 0) return null;
-    const isUnreachable = ({ expiresMs }: SlotRequest, ahead: number): boolean =>
-      nowMs + this.ports.delayMs(ahead) > expiresMs;
-    return this.waiting.find(isUnreachable) ?? null;
+  /** Expires one request at a time: a callback may queue a request again, which may start others. */
+  private expireWhile(findNext: () => SlotRequest | undefined): void {
+    for (let request = findNext(); request !== undefined; request = findNext()) {
+      this.withdraw(request);
+      request.expire();
+    }
   }
 
   private hasSlotFor({ reserve }: SlotRequest): boolean {
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -358,6 +358,10 @@
 
   /** Sends a request that has got a slot, after repeating the checks that it passed on arrival. */
   private start(request: GatewayRequest): void {
+    if (request.done || request.run !== null) {
+      this.ignoreSecondStart(request);
+      return;
+    }
     const { ports } = this;
     const { head } = request;
     const nowMs = ports.runtime.nowMs();
@@ -397,6 +401,12 @@
     request.run.start();
   }
 
+  /** A request that must run at most once is never sent again, whatever the state of the queue. */
+  private ignoreSecondStart({ head }: GatewayRequest): void {
+    this.ports.log.event('second-start-ignored', { requestId: head.requestId, instance: head.instance });
+    this.admission.leave(this.admission.serviceMs);
+  }
+
   /** A late answer of an earlier incarnation says nothing about the present one. */
   private receiveSignals({ head, sendNumber }: GatewayRequest, { limit, leaving }: BackendSignals): void {
     if (head.instance !== this.ports.instance()) return;
--- a/test/sidecar/admission.test.ts
+++ b/test/sidecar/admission.test.ts
@@ -85,3 +85,20 @@
   t.deepEqual(recorder.log, ['expire b']);
   t.is(admission.waitingCount, 2);
 });
+
+test('a request that starts while others expire does not expire as well', (t) => {
+  let delayMs = 10;
+  const admission = new Admission(2, { delayMs: () => delayMs, pace: () => 1 });
+  const recorder = new Recorder();
+  const retrying: SlotRequest = {
+    ...recorder.request('a', 1, 50),
+    expire: () => {
+      delayMs = 0;
+      admission.apply(recorder.request('a again', 1, 500), 60);
+    },
+  };
+  admission.apply(retrying, 0);
+  admission.apply(recorder.request('b', 2, 50), 0);
+  admission.expireBefore(60);
+  t.deepEqual(recorder.log, ['start b', 'start a again']);
+});
