Act on the cold time that back ends report in answers to identity probes

What callers saw: nothing reported; found while looking for other statements of back ends that nobody acts on. Cause: the time was read from the answer and dropped. A daemon that starts beside a cold back end knew of it from heartbeats only. Evidence: the new test of the daemon, red before (no pacing after a probe that reports 2,000 ms). Why this works: a reported cold time can only make the daemon more careful; a probe that reports none changes nothing, since health answers may be wrong and two heartbeats decide that a back end is warm. Ruled out: taking 0 as warm.

--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -7,8 +7,7 @@
 import { pause } from '../runtime/pause.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
-import type { BackendCalls, BackendHeartbeat } from './backend-report.js';
-import type { BackendSignals } from './backend-signals.js';
+import type { BackendCalls, BackendHeartbeat, BackendIdentity } from './backend-report.js';
 import type { DirectoryTable } from './directory-table.js';
 import type { LeaseKeeper } from './lease-keeper.js';
 import { IncarnationProbe } from './incarnation-probe.js';
@@ -39,6 +38,8 @@
   readonly holdsNoKeys: () => boolean;
   /** Called when the current incarnation names a request limit in its answer to a probe. */
   readonly onLimit: (requestsPerSecond: number) => void;
+  /** Called when the current incarnation reports in its answer to a probe for how long in ms it stays cold. */
+  readonly onCold: (coldLeftMs: number) => void;
   /** Called when the current incarnation is confirmed and may receive requests. */
   readonly onConfirmed: () => void;
   /** Called when the current incarnation has ended. */
@@ -62,10 +63,10 @@
     this.startedMs = runtime.nowMs();
     this.backend = new LocalBackend(drainMs, this.startedMs);
     const healthPath = (): string | null => ports.table.service(ports.service)?.healthPath ?? null;
-    const onSignals = (signals: BackendSignals): void => {
-      this.receiveSignals(signals);
+    const onAnswer = (identity: BackendIdentity): void => {
+      this.receiveIdentity(identity);
     };
-    this.probe = new IncarnationProbe({ runtime, backend: this.backend, calls, healthPath, onSignals });
+    this.probe = new IncarnationProbe({ runtime, backend: this.backend, calls, healthPath, onAnswer });
   }
 
   /**
@@ -174,9 +175,12 @@
     this.ports.onRemoved();
   }
 
-  private receiveSignals({ leaving, limit }: BackendSignals): void {
+  /** A probe that reports nothing proves nothing, so only limits, leaves and cold starts are taken from it. */
+  private receiveIdentity({ signals, coldLeftMs }: BackendIdentity): void {
+    const { leaving, limit } = signals;
     if (leaving) this.recordAnswer(leaving);
     if (limit.kind === 'limited') this.ports.onLimit(limit.requestsPerSecond);
+    if (coldLeftMs !== null && coldLeftMs > 0) this.ports.onCold(coldLeftMs);
   }
 
   private recordLeave(incarnation: BackendIncarnation, by: LeaveSource): void {
--- a/src/sidecar/incarnation-probe.ts
+++ b/src/sidecar/incarnation-probe.ts
@@ -4,7 +4,6 @@
 import type { BackendIncarnation } from '../model/backend-incarnation.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { BackendCalls, BackendIdentity } from './backend-report.js';
-import type { BackendSignals } from './backend-signals.js';
 import type { LocalBackend } from './local-backend.js';
 
 /**
@@ -20,8 +19,8 @@
   readonly calls: BackendCalls;
   /** Returns the path at which the back end reports its identity; null if it cannot be probed. */
   readonly healthPath: () => string | null;
-  /** Called with what the current incarnation states in its answer to a probe. */
-  readonly onSignals: (signals: BackendSignals) => void;
+  /** Called with the answer of the current incarnation to a probe. */
+  readonly onAnswer: (identity: BackendIdentity) => void;
 }
 
 /** Probes the identity and health of the local back end. */
@@ -67,7 +66,7 @@
     const identity = await this.ports.calls.identify(path);
     const { heartbeat } = this.ports.backend;
     if (identity === null || heartbeat === null || !matchesIncarnation(identity, heartbeat)) return null;
-    this.ports.onSignals(identity.signals);
+    this.ports.onAnswer(identity);
     return identity;
   }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -345,6 +345,9 @@
       onLimit: (requestsPerSecond) => {
         this.gateway.pacing.adopt(requestsPerSecond);
       },
+      onCold: (coldLeftMs) => {
+        this.coldLimit.recordReport(coldLeftMs, this.runtime.steadyMs());
+      },
       onConfirmed: () => {
         this.gateway.reevaluateWaiting();
       },
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -292,6 +292,20 @@
   await stop(world, node);
 });
 
+test('a back end that reports in its answer to a probe that it is cold is sent no more than it sustains', async (t) => {
+  const world = new World();
+  const node = await world.start();
+  world.table([range(0, 65_535, 'one')]);
+  world.identity = { id: 'one', bornMs: null, isHealthy: true, coldLeftMs: 2_000, signals: NO_SIGNALS };
+  const answered = node.heartbeat(heartbeat(7));
+  await settle();
+  node.gateway.pacing.recordStatement({ kind: 'none' }, 'r', node.gateway.pacing.recordSent());
+  t.is(node.gateway.status()?.pacing?.intervalMs, 71);
+  await pass(world, 1_000);
+  await answered;
+  await stop(world, node);
+});
+
 test('a restarted daemon does not open a back end whose answer to a probe states its leave', async (t) => {
   const world = new World();
   const node = await world.start();
