Pass on the retry delay that a back end names when it declines a request

What callers saw: nothing reported; found while looking for other headers of back ends that nobody acts on. Cause: a declined request was always refused with 100 ms, whatever Retry-After the back end had sent. Why this works: the back end knows best when it takes requests again; 100 ms stay the minimum, 10 s the maximum, dates are not read. Ruled out: passing the header through; the request may go to another back end first, and the shortest delay of all counts.

--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -20,8 +20,14 @@
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 
-/** Retry delay in ms after the back end declined a request. */
+/** Minimum and maximum retry delay in ms after the back end declined a request; between them it may name its own. */
 const DECLINED_RETRY_AFTER_MS = 100;
+const MAX_DECLINED_RETRY_AFTER_MS = 10_000;
+
+/** Standard header with the time in s after which to retry, here also with decimals; dates are not read. */
+const RETRY_AFTER_HEADER = 'retry-after';
+const SECONDS = /^\d+(?:\.\d+)?$/;
+const MS_PER_SECOND = 1_000;
 
 /** The back end sent a complete answer, whether a success or an error of its own. */
 export interface AnsweredRun {
@@ -160,7 +166,7 @@
       return;
     }
     if (this.isDeclined(answer)) {
-      this.declined(answer.statusCode);
+      this.declined(answer);
       return;
     }
     const defect = this.defect(answer);
@@ -190,12 +196,12 @@
     return null;
   }
 
-  private declined(statusCode: number): void {
+  private declined({ statusCode, headers }: ParsedAnswer): void {
     const { ports } = this;
     ports.onDone({ kind: 'declined', statusCode });
     const reason = statusCode === MISDIRECTED_STATUS ? 'not-owner' : 'declined';
     const status = ports.status();
-    ports.reply.refuse({ reason, arrived: true, retryAfterMs: DECLINED_RETRY_AFTER_MS, status });
+    ports.reply.refuse({ reason, arrived: true, retryAfterMs: declinedRetryAfterMs(headers), status });
   }
 
   private broken(reason: BrokenReason, detail: string, sent: boolean): void {
@@ -264,3 +270,9 @@
 
 /** Headers of the back end's answer that are replaced in the answer to the caller. */
 const REPLACED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+
+function declinedRetryAfterMs(headers: readonly string[]): number {
+  const text = headerValue(headers, RETRY_AFTER_HEADER)?.trim() ?? '';
+  const namedMs = SECONDS.test(text) ? Number(text) * MS_PER_SECOND : 0;
+  return Math.min(MAX_DECLINED_RETRY_AFTER_MS, Math.max(DECLINED_RETRY_AFTER_MS, namedMs));
+}
