Learn sooner after a restart whether a back end has named a limit

Cause: an incarnation whose first heartbeat found no daemon counts as one that a previous process may have served; requests go one at a time until an answer. A trial without an answer held the others for a second. Why this works: callers learn of an incarnation from the directory; a notice that starts its session shows that nobody had registered it, so no request of a previous process can have reached it. That counts for its first four heartbeats; an older incarnation may have lost its registration while its daemon was away. A trial without an answer is repeated at once, one time. Conclusion: only restarts beside running back ends start with a trial.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -260,6 +260,7 @@
       takeLoad: () => [],
       usableSlots: () => null,
       hasQueuedRequests: () => false,
+      onFirstRegistration: () => undefined,
       onChange: () => undefined,
     });
     lease.update({ id: name, service: SERVICE, zone: 'zone', slots: 1, condition: 'ready', version: 'v1' });
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -449,6 +449,7 @@
     this.running.delete(request);
     const usedMs = this.ports.runtime.nowMs() - request.startedMs;
     if (outcome.kind === 'answered') this.recordAnswer(request.head.route, usedMs, outcome);
+    else if (outcome.kind !== 'declined') this.pacing.recordUnanswered(request.sendNumber);
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(request.head.key, usedMs - request.offeredMs);
     this.count(request, outcome, usedMs);
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -17,6 +17,9 @@
 /** Interval between attempts to register, in ms. */
 const REGISTER_RETRY_INTERVAL_MS = 300;
 
+/** Index in the notice of a lease that starts a session. */
+const SESSION_START_INDEX = 0;
+
 /** Registration data of a back end. */
 export interface RegisteredBackend {
   readonly id: string;
@@ -46,6 +49,8 @@
   readonly usableSlots: () => number | null;
   /** Whether requests are queued for slots of the back end. */
   readonly hasQueuedRequests: () => boolean;
+  /** Called when this registration has started the session: the incarnation was not registered before. */
+  readonly onFirstRegistration: () => void;
   readonly onChange: () => void;
 }
 
@@ -141,6 +146,7 @@
       this.leaseDeadlineMs = Math.max(this.leaseDeadlineMs, deadlineMs);
       return;
     }
+    if (index === SESSION_START_INDEX) this.ports.onFirstRegistration();
     const known = this.pendingLease?.session === session ? this.pendingLease : null;
     this.pendingLease = { session, deadlineMs, index: Math.min(index, known?.index ?? index) };
     this.activatePendingLease();
--- a/src/sidecar/request-limit.ts
+++ b/src/sidecar/request-limit.ts
@@ -23,6 +23,9 @@
 const EXPECTED_ANSWER_MS = 100;
 const TRIAL_INTERVAL_MS = 1_000;
 
+/** Trials of an incarnation that may follow at once after one that ended without an answer. */
+const MAX_IMMEDIATE_TRIALS = 1;
+
 /** Minimum expected wait in ms for the answer to a trial. */
 const MIN_ANSWER_WAIT_MS = 10;
 
@@ -41,6 +44,9 @@
   /** Whether the limit of the incarnation is unknown, because a previous process of this daemon may have been told one. */
   private isUnknown = false;
   private trialSentMs = -Infinity;
+  /** Number of the trial in flight; null if there is none. */
+  private trialNumber: number | null = null;
+  private immediateTrialsLeft = 0;
 
   constructor(
     startedMs: number,
@@ -74,9 +80,23 @@
     this.tracker.startIncarnation();
     this.isUnknown = !isNewToDaemon;
     this.trialSentMs = -Infinity;
+    this.trialNumber = null;
+    this.immediateTrialsLeft = MAX_IMMEDIATE_TRIALS;
     this.liftedMs = -Infinity;
   }
 
+  /** Records that no previous process of this daemon can have served the incarnation. */
+  confirmNewToDaemon(): void {
+    this.isUnknown = false;
+  }
+
+  /** Records that a request has ended without an answer. A trial is repeated at once, but not without end. */
+  recordUnanswered(requestNumber: number): void {
+    if (!this.isUnknown || requestNumber !== this.trialNumber || this.immediateTrialsLeft === 0) return;
+    this.immediateTrialsLeft -= 1;
+    this.trialSentMs = -Infinity;
+  }
+
   /** Adopts the limit that another daemon knows, unless an answer to this daemon has shown which one is in force. */
   adopt(perSecond: number): LimitChange | null {
     return this.isUnknown
@@ -96,11 +116,15 @@
 
   /** Records that a request is sent; returns its number. */
   recordSent(nowMs: number): number {
+    const number = this.tracker.recordSent();
     this.lastSentMs = nowMs;
-    if (this.isUnknown) this.trialSentMs = nowMs;
+    if (this.isUnknown) {
+      this.trialSentMs = nowMs;
+      this.trialNumber = number;
+    }
     const rate = this.rateAt(nowMs);
     if (rate !== Infinity) this.nextTurnMs = this.earliestTurnMs(rate, nowMs) + this.intervalMs(rate);
-    return this.tracker.recordSent();
+    return number;
   }
 
   /** Returns the time in ms until a request may be sent behind `ahead` others. */
--- a/src/sidecar/request-pacing.ts
+++ b/src/sidecar/request-pacing.ts
@@ -100,6 +100,16 @@
     return this.limit.recordSent(nowMs);
   }
 
+  /** Records that no previous process of this daemon can have served the incarnation. */
+  confirmNewToDaemon(): void {
+    this.limit.confirmNewToDaemon();
+  }
+
+  /** Records that a request has ended without an answer. */
+  recordUnanswered(requestNumber: number): void {
+    this.limit.recordUnanswered(requestNumber);
+  }
+
   /** Records the limit that an answer states. */
   recordStatement(stated: StatedLimit, requestId: string, requestNumber: number): void {
     const unreadableBefore = this.limit.unreadable;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -45,6 +45,9 @@
 /** Bandwidth below which answers are paced: their wait in the link's send queue may exceed the processing time. */
 const SLOW_LINK_BYTES_PER_MS = 12_500;
 
+/** Sequence of a heartbeat up to which its sender is younger than the shortest lease. */
+const MAX_NEW_SEQUENCE = 4;
+
 /** Interval in ms between checks of the back end's state. */
 const CHECK_INTERVAL_MS = 100;
 
@@ -302,6 +305,9 @@
       takeLoad: () => this.load.take(),
       usableSlots: () => this.gateway.usableSlots,
       hasQueuedRequests: () => this.gateway.admission.waitingCount > 0,
+      onFirstRegistration: () => {
+        this.confirmNewIncarnation();
+      },
       onChange: () => {
         this.tableChanged();
       },
@@ -493,6 +499,15 @@
     this.keys.clear();
   }
 
+  /**
+   * An incarnation that nobody had registered has received no requests, since callers learn of it from the directory.
+   * An older one may have lost its registration when its daemon was away.
+   */
+  private confirmNewIncarnation(): void {
+    const sequence = this.backend.heartbeat?.sequence ?? Infinity;
+    if (sequence <= MAX_NEW_SEQUENCE) this.gateway.pacing.confirmNewToDaemon();
+  }
+
   // ---- the directory
 
   private tableChanged(): void {
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -18,6 +18,7 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   hasQueue = false;
+  firstRegistrations = 0;
   usableSlots: number | null = null;
   heldIndex = 1;
   readonly keeper = new LeaseKeeper({
@@ -33,6 +34,7 @@
     takeLoad: () => [],
     usableSlots: () => this.usableSlots,
     hasQueuedRequests: () => this.hasQueue,
+    onFirstRegistration: () => (this.firstRegistrations += 1),
     onChange: () => undefined,
   });
 
@@ -108,3 +110,16 @@
   t.false('usableSlots' in (renewals[0] ?? {}));
   t.like(renewals.at(-1), { usableSlots: 0.5 });
 });
+
+test('only a notice that starts the session shows that the incarnation was not registered before', (t) => {
+  for (const [index, expected] of [
+    [0, 1],
+    [1, 0],
+  ] as const) {
+    const world = new World();
+    world.keeper.update(BACKEND);
+    const { nowMs: sentMs } = world.time;
+    world.keeper.receive({ kind: 'registered', id: BACKEND.id, session: 5, sentMs, termMs: 9_000, index });
+    t.is(world.firstRegistrations, expected);
+  }
+});
--- a/test/sidecar/request-limit.test.ts
+++ b/test/sidecar/request-limit.test.ts
@@ -164,3 +164,21 @@
   t.deepEqual(promised.slice(0, 4), [500, 1_000, 1_500, 2_000]);
   t.is(promised.at(-1), 4_500);
 });
+
+test('a trial that ends without an answer is repeated at once, but only one time', (t) => {
+  const limit = new RequestLimit(0);
+  limit.startIncarnation(false);
+  limit.recordUnanswered(limit.recordSent(0));
+  t.is(limit.delayMs(0, 200), 0);
+  limit.recordUnanswered(limit.recordSent(200));
+  t.true(limit.delayMs(0, 400) > 0);
+  t.is(limit.delayMs(0, 1_200), 0);
+});
+
+test('an incarnation that was not registered before is not limited', (t) => {
+  const limit = new RequestLimit(0);
+  limit.startIncarnation(false);
+  limit.recordSent(0);
+  limit.confirmNewToDaemon();
+  t.is(limit.delayMs(5, 10), 0);
+});
