Count bytes between daemons by kind of message and by scope

Ruled out: exact sizes of received directory messages, since they need a change of the runtime's connections; bytes of several messages that arrive together are counted for the first of them.

Change: each daemon counts the frames of its links when it sends them, and both directions of its directory connection. The metric link_bytes has the labels kind and scope; the event link-bytes states every 10 s, and at the end, what was counted since the last line.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -6,6 +6,7 @@
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
+import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
 
@@ -59,6 +60,8 @@
   readonly localAddress: string | null;
   /** Paces large frames on a slow network link; null if the path has none. */
   readonly pacer: LinkPacer | null;
+  /** Counts sent frames; missing if they are not counted. */
+  readonly meter?: ByteMeter;
 }
 
 /** Client interface of a link to one peer daemon. */
@@ -154,7 +157,7 @@
         this.handleClose(reason);
       },
     };
-    const connection = new LinkConnection(socket, this.nowMs, handlers, this.route.pacer);
+    const connection = new LinkConnection(socket, this.nowMs, handlers, this.route.pacer, this.route.meter);
     const connectTimer = setTimeout(() => {
       connection.close('connect timed out');
     }, CONNECT_TIMEOUT_MS);
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -1,6 +1,7 @@
 /** A TCP connection that carries link frames in both directions and is closed when its peer stops responding. */
 import type { Socket } from 'node:net';
 import { SilenceWatch, type SilenceTiming } from '../transport/silence-watch.js';
+import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import { PacedFrames } from './paced-frames.js';
 import {
@@ -45,6 +46,8 @@
     private readonly handlers: LinkConnectionHandlers,
     /** Paces large frames on a slow network link; null if there is none between the two daemons. */
     private readonly pacer: LinkPacer | null = null,
+    /** Counts sent frames; null if they are not counted. */
+    private readonly meter: ByteMeter | null = null,
   ) {
     this.silence = new SilenceWatch({
       nowMs,
@@ -90,6 +93,7 @@
   send(kind: FrameKind, stream: number, head: unknown, body: Buffer = EMPTY_BODY): void {
     if (this.closed) return;
     const start = encodeFrameStart(kind, stream, head, body.length);
+    this.meter?.recordSent(kind, start.length, body.length);
     if (this.pacedFrames !== null) {
       this.pacedFrames.send(stream, start, body);
       return;
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -3,6 +3,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
@@ -33,6 +34,9 @@
 /** Handler of received requests; returns the handle by which the request is cancelled. */
 export type AcceptRequest = (head: RequestHead, body: Buffer, reply: RequestReply) => AcceptedRequest;
 
+/** Returns the meter of a connection from a host; the host is null for connections within the machine. */
+export type MeterOfHost = (host: string | null) => ByteMeter | null;
+
 /** TCP server for the links of peer daemons. */
 export class LinkServer {
   private readonly connections = new Set<LinkConnection>();
@@ -46,6 +50,8 @@
     private readonly status: () => StatusHead | null,
     /** Paces answers on a slow network link; null if the link is fast. */
     private readonly pacer: LinkPacer | null = null,
+    /** Returns the meter of a connection; null if its frames are not counted. */
+    private readonly meterOf: MeterOfHost = () => null,
   ) {
     this.server = createServer((socket) => {
       this.accept(socket);
@@ -87,8 +93,10 @@
       },
     };
     // Connections within the machine do not use the network link.
-    const pacer = socket.remoteAddress === socket.localAddress ? null : this.pacer;
-    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer);
+    const isLocal = socket.remoteAddress === socket.localAddress;
+    const pacer = isLocal ? null : this.pacer;
+    const meter = this.meterOf(isLocal ? null : (socket.remoteAddress ?? ''));
+    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer, meter);
     this.connections.add(connection);
     connection.send(FRAME_KIND.hello, 0, { life: this.life });
   }
--- a/src/sidecar/peer-daemons.ts
+++ b/src/sidecar/peer-daemons.ts
@@ -2,6 +2,7 @@
 import type { BackendInstance } from '../directory/directory-state.js';
 import { parseAddress } from '../directory/replica-address.js';
 import type { Link, LinkClientHandlers, LinkRoute } from '../link/link-client.js';
+import type { ByteMeter } from '../link/link-bytes.js';
 import type { LinkPacer } from '../link/link-pacer.js';
 import type { StatusHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
@@ -22,6 +23,8 @@
   readonly ownLinkAddress: SocketAddress;
   /** Paces large frames on a slow network link; null if the link is fast. */
   readonly pacer: LinkPacer | null;
+  /** Returns the meter of the link to an address of the directory table. */
+  readonly meterOf: (daemonAddress: string) => ByteMeter;
   /** Called when a peer reports the status of its back end outside of an answer. */
   readonly onStatus: (instance: string) => void;
 }
@@ -57,7 +60,12 @@
     // Traffic within this machine does not use the network link.
     const isOwn = address.host === ownLinkAddress.host;
     const usedPacer = isOwn || !policyIsOn('link-accounting') ? null : pacer;
-    const route = { address, localAddress: dialFrom, pacer: usedPacer };
+    const route = {
+      address,
+      localAddress: dialFrom,
+      pacer: usedPacer,
+      meter: this.ports.meterOf(daemonAddress),
+    };
     const link = this.ports.dialLink(route, {
       onStatus: (status) => {
         this.recordStatus(status);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -84,6 +84,9 @@
   );
   metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
   metrics.value('backend_connections_opened', 'Connections opened to it', () => node.backendClient.opened);
+  metrics.labeled('link_bytes', 'Bytes exchanged with other daemons', ['kind', 'scope'], () =>
+    node.linkBytes.totals().map(({ kind, scope, bytes }) => [[kind, scope], bytes] as const),
+  );
   metrics.value('table_index', 'Index of the table in force', () => node.table.index);
   metrics.value('directory_connected', '1 while a replica is followed', () =>
     Number(node.directory.connected),
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -3,6 +3,7 @@
  * the back ends that serve them, and is the only path to its own back end.
  */
 import type { BackendInstance } from '../directory/directory-state.js';
+import { LinkBytes } from '../link/link-bytes.js';
 import { LinkPacer } from '../link/link-pacer.js';
 import { incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
 import { formatAddress } from '../model/socket-address.js';
@@ -23,6 +24,7 @@
 import type { IncomingRequest } from './caller-server.js';
 import { CrashWatch } from './crash-watch.js';
 import { DirectoryClient } from './directory-client.js';
+import { countDirectoryBytes } from './directory-bytes.js';
 import { DirectoryTable } from './directory-table.js';
 import type { VersionedIncarnation } from '../quarantine/crash-reporter.js';
 import { KeyOwnership } from './key-ownership.js';
@@ -30,6 +32,7 @@
 import { LoadMeter } from './load-meter.js';
 import { FIRST_SEQUENCE, type LocalBackend } from './local-backend.js';
 import { PeerDaemons } from './peer-daemons.js';
+import { PeerZones } from './peer-zones.js';
 import { RequestIntake } from './request-intake.js';
 import { createForwarderCounters } from './forwarder-counters.js';
 import type { SidecarSettings } from './sidecar-settings.js';
@@ -51,6 +54,9 @@
 /** Interval in ms between checks of the back end's state. */
 const CHECK_INTERVAL_MS = 100;
 
+/** Interval in ms between log lines with the bytes exchanged with other daemons. */
+const BYTES_LOG_INTERVAL_MS = 10_000;
+
 /** Time in ms after the start during which requests wait for the back end's first heartbeat. */
 const FIRST_HEARTBEAT_WAIT_MS = 4_000;
 
@@ -94,6 +100,9 @@
   /** Paces large answers; null if the network link is fast. */
   private readonly pacer: LinkPacer | null;
   readonly counters = createForwarderCounters();
+  /** Bytes exchanged with other daemons. */
+  readonly linkBytes = new LinkBytes();
+  private readonly zones: PeerZones;
   readonly directory: DirectoryClient;
   private readonly settings: SidecarSettings;
   private readonly runtime: Runtime;
@@ -141,6 +150,7 @@
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
     this.crashes = this.makeCrashWatch();
     this.gateway = this.makeGateway();
+    this.zones = new PeerZones(settings.zone, formatAddress(settings.advertisedLinks));
     this.peers = new PeerDaemons({
       runtime,
       log,
@@ -148,6 +158,7 @@
       dialFrom: settings.dialFrom,
       ownLinkAddress: settings.links,
       pacer: this.pacer,
+      meterOf: (daemonAddress) => this.linkBytes.meter(() => this.zones.scopeOf(daemonAddress)),
       onStatus: (instance) => {
         this.prober.answered(instance);
       },
@@ -173,6 +184,8 @@
       take: (head, body, reply) => this.gateway.accept(head, body, reply),
       status: () => this.gateway.status(),
       pacer: this.pacer,
+      meterOf: (host) =>
+        this.linkBytes.meter(() => (host === null ? 'machine' : this.zones.scopeOfHost(host))),
     });
     this.callers = this.transport.callers({
       limits: () => this.table.limits,
@@ -184,6 +197,9 @@
       runtime.every(CHECK_INTERVAL_MS, () => {
         this.presence.checkRemoved(this.keys.isKeyed);
       }),
+      runtime.every(BYTES_LOG_INTERVAL_MS, () => {
+        this.logBytes();
+      }),
     );
   }
 
@@ -280,8 +296,14 @@
     await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
   }
 
+  private logBytes(): void {
+    const bytes = this.linkBytes.takeNew();
+    if (bytes !== null) this.log.event('link-bytes', { bytes });
+  }
+
   private close(): void {
     for (const cancel of this.timers) cancel();
+    this.logBytes();
     this.lease.stop();
     this.crashes.stop();
     this.keys.stop();
@@ -450,7 +472,8 @@
   private makeDirectory(): DirectoryClient {
     const { settings, token } = this.options;
     const identity = { role: 'sidecar', name: settings.name, zone: settings.zone, token } as const;
-    return new DirectoryClient(this.runtime, identity, settings.seeds, this.table, this.log, {
+    const runtime = countDirectoryBytes(this.runtime, this.linkBytes);
+    return new DirectoryClient(runtime, identity, settings.seeds, this.table, this.log, {
       onTable: () => {
         this.tableChanged();
       },
@@ -520,6 +543,7 @@
     this.callers.applyLimits();
     this.gateway.reevaluateWaiting();
     this.requests.tableChanged();
+    this.zones.update(this.table.instances());
     this.peers.retainOnly(this.table.instances());
   }
 
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -5,7 +5,7 @@
 import { LinkClient, type Link, type LinkClientHandlers, type LinkRoute } from '../link/link-client.js';
 import type { StatusHead } from '../link/link-messages.js';
 import type { LinkPacer } from '../link/link-pacer.js';
-import { LinkServer, type AcceptRequest } from '../link/link-server.js';
+import { LinkServer, type AcceptRequest, type MeterOfHost } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import type { Result } from '../result.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -42,6 +42,7 @@
   readonly status: () => StatusHead | null;
   /** Paces answers over a slow network link; null if the link is fast. */
   readonly pacer: LinkPacer | null;
+  readonly meterOf: MeterOfHost;
 }
 
 /** Factory of a sidecar's listeners and clients. */
@@ -58,7 +59,8 @@
   const nowMs = (): number => runtime.nowMs();
   return {
     callers: (ports) => new CallerServer(ports),
-    links: ({ take, status, pacer }) => new LinkServer(nowMs, runtime.randomId(), take, status, pacer),
+    links: ({ take, status, pacer, meterOf }) =>
+      new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf),
     dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers),
     backend: (onRefused) => httpBackendClient(settings.backend, settings.dialect, runtime, onRefused),
   };
--- a/src/telemetry/daemon-metrics.ts
+++ b/src/telemetry/daemon-metrics.ts
@@ -4,7 +4,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import type { Latencies, LatencyStage } from './latencies.js';
-import { exposeFamily, exposeValue, type ReadValue } from './metrics.js';
+import { exposeFamily, exposeLabeled, exposeValue, type LabeledValues, type ReadValue } from './metrics.js';
 
 /** Upper bounds of the buckets of latency histograms, in seconds. */
 const BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
@@ -33,6 +33,11 @@
     exposeFamily(this.registry, name, help, label, read);
   }
 
+  /** Adds a family of gauges with several labels, whose values are read on each scrape. */
+  labeled(name: string, help: string, labels: readonly string[], read: () => LabeledValues): void {
+    exposeLabeled(this.registry, name, help, labels, read);
+  }
+
   /** See `Latencies`. */
   observe(stage: LatencyStage, service: string, ms: number): void {
     this.latencies.observe({ stage, service }, ms / MS_PER_SECOND);
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -25,24 +25,40 @@
   );
 }
 
-/** Adds a family of gauges with one label, whose values are read on each scrape. */
-export function exposeFamily(
+/** Values of a metric with several labels: the values of the labels in order, then the number. */
+export type LabeledValues = Iterable<readonly [labels: readonly string[], value: number]>;
+
+/** Adds a family of gauges with several labels, whose values are read on each scrape. */
+export function exposeLabeled(
   registry: Registry,
   name: string,
   help: string,
-  label: string,
-  read: () => Iterable<readonly [string, number]>,
+  labels: readonly string[],
+  read: () => LabeledValues,
 ): void {
   registry.registerMetric(
     new Gauge({
       name: `aldertide_${name}`,
       help,
-      labelNames: [label],
+      labelNames: labels,
       registers: [],
       collect() {
         this.reset();
-        for (const [value, count] of read()) this.set({ [label]: value }, count);
+        for (const [values, count] of read()) this.labels(...values).set(count);
       },
     }),
   );
 }
+
+/** Adds a family of gauges with one label, whose values are read on each scrape. */
+export function exposeFamily(
+  registry: Registry,
+  name: string,
+  help: string,
+  label: string,
+  read: () => Iterable<readonly [string, number]>,
+): void {
+  exposeLabeled(registry, name, help, [label], () =>
+    Array.from(read(), ([value, count]) => [[value], count] as const),
+  );
+}
