Send link heads in short form over slow network links

Cause: heads are plain JSON of 230 to 440 bytes, and most bodies hold 400 bytes.

One deflate stream per connection depends on the order of frames, which a paced connection changes. A dictionary of the first head alone serves links with few requests badly, so the first dictionary is fixed.

Change: raw deflate with a dictionary for each kind of frame; heads that it compresses badly are learned by both ends, if their frame cannot be overtaken. The hello of the accepting side says compactHeads, and the connecting side answers with the frame compactHeads; without either, heads stay plain.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -8,7 +8,14 @@
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
-import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
+import type {
+  AnswerHead,
+  FailureHead,
+  HelloHead,
+  RefusalHead,
+  RequestHead,
+  StatusHead,
+} from './link-messages.js';
 
 /** Time in ms after which an attempt to connect fails. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -201,6 +208,10 @@
   }
 
   private handleFrame(frame: LinkFrame): void {
+    if (frame.kind === FRAME_KIND.hello) {
+      this.handleHello(frame.head as HelloHead | undefined);
+      return;
+    }
     if (frame.kind === FRAME_KIND.status) {
       this.handlers.onStatus(frame.head as StatusHead);
       return;
@@ -211,6 +222,12 @@
     this.watch();
   }
 
+  private handleHello(hello: HelloHead | undefined): void {
+    if (this.route.pacer === null || hello?.compactHeads !== true) return;
+    this.connection?.send(FRAME_KIND.compactHeads, 0, undefined);
+    this.connection?.enableShortHeads();
+  }
+
   private dispatch(frame: LinkFrame, handlers: RequestHandlers): void {
     switch (frame.kind) {
       case FRAME_KIND.refusal:
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -4,9 +4,12 @@
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import { PacedFrames } from './paced-frames.js';
+import { HeadDecoder, HeadEncoder } from './head-codec.js';
 import {
   encodeFrameStart,
+  encodeShortFrameStart,
   FRAME_KIND,
+  FRAME_OVERHEAD_BYTES,
   LinkFrameDecoder,
   type FrameKind,
   type LinkFrame,
@@ -32,7 +35,10 @@
 
 /** A connection between two daemons, used by both sides. */
 export class LinkConnection {
-  private readonly decoder = new LinkFrameDecoder();
+  private readonly headDecoder = new HeadDecoder();
+  private readonly decoder = new LinkFrameDecoder((kind, short) => this.headDecoder.decode(kind, short));
+  /** Encodes heads in short form; null while the peer is not known to read it. */
+  private headEncoder: HeadEncoder | null = null;
   private closed = false;
   private drainCallbacks: (() => void)[] = [];
   /** Whether a goodbye frame was received. */
@@ -84,6 +90,11 @@
     return !this.closed;
   }
 
+  /** Sends heads in short form from now on, since the peer reads it. */
+  enableShortHeads(): void {
+    this.headEncoder ??= new HeadEncoder();
+  }
+
   /** Bytes that are buffered by the socket. */
   get bufferedBytes(): number {
     return this.socket.writableLength;
@@ -92,7 +103,7 @@
   /** Queues one frame; dropped when the connection is closed. */
   send(kind: FrameKind, stream: number, head: unknown, body: Buffer = EMPTY_BODY): void {
     if (this.closed) return;
-    const start = encodeFrameStart(kind, stream, head, body.length);
+    const start = this.encodeStart(kind, stream, head, body.length);
     this.meter?.recordSent(kind, start.length, body.length);
     if (this.pacedFrames !== null) {
       this.pacedFrames.send(stream, start, body);
@@ -108,6 +119,17 @@
     this.socket.uncork();
   }
 
+  private encodeStart(kind: FrameKind, stream: number, head: unknown, bodyBytes: number): Buffer {
+    if (this.headEncoder === null || head === undefined)
+      return encodeFrameStart(kind, stream, head, bodyBytes);
+    const text = Buffer.from(JSON.stringify(head));
+    const minOvertakenBytes = this.pacedFrames?.minOvertakenBytes(stream) ?? Infinity;
+    const keepsOrder = FRAME_OVERHEAD_BYTES + text.length + bodyBytes < minOvertakenBytes;
+    const short = this.headEncoder.encode(kind, text, keepsOrder);
+    if (short === null) return encodeFrameStart(kind, stream, head, bodyBytes);
+    return encodeShortFrameStart(kind, stream, short, bodyBytes);
+  }
+
   /** Discards the queued frames of a stream. */
   dropStream(stream: number): void {
     this.pacedFrames?.drop(stream);
--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -2,7 +2,7 @@
  * Wire format of the links between daemons. Requests are multiplexed over one connection, each as a numbered stream.
  * A frame is
  * `length of the rest (4 bytes) | kind (1) | stream (4) | length of the head (4) | head | body`, big-endian;
- * the head is JSON, the body is raw bytes. Heads contain only strings, finite numbers, booleans, null, arrays and
+ * the head is JSON, or its short form (`head-codec.ts`) if the high bit of the kind is set; the body is raw bytes. Heads contain only strings, finite numbers, booleans, null, arrays and
  * objects, and are most of what a daemon reads and writes, so they are encoded with Node's built-in JSON rather than
  * `devalue` (measurements in docs/DESIGN.md).
  */
@@ -11,6 +11,12 @@
 const LENGTH_PREFIX_BYTES = 4;
 const FIXED_FIELDS_BYTES = 9;
 
+/** Bytes of a frame besides its head and body. */
+export const FRAME_OVERHEAD_BYTES = LENGTH_PREFIX_BYTES + FIXED_FIELDS_BYTES;
+
+/** Bit of the kind that marks a head in short form. */
+const SHORT_HEAD_BIT = 0x80;
+
 /** Maximum size of a received frame in bytes, including the length prefix. */
 export const MAX_LINK_FRAME_BYTES = 80 * 1024 * 1024;
 
@@ -44,6 +50,8 @@
   withdraw: 13,
   /** Last frame of a stopping daemon: it has not executed, and never will, any request that it has not answered. */
   goodbye: 14,
+  /** The connecting side reads and sends short heads; sent only if the hello states the same of the accepting side. */
+  compactHeads: 16,
 } as const;
 
 /** Number of a frame's kind on the wire. */
@@ -63,19 +71,42 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 
-/** Encodes a frame up to its body; the body must be written right after it. */
+/** Encodes a frame with a plain head up to its body; the body must be written right after it. */
 export function encodeFrameStart(kind: FrameKind, stream: number, head: unknown, bodyBytes: number): Buffer {
   const text = head === undefined ? '' : JSON.stringify(head);
   const headBytes = Buffer.byteLength(text);
-  const start = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + FIXED_FIELDS_BYTES + headBytes);
+  const start = allocateFrameStart(kind, stream, headBytes, bodyBytes);
+  start.write(text, FRAME_OVERHEAD_BYTES);
+  return start;
+}
+
+/** Encodes a frame with a short head up to its body; the body must be written right after it. */
+export function encodeShortFrameStart(
+  kind: FrameKind,
+  stream: number,
+  head: Buffer,
+  bodyBytes: number,
+): Buffer {
+  const start = allocateFrameStart(kind + SHORT_HEAD_BIT, stream, head.length, bodyBytes);
+  head.copy(start, FRAME_OVERHEAD_BYTES);
+  return start;
+}
+
+function allocateFrameStart(kind: number, stream: number, headBytes: number, bodyBytes: number): Buffer {
+  const start = Buffer.allocUnsafe(FRAME_OVERHEAD_BYTES + headBytes);
   start.writeUInt32BE(FIXED_FIELDS_BYTES + headBytes + bodyBytes, 0);
   start.writeUInt8(kind, LENGTH_PREFIX_BYTES);
   start.writeUInt32BE(stream, LENGTH_PREFIX_BYTES + 1);
   start.writeUInt32BE(headBytes, LENGTH_PREFIX_BYTES + 5);
-  start.write(text, LENGTH_PREFIX_BYTES + FIXED_FIELDS_BYTES);
   return start;
 }
 
+/** Returns the JSON of a short head of a kind of frame; called in the order of the frames. */
+export type DecodeShortHead = (kind: number, short: Buffer) => Result<Buffer, LinkFrameError>;
+
+/** Rejects short heads, for a receiver that has not stated that it reads them. */
+const REJECT_SHORT_HEAD: DecodeShortHead = () => Err('unreadable-head');
+
 /** Incremental decoder that splits a byte stream into frames. */
 export class LinkFrameDecoder {
   private pending: Buffer[] = [];
@@ -83,6 +114,8 @@
   /** Size in bytes of the frame being received, including the length prefix; 0 while unknown. */
   private neededBytes = 0;
 
+  constructor(private readonly decodeShortHead: DecodeShortHead = REJECT_SHORT_HEAD) {}
+
   /** Appends received bytes and returns the frames that they complete. */
   push(chunk: Buffer): Result<LinkFrame[], LinkFrameError> {
     this.pending.push(chunk);
@@ -97,7 +130,7 @@
         this.neededBytes = frameBytes;
         break;
       }
-      const frame = readFrame(bytes.subarray(LENGTH_PREFIX_BYTES, frameBytes));
+      const frame = readFrame(bytes.subarray(LENGTH_PREFIX_BYTES, frameBytes), this.decodeShortHead);
       if (frame.err) return frame;
       frames.push(frame.val);
       this.retain(bytes.subarray(frameBytes));
@@ -120,20 +153,19 @@
   }
 }
 
-function readFrame(bytes: Buffer): Result<LinkFrame, LinkFrameError> {
-  const kind = bytes.readUInt8(0);
+function readFrame(bytes: Buffer, decodeShortHead: DecodeShortHead): Result<LinkFrame, LinkFrameError> {
+  const markedKind = bytes.readUInt8(0);
+  const kind = markedKind % SHORT_HEAD_BIT;
   const stream = bytes.readUInt32BE(1);
   const headEnd = FIXED_FIELDS_BYTES + bytes.readUInt32BE(5);
   if (headEnd > bytes.length) return Err('unreadable-head');
   const body = headEnd === bytes.length ? EMPTY_BODY : bytes.subarray(headEnd);
   if (headEnd === FIXED_FIELDS_BYTES) return Ok({ kind, stream, head: undefined, body });
+  const headBytes = bytes.subarray(FIXED_FIELDS_BYTES, headEnd);
+  const text = markedKind === kind ? Ok(headBytes) : decodeShortHead(kind, headBytes);
+  if (text.err) return text;
   try {
-    return Ok({
-      kind,
-      stream,
-      head: JSON.parse(bytes.toString('utf8', FIXED_FIELDS_BYTES, headEnd)) as unknown,
-      body,
-    });
+    return Ok({ kind, stream, head: JSON.parse(text.val.toString('utf8')) as unknown, body });
   } catch {
     return Err('unreadable-head');
   }
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -3,6 +3,8 @@
 /** First frame of the accepting side, which identifies its incarnation: `life` changes with each restart of the daemon. */
 export interface HelloHead {
   readonly life: string;
+  /** Whether the accepting side reads short heads, and sends them to a peer that has sent `compactHeads`; missing if not. */
+  readonly compactHeads?: true;
 }
 
 /** A forwarded request; its body follows the head. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -6,7 +6,14 @@
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
-import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
+import type {
+  AnswerHead,
+  FailureHead,
+  HelloHead,
+  RefusalHead,
+  RequestHead,
+  StatusHead,
+} from './link-messages.js';
 
 /** Buffered bytes of a connection from which on backpressure is applied to the answers on it. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
@@ -98,7 +105,8 @@
     const meter = this.meterOf(isLocal ? null : (socket.remoteAddress ?? ''));
     const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer, meter);
     this.connections.add(connection);
-    connection.send(FRAME_KIND.hello, 0, { life: this.life });
+    const hello: HelloHead = { life: this.life, ...(pacer === null ? {} : { compactHeads: true }) };
+    connection.send(FRAME_KIND.hello, 0, hello);
   }
 
   private handleFrame(
@@ -120,6 +128,7 @@
       if (status !== null) connection.send(FRAME_KIND.status, 0, status);
       return;
     }
+    if (frame.kind === FRAME_KIND.compactHeads) connection.enableShortHeads();
     if (frame.kind === FRAME_KIND.withdraw) requests.get(frame.stream)?.withdraw();
     if (frame.kind !== FRAME_KIND.cancel) return;
     requests.get(frame.stream)?.cancel();
--- a/src/link/paced-frames.ts
+++ b/src/link/paced-frames.ts
@@ -29,8 +29,7 @@
   /** Writes a small frame, or queues it if it must not be written yet; queues a large frame. */
   send(stream: number, start: Buffer, body: Buffer): void {
     const bytes = start.length + body.length;
-    const streamIsQueued = this.waiting.some((frame) => frame.stream === stream);
-    if (bytes >= MIN_PACED_FRAME_BYTES || streamIsQueued) {
+    if (bytes >= this.minOvertakenBytes(stream)) {
       this.queue(stream, body.length === 0 ? start : Buffer.concat([start, body]));
       return;
     }
@@ -38,6 +37,14 @@
     else this.writeSmall(start, body);
   }
 
+  /**
+   * Size in bytes from which on a frame of a stream may be written after frames that are sent later. Smaller ones are
+   * written at once, or in order after the large frame that is being written.
+   */
+  minOvertakenBytes(stream: number): number {
+    return this.isQueued(stream) ? 0 : MIN_PACED_FRAME_BYTES;
+  }
+
   /** Discards the queued frames of a stream, except one whose writing has begun: a frame cannot be cut off. */
   drop(stream: number): void {
     for (const frame of this.waiting) if (frame.stream === stream && !frame.begun) frame.drop();
@@ -60,6 +67,10 @@
     this.deferredSmallFrames.length = 0;
   }
 
+  private isQueued(stream: number): boolean {
+    return this.waiting.some((frame) => frame.stream === stream);
+  }
+
   private queue(stream: number, bytes: Buffer): void {
     let offset = 0;
     let dropped = false;
