--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -89,6 +89,7 @@
     this.prober = new BackendProber({
       runtime: time.runtime,
       view: (id) => this.viewOf(id),
+      crossesZone: () => false,
       sendProbe: (instance) => {
         this.sendProbe(instance);
       },
