--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -5,9 +5,18 @@
 import { connect } from 'node:net';
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import { withoutExcess, withRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
+import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
-import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
+import type {
+  AnswerHead,
+  FailureHead,
+  HelloHead,
+  RefusalHead,
+  RequestHead,
+  StatusHead,
+} from './link-messages.js';
 
 /** Time in ms after which an attempt to connect fails. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -59,6 +68,8 @@
   readonly localAddress: string | null;
   /** Paces large frames on a slow network link; null if the path has none. */
   readonly pacer: LinkPacer | null;
+  /** Counts sent frames; missing if they are not counted. */
+  readonly meter?: ByteMeter;
 }
 
 /** Client interface of a link to one peer daemon. */
@@ -154,7 +165,7 @@
         this.handleClose(reason);
       },
     };
-    const connection = new LinkConnection(socket, this.nowMs, handlers, this.route.pacer);
+    const connection = new LinkConnection(socket, this.nowMs, handlers, this.route.pacer, this.route.meter);
     const connectTimer = setTimeout(() => {
       connection.close('connect timed out');
     }, CONNECT_TIMEOUT_MS);
@@ -177,7 +188,9 @@
 
   private sendRequest(stream: number, pending: PendingRequest): void {
     pending.sent = true;
-    this.connection?.send(FRAME_KIND.request, stream, pending.head, pending.body);
+    const { head, body } = pending;
+    const sentHead = this.connection?.sendsShortHeads === true ? withoutExcess(head, body.length) : head;
+    this.connection?.send(FRAME_KIND.request, stream, sentHead, body);
     this.watch();
   }
 
@@ -198,17 +211,27 @@
   }
 
   private handleFrame(frame: LinkFrame): void {
+    if (frame.kind === FRAME_KIND.hello) {
+      this.handleHello(frame.head as HelloHead | undefined);
+      return;
+    }
     if (frame.kind === FRAME_KIND.status) {
       this.handlers.onStatus(frame.head as StatusHead);
       return;
     }
     const pending = this.pending.get(frame.stream);
     if (pending === undefined) return;
-    this.dispatch(frame, pending.handlers);
+    this.dispatch(frame, pending);
     this.watch();
   }
 
-  private dispatch(frame: LinkFrame, handlers: RequestHandlers): void {
+  private handleHello(hello: HelloHead | undefined): void {
+    if (this.route.pacer === null || hello?.compactHeads !== true) return;
+    this.connection?.send(FRAME_KIND.compactHeads, 0, undefined);
+    this.connection?.enableShortHeads();
+  }
+
+  private dispatch(frame: LinkFrame, { head, handlers }: PendingRequest): void {
     switch (frame.kind) {
       case FRAME_KIND.refusal:
         this.pending.delete(frame.stream);
@@ -220,7 +243,7 @@
         break;
       case FRAME_KIND.answer:
         if (!(frame.head as AnswerHead).moreFollows) this.pending.delete(frame.stream);
-        handlers.onAnswer(frame.head as AnswerHead, frame.body);
+        handlers.onAnswer(withRequestId(frame.head as AnswerHead, head.requestId), frame.body);
         break;
       case FRAME_KIND.body:
         handlers.onBody(frame.body);
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -1,11 +1,23 @@
 /** A TCP connection that carries link frames in both directions and is closed when its peer stops responding. */
 import type { Socket } from 'node:net';
 import { SilenceWatch, type SilenceTiming } from '../transport/silence-watch.js';
+import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import { PacedFrames } from './paced-frames.js';
+import {
+  carriesStatus,
+  mayCarryStatus,
+  StatusReceiver,
+  StatusSender,
+  type StatusCarrier,
+} from './shared-status.js';
+import { HeadDecoder, HeadEncoder } from './head-codec.js';
 import {
   encodeFrameStart,
+  encodeShortFrameStart,
+  encodeTextFrameStart,
   FRAME_KIND,
+  FRAME_OVERHEAD_BYTES,
   LinkFrameDecoder,
   type FrameKind,
   type LinkFrame,
@@ -31,7 +43,12 @@
 
 /** A connection between two daemons, used by both sides. */
 export class LinkConnection {
-  private readonly decoder = new LinkFrameDecoder();
+  private readonly headDecoder = new HeadDecoder();
+  private readonly decoder = new LinkFrameDecoder((kind, short) => this.headDecoder.decode(kind, short));
+  /** Encodes heads in short form; null while the peer is not known to read it. */
+  private headEncoder: HeadEncoder | null = null;
+  private readonly statusSender = new StatusSender();
+  private readonly statusReceiver = new StatusReceiver();
   private closed = false;
   private drainCallbacks: (() => void)[] = [];
   /** Whether a goodbye frame was received. */
@@ -45,6 +62,8 @@
     private readonly handlers: LinkConnectionHandlers,
     /** Paces large frames on a slow network link; null if there is none between the two daemons. */
     private readonly pacer: LinkPacer | null = null,
+    /** Counts sent frames; null if they are not counted. */
+    private readonly meter: ByteMeter | null = null,
   ) {
     this.silence = new SilenceWatch({
       nowMs,
@@ -81,6 +100,16 @@
     return !this.closed;
   }
 
+  /** Sends heads in short form from now on, since the peer reads it. */
+  enableShortHeads(): void {
+    this.headEncoder ??= new HeadEncoder();
+  }
+
+  /** Whether the peer reads heads in short form. */
+  get sendsShortHeads(): boolean {
+    return this.headEncoder !== null;
+  }
+
   /** Bytes that are buffered by the socket. */
   get bufferedBytes(): number {
     return this.socket.writableLength;
@@ -89,7 +118,8 @@
   /** Queues one frame; dropped when the connection is closed. */
   send(kind: FrameKind, stream: number, head: unknown, body: Buffer = EMPTY_BODY): void {
     if (this.closed) return;
-    const start = encodeFrameStart(kind, stream, head, body.length);
+    const start = this.encodeStart(kind, stream, head, body.length);
+    this.meter?.recordSent(kind, start.length, body.length);
     if (this.pacedFrames !== null) {
       this.pacedFrames.send(stream, start, body);
       return;
@@ -104,6 +134,21 @@
     this.socket.uncork();
   }
 
+  private encodeStart(kind: FrameKind, stream: number, head: unknown, bodyBytes: number): Buffer {
+    if (this.headEncoder === null || head === undefined)
+      return encodeFrameStart(kind, stream, head, bodyBytes);
+    const minOvertakenBytes = this.pacedFrames?.minOvertakenBytes(stream) ?? Infinity;
+    const keepsOrder = (text: Buffer): boolean =>
+      FRAME_OVERHEAD_BYTES + text.length + bodyBytes < minOvertakenBytes;
+    const sentHead = carriesStatus(head)
+      ? this.statusSender.reduce(head, () => keepsOrder(jsonOf(head)))
+      : head;
+    const text = jsonOf(sentHead);
+    const short = this.headEncoder.encode(kind, text, keepsOrder(text));
+    if (short === null) return encodeTextFrameStart(kind, stream, text.toString(), bodyBytes);
+    return encodeShortFrameStart(kind, stream, short, bodyBytes);
+  }
+
   /** Discards the queued frames of a stream. */
   dropStream(stream: number): void {
     this.pacedFrames?.drop(stream);
@@ -159,6 +204,15 @@
   private dispatch(frame: LinkFrame): void {
     if (frame.kind === FRAME_KIND.goodbye) this.goodbyeReceived = true;
     else if (frame.kind === FRAME_KIND.ping) this.send(FRAME_KIND.pong, 0, undefined);
-    else if (frame.kind !== FRAME_KIND.pong) this.handlers.onFrame(frame);
+    else if (frame.kind !== FRAME_KIND.pong) this.handlers.onFrame(this.withStatus(frame));
+  }
+
+  private withStatus(frame: LinkFrame): LinkFrame {
+    if (!mayCarryStatus(frame.kind)) return frame;
+    return { ...frame, head: this.statusReceiver.restore(frame.head as StatusCarrier) };
   }
 }
+
+function jsonOf(head: unknown): Buffer {
+  return Buffer.from(JSON.stringify(head));
+}
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -3,9 +3,18 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
+import { withoutRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
-import type { AnswerHead, FailureHead, RefusalHead, RequestHead, StatusHead } from './link-messages.js';
+import type {
+  AnswerHead,
+  FailureHead,
+  HelloHead,
+  RefusalHead,
+  RequestHead,
+  StatusHead,
+} from './link-messages.js';
 
 /** Buffered bytes of a connection from which on backpressure is applied to the answers on it. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
@@ -33,6 +42,9 @@
 /** Handler of received requests; returns the handle by which the request is cancelled. */
 export type AcceptRequest = (head: RequestHead, body: Buffer, reply: RequestReply) => AcceptedRequest;
 
+/** Returns the meter of a connection from a host; the host is null for connections within the machine. */
+export type MeterOfHost = (host: string | null) => ByteMeter | null;
+
 /** TCP server for the links of peer daemons. */
 export class LinkServer {
   private readonly connections = new Set<LinkConnection>();
@@ -46,6 +58,8 @@
     private readonly status: () => StatusHead | null,
     /** Paces answers on a slow network link; null if the link is fast. */
     private readonly pacer: LinkPacer | null = null,
+    /** Returns the meter of a connection; null if its frames are not counted. */
+    private readonly meterOf: MeterOfHost = () => null,
   ) {
     this.server = createServer((socket) => {
       this.accept(socket);
@@ -87,10 +101,13 @@
       },
     };
     // Connections within the machine do not use the network link.
-    const pacer = socket.remoteAddress === socket.localAddress ? null : this.pacer;
-    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer);
+    const isLocal = socket.remoteAddress === socket.localAddress;
+    const pacer = isLocal ? null : this.pacer;
+    const meter = this.meterOf(isLocal ? null : (socket.remoteAddress ?? ''));
+    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer, meter);
     this.connections.add(connection);
-    connection.send(FRAME_KIND.hello, 0, { life: this.life });
+    const hello: HelloHead = { life: this.life, ...(pacer === null ? {} : { compactHeads: true }) };
+    connection.send(FRAME_KIND.hello, 0, hello);
   }
 
   private handleFrame(
@@ -99,11 +116,12 @@
     requests: Map<number, AcceptedRequest>,
   ): void {
     if (frame.kind === FRAME_KIND.request) {
+      const head = frame.head as RequestHead;
       const removeRequest = (): void => {
         requests.delete(frame.stream);
       };
-      const reply = makeReply(connection, frame.stream, removeRequest);
-      const accepted = this.acceptRequest(frame.head as RequestHead, frame.body, reply.port);
+      const reply = makeReply(connection, frame.stream, head.requestId, removeRequest);
+      const accepted = this.acceptRequest(head, frame.body, reply.port);
       if (!reply.finished()) requests.set(frame.stream, accepted);
       return;
     }
@@ -112,6 +130,7 @@
       if (status !== null) connection.send(FRAME_KIND.status, 0, status);
       return;
     }
+    if (frame.kind === FRAME_KIND.compactHeads) connection.enableShortHeads();
     if (frame.kind === FRAME_KIND.withdraw) requests.get(frame.stream)?.withdraw();
     if (frame.kind !== FRAME_KIND.cancel) return;
     requests.get(frame.stream)?.cancel();
@@ -123,6 +142,7 @@
 function makeReply(
   connection: LinkConnection,
   stream: number,
+  requestId: string,
   removeRequest: () => void,
 ): { readonly port: RequestReply; readonly finished: () => boolean } {
   let finished = false;
@@ -141,7 +161,8 @@
     },
     answer(head, body) {
       if (!head.moreFollows) finish();
-      connection.send(FRAME_KIND.answer, stream, head, body);
+      const sentHead = connection.sendsShortHeads ? withoutRequestId(head, requestId) : head;
+      connection.send(FRAME_KIND.answer, stream, sentHead, body);
     },
     body(chunk) {
       connection.send(FRAME_KIND.body, stream, undefined, chunk);
