Send at full rate to an incarnation that is younger than its lease

Cause: after a loss of all power a back end repeats heartbeats that no daemon acknowledges at short intervals, so its first heartbeat at the new daemon has a sequence above 4. It was taken for an incarnation that a previous process may have been told a limit of, and got one request at a time until an answer, while others were refused as `rate-limited`. Ruled out: remaining cold time as evidence of a young incarnation, because an old one may become cold again (after an evacuation); it only contradicts a clock that was set back. More than one trial at a time: with a limit of 0 five requests in 4 s are allowed, and a daemon that is killed every 1.1 s sends four trials in that time, one of each process; two would break the limit. Change: a registration that starts a session ends the trial mode if the start time in the heartbeat shows an age below the lease term and below 4 s, about what four heartbeats allowed before; the sequence counts only without a plausible start time. Refusals during a trial are `busy`, with different times after the answer is due. Log lines `limit-unknown` and `limit-known`, metric `backend_limit_unknown`. Conclusion: a young incarnation is not held back; an older one still gets one request at a time.

--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -24,6 +24,9 @@
 export const HEARTBEAT_MS = 500;
 const RELEASING_HEARTBEAT_MS = 80;
 
+/** Interval in ms between heartbeats that no daemon acknowledges, of back ends that repeat these. */
+const REPEATED_HEARTBEAT_MS = 100;
+
 /** One-way latency in ms between a daemon and its back end. */
 const LOCAL_LATENCY_MS = 0.2;
 
@@ -54,6 +57,8 @@
   callers: CallerServerPorts | null = null;
   /** Whether incarnations that start from now on share one id. */
   reusesId = false;
+  /** Whether heartbeats are repeated at short intervals while the daemon does not run. */
+  repeatsHeartbeats = false;
   /** Returns the delay in ms until a call sent now takes effect, without an answer; null for normal delivery. */
   callDelayMs: () => number | null = () => null;
   /** Number of delayed calls. */
@@ -199,13 +204,17 @@
   private runHeartbeats(backend: FleetBackend): void {
     const { queue } = this.ports.directory;
     if (!backend.isRunning || backend.hasAnnouncedLeave) return;
-    const next = backend.keys.leaving().length > 0 ? RELEASING_HEARTBEAT_MS : HEARTBEAT_MS;
-    queue.at(queue.nowMs + next, () => {
+    queue.at(queue.nowMs + this.heartbeatIntervalMs(backend), () => {
       this.runHeartbeats(backend);
     });
     this.sendHeartbeat(backend);
   }
 
+  private heartbeatIntervalMs({ keys }: FleetBackend): number {
+    if (this.repeatsHeartbeats && this.node === null) return REPEATED_HEARTBEAT_MS;
+    return keys.leaving().length > 0 ? RELEASING_HEARTBEAT_MS : HEARTBEAT_MS;
+  }
+
   private sendHeartbeat(backend: FleetBackend): void {
     const { queue } = this.ports.directory;
     const sentMs = queue.nowMs;
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -179,6 +179,15 @@
     }
   }
 
+  /**
+   * Ends all replicas, daemons and back ends at once. Back ends start after the spec's restart delay, replicas and
+   * daemons after separately drawn times.
+   */
+  loseAllPower(downMs: () => number): void {
+    for (const machine of this.machines) machine.endBackend();
+    this.losePower(downMs);
+  }
+
   /** Changes the grant mode of a service; back ends follow it once the change is acknowledged. */
   changeGrantMode(service: string, grantMode: GrantMode): void {
     this.configurationVersion += 1;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -511,6 +511,7 @@
     const { serviceMs, waitingCount, slots } = this.admission;
     if (reason === 'rate-limited') return Math.round(this.pacing.retryAfterMs(waitingCount));
     if (reason !== 'busy') return DEFAULT_RETRY_AFTER_MS;
+    if (this.pacing.awaitsTrial) return Math.round(this.pacing.retryAfterMs(waitingCount));
     const queueMs = Math.max(this.pacing.delayMs(waitingCount), (serviceMs * (waitingCount + 1)) / slots);
     return Math.round(Math.min(MAX_BUSY_RETRY_AFTER_MS, queueMs));
   }
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -49,8 +49,11 @@
   readonly usableSlots: () => number | null;
   /** Whether requests are queued for slots of the back end. */
   readonly hasQueuedRequests: () => boolean;
-  /** Called when this registration has started the session: the incarnation was not registered before. */
-  readonly onFirstRegistration: () => void;
+  /**
+   * Called when this registration has started the session: the incarnation had no registration. `leaseTermMs` is the
+   * time for which an earlier one would have lasted.
+   */
+  readonly onFirstRegistration: (leaseTermMs: number) => void;
   readonly onChange: () => void;
 }
 
@@ -146,7 +149,7 @@
       this.leaseDeadlineMs = Math.max(this.leaseDeadlineMs, deadlineMs);
       return;
     }
-    if (index === SESSION_START_INDEX) this.ports.onFirstRegistration();
+    if (index === SESSION_START_INDEX) this.ports.onFirstRegistration(termMs);
     const known = this.pendingLease?.session === session ? this.pendingLease : null;
     this.pendingLease = { session, deadlineMs, index: Math.min(index, known?.index ?? index) };
     this.activatePendingLease();
--- a/src/sidecar/request-limit.ts
+++ b/src/sidecar/request-limit.ts
@@ -147,12 +147,25 @@
    * one, and promises it.
    */
   promiseTurn(queued: number, nowMs: number): number {
+    if (this.isUnknown) return this.promiseAfterTrial(nowMs);
     const firstFreeMs = nowMs + this.delayMs(queued, nowMs);
     const nextMs = this.promisedTurnMs + (this.currentIntervalMs(nowMs) ?? 0);
     this.promisedTurnMs = Math.min(Math.max(firstFreeMs, nextMs), firstFreeMs + MAX_PROMISE_SPREAD_MS);
     return this.promisedTurnMs - nowMs;
   }
 
+  /**
+   * Promises a time after the trial in flight has been answered or given up, when more than one request may be sent.
+   * The promises repeat within one such interval, so that callers return at different times.
+   */
+  private promiseAfterTrial(nowMs: number): number {
+    const firstMs = Math.max(nowMs + EXPECTED_ANSWER_MS, this.trialSentMs + TRIAL_INTERVAL_MS);
+    const nextMs = this.promisedTurnMs + EXPECTED_ANSWER_MS;
+    const isInSpread = nextMs >= firstMs && nextMs < firstMs + TRIAL_INTERVAL_MS;
+    this.promisedTurnMs = isInSpread ? nextMs : firstMs;
+    return this.promisedTurnMs - nowMs;
+  }
+
   private startRamp(perSecond: number, nowMs: number): void {
     this.liftedMs = nowMs;
     this.liftedPerSecond = Math.max(MIN_RAMP_RATE, perSecond);
--- a/src/sidecar/request-pacing.ts
+++ b/src/sidecar/request-pacing.ts
@@ -22,11 +22,16 @@
 /** Source of a limit: an answer to a request, or what another daemon knows. */
 type LimitSource = { readonly requestId: string } | { readonly adopted: true };
 
+/** What ended the trial mode: a registration that shows a new incarnation, an answer, or what another daemon knows. */
+type TrialModeEnd = 'new' | 'answer' | 'adopted';
+
 /** Request rate to one back end. */
 export class RequestPacing {
   private readonly limit: RequestLimit;
   private readonly sent = new SentRequests();
   private incarnation: string | null = null;
+  /** Start of the trial mode in ms of the steady clock. */
+  private trialModeSinceMs = -Infinity;
 
   constructor(private readonly ports: RequestPacingPorts) {
     this.limit = new RequestLimit(ports.runtime.steadyMs());
@@ -54,7 +59,12 @@
 
   /** Whether the next request has to wait because of the limit that the back end has named. */
   get isLimiting(): boolean {
-    return this.limit.delayMs(0, this.nowMs) > 0;
+    return this.limit.isKnown && this.limit.delayMs(0, this.nowMs) > 0;
+  }
+
+  /** Whether the next request has to wait for the answer to a trial, which shows whether a limit is in force. */
+  get awaitsTrial(): boolean {
+    return !this.limit.isKnown && this.limit.delayMs(0, this.nowMs) > 0;
   }
 
   /** Returns the time in ms until a request may be sent behind `ahead` others. */
@@ -90,6 +100,8 @@
     if (before !== null) this.ports.log.event('limit-forgotten', { instance: this.incarnation, before });
     this.incarnation = incarnation;
     this.limit.startIncarnation(isNewToDaemon);
+    this.trialModeSinceMs = this.nowMs;
+    if (!isNewToDaemon) this.ports.log.event('limit-unknown', { instance: incarnation });
   }
 
   /** Records that a request is sent; returns its number. */
@@ -102,7 +114,9 @@
 
   /** Records that no previous process of this daemon can have served the incarnation. */
   confirmNewToDaemon(): void {
-    this.limit.confirmNewToDaemon();
+    this.endTrialMode('new', () => {
+      this.limit.confirmNewToDaemon();
+    });
   }
 
   /** Records that a request has ended without an answer. */
@@ -113,7 +127,9 @@
   /** Records the limit that an answer states. */
   recordStatement(stated: StatedLimit, requestId: string, requestNumber: number): void {
     const unreadableBefore = this.limit.unreadable;
-    const change = this.limit.recordStatement(stated, requestNumber, this.nowMs);
+    const change = this.endTrialMode('answer', () =>
+      this.limit.recordStatement(stated, requestNumber, this.nowMs),
+    );
     // Only the first one is logged; a counter holds the total.
     const isFirstUnreadable = unreadableBefore === 0 && this.limit.unreadable > 0;
     if (isFirstUnreadable) this.ports.log.event('figure-unreadable', { figure: 'limit', requestId });
@@ -122,7 +138,7 @@
 
   /** Adopts a limit that another daemon knows, if this one does not know yet which one is in force. */
   adopt(perSecond: number): void {
-    const change = this.limit.adopt(perSecond);
+    const change = this.endTrialMode('adopted', () => this.limit.adopt(perSecond));
     if (change !== null) this.logChange(change, { adopted: true });
   }
 
@@ -130,6 +146,17 @@
     return this.ports.runtime.steadyMs();
   }
 
+  /** Runs `update` and logs if it makes known whether a limit is in force. */
+  private endTrialMode<T>(by: TrialModeEnd, update: () => T): T {
+    const wasKnown = this.limit.isKnown;
+    const result = update();
+    if (!wasKnown && this.limit.isKnown) {
+      const trialMs = Math.round(this.nowMs - this.trialModeSinceMs);
+      this.ports.log.event('limit-known', { instance: this.incarnation, by, trialMs });
+    }
+    return result;
+  }
+
   private logChange({ kind, before, after }: LimitChange, source: LimitSource): void {
     const { log } = this.ports;
     const fields = { instance: this.incarnation, before, after, ...source };
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -53,6 +53,11 @@
     'Requests a second that it accepts; -1 while it names no limit',
     () => gateway.pacing.limitPerSecond ?? NO_LIMIT,
   );
+  metrics.value(
+    'backend_limit_unknown',
+    '1 while requests go one at a time, because it may have named a limit before this daemon started',
+    () => Number(!gateway.pacing.isLimitKnown),
+  );
   metrics.value(
     'backend_sent_recently',
     'Requests sent to it in the last 4 s',
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -25,6 +25,7 @@
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryTable } from './directory-table.js';
 import type { VersionedIncarnation } from '../quarantine/crash-reporter.js';
+import { isCertainlyNew } from './incarnation-age.js';
 import { KeyOwnership } from './key-ownership.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
@@ -45,9 +46,6 @@
 /** Bandwidth below which answers are paced: their wait in the link's send queue may exceed the processing time. */
 const SLOW_LINK_BYTES_PER_MS = 12_500;
 
-/** Sequence of a heartbeat up to which its sender is younger than the shortest lease. */
-const MAX_NEW_SEQUENCE = 4;
-
 /** Interval in ms between checks of the back end's state. */
 const CHECK_INTERVAL_MS = 100;
 
@@ -305,8 +303,8 @@
       takeLoad: () => this.load.take(),
       usableSlots: () => this.gateway.usableSlots,
       hasQueuedRequests: () => this.gateway.admission.waitingCount > 0,
-      onFirstRegistration: () => {
-        this.confirmNewIncarnation();
+      onFirstRegistration: (leaseTermMs) => {
+        this.confirmNewIncarnation(leaseTermMs);
       },
       onChange: () => {
         this.tableChanged();
@@ -500,12 +498,17 @@
   }
 
   /**
-   * An incarnation that nobody had registered has received no requests, since callers learn of it from the directory.
-   * An older one may have lost its registration when its daemon was away.
+   * Ends the trial mode of an incarnation that was never registered before: it has received no requests, since callers
+   * learn of it from the directory.
    */
-  private confirmNewIncarnation(): void {
-    const sequence = this.backend.heartbeat?.sequence ?? Infinity;
-    if (sequence <= MAX_NEW_SEQUENCE) this.gateway.pacing.confirmNewToDaemon();
+  private confirmNewIncarnation(leaseTermMs: number): void {
+    const { heartbeat } = this.backend;
+    if (heartbeat === null) return;
+    const { sequence, bornMs, coldLeftMs } = heartbeat;
+    const coldDurationMs = this.table.service(this.settings.service)?.coldStart?.durationMs ?? null;
+    const wallMs = this.runtime.wallMs();
+    const evidence = { sequence, bornMs, wallMs, leaseTermMs, coldLeftMs, coldDurationMs };
+    if (isCertainlyNew(evidence)) this.gateway.pacing.confirmNewToDaemon();
   }
 
   // ---- the directory
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -125,7 +125,8 @@
 }
 
 function describeLimit({ reason, limitPerSecond }: LoggedEvent): string {
-  if (reason !== 'rate-limited') return '';
+  const isTrial = reason === 'busy' && limitPerSecond === null;
+  if (reason !== 'rate-limited' && !isTrial) return '';
   if (typeof limitPerSecond !== 'number') return '; whether its back end names a limit was not known yet';
   return `; its back end names a limit of ${limitPerSecond} requests a second`;
 }
--- a/test/incidents/requests-over-a-named-limit.test.ts
+++ b/test/incidents/requests-over-a-named-limit.test.ts
@@ -182,6 +182,17 @@
     servedShare: 0,
     used: null,
   },
+  {
+    name: 'the daemon beside a back end that has just started is killed and restarted again and again',
+    service: ONE,
+    steps: [
+      [NAMED_MS, restartBackend],
+      [NAMED_MS + 100, limit('0.5')],
+      ...restarts(5, NAMED_MS + 900, 700, 100),
+    ],
+    servedShare: 0,
+    used: null,
+  },
   {
     name: 'the daemon beside a back end that accepts nothing is killed and restarted again and again',
     service: ONE,
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -57,18 +57,19 @@
   t.true(beside.beliefs.some(({ event }) => event === 'backend-ended'));
 });
 
-for (const [limit, cause] of [
-  ['"limitPerSecond":2.5,', 'its back end names a limit of 2.5 requests a second'],
-  ['"limitPerSecond":null,', 'whether its back end names a limit was not known yet'],
+for (const [limit, refusal, cause] of [
+  ['"limitPerSecond":2.5,', 'rate-limited', 'its back end names a limit of 2.5 requests a second'],
+  ['"limitPerSecond":null,', 'rate-limited', 'whether its back end names a limit was not known yet'],
+  ['"limitPerSecond":null,', 'busy', 'whether its back end names a limit was not known yet'],
 ] as const) {
-  test(`a request that was refused because of a limit: ${limit}`, (t) => {
+  test(`a request that was refused because of a limit: ${refusal}, ${limit}`, (t) => {
     const log = [
-      `{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r",${limit}"reason":"rate-limited"}`,
-      '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-not-run","requestId":"r","reason":"refused: rate-limited"}',
+      `{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r",${limit}"reason":"${refusal}"}`,
+      `{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-not-run","requestId":"r","reason":"refused: ${refusal}"}`,
     ].join('\n');
     t.is(
       explainRequest('r', readEvents(log)).cause,
-      `it was refused, and was not run: refused: rate-limited; two refused it as rate-limited; ${cause}`,
+      `it was refused, and was not run: refused: ${refusal}; two refused it as ${refusal}; ${cause}`,
     );
   });
 }
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -227,6 +227,17 @@
   gateway.stop();
 });
 
+test('a request that finds no turn while a limit is unknown is refused as busy until the answer to a trial is due', async (t) => {
+  const world = new World();
+  const gateway = await world.gateway();
+  gateway.startIncarnation('life-1', false);
+  for (let taken = 0; taken < 3; taken += 1)
+    gateway.accept({ ...HEAD, patienceMs: 0, targetLeftMs: 0 }, Buffer.alloc(0), world.reply());
+  t.deepEqual(world.refusals, ['busy', 'busy']);
+  t.deepEqual(world.retryAfterMs, [1_000, 1_100]);
+  gateway.stop();
+});
+
 test('load is counted once, on arrival', async (t) => {
   const world = new World();
   const gateway = await world.gateway();
--- a/test/sidecar/request-limit.test.ts
+++ b/test/sidecar/request-limit.test.ts
@@ -182,3 +182,13 @@
   limit.confirmNewToDaemon();
   t.is(limit.delayMs(5, 10), 0);
 });
+
+test('requests refused during a trial are told different times after its answer is due', (t) => {
+  const limit = new RequestLimit(0);
+  limit.startIncarnation(false);
+  limit.recordSent(0);
+  const promised = Array.from({ length: 11 }, () => limit.promiseTurn(0, 200));
+  t.deepEqual(promised.slice(0, 3), [800, 900, 1_000]);
+  t.is(Math.max(...promised), 1_700);
+  t.is(promised[10], 800);
+});
