Let late requests use all slots while no request can be in time

Cause: late requests leave a fifth of the slots, rounded up, free for requests that can meet their target. Where the work takes longer than every target, as with cold keys after a restart, there are none, and 2 of 8 slots served nobody while requests were refused. Ruled out: a reserve that follows the number of requests in time; those that exist would find fewer free slots than today. Log line `late-reserve`, metric `backend_late_reserve`. Conclusion: slots stay free only for requests that exist.

--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -9,7 +9,7 @@
   readonly priority: number;
   /** Order among requests of the same priority; lower values go first. */
   readonly order: number;
-  /** Number of slots that must stay free for other requests when this one starts. */
+  /** Number of slots that must stay free for other requests when this one starts; it may change while it waits. */
   readonly reserve: number;
   /** Time in ms of the daemon's clock at which the request leaves the queue. */
   readonly expiresMs: number;
@@ -172,8 +172,9 @@
     }
   }
 
-  private hasSlotFor({ reserve }: SlotRequest): boolean {
-    return !this.paused && this.running + reserve < this.slotCount && this.ports.delayMs(0) <= 0;
+  private hasSlotFor(request: SlotRequest): boolean {
+    if (this.paused || this.running >= this.slotCount) return false;
+    return this.running + request.reserve < this.slotCount && this.ports.delayMs(0) <= 0;
   }
 
   /** Grants free slots to the queued requests that may start now. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -52,6 +52,9 @@
  */
 const MAX_SUSPECT_WAIT_MS = 1_000;
 
+/** Minimum interval in ms between log lines on the slots that late requests leave free. */
+const RESERVE_LOG_INTERVAL_MS = 5_000;
+
 /** Gateway to one back end. */
 export class BackendGateway {
   readonly counters = createGatewayCounters();
@@ -67,6 +70,9 @@
   private readonly circuitBreaker = new CircuitBreaker();
   private stopped = false;
   private cancelCheck: CancelTimer | null = null;
+  /** Slots left free by late requests according to the newest log line, and time in ms of the earliest next one. */
+  private loggedLateReserve = 0;
+  private nextReserveLogMs = -Infinity;
 
   constructor(private readonly ports: GatewayPorts) {
     const { runtime, pacer, guard } = ports;
@@ -285,11 +291,16 @@
     const claim = forecast.claimOf(head, request);
     forecast.expectAnswer(head.route, request);
     this.recordOfferedLoad(request, meanMs);
+    const isInTime = slackTimeMs(claim, meanMs) > 0;
+    if (isInTime) forecast.inTime.recordArrival(nowMs);
+    this.logLateReserve(nowMs);
     let waits = false;
     const slotRequest: SlotRequest = {
       priority: forecast.rankOf(head),
       order: queueOrder(claim, arrivedMs, meanMs),
-      reserve: slackTimeMs(claim, meanMs) > 0 ? forecast.reserveOf(head) : forecast.lateReserveOf(head),
+      get reserve() {
+        return isInTime ? forecast.reserveOf(head) : forecast.lateReserveOf(head);
+      },
       expiresMs: nowMs + maxSlotWaitMs(claim, nowMs - arrivedMs, meanMs),
       start: () => {
         this.start(request);
@@ -324,7 +335,9 @@
     const slotRequest: SlotRequest = {
       priority: head.priority,
       order: lateQueueOrder(claim, arrivedMs),
-      reserve: forecast.lateReserveOf(head),
+      get reserve() {
+        return forecast.lateReserveOf(head);
+      },
       expiresMs: nowMs + waitMs,
       start: () => {
         this.endLateWait(request, 'place');
@@ -346,6 +359,15 @@
     this.lateWaitLimiter.end(outcome, this.ports.runtime.nowMs());
   }
 
+  /** Logs whether late requests leave slots free, when that changes. */
+  private logLateReserve(nowMs: number): void {
+    const { lateReserve: reserve } = this.forecast;
+    if (reserve === this.loggedLateReserve || nowMs < this.nextReserveLogMs) return;
+    this.loggedLateReserve = reserve;
+    this.nextReserveLogMs = nowMs + RESERVE_LOG_INTERVAL_MS;
+    this.ports.log.event('late-reserve', { instance: this.ports.instance(), reserve });
+  }
+
   /**
    * Reports the expected slot time as load on arrival rather than on completion, so that an overloaded back end can be
    * distinguished from one that is fully used.
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -87,6 +87,11 @@
   metrics.family('late_waits', 'Ended waits of late requests, by how they ended', 'outcome', () =>
     Object.entries(gateway.lateWaitLimiter.counters),
   );
+  metrics.value(
+    'backend_late_reserve',
+    'Places that late requests leave free; 0 while no request comes that can be in time',
+    () => gateway.forecast.lateReserve,
+  );
   metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
   metrics.value('backend_connections_opened', 'Connections opened to it', () => node.backendClient.opened);
   metrics.value('table_index', 'Index of the table in force', () => node.table.index);
--- a/src/sidecar/work-forecast.ts
+++ b/src/sidecar/work-forecast.ts
@@ -6,6 +6,7 @@
 import type { LinkPacer } from '../link/link-pacer.js';
 import { policyIsOn } from '../policy-switches.js';
 import { BackendPace, clampPace } from './backend-pace.js';
+import { InTimeDemand } from './in-time-demand.js';
 import { LinkWaitEstimator } from './link-wait-estimator.js';
 import {
   wouldMissTargetOnLink,
@@ -42,6 +43,8 @@
 /** Forecast for one back end. `Owner` is the type of the requests, which identify the answers to be sent. */
 export class WorkForecast<Owner> {
   readonly pace = new BackendPace();
+  /** Arrivals of requests that can meet their target. */
+  readonly inTime = new InTimeDemand();
   /** Number of reported paces that were not readable; these are ignored. */
   unreadablePaceReports = 0;
   /** Processing time in ms by route, normalized to the usual pace. */
@@ -113,13 +116,18 @@
     return hasShortWork ? shortWorkReserve(this.ports.slots()) : 0;
   }
 
+  /** Number of slots that late requests leave free now; 0 while no request arrives that can meet its target. */
+  get lateReserve(): number {
+    return this.inTime.isPresent(this.ports.nowMs()) ? lateReserve(this.ports.slots()) : 0;
+  }
+
   /**
    * Returns the number of slots that a request which will miss its target leaves free. Short work is exempt even when
    * late, because requests at other back ends wait for its answer.
    */
   lateReserveOf(head: RequestHead): number {
     if (!policyIsOn('late-reserve') || this.rankOf(head) === SHORT_WORK_RANK) return this.reserveOf(head);
-    return Math.max(lateReserve(this.ports.slots()), this.reserveOf(head));
+    return Math.max(this.lateReserve, this.reserveOf(head));
   }
 
   /** Registers that an answer of the route will be sent for this owner. */
