--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -53,6 +53,11 @@
     'Requests a second that it accepts; -1 while it names no limit',
     () => gateway.pacing.limitPerSecond ?? NO_LIMIT,
   );
+  metrics.value(
+    'backend_limit_unknown',
+    '1 while requests go one at a time, because it may have named a limit before this daemon started',
+    () => Number(!gateway.pacing.isLimitKnown),
+  );
   metrics.value(
     'backend_sent_recently',
     'Requests sent to it in the last 4 s',
@@ -82,6 +87,11 @@
   metrics.family('late_waits', 'Ended waits of late requests, by how they ended', 'outcome', () =>
     Object.entries(gateway.lateWaitLimiter.counters),
   );
+  metrics.value(
+    'backend_late_reserve',
+    'Places that late requests leave free; 0 while no request comes that can be in time',
+    () => gateway.forecast.lateReserve,
+  );
   metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
   metrics.value('backend_connections_opened', 'Connections opened to it', () => node.backendClient.opened);
   metrics.labeled('link_bytes', 'Bytes exchanged with other daemons', ['kind', 'scope'], () =>
