--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -5,6 +5,14 @@
   readonly life: string;
 }
 
+/** What a call inherits from the request that waits for it. */
+export interface NestedHead {
+  /** Priority of the first request of the chain of calls; an integer from 0, the most urgent, to 100. */
+  readonly priority: number;
+  /** Time in ms for which the waiting request can still use the answer. */
+  readonly remainingMs: number;
+}
+
 /** A forwarded request; its body follows the head. */
 export interface RequestHead {
   readonly requestId: string;
@@ -33,6 +41,8 @@
   readonly spentMs: number;
   /** Request limit of the back end per second, as the sending daemon knows it; missing if it knows of none. */
   readonly knownLimitPerSecond?: number;
+  /** Set for a call that a running request waits for; missing for new work, and from daemons that do not know it. */
+  readonly nested?: NestedHead;
 }
 
 /** Reason why a request was not executed. */
--- a/src/sidecar/slot-policy.ts
+++ b/src/sidecar/slot-policy.ts
@@ -82,6 +82,20 @@
 /** Rank of short work, ahead of the priority of every route. */
 export const SHORT_WORK_RANK = -1;
 
+/** Largest priority number of a route, the least urgent. */
+export const MAX_PRIORITY = 100;
+
+/** Rank of calls whose parent has priority 0; those of every priority come before short work. */
+const FIRST_CALL_RANK = SHORT_WORK_RANK - MAX_PRIORITY - 1;
+
+/**
+ * Returns the rank in the queue of a call whose parent has the given priority. Calls come before new work, because each
+ * call that waits keeps a slot of another back end occupied without work being done there.
+ */
+export function callRank(parentPriority: number): number {
+  return FIRST_CALL_RANK + parentPriority;
+}
+
 /**
  * Returns the rank in the queue of a back end; lower ranks go first. Short work goes first, since it delays others
  * little and is mostly calls from other back ends, which hold a slot there until they are answered.
