Serve calls before new work, for as long as their parents have time

Cause: a call whose expected wait exceeds its own target is refused at once although its parent, which holds a slot, could wait longer. Ruled out: only a better rank: calls went first as short work before and failed in waves all the same; the mean service time of all work as the estimate of their wait, since it counts the work that they overtake. Change: the gateway reads the field nested, ranks calls before new work by the priority of the parent, and lets them wait until the work no longer fits into the parent's time; an unreadable field is counted and changes nothing. It records the running requests and what their calls inherit. Conclusion: requests without the field are served as before.

--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -13,6 +13,8 @@
   readonly reserve: number;
   /** Time in ms of the daemon's clock at which the request leaves the queue. */
   readonly expiresMs: number;
+  /** Expected slot time in ms of a call, which a running request waits for; missing for new work. */
+  readonly callWorkMs?: number;
   /** Called when a slot is granted; it must be returned with `leave`. */
   start(): void;
   /** Called when the request has expired, or would expire before it got a slot. */
@@ -108,9 +110,8 @@
       this.grantSlot(request);
       return;
     }
-    const ahead = this.waiting.filter((other) => !precedes(request, other)).length;
-    const slotWaitMs = (this.serviceMs * (ahead + 1)) / (this.slotCount + 1);
-    const expectedMs = Math.max(slotWaitMs, this.ports.delayMs(ahead));
+    const ahead = this.waiting.filter((other) => !precedes(request, other));
+    const expectedMs = Math.max(this.slotWaitMs(request, ahead), this.ports.delayMs(ahead.length));
     if (nowMs + expectedMs > request.expiresMs) {
       request.expire();
       return;
@@ -119,6 +120,17 @@
     this.expireUnreachable(nowMs);
   }
 
+  /**
+   * Returns the expected time in ms until a request gets a slot behind others. A call waits for the first slot and the
+   * calls ahead, whose slots go to further calls: the mean service time of all work would overstate their wait.
+   */
+  private slotWaitMs({ callWorkMs }: SlotRequest, ahead: readonly SlotRequest[]): number {
+    const { serviceMs, slotCount } = this;
+    if (callWorkMs === undefined) return (serviceMs * (ahead.length + 1)) / (slotCount + 1);
+    const aheadMs = ahead.reduce((sum, other) => sum + (other.callWorkMs ?? serviceMs), 0);
+    return (serviceMs + aheadMs) / (slotCount + 1);
+  }
+
   /** Returns a slot that was held for `usedMs`, measured at the current pace. */
   leave(usedMs: number): void {
     this.running -= 1;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -6,6 +6,7 @@
 import type {
   AnswerTiming,
   FailureHead,
+  NestedHead,
   RefusalReason,
   RequestHead,
   StatusHead,
@@ -22,7 +23,9 @@
 import type { GatewayPorts } from './gateway-ports.js';
 import { createGatewayRequest, type GatewayRequest } from './gateway-request.js';
 import { LateWaitLimiter, type LateWaitOutcome } from './late-wait-limiter.js';
+import { limitsOfCall, readNested, RunningRequests, type EndedCall } from './nested-calls.js';
 import {
+  callRank,
   isTooLateToStart,
   lateQueueOrder,
   maxLateWaitMs,
@@ -52,9 +55,14 @@
  */
 const MAX_SUSPECT_WAIT_MS = 1_000;
 
+/** Why a call was refused as busy, for its log line. */
+type CallRefusalCause = 'queue-too-long' | 'parent-time-up' | 'link-too-slow';
+
 /** Gateway to one back end. */
 export class BackendGateway {
   readonly counters = createGatewayCounters();
+  /** The requests at the back end, by which its calls are identified. */
+  readonly runningRequests = new RunningRequests();
   readonly admission: Admission;
   readonly forecast: WorkForecast<GatewayRequest>;
   readonly lateWaitLimiter = new LateWaitLimiter();
@@ -143,7 +151,10 @@
   /** Accepts a request from this daemon or a peer. */
   accept(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
-    const request = createGatewayRequest(head, body, reply, nowMs, nowMs + this.maxReadinessWaitMs(head));
+    const nested = this.readCall(head);
+    const limited = nested === null ? head : limitsOfCall(head, nested);
+    const expiresMs = nowMs + this.maxReadinessWaitMs(limited);
+    const request = createGatewayRequest(limited, nested, body, reply, nowMs, expiresMs);
     this.counters.requests += 1;
     this.adoptLimit(head);
     this.evaluate(request);
@@ -157,6 +168,25 @@
     };
   }
 
+  /** Returns what a call inherits from its parent; null for new work. */
+  private readCall({ nested, requestId }: RequestHead): NestedHead | null {
+    const read = readNested(nested);
+    if (read.err) {
+      this.counters.unreadableCalls += 1;
+      // Only the first one is logged; a counter holds the total.
+      const isFirst = this.counters.unreadableCalls === 1;
+      if (isFirst) this.ports.log.event('figure-unreadable', { figure: 'nested', requestId });
+      return null;
+    }
+    if (read.val !== null) this.counters.calls += 1;
+    return read.val;
+  }
+
+  /** Records the end of a call that the back end made. */
+  recordCallEnded(call: EndedCall): void {
+    this.runningRequests.recordEnded(call);
+  }
+
   private adoptLimit({ instance, knownLimitPerSecond }: RequestHead): void {
     const isCurrent = instance === this.ports.instance();
     if (isCurrent && knownLimitPerSecond !== undefined) this.pacing.adopt(knownLimitPerSecond);
@@ -275,11 +305,11 @@
   }
 
   private apply(request: GatewayRequest, nowMs: number): void {
-    const { head, arrivedMs } = request;
+    const { head, nested, arrivedMs } = request;
     const { forecast } = this;
     const meanMs = forecast.workMs(head.route);
     if (forecast.isTooLateForLink(head, request)) {
-      this.refuse(request, 'busy');
+      this.refuse(request, 'busy', 'link-too-slow');
       return;
     }
     const claim = forecast.claimOf(head, request);
@@ -287,14 +317,20 @@
     this.recordOfferedLoad(request, meanMs);
     let waits = false;
     const slotRequest: SlotRequest = {
-      priority: forecast.rankOf(head),
+      priority: nested === null ? forecast.rankOf(head) : callRank(nested.priority),
       order: queueOrder(claim, arrivedMs, meanMs),
-      reserve: slackTimeMs(claim, meanMs) > 0 ? forecast.reserveOf(head) : forecast.lateReserveOf(head),
+      reserve: this.reserveOf(request, slackTimeMs(claim, meanMs)),
       expiresMs: nowMs + maxSlotWaitMs(claim, nowMs - arrivedMs, meanMs),
+      ...(nested === null ? {} : { callWorkMs: meanMs }),
       start: () => {
         this.start(request);
       },
       expire: () => {
+        if (nested !== null) {
+          // A call waits as long as its parent has time, so a further wait would be of no use.
+          this.refuse(request, this.noSlotReason(), waits ? 'parent-time-up' : 'queue-too-long');
+          return;
+        }
         // An immediate refusal leaves the caller time to retry. After a wait, or for a retry, it would be of no use.
         if (waits || head.spentMs > 0) this.applyLate(request);
         else this.refuse(request, this.noSlotReason());
@@ -306,6 +342,12 @@
     if (this.admission.waitingCount > 0) this.scheduleCheck();
   }
 
+  /** Returns the number of slots that a request leaves free for others; a call leaves none. */
+  private reserveOf({ head, nested }: GatewayRequest, slackMs: number): number {
+    if (nested !== null) return 0;
+    return slackMs > 0 ? this.forecast.reserveOf(head) : this.forecast.lateReserveOf(head);
+  }
+
   /** Queues a request behind all that can meet their target latency, while such waits mostly end with a slot. */
   private applyLate(request: GatewayRequest): void {
     const { head, arrivedMs } = request;
@@ -373,7 +415,8 @@
     if (stale || keyLost || this.isTooLate(request, leftMs, waitedMs)) {
       this.admission.leave(this.admission.serviceMs);
       if (keyLost && !stale) this.evaluateKey(request, head.key ?? 0);
-      else this.refuse(request, stale ? 'leaving' : 'busy');
+      else if (stale) this.refuse(request, 'leaving');
+      else this.refuse(request, 'busy', 'parent-time-up');
       return;
     }
     if (this.isRestrictedByCrashRecord(request)) {
@@ -385,6 +428,7 @@
     request.alone = this.running.size === 0;
     for (const other of this.running) other.alone = false;
     this.running.add(request);
+    this.beginRun(request, leftMs);
     this.counters.runs += 1;
     request.sendNumber = this.pacing.recordSent();
     request.run = ports.backend.prepare(request.head, request.body, leftMs, {
@@ -401,6 +445,19 @@
     request.run.start();
   }
 
+  /** Enters a request among those whose calls are identified; calls of a call inherit what it has inherited. */
+  private beginRun(request: GatewayRequest, leftMs: number): void {
+    const { head, nested, startedMs } = request;
+    request.runEntry = {
+      requestId: head.requestId,
+      route: head.route,
+      priority: nested?.priority ?? head.priority,
+      deadlineMs: startedMs + leftMs,
+      isCall: nested !== null,
+    };
+    this.runningRequests.begin(request.runEntry);
+  }
+
   /** A request that must run at most once is never sent again, whatever the state of the queue. */
   private ignoreSecondStart({ head }: GatewayRequest): void {
     this.ports.log.event('second-start-ignored', { requestId: head.requestId, instance: head.instance });
@@ -447,6 +504,7 @@
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
     this.running.delete(request);
+    if (request.runEntry !== null) this.runningRequests.end(request.runEntry);
     const usedMs = this.ports.runtime.nowMs() - request.startedMs;
     if (outcome.kind === 'answered') this.recordAnswer(request.head.route, usedMs, outcome);
     else if (outcome.kind !== 'declined') this.pacing.recordUnanswered(request.sendNumber);
@@ -485,7 +543,7 @@
     this.ports.log.failure('run-ended', fields);
   }
 
-  private refuse(request: GatewayRequest, reason: RefusalReason): void {
+  private refuse(request: GatewayRequest, reason: RefusalReason, cause?: CallRefusalCause): void {
     if (request.done) return;
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
@@ -495,12 +553,23 @@
     const leftMs = Math.round(request.head.remainingMs - waitedMs);
     const status = this.status();
     const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
-    this.ports.log.failure('request-refused', { ...fields, ...status });
+    const call = this.callFields(request, waitedMs, cause);
+    this.ports.log.failure('request-refused', { ...fields, ...status, ...call });
     // A request that got no slot counts as load of its key, too.
     if (reason === 'busy' && request.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
     request.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
   }
 
+  private callFields(
+    { nested }: GatewayRequest,
+    waitedMs: number,
+    cause: CallRefusalCause | undefined,
+  ): Readonly<Record<string, unknown>> {
+    if (nested === null) return {};
+    const parentLeftMs = Math.round(nested.remainingMs - waitedMs);
+    return { inheritedPriority: nested.priority, parentLeftMs, cause };
+  }
+
   /** Returns why a request gets no slot in time. */
   private noSlotReason(): RefusalReason {
     return this.pacing.isLimiting ? 'rate-limited' : 'busy';
--- a/src/sidecar/gateway-counters.ts
+++ b/src/sidecar/gateway-counters.ts
@@ -8,6 +8,10 @@
 /** Counters of a gateway. */
 export interface GatewayCounters {
   requests: number;
+  /** Requests that a running request of another back end waits for. */
+  calls: number;
+  /** Requests whose relation to a waiting request was not readable; these are served as new work. */
+  unreadableCalls: number;
   /** Slot time in ms by use. */
   readonly slotMs: Record<SlotTimeUse, number>;
   runs: number;
@@ -20,6 +24,8 @@
 export function createGatewayCounters(): GatewayCounters {
   return {
     requests: 0,
+    calls: 0,
+    unreadableCalls: 0,
     slotMs: { success: 0, failure: 0, none: 0 },
     runs: 0,
     answered: 0,
--- a/src/sidecar/gateway-request.ts
+++ b/src/sidecar/gateway-request.ts
@@ -1,15 +1,19 @@
 /** A request in the gateway to a back end. */
-import type { RequestHead } from '../link/link-messages.js';
+import type { NestedHead, RequestHead } from '../link/link-messages.js';
 import type { RequestReply } from '../link/link-server.js';
 import type { IdentifiedRequest } from '../quarantine/request-fingerprint.js';
 import type { SlotRequest } from './admission.js';
 import type { PreparedRun } from './backend-client.js';
 import { headerValue } from './header-dialect.js';
+import type { RunningRequest } from './nested-calls.js';
 import type { SuspectRequest } from './suspect-scheduler.js';
 
 /** State of a request in the gateway. */
 export interface GatewayRequest {
+  /** For a call, with the time limits that it has from its parent. */
   readonly head: RequestHead;
+  /** What a call inherits from its parent; null for new work. */
+  readonly nested: NestedHead | null;
   readonly body: Buffer;
   /** The parts of the request that its fingerprint is computed from. */
   readonly identity: IdentifiedRequest;
@@ -20,6 +24,8 @@
   /** Set while the request is handled as a suspect. */
   suspect: SuspectRequest | null;
   run: PreparedRun | null;
+  /** Entry among the running requests, by which its own calls are identified; null before it runs. */
+  runEntry: RunningRequest | null;
   /** Whether no other request has run at the back end at the same time. */
   alone: boolean;
   startedMs: number;
@@ -35,6 +41,7 @@
 /** Creates the state of a request that has arrived; it waits for its key or the back end until `expiresMs`. */
 export function createGatewayRequest(
   head: RequestHead,
+  nested: NestedHead | null,
   body: Buffer,
   reply: RequestReply,
   arrivedMs: number,
@@ -42,6 +49,7 @@
 ): GatewayRequest {
   return {
     head,
+    nested,
     body,
     identity: identityOf(head, body),
     reply,
@@ -50,6 +58,7 @@
     slotRequest: null,
     suspect: null,
     run: null,
+    runEntry: null,
     alone: false,
     startedMs: 0,
     sendNumber: 0,
--- a/src/sidecar/nested-calls.ts
+++ b/src/sidecar/nested-calls.ts
@@ -30,6 +30,8 @@
 /** A request that runs at the local back end. */
 export interface RunningRequest {
   readonly requestId: string;
+  /** Name of its route. */
+  readonly route: string;
   /** Priority that its calls inherit; for a call, the one that it inherited itself. 0 is the most urgent. */
   readonly priority: number;
   /** Deadline that the back end was told, in ms of the daemon's clock. */
@@ -56,6 +58,18 @@
   readonly criterion: ParentCriterion;
 }
 
+/** A call that has ended. */
+export interface EndedCall {
+  readonly parent: CallParent;
+  /** Service that was called. */
+  readonly service: string;
+  readonly answered: boolean;
+  /** Time in ms from its arrival at this sidecar to its end. */
+  readonly elapsedMs: number;
+  /** Target latency in ms of its route. */
+  readonly targetMs: number;
+}
+
 /** Counters of the identification of calls. */
 export interface CallCounters {
   /** Requests identified by their id. */
@@ -98,9 +112,9 @@
     return { request: named, criterion: 'id' };
   }
 
-  /** Records that a call was answered; a parent that ended before was not waiting for it. */
-  recordAnswered({ request, criterion }: CallParent): void {
-    if (criterion === 'deadline' && !this.running.has(request)) this.counters.mistaken += 1;
+  /** Records the end of a call. A parent that ended before its call was answered was not waiting for it. */
+  recordEnded({ parent: { request, criterion }, answered }: EndedCall): void {
+    if (criterion === 'deadline' && answered && !this.running.has(request)) this.counters.mistaken += 1;
   }
 
   /** Finds the longest id of a running request that a separator and a further part follow. */
--- a/test/sidecar/nested-calls.test.ts
+++ b/test/sidecar/nested-calls.test.ts
@@ -11,7 +11,7 @@
 const NOW_MS = 1_000;
 
 function running(requestId: string, parts: Partial<RunningRequest> = {}): RunningRequest {
-  return { requestId, priority: 2, deadlineMs: NOW_MS + 700, isCall: false, ...parts };
+  return { requestId, route: 'order', priority: 2, deadlineMs: NOW_MS + 700, isCall: false, ...parts };
 }
 
 function arrived(requestId: string, statedDeadlineMs: number | null = null, route = 'read') {
@@ -54,7 +54,8 @@
   t.is(requests.findParent(arrived('y', 720), NOW_MS), null);
   t.is(requests.findParent(arrived('y', 701, 'other'), NOW_MS), null);
   requests.end(parent);
-  if (found !== null) requests.recordAnswered(found);
+  if (found !== null)
+    requests.recordEnded({ parent: found, service: 's', answered: true, elapsedMs: 9, targetMs: 99 });
   t.is(requests.counters.mistaken, 1);
 });
 
