Send with a call what it inherits, and search a slot for it while its parent has time

Cause: three busy refusals ended the search of a call, whose failure wastes the work of its parent. Change: the intake identifies the parent, the forwarder sends priority and remaining time, and goes on after refusals with a pause after each three of them; a call does not count among the deadlines from which spent time is estimated. Its log lines name the parent. Conclusion: calls of a full service end as not run when their parent has no time left, after at most 23 attempts.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -99,6 +99,7 @@
       dialect: DEFAULT_HEADER_DIALECT,
       service: place.service,
       tableIsCurrent: () => true,
+      findParent: () => null,
     });
     const backend = new ChainBackend({ spec: ports.spec, time, random, report, daemon: this });
     this.gateway = this.makeGateway(backend);
@@ -237,6 +238,7 @@
       takeRepeat: (service) => this.allowanceOf(service).takeRepeat(time.queue.nowMs, daemons.size),
       tableIndex: () => 1,
       latencies: NO_LATENCIES,
+      onCallEnded: () => undefined,
     };
   }
 
--- a/src/sidecar/caller-request.ts
+++ b/src/sidecar/caller-request.ts
@@ -1,5 +1,6 @@
 /** A caller's request, its possible outcomes and the sink that receives them. */
 import type { AnswerHead } from '../link/link-messages.js';
+import type { CallParent } from './nested-calls.js';
 import type { Route } from './route-table.js';
 
 /** A validated request, ready to be forwarded. */
@@ -19,6 +20,8 @@
   /** Estimated time in ms that the caller has spent on earlier attempts. */
   readonly spentMs: number;
   readonly arrivedMs: number;
+  /** The request of the local back end that waits for this one; null for new work. */
+  readonly parent: CallParent | null;
 }
 
 /** Reason given for refusing a quarantined request. */
--- a/src/sidecar/request-clock.ts
+++ b/src/sidecar/request-clock.ts
@@ -1,11 +1,15 @@
 /** Remaining time of a request, and the time for which it may search for a back end. */
 import { policyIsOn } from '../policy-switches.js';
 import type { CallerRequest } from './caller-request.js';
+import type { CallParent } from './nested-calls.js';
 
 /** Share of the target latency for which any request may wait for a slot. */
 const MIN_WAIT_SHARE = 0.25;
 
-/** Share of the target latency that a caller's retry reserves for the work while it searches for a slot. */
+/**
+ * Share of the target latency that a caller's retry, or a call of unknown work time, reserves for the work while it
+ * searches for a slot.
+ */
 const RETRY_WORK_SHARE = 0.5;
 
 /** Time budget of one request. */
@@ -35,15 +39,22 @@
 
   /**
    * Time in ms for which the request may search for a back end. A caller's retry gains nothing from another refusal, so
-   * it searches for as long as the work could still be done.
+   * it searches for as long as the work could still be done. So does a call while its parent has time.
    */
   get searchTimeMs(): number {
-    const { spentMs, route } = this.request;
+    const { spentMs, route, parent } = this.request;
     const { patienceMs } = this;
+    if (parent !== null) return this.callSearchTimeMs(parent);
     if (spentMs === 0 || !policyIsOn('key-patience')) return patienceMs;
     return Math.max(patienceMs, this.leftMs - route.definition.targetLatencyMs * RETRY_WORK_SHARE);
   }
 
+  private callSearchTimeMs({ request }: CallParent): number {
+    const { definition, workMs } = this.request.route;
+    const usefulMs = Math.min(this.leftMs, request.deadlineMs - this.nowMs());
+    return usefulMs - (workMs ?? definition.targetLatencyMs * RETRY_WORK_SHARE);
+  }
+
   private get elapsedMs(): number {
     return this.nowMs() - this.request.arrivedMs;
   }
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -24,6 +24,7 @@
 import type { StatedLeaves } from './stated-leaves.js';
 import { QUARANTINE_REASON, type CallerRequest, type CallerSink } from './caller-request.js';
 import { countRefusals, type ForwarderCounters } from './forwarder-counters.js';
+import { nestedHeadOf, type EndedCall } from './nested-calls.js';
 import { RequestClock } from './request-clock.js';
 
 /**
@@ -87,6 +88,8 @@
   /** Log index of the directory table in use. */
   readonly tableIndex: () => number;
   readonly latencies: Latencies;
+  /** Called when a request that another one waits for has ended. */
+  readonly onCallEnded: (call: EndedCall) => void;
 }
 
 /** A caller's request in flight, with all its attempts. */
@@ -150,6 +153,8 @@
     if (this.done) return;
     this.finish();
     this.counters.cancelled += 1;
+    // A parent that ends early for reasons of its own says nothing about the service that it called.
+    if (this.clock.targetLeftMs < 0) this.reportCallEnded(false);
     this.log('caller-gone', {});
   }
 
@@ -248,7 +253,7 @@
       this.endWithoutSlot();
       return;
     }
-    this.excluded.clear();
+    if (this.request.parent === null || this.choose() === null) this.excluded.clear();
     const pauseMs = Math.min(this.nextReselectionPauseMs, searchTimeMs + 1);
     this.nextReselectionPauseMs = Math.min(this.nextReselectionPauseMs * 2, MAX_RESELECTION_PAUSE_MS);
     this.cancelReselection = this.ports.runtime.after(pauseMs, () => {
@@ -263,7 +268,7 @@
     this.currentInstance = instance;
     this.currentMayRun = true;
     view.recordSent();
-    const { requestId, method, path, headers, body, key, route, spentMs } = this.request;
+    const { requestId, method, path, headers, body, key, route, spentMs, parent } = this.request;
     const { knownLimitPerSecond } = view;
     this.lastSentMs = this.ports.runtime.nowMs();
     const head: RequestHead = {
@@ -281,6 +286,7 @@
       targetLeftMs: this.clock.targetLeftMs,
       spentMs,
       ...(knownLimitPerSecond === null ? {} : { knownLimitPerSecond }),
+      ...(parent === null ? {} : { nested: nestedHeadOf(parent, this.lastSentMs) }),
     };
     this.currentAttempt = link.request(head, body, {
       onRefusal: (refusal) => {
@@ -358,15 +364,31 @@
       this.retryAfterQuarantine(attemptsExhausted);
       return;
     }
+    const isLack = refusal.reason === 'busy' || refusal.reason === 'rate-limited';
+    if (this.request.parent !== null && isLack && !attemptsExhausted) {
+      this.continueSearchOfCall();
+      return;
+    }
     if (attemptsExhausted || this.isServiceFull() || (refusal.arrived && !this.takeRepeatAllowance())) {
       this.endWithoutSlot();
       return;
     }
     if (this.choose() !== null) this.startAttempt();
-    else if (refusal.reason === 'busy' || refusal.reason === 'rate-limited') this.endWithoutSlot();
+    else if (isLack) this.endWithoutSlot();
     else this.scheduleReselection();
   }
 
+  /**
+   * A call is sent to further back ends while its parent has time, because its failure wastes the work of its parent. It
+   * pauses after as many refusals as make the service count as full, so that calls do not occupy the daemons of a full
+   * service with refusals.
+   */
+  private continueSearchOfCall(): void {
+    const roundEnded = (this.busyRefusals + this.rateLimitedRefusals) % MAX_BUSY_REFUSALS === 0;
+    if (roundEnded || this.choose() === null) this.scheduleReselection();
+    else this.startAttempt();
+  }
+
   /** Tries further back ends, since one that runs another software version may accept the request. */
   private retryAfterQuarantine(attemptsExhausted: boolean): void {
     this.quarantineRefusals += 1;
@@ -519,11 +541,20 @@
 
   private countOutcome(answered: boolean): void {
     countRefusals(this.counters, this.refusals);
+    this.reportCallEnded(answered);
     if (this.request.spentMs === 0) return;
     this.counters.returned += 1;
     if (answered) this.counters.returnedAnswered += 1;
   }
 
+  private reportCallEnded(answered: boolean): void {
+    const { parent, service, route, arrivedMs } = this.request;
+    if (parent === null) return;
+    const elapsedMs = this.ports.runtime.nowMs() - arrivedMs;
+    const targetMs = route.definition.targetLatencyMs;
+    this.ports.onCallEnded({ parent, service, answered, elapsedMs, targetMs });
+  }
+
   /** Marks the request as done, stops its timers and cancels the current attempt. */
   private finish(): void {
     this.done = true;
@@ -554,6 +585,7 @@
   private fields(fields: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
     const { requestId, route, service, key, arrivedMs } = this.request;
     const elapsedMs = Math.round(this.ports.runtime.nowMs() - arrivedMs);
+    const call = this.callFields();
     return {
       requestId,
       route: route.name,
@@ -561,7 +593,17 @@
       key,
       elapsedMs,
       tableIndex: this.ports.tableIndex(),
+      ...call,
       ...fields,
     };
   }
+
+  private callFields(): Readonly<Record<string, unknown>> {
+    const { parent } = this.request;
+    if (parent === null) return {};
+    const { priority, remainingMs } = nestedHeadOf(parent, this.ports.runtime.nowMs());
+    const { request, criterion } = parent;
+    const parentLeftMs = Math.round(remainingMs);
+    return { parent: request.requestId, parentBy: criterion, inheritedPriority: priority, parentLeftMs };
+  }
 }
--- a/src/sidecar/request-intake.ts
+++ b/src/sidecar/request-intake.ts
@@ -4,6 +4,8 @@
 import type { DirectoryTable } from './directory-table.js';
 import { endToEndHeaders, headerValue, type HeaderDialect } from './header-dialect.js';
 import type { CallerRequest } from './caller-request.js';
+import type { ArrivedRequest, CallParent } from './nested-calls.js';
+import type { Route } from './route-table.js';
 
 /** Retry-after time in ms while this sidecar has no configuration, or one that may be outdated. */
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
@@ -20,6 +22,8 @@
   readonly service: string;
   /** Whether the table is up to date with the directory. */
   readonly tableIsCurrent: () => boolean;
+  /** Returns the request of the local back end that waits for an arrived one; null if that is new work. */
+  readonly findParent: (arrived: ArrivedRequest) => CallParent | null;
 }
 
 /** Validates incoming requests against the current configuration. */
@@ -39,8 +43,11 @@
     if (keyed && !isKey(keyText)) return localAnswer(LOCAL_STATUS.badRequest, 'the request needs a key');
     const statedDeadlineMs = Number(headerValue(headers, dialect.deadlineMs));
     const hasDeadline = Number.isFinite(statedDeadlineMs) && statedDeadlineMs > 0;
+    const requestId = headerValue(headers, dialect.requestId) ?? runtime.randomId();
+    const deadlineMs = hasDeadline ? statedDeadlineMs : null;
+    const parent = this.ports.findParent({ requestId, route: route.name, statedDeadlineMs: deadlineMs });
     return {
-      requestId: headerValue(headers, dialect.requestId) ?? runtime.randomId(),
+      requestId,
       method,
       path,
       headers: this.headersToForward(headers),
@@ -48,9 +55,10 @@
       route,
       service,
       key: keyed ? Number(keyText) : null,
-      deadlineMs: hasDeadline ? statedDeadlineMs : route.definition.timeoutMs,
-      spentMs: hasDeadline ? route.spentTime.spentMs(statedDeadlineMs) : 0,
+      deadlineMs: deadlineMs ?? route.definition.timeoutMs,
+      spentMs: parent === null ? spentMs(route, deadlineMs) : 0,
       arrivedMs: runtime.nowMs(),
+      parent,
     };
   }
 
@@ -68,6 +76,11 @@
   }
 }
 
+/** A call ends at its parent's deadline and is no retry, so its deadline says nothing about those of the route. */
+function spentMs({ spentTime }: Route, statedDeadlineMs: number | null): number {
+  return statedDeadlineMs === null ? 0 : spentTime.spentMs(statedDeadlineMs);
+}
+
 function retryLaterAnswer(reason: string): LocalAnswer {
   return { statusCode: LOCAL_STATUS.notRun, reason, retryAfterMs: UNCONFIGURED_RETRY_AFTER_MS };
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -29,6 +29,7 @@
 import { LeaseKeeper } from './lease-keeper.js';
 import { LoadMeter } from './load-meter.js';
 import { FIRST_SEQUENCE, type LocalBackend } from './local-backend.js';
+import type { EndedCall } from './nested-calls.js';
 import { PeerDaemons } from './peer-daemons.js';
 import { RequestIntake } from './request-intake.js';
 import { createForwarderCounters } from './forwarder-counters.js';
@@ -167,6 +168,7 @@
       dialect: settings.dialect,
       service: settings.service,
       tableIsCurrent: () => this.directory.isTableCurrent,
+      findParent: (arrived) => this.gateway.runningRequests.findParent(arrived, runtime.nowMs()),
     });
     this.requests = this.makeRequests();
     this.linkServer = this.transport.links({
@@ -440,6 +442,9 @@
       view: (instance: string) => peers.viewOf(instance),
       linkTo: (instance: BackendInstance) => peers.linkTo(instance),
       tableIndex: () => this.table.index,
+      onCallEnded: (call: EndedCall) => {
+        this.gateway.recordCallEnded(call);
+      },
     };
     const { retryBudget } = settings;
     const { intake, table } = this;
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -2,12 +2,13 @@
 import test from 'ava';
 import type { BackendInstance, RequestKind } from '../../src/directory/directory-state.js';
 import type { LinkClient, RequestHandlers } from '../../src/link/link-client.js';
-import type { RefusalReason } from '../../src/link/link-messages.js';
+import type { RefusalReason, RequestHead } from '../../src/link/link-messages.js';
 import type { BackendChooser, ChoiceRequest } from '../../src/sidecar/backend-chooser.js';
 import type { BackendProber, ProbesDone } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import type { UnansweredOutcome } from '../../src/sidecar/caller-request.js';
 import { createForwarderCounters } from '../../src/sidecar/forwarder-counters.js';
+import type { CallParent, EndedCall } from '../../src/sidecar/nested-calls.js';
 import { ForwardedRequest } from '../../src/sidecar/request-forwarder.js';
 import { Route } from '../../src/sidecar/route-table.js';
 import { StatedLeaves } from '../../src/sidecar/stated-leaves.js';
@@ -54,6 +55,8 @@
   /** Log events written as failures or decisions, and those that are sampled. */
   readonly logged: string[];
   readonly sampled: string[];
+  readonly heads: RequestHead[];
+  readonly endedCalls: EndedCall[];
 }
 
 interface Setup {
@@ -63,13 +66,30 @@
   readonly passMs?: number;
   /** Time in ms that the caller has spent on earlier attempts. */
   readonly spentMs?: number;
+  readonly parent?: CallParent;
 }
 
 /** Forwards one request to back ends that react as scripted, one reaction per attempt. */
 function forward(reactions: Record<string, Reaction[]>, setup: Setup = {}): Outcome {
-  const { kind = 'safe', maxAttempts = 2, mayRepeat = true, passMs = 2_000, spentMs = 0 } = setup;
+  const {
+    kind = 'safe',
+    maxAttempts = 2,
+    mayRepeat = true,
+    passMs = 2_000,
+    spentMs = 0,
+    parent = null,
+  } = setup;
   const time = new ManualTime();
-  const outcome: Outcome = { tried: [], result: '', unanswered: null, cancelled: 0, logged: [], sampled: [] };
+  const outcome: Outcome = {
+    tried: [],
+    result: '',
+    unanswered: null,
+    cancelled: 0,
+    logged: [],
+    sampled: [],
+    heads: [],
+    endedCalls: [],
+  };
   const instances = Object.keys(reactions).map((id): BackendInstance => {
     return {
       id,
@@ -99,8 +119,9 @@
   const linkTo = ({ id }: BackendInstance): LinkClient =>
     ({
       unreachable: false,
-      request: (_head: unknown, _body: unknown, handlers: RequestHandlers) => {
+      request: (head: RequestHead, _body: unknown, handlers: RequestHandlers) => {
         outcome.tried.push(id);
+        outcome.heads.push(head);
         const reaction = reactions[id]?.shift() ?? NO_REACTION;
         time.runtime.after(1, () => {
           reaction(handlers);
@@ -140,6 +161,7 @@
       deadlineMs: 800,
       spentMs,
       arrivedMs: time.nowMs,
+      parent,
     },
     {
       answer: (head) => (outcome.result = `answer ${head.statusCode}`),
@@ -163,6 +185,7 @@
       takeRepeat: () => mayRepeat,
       tableIndex: () => 1,
       latencies: NO_LATENCIES,
+      onCallEnded: (call) => outcome.endedCalls.push(call),
     },
     createForwarderCounters(),
   );
@@ -375,6 +398,32 @@
   t.deepEqual(outcome.logged, ['leave-stated']);
 });
 
+const PARENT: CallParent = {
+  request: { requestId: 'p', route: 'order', priority: 0, deadlineMs: 1_500, isCall: false },
+  criterion: 'id',
+};
+
+test('a call is searched a slot beyond three busy refusals, while its parent has time', (t) => {
+  const busy = Array.from({ length: 4 }, (_, at) => [`b${at}`, [refuse('busy')]] as const);
+  const outcome = forward({ ...Object.fromEntries(busy), z: [ANSWER] }, { parent: PARENT });
+  t.deepEqual(outcome.tried, ['b0', 'b1', 'b2', 'b3', 'z']);
+  t.is(outcome.result, 'answer 200');
+  t.like(outcome.heads[0]?.nested, { priority: 0, remainingMs: 500 });
+  t.like(outcome.endedCalls[0], { answered: true, service: 's' });
+});
+
+test('a call of a full service ends as not run when its parent has no time left, after few attempts', (t) => {
+  const always = Array.from({ length: 50 }, () => refuse('busy'));
+  const outcome = forward({ a: [...always], b: [...always] }, { parent: PARENT, ...NON_IDEMPOTENT });
+  t.is(outcome.result, 'not-run');
+  t.true(outcome.tried.length > 3 && outcome.tried.length < 24, `${outcome.tried.length} attempts`);
+  t.like(outcome.endedCalls[0], { answered: false });
+});
+
+test('a request without a waiting parent carries no relation to one', (t) => {
+  t.false('nested' in (forward({ a: [ANSWER] }).heads[0] ?? {}));
+});
+
 test('a retry of a caller searches for a back end as long as the work could still be done', (t) => {
   t.is(forward({}, { passMs: 550, spentMs: 300 }).result, '');
   t.is(forward({}, { passMs: 650, spentMs: 300 }).result, 'not-run');
