Keep slots free for calls by their observed load, and foresee when the next slot becomes free

Cause: a back end of 8 slots kept none free for calls. Ruled out: giving the reserve up as soon as the load falls below half a slot: callers avoid full back ends, so the load there falls between calls, and the slot was lost for 743 ms and more; a reserve beside running calls, which would leave a slot idle at the peak. Change: CallLoad observes rate times slot time and fades within a second; new work leaves up to a quarter of the slots to calls. The expected wait of a call follows from the running requests and the calls ahead. Conclusion: back ends that receive no calls keep no slot.

--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -3,6 +3,8 @@
  * priority, each until its own expiry time.
  */
 
+import { callWaitMs } from './slot-policy.js';
+
 /** A request for a slot. */
 export interface SlotRequest {
   /** Priority; lower values go first. */
@@ -27,9 +29,18 @@
   delayMs(ahead: number): number;
   /** Returns the current processing time as a factor of the usual one. */
   pace(): number;
+  /** Returns the number of slots that new work leaves to calls. */
+  callReserve(): number;
+  /** Returns the expected times in ms until the requests that hold slots end. */
+  remainingRunsMs(): readonly number[];
 }
 
-const DEFAULT_PORTS: AdmissionPorts = { delayMs: () => 0, pace: () => 1 };
+const DEFAULT_PORTS: AdmissionPorts = {
+  delayMs: () => 0,
+  pace: () => 1,
+  callReserve: () => 0,
+  remainingRunsMs: () => [],
+};
 
 /** Weight of the newest sample in the mean service time. */
 const EWMA_WEIGHT = 0.1;
@@ -45,6 +56,7 @@
 /** Slots of one back end, and the queue for them. */
 export class Admission {
   private running = 0;
+  private runningCalls = 0;
   private paused = false;
   private readonly waiting: SlotRequest[] = [];
   /** Mean service time in ms, normalized to the usual pace. */
@@ -121,19 +133,21 @@
   }
 
   /**
-   * Returns the expected time in ms until a request gets a slot behind others. A call waits for the first slot and the
-   * calls ahead, whose slots go to further calls: the mean service time of all work would overstate their wait.
+   * Returns the expected time in ms until a request gets a slot behind others. For a call it is exact, since a call that
+   * is refused can still be served elsewhere: slots that were filled together become free together, and calls go ahead
+   * of work that the mean service time includes.
    */
   private slotWaitMs({ callWorkMs }: SlotRequest, ahead: readonly SlotRequest[]): number {
     const { serviceMs, slotCount } = this;
     if (callWorkMs === undefined) return (serviceMs * (ahead.length + 1)) / (slotCount + 1);
-    const aheadMs = ahead.reduce((sum, other) => sum + (other.callWorkMs ?? serviceMs), 0);
-    return (serviceMs + aheadMs) / (slotCount + 1);
+    const aheadMs = ahead.map((other) => other.callWorkMs ?? serviceMs);
+    return callWaitMs(this.ports.remainingRunsMs(), aheadMs);
   }
 
-  /** Returns a slot that was held for `usedMs`, measured at the current pace. */
-  leave(usedMs: number): void {
+  /** Returns a slot that a call or new work held for `usedMs`, measured at the current pace. */
+  leave(usedMs: number, wasCall = false): void {
     this.running -= 1;
+    if (wasCall) this.runningCalls -= 1;
     this.meanServiceMs += (usedMs / this.ports.pace() - this.meanServiceMs) * EWMA_WEIGHT;
     this.grantFreeSlots();
   }
@@ -156,6 +170,7 @@
 
   private grantSlot(request: SlotRequest): void {
     this.running += 1;
+    if (request.callWorkMs !== undefined) this.runningCalls += 1;
     request.start();
   }
 
@@ -184,8 +199,15 @@
     }
   }
 
-  private hasSlotFor({ reserve }: SlotRequest): boolean {
-    return !this.paused && this.running + reserve < this.slotCount && this.ports.delayMs(0) <= 0;
+  private hasSlotFor(request: SlotRequest): boolean {
+    if (this.paused || this.running >= this.slotCount) return false;
+    return this.running + this.reserveFor(request) < this.slotCount && this.ports.delayMs(0) <= 0;
+  }
+
+  /** Returns the number of slots to leave free; calls that run use up what is kept for them. */
+  private reserveFor({ reserve, callWorkMs }: SlotRequest): number {
+    if (callWorkMs !== undefined) return reserve;
+    return Math.max(reserve, this.ports.callReserve() - this.runningCalls);
   }
 
   /** Grants free slots to the queued requests that may start now. */
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -31,6 +31,7 @@
   maxLateWaitMs,
   queueOrder,
   maxSlotWaitMs,
+  remainingRunMs,
   slackTimeMs,
 } from './slot-policy.js';
 import { RequestPacing } from './request-pacing.js';
@@ -89,6 +90,8 @@
     this.admission = new Admission(1, {
       delayMs: (ahead) => this.pacing.delayMs(ahead),
       pace: () => this.forecast.currentPace,
+      callReserve: () => this.forecast.callReserve,
+      remainingRunsMs: () => this.remainingRunsMs(),
     });
     this.suspects = new SuspectScheduler({
       runtime,
@@ -169,7 +172,7 @@
   }
 
   /** Returns what a call inherits from its parent; null for new work. */
-  private readCall({ nested, requestId }: RequestHead): NestedHead | null {
+  private readCall({ nested, requestId, route }: RequestHead): NestedHead | null {
     const read = readNested(nested);
     if (read.err) {
       this.counters.unreadableCalls += 1;
@@ -178,7 +181,9 @@
       if (isFirst) this.ports.log.event('figure-unreadable', { figure: 'nested', requestId });
       return null;
     }
-    if (read.val !== null) this.counters.calls += 1;
+    if (read.val === null) return null;
+    this.counters.calls += 1;
+    this.forecast.recordCall(route);
     return read.val;
   }
 
@@ -283,6 +288,7 @@
       order: 0,
       reserve: 0,
       expiresMs: Infinity,
+      ...this.callWork(request),
       start: () => {
         this.start(request);
       },
@@ -321,7 +327,7 @@
       order: queueOrder(claim, arrivedMs, meanMs),
       reserve: this.reserveOf(request, slackTimeMs(claim, meanMs)),
       expiresMs: nowMs + maxSlotWaitMs(claim, nowMs - arrivedMs, meanMs),
-      ...(nested === null ? {} : { callWorkMs: meanMs }),
+      ...this.callWork(request),
       start: () => {
         this.start(request);
       },
@@ -342,6 +348,10 @@
     if (this.admission.waitingCount > 0) this.scheduleCheck();
   }
 
+  private callWork({ head, nested }: GatewayRequest): Pick<SlotRequest, 'callWorkMs'> {
+    return nested === null ? {} : { callWorkMs: this.forecast.workMs(head.route) };
+  }
+
   /** Returns the number of slots that a request leaves free for others; a call leaves none. */
   private reserveOf({ head, nested }: GatewayRequest, slackMs: number): number {
     if (nested !== null) return 0;
@@ -413,14 +423,14 @@
     const leftMs = head.remainingMs - waitedMs;
     request.startedMs = nowMs;
     if (stale || keyLost || this.isTooLate(request, leftMs, waitedMs)) {
-      this.admission.leave(this.admission.serviceMs);
+      this.returnSlot(request, this.admission.serviceMs);
       if (keyLost && !stale) this.evaluateKey(request, head.key ?? 0);
       else if (stale) this.refuse(request, 'leaving');
       else this.refuse(request, 'busy', 'parent-time-up');
       return;
     }
     if (this.isRestrictedByCrashRecord(request)) {
-      this.admission.leave(this.admission.serviceMs);
+      this.returnSlot(request, this.admission.serviceMs);
       this.evaluateCrashRecord(request, nowMs);
       return;
     }
@@ -459,9 +469,14 @@
   }
 
   /** A request that must run at most once is never sent again, whatever the state of the queue. */
-  private ignoreSecondStart({ head }: GatewayRequest): void {
+  private ignoreSecondStart(request: GatewayRequest): void {
+    const { head } = request;
     this.ports.log.event('second-start-ignored', { requestId: head.requestId, instance: head.instance });
-    this.admission.leave(this.admission.serviceMs);
+    this.returnSlot(request, this.admission.serviceMs);
+  }
+
+  private returnSlot({ nested }: GatewayRequest, usedMs: number): void {
+    this.admission.leave(usedMs, nested !== null);
   }
 
   /** A late answer of an earlier incarnation says nothing about the present one. */
@@ -511,7 +526,10 @@
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(request.head.key, usedMs - request.offeredMs);
     this.count(request, outcome, usedMs);
-    this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
+    this.returnSlot(
+      request,
+      outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs),
+    );
     const { suspect } = request;
     if (suspect === null) return;
     // The permit is released only after a crash here would have been recorded: then another daemon may run the suspect.
@@ -567,7 +585,8 @@
   ): Readonly<Record<string, unknown>> {
     if (nested === null) return {};
     const parentLeftMs = Math.round(nested.remainingMs - waitedMs);
-    return { inheritedPriority: nested.priority, parentLeftMs, cause };
+    const { callReserve } = this.forecast;
+    return { inheritedPriority: nested.priority, parentLeftMs, cause, callReserve };
   }
 
   /** Returns why a request gets no slot in time. */
@@ -612,6 +631,13 @@
     if (request.suspect !== null && request.run === null) this.suspects.remove(request.suspect);
   }
 
+  private remainingRunsMs(): number[] {
+    const nowMs = this.ports.runtime.nowMs();
+    return [...this.running].map(({ head, startedMs }) =>
+      remainingRunMs(this.forecast.workMs(head.route), nowMs - startedMs),
+    );
+  }
+
   private oldestRunMs(): number {
     const first = this.running.values().next();
     return first.done === true ? 0 : this.ports.runtime.nowMs() - first.value.startedMs;
--- a/src/sidecar/nested-calls.ts
+++ b/src/sidecar/nested-calls.ts
@@ -70,21 +70,15 @@
   readonly targetMs: number;
 }
 
-/** Counters of the identification of calls. */
-export interface CallCounters {
-  /** Requests identified by their id. */
-  id: number;
-  /** Requests identified by their deadline. */
-  deadline: number;
-  /** Requests of called routes whose deadline is that of several running requests. */
-  ambiguous: number;
-  /** Calls identified by their deadline whose parent ended before they were answered. */
-  mistaken: number;
-}
+/**
+ * Results of the identification: by id, by deadline, not identified because several running requests have the deadline,
+ * and identified by a deadline whose request ended before the call was answered.
+ */
+export type IdentificationResult = ParentCriterion | 'ambiguous' | 'mistaken';
 
 /** The requests that run at the local back end, and the identification of their calls. */
 export class RunningRequests {
-  readonly counters: CallCounters = { id: 0, deadline: 0, ambiguous: 0, mistaken: 0 };
+  readonly counters: Record<IdentificationResult, number> = { id: 0, deadline: 0, ambiguous: 0, mistaken: 0 };
   private readonly running = new Set<RunningRequest>();
   private readonly byId = new Map<string, RunningRequest>();
   /** Share of the recent requests of a route that are calls, by route. */
@@ -153,6 +147,34 @@
   }
 }
 
+/**
+ * Time in ms within which the observed load of calls follows a change, up or down. Long enough to even out single calls
+ * at a back end that receives about ten a second, short enough to follow the waves of demand, which last seconds.
+ */
+const LOAD_WINDOW_MS = 1_000;
+
+/** Slots that the calls to one back end need, observed from their arrivals: rate times slot time. */
+export class CallLoad {
+  /** Slot time in ms of the calls that have arrived, each fading with its age. */
+  private recentSlotMs = 0;
+  private updatedMs = 0;
+
+  /** Records the arrival of a call that is expected to hold its slot for `workMs`. */
+  record(workMs: number, nowMs: number): void {
+    this.recentSlotMs = this.fadedSlotMs(nowMs) + workMs;
+    this.updatedMs = nowMs;
+  }
+
+  /** Returns the number of slots that calls use on average; 0 when there are none. */
+  slotsAt(nowMs: number): number {
+    return this.fadedSlotMs(nowMs) / LOAD_WINDOW_MS;
+  }
+
+  private fadedSlotMs(nowMs: number): number {
+    return this.recentSlotMs * Math.exp((this.updatedMs - nowMs) / LOAD_WINDOW_MS);
+  }
+}
+
 /** Returns the field that tells other daemons for whom a call is made; it has the integer priorities of the link. */
 export function nestedHeadOf({ request }: CallParent, nowMs: number): NestedHead {
   const priority = Math.min(MAX_PRIORITY, Math.floor(request.priority));
--- a/src/sidecar/slot-policy.ts
+++ b/src/sidecar/slot-policy.ts
@@ -129,6 +129,47 @@
   return Math.floor(slots * SHORT_WORK_RESERVE_SHARE);
 }
 
+/** Largest share of the slots, rounded down, that new work leaves to calls; calls must not keep it out. */
+const MAX_CALL_RESERVE_SHARE = 0.25;
+
+/**
+ * Slots that calls need beyond one slot less than the present reserve, below which one of it is given up. A slot that is
+ * given up is lost to calls for as long as the work takes that starts there, and the need varies between single calls.
+ */
+const KEPT_NEED = 0.25;
+
+/**
+ * Returns the number of slots that new work leaves to calls, given the number that calls need on average and the present
+ * reserve. It is rounded to the nearest: a back end of few slots keeps one from half a slot on, and none for occasional
+ * calls.
+ */
+export function callReserve(slots: number, neededSlots: number, present: number): number {
+  const kept = Math.min(present, Math.ceil(neededSlots - KEPT_NEED));
+  return Math.min(Math.floor(slots * MAX_CALL_RESERVE_SHARE), Math.max(kept, Math.round(neededSlots)));
+}
+
+/**
+ * Returns the expected time in ms until a request ends that has held its slot for `elapsedMs`. One that is overdue is
+ * expected to take as long again as it is overdue, so that a back end that hangs promises nothing.
+ */
+export function remainingRunMs(meanMs: number, elapsedMs: number): number {
+  return Math.abs(meanMs - elapsedMs);
+}
+
+/**
+ * Returns the expected time in ms until a call gets a slot, given the expected times until the running requests end and
+ * the work times of the calls ahead, each of which takes the first slot that becomes free.
+ */
+export function callWaitMs(remainingRunsMs: readonly number[], aheadMs: readonly number[]): number {
+  const ends = [...remainingRunsMs].sort((left, right) => left - right);
+  for (const workMs of aheadMs) {
+    const endMs = (ends.shift() ?? 0) + workMs;
+    const at = ends.findIndex((other) => other > endMs);
+    ends.splice(at < 0 ? ends.length : at, 0, endMs);
+  }
+  return ends[0] ?? 0;
+}
+
 /** Returns the sort key of a late request, which puts it behind all requests that can meet their target. */
 export function lateQueueOrder({ targetLeftMs }: RequestTimeLimits, arrivedMs: number): number {
   return arrivedMs + targetLeftMs + LATE_ORDER_OFFSET_MS;
--- a/src/sidecar/work-forecast.ts
+++ b/src/sidecar/work-forecast.ts
@@ -8,6 +8,7 @@
 import { BackendPace, clampPace } from './backend-pace.js';
 import { LinkWaitEstimator } from './link-wait-estimator.js';
 import {
+  callReserve,
   wouldMissTargetOnLink,
   lateReserve,
   plannedLinkTimeMs,
@@ -16,6 +17,7 @@
   shortWorkReserve,
   type RequestTimeLimits,
 } from './slot-policy.js';
+import { CallLoad } from './nested-calls.js';
 import { RouteAverages } from './route-averages.js';
 
 /** Dependencies of a forecast. */
@@ -47,6 +49,8 @@
   /** Processing time in ms by route, normalized to the usual pace. */
   private readonly workTimes = new RouteAverages();
   private readonly answerBytes = new RouteAverages();
+  private readonly callLoad = new CallLoad();
+  private presentCallReserve = 0;
   private readonly link: LinkWaitEstimator<Owner>;
 
   constructor(private readonly ports: WorkForecastPorts) {
@@ -122,6 +126,22 @@
     return Math.max(lateReserve(this.ports.slots()), this.reserveOf(head));
   }
 
+  /** Records the arrival of a call. */
+  recordCall(route: string): void {
+    this.callLoad.record(this.workMs(route), this.ports.nowMs());
+  }
+
+  /** Number of slots that recent calls need on average. */
+  get callSlots(): number {
+    return this.callLoad.slotsAt(this.ports.nowMs());
+  }
+
+  /** Number of slots that new work leaves to calls. */
+  get callReserve(): number {
+    this.presentCallReserve = callReserve(this.ports.slots(), this.callSlots, this.presentCallReserve);
+    return this.presentCallReserve;
+  }
+
   /** Registers that an answer of the route will be sent for this owner. */
   expectAnswer(route: string, owner: Owner): void {
     this.link.accept(owner, this.answerBytes.averageOf(route, 0));
--- a/test/sidecar/admission.test.ts
+++ b/test/sidecar/admission.test.ts
@@ -76,7 +76,12 @@
 });
 
 test('at a limited rate, a queued request expires as soon as others have taken its last turn', (t) => {
-  const admission = new Admission(2, { delayMs: (ahead) => 100 + ahead * 250, pace: () => 1 });
+  const admission = new Admission(2, {
+    delayMs: (ahead) => 100 + ahead * 250,
+    pace: () => 1,
+    callReserve: () => 0,
+    remainingRunsMs: () => [],
+  });
   const recorder = new Recorder();
   admission.apply(recorder.request('a', 2, 400), 0);
   admission.apply(recorder.request('b', 2, 400), 0);
@@ -88,7 +93,12 @@
 
 test('a request that starts while others expire does not expire as well', (t) => {
   let delayMs = 10;
-  const admission = new Admission(2, { delayMs: () => delayMs, pace: () => 1 });
+  const admission = new Admission(2, {
+    delayMs: () => delayMs,
+    pace: () => 1,
+    callReserve: () => 0,
+    remainingRunsMs: () => [],
+  });
   const recorder = new Recorder();
   const retrying: SlotRequest = {
     ...recorder.request('a', 1, 50),
