Show calls in metrics and explanations

Cause: an operator could not see that a request was a call, what it inherited, and why it waited or was refused. Ruled out: lines of their own for calls, which cost processor time.

--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -36,6 +36,7 @@
   metrics.family('gateway_refusals', 'Requests refused beside the back end, by reason', 'reason', () =>
     Object.entries(gateway.counters.refused),
   );
+  exposeCalls(metrics, node);
   metrics.value('backend_runs', 'Requests sent to the back end', () => gateway.counters.runs);
   metrics.value('backend_answers', 'Whole answers of the back end', () => gateway.counters.answered);
   metrics.value(
@@ -91,3 +92,29 @@
   metrics.value('lease_left_ms', 'Time left of the lease', () => Math.max(0, node.leaseLeftMs));
   metrics.value('ready', '1 while callers may come', () => Number(node.notReadyReason === null));
 }
+
+/** Registers the metrics of calls: those that the local back end makes, and those that it serves. */
+function exposeCalls(metrics: DaemonMetrics, { gateway }: SidecarNode): void {
+  metrics.family(
+    'calls_identified',
+    'Requests identified as calls of the local back end, by result',
+    'result',
+    () => Object.entries(gateway.runningRequests.counters),
+  );
+  metrics.value(
+    'backend_calls',
+    'Requests to the back end that a running request elsewhere waits for',
+    () => gateway.counters.calls,
+  );
+  metrics.value(
+    'backend_unreadable_calls',
+    'Requests whose relation to a waiting request could not be read',
+    () => gateway.counters.unreadableCalls,
+  );
+  metrics.value('backend_call_slots', 'Slots that recent calls need', () => gateway.forecast.callSlots);
+  metrics.value(
+    'backend_call_reserve',
+    'Slots that new work leaves to calls',
+    () => gateway.forecast.callReserve,
+  );
+}
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -108,7 +108,34 @@
   const atBackend = path.findLast(({ event }) => event === 'run-ended' || event === 'request-refused');
   const outcome = end === undefined ? 'its end is not in these logs' : (OUTCOMES[end.event] ?? '');
   const reason = typeof end?.['reason'] === 'string' ? `: ${end['reason']}` : '';
-  return `${outcome}${reason}${describeAtBackend(atBackend)}`;
+  return `${outcome}${reason}${describeAtBackend(atBackend)}${describeCall(path)}`;
+}
+
+/** Describes the relation of a call to the request that waited for it, and why it waited or was refused. */
+function describeCall(path: readonly LoggedEvent[]): string {
+  const event = path.findLast(({ inheritedPriority }) => typeof inheritedPriority === 'number');
+  if (event === undefined) return '';
+  const caller = path.findLast(({ parent }) => typeof parent === 'string');
+  const parent = caller === undefined ? 'another request' : `request ${String(caller['parent'])}`;
+  const criterion = caller?.['parentBy'] === 'deadline' ? ', as its deadline shows' : '';
+  const priority = String(event['inheritedPriority']);
+  return `; it was a call of ${parent}${criterion}, and inherited priority ${priority}${describeCallWait(path)}`;
+}
+
+/** Reason why a call was refused, by the cause that the daemon beside the back end logs. */
+const CALL_REFUSALS: Readonly<Record<string, string>> = {
+  'queue-too-long': 'the calls before it needed longer than its parent had',
+  'parent-time-up': 'no place became free while its parent had time',
+  'link-too-slow': 'its answer would have passed the network link too late',
+};
+
+function describeCallWait(path: readonly LoggedEvent[]): string {
+  const refusal = path.findLast(({ cause }) => typeof cause === 'string');
+  const refused = CALL_REFUSALS[String(refusal?.['cause'])];
+  if (refused !== undefined) return `; ${refused}`;
+  const waitedMs = path.findLast(({ event }) => event === 'request-answered')?.['waitedMs'];
+  if (typeof waitedMs !== 'number' || waitedMs <= 0) return '';
+  return `; it waited ${waitedMs} ms for a place, behind running work and calls of more urgent requests`;
 }
 
 function describeAtBackend(event: LoggedEvent | undefined): string {
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -40,6 +40,28 @@
   );
 });
 
+test('a call that was refused: its parent, what it inherited, and why it got no place', (t) => {
+  const log = [
+    '{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"p.r","reason":"busy","inheritedPriority":0,"parentLeftMs":9,"cause":"parent-time-up"}',
+    '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-not-run","requestId":"p.r","reason":"refused: busy","parent":"p","parentBy":"id","inheritedPriority":0}',
+  ].join('\n');
+  t.is(
+    explainRequest('p.r', readEvents(log)).cause,
+    'it was refused, and was not run: refused: busy; two refused it as busy; it was a call of request p, and ' +
+      'inherited priority 0; no place became free while its parent had time',
+  );
+});
+
+test('a call that was answered late: how long it waited', (t) => {
+  const log =
+    '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-answered","requestId":"p.r","parent":"p","parentBy":"deadline","inheritedPriority":2,"waitedMs":300}';
+  t.is(
+    explainRequest('p.r', readEvents(log)).cause,
+    'it was answered; it was a call of request p, as its deadline shows, and inherited priority 2; it waited 300 ms ' +
+      'for a place, behind running work and calls of more urgent requests',
+  );
+});
+
 test('a request that is not in the logs has no cause', (t) => {
   t.is(explainRequest('unknown', readEvents(LOG)).cause, null);
 });
