Refuse new work early while the calls that it needs fail

Cause: work that starts while its calls cannot be answered holds its slot until they fail, and is then lost. Ruled out: errors of the called back end as a shortage, since refusals do not mend them; late calls as failed ones, because the parents of calls that miss a target of 262 ms are often still in time. Change: CallShortages keeps the share of failing calls by route and called service, which fades within a second, and refuses a bounded share of new work, most of the less urgent, with a retry-after time. Calls are never refused for it, and it is no load of a key.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -17,6 +17,7 @@
 import { policyIsOn } from '../policy-switches.js';
 import { Admission, type SlotRequest } from './admission.js';
 import type { BackendSignals } from './backend-signals.js';
+import { CallShortages, type EarlyRefusal } from './call-shortage.js';
 import { CircuitBreaker } from './circuit-breaker.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
 import { createGatewayCounters, slotTimeUse } from './gateway-counters.js';
@@ -56,14 +57,16 @@
  */
 const MAX_SUSPECT_WAIT_MS = 1_000;
 
-/** Why a call was refused as busy, for its log line. */
-type CallRefusalCause = 'queue-too-long' | 'parent-time-up' | 'link-too-slow';
+/** Why a call, or work that needs calls, was refused as busy; for its log line. */
+type RefusalCause = 'queue-too-long' | 'parent-time-up' | 'link-too-slow' | 'calls-failing';
 
 /** Gateway to one back end. */
 export class BackendGateway {
   readonly counters = createGatewayCounters();
   /** The requests at the back end, by which its calls are identified. */
   readonly runningRequests = new RunningRequests();
+  /** Services whose calls fail, so that work that needs them is refused early. */
+  readonly callShortages = new CallShortages();
   readonly admission: Admission;
   readonly forecast: WorkForecast<GatewayRequest>;
   readonly lateWaitLimiter = new LateWaitLimiter();
@@ -190,6 +193,7 @@
   /** Records the end of a call that the back end made. */
   recordCallEnded(call: EndedCall): void {
     this.runningRequests.recordEnded(call);
+    this.callShortages.recordEnded(call, this.ports.runtime.nowMs());
   }
 
   private adoptLimit({ instance, knownLimitPerSecond }: RequestHead): void {
@@ -314,6 +318,11 @@
     const { head, nested, arrivedMs } = request;
     const { forecast } = this;
     const meanMs = forecast.workMs(head.route);
+    const early = nested === null ? this.callShortages.decide(head.route, head.priority, nowMs) : null;
+    if (early !== null) {
+      this.refuseEarly(request, early);
+      return;
+    }
     if (forecast.isTooLateForLink(head, request)) {
       this.refuse(request, 'busy', 'link-too-slow');
       return;
@@ -561,8 +570,27 @@
     this.ports.log.failure('run-ended', fields);
   }
 
-  private refuse(request: GatewayRequest, reason: RefusalReason, cause?: CallRefusalCause): void {
+  private refuse(request: GatewayRequest, reason: RefusalReason, cause?: RefusalCause): void {
     if (request.done) return;
+    const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
+    // A request that got no slot counts as load of its key, too.
+    if (reason === 'busy' && request.offeredMs === 0)
+      this.ports.onWork(request.head.key, this.admission.serviceMs);
+    this.refuseWith(request, reason, this.retryAfterMs(reason), this.callFields(request, waitedMs, cause));
+  }
+
+  /** Refuses work whose calls would fail. It is no load of its key: this back end has room for it. */
+  private refuseEarly(request: GatewayRequest, { calledService, retryAfterMs }: EarlyRefusal): void {
+    const cause: RefusalCause = 'calls-failing';
+    this.refuseWith(request, 'busy', retryAfterMs, { cause, calledService });
+  }
+
+  private refuseWith(
+    request: GatewayRequest,
+    reason: RefusalReason,
+    retryAfterMs: number,
+    detail: Readonly<Record<string, unknown>>,
+  ): void {
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
     this.counters.refused[reason] += 1;
@@ -571,17 +599,14 @@
     const leftMs = Math.round(request.head.remainingMs - waitedMs);
     const status = this.status();
     const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
-    const call = this.callFields(request, waitedMs, cause);
-    this.ports.log.failure('request-refused', { ...fields, ...status, ...call });
-    // A request that got no slot counts as load of its key, too.
-    if (reason === 'busy' && request.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
-    request.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
+    this.ports.log.failure('request-refused', { ...fields, ...status, ...detail });
+    request.reply.refuse({ reason, arrived: false, retryAfterMs, status });
   }
 
   private callFields(
     { nested }: GatewayRequest,
     waitedMs: number,
-    cause: CallRefusalCause | undefined,
+    cause: RefusalCause | undefined,
   ): Readonly<Record<string, unknown>> {
     if (nested === null) return {};
     const parentLeftMs = Math.round(nested.remainingMs - waitedMs);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -111,6 +111,11 @@
     'Requests whose relation to a waiting request could not be read',
     () => gateway.counters.unreadableCalls,
   );
+  metrics.value(
+    'refused_for_calls',
+    'Requests refused early because calls that they need fail',
+    () => gateway.callShortages.refused,
+  );
   metrics.value('backend_call_slots', 'Slots that recent calls need', () => gateway.forecast.callSlots);
   metrics.value(
     'backend_call_reserve',
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -146,11 +146,18 @@
       slots === undefined
         ? ''
         : ` (${String(running)} ran, ${String(waiting)} waited, ${String(slots)} places)`;
-    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${describeLimit(event)}`;
+    const shortage = describeShortage(event);
+    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${describeLimit(event)}${shortage}`;
   }
   return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(event['outcome'])}`;
 }
 
+/** Describes why new work was refused although its back end had room for it. */
+function describeShortage({ cause, calledService }: LoggedEvent): string {
+  if (cause !== 'calls-failing') return '';
+  return `; it needs calls to ${String(calledService)}, which fail or come late there`;
+}
+
 function describeLimit({ reason, limitPerSecond }: LoggedEvent): string {
   if (reason !== 'rate-limited') return '';
   if (typeof limitPerSecond !== 'number') return '; whether its back end names a limit was not known yet';
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -52,6 +52,15 @@
   );
 });
 
+test('new work that was refused because its calls fail', (t) => {
+  const log =
+    '{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r","reason":"busy","cause":"calls-failing","calledService":"s"}';
+  t.is(
+    explainRequest('r', readEvents(log)).cause,
+    'its end is not in these logs; two refused it as busy; it needs calls to s, which fail or come late there',
+  );
+});
+
 test('a call that was answered late: how long it waited', (t) => {
   const log =
     '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-answered","requestId":"p.r","parent":"p","parentBy":"deadline","inheritedPriority":2,"waitedMs":300}';
--- a/test/sidecar/gateway-calls.test.ts
+++ b/test/sidecar/gateway-calls.test.ts
@@ -112,3 +112,19 @@
   world.time.pass(2 * SYNC_MS);
   t.is(world.gateway.runningCount, SLOTS);
 });
+
+test('new work whose calls fail is refused early with a retry-after time, but not all of it, and no calls', (t) => {
+  const world = new RegistryGateway().learn();
+  const request = { requestId: 'p', route: 'sync', priority: 2, deadlineMs: 9_999, isCall: false };
+  const failed = { service: 'called', answered: false, elapsedMs: 628, targetMs: 262 };
+  for (let call = 0; call < 20; call += 1)
+    world.gateway.recordCallEnded({ parent: { request, criterion: 'id' }, ...failed });
+  world.fill();
+  t.true(world.refused.length > 0 && world.refused.length < SLOTS);
+  t.true(world.refused.every(({ retryAfterMs }) => retryAfterMs > 0));
+  t.is(world.gateway.runningCount, SLOTS - world.refused.length, 'slots were free');
+  t.like(world.logged.at(-1), { cause: 'calls-failing', calledService: 'called' });
+  const refusedBefore = world.refused.length;
+  world.take({ ...SYNC, requestId: 'call' }, { priority: 2, remainingMs: 9_000 });
+  t.is(world.refused.length, refusedBefore);
+});
