Test calls at the intake and after a lost link; count calls that run

Cause: no test showed that a call is no retry in the estimate of spent time, that a restarted daemon serves calls as new work, and that a call that may have run is not sent again. Change: three tests with small fakes, a metric of calls at the back end. Conclusion: nothing else changes.

--- a/src/sidecar/nested-calls.ts
+++ b/src/sidecar/nested-calls.ts
@@ -84,6 +84,13 @@
   /** Share of the recent requests of a route that are calls, by route. */
   private readonly calledShares = new RouteAverages();
 
+  /** Number of running requests that are calls. */
+  get callCount(): number {
+    let count = 0;
+    for (const { isCall } of this.running) count += Number(isCall);
+    return count;
+  }
+
   /** Records that a request starts to run. */
   begin(request: RunningRequest): void {
     this.running.add(request);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -106,6 +106,7 @@
     'Requests to the back end that a running request elsewhere waits for',
     () => gateway.counters.calls,
   );
+  metrics.value('backend_running_calls', 'Calls at the back end', () => gateway.runningRequests.callCount);
   metrics.value(
     'backend_unreadable_calls',
     'Requests whose relation to a waiting request could not be read',
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -420,6 +420,14 @@
   t.like(outcome.endedCalls[0], { answered: false });
 });
 
+test('a call that may have run when its link was lost is not sent again, whatever time its parent has', (t) => {
+  const setup: Setup = { ...NON_IDEMPOTENT, parent: PARENT };
+  const outcome = forward({ a: [refuse('busy')], b: [LOST_AFTER_SENDING], c: [ANSWER] }, setup);
+  t.deepEqual(outcome.tried, ['a', 'b']);
+  t.is(outcome.result, 'unknown');
+  t.like(outcome.endedCalls[0], { answered: false });
+});
+
 test('a request without a waiting parent carries no relation to one', (t) => {
   t.false('nested' in (forward({ a: [ANSWER] }).heads[0] ?? {}));
 });
--- /dev/null
+++ b/test/sidecar/request-intake.test.ts
@@ -0,0 +1,71 @@
+/** Calls among the requests that arrive at a sidecar. */
+import test from 'ava';
+import { DEFAULT_HEADER_DIALECT as DIALECT } from '../../src/sidecar/header-dialect.js';
+import type { DirectoryTable } from '../../src/sidecar/directory-table.js';
+import { RunningRequests } from '../../src/sidecar/nested-calls.js';
+import { RequestIntake } from '../../src/sidecar/request-intake.js';
+import { Route } from '../../src/sidecar/route-table.js';
+import { ManualTime } from './manual-runtime.js';
+
+const TIMEOUT_MS = 628;
+
+class World {
+  readonly time = new ManualTime();
+  readonly running = new RunningRequests();
+  private readonly route = new Route('read', {
+    host: 'h',
+    pathPrefix: '/',
+    kind: 'safe',
+    timeoutMs: TIMEOUT_MS,
+    targetLatencyMs: 262,
+    priority: 5,
+    maxAttempts: 2,
+    destinations: [{ service: 'registry', weight: 1 }],
+  });
+  private readonly intake = new RequestIntake({
+    runtime: this.time.runtime,
+    table: {
+      configured: true,
+      routes: { find: () => this.route },
+      service: () => null,
+    } as unknown as DirectoryTable,
+    dialect: DIALECT,
+    service: 'ordering',
+    tableIsCurrent: () => true,
+    findParent: (arrived) => this.running.findParent(arrived, this.time.nowMs),
+  });
+
+  prepare(requestId: string, deadlineMs: number) {
+    const headers = [DIALECT.requestId, requestId, DIALECT.deadlineMs, String(deadlineMs)];
+    const prepared = this.intake.prepare({
+      method: 'GET',
+      path: '/',
+      host: 'h',
+      headers,
+      body: Buffer.alloc(0),
+    });
+    if ('statusCode' in prepared) throw new Error(prepared.reason);
+    return prepared;
+  }
+}
+
+test('a call has its parent and no spent time, however much of the deadline its parent has used', (t) => {
+  const world = new World();
+  for (let caller = 0; caller < 30; caller += 1) world.prepare(`caller${caller}`, TIMEOUT_MS);
+  const parent = {
+    requestId: 'p',
+    route: 'order',
+    priority: 0,
+    deadlineMs: world.time.nowMs + 300,
+    isCall: false,
+  };
+  world.running.begin(parent);
+  t.like(world.prepare('p.1', 300), { parent: { request: parent, criterion: 'id' }, spentMs: 0 });
+  const retry = world.prepare('caller', 400);
+  t.is(retry.parent, null);
+  t.true(retry.spentMs > 0, 'a retry of a caller is still recognized');
+});
+
+test('a daemon that has restarted knows no parents, and serves calls as new work', (t) => {
+  t.is(new World().prepare('p.1', 300).parent, null);
+});
