Replay the second after the peak of a wave, too

Cause: the replay ended with the peak, and the service has to be back within a second after it. Change: demand falls by half after 6 s; from a second later, calls are answered within the target of their parents.

--- a/src/sidecar/admission.ts
+++ b/src/sidecar/admission.ts
@@ -133,9 +133,9 @@
   }
 
   /**
-   * Returns the expected time in ms until a request gets a slot behind others. For a call it is exact, since a call that
-   * is refused can still be served elsewhere: slots that were filled together become free together, and calls go ahead
-   * of work that the mean service time includes.
+   * Returns the expected time in ms until a request gets a slot behind others. For a call it is estimated slot by slot,
+   * because slots that were filled together become free together, and a call that is refused in time can still be served
+   * elsewhere.
    */
   private slotWaitMs({ callWorkMs }: SlotRequest, ahead: readonly SlotRequest[]): number {
     const { serviceMs, slotCount } = this;
--- a/test/sidecar/call-wave.test.ts
+++ b/test/sidecar/call-wave.test.ts
@@ -10,6 +10,11 @@
 const READS_PER_SECOND = 270;
 const WAVE_MS = 6_000;
 
+/** Share of the demand after the wave, the time in ms for which it is played, and that allowed to recover. */
+const AFTER_WAVE_SHARE = 0.5;
+const AFTER_WAVE_MS = 3_000;
+const RECOVERY_MS = 1_000;
+
 /** Time in ms that the parent of a read has, and within which its own answer has its full value. */
 const PARENT_MS = 3_090;
 const PARENT_TARGET_MS = 618;
@@ -62,19 +67,25 @@
     this.time.runtime.every(STATUS_MS, () => {
       this.refreshLoads();
     });
-    for (let passedMs = 0; passedMs < WAVE_MS + PARENT_MS; passedMs += STATUS_MS) this.time.pass(STATUS_MS);
+    for (let passedMs = 0; passedMs < WAVE_MS + AFTER_WAVE_MS + PARENT_MS; passedMs += STATUS_MS)
+      this.time.pass(STATUS_MS);
   }
 
   /** Share of the requests of one kind that were answered within a time in ms. */
-  served(isCall: boolean, withinMs: number): number {
-    const sent = this.sent.filter((request) => request.isCall === isCall);
+  served(isCall: boolean, withinMs: number, fromMs = 0, untilMs = WAVE_MS): number {
+    const sent = this.sent.filter(({ isCall: sentCall, atMs }) => {
+      const arrivedMs = atMs - this.startMs;
+      return sentCall === isCall && arrivedMs >= fromMs && arrivedMs < untilMs;
+    });
     return sent.filter(({ atMs, endedMs }) => endedMs - atMs <= withinMs).length / sent.length;
   }
 
   private arrive(perSecond: number, head: RequestHead, isCall: boolean): void {
-    this.time.runtime.after(this.random.exponential(1_000 / perSecond), () => {
+    const sinceStartMs = this.time.nowMs - this.startMs;
+    const share = sinceStartMs < WAVE_MS ? 1 : AFTER_WAVE_SHARE;
+    this.time.runtime.after(this.random.exponential(1_000 / (perSecond * share)), () => {
       const atMs = this.time.nowMs;
-      if (atMs > this.startMs + WAVE_MS) return;
+      if (atMs > this.startMs + WAVE_MS + AFTER_WAVE_MS) return;
       const request: Sent = { head, atMs, isCall, attempts: 0, endedMs: Infinity };
       this.sent.push(request);
       this.attempt(request);
@@ -125,5 +136,7 @@
     t.true(after.served(true, PARENT_TARGET_MS) >= 0.998);
     t.true(after.served(true, READ.targetLeftMs) >= 0.9, 'slots are kept free for calls');
     t.true(after.served(false, SYNC.targetLeftMs) >= 0.9);
+    const recovered = [WAVE_MS + RECOVERY_MS, WAVE_MS + AFTER_WAVE_MS] as const;
+    t.true(after.served(true, PARENT_TARGET_MS, ...recovered) >= 0.998, 'a second after the peak');
   });
 }
