--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -6,6 +6,7 @@
 import type {
   AnswerTiming,
   FailureHead,
+  NestedHead,
   RefusalReason,
   RequestHead,
   StatusHead,
@@ -16,18 +17,22 @@
 import { policyIsOn } from '../policy-switches.js';
 import { Admission, type SlotRequest } from './admission.js';
 import type { BackendSignals } from './backend-signals.js';
+import { CallShortages, type EarlyRefusal } from './call-shortage.js';
 import { CircuitBreaker } from './circuit-breaker.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
 import { createGatewayCounters, slotTimeUse } from './gateway-counters.js';
 import type { GatewayPorts } from './gateway-ports.js';
 import { createGatewayRequest, type GatewayRequest } from './gateway-request.js';
 import { LateWaitLimiter, type LateWaitOutcome } from './late-wait-limiter.js';
+import { limitsOfCall, readNested, RunningRequests, type EndedCall } from './nested-calls.js';
 import {
+  callRank,
   isTooLateToStart,
   lateQueueOrder,
   maxLateWaitMs,
   queueOrder,
   maxSlotWaitMs,
+  remainingRunMs,
   slackTimeMs,
 } from './slot-policy.js';
 import { RequestPacing } from './request-pacing.js';
@@ -55,9 +60,16 @@
 /** Minimum interval in ms between log lines on the slots that late requests leave free. */
 const RESERVE_LOG_INTERVAL_MS = 5_000;
 
+/** Why a call, or work that needs calls, was refused as busy; for its log line. */
+type RefusalCause = 'queue-too-long' | 'parent-time-up' | 'link-too-slow' | 'calls-failing';
+
 /** Gateway to one back end. */
 export class BackendGateway {
   readonly counters = createGatewayCounters();
+  /** The requests at the back end, by which its calls are identified. */
+  readonly runningRequests = new RunningRequests();
+  /** Services whose calls fail, so that work that needs them is refused early. */
+  readonly callShortages = new CallShortages();
   readonly admission: Admission;
   readonly forecast: WorkForecast<GatewayRequest>;
   readonly lateWaitLimiter = new LateWaitLimiter();
@@ -87,6 +99,8 @@
     this.admission = new Admission(1, {
       delayMs: (ahead) => this.pacing.delayMs(ahead),
       pace: () => this.forecast.currentPace,
+      callReserve: () => this.forecast.callReserve,
+      remainingRunsMs: () => this.remainingRunsMs(),
     });
     this.suspects = new SuspectScheduler({
       runtime,
@@ -149,7 +163,10 @@
   /** Accepts a request from this daemon or a peer. */
   accept(head: RequestHead, body: Buffer, reply: RequestReply): AcceptedRequest {
     const nowMs = this.ports.runtime.nowMs();
-    const request = createGatewayRequest(head, body, reply, nowMs, nowMs + this.maxReadinessWaitMs(head));
+    const nested = this.readCall(head);
+    const limited = nested === null ? head : limitsOfCall(head, nested);
+    const expiresMs = nowMs + this.maxReadinessWaitMs(limited);
+    const request = createGatewayRequest(limited, nested, body, reply, nowMs, expiresMs);
     this.counters.requests += 1;
     this.adoptLimit(head);
     this.evaluate(request);
@@ -163,6 +180,28 @@
     };
   }
 
+  /** Returns what a call inherits from its parent; null for new work. */
+  private readCall({ nested, requestId, route }: RequestHead): NestedHead | null {
+    const read = readNested(nested);
+    if (read.err) {
+      this.counters.unreadableCalls += 1;
+      // Only the first one is logged; a counter holds the total.
+      const isFirst = this.counters.unreadableCalls === 1;
+      if (isFirst) this.ports.log.event('figure-unreadable', { figure: 'nested', requestId });
+      return null;
+    }
+    if (read.val === null) return null;
+    this.counters.calls += 1;
+    this.forecast.recordCall(route);
+    return read.val;
+  }
+
+  /** Records the end of a call that the back end made. */
+  recordCallEnded(call: EndedCall): void {
+    this.runningRequests.recordEnded(call);
+    this.callShortages.recordEnded(call, this.ports.runtime.nowMs());
+  }
+
   private adoptLimit({ instance, knownLimitPerSecond }: RequestHead): void {
     const isCurrent = instance === this.ports.instance();
     if (isCurrent && knownLimitPerSecond !== undefined) this.pacing.adopt(knownLimitPerSecond);
@@ -259,6 +298,7 @@
       order: 0,
       reserve: 0,
       expiresMs: Infinity,
+      ...this.callWork(request),
       start: () => {
         this.start(request);
       },
@@ -281,31 +321,44 @@
   }
 
   private apply(request: GatewayRequest, nowMs: number): void {
-    const { head, arrivedMs } = request;
+    const { head, nested, arrivedMs } = request;
     const { forecast } = this;
     const meanMs = forecast.workMs(head.route);
+    const early = nested === null ? this.callShortages.decide(head.route, head.priority, nowMs) : null;
+    if (early !== null) {
+      this.refuseEarly(request, early);
+      return;
+    }
     if (forecast.isTooLateForLink(head, request)) {
-      this.refuse(request, 'busy');
+      this.refuse(request, 'busy', 'link-too-slow');
       return;
     }
     const claim = forecast.claimOf(head, request);
     forecast.expectAnswer(head.route, request);
     this.recordOfferedLoad(request, meanMs);
     const isInTime = slackTimeMs(claim, meanMs) > 0;
-    if (isInTime) forecast.inTime.recordArrival(nowMs);
+    // Slots for calls are kept free by their own observed load.
+    if (isInTime && nested === null) forecast.inTime.recordArrival(nowMs);
     this.logLateReserve(nowMs);
+    const reserveOf = (): number => this.reserveOf(request, isInTime);
     let waits = false;
     const slotRequest: SlotRequest = {
-      priority: forecast.rankOf(head),
+      priority: nested === null ? forecast.rankOf(head) : callRank(nested.priority),
       order: queueOrder(claim, arrivedMs, meanMs),
       get reserve() {
-        return isInTime ? forecast.reserveOf(head) : forecast.lateReserveOf(head);
+        return reserveOf();
       },
       expiresMs: nowMs + maxSlotWaitMs(claim, nowMs - arrivedMs, meanMs),
+      ...this.callWork(request),
       start: () => {
         this.start(request);
       },
       expire: () => {
+        if (nested !== null) {
+          // A call waits as long as its parent has time, so a further wait would be of no use.
+          this.refuse(request, this.noSlotReason(), waits ? 'parent-time-up' : 'queue-too-long');
+          return;
+        }
         // An immediate refusal leaves the caller time to retry. After a wait, or for a retry, it would be of no use.
         if (waits || head.spentMs > 0) this.applyLate(request);
         else this.refuse(request, this.noSlotReason());
@@ -317,6 +370,16 @@
     if (this.admission.waitingCount > 0) this.scheduleCheck();
   }
 
+  private callWork({ head, nested }: GatewayRequest): Pick<SlotRequest, 'callWorkMs'> {
+    return nested === null ? {} : { callWorkMs: this.forecast.workMs(head.route) };
+  }
+
+  /** Returns the number of slots that a request leaves free for others; a call leaves none. */
+  private reserveOf({ head, nested }: GatewayRequest, isInTime: boolean): number {
+    if (nested !== null) return 0;
+    return isInTime ? this.forecast.reserveOf(head) : this.forecast.lateReserveOf(head);
+  }
+
   /** Queues a request behind all that can meet their target latency, while such waits mostly end with a slot. */
   private applyLate(request: GatewayRequest): void {
     const { head, arrivedMs } = request;
@@ -393,13 +456,14 @@
     const leftMs = head.remainingMs - waitedMs;
     request.startedMs = nowMs;
     if (stale || keyLost || this.isTooLate(request, leftMs, waitedMs)) {
-      this.admission.leave(this.admission.serviceMs);
+      this.returnSlot(request, this.admission.serviceMs);
       if (keyLost && !stale) this.evaluateKey(request, head.key ?? 0);
-      else this.refuse(request, stale ? 'leaving' : 'busy');
+      else if (stale) this.refuse(request, 'leaving');
+      else this.refuse(request, 'busy', 'parent-time-up');
       return;
     }
     if (this.isRestrictedByCrashRecord(request)) {
-      this.admission.leave(this.admission.serviceMs);
+      this.returnSlot(request, this.admission.serviceMs);
       this.evaluateCrashRecord(request, nowMs);
       return;
     }
@@ -407,6 +471,7 @@
     request.alone = this.running.size === 0;
     for (const other of this.running) other.alone = false;
     this.running.add(request);
+    this.beginRun(request, leftMs);
     this.counters.runs += 1;
     request.sendNumber = this.pacing.recordSent();
     request.run = ports.backend.prepare(request.head, request.body, leftMs, {
@@ -423,10 +488,28 @@
     request.run.start();
   }
 
+  /** Enters a request among those whose calls are identified; calls of a call inherit what it has inherited. */
+  private beginRun(request: GatewayRequest, leftMs: number): void {
+    const { head, nested, startedMs } = request;
+    request.runEntry = {
+      requestId: head.requestId,
+      route: head.route,
+      priority: nested?.priority ?? head.priority,
+      deadlineMs: startedMs + leftMs,
+      isCall: nested !== null,
+    };
+    this.runningRequests.begin(request.runEntry);
+  }
+
   /** A request that must run at most once is never sent again, whatever the state of the queue. */
-  private ignoreSecondStart({ head }: GatewayRequest): void {
+  private ignoreSecondStart(request: GatewayRequest): void {
+    const { head } = request;
     this.ports.log.event('second-start-ignored', { requestId: head.requestId, instance: head.instance });
-    this.admission.leave(this.admission.serviceMs);
+    this.returnSlot(request, this.admission.serviceMs);
+  }
+
+  private returnSlot({ nested }: GatewayRequest, usedMs: number): void {
+    this.admission.leave(usedMs, nested !== null);
   }
 
   /** A late answer of an earlier incarnation says nothing about the present one. */
@@ -469,13 +552,17 @@
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
     this.running.delete(request);
+    if (request.runEntry !== null) this.runningRequests.end(request.runEntry);
     const usedMs = this.ports.runtime.nowMs() - request.startedMs;
     if (outcome.kind === 'answered') this.recordAnswer(request.head.route, usedMs, outcome);
     else if (outcome.kind !== 'declined') this.pacing.recordUnanswered(request.sendNumber);
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(request.head.key, usedMs - request.offeredMs);
     this.count(request, outcome, usedMs);
-    this.admission.leave(outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs));
+    this.returnSlot(
+      request,
+      outcome.kind === 'answered' ? usedMs : Math.max(usedMs, this.admission.serviceMs),
+    );
     const { suspect } = request;
     if (suspect === null) return;
     // The permit is released only after a crash here would have been recorded: then another daemon may run the suspect.
@@ -507,8 +594,27 @@
     this.ports.log.failure('run-ended', fields);
   }
 
-  private refuse(request: GatewayRequest, reason: RefusalReason): void {
+  private refuse(request: GatewayRequest, reason: RefusalReason, cause?: RefusalCause): void {
     if (request.done) return;
+    const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
+    // A request that got no slot counts as load of its key, too.
+    if (reason === 'busy' && request.offeredMs === 0)
+      this.ports.onWork(request.head.key, this.admission.serviceMs);
+    this.refuseWith(request, reason, this.retryAfterMs(reason), this.callFields(request, waitedMs, cause));
+  }
+
+  /** Refuses work whose calls would fail. It is no load of its key: this back end has room for it. */
+  private refuseEarly(request: GatewayRequest, { calledService, retryAfterMs }: EarlyRefusal): void {
+    const cause: RefusalCause = 'calls-failing';
+    this.refuseWith(request, 'busy', retryAfterMs, { cause, calledService });
+  }
+
+  private refuseWith(
+    request: GatewayRequest,
+    reason: RefusalReason,
+    retryAfterMs: number,
+    detail: Readonly<Record<string, unknown>>,
+  ): void {
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
     this.counters.refused[reason] += 1;
@@ -517,10 +623,19 @@
     const leftMs = Math.round(request.head.remainingMs - waitedMs);
     const status = this.status();
     const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
-    this.ports.log.failure('request-refused', { ...fields, ...status });
-    // A request that got no slot counts as load of its key, too.
-    if (reason === 'busy' && request.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
-    request.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
+    this.ports.log.failure('request-refused', { ...fields, ...status, ...detail });
+    request.reply.refuse({ reason, arrived: false, retryAfterMs, status });
+  }
+
+  private callFields(
+    { nested }: GatewayRequest,
+    waitedMs: number,
+    cause: RefusalCause | undefined,
+  ): Readonly<Record<string, unknown>> {
+    if (nested === null) return {};
+    const parentLeftMs = Math.round(nested.remainingMs - waitedMs);
+    const { callReserve } = this.forecast;
+    return { inheritedPriority: nested.priority, parentLeftMs, cause, callReserve };
   }
 
   /** Returns why a request gets no slot in time. */
@@ -566,6 +681,13 @@
     if (request.suspect !== null && request.run === null) this.suspects.remove(request.suspect);
   }
 
+  private remainingRunsMs(): number[] {
+    const nowMs = this.ports.runtime.nowMs();
+    return [...this.running].map(({ head, startedMs }) =>
+      remainingRunMs(this.forecast.workMs(head.route), nowMs - startedMs),
+    );
+  }
+
   private oldestRunMs(): number {
     const first = this.running.values().next();
     return first.done === true ? 0 : this.ports.runtime.nowMs() - first.value.startedMs;
