Costly moves of keys only where they save more work than they cost

The load of a bucket is averaged over windows of 500 ms while reports come every 700 ms, so averages vary without a change of demand; keys that have just moved look idle, then busy (pause, cold work), and other keys follow them; owners with free slots lose keys, too. Change: load counts for the time since the bucket's last report, and keys that move are not measured for 3 s. Where a move takes a heartbeat, keys leave only an owner whose demand exceeds its slots; a move must save more refused work within 4 s than its pause and cold work cost; at most a quarter of the load (or one move) moves within 8 s; plans follow each other after 500 ms and are not held up by moves in progress. Services with invoked grants keep interval, thresholds and limits; their load is averaged over a longer time. Moves in the log carry source, load and utilizations, plans the limit reached; new metrics keys_moved and limited_balance_plans. Planner tests report load with its time (closeWindow is gone); their assertions are unchanged.

--- a/src/directory/directory-metrics.ts
+++ b/src/directory/directory-metrics.ts
@@ -24,6 +24,16 @@
   metrics.family('crash_records', 'Requests under which back ends end, by stage', 'stage', () =>
     countCrashRecordsByStage(node.state.crashRecords.values()),
   );
+  const { moveCounters } = node;
+  metrics.family('keys_moved', 'Keys whose move to another owner was planned, by cause', 'cause', () => [
+    ['balance', moveCounters.balancedKeys] as const,
+    ['leaving-owner', moveCounters.drainedKeys] as const,
+  ]);
+  metrics.value(
+    'limited_balance_plans',
+    'Planning runs in which a limit on moves for balance was reached',
+    () => moveCounters.limitedPlans,
+  );
   metrics.family('ranges', 'Ranges of keys, by service', 'service', () =>
     [...node.state.ranges].map(([service, ranges]) => [service, ranges.length] as const),
   );
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -188,6 +188,11 @@
     return leaderAddress !== name && hasRecentLeader ? leaderAddress : null;
   }
 
+  /** Counts of planned moves of keys since the process start. */
+  get moveCounters(): RangePlanningLoop['counters'] {
+    return this.rangePlanning.counters;
+  }
+
   /** The consensus replica; null until formation has finished. */
   get consensus(): Replica | null {
     return this.replica;
--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -4,7 +4,6 @@
  */
 import type { KeySpan } from './directory-commands.js';
 import { FIRST_KEY, LAST_KEY, type BackendInstance, type KeyRange } from './directory-state.js';
-import { policyIsOn } from '../policy-switches.js';
 import { changeSpan } from './key-ranges.js';
 import { KEYS_PER_BUCKET, bucketOf, type KeyLoad } from './key-load.js';
 
@@ -33,9 +32,19 @@
 const CHEAP_MOVE_THRESHOLDS: BalanceThresholds = { minUtilization: 0.4, minDifference: 0.15 };
 
 /** Thresholds when a move takes about a heartbeat, during which its keys are not served. */
-const COSTLY_MOVE_THRESHOLDS: BalanceThresholds = policyIsOn('move-rest')
-  ? { minUtilization: 0.65, minDifference: 0.25 }
-  : { minUtilization: 0.5, minDifference: 0.25 };
+const COSTLY_MOVE_THRESHOLDS: BalanceThresholds = { minUtilization: 1, minDifference: 0.25 };
+
+/** Utilization to which a costly move reduces its source; the rest absorbs requests that come close together. */
+const RELIEVED_UTILIZATION = 0.9;
+
+/** Time in s for which keys are not served during a costly move: about one heartbeat of a back end. */
+const MOVE_PAUSE_S = 0.87;
+
+/** Slot time in s by slot of load that cold keys take at their new owner beyond their usual work. */
+const COLD_WORK_S = 2;
+
+/** Time in s within which a costly move must save more refused work than it costs; busy keys change about as often. */
+const SAVING_HORIZON_S = 4;
 
 /** Share of all slots that unknown load is assumed to need, spread evenly over the keys. */
 const ASSUMED_UTILIZATION = 0.1;
@@ -56,20 +65,37 @@
   readonly mayBalance: boolean;
   /** Whether keys are unavailable for a relevant time while they move. */
   readonly movesAreCostly: boolean;
+  /** Load in slots whose keys one plan may move for balance if moves are costly; its last move may exceed it. */
+  readonly movableLoad: number;
   /** Zones whose back ends must not own keys. */
   readonly evacuatedZones: ReadonlySet<string>;
   /** Whether a bucket of keys must not be moved for balance yet. */
   readonly isCoolingDown: (bucket: number) => boolean;
 }
 
+/** Why a plan contains no further moves for balance: too many moves, or too much load on moving keys. */
+export type BalanceLimit = 'moves' | 'moved-load';
+
+/** A move for balance with the figures that led to it. */
+export interface BalanceMove extends SpanTarget {
+  readonly source: string;
+  /** Load in slots of the moved keys. */
+  readonly load: number;
+  /** Shares of used slots before the move. */
+  readonly sourceUtilization: number;
+  readonly receiverUtilization: number;
+}
+
 /** Planned changes of ownership for one service. */
 export interface RangePlan {
   /** Assignments of unowned keys. */
   readonly assignments: readonly SpanTarget[];
-  /** Moves of keys between owners. */
-  readonly moves: readonly SpanTarget[];
+  /** Moves of keys between owners; those for balance carry their figures. */
+  readonly moves: readonly (SpanTarget | BalanceMove)[];
   /** Whether the moves are for balance and not because an owner leaves. */
   readonly forBalance: boolean;
+  /** The limit that the moves for balance reached; missing if none. */
+  readonly limitedBy?: BalanceLimit;
 }
 
 /** A back end that may receive keys, with its planned load in slots and its planned number of keys. */
@@ -104,7 +130,10 @@
   if (moves.length > 0 || assignments.length > 0 || !view.mayBalance) {
     return { assignments, moves, forBalance: false };
   }
-  return { assignments, moves: planBalance(view, candidates), forBalance: true };
+  if (!view.movesAreCostly) return { assignments, forBalance: true, ...planBalance(view, candidates) };
+  // Moving keys without measured load costs callers nothing, but saves nothing either.
+  view.load.setAssumedLoad(0);
+  return { assignments, forBalance: true, ...planBalance(view, makeCandidates(view)) };
 }
 
 function mayOwnKeys({ condition, zone }: BackendInstance, { evacuatedZones }: RangeView): boolean {
@@ -207,51 +236,83 @@
   return left.keys < right.keys;
 }
 
-/** Moves spans from busy to idle back ends until the load is balanced, no move helps, or the limit is reached. */
-function planBalance(view: RangeView, candidates: readonly Candidate[]): SpanTarget[] {
-  if (view.ranges.some(({ movingTo }) => movingTo !== null)) return [];
-  const thresholds = view.movesAreCostly ? COSTLY_MOVE_THRESHOLDS : CHEAP_MOVE_THRESHOLDS;
+/** Moves spans from busy to idle back ends until the load is balanced, no move helps, or a limit is reached. */
+function planBalance(
+  view: RangeView,
+  candidates: readonly Candidate[],
+): Pick<RangePlan, 'moves' | 'limitedBy'> {
+  // Costly moves are not delayed by others: while one takes a heartbeat, another back end may refuse work.
+  if (!view.movesAreCostly && view.ranges.some(({ movingTo }) => movingTo !== null)) return { moves: [] };
   const maxMoves = Math.max(
     MIN_BALANCE_MOVE_LIMIT,
     Math.floor(candidates.length / BACK_ENDS_PER_BALANCE_MOVE),
   );
-  const moves: SpanTarget[] = [];
+  const moves: BalanceMove[] = [];
   let { ranges } = view;
+  let movableLoad = view.movesAreCostly ? view.movableLoad : Infinity;
   while (moves.length < maxMoves) {
-    const move = nextBalanceMove({ ...view, ranges }, candidates, thresholds);
-    if (move === null) break;
+    const move = nextBalanceMove({ ...view, ranges }, candidates);
+    if (move === null) return { moves };
+    // The last move may exceed the limit: a single key can hold more load than the limit allows.
+    if (movableLoad <= 0) return { moves, limitedBy: 'moved-load' };
+    movableLoad -= move.load;
     moves.push(move);
     ranges = changeSpan(ranges, move, (range) => ({ ...range, owner: move.backend, movingTo: move.backend }));
   }
-  return moves;
+  return { moves, limitedBy: 'moves' };
 }
 
 /**
  * Plans one balance move. If the busiest back end has no span that can be moved, for example because a single very busy
  * key causes its load, the next busiest one is tried.
  */
-function nextBalanceMove(
-  view: RangeView,
-  candidates: readonly Candidate[],
-  thresholds: BalanceThresholds,
-): SpanTarget | null {
-  const { ranges, load } = view;
+function nextBalanceMove(view: RangeView, candidates: readonly Candidate[]): BalanceMove | null {
+  const { ranges, load, movesAreCostly } = view;
+  const thresholds = movesAreCostly ? COSTLY_MOVE_THRESHOLDS : CHEAP_MOVE_THRESHOLDS;
   const receiver = leastUtilized(candidates);
   if (receiver === null) return null;
   for (const source of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
     if (source === receiver || !isOutOfBalance(source, receiver, thresholds)) return null;
-    const targetLoad = loadToEqualize(source, receiver);
+    const targetLoad = movesAreCostly ? loadToRelieve(source, receiver) : loadToEqualize(source, receiver);
     const owned = ranges.filter(({ owner, movingTo }) => owner === source.id && movingTo === null);
     const minLoad = MIN_MOVED_LOAD * source.usableShare;
     const span = smallestSpan(owned, targetLoad, view) ?? mostLoadedSpan(owned, targetLoad, minLoad, view);
-    if (span === null) continue;
+    if (span === null || (movesAreCostly && !isWorthItsCost(span, source, receiver, load))) continue;
+    const move = {
+      ...span,
+      backend: receiver.id,
+      source: source.id,
+      load: round(load.ofSpan(span.from, span.to)),
+      sourceUtilization: round(utilization(source)),
+      receiverUtilization: round(utilization(receiver)),
+    };
     source.busy -= loadAt(source, span, load);
     receiver.busy += loadAt(receiver, span, load);
-    return { ...span, backend: receiver.id };
+    return move;
   }
   return null;
 }
 
+/** Whether a move saves more refused work within the horizon than the pause of its keys and their cold work cost. */
+function isWorthItsCost(span: KeySpan, source: Candidate, receiver: Candidate, load: KeyLoad): boolean {
+  const leaving = loadAt(source, span, load);
+  const arriving = loadAt(receiver, span, load);
+  const savedAtSource = Math.min(leaving, excess(source, 0));
+  const refusedAtReceiver = excess(receiver, arriving) - excess(receiver, 0);
+  const cost = arriving * (MOVE_PAUSE_S + COLD_WORK_S);
+  return (savedAtSource - refusedAtReceiver) * SAVING_HORIZON_S > cost;
+}
+
+/** Load in slots that a back end with `added` load has no slots for. */
+function excess({ busy, slots }: Candidate, added: number): number {
+  return Math.max(0, busy + added - slots);
+}
+
+/** Rounds a logged figure to two decimals. */
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function utilization({ busy, slots }: Candidate): number {
   return busy / slots;
 }
@@ -262,6 +323,11 @@
   return (difference * source.slots * receiver.slots) / (source.slots + receiver.slots);
 }
 
+/** Returns the load in slots that leaves the source with room, but at most what makes the utilization of both equal. */
+function loadToRelieve(source: Candidate, receiver: Candidate): number {
+  return Math.min(loadToEqualize(source, receiver), source.busy - RELIEVED_UTILIZATION * source.slots);
+}
+
 function isOutOfBalance(source: Candidate, receiver: Candidate, thresholds: BalanceThresholds): boolean {
   const used = utilization(source);
   return used >= thresholds.minUtilization && used - utilization(receiver) >= thresholds.minDifference;
--- a/src/directory/range-planning-loop.ts
+++ b/src/directory/range-planning-loop.ts
@@ -15,12 +15,21 @@
 /** Time in ms without a change in the number of back ends before keys are assigned for the first time. */
 const FIRST_ASSIGNMENT_QUIET_PERIOD_MS = 1_500;
 
-/** Length in ms of a load measurement window. */
-const LOAD_WINDOW_MS = policyIsOn('quick-balance') ? 500 : 1_000;
-
 /** Minimum time in ms between plans that may move keys for balance: the load must be measured again first. */
 const MIN_REBALANCE_INTERVAL_MS = 2_000;
 
+/**
+ * The same when moves are costly, so that keys move only away from back ends that refuse work: each report of a back end
+ * with waiting requests (every 300 ms) can lead to a plan.
+ */
+const MIN_RELIEF_INTERVAL_MS = policyIsOn('quick-balance') ? 500 : MIN_REBALANCE_INTERVAL_MS;
+
+/**
+ * Maximum share of a service's load whose keys are moved for balance within the cooldown of moved keys. Moves pause that
+ * share of the requests; beyond it, refusals of a few back ends cost callers less than the moves.
+ */
+const MAX_MOVED_LOAD_SHARE = 0.25;
+
 /** Minimum of usable slots, so that the utilization of a back end that accepts no requests is finite. */
 const MIN_USABLE_SLOTS = 0.05;
 
@@ -32,13 +41,15 @@
   lastInstanceChangeMs: number;
   proposalInFlight: boolean;
   nextRebalanceMs: number;
-  windowEndMs: number;
 }
 
 /** Plans key ranges while this replica leads. */
 export class RangePlanningLoop {
   private readonly planningStates = new Map<string, ServicePlanningState>();
 
+  /** Keys moved since the process start, by cause, and planning runs in which a limit on balance moves was reached. */
+  readonly counters = { balancedKeys: 0, drainedKeys: 0, limitedPlans: 0 };
+
   constructor(
     private readonly state: () => DirectoryState,
     private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>,
@@ -52,7 +63,7 @@
 
   /** Records the load that a daemon reported for its back end. */
   reportLoad(service: string, load: readonly (readonly [number, number])[], nowMs: number): void {
-    if (load.length > 0) this.planningStateOf(service, nowMs).load.add(load);
+    if (load.length > 0) this.planningStateOf(service, nowMs).load.add(load, nowMs);
   }
 
   /** Records how many slots of a back end can be used, as its daemon reported; null if all can. */
@@ -67,7 +78,7 @@
 
   private planService(service: string, ranges: readonly KeyRange[], nowMs: number): void {
     const progress = this.planningStateOf(service, nowMs);
-    this.closeWindow(progress, nowMs);
+    progress.load.decay(nowMs);
     const instances = [...this.state().instances.values()].filter((instance) => instance.service === service);
     if (instances.length !== progress.lastInstanceCount) {
       progress.lastInstanceCount = instances.length;
@@ -83,6 +94,7 @@
     const isCoolingDown = (bucket: number): boolean =>
       policyIsOn('move-rest') && load.isCoolingDown(bucket, nowMs);
     const { evacuatedZones } = this.state();
+    const { all, coolingDown } = load.totals(nowMs);
     const plan = planRanges({
       ranges,
       instances,
@@ -90,16 +102,25 @@
       load,
       mayBalance,
       movesAreCostly,
+      movableLoad: Math.max(0, all * MAX_MOVED_LOAD_SHARE - coolingDown),
       evacuatedZones,
       isCoolingDown,
     });
+    this.countMoves(plan);
     if (plan.assignments.length === 0 && plan.moves.length === 0) return;
-    if (mayBalance) progress.nextRebalanceMs = nowMs + MIN_REBALANCE_INTERVAL_MS;
+    const intervalMs = movesAreCostly ? MIN_RELIEF_INTERVAL_MS : MIN_REBALANCE_INTERVAL_MS;
+    if (mayBalance) progress.nextRebalanceMs = nowMs + intervalMs;
     if (plan.forBalance) for (const { from, to } of plan.moves) load.recordMove(from, to, nowMs);
     this.onPlan(service, plan);
     void this.propose(service, plan, progress);
   }
 
+  private countMoves({ moves, forBalance, limitedBy }: RangePlan): void {
+    const keys = moves.reduce((sum, { from, to }) => sum + to - from + 1, 0);
+    this.counters[forBalance ? 'balancedKeys' : 'drainedKeys'] += keys;
+    if (limitedBy !== undefined) this.counters.limitedPlans += 1;
+  }
+
   private async propose(service: string, plan: RangePlan, progress: ServicePlanningState): Promise<void> {
     const commands: DirectoryCommand[] = [];
     if (plan.assignments.length > 0) {
@@ -115,13 +136,6 @@
     progress.proposalInFlight = false;
   }
 
-  private closeWindow(progress: ServicePlanningState, nowMs: number): void {
-    const sinceMs = nowMs - (progress.windowEndMs - LOAD_WINDOW_MS);
-    if (sinceMs < LOAD_WINDOW_MS) return;
-    progress.load.closeWindow(sinceMs);
-    progress.windowEndMs = nowMs + LOAD_WINDOW_MS;
-  }
-
   private planningStateOf(service: string, nowMs: number): ServicePlanningState {
     const known = this.planningStates.get(service);
     if (known !== undefined) return known;
@@ -132,7 +146,6 @@
       lastInstanceChangeMs: nowMs,
       proposalInFlight: false,
       nextRebalanceMs: nowMs + MIN_REBALANCE_INTERVAL_MS,
-      windowEndMs: nowMs + LOAD_WINDOW_MS,
     };
     this.planningStates.set(service, progress);
     return progress;
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -30,18 +30,24 @@
     load: new KeyLoad(),
     mayBalance: true,
     movesAreCostly: false,
+    movableLoad: Infinity,
     evacuatedZones: new Set(),
     isCoolingDown: () => false,
     ...parts,
   };
 }
 
+/** Reports load as pairs of bucket and ms, once a second, from `fromMs` on. */
+function report(load: KeyLoad, pairs: readonly (readonly [number, number])[], rounds = 40, fromMs = 0): void {
+  for (let round = 1; round <= rounds; round += 1) {
+    load.add(pairs, fromMs + round * 1_000);
+    load.decay(fromMs + round * 1_000);
+  }
+}
+
 function loadAt(key: number, slots: number): KeyLoad {
   const load = new KeyLoad();
-  for (let round = 0; round < 40; round += 1) {
-    load.add([[bucketOf(key), slots * 1_000]]);
-    load.closeWindow(1_000);
-  }
+  report(load, [[bucketOf(key), slots * 1_000]]);
   return load;
 }
 
@@ -80,10 +86,7 @@
 test('busy keys are moved from the busiest back end, few keys at a time', (t) => {
   const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
   const load = loadAt(1_000, 1.5);
-  for (let bucket = 70; bucket < 76; bucket += 1) {
-    load.add([[bucket, 2_000]]);
-    load.closeWindow(1_000);
-  }
+  for (let bucket = 70; bucket < 76; bucket += 1) report(load, [[bucket, 2_000]], 1, (bucket - 30) * 1_000);
   const { moves } = planRanges(view({ ranges, load }));
   t.true(moves.length > 0);
   t.true(moves.every(({ backend }) => backend === 'b'));
@@ -102,14 +105,11 @@
 test('the other keys of a back end with one very busy key are moved away', (t) => {
   const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
   const load = new KeyLoad();
-  for (let round = 0; round < 40; round += 1) {
-    load.add([
-      [bucketOf(1_000), 20_000],
-      [bucketOf(8_000), 700],
-      [bucketOf(9_000), 700],
-    ]);
-    load.closeWindow(1_000);
-  }
+  report(load, [
+    [bucketOf(1_000), 20_000],
+    [bucketOf(8_000), 700],
+    [bucketOf(9_000), 700],
+  ]);
   const { moves } = planRanges(view({ ranges, load }));
   const moved = (key: number): boolean => moves.some(({ from, to }) => key >= from && key <= to);
   t.true(moved(8_000) && moved(9_000));
@@ -125,14 +125,11 @@
   ];
   const instances = ['a', 'b', 'c', 'd'].map((id) => instance(id));
   const load = new KeyLoad();
-  for (let round = 0; round < 40; round += 1) {
-    load.add([
-      [bucketOf(0), 20_000],
-      [bucketOf(5_000), 1_500],
-      [bucketOf(6_000), 1_500],
-    ]);
-    load.closeWindow(1_000);
-  }
+  report(load, [
+    [bucketOf(0), 20_000],
+    [bucketOf(5_000), 1_500],
+    [bucketOf(6_000), 1_500],
+  ]);
   const { moves } = planRanges(view({ ranges, instances, load }));
   t.true(moves.length > 0);
   t.true(moves.every(({ from }) => from >= 16));
@@ -140,13 +137,11 @@
 
 test('recently moved keys are not moved again, and others are moved instead', (t) => {
   const load = loadAt(100, 2);
-  for (let round = 0; round < 40; round += 1) {
-    load.add([
-      [bucketOf(100), 1_500],
-      [bucketOf(5_000), 1_500],
-    ]);
-    load.closeWindow(1_000);
-  }
+  const pairs = [
+    [bucketOf(100), 1_500],
+    [bucketOf(5_000), 1_500],
+  ] as const;
+  report(load, pairs, 40, 40_000);
   const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
   const free = planRanges(view({ ranges, load }));
   t.true(free.moves.some(({ from, to }) => from <= 100 && to >= 100));
@@ -176,10 +171,10 @@
   const load = new KeyLoad();
   const buckets = bucketOf(65_535) + 1;
   const busyMs = (slots * 1_000) / buckets;
-  for (let round = 0; round < 40; round += 1) {
-    load.add(Array.from({ length: buckets }, (_, bucket) => [bucket, busyMs] as const));
-    load.closeWindow(1_000);
-  }
+  report(
+    load,
+    Array.from({ length: buckets }, (_, bucket) => [bucket, busyMs] as const),
+  );
   return load;
 }
 
@@ -225,3 +220,58 @@
   t.true(moves.length > 0);
   t.deepEqual(planRanges(view({ ranges: fragments, load: evenLoad(0.4) })).moves, []);
 });
+
+const COSTLY = { movesAreCostly: true, ranges: [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')] };
+
+/** Load of three keys of one owner, each of `slots` slots. */
+function threeBusyKeys(slots: number): KeyLoad {
+  const load = new KeyLoad();
+  const keys = [1_000, 2_000, 3_000];
+  report(
+    load,
+    keys.map((key) => [bucketOf(key), slots * 1_000] as const),
+  );
+  return load;
+}
+
+test('costly moves take keys away only from an owner whose demand exceeds its slots', (t) => {
+  t.deepEqual(planRanges(view({ ...COSTLY, load: threeBusyKeys(1.2) })).moves, []);
+  const { moves } = planRanges(view({ ...COSTLY, load: threeBusyKeys(1.8) }));
+  t.is(moves.length, 1);
+  t.true(moves.every(({ from, to, backend }) => backend === 'b' && to - from < 16));
+});
+
+test('a costly move is not planned if its pause refuses more work than it saves', (t) => {
+  // One key of 3 slots exceeds the owner's slots by 0.3 and is the only one that could move.
+  const load = new KeyLoad();
+  report(load, [
+    [bucketOf(1_000), 3_000],
+    [bucketOf(2_000), 1_000],
+  ]);
+  const isCoolingDown = (bucket: number): boolean => bucket === bucketOf(2_000);
+  t.deepEqual(planRanges(view({ ...COSTLY, load, isCoolingDown })).moves, []);
+});
+
+test('costly moves go on while others are in progress, up to a bound on the load that is moving', (t) => {
+  const moving = { ...range(0, 99, 'a'), movingTo: 'b' };
+  const ranges = [moving, range(100, 32_767, 'a'), range(32_768, 65_535, 'b')];
+  const load = threeBusyKeys(1.8);
+  t.is(planRanges(view({ ...COSTLY, ranges, load })).moves.length, 1);
+  const limited = planRanges(view({ ...COSTLY, ranges, load, movableLoad: 0 }));
+  t.deepEqual([limited.moves, limited.limitedBy], [[], 'moved-load']);
+});
+
+test('averages do not depend on the interval of reports, and reports of keys that move are left out', (t) => {
+  const load = new KeyLoad();
+  for (let ms = 700; ms <= 21_000; ms += 700) {
+    load.add([[1, 350]], ms);
+    load.decay(ms);
+  }
+  for (let ms = 21_300; ms <= 24_000; ms += 300) load.add([[1, 150]], ms);
+  t.true(Math.abs((load.slots[1] ?? 0) - 0.5) < 0.01);
+  load.recordMove(16, 31, 24_000);
+  load.add([[1, 3_000]], 25_000);
+  t.true(Math.abs((load.slots[1] ?? 0) - 0.5) < 0.01);
+  load.decay(60_000);
+  t.true((load.slots[1] ?? 0) < 0.4);
+});
