Try a source whose move does not pay once in a plan

Cause: a plan looked again at every overloaded owner for each of its moves; with 1,000 owners, 300 of them overloaded, a pass could take as long as several planning intervals. Change: costly moves: sources that were rejected are skipped for the rest of the plan.

--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -249,9 +249,10 @@
   );
   const moves: BalanceMove[] = [];
   let { ranges } = view;
+  const rejected = new Set<Candidate>();
   let movableLoad = view.movesAreCostly ? view.movableLoad : Infinity;
   while (moves.length < maxMoves) {
-    const move = nextBalanceMove({ ...view, ranges }, candidates);
+    const move = nextBalanceMove({ ...view, ranges }, candidates, rejected);
     if (move === null) return { moves };
     // The last move may exceed the limit: a single key can hold more load than the limit allows.
     if (movableLoad <= 0) return { moves, limitedBy: 'moved-load' };
@@ -264,20 +265,30 @@
 
 /**
  * Plans one balance move. If the busiest back end has no span that can be moved, for example because a single very busy
- * key causes its load, the next busiest one is tried.
+ * key causes its load, the next busiest one is tried. Sources whose move would cost more than it saves are added to
+ * `rejected`: the receivers of later moves have less room.
  */
-function nextBalanceMove(view: RangeView, candidates: readonly Candidate[]): BalanceMove | null {
+function nextBalanceMove(
+  view: RangeView,
+  candidates: readonly Candidate[],
+  rejected: Set<Candidate>,
+): BalanceMove | null {
   const { ranges, load, movesAreCostly } = view;
   const thresholds = movesAreCostly ? COSTLY_MOVE_THRESHOLDS : CHEAP_MOVE_THRESHOLDS;
   const receiver = leastUtilized(candidates);
   if (receiver === null) return null;
   for (const source of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
     if (source === receiver || !isOutOfBalance(source, receiver, thresholds)) return null;
+    if (rejected.has(source)) continue;
     const targetLoad = movesAreCostly ? loadToRelieve(source, receiver) : loadToEqualize(source, receiver);
     const owned = ranges.filter(({ owner, movingTo }) => owner === source.id && movingTo === null);
     const minLoad = MIN_MOVED_LOAD * source.usableShare;
     const span = smallestSpan(owned, targetLoad, view) ?? mostLoadedSpan(owned, targetLoad, minLoad, view);
-    if (span === null || (movesAreCostly && !isWorthItsCost(span, source, receiver, load))) continue;
+    if (span === null) continue;
+    if (movesAreCostly && !isWorthItsCost(span, source, receiver, load)) {
+      rejected.add(source);
+      continue;
+    }
     const move = {
       ...span,
       backend: receiver.id,
