Count calls that can be answered in time as demand that late requests leave slots for

Change: the reserve of late requests is in force while calls in time arrive, too. Conclusion: a back end that serves calls keeps its reserve; one that gets only late requests uses all slots.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -337,8 +337,7 @@
     forecast.expectAnswer(head.route, request);
     this.recordOfferedLoad(request, meanMs);
     const isInTime = slackTimeMs(claim, meanMs) > 0;
-    // Slots for calls are kept free by their own observed load.
-    if (isInTime && nested === null) forecast.inTime.recordArrival(nowMs);
+    if (isInTime) forecast.inTime.recordArrival(nowMs);
     this.logLateReserve(nowMs);
     const reserveOf = (): number => this.reserveOf(request, isInTime);
     let waits = false;
