Admit answers by when the network link will have sent them

Change: link-admission decides on the wait for the link once the answer is ready. Expected answers count from when they are ready. An idle link has room. Refusals name the time until the link has room (linkFreeInMs). The pacer subtracts the whole waiting time from the rank of a frame. Conclusion: a request is refused for the link only if the link is the cause.

--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -93,6 +93,8 @@
   readonly arrived: boolean;
   readonly retryAfterMs: number;
   readonly status: StatusHead | null;
+  /** Time in ms until the daemon's network link has room for the answer; missing unless the link is the cause. */
+  readonly linkFreeInMs?: number;
 }
 
 /** Reason why a request that may have been executed has no answer. */
--- a/src/link/link-pacer.ts
+++ b/src/link/link-pacer.ts
@@ -22,8 +22,11 @@
 /** Minimum pause in ms between runs of the pacer. */
 const MIN_PAUSE_MS = 2;
 
-/** Share of a frame's waiting time that is subtracted from its sending time in the order, so that no frame starves. */
-const AGING_FACTOR = 0.25;
+/**
+ * Share of a frame's waiting time that is subtracted from its sending time in the order, so that no frame starves. With
+ * less than the whole, the largest answers of a full link wait far longer than the others and miss their target.
+ */
+const AGING_FACTOR = 1;
 
 /**
  * Size in bytes from which on frames are paced. Smaller ones are control frames and refusals, which must never wait.
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -6,6 +6,7 @@
 import type {
   AnswerTiming,
   FailureHead,
+  RefusalHead,
   RefusalReason,
   RequestHead,
   StatusHead,
@@ -278,8 +279,9 @@
     const { head, arrivedMs } = request;
     const { forecast } = this;
     const meanMs = forecast.workMs(head.route);
-    if (forecast.isTooLateForLink(head, request)) {
-      this.refuse(request, 'busy');
+    const onLink = forecast.decideOnLink(head, request, nowMs - arrivedMs);
+    if (onLink.kind === 'refuse') {
+      this.refuse(request, 'busy', onLink.freeInMs);
       return;
     }
     const claim = forecast.claimOf(head, request);
@@ -313,8 +315,12 @@
     const { forecast } = this;
     const claim = forecast.claimOf(head, request);
     const waitMs = maxLateWaitMs(claim, nowMs - arrivedMs, forecast.workMs(head.route));
-    const missesLink = forecast.isTooLateForLinkAfterWait(head, request, nowMs - arrivedMs);
-    const mayBeAnswered = policyIsOn('late-waiting') && !this.stopped && waitMs > 0 && !missesLink;
+    const onLink = forecast.decideOnLink(head, request, nowMs - arrivedMs);
+    if (onLink.kind === 'refuse') {
+      this.refuse(request, 'busy', onLink.freeInMs);
+      return;
+    }
+    const mayBeAnswered = policyIsOn('late-waiting') && !this.stopped && waitMs > 0;
     if (!mayBeAnswered || !this.lateWaitLimiter.mayWait(waitMs, this.admission.slots, nowMs)) {
       this.refuse(request, this.noSlotReason());
       return;
@@ -370,12 +376,18 @@
     const waitedMs = nowMs - request.arrivedMs;
     const leftMs = head.remainingMs - waitedMs;
     request.startedMs = nowMs;
-    if (stale || keyLost || this.isTooLate(request, leftMs, waitedMs)) {
+    if (stale || keyLost || this.isTooLate(request, leftMs)) {
       this.admission.leave(this.admission.serviceMs);
       if (keyLost && !stale) this.evaluateKey(request, head.key ?? 0);
       else this.refuse(request, stale ? 'leaving' : 'busy');
       return;
     }
+    const onLink = this.forecast.decideOnLink(head, request, waitedMs);
+    if (onLink.kind === 'refuse') {
+      this.admission.leave(this.admission.serviceMs);
+      this.refuse(request, 'busy', onLink.freeInMs);
+      return;
+    }
     if (this.isRestrictedByCrashRecord(request)) {
       this.admission.leave(this.admission.serviceMs);
       this.evaluateCrashRecord(request, nowMs);
@@ -386,6 +398,7 @@
     for (const other of this.running) other.alone = false;
     this.running.add(request);
     this.counters.runs += 1;
+    this.forecast.expectAnswer(head.route, request);
     request.sendNumber = this.pacing.recordSent();
     request.run = ports.backend.prepare(request.head, request.body, leftMs, {
       status: () => this.status(),
@@ -430,11 +443,9 @@
   }
 
   /** Whether the work, or the transfer of its answer over the network link, would end too late to be of use. */
-  private isTooLate(request: GatewayRequest, leftMs: number, waitedMs: number): boolean {
-    const { head } = request;
-    const workLeftMs = leftMs - this.forecast.sendMs(head.route, request);
-    const tooLate = isTooLateToStart(workLeftMs, this.forecast.workMs(head.route));
-    return tooLate || this.forecast.isTooLateForLinkAfterWait(head, request, waitedMs);
+  private isTooLate(request: GatewayRequest, leftMs: number): boolean {
+    const { route } = request.head;
+    return isTooLateToStart(leftMs - this.forecast.sendMs(route, request), this.forecast.workMs(route));
   }
 
   private timingOf({ arrivedMs, startedMs }: GatewayRequest): AnswerTiming {
@@ -485,7 +496,8 @@
     this.ports.log.failure('run-ended', fields);
   }
 
-  private refuse(request: GatewayRequest, reason: RefusalReason): void {
+  /** Refuses a request; `linkFreeInMs` is given if the network link is the cause. */
+  private refuse(request: GatewayRequest, reason: RefusalReason, linkFreeInMs: number | null = null): void {
     if (request.done) return;
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
@@ -494,11 +506,20 @@
     const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
     const leftMs = Math.round(request.head.remainingMs - waitedMs);
     const status = this.status();
-    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
+    const cause = this.linkCause(linkFreeInMs);
+    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs, ...cause };
     this.ports.log.failure('request-refused', { ...fields, ...status });
     // A request that got no slot counts as load of its key, too.
     if (reason === 'busy' && request.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
-    request.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
+    const retryAfterMs = Math.max(this.retryAfterMs(reason), cause.linkFreeInMs ?? 0);
+    request.reply.refuse({ reason, arrived: false, retryAfterMs, status, ...cause });
+  }
+
+  /** Counts a refusal that the network link caused, and returns its mark. */
+  private linkCause(linkFreeInMs: number | null): Pick<RefusalHead, 'linkFreeInMs'> {
+    if (linkFreeInMs === null) return {};
+    this.counters.refusedForLink += 1;
+    return { linkFreeInMs: Math.ceil(linkFreeInMs) };
   }
 
   /** Returns why a request gets no slot in time. */
--- a/src/sidecar/gateway-counters.ts
+++ b/src/sidecar/gateway-counters.ts
@@ -14,6 +14,8 @@
   answered: number;
   broken: number;
   refused: Record<RefusalReason, number>;
+  /** Of the refusals as busy, those because the network link had no room for the answer. */
+  refusedForLink: number;
 }
 
 /** Creates counters at zero. */
@@ -21,6 +23,7 @@
   return {
     requests: 0,
     slotMs: { success: 0, failure: 0, none: 0 },
+    refusedForLink: 0,
     runs: 0,
     answered: 0,
     broken: 0,
--- a/src/sidecar/link-wait-estimator.ts
+++ b/src/sidecar/link-wait-estimator.ts
@@ -4,56 +4,71 @@
  */
 import { MIN_PACED_FRAME_BYTES, type LinkPacer } from '../link/link-pacer.js';
 import { policyIsOn } from '../policy-switches.js';
+import { queueEndMs, type ExpectedAnswer } from './link-admission.js';
 
 /** The part of a link pacer that the estimate uses. */
 export type LinkQueue = Pick<LinkPacer, 'backlogMs' | 'sendingMs'>;
 
+/** An answer that is not on the link yet. */
+interface AwaitedAnswer {
+  readonly bytes: number;
+  /** Time in ms of the daemon's clock at which it should be ready. */
+  readonly readyAtMs: number;
+}
+
 /** Estimates waits for the network link. `Owner` identifies the request whose answer is expected. */
 export class LinkWaitEstimator<Owner> {
-  /** Estimated time on the link, in ms, of each expected answer that is not on the link yet. */
-  private readonly expectedByOwner = new Map<Owner, number>();
-  private expectedMs = 0;
+  private readonly awaited = new Map<Owner, AwaitedAnswer>();
+  private awaitedBytes = 0;
 
   /** `queue` is null if the link is fast. */
-  constructor(private readonly queue: LinkQueue | null) {}
+  constructor(
+    private readonly queue: LinkQueue | null,
+    private readonly nowMs: () => number,
+  ) {}
 
-  /** Time in ms until the link has carried its backlog and all expected answers. */
+  /** Time in ms that the link needs to send its backlog and all expected answers. */
   get waitMs(): number {
-    return this.queue === null ? 0 : this.queue.backlogMs + this.expectedMs;
+    return this.queue === null ? 0 : this.queue.backlogMs + this.queue.sendingMs(this.awaitedBytes);
   }
 
-  /** Returns the wait in ms without the expected answer of one owner. */
-  waitMsExcluding(owner: Owner): number {
-    return Math.max(0, this.waitMs - this.expectedMsOf(owner));
-  }
-
-  /** Adds an expected answer of about `bytes`. */
-  accept(owner: Owner, bytes: number): void {
-    if (this.queue === null || bytes < MIN_PACED_FRAME_BYTES || !policyIsOn('expected-answers')) return;
+  /** Adds an expected answer of about `bytes` that should be ready in `readyInMs`; replaces that of the same owner. */
+  accept(owner: Owner, bytes: number, readyInMs: number): void {
+    if (!this.isPaced(bytes) || !policyIsOn('expected-answers')) return;
     this.forget(owner);
-    const sendingMs = this.queue.sendingMs(bytes);
-    this.expectedByOwner.set(owner, sendingMs);
-    this.expectedMs += sendingMs;
+    this.awaited.set(owner, { bytes, readyAtMs: this.nowMs() + readyInMs });
+    this.awaitedBytes += bytes;
   }
 
   /** Removes an expected answer that is on the link now, or that will not be sent. */
   forget(owner: Owner): void {
-    this.expectedMs -= this.expectedByOwner.get(owner) ?? 0;
-    this.expectedByOwner.delete(owner);
-    if (this.expectedByOwner.size === 0) this.expectedMs = 0;
+    this.awaitedBytes -= this.awaited.get(owner)?.bytes ?? 0;
+    this.awaited.delete(owner);
+    if (this.awaited.size === 0) this.awaitedBytes = 0;
   }
 
-  /**
-   * Returns the estimated time in ms from the end of the work on an answer until the link has carried it; 0 for answers
-   * that are not paced. The queue ahead of it drains during the work, which takes `workMs`.
-   */
-  sendMs(owner: Owner | null, bytes: number, workMs: number): number {
-    if (this.queue === null || bytes < MIN_PACED_FRAME_BYTES) return 0;
-    const aheadMs = this.queue.backlogMs + this.expectedMs - this.expectedMsOf(owner);
-    const drainedMs = policyIsOn('expected-answers') ? workMs : 0;
-    return Math.max(0, aheadMs - drainedMs) + this.queue.sendingMs(bytes);
+  /** Whether answers of this size wait for the link at all. */
+  isPaced(bytes: number): boolean {
+    return this.queue !== null && bytes >= MIN_PACED_FRAME_BYTES;
   }
-  private expectedMsOf(owner: Owner | null): number {
-    return owner === null ? 0 : (this.expectedByOwner.get(owner) ?? 0);
+
+  /** Returns the time in ms that the link takes to send this many bytes; 0 if they are not paced. */
+  sendingMs(bytes: number): number {
+    return this.queue === null || !this.isPaced(bytes) ? 0 : this.queue.sendingMs(bytes);
+  }
+
+  /** Returns the time in ms until the link has sent what is ahead of an answer that will be ready in `readyInMs`. */
+  queueMs(owner: Owner | null, readyInMs: number): number {
+    return this.queue === null ? 0 : queueEndMs(this.queue.backlogMs, this.expectedExcept(owner), readyInMs);
+  }
+
+  private expectedExcept(owner: Owner | null): readonly ExpectedAnswer[] {
+    const nowMs = this.nowMs();
+    return [...this.awaited]
+      .filter(([other]) => other !== owner)
+      .map(([, { bytes, readyAtMs }]) => ({
+        readyInMs: Math.max(0, readyAtMs - nowMs),
+        sendingMs: this.sendingMs(bytes),
+      }));
   }
 }
--- a/src/sidecar/slot-policy.ts
+++ b/src/sidecar/slot-policy.ts
@@ -1,5 +1,4 @@
 /** Scheduling policy of the slots at a back end: order in the queue, maximum waits and reserves. Pure functions. */
-import { policyIsOn } from '../policy-switches.js';
 
 /** Time limits that a request states, in ms. */
 export interface RequestTimeLimits {
@@ -56,26 +55,6 @@
   return slackMs > limits.spentMs ? targetTimeMs - limits.spentMs : targetTimeMs + RETRY_ORDER_OFFSET_MS;
 }
 
-/**
- * Whether a request should not be started, because the backlog of the network link would make its answer late, and the
- * answer would in turn delay those behind it. `limits` already accounts for the answer's own time on the link.
- */
-export function wouldMissTargetOnLink(limits: RequestTimeLimits, backlogMs: number, meanMs: number): boolean {
-  return backlogMs > 0 && slackTimeMs(limits, meanMs) <= 0;
-}
-
-/**
- * Factor on the estimated time on a network link, since sizes vary and small frames arrive in bursts. Filling the queue
- * up to the target makes most answers late without carrying more of them. With 1.6, the share of requested answers of
- * 90 KB that arrived in time rose from 0.120 to 0.140 on an overloaded day and from 0.428 to 0.485 on a quiet one.
- */
-const LINK_TIME_MARGIN = 1.6;
-
-/** Returns the time in ms to plan for on the network link, given the estimated time. */
-export function plannedLinkTimeMs(estimatedMs: number): number {
-  return policyIsOn('link-margin') ? estimatedMs * LINK_TIME_MARGIN : estimatedMs;
-}
-
 /** Share of the longest mean work time at a back end up to which work counts as short. */
 const SHORT_WORK_SHARE = 0.5;
 
--- a/src/sidecar/work-forecast.ts
+++ b/src/sidecar/work-forecast.ts
@@ -7,10 +7,9 @@
 import { policyIsOn } from '../policy-switches.js';
 import { BackendPace, clampPace } from './backend-pace.js';
 import { LinkWaitEstimator } from './link-wait-estimator.js';
+import { decideOnLink, linkWaitMs, plannedLinkWaitMs, type LinkDecision } from './link-admission.js';
 import {
-  wouldMissTargetOnLink,
   lateReserve,
-  plannedLinkTimeMs,
   queueRank,
   SHORT_WORK_RANK,
   shortWorkReserve,
@@ -39,6 +38,16 @@
   readonly pace: number | null;
 }
 
+/** Expected times in ms from now of an answer and the network link. */
+interface LinkTimes {
+  readonly readyInMs: number;
+  /** Time until the link has sent what is ahead of the answer. */
+  readonly queueMs: number;
+  /** Time for which the answer waits for the link once it is ready. */
+  readonly waitMs: number;
+  readonly sendingMs: number;
+}
+
 /** Forecast for one back end. `Owner` is the type of the requests, which identify the answers to be sent. */
 export class WorkForecast<Owner> {
   readonly pace = new BackendPace();
@@ -50,7 +59,7 @@
   private readonly link: LinkWaitEstimator<Owner>;
 
   constructor(private readonly ports: WorkForecastPorts) {
-    this.link = new LinkWaitEstimator(ports.pacer);
+    this.link = new LinkWaitEstimator(ports.pacer, () => ports.nowMs());
   }
 
   /** Current processing time as a factor of the usual one. */
@@ -71,31 +80,36 @@
 
   /** Returns the expected time in ms for an answer of the route to pass the network link, including its queue. */
   sendMs(route: string, owner: Owner | null): number {
-    return this.link.sendMs(owner, this.answerBytes.averageOf(route, 0), this.workMs(route));
+    const { waitMs, sendingMs } = this.linkTimesOf(route, owner);
+    return waitMs + sendingMs;
   }
 
   /** Returns the time limits of a request, reduced by the time that its answer needs to pass the network link. */
   claimOf(head: RequestHead, owner: Owner | null): RequestTimeLimits {
-    const sendMs = plannedLinkTimeMs(this.sendMs(head.route, owner));
-    if (sendMs === 0) return head;
+    const { waitMs, sendingMs } = this.linkTimesOf(head.route, owner);
+    if (sendingMs === 0) return head;
     const { patienceMs, spentMs } = head;
-    const remainingMs = head.remainingMs - sendMs;
-    return { remainingMs, patienceMs, targetLeftMs: head.targetLeftMs - sendMs, spentMs };
+    const remainingMs = head.remainingMs - waitMs - sendingMs;
+    const targetLeftMs = head.targetLeftMs - plannedLinkWaitMs(waitMs) - sendingMs;
+    return { remainingMs, patienceMs, targetLeftMs, spentMs };
   }
 
-  /** Whether the queue of the network link would make a large answer miss its target if it were accepted now. */
-  isTooLateForLink(head: RequestHead, owner: Owner): boolean {
-    const claim = this.claimOf(head, owner);
-    return claim !== head && wouldMissTargetOnLink(claim, this.link.waitMs, this.workMs(head.route));
+  /**
+   * Decides whether the network link has room for the answer to a request that has waited for its slot for `waitedMs`.
+   * Answers that are not paced always have room.
+   */
+  decideOnLink(head: RequestHead, owner: Owner, waitedMs: number): LinkDecision {
+    const { readyInMs, queueMs, sendingMs } = this.linkTimesOf(head.route, owner);
+    return decideOnLink({ readyInMs, queueMs, sendingMs, targetLeftMs: head.targetLeftMs - waitedMs });
   }
 
-  /** The same for a request that was accepted and has waited for its slot for `waitedMs`. */
-  isTooLateForLinkAfterWait(head: RequestHead, owner: Owner, waitedMs: number): boolean {
-    if (!policyIsOn('link-margin')) return false;
-    const claim = this.claimOf(head, owner);
-    if (claim === head) return false;
-    const present = { ...claim, targetLeftMs: claim.targetLeftMs - waitedMs };
-    return wouldMissTargetOnLink(present, this.link.waitMsExcluding(owner), this.workMs(head.route));
+  private linkTimesOf(route: string, owner: Owner | null): LinkTimes {
+    const bytes = this.answerBytes.averageOf(route, 0);
+    const readyInMs = this.workMs(route);
+    if (!this.link.isPaced(bytes)) return { readyInMs, queueMs: 0, waitMs: 0, sendingMs: 0 };
+    const queueMs = this.link.queueMs(owner, readyInMs);
+    const sendingMs = this.link.sendingMs(bytes);
+    return { readyInMs, queueMs, waitMs: linkWaitMs(readyInMs, queueMs), sendingMs };
   }
 
   /** Returns the queue priority of a request; short work goes first. */
@@ -122,9 +136,9 @@
     return Math.max(lateReserve(this.ports.slots()), this.reserveOf(head));
   }
 
-  /** Registers that an answer of the route will be sent for this owner. */
+  /** Registers that the back end is to produce an answer of the route for this owner, from now on. */
   expectAnswer(route: string, owner: Owner): void {
-    this.link.accept(owner, this.answerBytes.averageOf(route, 0));
+    this.link.accept(owner, this.answerBytes.averageOf(route, 0), this.workMs(route));
   }
 
   /** Removes an expected answer that has reached the link, or will not be sent. */
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -34,6 +34,7 @@
   readonly time = new ManualTime();
   readonly refusals: string[] = [];
   readonly retryAfterMs: number[] = [];
+  readonly linkFreeInMs: number[] = [];
   /** Slot time in ms that was reported as load. */
   countedWorkMs = 0;
   holdsKey = true;
@@ -76,9 +77,10 @@
 
   reply(): RequestReply {
     return {
-      refuse: ({ reason, retryAfterMs }) => {
+      refuse: ({ reason, retryAfterMs, linkFreeInMs }) => {
         this.refusals.push(reason);
         this.retryAfterMs.push(retryAfterMs);
+        if (linkFreeInMs !== undefined) this.linkFreeInMs.push(linkFreeInMs);
       },
       fail: () => undefined,
       answer: () => undefined,
@@ -270,3 +272,22 @@
   t.deepEqual(world.refusals, ['busy', 'busy']);
   t.is(gateway.admission.waitingCount, 0);
 });
+
+test('a request whose answer finds no room on the network link is refused, with the time at which it would', async (t) => {
+  const world = new World();
+  const pacer = new LinkPacer(1_000, world.time.runtime);
+  const gateway = await world.gateway(pacer);
+  gateway.forecast.recordAnswer({ route: HEAD.route, usedMs: 100, bytes: 92_000, pace: null });
+  const queued = { dropped: false, begun: false, connection: {}, write: () => 0 };
+  pacer.add({ ...queued, remainingBytes: 92_000 });
+  gateway.accept(HEAD, Buffer.alloc(0), world.reply());
+  t.deepEqual(world.refusals, []);
+  pacer.add({ ...queued, remainingBytes: 276_000 });
+  gateway.accept(HEAD, Buffer.alloc(0), world.reply());
+  t.deepEqual(world.refusals, ['busy']);
+  t.is(gateway.counters.refusedForLink, 1);
+  const linkFreeInMs = world.linkFreeInMs.at(-1) ?? 0;
+  t.true(linkFreeInMs > 0);
+  t.true((world.retryAfterMs.at(-1) ?? 0) >= linkFreeInMs);
+  gateway.stop();
+});
--- a/test/sidecar/link-wait-estimator.test.ts
+++ b/test/sidecar/link-wait-estimator.test.ts
@@ -10,26 +10,29 @@
 }
 
 test('expected answers delay a new one, as those on the link do', (t) => {
-  const link = new LinkWaitEstimator<string>(queue(100));
-  t.is(link.sendMs(null, BYTES, 0), 260);
-  link.accept('first', BYTES);
-  link.accept('second', BYTES);
+  const link = new LinkWaitEstimator<string>(queue(100), () => 0);
+  t.is(link.queueMs(null, 0), 100);
+  link.accept('first', BYTES, 0);
+  link.accept('second', BYTES, 0);
   t.is(link.waitMs, 420);
-  t.is(link.sendMs(null, BYTES, 0), 580);
-  t.is(link.sendMs('second', BYTES, 0), 420, 'an answer does not delay itself');
+  t.is(link.queueMs(null, 0), 420);
+  t.is(link.queueMs('second', 0), 260, 'an answer does not delay itself');
 });
 
-test('the queue ahead of an answer drains during its work', (t) => {
-  const link = new LinkWaitEstimator<string>(queue(100));
-  link.accept('first', BYTES);
-  t.is(link.sendMs(null, BYTES, 200), 220);
-  t.is(link.sendMs(null, BYTES, 1_000), 160);
+test('an expected answer delays others from when it is ready, and is ready at once when overdue', (t) => {
+  let nowMs = 0;
+  const link = new LinkWaitEstimator<string>(queue(100), () => nowMs);
+  link.accept('first', BYTES, 200);
+  t.is(link.queueMs(null, 150), 100);
+  t.is(link.queueMs(null, 250), 360);
+  nowMs = 500;
+  t.is(link.queueMs(null, 0), 260);
 });
 
 test('an expected answer counts once, until it is removed', (t) => {
-  const link = new LinkWaitEstimator<string>(queue(0));
-  link.accept('first', BYTES);
-  link.accept('first', BYTES);
+  const link = new LinkWaitEstimator<string>(queue(0), () => 0);
+  link.accept('first', BYTES, 0);
+  link.accept('first', BYTES, 0);
   t.is(link.waitMs, 160, 'a repeated call replaces the first');
   link.forget('first');
   link.forget('first');
@@ -37,20 +40,13 @@
 });
 
 test('small answers and fast links have no wait', (t) => {
-  const slow = new LinkWaitEstimator<string>(queue(100));
-  slow.accept('small', 500);
+  const slow = new LinkWaitEstimator<string>(queue(100), () => 0);
+  slow.accept('small', 500, 0);
   t.is(slow.waitMs, 100);
-  t.is(slow.sendMs(null, 500, 0), 0);
-  const fast = new LinkWaitEstimator<string>(null);
-  fast.accept('large', BYTES);
+  t.is(slow.sendingMs(500), 0);
+  const fast = new LinkWaitEstimator<string>(null, () => 0);
+  fast.accept('large', BYTES, 0);
   t.is(fast.waitMs, 0);
-  t.is(fast.sendMs(null, BYTES, 0), 0);
-});
-
-test('the wait can be given without the answer of one owner', (t) => {
-  const link = new LinkWaitEstimator<string>(queue(100));
-  link.accept('own', BYTES);
-  link.accept('other', BYTES);
-  t.is(link.waitMs, 420);
-  t.is(link.waitMsExcluding('own'), 260);
+  t.is(fast.queueMs(null, 0), 0);
+  t.is(fast.sendingMs(BYTES), 0);
 });
--- a/test/sidecar/slot-policy.test.ts
+++ b/test/sidecar/slot-policy.test.ts
@@ -2,11 +2,9 @@
 import {
   lateReserve,
   shortWorkReserve,
-  wouldMissTargetOnLink,
   isTooLateToStart,
   lateQueueOrder,
   maxLateWaitMs,
-  plannedLinkTimeMs,
   queueOrder,
   queueRank,
   maxSlotWaitMs,
@@ -61,15 +59,6 @@
   t.is(maxSlotWaitMs(limits({ remainingMs: 115 }), 0, MEAN_MS), 15);
 });
 
-test('a request whose answer the link backlog would make late is not started', (t) => {
-  t.true(wouldMissTargetOnLink(limits({ targetLeftMs: 120 }), 400, MEAN_MS));
-  t.false(wouldMissTargetOnLink(limits({ targetLeftMs: 200 }), 400, MEAN_MS));
-  t.false(
-    wouldMissTargetOnLink(limits({ targetLeftMs: 120 }), 0, MEAN_MS),
-    'a free link is used even for a late answer',
-  );
-});
-
 test('a late request is queued behind all others and waits until no time is left for its work', (t) => {
   const late = limits({ remainingMs: 1_000, targetLeftMs: 300 });
   t.true(lateQueueOrder(late, NOW_MS) > queueOrder(limits({ spentMs: 900 }), NOW_MS, MEAN_MS));
@@ -97,8 +86,3 @@
   t.true(isTooLateToStart(50, MEAN_MS));
   t.false(isTooLateToStart(51, MEAN_MS));
 });
-
-test('the time on the network link includes a margin, and is 0 without a link time', (t) => {
-  t.is(plannedLinkTimeMs(100), 160);
-  t.is(plannedLinkTimeMs(0), 0);
-});
