Choose back ends by when their network link will have sent the answer

Cause: the wait for the link was added to the work, although the link drains meanwhile, without what this sidecar had requested since the status. A wait of 40 ms made a link count as full. Three busy refusals ended the search while other links were idle, and callers were told to come back after half of their target. Change: expected end with the link's queue; requested bytes since the status count and are reset when the link to the daemon is lost; up to six refusals while an idle link is known; the retry delay of a link refusal is the one that the link names.

--- a/src/sidecar/backend-chooser.ts
+++ b/src/sidecar/backend-chooser.ts
@@ -5,6 +5,7 @@
 import { policyIsOn } from '../policy-switches.js';
 import type { BackendView } from './backend-view.js';
 import type { DirectoryTable } from './directory-table.js';
+import { linkWaitMs } from './link-admission.js';
 import type { StatedLeaves } from './stated-leaves.js';
 
 /** Answer bytes sent across zones that weigh as much as 1 ms of expected time. */
@@ -34,17 +35,36 @@
  */
 const MAX_KNOWN_FREE_SHARE = 0.7;
 
+/**
+ * Wait in ms for the network link, once the work is done, up to which a link counts as free: a few slices of other
+ * answers.
+ */
+const MAX_FREE_LINK_WAIT_MS = 40;
+
+/**
+ * Share of the time until a link has sent its queue that counts even if it ends before the work, since answers that
+ * other sidecars request meanwhile join the longer queue, too.
+ */
+const LINK_QUEUE_SHARE = 0.3;
+
+/** What the answer to a request is expected to need. */
+export interface AnswerDemand {
+  /** Estimated size of the answer, in bytes. */
+  readonly answerBytes: number;
+  /** Estimated work time in ms; null if unknown. */
+  readonly workMs: number | null;
+}
+
+/** Demand of a request whose answer is small, for which the network link never matters. */
+const SMALL_ANSWER: AnswerDemand = { answerBytes: 0, workMs: null };
+
 /** Request for which a back end is selected. */
-export interface ChoiceRequest {
+export interface ChoiceRequest extends AnswerDemand {
   readonly service: string;
   /** Key of the request; null if the service is not keyed. */
   readonly key: number | null;
   /** Back ends that have refused or failed this request. */
   readonly excluded: ReadonlySet<string>;
-  /** Estimated size of the answer, in bytes. */
-  readonly answerBytes: number;
-  /** Estimated work time in ms; null if unknown. */
-  readonly workMs: number | null;
   /** Back ends to select from; null for all of the service. */
   readonly candidates: readonly BackendInstance[] | null;
   /** Candidates that did not answer a probe. */
@@ -113,25 +133,29 @@
     return this.sample(service, excluded, FAR_CANDIDATES, ({ zone }) => zone !== this.ports.zone);
   }
 
-  /** Whether one of the back ends would run a request at once, as far as is known. */
-  hasCapacity(instances: readonly BackendInstance[]): boolean {
+  /** Whether one of the back ends would run a request at once and send its answer without a wait, as far as is known. */
+  hasCapacity(instances: readonly BackendInstance[], demand = SMALL_ANSWER): boolean {
     const now = this.ports.nowMs();
-    return instances.some(
-      (instance) =>
-        !this.isLastResort(instance, now) && this.ports.view(instance.id).hasCapacity(instance.slots, now),
-    );
+    return instances.some((instance) => this.isFree(instance, demand, now));
   }
 
-  /** Whether a fresh status of one of the back ends shows a free slot, so that no probe is needed. */
-  hasKnownCapacity(instances: readonly BackendInstance[]): boolean {
+  /** Whether a fresh status of one of the back ends shows a free slot and a free link, so that no probe is needed. */
+  hasKnownCapacity(instances: readonly BackendInstance[], demand = SMALL_ANSWER): boolean {
     const now = this.ports.nowMs();
     return instances.some((instance) => {
       const view = this.ports.view(instance.id);
       const full = view.busy(now) >= instance.slots * MAX_KNOWN_FREE_SHARE;
-      return view.hasFreshStatus(now) && !full && this.hasCapacity([instance]);
+      return view.hasFreshStatus(now) && !full && this.isFree(instance, demand, now);
     });
   }
 
+  private isFree(instance: BackendInstance, demand: AnswerDemand, nowMs: number): boolean {
+    const view = this.ports.view(instance.id);
+    if (this.isLastResort(instance, nowMs) || !view.hasCapacity(instance.slots, nowMs)) return false;
+    const readyInMs = view.expectedMs(instance.slots, nowMs, demand.workMs);
+    return linkWaitMs(readyInMs, this.linkQueueMs(instance, demand, nowMs)) <= MAX_FREE_LINK_WAIT_MS;
+  }
+
   private sample(
     service: string,
     excluded: ReadonlySet<string>,
@@ -168,26 +192,33 @@
     return best;
   }
 
-  private expectedMs(instance: BackendInstance, { answerBytes, workMs }: ChoiceRequest): number {
+  /** Expected time in ms until the link has sent the answer, with penalties. */
+  private expectedMs(instance: BackendInstance, demand: AnswerDemand): number {
     const { zone, nowMs, random } = this.ports;
     const view = this.ports.view(instance.id);
     const now = nowMs();
     const lastResortMs = this.isLastResort(instance, now) ? LAST_RESORT_PENALTY_MS : 0;
-    const crossZoneMs = instance.zone === zone ? 0 : answerBytes / CROSS_ZONE_BYTES_PER_MS;
-    const randomizedMs = view.expectedMs(instance.slots, now, workMs) * (1 + random() * MAX_RANDOM_SHARE);
-    return randomizedMs + crossZoneMs + this.sendingMs(instance, answerBytes, view, now) + lastResortMs;
-  }
-
-  /** Estimated time in ms that the answer takes on the network link of the back end's sidecar. */
-  private sendingMs(
-    { daemonAddress }: BackendInstance,
-    answerBytes: number,
-    view: BackendView,
-    nowMs: number,
-  ): number {
-    if (daemonAddress === this.ports.daemonAddress) return 0;
-    const waitMs = answerBytes < MIN_PACED_FRAME_BYTES ? 0 : view.sendWaitMs(nowMs);
-    return waitMs + answerBytes / this.ports.linkBytesPerMs;
+    const crossZoneMs = instance.zone === zone ? 0 : demand.answerBytes / CROSS_ZONE_BYTES_PER_MS;
+    const readyInMs = view.expectedMs(instance.slots, now, demand.workMs);
+    const queueMs = this.linkQueueMs(instance, demand, now);
+    const waitMs = linkWaitMs(readyInMs, queueMs) + queueMs * LINK_QUEUE_SHARE;
+    const randomizedMs = (readyInMs + waitMs) * (1 + random() * MAX_RANDOM_SHARE);
+    return randomizedMs + crossZoneMs + this.sendingMs(instance, demand) + lastResortMs;
+  }
+
+  /** Time in ms until the network link beside the back end has sent what is ahead of the answer. */
+  private linkQueueMs(instance: BackendInstance, { answerBytes }: AnswerDemand, nowMs: number): number {
+    if (this.isLocal(instance) || answerBytes < MIN_PACED_FRAME_BYTES) return 0;
+    return this.ports.view(instance.id).sendWaitMs(nowMs, this.ports.linkBytesPerMs);
+  }
+
+  /** Time in ms that the answer itself takes on that link. */
+  private sendingMs(instance: BackendInstance, { answerBytes }: AnswerDemand): number {
+    return this.isLocal(instance) ? 0 : answerBytes / this.ports.linkBytesPerMs;
+  }
+
+  private isLocal({ daemonAddress }: BackendInstance): boolean {
+    return daemonAddress === this.ports.daemonAddress;
   }
 }
 
--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -1,6 +1,7 @@
 /** Load and reachability of a back end, as estimated by a calling sidecar. */
 import { decayedPace } from './backend-pace.js';
 import type { StatusHead } from '../link/link-messages.js';
+import { MIN_PACED_FRAME_BYTES } from '../link/link-pacer.js';
 
 /** Service time in ms that is assumed before a status reports one. */
 const DEFAULT_SERVICE_MS = 50;
@@ -8,9 +9,6 @@
 /** Backoff in ms after failures, by the number of consecutive failures. */
 const BACKOFF_MS = [0, 100, 300, 600, 1_000];
 
-/** Wait in ms for the network link below which a back end counts as free: a few slices of other answers. */
-const MAX_FREE_SEND_WAIT_MS = 40;
-
 /** Start delay in ms up to which a back end with a limited rate counts as free. */
 const MAX_FREE_START_DELAY_MS = 20;
 
@@ -30,6 +28,8 @@
   private statusReceivedMs = -Infinity;
   /** Requests sent by this sidecar since the newest status. */
   private sentSinceStatus = 0;
+  /** Expected bytes of the answers to these requests that will wait for the network link. */
+  private bytesSinceStatus = 0;
   private consecutiveFailures = 0;
   private backoffUntilMs = -Infinity;
   private lastKnownLimit: number | null = null;
@@ -65,10 +65,9 @@
     return this.lastStatus?.accepting !== false || this.statusAgeMs(nowMs) > MAX_STATUS_AGE_MS;
   }
 
-  /** Whether a request sent now would find a free slot, and its answer a free network link. */
+  /** Whether a request sent now would find a free slot. */
   hasCapacity(slots: number, nowMs: number): boolean {
-    if (this.startDelayMs(nowMs) > MAX_FREE_START_DELAY_MS) return false;
-    return this.busy(nowMs) < slots && this.sendWaitMs(nowMs) < MAX_FREE_SEND_WAIT_MS;
+    return this.startDelayMs(nowMs) <= MAX_FREE_START_DELAY_MS && this.busy(nowMs) < slots;
   }
 
   /** Records a status reported by the back end's sidecar. */
@@ -77,13 +76,24 @@
     // A sidecar that does not know the limit has restarted and is told this one.
     if (status.limitPerSecond !== null) this.lastKnownLimit = status.limitPerSecond ?? null;
     this.statusReceivedMs = nowMs;
-    this.sentSinceStatus = 0;
+    this.resetSent();
   }
 
-  /** Records that a request was sent to the back end. */
-  recordSent(): void {
+  /** Records that a request was sent to the back end, whose answer is expected to have this size. */
+  recordSent(answerBytes = 0): void {
     this.outstanding += 1;
     this.sentSinceStatus += 1;
+    if (answerBytes >= MIN_PACED_FRAME_BYTES) this.bytesSinceStatus += answerBytes;
+  }
+
+  /** Records that the link to the sidecar was lost, and with it what was sent since the newest status. */
+  recordLinkLost(): void {
+    this.resetSent();
+  }
+
+  private resetSent(): void {
+    this.sentSinceStatus = 0;
+    this.bytesSinceStatus = 0;
   }
 
   /** Records that a request sent to the back end has ended. */
@@ -116,10 +126,14 @@
     return Math.max(this.outstanding, reported + this.sentSinceStatus);
   }
 
-  /** Returns the reported time in ms that a large answer would wait for the sidecar's network link. */
-  sendWaitMs(nowMs: number): number {
-    const fresh = nowMs - this.statusReceivedMs < MAX_STATUS_AGE_MS;
-    return fresh ? (this.lastStatus?.sendWaitMs ?? 0) : 0;
+  /**
+   * Returns the expected time in ms until the sidecar's network link, of this bandwidth, has sent the answers that its
+   * status counted and those requested from here since. The link drains as the status ages.
+   */
+  sendWaitMs(nowMs: number, linkBytesPerMs: number): number {
+    const ageMs = this.statusAgeMs(nowMs);
+    const reportedMs = ageMs < MAX_STATUS_AGE_MS ? (this.lastStatus?.sendWaitMs ?? 0) : 0;
+    return Math.max(0, reportedMs - ageMs) + this.bytesSinceStatus / linkBytesPerMs;
   }
 
   /** Returns the time in ms until a back end with a limited rate would start another request; 0 if it has none. */
--- a/src/sidecar/forwarder-counters.ts
+++ b/src/sidecar/forwarder-counters.ts
@@ -19,6 +19,8 @@
   cancelled: number;
   /** Requests refused permanently because they have ended the back ends that ran them. */
   quarantined: number;
+  /** Refusals whose time until a network link has room could not be read. */
+  unreadableLinkTimes: number;
   /** Ended requests that were callers' retries. */
   returned: number;
   /** Callers' retries that were answered. */
@@ -37,6 +39,7 @@
     unknown: 0,
     cancelled: 0,
     quarantined: 0,
+    unreadableLinkTimes: 0,
     returned: 0,
     returnedAnswered: 0,
     byRefusals: { '0': 0, '1': 0, '2-3': 0, '4-7': 0, '8+': 0 },
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -42,6 +42,12 @@
  */
 const MAX_BUSY_REFUSALS = 3;
 
+/**
+ * Refusals up to which one because of a network link does not count as busy while another link is known to be idle. By
+ * then, what is known of the links has proved wrong twice as often as it takes for a full service.
+ */
+const MAX_REFUSALS_WITH_IDLE_LINK = 6;
+
 /**
  * Refusals because of a request limit after which no further sidecar is tried. They say less about the others than busy
  * refusals do.
@@ -121,6 +127,8 @@
   private lastReason = 'no back end is known';
   /** Shortest retry-after time of the refusals, in ms; null before the first. */
   private shortestRetryAfterMs: number | null = null;
+  /** The same of the refusals because of a network link. */
+  private shortestLinkRetryAfterMs: number | null = null;
 
   constructor(
     private readonly request: CallerRequest,
@@ -174,21 +182,21 @@
    */
   private attemptWithProbes(): void {
     const { chooser, prober } = this.ports;
-    const { service } = this.request;
+    const { service, route } = this.request;
     const near = chooser.nearCandidates(service, this.excluded);
-    if (policyIsOn('known-first') && chooser.hasKnownCapacity(near)) {
+    if (policyIsOn('known-first') && chooser.hasKnownCapacity(near, route)) {
       prober.refresh(near);
       this.attemptAt(this.choose(near));
       return;
     }
     this.probeThen(near, () => {
-      if (chooser.hasCapacity(near)) {
+      if (chooser.hasCapacity(near, route)) {
         this.attemptAt(this.choose(near));
         return;
       }
       const far = chooser.farCandidates(service, this.excluded);
       const all = [...near, ...far];
-      this.probeThen(chooser.hasKnownCapacity(far) ? [] : far, () => {
+      this.probeThen(chooser.hasKnownCapacity(far, route) ? [] : far, () => {
         this.attemptAt(this.choose(all));
       });
     });
@@ -262,8 +270,8 @@
     this.counters.attempts += 1;
     this.currentInstance = instance;
     this.currentMayRun = true;
-    view.recordSent();
     const { requestId, method, path, headers, body, key, route, spentMs } = this.request;
+    view.recordSent(route.answerBytes);
     const { knownLimitPerSecond } = view;
     this.lastSentMs = this.ports.runtime.nowMs();
     const head: RequestHead = {
@@ -345,13 +353,42 @@
     if (refusal.arrived) this.arrivals += 1;
     this.lastReason = `refused: ${refusal.reason}`;
     this.shortestRetryAfterMs = Math.min(this.shortestRetryAfterMs ?? Infinity, refusal.retryAfterMs);
-    if (refusal.reason === 'busy') this.busyRefusals += 1;
+    const isForLink = this.isForLink(refusal);
+    if (isForLink) this.recordLinkRefusal(refusal);
+    const knowsIdleLink = isForLink && this.knowsIdleLink(instance);
+    if (refusal.reason === 'busy' && !knowsIdleLink) this.busyRefusals += 1;
     if (refusal.reason === 'rate-limited') this.rateLimitedRefusals += 1;
     if (refusal.reason === 'unreachable') view.recordFailure(this.ports.runtime.nowMs());
     this.excluded.add(instance.id);
     this.retryAfterRefusal(refusal);
   }
 
+  /** Whether a network link was the cause. A time that is not readable is ignored and counted. */
+  private isForLink({ linkFreeInMs }: RefusalHead): boolean {
+    if (linkFreeInMs === undefined) return false;
+    const readable = Number.isFinite(linkFreeInMs) && linkFreeInMs >= 0;
+    if (!readable) this.counters.unreadableLinkTimes += 1;
+    return readable;
+  }
+
+  private recordLinkRefusal({ reason, retryAfterMs }: RefusalHead): void {
+    this.lastReason = `refused: ${reason} (network link)`;
+    this.shortestLinkRetryAfterMs = Math.min(this.shortestLinkRetryAfterMs ?? Infinity, retryAfterMs);
+  }
+
+  /** Whether another back end is known to have a free slot and an idle link, so that the service is not full. */
+  private knowsIdleLink({ id }: BackendInstance): boolean {
+    if (this.refusals >= MAX_REFUSALS_WITH_IDLE_LINK) return false;
+    const { chooser } = this.ports;
+    const { service, route } = this.request;
+    const excluded = new Set([...this.excluded, id]);
+    const others = [
+      ...chooser.nearCandidates(service, excluded),
+      ...chooser.farCandidates(service, excluded),
+    ];
+    return chooser.hasKnownCapacity(others, route);
+  }
+
   private retryAfterRefusal(refusal: RefusalHead): void {
     const attemptsExhausted = this.refusals >= MAX_REFUSALS || this.withdrawn;
     if (refusal.reason === 'quarantined') {
@@ -395,6 +432,7 @@
 
   private lost(instance: BackendInstance, view: BackendView, sent: boolean): void {
     this.attemptEnded(view);
+    view.recordLinkLost();
     view.recordFailure(this.ports.runtime.nowMs());
     if (sent || this.streaming) {
       this.retryAfterPossibleRun(
@@ -476,11 +514,20 @@
     this.finish();
     this.counters.notRun += 1;
     this.countOutcome(false);
+    this.log('request-not-run', { reason, refusals: this.refusals });
+    this.sink.fail({ kind: 'not-run', reason, retryAfterMs: this.retryAfterMs() });
+  }
+
+  /** A network link states when it has room; a later retry would have less of its target left to wait for the link. */
+  private retryAfterMs(): number {
+    if (!policyIsOn('retry-hints') || this.shortestLinkRetryAfterMs === null) return this.slotRetryAfterMs();
+    return Math.max(MIN_RETRY_AFTER_MS, this.shortestLinkRetryAfterMs);
+  }
+
+  private slotRetryAfterMs(): number {
     const targetShareMs = this.request.route.definition.targetLatencyMs * RETRY_AFTER_TARGET_SHARE;
     const requestedMs = policyIsOn('retry-hints') ? (this.shortestRetryAfterMs ?? 0) : 0;
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, targetShareMs, requestedMs);
-    this.log('request-not-run', { reason, refusals: this.refusals });
-    this.sink.fail({ kind: 'not-run', reason, retryAfterMs });
+    return Math.max(MIN_RETRY_AFTER_MS, targetShareMs, requestedMs);
   }
 
   private endQuarantined(): void {
--- a/test/sidecar/backend-view.test.ts
+++ b/test/sidecar/backend-view.test.ts
@@ -35,3 +35,16 @@
   view.recordStatus(STATUS, 20);
   t.is(view.knownLimitPerSecond, null);
 });
+
+test('the wait for the link counts the answers requested since the status, and drains as the status ages', (t) => {
+  const view = new BackendView();
+  view.recordStatus({ ...STATUS, sendWaitMs: 300 }, 0);
+  view.recordSent(90_000);
+  view.recordSent(500);
+  t.is(view.sendWaitMs(100, 900), 300);
+  t.is(view.sendWaitMs(1_000, 900), 100);
+  view.recordLinkLost();
+  t.is(view.sendWaitMs(1_000, 900), 0, 'what was sent over a link that is lost is not answered');
+  view.recordStatus({ ...STATUS, sendWaitMs: 5_000 }, 1_000);
+  t.is(view.sendWaitMs(3_000, 900), 0, 'a status expires');
+});
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -63,11 +63,20 @@
   readonly passMs?: number;
   /** Time in ms that the caller has spent on earlier attempts. */
   readonly spentMs?: number;
+  /** Whether back ends are known to have idle network links. */
+  readonly linkIsIdle?: boolean;
 }
 
 /** Forwards one request to back ends that react as scripted, one reaction per attempt. */
 function forward(reactions: Record<string, Reaction[]>, setup: Setup = {}): Outcome {
-  const { kind = 'safe', maxAttempts = 2, mayRepeat = true, passMs = 2_000, spentMs = 0 } = setup;
+  const {
+    kind = 'safe',
+    maxAttempts = 2,
+    mayRepeat = true,
+    passMs = 2_000,
+    spentMs = 0,
+    linkIsIdle = false,
+  } = setup;
   const time = new ManualTime();
   const outcome: Outcome = { tried: [], result: '', unanswered: null, cancelled: 0, logged: [], sampled: [] };
   const instances = Object.keys(reactions).map((id): BackendInstance => {
@@ -85,8 +94,9 @@
   const chooser = {
     choose: ({ excluded }: ChoiceRequest) => instances.find(({ id }) => !excluded.has(id)) ?? null,
     nearCandidates: () => instances,
+    farCandidates: () => [],
     hasCapacity: () => true,
-    hasKnownCapacity: () => false,
+    hasKnownCapacity: () => linkIsIdle,
     moveTargetOf: () => null,
   } as unknown as BackendChooser;
   const prober = {
@@ -351,6 +361,43 @@
   t.like(outcome.unanswered, { kind: 'not-run', retryAfterMs: 400 });
 });
 
+/** Guards against a delay that leaves no time to wait for the link, and against trust in times that cannot be. */
+for (const { linkFreeInMs, retryAfterMs } of [
+  { linkFreeInMs: 70, retryAfterMs: 70 },
+  { linkFreeInMs: -1, retryAfterMs: 200 },
+  { linkFreeInMs: NaN, retryAfterMs: 200 },
+]) {
+  test(`after refusals for a network link that has room in ${linkFreeInMs} ms a retry is due in ${retryAfterMs} ms`, (t) => {
+    const refuseForLink: Reaction = (handlers) => {
+      handlers.onRefusal({ reason: 'busy', arrived: false, retryAfterMs: 70, status: null, linkFreeInMs });
+    };
+    t.like(forward({ a: [refuseForLink], b: [refuse('busy')] }).unanswered, {
+      kind: 'not-run',
+      retryAfterMs,
+    });
+  });
+}
+
+/** Guards against a service that counts as full while links of it are idle, and against a search without an end. */
+for (const { linkIsIdle, tried } of [
+  { linkIsIdle: false, tried: 3 },
+  { linkIsIdle: true, tried: 8 },
+]) {
+  test(`refusals for a network link end the search after ${tried} daemons, an idle link ${linkIsIdle ? '' : 'not '}known`, (t) => {
+    const refuseForLink: Reaction = (handlers) => {
+      handlers.onRefusal({
+        reason: 'busy',
+        arrived: false,
+        retryAfterMs: 70,
+        status: null,
+        linkFreeInMs: 70,
+      });
+    };
+    const reactions = Object.fromEntries([...'abcdefghij'].map((id) => [id, [refuseForLink]]));
+    t.is(forward(reactions, { linkIsIdle }).tried.length, tried);
+  });
+}
+
 test('an answer that states a leave is logged once by the daemon that passes it on', (t) => {
   const outcome = forward({
     a: [
