Name the network link as the cause of refusals in metrics and explain

Cause: a refusal as busy did not tell whether slots or the network link were the cause. Ruled out: a refusal reason of its own, which older builds would not know. Conclusion: the cause of each such refusal is in the log.

--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -27,6 +27,11 @@
     'Of these, requests that were answered',
     () => counters.returnedAnswered,
   );
+  metrics.value(
+    'unreadable_link_times',
+    'Refusals whose time until a network link has room could not be read',
+    () => counters.unreadableLinkTimes,
+  );
   metrics.value('probes', 'Questions how busy a back end is', () => node.prober.sent);
   metrics.value(
     'probes_unanswered',
@@ -36,6 +41,16 @@
   metrics.family('gateway_refusals', 'Requests refused beside the back end, by reason', 'reason', () =>
     Object.entries(gateway.counters.refused),
   );
+  metrics.value(
+    'gateway_link_refusals',
+    'Of these, requests whose answer would have waited too long for the network link',
+    () => gateway.counters.refusedForLink,
+  );
+  metrics.value(
+    'link_wait_ms',
+    'Time that the network link needs for the large answers that are queued or expected',
+    () => gateway.forecast.sendWaitMs,
+  );
   metrics.value('backend_runs', 'Requests sent to the back end', () => gateway.counters.runs);
   metrics.value('backend_answers', 'Whole answers of the back end', () => gateway.counters.answered);
   metrics.value(
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -119,11 +119,17 @@
       slots === undefined
         ? ''
         : ` (${String(running)} ran, ${String(waiting)} waited, ${String(slots)} places)`;
-    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${describeLimit(event)}`;
+    const cause = `${describeLimit(event)}${describeLink(event)}`;
+    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${cause}`;
   }
   return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(event['outcome'])}`;
 }
 
+function describeLink({ linkFreeInMs }: LoggedEvent): string {
+  if (typeof linkFreeInMs !== 'number') return '';
+  return `; its network link had no room for the answer, and expected to have it ${linkFreeInMs} ms later`;
+}
+
 function describeLimit({ reason, limitPerSecond }: LoggedEvent): string {
   if (reason !== 'rate-limited') return '';
   if (typeof limitPerSecond !== 'number') return '; whether its back end names a limit was not known yet';
