--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -7,6 +7,7 @@
   AnswerTiming,
   FailureHead,
   NestedHead,
+  RefusalHead,
   RefusalReason,
   RequestHead,
   StatusHead,
@@ -329,8 +330,9 @@
       this.refuseEarly(request, early);
       return;
     }
-    if (forecast.isTooLateForLink(head, request)) {
-      this.refuse(request, 'busy', 'link-too-slow');
+    const onLink = forecast.decideOnLink(head, request, nowMs - arrivedMs);
+    if (onLink.kind === 'refuse') {
+      this.refuseForLink(request, onLink.freeInMs);
       return;
     }
     const claim = forecast.claimOf(head, request);
@@ -386,8 +388,12 @@
     const { forecast } = this;
     const claim = forecast.claimOf(head, request);
     const waitMs = maxLateWaitMs(claim, nowMs - arrivedMs, forecast.workMs(head.route));
-    const missesLink = forecast.isTooLateForLinkAfterWait(head, request, nowMs - arrivedMs);
-    const mayBeAnswered = policyIsOn('late-waiting') && !this.stopped && waitMs > 0 && !missesLink;
+    const onLink = forecast.decideOnLink(head, request, nowMs - arrivedMs);
+    if (onLink.kind === 'refuse') {
+      this.refuseForLink(request, onLink.freeInMs);
+      return;
+    }
+    const mayBeAnswered = policyIsOn('late-waiting') && !this.stopped && waitMs > 0;
     if (!mayBeAnswered || !this.lateWaitLimiter.mayWait(waitMs, this.admission.slots, nowMs)) {
       this.refuse(request, this.noSlotReason());
       return;
@@ -454,13 +460,19 @@
     const waitedMs = nowMs - request.arrivedMs;
     const leftMs = head.remainingMs - waitedMs;
     request.startedMs = nowMs;
-    if (stale || keyLost || this.isTooLate(request, leftMs, waitedMs)) {
+    if (stale || keyLost || this.isTooLate(request, leftMs)) {
       this.returnSlot(request, this.admission.serviceMs);
       if (keyLost && !stale) this.evaluateKey(request, head.key ?? 0);
       else if (stale) this.refuse(request, 'leaving');
       else this.refuse(request, 'busy', 'parent-time-up');
       return;
     }
+    const onLink = this.forecast.decideOnLink(head, request, waitedMs);
+    if (onLink.kind === 'refuse') {
+      this.returnSlot(request, this.admission.serviceMs);
+      this.refuseForLink(request, onLink.freeInMs);
+      return;
+    }
     if (this.isRestrictedByCrashRecord(request)) {
       this.returnSlot(request, this.admission.serviceMs);
       this.evaluateCrashRecord(request, nowMs);
@@ -472,6 +484,7 @@
     this.running.add(request);
     this.beginRun(request, leftMs);
     this.counters.runs += 1;
+    this.forecast.expectAnswer(head.route, request);
     request.sendNumber = this.pacing.recordSent();
     request.run = ports.backend.prepare(request.head, request.body, leftMs, {
       status: () => this.status(),
@@ -534,11 +547,9 @@
   }
 
   /** Whether the work, or the transfer of its answer over the network link, would end too late to be of use. */
-  private isTooLate(request: GatewayRequest, leftMs: number, waitedMs: number): boolean {
-    const { head } = request;
-    const workLeftMs = leftMs - this.forecast.sendMs(head.route, request);
-    const tooLate = isTooLateToStart(workLeftMs, this.forecast.workMs(head.route));
-    return tooLate || this.forecast.isTooLateForLinkAfterWait(head, request, waitedMs);
+  private isTooLate(request: GatewayRequest, leftMs: number): boolean {
+    const { route } = request.head;
+    return isTooLateToStart(leftMs - this.forecast.sendMs(route, request), this.forecast.workMs(route));
   }
 
   private timingOf({ arrivedMs, startedMs }: GatewayRequest): AnswerTiming {
@@ -602,6 +613,18 @@
     this.refuseWith(request, reason, this.retryAfterMs(reason), this.callFields(request, waitedMs, cause));
   }
 
+  /** Refuses a request because the network link has no room for its answer until `freeInMs`. */
+  private refuseForLink(request: GatewayRequest, freeInMs: number): void {
+    if (request.done) return;
+    this.counters.refusedForLink += 1;
+    const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
+    if (request.offeredMs === 0) this.ports.onWork(request.head.key, this.admission.serviceMs);
+    const linkFreeInMs = Math.ceil(freeInMs);
+    const retryAfterMs = Math.max(this.retryAfterMs('busy'), linkFreeInMs);
+    const detail = this.callFields(request, waitedMs, 'link-too-slow');
+    this.refuseWith(request, 'busy', retryAfterMs, detail, { linkFreeInMs });
+  }
+
   /** Refuses work whose calls would fail. It is no load of its key: this back end has room for it. */
   private refuseEarly(request: GatewayRequest, { calledService, retryAfterMs }: EarlyRefusal): void {
     const cause: RefusalCause = 'calls-failing';
@@ -613,6 +636,7 @@
     reason: RefusalReason,
     retryAfterMs: number,
     detail: Readonly<Record<string, unknown>>,
+    mark: Pick<RefusalHead, 'linkFreeInMs'> = {},
   ): void {
     request.done = true;
     this.forecast.discardExpectedAnswer(request);
@@ -621,9 +645,9 @@
     const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
     const leftMs = Math.round(request.head.remainingMs - waitedMs);
     const status = this.status();
-    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs };
+    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs, ...mark };
     this.ports.log.failure('request-refused', { ...fields, ...status, ...detail });
-    request.reply.refuse({ reason, arrived: false, retryAfterMs, status });
+    request.reply.refuse({ reason, arrived: false, retryAfterMs, status, ...mark });
   }
 
   private callFields(
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -146,8 +146,8 @@
       slots === undefined
         ? ''
         : ` (${String(running)} ran, ${String(waiting)} waited, ${String(slots)} places)`;
-    const shortage = describeShortage(event);
-    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${describeLimit(event)}${shortage}`;
+    const cause = `${describeLimit(event)}${describeLink(event)}${describeShortage(event)}`;
+    return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${cause}`;
   }
   return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(event['outcome'])}`;
 }
@@ -158,6 +158,11 @@
   return `; it needs calls to ${String(calledService)}, which fail or come late there`;
 }
 
+function describeLink({ linkFreeInMs }: LoggedEvent): string {
+  if (typeof linkFreeInMs !== 'number') return '';
+  return `; its network link had no room for the answer, and expected to have it ${linkFreeInMs} ms later`;
+}
+
 function describeLimit({ reason, limitPerSecond }: LoggedEvent): string {
   const isTrial = reason === 'busy' && limitPerSecond === null;
   if (reason !== 'rate-limited' && !isTrial) return '';
