Probe other zones as before

Conclusion: the saving, a few short probes where a zone has one or two back ends of a service, does not justify older knowledge of other zones.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -89,7 +89,6 @@
     this.prober = new BackendProber({
       runtime: time.runtime,
       view: (id) => this.viewOf(id),
-      crossesZone: () => false,
       sendProbe: (instance) => {
         this.sendProbe(instance);
       },
--- a/src/sidecar/backend-prober.ts
+++ b/src/sidecar/backend-prober.ts
@@ -12,12 +12,6 @@
 /** Maximum age in ms of a status that needs no probe: about the one-way network latency between zones. */
 const MAX_FRESH_STATUS_AGE_MS = 5;
 
-/**
- * Age in ms up to which the status of a back end in another zone needs no probe while one in the own zone is known to have
- * a free slot: half the age at which a status expires, so that the choice never considers one without a status.
- */
-const MAX_UNNEEDED_STATUS_AGE_MS = 1_000;
-
 /**
  * Maximum wait in ms for the answers to probes. A sidecar that takes longer has a congested network link; one slice of
  * a large answer occupies a link of 4.5 Mbit/s for 15 ms.
@@ -35,8 +29,6 @@
 export interface ProberPorts {
   readonly runtime: Runtime;
   readonly view: (instance: string) => BackendView;
-  /** Whether a back end is in another zone than this sidecar. */
-  readonly crossesZone: (instance: BackendInstance) => boolean;
   /** Sends a probe; the answer arrives as a status. */
   readonly sendProbe: (instance: BackendInstance) => void;
 }
@@ -106,24 +98,14 @@
 
   private withoutFreshStatus(instances: readonly BackendInstance[]): readonly BackendInstance[] {
     const nowMs = this.ports.runtime.nowMs();
-    if (!policyIsOn('known-first')) {
-      return instances.filter(({ id }) => this.ports.view(id).statusAgeMs(nowMs) > MAX_FRESH_STATUS_AGE_MS);
-    }
-    const needsOtherZones = !instances.some((instance) => this.isKnownToBeFreeNearby(instance, nowMs));
-    return instances.filter((instance) => {
-      const view = this.ports.view(instance.id);
-      if (view.hasFreshStatus(nowMs)) return false;
-      if (needsOtherZones || !this.ports.crossesZone(instance)) return true;
-      return view.statusAgeMs(nowMs) > MAX_UNNEEDED_STATUS_AGE_MS;
+    return instances.filter(({ id }) => {
+      const view = this.ports.view(id);
+      return policyIsOn('known-first')
+        ? !view.hasFreshStatus(nowMs)
+        : view.statusAgeMs(nowMs) > MAX_FRESH_STATUS_AGE_MS;
     });
   }
 
-  private isKnownToBeFreeNearby(instance: BackendInstance, nowMs: number): boolean {
-    const view = this.ports.view(instance.id);
-    if (this.ports.crossesZone(instance) || !view.hasFreshStatus(nowMs)) return false;
-    return view.accepting(nowMs) && view.hasCapacity(instance.slots, nowMs);
-  }
-
   /** Returns as many of the back ends as the rate limit allows to probe now. */
   private withinRateLimit(instances: readonly BackendInstance[]): readonly BackendInstance[] {
     if (!policyIsOn('known-first')) return instances;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -168,7 +168,6 @@
     this.prober = new BackendProber({
       runtime,
       view: (instance) => this.peers.viewOf(instance),
-      crossesZone: ({ zone }) => zone !== settings.zone,
       sendProbe: (instance) => {
         this.peers.linkTo(instance).probe();
       },
--- a/test/sidecar/backend-prober.test.ts
+++ b/test/sidecar/backend-prober.test.ts
@@ -34,7 +34,6 @@
     this.prober = new BackendProber({
       runtime: this.time.runtime,
       view,
-      crossesZone: ({ zone }) => zone !== 'a',
       sendProbe: ({ id }) => this.probed.push(id),
     });
     this.chooser = new BackendChooser({
@@ -151,23 +150,6 @@
   t.deepEqual([fleet.probed.length, rounds], [1, 1]);
 });
 
-test('other zones are probed at each choice only while no back end nearby is known to be free', (t) => {
-  const probedFar = (nearRunning: number, ageMs: number): number => {
-    const fleet = new Fleet(1, 2);
-    for (const id of ['far-0', 'far-1']) fleet.answer(id, 0);
-    fleet.time.pass(ageMs);
-    fleet.answer('near-0', nearRunning);
-    fleet.prober.refresh(fleet.near());
-    return fleet.probed.length;
-  };
-  t.is(probedFar(0, 200), 0);
-  t.is(probedFar(2, 200), 2);
-  t.is(probedFar(0, 1_001), 2);
-  const unknown = new Fleet(1, 2);
-  unknown.prober.probe(unknown.near(), () => undefined);
-  t.is(unknown.probed.length, 3);
-});
-
 test('the rate of probes is limited, and a selection does not wait for probes over the limit', (t) => {
   const fleet = new Fleet(3, 0);
   let rounds = 0;
