Interleave the first assignment of keys over the back ends

Ruled out: more and faster moves alone; each move pauses its keys for about a heartbeat and is counted. Change: where grants travel in heartbeats, each back end gets up to 16 ranges spread over all keys, at most 1,024 ranges a service; where each grant is a call, one range as before.

--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -4,6 +4,7 @@
  */
 import type { KeySpan } from './directory-commands.js';
 import { FIRST_KEY, LAST_KEY, type BackendInstance, type KeyRange } from './directory-state.js';
+import { firstAssignment, type SpanTarget } from './first-assignment.js';
 import { policyIsOn } from '../policy-switches.js';
 import { changeSpan } from './key-ranges.js';
 import { KEYS_PER_BUCKET, bucketOf, type KeyLoad } from './key-load.js';
@@ -40,11 +41,6 @@
 /** Share of all slots that unknown load is assumed to need, spread evenly over the keys. */
 const ASSUMED_UTILIZATION = 0.1;
 
-/** A span of keys and the back end that receives it. */
-export interface SpanTarget extends KeySpan {
-  readonly backend: string;
-}
-
 /** The input of a plan for one service. */
 export interface RangeView {
   readonly ranges: readonly KeyRange[];
@@ -90,7 +86,9 @@
   const candidates = makeCandidates(view);
   if (candidates.length === 0) return { assignments: [], moves: [], forBalance: false };
   if (view.ranges.every(({ owner, fence }) => owner === null && fence === 0)) {
-    return { assignments: divideEvenly(candidates), moves: [], forBalance: false };
+    // Where a grant of keys is a call, many ranges would be many calls, and moving keys later costs little.
+    const assignments = firstAssignment(candidates, view.movesAreCostly);
+    return { assignments, moves: [], forBalance: false };
   }
   const unowned = view.ranges.filter(({ owner }) => owner === null);
   const assignments = unowned.flatMap((range) => placeRange(range, candidates, view.load));
@@ -136,22 +134,6 @@
   return load.ofSpan(from, to) - load.assumedOfSpan(from, to) * (1 - usableShare);
 }
 
-/** Divides all keys in proportion to the back ends' slots, for a first assignment without load figures. */
-function divideEvenly(candidates: readonly Candidate[]): SpanTarget[] {
-  const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
-  const keys = LAST_KEY - FIRST_KEY + 1;
-  const targets: SpanTarget[] = [];
-  let from = FIRST_KEY;
-  let slotsSoFar = 0;
-  for (const candidate of candidates) {
-    slotsSoFar += candidate.slots;
-    const end = FIRST_KEY + Math.floor((keys * slotsSoFar) / slots);
-    targets.push({ from, to: end - 1, backend: candidate.id });
-    from = end;
-  }
-  return targets;
-}
-
 /** Assigns a range to the least utilized back ends, in pieces if it would overload a single one. */
 function placeRange(range: KeyRange, candidates: readonly Candidate[], load: KeyLoad): SpanTarget[] {
   const targets: SpanTarget[] = [];
