Divide the keys of many lost owners evenly

Cause: when the back ends of a service register again at the same time, as after a loss of all power, their former ranges are unowned at once and form one range. It was split into at most 4 pieces, the last of which took all the rest: of 12 back ends one got 10.5 or 6.5 even shares of the keys, in a plan for 34 back ends one got 62,608 of 65,536 keys. Its requests were refused as busy until the plans for balance had moved the keys 2 to 3 s later. Ruled out: `FIRST_ASSIGNMENT_QUIET_PERIOD_MS` and the planning interval; after a restart all keys had owners within 100 ms of the registrations, and the quiet period applies only to keys that never had an owner. Change: a range is split into up to 4 pieces for each even share of the load that it holds, and a back end gets at least its even share before the next one does. A range of one lost owner is placed as before unless it holds much load; it may then go in fewer pieces. Plan for 34 back ends without load figures: at most 1.6 even shares for one. All tests of the directory and the simulator pass. Conclusion: this explains the few owners that refuse most lookups in the first seconds after a restart.

--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -8,8 +8,11 @@
 import { changeSpan } from './key-ranges.js';
 import { KEYS_PER_BUCKET, bucketOf, type KeyLoad } from './key-load.js';
 
-/** Maximum number of pieces into which one lost or drained range is split. */
-const MAX_PIECES_PER_RANGE = 4;
+/**
+ * Maximum number of pieces into which one lost or drained range is split, for each even share of the load that it holds.
+ * After a loss of many back ends, their ranges form one.
+ */
+const MAX_PIECES_PER_SHARE = 4;
 
 /** Allowed utilization difference between a receiving back end and the next least utilized one; half of it is used. */
 const ALLOWED_UTILIZATION_DIFFERENCE = 0.1;
@@ -93,14 +96,16 @@
     return { assignments: divideEvenly(candidates), moves: [], forBalance: false };
   }
   const unowned = view.ranges.filter(({ owner }) => owner === null);
-  const assignments = unowned.flatMap((range) => placeRange(range, candidates, view.load));
+  const evenUtilization = evenUtilizationOf(candidates, view.load);
+  const place = (range: KeyRange): SpanTarget[] => placeRange(range, candidates, view.load, evenUtilization);
+  const assignments = unowned.flatMap(place);
   const leaving = new Set(
     view.instances.filter((instance) => !mayOwnKeys(instance, view)).map(({ id }) => id),
   );
   const rangesToDrain = view.ranges.filter(({ owner, movingTo }) => {
     return owner !== null && leaving.has(owner) && movingTo === null;
   });
-  const moves = rangesToDrain.flatMap((range) => placeRange(range, candidates, view.load));
+  const moves = rangesToDrain.flatMap(place);
   if (moves.length > 0 || assignments.length > 0 || !view.mayBalance) {
     return { assignments, moves, forBalance: false };
   }
@@ -152,18 +157,34 @@
   return targets;
 }
 
+/** Returns the utilization of every back end if the load of all keys were divided evenly. */
+function evenUtilizationOf(candidates: readonly Candidate[], load: KeyLoad): number {
+  const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
+  return load.ofSpan(FIRST_KEY, LAST_KEY) / slots;
+}
+
 /** Assigns a range to the least utilized back ends, in pieces if it would overload a single one. */
-function placeRange(range: KeyRange, candidates: readonly Candidate[], load: KeyLoad): SpanTarget[] {
+function placeRange(
+  range: KeyRange,
+  candidates: readonly Candidate[],
+  load: KeyLoad,
+  evenUtilization: number,
+): SpanTarget[] {
   const targets: SpanTarget[] = [];
   let from = range.from;
   let remainingLoad = load.ofSpan(range.from, range.to);
+  const evenShares = (remainingLoad * candidates.length) / load.ofSpan(FIRST_KEY, LAST_KEY);
+  const maxPieces = MAX_PIECES_PER_SHARE * Math.max(1, Math.ceil(evenShares));
   for (let piece = 1; from <= range.to; piece += 1) {
     const receiver = leastUtilized(candidates);
     if (receiver === null) break;
     const otherCandidates = candidates.filter((candidate) => candidate !== receiver);
-    const capacity = capacityBeforeNext(receiver, leastUtilized(otherCandidates));
+    const capacity = Math.max(
+      capacityBeforeNext(receiver, leastUtilized(otherCandidates)),
+      evenUtilization * receiver.slots - receiver.busy,
+    );
     const assignsAll =
-      piece >= MAX_PIECES_PER_RANGE ||
+      piece >= maxPieces ||
       otherCandidates.length === 0 ||
       remainingLoad <= Math.max(capacity, receiver.slots * 0.1);
     const to = assignsAll ? range.to : endOfSpanWithLoad(from, range.to, capacity, load);
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -64,6 +64,25 @@
   );
 });
 
+for (const [name, ranges, keptKeys] of [
+  ['all owners', [range(0, 65_535, null)], 0],
+  ['most owners', [range(0, 57_343, null), range(57_344, 65_535, 'a')], 8_192],
+] as const) {
+  test(`after a loss of ${name} no back end gets many more keys than the others`, (t) => {
+    const instances = Array.from({ length: 34 }, (_, at) => instance(at === 0 ? 'a' : `b${at}`));
+    const { assignments } = planRanges(view({ ranges, instances }));
+    const keys = new Map<string, number>();
+    for (const { from, to, backend } of assignments)
+      keys.set(backend, (keys.get(backend) ?? 0) + to - from + 1);
+    t.is(
+      [...keys.values()].reduce((sum, count) => sum + count, 0),
+      65_536 - keptKeys,
+    );
+    t.true(Math.max(...keys.values()) <= (1.6 * 65_536) / 34, `${Math.max(...keys.values())} keys`);
+    t.true(assignments.length <= 2 * 34, `${assignments.length} pieces`);
+  });
+}
+
 test('a leaving back end is drained; nothing is planned when it is the only one', (t) => {
   const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
   const leaving = [instance('a', 'draining'), instance('b')];
