Tell refused callers to return at the rate of finished requests

Cause: a busy refusal named the expected wait for one slot, at most 600 ms, whatever the number of callers that were told the same. After a restart all of them returned into the overload that had refused them and used up their retries. Ruled out: a change of the shortest retry-after that the caller's sidecar takes of several refusals; each is a time at which one of the back ends has room, and a request for a key gets only one. Change: refused callers are told to return one after another at the rate at which the back end finished requests in the last second (`ReturnSchedule`, pure).

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -31,6 +31,7 @@
   slackTimeMs,
 } from './slot-policy.js';
 import { RequestPacing } from './request-pacing.js';
+import { ReturnSchedule } from './return-schedule.js';
 import { RunReporter } from './run-reporter.js';
 import { SuspectScheduler, type SuspectRequest } from './suspect-scheduler.js';
 import { WorkForecast } from './work-forecast.js';
@@ -40,9 +41,6 @@
 /** Interval in ms at which waiting requests are checked. */
 const CHECK_INTERVAL_MS = 20;
 
-/** Upper bound in ms of the retry delay that is sent when the queue is too long. */
-const MAX_BUSY_RETRY_AFTER_MS = 600;
-
 /** Retry delay in ms for other refusals; key handovers and daemon restarts have usually completed by then. */
 const DEFAULT_RETRY_AFTER_MS = 350;
 
@@ -67,6 +65,7 @@
   /** Requests that wait for the back end's first heartbeat, or for their key to be granted. */
   private readonly waiting = new Set<GatewayRequest>();
   private readonly running = new Set<GatewayRequest>();
+  private readonly returns = new ReturnSchedule();
   private readonly circuitBreaker = new CircuitBreaker();
   private stopped = false;
   private cancelCheck: CancelTimer | null = null;
@@ -487,6 +486,7 @@
   private recordAnswer(route: string, usedMs: number, { bytes, pace }: AnsweredRun): void {
     const { forecast } = this;
     const unreadableBefore = forecast.unreadablePaceReports;
+    this.returns.recordFinished(this.ports.runtime.nowMs());
     forecast.recordAnswer({ route, usedMs, bytes, pace });
     // Only the first one is logged; a counter holds the total.
     const isFirst = unreadableBefore === 0 && forecast.unreadablePaceReports > 0;
@@ -520,7 +520,8 @@
     this.ports.log.failure('request-refused', { ...fields, ...status });
     // A request that got no slot counts as load of its key, too.
     if (reason === 'busy' && request.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
-    request.reply.refuse({ reason, arrived: false, retryAfterMs: this.retryAfterMs(reason), status });
+    const retryAfterMs = this.retryAfterMs(reason, request.head, leftMs);
+    request.reply.refuse({ reason, arrived: false, retryAfterMs, status });
   }
 
   /** Returns why a request gets no slot in time. */
@@ -529,13 +530,16 @@
   }
 
   /** Returns the delay in ms after which a retry can expect a slot in time. */
-  private retryAfterMs(reason: RefusalReason): number {
+  private retryAfterMs(reason: RefusalReason, { route }: RequestHead, leftMs: number): number {
     const { serviceMs, waitingCount, slots } = this.admission;
     if (reason === 'rate-limited') return Math.round(this.pacing.retryAfterMs(waitingCount));
     if (reason !== 'busy') return DEFAULT_RETRY_AFTER_MS;
     if (this.pacing.awaitsTrial) return Math.round(this.pacing.retryAfterMs(waitingCount));
-    const queueMs = Math.max(this.pacing.delayMs(waitingCount), (serviceMs * (waitingCount + 1)) / slots);
-    return Math.round(Math.min(MAX_BUSY_RETRY_AFTER_MS, queueMs));
+    const expectedIntervalMs = serviceMs / slots;
+    const firstMs = Math.max(this.pacing.delayMs(waitingCount), expectedIntervalMs * (waitingCount + 1));
+    const latestMs = maxLateWaitMs({ remainingMs: leftMs }, 0, this.forecast.workMs(route));
+    const bounds = { firstMs, latestMs, expectedIntervalMs };
+    return Math.round(this.returns.nextDelayMs(bounds, this.ports.runtime.nowMs()));
   }
 
   private cancel(request: GatewayRequest): void {
--- a/src/sidecar/slot-policy.ts
+++ b/src/sidecar/slot-policy.ts
@@ -121,7 +121,11 @@
 }
 
 /** Returns the time in ms for which a late request may still wait and then be answered before its deadline. */
-export function maxLateWaitMs({ remainingMs }: RequestTimeLimits, waitedMs: number, meanMs: number): number {
+export function maxLateWaitMs(
+  { remainingMs }: Pick<RequestTimeLimits, 'remainingMs'>,
+  waitedMs: number,
+  meanMs: number,
+): number {
   return Math.max(0, remainingMs - waitedMs - LATE_WORK_TIME_FACTOR * meanMs);
 }
 
