Recognize a new incarnation without a start time by its cold time and its predecessor

Cause: heartbeats need not state a start time. Without one, a back end that repeats its heartbeats still got one request at a time after a loss of all power, although it reports that it is as cold as after its start. Ruled out: cold time alone, since an old back end may become cold again; the end of another registration alone, since a late heartbeat of an ended incarnation can replace the registration of a running one. Change: an incarnation that is cold as after its start and has replaced the one that was registered at this daemon, where this process knew no other before, is new. A notice that starts the session counts also if it arrives after a later one. Conclusion: two independent signs are needed where the age is not known.

--- a/src/sidecar/incarnation-age.ts
+++ b/src/sidecar/incarnation-age.ts
@@ -12,8 +12,8 @@
 const MAX_NEW_AGE_MS = 4_000;
 
 /**
- * Sequence of a heartbeat up to which its sender counts as new if it states no start time. It bounds the age only from
- * above: a back end that repeats unacknowledged heartbeats at short intervals exceeds it while it is new.
+ * Sequence of a heartbeat up to which its sender counts as new if it states no start time. A back end that repeats
+ * unacknowledged heartbeats at short intervals exceeds it while it is new.
  */
 const MAX_NEW_SEQUENCE = 4;
 
@@ -26,6 +26,11 @@
   /** Present time of the same clock. */
   readonly wallMs: number;
   readonly leaseTermMs: number;
+  /**
+   * Whether another incarnation was registered at this daemon until then, and this process knew no other one before: the
+   * one that began later is registered now.
+   */
+  readonly replacesAnother: boolean;
   /** Remaining cold time in the newest heartbeat; null if not reported. */
   readonly coldLeftMs: number | null;
   /** Time for which an incarnation of the service is cold after its start; null if it does not start cold. */
@@ -34,16 +39,27 @@
 
 /** Whether the incarnation certainly began when no previous process of this daemon could have served it. */
 export function isCertainlyNew(evidence: NewIncarnationEvidence): boolean {
-  const { bornMs, wallMs, leaseTermMs, sequence } = evidence;
+  const { bornMs, wallMs, sequence } = evidence;
   const ageMs = bornMs === null ? NaN : wallMs - bornMs;
-  if (!(ageMs >= 0)) return sequence <= MAX_NEW_SEQUENCE;
-  return ageMs < Math.min(leaseTermMs, MAX_NEW_AGE_MS) && !isOlderByColdTime(evidence, ageMs);
+  if (ageMs >= 0) return ageMs < maxAgeMs(evidence) && !isOlderByColdTime(evidence, ageMs);
+  return sequence <= MAX_NEW_SEQUENCE || isNewByColdTime(evidence);
 }
 
-/**
- * Whether the back end is warm earlier than its age allows, which means that the clock was set back. The reverse is no
- * evidence of a young one: an old back end may become cold again.
- */
+function maxAgeMs({ leaseTermMs }: NewIncarnationEvidence): number {
+  return Math.min(leaseTermMs, MAX_NEW_AGE_MS);
+}
+
+/** Whether the back end is warm earlier than its age allows, which means that the clock was set back. */
 function isOlderByColdTime({ coldLeftMs, coldDurationMs }: NewIncarnationEvidence, ageMs: number): boolean {
   return coldLeftMs === 0 && coldDurationMs !== null && ageMs < coldDurationMs;
 }
+
+/**
+ * Whether the back end is cold as after its start. That alone is no evidence, because an old one may become cold again,
+ * for example during an evacuation; an old one would not follow another registered incarnation, however.
+ */
+function isNewByColdTime(evidence: NewIncarnationEvidence): boolean {
+  const { replacesAnother, coldLeftMs, coldDurationMs } = evidence;
+  if (!replacesAnother || coldLeftMs === null || coldLeftMs <= 0) return false;
+  return coldDurationMs === null || coldDurationMs - coldLeftMs < maxAgeMs(evidence);
+}
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -51,9 +51,10 @@
   readonly hasQueuedRequests: () => boolean;
   /**
    * Called when this registration has started the session: the incarnation had no registration. `leaseTermMs` is the
-   * time for which an earlier one would have lasted.
+   * time for which an earlier one would have lasted; `replacesAnother` states whether another incarnation was registered
+   * at this daemon until then.
    */
-  readonly onFirstRegistration: (leaseTermMs: number) => void;
+  readonly onFirstRegistration: (leaseTermMs: number, replacesAnother: boolean) => void;
   readonly onChange: () => void;
 }
 
@@ -71,6 +72,8 @@
   private currentSession: number | null = null;
   private leaseDeadlineMs = -Infinity;
   private nextSendMs = 0;
+  /** Whether a registration of the present incarnation was sent that replaces another one. */
+  private replacesAnother = false;
   private readonly cancelTimer: CancelTimer;
 
   constructor(private readonly ports: LeaseKeeperPorts) {
@@ -145,11 +148,11 @@
 
   private receiveLease({ session, sentMs, termMs, index }: LeaseNotice): void {
     const deadlineMs = sentMs + termMs;
+    if (index === SESSION_START_INDEX) this.ports.onFirstRegistration(termMs, this.replacesAnother);
     if (session === this.currentSession) {
       this.leaseDeadlineMs = Math.max(this.leaseDeadlineMs, deadlineMs);
       return;
     }
-    if (index === SESSION_START_INDEX) this.ports.onFirstRegistration(termMs);
     const known = this.pendingLease?.session === session ? this.pendingLease : null;
     this.pendingLease = { session, deadlineMs, index: Math.min(index, known?.index ?? index) };
     this.activatePendingLease();
@@ -181,6 +184,7 @@
     this.pendingLease = null;
     this.leaseDeadlineMs = -Infinity;
     this.nextSendMs = 0;
+    this.replacesAnother = false;
     this.ports.onChange();
   }
 
@@ -188,6 +192,7 @@
     const replaces = this.ports.otherIncarnation(backend.id);
     if (replaces === undefined) return;
     this.nextSendMs = nowMs + REGISTER_RETRY_INTERVAL_MS;
+    this.replacesAnother ||= replaces !== null;
     const instance = { ...backend, daemonAddress: this.ports.daemonAddress };
     this.ports.send({ kind: 'register', instance, replaces, sentMs: nowMs });
   }
--- a/src/sidecar/local-backend.ts
+++ b/src/sidecar/local-backend.ts
@@ -97,6 +97,11 @@
     return this.life === name || this.pastIncarnations.has(name);
   }
 
+  /** Whether this process has known no incarnation before the current one. */
+  get isFirstIncarnation(): boolean {
+    return this.pastIncarnations.size === 0;
+  }
+
   /** Whether an earlier incarnation had this id. */
   hadEarlierIncarnation(id: string): boolean {
     return [...this.pastIncarnations].some((name) => idOfIncarnation(name) === id);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -303,8 +303,8 @@
       takeLoad: () => this.load.take(),
       usableSlots: () => this.gateway.usableSlots,
       hasQueuedRequests: () => this.gateway.admission.waitingCount > 0,
-      onFirstRegistration: (leaseTermMs) => {
-        this.confirmNewIncarnation(leaseTermMs);
+      onFirstRegistration: (leaseTermMs, replacesAnother) => {
+        this.confirmNewIncarnation(leaseTermMs, replacesAnother);
       },
       onChange: () => {
         this.tableChanged();
@@ -501,14 +501,15 @@
    * Ends the trial mode of an incarnation that was never registered before: it has received no requests, since callers
    * learn of it from the directory.
    */
-  private confirmNewIncarnation(leaseTermMs: number): void {
+  private confirmNewIncarnation(leaseTermMs: number, replaced: boolean): void {
     const { heartbeat } = this.backend;
     if (heartbeat === null) return;
     const { sequence, bornMs, coldLeftMs } = heartbeat;
     const coldDurationMs = this.table.service(this.settings.service)?.coldStart?.durationMs ?? null;
     const wallMs = this.runtime.wallMs();
-    const evidence = { sequence, bornMs, wallMs, leaseTermMs, coldLeftMs, coldDurationMs };
-    if (isCertainlyNew(evidence)) this.gateway.pacing.confirmNewToDaemon();
+    const replacesAnother = replaced && this.backend.isFirstIncarnation;
+    const age = { bornMs, wallMs, leaseTermMs, coldLeftMs, coldDurationMs };
+    if (isCertainlyNew({ sequence, replacesAnother, ...age })) this.gateway.pacing.confirmNewToDaemon();
   }
 
   // ---- the directory
--- a/test/sidecar/incarnation-age.test.ts
+++ b/test/sidecar/incarnation-age.test.ts
@@ -8,10 +8,13 @@
   bornMs: NOW_MS - 1_400,
   wallMs: NOW_MS,
   leaseTermMs: 9_500,
+  replacesAnother: false,
   coldLeftMs: null,
   coldDurationMs: null,
 };
 
+const COLD = { bornMs: null, replacesAnother: true, coldLeftMs: 2_500, coldDurationMs: 3_000 };
+
 const CASES: readonly [string, Partial<NewIncarnationEvidence>, boolean][] = [
   ['one that repeated its heartbeats is new', {}, true],
   ['one that is still cold is new', { coldLeftMs: 1_600, coldDurationMs: 3_000 }, true],
@@ -21,6 +24,14 @@
     { bornMs: null, coldLeftMs: 2_900, coldDurationMs: 3_000 },
     false,
   ],
+  ['without a start time, a cold one in the place of another is new', COLD, true],
+  ['the same if the service has no cold time', { ...COLD, coldDurationMs: null }, true],
+  [
+    'without a start time, a warm one in the place of another may have been served',
+    { ...COLD, coldLeftMs: 0 },
+    false,
+  ],
+  ['the same for one that has been cold for long', { ...COLD, coldDurationMs: 9_000 }, false],
   ['one as old as the lease may have been served', { leaseTermMs: 1_400 }, false],
   ['one may have been served whose registration was ended early', { bornMs: NOW_MS - 4_000 }, false],
   ['an old one with few heartbeats may have been served', { bornMs: NOW_MS - 9_000, sequence: 2 }, false],
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -18,14 +18,17 @@
   readonly time = new ManualTime();
   readonly sent: DirectoryRequest[] = [];
   hasQueue = false;
+  other: string | null = null;
   firstRegistrations = 0;
+  /** Whether the newest of them replaced another incarnation. */
+  replacesAnother = false;
   usableSlots: number | null = null;
   heldIndex = 1;
   readonly keeper = new LeaseKeeper({
     runtime: this.time.runtime,
     log: SILENT_EVENT_LOG,
     daemonAddress: 'h:1',
-    otherIncarnation: () => null,
+    otherIncarnation: () => this.other,
     heldIndex: () => this.heldIndex,
     send: (request) => {
       this.sent.push(request);
@@ -34,7 +37,10 @@
     takeLoad: () => [],
     usableSlots: () => this.usableSlots,
     hasQueuedRequests: () => this.hasQueue,
-    onFirstRegistration: () => (this.firstRegistrations += 1),
+    onFirstRegistration: (_termMs, replacesAnother) => {
+      this.firstRegistrations += 1;
+      this.replacesAnother = replacesAnother;
+    },
     onChange: () => undefined,
   });
 
@@ -123,3 +129,22 @@
     t.is(world.firstRegistrations, expected);
   }
 });
+
+test('a notice that starts the session counts also after a later one, with what the registration replaced', (t) => {
+  const world = new World();
+  world.other = 'life-0';
+  world.keeper.update(BACKEND);
+  world.other = null;
+  world.time.pass(400);
+  const lease = {
+    kind: 'registered',
+    id: BACKEND.id,
+    session: 5,
+    sentMs: world.time.nowMs,
+    termMs: 9_000,
+  } as const;
+  world.keeper.receive({ ...lease, index: 1 });
+  world.keeper.receive({ ...lease, index: 0 });
+  t.deepEqual([world.firstRegistrations, world.replacesAnother], [1, true]);
+  world.keeper.stop();
+});
