End the report that an incarnation is replaced when its status arrives

Cause: a sidecar that took a late heartbeat for a new incarnation corrects itself; callers kept from the true one for 2 s even when its status had arrived. Change: a status of an incarnation ends such a report on it. Conclusion: the report holds only as long as nothing newer is known.

--- a/src/sidecar/backend-view.ts
+++ b/src/sidecar/backend-view.ts
@@ -91,6 +91,7 @@
     // A sidecar that does not know the limit has restarted and is told this one.
     if (status.limitPerSecond !== null) this.lastKnownLimit = status.limitPerSecond ?? null;
     this.statusReceivedMs = nowMs;
+    this.replacedReportMs = -Infinity;
     this.sentSinceStatus = 0;
   }
 
--- a/test/sidecar/backend-view.test.ts
+++ b/test/sidecar/backend-view.test.ts
@@ -35,3 +35,14 @@
   view.recordStatus(STATUS, 20);
   t.is(view.knownLimitPerSecond, null);
 });
+
+test('a report that the incarnation is replaced ends with a status of it, or like a status', (t) => {
+  const view = new BackendView();
+  t.false(view.isReplaced(0));
+  view.recordReplaced(0);
+  t.true(view.isReplaced(1_900));
+  t.false(view.isReplaced(2_100));
+  view.recordReplaced(3_000);
+  view.recordStatus(STATUS, 3_010);
+  t.false(view.isReplaced(3_020));
+});
