--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -37,6 +37,7 @@
   slackTimeMs,
 } from './slot-policy.js';
 import { RequestPacing } from './request-pacing.js';
+import { ReturnSchedule } from './return-schedule.js';
 import { RunReporter } from './run-reporter.js';
 import { SuspectScheduler, type SuspectRequest } from './suspect-scheduler.js';
 import { WorkForecast } from './work-forecast.js';
@@ -46,9 +47,6 @@
 /** Interval in ms at which waiting requests are checked. */
 const CHECK_INTERVAL_MS = 20;
 
-/** Upper bound in ms of the retry delay that is sent when the queue is too long. */
-const MAX_BUSY_RETRY_AFTER_MS = 600;
-
 /** Retry delay in ms for other refusals; key handovers and daemon restarts have usually completed by then. */
 const DEFAULT_RETRY_AFTER_MS = 350;
 
@@ -80,6 +78,7 @@
   /** Requests that wait for the back end's first heartbeat, or for their key to be granted. */
   private readonly waiting = new Set<GatewayRequest>();
   private readonly running = new Set<GatewayRequest>();
+  private readonly returns = new ReturnSchedule();
   private readonly circuitBreaker = new CircuitBreaker();
   private stopped = false;
   private cancelCheck: CancelTimer | null = null;
@@ -584,6 +583,7 @@
   private recordAnswer(route: string, usedMs: number, { bytes, pace }: AnsweredRun): void {
     const { forecast } = this;
     const unreadableBefore = forecast.unreadablePaceReports;
+    this.returns.recordFinished(usedMs, this.ports.runtime.nowMs());
     forecast.recordAnswer({ route, usedMs, bytes, pace });
     // Only the first one is logged; a counter holds the total.
     const isFirst = unreadableBefore === 0 && forecast.unreadablePaceReports > 0;
@@ -610,7 +610,8 @@
     // A request that got no slot counts as load of its key, too.
     if (reason === 'busy' && request.offeredMs === 0)
       this.ports.onWork(request.head.key, this.admission.serviceMs);
-    this.refuseWith(request, reason, this.retryAfterMs(reason), this.callFields(request, waitedMs, cause));
+    const retryAfterMs = this.retryAfterMs(reason, request.head, request.head.remainingMs - waitedMs);
+    this.refuseWith(request, reason, retryAfterMs, this.callFields(request, waitedMs, cause));
   }
 
   /** Refuses a request because the network link has no room for its answer until `freeInMs`. */
@@ -620,9 +621,9 @@
     const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
     if (request.offeredMs === 0) this.ports.onWork(request.head.key, this.admission.serviceMs);
     const linkFreeInMs = Math.ceil(freeInMs);
-    const retryAfterMs = Math.max(this.retryAfterMs('busy'), linkFreeInMs);
     const detail = this.callFields(request, waitedMs, 'link-too-slow');
-    this.refuseWith(request, 'busy', retryAfterMs, detail, { linkFreeInMs });
+    // Slots are free, so the caller may return as soon as the link has room.
+    this.refuseWith(request, 'busy', linkFreeInMs, detail, { linkFreeInMs });
   }
 
   /** Refuses work whose calls would fail. It is no load of its key: this back end has room for it. */
@@ -667,13 +668,17 @@
   }
 
   /** Returns the delay in ms after which a retry can expect a slot in time. */
-  private retryAfterMs(reason: RefusalReason): number {
+  private retryAfterMs(reason: RefusalReason, { route }: RequestHead, leftMs: number): number {
     const { serviceMs, waitingCount, slots } = this.admission;
     if (reason === 'rate-limited') return Math.round(this.pacing.retryAfterMs(waitingCount));
     if (reason !== 'busy') return DEFAULT_RETRY_AFTER_MS;
     if (this.pacing.awaitsTrial) return Math.round(this.pacing.retryAfterMs(waitingCount));
-    const queueMs = Math.max(this.pacing.delayMs(waitingCount), (serviceMs * (waitingCount + 1)) / slots);
-    return Math.round(Math.min(MAX_BUSY_RETRY_AFTER_MS, queueMs));
+    const firstMs = Math.max(this.pacing.delayMs(waitingCount), (serviceMs * (waitingCount + 1)) / slots);
+    const latestMs = maxLateWaitMs({ remainingMs: leftMs }, 0, this.forecast.workMs(route));
+    // Until the first answers after a restart, only the requests in flight show how long the work takes.
+    const expectedUseMs = Math.max(serviceMs, this.oldestRunMs());
+    const bounds = { firstMs, latestMs, expectedUseMs, slots };
+    return Math.round(this.returns.nextDelayMs(bounds, this.ports.runtime.nowMs()));
   }
 
   private cancel(request: GatewayRequest): void {
--- a/test/sidecar/backend-view.test.ts
+++ b/test/sidecar/backend-view.test.ts
@@ -48,3 +48,14 @@
   view.recordStatus({ ...STATUS, sendWaitMs: 5_000 }, 1_000);
   t.is(view.sendWaitMs(3_000, 900), 0, 'a status expires');
 });
+
+test('a report that the incarnation is replaced ends with a status of it, or like a status', (t) => {
+  const view = new BackendView();
+  t.false(view.isReplaced(0));
+  view.recordReplaced(0);
+  t.true(view.isReplaced(1_900));
+  t.false(view.isReplaced(2_100));
+  view.recordReplaced(3_000);
+  view.recordStatus(STATUS, 3_010);
+  t.false(view.isReplaced(3_020));
+});
