--- a/test/sidecar/late-reserve.test.ts
+++ b/test/sidecar/late-reserve.test.ts
@@ -4,16 +4,10 @@
  */
 import test from 'ava';
 import { Random } from '../../lab/random.js';
-import type { RequestHead } from '../../src/link/link-messages.js';
 import type { RequestReply } from '../../src/link/link-server.js';
-import type { BackendClient } from '../../src/sidecar/backend-client.js';
-import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
-import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
-import { NO_CRASH_GUARD } from '../../src/sidecar/crash-guard.js';
 import { InTimeDemand } from '../../src/sidecar/in-time-demand.js';
-import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
-import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { ManualTime } from './manual-runtime.js';
+import { TIMED_HEAD, timedGateway } from './timed-gateway.js';
 
 const SLOTS = 8;
 const REPLAY_MS = 10_000;
@@ -48,57 +42,18 @@
   const random = new Random(7);
   const result: Replay = { served: {}, inTime: {} };
   const workMsOf = new Map(loads.map(({ route, workMs }) => [route, workMs]));
-  const backend: BackendClient = {
-    opened: 0,
-    prepare: ({ route }, _body, _leftMs, ports) => ({
-      start: () => {
-        time.runtime.after(workMsOf.get(route) ?? 0, () => {
-          ports.reply.end();
-          ports.onDone({ kind: 'answered', statusCode: 200, bytes: 0, pace: null });
-        });
-      },
-      cancel: () => undefined,
-    }),
-    destroy: () => undefined,
-  };
-  const gateway = new BackendGateway({
-    runtime: time.runtime,
-    log: SILENT_EVENT_LOG,
-    service: 's',
-    latencies: NO_LATENCIES,
-    pacer: null,
-    backend,
-    coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-    guard: NO_CRASH_GUARD,
-    instance: () => 'life-1',
-    awaitsBackend: () => false,
-    closesAtMs: () => Infinity,
-    leaving: () => false,
-    holdsKey: () => true,
-    ownsKey: () => true,
-    onAnswer: () => undefined,
-    onWork: () => undefined,
-  });
-  gateway.setSlots(SLOTS);
+  const gateway = timedGateway(time, SLOTS, ({ route }) => workMsOf.get(route) ?? 0);
   const endMs = time.nowMs + REPLAY_MS;
   const send = (load: Load): void => {
     if (time.nowMs >= endMs) return;
     const { route, workMs, targetMs, deadlineMs, capacityShare } = load;
     const sentMs = time.nowMs;
-    const head: RequestHead = {
-      requestId: 'r',
-      method: 'GET',
-      path: '/',
-      headers: [],
-      instance: 'life-1',
-      key: null,
+    const head = {
+      ...TIMED_HEAD,
       route,
-      priority: 1,
-      repeatable: true,
       remainingMs: deadlineMs,
       patienceMs: targetMs / 4,
       targetLeftMs: targetMs,
-      spentMs: 0,
     };
     const end = (): void => {
       result.served[route] = (result.served[route] ?? 0) + 1;
--- a/test/sidecar/returning-callers.test.ts
+++ b/test/sidecar/returning-callers.test.ts
@@ -4,16 +4,10 @@
  */
 import test from 'ava';
 import { Random } from '../../lab/random.js';
-import type { RequestHead } from '../../src/link/link-messages.js';
 import type { RequestReply } from '../../src/link/link-server.js';
-import type { BackendClient } from '../../src/sidecar/backend-client.js';
-import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
-import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
-import { NO_CRASH_GUARD } from '../../src/sidecar/crash-guard.js';
 import { ReturnSchedule } from '../../src/sidecar/return-schedule.js';
-import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
-import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { ManualTime } from './manual-runtime.js';
+import { TIMED_HEAD, timedGateway } from './timed-gateway.js';
 
 const SLOTS = 8;
 const PER_SECOND = 60;
@@ -47,53 +41,17 @@
   const random = new Random(seed);
   const startMs = time.nowMs;
   const result: Replay = { served: 0, inTarget: 0, refused: 0, refusedAgain: 0, sent: 0 };
-  const backend: BackendClient = {
-    opened: 0,
-    prepare: (_head, _body, _leftMs, ports) => ({
-      start: () => {
-        const workMs = time.nowMs - startMs < COLD_MS ? COLD_WORK_MS : WARM_WORK_MS;
-        time.runtime.after(workMs, () => {
-          ports.reply.end();
-          ports.onDone({ kind: 'answered', statusCode: 200, bytes: 0, pace: null });
-        });
-      },
-      cancel: () => undefined,
-    }),
-    destroy: () => undefined,
-  };
-  const gateway = new BackendGateway({
-    runtime: time.runtime,
-    log: SILENT_EVENT_LOG,
-    service: 's',
-    latencies: NO_LATENCIES,
-    pacer: null,
-    backend,
-    coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-    guard: NO_CRASH_GUARD,
-    instance: () => 'life-1',
-    awaitsBackend: () => false,
-    closesAtMs: () => Infinity,
-    leaving: () => false,
-    holdsKey: () => true,
-    ownsKey: () => true,
-    onAnswer: () => undefined,
-    onWork: () => undefined,
-  });
-  gateway.setSlots(SLOTS);
+  const gateway = timedGateway(time, SLOTS, () =>
+    time.nowMs - startMs < COLD_MS ? COLD_WORK_MS : WARM_WORK_MS,
+  );
   const attempt = (firstMs: number, retriesLeft: number): void => {
     const spentMs = time.nowMs - firstMs;
     const remainingMs = DEADLINE_MS - spentMs;
     if (remainingMs <= 0) return;
-    const head: RequestHead = {
-      requestId: 'r',
-      method: 'GET',
-      path: '/',
-      headers: [],
-      instance: 'life-1',
-      key: null,
+    const head = {
+      ...TIMED_HEAD,
       route: 'lookup',
       priority: 2,
-      repeatable: true,
       remainingMs,
       patienceMs: TARGET_MS / 4,
       targetLeftMs: TARGET_MS,
