Dial a silent replica again after 200 ms

Ruled out: the election timer; pre-candidates repeat their requests every 100 to 400 ms. Change: an attempt to connect fails after 200 ms instead of 1 s.

--- a/src/transport/message-client.ts
+++ b/src/transport/message-client.ts
@@ -7,7 +7,11 @@
 
 const INITIAL_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_000;
-const CONNECT_TIMEOUT_MS = 1_000;
+/**
+ * Time in ms after which an attempt to connect fails. A machine that is starting drops the first packet of a connection,
+ * which is sent again only after 1 s; a new attempt gets through sooner, and an election may wait for it.
+ */
+const CONNECT_TIMEOUT_MS = 200;
 
 /** Client that reconnects automatically. */
 export class MessageClient implements Client {
