Continue the search of a call at once while another network link is idle

Cause: a refusal for a network link does not count as busy while another link is known to be idle. The pause after each third busy refusal was decided by the count of busy refusals alone, so with a count of 0 or 3 each such refusal of a call paused its search for 25 to 200 ms. Ruled out: not counting calls separately; the count is right, only its unchanged value must not end a round again. Change: a refusal ends a round only if it was counted. Conclusion: calls use known idle links without a pause.

--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -362,11 +362,12 @@
     const isForLink = this.isForLink(refusal);
     if (isForLink) this.recordLinkRefusal(refusal);
     const knowsIdleLink = isForLink && this.knowsIdleLink(instance);
-    if (refusal.reason === 'busy' && !knowsIdleLink) this.busyRefusals += 1;
+    const countsAsBusy = refusal.reason === 'busy' && !knowsIdleLink;
+    if (countsAsBusy) this.busyRefusals += 1;
     if (refusal.reason === 'rate-limited') this.rateLimitedRefusals += 1;
     if (refusal.reason === 'unreachable') view.recordFailure(this.ports.runtime.nowMs());
     this.excluded.add(instance.id);
-    this.retryAfterRefusal(refusal);
+    this.retryAfterRefusal(refusal, countsAsBusy);
   }
 
   /** Whether a network link was the cause. A time that is not readable is ignored and counted. */
@@ -395,7 +396,7 @@
     return chooser.hasKnownCapacity(others, route);
   }
 
-  private retryAfterRefusal(refusal: RefusalHead): void {
+  private retryAfterRefusal(refusal: RefusalHead, countsAsBusy: boolean): void {
     const attemptsExhausted = this.refusals >= MAX_REFUSALS || this.withdrawn;
     if (refusal.reason === 'quarantined') {
       this.retryAfterQuarantine(attemptsExhausted);
@@ -403,7 +404,7 @@
     }
     const isLack = refusal.reason === 'busy' || refusal.reason === 'rate-limited';
     if (this.request.parent !== null && isLack && !attemptsExhausted) {
-      this.continueSearchOfCall();
+      this.continueSearchOfCall(countsAsBusy || refusal.reason === 'rate-limited');
       return;
     }
     if (attemptsExhausted || this.isServiceFull() || (refusal.arrived && !this.takeRepeatAllowance())) {
@@ -418,10 +419,10 @@
   /**
    * A call is sent to further back ends while its parent has time, because its failure wastes the work of its parent. It
    * pauses after as many refusals as make the service count as full, so that calls do not occupy the daemons of a full
-   * service with refusals.
+   * service with refusals. A refusal that does not count as busy ends no round.
    */
-  private continueSearchOfCall(): void {
-    const roundEnded = (this.busyRefusals + this.rateLimitedRefusals) % MAX_BUSY_REFUSALS === 0;
+  private continueSearchOfCall(isCounted: boolean): void {
+    const roundEnded = isCounted && (this.busyRefusals + this.rateLimitedRefusals) % MAX_BUSY_REFUSALS === 0;
     if (roundEnded || this.choose() === null) this.scheduleReselection();
     else this.startAttempt();
   }
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -453,6 +453,17 @@
   t.like(outcome.endedCalls[0], { answered: true, service: 's' });
 });
 
+/** Guards against a pause of the search, which is meant for full services, while a back end can be used at once. */
+test('a call that a network link has refused goes on at once while another link is known to be idle', (t) => {
+  const refuseForLink: Reaction = (handlers) => {
+    handlers.onRefusal({ reason: 'busy', arrived: false, retryAfterMs: 70, status: null, linkFreeInMs: 70 });
+  };
+  const setup: Setup = { parent: PARENT, linkIsIdle: true, passMs: 10 };
+  const outcome = forward({ a: [refuseForLink], b: [ANSWER] }, setup);
+  t.deepEqual(outcome.tried, ['a', 'b']);
+  t.is(outcome.result, 'answer 200');
+});
+
 test('a call of a full service ends as not run when its parent has no time left, after few attempts', (t) => {
   const always = Array.from({ length: 50 }, () => refuse('busy'));
   const outcome = forward({ a: [...always], b: [...always] }, { parent: PARENT, ...NON_IDEMPOTENT });
