Do not refuse a request for the answer of one that was just refused

Cause: a request whose slot was granted but that the network link has no room for returned its slot before its expected answer was discarded. Returning the slot starts the next queued request, which counted that answer as ahead of its own, so that one refusal could cause those of the requests behind it. Ruled out: refusing before the slot is returned; the refusal may make the caller's daemon send another request while the slot still counts as used. Change: the expected answer is discarded before the slot of a request that does not run is returned. Measured: the new test fails without the change (2 refusals for the link instead of 1) and passes with it. gateway-reserved-slots.test: 9 passed. backend-gateway, gateway-calls, link-replay and returning-callers tests together: 36 passed. Conclusion: a refusal for the link concerns only the request itself.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -460,7 +460,7 @@
     const leftMs = head.remainingMs - waitedMs;
     request.startedMs = nowMs;
     if (stale || keyLost || this.isTooLate(request, leftMs)) {
-      this.returnSlot(request, this.admission.serviceMs);
+      this.returnUnusedSlot(request);
       if (keyLost && !stale) this.evaluateKey(request, head.key ?? 0);
       else if (stale) this.refuse(request, 'leaving');
       else this.refuse(request, 'busy', 'parent-time-up');
@@ -468,12 +468,12 @@
     }
     const onLink = this.forecast.decideOnLink(head, request, waitedMs);
     if (onLink.kind === 'refuse') {
-      this.returnSlot(request, this.admission.serviceMs);
+      this.returnUnusedSlot(request);
       this.refuseForLink(request, onLink.freeInMs);
       return;
     }
     if (this.isRestrictedByCrashRecord(request)) {
-      this.returnSlot(request, this.admission.serviceMs);
+      this.returnUnusedSlot(request);
       this.evaluateCrashRecord(request, nowMs);
       return;
     }
@@ -519,6 +519,12 @@
     this.returnSlot(request, this.admission.serviceMs);
   }
 
+  /** Returns the slot of a request that does not run now. Its answer must not count as ahead of those that start next. */
+  private returnUnusedSlot(request: GatewayRequest): void {
+    this.forecast.discardExpectedAnswer(request);
+    this.returnSlot(request, this.admission.serviceMs);
+  }
+
   private returnSlot({ nested }: GatewayRequest, usedMs: number): void {
     this.admission.leave(usedMs, nested !== null);
   }
--- a/test/sidecar/gateway-reserved-slots.test.ts
+++ b/test/sidecar/gateway-reserved-slots.test.ts
@@ -190,3 +190,19 @@
   world.backend.endAll();
   t.is(world.refusals[0], 'busy');
 });
+
+/** Guards against refusals one after another, each because of the answer of the request that was just refused. */
+test('a request that the link has no room for when it gets its slot does not cause the refusal of the next one', (t) => {
+  const world = new World();
+  world.backend.bytes = 92_000;
+  world.learnWorkTimes();
+  world.backend.bytes = 0;
+  world.take({ ...SHORT, route: 'small' }, SLOTS);
+  world.take(LONG);
+  world.take({ ...LONG, targetLeftMs: LONG.targetLeftMs + 40 });
+  t.is(world.gateway.admission.waitingCount, 2);
+  new PacedFrames(world.pacer, () => undefined).send(1, Buffer.alloc(0), Buffer.alloc(294_400));
+  world.backend.endAll();
+  t.is(world.gateway.counters.refusedForLink, 1);
+  t.is(world.gateway.runningCount, 1);
+});
