Bound the ranges of back ends that take part in costly moves

Cause: each move of a busy key splits a range, and ranges with different fences never merge. Nothing bounded their number per back end after the first assignment of 16, although each is a row of the answer to a heartbeat, of which back ends read up to 4 KiB, some 91 rows of 45 bytes. Ruled out: merging, since adjacent ranges rarely have one owner; a bound of 64, which leaves no room for the ranges of lost back ends. Change: a back end with 40 ranges is neither source nor receiver of a costly move for balance. Drains and assignments after a loss are not affected. Conclusion: answers stay below 4 KiB as far as moves for balance decide; once all back ends are at the bound, overload is no longer relieved by moves.

--- a/src/directory/range-planner.ts
+++ b/src/directory/range-planner.ts
@@ -21,6 +21,12 @@
 const MIN_BALANCE_MOVE_LIMIT = 6;
 const BACK_ENDS_PER_BALANCE_MOVE = 2;
 
+/**
+ * Number of ranges from which on a back end takes part in no costly balance move. Each range is a row of about 45 bytes
+ * in the answer to a heartbeat, of which back ends read up to 4 KiB; a loss of half of the back ends may double it.
+ */
+const MAX_BALANCED_RANGES = 40;
+
 /** Minimum load in slots that justifies a balance move away from a back end that can use all its slots. */
 const MIN_MOVED_LOAD = 0.2;
 
@@ -278,11 +284,12 @@
 ): BalanceMove | null {
   const { ranges, load, movesAreCostly } = view;
   const thresholds = movesAreCostly ? COSTLY_MOVE_THRESHOLDS : CHEAP_MOVE_THRESHOLDS;
-  const receiver = leastUtilized(candidates);
+  const full = movesAreCostly ? ownersOfManyRanges(ranges) : new Set<string>();
+  const receiver = leastUtilized(candidates.filter(({ id }) => !full.has(id)));
   if (receiver === null) return null;
   for (const source of [...candidates].sort((left, right) => utilization(right) - utilization(left))) {
     if (source === receiver || !isOutOfBalance(source, receiver, thresholds)) return null;
-    if (rejected.has(source)) continue;
+    if (rejected.has(source) || full.has(source.id)) continue;
     const targetLoad = movesAreCostly ? loadToRelieve(source, receiver) : loadToEqualize(source, receiver);
     const owned = ranges.filter(({ owner, movingTo }) => owner === source.id && movingTo === null);
     const minLoad = MIN_MOVED_LOAD * source.usableShare;
@@ -307,6 +314,18 @@
   return null;
 }
 
+/** Returns the back ends with so many ranges, including those that move to them, that a move must not add another one. */
+function ownersOfManyRanges(ranges: readonly KeyRange[]): ReadonlySet<string> {
+  const counts = new Map<string, number>();
+  for (const { owner, movingTo } of ranges) {
+    for (const id of new Set([owner, movingTo])) {
+      if (id !== null) counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+  }
+  const full = [...counts].filter(([, count]) => count >= MAX_BALANCED_RANGES);
+  return new Set(full.map(([id]) => id));
+}
+
 /** Whether a move saves more refused work within the horizon than the pause of its keys and their cold work cost. */
 function isWorthItsCost(span: KeySpan, source: Candidate, receiver: Candidate, load: KeyLoad): boolean {
   const leaving = loadAt(source, span, load);
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -280,6 +280,26 @@
   t.deepEqual([limited.moves, limited.limitedBy], [[], 'moved-load']);
 });
 
+/** Guards against an answer to a heartbeat that is longer than back ends read, after many moves of single keys. */
+for (const [name, owner] of [
+  ['source', 'a'],
+  ['receiver', 'b'],
+] as const) {
+  test(`no costly move adds a range to a ${name} that has 40 of them`, (t) => {
+    const load = threeBusyKeys(1.8);
+    // The ranges between them belong to a back end that is not registered, and takes part in no move.
+    const single = Array.from({ length: 38 }, (_, at) => {
+      const from = 40_000 + at * 32;
+      return [range(from, from + 15, owner), range(from + 16, from + 31, 'c')];
+    }).flat();
+    const rest = [range(0, 32_767, 'a'), range(32_768, 39_999, 'b'), ...single];
+    const last = 40_000 + 38 * 32;
+    const plan = (ranges: readonly KeyRange[]) => planRanges(view({ ...COSTLY, ranges, load })).moves.length;
+    t.is(plan([...rest, range(last, 65_535, 'c')]), 1, '39 ranges');
+    t.is(plan([...rest, range(last, last + 15, owner), range(last + 16, 65_535, 'c')]), 0, '40 ranges');
+  });
+}
+
 test('averages do not depend on the interval of reports, and reports of keys that move are left out', (t) => {
   const load = new KeyLoad();
   for (let ms = 700; ms <= 21_000; ms += 700) {
