Wrap the comment on the wire format of frames

Cause: the mention of short heads left one line of nearly 200 characters. Ruled out: moving it to head-codec.ts; the bit is part of the frame. Change: the comment only. Measured: not run beyond formatter and linter. Conclusion: no change of behaviour.

--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -2,9 +2,9 @@
  * Wire format of the links between daemons. Requests are multiplexed over one connection, each as a numbered stream.
  * A frame is
  * `length of the rest (4 bytes) | kind (1) | stream (4) | length of the head (4) | head | body`, big-endian;
- * the head is JSON, or its short form (`head-codec.ts`) if the high bit of the kind is set; the body is raw bytes. Heads contain only strings, finite numbers, booleans, null, arrays and
- * objects, and are most of what a daemon reads and writes, so they are encoded with Node's built-in JSON rather than
- * `devalue` (measurements in docs/DESIGN.md).
+ * the head is JSON, or its short form (`head-codec.ts`) if the high bit of the kind is set; the body is raw bytes. Heads
+ * contain only strings, finite numbers, booleans, null, arrays and objects, and are most of what a daemon reads and
+ * writes, so they are encoded with Node's built-in JSON rather than `devalue` (measurements in docs/DESIGN.md).
  */
 import { Err, Ok, type Result } from '../result.js';
 
