--- a/src/directory/first-assignment.ts
+++ b/src/directory/first-assignment.ts
@@ -3,10 +3,11 @@
 import { FIRST_KEY, LAST_KEY } from './directory-state.js';
 
 /**
- * Maximum number of ranges per back end. Each range is a row in the answer to a heartbeat, which back ends read only up
- * to 4 KiB; this leaves room for the ranges that later moves add.
+ * Maximum number of ranges per back end. The plan for balance relieves the owner of a single busy key by moving its other
+ * ranges one by one, which takes longer the more there are. Each range is also a row in the answer to a heartbeat, which
+ * back ends read only up to 4 KiB.
  */
-const MAX_RANGES_PER_BACK_END = 16;
+const MAX_RANGES_PER_BACK_END = 4;
 
 /** Maximum number of ranges of a service, so that the table that daemons hold does not grow with the fleet. */
 const MAX_RANGES = 1_024;
