Split the range planner: view, assignment and balance in files of their own

Change: range-view.ts, balance-planner.ts and call-load.ts; code moved, imports adjusted, nothing else. Conclusion: no behaviour changes.

--- a/src/directory/range-planning-loop.ts
+++ b/src/directory/range-planning-loop.ts
@@ -10,7 +10,8 @@
   type KeyRange,
 } from './directory-state.js';
 import { KeyLoad } from './key-load.js';
-import { planRanges, type RangePlan } from './range-planner.js';
+import { planRanges } from './range-planner.js';
+import type { RangePlan } from './range-view.js';
 
 /** Time in ms without a change in the number of back ends before keys are assigned for the first time. */
 const FIRST_ASSIGNMENT_QUIET_PERIOD_MS = 1_500;
--- a/src/sidecar/work-forecast.ts
+++ b/src/sidecar/work-forecast.ts
@@ -17,7 +17,7 @@
   shortWorkReserve,
   type RequestTimeLimits,
 } from './slot-policy.js';
-import { CallLoad } from './nested-calls.js';
+import { CallLoad } from './call-load.js';
 import { RouteAverages } from './route-averages.js';
 
 /** Dependencies of a forecast. */
--- a/test/directory/range-planner.test.ts
+++ b/test/directory/range-planner.test.ts
@@ -2,7 +2,8 @@
 import test from 'ava';
 import { KeyLoad, bucketOf } from '../../src/directory/key-load.js';
 import { unownedRanges } from '../../src/directory/key-ranges.js';
-import { planRanges, type RangeView } from '../../src/directory/range-planner.js';
+import { planRanges } from '../../src/directory/range-planner.js';
+import type { RangeView } from '../../src/directory/range-view.js';
 import type { BackendInstance, KeyRange } from '../../src/directory/directory-state.js';
 
 function instance(id: string, condition: BackendInstance['condition'] = 'ready'): BackendInstance {
