Flow control of answers by credit per stream, and bounds on what a daemon holds for slow callers

Cause: a link paused a sender at most for the whole connection, back-end runs ignored even that, and the callers' daemon ignored what its callers had not read. Memory grew by what slow readers had not read. Bodies that callers send slowly and bodies that back ends read slowly were not bounded over all connections.

Ruled out: a window without splitting complete answers, since an answer of up to 1 MiB in one frame would exceed any small window; pausing back ends without reading on, since they abort answers that are left unread for some seconds; crediting by the return value of response.write alone, which does not say when bytes are read.

Change: the hello says flowControl, and the connecting side states the first window by a credit frame (15) for stream 0 and returns credit as its caller reads. Answers beyond the window are sent in parts (stream-window, answer-stream, answer-reply). A stream that holds its share of the room left pauses its back end's connection; paused sources are read on as the room allows, and at the bound of 32 MiB the answer that would hold its bytes longest is cut (spool-limits). The same limits apply to what callers have not read. Bodies of callers are bounded per daemon with 503, and bodies to back ends are written as the socket drains.

Conclusion: to be measured over real daemons next.

--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -347,6 +347,8 @@
             cancelled = true;
             cancelAtBackend();
           },
+          pause: () => undefined,
+          resume: () => undefined,
         };
       },
       destroy: () => undefined,
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -6,6 +6,7 @@
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
+import { encodeCredit, FIRST_WINDOW_BYTES, StreamCredit } from './stream-window.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import type {
@@ -23,6 +24,9 @@
 /** Time in ms after a failed attempt to connect during which the peer counts as unreachable. */
 const RECONNECT_DELAY_MS = 150;
 
+/** Reports that a number of body bytes has been read by the caller, so that the peer may send as many more. */
+export type OnRead = (bytes: number) => void;
+
 /** Callbacks for the outcome of a request. Exactly one of the final ones is called, unless the request is cancelled. */
 export interface RequestHandlers {
   /** Final: the request was not executed. */
@@ -30,8 +34,8 @@
   /** Final: the request may have been executed, and there is no answer. */
   onFailure(head: FailureHead): void;
   /** Start of the answer; final unless its head says that more of the body follows. */
-  onAnswer(head: AnswerHead, body: Buffer): void;
-  onBody(chunk: Buffer): void;
+  onAnswer(head: AnswerHead, body: Buffer, onRead?: OnRead): void;
+  onBody(chunk: Buffer, onRead?: OnRead): void;
   /** Final: the answer is complete. */
   onEnd(): void;
   /** Final: the connection was lost. `sent` is false if the request was certainly not executed and may be sent elsewhere. */
@@ -50,6 +54,9 @@
   readonly body: Buffer;
   readonly handlers: RequestHandlers;
   sent: boolean;
+  /** Credit that is due to the peer. */
+  readonly credit: StreamCredit;
+  readonly onRead: OnRead;
 }
 
 /** Handle of a request that was passed to a link. */
@@ -69,6 +76,8 @@
   readonly pacer: LinkPacer | null;
   /** Counts sent frames; missing if they are not counted. */
   readonly meter?: ByteMeter;
+  /** Returns the window in bytes that is kept open for a stream; missing for the first window. */
+  readonly windowBytes?: () => number;
 }
 
 /** Client interface of a link to one peer daemon. */
@@ -95,6 +104,8 @@
   private probePending = false;
   private readonly pending = new Map<number, PendingRequest>();
   private stopped = false;
+  /** Whether the peer limits answers to the window that is stated here. */
+  private returnsCredit = false;
 
   constructor(
     private readonly route: LinkRoute,
@@ -116,7 +127,11 @@
   request(head: RequestHead, body: Buffer, handlers: RequestHandlers): LinkRequest {
     const stream = this.nextStream;
     this.nextStream += 1;
-    const pending: PendingRequest = { head, body, handlers, sent: false };
+    const onRead = (bytes: number): void => {
+      this.returnCredit(stream, bytes);
+    };
+    const credit = new StreamCredit(FIRST_WINDOW_BYTES);
+    const pending: PendingRequest = { head, body, handlers, sent: false, credit, onRead };
     this.pending.set(stream, pending);
     this.ensureConnection();
     if (this.connected) this.sendRequest(stream, pending);
@@ -144,6 +159,14 @@
     this.connection?.close('link is closed');
   }
 
+  private returnCredit(stream: number, readBytes: number): void {
+    const pending = this.pending.get(stream);
+    if (pending === undefined || !this.returnsCredit) return;
+    const windowBytes = this.route.windowBytes?.() ?? FIRST_WINDOW_BYTES;
+    const dueBytes = pending.credit.recordRead(readBytes, windowBytes);
+    if (dueBytes > 0) this.connection?.send(FRAME_KIND.credit, stream, undefined, encodeCredit(dueBytes));
+  }
+
   private cancel(stream: number): void {
     const pending = this.pending.get(stream);
     if (pending === undefined) return;
@@ -200,6 +223,7 @@
     const noneExecuted = this.connection?.receivedGoodbye === true;
     this.connection = null;
     this.connected = false;
+    this.returnsCredit = false;
     this.probePending = false;
     const lostRequests = [...this.pending.values()];
     this.pending.clear();
@@ -218,17 +242,21 @@
     }
     const pending = this.pending.get(frame.stream);
     if (pending === undefined) return;
-    this.dispatch(frame, pending.handlers);
+    this.dispatch(frame, pending);
     this.watch();
   }
 
   private handleHello(hello: HelloHead | undefined): void {
+    if (hello?.flowControl === true) {
+      this.returnsCredit = true;
+      this.connection?.send(FRAME_KIND.credit, 0, undefined, encodeCredit(FIRST_WINDOW_BYTES));
+    }
     if (this.route.pacer === null || hello?.compactHeads !== true) return;
     this.connection?.send(FRAME_KIND.compactHeads, 0, undefined);
     this.connection?.enableShortHeads();
   }
 
-  private dispatch(frame: LinkFrame, handlers: RequestHandlers): void {
+  private dispatch(frame: LinkFrame, { handlers, onRead }: PendingRequest): void {
     switch (frame.kind) {
       case FRAME_KIND.refusal:
         this.pending.delete(frame.stream);
@@ -240,10 +268,10 @@
         break;
       case FRAME_KIND.answer:
         if (!(frame.head as AnswerHead).moreFollows) this.pending.delete(frame.stream);
-        handlers.onAnswer(frame.head as AnswerHead, frame.body);
+        handlers.onAnswer(frame.head as AnswerHead, frame.body, onRead);
         break;
       case FRAME_KIND.body:
-        handlers.onBody(frame.body);
+        handlers.onBody(frame.body, onRead);
         break;
       case FRAME_KIND.end:
         this.pending.delete(frame.stream);
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -24,6 +24,12 @@
 /** Liveness timing while no request is in flight: a dead connection is detected and closed within 4 s. */
 const IDLE_TIMING: SilenceTiming = { probeIntervalMs: 2_000, maxSilenceMs: 1_900 };
 
+/** Buffered bytes of the socket from which on no further parts of answers are sent on it. */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
+
+/** Bytes of a stream in the paced queue from which on no further parts of its answer are added to it. */
+const MAX_PACED_STREAM_BYTES = 64 * 1024;
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Callbacks for events of a connection. */
@@ -40,7 +46,8 @@
   /** Encodes heads in short form; null while the peer is not known to read it. */
   private headEncoder: HeadEncoder | null = null;
   private closed = false;
-  private drainCallbacks: (() => void)[] = [];
+  private readonly drainCallbacks: (() => void)[] = [];
+  private listensForDrain = false;
   /** Whether a goodbye frame was received. */
   private goodbyeReceived = false;
   private readonly silence: SilenceWatch;
@@ -67,7 +74,12 @@
     const write = (bytes: Buffer): void => {
       socket.write(bytes);
     };
-    this.pacedFrames = pacer === null ? null : new PacedFrames(pacer, write);
+    this.pacedFrames =
+      pacer === null
+        ? null
+        : new PacedFrames(pacer, write, () => {
+            this.notifyDrain();
+          });
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
       this.receive(chunk);
@@ -95,9 +107,15 @@
     this.headEncoder ??= new HeadEncoder();
   }
 
-  /** Bytes that are buffered by the socket. */
-  get bufferedBytes(): number {
-    return this.socket.writableLength;
+  /** Bytes that are queued for pacing or buffered by the socket. */
+  get unsentBytes(): number {
+    return this.socket.writableLength + (this.pacedFrames?.queuedBytes(null) ?? 0);
+  }
+
+  /** Whether a further part of an answer may be sent on a stream. */
+  hasRoom(stream: number): boolean {
+    if (this.socket.writableLength >= MAX_BUFFERED_BYTES) return false;
+    return (this.pacedFrames?.queuedBytes(stream) ?? 0) < MAX_PACED_STREAM_BYTES;
   }
 
   /** Queues one frame; dropped when the connection is closed. */
@@ -135,15 +153,20 @@
     this.pacedFrames?.drop(stream);
   }
 
-  /** Calls back once, when the socket's buffer has been flushed to the operating system. */
+  /** Calls back once, when the socket's buffer has been flushed or a paced frame has been written. */
   onDrain(callback: () => void): void {
     this.drainCallbacks.push(callback);
-    if (this.drainCallbacks.length > 1) return;
-    this.socket.once('drain', () => {
-      for (const waitingCallback of this.drainCallbacks.splice(0)) waitingCallback();
+    if (this.listensForDrain) return;
+    this.listensForDrain = true;
+    this.socket.on('drain', () => {
+      this.notifyDrain();
     });
   }
 
+  private notifyDrain(): void {
+    for (const callback of this.drainCallbacks.splice(0)) callback();
+  }
+
   /** Monitors the peer's liveness, at shorter intervals while requests are in flight. */
   watchSilence(hasRequestsInFlight: boolean): void {
     if (!this.closed) this.silence.watch(hasRequestsInFlight ? ACTIVE_TIMING : IDLE_TIMING);
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -5,6 +5,8 @@
   readonly life: string;
   /** Whether the accepting side reads short heads, and sends them to a peer that has sent `compactHeads`; missing if not. */
   readonly compactHeads?: true;
+  /** Whether the accepting side limits answers to a window for a peer that has sent a credit for stream 0; missing if not. */
+  readonly flowControl?: true;
 }
 
 /** A forwarded request; its body follows the head. */
@@ -136,4 +138,6 @@
   readonly status: StatusHead | null;
   /** Whether the back end states in this answer that it leaves; missing if not. */
   readonly leaving?: true;
+  /** Whether the daemon holds the whole answer, although it is sent in parts; missing if not. */
+  readonly held?: true;
 }
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -5,6 +5,9 @@
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
+import { makeReply, type AcceptedPeer } from './answer-reply.js';
+import { openUnsharedHeldBytes, type OpenHeldBytes } from './answer-stream.js';
+import { decodeCredit } from './stream-window.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type {
   AnswerHead,
@@ -15,8 +18,8 @@
   StatusHead,
 } from './link-messages.js';
 
-/** Buffered bytes of a connection from which on backpressure is applied to the answers on it. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
+/** Outcome of an answer of which not everything was sent when the daemon stopped. */
+const STOPPED: FailureHead = { reason: 'broken', detail: 'the daemon stops', status: null };
 
 /** Sends the outcome of one request to its caller. */
 export interface RequestReply {
@@ -28,6 +31,10 @@
   end(): void;
   /** Calls back once, when more of the body may be sent. */
   onDrain(callback: () => void): void;
+  /** Counts bytes of the answer that are held until its start; missing if nothing bounds them. */
+  hold?(bytes: number): void;
+  /** Whether the daemon holds so many bytes that a long answer should be started early; missing if never. */
+  crowded?(): boolean;
 }
 
 /** Handle by which the server cancels a request. */
@@ -46,7 +53,8 @@
 
 /** TCP server for the links of peer daemons. */
 export class LinkServer {
-  private readonly connections = new Set<LinkConnection>();
+  private readonly peers = new Set<AcceptedPeer>();
+  private unreadableCreditCount = 0;
   private readonly server: Server;
 
   constructor(
@@ -59,6 +67,8 @@
     private readonly pacer: LinkPacer | null = null,
     /** Returns the meter of a connection; null if its frames are not counted. */
     private readonly meterOf: MeterOfHost = () => null,
+    /** Counts the bytes of answers that are held here. */
+    private readonly openHeldBytes: OpenHeldBytes = openUnsharedHeldBytes,
   ) {
     this.server = createServer((socket) => {
       this.accept(socket);
@@ -84,42 +94,71 @@
    */
   close(): void {
     this.server.close();
-    for (const connection of this.connections) connection.closeGracefully();
+    for (const { connection, unsent } of [...this.peers]) {
+      for (const { fail } of [...unsent.values()]) fail(STOPPED);
+      connection.closeGracefully();
+    }
+  }
+
+  /** Number of answers of which not everything was sent. */
+  get unsentAnswers(): number {
+    let count = 0;
+    for (const { unsent } of this.peers) count += unsent.size;
+    return count;
+  }
+
+  /** Bytes of all connections that are queued for pacing or buffered by their sockets. */
+  get unsentBytes(): number {
+    let bytes = 0;
+    for (const { connection } of this.peers) bytes += connection.unsentBytes;
+    return bytes;
+  }
+
+  /** Number of credits that could not be read or are impossible. */
+  get unreadableCredits(): number {
+    return this.unreadableCreditCount;
   }
 
   private accept(socket: Socket): void {
-    const requests = new Map<number, AcceptedRequest>();
     const handlers: LinkConnectionHandlers = {
       onFrame: (frame) => {
-        this.handleFrame(frame, connection, requests);
+        this.handleFrame(frame, peer);
       },
       onClose: () => {
-        this.connections.delete(connection);
-        for (const request of requests.values()) request.cancel();
-        requests.clear();
+        this.peers.delete(peer);
+        for (const request of peer.requests.values()) request.cancel();
+        peer.requests.clear();
+        for (const { stream } of [...peer.unsent.values()]) stream.discard();
       },
     };
     // Connections within the machine do not use the network link.
     const isLocal = socket.remoteAddress === socket.localAddress;
     const pacer = isLocal ? null : this.pacer;
     const meter = this.meterOf(isLocal ? null : (socket.remoteAddress ?? ''));
-    const connection: LinkConnection = new LinkConnection(socket, this.nowMs, handlers, pacer, meter);
-    this.connections.add(connection);
-    const hello: HelloHead = { life: this.life, ...(pacer === null ? {} : { compactHeads: true }) };
+    const connection = new LinkConnection(socket, this.nowMs, handlers, pacer, meter);
+    const { openHeldBytes } = this;
+    const peer: AcceptedPeer = {
+      connection,
+      firstWindowBytes: null,
+      requests: new Map(),
+      unsent: new Map(),
+      openHeldBytes,
+    };
+    this.peers.add(peer);
+    const hello: HelloHead = {
+      life: this.life,
+      ...(pacer === null ? {} : { compactHeads: true }),
+      flowControl: true,
+    };
     connection.send(FRAME_KIND.hello, 0, hello);
   }
 
-  private handleFrame(
-    frame: LinkFrame,
-    connection: LinkConnection,
-    requests: Map<number, AcceptedRequest>,
-  ): void {
+  private handleFrame(frame: LinkFrame, peer: AcceptedPeer): void {
+    const { connection, requests } = peer;
     if (frame.kind === FRAME_KIND.request) {
-      const removeRequest = (): void => {
-        requests.delete(frame.stream);
-      };
-      const reply = makeReply(connection, frame.stream, removeRequest);
-      const accepted = this.acceptRequest(frame.head as RequestHead, frame.body, reply.port);
+      const head = frame.head as RequestHead;
+      const reply = makeReply(peer, frame.stream, head.priority);
+      const accepted = this.acceptRequest(head, frame.body, reply.port);
       if (!reply.finished()) requests.set(frame.stream, accepted);
       return;
     }
@@ -128,49 +167,28 @@
       if (status !== null) connection.send(FRAME_KIND.status, 0, status);
       return;
     }
+    if (frame.kind === FRAME_KIND.credit) this.handleCredit(frame, peer);
     if (frame.kind === FRAME_KIND.compactHeads) connection.enableShortHeads();
     if (frame.kind === FRAME_KIND.withdraw) requests.get(frame.stream)?.withdraw();
     if (frame.kind !== FRAME_KIND.cancel) return;
     requests.get(frame.stream)?.cancel();
     requests.delete(frame.stream);
+    peer.unsent.get(frame.stream)?.stream.discard();
     connection.dropStream(frame.stream);
   }
-}
 
-function makeReply(
-  connection: LinkConnection,
-  stream: number,
-  removeRequest: () => void,
-): { readonly port: RequestReply; readonly finished: () => boolean } {
-  let finished = false;
-  const finish = (): void => {
-    finished = true;
-    removeRequest();
-  };
-  const port: RequestReply = {
-    refuse(head) {
-      finish();
-      connection.send(FRAME_KIND.refusal, stream, head);
-    },
-    fail(head) {
-      finish();
-      connection.send(FRAME_KIND.failure, stream, head);
-    },
-    answer(head, body) {
-      if (!head.moreFollows) finish();
-      connection.send(FRAME_KIND.answer, stream, head, body);
-    },
-    body(chunk) {
-      connection.send(FRAME_KIND.body, stream, undefined, chunk);
-      return connection.bufferedBytes < MAX_BUFFERED_BYTES;
-    },
-    end() {
-      finish();
-      connection.send(FRAME_KIND.end, stream, undefined);
-    },
-    onDrain(callback) {
-      connection.onDrain(callback);
-    },
-  };
-  return { port, finished: () => finished };
+  /** Credit for a stream that has ended or that has no window changes nothing and is not counted as unreadable. */
+  private handleCredit(frame: LinkFrame, peer: AcceptedPeer): void {
+    const credit = decodeCredit(frame.body);
+    if (credit.err) {
+      this.unreadableCreditCount += 1;
+      return;
+    }
+    if (frame.stream === 0) {
+      peer.firstWindowBytes = credit.val;
+      return;
+    }
+    const added = peer.unsent.get(frame.stream)?.stream.addCredit(credit.val) ?? true;
+    if (!added) this.unreadableCreditCount += 1;
+  }
 }
--- a/src/link/paced-frames.ts
+++ b/src/link/paced-frames.ts
@@ -24,6 +24,8 @@
   constructor(
     private readonly pacer: LinkPacer,
     private readonly writeNow: (bytes: Buffer) => void,
+    /** Called when a frame has been written. */
+    private readonly onWritten: () => void = () => undefined,
   ) {}
 
   /** Writes a small frame, or queues it if it must not be written yet; queues a large frame. */
@@ -45,6 +47,14 @@
     return this.isQueued(stream) ? 0 : MIN_PACED_FRAME_BYTES;
   }
 
+  /** Bytes of queued frames that have not been written: of one stream, or of all. */
+  queuedBytes(stream: number | null): number {
+    let bytes = 0;
+    for (const frame of this.waiting)
+      if (stream === null || frame.stream === stream) bytes += frame.remainingBytes;
+    return bytes;
+  }
+
   /** Discards the queued frames of a stream, except one whose writing has begun: a frame cannot be cut off. */
   drop(stream: number): void {
     for (const frame of this.waiting) if (frame.stream === stream && !frame.begun) frame.drop();
@@ -105,6 +115,7 @@
   private handleFrameWritten(): void {
     for (const bytes of this.deferredSmallFrames.splice(0)) this.writeSmall(bytes);
     this.submitNext();
+    this.onWritten();
   }
 
   /** Removes completed and discarded frames, and passes the first queued frame of each stream to the pacer. */
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -16,6 +16,10 @@
 /** Margin in ms before the back end's keep-alive timeout within which an idle connection is no longer reused. */
 const IDLE_MARGIN_MS = 1_500;
 
+/** Maximum bytes of a request's body that are written at once. */
+const BODY_PART_BYTES = 64 * 1024;
+
+const EMPTY_BODY = Buffer.alloc(0);
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,6})/i;
@@ -59,6 +63,8 @@
   private connected = false;
   private closed = false;
   private requestWritten = false;
+  /** Rest of the request's body that waits for the socket to drain. */
+  private unwrittenBody: Buffer = EMPTY_BODY;
   /** Whether the answer being received belongs to the present request. */
   private receivingAnswer = false;
   private reusable = true;
@@ -104,6 +110,11 @@
     return this.request !== null;
   }
 
+  /** Bytes of the request that are buffered by the socket. */
+  get bufferedBytes(): number {
+    return this.socket.writableLength;
+  }
+
   /** Sends a request, as soon as the connection is open. */
   run(request: BackendRequest, handlers: BackendRequestHandlers): void {
     this.request = request;
@@ -112,6 +123,16 @@
     if (this.connected) this.write();
   }
 
+  /** Stops reading the answer, except for what has been received from the operating system. */
+  pause(): void {
+    this.socket.pause();
+  }
+
+  /** Continues to read the answer. */
+  resume(): void {
+    this.socket.resume();
+  }
+
   /** Closes the connection without calling any handler. */
   destroy(): void {
     this.handlers = null;
@@ -146,10 +167,26 @@
     this.requestWritten = true;
     socket.cork();
     socket.write(encodeRequest(request), 'latin1');
-    if (request.body.length > 0) socket.write(request.body);
+    this.unwrittenBody = request.body;
+    this.writeBody();
     socket.uncork();
   }
 
+  /** Writes the body in parts as the back end reads it, so that the socket buffers no more than one part. */
+  private writeBody(): void {
+    while (!this.closed && this.unwrittenBody.length > 0) {
+      const part = this.unwrittenBody.subarray(0, BODY_PART_BYTES);
+      this.unwrittenBody = this.unwrittenBody.subarray(part.length);
+      if (this.socket.write(part)) continue;
+      if (this.unwrittenBody.length > 0) {
+        this.socket.once('drain', () => {
+          this.writeBody();
+        });
+      }
+      return;
+    }
+  }
+
   private receive(chunk: Buffer): void {
     if (this.closed) return;
     if (this.request === null) {
@@ -201,8 +238,10 @@
       return;
     }
     this.receivingAnswer = false;
+    // The end of a paused answer may arrive with its last part, and the connection is used again.
+    this.socket.resume();
     this.usedMs = this.nowMs();
-    const hasUnsentBody = this.socket.writableLength > 0;
+    const hasUnsentBody = this.unwrittenBody.length > 0 || this.socket.writableLength > 0;
     if (surplus || hasUnsentBody) this.reusable = false;
     const { handlers } = this;
     this.request = null;
@@ -223,6 +262,7 @@
   private close(refused: boolean): void {
     if (this.closed) return;
     this.closed = true;
+    this.unwrittenBody = EMPTY_BODY;
     clearTimeout(this.connectTimer);
     this.socket.destroy();
     this.onClosed(this, refused);
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -448,7 +448,8 @@
     this.forecast.discardExpectedAnswer(request);
     this.running.delete(request);
     const usedMs = this.ports.runtime.nowMs() - request.startedMs;
-    if (outcome.kind === 'answered') this.recordAnswer(request.head.route, usedMs, outcome);
+    if (outcome.kind === 'answered' && outcome.paused !== true)
+      this.recordAnswer(request.head.route, usedMs, outcome);
     else if (outcome.kind !== 'declined') this.pacing.recordUnanswered(request.sendNumber);
     this.ports.latencies.observe('backend', this.ports.service, usedMs);
     this.ports.onWork(request.head.key, usedMs - request.offeredMs);
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -17,6 +17,10 @@
 export interface InFlightRequest {
   /** Closes the connection, so that the back end can stop processing the request. */
   cancel(): void;
+  /** Stops reading the answer. */
+  pause(): void;
+  /** Continues to read the answer; to be called only before its end. */
+  resume(): void;
 }
 
 /** Sends requests to one back end. */
@@ -69,6 +73,12 @@
       cancel: () => {
         connection.destroy();
       },
+      pause: () => {
+        connection.pause();
+      },
+      resume: () => {
+        connection.resume();
+      },
     };
   }
 
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -36,6 +36,8 @@
   readonly bytes: number;
   /** Reported processing time as a factor of the usual one; null if not reported, NaN if not readable. */
   readonly pace: number | null;
+  /** Whether reading the answer was paused, so that its duration says nothing about the back end; missing if not. */
+  readonly paused?: true;
 }
 
 /** Outcome of a run. */
@@ -69,7 +71,10 @@
   private statesLeave = false;
   private chunks: Buffer[] = [];
   private bytes = 0;
+  /** Length of the body as declared by the back end; 0 if it declares none. */
+  private declaredBytes = 0;
   private streaming = false;
+  private wasPaused = false;
   private done = false;
   private cancelTimer: CancelTimer | null = null;
 
@@ -130,6 +135,7 @@
   /** A misdirected request may have reached another incarnation, whose statements say nothing about this one. */
   private receiveHead(answer: ParsedAnswer): void {
     this.answer = answer;
+    this.declaredBytes = Number(headerValue(answer.headers, 'content-length') ?? 0);
     if (answer.statusCode === MISDIRECTED_STATUS || this.defect(answer) !== null) return;
     const signals = readSignals(answer.headers, this.dialect);
     this.statesLeave = signals.leaving;
@@ -138,12 +144,32 @@
 
   private receiveBody(chunk: Buffer): void {
     this.bytes += chunk.length;
+    const { reply } = this.ports;
     if (this.streaming) {
-      this.ports.reply.body(Buffer.from(chunk));
+      if (!reply.body(Buffer.from(chunk))) this.pause();
       return;
     }
     this.chunks.push(Buffer.from(chunk));
-    if (this.bytes > MAX_BUFFERED_BYTES && this.isForwardable()) this.startStreaming();
+    reply.hold?.(chunk.length);
+    if (this.isLong() && this.isForwardable()) this.startStreaming();
+  }
+
+  /** Stops reading the answer until the reply can take more of it. */
+  private pause(): void {
+    this.wasPaused = true;
+    this.request?.pause();
+    this.ports.reply.onDrain(() => {
+      if (!this.done) this.request?.resume();
+    });
+  }
+
+  /**
+   * Whether the answer is streamed. One that will be too long to be buffered is not buffered at all while the daemon
+   * holds many bytes.
+   */
+  private isLong(): boolean {
+    if (this.bytes > MAX_BUFFERED_BYTES) return true;
+    return this.declaredBytes > MAX_BUFFERED_BYTES && this.ports.reply.crowded?.() === true;
   }
 
   private startStreaming(): void {
@@ -181,7 +207,13 @@
   private answeredOutcome({ statusCode, headers }: ParsedAnswer): RunOutcome {
     const paceHeader = headerValue(headers, this.dialect.pace);
     const pace = paceHeader === null ? null : this.dialect.readPace(paceHeader);
-    return { kind: 'answered', statusCode, bytes: this.bytes, pace };
+    return {
+      kind: 'answered',
+      statusCode,
+      bytes: this.bytes,
+      pace,
+      ...(this.wasPaused ? { paused: true } : {}),
+    };
   }
 
   private isDeclined({ statusCode, headers }: ParsedAnswer): boolean {
--- a/src/sidecar/caller-request.ts
+++ b/src/sidecar/caller-request.ts
@@ -1,4 +1,5 @@
 /** A caller's request, its possible outcomes and the sink that receives them. */
+import type { OnRead } from '../link/link-client.js';
 import type { AnswerHead } from '../link/link-messages.js';
 import type { Route } from './route-table.js';
 
@@ -35,14 +36,16 @@
 
 /** Receives the outcome of a request. Exactly one final call is made, unless the request is cancelled. */
 export interface CallerSink {
-  /** Starts the answer; final if no more of the body follows. */
-  answer(head: AnswerHead, body: Buffer): void;
+  /** Starts the answer; final if no more of the body follows. `onRead` is called as the caller reads it. */
+  answer(head: AnswerHead, body: Buffer, onRead?: OnRead): void;
   /** Passes on a further part of the body. */
-  body(chunk: Buffer): void;
+  body(chunk: Buffer, onRead?: OnRead): void;
   /** Final: the answer is complete. */
   end(): void;
   /** Final: the answer was interrupted after it had started. */
   abort(): void;
   /** Final: no back end answered. */
   fail(outcome: UnansweredOutcome): void;
+  /** States the priority of the request, for the case that answers must be cut; missing if none are. */
+  prioritize?(priority: number): void;
 }
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -49,6 +49,7 @@
     const refused = this.quarantineAnswer(prepared);
     if (refused !== null) return refused;
     this.allowanceOf(prepared.service).recordRequest(this.ports.forwarding.runtime.steadyMs());
+    sink.prioritize?.(prepared.route.definition.priority);
     const forwarded = new ForwardedRequest(
       prepared,
       sinkWithCompletion(sink, () => this.requestsInFlight.delete(forwarded)),
@@ -100,12 +101,12 @@
 /** Wraps a sink so that `onComplete` is called before its final call. */
 function sinkWithCompletion(sink: CallerSink, onComplete: () => void): CallerSink {
   return {
-    answer: (head, body) => {
+    answer: (head, body, onRead) => {
       if (!head.moreFollows) onComplete();
-      sink.answer(head, body);
+      sink.answer(head, body, onRead);
     },
-    body: (chunk) => {
-      sink.body(chunk);
+    body: (chunk, onRead) => {
+      sink.body(chunk, onRead);
     },
     end: () => {
       onComplete();
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -5,10 +5,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { LimitsDefinition } from '../directory/directory-state.js';
+import { openUnsharedHeldBytes, type OpenHeldBytes } from '../link/answer-stream.js';
 import type { AnswerHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import type { CallerSink, UnansweredOutcome } from './caller-request.js';
+import { CallerResponse } from './caller-response.js';
+import { RequestBodyLimit } from './request-body-limit.js';
 
 /** Maximum size of a header block that is read, in bytes; the configured limit is checked afterwards. */
 const MAX_HEADER_BLOCK_BYTES = 128 * 1024;
@@ -19,6 +22,9 @@
 /** Interval in ms between checks for connections that exceed a timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
+/** Retry delay in ms given to a caller whose body does not fit: about the time that a slow body takes. */
+const BODY_RETRY_AFTER_MS = 1_000;
+
 const MS_PER_SECOND = 1_000;
 
 /** A request whose body was received completely. */
@@ -52,6 +58,8 @@
   readonly closing: () => boolean;
   /** Starts forwarding a request, or returns an immediate answer. */
   readonly handle: (request: IncomingRequest, sink: CallerSink) => RequestHandle | LocalAnswer;
+  /** Counts bytes of answers that callers have not read; missing if they are not bounded. */
+  readonly openUnread?: OpenHeldBytes;
 }
 
 /** HTTP statuses of the answers that the sidecar itself generates. */
@@ -71,6 +79,8 @@
 export class CallerServer {
   private readonly server: Server;
   private activeCount = 0;
+  /** Bytes of request bodies that are held. */
+  readonly bodies = new RequestBodyLimit();
 
   constructor(private readonly ports: CallerServerPorts) {
     this.server = createServer(
@@ -147,22 +157,41 @@
   private readBody(request: IncomingMessage, response: ServerResponse, done: (body: Buffer) => void): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    let heldBytes = 0;
+    const release = (): void => {
+      this.bodies.release(heldBytes);
+      heldBytes = 0;
+    };
+    response.once('close', release);
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes <= this.ports.limits().maxBodyBytes) {
+      const refusal = this.bodyRefusal(chunk.length, bytes);
+      if (refusal === null) {
+        heldBytes += chunk.length;
         chunks.push(chunk);
         return;
       }
       request.removeAllListeners('data');
       request.removeAllListeners('end');
       request.resume();
-      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'));
+      chunks.length = 0;
+      release();
+      this.sendLocalAnswer(response, refusal);
     });
     request.on('end', () => {
       done(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
     });
   }
 
+  /** Counts a part of a body; returns the answer with which the request is refused, or null. */
+  private bodyRefusal(partBytes: number, bodyBytes: number): LocalAnswer | null {
+    const { maxBodyBytes } = this.ports.limits();
+    if (bodyBytes > maxBodyBytes) return localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large');
+    if (this.bodies.take(partBytes, bodyBytes, maxBodyBytes)) return null;
+    const reason = 'too many bytes of request bodies are held here';
+    return { statusCode: LOCAL_STATUS.notRun, reason, retryAfterMs: BODY_RETRY_AFTER_MS };
+  }
+
   private dispatch(request: IncomingMessage, response: ServerResponse, body: Buffer): RequestHandle | null {
     if (response.destroyed) return null;
     const incoming: IncomingRequest = {
@@ -179,14 +208,18 @@
   }
 
   private makeSink(response: ServerResponse): CallerSink {
+    const body = new CallerResponse(response, this.ports.openUnread ?? openUnsharedHeldBytes);
     return {
-      answer: (head, body) => {
+      prioritize: (priority) => {
+        body.priority = priority;
+      },
+      answer: (head, first, onRead) => {
         this.writeHead(response, head);
-        if (head.moreFollows) response.write(body);
-        else response.end(body);
+        if (head.moreFollows) body.write(first, onRead);
+        else body.end(first);
       },
-      body: (chunk) => {
-        response.write(chunk);
+      body: (chunk, onRead) => {
+        body.write(chunk, onRead);
       },
       end: () => {
         response.end();
--- a/src/sidecar/peer-daemons.ts
+++ b/src/sidecar/peer-daemons.ts
@@ -25,6 +25,8 @@
   readonly pacer: LinkPacer | null;
   /** Returns the meter of the link to an address of the directory table. */
   readonly meterOf: (daemonAddress: string) => ByteMeter;
+  /** Returns the window in bytes that is kept open for each answer. */
+  readonly windowBytes: () => number;
   /** Called when a peer reports the status of its back end outside of an answer. */
   readonly onStatus: (instance: string) => void;
 }
@@ -65,6 +67,7 @@
       localAddress: dialFrom,
       pacer: usedPacer,
       meter: this.ports.meterOf(daemonAddress),
+      windowBytes: this.ports.windowBytes,
     };
     const link = this.ports.dialLink(route, {
       onStatus: (status) => {
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -5,7 +5,7 @@
  * for requests that are safe to run again.
  */
 import type { BackendInstance } from '../directory/directory-state.js';
-import type { Link, LinkRequest } from '../link/link-client.js';
+import type { Link, LinkRequest, OnRead } from '../link/link-client.js';
 import type {
   AnswerHead,
   AnswerTiming,
@@ -289,11 +289,11 @@
       onFailure: (failure) => {
         this.failed(instance, view, failure);
       },
-      onAnswer: (answer, chunk) => {
-        this.answered(instance, view, answer, chunk);
+      onAnswer: (answer, chunk, onRead) => {
+        this.answered(instance, view, answer, chunk, onRead);
       },
-      onBody: (chunk) => {
-        if (!this.done) this.sink.body(chunk);
+      onBody: (chunk, onRead) => {
+        if (!this.done) this.sink.body(chunk, onRead);
       },
       onEnd: () => {
         this.ended(view);
@@ -306,7 +306,13 @@
 
   // ---- outcomes of an attempt
 
-  private answered(instance: BackendInstance, view: BackendView, head: AnswerHead, body: Buffer): void {
+  private answered(
+    instance: BackendInstance,
+    view: BackendView,
+    head: AnswerHead,
+    body: Buffer,
+    onRead?: OnRead,
+  ): void {
     this.recordStatus(view, head.status);
     view.recordSuccess();
     if (head.leaving === true) this.ports.statedLeaves.record(instance.id, this.request.requestId);
@@ -314,16 +320,21 @@
     if (this.done) return;
     if (head.moreFollows) {
       this.streaming = true;
-      this.sink.answer(head, body);
+      if (head.held === true) this.recordAnswer(head, head.contentLength ?? 0);
+      this.sink.answer(head, body, onRead);
       return;
     }
     this.attemptEnded(view);
-    this.request.route.recordAnswerSize(body.length);
-    if (policyIsOn('told-pace')) this.recordWork(head);
+    this.recordAnswer(head, body.length);
     this.complete();
     this.sink.answer(head, body);
   }
 
+  private recordAnswer(head: AnswerHead, bytes: number): void {
+    this.request.route.recordAnswerSize(bytes);
+    if (policyIsOn('told-pace')) this.recordWork(head);
+  }
+
   private recordWork({ statusCode, timing, status }: AnswerHead): void {
     if (statusCode >= MIN_FAILURE_STATUS) return;
     this.request.route.recordWork(timing.backendMs / (status?.pace ?? 1));
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -87,6 +87,21 @@
   metrics.labeled('link_bytes', 'Bytes exchanged with other daemons', ['kind', 'scope'], () =>
     node.linkBytes.totals().map(({ kind, scope, bytes }) => [[kind, scope], bytes] as const),
   );
+  metrics.family('held_answer_bytes', 'Bytes of answers held, by for whom', 'towards', () => [
+    ['link', node.heldAnswers.totalBytes],
+    ['caller', node.unreadAnswers.totalBytes],
+  ]);
+  metrics.family('answers_cut', 'Answers cut at the bound of held bytes, by for whom', 'towards', () => [
+    ['link', node.heldAnswers.cuts],
+    ['caller', node.unreadAnswers.cuts],
+  ]);
+  metrics.value('unreadable_credits', 'Credits that could not be read', () => node.unreadableCredits);
+  metrics.value('held_body_bytes', 'Bytes of request bodies held', () => node.requestBodies?.heldBytes ?? 0);
+  metrics.value(
+    'bodies_refused',
+    'Requests refused at the bound of held bodies',
+    () => node.requestBodies?.refusals ?? 0,
+  );
   metrics.value('table_index', 'Index of the table in force', () => node.table.index);
   metrics.value('directory_connected', '1 while a replica is followed', () =>
     Number(node.directory.connected),
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendInstance } from '../directory/directory-state.js';
 import { LinkBytes } from '../link/link-bytes.js';
+import { FIRST_WINDOW_BYTES, REDUCED_WINDOW_BYTES } from '../link/stream-window.js';
 import { LinkPacer } from '../link/link-pacer.js';
 import { incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
 import { formatAddress } from '../model/socket-address.js';
@@ -35,6 +36,7 @@
 import { PeerZones } from './peer-zones.js';
 import { RequestIntake } from './request-intake.js';
 import { createForwarderCounters } from './forwarder-counters.js';
+import type { RequestBodyLimit } from './request-body-limit.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 import {
   socketTransport,
@@ -42,6 +44,7 @@
   type LinkListener,
   type SidecarTransport,
 } from './sidecar-transport.js';
+import { MAX_HELD_BYTES, SpoolLimits } from './spool-limits.js';
 import { StatedLeaves } from './stated-leaves.js';
 import { ZoneEvacuation } from './zone-evacuation.js';
 
@@ -54,6 +57,9 @@
 /** Interval in ms between checks of the back end's state. */
 const CHECK_INTERVAL_MS = 100;
 
+/** Interval in ms between updates of the limits on held answers. */
+const SPOOL_UPDATE_INTERVAL_MS = 500;
+
 /** Interval in ms between log lines with the bytes exchanged with other daemons. */
 const BYTES_LOG_INTERVAL_MS = 10_000;
 
@@ -102,6 +108,10 @@
   readonly counters = createForwarderCounters();
   /** Bytes exchanged with other daemons. */
   readonly linkBytes = new LinkBytes();
+  /** Answers of the back end that other daemons have not taken yet. */
+  readonly heldAnswers = this.makeSpoolLimits('link');
+  /** Answers that callers have not read yet. */
+  readonly unreadAnswers = this.makeSpoolLimits('caller');
   private readonly zones: PeerZones;
   readonly directory: DirectoryClient;
   private readonly settings: SidecarSettings;
@@ -159,6 +169,7 @@
       ownLinkAddress: settings.links,
       pacer: this.pacer,
       meterOf: (daemonAddress) => this.linkBytes.meter(() => this.zones.scopeOf(daemonAddress)),
+      windowBytes: () => (this.unreadAnswers.crowded ? REDUCED_WINDOW_BYTES : FIRST_WINDOW_BYTES),
       onStatus: (instance) => {
         this.prober.answered(instance);
       },
@@ -181,6 +192,7 @@
     });
     this.requests = this.makeRequests();
     this.linkServer = this.transport.links({
+      openHeldBytes: this.heldAnswers.open,
       take: (head, body, reply) => this.gateway.accept(head, body, reply),
       status: () => this.gateway.status(),
       pacer: this.pacer,
@@ -191,12 +203,17 @@
       limits: () => this.table.limits,
       closing: () => this.closingConnections,
       handle: (request, sink) => this.handleRequest(request, sink),
+      openUnread: this.unreadAnswers.open,
     });
     this.directory = this.makeDirectory();
     this.timers.push(
       runtime.every(CHECK_INTERVAL_MS, () => {
         this.presence.checkRemoved(this.keys.isKeyed);
       }),
+      runtime.every(SPOOL_UPDATE_INTERVAL_MS, () => {
+        this.heldAnswers.update(runtime.nowMs(), this.linkServer.unsentBytes ?? 0);
+        this.unreadAnswers.update(runtime.nowMs(), 0);
+      }),
       runtime.every(BYTES_LOG_INTERVAL_MS, () => {
         this.logBytes();
       }),
@@ -229,10 +246,25 @@
     return this.lease.deadlineMs - this.runtime.nowMs();
   }
 
+  /** Bytes and refusals of request bodies; null if they are not bounded. */
+  get requestBodies(): RequestBodyLimit | null {
+    return this.callers.bodies ?? null;
+  }
+
+  /** Number of credits of other daemons that could not be read. */
+  get unreadableCredits(): number {
+    return this.linkServer.unreadableCredits ?? 0;
+  }
+
   /** Whether requests of callers or answers to other daemons are in flight. */
   get busy(): boolean {
     const sends = this.pacer !== null && this.pacer.backlogMs > 0;
-    return sends || this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
+    return (
+      sends ||
+      (this.linkServer.unsentAnswers ?? 0) > 0 ||
+      this.callers.activeRequests > 0 ||
+      this.gateway.runningCount > 0
+    );
   }
 
   /**
@@ -316,6 +348,18 @@
 
   // ---- components
 
+  private makeSpoolLimits(towards: 'link' | 'caller'): SpoolLimits {
+    return new SpoolLimits({
+      boundBytes: MAX_HELD_BYTES,
+      defer: (callback) => {
+        this.options.runtime.after(0, callback);
+      },
+      onCut: (answer) => {
+        this.options.log.failure('answer-cut', { towards, ...answer });
+      },
+    });
+  }
+
   private makeLease(): LeaseKeeper {
     return new LeaseKeeper({
       runtime: this.runtime,
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -2,6 +2,7 @@
  * Transport between a sidecar and its callers, other daemons and back end: sockets in a daemon, simulated
  * connections in a simulation. It makes no decisions of its own.
  */
+import type { OpenHeldBytes } from '../link/answer-stream.js';
 import { LinkClient, type Link, type LinkClientHandlers, type LinkRoute } from '../link/link-client.js';
 import type { StatusHead } from '../link/link-messages.js';
 import type { LinkPacer } from '../link/link-pacer.js';
@@ -11,12 +12,15 @@
 import type { Runtime } from '../runtime/runtime.js';
 import { httpBackendClient, type BackendClient } from './backend-client.js';
 import { CallerServer, type CallerServerPorts } from './caller-server.js';
+import type { RequestBodyLimit } from './request-body-limit.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 
 /** Listener for callers. */
 export interface CallerListener {
   /** Number of requests whose answer is not complete. */
   readonly activeRequests: number;
+  /** Bytes of request bodies that are held; missing if they are not bounded. */
+  readonly bodies?: RequestBodyLimit;
   /** Applies changed limits. */
   applyLimits(): void;
   /** Starts listening; the error names the address. */
@@ -29,6 +33,12 @@
 
 /** Listener for other daemons. */
 export interface LinkListener {
+  /** Number of answers of which not everything was sent; missing if answers are never held. */
+  readonly unsentAnswers?: number;
+  /** Bytes that are queued at connections; missing if none are. */
+  readonly unsentBytes?: number;
+  /** Number of credits that could not be read; missing if there are no credits. */
+  readonly unreadableCredits?: number;
   /** Starts listening; the error names the address. */
   listen(address: SocketAddress): Promise<Result<void, string>>;
   /** Stops listening and closes every connection. */
@@ -43,6 +53,8 @@
   /** Paces answers over a slow network link; null if the link is fast. */
   readonly pacer: LinkPacer | null;
   readonly meterOf: MeterOfHost;
+  /** Counts the bytes of answers that are held here. */
+  readonly openHeldBytes: OpenHeldBytes;
 }
 
 /** Factory of a sidecar's listeners and clients. */
@@ -59,8 +71,8 @@
   const nowMs = (): number => runtime.nowMs();
   return {
     callers: (ports) => new CallerServer(ports),
-    links: ({ take, status, pacer, meterOf }) =>
-      new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf),
+    links: ({ take, status, pacer, meterOf, openHeldBytes }) =>
+      new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf, openHeldBytes),
     dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers),
     backend: (onRefused) => httpBackendClient(settings.backend, settings.dialect, runtime, onRefused),
   };
--- a/test/sidecar/backend-connection.test.ts
+++ b/test/sidecar/backend-connection.test.ts
@@ -196,3 +196,106 @@
   });
   t.true(refused);
 });
+
+const LARGE_BYTES = 40 * 1024 * 1024;
+
+/** A back end whose connections are handled by `onSocket`, and a connection to it. */
+async function open(
+  onSocket: (socket: Socket) => void,
+): Promise<{ connection: BackendConnection; close: () => void }> {
+  const server = createServer({ pauseOnConnect: true }, onSocket);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  const connection = new BackendConnection(
+    { host: '127.0.0.1', port },
+    NAMES,
+    () => 0,
+    () => undefined,
+  );
+  return {
+    connection,
+    close: () => {
+      connection.destroy();
+      server.close();
+    },
+  };
+}
+
+test('a paused answer is not read, and the connection can be used again after it', async (t) => {
+  let requests = 0;
+  let unsentBytes = (): number => 0;
+  const { connection, close } = await open((socket) => {
+    unsentBytes = () => socket.writableLength;
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      if (requests > 1) {
+        socket.write(OK);
+        return;
+      }
+      socket.write(`HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n`);
+      socket.write(Buffer.alloc(LARGE_BYTES));
+    });
+    socket.resume();
+  });
+  let received = 0;
+  const exchange = async (onBody: () => void): Promise<string> =>
+    await new Promise((resolve) => {
+      connection.run(REQUEST, {
+        onAnswer: () => undefined,
+        onBody: (chunk) => {
+          received += chunk.length;
+          onBody();
+        },
+        onEnd: () => {
+          resolve('whole');
+        },
+        onBroken: resolve,
+      });
+    });
+  const first = exchange(() => {
+    connection.pause();
+    setTimeout(() => {
+      if (received < LARGE_BYTES / 2) t.true(unsentBytes() > 0, 'the back end is held up');
+      connection.resume();
+    }, 1);
+  });
+  t.is(await first, 'whole');
+  t.is(received, LARGE_BYTES);
+  connection.pause();
+  connection.resume();
+  t.is(await exchange(() => undefined), 'whole');
+  close();
+});
+
+test('a body that the back end reads slowly is buffered in parts, and arrives whole', async (t) => {
+  let received = 0;
+  let reader: Socket | null = null;
+  const { connection, close } = await open((socket) => {
+    reader = socket;
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      received += chunk.length;
+      if (received > LARGE_BYTES) socket.write(OK);
+    });
+  });
+  const outcome = new Promise<string>((resolve) => {
+    connection.run(
+      { ...REQUEST, body: Buffer.alloc(LARGE_BYTES) },
+      {
+        onAnswer: () => undefined,
+        onBody: () => undefined,
+        onEnd: () => {
+          resolve('whole');
+        },
+        onBroken: resolve,
+      },
+    );
+  });
+  while (reader === null) await new Promise((resolve) => setTimeout(resolve, 2));
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  t.true(connection.bufferedBytes <= 2 * 64 * 1024, String(connection.bufferedBytes));
+  (reader as Socket).resume();
+  t.is(await outcome, 'whole');
+  close();
+});
--- a/test/sidecar/backend-run.test.ts
+++ b/test/sidecar/backend-run.test.ts
@@ -3,7 +3,7 @@
 import type { AnswerHead, RefusalHead, RequestHead } from '../../src/link/link-messages.js';
 import type { BackendRequestHandlers } from '../../src/sidecar/backend-connection.js';
 import type { RequestPool } from '../../src/sidecar/backend-pool.js';
-import { BackendRun } from '../../src/sidecar/backend-run.js';
+import { BackendRun, type RunOutcome } from '../../src/sidecar/backend-run.js';
 import type { BackendSignals } from '../../src/sidecar/backend-signals.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { ManualTime } from './manual-runtime.js';
@@ -42,7 +42,7 @@
     opened: 0,
     run: (_request, given) => {
       handlers = given;
-      return { cancel: () => undefined };
+      return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
     },
     destroy: () => undefined,
   };
@@ -105,3 +105,61 @@
     t.is(refusals[0]?.retryAfterMs, retryAfterMs);
   });
 }
+
+const LONG_BYTES = 4 * 1024 * 1024;
+const PART = Buffer.alloc(512 * 1024);
+
+/** Runs a request whose long answer arrives in parts; returns what was done at the back end and passed on. */
+function runLong(crowded: boolean): string[] {
+  const done: string[] = [];
+  let handlers: BackendRequestHandlers | null = null;
+  let resume = (): void => undefined;
+  const pool: RequestPool = {
+    opened: 0,
+    run: (_request, given) => {
+      handlers = given;
+      const record = (name: string) => (): void => {
+        done.push(name);
+      };
+      return { cancel: record('cancel'), pause: record('pause'), resume: record('resume') };
+    },
+    destroy: () => undefined,
+  };
+  const { runtime } = new ManualTime();
+  const ports = {
+    status: () => null,
+    timing: () => ({ waitedMs: 0, backendMs: 0 }),
+    reply: {
+      refuse: () => undefined,
+      fail: () => undefined,
+      answer: (_answer: AnswerHead, body: Buffer) => done.push(`answer ${body.length / PART.length}`),
+      body: () => false,
+      end: () => done.push('end'),
+      onDrain: (callback: () => void) => (resume = callback),
+      crowded: () => crowded,
+    },
+    onSignals: () => undefined,
+    onDone: (outcome: RunOutcome) => {
+      done.push(`${outcome.kind} ${outcome.kind === 'answered' && outcome.paused === true ? 'paused' : ''}`);
+    },
+  };
+  const after = (ms: number, callback: () => void): (() => void) => runtime.after(ms, callback);
+  new BackendRun(pool, after, DEFAULT_HEADER_DIALECT, HEAD, Buffer.alloc(0), 1_000, ports).start();
+  const given = handlers as BackendRequestHandlers | null;
+  const headers = [...SEALED, 'content-length', String(LONG_BYTES)];
+  given?.onAnswer({ statusCode: 200, headers, keepAlive: true, framed: true });
+  for (let part = 0; part < 4; part += 1) given?.onBody(PART);
+  resume();
+  given?.onEnd();
+  resume();
+  return done;
+}
+
+test('the back end is paused while the reply takes no more, and never after the end of its answer', (t) => {
+  t.deepEqual(runLong(false), ['answer 3', 'pause', 'resume', 'end', 'answered paused']);
+});
+
+test('a long answer is not collected first while the daemon holds many bytes', (t) => {
+  const done = runLong(true);
+  t.deepEqual(done, ['answer 1', 'pause', 'pause', 'pause', 'resume', 'end', 'answered paused']);
+});
