--- a/src/sidecar/spool-limits.ts
+++ b/src/sidecar/spool-limits.ts
@@ -11,25 +11,29 @@
 export const MAX_HELD_BYTES = 32 * 1024 * 1024;
 
 /** Share of the bound that answers fill before their sources are paused; the rest is for sources that must be read on. */
-const FILLED_SHARE = 0.5;
+const FILLED_SHARE = 0.25;
 
 /** Share of the room left that one answer may hold. */
 const ROOM_SHARE = 0.5;
 
-/** Bytes that each answer may hold however little room is left. */
-const MIN_STREAM_BYTES = 64 * 1024;
+/** Bytes that each answer may hold however little room is left; one read of a socket, of up to 64 KiB, may exceed it. */
+const MIN_STREAM_BYTES = 32 * 1024;
 
 /** Share of the bound from which on windows are reduced, and long answers are passed on before they are complete. */
 const CROWDED_SHARE = 0.25;
 
 /** Time in ms after which a paused source is read on; back ends abort answers that are left unread for about 5 s. */
-const MAX_PAUSE_MS = 2_000;
+const MAX_PAUSE_MS = 1_500;
 
-/** Bytes that are read on from a paused source; fewer may not open its TCP window again. */
-const READ_ON_BYTES = 128 * 1024;
+/**
+ * Minimum and maximum bytes that are read on from a paused source. The operating system lets a back end write again only
+ * when a third of its send buffer, which may hold 4 MiB, has been read.
+ */
+const MIN_READ_ON_BYTES = 64 * 1024;
+const MAX_READ_ON_BYTES = 2 * 1024 * 1024;
 
 /** Share of the room left that sources which are read on may fill at once. */
-const READ_ON_SHARE = 0.25;
+const READ_ON_SHARE = 0.5;
 
 /** Rate in bytes per ms at which an answer is assumed to be passed on until its rate is measured. */
 const INITIAL_RATE = 1_000;
@@ -191,11 +195,13 @@
       ({ pausedSinceMs }) => pausedSinceMs !== null && nowMs - pausedSinceMs >= MAX_PAUSE_MS,
     );
     due.sort((one, other) => (one.pausedSinceMs ?? 0) - (other.pausedSinceMs ?? 0));
-    const roomBytes = this.ports.boundBytes - this.totalBytes;
-    const count = Math.max(1, Math.floor((roomBytes * READ_ON_SHARE) / READ_ON_BYTES));
+    const budgetBytes = Math.max(0, this.ports.boundBytes - this.totalBytes) * READ_ON_SHARE;
+    const shareBytes = Math.floor(budgetBytes / Math.max(1, due.length));
+    const bytes = Math.min(MAX_READ_ON_BYTES, Math.max(MIN_READ_ON_BYTES, shareBytes));
+    const count = Math.max(1, Math.floor(budgetBytes / bytes));
     for (const answer of due.slice(0, count)) {
       answer.pausedSinceMs = nowMs;
-      answer.handlers.readOn(READ_ON_BYTES);
+      answer.handlers.readOn(bytes);
     }
   }
 
