--- a/src/link/answer-reply.ts
+++ b/src/link/answer-reply.ts
@@ -5,7 +5,8 @@
 import { AnswerStream, type HeldBytes, type OpenHeldBytes } from './answer-stream.js';
 import type { LinkConnection } from './link-connection.js';
 import { FRAME_KIND } from './link-frame.js';
-import type { AnswerHead, FailureHead } from './link-messages.js';
+import { withoutRequestId } from './head-parts.js';
+import type { AnswerHead, FailureHead, RequestHead } from './link-messages.js';
 import type { AcceptedRequest, RequestReply } from './link-server.js';
 import { StreamWindow } from './stream-window.js';
 
@@ -40,7 +41,7 @@
 export function makeReply(
   peer: AcceptedPeer,
   id: number,
-  priority: number,
+  { priority, requestId }: Pick<RequestHead, 'priority' | 'requestId'>,
 ): { readonly port: RequestReply; readonly finished: () => boolean } {
   const { connection, requests, unsent } = peer;
   let finished = false;
@@ -100,7 +101,8 @@
       connection.send(FRAME_KIND.refusal, id, head);
     },
     fail,
-    answer(head, body) {
+    answer(wholeHead, body) {
+      const head = connection.sendsShortHeads ? withoutRequestId(wholeHead, requestId) : wholeHead;
       if (head.moreFollows) {
         startStream(head, body);
         return;
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -5,6 +5,7 @@
 import { connect } from 'node:net';
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import { withoutExcess, withRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import { encodeCredit, FIRST_WINDOW_BYTES, StreamCredit } from './stream-window.js';
 import type { ByteMeter } from './link-bytes.js';
@@ -210,7 +211,9 @@
 
   private sendRequest(stream: number, pending: PendingRequest): void {
     pending.sent = true;
-    this.connection?.send(FRAME_KIND.request, stream, pending.head, pending.body);
+    const { head, body } = pending;
+    const sentHead = this.connection?.sendsShortHeads === true ? withoutExcess(head, body.length) : head;
+    this.connection?.send(FRAME_KIND.request, stream, sentHead, body);
     this.watch();
   }
 
@@ -256,7 +259,7 @@
     this.connection?.enableShortHeads();
   }
 
-  private dispatch(frame: LinkFrame, { handlers, onRead }: PendingRequest): void {
+  private dispatch(frame: LinkFrame, { head, handlers, onRead }: PendingRequest): void {
     switch (frame.kind) {
       case FRAME_KIND.refusal:
         this.pending.delete(frame.stream);
@@ -268,7 +271,7 @@
         break;
       case FRAME_KIND.answer:
         if (!(frame.head as AnswerHead).moreFollows) this.pending.delete(frame.stream);
-        handlers.onAnswer(frame.head as AnswerHead, frame.body, onRead);
+        handlers.onAnswer(withRequestId(frame.head as AnswerHead, head.requestId), frame.body, onRead);
         break;
       case FRAME_KIND.body:
         handlers.onBody(frame.body, onRead);
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -157,7 +157,7 @@
     const { connection, requests } = peer;
     if (frame.kind === FRAME_KIND.request) {
       const head = frame.head as RequestHead;
-      const reply = makeReply(peer, frame.stream, head.priority);
+      const reply = makeReply(peer, frame.stream, head);
       const accepted = this.acceptRequest(head, frame.body, reply.port);
       if (!reply.finished()) requests.set(frame.stream, accepted);
       return;
--- a/test/link/answer-flow.test.ts
+++ b/test/link/answer-flow.test.ts
@@ -6,7 +6,9 @@
 import { LinkClient, type OnRead, type RequestHandlers } from '../../src/link/link-client.js';
 import { encodeFrameStart, FRAME_KIND, LinkFrameDecoder, type LinkFrame } from '../../src/link/link-frame.js';
 import type { AnswerHead, RequestHead } from '../../src/link/link-messages.js';
+import { LinkPacer } from '../../src/link/link-pacer.js';
 import { LinkServer, type RequestReply } from '../../src/link/link-server.js';
+import { nodeRuntime } from '../../src/runtime/node-runtime.js';
 import { encodeCredit, FIRST_WINDOW_BYTES } from '../../src/link/stream-window.js';
 
 const HOST = '127.0.0.1';
@@ -33,7 +35,7 @@
   heldBytes: number;
 }
 
-async function serve(): Promise<Served> {
+async function serve(pacer: LinkPacer | null = null): Promise<Served> {
   const port = await freePort();
   const replies: RequestReply[] = [];
   const cancelled: number[] = [];
@@ -46,7 +48,7 @@
       return { cancel: () => cancelled.push(index), withdraw: () => undefined };
     },
     () => null,
-    null,
+    pacer,
     () => null,
     (_priority, handlers) => {
       decisions.push(handlers);
@@ -106,8 +108,8 @@
   return received;
 }
 
-function open(port: number): LinkClient {
-  const route = { address: { host: HOST, port }, localAddress: null, pacer: null };
+function open(port: number, localAddress: string | null = null): LinkClient {
+  const route = { address: { host: HOST, port }, localAddress, pacer: null };
   return new LinkClient(route, () => 0, { onStatus: () => undefined, onDisconnect: () => undefined });
 }
 
@@ -121,8 +123,8 @@
 };
 
 /** A client of which the peer knows that it returns credit: its first request was answered after the hello. */
-async function negotiate(served: Served): Promise<LinkClient> {
-  const client = open(served.port);
+async function negotiate(served: Served, localAddress: string | null = null): Promise<LinkClient> {
+  const client = open(served.port, localAddress);
   const first = send(client, () => undefined);
   await until(() => served.replies.length === 1);
   await new Promise((resolve) => setTimeout(resolve, 20));
@@ -156,6 +158,24 @@
   served.server.close();
 });
 
+test('over a paced link, an answer waits in its spool and only a few parts of it in the paced queue', async (t) => {
+  const served = await serve(new LinkPacer(2_000, nodeRuntime));
+  const client = await negotiate(served, '127.0.0.2');
+  const received = send(client, (stream) => {
+    t.true(served.server.unsentBytes <= FIRST_WINDOW_BYTES);
+    readAll(stream);
+  });
+  await until(() => served.replies.length === 2);
+  served.replies[1]?.answer(ANSWER, Buffer.alloc(TOTAL_BYTES));
+  t.true(served.heldBytes >= TOTAL_BYTES - FIRST_WINDOW_BYTES);
+  served.replies[1]?.end();
+  await until(() => received.outcome === 'ended');
+  t.is(received.bytes, TOTAL_BYTES);
+  t.is(served.heldBytes, 0);
+  client.stop();
+  served.server.close();
+});
+
 test('a complete answer beyond the window is sent in parts, and a smaller one in one frame', async (t) => {
   const served = await serve();
   const client = await negotiate(served);
