--- a/lab/bench/slow-readers.ts
+++ b/lab/bench/slow-readers.ts
@@ -31,6 +31,8 @@
 const SMALL_INTERVAL_MS = 20;
 /** Options of deployed daemons. */
 const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--optimize-for-size'];
+/** Time in ms during which the long answers are taken to start. */
+const START_MS = 2_000;
 const IDLE_MS = 3_000;
 const FINISH_MS = 60_000;
 
@@ -310,6 +312,12 @@
   }
 }
 
+function describeTimes(times: readonly (number | null)[]): string {
+  const served = times.filter((ms) => ms !== null).sort((one, other) => one - other);
+  const at = (share: number): string => (served[Math.floor(served.length * share)] ?? NaN).toFixed(1);
+  return `${served.length} of ${times.length}, ms: median ${at(0.5)}, 0.99 ${at(0.99)}`;
+}
+
 async function measure(readerCount: number, bytes: number, rate: number, seconds: number): Promise<void> {
   const found = await findFreePorts(5);
   const [callersOne, linksOne, callersTwo, linksTwo, backendPort] = found.map(({ port }) => port) as [
@@ -333,8 +341,11 @@
     daemon.peakBytes = daemon.baseBytes;
   }
   const times: (number | null)[] = [];
+  const firstTimes: (number | null)[] = [];
+  const startMs = performance.now();
   const small = setInterval(() => {
-    void timeSmall(callersOne).then((ms) => times.push(ms));
+    const list = performance.now() - startMs < START_MS ? firstTimes : times;
+    void timeSmall(callersOne).then((ms) => list.push(ms));
   }, SMALL_INTERVAL_MS);
   const readers = Array.from({ length: readerCount }, () => new SlowReader(callersOne, bytes));
   const reading = setInterval(() => {
@@ -353,9 +364,8 @@
   await sleep(200);
   const whole = readers.filter(({ complete }) => complete).length;
   console.log(`read slowly ${(slowBytes / MIB).toFixed(1)} MiB; whole answers ${whole} of ${readerCount}`);
-  const served = times.filter((ms) => ms !== null).sort((one, other) => one - other);
-  const at = (share: number): string => (served[Math.floor(served.length * share)] ?? NaN).toFixed(1);
-  console.log(`small answers ${served.length} of ${times.length}, ms: median ${at(0.5)}, 0.99 ${at(0.99)}`);
+  console.log(`small answers begun while the long ones start: ${describeTimes(firstTimes)}`);
+  console.log(`small answers begun later: ${describeTimes(times)}`);
   console.log(`at the end: callers' ${callers.describe()}; beside the back end ${beside.describe()}`);
   for (const child of [backend, beside.child, callers.child]) child.kill();
 }
--- a/test/sidecar/backend-connection.test.ts
+++ b/test/sidecar/backend-connection.test.ts
@@ -255,6 +255,8 @@
     });
   const first = exchange(() => {
     connection.pause();
+    // It stays paused at the end of the answer, as one whose last part fills the spool.
+    if (received === LARGE_BYTES) return;
     setTimeout(() => {
       if (received < LARGE_BYTES / 2) t.true(unsentBytes() > 0, 'the back end is held up');
       connection.resume();
@@ -262,8 +264,6 @@
   });
   t.is(await first, 'whole');
   t.is(received, LARGE_BYTES);
-  connection.pause();
-  connection.resume();
   t.is(await exchange(() => undefined), 'whole');
   close();
 });
