--- a/lab/bench/slow-readers.ts
+++ b/lab/bench/slow-readers.ts
@@ -230,7 +230,8 @@
   private readonly checker = new DownloadChecker();
   private readonly socket: Socket;
   private headRead = false;
-  private fast = false;
+  /** Bytes that may be read now. */
+  private allowedBytes = 0;
 
   constructor(
     port: number,
@@ -240,28 +241,28 @@
     this.socket.on('error', () => undefined);
     this.socket.on('close', () => (this.ended = true));
     this.socket.on('readable', () => {
-      if (this.fast) this.read(Infinity);
+      this.readAllowed();
     });
     const id = `${NAMES.requestId}: ${randomUUID()}`;
     this.socket.write(`GET /${bytes}/length HTTP/1.1\r\nHost: ${HOST}\r\n${id}\r\nConnection: close\r\n\r\n`);
   }
 
-  /** Reads at most `maxBytes`. */
-  read(maxBytes: number): void {
-    for (let left = maxBytes; left > 0;) {
-      const available = Math.min(left, this.socket.readableLength);
+  /** Allows to read `bytes`, now or as they arrive, instead of what was allowed before. */
+  allow(bytes: number): void {
+    this.allowedBytes = bytes;
+    this.readAllowed();
+  }
+
+  private readAllowed(): void {
+    while (this.allowedBytes > 0) {
+      const available = Math.min(this.allowedBytes, this.socket.readableLength);
       const chunk = (available > 0 ? this.socket.read(available) : this.socket.read(0)) as Buffer | null;
       if (chunk === null) return;
-      left -= chunk.length;
+      this.allowedBytes -= chunk.length;
       this.push(chunk);
     }
   }
 
-  readAll(): void {
-    this.fast = true;
-    this.read(Infinity);
-  }
-
   private push(chunk: Buffer): void {
     const headEnd = this.headRead ? 0 : chunk.indexOf('\r\n\r\n') + 4;
     if (!this.headRead && headEnd < 4) throw new Error('the head is split');
@@ -349,14 +350,14 @@
   }, SMALL_INTERVAL_MS);
   const readers = Array.from({ length: readerCount }, () => new SlowReader(callersOne, bytes));
   const reading = setInterval(() => {
-    for (const reader of readers) reader.read((rate * READ_INTERVAL_MS) / 1_000);
+    for (const reader of readers) reader.allow((rate * READ_INTERVAL_MS) / 1_000);
   }, READ_INTERVAL_MS);
   await sleep(seconds * 1_000);
   const slowBytes = readers.reduce((sum, { receivedBytes }) => sum + receivedBytes, 0);
   console.log(`callers' daemon while reading slowly: ${callers.describe()}`);
   console.log(`daemon beside the back end: ${beside.describe()}`);
   clearInterval(reading);
-  for (const reader of readers) reader.readAll();
+  for (const reader of readers) reader.allow(Infinity);
   const finishMs = performance.now() + FINISH_MS;
   while (readers.some(({ complete, ended }) => !complete && !ended) && performance.now() < finishMs)
     await sleep(50);
