Reserve room for refused callers at the time at which they are told to return

Cause: a caller that returned when it was told to queued behind all new requests and found the room taken by those that retry at once. Only for requests with a key, whose callers return to the same back end. Metrics, log field and explain.

--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -28,10 +28,12 @@
   lateQueueOrder,
   maxLateWaitMs,
   queueOrder,
+  returnOrder,
   maxSlotWaitMs,
   slackTimeMs,
 } from './slot-policy.js';
 import { RequestPacing } from './request-pacing.js';
+import { ReturnReservations } from './return-reservations.js';
 import { RunReporter } from './run-reporter.js';
 import { SuspectScheduler, type SuspectRequest } from './suspect-scheduler.js';
 import { WorkForecast } from './work-forecast.js';
@@ -44,6 +46,15 @@
 /** Upper bound in ms of the retry delay that is sent when the queue is too long. */
 const MAX_BUSY_RETRY_AFTER_MS = 600;
 
+/** Minimum time after which a refused caller is to return, as a share of its target; callers are not told a shorter one. */
+const RETURN_AFTER_TARGET_SHARE = 0.5;
+
+/**
+ * Multiple of the mean work time that is left of the target when a caller returns to reserved room: its work may take
+ * longer, and it waits for the next slot.
+ */
+const RETURN_WORK_FACTOR = 1.7;
+
 /** Retry delay in ms for other refusals; key handovers and daemon restarts have usually completed by then. */
 const DEFAULT_RETRY_AFTER_MS = 350;
 
@@ -60,6 +71,7 @@
   readonly forecast: WorkForecast<GatewayRequest>;
   readonly lateWaitLimiter = new LateWaitLimiter();
   readonly suspects: SuspectScheduler;
+  readonly returns = new ReturnReservations();
   readonly pacing: RequestPacing;
   private readonly reporter: RunReporter;
   /** Requests that wait for the back end's first heartbeat, or for their key to be granted. */
@@ -290,7 +302,9 @@
     let waits = false;
     const slotRequest: SlotRequest = {
       priority: forecast.rankOf(head),
-      order: queueOrder(claim, arrivedMs, meanMs),
+      order: this.hasReservation(request)
+        ? returnOrder(claim, arrivedMs)
+        : queueOrder(claim, arrivedMs, meanMs),
       reserve: slackTimeMs(claim, meanMs) > 0 ? forecast.reserveOf(head) : forecast.lateReserveOf(head),
       expiresMs: nowMs + maxSlotWaitMs(claim, nowMs - arrivedMs, meanMs),
       start: () => {
@@ -308,6 +322,13 @@
     if (this.admission.waitingCount > 0) this.scheduleCheck();
   }
 
+  /** Uses the reservation of a caller that returns when it was told to; it is kept while the request waits. */
+  private hasReservation(request: GatewayRequest): boolean {
+    const { head, arrivedMs } = request;
+    request.reserved ||= head.spentMs > 0 && this.returns.claim(head, arrivedMs);
+    return request.reserved;
+  }
+
   /** Queues a request behind all that can meet their target latency, while such waits mostly end with a slot. */
   private applyLate(request: GatewayRequest): void {
     const { head, arrivedMs } = request;
@@ -507,14 +528,32 @@
     const leftMs = Math.round(request.head.remainingMs - waitedMs);
     const status = this.status();
     const cause = this.linkCause(linkFreeInMs);
-    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs, ...cause };
+    const returnInMs = linkFreeInMs === null ? this.reservedReturnMs(request, reason, leftMs) : null;
+    const reserved = returnInMs === null ? {} : { returnInMs: Math.round(returnInMs) };
+    const fields = { requestId, reason, instance, key, route, waitedMs, leftMs, ...cause, ...reserved };
     this.ports.log.failure('request-refused', { ...fields, ...status });
     // A request that got no slot counts as load of its key, too.
     if (reason === 'busy' && request.offeredMs === 0) this.ports.onWork(key, this.admission.serviceMs);
-    const retryAfterMs = Math.max(this.retryAfterMs(reason), cause.linkFreeInMs ?? 0);
+    const slotRetryAfterMs = reserved.returnInMs ?? this.retryAfterMs(reason);
+    const retryAfterMs = Math.max(slotRetryAfterMs, cause.linkFreeInMs ?? 0);
     request.reply.refuse({ reason, arrived: false, retryAfterMs, status, ...cause });
   }
 
+  /**
+   * Reserves room for a caller that is refused for want of a slot, and returns when it is to come back; null without a
+   * reservation. A request without a key is not reserved for, since its caller may return to another back end.
+   */
+  private reservedReturnMs({ head }: GatewayRequest, reason: RefusalReason, leftMs: number): number | null {
+    if (reason !== 'busy' || head.key === null || !policyIsOn('retry-hints')) return null;
+    const { slots, serviceMs } = this.admission;
+    const meanMs = this.forecast.workMs(head.route);
+    const minDelayMs = Math.max(0, head.targetLeftMs * RETURN_AFTER_TARGET_SHARE);
+    // Room that is used after the target would be taken from requests that can still meet theirs.
+    const maxDelayMs = Math.min(head.targetLeftMs - RETURN_WORK_FACTOR * meanMs, leftMs - meanMs);
+    const refused = { requestId: head.requestId, minDelayMs, maxDelayMs };
+    return this.returns.reserve(refused, { slots, serviceMs }, this.ports.runtime.nowMs());
+  }
+
   /** Counts a refusal that the network link caused, and returns its mark. */
   private linkCause(linkFreeInMs: number | null): Pick<RefusalHead, 'linkFreeInMs'> {
     if (linkFreeInMs === null) return {};
--- a/src/sidecar/gateway-request.ts
+++ b/src/sidecar/gateway-request.ts
@@ -29,6 +29,8 @@
   offeredMs: number;
   /** Whether the request is queued although its answer will miss the target latency. */
   waitsLate: boolean;
+  /** Whether room was reserved for it after an earlier refusal. */
+  reserved: boolean;
   done: boolean;
 }
 
@@ -55,6 +57,7 @@
     sendNumber: 0,
     offeredMs: 0,
     waitsLate: false,
+    reserved: false,
     done: false,
   };
 }
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -97,6 +97,10 @@
   metrics.family('late_waits', 'Ended waits of late requests, by how they ended', 'outcome', () =>
     Object.entries(gateway.lateWaitLimiter.counters),
   );
+  metrics.family('returns', 'Room reserved for refused callers, by how it ended', 'outcome', () =>
+    Object.entries(gateway.returns.ended),
+  );
+  metrics.value('returns_open', 'Refused callers that room is reserved for', () => gateway.returns.openCount);
   metrics.value('backend_slots', 'Places at the back end', () => gateway.admission.slots);
   metrics.value('backend_connections_opened', 'Connections opened to it', () => node.backendClient.opened);
   metrics.value('table_index', 'Index of the table in force', () => node.table.index);
--- a/src/sidecar/slot-policy.ts
+++ b/src/sidecar/slot-policy.ts
@@ -55,6 +55,14 @@
   return slackMs > limits.spentMs ? targetTimeMs - limits.spentMs : targetTimeMs + RETRY_ORDER_OFFSET_MS;
 }
 
+/**
+ * Returns the sort key of a request that room was reserved for: as on the first attempt of its caller, and before all
+ * that can meet their target, since the reservations already bound how many such requests there are.
+ */
+export function returnOrder({ targetLeftMs, spentMs }: RequestTimeLimits, arrivedMs: number): number {
+  return arrivedMs + targetLeftMs - spentMs - RETRY_ORDER_OFFSET_MS;
+}
+
 /** Share of the longest mean work time at a back end up to which work counts as short. */
 const SHORT_WORK_SHARE = 0.5;
 
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -119,7 +119,7 @@
       slots === undefined
         ? ''
         : ` (${String(running)} ran, ${String(waiting)} waited, ${String(slots)} places)`;
-    const cause = `${describeLimit(event)}${describeLink(event)}`;
+    const cause = `${describeLimit(event)}${describeLink(event)}${describeReturn(event)}`;
     return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${cause}`;
   }
   return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(event['outcome'])}`;
@@ -130,6 +130,10 @@
   return `; its network link had no room for the answer, and expected to have it ${linkFreeInMs} ms later`;
 }
 
+function describeReturn({ returnInMs }: LoggedEvent): string {
+  return typeof returnInMs === 'number' ? `; it reserved room for a return ${returnInMs} ms later` : '';
+}
+
 function describeLimit({ reason, limitPerSecond }: LoggedEvent): string {
   if (reason !== 'rate-limited') return '';
   if (typeof limitPerSecond !== 'number') return '; whether its back end names a limit was not known yet';
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -57,14 +57,18 @@
   t.true(beside.beliefs.some(({ event }) => event === 'backend-ended'));
 });
 
-test('a request that was refused because of the network link', (t) => {
-  const log =
-    '{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r","reason":"busy","running":2,"waiting":0,"slots":8,"linkFreeInMs":70}';
-  t.is(
-    explainRequest('r', readEvents(log)).cause,
-    'its end is not in these logs; two refused it as busy (2 ran, 0 waited, 8 places); its network link had no room for the answer, and expected to have it 70 ms later',
-  );
-});
+for (const [field, cause] of [
+  ['linkFreeInMs', 'its network link had no room for the answer, and expected to have it 70 ms later'],
+  ['returnInMs', 'it reserved room for a return 70 ms later'],
+] as const) {
+  test(`a request that was refused with ${field}`, (t) => {
+    const log = `{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"request-refused","requestId":"r","reason":"busy","running":2,"waiting":0,"slots":8,"${field}":70}`;
+    t.is(
+      explainRequest('r', readEvents(log)).cause,
+      `its end is not in these logs; two refused it as busy (2 ran, 0 waited, 8 places); ${cause}`,
+    );
+  });
+}
 
 for (const [limit, cause] of [
   ['"limitPerSecond":2.5,', 'its back end names a limit of 2.5 requests a second'],
--- a/test/sidecar/slot-policy.test.ts
+++ b/test/sidecar/slot-policy.test.ts
@@ -7,6 +7,7 @@
   maxLateWaitMs,
   queueOrder,
   queueRank,
+  returnOrder,
   maxSlotWaitMs,
   slackTimeMs,
   type RequestTimeLimits,
@@ -46,6 +47,15 @@
   });
 }
 
+test('a request with reserved room goes before all others, the one whose first attempt is older first', (t) => {
+  const first = returnOrder(limits({ spentMs: 900 }), NOW_MS);
+  t.true(first < returnOrder(limits({ spentMs: 400 }), NOW_MS));
+  t.true(
+    returnOrder(limits({ spentMs: 400 }), NOW_MS) <
+      queueOrder(limits({ targetLeftMs: 200 }), NOW_MS, MEAN_MS),
+  );
+});
+
 test('a request waits while it can still be answered in time', (t) => {
   t.is(slackTimeMs(limits(), MEAN_MS), 170);
   t.is(maxSlotWaitMs(limits(), 0, MEAN_MS), 170);
