Send to a cold back end at once if no previous process can have sent to it

Cause: the first 1.05 s after the start of a daemon are blocked for cold back ends, because a previous process may have sent requests that still count; after a loss of all power the back end has begun anew as well, and its callers wait for nothing. Ruled out: shortening the window; it is what the bound on cold back ends allows a restarted daemon. Change: the evidence that ends the trial mode of an unknown limit ends this wait, too.

--- a/src/sidecar/cold-start-limit.ts
+++ b/src/sidecar/cold-start-limit.ts
@@ -41,13 +41,21 @@
   private readonly sentMs: number[] = [];
   /** Time from which the next request may be sent while the back end is cold. */
   private nextAllowedMs: number;
+  /** End of the window in which requests of a previous process of this daemon may still count. */
+  private blockedUntilMs: number;
 
   /** The first window after `startedMs` is blocked, since a previous process of this daemon may have sent requests. */
   constructor(
     private readonly bound: ColdStartBound,
     startedMs: number,
   ) {
-    this.nextAllowedMs = startedMs + WINDOW_MS + WINDOW_MARGIN_MS;
+    this.nextAllowedMs = startedMs;
+    this.blockedUntilMs = startedMs + WINDOW_MS + WINDOW_MARGIN_MS;
+  }
+
+  /** Records that no previous process of this daemon can have sent requests to the present incarnation. */
+  confirmNewToDaemon(): void {
+    this.blockedUntilMs = -Infinity;
   }
 
   /** Sets the service's configuration; null disables the limit. */
@@ -125,7 +133,7 @@
     const oldestCountedMs = this.sentMs[this.sentMs.length - this.maxPerWindow];
     const windowMs =
       oldestCountedMs === undefined ? -Infinity : oldestCountedMs + WINDOW_MS + WINDOW_MARGIN_MS;
-    return Math.max(this.nextAllowedMs, windowMs);
+    return Math.max(this.nextAllowedMs, windowMs, this.blockedUntilMs);
   }
 
   private forget(nowMs: number): void {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -537,7 +537,9 @@
     const wallMs = this.runtime.wallMs();
     const replacesAnother = replaced && this.backend.isFirstIncarnation;
     const age = { bornMs, wallMs, leaseTermMs, coldLeftMs, coldDurationMs };
-    if (isCertainlyNew({ sequence, replacesAnother, ...age })) this.gateway.pacing.confirmNewToDaemon();
+    if (!isCertainlyNew({ sequence, replacesAnother, ...age })) return;
+    this.coldLimit.confirmNewToDaemon();
+    this.gateway.pacing.confirmNewToDaemon();
   }
 
   // ---- the directory
--- a/test/sidecar/cold-start-limit.test.ts
+++ b/test/sidecar/cold-start-limit.test.ts
@@ -49,6 +49,16 @@
   t.true((sendAll(limit, 100, 2_000)[0] ?? 0) > 1_000);
 });
 
+/** Guards against a second without requests after a loss of power, when the back end has begun anew as well. */
+test('a back end that no previous process can have sent to is sent requests at once, within the bound', (t) => {
+  const limit = limitAt(0);
+  limit.startIncarnation(3_000, 100);
+  limit.confirmNewToDaemon();
+  const sent = sendAll(limit, 100, 3_000);
+  t.is(sent[0], 100);
+  t.true(maxInASecond(sent) <= ACCEPTED);
+});
+
 test('a back end that becomes cold gets no more than the bound in any second from then on', (t) => {
   const holds = fc.check(
     fc.property(fc.array(fc.nat(2_000), { maxLength: 200 }), fc.nat(2_000), (arrivals, coldAtMs) => {
