--- a/test/sidecar/gateway-reserved-slots.test.ts
+++ b/test/sidecar/gateway-reserved-slots.test.ts
@@ -6,11 +6,8 @@
 import type { AcceptedRequest, RequestReply } from '../../src/link/link-server.js';
 import type { BackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
-import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
-import { NO_CRASH_GUARD } from '../../src/sidecar/crash-guard.js';
 import type { RunPorts } from '../../src/sidecar/backend-run.js';
-import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
-import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
+import { gatewayPorts } from './gateway-ports.js';
 import { ManualTime } from './manual-runtime.js';
 
 const SLOTS = 10;
@@ -78,22 +75,8 @@
   readonly refusals: string[] = [];
   readonly failures: string[] = [];
   readonly gateway = new BackendGateway({
-    runtime: this.time.runtime,
-    log: SILENT_EVENT_LOG,
-    service: 's',
-    latencies: NO_LATENCIES,
+    ...gatewayPorts(this.time, this.backend),
     pacer: this.pacer,
-    backend: this.backend,
-    coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-    guard: NO_CRASH_GUARD,
-    instance: () => 'life-1',
-    awaitsBackend: () => false,
-    closesAtMs: () => Infinity,
-    leaving: () => false,
-    holdsKey: () => true,
-    ownsKey: () => true,
-    onAnswer: () => undefined,
-    onWork: () => undefined,
   });
 
   constructor() {
--- a/test/sidecar/registry-gateway.ts
+++ b/test/sidecar/registry-gateway.ts
@@ -4,10 +4,8 @@
 import type { BackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import type { RunPorts } from '../../src/sidecar/backend-run.js';
-import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
-import { NO_CRASH_GUARD } from '../../src/sidecar/crash-guard.js';
 import type { EventFields } from '../../src/telemetry/event-log.js';
-import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
+import { gatewayPorts } from './gateway-ports.js';
 import { ManualTime } from './manual-runtime.js';
 
 export const SLOTS = 8;
@@ -84,26 +82,12 @@
   ) {
     this.backend = new TimedBackend(time, factor);
     this.gateway = new BackendGateway({
-      runtime: time.runtime,
+      ...gatewayPorts(time, this.backend),
       log: {
         event: (_name, fields) => this.logged.push(fields),
         failure: (_name, fields) => this.logged.push(fields),
         routine: () => undefined,
       },
-      service: 'registry',
-      latencies: NO_LATENCIES,
-      pacer: null,
-      backend: this.backend,
-      coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-      guard: NO_CRASH_GUARD,
-      instance: () => 'life-1',
-      awaitsBackend: () => false,
-      closesAtMs: () => Infinity,
-      leaving: () => false,
-      holdsKey: () => true,
-      ownsKey: () => true,
-      onAnswer: () => undefined,
-      onWork: () => undefined,
     });
     this.gateway.setSlots(SLOTS);
   }
--- a/test/sidecar/timed-gateway.ts
+++ b/test/sidecar/timed-gateway.ts
@@ -2,10 +2,7 @@
 import type { RequestHead } from '../../src/link/link-messages.js';
 import type { BackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
-import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
-import { NO_CRASH_GUARD } from '../../src/sidecar/crash-guard.js';
-import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
-import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
+import { gatewayPorts } from './gateway-ports.js';
 import type { ManualTime } from './manual-runtime.js';
 
 /** Head of a request without a key for the back end of `timedGateway`; times are to be filled in. */
@@ -44,24 +41,7 @@
     }),
     destroy: () => undefined,
   };
-  const gateway = new BackendGateway({
-    runtime: time.runtime,
-    log: SILENT_EVENT_LOG,
-    service: 's',
-    latencies: NO_LATENCIES,
-    pacer: null,
-    backend,
-    coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
-    guard: NO_CRASH_GUARD,
-    instance: () => TIMED_HEAD.instance,
-    awaitsBackend: () => false,
-    closesAtMs: () => Infinity,
-    leaving: () => false,
-    holdsKey: () => true,
-    ownsKey: () => true,
-    onAnswer: () => undefined,
-    onWork: () => undefined,
-  });
+  const gateway = new BackendGateway(gatewayPorts(time, backend));
   gateway.setSlots(slots);
   return gateway;
 }
