--- a/lab/bench/head-bench.ts
+++ b/lab/bench/head-bench.ts
@@ -6,6 +6,7 @@
 import { HeadDecoder, HeadEncoder } from '../../src/link/head-codec.js';
 import { FRAME_KIND } from '../../src/link/link-frame.js';
 import type { AnswerHead, RefusalHead, RequestHead, StatusHead } from '../../src/link/link-messages.js';
+import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { Random } from '../random.js';
 
 const HEADS = 6_000;
@@ -31,12 +32,19 @@
   const route = isCall ? 'order-status' : 'port-cancel';
   const requestId = isCall ? `${randomId()}.${randomId()}` : randomId();
   const remainingMs = 500 + random.below(3_000);
-  const own = ['Host', 'localhost:7001', 'Request-Id', requestId, 'Content-Type', 'application/json'];
+  const own = [
+    'Host',
+    'localhost:7001',
+    DEFAULT_HEADER_DIALECT.requestId,
+    requestId,
+    'Content-Type',
+    'application/json',
+  ];
   return {
     requestId,
     method: 'POST',
     path: `/${route}/${random.below(1_000_000)}`,
-    headers: [...own, 'Content-Length', String(random.below(400)), 'Caller-Service', 'ordering'],
+    headers: [...own, 'Content-Length', String(random.below(400)), DEFAULT_HEADER_DIALECT.caller, 'ordering'],
     instance: INSTANCE,
     key: null,
     route,
@@ -65,10 +73,21 @@
 }
 
 function makeAnswer(): AnswerHead {
-  const id = ['Request-Id', `${randomId()}.${randomId()}`, 'Server-Seal', randomId()];
+  const id = [
+    DEFAULT_HEADER_DIALECT.requestId,
+    `${randomId()}.${randomId()}`,
+    DEFAULT_HEADER_DIALECT.seal,
+    randomId(),
+  ];
   return {
     statusCode: 200,
-    headers: [...id, 'Content-Type', 'application/json', 'Server-Load', String(random.below(200) / 100)],
+    headers: [
+      ...id,
+      'Content-Type',
+      'application/json',
+      DEFAULT_HEADER_DIALECT.pace,
+      String(random.below(200) / 100),
+    ],
     moreFollows: false,
     contentLength: 400 + random.below(20),
     framed: true,
