--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -27,7 +27,7 @@
 
 const between = ([low, high]) => low + Math.random() * (high - low);
 
-/** A pick ledger endpoint: it runs `SLOTS` requests at once, queues a few more and rejects the others. */
+/** An endpoint for instructions: it runs `SLOTS` requests at once, queues a few more and rejects the others. */
 class Ledger {
   constructor(record) {
     this.record = record;
@@ -78,7 +78,7 @@
 
 await play(
   fileURLToPath(new URL('.', import.meta.url)),
-  { services: ['pickledger', 'pickledger', 'pickledger', 'stockdesk'] },
+  { services: ['inning', 'inning', 'inning', 'saldo'] },
   async (deployment, record) => {
     const ledgers = [];
     const endpoints = [];
@@ -92,8 +92,8 @@
       endpoints.push(endpoint);
     }
     const route = {
-      name: 'pick-confirm',
-      service: 'pickledger',
+      name: 'domiciliering',
+      service: 'inning',
       type: 'non_idempotent',
       targetS: 0.5,
       timeoutS: 1.2,
@@ -103,7 +103,7 @@
     const shape = {
       method: 'POST',
       host: 'shop.example',
-      path: '/pick-confirm/p',
+      path: '/domiciliering/p',
       body: 'pick',
       deadlineMs: 1_200,
     };
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -10,7 +10,7 @@
 const PICKERS = 8;
 const SHEET_READERS = 4;
 
-/** Share of the answers of the wave sheet endpoint that are spoiled. */
+/** Share of the answers of the archive endpoint that are spoiled. */
 const SPOILED_SHARE = 0.04;
 
 /** Requests that may be closed without an answer on kept connections (rule LOST). */
@@ -25,13 +25,13 @@
   const spoiled = Buffer.from(answer);
   spoiled[at] = randomBelow(256);
   const shown = JSON.stringify(spoiled.subarray(0, headBytes).toString('latin1'));
-  record.line(`wavepress endpoint: spoils byte ${at} of its answer to ${id}: ${shown}`);
+  record.line(`archief endpoint: spoils byte ${at} of its answer to ${id}: ${shown}`);
   return spoiled;
 }
 
 await play(
   fileURLToPath(new URL('.', import.meta.url)),
-  { services: ['pickledger', 'pickledger', 'wavepress', 'stockdesk'] },
+  { services: ['inning', 'inning', 'archief', 'saldo'] },
   async (deployment, record) => {
     const endpoints = [];
     let spoiledCount = 0;
@@ -50,26 +50,26 @@
       }, 60);
     };
     for (const sidecar of deployment.sidecars.slice(0, 3)) {
-      const serve = sidecar.service === 'wavepress' ? sendSheet : confirm;
+      const serve = sidecar.service === 'archief' ? sendSheet : confirm;
       const endpoint = new Endpoint(record, deployment, sidecar, serve);
       await endpoint.start();
       endpoints.push(endpoint);
     }
     await deployment.configure(
       configurationOf(1, [
-        { name: 'pick-confirm', service: 'pickledger', type: 'non_idempotent', targetS: 0.5, timeoutS: 1.2 },
-        { name: 'wave-sheet', service: 'wavepress', type: 'download', targetS: 0.4, timeoutS: 1 },
+        { name: 'domiciliering', service: 'inning', type: 'non_idempotent', targetS: 0.5, timeoutS: 1.2 },
+        { name: 'jaarafrekening', service: 'archief', type: 'download', targetS: 0.4, timeoutS: 1 },
       ]),
     );
     const front = deployment.sidecars[3];
     const pick = {
       method: 'POST',
       host: 'shop.example',
-      path: '/pick-confirm/p',
+      path: '/domiciliering/p',
       body: 'pick',
       deadlineMs: 1_200,
     };
-    const sheet = { host: 'shop.example', path: '/wave-sheet/s', deadlineMs: 1_000 };
+    const sheet = { host: 'shop.example', path: '/jaarafrekening/s', deadlineMs: 1_000 };
     await untilServed(deployment, record, front, pick);
     await untilServed(deployment, record, front, sheet);
     spoils = true;
--- a/review/lib/stand.mjs
+++ b/review/lib/stand.mjs
@@ -44,7 +44,7 @@
   max_stretch_s: 5,
   retry_budget_ratio: 0.2,
   budget_window_s: 10,
-  budget_extra: 62,
+  budget_extra: 58,
   recovery_s: 15,
   max_hold_s: 10,
   thaw_slack_s: 0.3,
@@ -221,8 +221,8 @@
 machine_class = "${isCore ? 'core' : 'sidecar'}"
 serves = ["${isCore ? 'control' : 'sidecar'}"]
 ip = "${ip}"
-zone = "kacyiru"
-region = "kigali"
+zone = "hal-noord"
+region = "antwerpen"
 port_range = [${this.ports.own}, ${this.ports.own + 7}]
 seeds = [${seeds.join(', ')}]
 bootstrap = ${bootstrap}
@@ -234,7 +234,7 @@
 config_mode = "whole"
 grants = "invoke"
 ${own}[zones]
-kacyiru = "kigali"
+hal-noord = "antwerpen"
 [listen]
 ${listen}control = "${ip}:${this.ports.control}"
 [limits]
@@ -438,7 +438,7 @@
     const { ip, service } = this.sidecar;
     const body = JSON.stringify({
       address: `${ip}:${this.deployment.ports.app}`,
-      info: { service, version: 'v1', zone: 'kacyiru', slots: this.slots },
+      info: { service, version: 'v1', zone: 'hal-noord', slots: this.slots },
       status: { state: 'ready', call_seq: this.sequence, cold_left_s: 0 },
     });
     await call(ip, this.deployment.ports.control, 'PUT', `/instances/${this.id}`, body, {}, 1_000);
