Soak in the numbers of a deployment, with callers that leave and a loss of all daemons

Callers of the soak never left, and its judge knew no rule on work for callers that had left nor on the return of service, with six sidecars. The new command large-soak runs 5 directories and 68 sidecars as real processes; callers and back ends have processes of their own, whose stalls are measured and taken off. A third of the callers leave after 50 to 1,500 ms, troubles overlap, and at the end all daemons are killed or lose power and start again.

--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -6,6 +6,7 @@
 import { chainCommand } from './chain-command.js';
 import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
 import { guardsCommand } from './guards-command.js';
+import { largeSoakCommand } from './large-soak-command.js';
 import { loadCommand } from './load-command.js';
 import { routerBenchCommand } from './router-bench-command.js';
 import { slopesCommand } from './slopes-command.js';
@@ -131,6 +132,22 @@
   .option('--json', 'Print one JSON object as the last line')
   .action(async (options: Options) => await soakCommand(options));
 
+program
+  .command('large-soak')
+  .describe(
+    "Run the platform's real programs in the numbers of a deployment, and lose all of them at the end.",
+  )
+  .option('--seed', 'First seed; the next ones follow it', 1)
+  .option('--count', 'Number of seeds', 1)
+  .option('--sidecars', 'Number of sidecars, each with a back end', 68)
+  .option('--directories', 'Number of replicas of the directory', 5)
+  .option('--rate', 'Requests a second', 900)
+  .option('--slots', 'Requests that a back end runs concurrently', 18)
+  .option('--busy', 'Processes that compete for the processor', 0)
+  .option('--folder', 'Folder for settings, logs and data')
+  .option('--json', 'Print one JSON object a seed')
+  .action(async (options: Options) => await largeSoakCommand(options));
+
 program
   .command('demo')
   .describe('Start the Imigongo deployment, send traffic, kill an owner, and print what happened.')
