Tell idle links from lost ones, and how late a daemon runs when work is cancelled

Neither logs nor metrics could tell the hypotheses of GONE and RECOVER apart. A link that is closed because it is not used had the words of a dead one; it is counted now (links_idle_closed). The line link-lost overwrote the name of the daemon that wrote it with that of its peer; the peer has a field of its own. request-cancelled tells beside the back end whether a run had started, how the departure was learnt, age, wait and the recent delay of the process; start-stage the stages up to the first answer; process_delays counts the delays by phase of life.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -188,7 +188,7 @@
     return {
       cancel: () => {
         cancelled = true;
-        this.transmit(target, () => accepted?.cancel());
+        this.transmit(target, () => accepted?.cancel('cancelled'));
       },
       withdraw: () => {
         this.transmit(target, () => accepted?.withdraw());
@@ -266,6 +266,7 @@
       leaving: () => false,
       holdsKey: () => true,
       ownsKey: () => true,
+      stalledMs: () => 0,
       onAnswer: () => undefined,
       onWork: () => undefined,
     });
--- a/lab/sim/fleet/fleet-links.ts
+++ b/lab/sim/fleet/fleet-links.ts
@@ -151,7 +151,7 @@
 
   cancel(): void {
     this.end();
-    this.sendToPeer(() => this.accepted?.cancel());
+    this.sendToPeer(() => this.accepted?.cancel('cancelled'));
   }
 
   withdraw(): void {
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -29,9 +29,12 @@
  */
 const ACTIVE_TIMING: SilenceTiming = { probeIntervalMs: 250, maxSilenceMs: 800 };
 
-/** Liveness timing while no request is in flight: a dead connection is detected and closed within 4 s. */
+/** Liveness timing while no request is in flight: an unused connection, live or dead, is closed within 4 s. */
 const IDLE_TIMING: SilenceTiming = { probeIntervalMs: 2_000, maxSilenceMs: 1_900 };
 
+/** Reason for closing a connection that was not used; it says nothing about the peer. */
+export const IDLE_REASON = 'idle';
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Callbacks for events of a connection. */
@@ -53,6 +56,7 @@
   private drainCallbacks: (() => void)[] = [];
   /** Whether a goodbye frame was received. */
   private goodbyeReceived = false;
+  private hasRequestsInFlight = false;
   private readonly silence: SilenceWatch;
   private readonly pacedFrames: PacedFrames | null;
 
@@ -71,7 +75,7 @@
         this.send(FRAME_KIND.ping, 0, undefined);
       },
       onSilence: () => {
-        this.close('peer is silent');
+        this.close(this.hasRequestsInFlight ? 'peer is silent' : IDLE_REASON);
       },
     });
     const write = (bytes: Buffer): void => {
@@ -165,6 +169,7 @@
 
   /** Monitors the peer's liveness, at shorter intervals while requests are in flight. */
   watchSilence(hasRequestsInFlight: boolean): void {
+    this.hasRequestsInFlight = hasRequestsInFlight;
     if (!this.closed) this.silence.watch(hasRequestsInFlight ? ACTIVE_TIMING : IDLE_TIMING);
   }
 
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -31,10 +31,13 @@
   onDrain(callback: () => void): void;
 }
 
+/** How it became known that nobody waits for a request any more. */
+export type CancelCause = 'cancelled' | 'link-lost';
+
 /** Handle by which the server cancels a request. */
 export interface AcceptedRequest {
   /** Called when the caller has disconnected or given up. */
-  cancel(): void;
+  cancel(cause: CancelCause): void;
   /** Called when the caller withdraws the request, which is then refused if its execution has not begun. */
   withdraw(): void;
 }
@@ -96,7 +99,7 @@
       },
       onClose: () => {
         this.connections.delete(connection);
-        for (const request of requests.values()) request.cancel();
+        for (const request of requests.values()) request.cancel('link-lost');
         requests.clear();
       },
     };
@@ -133,7 +136,7 @@
     if (frame.kind === FRAME_KIND.compactHeads) connection.enableShortHeads();
     if (frame.kind === FRAME_KIND.withdraw) requests.get(frame.stream)?.withdraw();
     if (frame.kind !== FRAME_KIND.cancel) return;
-    requests.get(frame.stream)?.cancel();
+    requests.get(frame.stream)?.cancel('cancelled');
     requests.delete(frame.stream);
     connection.dropStream(frame.stream);
   }
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -12,7 +12,7 @@
   RequestHead,
   StatusHead,
 } from '../link/link-messages.js';
-import type { AcceptedRequest, RequestReply } from '../link/link-server.js';
+import type { AcceptedRequest, CancelCause, RequestReply } from '../link/link-server.js';
 import type { CancelTimer } from '../runtime/runtime.js';
 import { PLANNED_LIMIT_SHARE } from '../placement/reduced-capacities.js';
 import { policyIsOn } from '../policy-switches.js';
@@ -171,8 +171,8 @@
     this.adoptLimit(head);
     this.evaluate(request);
     return {
-      cancel: () => {
-        this.cancel(request);
+      cancel: (cause) => {
+        this.cancel(request, cause);
       },
       withdraw: () => {
         if (request.run === null) this.withdraw(request);
@@ -687,8 +687,9 @@
     return Math.round(this.returns.nextDelayMs(bounds, this.ports.runtime.nowMs()));
   }
 
-  private cancel(request: GatewayRequest): void {
+  private cancel(request: GatewayRequest, cause: CancelCause): void {
     if (request.done) return;
+    this.reportCancel(request, cause);
     this.removeFromQueues(request);
     if (request.slotRequest !== null) this.admission.withdraw(request.slotRequest);
     this.endLateWait(request, 'withdrawn');
@@ -702,6 +703,25 @@
     this.handleDone(request, { kind: 'cancelled' });
   }
 
+  /** Reports that a request ends because nobody waits for it any more. */
+  private reportCancel({ head, arrivedMs, startedMs, run }: GatewayRequest, cause: CancelCause): void {
+    const nowMs = this.ports.runtime.nowMs();
+    const ageMs = Math.round(nowMs - arrivedMs);
+    const waitedMs = Math.round((run === null ? nowMs : startedMs) - arrivedMs);
+    this.counters.cancelled[run === null ? 'waiting' : 'running'] += 1;
+    const { requestId, instance } = head;
+    const stalledMs = Math.round(this.ports.stalledMs());
+    this.ports.log.failure('request-cancelled', {
+      requestId,
+      instance,
+      cause,
+      ageMs,
+      waitedMs,
+      started: run !== null,
+      stalledMs,
+    });
+  }
+
   /** Withdraws a request that has not started, on behalf of the caller's daemon, which expects a refusal. */
   private withdraw(request: GatewayRequest): void {
     this.removeFromQueues(request);
--- a/src/sidecar/gateway-counters.ts
+++ b/src/sidecar/gateway-counters.ts
@@ -18,6 +18,8 @@
   answered: number;
   broken: number;
   refused: Record<RefusalReason, number>;
+  /** Requests whose caller left, by what they were doing. */
+  readonly cancelled: Record<'waiting' | 'running', number>;
   /** Of the refusals as busy, those because the network link had no room for the answer. */
   refusedForLink: number;
 }
@@ -29,6 +31,7 @@
     calls: 0,
     unreadableCalls: 0,
     slotMs: { success: 0, failure: 0, none: 0 },
+    cancelled: { waiting: 0, running: 0 },
     refusedForLink: 0,
     runs: 0,
     answered: 0,
--- a/src/sidecar/gateway-ports.ts
+++ b/src/sidecar/gateway-ports.ts
@@ -31,6 +31,8 @@
   readonly holdsKey: (key: number) => boolean;
   /** Whether the key is assigned to the back end, or is about to be. */
   readonly ownsKey: (key: number) => boolean;
+  /** Longest recent delay of this process, in ms. */
+  readonly stalledMs: () => number;
   /** Called with each answer of the present incarnation; `leaving` tells whether it states that the back end leaves. */
   readonly onAnswer: (leaving: boolean) => void;
   /** Called when slot time is used for a key; `ms` may be negative to correct an estimate. */
--- a/src/sidecar/peer-daemons.ts
+++ b/src/sidecar/peer-daemons.ts
@@ -1,6 +1,7 @@
 /** Links to the sidecars of all back ends, and the estimated state of those back ends. */
 import type { BackendInstance } from '../directory/directory-state.js';
 import { parseAddress } from '../directory/replica-address.js';
+import { IDLE_REASON } from '../link/link-connection.js';
 import type { Link, LinkClientHandlers, LinkRoute } from '../link/link-client.js';
 import type { ByteMeter } from '../link/link-bytes.js';
 import type { LinkPacer } from '../link/link-pacer.js';
@@ -31,6 +32,8 @@
 
 /** The sidecars of all registered back ends, including this one. */
 export class PeerDaemons {
+  /** Number of links that were closed because they were not used. */
+  idleLinks = 0;
   private readonly links = new Map<string, Link>();
   private readonly views = new Map<string, BackendView>();
   private addressCount = 1;
@@ -71,7 +74,7 @@
         this.recordStatus(status);
       },
       onDisconnect: (reason) => {
-        this.ports.log.event('link-lost', { daemon: daemonAddress, reason });
+        this.recordDisconnect(daemonAddress, reason);
       },
     });
     this.links.set(daemonAddress, link);
@@ -102,6 +105,11 @@
     for (const link of this.links.values()) link.stop();
   }
 
+  private recordDisconnect(peer: string, reason: string): void {
+    if (reason === IDLE_REASON) this.idleLinks += 1;
+    else this.ports.log.event('link-lost', { peer, reason });
+  }
+
   private recordStatus(status: StatusHead): void {
     this.viewOf(status.instance).recordStatus(status, this.ports.runtime.nowMs());
     this.ports.onStatus(status.instance);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -41,6 +41,16 @@
   metrics.family('gateway_refusals', 'Requests refused beside the back end, by reason', 'reason', () =>
     Object.entries(gateway.counters.refused),
   );
+  metrics.family('gateway_cancelled', 'Requests whose caller left, by what they were doing', 'state', () =>
+    Object.entries(gateway.counters.cancelled),
+  );
+  metrics.labeled(
+    'process_delays',
+    'Checks of how late the process runs, by phase and least delay in ms',
+    ['phase', 'least_ms'],
+    () => [...node.delay.counts].map(([key, count]) => [key.split(' '), count] as const),
+  );
+  metrics.value('links_idle_closed', 'Links closed because they were not used', () => node.idleLinks);
   exposeCalls(metrics, node);
   metrics.value(
     'gateway_link_refusals',
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -11,6 +11,9 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
+import type { ProcessDelay } from '../telemetry/process-delay.js';
+import { StartStages } from '../telemetry/start-stages.js';
+import { watchStalls } from '../telemetry/stall-watch.js';
 import { BackendChooser } from './backend-chooser.js';
 import type { BackendClient } from './backend-client.js';
 import { BackendGateway } from './backend-gateway.js';
@@ -99,6 +102,9 @@
   /** Paces large answers; null if the network link is fast. */
   private readonly pacer: LinkPacer | null;
   readonly counters = createForwarderCounters();
+  /** How late this process runs. */
+  readonly delay: ProcessDelay;
+  private readonly stages: StartStages;
   /** Bytes exchanged with other daemons. */
   readonly linkBytes = new LinkBytes();
   private readonly zones: PeerZones;
@@ -135,6 +141,8 @@
     this.runtime = runtime;
     this.log = log;
     this.startedMs = runtime.nowMs();
+    this.delay = watchStalls(runtime, log);
+    this.stages = new StartStages(() => runtime.nowMs(), log);
     this.transport = options.transport ?? socketTransport(settings, runtime);
     this.presence = this.makePresence();
     this.backend = this.presence.backend;
@@ -219,6 +227,11 @@
     return this.table.configured ? null : 'no configuration is known';
   }
 
+  /** Number of links to other daemons that were closed because they were not used. */
+  get idleLinks(): number {
+    return this.peers.idleLinks;
+  }
+
   /** Current time of the daemon's clock, in ms. */
   get nowMs(): number {
     return this.runtime.nowMs();
@@ -246,6 +259,7 @@
     const outcome = this.presence.recordHeartbeat(heartbeat, arrivedMs);
     if (outcome === 'new-life' && previous !== null) this.crashes.incarnationReplaced(previous);
     if (outcome === 'stale') return null;
+    this.stages.reach('back-end');
     if (outcome === 'new-life') this.startIncarnation(heartbeat);
     else this.coldLimit.recordReport(heartbeat.coldLeftMs, this.runtime.steadyMs());
     this.gateway.setSlots(heartbeat.slots);
@@ -279,6 +293,7 @@
     if (this.stoppingSinceMs !== null) return;
     const startMs = this.runtime.nowMs();
     this.stoppingSinceMs = startMs;
+    this.delay.phase = 'stopping';
     const { graceMs } = this.settings;
     void this.presence.recheckListening();
     await this.waitUntil(startMs + graceMs * CALLERS_CLOSE_FRACTION, () => false);
@@ -304,6 +319,7 @@
   private close(): void {
     for (const cancel of this.timers) cancel();
     this.logBytes();
+    this.delay.stop();
     this.lease.stop();
     this.crashes.stop();
     this.keys.stop();
@@ -328,6 +344,7 @@
       usableSlots: () => this.gateway.usableSlots,
       hasQueuedRequests: () => this.gateway.admission.waitingCount > 0,
       onFirstRegistration: (leaseTermMs, replacesAnother) => {
+        this.stages.reach('registered');
         this.confirmNewIncarnation(leaseTermMs, replacesAnother);
       },
       onChange: () => {
@@ -399,6 +416,7 @@
       instance: () => (this.backend.confirmed || this.backend.leaving ? this.backend.life : null),
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_WAIT_MS,
       closesAtMs: () => this.closesAtMs(),
+      stalledMs: () => this.delay.recentMs,
       leaving: () => this.backend.leaving || this.stoppingSinceMs !== null || this.evacuation.isActive,
       holdsKey: (key) => this.keys.holds(key),
       ownsKey: (key) => this.keys.owns(key),
@@ -545,6 +563,7 @@
   // ---- the directory
 
   private tableChanged(): void {
+    if (this.table.configured) this.stages.reach('table');
     this.coldLimit.configure(this.table.service(this.settings.service)?.coldStart ?? null);
     this.applyEvacuation();
     this.keys.applyGrantMode();
@@ -564,7 +583,20 @@
     if (this.closingConnections) {
       return { statusCode: LOCAL_STATUS.notRun, reason: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS };
     }
-    return this.requests.handle(incoming, sink);
+    this.stages.reach('request');
+    return this.requests.handle(incoming, this.stages.has('answer') ? sink : this.withFirstAnswer(sink));
+  }
+
+  /** Wraps a sink so that the first answer ends the start of this daemon. */
+  private withFirstAnswer(sink: CallerSink): CallerSink {
+    return {
+      ...sink,
+      answer: (head, body) => {
+        this.stages.reach('answer');
+        if (this.delay.phase === 'starting') this.delay.phase = 'running';
+        sink.answer(head, body);
+      },
+    };
   }
 
   private async waitUntil(untilMs: number, isDone: () => boolean): Promise<void> {
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -68,6 +68,7 @@
       leaving: () => false,
       holdsKey: () => this.holdsKey,
       ownsKey: () => true,
+      stalledMs: () => 0,
       onAnswer: () => undefined,
       onWork: (_key, ms) => (this.countedWorkMs += ms),
     });
--- a/test/sidecar/gateway-ports.ts
+++ b/test/sidecar/gateway-ports.ts
@@ -24,6 +24,7 @@
     leaving: () => false,
     holdsKey: () => true,
     ownsKey: () => true,
+    stalledMs: () => 0,
     onAnswer: () => undefined,
     onWork: () => undefined,
   };
