Read pending input before work that it may cancel

Callers saw nothing; back ends got requests whose callers had left long before. A daemon that was kept from running read a request, decided and sent it on before it read the close or the cancellation that lay behind it in the kernel.

Callers' requests, link frames and sends to back ends now wait until the input that was pending with them has been read, and until a backlog of connections is accepted, for 100 ms at most; work runs in slices of 5 ms between reads. What is cancelled meanwhile is dropped and counted.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -3,6 +3,7 @@
  * lazily by the first request or probe, and reopened on demand after it was lost.
  */
 import { connect } from 'node:net';
+import { InputTurns } from '../runtime/input-turns.js';
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import { withoutExcess, withRequestId } from './head-parts.js';
@@ -51,6 +52,8 @@
   readonly body: Buffer;
   readonly handlers: RequestHandlers;
   sent: boolean;
+  /** Whether the request was withdrawn before it was sent. */
+  withdrawn: boolean;
 }
 
 /** Handle of a request that was passed to a link. */
@@ -101,6 +104,7 @@
     private readonly route: LinkRoute,
     private readonly nowMs: () => number,
     private readonly handlers: LinkClientHandlers,
+    private readonly turns = new InputTurns(nowMs),
   ) {}
 
   /** Whether the last attempt to connect failed within the reconnect delay. */
@@ -113,21 +117,25 @@
     return this.pending.size;
   }
 
-  /** Sends a request, as soon as the connection is open. */
+  /**
+   * Sends a request, as soon as the connection is open and pending input has been read, which may show that the request
+   * is to be cancelled.
+   */
   request(head: RequestHead, body: Buffer, handlers: RequestHandlers): LinkRequest {
     const stream = this.nextStream;
     this.nextStream += 1;
-    const pending: PendingRequest = { head, body, handlers, sent: false };
+    const pending: PendingRequest = { head, body, handlers, sent: false, withdrawn: false };
     this.pending.set(stream, pending);
     this.ensureConnection();
-    if (this.connected) this.sendRequest(stream, pending);
+    if (this.connected) this.scheduleSending();
     return {
       cancel: () => {
         this.cancel(stream);
       },
       withdraw: () => {
-        if (this.pending.get(stream)?.sent === true)
-          this.connection?.send(FRAME_KIND.withdraw, stream, undefined);
+        if (!this.pending.has(stream)) return;
+        if (pending.sent) this.connection?.send(FRAME_KIND.withdraw, stream, undefined);
+        else pending.withdrawn = true;
       },
     };
   }
@@ -182,15 +190,24 @@
     this.unreachableUntilMs = 0;
     if (this.probePending) this.connection?.send(FRAME_KIND.probe, 0, undefined);
     this.probePending = false;
-    for (const [stream, pending] of this.pending) this.sendRequest(stream, pending);
+    this.scheduleSending();
     this.watch();
   }
 
+  /** Sends the requests that were not sent, once pending input has been read. */
+  private scheduleSending(): void {
+    this.turns.afterInput(() => {
+      if (!this.connected) return;
+      for (const [stream, pending] of this.pending) if (!pending.sent) this.sendRequest(stream, pending);
+    });
+  }
+
   private sendRequest(stream: number, pending: PendingRequest): void {
     pending.sent = true;
     const { head, body } = pending;
     const sentHead = this.connection?.sendsShortHeads === true ? withoutExcess(head, body.length) : head;
     this.connection?.send(FRAME_KIND.request, stream, sentHead, body);
+    if (pending.withdrawn) this.connection?.send(FRAME_KIND.withdraw, stream, undefined);
     this.watch();
   }
 
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
+import { InputTurns } from '../runtime/input-turns.js';
 import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
@@ -63,6 +64,9 @@
     private readonly pacer: LinkPacer | null = null,
     /** Returns the meter of a connection; null if its frames are not counted. */
     private readonly meterOf: MeterOfHost = () => null,
+    private readonly turns = new InputTurns(nowMs),
+    /** Called when a request is dropped before it was passed on, because nobody waits for it any more. */
+    private readonly onDropped: () => void = () => undefined,
   ) {
     this.server = createServer((socket) => {
       this.accept(socket);
@@ -92,6 +96,7 @@
   }
 
   private accept(socket: Socket): void {
+    this.turns.connectionAccepted();
     const requests = new Map<number, AcceptedRequest>();
     const handlers: LinkConnectionHandlers = {
       onFrame: (frame) => {
@@ -124,7 +129,7 @@
         requests.delete(frame.stream);
       };
       const reply = makeReply(connection, frame.stream, head.requestId, removeRequest);
-      const accepted = this.acceptRequest(head, frame.body, reply.port);
+      const accepted = this.acceptAfterInput(head, frame.body, reply);
       if (!reply.finished()) requests.set(frame.stream, accepted);
       return;
     }
@@ -140,6 +145,35 @@
     requests.delete(frame.stream);
     connection.dropStream(frame.stream);
   }
+
+  /** Passes a request on once pending input has been read, unless that cancels it. */
+  private acceptAfterInput(head: RequestHead, body: Buffer, reply: TrackedReply): AcceptedRequest {
+    let accepted: AcceptedRequest | null = null;
+    let dropped = false;
+    let withdrawn = false;
+    this.turns.afterInput(() => {
+      if (dropped) return;
+      accepted = this.acceptRequest(head, body, reply.port);
+      if (withdrawn && !reply.finished()) accepted.withdraw();
+    });
+    return {
+      cancel: (cause) => {
+        if (accepted !== null) accepted.cancel(cause);
+        else this.onDropped();
+        dropped = true;
+      },
+      withdraw: () => {
+        if (accepted !== null) accepted.withdraw();
+        else withdrawn = true;
+      },
+    };
+  }
+}
+
+/** Reply of one request, and whether its final outcome was sent. */
+interface TrackedReply {
+  readonly port: RequestReply;
+  readonly finished: () => boolean;
 }
 
 function makeReply(
@@ -147,7 +181,7 @@
   stream: number,
   requestId: string,
   removeRequest: () => void,
-): { readonly port: RequestReply; readonly finished: () => boolean } {
+): TrackedReply {
   let finished = false;
   const finish = (): void => {
     finished = true;
--- a/src/sidecar/backend-client.ts
+++ b/src/sidecar/backend-client.ts
@@ -1,6 +1,7 @@
 /** Client through which a gateway runs requests at its local back end. */
 import type { RequestHead } from '../link/link-messages.js';
 import type { SocketAddress } from '../model/socket-address.js';
+import type { InputTurns } from '../runtime/input-turns.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { BackendPool, type RequestPool } from './backend-pool.js';
 import { BackendRun, type RunPorts } from './backend-run.js';
@@ -63,10 +64,11 @@
   dialect: HeaderDialect,
   runtime: Runtime,
   onRefused: () => void,
+  turns?: InputTurns,
 ): BackendClient {
   const names = { requestId: dialect.requestId, notRun: dialect.notRun };
   return new PooledBackendClient(
-    new BackendPool(address, names, () => runtime.nowMs(), onRefused),
+    new BackendPool(address, names, () => runtime.nowMs(), onRefused, turns),
     dialect,
     runtime,
   );
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -1,4 +1,5 @@
 /** Connection pool of one back end. Idle connections are reused, the most recently used one first. */
+import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import {
   BackendConnection,
@@ -35,6 +36,7 @@
   opened = 0;
   private readonly connections = new Set<BackendConnection>();
   private idle: BackendConnection[] = [];
+  private destroyed = false;
 
   constructor(
     private readonly address: SocketAddress,
@@ -42,10 +44,25 @@
     private readonly nowMs: () => number,
     /** Called when the back end's address refuses a connection, that is, no process listens there. */
     private readonly onRefused: () => void,
+    private readonly turns = new InputTurns(nowMs),
   ) {}
 
-  /** Sends a request on an idle connection or a new one. */
+  /** Sends a request on an idle connection or a new one, unless pending input cancels it. */
   run(request: BackendRequest, handlers: BackendRequestHandlers): InFlightRequest {
+    let connection: BackendConnection | null = null;
+    let cancelled = false;
+    this.turns.afterInput(() => {
+      if (!cancelled && !this.destroyed) connection = this.send(request, handlers);
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        connection?.destroy();
+      },
+    };
+  }
+
+  private send(request: BackendRequest, handlers: BackendRequestHandlers): BackendConnection {
     const connection =
       this.acquireIdle(request.repeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS) ?? this.open();
     connection.run(request, {
@@ -65,15 +82,12 @@
         handlers.onBroken(reason, detail, sent);
       },
     });
-    return {
-      cancel: () => {
-        connection.destroy();
-      },
-    };
+    return connection;
   }
 
   /** Closes all connections; requests in flight end without a callback. */
   destroy(): void {
+    this.destroyed = true;
     for (const connection of [...this.connections]) connection.destroy();
     this.idle = [];
   }
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import type { LimitsDefinition } from '../directory/directory-state.js';
 import type { AnswerHead } from '../link/link-messages.js';
+import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import type { CallerSink, UnansweredOutcome } from './caller-request.js';
@@ -52,6 +53,8 @@
   readonly closing: () => boolean;
   /** Starts forwarding a request, or returns an immediate answer. */
   readonly handle: (request: IncomingRequest, sink: CallerSink) => RequestHandle | LocalAnswer;
+  /** Called when a caller has left before its request was forwarded. */
+  readonly onLeft?: () => void;
 }
 
 /** HTTP statuses of the answers that the sidecar itself generates. */
@@ -72,7 +75,10 @@
   private readonly server: Server;
   private activeCount = 0;
 
-  constructor(private readonly ports: CallerServerPorts) {
+  constructor(
+    private readonly ports: CallerServerPorts,
+    private readonly turns = new InputTurns(() => performance.now()),
+  ) {
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BLOCK_BYTES,
@@ -84,6 +90,9 @@
       },
     );
     this.server.requestTimeout = 0;
+    this.server.on('connection', () => {
+      this.turns.connectionAccepted();
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       rejectUnreadable(error, socket);
     });
@@ -140,7 +149,10 @@
       return;
     }
     this.readBody(request, response, (body) => {
-      forwarded = this.dispatch(request, response, body);
+      // The caller may have closed the connection right after its request.
+      this.turns.afterClose(() => {
+        forwarded = this.dispatch(request, response, body);
+      });
     });
   }
 
@@ -164,7 +176,10 @@
   }
 
   private dispatch(request: IncomingMessage, response: ServerResponse, body: Buffer): RequestHandle | null {
-    if (response.destroyed) return null;
+    if (response.destroyed || request.socket.readableEnded) {
+      this.ports.onLeft?.();
+      return null;
+    }
     const incoming: IncomingRequest = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
--- a/src/sidecar/forwarder-counters.ts
+++ b/src/sidecar/forwarder-counters.ts
@@ -17,6 +17,8 @@
   notRun: number;
   unknown: number;
   cancelled: number;
+  /** Requests whose callers had left before these were forwarded. */
+  leftUnread: number;
   /** Requests refused permanently because they have ended the back ends that ran them. */
   quarantined: number;
   /** Refusals whose time until a network link has room could not be read. */
@@ -38,6 +40,7 @@
     notRun: 0,
     unknown: 0,
     cancelled: 0,
+    leftUnread: 0,
     quarantined: 0,
     unreadableLinkTimes: 0,
     returned: 0,
--- a/src/sidecar/gateway-counters.ts
+++ b/src/sidecar/gateway-counters.ts
@@ -19,7 +19,7 @@
   broken: number;
   refused: Record<RefusalReason, number>;
   /** Requests whose caller left, by what they were doing. */
-  readonly cancelled: Record<'waiting' | 'running', number>;
+  readonly cancelled: Record<'unread' | 'waiting' | 'running', number>;
   /** Of the refusals as busy, those because the network link had no room for the answer. */
   refusedForLink: number;
 }
@@ -31,7 +31,7 @@
     calls: 0,
     unreadableCalls: 0,
     slotMs: { success: 0, failure: 0, none: 0 },
-    cancelled: { waiting: 0, running: 0 },
+    cancelled: { unread: 0, waiting: 0, running: 0 },
     refusedForLink: 0,
     runs: 0,
     answered: 0,
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -14,6 +14,7 @@
     ['not-run', counters.notRun],
     ['unknown', counters.unknown],
     ['cancelled', counters.cancelled],
+    ['left-unread', counters.leftUnread],
     ['quarantined', counters.quarantined],
   ]);
   metrics.value('attempts', 'Attempts at other daemons', () => counters.attempts);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -191,6 +191,9 @@
     this.linkServer = this.transport.links({
       take: (head, body, reply) => this.gateway.accept(head, body, reply),
       status: () => this.gateway.status(),
+      onDropped: () => {
+        this.gateway.counters.cancelled.unread += 1;
+      },
       pacer: this.pacer,
       meterOf: (host) =>
         this.linkBytes.meter(() => (host === null ? 'machine' : this.zones.scopeOfHost(host))),
@@ -199,6 +202,9 @@
       limits: () => this.table.limits,
       closing: () => this.closingConnections,
       handle: (request, sink) => this.handleRequest(request, sink),
+      onLeft: () => {
+        this.counters.leftUnread += 1;
+      },
     });
     this.directory = this.makeDirectory();
     this.timers.push(
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -8,6 +8,7 @@
 import { LinkServer, type AcceptRequest, type MeterOfHost } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import type { Result } from '../result.js';
+import { InputTurns } from '../runtime/input-turns.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { httpBackendClient, type BackendClient } from './backend-client.js';
 import { CallerServer, type CallerServerPorts } from './caller-server.js';
@@ -43,6 +44,8 @@
   /** Paces answers over a slow network link; null if the link is fast. */
   readonly pacer: LinkPacer | null;
   readonly meterOf: MeterOfHost;
+  /** Called when a request is dropped before it was taken, because nobody waits for it any more. */
+  readonly onDropped?: () => void;
 }
 
 /** Factory of a sidecar's listeners and clients. */
@@ -57,11 +60,12 @@
 /** Transport of a daemon: TCP and HTTP/1.1. */
 export function socketTransport(settings: SidecarSettings, runtime: Runtime): SidecarTransport {
   const nowMs = (): number => runtime.nowMs();
+  const turns = new InputTurns(nowMs);
   return {
-    callers: (ports) => new CallerServer(ports),
-    links: ({ take, status, pacer, meterOf }) =>
-      new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf),
-    dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers),
-    backend: (onRefused) => httpBackendClient(settings.backend, settings.dialect, runtime, onRefused),
+    callers: (ports) => new CallerServer(ports, turns),
+    links: ({ take, status, pacer, meterOf, onDropped }) =>
+      new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf, turns, onDropped),
+    dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers, turns),
+    backend: (onRefused) => httpBackendClient(settings.backend, settings.dialect, runtime, onRefused, turns),
   };
 }
