Watch the caller's daemon of a link, not only the daemon beside the back end

Only the calling side of a link watched for silence. When a link died without a reset, the cancellations went into a dead connection, and the daemon beside the back end kept what waited and ran it when a slot was free, and kept connections of machines that had lost power for good.

The receiving side probes now while requests are in flight. After 0.5 s of silence it refuses what has not begun (a daemon that is only slow sends it elsewhere), after 2 s it cancels what runs. A connection without requests is closed after 10 s without bytes; callers' daemons close theirs within 4 s.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -5,7 +5,7 @@
 import { connect } from 'node:net';
 import { InputTurns } from '../runtime/input-turns.js';
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
-import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import { LINK_TIMINGS, LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import { withoutExcess, withRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { ByteMeter } from './link-bytes.js';
@@ -212,7 +212,8 @@
   }
 
   private watch(): void {
-    if (this.connected) this.connection?.watchSilence(this.pending.size > 0);
+    const timing = this.pending.size > 0 ? LINK_TIMINGS.clientActive : LINK_TIMINGS.clientIdle;
+    if (this.connected) this.connection?.watchSilence(timing);
   }
 
   private handleClose(reason: string): void {
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -23,18 +23,36 @@
   type LinkFrame,
 } from './link-frame.js';
 
-/**
- * Liveness timing while requests are in flight: 0.8 s of silence uses up most of the time of a request, and stalls of a
- * busy daemon are shorter.
- */
-const ACTIVE_TIMING: SilenceTiming = { probeIntervalMs: 250, maxSilenceMs: 800 };
-
-/** Liveness timing while no request is in flight: an unused connection, live or dead, is closed within 4 s. */
-const IDLE_TIMING: SilenceTiming = { probeIntervalMs: 2_000, maxSilenceMs: 1_900 };
+/** Liveness timing of a connection, and the reason for which it is closed. */
+interface LinkTiming extends SilenceTiming {
+  readonly closeReason: string;
+}
 
 /** Reason for closing a connection that was not used; it says nothing about the peer. */
 export const IDLE_REASON = 'idle';
 
+const SILENT_REASON = 'peer is silent';
+
+/** Liveness timings of both sides of a link, while requests are in flight and while none is. */
+export const LINK_TIMINGS = {
+  /** 0.8 s of silence uses up most of the time of a request, and stalls of a busy daemon are shorter. */
+  clientActive: { probeIntervalMs: 250, maxSilenceMs: 800, closeReason: SILENT_REASON },
+  /** An unused connection, live or dead, is closed within 4 s. */
+  clientIdle: { probeIntervalMs: 2_000, maxSilenceMs: 1_900, closeReason: IDLE_REASON },
+  /**
+   * Work that runs for a peer that may only be slow goes on for longer than the peer waits for a dead connection; work
+   * that has not begun does not.
+   */
+  serverActive: {
+    probeIntervalMs: 250,
+    maxSilenceMs: 2_000,
+    suspectedAfterMs: 500,
+    closeReason: SILENT_REASON,
+  },
+  /** Longer than the client keeps an unused connection, so that only dead ones are closed. */
+  serverIdle: { probeIntervalMs: 10_000, maxSilenceMs: 9_900, closeReason: IDLE_REASON },
+} as const satisfies Record<string, LinkTiming>;
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Callbacks for events of a connection. */
@@ -42,6 +60,8 @@
   onFrame(frame: LinkFrame): void;
   /** Called once. */
   onClose(reason: string): void;
+  /** Called when the peer is silent for so long that the connection may be dead. */
+  onSuspicion?(): void;
 }
 
 /** A connection between two daemons, used by both sides. */
@@ -56,7 +76,7 @@
   private drainCallbacks: (() => void)[] = [];
   /** Whether a goodbye frame was received. */
   private goodbyeReceived = false;
-  private hasRequestsInFlight = false;
+  private closeReason = SILENT_REASON;
   private readonly silence: SilenceWatch;
   private readonly pacedFrames: PacedFrames | null;
 
@@ -75,7 +95,10 @@
         this.send(FRAME_KIND.ping, 0, undefined);
       },
       onSilence: () => {
-        this.close(this.hasRequestsInFlight ? 'peer is silent' : IDLE_REASON);
+        this.close(this.closeReason);
+      },
+      onSuspicion: () => {
+        this.handlers.onSuspicion?.();
       },
     });
     const write = (bytes: Buffer): void => {
@@ -167,10 +190,10 @@
     });
   }
 
-  /** Monitors the peer's liveness, at shorter intervals while requests are in flight. */
-  watchSilence(hasRequestsInFlight: boolean): void {
-    this.hasRequestsInFlight = hasRequestsInFlight;
-    if (!this.closed) this.silence.watch(hasRequestsInFlight ? ACTIVE_TIMING : IDLE_TIMING);
+  /** Monitors the peer's liveness. */
+  watchSilence(timing: LinkTiming): void {
+    this.closeReason = timing.closeReason;
+    if (!this.closed) this.silence.watch(timing);
   }
 
   /** Sends the queued frames and a goodbye, ignores further input, and ends the connection. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -3,7 +3,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import { InputTurns } from '../runtime/input-turns.js';
-import { LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import { LINK_TIMINGS, LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
 import { withoutRequestId } from './head-parts.js';
@@ -101,12 +101,16 @@
     const handlers: LinkConnectionHandlers = {
       onFrame: (frame) => {
         this.handleFrame(frame, connection, requests);
+        watch(connection, requests);
       },
       onClose: () => {
         this.connections.delete(connection);
         for (const request of requests.values()) request.cancel('link-lost');
         requests.clear();
       },
+      onSuspicion: () => {
+        for (const request of requests.values()) request.withdraw();
+      },
     };
     // Connections within the machine do not use the network link.
     const isLocal = socket.remoteAddress === socket.localAddress;
@@ -116,6 +120,7 @@
     this.connections.add(connection);
     const hello: HelloHead = { life: this.life, ...(pacer === null ? {} : { compactHeads: true }) };
     connection.send(FRAME_KIND.hello, 0, hello);
+    watch(connection, requests);
   }
 
   private handleFrame(
@@ -127,6 +132,7 @@
       const head = frame.head as RequestHead;
       const removeRequest = (): void => {
         requests.delete(frame.stream);
+        watch(connection, requests);
       };
       const reply = makeReply(connection, frame.stream, head.requestId, removeRequest);
       const accepted = this.acceptAfterInput(head, frame.body, reply);
@@ -170,6 +176,11 @@
   }
 }
 
+/** Watches the caller's daemon: without it, requests over a dead connection would be run for nobody. */
+function watch(connection: LinkConnection, requests: ReadonlyMap<number, AcceptedRequest>): void {
+  connection.watchSilence(requests.size > 0 ? LINK_TIMINGS.serverActive : LINK_TIMINGS.serverIdle);
+}
+
 /** Reply of one request, and whether its final outcome was sent. */
 interface TrackedReply {
   readonly port: RequestReply;
--- a/src/transport/silence-watch.ts
+++ b/src/transport/silence-watch.ts
@@ -17,6 +17,8 @@
    * first: a connection that carried nothing for one interval is closed.
    */
   readonly maxSilenceMs: number;
+  /** Shorter silence after which a probed peer is suspected; missing if it never is. */
+  readonly suspectedAfterMs?: number;
 }
 
 /** Clock and callbacks of a watch. */
@@ -26,6 +28,8 @@
   sendProbe(): void;
   /** Called once when the peer counts as silent; the watch has then stopped. */
   onSilence(): void;
+  /** Called once in each silence in which the peer is suspected. */
+  onSuspicion?(): void;
 }
 
 /** Watches one connection. */
@@ -36,6 +40,8 @@
   private checkedMs = 0;
   /** Whether the peer was probed since bytes were last received. */
   private probed = false;
+  /** Whether the peer was suspected since bytes were last received. */
+  private suspected = false;
 
   constructor(private readonly ports: SilenceWatchPorts) {
     this.receivedMs = ports.nowMs();
@@ -44,6 +50,7 @@
   /** Records that bytes were received. */
   recordReceived(): void {
     this.probed = false;
+    this.suspected = false;
     this.receivedMs = this.ports.nowMs();
   }
 
@@ -67,7 +74,7 @@
   }
 
   /** Checks the peer. After a stall of this process the measurement restarts, since the peer may not have been silent. */
-  private check({ probeIntervalMs, maxSilenceMs }: SilenceTiming): void {
+  private check({ probeIntervalMs, maxSilenceMs, suspectedAfterMs = Infinity }: SilenceTiming): void {
     const nowMs = this.ports.nowMs();
     const stalled = nowMs - this.checkedMs > probeIntervalMs + MIN_STALL_MS;
     this.checkedMs = nowMs;
@@ -80,6 +87,10 @@
       this.ports.onSilence();
       return;
     }
+    if (silentMs > suspectedAfterMs && this.probed && !this.suspected) {
+      this.suspected = true;
+      this.ports.onSuspicion?.();
+    }
     if (silentMs < probeIntervalMs / 2) return;
     this.probed = true;
     this.ports.sendProbe();
