Reject an answer whose head cannot be sent on, in place of ending the daemon

Callers lost all requests of a sidecar when one answer of one back end held an invalid byte in a header: http-parser-js lets it through, and Node's writeHead throws at the caller's daemon, which ended the process.

The parser beside the back end now counts such an answer as garbled, like one with a bad length; a caller's daemon that gets such a head from a daemon of another version answers 502.

--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -1,8 +1,10 @@
 /**
- * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects content lengths and chunk sizes that are
- * not numbers, which that library tolerates and which would make a truncated answer look complete.
+ * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects what that library tolerates: content lengths
+ * and chunk sizes that are not numbers, which would make a truncated answer look complete, and heads that cannot be sent
+ * on.
  */
 import { HTTPParser } from 'http-parser-js';
+import { invalidHeadReason } from './answer-headers.js';
 import { headerValue } from './header-dialect.js';
 
 /** Status and headers of an answer. */
@@ -54,6 +56,8 @@
     }): boolean => {
       rejectInvalidContentLength(info.headers);
       const { statusCode, headers, shouldKeepAlive } = info;
+      const problem = invalidHeadReason(statusCode, headers);
+      if (problem !== null) throw new Error(problem);
       return handlers.onHeaders({
         statusCode,
         headers,
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -9,6 +9,7 @@
 import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
+import { invalidHeadReason } from './answer-headers.js';
 import type { CallerSink, UnansweredOutcome } from './caller-request.js';
 
 /** Maximum size of a header block that is read, in bytes; the configured limit is checked afterwards. */
@@ -196,12 +197,12 @@
   private makeSink(response: ServerResponse): CallerSink {
     return {
       answer: (head, body) => {
-        this.writeHead(response, head);
+        if (!this.writeHead(response, head)) return;
         if (head.moreFollows) response.write(body);
         else response.end(body);
       },
       body: (chunk) => {
-        response.write(chunk);
+        if (!response.writableEnded) response.write(chunk);
       },
       end: () => {
         response.end();
@@ -215,7 +216,12 @@
     };
   }
 
-  private writeHead(response: ServerResponse, head: AnswerHead): void {
+  /** Returns false, and answers itself, if the head cannot be sent on; a daemon of another version may not have checked it. */
+  private writeHead(response: ServerResponse, head: AnswerHead): boolean {
+    if (invalidHeadReason(head.statusCode, head.headers) !== null) {
+      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.unknownOutcome, 'the answer is not readable'));
+      return false;
+    }
     if (this.ports.closing()) response.shouldKeepAlive = false;
     response.sendDate = false;
     const headers = [...head.headers];
@@ -226,6 +232,7 @@
       response.shouldKeepAlive = false;
     } else if (head.contentLength !== null) headers.push('content-length', String(head.contentLength));
     response.writeHead(head.statusCode, headers);
+    return true;
   }
 
   private sendLocalAnswer(response: ServerResponse, answer: LocalAnswer): void {
