Tell the answers to key calls apart by request ids

Two back ends worked on the same keys: a late surplus answer to a grant, on a kept connection, was taken for the answer to the next release, and the keys were granted elsewhere while the first back end was at work on them.

An answer without an id counts on a new connection only, which is not kept then.

--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -30,6 +30,8 @@
   readonly requestId: string;
   /** Whether the request may be executed more than once. */
   readonly repeatable: boolean;
+  /** Whether an answer without a request id is accepted, on a connection that has carried nothing before. */
+  readonly allowsMissingId?: boolean;
 }
 
 /** Why a request has no complete answer: the connection broke, or the answer is malformed. */
@@ -64,6 +66,7 @@
   private reusable = true;
   private idleUntilMs = 0;
   private usedMs = Infinity;
+  private requestCount = 0;
   private readonly connectTimer: NodeJS.Timeout;
 
   constructor(
@@ -107,6 +110,7 @@
   /** Sends a request, as soon as the connection is open. */
   run(request: BackendRequest, handlers: BackendRequestHandlers): void {
     this.request = request;
+    this.requestCount += 1;
     this.handlers = handlers;
     this.requestWritten = false;
     if (this.connected) this.write();
@@ -192,7 +196,11 @@
   private matchesRequest(answer: ParsedAnswer, request: BackendRequest): boolean {
     const id = headerValue(answer.headers, this.names.requestId);
     if (id !== null) return id === request.requestId;
-    return headerValue(answer.headers, this.names.notRun) !== null;
+    if (headerValue(answer.headers, this.names.notRun) !== null) return true;
+    if (request.allowsMissingId !== true || this.requestCount > 1) return false;
+    // Without ids, a late surplus answer could not be told from the answer to the next call.
+    this.reusable = false;
+    return true;
   }
 
   private handleComplete(surplus: boolean): void {
