Send a rejected request again on another connection

A caller was answered 503 for a request that the back end was running: the request had been rejected and was sent again on the same connection, where a surplus copy of the rejection arrived. The id is the same, so nothing tells the copy from the answer to the second sending.

A connection stores the requests that were rejected on it and carries none of them again; after 32 rejections it is not reused. A rejection on one connection cannot arrive on another.

--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -16,8 +16,15 @@
 /** Margin in ms before the back end's keep-alive timeout within which an idle connection is no longer reused. */
 const IDLE_MARGIN_MS = 1_500;
 
+/**
+ * Maximum number of rejected requests that a connection stores, to carry none of them again: a surplus copy of the
+ * rejection would be taken for the answer.
+ */
+const MAX_REJECTED_REQUESTS = 32;
+
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
+const MISDIRECTED_STATUS = 421;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,6})/i;
 
 /** A request to the back end. */
@@ -67,6 +74,7 @@
   private idleUntilMs = 0;
   private usedMs = Infinity;
   private requestCount = 0;
+  private readonly rejectedRequests = new Set<string>();
   private readonly connectTimer: NodeJS.Timeout;
 
   constructor(
@@ -102,6 +110,11 @@
     return Math.max(0, this.nowMs() - this.usedMs);
   }
 
+  /** Whether the back end has rejected the request on this connection. */
+  hasRejected(requestId: string): boolean {
+    return this.rejectedRequests.has(requestId);
+  }
+
   /** Whether a request is in flight. */
   get busy(): boolean {
     return this.request !== null;
@@ -187,11 +200,18 @@
     }
     this.receivingAnswer = true;
     if (!answer.keepAlive) this.reusable = false;
+    this.recordRejection(answer, this.request.requestId);
     this.idleUntilMs = this.nowMs() + maxIdleMs(answer.headers);
     this.handlers?.onAnswer(answer);
     return hasNoBody;
   }
 
+  private recordRejection({ statusCode, headers }: ParsedAnswer, requestId: string): void {
+    const isRejected = statusCode === MISDIRECTED_STATUS || headerValue(headers, this.names.notRun) !== null;
+    if (isRejected) this.rejectedRequests.add(requestId);
+    if (this.rejectedRequests.size >= MAX_REJECTED_REQUESTS) this.reusable = false;
+  }
+
   /** Compares request ids, since a surplus answer to an earlier request may arrive where the next one is expected. */
   private matchesRequest(answer: ParsedAnswer, request: BackendRequest): boolean {
     const id = headerValue(answer.headers, this.names.requestId);
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -64,7 +64,8 @@
 
   private send(request: BackendRequest, handlers: BackendRequestHandlers): BackendConnection {
     const connection =
-      this.acquireIdle(request.repeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS) ?? this.open();
+      this.acquireIdle(request.repeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS, request.requestId) ??
+      this.open();
     connection.run(request, {
       ...handlers,
       onAnswer: (answer) => {
@@ -92,16 +93,16 @@
     this.idle = [];
   }
 
-  /** Returns the most recently used idle connection, or null if it was idle for longer than `maxIdleMs`. */
-  private acquireIdle(maxIdleMs: number): BackendConnection | null {
-    for (;;) {
-      const connection = this.idle.at(-1);
-      if (connection === undefined) return null;
-      if (connection.usable && connection.idleForMs > maxIdleMs) return null;
-      this.idle.pop();
-      if (connection.usable) return connection;
-      connection.destroy();
-    }
+  /**
+   * Returns the most recently used idle connection that was not idle for longer than `maxIdleMs` and has not rejected the
+   * request before; null if there is none.
+   */
+  private acquireIdle(maxIdleMs: number, requestId: string): BackendConnection | null {
+    for (const connection of this.idle.filter(({ usable }) => !usable)) connection.destroy();
+    const at = this.idle.findLastIndex((connection) => {
+      return connection.idleForMs <= maxIdleMs && !connection.hasRejected(requestId);
+    });
+    return at < 0 ? null : (this.idle.splice(at, 1)[0] ?? null);
   }
 
   private open(): BackendConnection {
