--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -86,7 +86,7 @@
 }
 
 function formatReport({ seed, grantMode, counts, changes, troubles, violations }: SoakReport): string {
-  const sums = `${counts.sent} requests: ${counts.answered} answered, ${counts.refused} refused, ${counts.failed} failed`;
+  const sums = `${counts.sent} requests: ${counts.answered} answered, ${counts.refused} refused, ${counts.failed} failed, ${counts.left} left`;
   const head = `seed ${seed} (${grantMode}): ${sums}; ${changes} changes; ${troubles.join(', ')}`;
   return [head, ...violations.map(({ promise, detail }) => `  BROKEN ${promise}: ${detail}`)].join('\n');
 }
--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -24,6 +24,7 @@
 import { HeldKeys } from './held-keys.js';
 import type { SoakJudge } from './soak-judge.js';
 import { SoakSignals } from './soak-signals.js';
+import type { StallLog } from './large/stall-log.js';
 
 /** Requests that a back end runs concurrently, and requests that wait for a slot. */
 const SLOTS = 6;
@@ -93,6 +94,8 @@
   readonly control: SocketAddress;
   readonly judge: SoakJudge;
   readonly random: Random;
+  /** Stalls of this process, which plays callers and back ends. */
+  readonly stalls: StallLog;
   /** Called when a request that crashes back ends has run. */
   readonly onCrashingRequest: () => void;
 }
@@ -341,8 +344,9 @@
   }
 
   private reportArrival(requestId: string, nowMs: number): void {
-    const { judge, zone, life } = this.options;
+    const { judge, zone, life, stalls } = this.options;
     judge.arrived(life, requestId, nowMs);
+    judge.lateWork.arrived({ requestId, backend: life, atMs: stalls.earliestMs(nowMs) });
     judge.arrivedInZone(life, zone, nowMs);
     if (this.coldLeftMs > 0) judge.arrivedCold(life, MAX_COLD_REQUESTS_PER_S, nowMs);
   }
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -2,7 +2,7 @@
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
 import type { SocketAddress } from '../../src/model/socket-address.js';
 import { PATHS, PLATFORM_HEADERS } from '../../platform/stand-in-wire.js';
-import type { Random } from '../random.js';
+import { Random } from '../random.js';
 import { CRASHING_PATH_SUFFIX, expectedBody } from './soak-backend.js';
 import { readSignals } from '../../src/sidecar/backend-signals.js';
 import type { SoakJudge } from './soak-judge.js';
@@ -16,6 +16,14 @@
 const READINESS_INTERVAL_MS = 300;
 const MAX_MISSES = 2;
 
+/** Share of the callers that leave, and the first and last time in ms at which they do. */
+const LEAVING_SHARE = 0.15;
+const FIRST_LEAVE_MS = 1;
+const LAST_LEAVE_MS = 1_500;
+
+/** Offset from the seed to the seed of the draws of leaving callers, which change no other draws. */
+const LEAVE_SEED_OFFSET = 37_000_001;
+
 /** Largest key, number of hot keys, and share of the requests that go to them. */
 const LAST_KEY = 65_535;
 const HOT_KEYS = 300;
@@ -53,14 +61,17 @@
   answered: number;
   refused: number;
   failed: number;
+  /** Requests whose caller left before it had an answer. */
+  left: number;
 }
 
 /** All callers. */
 export class SoakCallers {
-  readonly counts: CallerCounts = { sent: 0, answered: 0, refused: 0, failed: 0 };
+  readonly counts: CallerCounts = { sent: 0, answered: 0, refused: 0, failed: 0, left: 0 };
   private readonly misses = new Map<string, number>();
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 64 });
   private readonly timers: NodeJS.Timeout[] = [];
+  private readonly leaveRandom: Random;
   private nextId = 0;
 
   constructor(
@@ -70,6 +81,7 @@
     private readonly ports: CallerPorts,
   ) {
     for (const { machine } of daemons) this.misses.set(machine, MAX_MISSES);
+    this.leaveRandom = new Random(seed + LEAVE_SEED_OFFSET);
   }
 
   /** Starts to send `perSecond` requests a second in total. */
@@ -105,7 +117,12 @@
       return this.isReady(daemon.machine) || this.hasIdleConnection(daemon);
     });
     if (usable.length > 0)
-      void this.send(this.ports.random.pick(usable), this.ports.random.pick(this.routes));
+      void this.send(
+        this.ports.random.pick(usable),
+        this.ports.random.pick(this.routes),
+        null,
+        this.drawLeave(),
+      );
   }
 
   /** Sends a request that crashes back ends, through any ready daemon; `choice` determines its route and key. */
@@ -117,6 +134,12 @@
     void this.send(this.ports.random.pick(usable), route, { path, key: choice });
   }
 
+  /** Returns the time in ms after which the next caller leaves; null if it waits for its answer. */
+  private drawLeave(): number | null {
+    if (this.leaveRandom.fraction() >= LEAVING_SHARE) return null;
+    return FIRST_LEAVE_MS + this.leaveRandom.below(LAST_LEAVE_MS - FIRST_LEAVE_MS);
+  }
+
   private hasIdleConnection({ callers: { host, port } }: CalledDaemon): boolean {
     const prefix = `${host}:${port}:`;
     return Object.entries(this.agent.freeSockets).some(([name, sockets]) => {
@@ -145,6 +168,7 @@
     daemon: CalledDaemon,
     route: CalledRoute,
     fixed: { readonly path: string; readonly key: number } | null = null,
+    leaveAfterMs: number | null = null,
   ): Promise<number | null> {
     const { random } = this.ports;
     this.nextId += 1;
@@ -162,16 +186,32 @@
     const { host, port } = daemon.callers;
     const method = route.repeatable ? 'GET' : 'POST';
     return await new Promise((resolve) => {
+      let ended = false;
+      const end = (status: number | null): void => {
+        ended = true;
+        clearTimeout(leaveTimer);
+        resolve(status);
+      };
       const call = httpRequest({ host, port, path, method, headers, agent: this.agent }, (answer) => {
         this.reportSignals(answer, daemon);
-        this.receiveAnswer(answer, requestId, path, route, resolve);
+        this.receiveAnswer(answer, requestId, path, route, () => !ended, end);
       });
       call.setTimeout(SOCKET_TIMEOUT_MS, () => call.destroy());
       call.on('error', () => {
+        if (ended) return;
         this.lost(call.reusedSocket, daemon, requestId, sentMs);
-        resolve(null);
+        end(null);
       });
       call.end();
+      const leave = (): void => {
+        // A request that has no connection yet never reaches a daemon.
+        if (call.socket?.connecting === false)
+          this.ports.judge.lateWork.callerLeft(requestId, daemon.machine, performance.now());
+        this.counts.left += 1;
+        end(null);
+        call.destroy();
+      };
+      const leaveTimer = leaveAfterMs === null ? undefined : setTimeout(leave, leaveAfterMs);
     });
   }
 
@@ -180,18 +220,20 @@
     requestId: string,
     path: string,
     route: CalledRoute,
-    resolve: (status: number | null) => void,
+    isAwaited: () => boolean,
+    end: (status: number | null) => void,
   ): void {
     const status = answer.statusCode ?? 0;
     const chunks: Buffer[] = [];
     answer.on('data', (chunk: Buffer) => chunks.push(chunk));
     answer.on('error', () => undefined);
     answer.on('close', () => {
+      if (!isAwaited()) return;
       const isComplete = answer.complete;
       if (isComplete)
         this.checkAnswer(status, answer, Buffer.concat(chunks).toString(), requestId, path, route);
       else this.counts.failed += 1;
-      resolve(isComplete ? status : null);
+      end(isComplete ? status : null);
     });
   }
 
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -14,6 +14,7 @@
   type DelayedCalls,
   type AnswerFaults,
 } from './soak-backend.js';
+import { StallLog } from './large/stall-log.js';
 import type { SoakJudge } from './soak-judge.js';
 import { SoakNetwork } from './soak-network.js';
 import type { DirectoryMachine, SidecarMachine, SoakPlan } from './soak-plan.js';
@@ -59,6 +60,7 @@
   /** Latest back end of each machine. */
   readonly backends = new Map<string, SoakBackend>();
   private readonly namesByIp = new Map<string, string>();
+  private readonly stalls = new StallLog(() => performance.now());
   private lives = 0;
   private isDown = false;
 
@@ -81,6 +83,7 @@
 
   /** Starts relays, daemons and back ends. */
   async up(): Promise<void> {
+    this.stalls.start();
     for (const { name, advertisedIp, ip } of this.directories) {
       await this.network.relay(name, advertisedIp, ip, STAND_IN_PORTS.replicas);
       await this.network.relay(name, advertisedIp, ip, STAND_IN_PORTS.control);
@@ -95,6 +98,7 @@
   /** Stops everything that was started; processes are killed by their pid. */
   async down(): Promise<void> {
     this.isDown = true;
+    this.stalls.stop();
     for (const backend of this.backends.values()) await backend.crash();
     await Promise.all(
       [...this.directories, ...this.sidecars].map(async ({ process }) => await process.kill()),
@@ -131,6 +135,7 @@
       control: { host: ip, port: STAND_IN_PORTS.control },
       judge: this.judge,
       random: this.random,
+      stalls: this.stalls,
       onCrashingRequest: () => void this.restartCrashedBackend(machine, backend),
     });
     await backend.start();
--- a/lab/soak/soak-judge.ts
+++ b/lab/soak/soak-judge.ts
@@ -6,6 +6,7 @@
 import { overlaps } from '../../src/directory/key-ranges.js';
 import { rangeName } from '../../src/sidecar/key-grants.js';
 import type { TimedRange } from './held-keys.js';
+import { LateWorkRule } from './late-work-rule.js';
 import { RequestLimitRule } from './request-limit-rule.js';
 import { ToldLeaveRule } from './told-leave-rule.js';
 
@@ -25,6 +26,7 @@
   | 'evacuation'
   | 'contained-request'
   | 'cold-start'
+  | 'late-work'
   | 'request-limit'
   | 'told-leave';
 
@@ -77,6 +79,8 @@
   });
   /** Requests after leaves that back ends state in their answers. */
   readonly toldLeaves: ToldLeaveRule;
+  /** Requests that reach back ends after their callers have left. */
+  readonly lateWork: LateWorkRule;
   private readonly runs = new Map<string, number>();
   private readonly refused = new Map<string, number>();
   private readonly holdings = new Map<string, Holdings>();
@@ -100,7 +104,10 @@
     private readonly evacuationMs = Infinity,
     /** Whether there has been no fault for long enough that every daemon must have been reached. */
     private readonly isSettled: () => boolean = () => true,
+    /** Whether there was no fault shortly before a time. */
+    wasInTouch: (machine: string, atMs: number) => boolean = () => true,
   ) {
+    this.lateWork = new LateWorkRule(wasInTouch);
     this.toldLeaves = new ToldLeaveRule(drainMs, (atMs, detail) => {
       this.report('told-leave', atMs, detail);
     });
@@ -247,6 +254,11 @@
     this.report('recovery', nowMs, detail);
   }
 
+  /** Reports late work, once at the end. */
+  checkLateWork(nowMs: number): void {
+    for (const detail of this.lateWork.result().violations) this.report('late-work', nowMs, detail);
+  }
+
   /** Checks for back ends that hold the same keys; called every few ms. */
   checkOverlaps(nowMs: number): void {
     const holdings = [...this.holdings];
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -73,7 +73,13 @@
   const drainMs = STAND_IN_BOUNDS.drain_s * MS_PER_SECOND;
   const applyMs = STAND_IN_BOUNDS.config_apply_s * MS_PER_SECOND;
   const evacuationMs = STAND_IN_BOUNDS.evacuate_s * MS_PER_SECOND;
-  const judge = new SoakJudge(drainMs, applyMs, evacuationMs, () => troubles.undisturbedFor(SETTLED_MS));
+  const judge = new SoakJudge(
+    drainMs,
+    applyMs,
+    evacuationMs,
+    () => troubles.undisturbedFor(SETTLED_MS),
+    (_machine, atMs) => troubles.wasUndisturbed(atMs, STABLE_MS),
+  );
   const folder = join(options.folder, `seed-${options.seed}`);
   const fleet = new SoakFleet(plan, { program: options.program, folder }, judge, random);
   const bound = { baseMs: STAND_IN_BOUNDS.ack_s * MS_PER_SECOND, perRouteMs: ACKNOWLEDGEMENT_PER_ROUTE_MS };
@@ -114,6 +120,7 @@
     await fleet.down();
     callers.close();
   }
+  judge.checkLateWork(performance.now());
   return {
     seed: plan.seed,
     grantMode: plan.grantMode,
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -147,6 +147,13 @@
     return this.records.every(({ kind, endMs }) => UNDISTURBING.has(kind) || endMs < nowMs - ms);
   }
 
+  /** Returns whether there had been no disturbance for `ms` at a past time. */
+  wasUndisturbed(atMs: number, ms: number): boolean {
+    return this.records.every((record) => {
+      return UNDISTURBING.has(record.kind) || record.atMs > atMs || record.endMs < atMs - ms;
+    });
+  }
+
   /** Reserves the loss of a directory; only one is lost at a time, after the previous one has caught up. */
   private reserveLoss({ durationMs }: SoakTrouble): boolean {
     const nowMs = performance.now();
