--- a/test/platform/heartbeat-calls.test.ts
+++ b/test/platform/heartbeat-calls.test.ts
@@ -146,3 +146,17 @@
     t.deepEqual(readLeave('i-1', body), bornMs === undefined ? null : { id: 'i-1', bornMs });
   });
 }
+
+for (const path of [`${PATHS.instances}%zz`, `${PATHS.instances}%`, PATHS.instances]) {
+  test(`a call whose path names no instance is refused and does not end the daemon: ${path}`, async (t) => {
+    const node = {
+      namesService: () => true,
+      heartbeat: () => Promise.resolve(null),
+      leave: () => Promise.resolve(),
+    };
+    for (const method of ['PUT', 'DELETE']) {
+      const call = { method, path, headers: {}, body: method === 'PUT' ? JSON.stringify(VALID) : '' };
+      t.is((await handleBackendCall(node, call)).status, 400);
+    }
+  });
+}
