Reset the connection of an answer that breaks midway

An answer without a length, of more than 1 MiB, that was reset on the way reached the caller with an ordinary end of its connection, and so looked complete: the connection was closed where it had to be reset.

Measured: the test of answers-cut-off failed before (end in place of ECONNRESET) and passes.

--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -208,7 +208,9 @@
         response.end();
       },
       abort: () => {
-        response.destroy();
+        // Without a length, an ordinary end of the connection would make the answer look complete.
+        if (response.socket === null) response.destroy();
+        else response.socket.resetAndDestroy();
       },
       fail: (outcome) => {
         this.sendLocalAnswer(response, localAnswerFor(outcome));
