Let slow readers take the rest of their answers at a planned stop

A slow reader got 4.1 of 8.0 MB of a download when its sidecar stopped as planned: Node counts a connection as idle once its answer is handed over, even if most of it is still to be sent, and closes it with the idle ones, also in Server.close. The server keeps count itself now, and closes a connection when its answers are passed on to the kernel and no byte of another request came.

Measured: the test (16 MiB, paused reader) failed before and passes; an idle connection beside it is closed in both.

--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -3,7 +3,7 @@
  * library adds to the start-up time of a sidecar on a small machine, and bodies are only passed through.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
 import type { LimitsDefinition } from '../directory/directory-state.js';
 import type { AnswerHead } from '../link/link-messages.js';
 import { InputTurns } from '../runtime/input-turns.js';
@@ -71,10 +71,19 @@
   deadlinePassed: 504,
 } as const;
 
+/** State of a caller's connection. */
+interface CallerConnection {
+  /** Number of requests whose answers were not passed on completely. */
+  unfinished: number;
+  /** Bytes that had been received when the last answer was complete; null before that. */
+  bytesAtIdle: number | null;
+}
+
 /** HTTP server for callers. */
 export class CallerServer {
   private readonly server: Server;
   private activeCount = 0;
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   constructor(
     private readonly ports: CallerServerPorts,
@@ -91,8 +100,10 @@
       },
     );
     this.server.requestTimeout = 0;
-    this.server.on('connection', () => {
+    this.server.on('connection', (socket: Socket) => {
       this.turns.connectionAccepted();
+      this.connections.set(socket, { unfinished: 0, bytesAtIdle: null });
+      socket.once('close', () => this.connections.delete(socket));
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       rejectUnreadable(error, socket);
@@ -126,8 +137,10 @@
 
   /** Stops accepting connections and closes idle ones. */
   stopListening(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    // Node's own `close` would cut connections off whose answers a slow reader has not taken yet.
+    NetServer.prototype.close.call(this.server);
+    for (const [socket, { unfinished, bytesAtIdle }] of this.connections)
+      if (unfinished === 0 && bytesAtIdle === socket.bytesRead) socket.destroy();
   }
 
   /** Stops listening and closes every connection. */
@@ -137,10 +150,11 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    this.activeCount += 1;
+    const { socket } = request;
+    this.changeUnfinished(socket, 1);
     let forwarded: RequestHandle | null = null;
     response.once('close', () => {
-      this.activeCount -= 1;
+      this.changeUnfinished(socket, -1);
       if (!response.writableFinished) forwarded?.cancel();
     });
     request.on('error', () => undefined);
@@ -157,6 +171,14 @@
     });
   }
 
+  private changeUnfinished(socket: Socket, by: 1 | -1): void {
+    this.activeCount += by;
+    const connection = this.connections.get(socket);
+    if (connection === undefined) return;
+    connection.unfinished += by;
+    if (connection.unfinished === 0) connection.bytesAtIdle = socket.bytesRead;
+  }
+
   private readBody(request: IncomingMessage, response: ServerResponse, done: (body: Buffer) => void): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
