--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -16,10 +16,9 @@
 const READINESS_INTERVAL_MS = 300;
 const MAX_MISSES = 2;
 
-/** Share of the callers that leave, and the first and last time in ms at which they do. */
+/** Share of the callers that leave unless they have their answer by then, and mean time in ms after which they do. */
 const LEAVING_SHARE = 0.15;
-const FIRST_LEAVE_MS = 1;
-const LAST_LEAVE_MS = 1_500;
+const MEAN_LEAVE_MS = 60;
 
 /** Offset from the seed to the seed of the draws of leaving callers, which change no other draws. */
 const LEAVE_SEED_OFFSET = 37_000_001;
@@ -137,7 +136,7 @@
   /** Returns the time in ms after which the next caller leaves; null if it waits for its answer. */
   private drawLeave(): number | null {
     if (this.leaveRandom.fraction() >= LEAVING_SHARE) return null;
-    return FIRST_LEAVE_MS + this.leaveRandom.below(LAST_LEAVE_MS - FIRST_LEAVE_MS);
+    return this.leaveRandom.exponential(MEAN_LEAVE_MS);
   }
 
   private hasIdleConnection({ callers: { host, port } }: CalledDaemon): boolean {
