Read pending input before a peer counts as silent or a probe as unanswered

A late timer fires before the input that arrived meanwhile is read. So a daemon that was short of processor time closed links as silent whose answers lay in the kernel, and with them the requests in flight: with two fleets on one machine 113 to 125 links in 2 s, and as many requests of unknown outcome.

The silence of a peer, the time-out of a connect and that of a probe count only after pending input was read.

Measured: the test of silence-watch failed before and passes. The run with two fleets was not repeated on this commit.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -175,7 +175,10 @@
     };
     const connection = new LinkConnection(socket, this.nowMs, handlers, this.route.pacer, this.route.meter);
     const connectTimer = setTimeout(() => {
-      connection.close('connect timed out');
+      // The connection may have opened, but a late timer fires before that is noticed.
+      this.turns.afterInput(() => {
+        if (!this.connected && this.connection === connection) connection.close('connect timed out');
+      });
     }, CONNECT_TIMEOUT_MS);
     this.connection = connection;
     this.connected = false;
--- a/src/sidecar/backend-prober.ts
+++ b/src/sidecar/backend-prober.ts
@@ -70,9 +70,12 @@
     }
     this.rounds.add(round);
     round.cancelTimer = this.ports.runtime.after(PROBE_TIMEOUT_MS, () => {
-      this.rounds.delete(round);
-      this.unanswered += 1;
-      done(awaited);
+      // Answers may have arrived, but a late timer fires before they are read.
+      this.ports.runtime.afterInput(() => {
+        if (!this.rounds.delete(round)) return;
+        this.unanswered += 1;
+        done(awaited);
+      });
     });
     this.send(probed);
     return () => {
--- a/src/transport/silence-watch.ts
+++ b/src/transport/silence-watch.ts
@@ -83,16 +83,28 @@
     // Silence of a peer that was not probed yet may only mean that this process's timer was late.
     const isConclusive = this.probed || maxSilenceMs < probeIntervalMs;
     if (silentMs > maxSilenceMs && isConclusive) {
-      this.stop();
-      this.ports.onSilence();
+      this.unlessInputPending(() => {
+        this.stop();
+        this.ports.onSilence();
+      });
       return;
     }
     if (silentMs > suspectedAfterMs && this.probed && !this.suspected) {
-      this.suspected = true;
-      this.ports.onSuspicion?.();
+      this.unlessInputPending(() => {
+        this.suspected = true;
+        this.ports.onSuspicion?.();
+      });
     }
     if (silentMs < probeIntervalMs / 2) return;
     this.probed = true;
     this.ports.sendProbe();
   }
+
+  /** Calls back unless the peer's bytes have arrived but were not read yet: a late timer fires before they are. */
+  private unlessInputPending(callback: () => void): void {
+    const { timing, receivedMs } = this;
+    setImmediate(() => {
+      if (this.timing === timing && this.receivedMs === receivedMs) callback();
+    });
+  }
 }
--- a/test/transport/silence-watch.test.ts
+++ b/test/transport/silence-watch.test.ts
@@ -63,6 +63,38 @@
   t.false(silent);
 });
 
+test('bytes that arrived while this process was busy are read before the peer counts as silent', async (t) => {
+  let busyMs = 0;
+  let isProbed = false;
+  let silent = false;
+  await new Promise<void>((resolve) => {
+    const watch = new SilenceWatch({
+      // The check after the probe runs late, and before the input that arrived meanwhile is read.
+      nowMs: () => {
+        if (isProbed && busyMs === 0) {
+          busyMs = 220;
+          setImmediate(() => {
+            watch.recordReceived();
+          });
+          setTimeout(resolve, 20);
+        }
+        return performance.now() + busyMs;
+      },
+      sendProbe: () => {
+        isProbed = true;
+      },
+      onSilence: () => {
+        silent = true;
+      },
+    });
+    watch.watch({ probeIntervalMs: 100, maxSilenceMs: 300 });
+    t.teardown(() => {
+      watch.stop();
+    });
+  });
+  t.false(silent);
+});
+
 /** Starts a relay; `swallow` discards all further bytes on the present connections, while new ones work. */
 async function startRelay(target: number): Promise<{ port: number; swallow: () => void; close: () => void }> {
   const { connect } = await import('node:net');
