Give each test file loopback ports of its own

Once under load two tests of sidecar-node failed with EADDRINUSE, and once a worker of short-heads ended with exit code 1 (probably the same, its output was not kept). Test files run in threads of one process, so all of them drew the same ports from the process id; only a check that a port is free, with a gap before the test listens, kept them apart. The thread id counts now as well.

--- a/test/loopback.ts
+++ b/test/loopback.ts
@@ -1,5 +1,6 @@
 /** Free loopback ports for tests. */
 import { createServer } from 'node:net';
+import { threadId } from 'node:worker_threads';
 
 /**
  * Range of ports for tests. It lies below the system's ephemeral ports: the system may assign one of those to a connection
@@ -8,15 +9,18 @@
 const FIRST_PORT = 10_000;
 const PORT_COUNT = 20_000;
 
-/** Distance between the first ports of processes with consecutive ids; more than any test process uses. */
-const PORTS_PER_PROCESS = 97;
+/**
+ * Distance between the first ports of test files, which run in threads of one process; more than any of them uses. Two
+ * files with the same ports could both find one free before either listens.
+ */
+const PORTS_PER_FILE = 97;
 
 let allocated = 0;
 
-/** Returns a port of 127.0.0.1 at which no process listens and which this process has not returned before. */
+/** Returns a port of 127.0.0.1 at which no process listens and which this file has not been given before. */
 export async function freePort(): Promise<number> {
   for (;;) {
-    const port = FIRST_PORT + ((process.pid * PORTS_PER_PROCESS + allocated) % PORT_COUNT);
+    const port = FIRST_PORT + (((process.pid + threadId) * PORTS_PER_FILE + allocated) % PORT_COUNT);
     allocated += 1;
     if (await isFree(port)) return port;
   }
