Match answers by their request id alone

Callers were answered 503 for requests that a back end was running, once the surplus copy of a rejection lost its id on the way: an answer without an id that says "not run" counted for whatever request was due on its connection, also for grants, releases and identity queries.

Cause: `matchesRequest` told answers apart by what they lack. An answer without an id now answers no request, and a call only on a connection that has carried nothing before. Of the ids in one head all must fit. A connection carries no id twice, also when the first sending was answered: before, only rejected ones were stored (32; now up to 256 requests of any outcome, then it is not reused).

Ruled out: ids required of answers to calls, too.

backend-pool.test.ts sent different requests under one id; each has its own now, and its bounds are unchanged.

--- a/src/sidecar/backend-client.ts
+++ b/src/sidecar/backend-client.ts
@@ -66,7 +66,7 @@
   onRefused: () => void,
   turns?: InputTurns,
 ): BackendClient {
-  const names = { requestId: dialect.requestId, notRun: dialect.notRun };
+  const names = { requestId: dialect.requestId };
   return new PooledBackendClient(
     new BackendPool(address, names, () => runtime.nowMs(), onRefused, turns),
     dialect,
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -5,7 +5,7 @@
 import { connect, type Socket } from 'node:net';
 import type { SocketAddress } from '../model/socket-address.js';
 import { AnswerParser, type ParsedAnswer } from './answer-parser.js';
-import { headerValue } from './header-dialect.js';
+import { headerValue, headerValues } from './header-dialect.js';
 
 /** Timeout in ms for opening a connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -17,14 +17,13 @@
 const IDLE_MARGIN_MS = 1_500;
 
 /**
- * Maximum number of rejected requests that a connection stores, to carry none of them again: a surplus copy of the
- * rejection would be taken for the answer.
+ * Maximum number of requests that a connection carries. It stores their ids, to carry no id twice: a surplus copy of the
+ * first answer would be taken for the second.
  */
-const MAX_REJECTED_REQUESTS = 32;
+const MAX_CARRIED_REQUESTS = 256;
 
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
-const MISDIRECTED_STATUS = 421;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,6})/i;
 
 /** A request to the back end. */
@@ -56,7 +55,6 @@
 /** Names of the headers that a connection reads. */
 export interface ConnectionHeaders {
   readonly requestId: string;
-  readonly notRun: string;
 }
 
 /** Connection to one back end. */
@@ -73,8 +71,7 @@
   private reusable = true;
   private idleUntilMs = 0;
   private usedMs = Infinity;
-  private requestCount = 0;
-  private readonly rejectedRequests = new Set<string>();
+  private readonly carriedRequests = new Set<string>();
   private readonly connectTimer: NodeJS.Timeout;
 
   constructor(
@@ -110,9 +107,9 @@
     return Math.max(0, this.nowMs() - this.usedMs);
   }
 
-  /** Whether the back end has rejected the request on this connection. */
-  hasRejected(requestId: string): boolean {
-    return this.rejectedRequests.has(requestId);
+  /** Whether the connection has carried a request with this id. */
+  hasCarried(requestId: string): boolean {
+    return this.carriedRequests.has(requestId);
   }
 
   /** Whether a request is in flight. */
@@ -123,7 +120,8 @@
   /** Sends a request, as soon as the connection is open. */
   run(request: BackendRequest, handlers: BackendRequestHandlers): void {
     this.request = request;
-    this.requestCount += 1;
+    this.carriedRequests.add(request.requestId);
+    if (this.carriedRequests.size >= MAX_CARRIED_REQUESTS) this.reusable = false;
     this.handlers = handlers;
     this.requestWritten = false;
     if (this.connected) this.write();
@@ -200,24 +198,19 @@
     }
     this.receivingAnswer = true;
     if (!answer.keepAlive) this.reusable = false;
-    this.recordRejection(answer, this.request.requestId);
     this.idleUntilMs = this.nowMs() + maxIdleMs(answer.headers);
     this.handlers?.onAnswer(answer);
     return hasNoBody;
   }
 
-  private recordRejection({ statusCode, headers }: ParsedAnswer, requestId: string): void {
-    const isRejected = statusCode === MISDIRECTED_STATUS || headerValue(headers, this.names.notRun) !== null;
-    if (isRejected) this.rejectedRequests.add(requestId);
-    if (this.rejectedRequests.size >= MAX_REJECTED_REQUESTS) this.reusable = false;
-  }
-
-  /** Compares request ids, since a surplus answer to an earlier request may arrive where the next one is expected. */
+  /**
+   * Compares request ids: a surplus answer to an earlier request may arrive where the next one is expected, and what
+   * carries no id may be such an answer with a damaged head.
+   */
   private matchesRequest(answer: ParsedAnswer, request: BackendRequest): boolean {
-    const id = headerValue(answer.headers, this.names.requestId);
-    if (id !== null) return id === request.requestId;
-    if (headerValue(answer.headers, this.names.notRun) !== null) return true;
-    if (request.allowsMissingId !== true || this.requestCount > 1) return false;
+    const ids = headerValues(answer.headers, this.names.requestId);
+    if (ids.length > 0) return ids.every((id) => id === request.requestId);
+    if (request.allowsMissingId !== true || this.carriedRequests.size > 1) return false;
     // Without ids, a late surplus answer could not be told from the answer to the next call.
     this.reusable = false;
     return true;
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -94,13 +94,13 @@
   }
 
   /**
-   * Returns the most recently used idle connection that was not idle for longer than `maxIdleMs` and has not rejected the
+   * Returns the most recently used idle connection that was not idle for longer than `maxIdleMs` and has not carried the
    * request before; null if there is none.
    */
   private acquireIdle(maxIdleMs: number, requestId: string): BackendConnection | null {
     for (const connection of this.idle.filter(({ usable }) => !usable)) connection.destroy();
     const at = this.idle.findLastIndex((connection) => {
-      return connection.idleForMs <= maxIdleMs && !connection.hasRejected(requestId);
+      return connection.idleForMs <= maxIdleMs && !connection.hasCarried(requestId);
     });
     return at < 0 ? null : (this.idle.splice(at, 1)[0] ?? null);
   }
--- a/test/incidents/invalid-bytes-in-an-answer.test.ts
+++ b/test/incidents/invalid-bytes-in-an-answer.test.ts
@@ -23,7 +23,7 @@
     });
     await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
     const { port } = server.address() as { port: number };
-    const names = { requestId: 'request-id', notRun: 'not-executed' };
+    const names = { requestId: 'request-id' };
     const pool = new BackendPool(
       { host: HOST, port },
       names,
--- a/test/incidents/surplus-rejection.test.ts
+++ b/test/incidents/surplus-rejection.test.ts
@@ -26,7 +26,7 @@
     reject();
     setTimeout(reject, 2 * SURPLUS_MS);
   });
-  const names = { requestId: 'request-id', notRun: 'not-executed' };
+  const names = { requestId: 'request-id' };
   const pool = new BackendPool(
     { host: HOST, port },
     names,
--- a/test/incidents/work-for-callers-that-left.test.ts
+++ b/test/incidents/work-for-callers-that-left.test.ts
@@ -159,7 +159,7 @@
   await new Promise<void>((resolve) => server.listen(port, HOST, resolve));
   const pool = new BackendPool(
     { host: HOST, port },
-    { requestId: 'request-id', notRun: 'not-run' },
+    { requestId: 'request-id' },
     () => performance.now(),
     () => undefined,
   );
--- a/test/sidecar/backend-connection.test.ts
+++ b/test/sidecar/backend-connection.test.ts
@@ -12,7 +12,7 @@
   requestId: 'mine',
   repeatable: true,
 };
-const NAMES = { requestId: 'id', notRun: 'not-run' };
+const NAMES = { requestId: 'id' };
 
 interface Seen {
   outcome: string;
--- a/test/sidecar/backend-pool.test.ts
+++ b/test/sidecar/backend-pool.test.ts
@@ -9,30 +9,37 @@
   path: '/',
   headers: [],
   body: Buffer.alloc(0),
-  requestId: 'r',
+  requestId: '',
   repeatable: true,
 };
-const ANSWER = 'HTTP/1.1 200 OK\r\nid: r\r\ncontent-length: 2\r\n\r\nok';
+
+function answerTo(request: Buffer): string {
+  const id = /^id: (\S+)/im.exec(request.toString())?.[1] ?? '';
+  return `HTTP/1.1 200 OK\r\nid: ${id}\r\ncontent-length: 2\r\n\r\nok`;
+}
 
 test('a request that must not run twice reuses no connection that the back end may have dropped', async (t) => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.on('data', () => socket.write(ANSWER));
+    socket.on('data', (chunk: Buffer) => socket.write(answerTo(chunk)));
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as { port: number };
   let nowMs = 0;
-  const names = { requestId: 'id', notRun: 'not-run' };
+  const names = { requestId: 'id' };
   const pool = new BackendPool(
     { host: '127.0.0.1', port },
     names,
     () => nowMs,
     () => undefined,
   );
+  let sent = 0;
   const run = async (repeatable: boolean): Promise<void> => {
+    sent += 1;
+    const requestId = `r${sent}`;
     await new Promise<void>((resolve, reject) => {
       pool.run(
-        { ...REQUEST, repeatable },
+        { ...REQUEST, requestId, headers: ['id', requestId], repeatable },
         {
           onAnswer: () => undefined,
           onBody: () => undefined,
