Reject answers whose end is unclear

Callers could get the bytes of one answer as another one, or wait in vain for theirs: where the end of an answer is unclear, what follows it on the connection is read at the wrong place. Found by reading, on the paths beside REFUSED.

Cause: http-parser-js believes the headers. A 1xx, 204 or 304 that states a length took the next answer as its body; a 101 dropped the rest of what had been read; with a transfer coding other than chunked a cut answer counted as framed; a body with both a length and chunks was sent on with the length; and the answer to HEAD decided on the body of whatever arrived in its place, so that a surplus body was read as an answer. Lines between chunks and trailers had no bound.

Change: statuses without a body have none; other codings, both framings, 101, long lines and many trailers make an answer garbled; a surplus answer on a connection that has carried HEAD ends it.

--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -1,11 +1,11 @@
 /**
  * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects what that library tolerates: content lengths
- * and chunk sizes that are not numbers, which would make a truncated answer look complete, and heads that cannot be sent
- * on.
+ * and chunk sizes that are not numbers and transfer codings other than chunked, which would make a truncated answer look
+ * complete; lines and trailers without end; and heads that cannot be sent on.
  */
 import { HTTPParser } from 'http-parser-js';
 import { invalidHeadReason } from './answer-headers.js';
-import { headerValue } from './header-dialect.js';
+import { headerValue, headerValues } from './header-dialect.js';
 
 /** Status and headers of an answer. */
 export interface ParsedAnswer {
@@ -27,12 +27,26 @@
   onComplete(surplus: boolean): void;
 }
 
+/** Statuses of interim answers, and of those that have no body whatever their headers state (RFC 9112, 6.3). */
+const FIRST_FINAL_STATUS = 200;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+const SWITCHING_PROTOCOLS_STATUS = 101;
+
+/** Maximum length in characters of a line that is not complete, and number of trailers, between the parts of a body. */
+const MAX_PARTIAL_LINE = 80 * 1024;
+const MAX_TRAILERS = 100;
+
 const CHUNK_SIZE = /^[0-9a-fA-F]{1,12}(?:\s*;.*)?$/;
 const CONTENT_LENGTH = /^[0-9]{1,15}$/;
 
 /** Internals of `http-parser-js` that its type declarations omit. */
 interface ParserInternals {
   state: string;
+  /** Part of a line whose end has not been received. */
+  line: string;
+  /** Names and values of the trailers received so far. */
+  trailers: string[];
   offset: number;
   end: number;
   consumeLine(): string | undefined;
@@ -43,27 +57,29 @@
 /** Parser of the answers on one connection. */
 export class AnswerParser {
   private readonly parser: Parser;
+  private readonly internals: ParserInternals;
 
   constructor(handlers: AnswerParserHandlers) {
     const parser = new HTTPParser(HTTPParser.RESPONSE);
     this.parser = parser;
     const internals = parser as unknown as ParserInternals;
+    this.internals = internals;
     rejectInvalidChunkSizes(internals);
     parser[HTTPParser.kOnHeadersComplete] = ((info: {
       statusCode: number;
       headers: string[];
       shouldKeepAlive: boolean;
     }): boolean => {
-      rejectInvalidContentLength(info.headers);
       const { statusCode, headers, shouldKeepAlive } = info;
-      const problem = invalidHeadReason(statusCode, headers);
+      const problem = invalidHeadReason(statusCode, headers) ?? unclearLengthReason(statusCode, headers);
       if (problem !== null) throw new Error(problem);
-      return handlers.onHeaders({
+      const skipsBody = handlers.onHeaders({
         statusCode,
         headers,
         keepAlive: shouldKeepAlive,
         framed: isFramed(headers),
       });
+      return skipsBody || hasNoBody(statusCode);
     }) as never;
     parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
       handlers.onBody(chunk.subarray(offset, offset + length));
@@ -77,12 +93,19 @@
   push(chunk: Buffer): string | null {
     try {
       const result = this.parser.execute(chunk, 0, chunk.length);
-      return result instanceof Error ? result.message : null;
+      return result instanceof Error ? result.message : this.unboundedReason();
     } catch (error) {
       return error instanceof Error ? error.message : String(error);
     }
   }
 
+  /** Returns what is longer than any answer needs; null if nothing is. */
+  private unboundedReason(): string | null {
+    const { line, trailers } = this.internals;
+    if (line.length > MAX_PARTIAL_LINE) return 'a line is too long';
+    return trailers.length > 2 * MAX_TRAILERS ? 'there are too many trailers' : null;
+  }
+
   /** Handles the end of the stream; returns an error message, or null if it completes an answer without a length. */
   end(): string | null {
     try {
@@ -110,9 +133,18 @@
   );
 }
 
-function rejectInvalidContentLength(headers: readonly string[]): void {
-  for (let at = 0; at + 1 < headers.length; at += 2) {
-    if (headers[at]?.toLowerCase() !== 'content-length') continue;
-    if (!CONTENT_LENGTH.test(headers[at + 1] ?? '')) throw new Error('a content length is not a number');
-  }
+function hasNoBody(statusCode: number): boolean {
+  return statusCode < FIRST_FINAL_STATUS || STATUSES_WITHOUT_BODY.has(statusCode);
+}
+
+/** Returns why it is unclear where an answer ends, or null. */
+function unclearLengthReason(statusCode: number, headers: readonly string[]): string | null {
+  if (statusCode === SWITCHING_PROTOCOLS_STATUS) return 'the protocol is switched unasked';
+  const lengths = headerValues(headers, 'content-length');
+  if (!lengths.every((length) => CONTENT_LENGTH.test(length))) return 'a content length is not a number';
+  const codings = headerValues(headers, 'transfer-encoding');
+  if (codings.length === 0) return null;
+  const isChunked = codings.length === 1 && codings[0]?.toLowerCase() === 'chunked';
+  if (!isChunked) return 'a transfer coding is not supported';
+  return lengths.length > 0 ? 'the body has a length and is chunked' : null;
 }
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -24,6 +24,7 @@
 
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
+const HEAD_METHOD = 'HEAD';
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,6})/i;
 
 /** A request to the back end. */
@@ -72,6 +73,8 @@
   private idleUntilMs = 0;
   private usedMs = Infinity;
   private readonly carriedRequests = new Set<string>();
+  /** Whether a HEAD request was carried: the answer to one may state a length and has no body. */
+  private hasCarriedHead = false;
   private readonly connectTimer: NodeJS.Timeout;
 
   constructor(
@@ -121,6 +124,7 @@
   run(request: BackendRequest, handlers: BackendRequestHandlers): void {
     this.request = request;
     this.carriedRequests.add(request.requestId);
+    if (request.method === HEAD_METHOD) this.hasCarriedHead = true;
     if (this.carriedRequests.size >= MAX_CARRIED_REQUESTS) this.reusable = false;
     this.handlers = handlers;
     this.requestWritten = false;
@@ -191,14 +195,15 @@
   private handleHeaders(answer: ParsedAnswer): boolean {
     this.receivingAnswer = false;
     if (this.request === null || answer.statusCode < FIRST_FINAL_STATUS) return false;
-    const hasNoBody = this.request.method === 'HEAD';
     if (!this.matchesRequest(answer, this.request)) {
       this.reusable = false;
-      return hasNoBody;
+      if (this.hasCarriedHead) this.fail('garbled', 'a surplus answer may or may not have a body', false);
+      return false;
     }
     this.receivingAnswer = true;
     if (!answer.keepAlive) this.reusable = false;
     this.idleUntilMs = this.nowMs() + maxIdleMs(answer.headers);
+    const hasNoBody = this.request.method === HEAD_METHOD;
     this.handlers?.onAnswer(answer);
     return hasNoBody;
   }
