Read the bytes of an answer's head unchanged

A request whose id holds a byte beyond ASCII waited until its deadline, and an answer to another id that differs in one high bit answered it. Headers beyond ASCII reached the caller changed.

Cause: http-parser-js decodes heads as ASCII, which drops the high bit of each byte. They are decoded as Latin-1 now, as Node reads and writes them elsewhere.

--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -52,6 +52,9 @@
   consumeLine(): string | undefined;
 }
 
+// The library's default drops the high bit of each byte, so that different ids would be equal.
+(HTTPParser as { encoding: string }).encoding = 'latin1';
+
 type Parser = InstanceType<typeof HTTPParser>;
 
 /** Parser of the answers on one connection. */
