Send no answer ahead of that of a request that runs

A caller whose connection carried bytes that are no request, behind a whole one, got 400 (431 for too large a head) as the first answer on the connection, and took it for that of its request, which a back end was running. In the body of an answer that was being streamed the same bytes would have stood as a part of it.

Cause: the rejection was written to the socket without a look at the requests that had no complete answer. They are answered first now, the last of them with `Connection: close` where its head was not sent yet, and then the connection closes; requests that come later on it are not taken. A request whose own body cannot be read gets the 400 in its turn. With no request unanswered the 400 comes at once, as before. The state of a connection has a file of its own.

--- /dev/null
+++ b/src/sidecar/caller-connection.ts
@@ -0,0 +1,59 @@
+/**
+ * One connection of a caller: which of its requests have no complete answer, and how it ends after bytes that are no
+ * request. Answers are told apart by their order on the connection, so nothing is written ahead of an earlier answer.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** State of one connection. */
+export class CallerConnection {
+  /** Responses that were not passed on completely, in the order of their requests. */
+  private readonly unfinished = new Set<ServerResponse>();
+  /** Bytes that had been received when the last answer was complete; null before that. */
+  private bytesAtIdle: number | null = null;
+  private ending = false;
+
+  constructor(private readonly socket: Socket) {}
+
+  /** Whether no further request is taken, because the connection ends after its last answer. */
+  get isEnding(): boolean {
+    return this.ending;
+  }
+
+  /** Whether all requests were answered, and nothing has been received since. */
+  get isIdle(): boolean {
+    return this.unfinished.size === 0 && this.bytesAtIdle === this.socket.bytesRead;
+  }
+
+  /** Whether a request has no complete answer. */
+  get isBusy(): boolean {
+    return this.unfinished.size > 0;
+  }
+
+  /** Records a request whose head was received. */
+  begin(response: ServerResponse): void {
+    this.unfinished.add(response);
+  }
+
+  /** Records that an answer was passed on completely, or that its connection has closed. */
+  end(response: ServerResponse): void {
+    this.unfinished.delete(response);
+    if (this.unfinished.size > 0) return;
+    this.bytesAtIdle = this.socket.bytesRead;
+    if (this.ending) this.socket.destroySoon();
+  }
+
+  /**
+   * Ends the connection after the last answer. Returns the response to the request whose body cannot be received any
+   * more, which is to be answered; null if there is none.
+   */
+  endAfterAnswers(): ServerResponse | null {
+    if (this.ending) return null;
+    this.ending = true;
+    const last = [...this.unfinished].at(-1);
+    if (last === undefined) return null;
+    // Tells the caller not to send its next request on this connection.
+    if (!last.headersSent) last.shouldKeepAlive = false;
+    return last.req.complete ? null : last;
+  }
+}
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -10,6 +10,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import { invalidHeadReason } from './answer-headers.js';
+import { CallerConnection } from './caller-connection.js';
 import type { CallerSink, UnansweredOutcome } from './caller-request.js';
 
 /** Maximum size of a header block that is read, in bytes; the configured limit is checked afterwards. */
@@ -71,14 +72,6 @@
   deadlinePassed: 504,
 } as const;
 
-/** State of a caller's connection. */
-interface CallerConnection {
-  /** Number of requests whose answers were not passed on completely. */
-  unfinished: number;
-  /** Bytes that had been received when the last answer was complete; null before that. */
-  bytesAtIdle: number | null;
-}
-
 /** HTTP server for callers. */
 export class CallerServer {
   private readonly server: Server;
@@ -102,11 +95,11 @@
     this.server.requestTimeout = 0;
     this.server.on('connection', (socket: Socket) => {
       this.turns.connectionAccepted();
-      this.connections.set(socket, { unfinished: 0, bytesAtIdle: null });
+      this.connections.set(socket, new CallerConnection(socket));
       socket.once('close', () => this.connections.delete(socket));
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-      rejectUnreadable(error, socket);
+      this.rejectUnreadable(error, socket);
     });
     this.applyLimits();
   }
@@ -139,8 +132,7 @@
   stopListening(): void {
     // Node's own `close` would cut connections off whose answers a slow reader has not taken yet.
     NetServer.prototype.close.call(this.server);
-    for (const [socket, { unfinished, bytesAtIdle }] of this.connections)
-      if (unfinished === 0 && bytesAtIdle === socket.bytesRead) socket.destroy();
+    for (const [socket, connection] of this.connections) if (connection.isIdle) socket.destroy();
   }
 
   /** Stops listening and closes every connection. */
@@ -150,11 +142,14 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
-    this.changeUnfinished(socket, 1);
+    const connection = this.connections.get(request.socket);
+    if (connection === undefined || connection.isEnding) return;
+    this.activeCount += 1;
+    connection.begin(response);
     let forwarded: RequestHandle | null = null;
     response.once('close', () => {
-      this.changeUnfinished(socket, -1);
+      this.activeCount -= 1;
+      connection.end(response);
       if (!response.writableFinished) forwarded?.cancel();
     });
     request.on('error', () => undefined);
@@ -171,12 +166,27 @@
     });
   }
 
-  private changeUnfinished(socket: Socket, by: 1 | -1): void {
-    this.activeCount += by;
+  /**
+   * Rejects bytes that are no request; nothing of them was forwarded. Behind a request without an answer they get no
+   * answer of their own, which would be taken for that of the request.
+   */
+  private rejectUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
-    if (connection === undefined) return;
-    connection.unfinished += by;
-    if (connection.unfinished === 0) connection.bytesAtIdle = socket.bytesRead;
+    const hasLeft = socket.readableEnded && connection?.isBusy === true;
+    if (error.code === 'ECONNRESET' || !socket.writable || hasLeft) {
+      socket.destroy();
+      return;
+    }
+    const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+    if (connection?.isBusy === true) {
+      const unreceived = connection.endAfterAnswers();
+      if (unreceived === null) return;
+      const statusCode = tooLarge ? LOCAL_STATUS.headersTooLarge : LOCAL_STATUS.badRequest;
+      this.sendLocalAnswer(unreceived, localAnswer(statusCode, 'the request is not readable'));
+      return;
+    }
+    const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
+    socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
 
   private readBody(request: IncomingMessage, response: ServerResponse, done: (body: Buffer) => void): void {
@@ -294,14 +304,3 @@
   for (const text of headers) bytes += text.length + 2;
   return bytes;
 }
-
-/** Rejects a request that could not be parsed; nothing of it was forwarded. */
-function rejectUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-  const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-  socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-}
