Fail one request, not the daemon, when an answer cannot be written

A caller's daemon ended, and all its requests with it, on any answer that Node's HTTP library refuses to write. The mend of the spoilt header byte listed two reasons (invalid bytes, invalid status); an announced trailer without chunks still ended the process (ERR_HTTP_TRAILER_INVALID), as would any later rule of the library. A body beyond the length that its daemon had stated stood where the next answer on the connection was due; one short of it left the caller waiting.

Change: what the library throws on a head is answered 502 for this request; on a part of the body, and on one that does not fit its length, the connection is reset. The list of reasons stays beside the back end, where it makes an answer garbled before any byte of it is sent.

--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -9,7 +9,6 @@
 import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
-import { invalidHeadReason } from './answer-headers.js';
 import { CallerConnection } from './caller-connection.js';
 import type { CallerSink, UnansweredOutcome } from './caller-request.js';
 
@@ -230,19 +229,24 @@
     return {
       answer: (head, body) => {
         if (!this.writeHead(response, head)) return;
-        if (head.moreFollows) response.write(body);
-        else response.end(body);
+        writeBody(response, () => {
+          if (head.moreFollows) response.write(body);
+          else response.end(body);
+        });
       },
       body: (chunk) => {
-        if (!response.writableEnded) response.write(chunk);
+        if (response.writableEnded) return;
+        writeBody(response, () => {
+          response.write(chunk);
+        });
       },
       end: () => {
-        response.end();
+        writeBody(response, () => {
+          response.end();
+        });
       },
       abort: () => {
-        // Without a length, an ordinary end of the connection would make the answer look complete.
-        if (response.socket === null) response.destroy();
-        else response.socket.resetAndDestroy();
+        breakOff(response);
       },
       fail: (outcome) => {
         this.sendLocalAnswer(response, localAnswerFor(outcome));
@@ -252,12 +256,9 @@
 
   /** Returns false, and answers itself, if the head cannot be sent on; a daemon of another version may not have checked it. */
   private writeHead(response: ServerResponse, head: AnswerHead): boolean {
-    if (invalidHeadReason(head.statusCode, head.headers) !== null) {
-      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.unknownOutcome, 'the answer is not readable'));
-      return false;
-    }
     if (this.ports.closing()) response.shouldKeepAlive = false;
     response.sendDate = false;
+    response.strictContentLength = true;
     const headers = [...head.headers];
     if (!head.framed) {
       // The body's completeness cannot be verified, so it is sent without a length or chunked framing that would attest
@@ -265,8 +266,14 @@
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
     } else if (head.contentLength !== null) headers.push('content-length', String(head.contentLength));
-    response.writeHead(head.statusCode, headers);
-    return true;
+    try {
+      response.writeHead(head.statusCode, headers);
+      return true;
+    } catch {
+      // Node rejects what it cannot write: invalid bytes, an unknown status, a trailer without chunks.
+      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.unknownOutcome, 'the answer is not readable'));
+      return false;
+    }
   }
 
   private sendLocalAnswer(response: ServerResponse, answer: LocalAnswer): void {
@@ -283,6 +290,21 @@
   }
 }
 
+/** Writes a part of an answer. Node rejects one that does not fit the length that the answer has stated. */
+function writeBody(response: ServerResponse, write: () => void): void {
+  try {
+    write();
+  } catch {
+    breakOff(response);
+  }
+}
+
+/** Resets the connection: without a length, an ordinary end would make the answer look complete. */
+function breakOff(response: ServerResponse): void {
+  if (response.socket === null) response.destroy();
+  else response.socket.resetAndDestroy();
+}
+
 /** Creates an answer without a retry-after time. */
 export function localAnswer(statusCode: number, reason: string): LocalAnswer {
   return { statusCode, reason, retryAfterMs: null };
