Check the heads that another daemon sends before they are used

A frame that is valid JSON and no valid head (another version, or damage) ended the daemon that read it: heads were taken as what their kind says, and the first property access, or Node's writer of answers, threw in the handler of the link. A head that is no object closed the link, with the requests of all streams.

Change: heads are checked by hand-written predicates, since they are read for every request. A request that cannot be read is refused as `unreadable`, an answer that cannot be read, or is not due (a second head, a body before a head, a refusal after one), fails its own request, and a status is ignored. A stream number that is in use ends the connection, frames behind one that closed it are dropped, and stream numbers start again after the largest. A stated request limit too large for a number counts as unreadable, as JSON would write it as null.

Ruled out: `zod` for these heads, because of the price of each request.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -6,6 +6,7 @@
 import { InputTurns } from '../runtime/input-turns.js';
 import { connectOptions, type SocketAddress } from '../model/socket-address.js';
 import { LINK_TIMINGS, LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
+import { isAnswerHead, isFailureHead, isHelloHead, isRefusalHead, isStatusHead } from './head-checks.js';
 import { withoutExcess, withRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type { ByteMeter } from './link-bytes.js';
@@ -25,6 +26,9 @@
 /** Time in ms after a failed attempt to connect during which the peer counts as unreachable. */
 const RECONNECT_DELAY_MS = 150;
 
+/** Largest stream number that a frame can hold; the numbers then start again. */
+const MAX_STREAM = 0xffff_ffff;
+
 /** Callbacks for the outcome of a request. Exactly one of the final ones is called, unless the request is cancelled. */
 export interface RequestHandlers {
   /** Final: the request was not executed. */
@@ -54,6 +58,8 @@
   sent: boolean;
   /** Whether the request was withdrawn before it was sent. */
   withdrawn: boolean;
+  /** Whether the start of an answer has arrived, of which more follows. */
+  answerStarted: boolean;
 }
 
 /** Handle of a request that was passed to a link. */
@@ -123,8 +129,15 @@
    */
   request(head: RequestHead, body: Buffer, handlers: RequestHandlers): LinkRequest {
     const stream = this.nextStream;
-    this.nextStream += 1;
-    const pending: PendingRequest = { head, body, handlers, sent: false, withdrawn: false };
+    this.nextStream = stream === MAX_STREAM ? 1 : stream + 1;
+    const pending: PendingRequest = {
+      head,
+      body,
+      handlers,
+      sent: false,
+      withdrawn: false,
+      answerStarted: false,
+    };
     this.pending.set(stream, pending);
     this.ensureConnection();
     if (this.connected) this.scheduleSending();
@@ -233,11 +246,11 @@
 
   private handleFrame(frame: LinkFrame): void {
     if (frame.kind === FRAME_KIND.hello) {
-      this.handleHello(frame.head as HelloHead | undefined);
+      if (isHelloHead(frame.head)) this.handleHello(frame.head);
       return;
     }
     if (frame.kind === FRAME_KIND.status) {
-      this.handlers.onStatus(frame.head as StatusHead);
+      if (isStatusHead(frame.head)) this.handlers.onStatus(frame.head);
       return;
     }
     const pending = this.pending.get(frame.stream);
@@ -246,35 +259,58 @@
     this.watch();
   }
 
-  private handleHello(hello: HelloHead | undefined): void {
-    if (this.route.pacer === null || hello?.compactHeads !== true) return;
+  private handleHello(hello: HelloHead): void {
+    if (this.route.pacer === null || hello.compactHeads !== true) return;
     this.connection?.send(FRAME_KIND.compactHeads, 0, undefined);
     this.connection?.enableShortHeads();
   }
 
-  private dispatch(frame: LinkFrame, { head, handlers }: PendingRequest): void {
-    switch (frame.kind) {
+  /** A frame that cannot belong to the outcome of the request ends this request only. */
+  private dispatch(frame: LinkFrame, pending: PendingRequest): void {
+    if (!this.dispatchOutcome(frame, pending)) this.failUnreadable(frame.stream, pending);
+  }
+
+  /** Passes a part of the outcome on; returns false if it is not readable or is not due. */
+  private dispatchOutcome({ kind, stream, head, body }: LinkFrame, pending: PendingRequest): boolean {
+    const { handlers, answerStarted } = pending;
+    switch (kind) {
       case FRAME_KIND.refusal:
-        this.pending.delete(frame.stream);
-        handlers.onRefusal(frame.head as RefusalHead);
-        break;
+        if (answerStarted || !isRefusalHead(head)) return false;
+        this.pending.delete(stream);
+        handlers.onRefusal(head);
+        return true;
       case FRAME_KIND.failure:
-        this.pending.delete(frame.stream);
-        handlers.onFailure(frame.head as FailureHead);
-        break;
+        if (!isFailureHead(head)) return false;
+        this.pending.delete(stream);
+        handlers.onFailure(head);
+        return true;
       case FRAME_KIND.answer:
-        if (!(frame.head as AnswerHead).moreFollows) this.pending.delete(frame.stream);
-        handlers.onAnswer(withRequestId(frame.head as AnswerHead, head.requestId), frame.body);
-        break;
+        if (answerStarted || !isAnswerHead(head)) return false;
+        pending.answerStarted = true;
+        if (!head.moreFollows) this.pending.delete(stream);
+        handlers.onAnswer(withRequestId(head, pending.head.requestId), body);
+        return true;
       case FRAME_KIND.body:
-        handlers.onBody(frame.body);
-        break;
+        if (!answerStarted) return false;
+        handlers.onBody(body);
+        return true;
       case FRAME_KIND.end:
-        this.pending.delete(frame.stream);
+        if (!answerStarted) return false;
+        this.pending.delete(stream);
         handlers.onEnd();
-        break;
+        return true;
       default:
-        break;
+        return true;
     }
   }
+
+  private failUnreadable(stream: number, { handlers }: PendingRequest): void {
+    this.pending.delete(stream);
+    this.connection?.send(FRAME_KIND.cancel, stream, undefined);
+    handlers.onFailure({
+      reason: 'garbled',
+      detail: 'the answer of the daemon is not readable',
+      status: null,
+    });
+  }
 }
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -226,7 +226,7 @@
       this.close(frames.val);
       return;
     }
-    for (const frame of frames.val) this.dispatch(frame);
+    for (const frame of frames.val) if (this.open) this.dispatch(frame);
   }
 
   private dispatch(frame: LinkFrame): void {
@@ -236,11 +236,15 @@
   }
 
   private withStatus(frame: LinkFrame): LinkFrame {
-    if (!mayCarryStatus(frame.kind)) return frame;
-    return { ...frame, head: this.statusReceiver.restore(frame.head as StatusCarrier) };
+    if (!mayCarryStatus(frame.kind) || !isObject(frame.head)) return frame;
+    return { ...frame, head: this.statusReceiver.restore(frame.head) };
   }
 }
 
+function isObject(head: unknown): head is StatusCarrier {
+  return typeof head === 'object' && head !== null;
+}
+
 function jsonOf(head: unknown): Buffer {
   return Buffer.from(JSON.stringify(head));
 }
--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -54,16 +54,6 @@
   compactHeads: 16,
 } as const;
 
-/** Kinds of frames whose head is an object. */
-const KINDS_WITH_HEAD: ReadonlySet<number> = new Set([
-  FRAME_KIND.hello,
-  FRAME_KIND.request,
-  FRAME_KIND.refusal,
-  FRAME_KIND.failure,
-  FRAME_KIND.answer,
-  FRAME_KIND.status,
-]);
-
 /** Number of a frame's kind on the wire. */
 export type FrameKind = (typeof FRAME_KIND)[keyof typeof FRAME_KIND];
 
@@ -71,7 +61,7 @@
 export interface LinkFrame {
   readonly kind: number;
   readonly stream: number;
-  /** Undefined when the frame has no head. */
+  /** Undefined when the frame has no head, or none that is readable. */
   readonly head: unknown;
   readonly body: Buffer;
 }
@@ -179,17 +169,18 @@
   const headEnd = FIXED_FIELDS_BYTES + bytes.readUInt32BE(5);
   if (headEnd > bytes.length) return Err('unreadable-head');
   const body = headEnd === bytes.length ? EMPTY_BODY : bytes.subarray(headEnd);
-  if (headEnd === FIXED_FIELDS_BYTES) {
-    return KINDS_WITH_HEAD.has(kind) ? Err('unreadable-head') : Ok({ kind, stream, head: undefined, body });
-  }
+  if (headEnd === FIXED_FIELDS_BYTES) return Ok({ kind, stream, head: undefined, body });
   const headBytes = bytes.subarray(FIXED_FIELDS_BYTES, headEnd);
   const text = markedKind === kind ? Ok(headBytes) : decodeShortHead(kind, headBytes);
   if (text.err) return text;
+  return Ok({ kind, stream, head: parseHead(text.val), body });
+}
+
+/** Returns the head; undefined if it is not readable, which concerns its stream only: the next frame is found without it. */
+function parseHead(text: Buffer): unknown {
   try {
-    const head = JSON.parse(text.val.toString('utf8')) as unknown;
-    const isObject = typeof head === 'object' && head !== null;
-    return isObject || !KINDS_WITH_HEAD.has(kind) ? Ok({ kind, stream, head, body }) : Err('unreadable-head');
+    return JSON.parse(text.toString('utf8'));
   } catch {
-    return Err('unreadable-head');
+    return undefined;
   }
 }
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -66,7 +66,9 @@
   /** The back end answered that it did not execute the request. */
   | 'declined'
   /** Back ends that executed the request have crashed. */
-  | 'quarantined';
+  | 'quarantined'
+  /** The daemon cannot read the request. */
+  | 'unreadable';
 
 /** Limited admission rate of a back end that is warming up or has named a request limit; times in ms. */
 export interface PacingEstimate {
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -6,6 +6,7 @@
 import { LINK_TIMINGS, LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
+import { isRequestHead } from './head-checks.js';
 import { withoutRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type {
@@ -20,6 +21,14 @@
 /** Buffered bytes of a connection from which on backpressure is applied to the answers on it. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
+/** Answer to a request whose head is not readable; nothing of it is executed. */
+const UNREADABLE_REFUSAL: RefusalHead = {
+  reason: 'unreadable',
+  arrived: false,
+  retryAfterMs: 0,
+  status: null,
+};
+
 /** Sends the outcome of one request to its caller. */
 export interface RequestReply {
   refuse(head: RefusalHead): void;
@@ -129,7 +138,15 @@
     requests: Map<number, AcceptedRequest>,
   ): void {
     if (frame.kind === FRAME_KIND.request) {
-      const head = frame.head as RequestHead;
+      const { head } = frame;
+      if (!isRequestHead(head)) {
+        connection.send(FRAME_KIND.refusal, frame.stream, UNREADABLE_REFUSAL);
+        return;
+      }
+      if (requests.has(frame.stream)) {
+        connection.close('a stream number is in use');
+        return;
+      }
       const removeRequest = (): void => {
         requests.delete(frame.stream);
         watch(connection, requests);
--- a/src/link/shared-status.ts
+++ b/src/link/shared-status.ts
@@ -7,6 +7,7 @@
  * before all later frames; a status in any other frame is marked, and is used only for the head that carries it. A head
  * that leaves out its status and is overtaken gets a later status, which is newer.
  */
+import { isStatusHead } from './head-checks.js';
 import { FRAME_KIND } from './link-frame.js';
 import type { StatusHead } from './link-messages.js';
 
@@ -66,10 +67,10 @@
 export class StatusReceiver {
   private lastReceived: StatusHead | null = null;
 
-  /** Returns the head with its status; null as the status if there is none. */
+  /** Returns the head with its status; null as the status if there is none, or it is not readable. */
   restore<T extends StatusCarrier>(head: T): T & { readonly status: StatusHead | null } {
-    const { status } = head;
-    if (status === undefined) return { ...head, status: this.lastReceived };
+    if (head.status === undefined) return { ...head, status: this.lastReceived };
+    const status = isStatusHead(head.status) ? head.status : null;
     if (status !== null && head.overtaken !== true) this.lastReceived = status;
     return { ...head, status };
   }
--- a/src/sidecar/backend-signals.ts
+++ b/src/sidecar/backend-signals.ts
@@ -41,7 +41,9 @@
   const readable = values
     .flatMap((value) => value.split(','))
     .map((text) => text.trim())
-    .filter((text) => DECIMAL_NUMBER.test(text));
+    .filter((text) => DECIMAL_NUMBER.test(text))
+    .map(Number)
+    .filter((limit) => Number.isFinite(limit));
   if (readable.length === 0) return { kind: 'unreadable' };
-  return { kind: 'limited', requestsPerSecond: Math.min(...readable.map(Number)) };
+  return { kind: 'limited', requestsPerSecond: Math.min(...readable) };
 }
--- a/src/sidecar/gateway-counters.ts
+++ b/src/sidecar/gateway-counters.ts
@@ -46,6 +46,7 @@
       cancelled: 0,
       declined: 0,
       quarantined: 0,
+      unreadable: 0,
     },
   };
 }
