Check the notices of a replica before a daemon applies them

A notice that is valid JSON and no valid notice (a replica of another version) ended every daemon that follows the replica: the client took it as what its kind says. It now leaves such a replica for the next one, as it does one that is behind. Entries of tables are checked for being objects only: tables hold up to 100,000 items, and replicas check the fields before they commit them.

Looked at besides: what replicas, control, agents and tools read from each other is checked by schemas already.

--- a/src/sidecar/directory-client.ts
+++ b/src/sidecar/directory-client.ts
@@ -4,6 +4,7 @@
  * then the last table stays in force.
  */
 import type { DirectoryNotice, DirectoryRequest } from '../directory/directory-messages.js';
+import { readNotice } from '../directory/notice-checks.js';
 import { parseAddress } from '../directory/replica-address.js';
 import { bucketOf } from '../model/text-hash.js';
 import type { CancelTimer, Client, ClientIdentity, Runtime } from '../runtime/runtime.js';
@@ -124,7 +125,10 @@
         client.send({ kind: 'watch', fromIndex: this.table.index });
       },
       onMessage: (message) => {
-        if (this.client === client) this.receive(message as DirectoryNotice, text);
+        if (this.client !== client) return;
+        const notice = readNotice(message);
+        if (notice === null) this.switchReplica('unreadable notice');
+        else this.receive(notice, text);
       },
       onClose: () => {
         if (this.client === client) this.switchReplica('connection lost');
--- a/test/sidecar/directory-client.test.ts
+++ b/test/sidecar/directory-client.test.ts
@@ -1,10 +1,13 @@
 /** Tests of a daemon's connection to the directory, with a manual clock and a manual network. */
 import test from 'ava';
+import { Random } from '../../lab/random.js';
 import type { DirectoryNotice } from '../../src/directory/directory-messages.js';
+import { readNotice } from '../../src/directory/notice-checks.js';
 import type { ClientHandlers, Runtime } from '../../src/runtime/runtime.js';
 import { DirectoryClient } from '../../src/sidecar/directory-client.js';
 import { DirectoryTable } from '../../src/sidecar/directory-table.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
+import { damageJson } from '../fuzz/damage.js';
 import { ManualTime } from './manual-runtime.js';
 
 const SEEDS = ['127.0.0.1:1', '127.0.0.2:1'];
@@ -44,7 +47,7 @@
     });
   }
 
-  deliver(notice: DirectoryNotice): void {
+  deliver(notice: unknown): void {
     this.handlers?.onMessage(notice);
   }
 
@@ -110,3 +113,70 @@
   network.refuse();
   t.is(network.dials, 2);
 });
+
+/** Notices of all kinds, and how deep their fields are checked. */
+const RANGE = { from: 0, to: 9, owner: 'a', session: 1, fence: 1, movingTo: null, handover: '' };
+const INSTANCE = {
+  id: 'a',
+  service: 's',
+  zone: 'z',
+  daemonAddress: 'h:1',
+  slots: 1,
+  condition: 'ready',
+  version: '',
+};
+const NOTICES: readonly unknown[] = [
+  ALIVE,
+  { kind: 'watch-refused', reason: 'behind' },
+  { kind: 'registered', id: 'a', session: 1, sentMs: 0, termMs: 1_000, index: 0 },
+  { kind: 'session-ended', id: 'a', session: 1 },
+  { kind: 'end-recorded', token: 1 },
+  { kind: 'run-permitted', fingerprint: 'f', life: 'l' },
+  {
+    kind: 'table',
+    index: 1,
+    table: {
+      items: [{ kind: 'service', name: 's', version: 1, source: null, definition: null }],
+      revision: 0,
+      configured: true,
+      accepted: [],
+      instances: [INSTANCE],
+      ranges: [{ service: 's', ranges: [RANGE] }],
+      evacuatedZones: ['z'],
+      crashRecords: [],
+    },
+  },
+  {
+    kind: 'changes',
+    index: 2,
+    changes: [
+      { kind: 'items', items: [] },
+      { kind: 'instance', instance: INSTANCE },
+      { kind: 'instance-gone', id: 'a' },
+      { kind: 'evacuation', zone: 'z', evacuated: true },
+      { kind: 'crash-records', changed: [], removed: [] },
+      { kind: 'ranges', service: 's', ranges: [RANGE] },
+    ],
+  },
+];
+const CHECKED_DEPTH = 1;
+
+test('a damaged notice makes the client leave the replica at most: it ended the daemon', (t) => {
+  const random = new Random(62);
+  let left = 0;
+  for (let count = 0; count < 4_000; count += 1) {
+    const network = new Network();
+    network.deliver(ALIVE);
+    t.notThrows(() => {
+      network.deliver(damageJson(random.pick(NOTICES), random, CHECKED_DEPTH));
+    }, `case ${count}`);
+    network.time.pass(100);
+    if (network.dials > 1) left += 1;
+    network.client.stop();
+  }
+  t.true(left > 1_000);
+});
+
+test('sound notices are readable', (t) => {
+  for (const notice of NOTICES) t.truthy(readNotice(notice));
+});
