Encode any character of a health path

A configuration whose health path holds half a surrogate pair was acknowledged, and then ended the daemon beside each back end of the service at every heartbeat: `encodeURIComponent` throws on it. Characters that a request line cannot hold are sent as their bytes in UTF-8 now.

--- a/src/sidecar/backend-call-client.ts
+++ b/src/sidecar/backend-call-client.ts
@@ -107,7 +107,7 @@
       'connection',
       'keep-alive',
     ];
-    const safePath = path.replace(UNSAFE_PATH_CHARACTERS, encodeURIComponent);
+    const safePath = path.replace(UNSAFE_PATH_CHARACTERS, percentEncode);
     const request = { method, path: safePath, headers: allHeaders, body, requestId, repeatable: false };
     let answer: ParsedAnswer | null = null;
     const chunks: Buffer[] = [];
@@ -132,3 +132,9 @@
     );
   }
 }
+
+/** Encodes a character as its bytes in UTF-8; half a surrogate pair has none and becomes U+FFFD. */
+function percentEncode(character: string): string {
+  const digits = Buffer.from(character).toString('hex').toUpperCase();
+  return digits.replace(/../g, '%$&');
+}
