--- a/src/control-client/replica-link.ts
+++ b/src/control-client/replica-link.ts
@@ -1,4 +1,5 @@
 /** Connection of a daemon to one control replica at a time, with switching between replicas. */
+import { BrokenInvariant } from '../broken-invariant.js';
 import type { NamedAddress } from '../config/daemon-settings.js';
 import { controlNoticeSchema, type ControlNotice, type DaemonRequest } from '../control/daemon-messages.js';
 import type { CancelTimer, Client, ClientIdentity, Runtime, Traffic } from '../runtime/runtime.js';
@@ -86,7 +87,7 @@
 
   private dial(): Client {
     const replica = this.control[this.position % this.control.length];
-    if (replica === undefined) throw new Error('invariant broken: the settings name no control replica');
+    if (replica === undefined) throw new BrokenInvariant('the settings name no control replica');
     return this.runtime.dial(replica.address, this.identity, {
       onOpen: () => {
         this.handlers.onOpen();
--- a/src/placement/backend-loads.ts
+++ b/src/placement/backend-loads.ts
@@ -1,4 +1,5 @@
 /** Load of the back ends during planning: their current shards plus those that the plan adds. */
+import { BrokenInvariant } from '../broken-invariant.js';
 import type { ShardRow } from '../model/shard.js';
 import type { PlacementBackend } from './planner.js';
 
@@ -90,7 +91,7 @@
 
   addToLeastLoaded(load: number): string {
     const least = this.heap[0];
-    if (least === undefined) throw new Error('invariant broken: no back end to place on');
+    if (least === undefined) throw new BrokenInvariant('no back end to place on');
     least.load += load;
     least.shards += 1;
     this.siftDown(0);
