Reject a request without an id at once

A caller that sent no request id waited until its deadline and got 504, while a back end may have run its request: the id that the daemon made up was not sent, so the answer carried none. Before the ids of answers were asked for, a rejection without an id still counted; now nothing would.

A request that needs an id gets 400, after the checks of route and configuration. Ruled out: sending the made-up id on, since back ends may only be given ids that callers sent.

Measured: the new test of request-intake fails on the code before; found by the fuzz of whole daemons, whose own call had no id.

--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -120,6 +120,8 @@
       path,
       host: CHAIN_HOST,
       headers: [
+        DEFAULT_HEADER_DIALECT.requestId,
+        `chain-${this.ports.report.requests}`,
         DEFAULT_HEADER_DIALECT.deadlineMs,
         String(deadlineMs),
         DEFAULT_HEADER_DIALECT.key,
--- a/src/sidecar/request-intake.ts
+++ b/src/sidecar/request-intake.ts
@@ -38,12 +38,15 @@
     const service = route?.nextService() ?? null;
     if (route === null || service === null) return this.noRouteAnswer();
     const { headers, method, path, body } = incoming;
+    const requestId = headerValue(headers, dialect.requestId);
+    // Without an id, the answer could not be told from those to other requests.
+    if (requestId === null || requestId === '')
+      return localAnswer(LOCAL_STATUS.badRequest, 'the request needs an id');
     const keyText = headerValue(headers, dialect.key);
     const keyed = table.service(service)?.keyed === true;
     if (keyed && !isKey(keyText)) return localAnswer(LOCAL_STATUS.badRequest, 'the request needs a key');
     const statedDeadlineMs = Number(headerValue(headers, dialect.deadlineMs));
     const hasDeadline = Number.isFinite(statedDeadlineMs) && statedDeadlineMs > 0;
-    const requestId = headerValue(headers, dialect.requestId) ?? runtime.randomId();
     const deadlineMs = hasDeadline ? statedDeadlineMs : null;
     const parent = this.ports.findParent({ requestId, route: route.name, statedDeadlineMs: deadlineMs });
     return {
--- a/test/sidecar/request-intake.test.ts
+++ b/test/sidecar/request-intake.test.ts
@@ -35,15 +35,12 @@
     findParent: (arrived) => this.running.findParent(arrived, this.time.nowMs),
   });
 
+  receive(headers: readonly string[]) {
+    return this.intake.prepare({ method: 'GET', path: '/', host: 'h', headers, body: Buffer.alloc(0) });
+  }
+
   prepare(requestId: string, deadlineMs: number) {
-    const headers = [DIALECT.requestId, requestId, DIALECT.deadlineMs, String(deadlineMs)];
-    const prepared = this.intake.prepare({
-      method: 'GET',
-      path: '/',
-      host: 'h',
-      headers,
-      body: Buffer.alloc(0),
-    });
+    const prepared = this.receive([DIALECT.requestId, requestId, DIALECT.deadlineMs, String(deadlineMs)]);
     if ('statusCode' in prepared) throw new Error(prepared.reason);
     return prepared;
   }
@@ -69,3 +66,10 @@
 test('a daemon that has restarted knows no parents, and serves calls as new work', (t) => {
   t.is(new World().prepare('p.1', 300).parent, null);
 });
+
+// Its answer carries no id either, so the request waited for it until its deadline.
+test('a request without an id is rejected at once', (t) => {
+  for (const headers of [[], [DIALECT.requestId, '']]) {
+    t.like(new World().receive([...headers, DIALECT.deadlineMs, '300']), { statusCode: 400 });
+  }
+});
