Do less for each request that waits for pending input

Ruled out: to skip the waits while the process has just waited for input. A process that was suspended looks the same, and would again work for callers that have left.

The 145 tests of link, transport and runtime and of late work passed.

--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -104,6 +104,9 @@
   /** Whether a probe is to be sent as soon as the connection is open. */
   private probePending = false;
   private readonly pending = new Map<number, PendingRequest>();
+  /** Streams of requests that were not sent, in order; cancelled ones are no longer pending. */
+  private unsent: number[] = [];
+  private sendingScheduled = false;
   private stopped = false;
 
   constructor(
@@ -139,6 +142,7 @@
       answerStarted: false,
     };
     this.pending.set(stream, pending);
+    this.unsent.push(stream);
     this.ensureConnection();
     if (this.connected) this.scheduleSending();
     return {
@@ -212,12 +216,21 @@
 
   /** Sends the requests that were not sent, once pending input has been read. */
   private scheduleSending(): void {
+    if (this.sendingScheduled) return;
+    this.sendingScheduled = true;
     this.turns.afterInput(() => {
-      if (!this.connected) return;
-      for (const [stream, pending] of this.pending) if (!pending.sent) this.sendRequest(stream, pending);
+      this.sendingScheduled = false;
+      if (this.connected) this.sendUnsent();
     });
   }
 
+  private sendUnsent(): void {
+    for (const stream of this.unsent.splice(0)) {
+      const pending = this.pending.get(stream);
+      if (pending !== undefined) this.sendRequest(stream, pending);
+    }
+  }
+
   private sendRequest(stream: number, pending: PendingRequest): void {
     pending.sent = true;
     const { head, body } = pending;
@@ -240,6 +253,7 @@
     this.probePending = false;
     const lostRequests = [...this.pending.values()];
     this.pending.clear();
+    this.unsent = [];
     if (!this.stopped) this.handlers.onDisconnect(reason);
     for (const pending of lostRequests) pending.handlers.onLost(pending.sent && !noneExecuted);
   }
--- a/src/transport/silence-watch.ts
+++ b/src/transport/silence-watch.ts
@@ -35,6 +35,8 @@
 /** Watches one connection. */
 export class SilenceWatch {
   private cancelChecks: (() => void) | null = null;
+  /** Interval in ms of the checks in progress. */
+  private checkIntervalMs = Infinity;
   private timing: SilenceTiming | null = null;
   private receivedMs: number;
   private checkedMs = 0;
@@ -54,16 +56,16 @@
     this.receivedMs = this.ports.nowMs();
   }
 
-  /** Starts watching with a timing; has no effect if the same timing is already in use. */
+  /**
+   * Starts watching with a timing; has no effect if the same timing is already in use. Checks at shorter intervals go on
+   * until the next one, since the timing of a connection in use changes with each request.
+   */
   watch(timing: SilenceTiming): void {
     if (this.timing === timing) return;
-    this.stop();
     this.timing = timing;
     this.recordReceived();
     this.checkedMs = this.receivedMs;
-    this.cancelChecks = processIntervals.every(timing.probeIntervalMs, () => {
-      this.check(timing);
-    });
+    if (this.cancelChecks === null || timing.probeIntervalMs < this.checkIntervalMs) this.startChecks(timing);
   }
 
   /** Stops watching. */
@@ -73,6 +75,16 @@
     this.timing = null;
   }
 
+  private startChecks({ probeIntervalMs }: SilenceTiming): void {
+    this.cancelChecks?.();
+    this.checkIntervalMs = probeIntervalMs;
+    this.cancelChecks = processIntervals.every(probeIntervalMs, () => {
+      if (this.timing === null) return;
+      if (this.timing.probeIntervalMs === this.checkIntervalMs) this.check(this.timing);
+      else this.startChecks(this.timing);
+    });
+  }
+
   /** Checks the peer. After a stall of this process the measurement restarts, since the peer may not have been silent. */
   private check({ probeIntervalMs, maxSilenceMs, suspectedAfterMs = Infinity }: SilenceTiming): void {
     const nowMs = this.ports.nowMs();
