--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -154,10 +154,10 @@
     () => {
       const nowMs = performance.now();
       const sinceBeatMs = lastBeatMs > 0 ? nowMs - lastBeatMs : 0;
-      const young = present.startedMs.filter((ms) => nowMs - ms < 300).length;
+      const young = present.startedMs.filter((ms) => nowMs - ms < 430).length;
       return sinceBeatMs > 1_600 && sinceBeatMs < 2_300 && young === SLOTS && present.running === SLOTS;
     },
-    20_000,
+    40_000,
     5,
   );
   if (isDue === undefined) return 2;
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -124,6 +124,7 @@
       5,
     );
     record.add(`${sidecar.name} reports the release: ${reported === true ? 'yes' : 'no'}`);
+    await pause(50);
     await sidecar.kill();
     record.add(`${sidecar.name} is killed`);
     await pause(RESTART_MS);
