--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -71,10 +71,7 @@
 
 async function main(context) {
   const { record, fleet, endpoints, cleanUps, trouble } = context;
-  await fleet.lay({
-    directories: 3,
-    sidecars: [{ service: 'saldo' }, { service: 'saldo' }, { service: 'saldo' }],
-  });
+  await fleet.lay({ directories: 3, sidecars: Array.from({ length: 5 }, () => ({ service: 'saldo' })) });
   fleet.start();
   const services = {
     saldo: {
@@ -126,7 +123,7 @@
 
   const present = addEndpoint(context, 'i-new', 0);
   await present.start();
-  const others = [addEndpoint(context, 'i-two', 1), addEndpoint(context, 'i-three', 2)];
+  const others = ['i-two', 'i-three', 'i-four', 'i-five'].map((id, at) => addEndpoint(context, id, at + 1));
   for (const endpoint of others) await endpoint.start();
   for (const endpoint of [present, ...others]) endpoint.beginHeartbeats();
   const spread = await waitFor(() => [present, ...others].every(({ held }) => held.length > 0), 15_000);
