Check the lengths of answers in the sidecar, not with strictContentLength

Cause: relies on strictContentLength, and 20.19.0 compares the bytes written, a number, with the header's value as it was given, a string. Class: the product leans on a behaviour of its runtime that differs within the range it names.

Change: CallerAnswer, split from CallerServer, counts the bytes of a body itself. An answer that a caller does not receive whole is logged (answer-not-delivered) and counted (answer_faults, by reason).

--- a/lab/sim/fleet/fleet-callers.ts
+++ b/lab/sim/fleet/fleet-callers.ts
@@ -1,6 +1,6 @@
 /** Callers of a simulated fleet: they send requests to any machine and retry where the answer allows it. */
 import type { RouteDefinition } from '../../../src/directory/directory-state.js';
-import { localAnswerFor } from '../../../src/sidecar/caller-server.js';
+import { localAnswerFor } from '../../../src/sidecar/local-answer.js';
 import type { AnswerHead } from '../../../src/link/link-messages.js';
 import type { CallerSink } from '../../../src/sidecar/caller-request.js';
 import { DEFAULT_HEADER_DIALECT } from '../../../src/sidecar/header-dialect.js';
--- /dev/null
+++ b/src/sidecar/caller-answer.ts
@@ -0,0 +1,168 @@
+/**
+ * Writes the answer to one request. Body lengths are checked here, since how Node compares them with a stated length
+ * differs between its versions.
+ */
+import type { ServerResponse } from 'node:http';
+import type { AnswerHead } from '../link/link-messages.js';
+import type { CallerSink, UnansweredOutcome } from './caller-request.js';
+import { LOCAL_STATUS, localAnswer, localAnswerFor, type LocalAnswer } from './local-answer.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Statuses whose answers have no body, whatever length they state. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Why a caller has not received an answer as the back end gave it. */
+export type AnswerFault =
+  /** The body is longer or shorter than the length that the answer states. */
+  | 'length-mismatch'
+  /** Node refuses to write the head or the body. */
+  | 'unwritable'
+  /** The rest of the answer did not come. */
+  | 'incomplete'
+  /** The connection closed before all bytes were passed on. */
+  | 'connection-closed';
+
+/** Dependencies of an answer. */
+export interface CallerAnswerPorts {
+  /** Whether the connection is to be closed after this answer. */
+  readonly closing: () => boolean;
+  /** Called once if the caller does not receive the answer as the back end gave it. */
+  readonly onFault: (fault: AnswerFault) => void;
+}
+
+/** The answer to one request of a caller. */
+export class CallerAnswer implements CallerSink {
+  /** Bytes of the body that are still to come; null if the answer states no length. */
+  private missingBytes: number | null = null;
+  private begun = false;
+  private faulty = false;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly ports: CallerAnswerPorts,
+  ) {}
+
+  /** See `CallerSink`. */
+  answer(head: AnswerHead, body: Buffer): void {
+    if (!this.writeHead(head)) return;
+    this.begun = true;
+    if (head.moreFollows) this.body(body);
+    else this.finish(body);
+  }
+
+  /** See `CallerSink`. */
+  body(chunk: Buffer): void {
+    if (this.response.writableEnded || !this.count(chunk)) return;
+    this.write(() => {
+      this.response.write(chunk);
+    });
+  }
+
+  /** See `CallerSink`. */
+  end(): void {
+    this.finish(Buffer.alloc(0));
+  }
+
+  /** See `CallerSink`. */
+  abort(): void {
+    this.breakOff('incomplete');
+  }
+
+  /** See `CallerSink`. */
+  fail(outcome: UnansweredOutcome): void {
+    sendLocalAnswer(this.response, localAnswerFor(outcome), this.ports.closing());
+  }
+
+  /** Records that the connection has closed. */
+  connectionClosed(): void {
+    if (this.begun && !this.response.writableFinished) this.report('connection-closed');
+  }
+
+  /** Returns false, and answers itself, if the head cannot be sent on; a daemon of another version may not have checked it. */
+  private writeHead(head: AnswerHead): boolean {
+    const { response } = this;
+    if (this.ports.closing()) response.shouldKeepAlive = false;
+    response.sendDate = false;
+    const headers = [...head.headers];
+    if (!head.framed) {
+      // The body's completeness cannot be verified, so it is sent without a length or chunked framing that would attest
+      // it.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    } else if (head.contentLength !== null) {
+      headers.push('content-length', String(head.contentLength));
+      if (hasBody(response, head)) this.missingBytes = head.contentLength;
+    }
+    try {
+      response.writeHead(head.statusCode, headers);
+      return true;
+    } catch {
+      // Node rejects what it cannot write: invalid bytes, an unknown status, a trailer without chunks.
+      this.report('unwritable');
+      const unreadable = localAnswer(LOCAL_STATUS.unknownOutcome, 'the answer is not readable');
+      sendLocalAnswer(response, unreadable, this.ports.closing());
+      return false;
+    }
+  }
+
+  private finish(chunk: Buffer): void {
+    if (this.response.writableEnded || !this.count(chunk)) return;
+    if (this.missingBytes !== null && this.missingBytes > 0) {
+      this.breakOff('length-mismatch');
+      return;
+    }
+    this.write(() => {
+      this.response.end(chunk);
+    });
+  }
+
+  /** Counts a part of the body; returns false, and resets the connection, if it goes beyond the stated length. */
+  private count(chunk: Buffer): boolean {
+    if (this.missingBytes === null) return true;
+    this.missingBytes -= chunk.length;
+    if (this.missingBytes >= 0) return true;
+    this.breakOff('length-mismatch');
+    return false;
+  }
+
+  private write(write: () => void): void {
+    try {
+      write();
+    } catch {
+      this.breakOff('unwritable');
+    }
+  }
+
+  /** Resets the connection: without a length, an ordinary end would make the answer look complete. */
+  private breakOff(fault: AnswerFault): void {
+    this.report(fault);
+    const { socket } = this.response;
+    if (socket === null) this.response.destroy();
+    else socket.resetAndDestroy();
+  }
+
+  private report(fault: AnswerFault): void {
+    if (this.faulty) return;
+    this.faulty = true;
+    this.ports.onFault(fault);
+  }
+}
+
+/** Sends an answer that the sidecar generates, unless another one has been begun. */
+export function sendLocalAnswer(response: ServerResponse, answer: LocalAnswer, closing: boolean): void {
+  if (response.headersSent || response.destroyed) return;
+  if (closing) response.shouldKeepAlive = false;
+  const headers = ['content-type', 'text/plain'];
+  if (answer.retryAfterMs !== null) {
+    headers.push('retry-after', String(answer.retryAfterMs / MS_PER_SECOND));
+  }
+  const body = `${answer.reason}\n`;
+  headers.push('content-length', String(Buffer.byteLength(body)));
+  response.writeHead(answer.statusCode, headers);
+  response.end(body);
+}
+
+function hasBody(response: ServerResponse, head: AnswerHead): boolean {
+  return response.req.method !== 'HEAD' && !BODYLESS_STATUSES.has(head.statusCode);
+}
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -1,16 +1,11 @@
 /** The callers' requests that are in flight at one sidecar. */
 import { QUARANTINE_REASON, type CallerRequest, type CallerSink } from './caller-request.js';
-import {
-  localAnswer,
-  LOCAL_STATUS,
-  type IncomingRequest,
-  type LocalAnswer,
-  type RequestHandle,
-} from './caller-server.js';
+import type { IncomingRequest, RequestHandle } from './caller-server.js';
 import type { DirectoryTable } from './directory-table.js';
 import type { ForwarderCounters } from './forwarder-counters.js';
 import { ForwardedRequest, type ForwarderPorts } from './request-forwarder.js';
 import { headerValue } from './header-dialect.js';
+import { localAnswer, LOCAL_STATUS, type LocalAnswer } from './local-answer.js';
 import type { RequestIntake } from './request-intake.js';
 import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
 
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -5,12 +5,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import type { LimitsDefinition } from '../directory/directory-state.js';
-import type { AnswerHead } from '../link/link-messages.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
+import { CallerAnswer, sendLocalAnswer, type AnswerFault } from './caller-answer.js';
 import { CallerConnection } from './caller-connection.js';
-import type { CallerSink, UnansweredOutcome } from './caller-request.js';
+import type { CallerSink } from './caller-request.js';
+import { LOCAL_STATUS, localAnswer, type LocalAnswer } from './local-answer.js';
 
 /** Maximum size of a header block that is read, in bytes; the configured limit is checked afterwards. */
 const MAX_HEADER_BLOCK_BYTES = 128 * 1024;
@@ -21,8 +22,6 @@
 /** Interval in ms between checks for connections that exceed a timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
-const MS_PER_SECOND = 1_000;
-
 /** A request whose body was received completely. */
 export interface IncomingRequest {
   readonly method: string;
@@ -34,13 +33,6 @@
   readonly body: Buffer;
 }
 
-/** An answer that the sidecar itself generates. */
-export interface LocalAnswer {
-  readonly statusCode: number;
-  readonly retryAfterMs: number | null;
-  readonly reason: string;
-}
-
 /** Handle of a request that is being forwarded. */
 export interface RequestHandle {
   /** Cancels the request after its caller has disconnected. */
@@ -56,21 +48,10 @@
   readonly handle: (request: IncomingRequest, sink: CallerSink) => RequestHandle | LocalAnswer;
   /** Called when a caller has left before its request was forwarded. */
   readonly onLeft?: () => void;
+  /** Called when a caller does not receive an answer as the back end gave it; `headers` are those of its request. */
+  readonly onAnswerFault?: (headers: readonly string[], fault: AnswerFault) => void;
 }
 
-/** HTTP statuses of the answers that the sidecar itself generates. */
-export const LOCAL_STATUS = {
-  badRequest: 400,
-  /** A client error, so that callers do not retry. */
-  quarantined: 400,
-  noRoute: 404,
-  bodyTooLarge: 413,
-  headersTooLarge: 431,
-  unknownOutcome: 502,
-  notRun: 503,
-  deadlinePassed: 504,
-} as const;
-
 /** HTTP server for callers. */
 export class CallerServer {
   private readonly server: Server;
@@ -146,21 +127,26 @@
     this.activeCount += 1;
     connection.begin(response);
     let forwarded: RequestHandle | null = null;
+    const answer = new CallerAnswer(response, {
+      closing: this.ports.closing,
+      onFault: (fault) => this.ports.onAnswerFault?.(request.rawHeaders, fault),
+    });
     response.once('close', () => {
       this.activeCount -= 1;
       connection.end(response);
+      answer.connectionClosed();
       if (!response.writableFinished) forwarded?.cancel();
     });
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     if (headerBytes(request.rawHeaders) > this.ports.limits().maxHeaderBytes) {
-      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.headersTooLarge, 'the headers are too large'));
+      this.reply(response, localAnswer(LOCAL_STATUS.headersTooLarge, 'the headers are too large'));
       return;
     }
     this.readBody(request, response, (body) => {
       // The caller may have closed the connection right after its request.
       this.turns.afterClose(() => {
-        forwarded = this.dispatch(request, response, body);
+        forwarded = this.dispatch(request, response, answer, body);
       });
     });
   }
@@ -181,7 +167,7 @@
       const unreceived = connection.endAfterAnswers();
       if (unreceived === null) return;
       const statusCode = tooLarge ? LOCAL_STATUS.headersTooLarge : LOCAL_STATUS.badRequest;
-      this.sendLocalAnswer(unreceived, localAnswer(statusCode, 'the request is not readable'));
+      this.reply(unreceived, localAnswer(statusCode, 'the request is not readable'));
       return;
     }
     const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
@@ -200,14 +186,19 @@
       request.removeAllListeners('data');
       request.removeAllListeners('end');
       request.resume();
-      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'));
+      this.reply(response, localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'));
     });
     request.on('end', () => {
       done(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
     });
   }
 
-  private dispatch(request: IncomingMessage, response: ServerResponse, body: Buffer): RequestHandle | null {
+  private dispatch(
+    request: IncomingMessage,
+    response: ServerResponse,
+    answer: CallerAnswer,
+    body: Buffer,
+  ): RequestHandle | null {
     if (response.destroyed || request.socket.readableEnded) {
       this.ports.onLeft?.();
       return null;
@@ -219,106 +210,15 @@
       headers: request.rawHeaders,
       body,
     };
-    const result = this.ports.handle(incoming, this.makeSink(response));
+    const result = this.ports.handle(incoming, answer);
     if ('cancel' in result) return result;
-    this.sendLocalAnswer(response, result);
+    this.reply(response, result);
     return null;
   }
 
-  private makeSink(response: ServerResponse): CallerSink {
-    return {
-      answer: (head, body) => {
-        if (!this.writeHead(response, head)) return;
-        writeBody(response, () => {
-          if (head.moreFollows) response.write(body);
-          else response.end(body);
-        });
-      },
-      body: (chunk) => {
-        if (response.writableEnded) return;
-        writeBody(response, () => {
-          response.write(chunk);
-        });
-      },
-      end: () => {
-        writeBody(response, () => {
-          response.end();
-        });
-      },
-      abort: () => {
-        breakOff(response);
-      },
-      fail: (outcome) => {
-        this.sendLocalAnswer(response, localAnswerFor(outcome));
-      },
-    };
-  }
-
-  /** Returns false, and answers itself, if the head cannot be sent on; a daemon of another version may not have checked it. */
-  private writeHead(response: ServerResponse, head: AnswerHead): boolean {
-    if (this.ports.closing()) response.shouldKeepAlive = false;
-    response.sendDate = false;
-    response.strictContentLength = true;
-    const headers = [...head.headers];
-    if (!head.framed) {
-      // The body's completeness cannot be verified, so it is sent without a length or chunked framing that would attest
-      // it.
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-    } else if (head.contentLength !== null) headers.push('content-length', String(head.contentLength));
-    try {
-      response.writeHead(head.statusCode, headers);
-      return true;
-    } catch {
-      // Node rejects what it cannot write: invalid bytes, an unknown status, a trailer without chunks.
-      this.sendLocalAnswer(response, localAnswer(LOCAL_STATUS.unknownOutcome, 'the answer is not readable'));
-      return false;
-    }
-  }
-
-  private sendLocalAnswer(response: ServerResponse, answer: LocalAnswer): void {
-    if (response.headersSent || response.destroyed) return;
-    if (this.ports.closing()) response.shouldKeepAlive = false;
-    const headers = ['content-type', 'text/plain'];
-    if (answer.retryAfterMs !== null) {
-      headers.push('retry-after', String(answer.retryAfterMs / MS_PER_SECOND));
-    }
-    const body = `${answer.reason}\n`;
-    headers.push('content-length', String(Buffer.byteLength(body)));
-    response.writeHead(answer.statusCode, headers);
-    response.end(body);
-  }
-}
-
-/** Writes a part of an answer. Node rejects one that does not fit the length that the answer has stated. */
-function writeBody(response: ServerResponse, write: () => void): void {
-  try {
-    write();
-  } catch {
-    breakOff(response);
-  }
-}
-
-/** Resets the connection: without a length, an ordinary end would make the answer look complete. */
-function breakOff(response: ServerResponse): void {
-  if (response.socket === null) response.destroy();
-  else response.socket.resetAndDestroy();
-}
-
-/** Creates an answer without a retry-after time. */
-export function localAnswer(statusCode: number, reason: string): LocalAnswer {
-  return { statusCode, reason, retryAfterMs: null };
-}
-
-/** Returns the answer to a request that ended without an answer of a back end. */
-export function localAnswerFor(outcome: UnansweredOutcome): LocalAnswer {
-  if (outcome.kind === 'not-run') {
-    const { reason, retryAfterMs } = outcome;
-    return { statusCode: LOCAL_STATUS.notRun, reason, retryAfterMs };
+  private reply(response: ServerResponse, answer: LocalAnswer): void {
+    sendLocalAnswer(response, answer, this.ports.closing());
   }
-  if (outcome.kind === 'quarantined') return localAnswer(LOCAL_STATUS.quarantined, outcome.reason);
-  const statusCode = outcome.timedOut ? LOCAL_STATUS.deadlinePassed : LOCAL_STATUS.unknownOutcome;
-  return localAnswer(statusCode, outcome.reason);
 }
 
 function headerBytes(headers: readonly string[]): number {
--- a/src/sidecar/forwarder-counters.ts
+++ b/src/sidecar/forwarder-counters.ts
@@ -1,4 +1,5 @@
 /** Counters of the requests that one sidecar has received from callers. */
+import type { AnswerFault } from './caller-answer.js';
 
 /** Classes of ended requests by the number of refusals. */
 const REFUSAL_CLASSES = ['0', '1', '2-3', '4-7', '8+'] as const;
@@ -23,6 +24,8 @@
   quarantined: number;
   /** Refusals whose time until a network link has room could not be read. */
   unreadableLinkTimes: number;
+  /** Answers that callers did not receive as the back end gave them, by reason. */
+  readonly answerFaults: Record<AnswerFault, number>;
   /** Ended requests that were callers' retries. */
   returned: number;
   /** Callers' retries that were answered. */
@@ -43,6 +46,7 @@
     leftUnread: 0,
     quarantined: 0,
     unreadableLinkTimes: 0,
+    answerFaults: { 'length-mismatch': 0, unwritable: 0, incomplete: 0, 'connection-closed': 0 },
     returned: 0,
     returnedAnswered: 0,
     byRefusals: { '0': 0, '1': 0, '2-3': 0, '4-7': 0, '8+': 0 },
--- a/src/sidecar/request-intake.ts
+++ b/src/sidecar/request-intake.ts
@@ -1,6 +1,7 @@
 /** Validates a caller's HTTP request and turns it into a request to forward, or into an immediate answer. */
 import type { Runtime } from '../runtime/runtime.js';
-import { localAnswer, LOCAL_STATUS, type IncomingRequest, type LocalAnswer } from './caller-server.js';
+import type { IncomingRequest } from './caller-server.js';
+import { localAnswer, LOCAL_STATUS, type LocalAnswer } from './local-answer.js';
 import type { DirectoryTable } from './directory-table.js';
 import { endToEndHeaders, headerValue, type HeaderDialect } from './header-dialect.js';
 import type { CallerRequest } from './caller-request.js';
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -17,6 +17,9 @@
     ['left-unread', counters.leftUnread],
     ['quarantined', counters.quarantined],
   ]);
+  metrics.family('answer_faults', 'Answers that did not reach their callers whole, by reason', 'reason', () =>
+    Object.entries(counters.answerFaults),
+  );
   metrics.value('attempts', 'Attempts at other daemons', () => counters.attempts);
   metrics.value('repeats', 'Second arrivals at back ends', () => counters.repeats);
   metrics.family('request_refusals', 'Ended requests, by how many daemons had refused them', 'refusals', () =>
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -23,8 +23,10 @@
 import type { CallerSink } from './caller-request.js';
 import { CallerRequests } from './caller-requests.js';
 import { ColdStartLimit } from './cold-start-limit.js';
-import { LOCAL_STATUS, type LocalAnswer, type RequestHandle } from './caller-server.js';
-import type { IncomingRequest } from './caller-server.js';
+import type { AnswerFault } from './caller-answer.js';
+import type { IncomingRequest, RequestHandle } from './caller-server.js';
+import { headerValue } from './header-dialect.js';
+import { LOCAL_STATUS, type LocalAnswer } from './local-answer.js';
 import { CrashWatch } from './crash-watch.js';
 import { DirectoryClient } from './directory-client.js';
 import { countDirectoryBytes } from './directory-bytes.js';
@@ -205,6 +207,9 @@
       onLeft: () => {
         this.counters.leftUnread += 1;
       },
+      onAnswerFault: (headers, fault) => {
+        this.recordAnswerFault(headers, fault);
+      },
     });
     this.directory = this.makeDirectory();
     this.timers.push(
@@ -596,15 +601,32 @@
   /** Wraps a sink so that the first answer ends the start of this daemon. */
   private withFirstAnswer(sink: CallerSink): CallerSink {
     return {
-      ...sink,
       answer: (head, body) => {
         this.stages.reach('answer');
         if (this.delay.phase === 'starting') this.delay.phase = 'running';
         sink.answer(head, body);
       },
+      body: (chunk) => {
+        sink.body(chunk);
+      },
+      end: () => {
+        sink.end();
+      },
+      abort: () => {
+        sink.abort();
+      },
+      fail: (outcome) => {
+        sink.fail(outcome);
+      },
     };
   }
 
+  private recordAnswerFault(headers: readonly string[], fault: AnswerFault): void {
+    this.counters.answerFaults[fault] += 1;
+    const requestId = headerValue(headers, this.settings.dialect.requestId);
+    this.log.failure('answer-not-delivered', { requestId, fault });
+  }
+
   private async waitUntil(untilMs: number, isDone: () => boolean): Promise<void> {
     await new Promise<void>((resolve) => {
       const cancel = this.runtime.every(CHECK_INTERVAL_MS / 4, () => {
