Close connections whose bytes are no answer, however long they go on

A back end may send bytes without end in place of an answer until its connection is closed. Callers had their outcome by the deadline, but until then a daemon read all of it, and kept what it read where the answer was not to be passed on.

Cause: bounds on lines and trailers only. The body of an answer that is not forwarded (a rejection, a success without a seal) was buffered until its end, and so was the body of an answer to a call (grants, releases, health checks); interim and surplus answers were read without a limit. Looked at and bounded already: lines, chunk sizes and extensions, trailers.

Change: an answer that is not passed on ends the run at 1 MiB, with what its head says; the answer to a call at 64 KiB, as unanswered; a connection at 4 MiB before the head of its answer.

Not covered: a caller that does not read a download without end. Its bytes are held in memory until the deadline (open before).

--- a/src/sidecar/backend-call-client.ts
+++ b/src/sidecar/backend-call-client.ts
@@ -7,8 +7,9 @@
 import type { ParsedAnswer } from './answer-parser.js';
 import type { InFlightRequest, RequestPool } from './backend-pool.js';
 
-/** Length in bytes at which an answer's body is cut off. */
+/** Length in bytes at which an answer's body is cut off, and at which its connection is closed. */
 const MAX_BODY_BYTES = 4_096;
+const MAX_RECEIVED_BYTES = 64 * 1_024;
 
 /** Calls in flight at a time; further ones wait. */
 const MAX_CONCURRENT = 2;
@@ -111,14 +112,19 @@
     const request = { method, path: safePath, headers: allHeaders, body, requestId, repeatable: false };
     let answer: ParsedAnswer | null = null;
     const chunks: Buffer[] = [];
-    return this.pool.run(
+    let bytes = 0;
+    const inFlight = this.pool.run(
       { ...request, allowsMissingId: true },
       {
         onAnswer: (head) => {
           answer = head;
         },
         onBody: (chunk) => {
-          chunks.push(Buffer.from(chunk));
+          if (bytes < MAX_BODY_BYTES) chunks.push(Buffer.from(chunk));
+          bytes += chunk.length;
+          if (bytes <= MAX_RECEIVED_BYTES) return;
+          inFlight.cancel();
+          finish(Err('unanswered'));
         },
         onEnd: () => {
           if (answer === null) return;
@@ -130,6 +136,7 @@
         },
       },
     );
+    return inFlight;
   }
 }
 
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -22,6 +22,9 @@
  */
 const MAX_CARRIED_REQUESTS = 256;
 
+/** Maximum number of bytes received before the head of the answer, in interim and surplus answers. */
+const MAX_BYTES_BEFORE_ANSWER = 4 * 1024 * 1024;
+
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
 const HEAD_METHOD = 'HEAD';
@@ -69,6 +72,7 @@
   private requestWritten = false;
   /** Whether the answer being received belongs to the present request. */
   private receivingAnswer = false;
+  private bytesBeforeAnswer = 0;
   private reusable = true;
   private idleUntilMs = 0;
   private usedMs = Infinity;
@@ -128,6 +132,7 @@
     if (this.carriedRequests.size >= MAX_CARRIED_REQUESTS) this.reusable = false;
     this.handlers = handlers;
     this.requestWritten = false;
+    this.bytesBeforeAnswer = 0;
     if (this.connected) this.write();
   }
 
@@ -175,10 +180,17 @@
       this.close(false);
       return;
     }
-    const problem = this.parser.push(chunk);
+    const problem = this.parser.push(chunk) ?? this.missingAnswerReason(chunk);
     if (problem !== null) this.fail('garbled', problem, false);
   }
 
+  /** Returns what is wrong if too many bytes have come without the head of the answer; null if nothing is. */
+  private missingAnswerReason(chunk: Buffer): string | null {
+    if (this.receivingAnswer || this.request === null) return null;
+    this.bytesBeforeAnswer += chunk.length;
+    return this.bytesBeforeAnswer > MAX_BYTES_BEFORE_ANSWER ? 'too many bytes before the answer' : null;
+  }
+
   private handleEnd(): void {
     if (this.closed) return;
     if (this.receivingAnswer) {
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -143,7 +143,14 @@
       return;
     }
     this.chunks.push(Buffer.from(chunk));
-    if (this.bytes > MAX_BUFFERED_BYTES && this.isForwardable()) this.startStreaming();
+    if (this.bytes <= MAX_BUFFERED_BYTES) return;
+    if (this.isForwardable()) {
+      this.startStreaming();
+      return;
+    }
+    // The rest of a body that is not passed on may be endless.
+    this.request?.cancel();
+    this.handleEnd();
   }
 
   private startStreaming(): void {
--- a/test/fuzz/daemons.test.ts
+++ b/test/fuzz/daemons.test.ts
@@ -10,24 +10,19 @@
 import { join } from 'node:path';
 import test, { type ExecutionContext } from 'ava';
 import { Random } from '../../lab/random.js';
-import { backendCalls, handleBackendCall } from '../../platform/heartbeat-calls.js';
-import { JsonServer } from '../../platform/json-server.js';
-import { OperatorCalls } from '../../platform/operator-calls.js';
-import { PLATFORM_HEADERS } from '../../platform/wire-names.js';
-import { DirectoryNode } from '../../src/directory/directory-node.js';
-import { DEFAULT_DIRECTORY_TIMING } from '../../src/directory/directory-settings.js';
 import { encodeFrameStart, FRAME_KIND } from '../../src/link/link-frame.js';
-import { nodeRuntime } from '../../src/runtime/node-runtime.js';
-import { SidecarNode } from '../../src/sidecar/sidecar-node.js';
-import { ReplicaStorage } from '../../src/storage/replica-storage.js';
-import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
-import { NO_LATENCIES } from '../../src/telemetry/latencies.js';
 import { encodeFrame } from '../../src/transport/frame-codec.js';
 import { freePort } from '../loopback.js';
 import { damageBytes, damageJson } from './damage.js';
+import {
+  HOST,
+  startDirectory,
+  startSidecar,
+  TOKEN,
+  type DirectoryPorts,
+  type SidecarPorts,
+} from './loopback-daemons.js';
 
-const HOST = '127.0.0.1';
-const TOKEN = 'token';
 const SERVICE = 's';
 const ROUNDS = 600;
 const ROUNDS_PER_CHECK = 20;
@@ -109,14 +104,7 @@
   nested: { priority: 1, remainingMs: 100 },
 };
 
-interface Ports {
-  readonly callers: number;
-  readonly links: number;
-  readonly backend: number;
-  readonly backendCalls: number;
-  readonly replica: number;
-  readonly operator: number;
-}
+type Ports = DirectoryPorts & SidecarPorts;
 
 function httpCall(method: string, path: string, body: unknown): Buffer {
   const text = JSON.stringify(body) ?? '';
@@ -195,93 +183,6 @@
   return server;
 }
 
-async function startDirectory(ports: Ports, dataFolder: string): Promise<() => Promise<void>> {
-  const listen = { host: HOST, port: ports.replica };
-  const name = `${HOST}:${ports.replica}`;
-  const node = (
-    await DirectoryNode.start({
-      latencies: NO_LATENCIES,
-      settings: {
-        listen,
-        advertised: listen,
-        zone: 'z',
-        dataFolder,
-        seeds: [name],
-        firstStart: true,
-        toleratedLosses: 0,
-        leaseTermMs: 5_000,
-        timing: DEFAULT_DIRECTORY_TIMING,
-      },
-      token: TOKEN,
-      runtime: nodeRuntime,
-      storage: (await ReplicaStorage.open(dataFolder, name, true)).unwrap(),
-      log: SILENT_EVENT_LOG,
-      onFatal: (error) => {
-        throw error;
-      },
-    })
-  ).unwrap();
-  const calls = new OperatorCalls(node, ports.operator, new Set(['z']));
-  const address = { host: HOST, port: ports.operator };
-  const server = (
-    await JsonServer.start(address, async (received) => await calls.handle(received), raise)
-  ).unwrap();
-  return async () => {
-    server.close();
-    await node.stop();
-  };
-}
-
-async function startSidecar(ports: Ports): Promise<() => Promise<void>> {
-  const links = { host: HOST, port: ports.links };
-  const backend = { host: HOST, port: ports.backend };
-  const node = (
-    await SidecarNode.start({
-      settings: {
-        name: 'sidecar',
-        zone: 'z',
-        callers: { host: HOST, port: ports.callers },
-        links,
-        advertisedLinks: links,
-        dialFrom: null,
-        backend,
-        service: SERVICE,
-        seeds: [`${HOST}:${ports.replica}`],
-        grantMode: 'heartbeat',
-        holdMs: 4_000,
-        drainMs: 1_000,
-        graceMs: 300,
-        retryBudget: { ratio: 0.2, extra: 60, windowMs: 10_000 },
-        coldStartBound: { factor: 1, slack: 0 },
-        evacuationMs: 5_000,
-        dialect: PLATFORM_HEADERS,
-        linkBytesPerMs: 1_000,
-      },
-      token: TOKEN,
-      runtime: nodeRuntime,
-      log: SILENT_EVENT_LOG,
-      calls: backendCalls(backend),
-      random: Math.random,
-      latencies: NO_LATENCIES,
-      backendListens: async () => await Promise.resolve(true),
-    })
-  ).unwrap();
-  const address = { host: HOST, port: ports.backendCalls };
-  const handle = async (
-    received: Parameters<typeof handleBackendCall>[1],
-  ): ReturnType<typeof handleBackendCall> => await handleBackendCall(node, received);
-  const server = (await JsonServer.start(address, handle, raise)).unwrap();
-  return async () => {
-    server.close();
-    await node.stop();
-  };
-}
-
-/** No damaged call may fail in a way that its handler does not expect. */
-function raise(error: unknown): never {
-  throw error;
-}
-
 /** Calls until the answer is as expected; the daemons need some time for that after their start. */
 async function expectAnswer(
   t: ExecutionContext,
@@ -310,7 +211,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'aldertide-fuzz-'));
   const backendServer = await startBackend(backend);
   const stopDirectory = await startDirectory(ports, join(folder, 'data'));
-  const stopSidecar = await startSidecar(ports);
+  const stopSidecar = await startSidecar(ports, ports.replica, SERVICE);
   let sequence = 0;
   const heartbeats = setInterval(() => {
     sequence += 1;
