--- a/lab/soak/large/large-fleet.ts
+++ b/lab/soak/large/large-fleet.ts
@@ -8,20 +8,13 @@
 import { fileURLToPath } from 'node:url';
 import { PATHS, renderSettings, STAND_IN_PORTS } from '../../../platform/stand-in-wire.js';
 import type { SocketAddress } from '../../../src/model/socket-address.js';
+import { DAEMON_NODE_OPTIONS } from '../../fleet/daemon-options.js';
 import { ManagedProcess } from '../../fleet/managed-process.js';
 import type { DirectoryMachine, SidecarMachine } from '../soak-plan.js';
 import type { HostedBackend, HostOrder, HostReport } from './host-messages.js';
 import type { LargeSoakPlan } from './large-plan.js';
 import { callerRoutes } from './large-routes.js';
 
-/** Memory limits of a daemon, as in its deployment file. */
-const NODE_OPTIONS = [
-  '--max-old-space-size=160',
-  '--max-semi-space-size=2',
-  '--always-sparkplug',
-  '--no-lazy-feedback-allocation',
-];
-
 const CALLER_HOST = fileURLToPath(new URL('./caller-host.js', import.meta.url));
 const BUSY_PROCESS = fileURLToPath(new URL('./busy-process.js', import.meta.url));
 const BACKEND_HOST = fileURLToPath(new URL('./backend-host.js', import.meta.url));
@@ -180,7 +173,7 @@
     const file = join(this.paths.folder, `${name}.toml`);
     const log = join(this.paths.folder, `${name}.log`);
     const role = sidecar === null ? 'directory' : 'sidecar';
-    const command = [...NODE_OPTIONS, this.paths.program, role];
+    const command = [...DAEMON_NODE_OPTIONS, this.paths.program, role];
     const process = new ManagedProcess(name, command, log, { ALDERTIDE_SETTINGS: file });
     const dataFolder = sidecar === null ? join(this.paths.folder, `${name}-data`) : null;
     if (dataFolder !== null) mkdirSync(dataFolder, { recursive: true });
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import type { SocketAddress } from '../../src/model/socket-address.js';
 import { renderSettings, STAND_IN_COLD_START, STAND_IN_PORTS } from '../../platform/stand-in-wire.js';
+import { DAEMON_NODE_OPTIONS } from '../fleet/daemon-options.js';
 import { ManagedProcess } from '../fleet/managed-process.js';
 import { pause } from '../pause.js';
 import type { Random } from '../random.js';
@@ -21,14 +22,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Memory limits of a daemon, as in its deployment file. */
-const NODE_OPTIONS = [
-  '--max-old-space-size=160',
-  '--max-semi-space-size=2',
-  '--always-sparkplug',
-  '--no-lazy-feedback-allocation',
-];
-
 /** Module that runs the program on a clock that can be suspended. */
 const SUSPENDABLE_PROGRAM = fileURLToPath(new URL('./suspendable-program.js', import.meta.url));
 
@@ -182,7 +175,7 @@
     this.namesByIp.set(ip, name);
     const role = hasDisk ? 'directory' : 'sidecar';
     const environment = { ALDERTIDE_SETTINGS: this.settingsFile(name) };
-    const command = [...NODE_OPTIONS, SUSPENDABLE_PROGRAM, this.paths.program, role];
+    const command = [...DAEMON_NODE_OPTIONS, SUSPENDABLE_PROGRAM, this.paths.program, role];
     const process = new ManagedProcess(name, command, this.logFile(name), environment);
     const dataFolder = hasDisk ? join(this.paths.folder, `${name}-data`) : null;
     if (dataFolder !== null) mkdirSync(dataFolder, { recursive: true });
