--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -23,8 +23,8 @@
   /** Returns whether the answer has no body, regardless of its headers. */
   onHeaders(answer: ParsedAnswer): boolean;
   onBody(chunk: Buffer): void;
-  /** `surplus` states whether the last chunk contains bytes beyond the end of the answer. */
-  onComplete(surplus: boolean): void;
+  /** `surplusBytes` is the number of bytes in the last chunk beyond the end of the answer. */
+  onComplete(surplusBytes: number): void;
 }
 
 /** Statuses of interim answers, and of those that have no body whatever their headers state (RFC 9112, 6.3). */
@@ -88,7 +88,7 @@
       handlers.onBody(chunk.subarray(offset, offset + length));
     };
     parser[HTTPParser.kOnMessageComplete] = (): void => {
-      handlers.onComplete(internals.offset < internals.end);
+      handlers.onComplete(Math.max(0, internals.end - internals.offset));
     };
   }
 
@@ -136,7 +136,8 @@
   );
 }
 
-function hasNoBody(statusCode: number): boolean {
+/** Whether answers with a status have no body, whatever their headers state. */
+export function hasNoBody(statusCode: number): boolean {
   return statusCode < FIRST_FINAL_STATUS || STATUSES_WITHOUT_BODY.has(statusCode);
 }
 
--- a/src/sidecar/backend-client.ts
+++ b/src/sidecar/backend-client.ts
@@ -3,6 +3,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import type { InputTurns } from '../runtime/input-turns.js';
 import type { Runtime } from '../runtime/runtime.js';
+import type { SurplusBytes } from './answer-trace.js';
 import { BackendPool, type RequestPool } from './backend-pool.js';
 import { BackendRun, type RunPorts } from './backend-run.js';
 import type { HeaderDialect } from './header-dialect.js';
@@ -58,17 +59,21 @@
   }
 }
 
-/** Creates a client that uses HTTP/1.1. `onRefused` is called when no process listens at the back end's address. */
+/**
+ * Creates a client that uses HTTP/1.1. `onRefused` is called when no process listens at the back end's address, `onSurplus`
+ * when it sends bytes that answer no request.
+ */
 export function httpBackendClient(
   address: SocketAddress,
   dialect: HeaderDialect,
   runtime: Runtime,
   onRefused: () => void,
   turns?: InputTurns,
+  onSurplus?: (surplus: SurplusBytes) => void,
 ): BackendClient {
   const names = { requestId: dialect.requestId };
   return new PooledBackendClient(
-    new BackendPool(address, names, () => runtime.nowMs(), onRefused, turns),
+    new BackendPool(address, names, () => runtime.nowMs(), onRefused, turns, onSurplus),
     dialect,
     runtime,
   );
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -4,7 +4,8 @@
  */
 import { connect, type Socket } from 'node:net';
 import type { SocketAddress } from '../model/socket-address.js';
-import { AnswerParser, type ParsedAnswer } from './answer-parser.js';
+import { AnswerParser, hasNoBody, type ParsedAnswer } from './answer-parser.js';
+import { AnswerRecorder, type AnswerTrace, type ConnectionEnd, type SurplusBytes } from './answer-trace.js';
 import { headerValue, headerValues } from './header-dialect.js';
 
 /** Timeout in ms for opening a connection. */
@@ -28,6 +29,7 @@
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
 const HEAD_METHOD = 'HEAD';
+const ANSWER_START = 'HTTP/';
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,6})/i;
 
 /** A request to the back end. */
@@ -49,6 +51,8 @@
 
 /** Callbacks of a request. `onEnd` and `onBroken` are final. */
 export interface BackendRequestHandlers {
+  /** Called before a final callback, with what was seen of the answer. */
+  onTrace?(trace: AnswerTrace): void;
   onAnswer(answer: ParsedAnswer): void;
   onBody(chunk: Buffer): void;
   onEnd(): void;
@@ -69,10 +73,13 @@
   private handlers: BackendRequestHandlers | null = null;
   private connected = false;
   private closed = false;
+  /** Whether the back end has ended its direction of the connection in the ordinary way. */
+  private endReceived = false;
   private requestWritten = false;
   /** Whether the answer being received belongs to the present request. */
   private receivingAnswer = false;
   private bytesBeforeAnswer = 0;
+  private recorder = new AnswerRecorder();
   private reusable = true;
   private idleUntilMs = 0;
   private usedMs = Infinity;
@@ -86,14 +93,18 @@
     private readonly names: ConnectionHeaders,
     private readonly nowMs: () => number,
     private readonly onClosed: (connection: BackendConnection, refused: boolean) => void,
+    /** Called when bytes arrive without a request in flight. */
+    private readonly onSurplus: (surplus: SurplusBytes) => void = () => undefined,
   ) {
     this.parser = new AnswerParser({
       onHeaders: (answer) => this.handleHeaders(answer),
       onBody: (chunk) => {
-        if (this.receivingAnswer) this.handlers?.onBody(chunk);
+        if (!this.receivingAnswer) return;
+        this.recorder.recordBody(chunk.length);
+        this.handlers?.onBody(chunk);
       },
-      onComplete: (surplus) => {
-        this.handleComplete(surplus);
+      onComplete: (surplusBytes) => {
+        this.handleComplete(surplusBytes);
       },
     });
     this.socket = connect({ host: address.host, port: address.port });
@@ -133,6 +144,7 @@
     this.handlers = handlers;
     this.requestWritten = false;
     this.bytesBeforeAnswer = 0;
+    this.recorder = new AnswerRecorder();
     if (this.connected) this.write();
   }
 
@@ -177,6 +189,7 @@
   private receive(chunk: Buffer): void {
     if (this.closed) return;
     if (this.request === null) {
+      this.reportSurplus(chunk);
       this.close(false);
       return;
     }
@@ -184,6 +197,12 @@
     if (problem !== null) this.fail('garbled', problem, false);
   }
 
+  private reportSurplus(chunk: Buffer): void {
+    const requestId = [...this.carriedRequests].at(-1) ?? '';
+    const isAnswer = chunk.toString('latin1', 0, ANSWER_START.length) === ANSWER_START;
+    this.onSurplus({ requestId, bytes: chunk.length, isAnswer });
+  }
+
   /** Returns what is wrong if too many bytes have come without the head of the answer; null if nothing is. */
   private missingAnswerReason(chunk: Buffer): string | null {
     if (this.receivingAnswer || this.request === null) return null;
@@ -193,6 +212,7 @@
 
   private handleEnd(): void {
     if (this.closed) return;
+    this.endReceived = true;
     if (this.receivingAnswer) {
       this.reusable = false;
       const problem = this.parser.end();
@@ -209,15 +229,17 @@
     if (this.request === null || answer.statusCode < FIRST_FINAL_STATUS) return false;
     if (!this.matchesRequest(answer, this.request)) {
       this.reusable = false;
+      this.recorder.recordOther();
       if (this.hasCarriedHead) this.fail('garbled', 'a surplus answer may or may not have a body', false);
       return false;
     }
     this.receivingAnswer = true;
     if (!answer.keepAlive) this.reusable = false;
     this.idleUntilMs = this.nowMs() + maxIdleMs(answer.headers);
-    const hasNoBody = this.request.method === HEAD_METHOD;
+    const answersHead = this.request.method === HEAD_METHOD;
+    this.recorder.recordHead(answer, answersHead || hasNoBody(answer.statusCode));
     this.handlers?.onAnswer(answer);
-    return hasNoBody;
+    return answersHead;
   }
 
   /**
@@ -233,7 +255,7 @@
     return true;
   }
 
-  private handleComplete(surplus: boolean): void {
+  private handleComplete(surplusBytes: number): void {
     if (!this.receivingAnswer) {
       if (this.request === null) this.reusable = false;
       return;
@@ -241,20 +263,29 @@
     this.receivingAnswer = false;
     this.usedMs = this.nowMs();
     const hasUnsentBody = this.socket.writableLength > 0;
-    if (surplus || hasUnsentBody) this.reusable = false;
+    if (surplusBytes > 0 || hasUnsentBody) this.reusable = false;
+    this.recorder.recordSurplus(surplusBytes);
     const { handlers } = this;
     this.request = null;
     this.handlers = null;
     if (!this.reusable) this.close(false);
+    handlers?.onTrace?.(this.recorder.trace(this.endOfUse()));
     handlers?.onEnd();
   }
 
+  private endOfUse(): ConnectionEnd {
+    if (!this.closed) return 'kept';
+    return this.endReceived ? 'ended' : 'closed';
+  }
+
   private fail(reason: BrokenReason, detail: string, refused: boolean): void {
     if (this.closed) return;
     const { handlers, requestWritten } = this;
     this.request = null;
     this.handlers = null;
     this.close(refused);
+    const connection = this.endReceived || reason === 'garbled' ? this.endOfUse() : 'broken';
+    handlers?.onTrace?.(this.recorder.trace(connection));
     handlers?.onBroken(reason, detail, requestWritten);
   }
 
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -17,6 +17,7 @@
 import { PLANNED_LIMIT_SHARE } from '../placement/reduced-capacities.js';
 import { policyIsOn } from '../policy-switches.js';
 import { Admission, type SlotRequest } from './admission.js';
+import { isUnusual } from './answer-trace.js';
 import type { BackendSignals } from './backend-signals.js';
 import { CallShortages, type EarlyRefusal } from './call-shortage.js';
 import { CircuitBreaker } from './circuit-breaker.js';
@@ -605,11 +606,23 @@
     const { requestId, instance, key } = request.head;
     const { identity, alone } = request;
     const fingerprint = this.reporter.report({ requestId, identity, alone, usedMs }, outcome);
-    if (outcome.kind === 'answered') return;
+    if (outcome.kind === 'answered') {
+      this.logAnswer(request, outcome);
+      return;
+    }
     const fields = { requestId, instance, key, outcome, usedMs: Math.round(usedMs), fingerprint };
     this.ports.log.failure('run-ended', fields);
   }
 
+  /** Logs how an answer was delimited and what else came on its connection; only a sample of the usual ones. */
+  private logAnswer({ head }: GatewayRequest, { statusCode, trace }: AnsweredRun): void {
+    if (trace === undefined) return;
+    const { requestId, instance } = head;
+    const fields = { requestId, instance, statusCode, ...trace };
+    if (isUnusual(trace)) this.ports.log.failure('answer-received', fields);
+    else this.ports.log.routine('answer-received', fields);
+  }
+
   private refuse(request: GatewayRequest, reason: RefusalReason, cause?: RefusalCause): void {
     if (request.done) return;
     const waitedMs = Math.round(this.ports.runtime.nowMs() - request.arrivedMs);
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -1,6 +1,7 @@
 /** Connection pool of one back end. Idle connections are reused, the most recently used one first. */
 import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
+import type { SurplusBytes } from './answer-trace.js';
 import {
   BackendConnection,
   type BackendRequest,
@@ -45,6 +46,8 @@
     /** Called when the back end's address refuses a connection, that is, no process listens there. */
     private readonly onRefused: () => void,
     private readonly turns = new InputTurns(nowMs),
+    /** Called when bytes arrive on a connection without a request in flight. */
+    private readonly onSurplus: (surplus: SurplusBytes) => void = () => undefined,
   ) {}
 
   /** Sends a request on an idle connection or a new one, unless pending input cancels it. */
@@ -107,11 +110,12 @@
 
   private open(): BackendConnection {
     this.opened += 1;
-    const connection = new BackendConnection(this.address, this.names, this.nowMs, (closed, refused) => {
+    const onClosed = (closed: BackendConnection, refused: boolean): void => {
       this.connections.delete(closed);
       this.idle = this.idle.filter((idle) => idle !== closed);
       if (refused) this.onRefused();
-    });
+    };
+    const connection = new BackendConnection(this.address, this.names, this.nowMs, onClosed, this.onSurplus);
     this.connections.add(connection);
     return connection;
   }
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -6,6 +6,7 @@
 import type { AnswerTiming, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { RequestReply } from '../link/link-server.js';
 import type { ParsedAnswer } from './answer-parser.js';
+import type { AnswerTrace } from './answer-trace.js';
 import type { BrokenReason } from './backend-connection.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { RequestPool, InFlightRequest } from './backend-pool.js';
@@ -36,6 +37,8 @@
   readonly bytes: number;
   /** Reported processing time as a factor of the usual one; null if not reported, NaN if not readable. */
   readonly pace: number | null;
+  /** What was seen of the answer. */
+  readonly trace?: AnswerTrace;
 }
 
 /** Outcome of a run. */
@@ -47,6 +50,8 @@
       readonly reason: BrokenReason;
       readonly detail: string;
       readonly sent: boolean;
+      /** What was seen of the answer. */
+      readonly trace?: AnswerTrace;
     }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'cancelled' };
@@ -72,6 +77,7 @@
   private streaming = false;
   private done = false;
   private cancelTimer: CancelTimer | null = null;
+  private trace: { readonly trace?: AnswerTrace } = {};
 
   constructor(
     private readonly pool: RequestPool,
@@ -98,6 +104,9 @@
       onBody: (chunk) => {
         this.receiveBody(chunk);
       },
+      onTrace: (trace) => {
+        this.trace = { trace };
+      },
       onEnd: () => {
         this.handleEnd();
       },
@@ -188,7 +197,7 @@
   private answeredOutcome({ statusCode, headers }: ParsedAnswer): RunOutcome {
     const paceHeader = headerValue(headers, this.dialect.pace);
     const pace = paceHeader === null ? null : this.dialect.readPace(paceHeader);
-    return { kind: 'answered', statusCode, bytes: this.bytes, pace };
+    return { kind: 'answered', statusCode, bytes: this.bytes, pace, ...this.trace };
   }
 
   private isDeclined({ statusCode, headers }: ParsedAnswer): boolean {
@@ -219,7 +228,7 @@
 
   private fail(reason: BrokenReason, detail: string, sent: boolean): void {
     const { ports } = this;
-    ports.onDone({ kind: 'broken', reason, detail, sent });
+    ports.onDone({ kind: 'broken', reason, detail, sent, ...this.trace });
     const status = ports.status();
     if (sent) ports.reply.fail({ reason, detail, status });
     else
--- a/src/sidecar/caller-answer.ts
+++ b/src/sidecar/caller-answer.ts
@@ -28,13 +28,14 @@
   /** Whether the connection is to be closed after this answer. */
   readonly closing: () => boolean;
   /** Called once if the caller does not receive the answer as the back end gave it. */
-  readonly onFault: (fault: AnswerFault) => void;
+  readonly onFault: (fault: AnswerFault, passedBytes: number) => void;
 }
 
 /** The answer to one request of a caller. */
 export class CallerAnswer implements CallerSink {
   /** Bytes of the body that are still to come; null if the answer states no length. */
   private missingBytes: number | null = null;
+  private passedBytes = 0;
   private begun = false;
   private faulty = false;
 
@@ -119,6 +120,7 @@
 
   /** Counts a part of the body; returns false, and resets the connection, if it goes beyond the stated length. */
   private count(chunk: Buffer): boolean {
+    this.passedBytes += chunk.length;
     if (this.missingBytes === null) return true;
     this.missingBytes -= chunk.length;
     if (this.missingBytes >= 0) return true;
@@ -145,7 +147,7 @@
   private report(fault: AnswerFault): void {
     if (this.faulty) return;
     this.faulty = true;
-    this.ports.onFault(fault);
+    this.ports.onFault(fault, this.passedBytes);
   }
 }
 
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -48,8 +48,11 @@
   readonly handle: (request: IncomingRequest, sink: CallerSink) => RequestHandle | LocalAnswer;
   /** Called when a caller has left before its request was forwarded. */
   readonly onLeft?: () => void;
-  /** Called when a caller does not receive an answer as the back end gave it; `headers` are those of its request. */
-  readonly onAnswerFault?: (headers: readonly string[], fault: AnswerFault) => void;
+  /**
+   * Called when a caller does not receive an answer as the back end gave it; `headers` are those of its request, and
+   * `passedBytes` the bytes of the body that were passed on.
+   */
+  readonly onAnswerFault?: (headers: readonly string[], fault: AnswerFault, passedBytes: number) => void;
 }
 
 /** HTTP server for callers. */
@@ -129,7 +132,9 @@
     let forwarded: RequestHandle | null = null;
     const answer = new CallerAnswer(response, {
       closing: this.ports.closing,
-      onFault: (fault) => this.ports.onAnswerFault?.(request.rawHeaders, fault),
+      onFault: (fault, passedBytes) => {
+        this.ports.onAnswerFault?.(request.rawHeaders, fault, passedBytes);
+      },
     });
     response.once('close', () => {
       this.activeCount -= 1;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -152,9 +152,14 @@
     this.keys = this.makeKeys();
     const { linkBytesPerMs } = settings;
     this.pacer = linkBytesPerMs < SLOW_LINK_BYTES_PER_MS ? new LinkPacer(linkBytesPerMs, runtime) : null;
-    this.backendClient = this.transport.backend(() => {
-      void this.presence.recheckListening();
-    });
+    this.backendClient = this.transport.backend(
+      () => {
+        void this.presence.recheckListening();
+      },
+      (surplus) => {
+        this.log.failure('surplus-bytes', { ...surplus });
+      },
+    );
     this.coldLimit = new ColdStartLimit(settings.coldStartBound, runtime.steadyMs());
     this.evacuation = new ZoneEvacuation(settings.evacuationMs);
     this.crashes = this.makeCrashWatch();
@@ -207,8 +212,8 @@
       onLeft: () => {
         this.counters.leftUnread += 1;
       },
-      onAnswerFault: (headers, fault) => {
-        this.recordAnswerFault(headers, fault);
+      onAnswerFault: (headers, fault, passedBytes) => {
+        this.recordAnswerFault(headers, fault, passedBytes);
       },
     });
     this.directory = this.makeDirectory();
@@ -621,10 +626,10 @@
     };
   }
 
-  private recordAnswerFault(headers: readonly string[], fault: AnswerFault): void {
+  private recordAnswerFault(headers: readonly string[], fault: AnswerFault, passedBytes: number): void {
     this.counters.answerFaults[fault] += 1;
     const requestId = headerValue(headers, this.settings.dialect.requestId);
-    this.log.failure('answer-not-delivered', { requestId, fault });
+    this.log.failure('answer-not-delivered', { requestId, fault, passedBytes });
   }
 
   private async waitUntil(untilMs: number, isDone: () => boolean): Promise<void> {
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -10,6 +10,7 @@
 import type { Result } from '../result.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import type { Runtime } from '../runtime/runtime.js';
+import type { SurplusBytes } from './answer-trace.js';
 import { httpBackendClient, type BackendClient } from './backend-client.js';
 import { CallerServer, type CallerServerPorts } from './caller-server.js';
 import type { SidecarSettings } from './sidecar-settings.js';
@@ -53,8 +54,11 @@
   callers(ports: CallerServerPorts): CallerListener;
   links(ports: LinkListenerPorts): LinkListener;
   dialLink(route: LinkRoute, handlers: LinkClientHandlers): Link;
-  /** Creates the back end's client; `onRefused` is called when no process listens at the back end's address. */
-  backend(onRefused: () => void): BackendClient;
+  /**
+   * Creates the back end's client; `onRefused` is called when no process listens at the back end's address, `onSurplus` when
+   * it sends bytes that answer no request.
+   */
+  backend(onRefused: () => void, onSurplus: (surplus: SurplusBytes) => void): BackendClient;
 }
 
 /** Transport of a daemon: TCP and HTTP/1.1. */
@@ -66,6 +70,7 @@
     links: ({ take, status, pacer, meterOf, onDropped }) =>
       new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf, turns, onDropped),
     dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers, turns),
-    backend: (onRefused) => httpBackendClient(settings.backend, settings.dialect, runtime, onRefused, turns),
+    backend: (onRefused, onSurplus) =>
+      httpBackendClient(settings.backend, settings.dialect, runtime, onRefused, turns, onSurplus),
   };
 }
--- a/src/telemetry/explain.ts
+++ b/src/telemetry/explain.ts
@@ -108,7 +108,46 @@
   const atBackend = path.findLast(({ event }) => event === 'run-ended' || event === 'request-refused');
   const outcome = end === undefined ? 'its end is not in these logs' : (OUTCOMES[end.event] ?? '');
   const reason = typeof end?.['reason'] === 'string' ? `: ${end['reason']}` : '';
-  return `${outcome}${reason}${describeAtBackend(atBackend)}${describeCall(path)}`;
+  return `${outcome}${reason}${describeAtBackend(atBackend)}${describeAnswer(path)}${describeCall(path)}`;
+}
+
+/** What marks the end of an answer, by the name under which the daemon beside the back end logs it. */
+const DELIMITERS: Readonly<Record<string, string>> = {
+  head: 'its head alone',
+  length: 'a stated length',
+  chunks: 'chunks',
+  'connection-end': 'nothing but the end of its connection',
+};
+
+/** Describes how the answer was delimited at the back end, and what else came on its connection. */
+function describeAnswer(path: readonly LoggedEvent[]): string {
+  const received = path.findLast(({ event }) => event === 'answer-received');
+  const surplus = path.findLast(({ event }) => event === 'surplus-bytes');
+  const fault = path.findLast(({ event }) => event === 'answer-not-delivered');
+  const parts: string[] = [];
+  if (received !== undefined) parts.push(describeReceived(received));
+  if (surplus !== undefined) {
+    const kind = surplus['isAnswer'] === true ? ', which begin like another answer,' : '';
+    parts.push(`${String(surplus['bytes'])} bytes${kind} came on its connection afterwards`);
+  }
+  if (fault !== undefined) {
+    const passed = `${String(fault['passedBytes'])} bytes of its body`;
+    parts.push(`${fault.daemon} did not deliver it whole (${String(fault['fault'])}, after ${passed})`);
+  }
+  return parts.map((part) => `; ${part}`).join('');
+}
+
+function describeReceived(event: LoggedEvent): string {
+  const delimiter = DELIMITERS[String(event['delimitedBy'])] ?? 'nothing, since its head did not come';
+  const others = Number(event['otherAnswers'] ?? 0);
+  const surplus = Number(event['surplusBytes'] ?? 0);
+  const besides = [
+    ...(others > 0 ? [`${others} answers to other requests`] : []),
+    ...(surplus > 0 ? [`${surplus} surplus bytes`] : []),
+  ];
+  const beside = besides.length === 0 ? '' : `, beside ${besides.join(' and ')}`;
+  const size = `${String(event['bodyBytes'])} bytes`;
+  return `its answer of ${size} was delimited by ${delimiter}, and its connection was ${String(event['connection'])}${beside}`;
 }
 
 /** Describes the relation of a call to the request that waited for it, and why it waited or was refused. */
@@ -149,7 +188,9 @@
     const cause = `${describeLimit(event)}${describeLink(event)}${describeShortage(event)}`;
     return `; ${event.daemon} refused it as ${String(event['reason'])}${slotCounts}${cause}`;
   }
-  return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(event['outcome'])}`;
+  const { trace, ...outcome } = (event['outcome'] ?? {}) as { trace?: LoggedEvent };
+  const answer = trace === undefined ? '' : `; ${describeReceived(trace)}`;
+  return `; at its back end, beside ${event.daemon}, the run ended as ${JSON.stringify(outcome)}${answer}`;
 }
 
 /** Describes why new work was refused although its back end had room for it. */
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -113,3 +113,28 @@
     );
   });
 }
+
+test('an answer that nothing delimited: its bytes, how its connection ended, and what came with it', (t) => {
+  const log = [
+    '{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"answer-received","requestId":"r","delimitedBy":"connection-end","statedBytes":null,"bodyBytes":2500,"connection":"ended","otherAnswers":1,"surplusBytes":0}',
+    '{"time":"2026-01-01T00:00:05.150Z","daemon":"two","event":"surplus-bytes","requestId":"r","bytes":40,"isAnswer":true}',
+    '{"time":"2026-01-01T00:00:05.200Z","daemon":"one","event":"request-answered","requestId":"r"}',
+    '{"time":"2026-01-01T00:00:05.300Z","daemon":"one","event":"answer-not-delivered","requestId":"r","fault":"connection-closed","passedBytes":7}',
+  ].join('\n');
+  t.is(
+    explainRequest('r', readEvents(log)).cause,
+    'it was answered; its answer of 2500 bytes was delimited by nothing but the end of its connection, and its ' +
+      'connection was ended, beside 1 answers to other requests; 40 bytes, which begin like another answer, came on ' +
+      'its connection afterwards; one did not deliver it whole (connection-closed, after 7 bytes of its body)',
+  );
+});
+
+test('a run that broke off tells what had come of its answer', (t) => {
+  const log =
+    '{"time":"2026-01-01T00:00:05.100Z","daemon":"two","event":"run-ended","requestId":"r","outcome":{"kind":"broken","trace":{"delimitedBy":null,"bodyBytes":0,"connection":"broken","otherAnswers":0,"surplusBytes":0}}}';
+  t.is(
+    explainRequest('r', readEvents(log)).cause,
+    'its end is not in these logs; at its back end, beside two, the run ended as {"kind":"broken"}; its answer of ' +
+      '0 bytes was delimited by nothing, since its head did not come, and its connection was broken',
+  );
+});
--- a/test/sidecar/backend-connection.test.ts
+++ b/test/sidecar/backend-connection.test.ts
@@ -1,6 +1,7 @@
 /** Handling of malformed, surplus and truncated answers, as a table of cases against a real socket. */
 import { createServer, type Socket } from 'node:net';
 import test from 'ava';
+import type { AnswerTrace } from '../../src/sidecar/answer-trace.js';
 import { BackendConnection } from '../../src/sidecar/backend-connection.js';
 import { headerValue } from '../../src/sidecar/header-dialect.js';
 
@@ -20,6 +21,7 @@
   body: string;
   framed: boolean;
   usable: boolean;
+  trace: AnswerTrace | null;
 }
 
 /**
@@ -41,7 +43,7 @@
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as { port: number };
-  const seen: Seen = { outcome: '', status: 0, body: '', framed: true, usable: false };
+  const seen: Seen = { outcome: '', status: 0, body: '', framed: true, usable: false, trace: null };
   await new Promise<void>((resolve) => {
     const connection = new BackendConnection(
       { host: '127.0.0.1', port },
@@ -60,6 +62,9 @@
       onBody: (chunk) => {
         seen.body += chunk.toString();
       },
+      onTrace: (trace) => {
+        seen.trace = trace;
+      },
       onEnd: () => {
         seen.outcome = 'whole';
         seen.usable = connection.usable;
@@ -160,6 +165,53 @@
   },
 ];
 
+interface TraceCase {
+  readonly name: string;
+  readonly script: (socket: Socket) => void;
+  readonly expected: Partial<AnswerTrace>;
+}
+
+const TRACES: readonly TraceCase[] = [
+  {
+    name: 'an answer with a length',
+    script: (socket) => socket.write(OK),
+    expected: { delimitedBy: 'length', statedBytes: 4, bodyBytes: 4, connection: 'kept' },
+  },
+  {
+    name: 'an answer behind one to another request, with surplus bytes',
+    script: (socket) => socket.write(`${OTHERS}${OK}surplus`),
+    expected: { delimitedBy: 'length', connection: 'closed', otherAnswers: 1, surplusBytes: 7 },
+  },
+  {
+    name: 'an answer without a length',
+    script: (socket) => socket.end(UNFRAMED),
+    expected: { delimitedBy: 'connection-end', statedBytes: null, bodyBytes: 4, connection: 'ended' },
+  },
+  {
+    name: 'chunks without an end',
+    script: (socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n'),
+    expected: { delimitedBy: 'chunks', bodyBytes: 4, connection: 'ended' },
+  },
+  {
+    name: 'a status without a body',
+    script: (socket) => socket.write('HTTP/1.1 204 None\r\nid: mine\r\n\r\n'),
+    expected: { delimitedBy: 'head', bodyBytes: 0, connection: 'kept' },
+  },
+  {
+    name: 'no answer',
+    script: (socket) => socket.end(),
+    expected: { delimitedBy: null, bodyBytes: 0, connection: 'ended' },
+  },
+];
+
+for (const { name, script, expected } of TRACES) {
+  test(`the trace of ${name}`, async (t) => {
+    const { trace } = await run(script);
+    t.like(trace, expected);
+  });
+}
+
 for (const { name, script, resets, expected } of CASES) {
   test(name, async (t) => {
     t.like(await run(script, resets), expected);
