--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -1,10 +1,11 @@
 /**
- * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects what that library tolerates: content lengths
- * and chunk sizes that are not numbers and transfer codings other than chunked, which would make a truncated answer look
+ * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects what that library tolerates: lines of a head
+ * or trailer that are no header, and heads that run into another one, by which a length gets lost; content lengths and
+ * chunk sizes that are not numbers and transfer codings other than chunked, which would make a truncated answer look
  * complete; lines and trailers without end; and heads that cannot be sent on.
  */
 import { HTTPParser } from 'http-parser-js';
-import { invalidHeadReason } from './answer-headers.js';
+import { invalidHeadReason, repeatedHeaderReason } from './answer-headers.js';
 import { headerValue, headerValues } from './header-dialect.js';
 
 /** Status and headers of an answer. */
@@ -40,6 +41,14 @@
 const CHUNK_SIZE = /^[0-9a-fA-F]{1,12}(?:\s*;.*)?$/;
 const CONTENT_LENGTH = /^[0-9]{1,15}$/;
 
+/** Beginning of a header line (RFC 9112, 5): no space before the colon, and no folding. */
+const HEADER_LINE = /^[!#$%&'*+.^_`|~\dA-Za-z-]+:/;
+
+/** Status line of another answer behind the beginning of a line. */
+const EMBEDDED_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
+
+const CARRIAGE_RETURN = 0x0d;
+
 /** Internals of `http-parser-js` that its type declarations omit. */
 interface ParserInternals {
   state: string;
@@ -47,6 +56,8 @@
   line: string;
   /** Names and values of the trailers received so far. */
   trailers: string[];
+  /** Bytes being parsed; null between calls. */
+  chunk: Buffer | null;
   offset: number;
   end: number;
   consumeLine(): string | undefined;
@@ -67,14 +78,17 @@
     this.parser = parser;
     const internals = parser as unknown as ParserInternals;
     this.internals = internals;
-    rejectInvalidChunkSizes(internals);
+    rejectInvalidLines(internals);
     parser[HTTPParser.kOnHeadersComplete] = ((info: {
       statusCode: number;
       headers: string[];
       shouldKeepAlive: boolean;
     }): boolean => {
       const { statusCode, headers, shouldKeepAlive } = info;
-      const problem = invalidHeadReason(statusCode, headers) ?? unclearLengthReason(statusCode, headers);
+      const problem =
+        invalidHeadReason(statusCode, headers) ??
+        repeatedHeaderReason(headers) ??
+        unclearLengthReason(statusCode, headers);
       if (problem !== null) throw new Error(problem);
       const skipsBody = handlers.onHeaders({
         statusCode,
@@ -120,16 +134,39 @@
   }
 }
 
-function rejectInvalidChunkSizes(parser: ParserInternals): void {
+function rejectInvalidLines(parser: ParserInternals): void {
   const consumeLine = parser.consumeLine.bind(parser);
   parser.consumeLine = () => {
+    const { state, line: begun, offset: start } = parser;
     const line = consumeLine();
-    const isInvalid = line !== undefined && parser.state === 'BODY_CHUNKHEAD' && !CHUNK_SIZE.test(line);
-    if (isInvalid) throw new Error('a chunk size is not a number');
+    if (line === undefined) return undefined;
+    const endsInChunk = parser.offset - 2 >= start;
+    const hasReturn = endsInChunk
+      ? parser.chunk?.[parser.offset - 2] === CARRIAGE_RETURN
+      : begun.endsWith('\r');
+    const problem = hasReturn ? invalidLineReason(state, line) : 'a line does not end with CRLF';
+    if (problem !== null) throw new Error(problem);
     return line;
   };
 }
 
+/** Returns why a line cannot stand where it does, or null. */
+function invalidLineReason(state: string, line: string): string | null {
+  switch (state) {
+    case 'BODY_CHUNKHEAD':
+      return CHUNK_SIZE.test(line) ? null : 'a chunk size is not a number';
+    case 'RESPONSE_LINE':
+      return line.includes('\r') || EMBEDDED_STATUS_LINE.test(line) ? 'the head runs into another one' : null;
+    case 'HEADER':
+    case 'BODY_CHUNKTRAILERS':
+      if (line === '') return null;
+      if (!HEADER_LINE.test(line)) return 'a line is not a header';
+      return EMBEDDED_STATUS_LINE.test(line) ? 'the head runs into another one' : null;
+    default:
+      return null;
+  }
+}
+
 function isFramed(headers: readonly string[]): boolean {
   return (
     headerValue(headers, 'content-length') !== null || headerValue(headers, 'transfer-encoding') !== null
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -227,6 +227,10 @@
   private handleHeaders(answer: ParsedAnswer): boolean {
     this.receivingAnswer = false;
     if (this.request === null || answer.statusCode < FIRST_FINAL_STATUS) return false;
+    if (headerValues(answer.headers, this.names.requestId).length > 1) {
+      this.fail('garbled', 'the head has more than one request id', false);
+      return false;
+    }
     if (!this.matchesRequest(answer, this.request)) {
       this.reusable = false;
       this.recorder.recordOther();
@@ -248,7 +252,7 @@
    */
   private matchesRequest(answer: ParsedAnswer, request: BackendRequest): boolean {
     const ids = headerValues(answer.headers, this.names.requestId);
-    if (ids.length > 0) return ids.every((id) => id === request.requestId);
+    if (ids.length > 0) return ids[0] === request.requestId;
     if (request.allowsMissingId !== true || this.carriedRequests.size > 1) return false;
     // Without ids, a late surplus answer could not be told from the answer to the next call.
     this.reusable = false;
