--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -261,6 +261,7 @@
       pacer: null,
       backend,
       coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
+      probeIncarnation: () => Promise.resolve('present'),
       guard: NO_CRASH_GUARD,
       instance: () => this.place.id,
       awaitsBackend: () => false,
--- a/src/link/head-checks.ts
+++ b/src/link/head-checks.ts
@@ -58,7 +58,8 @@
     (head.contentLength === null || isCount(head.contentLength)) &&
     typeof head.framed === 'boolean' &&
     isTiming(head.timing) &&
-    (head.leaving === undefined || head.leaving === true)
+    (head.leaving === undefined || head.leaving === true) &&
+    (head.endConfirmed === undefined || head.endConfirmed === true)
   );
 }
 
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -306,7 +306,7 @@
         handlers.onFailure(head);
         return true;
       case FRAME_KIND.answer:
-        if (answerStarted || !isAnswerHead(head)) return false;
+        if (answerStarted || !isAnswerHead(head) || !hasCertainEnd(head)) return false;
         pending.answerStarted = true;
         if (!head.moreFollows) this.pending.delete(stream);
         handlers.onAnswer(withRequestId(head, pending.head.requestId), body);
@@ -335,3 +335,7 @@
     });
   }
 }
+
+function hasCertainEnd({ framed, endConfirmed }: AnswerHead): boolean {
+  return framed || endConfirmed === true;
+}
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -144,8 +144,13 @@
   readonly moreFollows: boolean;
   /** Length of the whole body in bytes; null if unknown. */
   readonly contentLength: number | null;
-  /** Whether the back end delimited the body; if not, the caller's connection is also closed to mark the end of the body. */
+  /** Whether the back end delimited the body; if not, nothing but the end of its connection did. */
   readonly framed: boolean;
+  /**
+   * Set if the body is not framed and its sender confirms its end: before this head, or before the `end` frame if more follows.
+   * Missing from daemons that do not confirm it; whether such an answer is whole is not known.
+   */
+  readonly endConfirmed?: true;
   readonly timing: AnswerTiming;
   readonly status: StatusHead | null;
   /** Whether the back end states in this answer that it leaves; missing if not. */
--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -24,8 +24,8 @@
   /** Returns whether the answer has no body, regardless of its headers. */
   onHeaders(answer: ParsedAnswer): boolean;
   onBody(chunk: Buffer): void;
-  /** `surplusBytes` is the number of bytes in the last chunk beyond the end of the answer. */
-  onComplete(surplusBytes: number): void;
+  /** `surplus` holds the bytes of the last chunk beyond the end of the answer. */
+  onComplete(surplus: Buffer): void;
 }
 
 /** Statuses of interim answers, and of those that have no body whatever their headers state (RFC 9112, 6.3). */
@@ -48,6 +48,7 @@
 const EMBEDDED_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
 
 const CARRIAGE_RETURN = 0x0d;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Internals of `http-parser-js` that its type declarations omit. */
 interface ParserInternals {
@@ -94,7 +95,7 @@
         statusCode,
         headers,
         keepAlive: shouldKeepAlive,
-        framed: isFramed(headers),
+        framed: hasNoBody(statusCode) || isFramed(headers),
       });
       return skipsBody || hasNoBody(statusCode);
     }) as never;
@@ -102,7 +103,8 @@
       handlers.onBody(chunk.subarray(offset, offset + length));
     };
     parser[HTTPParser.kOnMessageComplete] = (): void => {
-      handlers.onComplete(Math.max(0, internals.end - internals.offset));
+      const { chunk, offset, end } = internals;
+      handlers.onComplete(chunk?.subarray(offset, end) ?? NO_BYTES);
     };
   }
 
--- a/src/sidecar/backend-call-client.ts
+++ b/src/sidecar/backend-call-client.ts
@@ -33,6 +33,7 @@
   readonly status: number;
   /** Names and values alternately. */
   readonly headers: readonly string[];
+  /** Empty if only the end of the connection delimits it, which does not show that it is whole. */
   readonly body: string;
 }
 
@@ -128,7 +129,8 @@
         },
         onEnd: () => {
           if (answer === null) return;
-          const received = Buffer.concat(chunks).subarray(0, MAX_BODY_BYTES).toString();
+          const parts = answer.framed ? chunks : [];
+          const received = Buffer.concat(parts).subarray(0, MAX_BODY_BYTES).toString();
           finish(Ok({ status: answer.statusCode, headers: answer.headers, body: received }));
         },
         onBroken: (_reason, _detail, sent) => {
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -6,6 +6,7 @@
 import type { SocketAddress } from '../model/socket-address.js';
 import { AnswerParser, hasNoBody, type ParsedAnswer } from './answer-parser.js';
 import { AnswerRecorder, type AnswerTrace, type ConnectionEnd, type SurplusBytes } from './answer-trace.js';
+import { EmbeddedAnswerDetector } from './embedded-answer-detector.js';
 import { headerValue, headerValues } from './header-dialect.js';
 
 /** Timeout in ms for opening a connection. */
@@ -30,6 +31,7 @@
 const FIRST_FINAL_STATUS = 200;
 const HEAD_METHOD = 'HEAD';
 const ANSWER_START = 'HTTP/';
+const EMBEDDED_ANSWER = 'another answer stands in the body';
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,6})/i;
 
 /** A request to the back end. */
@@ -78,8 +80,11 @@
   private requestWritten = false;
   /** Whether the answer being received belongs to the present request. */
   private receivingAnswer = false;
+  /** Whether a length or chunks delimit it. */
+  private answerIsFramed = true;
   private bytesBeforeAnswer = 0;
   private recorder = new AnswerRecorder();
+  private detector: EmbeddedAnswerDetector;
   private reusable = true;
   private idleUntilMs = 0;
   private usedMs = Infinity;
@@ -96,15 +101,14 @@
     /** Called when bytes arrive without a request in flight. */
     private readonly onSurplus: (surplus: SurplusBytes) => void = () => undefined,
   ) {
+    this.detector = new EmbeddedAnswerDetector(this.carriedRequests);
     this.parser = new AnswerParser({
       onHeaders: (answer) => this.handleHeaders(answer),
       onBody: (chunk) => {
-        if (!this.receivingAnswer) return;
-        this.recorder.recordBody(chunk.length);
-        this.handlers?.onBody(chunk);
+        this.handleBody(chunk);
       },
-      onComplete: (surplusBytes) => {
-        this.handleComplete(surplusBytes);
+      onComplete: (surplus) => {
+        this.handleComplete(surplus);
       },
     });
     this.socket = connect({ host: address.host, port: address.port });
@@ -145,6 +149,7 @@
     this.requestWritten = false;
     this.bytesBeforeAnswer = 0;
     this.recorder = new AnswerRecorder();
+    this.detector = new EmbeddedAnswerDetector(this.carriedRequests);
     if (this.connected) this.write();
   }
 
@@ -241,8 +246,9 @@
     if (!answer.keepAlive) this.reusable = false;
     this.idleUntilMs = this.nowMs() + maxIdleMs(answer.headers);
     const answersHead = this.request.method === HEAD_METHOD;
+    this.answerIsFramed = answersHead || answer.framed;
     this.recorder.recordHead(answer, answersHead || hasNoBody(answer.statusCode));
-    this.handlers?.onAnswer(answer);
+    this.handlers?.onAnswer({ ...answer, framed: this.answerIsFramed });
     return answersHead;
   }
 
@@ -259,16 +265,32 @@
     return true;
   }
 
-  private handleComplete(surplusBytes: number): void {
+  private handleBody(chunk: Buffer): void {
+    if (!this.receivingAnswer) return;
+    this.recorder.recordBody(chunk.length);
+    if (this.detector.push(chunk)) {
+      this.fail('garbled', EMBEDDED_ANSWER, false);
+      return;
+    }
+    this.handlers?.onBody(chunk);
+  }
+
+  private handleComplete(surplus: Buffer): void {
     if (!this.receivingAnswer) {
       if (this.request === null) this.reusable = false;
       return;
     }
+    this.recorder.recordSurplus(surplus.length);
+    // A length that is reached exactly, with nothing behind it, tells the end of a body whatever its last bytes are.
+    const mayBeCut = !this.answerIsFramed || surplus.length > 0;
+    if (mayBeCut && this.detector.endsInsideHead(surplus)) {
+      this.fail('garbled', EMBEDDED_ANSWER, false);
+      return;
+    }
     this.receivingAnswer = false;
     this.usedMs = this.nowMs();
     const hasUnsentBody = this.socket.writableLength > 0;
-    if (surplusBytes > 0 || hasUnsentBody) this.reusable = false;
-    this.recorder.recordSurplus(surplusBytes);
+    if (surplus.length > 0 || hasUnsentBody) this.reusable = false;
     const { handlers } = this;
     this.request = null;
     this.handlers = null;
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -22,6 +22,7 @@
 import { CallShortages, type EarlyRefusal } from './call-shortage.js';
 import { CircuitBreaker } from './circuit-breaker.js';
 import type { AnsweredRun, RunOutcome } from './backend-run.js';
+import { EndConfirmation } from './end-confirmation.js';
 import { createGatewayCounters, slotTimeUse } from './gateway-counters.js';
 import type { GatewayPorts } from './gateway-ports.js';
 import { createGatewayRequest, type GatewayRequest } from './gateway-request.js';
@@ -75,6 +76,8 @@
   readonly lateWaitLimiter = new LateWaitLimiter();
   readonly suspects: SuspectScheduler;
   readonly pacing: RequestPacing;
+  /** Confirms the ends of answers that only the end of their connection delimits. */
+  readonly endConfirmation: EndConfirmation;
   private readonly reporter: RunReporter;
   /** Requests that wait for the back end's first heartbeat, or for their key to be granted. */
   private readonly waiting = new Set<GatewayRequest>();
@@ -89,6 +92,7 @@
 
   constructor(private readonly ports: GatewayPorts) {
     const { runtime, pacer, guard } = ports;
+    this.endConfirmation = new EndConfirmation(runtime, ports.probeIncarnation);
     this.reporter = new RunReporter(guard, runtime);
     this.pacing = new RequestPacing(ports);
     this.forecast = new WorkForecast({
@@ -486,13 +490,16 @@
     this.counters.runs += 1;
     this.forecast.expectAnswer(head.route, request);
     request.sendNumber = this.pacing.recordSent();
+    const { mark } = this.endConfirmation;
     request.run = ports.backend.prepare(request.head, request.body, leftMs, {
       status: () => this.status(),
       timing: () => this.timingOf(request),
       reply: this.replyOf(request),
       onSignals: (signals) => {
+        this.endConfirmation.recordAnswer(head.instance, mark);
         this.receiveSignals(request, signals);
       },
+      confirmEnd: (done) => this.endConfirmation.confirm(head.instance, done),
       onDone: (outcome) => {
         this.handleDone(request, outcome);
       },
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -10,6 +10,7 @@
 import type { BackendCalls, BackendHeartbeat, BackendIdentity } from './backend-report.js';
 import type { DirectoryTable } from './directory-table.js';
 import type { LeaseKeeper } from './lease-keeper.js';
+import type { IncarnationState } from './end-confirmation.js';
 import { IncarnationProbe } from './incarnation-probe.js';
 import { LocalBackend, type HeartbeatOutcome } from './local-backend.js';
 
@@ -77,6 +78,11 @@
     return await this.probe.isKnownIncarnationPresent();
   }
 
+  /** Probes whether the incarnation of a name is at the address now. */
+  async stateOf(name: string): Promise<IncarnationState> {
+    return await this.probe.stateOf(name, this.ports.listens);
+  }
+
   /**
    * Whether a heartbeat may come from the incarnation that is present. Even if it is rejected, a leave that it
    * reports is binding for this daemon from now on, since its sender receives an acknowledgement.
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -1,6 +1,7 @@
 /**
  * One request at the back end. A short answer is buffered until it is complete, so that a truncated one never reaches
- * the caller; a long one is streamed.
+ * the caller; a long one is streamed. An answer that only the end of its connection delimits is complete once that end is
+ * confirmed.
  */
 import { idOfIncarnation } from '../model/backend-incarnation.js';
 import type { AnswerTiming, RequestHead, StatusHead } from '../link/link-messages.js';
@@ -11,6 +12,7 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { RequestPool, InFlightRequest } from './backend-pool.js';
 import { readSignals, type BackendSignals } from './backend-signals.js';
+import type { Confirmation } from './end-confirmation.js';
 import { endToEndHeaders, headerValue, type HeaderDialect } from './header-dialect.js';
 
 /** Maximum size in bytes of an answer that is buffered until it is complete. */
@@ -63,6 +65,8 @@
   readonly reply: RequestReply;
   /** Called when the head of an answer of the back end itself has arrived. */
   readonly onSignals: (signals: BackendSignals) => void;
+  /** Confirms that the end of a connection, which alone delimits an answer, is not the end of the back end's process. */
+  readonly confirmEnd: (done: (confirmation: Confirmation) => void) => CancelTimer;
   /** Called once, unless the run is cancelled. */
   readonly onDone: (outcome: RunOutcome) => void;
 }
@@ -77,6 +81,7 @@
   private streaming = false;
   private done = false;
   private cancelTimer: CancelTimer | null = null;
+  private cancelConfirmation: CancelTimer | null = null;
   private trace: { readonly trace?: AnswerTrace } = {};
 
   constructor(
@@ -172,9 +177,23 @@
     return this.answer !== null && !this.isDeclined(this.answer) && this.defect(this.answer) === null;
   }
 
+  /** What the head of an answer declines is declined, whatever its body; other answers need a certain end. */
   private handleEnd(): void {
     const { answer, ports } = this;
     if (this.done || answer === null) return;
+    if (answer.framed || this.isDeclined(answer)) {
+      this.complete(answer);
+      return;
+    }
+    this.cancelConfirmation = ports.confirmEnd((confirmation) => {
+      if (this.done) return;
+      if (confirmation === 'confirmed') this.complete(answer);
+      else this.broken('broken', UNCONFIRMED_DETAILS[confirmation], true);
+    });
+  }
+
+  private complete(answer: ParsedAnswer): void {
+    const { ports } = this;
     this.finish();
     if (this.streaming) {
       ports.reply.end();
@@ -263,14 +282,14 @@
         : moreFollows
           ? null
           : body.length;
-    const { framed } = answer;
     const forwardedHeaders = endToEndHeaders(headers, REPLACED_HEADERS);
     const head = {
       statusCode,
       headers: forwardedHeaders,
       moreFollows,
       contentLength,
-      framed,
+      framed: answer.framed,
+      ...(answer.framed ? {} : { endConfirmed: true as const }),
       timing,
       status,
       ...(this.statesLeave ? { leaving: true as const } : {}),
@@ -281,9 +300,16 @@
   private finish(): void {
     this.done = true;
     this.cancelTimer?.();
+    this.cancelConfirmation?.();
   }
 }
 
+/** Details of an answer whose end is not confirmed. */
+const UNCONFIRMED_DETAILS: Readonly<Record<Exclude<Confirmation, 'confirmed'>, string>> = {
+  ended: 'the back end ended with the connection that delimits its answer',
+  timeout: 'nothing confirmed the end of the connection that delimits the answer',
+};
+
 /** Headers of the back end's answer that are replaced in the answer to the caller. */
 const REPLACED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
--- a/src/sidecar/caller-answer.ts
+++ b/src/sidecar/caller-answer.ts
@@ -1,6 +1,7 @@
 /**
- * Writes the answer to one request. Body lengths are checked here, since how Node compares them with a stated length
- * differs between its versions.
+ * Writes the answer to one request, delimited by a length or by chunks: the end of the connection alone would look the same
+ * if this daemon were killed. Body lengths are checked here, since how Node compares them with a stated length differs
+ * between its versions.
  */
 import type { ServerResponse } from 'node:http';
 import type { AnswerHead } from '../link/link-messages.js';
@@ -83,15 +84,14 @@
   /** Returns false, and answers itself, if the head cannot be sent on; a daemon of another version may not have checked it. */
   private writeHead(head: AnswerHead): boolean {
     const { response } = this;
-    if (this.ports.closing()) response.shouldKeepAlive = false;
+    if (this.ports.closing() || !head.framed) response.shouldKeepAlive = false;
     response.sendDate = false;
     const headers = [...head.headers];
-    if (!head.framed) {
-      // The body's completeness cannot be verified, so it is sent without a length or chunked framing that would attest
-      // it.
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-    } else if (head.contentLength !== null) {
+    if (head.contentLength === null && head.moreFollows && !response.useChunkedEncodingByDefault) {
+      this.refuse('an answer without a length cannot be delimited for a caller of HTTP/1.0');
+      return false;
+    }
+    if (head.contentLength !== null) {
       headers.push('content-length', String(head.contentLength));
       if (hasBody(response, head)) this.missingBytes = head.contentLength;
     }
@@ -100,13 +100,17 @@
       return true;
     } catch {
       // Node rejects what it cannot write: invalid bytes, an unknown status, a trailer without chunks.
-      this.report('unwritable');
-      const unreadable = localAnswer(LOCAL_STATUS.unknownOutcome, 'the answer is not readable');
-      sendLocalAnswer(response, unreadable, this.ports.closing());
+      this.refuse('the answer is not readable');
       return false;
     }
   }
 
+  private refuse(reason: string): void {
+    this.report('unwritable');
+    const answer = localAnswer(LOCAL_STATUS.unknownOutcome, reason);
+    sendLocalAnswer(this.response, answer, this.ports.closing());
+  }
+
   private finish(chunk: Buffer): void {
     if (this.response.writableEnded || !this.count(chunk)) return;
     if (this.missingBytes !== null && this.missingBytes > 0) {
--- a/src/sidecar/gateway-ports.ts
+++ b/src/sidecar/gateway-ports.ts
@@ -6,6 +6,7 @@
 import type { BackendClient } from './backend-client.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { ProbeIncarnation } from './end-confirmation.js';
 
 /** Dependencies of a gateway, and the state of its back end. */
 export interface GatewayPorts {
@@ -18,6 +19,8 @@
   readonly backend: BackendClient;
   /** Limits the request rate while the back end is cold. */
   readonly coldLimit: ColdStartLimit;
+  /** Probes the back end for an incarnation. */
+  readonly probeIncarnation: ProbeIncarnation;
   readonly guard: CrashGuard;
   /** Id of the present incarnation; null before its first heartbeat, and until it is known whether it leaves. */
   readonly instance: () => string | null;
--- a/src/sidecar/incarnation-probe.ts
+++ b/src/sidecar/incarnation-probe.ts
@@ -1,9 +1,10 @@
 /**
  * Probes the back end's address to determine which incarnation is there, where a heartbeat alone does not show it.
  */
-import type { BackendIncarnation } from '../model/backend-incarnation.js';
+import { idOfIncarnation, incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { BackendCalls, BackendIdentity } from './backend-report.js';
+import type { IncarnationState } from './end-confirmation.js';
 import type { LocalBackend } from './local-backend.js';
 
 /**
@@ -61,6 +62,20 @@
     return identity?.isHealthy === true && !identity.signals.leaving;
   }
 
+  /** Probes whether an incarnation is at the address; the process there may be known to be gone without an answer. */
+  async stateOf(name: string, listens: () => Promise<boolean>): Promise<IncarnationState> {
+    const path = this.ports.healthPath();
+    const { heartbeat } = this.ports.backend;
+    const identity = path === null ? null : await this.ports.calls.identify(path);
+    if (identity === null) return (await listens()) ? 'unknown' : 'ended';
+    if (identity.id === null) return 'unknown';
+    const isCurrent = heartbeat !== null && incarnationName(heartbeat) === name;
+    const isPresent = isCurrent
+      ? matchesIncarnation(identity, heartbeat)
+      : identity.id === idOfIncarnation(name);
+    return isPresent ? 'present' : 'ended';
+  }
+
   /** Probes the back end; null unless the current incarnation answers. */
   private async identifyCurrent(path: string): Promise<BackendIdentity | null> {
     const identity = await this.ports.calls.identify(path);
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -98,6 +98,11 @@
     'Limits of its requests that could not be read',
     () => gateway.pacing.unreadableLimits,
   );
+  metrics.value(
+    'backend_end_probes',
+    'Probes that confirmed, or did not, the ends of answers that only the end of their connection delimits',
+    () => gateway.endConfirmation.probes,
+  );
   metrics.value('backend_ends', 'Times that it ended by itself under requests', () => node.crashes.ends);
   metrics.value('suspects_waiting', 'Requests that wait to run alone', () => gateway.suspects.waitingCount);
   metrics.family('crash_records', 'Requests under which back ends end, by stage', 'stage', () =>
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -428,6 +428,7 @@
       pacer: this.pacer,
       backend: this.backendClient,
       coldLimit: this.coldLimit,
+      probeIncarnation: async (instance) => await this.presence.stateOf(instance),
       guard: this.crashes,
       instance: () => (this.backend.confirmed || this.backend.leaving ? this.backend.life : null),
       awaitsBackend: () => this.runtime.nowMs() - this.startedMs < FIRST_HEARTBEAT_WAIT_MS,
--- a/test/fuzz/answers.test.ts
+++ b/test/fuzz/answers.test.ts
@@ -145,6 +145,10 @@
         timing: () => ({ waitedMs: 0, backendMs: 0 }),
         reply: replyTo(sink),
         onSignals: () => undefined,
+        confirmEnd: (done) =>
+          nodeRuntime.after(0, () => {
+            done('confirmed');
+          }),
         onDone: () => undefined,
       });
       run.start();
--- a/test/sidecar/backend-gateway.test.ts
+++ b/test/sidecar/backend-gateway.test.ts
@@ -57,6 +57,7 @@
         this.time.runtime,
         () => undefined,
       ),
+      probeIncarnation: () => Promise.resolve('present' as const),
       coldLimit: this.coldLimit,
       guard: {
         ...NO_CRASH_GUARD,
--- a/test/sidecar/backend-run.test.ts
+++ b/test/sidecar/backend-run.test.ts
@@ -60,6 +60,7 @@
       onDrain: () => undefined,
     },
     onSignals: (signals: BackendSignals) => outcome.signals.push(signals),
+    confirmEnd: () => () => undefined,
     onDone: () => undefined,
   };
   new BackendRun(pool, after, DEFAULT_HEADER_DIALECT, HEAD, Buffer.alloc(0), 1_000, ports).start();
--- a/test/sidecar/gateway-ports.ts
+++ b/test/sidecar/gateway-ports.ts
@@ -17,6 +17,7 @@
     pacer: null,
     backend,
     coldLimit: new ColdStartLimit({ factor: 1, slack: 0 }, 0),
+    probeIncarnation: () => Promise.resolve('present'),
     guard: NO_CRASH_GUARD,
     instance: () => 'life-1',
     awaitsBackend: () => false,
--- a/test/sidecar/link-replay.ts
+++ b/test/sidecar/link-replay.ts
@@ -240,6 +240,7 @@
       pacer,
       backend: this.backend(link),
       coldLimit: new ColdStartLimit({ factor: 1.5, slack: 8 }, -10_000),
+      probeIncarnation: () => Promise.resolve('present'),
       guard: NO_CRASH_GUARD,
       instance: () => `life-${String(link)}`,
       awaitsBackend: () => false,
