--- a/src/agent/backend-client.ts
+++ b/src/agent/backend-client.ts
@@ -12,6 +12,7 @@
 import type { BackendCallError, BackendPort } from './backend-port.js';
 import { HolderName } from './holder-name.js';
 import { formatAddress, type SocketAddress } from '../model/socket-address.js';
+import { isDelimited, UNDELIMITED_ANSWER } from '../transport/answer-framing.js';
 import { Err, Ok, type Result } from '../result.js';
 
 /** Timeout in ms for calls that the back end can answer immediately. */
@@ -20,6 +21,8 @@
 /** Timeout in ms for calls that wait for the requests in flight on a released shard. */
 const RELEASE_TIMEOUT_MS = 10_000;
 
+const METHOD = 'PUT';
+
 /** Client for one back end. */
 export class BackendClient implements BackendPort {
   private readonly pool: Pool;
@@ -74,12 +77,16 @@
   ): Promise<Result<T, BackendCallError>> {
     try {
       const response = await this.pool.request({
-        method: 'PUT',
+        method: METHOD,
         path: `${CONTRACT_PREFIX}/${name}`,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ agent: this.holder.current, ...body }),
         signal: AbortSignal.timeout(timeoutMs),
       });
+      if (!isDelimited(METHOD, response.statusCode, response.headers)) {
+        response.body.destroy();
+        return Err({ kind: 'no-answer', detail: UNDELIMITED_ANSWER });
+      }
       const text = await response.body.text();
       if (response.statusCode !== 200) return Err({ kind: 'refused', status: response.statusCode });
       if (schema === null) return Ok(undefined as T);
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici';
 import { readToken } from '../config/daemon-settings.js';
 import { Err, Ok, type Result } from '../result.js';
+import { isDelimited, UNDELIMITED_ANSWER } from '../transport/answer-framing.js';
 import { textOption, type Options } from './command-line.js';
 import { EXIT_CODE, type ExitCode } from './exit-code.js';
 
@@ -85,6 +86,10 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
       });
+      if (!isDelimited(method, response.statusCode, response.headers)) {
+        response.body.destroy();
+        return Err(UNDELIMITED_ANSWER);
+      }
       return Ok({ status: response.statusCode, body: await response.body.json() });
     } catch (error) {
       return Err(error instanceof Error ? error.message : String(error));
--- a/src/router/forward-attempt.ts
+++ b/src/router/forward-attempt.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher, Pool } from 'undici';
 import { REFUSAL_HEADER, refusalCodeSchema } from '../backend-contract/grant-messages.js';
 import { readSignals, type BackendSignals } from '../sidecar/backend-signals.js';
+import { isDelimited, UNDELIMITED_ANSWER } from '../transport/answer-framing.js';
 import { CONNECTION_HEADERS, DEFAULT_HEADER_DIALECT } from '../sidecar/header-dialect.js';
 import type { AttemptFailure } from './attempt-policy.js';
 import { RETRY_AFTER_MS_HEADER } from './refusal.js';
@@ -85,7 +86,7 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
@@ -94,6 +95,11 @@
     this.request.onSignals(readSignals(flattenHeaders(headers), DEFAULT_HEADER_DIALECT));
     this.refused = readRefusal(headers);
     if (this.refused !== null) return;
+    if (!isDelimited(this.request.method, status, headers)) {
+      this.settle({ kind: 'failed', failure: { kind: 'no-answer' } });
+      controller.abort(new Error(UNDELIMITED_ANSWER));
+      return;
+    }
     this.streaming = true;
     this.statusCode = status;
     this.response.writeHead(status, endToEndHeaders(headers));
