--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -111,7 +111,8 @@
         this.handleComplete(surplus);
       },
     });
-    this.socket = connect({ host: address.host, port: address.port });
+    // Half open, since the operating system forgets the remote address once both directions have ended.
+    this.socket = connect({ host: address.host, port: address.port, allowHalfOpen: true });
     this.socket.setNoDelay(true);
     this.connectTimer = setTimeout(() => {
       if (!this.connected) this.fail('broken', 'connect timed out', false);
@@ -217,6 +218,10 @@
 
   private handleEnd(): void {
     if (this.closed) return;
+    if (this.isReset()) {
+      this.fail('broken', 'reset by the back end', false);
+      return;
+    }
     this.endReceived = true;
     if (this.receivingAnswer) {
       this.reusable = false;
@@ -229,6 +234,14 @@
     this.fail('broken', 'the answer was cut short', false);
   }
 
+  /**
+   * Whether a connection that was reported as ended was reset. Node reports a reset behind unread bytes as an end; the
+   * operating system then has no remote address any more. Valid only if that address was not asked for before.
+   */
+  private isReset(): boolean {
+    return this.socket.remoteAddress === undefined;
+  }
+
   private handleHeaders(answer: ParsedAnswer): boolean {
     this.receivingAnswer = false;
     if (this.request === null || answer.statusCode < FIRST_FINAL_STATUS) return false;
