--- a/lab/chain/chain-daemon.ts
+++ b/lab/chain/chain-daemon.ts
@@ -3,6 +3,7 @@
 import type { Link, LinkRequest, RequestHandlers } from '../../src/link/link-client.js';
 import type { RequestHead } from '../../src/link/link-messages.js';
 import type { AcceptedRequest, RequestReply } from '../../src/link/link-server.js';
+import { AnswerWindows } from '../../src/sidecar/answer-windows.js';
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
 import { ColdStartLimit } from '../../src/sidecar/cold-start-limit.js';
@@ -195,6 +196,7 @@
       withdraw: () => {
         this.transmit(target, () => accepted?.withdraw());
       },
+      grant: () => undefined,
     };
   }
 
@@ -234,6 +236,7 @@
       chooser: this.chooser,
       statedLeaves: this.statedLeaves,
       prober: this.prober,
+      windows: new AnswerWindows(),
       view: (id) => this.viewOf(id),
       linkTo: (instance) => this.linkTo(instance),
       mayRepeat: () => true,
--- a/lab/sim/fleet/fleet-links.ts
+++ b/lab/sim/fleet/fleet-links.ts
@@ -35,6 +35,7 @@
   listener(process: SimProcess, ports: LinkListenerPorts): LinkListener {
     let name = '';
     return {
+      waitingAnswers: 0,
       listen: (address) => {
         name = formatAddress(address);
         this.listeners.set(name, { process, ports });
@@ -158,6 +159,11 @@
     this.sendToPeer(() => this.accepted?.withdraw());
   }
 
+  /** The simulated link has room for whole answers. */
+  grant(): void {
+    return;
+  }
+
   lost(sent: boolean): void {
     if (this.end()) this.handlers.onLost(sent);
   }
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -352,6 +352,7 @@
           },
         );
         return {
+          setPaused: () => undefined,
           cancel: () => {
             cancelled = true;
             cancelAtBackend();
--- a/src/link/head-checks.ts
+++ b/src/link/head-checks.ts
@@ -5,6 +5,7 @@
 import type {
   AnswerHead,
   AnswerTiming,
+  CreditHead,
   FailureHead,
   HelloHead,
   PacingEstimate,
@@ -41,10 +42,17 @@
     isFinite(head.patienceMs) &&
     isFinite(head.targetLeftMs) &&
     isFinite(head.spentMs) &&
-    (head.knownLimitPerSecond === undefined || isAmount(head.knownLimitPerSecond))
+    (head.knownLimitPerSecond === undefined || isAmount(head.knownLimitPerSecond)) &&
+    (head.windowBytes === undefined || isCount(head.windowBytes))
   );
 }
 
+/** Whether a value is credit for an answer. */
+export function isCreditHead(value: unknown): value is CreditHead {
+  const head = fieldsOf<CreditHead>(value);
+  return head !== null && isCount(head.bytes);
+}
+
 /** Whether a value is the head of an answer. Its status is checked where statuses are restored. */
 export function isAnswerHead(value: unknown): value is AnswerHead {
   const head = fieldsOf<AnswerHead>(value);
--- a/src/link/link-client.ts
+++ b/src/link/link-client.ts
@@ -13,6 +13,7 @@
 import type { LinkPacer } from './link-pacer.js';
 import type {
   AnswerHead,
+  CreditHead,
   FailureHead,
   HelloHead,
   RefusalHead,
@@ -26,6 +27,9 @@
 /** Time in ms after a failed attempt to connect during which the peer counts as unreachable. */
 const RECONNECT_DELAY_MS = 150;
 
+/** Share of the window of an answer from which on credit for it is sent. */
+const MIN_CREDIT_SHARE = 0.25;
+
 /** Largest stream number that a frame can hold; the numbers then start again. */
 const MAX_STREAM = 0xffff_ffff;
 
@@ -60,6 +64,8 @@
   withdrawn: boolean;
   /** Whether the start of an answer has arrived, of which more follows. */
   answerStarted: boolean;
+  /** Bytes of the body that were taken and for which no credit was sent. */
+  takenBytes: number;
 }
 
 /** Handle of a request that was passed to a link. */
@@ -68,6 +74,8 @@
   cancel(): void;
   /** Asks the peer to refuse the request if its execution has not begun; has no effect otherwise. */
   withdraw(): void;
+  /** States that there is room again for bytes of the answer that has begun. */
+  grant(bytes: number): void;
 }
 
 /** Remote and local addresses of a link, and its pacing. */
@@ -140,6 +148,7 @@
       sent: false,
       withdrawn: false,
       answerStarted: false,
+      takenBytes: 0,
     };
     this.pending.set(stream, pending);
     this.unsent.push(stream);
@@ -154,9 +163,21 @@
         if (pending.sent) this.connection?.send(FRAME_KIND.withdraw, stream, undefined);
         else pending.withdrawn = true;
       },
+      grant: (bytes) => {
+        if (this.pending.get(stream) === pending) this.grant(stream, pending, bytes);
+      },
     };
   }
 
+  /** Sends credit once it is worth a frame. */
+  private grant(stream: number, pending: PendingRequest, bytes: number): void {
+    pending.takenBytes += bytes;
+    const windowBytes = pending.head.windowBytes ?? 0;
+    if (pending.takenBytes === 0 || pending.takenBytes < windowBytes * MIN_CREDIT_SHARE) return;
+    this.connection?.send(FRAME_KIND.credit, stream, { bytes: pending.takenBytes } satisfies CreditHead);
+    pending.takenBytes = 0;
+  }
+
   /** Requests the load of the back end, which arrives as a status. A probe is dropped silently if the connection breaks. */
   probe(): void {
     this.ensureConnection();
--- a/src/link/link-frame.ts
+++ b/src/link/link-frame.ts
@@ -50,6 +50,8 @@
   withdraw: 13,
   /** Last frame of a stopping daemon: it has not executed, and never will, any request that it has not answered. */
   goodbye: 14,
+  /** The receiver of an answer has room for more of its body. */
+  credit: 15,
   /** The connecting side reads and sends short heads; sent only if the hello states the same of the accepting side. */
   compactHeads: 16,
 } as const;
--- a/src/link/link-messages.ts
+++ b/src/link/link-messages.ts
@@ -43,10 +43,18 @@
   readonly spentMs: number;
   /** Request limit of the back end per second, as the sending daemon knows it; missing if it knows of none. */
   readonly knownLimitPerSecond?: number;
+  /** Room in bytes for the body of the answer, to which credit frames add; missing from daemons that send none. */
+  readonly windowBytes?: number;
   /** Set for a call that a running request waits for; missing for new work, and from daemons that do not know it. */
   readonly nested?: NestedHead;
 }
 
+/** Credit for the answer to a request. */
+export interface CreditHead {
+  /** Further bytes of the body for which there is room. */
+  readonly bytes: number;
+}
+
 /** Reason why a request was not executed. */
 export type RefusalReason =
   /** No slot became free in time, or none is expected to. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -6,7 +6,8 @@
 import { LINK_TIMINGS, LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { ByteMeter } from './link-bytes.js';
 import type { LinkPacer } from './link-pacer.js';
-import { isRequestHead } from './head-checks.js';
+import { AnswerStream } from './answer-stream.js';
+import { isCreditHead, isRequestHead } from './head-checks.js';
 import { withoutRequestId } from './head-parts.js';
 import { FRAME_KIND, type LinkFrame } from './link-frame.js';
 import type {
@@ -18,9 +19,6 @@
   StatusHead,
 } from './link-messages.js';
 
-/** Buffered bytes of a connection from which on backpressure is applied to the answers on it. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
-
 /** Answer to a request whose head is not readable; nothing of it is executed. */
 const UNREADABLE_REFUSAL: RefusalHead = {
   reason: 'unreadable',
@@ -37,7 +35,7 @@
   /** Sends a further part of the body; false if sending should pause until `onDrain` calls back. */
   body(chunk: Buffer): boolean;
   end(): void;
-  /** Calls back once, when more of the body may be sent. */
+  /** Calls back once, when everything that was passed has been sent, or discarded because nobody waits for it. */
   onDrain(callback: () => void): void;
 }
 
@@ -61,6 +59,8 @@
 /** TCP server for the links of peer daemons. */
 export class LinkServer {
   private readonly connections = new Set<LinkConnection>();
+  /** Answers that have begun and not ended. */
+  private readonly streams = new Set<AnswerStream>();
   private readonly server: Server;
 
   constructor(
@@ -82,6 +82,13 @@
     });
   }
 
+  /** Number of answers that wait for room at their receivers. */
+  get waitingAnswers(): number {
+    let waiting = 0;
+    for (const { isDrained } of this.streams) if (!isDrained) waiting += 1;
+    return waiting;
+  }
+
   /** Starts listening; an error contains the address. */
   async listen(address: SocketAddress): Promise<Result<void, string>> {
     return await new Promise((resolve) => {
@@ -106,7 +113,7 @@
 
   private accept(socket: Socket): void {
     this.turns.connectionAccepted();
-    const requests = new Map<number, AcceptedRequest>();
+    const requests = new Map<number, OpenRequest>();
     const handlers: LinkConnectionHandlers = {
       onFrame: (frame) => {
         this.handleFrame(frame, connection, requests);
@@ -114,11 +121,14 @@
       },
       onClose: () => {
         this.connections.delete(connection);
-        for (const request of requests.values()) request.cancel('link-lost');
+        for (const { accepted, answer } of [...requests.values()]) {
+          accepted.cancel('link-lost');
+          answer.discard();
+        }
         requests.clear();
       },
       onSuspicion: () => {
-        for (const request of requests.values()) request.withdraw();
+        for (const { accepted } of requests.values()) accepted.withdraw();
       },
     };
     // Connections within the machine do not use the network link.
@@ -142,7 +152,7 @@
   private handleFrame(
     frame: LinkFrame,
     connection: LinkConnection,
-    requests: Map<number, AcceptedRequest>,
+    requests: Map<number, OpenRequest>,
   ): void {
     if (frame.kind === FRAME_KIND.request) {
       const { head } = frame;
@@ -154,13 +164,16 @@
         connection.close('a stream number is in use');
         return;
       }
-      const removeRequest = (): void => {
+      const room = head.windowBytes ?? Infinity;
+      const answer = new AnswerStream(connection, frame.stream, room, () => {
         requests.delete(frame.stream);
+        this.streams.delete(answer);
         watch(connection, requests);
-      };
-      const reply = makeReply(connection, frame.stream, head.requestId, removeRequest);
+      });
+      this.streams.add(answer);
+      const reply = makeReply(connection, frame.stream, head.requestId, answer);
       const accepted = this.acceptAfterInput(head, frame.body, reply);
-      if (!reply.finished()) requests.set(frame.stream, accepted);
+      if (this.streams.has(answer)) requests.set(frame.stream, { accepted, answer });
       return;
     }
     if (frame.kind === FRAME_KIND.probe) {
@@ -169,10 +182,12 @@
       return;
     }
     if (frame.kind === FRAME_KIND.compactHeads) connection.enableShortHeads();
-    if (frame.kind === FRAME_KIND.withdraw) requests.get(frame.stream)?.withdraw();
+    const request = requests.get(frame.stream);
+    if (frame.kind === FRAME_KIND.withdraw) request?.accepted.withdraw();
+    if (frame.kind === FRAME_KIND.credit && isCreditHead(frame.head)) request?.answer.grant(frame.head.bytes);
     if (frame.kind !== FRAME_KIND.cancel) return;
-    requests.get(frame.stream)?.cancel('cancelled');
-    requests.delete(frame.stream);
+    request?.accepted.cancel('cancelled');
+    request?.answer.discard();
     connection.dropStream(frame.stream);
   }
 
@@ -200,8 +215,14 @@
   }
 }
 
+/** A request whose answer has not ended. */
+interface OpenRequest {
+  readonly accepted: AcceptedRequest;
+  readonly answer: AnswerStream;
+}
+
 /** Watches the caller's daemon: without it, requests over a dead connection would be run for nobody. */
-function watch(connection: LinkConnection, requests: ReadonlyMap<number, AcceptedRequest>): void {
+function watch(connection: LinkConnection, requests: ReadonlyMap<number, OpenRequest>): void {
   connection.watchSilence(requests.size > 0 ? LINK_TIMINGS.serverActive : LINK_TIMINGS.serverIdle);
 }
 
@@ -215,12 +236,12 @@
   connection: LinkConnection,
   stream: number,
   requestId: string,
-  removeRequest: () => void,
+  answer: AnswerStream,
 ): TrackedReply {
   let finished = false;
   const finish = (): void => {
     finished = true;
-    removeRequest();
+    answer.discard();
   };
   const port: RequestReply = {
     refuse(head) {
@@ -232,20 +253,19 @@
       connection.send(FRAME_KIND.failure, stream, head);
     },
     answer(head, body) {
-      if (!head.moreFollows) finish();
-      const sentHead = connection.sendsShortHeads ? withoutRequestId(head, requestId) : head;
-      connection.send(FRAME_KIND.answer, stream, sentHead, body);
+      finished = !head.moreFollows;
+      answer.answer(connection.sendsShortHeads ? withoutRequestId(head, requestId) : head, body);
     },
     body(chunk) {
-      connection.send(FRAME_KIND.body, stream, undefined, chunk);
-      return connection.bufferedBytes < MAX_BUFFERED_BYTES;
+      answer.push(chunk);
+      return answer.isDrained;
     },
     end() {
-      finish();
-      connection.send(FRAME_KIND.end, stream, undefined);
+      finished = true;
+      answer.end();
     },
     onDrain(callback) {
-      connection.onDrain(callback);
+      answer.onDrain(callback);
     },
   };
   return { port, finished: () => finished };
--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -154,6 +154,18 @@
     if (this.connected) this.write();
   }
 
+  /** Whether this request is in flight on the connection. */
+  carries(request: BackendRequest): boolean {
+    return this.request === request;
+  }
+
+  /** Stops reading the answer, or goes on. */
+  setPaused(paused: boolean): void {
+    if (this.closed) return;
+    if (paused) this.socket.pause();
+    else this.socket.resume();
+  }
+
   /** Closes the connection without calling any handler. */
   destroy(): void {
     this.handlers = null;
@@ -307,6 +319,7 @@
     const { handlers } = this;
     this.request = null;
     this.handlers = null;
+    this.setPaused(false);
     if (!this.reusable) this.close(false);
     handlers?.onTrace?.(this.recorder.trace(this.endOfUse()));
     handlers?.onEnd();
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -17,6 +17,7 @@
 import { PLANNED_LIMIT_SHARE } from '../placement/reduced-capacities.js';
 import { policyIsOn } from '../policy-switches.js';
 import { Admission, type SlotRequest } from './admission.js';
+import { AnswerBuffers } from './answer-buffers.js';
 import { isUnusual } from './answer-trace.js';
 import type { BackendSignals } from './backend-signals.js';
 import { CallShortages, type EarlyRefusal } from './call-shortage.js';
@@ -78,6 +79,7 @@
   readonly pacing: RequestPacing;
   /** Confirms the ends of answers that only the end of their connection delimits. */
   readonly endConfirmation: EndConfirmation;
+  private readonly buffers = new AnswerBuffers();
   private readonly reporter: RunReporter;
   /** Requests that wait for the back end's first heartbeat, or for their key to be granted. */
   private readonly waiting = new Set<GatewayRequest>();
@@ -495,6 +497,7 @@
       status: () => this.status(),
       timing: () => this.timingOf(request),
       reply: this.replyOf(request),
+      buffers: this.buffers,
       onSignals: (signals) => {
         this.endConfirmation.recordAnswer(head.instance, mark);
         this.receiveSignals(request, signals);
--- a/src/sidecar/backend-pool.ts
+++ b/src/sidecar/backend-pool.ts
@@ -19,6 +19,8 @@
 export interface InFlightRequest {
   /** Closes the connection, so that the back end can stop processing the request. */
   cancel(): void;
+  /** Stops reading the answer, or goes on; the back end then waits once the buffers between are full. */
+  setPaused(paused: boolean): void;
 }
 
 /** Sends requests to one back end. */
@@ -55,13 +57,18 @@
     let connection: BackendConnection | null = null;
     let cancelled = false;
     this.turns.afterInput(() => {
-      if (!cancelled && !this.destroyed) connection = this.send(request, handlers);
+      if (cancelled || this.destroyed) return;
+      connection = this.send(request, handlers);
     });
     return {
       cancel: () => {
         cancelled = true;
         connection?.destroy();
       },
+      setPaused: (paused) => {
+        // The connection may carry another request by now.
+        if (connection?.carries(request) === true) connection.setPaused(paused);
+      },
     };
   }
 
--- a/src/sidecar/backend-run.ts
+++ b/src/sidecar/backend-run.ts
@@ -6,6 +6,7 @@
 import { idOfIncarnation } from '../model/backend-incarnation.js';
 import type { AnswerTiming, RequestHead, StatusHead } from '../link/link-messages.js';
 import type { RequestReply } from '../link/link-server.js';
+import { MIN_BUFFERED_BYTES, type AnswerBuffers } from './answer-buffers.js';
 import type { ParsedAnswer } from './answer-parser.js';
 import type { AnswerTrace } from './answer-trace.js';
 import type { BrokenReason } from './backend-connection.js';
@@ -63,6 +64,8 @@
   readonly status: () => StatusHead | null;
   readonly timing: () => AnswerTiming;
   readonly reply: RequestReply;
+  /** Answers that this daemon stores. */
+  readonly buffers: AnswerBuffers;
   /** Called when the head of an answer of the back end itself has arrived. */
   readonly onSignals: (signals: BackendSignals) => void;
   /** Confirms that the end of a connection, which alone delimits an answer, is not the end of the back end's process. */
@@ -78,6 +81,9 @@
   private statesLeave = false;
   private chunks: Buffer[] = [];
   private bytes = 0;
+  /** Bytes that are stored here, or wait in the reply. */
+  private storedBytes = 0;
+  private paused = false;
   private streaming = false;
   private done = false;
   private cancelTimer: CancelTimer | null = null;
@@ -151,13 +157,18 @@
   }
 
   private receiveBody(chunk: Buffer): void {
+    if (this.done) return;
     this.bytes += chunk.length;
     if (this.streaming) {
+      this.store(chunk.length);
       this.ports.reply.body(Buffer.from(chunk));
+      this.pauseUntilDrained();
       return;
     }
     this.chunks.push(Buffer.from(chunk));
-    if (this.bytes <= MAX_BUFFERED_BYTES) return;
+    this.store(chunk.length);
+    const maxBytes = this.ports.buffers.isFull ? MIN_BUFFERED_BYTES : MAX_BUFFERED_BYTES;
+    if (this.bytes <= maxBytes) return;
     if (this.isForwardable()) {
       this.startStreaming();
       return;
@@ -171,6 +182,29 @@
     this.streaming = true;
     this.sendAnswer(Buffer.concat(this.chunks), true);
     this.chunks = [];
+    this.pauseUntilDrained();
+  }
+
+  private store(bytes: number): void {
+    this.storedBytes += bytes;
+    this.ports.buffers.add(bytes);
+  }
+
+  private releaseStored(): void {
+    this.ports.buffers.remove(this.storedBytes);
+    this.storedBytes = 0;
+  }
+
+  /** Stops reading from the back end until the caller's daemon has room for what was read. */
+  private pauseUntilDrained(): void {
+    if (this.paused) return;
+    this.paused = true;
+    this.request?.setPaused(true);
+    this.ports.reply.onDrain(() => {
+      this.paused = false;
+      this.releaseStored();
+      this.request?.setPaused(false);
+    });
   }
 
   private isForwardable(): boolean {
@@ -210,7 +244,12 @@
       return;
     }
     ports.onDone(this.answeredOutcome(answer));
+    this.store(this.bytes);
     this.sendAnswer(Buffer.concat(this.chunks), false);
+    this.chunks = [];
+    ports.reply.onDrain(() => {
+      this.releaseStored();
+    });
   }
 
   private answeredOutcome({ statusCode, headers }: ParsedAnswer): RunOutcome {
@@ -301,6 +340,7 @@
     this.done = true;
     this.cancelTimer?.();
     this.cancelConfirmation?.();
+    if (!this.streaming) this.releaseStored();
   }
 }
 
--- a/src/sidecar/caller-answer.ts
+++ b/src/sidecar/caller-answer.ts
@@ -46,18 +46,24 @@
   ) {}
 
   /** See `CallerSink`. */
-  answer(head: AnswerHead, body: Buffer): void {
-    if (!this.writeHead(head)) return;
+  answer(head: AnswerHead, body: Buffer, onTaken?: () => void): void {
+    if (!this.writeHead(head)) {
+      onTaken?.();
+      return;
+    }
     this.begun = true;
-    if (head.moreFollows) this.body(body);
-    else this.finish(body);
+    if (head.moreFollows) this.body(body, onTaken);
+    else this.finish(body, onTaken);
   }
 
   /** See `CallerSink`. */
-  body(chunk: Buffer): void {
-    if (this.response.writableEnded || !this.count(chunk)) return;
+  body(chunk: Buffer, onTaken?: () => void): void {
+    if (this.response.writableEnded || !this.count(chunk)) {
+      onTaken?.();
+      return;
+    }
     this.write(() => {
-      this.response.write(chunk);
+      this.response.write(chunk, () => onTaken?.());
     });
   }
 
@@ -111,14 +117,14 @@
     sendLocalAnswer(this.response, answer, this.ports.closing());
   }
 
-  private finish(chunk: Buffer): void {
+  private finish(chunk: Buffer, onTaken?: () => void): void {
     if (this.response.writableEnded || !this.count(chunk)) return;
     if (this.missingBytes !== null && this.missingBytes > 0) {
       this.breakOff('length-mismatch');
       return;
     }
     this.write(() => {
-      this.response.end(chunk);
+      this.response.end(chunk, onTaken);
     });
   }
 
--- a/src/sidecar/caller-request.ts
+++ b/src/sidecar/caller-request.ts
@@ -38,10 +38,13 @@
 
 /** Receives the outcome of a request. Exactly one final call is made, unless the request is cancelled. */
 export interface CallerSink {
-  /** Starts the answer; final if no more of the body follows. */
-  answer(head: AnswerHead, body: Buffer): void;
-  /** Passes on a further part of the body. */
-  body(chunk: Buffer): void;
+  /**
+   * Starts the answer; final if no more of the body follows. `onTaken` is called once the connection has taken the body, or
+   * it is discarded; not if the connection closes.
+   */
+  answer(head: AnswerHead, body: Buffer, onTaken?: () => void): void;
+  /** Passes on a further part of the body; `onTaken` is called once the connection has taken it. */
+  body(chunk: Buffer, onTaken?: () => void): void;
   /** Final: the answer is complete. */
   end(): void;
   /** Final: the answer was interrupted after it had started. */
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -95,12 +95,12 @@
 /** Wraps a sink so that `onComplete` is called before its final call. */
 function sinkWithCompletion(sink: CallerSink, onComplete: () => void): CallerSink {
   return {
-    answer: (head, body) => {
+    answer: (head, body, onTaken) => {
       if (!head.moreFollows) onComplete();
-      sink.answer(head, body);
+      sink.answer(head, body, onTaken);
     },
-    body: (chunk) => {
-      sink.body(chunk);
+    body: (chunk, onTaken) => {
+      sink.body(chunk, onTaken);
     },
     end: () => {
       onComplete();
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -18,6 +18,7 @@
 import { policyIsOn } from '../policy-switches.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
+import { MIN_WINDOW_BYTES, type AnswerWindow, type AnswerWindows } from './answer-windows.js';
 import type { BackendChooser } from './backend-chooser.js';
 import type { BackendProber } from './backend-prober.js';
 import type { BackendView } from './backend-view.js';
@@ -86,6 +87,8 @@
   readonly statedLeaves: StatedLeaves;
   readonly prober: BackendProber;
   readonly view: (instance: string) => BackendView;
+  /** Room for answers at this daemon. */
+  readonly windows: AnswerWindows;
   readonly linkTo: (instance: BackendInstance) => Link;
   /** Whether a request may be sent to a second back end; false once it is known to crash back ends. */
   readonly mayRepeat: (request: CallerRequest) => boolean;
@@ -105,6 +108,8 @@
   /** Back ends that did not answer the most recent probes. */
   private unanswered: ReadonlySet<string> = new Set();
   private currentAttempt: LinkRequest | null = null;
+  private currentWindow: AnswerWindow | null = null;
+  private receivedBytes = 0;
   private currentInstance: BackendInstance | null = null;
   private cancelReselection: CancelTimer | null = null;
   private cancelProbes: CancelTimer | null = null;
@@ -158,6 +163,7 @@
 
   /** Cancels the request after its caller has disconnected. */
   cancel(): void {
+    this.currentWindow?.close();
     if (this.done) return;
     this.finish();
     this.counters.cancelled += 1;
@@ -279,6 +285,9 @@
     view.recordSent(route.answerBytes);
     const { knownLimitPerSecond } = view;
     this.lastSentMs = this.ports.runtime.nowMs();
+    this.receivedBytes = 0;
+    const window = this.ports.windows.open(route.answerBytes);
+    this.currentWindow = window;
     const head: RequestHead = {
       requestId,
       method,
@@ -293,6 +302,7 @@
       patienceMs: Math.max(0, this.clock.patienceMs),
       targetLeftMs: this.clock.targetLeftMs,
       spentMs,
+      windowBytes: window.bytes,
       ...(knownLimitPerSecond === null ? {} : { knownLimitPerSecond }),
       ...(parent === null ? {} : { nested: nestedHeadOf(parent, this.lastSentMs) }),
     };
@@ -304,10 +314,12 @@
         this.failed(instance, view, failure);
       },
       onAnswer: (answer, chunk) => {
-        this.answered(instance, view, answer, chunk);
+        this.answered(instance, view, answer, chunk, this.whenTaken(window, chunk));
       },
       onBody: (chunk) => {
-        if (!this.done) this.sink.body(chunk);
+        if (this.done) return;
+        const onTaken = this.whenTaken(window, chunk);
+        this.sink.body(chunk, onTaken);
       },
       onEnd: () => {
         this.ended(view);
@@ -318,9 +330,25 @@
     });
   }
 
+  /** Records a part of an answer; returns what is to be called once the caller's connection has taken it. */
+  private whenTaken(window: AnswerWindow, { length }: Buffer): () => void {
+    this.receivedBytes += length;
+    window.recordReceived(length);
+    return () => {
+      window.recordTaken(length);
+      this.currentAttempt?.grant(length);
+    };
+  }
+
   // ---- outcomes of an attempt
 
-  private answered(instance: BackendInstance, view: BackendView, head: AnswerHead, body: Buffer): void {
+  private answered(
+    instance: BackendInstance,
+    view: BackendView,
+    head: AnswerHead,
+    body: Buffer,
+    onTaken: () => void,
+  ): void {
     this.recordStatus(instance, view, head.status);
     view.recordSuccess();
     if (head.leaving === true) this.ports.statedLeaves.record(instance.id, this.request.requestId);
@@ -328,14 +356,16 @@
     if (this.done) return;
     if (head.moreFollows) {
       this.streaming = true;
-      this.sink.answer(head, body);
+      this.sink.answer(head, body, onTaken);
       return;
     }
+    const isSmall = body.length <= MIN_WINDOW_BYTES;
+    if (isSmall) this.currentWindow?.close();
     this.attemptEnded(view);
     this.request.route.recordAnswerSize(body.length);
     if (policyIsOn('told-pace')) this.recordWork(head);
     this.complete();
-    this.sink.answer(head, body);
+    this.sink.answer(head, body, isSmall ? undefined : onTaken);
   }
 
   private recordWork({ statusCode, timing, status }: AnswerHead): void {
@@ -346,6 +376,7 @@
   private ended(view: BackendView): void {
     this.attemptEnded(view);
     if (this.done) return;
+    this.request.route.recordAnswerSize(this.receivedBytes);
     this.complete();
     this.sink.end();
   }
@@ -619,6 +650,7 @@
   private attemptEnded(view: BackendView): void {
     if (this.currentAttempt === null) return;
     this.currentAttempt = null;
+    this.currentWindow?.end();
     view.recordEnded();
   }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -14,6 +14,7 @@
 import type { ProcessDelay } from '../telemetry/process-delay.js';
 import { StartStages } from '../telemetry/start-stages.js';
 import { watchStalls } from '../telemetry/stall-watch.js';
+import { AnswerWindows } from './answer-windows.js';
 import { BackendChooser } from './backend-chooser.js';
 import type { BackendClient } from './backend-client.js';
 import { BackendGateway } from './backend-gateway.js';
@@ -261,7 +262,8 @@
   /** Whether requests of callers or answers to other daemons are in flight. */
   get busy(): boolean {
     const sends = this.pacer !== null && this.pacer.backlogMs > 0;
-    return sends || this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
+    const isSending = sends || this.linkServer.waitingAnswers > 0;
+    return isSending || this.callers.activeRequests > 0 || this.gateway.runningCount > 0;
   }
 
   /**
@@ -494,6 +496,7 @@
       statedLeaves,
       prober,
       latencies,
+      windows: new AnswerWindows(),
       view: (instance: string) => peers.viewOf(instance),
       linkTo: (instance: BackendInstance) => peers.linkTo(instance),
       tableIndex: () => this.table.index,
@@ -607,13 +610,13 @@
   /** Wraps a sink so that the first answer ends the start of this daemon. */
   private withFirstAnswer(sink: CallerSink): CallerSink {
     return {
-      answer: (head, body) => {
+      answer: (head, body, onTaken) => {
         this.stages.reach('answer');
         if (this.delay.phase === 'starting') this.delay.phase = 'running';
-        sink.answer(head, body);
+        sink.answer(head, body, onTaken);
       },
-      body: (chunk) => {
-        sink.body(chunk);
+      body: (chunk, onTaken) => {
+        sink.body(chunk, onTaken);
       },
       end: () => {
         sink.end();
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -31,6 +31,8 @@
 
 /** Listener for other daemons. */
 export interface LinkListener {
+  /** Number of answers that wait for room at their receivers. */
+  readonly waitingAnswers: number;
   /** Starts listening; the error names the address. */
   listen(address: SocketAddress): Promise<Result<void, string>>;
   /** Stops listening and closes every connection. */
--- a/test/fuzz/answers.test.ts
+++ b/test/fuzz/answers.test.ts
@@ -9,6 +9,7 @@
 import type { RequestHead } from '../../src/link/link-messages.js';
 import type { RequestReply } from '../../src/link/link-server.js';
 import { nodeRuntime } from '../../src/runtime/node-runtime.js';
+import { AnswerBuffers } from '../../src/sidecar/answer-buffers.js';
 import { httpBackendClient, type BackendClient } from '../../src/sidecar/backend-client.js';
 import { CallerServer } from '../../src/sidecar/caller-server.js';
 import { localAnswer, LOCAL_STATUS } from '../../src/sidecar/local-answer.js';
@@ -97,7 +98,9 @@
     end: () => {
       sink.end();
     },
-    onDrain: () => undefined,
+    onDrain: (callback) => {
+      callback();
+    },
   };
 }
 
@@ -144,6 +147,7 @@
         status: () => null,
         timing: () => ({ waitedMs: 0, backendMs: 0 }),
         reply: replyTo(sink),
+        buffers: new AnswerBuffers(),
         onSignals: () => undefined,
         confirmEnd: (done) =>
           nodeRuntime.after(0, () => {
--- a/test/sidecar/backend-run.test.ts
+++ b/test/sidecar/backend-run.test.ts
@@ -4,6 +4,7 @@
 import type { BackendRequestHandlers } from '../../src/sidecar/backend-connection.js';
 import type { RequestPool } from '../../src/sidecar/backend-pool.js';
 import { BackendRun } from '../../src/sidecar/backend-run.js';
+import { AnswerBuffers } from '../../src/sidecar/answer-buffers.js';
 import type { BackendSignals } from '../../src/sidecar/backend-signals.js';
 import { DEFAULT_HEADER_DIALECT } from '../../src/sidecar/header-dialect.js';
 import { ManualTime } from './manual-runtime.js';
@@ -42,7 +43,7 @@
     opened: 0,
     run: (_request, given) => {
       handlers = given;
-      return { cancel: () => undefined };
+      return { cancel: () => undefined, setPaused: () => undefined };
     },
     destroy: () => undefined,
   };
@@ -59,6 +60,7 @@
       end: () => undefined,
       onDrain: () => undefined,
     },
+    buffers: new AnswerBuffers(),
     onSignals: (signals: BackendSignals) => outcome.signals.push(signals),
     confirmEnd: () => () => undefined,
     onDone: () => undefined,
--- a/test/sidecar/link-replay.ts
+++ b/test/sidecar/link-replay.ts
@@ -13,6 +13,7 @@
 import type { RefusalHead, RequestHead, StatusHead } from '../../src/link/link-messages.js';
 import { PacedFrames } from '../../src/link/paced-frames.js';
 import { NO_CRASH_GUARD } from '../../src/sidecar/crash-guard.js';
+import { AnswerWindows } from '../../src/sidecar/answer-windows.js';
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
 import type { BackendClient } from '../../src/sidecar/backend-client.js';
 import { BackendGateway } from '../../src/sidecar/backend-gateway.js';
@@ -346,7 +347,17 @@
     };
     return {
       route,
-      ports: { runtime, log: SILENT_EVENT_LOG, chooser, statedLeaves, prober, view, linkTo, ...rest },
+      ports: {
+        runtime,
+        log: SILENT_EVENT_LOG,
+        chooser,
+        statedLeaves,
+        prober,
+        view,
+        linkTo,
+        windows: new AnswerWindows(),
+        ...rest,
+      },
     };
   }
 
@@ -400,7 +411,7 @@
         open = false;
         accepted?.cancel('cancelled');
       };
-      return { cancel, withdraw: () => accepted?.withdraw() };
+      return { cancel, withdraw: () => accepted?.withdraw(), grant: () => undefined };
     };
     return { unreachable: false, outstanding: 0, request, probe, stop: () => undefined };
   }
--- a/test/sidecar/replaced-instance.test.ts
+++ b/test/sidecar/replaced-instance.test.ts
@@ -6,6 +6,7 @@
 import type { BackendInstance, DirectorySnapshot } from '../../src/directory/directory-state.js';
 import type { Link, RequestHandlers } from '../../src/link/link-client.js';
 import type { RequestHead, StatusHead } from '../../src/link/link-messages.js';
+import { AnswerWindows } from '../../src/sidecar/answer-windows.js';
 import { BackendChooser } from '../../src/sidecar/backend-chooser.js';
 import { BackendProber } from '../../src/sidecar/backend-prober.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
@@ -121,6 +122,7 @@
         statedLeaves,
         prober: new BackendProber({ runtime, view, sendProbe: () => undefined }),
         latencies: NO_LATENCIES,
+        windows: new AnswerWindows(),
         view,
         linkTo: (instance) => this.linkTo(instance),
         mayRepeat: () => true,
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -5,6 +5,7 @@
 import type { RefusalReason, RequestHead } from '../../src/link/link-messages.js';
 import type { BackendChooser, ChoiceRequest } from '../../src/sidecar/backend-chooser.js';
 import type { BackendProber, ProbesDone } from '../../src/sidecar/backend-prober.js';
+import { AnswerWindows } from '../../src/sidecar/answer-windows.js';
 import { BackendView } from '../../src/sidecar/backend-view.js';
 import type { UnansweredOutcome } from '../../src/sidecar/caller-request.js';
 import { createForwarderCounters } from '../../src/sidecar/forwarder-counters.js';
@@ -183,6 +184,7 @@
       chooser,
       statedLeaves: new StatedLeaves({ runtime: time.runtime, log, drainMs: 2_000 }),
       prober,
+      windows: new AnswerWindows(),
       view: () => new BackendView(),
       linkTo,
       mayRepeat: () => true,
