--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -27,6 +27,9 @@
 /** Maximum number of bytes received before the head of the answer, in interim and surplus answers. */
 const MAX_BYTES_BEFORE_ANSWER = 4 * 1024 * 1024;
 
+/** Receives the bytes of all connections, one read at a time; whoever keeps some copies them. */
+const READ_BUFFER = Buffer.alloc(64 * 1024);
+
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
 const HEAD_METHOD = 'HEAD';
@@ -112,7 +115,18 @@
       },
     });
     // Half open, since the operating system forgets the remote address once both directions have ended.
-    this.socket = connect({ host: address.host, port: address.port, allowHalfOpen: true });
+    this.socket = connect({
+      host: address.host,
+      port: address.port,
+      allowHalfOpen: true,
+      onread: {
+        buffer: READ_BUFFER,
+        callback: (bytes) => {
+          this.receive(READ_BUFFER.subarray(0, bytes));
+          return true;
+        },
+      },
+    });
     this.socket.setNoDelay(true);
     this.connectTimer = setTimeout(() => {
       if (!this.connected) this.fail('broken', 'connect timed out', false);
@@ -180,9 +194,6 @@
       this.connected = true;
       if (this.request !== null) this.write();
     });
-    socket.on('data', (chunk: Buffer) => {
-      this.receive(chunk);
-    });
     socket.on('end', () => {
       this.handleEnd();
     });
