--- a/src/sidecar/caller-answer.ts
+++ b/src/sidecar/caller-answer.ts
@@ -26,8 +26,12 @@
 
 /** Dependencies of an answer. */
 export interface CallerAnswerPorts {
-  /** Whether the connection is to be closed after this answer. */
+  /** Whether the connection is to be closed after its last answer. */
   readonly closing: () => boolean;
+  /** Whether this is the last answer that the connection owes. */
+  readonly isLast: () => boolean;
+  /** Called if the answer tells its caller that the connection closes. */
+  readonly onClosing: () => void;
   /** Called once if the caller does not receive the answer as the back end gave it. */
   readonly onFault: (fault: AnswerFault, passedBytes: number) => void;
 }
@@ -79,7 +83,7 @@
 
   /** See `CallerSink`. */
   fail(outcome: UnansweredOutcome): void {
-    sendLocalAnswer(this.response, localAnswerFor(outcome), this.ports.closing());
+    this.reply(localAnswerFor(outcome));
   }
 
   /** Records that the connection has closed. */
@@ -90,7 +94,7 @@
   /** Returns false, and answers itself, if the head cannot be sent on; a daemon of another version may not have checked it. */
   private writeHead(head: AnswerHead): boolean {
     const { response } = this;
-    if (this.ports.closing() || !head.framed) response.shouldKeepAlive = false;
+    if (this.ports.closing() || !head.framed) this.closeIfLast();
     response.sendDate = false;
     const headers = [...head.headers];
     if (head.contentLength === null && head.moreFollows && !response.useChunkedEncodingByDefault) {
@@ -111,10 +115,23 @@
     }
   }
 
+  /** Only the last answer says that the connection closes: Node closes it after that answer, whatever follows. */
+  private closeIfLast(): void {
+    if (!this.ports.isLast()) return;
+    this.response.shouldKeepAlive = false;
+    this.ports.onClosing();
+  }
+
+  /** Sends an answer that the sidecar generates, unless another one has been begun. */
+  reply(answer: LocalAnswer): void {
+    if (this.response.headersSent || this.response.destroyed) return;
+    if (this.ports.closing()) this.closeIfLast();
+    sendLocalAnswer(this.response, answer);
+  }
+
   private refuse(reason: string): void {
     this.report('unwritable');
-    const answer = localAnswer(LOCAL_STATUS.unknownOutcome, reason);
-    sendLocalAnswer(this.response, answer, this.ports.closing());
+    this.reply(localAnswer(LOCAL_STATUS.unknownOutcome, reason));
   }
 
   private finish(chunk: Buffer, onTaken?: () => void): void {
@@ -161,10 +178,7 @@
   }
 }
 
-/** Sends an answer that the sidecar generates, unless another one has been begun. */
-export function sendLocalAnswer(response: ServerResponse, answer: LocalAnswer, closing: boolean): void {
-  if (response.headersSent || response.destroyed) return;
-  if (closing) response.shouldKeepAlive = false;
+function sendLocalAnswer(response: ServerResponse, answer: LocalAnswer): void {
   const headers = ['content-type', 'text/plain'];
   if (answer.retryAfterMs !== null) {
     headers.push('retry-after', String(answer.retryAfterMs / MS_PER_SECOND));
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -4,11 +4,12 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { CallerAnswer } from './caller-answer.js';
 
 /** State of one connection. */
 export class CallerConnection {
-  /** Responses that were not passed on completely, in the order of their requests. */
-  private readonly unfinished = new Set<ServerResponse>();
+  /** Answers that were not passed on completely, by their responses in the order of the requests. */
+  private readonly unfinished = new Map<ServerResponse, CallerAnswer>();
   /** Bytes that had been received when the last answer was complete; null before that. */
   private bytesAtIdle: number | null = null;
   private ending = false;
@@ -25,14 +26,24 @@
     return this.unfinished.size === 0 && this.bytesAtIdle === this.socket.bytesRead;
   }
 
+  /** Whether a response is the last one that is owed so far. */
+  isLast(response: ServerResponse): boolean {
+    return [...this.unfinished.keys()].at(-1) === response;
+  }
+
+  /** Takes no further request: the answer that says so is being written. */
+  endAfterLast(): void {
+    this.ending = true;
+  }
+
   /** Whether a request has no complete answer. */
   get isBusy(): boolean {
     return this.unfinished.size > 0;
   }
 
   /** Records a request whose head was received. */
-  begin(response: ServerResponse): void {
-    this.unfinished.add(response);
+  begin(response: ServerResponse, answer: CallerAnswer): void {
+    this.unfinished.set(response, answer);
   }
 
   /** Records that an answer was passed on completely, or that its connection has closed. */
@@ -44,16 +55,17 @@
   }
 
   /**
-   * Ends the connection after the last answer. Returns the response to the request whose body cannot be received any
-   * more, which is to be answered; null if there is none.
+   * Ends the connection after the last answer. Returns the answer to the request whose body cannot be received any
+   * more, which is to be given; null if there is none.
    */
-  endAfterAnswers(): ServerResponse | null {
+  endAfterAnswers(): CallerAnswer | null {
     if (this.ending) return null;
     this.ending = true;
     const last = [...this.unfinished].at(-1);
     if (last === undefined) return null;
+    const [response, answer] = last;
     // Tells the caller not to send its next request on this connection.
-    if (!last.headersSent) last.shouldKeepAlive = false;
-    return last.req.complete ? null : last;
+    if (!response.headersSent) response.shouldKeepAlive = false;
+    return response.req.complete ? null : answer;
   }
 }
--- a/src/sidecar/caller-requests.ts
+++ b/src/sidecar/caller-requests.ts
@@ -17,8 +17,23 @@
   readonly retryBudget: RetryBudget;
   /** Number of sidecars that share the retry budget. */
   readonly daemons: () => number;
+  /** Time in ms until requests in flight are ended because the daemon stops; infinite while it does not. */
+  readonly stopsInMs: () => number;
 }
 
+/** Retry delay in ms given to callers while the daemon is stopping. */
+const STOPPING_RETRY_AFTER_MS = 500;
+
+/** Time that a repeatable request must have until the daemon stops, as a factor on what its work usually takes. */
+const MIN_WORK_MARGIN = 2;
+
+/** Answer to requests that this daemon cannot finish. */
+export const STOPPING_ANSWER: LocalAnswer = {
+  statusCode: LOCAL_STATUS.notRun,
+  reason: 'stopping',
+  retryAfterMs: STOPPING_RETRY_AFTER_MS,
+};
+
 /** Starts callers' requests, tracks those in flight and keeps the retry allowance of each service. */
 export class CallerRequests {
   private readonly requestsInFlight = new Set<ForwardedRequest>();
@@ -39,8 +54,10 @@
 
   /** Starts forwarding a request, or returns an immediate answer. */
   handle(incoming: IncomingRequest, sink: CallerSink): RequestHandle | LocalAnswer {
-    const prepared = this.ports.intake.prepare(incoming);
-    if ('statusCode' in prepared) return prepared;
+    const read = this.ports.intake.prepare(incoming);
+    if ('statusCode' in read) return read;
+    const prepared = this.withinStop(read);
+    if (prepared === null) return STOPPING_ANSWER;
     const refused = this.quarantineAnswer(prepared);
     if (refused !== null) return refused;
     this.allowanceOf(prepared.service).recordRequest(this.ports.forwarding.runtime.steadyMs());
@@ -60,6 +77,24 @@
     };
   }
 
+  /**
+   * Returns a request whose deadline lies before the end of the requests in flight; null if it could not end by then. A
+   * request that must not run twice has to have all of its time, since its caller could not learn whether it has run.
+   */
+  private withinStop(request: CallerRequest): CallerRequest | null {
+    const leftMs = this.ports.stopsInMs();
+    if (request.deadlineMs <= leftMs) return request;
+    const { route } = request;
+    const isRepeatable = route.definition.kind !== 'non-idempotent';
+    if (!isRepeatable || (route.workMs ?? 0) * MIN_WORK_MARGIN >= leftMs) return null;
+    return { ...request, deadlineMs: leftMs };
+  }
+
+  /** Ends all requests in flight with an answer, because the daemon stops. */
+  endAll(): void {
+    for (const request of [...this.requestsInFlight]) request.endAtStop();
+  }
+
   /** Returns the final answer to a quarantined request before any work is spent on it; null if it may run. */
   private quarantineAnswer(request: CallerRequest): LocalAnswer | null {
     const { forwarding } = this.ports;
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -8,7 +8,7 @@
 import { InputTurns } from '../runtime/input-turns.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
-import { CallerAnswer, sendLocalAnswer, type AnswerFault } from './caller-answer.js';
+import { CallerAnswer, type AnswerFault } from './caller-answer.js';
 import { CallerConnection } from './caller-connection.js';
 import type { CallerSink } from './caller-request.js';
 import { LOCAL_STATUS, localAnswer, type LocalAnswer } from './local-answer.js';
@@ -128,14 +128,18 @@
     const connection = this.connections.get(request.socket);
     if (connection === undefined || connection.isEnding) return;
     this.activeCount += 1;
-    connection.begin(response);
     let forwarded: RequestHandle | null = null;
     const answer = new CallerAnswer(response, {
       closing: this.ports.closing,
+      isLast: () => connection.isLast(response),
+      onClosing: () => {
+        connection.endAfterLast();
+      },
       onFault: (fault, passedBytes) => {
         this.ports.onAnswerFault?.(request.rawHeaders, fault, passedBytes);
       },
     });
+    connection.begin(response, answer);
     response.once('close', () => {
       this.activeCount -= 1;
       connection.end(response);
@@ -145,10 +149,10 @@
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     if (headerBytes(request.rawHeaders) > this.ports.limits().maxHeaderBytes) {
-      this.reply(response, localAnswer(LOCAL_STATUS.headersTooLarge, 'the headers are too large'));
+      answer.reply(localAnswer(LOCAL_STATUS.headersTooLarge, 'the headers are too large'));
       return;
     }
-    this.readBody(request, response, (body) => {
+    this.readBody(request, answer, (body) => {
       // The caller may have closed the connection right after its request.
       this.turns.afterClose(() => {
         forwarded = this.dispatch(request, response, answer, body);
@@ -172,14 +176,14 @@
       const unreceived = connection.endAfterAnswers();
       if (unreceived === null) return;
       const statusCode = tooLarge ? LOCAL_STATUS.headersTooLarge : LOCAL_STATUS.badRequest;
-      this.reply(unreceived, localAnswer(statusCode, 'the request is not readable'));
+      unreceived.reply(localAnswer(statusCode, 'the request is not readable'));
       return;
     }
     const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
     socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
 
-  private readBody(request: IncomingMessage, response: ServerResponse, done: (body: Buffer) => void): void {
+  private readBody(request: IncomingMessage, answer: CallerAnswer, done: (body: Buffer) => void): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     request.on('data', (chunk: Buffer) => {
@@ -191,7 +195,7 @@
       request.removeAllListeners('data');
       request.removeAllListeners('end');
       request.resume();
-      this.reply(response, localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'));
+      answer.reply(localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'));
     });
     request.on('end', () => {
       done(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
@@ -217,13 +221,9 @@
     };
     const result = this.ports.handle(incoming, answer);
     if ('cancel' in result) return result;
-    this.reply(response, result);
+    answer.reply(result);
     return null;
   }
-
-  private reply(response: ServerResponse, answer: LocalAnswer): void {
-    sendLocalAnswer(response, answer, this.ports.closing());
-  }
 }
 
 function headerBytes(headers: readonly string[]): number {
--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -172,6 +172,11 @@
     this.log('caller-gone', {});
   }
 
+  /** Ends the request because its daemon stops; one that may have run has an unknown outcome. */
+  endAtStop(): void {
+    if (!this.done) this.endAtDeadline();
+  }
+
   /** Starts the next attempt at once if the request is waiting for a change of the table. */
   tableChanged(): void {
     if (this.done || this.cancelReselection === null) return;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -22,12 +22,12 @@
 import { BackendProber } from './backend-prober.js';
 import type { BackendCalls, BackendHeartbeat, HeartbeatGrant } from './backend-report.js';
 import type { CallerSink } from './caller-request.js';
-import { CallerRequests } from './caller-requests.js';
+import { CallerRequests, STOPPING_ANSWER } from './caller-requests.js';
 import { ColdStartLimit } from './cold-start-limit.js';
 import type { AnswerFault } from './caller-answer.js';
 import type { IncomingRequest, RequestHandle } from './caller-server.js';
 import { headerValue } from './header-dialect.js';
-import { LOCAL_STATUS, type LocalAnswer } from './local-answer.js';
+import type { LocalAnswer } from './local-answer.js';
 import { CrashWatch } from './crash-watch.js';
 import { DirectoryClient } from './directory-client.js';
 import { countDirectoryBytes } from './directory-bytes.js';
@@ -77,9 +77,6 @@
 const BACKEND_CLOSE_FRACTION = 0.65;
 const FINAL_CLOSE_FRACTION = 0.92;
 
-/** Retry delay in ms given to callers while the daemon is stopping. */
-const STOPPING_RETRY_AFTER_MS = 500;
-
 /** Dependencies and settings of a sidecar. */
 export interface SidecarOptions {
   readonly settings: SidecarSettings;
@@ -318,6 +315,8 @@
     this.closingConnections = true;
     this.callers.stopListening();
     await this.waitUntil(startMs + graceMs * FINAL_CLOSE_FRACTION, () => !this.busy);
+    this.requests.endAll();
+    await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => this.callers.activeRequests === 0);
     // If the back end is still running, a restarted daemon resumes with its registration; if it has ended, its keys
     // are released now.
     if (this.backend.life !== null && !(await this.options.backendListens())) {
@@ -506,7 +505,8 @@
     };
     const { retryBudget } = settings;
     const { intake, table } = this;
-    const ports = { intake, table, forwarding, retryBudget, daemons: () => peers.count };
+    const daemons = (): number => peers.count;
+    const ports = { intake, table, forwarding, retryBudget, daemons, stopsInMs: () => this.stopsInMs() };
     return new CallerRequests(ports, this.counters);
   }
 
@@ -530,6 +530,12 @@
 
   // ---- the local back end
 
+  /** Time in ms until requests in flight are ended because this daemon stops; infinite while it does not. */
+  private stopsInMs(): number {
+    if (this.stoppingSinceMs === null) return Infinity;
+    return this.stoppingSinceMs + this.settings.graceMs * FINAL_CLOSE_FRACTION - this.runtime.nowMs();
+  }
+
   private closesAtMs(): number {
     const stopMs = (this.stoppingSinceMs ?? Infinity) + this.settings.graceMs * BACKEND_CLOSE_FRACTION;
     return Math.min(this.backend.closesAtMs, stopMs, this.evacuation.closesAtMs(this.keys.isKeyed));
@@ -601,7 +607,7 @@
 
   private handleRequest(incoming: IncomingRequest, sink: CallerSink): RequestHandle | LocalAnswer {
     if (this.closingConnections) {
-      return { statusCode: LOCAL_STATUS.notRun, reason: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS };
+      return STOPPING_ANSWER;
     }
     this.stages.reach('request');
     return this.requests.handle(incoming, this.stages.has('answer') ? sink : this.withFirstAnswer(sink));
--- a/test/fuzz/loopback-daemons.ts
+++ b/test/fuzz/loopback-daemons.ts
@@ -77,6 +77,7 @@
   ports: SidecarPorts,
   replicaPort: number,
   service: string,
+  graceMs = 300,
 ): Promise<() => Promise<void>> {
   const links = { host: HOST, port: ports.links };
   const backend = { host: HOST, port: ports.backend };
@@ -95,7 +96,7 @@
         grantMode: 'heartbeat',
         holdMs: 4_000,
         drainMs: 1_000,
-        graceMs: 300,
+        graceMs,
         retryBudget: { ratio: 0.2, extra: 60, windowMs: 10_000 },
         coldStartBound: { factor: 1, slack: 0 },
         evacuationMs: 5_000,
