--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -1,6 +1,7 @@
 /**
  * A back end of a soak: holds keys under fences, runs requests within its slots, reports its state in heartbeats, and
- * reports its actions to the judge. On request it loses an answer, cuts one short or sends a second one.
+ * reports its actions to the judge. On request it loses an answer, cuts one short or sends a second one, gives answers without
+ * a length, also with a second one behind, and cuts heads off in front of another answer.
  */
 import { createHash } from 'node:crypto';
 import { createServer, request as httpRequest, type IncomingMessage, type ServerResponse } from 'node:http';
@@ -63,10 +64,24 @@
   readonly answerLost: number;
   readonly answerCut: number;
   readonly secondAnswer: number;
+  /** Answers without a length; those with a second answer behind; and heads that are cut off in front of another answer. */
+  readonly unframed: number;
+  readonly unframedWithSecond: number;
+  readonly headCut: number;
 }
 
 /** No faults. */
-export const NO_ANSWER_FAULTS: AnswerFaults = { answerLost: 0, answerCut: 0, secondAnswer: 0 };
+export const NO_ANSWER_FAULTS: AnswerFaults = {
+  answerLost: 0,
+  answerCut: 0,
+  secondAnswer: 0,
+  unframed: 0,
+  unframedWithSecond: 0,
+  headCut: 0,
+};
+
+/** Maximum time in ms between the two halves of an answer without a length, and before a second answer behind it. */
+const MAX_HALF_PAUSE_MS = 30;
 
 /** Delayed grant and release calls: a share of them gets no answer and takes effect within a time in ms. */
 export interface DelayedCalls {
@@ -393,6 +408,13 @@
       return;
     }
     const body = expectedBody(requestId, path);
+    const lostLease = key !== null && !this.keys.holds(key);
+    const { unframed, unframedWithSecond, headCut } = this.answerFaults;
+    const framed = answerLost + answerCut + secondAnswer;
+    if (!lostLease && chance >= framed && chance < framed + unframed + unframedWithSecond + headCut) {
+      void this.answerOnSocket(response, requestId, body, chance - framed);
+      return;
+    }
     const headers = {
       [PLATFORM_HEADERS.requestId]: requestId,
       [PLATFORM_HEADERS.seal]: `seal-${requestId}`,
@@ -400,7 +422,6 @@
       'content-length': body.length,
       ...(this.draining ? { connection: 'close' } : {}),
     };
-    const lostLease = key !== null && !this.keys.holds(key);
     response.writeHead(lostLease ? STATUS.lostLease : STATUS.ok, headers);
     if (chance < answerLost + answerCut) {
       response.write(body.slice(0, body.length / 2));
@@ -415,6 +436,37 @@
     setTimeout(() => socket?.write(`${secondHead}${seal}content-length: 4\r\n\r\nmore`), 1);
   }
 
+  /** Writes an answer whose end only that of its connection marks, or a head that is cut off in front of another answer. */
+  private async answerOnSocket(
+    { socket }: ServerResponse,
+    requestId: string,
+    body: string,
+    choice: number,
+  ): Promise<void> {
+    if (socket === null) return;
+    const { random } = this.options;
+    const { unframed, unframedWithSecond } = this.answerFaults;
+    const ownHeaders = `${PLATFORM_HEADERS.requestId}: ${requestId}\r\n${PLATFORM_HEADERS.seal}: seal-${requestId}\r\n`;
+    const signals = Object.entries(this.signals.headers()).map(([name, value]) => `${name}: ${value}\r\n`);
+    const head = `HTTP/1.1 200 OK\r\n${ownHeaders}${signals.join('')}`;
+    if (choice >= unframed + unframedWithSecond) {
+      socket.write(head.slice(0, 1 + random.below(head.length - 1)));
+      socket.end(
+        `HTTP/1.1 500 Failed\r\n${PLATFORM_HEADERS.requestId}: ${requestId}\r\ncontent-length: 0\r\n\r\n`,
+      );
+      return;
+    }
+    socket.write(`${head}connection: close\r\n\r\n${body.slice(0, body.length / 2)}`);
+    await pause(random.below(MAX_HALF_PAUSE_MS));
+    if (!this.isUp) return;
+    socket.write(body.slice(body.length / 2));
+    if (choice >= unframed) {
+      await pause(random.below(MAX_HALF_PAUSE_MS));
+      socket.write(`${head}\r\n${body}`);
+    }
+    socket.end();
+  }
+
   private reject(response: ServerResponse, requestId: string, status: number): void {
     response.writeHead(status, {
       [PLATFORM_HEADERS.requestId]: requestId,
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -1,7 +1,7 @@
 /** Injects the troubles of a soak from outside the processes: by signals, on their disks and on the network. */
 import { appendFileSync, rmSync, mkdirSync } from 'node:fs';
 import { join } from 'node:path';
-import type { SoakBackend } from './soak-backend.js';
+import { NO_ANSWER_FAULTS, type AnswerFaults, type SoakBackend } from './soak-backend.js';
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakOperator } from './soak-operator.js';
 import {
@@ -34,8 +34,15 @@
 const SILENCE_DETECTED_MS = 4_500;
 
 /** Shares of lost and corrupted answers, and of lost acknowledgements. */
-const LOST_ANSWERS = { answerLost: 0.1, answerCut: 0, secondAnswer: 0 };
-const CORRUPTED_ANSWERS = { answerLost: 0, answerCut: 0.08, secondAnswer: 0.08 };
+const LOST_ANSWERS: AnswerFaults = { ...NO_ANSWER_FAULTS, answerLost: 0.1 };
+const CORRUPTED_ANSWERS: AnswerFaults = {
+  answerLost: 0,
+  answerCut: 0.08,
+  secondAnswer: 0.08,
+  unframed: 0.15,
+  unframedWithSecond: 0.05,
+  headCut: 0.05,
+};
 const LOST_ACKNOWLEDGEMENTS = 0.6;
 
 /** Time in ms from the acknowledgement of a leave to the end of its daemon, and for which the back end then keeps serving. */
