--- a/src/sidecar/backend-connection.ts
+++ b/src/sidecar/backend-connection.ts
@@ -28,7 +28,7 @@
 const MAX_BYTES_BEFORE_ANSWER = 4 * 1024 * 1024;
 
 /** Receives the bytes of all connections, one read at a time; whoever keeps some copies them. */
-const READ_BUFFER = Buffer.alloc(64 * 1024);
+const READ_BUFFER = Buffer.alloc(32 * 1024);
 
 const MS_PER_SECOND = 1_000;
 const FIRST_FINAL_STATUS = 200;
