--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -184,15 +184,19 @@
     this.pacedFrames?.drop(stream);
   }
 
-  /** Calls back once, when the socket's buffer has been flushed to the operating system. */
+  /** Calls back once, when the socket's buffer has been flushed to the operating system, or the connection closes. */
   onDrain(callback: () => void): void {
     this.drainCallbacks.push(callback);
     if (this.drainCallbacks.length > 1) return;
     this.socket.once('drain', () => {
-      for (const waitingCallback of this.drainCallbacks.splice(0)) waitingCallback();
+      this.notifyDrained();
     });
   }
 
+  private notifyDrained(): void {
+    for (const waitingCallback of this.drainCallbacks.splice(0)) waitingCallback();
+  }
+
   /** Monitors the peer's liveness. */
   watchSilence(timing: LinkTiming): void {
     this.closeReason = timing.closeReason;
@@ -217,6 +221,7 @@
     this.silence.stop();
     this.pacedFrames?.discardAll();
     this.socket.destroy();
+    this.notifyDrained();
     this.handlers.onClose(reason);
   }
 
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -19,6 +19,9 @@
   StatusHead,
 } from './link-messages.js';
 
+/** Buffered bytes of a connection from which on the answers on it wait, also those to peers that state no room. */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
+
 /** Answer to a request whose head is not readable; nothing of it is executed. */
 const UNREADABLE_REFUSAL: RefusalHead = {
   reason: 'unreadable',
@@ -258,14 +261,17 @@
     },
     body(chunk) {
       answer.push(chunk);
-      return answer.isDrained;
+      return answer.isDrained && connection.bufferedBytes < MAX_BUFFERED_BYTES;
     },
     end() {
       finished = true;
       answer.end();
     },
     onDrain(callback) {
-      answer.onDrain(callback);
+      answer.onDrain(() => {
+        if (connection.open && connection.bufferedBytes >= MAX_BUFFERED_BYTES) connection.onDrain(callback);
+        else callback();
+      });
     },
   };
   return { port, finished: () => finished };
--- a/src/sidecar/answer-windows.ts
+++ b/src/sidecar/answer-windows.ts
@@ -4,14 +4,14 @@
  */
 
 /** Minimum and maximum window of one answer in bytes. */
-export const MIN_WINDOW_BYTES = 32 * 1024;
+export const MIN_WINDOW_BYTES = 16 * 1024;
 const MAX_WINDOW_BYTES = 1024 * 1024;
 
 /** Window in bytes while answers of a route are not known to be larger. */
-const USUAL_WINDOW_BYTES = 256 * 1024;
+const USUAL_WINDOW_BYTES = 64 * 1024;
 
 /** Sum of windows in bytes from which on requests get the minimum. */
-const MAX_TOTAL_BYTES = 8 * 1024 * 1024;
+const MAX_TOTAL_BYTES = 4 * 1024 * 1024;
 
 /** Factor on the mean size of a route's answers, which leaves room for larger ones. */
 const SIZE_MARGIN = 2;
