--- a/test/incidents/downloads-without-end.test.ts
+++ b/test/incidents/downloads-without-end.test.ts
@@ -5,13 +5,14 @@
 import { fork, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { request } from 'node:http';
-import { connect, createServer, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test, { type ExecutionContext } from 'ava';
 import { Random } from '../../lab/random.js';
 import { HOST, startDirectory, type SidecarPorts } from '../fuzz/loopback-daemons.js';
 import { freePort } from '../loopback.js';
+import { startRawBackend, type RawBackend } from '../raw-backend.js';
 
 const SEED = 67;
 const READERS = 200;
@@ -70,40 +71,25 @@
 let nextId = 0;
 
 /** Starts a back end whose downloads have no end, delimited in one of the ways that there are. */
-async function startBackend(random: Random): Promise<{ port: number; close: () => void }> {
+async function startBackend(random: Random): Promise<RawBackend> {
   const part = Buffer.alloc(PART_BYTES, 'b');
   const chunk = Buffer.concat([Buffer.from(`${PART_BYTES.toString(16)}\r\n`), part, Buffer.from('\r\n')]);
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('data', (received: Buffer) => {
-      const text = received.toString('latin1');
-      const id = /^request-id: (\S+)/im.exec(text)?.[1] ?? '';
-      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: s\r\nInstance-Id: ${SERVICE}\r\n`;
-      if (!text.startsWith('GET /sheets/endless')) {
-        socket.write(`${head}Content-Length: 2\r\n\r\nok`);
-        return;
-      }
-      const framing = random.pick(['Transfer-Encoding: chunked\r\n', 'Content-Length: 900000000000\r\n', '']);
-      const bytes = framing.startsWith('Transfer') ? chunk : part;
-      socket.write(`${head}${framing}\r\n`);
-      const pour = (): void => {
-        if (!socket.destroyed && socket.write(bytes)) setImmediate(pour);
-      };
-      socket.on('drain', pour);
-      pour();
-    });
+  return await startRawBackend((socket, text) => {
+    const id = /^request-id: (\S+)/im.exec(text)?.[1] ?? '';
+    const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: s\r\nInstance-Id: ${SERVICE}\r\n`;
+    if (!text.startsWith('GET /sheets/endless')) {
+      socket.write(`${head}Content-Length: 2\r\n\r\nok`);
+      return;
+    }
+    const framing = random.pick(['Transfer-Encoding: chunked\r\n', 'Content-Length: 900000000000\r\n', '']);
+    const bytes = framing.startsWith('Transfer') ? chunk : part;
+    socket.write(`${head}${framing}\r\n`);
+    const pour = (): void => {
+      if (!socket.destroyed && socket.write(bytes)) setImmediate(pour);
+    };
+    socket.on('drain', pour);
+    pour();
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as { port: number };
-  return {
-    port,
-    close: () => {
-      server.close();
-      for (const socket of sockets) socket.destroy();
-    },
-  };
 }
 
 /** Reads a download slowly, or only its first bytes. */
--- a/test/incidents/head-cut-in-its-middle.test.ts
+++ b/test/incidents/head-cut-in-its-middle.test.ts
@@ -2,44 +2,41 @@
  * A head that is cut off in its middle, with another answer or damage behind it, is no answer: callers got the status of the
  * one with the body of the other, framed as whole.
  */
-import { createServer, type Socket } from 'node:net';
-import test from 'ava';
+import type { Socket } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
 import { Random } from '../../lab/random.js';
 import { nodeRuntime } from '../../src/runtime/node-runtime.js';
 import { BackendCallClient } from '../../src/sidecar/backend-call-client.js';
 import { BackendPool } from '../../src/sidecar/backend-pool.js';
+import { startRawBackend } from '../raw-backend.js';
 
 const HOST = '127.0.0.1';
 const SEEDS = [70, 71, 72];
 const CASES = 120;
 const BODY_BYTES = 400;
 
-type Send = (socket: Socket, id: string) => void;
-
 interface Outcome {
   readonly text: string;
 }
 
-async function startBackend(send: Send): Promise<{ port: number; close: () => void }> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.setNoDelay(true);
-    socket.on('error', () => undefined);
-    socket.on('data', (chunk: Buffer) => {
-      const id = /^id: (\S+)/im.exec(chunk.toString())?.[1];
-      if (id !== undefined) send(socket, id);
-    });
+/** Starts a back end that answers each request with `send`, and a pool of connections to it. */
+async function openPool(
+  t: ExecutionContext,
+  send: (socket: Socket, id: string) => void,
+): Promise<BackendPool> {
+  const backend = await startRawBackend((socket, text) => {
+    const id = /^id: (\S+)/im.exec(text)?.[1];
+    if (id !== undefined) send(socket, id);
+  });
+  const address = { host: HOST, port: backend.port };
+  const pool = new BackendPool(address, { requestId: 'id' }, nodeRuntime.nowMs, () => {
+    t.fail('the back end is not reached');
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as { port: number };
-  return {
-    port,
-    close: () => {
-      server.close();
-      for (const socket of sockets) socket.destroy();
-    },
-  };
+  t.teardown(() => {
+    pool.destroy();
+    backend.close();
+  });
+  return pool;
 }
 
 /** Status and length of the body, or why there is no answer. */
@@ -108,7 +105,7 @@
   test(`a head that is cut at any byte, and another answer behind it, seed ${seed}`, async (t) => {
     const random = new Random(seed);
     const isSplit = (): boolean => random.below(2) === 0;
-    const backend = await startBackend((socket, id) => {
+    const pool = await openPool(t, (socket, id) => {
       const head = drawHead(id, random);
       const cut = head.slice(0, 1 + random.below(head.length - 1));
       const rest = drawWhole(id, random);
@@ -117,42 +114,22 @@
         setImmediate(() => socket.end(rest));
       } else socket.end(cut + rest);
     });
-    const pool = new BackendPool(
-      { host: HOST, port: backend.port },
-      { requestId: 'id' },
-      nodeRuntime.nowMs,
-      () => {
-        t.fail('the back end is not reached');
-      },
-    );
     for (let count = 0; count < CASES; count += 1) {
       const { text } = await ask(pool, `seed-${seed}-${count}`);
       t.regex(text, /^(?:garbled|broken)$/, `case ${count}`);
     }
-    pool.destroy();
-    backend.close();
   });
 
   test(`a line that is no header, seed ${seed}`, async (t) => {
     const random = new Random(seed);
-    const backend = await startBackend((socket, id) => {
+    const pool = await openPool(t, (socket, id) => {
       const head = damageLine(drawHead(id, random), random);
       socket.end(head + body.slice(random.below(BODY_BYTES)));
     });
-    const pool = new BackendPool(
-      { host: HOST, port: backend.port },
-      { requestId: 'id' },
-      nodeRuntime.nowMs,
-      () => {
-        t.fail('the back end is not reached');
-      },
-    );
     for (let count = 0; count < CASES; count += 1) {
       const { text } = await ask(pool, `seed-${seed}-${count}`);
       t.is(text, 'garbled', `case ${count}`);
     }
-    pool.destroy();
-    backend.close();
   });
 }
 
@@ -179,41 +156,21 @@
 
 for (const [name, answer] of STRUCTURES) {
   test(`${name}: no answer`, async (t) => {
-    const backend = await startBackend((socket, id) => socket.end(answer(id)));
-    const pool = new BackendPool(
-      { host: HOST, port: backend.port },
-      { requestId: 'id' },
-      nodeRuntime.nowMs,
-      () => {
-        t.fail('the back end is not reached');
-      },
-    );
+    const pool = await openPool(t, (socket, id) => socket.end(answer(id)));
     t.is((await ask(pool, 'a-1')).text, 'garbled');
-    pool.destroy();
-    backend.close();
   });
 }
 
 test('calls to a back end read heads like requests do', async (t) => {
   const random = new Random(SEEDS[0] ?? 0);
-  const backend = await startBackend((socket, id) => {
+  const pool = await openPool(t, (socket, id) => {
     const head = drawHead(id, random);
     socket.end(head.slice(0, 1 + random.below(head.length - 1)) + drawWhole(id, random));
   });
-  const pool = new BackendPool(
-    { host: HOST, port: backend.port },
-    { requestId: 'id' },
-    nodeRuntime.nowMs,
-    () => {
-      t.fail('the back end is not reached');
-    },
-  );
   const client = new BackendCallClient(pool, 'h', 'id', nodeRuntime);
   for (let count = 0; count < CASES; count += 1) {
     const call = { method: 'POST', path: '/grant', headers: [], text: '{}', timeoutMs: 5_000 } as const;
     const answer = await client.send(call);
     t.is(answer.err ? answer.val : `status ${answer.val.status}`, 'unanswered', `case ${count}`);
   }
-  pool.destroy();
-  backend.close();
 });
--- a/test/incidents/planned-stop.test.ts
+++ b/test/incidents/planned-stop.test.ts
@@ -5,13 +5,14 @@
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { request } from 'node:http';
-import { connect, createServer, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test, { type ExecutionContext } from 'ava';
 import { Random } from '../../lab/random.js';
 import { HOST, startDirectory, startSidecar, type SidecarPorts } from '../fuzz/loopback-daemons.js';
 import { freePort } from '../loopback.js';
+import { startRawBackend, type RawBackend } from '../raw-backend.js';
 
 const SEEDS = [19, 20, 21];
 const CONNECTIONS = 24;
@@ -47,31 +48,16 @@
 }
 
 /** A back end whose work takes as many ms as the path says; records the requests that reach it. */
-async function startBackend(reached: Set<string>): Promise<{ port: number; close: () => void }> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('data', (chunk: Buffer) => {
-      const text = chunk.toString('latin1');
-      const id = /^request-id: (\S+)/im.exec(text)?.[1] ?? '';
-      const workMs = Number(/^\S+ \S*work-(\d+)/.exec(text)?.[1] ?? 0);
-      reached.add(id);
-      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: s\r\nInstance-Id: ${SERVICE}`;
-      setTimeout(() => {
-        if (!socket.destroyed) socket.write(`${head}\r\nContent-Length: 2\r\n\r\nok`);
-      }, workMs);
-    });
+async function startBackend(reached: Set<string>): Promise<RawBackend> {
+  return await startRawBackend((socket, text) => {
+    const id = /^request-id: (\S+)/im.exec(text)?.[1] ?? '';
+    const workMs = Number(/^\S+ \S*work-(\d+)/.exec(text)?.[1] ?? 0);
+    reached.add(id);
+    const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: s\r\nInstance-Id: ${SERVICE}`;
+    setTimeout(() => {
+      if (!socket.destroyed) socket.write(`${head}\r\nContent-Length: 2\r\n\r\nok`);
+    }, workMs);
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as { port: number };
-  return {
-    port,
-    close: () => {
-      server.close();
-      for (const socket of sockets) socket.destroy();
-    },
-  };
 }
 
 interface Sent {
