--- a/test/fuzz/answers.test.ts
+++ b/test/fuzz/answers.test.ts
@@ -3,7 +3,6 @@
  * requests to a sound back end are answered all the while.
  */
 import { request } from 'node:http';
-import { createServer, type Socket } from 'node:net';
 import test from 'ava';
 import { Random } from '../../lab/random.js';
 import type { RequestHead } from '../../src/link/link-messages.js';
@@ -16,6 +15,7 @@
 import type { CallerSink } from '../../src/sidecar/caller-request.js';
 import { DEFAULT_HEADER_DIALECT, headerValue } from '../../src/sidecar/header-dialect.js';
 import { freePort } from '../loopback.js';
+import { startRawBackend, type RawBackend } from '../raw-backend.js';
 import { damageBytes } from './damage.js';
 
 const HOST = '127.0.0.1';
@@ -45,38 +45,21 @@
 }
 
 /** Starts a back end; `isDamaged` decides for each request whether its answer is damaged. */
-async function startBackend(
-  random: Random,
-  isDamaged: (path: string) => boolean,
-): Promise<{ port: number; close: () => void }> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    socket.setNoDelay(true);
-    sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('data', (chunk: Buffer) => {
-      const text = chunk.toString();
-      const id = new RegExp(`^${ID}: (\\S+)`, 'im').exec(text)?.[1];
-      const path = /^\S+ (\S+)/.exec(text)?.[1] ?? '';
-      if (id === undefined) return;
-      const [sound = ''] = answersTo(id);
-      if (!isDamaged(path)) {
-        socket.write(sound);
-        return;
-      }
-      const damaged = damageBytes(Buffer.from(random.pick(answersTo(id))), random);
-      socket.write(damaged);
-      if (random.below(3) === 0) socket.write(random.pick(answersTo(id)));
-      if (random.below(3) === 0) socket.end();
-    });
+async function startBackend(random: Random, isDamaged: (path: string) => boolean): Promise<RawBackend> {
+  return await startRawBackend((socket, text) => {
+    const id = new RegExp(`^${ID}: (\\S+)`, 'im').exec(text)?.[1];
+    const path = /^\S+ (\S+)/.exec(text)?.[1] ?? '';
+    if (id === undefined) return;
+    const [sound = ''] = answersTo(id);
+    if (!isDamaged(path)) {
+      socket.write(sound);
+      return;
+    }
+    const damaged = damageBytes(Buffer.from(random.pick(answersTo(id))), random);
+    socket.write(damaged);
+    if (random.below(3) === 0) socket.write(random.pick(answersTo(id)));
+    if (random.below(3) === 0) socket.end();
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as { port: number };
-  const close = (): void => {
-    server.close();
-    for (const socket of sockets) socket.destroy();
-  };
-  return { port, close };
 }
 
 /** Passes the outcome of a run on, as the link between two daemons does. */
--- a/test/incidents/answers-without-a-length-in-routers.test.ts
+++ b/test/incidents/answers-without-a-length-in-routers.test.ts
@@ -3,12 +3,13 @@
  * its connection, a reset too, and reads a second answer as a part of the first.
  */
 import { createServer as createHttpServer, request } from 'node:http';
-import { createServer, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import test from 'ava';
 import { Pool } from 'undici';
 import { BackendClient } from '../../src/agent/backend-client.js';
 import { OperatorClient } from '../../src/cli/operator-client.js';
 import { forwardAttempt, type AttemptResult } from '../../src/router/forward-attempt.js';
+import { startRawBackend, type RawBackend } from '../raw-backend.js';
 
 const HOST = '127.0.0.1';
 const OBJECT = '{"ok":true,"more":1}';
@@ -37,22 +38,11 @@
   },
 ];
 
-async function startBackend(send: (socket: Socket) => void): Promise<{ port: number; close: () => void }> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.once('data', () => {
-      send(socket);
-    });
+/** Starts a back end that answers each request line; the body of a call may come in a read of its own. */
+async function startBackend(send: (socket: Socket) => void): Promise<RawBackend> {
+  return await startRawBackend((socket, text) => {
+    if (/^(?:GET|PUT) /.test(text)) send(socket);
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as { port: number };
-  const close = (): void => {
-    server.close();
-    for (const socket of sockets) socket.destroy();
-  };
-  return { port, close };
 }
 
 /** Makes an attempt for a caller; returns its result, and whether the caller got the start of an answer. */
