Log what each sidecar does and how late it runs

Cause: the logs did not tell a lack of processor time from a full link or from full slots: a stall is logged from 250 ms on, and nothing says what a daemon spends its time on. Change: a daemon-load event every 2 s with processor time, requests by kind, delays of timers, and what the pacer of the link has sent, how long frames waited and for how long the link was left unused.

--- a/src/link/link-pacer.ts
+++ b/src/link/link-pacer.ts
@@ -57,6 +57,17 @@
   readonly queuedAtMs: number;
 }
 
+/** Frames that a pacer has sent during an interval. */
+export interface SentFrames {
+  readonly frames: number;
+  readonly bytes: number;
+  /** Mean and maximum time in ms from queueing to the last byte. */
+  readonly meanMs: number;
+  readonly maxMs: number;
+  /** Time in ms for which the link was free while frames were queued, because this process ran late. */
+  readonly unusedMs: number;
+}
+
 /** Clock and timer of a pacer. */
 export interface PacerClock {
   nowMs(): number;
@@ -71,6 +82,7 @@
   private credit = 0;
   private lastAccrualMs: number;
   private scheduled = false;
+  private sent = { frames: 0, bytes: 0, totalMs: 0, maxMs: 0, unusedMs: 0 };
   /** Whether slices are being written; a frame that completes meanwhile may add the next one. */
   private running = false;
 
@@ -110,6 +122,27 @@
     if (policyIsOn('link-accounting')) this.use(acknowledgementBytes(bytes));
   }
 
+  /** Summarizes the frames sent since the previous call. */
+  takeSentFrames(): SentFrames {
+    const { frames, bytes, totalMs, maxMs, unusedMs } = this.sent;
+    this.sent = { frames: 0, bytes: 0, totalMs: 0, maxMs: 0, unusedMs: 0 };
+    const meanMs = frames === 0 ? 0 : totalMs / frames;
+    return {
+      frames,
+      bytes,
+      meanMs: Math.round(meanMs),
+      maxMs: Math.round(maxMs),
+      unusedMs: Math.round(unusedMs),
+    };
+  }
+
+  private recordSent(queuedAtMs: number): void {
+    const elapsedMs = this.lastAccrualMs - queuedAtMs;
+    this.sent.frames += 1;
+    this.sent.totalMs += elapsedMs;
+    this.sent.maxMs = Math.max(this.sent.maxMs, elapsedMs);
+  }
+
   private use(bytes: number): void {
     this.accrueCredit();
     this.load.record(bytes, this.lastAccrualMs);
@@ -141,7 +174,10 @@
       this.waiting = this.waiting.filter(({ frame }) => hasBytesToSend(frame));
       const next = this.credit > 0 ? this.chooseNext() : null;
       if (next === null) return;
-      this.credit -= wireBytes(next.write(SLICE_BYTES));
+      const written = next.frame.write(SLICE_BYTES);
+      this.credit -= wireBytes(written);
+      this.sent.bytes += written;
+      if (next.frame.remainingBytes === 0) this.recordSent(next.queuedAtMs);
     }
   }
 
@@ -149,18 +185,19 @@
    * Returns the frame with the shortest sending time, less the aging term: serving the shortest first minimizes the sum of
    * the waiting times. On each connection, a frame that has begun comes before the others. Null if nothing is queued.
    */
-  private chooseNext(): PacedFrame | null {
+  private chooseNext(): QueuedFrame | null {
     const nowMs = this.clock.nowMs();
-    const begun = this.waiting.filter(({ frame }) => frame.begun).map(({ frame }) => frame);
+    const begun = this.waiting.filter(({ frame }) => frame.begun);
     if (!policyIsOn('link-slices') && begun[0] !== undefined) return begun[0];
-    const busyConnections = new Set(begun.map(({ connection }) => connection));
-    let first: PacedFrame | null = null;
+    const busyConnections = new Set(begun.map(({ frame }) => frame.connection));
+    let first: QueuedFrame | null = null;
     let firstRankMs = Infinity;
-    for (const { frame, queuedAtMs } of this.waiting) {
+    for (const queued of this.waiting) {
+      const { frame, queuedAtMs } = queued;
       if (!frame.begun && busyConnections.has(frame.connection)) continue;
       const rankMs = frame.remainingBytes / this.bytesPerMs - (nowMs - queuedAtMs) * AGING_FACTOR;
       if (rankMs >= firstRankMs) continue;
-      first = frame;
+      first = queued;
       firstRankMs = rankMs;
     }
     return first;
@@ -170,7 +207,10 @@
     const nowMs = this.clock.nowMs();
     const earned = (nowMs - this.lastAccrualMs) * this.bytesPerMs;
     this.lastAccrualMs = nowMs;
-    this.credit = Math.min(this.credit + earned, MAX_CREDIT_MS * this.bytesPerMs);
+    const maxCredit = MAX_CREDIT_MS * this.bytesPerMs;
+    if (this.waiting.length > 0)
+      this.sent.unusedMs += Math.max(0, this.credit + earned - maxCredit) / this.bytesPerMs;
+    this.credit = Math.min(this.credit + earned, maxCredit);
   }
 }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -29,6 +29,7 @@
 import { headerValue } from './header-dialect.js';
 import type { LocalAnswer } from './local-answer.js';
 import { CrashWatch } from './crash-watch.js';
+import { DAEMON_LOAD_INTERVAL_MS, DaemonLoad } from './daemon-load.js';
 import { DirectoryClient } from './directory-client.js';
 import { countDirectoryBytes } from './directory-bytes.js';
 import { DirectoryTable } from './directory-table.js';
@@ -224,7 +225,16 @@
       },
     });
     this.directory = this.makeDirectory();
+    const load = new DaemonLoad({
+      delay: this.delay,
+      callers: this.counters,
+      gateway: this.gateway,
+      pacer: this.pacer,
+    });
     this.timers.push(
+      runtime.every(DAEMON_LOAD_INTERVAL_MS, () => {
+        log.event('daemon-load', load.takeFields());
+      }),
       runtime.every(CHECK_INTERVAL_MS, () => {
         this.presence.checkRemoved(this.keys.isKeyed);
       }),
