Use the whole link in a process that runs late, and wake up less often to pace it

Cause: the pacer kept credit for at most 25 ms, so a process whose timers fire later than that left its link unused while answers waited for it, and it woke up for every slice of 8 KB. Change: credit accrues for up to 100 ms while frames are queued (25 ms as before while none are), and runs are at least 10 ms apart.

--- a/src/link/link-pacer.ts
+++ b/src/link/link-pacer.ts
@@ -16,14 +16,20 @@
 /** Share of the link's bandwidth that the pacer uses; the rest is left for traffic of other processes. */
 const BANDWIDTH_SHARE = 0.92;
 
-/** Maximum idle time in ms for which credit accrues, so that a pacer whose process was stalled does not flood the link. */
-const MAX_CREDIT_MS = 25;
+/** Maximum idle time in ms for which credit accrues. */
+const MAX_IDLE_CREDIT_MS = 25;
+
+/**
+ * Maximum time in ms for which credit accrues while frames are queued: the link was free, and only this process ran late. Bounded, so
+ * that a process that was stalled does not flood the link.
+ */
+const MAX_LATE_CREDIT_MS = 100;
 
 /** Backlog of a link in ms from which on bytes are scarcer than the processor time that compression takes. */
 const MIN_CONGESTED_MS = 50;
 
-/** Minimum pause in ms between runs of the pacer. */
-const MIN_PAUSE_MS = 2;
+/** Minimum pause in ms between runs of the pacer: each run wakes the process up, and delays small frames by no more than this. */
+const MIN_PAUSE_MS = 10;
 
 /**
  * Share of a frame's waiting time that is subtracted from its sending time in the order, so that no frame starves. With
@@ -151,6 +157,8 @@
 
   /** Queues a frame. */
   add(frame: PacedFrame): void {
+    // Credit for the time without a queue is bounded more closely.
+    if (this.waiting.length === 0) this.accrueCredit();
     this.waiting.push({ frame, queuedAtMs: this.clock.nowMs() });
     if (!this.scheduled && !this.running) this.run();
   }
@@ -207,9 +215,9 @@
     const nowMs = this.clock.nowMs();
     const earned = (nowMs - this.lastAccrualMs) * this.bytesPerMs;
     this.lastAccrualMs = nowMs;
-    const maxCredit = MAX_CREDIT_MS * this.bytesPerMs;
-    if (this.waiting.length > 0)
-      this.sent.unusedMs += Math.max(0, this.credit + earned - maxCredit) / this.bytesPerMs;
+    const hasQueue = this.waiting.length > 0;
+    const maxCredit = (hasQueue ? MAX_LATE_CREDIT_MS : MAX_IDLE_CREDIT_MS) * this.bytesPerMs;
+    if (hasQueue) this.sent.unusedMs += Math.max(0, this.credit + earned - maxCredit) / this.bytesPerMs;
     this.credit = Math.min(this.credit + earned, maxCredit);
   }
 }
