End a search at the first link refusal if the other links are known to be full

Cause: a refusal for want of a slot ends the search where the others are known to be full, one for want of room on a link did not: requests for large answers were sent to three to six daemons whose links were full, and these spent their processor time on refusals. Change: the same rule holds for both. The test of the search's bounds now tells three states of knowledge apart, each with its own number of daemons, instead of two.

--- a/src/sidecar/request-forwarder.ts
+++ b/src/sidecar/request-forwarder.ts
@@ -124,8 +124,8 @@
   private timing: AnswerTiming | null = null;
   private refusals = 0;
   private busyRefusals = 0;
-  /** Whether the newest refusal was for want of a slot, and the other back ends are known to be full. */
-  private knowsNoSlot = false;
+  /** Whether the newest refusal was for want of a slot or of room on a link, and the other back ends are known to have none. */
+  private knowsNoRoom = false;
   private rateLimitedRefusals = 0;
   private quarantineRefusals = 0;
   private nextReselectionPauseMs = INITIAL_RESELECTION_PAUSE_MS;
@@ -441,7 +441,7 @@
     this.lastReason = `refused: ${refusal.reason}`;
     this.shortestRetryAfterMs = Math.min(this.shortestRetryAfterMs ?? Infinity, refusal.retryAfterMs);
     const isForLink = this.isForLink(refusal);
-    this.knowsNoSlot = refusal.reason === 'busy' && !isForLink && !this.mayHaveSlotElsewhere(instance);
+    this.knowsNoRoom = refusal.reason === 'busy' && !this.mayHaveRoomElsewhere(instance);
     if (isForLink) this.recordLinkRefusal(refusal);
     const knowsIdleLink = isForLink && this.knowsIdleLink(instance);
     const countsAsBusy = refusal.reason === 'busy' && !knowsIdleLink;
@@ -471,8 +471,8 @@
     return this.ports.chooser.hasKnownCapacity(this.candidatesBeside(instance), this.request.route);
   }
 
-  /** Whether nothing that is known shows that all other back ends of a sample are full. */
-  private mayHaveSlotElsewhere(instance: BackendInstance): boolean {
+  /** Whether nothing that is known shows that all other back ends of a sample, or the links to them, are full. */
+  private mayHaveRoomElsewhere(instance: BackendInstance): boolean {
     return this.ports.chooser.hasCapacity(this.candidatesBeside(instance), this.request.route);
   }
 
@@ -524,13 +524,13 @@
   }
 
   /**
-   * Whether the whole service is considered full: enough sidecars had no slot or turn, or one had no slot and the others are known
+   * Whether the whole service is considered full: enough sidecars had no slot or turn, or one had no room and the others are known
    * to have none. Asking these as well costs an overloaded service more processor time than the few requests are worth that
    * get a slot.
    */
   private isServiceFull(): boolean {
     if (!policyIsOn('bounded-refusals')) return false;
-    if (this.knowsNoSlot || this.busyRefusals >= MAX_BUSY_REFUSALS) return true;
+    if (this.knowsNoRoom || this.busyRefusals >= MAX_BUSY_REFUSALS) return true;
     return this.rateLimitedRefusals >= MAX_RATE_LIMITED_REFUSALS;
   }
 
--- a/test/sidecar/request-forwarder.test.ts
+++ b/test/sidecar/request-forwarder.test.ts
@@ -73,8 +73,8 @@
   /** Time in ms that the caller has spent on earlier attempts. */
   readonly spentMs?: number;
   readonly parent?: CallParent;
-  /** Whether back ends are known to have free slots and idle network links. */
-  readonly hasRoomElsewhere?: boolean;
+  /** Whether back ends have free slots and idle network links, as far as is known; 'maybe' if nothing is. */
+  readonly hasRoomElsewhere?: 'yes' | 'maybe' | 'no';
   /** Whether further requests wait behind the answer on its connection. */
   readonly hasRequestsBehind?: boolean;
 }
@@ -88,7 +88,7 @@
     passMs = 2_000,
     spentMs = 0,
     parent = null,
-    hasRoomElsewhere = false,
+    hasRoomElsewhere = 'no',
     hasRequestsBehind = false,
   } = setup;
   const time = new ManualTime();
@@ -120,8 +120,8 @@
     choose: ({ excluded }: ChoiceRequest) => instances.find(({ id }) => !excluded.has(id)) ?? null,
     nearCandidates: () => instances,
     farCandidates: () => [],
-    hasCapacity: () => hasRoomElsewhere,
-    hasKnownCapacity: () => hasRoomElsewhere,
+    hasCapacity: () => hasRoomElsewhere !== 'no',
+    hasKnownCapacity: () => hasRoomElsewhere === 'yes',
     moveTargetOf: () => null,
   } as unknown as BackendChooser;
   const prober = {
@@ -230,7 +230,7 @@
   {
     name: 'a refusal by a sidecar needs no retry allowance: another back end is tried',
     reactions: { a: [refuse('busy')], b: [ANSWER] },
-    setup: { mayRepeat: false, maxAttempts: 1, hasRoomElsewhere: true },
+    setup: { mayRepeat: false, maxAttempts: 1, hasRoomElsewhere: 'yes' },
     tried: ['a', 'b'],
     result: 'answer 200',
   },
@@ -244,14 +244,14 @@
   {
     name: 'after three busy refusals no further back end is tried, whatever is known of the others',
     reactions: { a: [refuse('busy')], b: [refuse('busy')], c: [refuse('busy')], d: [ANSWER] },
-    setup: { passMs: 5, hasRoomElsewhere: true },
+    setup: { passMs: 5, hasRoomElsewhere: 'yes' },
     tried: ['a', 'b', 'c'],
     result: 'not-run',
   },
   {
     name: 'refusals by leaving sidecars do not count as busy ones',
     reactions: { a: [refuse('busy')], b: [refuse('leaving')], c: [refuse('busy')], d: [ANSWER] },
-    setup: { hasRoomElsewhere: true },
+    setup: { hasRoomElsewhere: 'yes' },
     tried: ['a', 'b', 'c', 'd'],
     result: 'answer 200',
   },
@@ -276,7 +276,7 @@
   {
     name: 'with all back ends busy the request ends at once as not run',
     reactions: { a: [refuse('busy')], b: [refuse('busy')] },
-    setup: { passMs: 5, hasRoomElsewhere: true },
+    setup: { passMs: 5, hasRoomElsewhere: 'yes' },
     tried: ['a', 'b'],
     result: 'not-run',
   },
@@ -512,11 +512,12 @@
 }
 
 /** Guards against a service that counts as full while links of it are idle, and against a search without an end. */
-for (const { hasRoomElsewhere, tried } of [
-  { hasRoomElsewhere: false, tried: 3 },
-  { hasRoomElsewhere: true, tried: 8 },
-]) {
-  test(`refusals for a network link end the search after ${tried} daemons, an idle link ${hasRoomElsewhere ? '' : 'not '}known`, (t) => {
+for (const { hasRoomElsewhere, known, tried } of [
+  { hasRoomElsewhere: 'no', known: 'all are known to be full', tried: 1 },
+  { hasRoomElsewhere: 'maybe', known: 'nothing is known of the others', tried: 3 },
+  { hasRoomElsewhere: 'yes', known: 'an idle one is known', tried: 8 },
+] as const) {
+  test(`refusals for a network link end the search after ${tried} daemons if ${known}`, (t) => {
     const refuseForLink: Reaction = (handlers) => {
       handlers.onRefusal({
         reason: 'busy',
@@ -574,7 +575,7 @@
   const refuseForLink: Reaction = (handlers) => {
     handlers.onRefusal({ reason: 'busy', arrived: false, retryAfterMs: 70, status: null, linkFreeInMs: 70 });
   };
-  const setup: Setup = { parent: PARENT, hasRoomElsewhere: true, passMs: 10 };
+  const setup: Setup = { parent: PARENT, hasRoomElsewhere: 'yes', passMs: 10 };
   const outcome = forward({ a: [refuseForLink], b: [ANSWER] }, setup);
   t.deepEqual(outcome.tried, ['a', 'b']);
   t.is(outcome.result, 'answer 200');
