Bound the bytes that a process holds for clients by the machine's memory

What callers saw: a sidecar or directory ran out of memory and ended under clients that send large bodies at once, or bodies in chunks of one byte. Cause: every chunk was stored as a buffer of its own until the end of its body, without a bound over all connections and without a time by which a body must have come; calls to operators' ports likewise. Class: memory is spent on a client's word before anything bounds it. Bodies grow in one buffer by what has arrived. Without room a body gets 503 with Retry-After at once and the rest is discarded; bodies that made no progress for a second give way first; a single body is always taken. Requests and calls must have arrived within 60 s (callers: 408). Input behind a request that has its answer no longer gets a second one. Bodies in chunks of one byte still take the daemon's processor time: 60 of 128 KB keep it busy for some 25 s on a busy machine.

--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
+import { ClientMemory, type MemoryShare } from '../runtime/client-memory.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import { LINK_TIMINGS, LinkConnection, type LinkConnectionHandlers } from './link-connection.js';
 import type { ByteMeter } from './link-bytes.js';
@@ -30,6 +31,13 @@
   status: null,
 };
 
+/** Answer to a request for whose body there is no memory; nothing of it is executed. */
+const NO_MEMORY_REFUSAL: Omit<RefusalHead, 'status'> = {
+  reason: 'busy',
+  arrived: false,
+  retryAfterMs: 1_000,
+};
+
 /** Sends the outcome of one request to its caller. */
 export interface RequestReply {
   refuse(head: RefusalHead): void;
@@ -79,6 +87,8 @@
     private readonly turns = new InputTurns(nowMs),
     /** Called when a request is dropped before it was passed on, because nobody waits for it any more. */
     private readonly onDropped: () => void = () => undefined,
+    /** Accounts for the bodies of the requests that are being executed. */
+    private readonly memory = new ClientMemory(),
   ) {
     this.server = createServer((socket) => {
       this.accept(socket);
@@ -170,8 +180,14 @@
         connection.close('a stream number is in use');
         return;
       }
+      const share = this.shareFor(frame.body.length);
+      if (share === 'none') {
+        connection.send(FRAME_KIND.refusal, frame.stream, { ...NO_MEMORY_REFUSAL, status: this.status() });
+        return;
+      }
       const room = head.windowBytes ?? Infinity;
       const answer = new AnswerStream(connection, frame.stream, room, () => {
+        share?.release();
         requests.delete(frame.stream);
         this.streams.delete(answer);
         watch(connection, requests);
@@ -197,6 +213,14 @@
     connection.dropStream(frame.stream);
   }
 
+  /** Returns what holds a body; null if there is nothing to be held, 'none' if there is no room. */
+  private shareFor(bodyBytes: number): MemoryShare | null | 'none' {
+    if (bodyBytes === 0) return null;
+    const share = this.memory.open(() => undefined);
+    share.keep();
+    return share.resize(bodyBytes) ? share : 'none';
+  }
+
   /** Passes a request on once pending input has been read, unless that cancels it. */
   private acceptAfterInput(head: RequestHead, body: Buffer, reply: TrackedReply): AcceptedRequest {
     let accepted: AcceptedRequest | null = null;
--- a/src/router/request-body.ts
+++ b/src/router/request-body.ts
@@ -1,6 +1,7 @@
 /** Request bodies: small ones are buffered so that they can be sent again, larger ones are streamed once. */
 import type { IncomingMessage } from 'node:http';
 import { PassThrough, type Readable } from 'node:stream';
+import { GrowingBuffer } from '../runtime/growing-buffer.js';
 
 /** Largest body that is buffered, in bytes. */
 export const MAX_BUFFERED_BODY_BYTES = 16 * 1024;
@@ -44,11 +45,11 @@
 }
 
 async function readAll(request: IncomingMessage): Promise<Buffer | null> {
-  const chunks: Buffer[] = [];
+  const stored = new GrowingBuffer(MAX_BUFFERED_BODY_BYTES);
   try {
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    for await (const chunk of request) stored.append(chunk as Buffer);
   } catch {
     return null;
   }
-  return Buffer.concat(chunks);
+  return stored.view();
 }
--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -50,6 +50,7 @@
   private quietBytes = 0;
   private quietSinceMs: number;
   private ending = false;
+  private discarding = false;
   private cancelLinger: (() => void) | null = null;
 
   constructor(
@@ -160,8 +161,19 @@
     if (this.ending) this.close();
   }
 
+  /** Whether the rest of a request is read and discarded whose answer did not wait for it. */
+  get isDiscarding(): boolean {
+    return this.discarding;
+  }
+
+  /** Records that the answer to a request does not wait for the rest of it. */
+  beginDiscarding(): void {
+    this.discarding = true;
+  }
+
   /** Records that the rest of a request was read whose answer did not wait for it. */
   bodyDiscarded(): void {
+    this.discarding = false;
     if (!this.isBusy) this.recordQuiet();
   }
 
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -5,6 +5,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import type { LimitsDefinition } from '../directory/directory-state.js';
+import { ClientMemory } from '../runtime/client-memory.js';
+import { IncomingBody, type BodyFault } from '../runtime/incoming-body.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import { processIntervals, processTimers } from '../runtime/clock.js';
 import type { SocketAddress } from '../model/socket-address.js';
@@ -33,6 +35,28 @@
 /** Interval in ms between checks for connections that are to be closed while the server stops. */
 const CLOSE_CHECK_INTERVAL_MS = 25;
 
+/**
+ * Time in ms within which a request must have arrived with its body. Callers within the configured limits send bodies of at most
+ * that size at once, and their deadlines are shorter.
+ */
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** Time in ms after which a caller may return whose body was refused for want of memory: others have stalled or ended by then. */
+const NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
+/** Answer to a request of which a part did not arrive in time. */
+const LATE_REQUEST = localAnswer(LOCAL_STATUS.requestTimeout, 'the request did not arrive in time');
+
+/** Answers to requests whose bodies are not taken; none of them has run. */
+const BODY_REJECTIONS: Readonly<Record<BodyFault, LocalAnswer>> = {
+  'too-large': localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'),
+  'no-memory': {
+    statusCode: LOCAL_STATUS.notRun,
+    reason: 'too many bytes of callers are held',
+    retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+  },
+};
+
 /** A request whose body was received completely. */
 export interface IncomingRequest {
   readonly method: string;
@@ -77,6 +101,7 @@
   constructor(
     private readonly ports: CallerServerPorts,
     private readonly turns = new InputTurns(() => performance.now()),
+    private readonly memory = new ClientMemory(),
   ) {
     this.server = createServer(
       {
@@ -88,7 +113,7 @@
         this.receive(request, response);
       },
     );
-    this.server.requestTimeout = 0;
+    this.server.requestTimeout = REQUEST_TIMEOUT_MS;
     this.server.on('connection', (socket: Socket) => {
       this.turns.connectionAccepted();
       const connection = new CallerConnection(socket, {
@@ -198,6 +223,7 @@
     }
     this.activeCount += 1;
     let forwarded: RequestHandle | null = null;
+    let stored: IncomingBody | null = null;
     const answer = new CallerAnswer(response, {
       closing: this.ports.closing,
       afterInput: (callback) => {
@@ -221,6 +247,7 @@
     });
     const onClosed = (): void => {
       this.activeCount -= 1;
+      stored?.release();
       answer.connectionClosed();
       // A replaced answer may go on at its back end, and its parts may hold room of this daemon.
       if (!response.writableFinished || answer.isFaulty) forwarded?.cancel();
@@ -239,7 +266,7 @@
       );
       return;
     }
-    this.readBody(request, answer, (body) => {
+    stored = this.readBody(request, answer, (body) => {
       open.recordRead();
       // The caller may have closed the connection right after its request.
       this.turns.afterClose(() => {
@@ -270,11 +297,18 @@
       return;
     }
     const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+    const isLate = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
     if (connection.isBusy) {
       const unreceived = connection.endAfterAnswers();
       if (unreceived === null) return;
       const statusCode = tooLarge ? LOCAL_STATUS.headersTooLarge : LOCAL_STATUS.badRequest;
-      unreceived.reply(localAnswer(statusCode, 'the request is not readable'));
+      const rejection = localAnswer(statusCode, 'the request is not readable');
+      unreceived.reply(isLate ? LATE_REQUEST : rejection);
+      return;
+    }
+    if (connection.isDiscarding) {
+      // The request whose rest this is has its answer.
+      connection.close();
       return;
     }
     const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
@@ -284,31 +318,40 @@
   /** Rejects a request whose body may still come; what is behind it is read first, since that may be further requests. */
   private rejectEarly(request: IncomingMessage, answer: CallerAnswer, rejection: LocalAnswer): void {
     const connection = this.connections.get(request.socket);
+    connection?.beginDiscarding();
     request.once('close', () => connection?.bodyDiscarded());
     this.turns.afterInput(() => {
       answer.reply(rejection);
     });
   }
 
-  private readBody(request: IncomingMessage, answer: CallerAnswer, done: (body: Buffer) => void): void {
-    // A smaller limit that arrives meanwhile does not hold for this request.
-    const { maxBodyBytes } = this.ports.limits();
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBodyBytes) {
-        chunks.push(chunk);
-        return;
-      }
+  private readBody(
+    request: IncomingMessage,
+    answer: CallerAnswer,
+    done: (body: Buffer) => void,
+  ): IncomingBody {
+    const reject = (fault: BodyFault): void => {
       request.removeAllListeners('data');
       request.removeAllListeners('end');
       request.resume();
-      this.rejectEarly(request, answer, localAnswer(LOCAL_STATUS.bodyTooLarge, 'the body is too large'));
+      this.rejectEarly(request, answer, BODY_REJECTIONS[fault]);
+    };
+    // A smaller limit that arrives meanwhile does not hold for this request.
+    const { maxBodyBytes } = this.ports.limits();
+    const statedText = request.headers['content-length'];
+    const statedBytes = statedText === undefined ? null : Number(statedText);
+    const stored = new IncomingBody(this.memory, maxBodyBytes, statedBytes, () => {
+      reject('no-memory');
+    });
+    request.on('data', (chunk: Buffer) => {
+      const fault = stored.add(chunk);
+      if (fault !== null) reject(fault);
     });
     request.on('end', () => {
-      done(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
+      const body = stored.end();
+      if (body !== null) done(body);
     });
+    return stored;
   }
 
   private dispatch(
--- a/src/sidecar/local-answer.ts
+++ b/src/sidecar/local-answer.ts
@@ -14,6 +14,8 @@
   /** A client error, so that callers do not retry. */
   quarantined: 400,
   noRoute: 404,
+  /** The request did not arrive in time, and was not run. */
+  requestTimeout: 408,
   bodyTooLarge: 413,
   headersTooLarge: 431,
   unknownOutcome: 502,
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -8,6 +8,7 @@
 import { incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
 import { formatAddress } from '../model/socket-address.js';
 import { Ok, type Result } from '../result.js';
+import type { ProcessMemory } from '../runtime/client-memory.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { Latencies } from '../telemetry/latencies.js';
@@ -98,6 +99,8 @@
   readonly latencies: Latencies;
   /** Connections to callers, other daemons and the back end; defaults to sockets. */
   readonly transport?: SidecarTransport;
+  /** Accounts for the bytes that sockets hold for clients; defaults to those of a small machine. */
+  readonly memory?: ProcessMemory;
 }
 
 /** A running sidecar. */
@@ -150,7 +153,7 @@
     this.startedMs = runtime.nowMs();
     this.delay = watchStalls(runtime, log);
     this.stages = new StartStages(() => runtime.nowMs(), log);
-    this.transport = options.transport ?? socketTransport(settings, runtime);
+    this.transport = options.transport ?? socketTransport(settings, runtime, options.memory);
     this.presence = this.makePresence();
     this.backend = this.presence.backend;
     this.lease = this.makeLease();
--- a/src/sidecar/sidecar-transport.ts
+++ b/src/sidecar/sidecar-transport.ts
@@ -8,6 +8,7 @@
 import { LinkServer, type AcceptRequest, type MeterOfHost } from '../link/link-server.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import type { Result } from '../result.js';
+import { createProcessMemory, type ProcessMemory } from '../runtime/client-memory.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { SurplusBytes } from './answer-trace.js';
@@ -68,13 +69,27 @@
 }
 
 /** Transport of a daemon: TCP and HTTP/1.1. */
-export function socketTransport(settings: SidecarSettings, runtime: Runtime): SidecarTransport {
+export function socketTransport(
+  settings: SidecarSettings,
+  runtime: Runtime,
+  memory: ProcessMemory = createProcessMemory(),
+): SidecarTransport {
   const nowMs = (): number => runtime.nowMs();
   const turns = new InputTurns(nowMs);
   return {
-    callers: (ports) => new CallerServer(ports, turns),
+    callers: (ports) => new CallerServer(ports, turns, memory.clients),
     links: ({ take, status, pacer, meterOf, onDropped }) =>
-      new LinkServer(nowMs, runtime.randomId(), take, status, pacer, meterOf, turns, onDropped),
+      new LinkServer(
+        nowMs,
+        runtime.randomId(),
+        take,
+        status,
+        pacer,
+        meterOf,
+        turns,
+        onDropped,
+        memory.forwarded,
+      ),
     dialLink: (route, handlers) => new LinkClient(route, nowMs, handlers, turns),
     backend: (onRefused, onSurplus) =>
       httpBackendClient(settings.backend, settings.dialect, runtime, onRefused, turns, onSurplus),
