--- a/src/runtime/client-memory.ts
+++ b/src/runtime/client-memory.ts
@@ -4,8 +4,8 @@
  */
 
 /** Parts of a machine's memory that a process holds for its own clients, and for requests that other daemons forward to it. */
-const CLIENT_SHARE = 0.15;
-const FORWARDED_SHARE = 0.1;
+const CLIENT_SHARE = 0.1;
+const FORWARDED_SHARE = 0.05;
 
 /** Memory of a machine in bytes where it is not known. */
 const DEFAULT_MACHINE_BYTES = 256 * 1024 * 1024;
