--- a/lab/fleet/daemon-options.ts
+++ b/lab/fleet/daemon-options.ts
@@ -4,4 +4,5 @@
   '--max-semi-space-size=2',
   '--always-sparkplug',
   '--no-lazy-feedback-allocation',
+  '--single-threaded',
 ];
