Free the bytes of a body that gives way when they leave the account

On eviction the share left the account at once, but the body's buffer was held until its exchange had closed, which waits for answers in front of it: more was held than was accounted for. Eviction now releases the body as a refusal does.

--- a/src/runtime/incoming-body.ts
+++ b/src/runtime/incoming-body.ts
@@ -32,7 +32,7 @@
   ) {
     this.stored = new GrowingBuffer(Math.min(maxBytes, statedBytes ?? maxBytes));
     this.share = memory.open(() => {
-      this.rejected = true;
+      this.release();
       onEvicted();
     });
   }
