--- a/test/link/link-pacer.test.ts
+++ b/test/link/link-pacer.test.ts
@@ -224,45 +224,43 @@
   t.is(runLengths(written()).length, 3);
 });
 
+/** A pacer with a long frame, whose timer fires when the test says so. */
+class LatePacer {
+  nowMs = 0;
+  writtenBytes = 0;
+  private due: () => void = () => undefined;
+
+  constructor() {
+    const after = (_ms: number, callback: () => void): void => {
+      this.due = callback;
+    };
+    const pacer = new LinkPacer(BYTES_PER_MS, { nowMs: () => this.nowMs, after });
+    const frames = new PacedFrames(pacer, ({ length }) => {
+      this.writtenBytes += length;
+    });
+    frames.send(1, EMPTY_BODY, frame('a', 2_000_000));
+  }
+
+  fire(): void {
+    this.due();
+  }
+}
+
 /** Guards against a link that is left unused because the process that paces it runs late. */
 test('a process whose timers fire 60 ms late uses the whole link while frames are queued', (t) => {
-  let nowMs = 0;
-  let due: (() => void) | null = null;
-  const clock = {
-    nowMs: () => nowMs,
-    after: (_ms: number, callback: () => void) => {
-      due = callback;
-    },
-  };
-  const pacer = new LinkPacer(BYTES_PER_MS, clock);
-  let written = 0;
-  const frames = new PacedFrames(pacer, ({ length }) => {
-    written += length;
-  });
-  frames.send(1, EMPTY_BODY, frame('a', 2_000_000));
-  for (; nowMs < 1_200; nowMs += 60) (due as (() => void) | null)?.();
-  t.true(written >= 0.8 * nowMs * BYTES_PER_MS, `${written} bytes in ${nowMs} ms`);
-  t.true(written <= (nowMs + 100) * BYTES_PER_MS, `${written} bytes in ${nowMs} ms`);
+  const late = new LatePacer();
+  for (; late.nowMs < 1_200; late.nowMs += 60) late.fire();
+  const { nowMs, writtenBytes } = late;
+  t.true(writtenBytes >= 0.8 * nowMs * BYTES_PER_MS, `${writtenBytes} bytes in ${nowMs} ms`);
+  t.true(writtenBytes <= (nowMs + 100) * BYTES_PER_MS, `${writtenBytes} bytes in ${nowMs} ms`);
 });
 
 /** Guards against a burst after a stall that fills the link for longer than small frames may wait. */
 test('after a stall of a second a queued frame is sent no faster than for 100 ms of the link', (t) => {
-  let nowMs = 0;
-  let due: (() => void) | null = null;
-  const clock = {
-    nowMs: () => nowMs,
-    after: (_ms: number, callback: () => void) => {
-      due = callback;
-    },
-  };
-  const pacer = new LinkPacer(BYTES_PER_MS, clock);
-  let written = 0;
-  const frames = new PacedFrames(pacer, ({ length }) => {
-    written += length;
-  });
-  frames.send(1, EMPTY_BODY, frame('a', 2_000_000));
-  const before = written;
-  nowMs += 1_000;
-  (due as (() => void) | null)?.();
-  t.true(written - before <= 110 * BYTES_PER_MS, `${written - before} bytes`);
+  const late = new LatePacer();
+  const before = late.writtenBytes;
+  late.nowMs += 1_000;
+  late.fire();
+  const burstBytes = late.writtenBytes - before;
+  t.true(burstBytes <= 110 * BYTES_PER_MS, `${burstBytes} bytes`);
 });
