Log for how long frames are queued for the link, and what else uses it

Cause: the log of a daemon's link did not tell whether large answers wait because the link is full, or for other bytes on it. Change: daemon-load tells the time for which frames were queued, and the bytes that were not paced.

--- a/src/link/link-pacer.ts
+++ b/src/link/link-pacer.ts
@@ -72,6 +72,25 @@
   readonly maxMs: number;
   /** Time in ms for which the link was free while frames were queued, because this process ran late. */
   readonly unusedMs: number;
+  /** Time in ms for which frames were queued. */
+  readonly queuedMs: number;
+  /** Bytes on the network that were not paced, with those of acknowledgements. */
+  readonly unpacedBytes: number;
+}
+
+/** Totals of an interval. */
+interface SentTotals {
+  frames: number;
+  bytes: number;
+  totalMs: number;
+  maxMs: number;
+  unusedMs: number;
+  queuedMs: number;
+  unpacedBytes: number;
+}
+
+function noTotals(): SentTotals {
+  return { frames: 0, bytes: 0, totalMs: 0, maxMs: 0, unusedMs: 0, queuedMs: 0, unpacedBytes: 0 };
 }
 
 /** Clock and timer of a pacer. */
@@ -88,7 +107,7 @@
   private credit = 0;
   private lastAccrualMs: number;
   private scheduled = false;
-  private sent = { frames: 0, bytes: 0, totalMs: 0, maxMs: 0, unusedMs: 0 };
+  private sent = noTotals();
   /** Whether slices are being written; a frame that completes meanwhile may add the next one. */
   private running = false;
 
@@ -130,8 +149,8 @@
 
   /** Summarizes the frames sent since the previous call. */
   takeSentFrames(): SentFrames {
-    const { frames, bytes, totalMs, maxMs, unusedMs } = this.sent;
-    this.sent = { frames: 0, bytes: 0, totalMs: 0, maxMs: 0, unusedMs: 0 };
+    const { frames, bytes, totalMs, maxMs, unusedMs, queuedMs, unpacedBytes } = this.sent;
+    this.sent = noTotals();
     const meanMs = frames === 0 ? 0 : totalMs / frames;
     return {
       frames,
@@ -139,6 +158,8 @@
       meanMs: Math.round(meanMs),
       maxMs: Math.round(maxMs),
       unusedMs: Math.round(unusedMs),
+      queuedMs: Math.round(queuedMs),
+      unpacedBytes,
     };
   }
 
@@ -152,6 +173,7 @@
   private use(bytes: number): void {
     this.accrueCredit();
     this.load.record(bytes, this.lastAccrualMs);
+    this.sent.unpacedBytes += bytes;
     this.credit = Math.max(this.credit - bytes, -MAX_DEBT_MS * this.bytesPerMs);
   }
 
@@ -213,9 +235,11 @@
 
   private accrueCredit(): void {
     const nowMs = this.clock.nowMs();
-    const earned = (nowMs - this.lastAccrualMs) * this.bytesPerMs;
+    const elapsedMs = nowMs - this.lastAccrualMs;
+    const earned = elapsedMs * this.bytesPerMs;
     this.lastAccrualMs = nowMs;
     const hasQueue = this.waiting.length > 0;
+    if (hasQueue) this.sent.queuedMs += elapsedMs;
     const maxCredit = (hasQueue ? MAX_LATE_CREDIT_MS : MAX_IDLE_CREDIT_MS) * this.bytesPerMs;
     if (hasQueue) this.sent.unusedMs += Math.max(0, this.credit + earned - maxCredit) / this.bytesPerMs;
     this.credit = Math.min(this.credit + earned, maxCredit);
