Write nothing at the end of a connection that has no last bytes

Cause: a connection that ended behind its last answer was given an empty string to write, and the system got a write of no bytes. Change: it is ended without one.

--- a/src/sidecar/caller-connection.ts
+++ b/src/sidecar/caller-connection.ts
@@ -191,7 +191,9 @@
   close(lastBytes = ''): void {
     if (this.cancelLinger !== null || this.socket.destroyed) return;
     this.ending = true;
-    this.socket.end(lastBytes);
+    // An empty write would be a system call of its own.
+    if (lastBytes === '') this.socket.end();
+    else this.socket.end(lastBytes);
     this.cancelLinger = this.ports.after(LINGER_MS, () => {
       this.socket.destroy();
     });
