Bound the bodies that callers have under way at a router

What callers saw: sixty clients that sent bodies in chunks of one byte ended a router (out of memory), and 240 that stopped one byte short kept it from answering anyone else.

Cause: a body on its way was a stream of chunks, each an object of its own, also while its request waited for a slot; nothing bounded the sum, and nothing ended a body that no longer came, although it held a slot of a back end until the deadline.

Change: a body is stored in one buffer until its back end takes it, in the account of all callers; reading pauses beyond 64 KiB (1 MiB for chunks of less than 512 bytes, which Node stores as objects in a pause); what arrives in one turn is passed on together. A caller that sends nothing for callerStallMs (30 s) while the router is ready to read loses its connection. Buffered bodies are held to both as well.

Not wrong before, kept as a guard: heads without an end, chunks of 64 KiB without an end.

--- a/src/config/daemon-settings.ts
+++ b/src/config/daemon-settings.ts
@@ -92,6 +92,11 @@
   drainMs: z.number().int().min(0).max(600_000).default(30_000),
   /** Maximum size of a request's header block, in bytes. */
   maxHeaderBytes: z.number().int().min(1_024).max(1_048_576).default(16_384),
+  /**
+   * Time in ms after which a caller's connection ends that sends nothing of a body which the router is ready to read, or takes nothing of
+   * an answer that has begun.
+   */
+  callerStallMs: z.number().int().min(100).max(3_600_000).default(30_000),
 });
 
 /** Settings of `aldertide control`. */
--- a/src/router/request-body.ts
+++ b/src/router/request-body.ts
@@ -1,7 +1,8 @@
 /** Request bodies: small ones are buffered so that they can be sent again, larger ones are streamed once. */
 import type { IncomingMessage } from 'node:http';
-import { PassThrough, type Readable } from 'node:stream';
-import { GrowingBuffer } from '../runtime/growing-buffer.js';
+import type { Readable } from 'node:stream';
+import { IncomingBody } from '../runtime/incoming-body.js';
+import { UploadStream, watchProgress, type UploadLimits } from './upload-stream.js';
 
 /** Largest body that is buffered, in bytes. */
 export const MAX_BUFFERED_BODY_BYTES = 16 * 1024;
@@ -16,40 +17,40 @@
 
 const NO_BODY: RequestBody = { content: null, repeatable: true };
 
-/** Reads the body of a request; null if the caller disconnected before a small body was complete. */
-export async function readRequestBody(request: IncomingMessage): Promise<RequestBody | null> {
+/** Reads the body of a request; null if a small body was not complete when its connection ended. */
+export async function readRequestBody(
+  request: IncomingMessage,
+  limits: UploadLimits,
+): Promise<RequestBody | null> {
   const { 'content-length': lengthText, 'transfer-encoding': encoding } = request.headers;
   if (lengthText === undefined && encoding === undefined) return NO_BODY;
   const length = Number(lengthText ?? Infinity);
   if (length === 0) return NO_BODY;
-  if (length > MAX_BUFFERED_BODY_BYTES) return { content: streamOf(request), repeatable: false };
-  const content = await readAll(request);
+  if (length > MAX_BUFFERED_BODY_BYTES)
+    return { content: new UploadStream(request, limits), repeatable: false };
+  const content = await readAll(request, limits);
   return content === null ? null : { content, repeatable: true };
 }
 
-/**
- * Returns a stream of the body that may be destroyed: `undici` does that when an answer comes before the end of a body, and Node
- * ends the connection of a request that is destroyed.
- */
-function streamOf(request: IncomingMessage): Readable {
-  const stream = new PassThrough();
-  stream.on('error', () => undefined);
-  stream.once('close', () => {
-    request.unpipe(stream);
-    request.resume();
+/** Reads a body to its end; null if it breaks off, stalls, or is longer than any that is buffered. */
+async function readAll(request: IncomingMessage, { memory, stallMs }: UploadLimits): Promise<Buffer | null> {
+  return await new Promise((resolve) => {
+    const giveUp = (): void => {
+      request.destroy();
+    };
+    const stored = new IncomingBody(memory, MAX_BUFFERED_BODY_BYTES, null, giveUp);
+    const watch = watchProgress(stallMs, giveUp);
+    request.on('data', (chunk: Buffer) => {
+      watch.progress();
+      if (stored.add(chunk) !== null) giveUp();
+    });
+    request.once('end', () => {
+      resolve(stored.end());
+    });
+    request.once('close', () => {
+      watch.stop();
+      stored.release();
+      resolve(null);
+    });
   });
-  request.once('close', () => {
-    if (!request.complete) stream.destroy(new Error('the body broke off'));
-  });
-  return request.pipe(stream);
-}
-
-async function readAll(request: IncomingMessage): Promise<Buffer | null> {
-  const stored = new GrowingBuffer(MAX_BUFFERED_BODY_BYTES);
-  try {
-    for await (const chunk of request) stored.append(chunk as Buffer);
-  } catch {
-    return null;
-  }
-  return stored.view();
 }
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -71,7 +71,7 @@
     const key = service.key === undefined ? null : requestKey(service.key, path, headers);
     if (service.division === 'keyed' && key === null)
       return createRefusal('missing-key', describeKey(service), null);
-    const body = await readRequestBody(request);
+    const body = await readRequestBody(request, this.state.uploadLimits);
     if (body === null) return createRefusal('malformed-request', 'the body broke off', null);
     const requestedKey = service.division === 'keyed' ? key : null;
     const identity = identifyRequest(request, body, requestedKey);
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -7,6 +7,8 @@
 import { BackendStates } from './backend-state.js';
 import { BackendHealth } from './backend-health.js';
 import { CallerConnections } from './caller-connections.js';
+import { createProcessMemory } from '../runtime/client-memory.js';
+import type { UploadLimits } from './upload-stream.js';
 import type { RequestEnd } from './request-router.js';
 import { RetryBudget } from './retry-budget.js';
 import { RunGuard, type RunGuardPorts } from './run-guard.js';
@@ -31,6 +33,8 @@
   readonly callers: CallerConnections;
   readonly counters: RouterCounters = { started: 0, retries: 0, ended: new Map() };
   readonly routingView: RoutingView;
+  /** Bounds of the bodies that callers send. */
+  readonly uploadLimits: UploadLimits;
   /** Restricts requests that back ends have crashed on. */
   readonly guard: RunGuard;
   private readonly budgets = new Map<string, RetryBudget>();
@@ -43,6 +47,7 @@
     ports: RouterPorts,
   ) {
     this.callers = new CallerConnections(ports.log);
+    this.uploadLimits = { memory: createProcessMemory().clients, stallMs: settings.callerStallMs };
     this.guard = new RunGuard({
       ...ports,
       quarantine: this.table.quarantine,
--- a/test/incidents/client-crowd.ts
+++ b/test/incidents/client-crowd.ts
@@ -1,18 +1,31 @@
 /** Clients that send large bodies and do not end them, and what a daemon holds for them. */
-import type { ChildProcess } from 'node:child_process';
+import { fork, type ChildProcess } from 'node:child_process';
 import { readdirSync, readFileSync } from 'node:fs';
 import { connect, type Socket } from 'node:net';
 import { HOST } from '../fuzz/loopback-daemons.js';
 
 const PAGE_BYTES = 4 * 1024;
 const MS_PER_TURN = 20;
+const MIB = 1024 * 1024;
+
+/** Turns without growth after the crowd has sent everything, until which what it sent has been read. */
+const SETTLE_TURNS = 50;
+
+/** Memory of the smallest machine that a daemon runs on, in bytes. */
+export const MACHINE_BYTES = 250 * MIB;
+
+/** Descriptors of a daemon besides those of the crowd. */
+export const OTHER_DESCRIPTORS = 80;
+
+/** Options under which the daemons are deployed. */
+const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
 
 /** What each client of a crowd sends behind its head. */
 export interface CrowdBody {
   readonly name: string;
   readonly clients: number;
-  /** Header that delimits the body. */
-  readonly header: string;
+  /** Header that delimits the body; null if the head does not end. */
+  readonly header: string | null;
   /** Parts that are written one after the other. */
   readonly parts: readonly Buffer[];
   /** Whether the last byte or chunk is sent as well. */
@@ -46,13 +59,34 @@
   return { name, clients, header: 'Transfer-Encoding: chunked', parts: [...parts, ...last], ended };
 }
 
+/** Requests whose heads do not end, in pieces. */
+export function unfinishedHead(clients: number, bytes: number, pieceBytes: number): CrowdBody {
+  const lines = Array.from(
+    { length: Math.ceil(bytes / 100) },
+    (_, number) => `X-${number}: ${'h'.repeat(90)}\r\n`,
+  );
+  const all = Buffer.from(lines.join('').slice(0, bytes));
+  const parts: Buffer[] = [];
+  for (let at = 0; at < all.length; at += pieceBytes) parts.push(all.subarray(at, at + pieceBytes));
+  const name = `${clients} heads of ${bytes} bytes in pieces of ${pieceBytes}, without an end`;
+  return { name, clients, header: null, parts, ended: false };
+}
+
+/** Requests that follow each other on each connection without waiting for their answers, which are never read. */
+export function unreadAnswers(clients: number, requests: number, request: string): CrowdBody {
+  const parts = [Buffer.from(request.repeat(requests))];
+  const name = `${clients} callers with ${requests} requests each that never read`;
+  return { name, clients, header: 'Content-Length: 0', parts, ended: true };
+}
+
 /** Connects the clients of a crowd and lets them send; they stay open. Returns their sockets. */
-export function startCrowd(port: number, head: string, body: CrowdBody): Socket[] {
+export function startCrowd(port: number, head: string, body: CrowdBody, reads = true): Socket[] {
   return Array.from({ length: body.clients }, (_, number) => {
     const socket = connect({ host: HOST, port, allowHalfOpen: true });
     socket.on('error', () => undefined);
-    socket.resume();
-    socket.write(`${head}Request-Id: crowd-${number}\r\n${body.header}\r\n\r\n`);
+    if (reads) socket.resume();
+    const end = body.header === null ? '' : `${body.header}\r\n\r\n`;
+    socket.write(`${head}Request-Id: crowd-${number}\r\n${end}`);
     let next = 0;
     const send = (): void => {
       while (next < body.parts.length && !socket.destroyed) {
@@ -82,7 +116,40 @@
   }
 }
 
+/** The most that a process has held while a crowd was connected to it. */
+export interface CrowdUsage {
+  readonly memoryBytes: number;
+  readonly descriptors: number;
+}
+
+/** Waits until a crowd has sent everything and the process has read it; returns the most that it has held. */
+export async function settleCrowd(
+  sockets: readonly Socket[],
+  daemon: ChildProcess,
+  ended: () => boolean,
+): Promise<CrowdUsage> {
+  const most = { memoryBytes: 0, descriptors: 0 };
+  let quietTurns = 0;
+  while (quietTurns < SETTLE_TURNS && !ended()) {
+    await turn();
+    const { memoryBytes, descriptors } = usageOf(daemon) ?? most;
+    const isQuiet =
+      isSent(sockets) && memoryBytes <= most.memoryBytes + MIB && descriptors <= most.descriptors;
+    quietTurns = isQuiet ? quietTurns + 1 : 0;
+    most.memoryBytes = Math.max(most.memoryBytes, memoryBytes);
+    most.descriptors = Math.max(most.descriptors, descriptors);
+  }
+  return most;
+}
+
 /** Waits for a turn of the test. */
 export async function turn(): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, MS_PER_TURN));
 }
+
+/** Starts a daemon of a test as a process of its own, which reports when it listens. */
+export async function startProcess(script: string, argument: readonly string[]): Promise<ChildProcess> {
+  const child = fork(new URL(script, import.meta.url), [...argument], { execArgv: NODE_OPTIONS });
+  await new Promise((resolve) => child.once('message', resolve));
+  return child;
+}
--- a/test/incidents/clients-without-bounds.test.ts
+++ b/test/incidents/clients-without-bounds.test.ts
@@ -2,7 +2,7 @@
  * Crowds of clients that do not behave: large bodies at once, in small chunks, without an end. No daemon ends or outgrows its machine,
  * and an ordinary request is answered while they are connected.
  */
-import { fork, type ChildProcess } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { request } from 'node:http';
 import { tmpdir } from 'node:os';
@@ -14,11 +14,14 @@
 import {
   announcedBeyondLimit,
   chunkedBody,
-  isSent,
+  MACHINE_BYTES,
+  OTHER_DESCRIPTORS,
+  settleCrowd,
   startCrowd,
+  startProcess,
   turn,
+  unfinishedHead,
   unfinishedLength,
-  usageOf,
   type CrowdBody,
 } from './client-crowd.js';
 
@@ -29,18 +32,6 @@
 /** Configured limit of a body; the pages' own would need a larger crowd. */
 const MAX_BODY_BYTES = MIB;
 
-/** Memory of the smallest machine that a daemon runs on. */
-const MACHINE_BYTES = 250 * MIB;
-
-/** Descriptors of a daemon besides those of the crowd. */
-const OTHER_DESCRIPTORS = 80;
-
-/** Options under which the daemons are deployed. */
-const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
-
-/** Turns without growth after the crowd has sent everything, until which what it sent has been read. */
-const SETTLE_TURNS = 50;
-
 interface World {
   readonly callers: number;
   readonly sidecarCalls: number;
@@ -93,12 +84,6 @@
   }
 }
 
-async function startProcess(script: string, argument: readonly string[]): Promise<ChildProcess> {
-  const child = fork(new URL(script, import.meta.url), [...argument], { execArgv: NODE_OPTIONS });
-  await new Promise((resolve) => child.once('message', resolve));
-  return child;
-}
-
 async function startWorld(t: ExecutionContext): Promise<World> {
   const backend = await startRawBackend((socket, text) => {
     const id = /^request-id: (\S+)/im.exec(text)?.[1];
@@ -191,11 +176,13 @@
   chunkedBody(60, 128 * 1024, 1, true),
   announcedBeyondLimit(60, 4 * MIB),
   chunkedBody(60, 4 * MIB, 64 * 1024, false),
+  unfinishedHead(240, 15_000, 100),
 ];
 const OPERATOR_CROWDS: readonly CrowdBody[] = [
   unfinishedLength(240, MIB, MIB),
   chunkedBody(60, 128 * 1024, 1, false),
   chunkedBody(40, 8 * MIB, 64 * 1024, false),
+  unfinishedHead(240, 15_000, 100),
 ];
 
 const CASES: readonly (readonly [Port, CrowdBody])[] = [
@@ -212,21 +199,11 @@
     t.teardown(() => {
       for (const socket of sockets) socket.destroy();
     });
-    let mostBytes = 0;
-    let mostDescriptors = 0;
-    let quietTurns = 0;
-    while (quietTurns < SETTLE_TURNS && !world.ended()) {
-      await turn();
-      const { memoryBytes = 0, descriptors = 0 } = usageOf(daemon) ?? {};
-      const isQuiet = isSent(sockets) && memoryBytes <= mostBytes + MIB && descriptors <= mostDescriptors;
-      quietTurns = isQuiet ? quietTurns + 1 : 0;
-      mostBytes = Math.max(mostBytes, memoryBytes);
-      mostDescriptors = Math.max(mostDescriptors, descriptors);
-    }
-    t.log(`${Math.round(mostBytes / MIB)} MB, ${mostDescriptors} descriptors`);
+    const { memoryBytes, descriptors } = await settleCrowd(sockets, daemon, world.ended);
+    t.log(`${Math.round(memoryBytes / MIB)} MB, ${descriptors} descriptors`);
     t.false(world.ended(), 'a daemon has ended');
-    t.true(mostBytes <= MACHINE_BYTES, `${mostBytes} bytes`);
-    t.true(mostDescriptors <= crowd.clients + OTHER_DESCRIPTORS, `${mostDescriptors} descriptors`);
+    t.true(memoryBytes <= MACHINE_BYTES, `${memoryBytes} bytes`);
+    t.true(descriptors <= crowd.clients + OTHER_DESCRIPTORS, `${descriptors} descriptors`);
     t.is(await untilAnswered(async () => await ask(world), world), 200);
   });
 }
--- a/test/router/router-world.ts
+++ b/test/router/router-world.ts
@@ -17,7 +17,8 @@
 /** Service whose requests the back end receives; paths begin with it. */
 export const SERVICE = 'stock';
 
-const TOKEN = 'token-of-the-router-tests';
+/** Token that the router and control share. */
+export const TOKEN = 'token-of-the-router-tests';
 const BACKEND = 'one';
 const SLOTS = 64;
 const POLL_INTERVAL_MS = 5;
@@ -110,7 +111,8 @@
   return { node, port, scripts, received, ends, log, metric };
 }
 
-async function startControl(
+/** Starts a stand-in for control that knows one service with one back end. */
+export async function startControl(
   backendPort: number,
   slots: number,
 ): Promise<{ port: number; close: () => void }> {
@@ -146,7 +148,8 @@
   return { port, close };
 }
 
-async function startScriptedBackend(
+/** Starts a back end whose answers are scripted by path. */
+export async function startScriptedBackend(
   scripts: RouterWorld['scripts'],
   received: string[],
   ends: RouterWorld['ends'],
