Cut off callers of a router that take nothing of an answer

What callers saw: sixty callers that never read their answers of 256 KiB kept a router from answering anyone else; an ordinary request got no answer within 120 s. Cause: an answer for which there is no room to be stored is streamed, and holds a slot of its back end for as long as its caller likes: the deadline of a request ends with the begin of its answer.

--- a/src/router/forward-attempt.ts
+++ b/src/router/forward-attempt.ts
@@ -24,6 +24,8 @@
   readonly body: Buffer | Readable | null;
   /** Time in ms within which the answer must start at the caller. */
   readonly budgetMs: number;
+  /** Time in ms for which the caller may take nothing of an answer that has begun. */
+  readonly stallMs: number;
   /** Called with what the answer states as soon as its head has arrived. */
   readonly onSignals: (signals: BackendSignals) => void;
 }
@@ -40,6 +42,9 @@
 /** Lowest status code of a final response; lower ones are informational (1xx). */
 const MIN_FINAL_STATUS = 200;
 
+/** Cause of the end of an answer whose caller takes nothing of it. */
+const STALLED = 'the caller takes nothing of the answer';
+
 /** Makes one attempt; the returned promise never rejects. */
 export async function forwardAttempt(
   pool: Pool,
@@ -62,6 +67,7 @@
   private statusCode = 0;
   private settled = false;
   private readonly timer: NodeJS.Timeout;
+  private stallTimer: NodeJS.Timeout | undefined;
   private readonly cancelWhenClosed: () => void;
 
   constructor(
@@ -129,10 +135,25 @@
     }
     if (!this.streaming) return;
     const isTaken = this.answer.write(chunk, () => {
+      clearTimeout(this.stallTimer);
       controller.resume();
     });
     if (this.answer.isWhole) this.complete();
-    else if (!isTaken) controller.pause();
+    else if (!isTaken) {
+      controller.pause();
+      this.endIfStalled(controller);
+    }
+  }
+
+  /** Breaks the answer off if its caller takes nothing of it, since it holds a slot of the back end. */
+  private endIfStalled(controller: Dispatcher.DispatchController): void {
+    clearTimeout(this.stallTimer);
+    this.stallTimer = setTimeout(() => {
+      if (this.settled) return;
+      this.settle({ kind: 'cut' });
+      this.answer.breakOff(STALLED);
+      controller.abort(new Error(STALLED));
+    }, this.request.stallMs);
   }
 
   onResponseEnd(): void {
@@ -166,6 +187,7 @@
     if (this.settled) return;
     this.settled = true;
     clearTimeout(this.timer);
+    clearTimeout(this.stallTimer);
     this.cancelWhenClosed();
     this.resolve(result);
   }
--- a/src/router/request-router.ts
+++ b/src/router/request-router.ts
@@ -260,7 +260,8 @@
       headers.push(REQUEST_HEADERS.epoch, String(target.fence.epoch));
     }
     const { method = 'GET', url = '/' } = routed.request;
-    return { method, path: url, headers, body: routed.body.content, budgetMs, onSignals };
+    const { callerStallMs: stallMs } = this.state.settings;
+    return { method, path: url, headers, body: routed.body.content, budgetMs, stallMs, onSignals };
   }
 
   private recordFailure(backend: BackendState, failure: AttemptFailure): void {
--- a/test/incidents/answers-without-a-length-in-routers.test.ts
+++ b/test/incidents/answers-without-a-length-in-routers.test.ts
@@ -54,7 +54,14 @@
   const router = createHttpServer((incoming, response) => {
     const answer = callers.answerTo(incoming, response);
     if (answer === null) return;
-    const sent = { method: 'GET', path: '/', headers: [], body: null, budgetMs: BUDGET_MS };
+    const sent = {
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: null,
+      budgetMs: BUDGET_MS,
+      stallMs: BUDGET_MS,
+    };
     void forwardAttempt(pool, { ...sent, onSignals: () => undefined }, answer).then((ended) => {
       result = ended;
       if (!response.headersSent) response.writeHead(502).end();
--- a/test/incidents/router-crowd.test.ts
+++ b/test/incidents/router-crowd.test.ts
@@ -3,7 +3,7 @@
 import test, { type ExecutionContext } from 'ava';
 import { freePort } from '../loopback.js';
 import { pathOf } from '../router/raw-caller.js';
-import { HOST, startControl, startScriptedBackend, TOKEN } from '../router/router-world.js';
+import { HOST, startControl, startScriptedBackend, TOKEN, type Script } from '../router/router-world.js';
 import type { ChildProcess } from 'node:child_process';
 import {
   chunkedBody,
@@ -15,12 +15,18 @@
   turn,
   unfinishedHead,
   unfinishedLength,
+  unreadAnswers,
   type CrowdBody,
 } from './client-crowd.js';
 
 const MIB = 1024 * 1024;
 const SLOTS = 16;
 
+/** Requests of one caller that never reads, and the size of each answer in bytes. */
+const UNREAD_REQUESTS = 30;
+const UNREAD_BYTES = 256 * 1024;
+const UNREAD_PATH = pathOf('unread');
+
 interface World {
   readonly port: number;
   readonly router: ChildProcess;
@@ -28,7 +34,10 @@
 }
 
 async function startWorld(t: ExecutionContext): Promise<World> {
-  const backend = await startScriptedBackend(new Map(), [], { allowed: false });
+  const scripts = new Map<string, Script[]>([
+    [UNREAD_PATH, [{ bytes: UNREAD_BYTES, stated: true, end: 'nothing' }]],
+  ]);
+  const backend = await startScriptedBackend(scripts, [], { allowed: false });
   const control = await startControl(backend.port, SLOTS);
   const port = await freePort();
   const router = await startProcess('./router-process.js', [String(port), String(control.port), TOKEN]);
@@ -68,6 +77,7 @@
 }
 
 const HEAD = `POST ${pathOf('crowd')} HTTP/1.1\r\nHost: h\r\n`;
+const UNREAD = `GET ${UNREAD_PATH} HTTP/1.1\r\nHost: h\r\n`;
 
 const CROWDS: readonly CrowdBody[] = [
   unfinishedLength(240, MIB, 16 * 1024),
@@ -76,12 +86,14 @@
   chunkedBody(60, 64 * 1024, 1, true),
   chunkedBody(60, 4 * MIB, 64 * 1024, false),
   unfinishedHead(240, 15_000, 100),
+  unreadAnswers(60, UNREAD_REQUESTS, `${UNREAD}\r\n`),
 ];
 
 for (const crowd of CROWDS) {
   test.serial(`callers of a router: ${crowd.name}`, async (t) => {
     const world = await startWorld(t);
-    const sockets = startCrowd(world.port, HEAD, crowd);
+    const reads = crowd.name !== CROWDS.at(-1)?.name;
+    const sockets = startCrowd(world.port, HEAD, crowd, reads);
     t.teardown(() => {
       for (const socket of sockets) socket.destroy();
     });
