Count the copy of a body that is on its way

Cause: a caller's body is kept for further attempts while a frame with a copy of it is on its way to the next daemon; the account of what is held for callers counted one of the two. The crowd of 240 bodies of 983,040 bytes in ended chunks once reached 295,874,560 bytes (bound 262,144,000), which was not traced. Change: a whole body takes its room twice before it is passed on; without it, it is answered 503 and was not run. Test: 'the copy of a body on its way counts like the body, whatever its size'.

--- a/src/runtime/incoming-body.ts
+++ b/src/runtime/incoming-body.ts
@@ -57,6 +57,17 @@
     return this.only ?? this.stored.view();
   }
 
+  /**
+   * Holds as many bytes again for the copy that is on its way to a back end, while the body is kept for further attempts. False if there
+   * is no room; the body is then given up.
+   */
+  holdCopy(): boolean {
+    const { bytes } = this.share;
+    if (bytes === 0 || this.share.resize(2 * bytes)) return true;
+    this.release();
+    return false;
+  }
+
   /** Gives up what is held. */
   release(): void {
     this.rejected = true;
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -349,7 +349,9 @@
     });
     request.on('end', () => {
       const body = stored.end();
-      if (body !== null) done(body);
+      if (body === null) return;
+      if (stored.holdCopy()) done(body);
+      else reject('no-memory');
     });
     return stored;
   }
--- a/test/runtime/client-memory.test.ts
+++ b/test/runtime/client-memory.test.ts
@@ -1,8 +1,10 @@
 /** Bytes held for clients: their bound, who gives way, and what a single client may take. */
 import test from 'ava';
+import { Random } from '../../lab/random.js';
 import { ClientMemory } from '../../src/runtime/client-memory.js';
 import { IncomingBody } from '../../src/runtime/incoming-body.js';
 
+const SEED = 79;
 const LIMIT = 100_000;
 const PART = Buffer.alloc(10_000, 'b');
 
@@ -78,3 +80,21 @@
   t.is(refused.end(), null);
   t.is(memory.usedBytes, 95_000);
 });
+
+test('the copy of a body on its way counts like the body, whatever its size', (t) => {
+  const random = new Random(SEED);
+  for (let round = 0; round < 200; round += 1) {
+    const memory = memoryAt({ nowMs: 0 });
+    const sizes = Array.from({ length: 1 + random.below(12) }, () => random.below(30_000));
+    const bodies = sizes.map((size) => {
+      const body = new IncomingBody(memory, 30_000, size, () => undefined);
+      const isStored = size === 0 || body.add(Buffer.alloc(size)) === null;
+      return { size, body, isSent: isStored && body.end() !== null && body.holdCopy() };
+    });
+    const sentBytes = bodies.reduce((sum, { size, isSent }) => sum + (isSent ? 2 * size : 0), 0);
+    t.true(memory.usedBytes >= sentBytes, `round ${round}`);
+    t.true(sentBytes <= LIMIT, `round ${round}: ${sizes.join()}`);
+    for (const { body } of bodies) body.release();
+    t.is(memory.usedBytes, 0);
+  }
+});
