Allow that an answer without a length breaks off in its middle, in the test of uploads

A router streams such an answer, since it cannot know when it is whole; if it has read the head before the reset it must break the answer off at the caller, and end the connection behind it. Whether the reset overtakes the head is a race, of which the test allowed one outcome (504). Change: the other outcome is allowed for chunked answers that are reset at once, if the connection ends in the answer and nothing behind it was passed on to the back end, which was not checked before. Answers of a stated length must be 504 as before.

--- a/test/router/uploads.test.ts
+++ b/test/router/uploads.test.ts
@@ -22,7 +22,8 @@
     const bytes = random.pick([10, 30_000, 300_000, 2_000_000]);
     const end = random.pick(['nothing', 'close', 'reset'] as const);
     const endAfterMs = random.pick([0, 20, 200]);
-    world.scripts.set(path, [{ bytes, stated: random.below(3) > 0, end, endAfterMs, beforeBody: true }]);
+    const stated = random.below(3) > 0;
+    world.scripts.set(path, [{ bytes, stated, end, endAfterMs, beforeBody: true }]);
     const text = requestText(path, { method: 'POST', body: 'b'.repeat(bodyBytes) });
     const behind = requestText(pathOf(`behind-${round}`));
     const caller = new RawCaller(world.port);
@@ -36,7 +37,9 @@
     const isUnread = end === 'reset' && endAfterMs < 200;
     const expected = isRefused ? [404, 200] : [200, 200];
     const isRight = statuses.join() === expected.join() || (isUnread && statuses.join() === '504,200');
-    if (!isRight || caller.end !== null)
+    // One without a length cannot be stored until it is whole, so it may break off in its middle; nothing behind it runs then.
+    const isCut = isUnread && !stated && statuses.join() === '-200' && caller.end === 'ended';
+    if (isCut ? world.received.includes(pathOf(`behind-${round}`)) : !isRight || caller.end !== null)
       wrong.push(
         `${round}: ${bodyBytes} up, ${bytes} ${end} ${endAfterMs}: ${statuses.join()} ${caller.end}`,
       );
