Bound the bodies of operators' calls at control

What operators saw: clients without the token ended a control replica (out of memory) with sixty bodies in chunks of one byte, and made it hold 426 MB with forty bodies of 8 MiB.

Cause: the HTTP library stored and joined each body of up to 16 MiB before the token was looked at, without a bound over all calls and without a time by which one must have arrived.

Change: a body is stored in one buffer in the account of all clients, until its call has been answered; a call without the token has nothing stored, and gets its 401 at once; a call must have arrived within 60 s. Forms (application/x-www-form-urlencoded), which no call takes, are 415.

--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -20,6 +20,8 @@
 import type { Registry } from 'prom-client';
 import { z } from 'zod';
 import { configurationSchema } from '../config/configuration.js';
+import { createProcessMemory } from '../runtime/client-memory.js';
+import { registerBodyParser } from './operator-body.js';
 import type { SocketAddress } from '../model/socket-address.js';
 import { Err, Ok, type Result } from '../result.js';
 import { managementModule } from '../telemetry/management.js';
@@ -36,8 +38,8 @@
 
 const BEARER = 'Bearer ';
 
-/** Maximum size of a request body, in bytes. */
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Time in ms within which a call must have arrived with its body. */
+const CALL_TIMEOUT_MS = 60_000;
 
 const submissionSchema = z.strictObject({
   submissionId: z.string().min(1).max(200),
@@ -64,14 +66,16 @@
   }
 }
 
+function hasToken({ headers }: FastifyRequest, token: string): boolean {
+  const authorization = headers.authorization ?? '';
+  return authorization.startsWith(BEARER) && sameSecret(authorization.slice(BEARER.length), token);
+}
+
 class TokenGuard implements CanActivate {
   constructor(@Inject(TOKEN) private readonly token: string) {}
 
   canActivate(context: ExecutionContext): boolean {
-    const { headers } = context.switchToHttp().getRequest<FastifyRequest>();
-    const authorization = headers.authorization ?? '';
-    if (authorization.startsWith(BEARER) && sameSecret(authorization.slice(BEARER.length), this.token))
-      return true;
+    if (hasToken(context.switchToHttp().getRequest<FastifyRequest>(), this.token)) return true;
     throw new Problem('unauthorized', 'the shared token is missing or wrong');
   }
 }
@@ -210,8 +214,14 @@
         { provide: TOKEN, useValue: token },
       ],
     };
-    const adapter = new FastifyAdapter({ bodyLimit: MAX_BODY_BYTES });
-    const application = await NestFactory.create<NestFastifyApplication>(root, adapter, { logger: false });
+    const adapter = new FastifyAdapter({ requestTimeout: CALL_TIMEOUT_MS });
+    const application = await NestFactory.create<NestFastifyApplication>(root, adapter, {
+      logger: false,
+      bodyParser: false,
+    });
+    registerBodyParser(adapter.getInstance(), createProcessMemory().clients, (request) =>
+      hasToken(request, token),
+    );
     setProblemContentType(adapter);
     try {
       await application.listen(address.port, address.host);
--- /dev/null
+++ b/src/control/operator-body.ts
@@ -0,0 +1,65 @@
+/**
+ * Reads the bodies of operators' calls, within the memory that the process has for clients. Whoever lacks the token has nothing stored:
+ * such a body is read and discarded.
+ */
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+import type { ClientMemory } from '../runtime/client-memory.js';
+import { IncomingBody, type BodyFault } from '../runtime/incoming-body.js';
+
+/** Maximum size of a request body, in bytes. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** Statuses of the answers to calls whose bodies are not taken; none of them has an effect. */
+const FAULT_STATUS: Readonly<Record<BodyFault, number>> = { 'too-large': 413, 'no-memory': 503 };
+
+/** Error that Fastify answers with its status. */
+function rejection(fault: BodyFault): Error {
+  return Object.assign(new Error(`the body is not taken: ${fault}`), { statusCode: FAULT_STATUS[fault] });
+}
+
+/**
+ * Registers the only parser of bodies: JSON. `isAllowed` states whether a call carries the token. The bytes of a body are held until its
+ * call has been answered.
+ */
+export function registerBodyParser(
+  fastify: FastifyInstance,
+  memory: ClientMemory,
+  isAllowed: (request: FastifyRequest) => boolean,
+): void {
+  const parse = fastify.getDefaultJsonParser('error', 'error');
+  const bodies = new WeakMap<FastifyRequest, IncomingBody>();
+  fastify.addHook('onResponse', (request, _reply, done) => {
+    bodies.get(request)?.release();
+    done();
+  });
+  fastify.removeAllContentTypeParsers();
+  fastify.addContentTypeParser('application/json', (request, payload, done) => {
+    if (!isAllowed(request)) {
+      payload.resume();
+      done(null);
+      return;
+    }
+    const reject = (fault: BodyFault): void => {
+      payload.removeAllListeners('data');
+      payload.resume();
+      done(rejection(fault));
+    };
+    const { 'content-length': statedText } = request.headers;
+    const statedBytes = statedText === undefined ? null : Number(statedText);
+    const stored = new IncomingBody(memory, MAX_BODY_BYTES, statedBytes, () => {
+      reject('no-memory');
+    });
+    bodies.set(request, stored);
+    payload.on('data', (chunk: Buffer) => {
+      const fault = stored.add(chunk);
+      if (fault !== null) reject(fault);
+    });
+    payload.once('end', () => {
+      const body = stored.end();
+      if (body !== null) void parse(request, body.toString('utf8'), done);
+    });
+    payload.once('close', () => {
+      if (!payload.readableEnded) stored.release();
+    });
+  });
+}
