Do not cut off callers of a router that it holds back itself

Cause: the watch of a body that stalls also counted the time in which the router did not read it, because its back end had not taken what had arrived: a caller that waits for a slot, or for a slow back end, would have lost its connection after callerStallMs. Change: the time in which the body is held back does not count.

--- a/src/router/upload-stream.ts
+++ b/src/router/upload-stream.ts
@@ -25,14 +25,19 @@
   readonly stallMs: number;
 }
 
-/** Calls back if a request stalls; returns the function to call with each sign of progress, and the one that stops the watch. */
+/**
+ * Calls back if a request stalls while it is not held back here; returns the function to call with each sign of progress, and the one
+ * that stops the watch.
+ */
 export function watchProgress(
   stallMs: number,
   onStalled: () => void,
+  isHeldBack: () => boolean = () => false,
 ): { readonly progress: () => void; readonly stop: () => void } {
   let progressMs = performance.now();
   let cancel = (): void => undefined;
   const check = (): void => {
+    if (isHeldBack()) progressMs = performance.now();
     const leftMs = stallMs - (performance.now() - progressMs);
     if (leftMs <= 0) onStalled();
     else cancel = processTimers.after(leftMs, check);
@@ -69,9 +74,10 @@
     this.share = memory.open(() => {
       this.abandon();
     });
-    this.watch = watchProgress(stallMs, () => {
+    const onStalled = (): void => {
       this.abandon();
-    });
+    };
+    this.watch = watchProgress(stallMs, onStalled, () => request.isPaused());
     this.on('error', () => undefined);
     request.on('data', this.takeChunk);
     request.once('end', () => {
