--- a/test/incidents/client-crowd.ts
+++ b/test/incidents/client-crowd.ts
@@ -1,7 +1,9 @@
 /** Clients that send large bodies and do not end them, and what a daemon holds for them. */
 import { fork, type ChildProcess } from 'node:child_process';
 import { readdirSync, readFileSync } from 'node:fs';
+import { request, type RequestOptions } from 'node:http';
 import { connect, type Socket } from 'node:net';
+import type { ExecutionContext } from 'ava';
 import { HOST } from '../fuzz/loopback-daemons.js';
 
 const PAGE_BYTES = 4 * 1024;
@@ -12,10 +14,10 @@
 const SETTLE_TURNS = 50;
 
 /** Memory of the smallest machine that a daemon runs on, in bytes. */
-export const MACHINE_BYTES = 250 * MIB;
+const MACHINE_BYTES = 250 * MIB;
 
 /** Descriptors of a daemon besides those of the crowd. */
-export const OTHER_DESCRIPTORS = 80;
+const OTHER_DESCRIPTORS = 80;
 
 /** Options under which the daemons are deployed. */
 const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
@@ -28,24 +30,28 @@
   readonly header: string | null;
   /** Parts that are written one after the other. */
   readonly parts: readonly Buffer[];
-  /** Whether the last byte or chunk is sent as well. */
-  readonly ended: boolean;
+  /** Whether the clients read what they are answered. */
+  readonly reads: boolean;
+}
+
+function inPieces(all: Buffer, pieceBytes: number): Buffer[] {
+  return Array.from({ length: Math.ceil(all.length / pieceBytes) }, (_, number) =>
+    all.subarray(number * pieceBytes, (number + 1) * pieceBytes),
+  );
 }
 
 /** A body of a stated length, of which the last byte is not sent, in pieces. */
 export function unfinishedLength(clients: number, bytes: number, pieceBytes: number): CrowdBody {
-  const all = Buffer.alloc(bytes - 1, 'b');
-  const parts: Buffer[] = [];
-  for (let at = 0; at < all.length; at += pieceBytes) parts.push(all.subarray(at, at + pieceBytes));
+  const parts = inPieces(Buffer.alloc(bytes - 1, 'b'), pieceBytes);
   const name = `${clients} bodies of ${bytes} bytes in pieces of ${pieceBytes}, one byte short`;
-  return { name, clients, header: `Content-Length: ${bytes}`, parts, ended: false };
+  return { name, clients, header: `Content-Length: ${bytes}`, parts, reads: true };
 }
 
 /** A body of a stated length beyond any limit, of which a part is sent. */
 export function announcedBeyondLimit(clients: number, sentBytes: number): CrowdBody {
   const name = `${clients} bodies that state 64 GB`;
   const parts = [Buffer.alloc(sentBytes, 'b')];
-  return { name, clients, header: `Content-Length: ${64 * 1024 ** 3}`, parts, ended: false };
+  return { name, clients, header: `Content-Length: ${64 * 1024 ** 3}`, parts, reads: true };
 }
 
 /** A body in chunks, with or without the last one. */
@@ -56,7 +62,7 @@
   const parts = Array.from({ length: Math.ceil(bytes / (perPart * chunkBytes)) }, () => part);
   const name = `${clients} bodies of ${bytes} bytes in chunks of ${chunkBytes}, ${ended ? 'ended' : 'without an end'}`;
   const last = ended ? [Buffer.from('0\r\n\r\n')] : [];
-  return { name, clients, header: 'Transfer-Encoding: chunked', parts: [...parts, ...last], ended };
+  return { name, clients, header: 'Transfer-Encoding: chunked', parts: [...parts, ...last], reads: true };
 }
 
 /** Requests whose heads do not end, in pieces. */
@@ -65,26 +71,24 @@
     { length: Math.ceil(bytes / 100) },
     (_, number) => `X-${number}: ${'h'.repeat(90)}\r\n`,
   );
-  const all = Buffer.from(lines.join('').slice(0, bytes));
-  const parts: Buffer[] = [];
-  for (let at = 0; at < all.length; at += pieceBytes) parts.push(all.subarray(at, at + pieceBytes));
+  const parts = inPieces(Buffer.from(lines.join('').slice(0, bytes)), pieceBytes);
   const name = `${clients} heads of ${bytes} bytes in pieces of ${pieceBytes}, without an end`;
-  return { name, clients, header: null, parts, ended: false };
+  return { name, clients, header: null, parts, reads: true };
 }
 
 /** Requests that follow each other on each connection without waiting for their answers, which are never read. */
 export function unreadAnswers(clients: number, requests: number, request: string): CrowdBody {
   const parts = [Buffer.from(request.repeat(requests))];
   const name = `${clients} callers with ${requests} requests each that never read`;
-  return { name, clients, header: 'Content-Length: 0', parts, ended: true };
+  return { name, clients, header: 'Content-Length: 0', parts, reads: false };
 }
 
 /** Connects the clients of a crowd and lets them send; they stay open. Returns their sockets. */
-export function startCrowd(port: number, head: string, body: CrowdBody, reads = true): Socket[] {
+export function startCrowd(port: number, head: string, body: CrowdBody): Socket[] {
   return Array.from({ length: body.clients }, (_, number) => {
     const socket = connect({ host: HOST, port, allowHalfOpen: true });
     socket.on('error', () => undefined);
-    if (reads) socket.resume();
+    if (body.reads) socket.resume();
     const end = body.header === null ? '' : `${body.header}\r\n\r\n`;
     socket.write(`${head}Request-Id: crowd-${number}\r\n${end}`);
     let next = 0;
@@ -102,12 +106,12 @@
 }
 
 /** Whether everything that the clients of a crowd can write has left them. */
-export function isSent(sockets: readonly Socket[]): boolean {
+function isSent(sockets: readonly Socket[]): boolean {
   return sockets.every((socket) => socket.destroyed || socket.writableLength === 0);
 }
 
 /** Resident memory in bytes and number of open descriptors of a process; null if it has ended. */
-export function usageOf({ pid }: ChildProcess): { memoryBytes: number; descriptors: number } | null {
+function usageOf({ pid }: ChildProcess): { memoryBytes: number; descriptors: number } | null {
   try {
     const pages = Number(readFileSync(`/proc/${pid}/statm`, 'latin1').split(' ')[1]);
     return { memoryBytes: pages * PAGE_BYTES, descriptors: readdirSync(`/proc/${pid}/fd`).length };
@@ -117,13 +121,13 @@
 }
 
 /** The most that a process has held while a crowd was connected to it. */
-export interface CrowdUsage {
+interface CrowdUsage {
   readonly memoryBytes: number;
   readonly descriptors: number;
 }
 
 /** Waits until a crowd has sent everything and the process has read it; returns the most that it has held. */
-export async function settleCrowd(
+async function settleCrowd(
   sockets: readonly Socket[],
   daemon: ChildProcess,
   ended: () => boolean,
@@ -142,11 +146,64 @@
   return most;
 }
 
-/** Waits for a turn of the test. */
-export async function turn(): Promise<void> {
+async function turn(): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, MS_PER_TURN));
 }
 
+/** Makes one call over a connection of its own; returns its status, or 0 without a whole answer. */
+export async function statusOf(options: RequestOptions, body?: Buffer): Promise<number> {
+  return await new Promise((resolve) => {
+    const sent = request({ ...options, host: HOST, agent: false }, (answer) => {
+      answer.resume();
+      answer.on('close', () => {
+        resolve(answer.complete ? (answer.statusCode ?? 0) : 0);
+      });
+    });
+    sent.on('error', () => {
+      resolve(0);
+    });
+    sent.end(body);
+  });
+}
+
+/** Asks until the answer is a success or a daemon has ended; returns the last status. */
+export async function untilAnswered(ask: () => Promise<number>, ended: () => boolean): Promise<number> {
+  for (;;) {
+    const status = await ask();
+    if (status === 200 || ended()) return status;
+    await turn();
+  }
+}
+
+/** A daemon that a crowd connects to. */
+export interface CrowdTarget {
+  readonly port: number;
+  readonly daemon: ChildProcess;
+  /** Whether a daemon of the test has ended. */
+  readonly ended: () => boolean;
+  /** Makes an ordinary request; returns its status. */
+  readonly ask: () => Promise<number>;
+}
+
+/** Connects a crowd, and checks that no daemon ends or outgrows its machine and that an ordinary request is answered. */
+export async function checkCrowd(
+  t: ExecutionContext,
+  head: string,
+  crowd: CrowdBody,
+  { port, daemon, ended, ask }: CrowdTarget,
+): Promise<void> {
+  const sockets = startCrowd(port, head, crowd);
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+  });
+  const { memoryBytes, descriptors } = await settleCrowd(sockets, daemon, ended);
+  t.log(`${Math.round(memoryBytes / MIB)} MB, ${descriptors} descriptors`);
+  t.false(ended(), 'a daemon has ended');
+  t.true(memoryBytes <= MACHINE_BYTES, `${memoryBytes} bytes`);
+  t.true(descriptors <= crowd.clients + OTHER_DESCRIPTORS, `${descriptors} descriptors`);
+  t.is(await untilAnswered(ask, ended), 200);
+}
+
 /** Starts a daemon of a test as a process of its own, which reports when it listens. */
 export async function startProcess(script: string, argument: readonly string[]): Promise<ChildProcess> {
   const child = fork(new URL(script, import.meta.url), [...argument], { execArgv: NODE_OPTIONS });
--- a/test/incidents/clients-without-bounds.test.ts
+++ b/test/incidents/clients-without-bounds.test.ts
@@ -4,24 +4,21 @@
  */
 import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
-import { request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test, { type ExecutionContext } from 'ava';
-import { HOST } from '../fuzz/loopback-daemons.js';
 import { freePort } from '../loopback.js';
 import { startRawBackend } from '../raw-backend.js';
 import {
   announcedBeyondLimit,
+  checkCrowd,
   chunkedBody,
-  MACHINE_BYTES,
-  OTHER_DESCRIPTORS,
-  settleCrowd,
   startCrowd,
   startProcess,
-  turn,
+  statusOf,
   unfinishedHead,
   unfinishedLength,
+  untilAnswered,
   type CrowdBody,
 } from './client-crowd.js';
 
@@ -58,32 +55,13 @@
   };
   if (chunked) headers['transfer-encoding'] = 'chunked';
   else headers['content-length'] = String(body.length);
-  return await new Promise((resolve) => {
-    const sent = request({ host: HOST, port, method, path, headers, agent: false }, (answer) => {
-      answer.resume();
-      answer.on('close', () => {
-        resolve(answer.complete ? (answer.statusCode ?? 0) : 0);
-      });
-    });
-    sent.on('error', () => {
-      resolve(0);
-    });
-    sent.end(body);
-  });
+  return await statusOf({ port, method, path, headers }, body);
 }
 
 async function callJson(port: number, method: string, path: string, body: object): Promise<number> {
   return await call(port, method, path, Buffer.from(JSON.stringify(body)));
 }
 
-async function untilAnswered(ask: () => Promise<number>, world: Pick<World, 'ended'>): Promise<number> {
-  for (;;) {
-    const status = await ask();
-    if (status === 200 || world.ended()) return status;
-    await turn();
-  }
-}
-
 async function startWorld(t: ExecutionContext): Promise<World> {
   const backend = await startRawBackend((socket, text) => {
     const id = /^request-id: (\S+)/im.exec(text)?.[1];
@@ -131,8 +109,8 @@
   };
   const routes = { orders: { ...route, max_attempts: 2, version: 1 } };
   const change = { upsert: { routes, services: { [SERVICE]: service }, limits } };
-  await untilAnswered(async () => await callJson(operator, 'PATCH', '/config', change), world);
-  await untilAnswered(async () => await ask(world), world);
+  await untilAnswered(async () => await callJson(operator, 'PATCH', '/config', change), world.ended);
+  await untilAnswered(async () => await ask(world), world.ended);
   return world;
 }
 
@@ -194,17 +172,12 @@
 for (const [port, crowd] of CASES) {
   test.serial(`${port.name}: ${crowd.name}`, async (t) => {
     const world = await startWorld(t);
-    const daemon = port.daemonOf(world);
-    const sockets = startCrowd(port.portOf(world), port.head, crowd);
-    t.teardown(() => {
-      for (const socket of sockets) socket.destroy();
+    await checkCrowd(t, port.head, crowd, {
+      port: port.portOf(world),
+      daemon: port.daemonOf(world),
+      ended: world.ended,
+      ask: async () => await ask(world),
     });
-    const { memoryBytes, descriptors } = await settleCrowd(sockets, daemon, world.ended);
-    t.log(`${Math.round(memoryBytes / MIB)} MB, ${descriptors} descriptors`);
-    t.false(world.ended(), 'a daemon has ended');
-    t.true(memoryBytes <= MACHINE_BYTES, `${memoryBytes} bytes`);
-    t.true(descriptors <= crowd.clients + OTHER_DESCRIPTORS, `${descriptors} descriptors`);
-    t.is(await untilAnswered(async () => await ask(world), world), 200);
   });
 }
 
--- a/test/incidents/router-crowd.test.ts
+++ b/test/incidents/router-crowd.test.ts
@@ -1,22 +1,19 @@
 /** Crowds of clients that do not behave, at a router: it does not end or outgrow its machine, and answers an ordinary request. */
-import { request } from 'node:http';
 import test, { type ExecutionContext } from 'ava';
 import { freePort } from '../loopback.js';
 import { pathOf } from '../router/raw-caller.js';
-import { HOST, startControl, startScriptedBackend, TOKEN, type Script } from '../router/router-world.js';
-import type { ChildProcess } from 'node:child_process';
+import { startControl, startScriptedBackend, TOKEN, type Script } from '../router/router-world.js';
 import {
+  checkCrowd,
   chunkedBody,
-  MACHINE_BYTES,
-  OTHER_DESCRIPTORS,
-  settleCrowd,
-  startCrowd,
   startProcess,
-  turn,
+  statusOf,
   unfinishedHead,
   unfinishedLength,
   unreadAnswers,
+  untilAnswered,
   type CrowdBody,
+  type CrowdTarget,
 } from './client-crowd.js';
 
 const MIB = 1024 * 1024;
@@ -27,13 +24,7 @@
 const UNREAD_BYTES = 256 * 1024;
 const UNREAD_PATH = pathOf('unread');
 
-interface World {
-  readonly port: number;
-  readonly router: ChildProcess;
-  readonly ended: () => boolean;
-}
-
-async function startWorld(t: ExecutionContext): Promise<World> {
+async function startWorld(t: ExecutionContext): Promise<CrowdTarget> {
   const scripts = new Map<string, Script[]>([
     [UNREAD_PATH, [{ bytes: UNREAD_BYTES, stated: true, end: 'nothing' }]],
   ]);
@@ -48,32 +39,10 @@
     control.close();
     backend.close();
   });
-  const world = { port, router, ended: () => hasEnded };
-  await untilAnswered(world);
-  return world;
-}
-
-async function ask(port: number): Promise<number> {
-  return await new Promise((resolve) => {
-    const sent = request({ host: HOST, port, path: pathOf('one'), agent: false }, (answer) => {
-      answer.resume();
-      answer.on('close', () => {
-        resolve(answer.complete ? (answer.statusCode ?? 0) : 0);
-      });
-    });
-    sent.on('error', () => {
-      resolve(0);
-    });
-    sent.end();
-  });
-}
-
-async function untilAnswered({ port, ended }: World): Promise<number> {
-  for (;;) {
-    const status = await ask(port);
-    if (status === 200 || ended()) return status;
-    await turn();
-  }
+  const ended = (): boolean => hasEnded;
+  const ask = async (): Promise<number> => await statusOf({ port, path: pathOf('one') });
+  await untilAnswered(ask, ended);
+  return { port, daemon: router, ended, ask };
 }
 
 const HEAD = `POST ${pathOf('crowd')} HTTP/1.1\r\nHost: h\r\n`;
@@ -91,17 +60,6 @@
 
 for (const crowd of CROWDS) {
   test.serial(`callers of a router: ${crowd.name}`, async (t) => {
-    const world = await startWorld(t);
-    const reads = crowd.name !== CROWDS.at(-1)?.name;
-    const sockets = startCrowd(world.port, HEAD, crowd, reads);
-    t.teardown(() => {
-      for (const socket of sockets) socket.destroy();
-    });
-    const { memoryBytes, descriptors } = await settleCrowd(sockets, world.router, world.ended);
-    t.log(`${Math.round(memoryBytes / MIB)} MB, ${descriptors} descriptors`);
-    t.false(world.ended(), 'the router has ended');
-    t.true(memoryBytes <= MACHINE_BYTES, `${memoryBytes} bytes`);
-    t.true(descriptors <= crowd.clients + OTHER_DESCRIPTORS, `${descriptors} descriptors`);
-    t.is(await untilAnswered(world), 200);
+    await checkCrowd(t, HEAD, crowd, await startWorld(t));
   });
 }
