--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -7,7 +7,8 @@
   SnapshotPosition,
 } from '../../src/consensus/raft-types.js';
 import { entriesAfter } from '../../src/storage/replica-storage.js';
-import type { FolderIdentity, ReplicaStore } from '../../src/storage/replica-store.js';
+import type { FolderIdentity, ReplicaStore, SnapshotSource } from '../../src/storage/replica-store.js';
+import { snapshotFromMemory } from '../../src/storage/snapshot-buffer.js';
 import type { Random } from '../random.js';
 import type { SimProcess } from './sim-process.js';
 
@@ -210,6 +211,17 @@
     return this.adoptedSnapshot;
   }
 
+  /** See `ReplicaStore`. */
+  readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]> {
+    return Promise.resolve(this.entries.filter(({ index }) => index >= fromIndex && index <= toIndex));
+  }
+
+  /** See `ReplicaStore`. */
+  openSnapshot(): Promise<SnapshotSource> {
+    const { position, data } = this.adoptedSnapshot;
+    return Promise.resolve(snapshotFromMemory(position, data));
+  }
+
   /** See `ReplicaStore`. */
   async close(): Promise<void> {
     await Promise.resolve();
--- a/src/consensus/raft-types.ts
+++ b/src/consensus/raft-types.ts
@@ -19,7 +19,9 @@
 export type EntryPayload =
   | { readonly kind: 'no-op' }
   | { readonly kind: 'command'; readonly proposalId: string; readonly command: unknown }
-  | { readonly kind: 'membership'; readonly membership: Membership };
+  | { readonly kind: 'membership'; readonly membership: Membership }
+  /** A command that is only on this replica's disk; it took about `bytes` bytes in memory. Never written or sent. */
+  | { readonly kind: 'stored'; readonly bytes: number };
 
 /** One entry of the replicated log. Indexes start at 1. */
 export interface LogEntry {
--- a/src/storage/replica-storage.ts
+++ b/src/storage/replica-storage.ts
@@ -21,7 +21,8 @@
 } from './durable-file.js';
 import { LogFile } from './log-file.js';
 import type { CorruptionError } from './record-file.js';
-import type { FolderIdentity, ReplicaStore } from './replica-store.js';
+import type { FolderIdentity, ReplicaStore, SnapshotSource } from './replica-store.js';
+import { snapshotFromMemory } from './snapshot-buffer.js';
 
 const IDENTITY_FILE = 'identity';
 const HARD_STATE_FILE = 'hard-state';
@@ -137,6 +138,16 @@
     return { position: this.durable.snapshot, data: this.data };
   }
 
+  /** See `ReplicaStore`. */
+  readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]> {
+    return Promise.resolve(this.retained.filter(({ index }) => index >= fromIndex && index <= toIndex));
+  }
+
+  /** See `ReplicaStore`. */
+  openSnapshot(): Promise<SnapshotSource> {
+    return Promise.resolve(snapshotFromMemory(this.durable.snapshot, this.data));
+  }
+
   /** Closes the files. */
   async close(): Promise<void> {
     await this.log.close();
--- a/src/storage/replica-store.ts
+++ b/src/storage/replica-store.ts
@@ -17,6 +17,19 @@
   readonly founding?: boolean;
 }
 
+/**
+ * The latest snapshot, opened for reading while it is sent to a replica. It stays readable when a later snapshot replaces it.
+ * Its content is the text of `{ position, data }` as written by `writeText`.
+ */
+export interface SnapshotSource {
+  readonly position: SnapshotPosition;
+  /** Length of the content in bytes. */
+  readonly bytes: number;
+  /** Reads up to `length` bytes of the content from `offset`. */
+  read(offset: number, length: number): Promise<Buffer>;
+  close(): Promise<void>;
+}
+
 /** Durable state of one replica. Calls must not overlap unless a method permits it. */
 export interface ReplicaStore {
   readonly owner: FolderIdentity;
@@ -44,6 +57,10 @@
   adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void>;
   /** Returns the latest snapshot, to send to a replica that lacks discarded entries. */
   currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown };
+  /** Returns the entries from `fromIndex` to `toIndex`, both inclusive, with the commands that are only on disk. */
+  readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]>;
+  /** Opens the latest snapshot for reading. */
+  openSnapshot(): Promise<SnapshotSource>;
   /** Closes the files. */
   close(): Promise<void>;
 }
