--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,15 +1,20 @@
 /**
  * Bundles the platform's program into one file, because modules that are loaded one by one cost descriptors and time.
- * `--without NAME,...` makes a trial bundle that lacks mechanisms of `src/policy-switches.ts`.
+ * `--out FILE` names another file to write. `--without NAME,...` makes a trial bundle that lacks mechanisms of `src/policy-switches.ts`.
  */
 import { parseArgs } from 'node:util';
 import { build } from 'esbuild';
 
-const { values } = parseArgs({ options: { without: { type: 'string', default: '' } } });
+const { values } = parseArgs({
+  options: {
+    without: { type: 'string', default: '' },
+    out: { type: 'string', default: 'target/aldertide.cjs' },
+  },
+});
 
 await build({
   entryPoints: ['platform/main.ts'],
-  outfile: 'target/aldertide.cjs',
+  outfile: values.out,
   bundle: true,
   platform: 'node',
   target: 'node20',
