Drop applied commands from the log in memory down to a limit in bytes

Change: the event `evict` replaces the oldest commands up to an index by `stored`, until those in memory take at most a number of bytes; the core tells the bytes that it keeps. Ruled out: dropping by age or by count, which does not bound bytes.

--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -104,6 +104,11 @@
     return this.log.lastIndex;
   }
 
+  /** Size in bytes of the log entries whose commands are in memory. */
+  get cachedLogBytes(): number {
+    return this.log.cachedBytes;
+  }
+
   /** Effective membership of this replica, committed or not. */
   get membership(): Membership {
     return this.log.membership().membership;
@@ -172,6 +177,9 @@
       case 'compacted':
         this.log.compact(event.position);
         break;
+      case 'evict':
+        this.log.evict(event.toIndex, event.keepBytes);
+        break;
       case 'flush':
         this.flush();
         break;
--- a/src/consensus/raft-log.ts
+++ b/src/consensus/raft-log.ts
@@ -1,15 +1,25 @@
-/** The part of the replicated log that is kept in memory: all entries after the last snapshot. */
+/** The replicated log after the last snapshot. Commands that are applied may be dropped from memory; they remain on disk. */
+import { entryBytes } from './entry-size.js';
 import type { LogEntry, Membership, SnapshotPosition } from './raft-types.js';
 
 /** In-memory view of the log. Entries up to `snapshot.index` have been discarded. */
 export class RaftLog {
   private entries: LogEntry[];
+  private cached = 0;
+  /** All commands before this index have been dropped from memory. */
+  private firstCached = 0;
 
   constructor(
     private position: SnapshotPosition,
     entries: readonly LogEntry[],
   ) {
     this.entries = [...entries];
+    this.cached = cachedBytesOf(entries);
+  }
+
+  /** Size in bytes of the entries whose content is in memory. */
+  get cachedBytes(): number {
+    return this.cached;
   }
 
   /** Position of the snapshot that precedes the first entry. */
@@ -41,24 +51,45 @@
 
   /** Appends entries. */
   append(entries: readonly LogEntry[]): void {
-    this.entries.push(...entries);
+    for (const entry of entries) this.entries.push(entry);
+    this.cached += cachedBytesOf(entries);
   }
 
   /** Removes the entry at `fromIndex` and all later entries. */
   truncate(fromIndex: number): void {
-    this.entries.length = Math.max(0, fromIndex - this.position.index - 1);
+    const removed = this.entries.splice(Math.max(0, fromIndex - this.position.index - 1));
+    this.cached -= cachedBytesOf(removed);
+    this.firstCached = Math.min(this.firstCached, fromIndex);
   }
 
   /** Discards all entries up to a snapshot's position and keeps the later ones. */
   compact(position: SnapshotPosition): void {
     if (position.index <= this.position.index) return;
-    this.entries = this.entries.slice(position.index - this.position.index);
+    const removed = this.entries.splice(0, position.index - this.position.index);
+    this.cached -= cachedBytesOf(removed);
     this.position = position;
   }
 
+  /** Drops the oldest commands up to `toIndex` from memory until the entries in memory take at most `keepBytes`. */
+  evict(toIndex: number, keepBytes: number): void {
+    const end = Math.min(toIndex, this.lastIndex);
+    let index = Math.max(this.firstCached, this.position.index + 1);
+    for (; index <= end && this.cached > keepBytes; index += 1) this.evictEntry(index);
+    this.firstCached = index;
+  }
+
+  private evictEntry(index: number): void {
+    const entry = this.entryAt(index);
+    if (entry?.payload.kind !== 'command') return;
+    const bytes = entryBytes(entry);
+    this.cached -= bytes;
+    this.entries[index - this.position.index - 1] = { ...entry, payload: { kind: 'stored', bytes } };
+  }
+
   /** Replaces the whole log by a snapshot. */
   reset(position: SnapshotPosition): void {
     this.entries = [];
+    this.cached = 0;
     this.position = position;
   }
 
@@ -77,3 +108,10 @@
     return this.entries[index - this.position.index - 1];
   }
 }
+
+function cachedBytesOf(entries: readonly LogEntry[]): number {
+  return entries.reduce(
+    (bytes, entry) => bytes + (entry.payload.kind === 'stored' ? 0 : entryBytes(entry)),
+    0,
+  );
+}
--- a/src/consensus/raft-types.ts
+++ b/src/consensus/raft-types.ts
@@ -132,6 +132,11 @@
   | { readonly kind: 'change-membership'; readonly membership: Membership }
   | { readonly kind: 'confirm-leadership'; readonly requestId: number }
   | { readonly kind: 'compacted'; readonly position: SnapshotPosition }
+  /**
+   * Drops the oldest commands up to `toIndex` from memory until the others take at most `keepBytes`. They are applied and
+   * on this replica's disk.
+   */
+  | { readonly kind: 'evict'; readonly toIndex: number; readonly keepBytes: number }
   /** End of a batch of events: entries appended in the batch are sent. */
   | { readonly kind: 'flush' };
 
