--- a/src/consensus/raft-types.ts
+++ b/src/consensus/raft-types.ts
@@ -3,6 +3,7 @@
  * The protocol is Raft (Ongaro, "Consensus: Bridging Theory and Practice", 2014) with pre-vote (9.6),
  * check-quorum (6.2), read-index (6.4), learners and single-server membership change (4.1 to 4.3).
  */
+import { replicaLimits, type ReplicaLimits } from './replica-limits.js';
 
 /** Replica name and identity of its data folder, as `name/identity`. */
 export type ReplicaId = string;
@@ -148,6 +149,8 @@
   readonly electionTimeoutMs: number;
   /** Maximum number of entries in one append request. */
   readonly maxEntriesPerAppend: number;
+  /** Limits in bytes of the log, of messages and of queues. */
+  readonly limits: ReplicaLimits;
   /** Seed of the election jitter. */
   readonly seed: number;
 }
@@ -157,6 +160,7 @@
   heartbeatMs: 100,
   electionTimeoutMs: 400,
   maxEntriesPerAppend: 256,
+  limits: replicaLimits(null),
   seed: 1,
 };
 
--- a/src/consensus/replica-limits.ts
+++ b/src/consensus/replica-limits.ts
@@ -3,6 +3,7 @@
  * and states are chosen by others, so that a limit on their number does not bound memory, the size of a message or the duration
  * of a turn of the event loop.
  */
+import { getHeapStatistics } from 'node:v8';
 
 /** Limits of one replica, in bytes. */
 export interface ReplicaLimits {
@@ -65,3 +66,8 @@
     watcherQueueBytes: share(32),
   };
 }
+
+/** Returns the limits for this process. `machineBytes` is the memory of the machine in bytes; null if it is not known. */
+export function processReplicaLimits(machineBytes: number | null): ReplicaLimits {
+  return replicaLimits(machineBytes, getHeapStatistics().heap_size_limit);
+}
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -1,6 +1,7 @@
 /** One control replica: combines storage, consensus, connections and the duties of the leader. */
 import type { ControlSettings } from '../config/daemon-settings.js';
 import { FormationCore, type FormationOutcome } from '../consensus/formation-core.js';
+import { processReplicaLimits, type ReplicaLimits } from '../consensus/replica-limits.js';
 import { Replica, type ReplicaPorts } from '../consensus/replica.js';
 import {
   DEFAULT_RAFT_OPTIONS,
@@ -67,6 +68,8 @@
   readonly onFatal: (error: unknown) => void;
   /** Overrides the leader's lease table. */
   readonly leases?: LeaseTable;
+  /** Limits in bytes of the replica; those of a process whose memory is not known when this is left out. */
+  readonly limits?: ReplicaLimits;
   /** Called for every committed entry, in log order. */
   readonly onApplied?: (entry: LogEntry) => void;
 }
@@ -152,7 +155,8 @@
   ): Promise<Result<ControlNode, string>> {
     const storage = await ReplicaStorage.open(settings.dataFolder, settings.name);
     if (storage.err) return Err(describeStorageError(storage.val));
-    const options = { settings, token, runtime: nodeRuntime, storage: storage.val, logger, onFatal };
+    const limits = processReplicaLimits(null);
+    const options = { settings, token, runtime: nodeRuntime, storage: storage.val, logger, onFatal, limits };
     return await ControlNode.startWith(options);
   }
 
@@ -303,6 +307,7 @@
     const { timing, snapshotEveryEntries } = this.settings;
     const options = {
       ...DEFAULT_RAFT_OPTIONS,
+      limits: this.options.limits ?? DEFAULT_RAFT_OPTIONS.limits,
       heartbeatMs: timing.heartbeatMs,
       electionTimeoutMs: timing.electionTimeoutMs,
       // Gives each replica different election timeouts; the generator requires a signed integer.
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -1,5 +1,6 @@
 /** One replica of a directory: connects storage, consensus, connections and the leader's tasks. */
 import { FormationCore } from '../consensus/formation-core.js';
+import type { ReplicaLimits } from '../consensus/replica-limits.js';
 import { Replica, type ReplicaPorts, type StateMachine } from '../consensus/replica.js';
 import {
   DEFAULT_RAFT_OPTIONS,
@@ -63,6 +64,8 @@
   readonly log: EventLog;
   /** Receives the durations of the steps of configuration changes; they are discarded when this is left out. */
   readonly latencies?: Latencies;
+  /** Limits in bytes of the replica; those of a process whose memory is not known when this is left out. */
+  readonly limits?: ReplicaLimits;
   /** Called once on a disk failure. */
   readonly onFatal: (error: unknown) => void;
 }
@@ -351,10 +354,11 @@
   }
 
   private startReplica(): void {
-    const { runtime, storage, settings } = this.options;
+    const { runtime, storage, settings, limits } = this.options;
     const { timing } = settings;
     const options = {
       ...DEFAULT_RAFT_OPTIONS,
+      limits: limits ?? DEFAULT_RAFT_OPTIONS.limits,
       heartbeatMs: timing.heartbeatMs,
       electionTimeoutMs: timing.electionTimeoutMs,
       // A seed per replica gives different election timeouts; the generator takes a signed integer.
