--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -3,6 +3,7 @@
  * applies committed entries. Events that arrive during a disk sync are queued and share the next sync.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { valueBytes } from '../model/value-size.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
@@ -52,6 +53,8 @@
 /** Counters of the driver. */
 export interface ReplicaCounters {
   syncs: number;
+  /** Time in ms for which batches waited for the disk. */
+  diskMs: number;
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
@@ -70,6 +73,7 @@
   readonly core: RaftCore;
   readonly counters: ReplicaCounters = {
     syncs: 0,
+    diskMs: 0,
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
@@ -118,10 +122,30 @@
   }
 
   /** Time in ms for which the disk has delayed the current batch of events; 0 when there is none. */
-  private get diskDelayMs(): number {
+  get diskDelayMs(): number {
     return this.batchStartMs === null ? 0 : this.runtime.nowMs() - this.batchStartMs;
   }
 
+  /** Size of the log on disk, in bytes. */
+  get logBytes(): number {
+    return this.storage.logBytes;
+  }
+
+  /** Index of the last entry that the snapshot contains. */
+  get snapshotIndex(): number {
+    return this.storage.currentSnapshot().position.index;
+  }
+
+  /** Number of events that wait for the batch in progress. */
+  get queuedEvents(): number {
+    return this.queue.length;
+  }
+
+  /** Approximate size in bytes of the events that wait for the batch in progress. */
+  get queuedBytes(): number {
+    return this.queue.reduce((bytes, event) => bytes + eventBytes(event), 0);
+  }
+
   /** Queues an event for the core. */
   submit(event: RaftEvent): void {
     // While a disk write delays the queue, one pending tick is enough.
@@ -147,7 +171,9 @@
         const events = this.queue.splice(0);
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
+        const steppedMs = this.runtime.nowMs();
         await this.persist(effects);
+        this.counters.diskMs += this.runtime.nowMs() - steppedMs;
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
         await this.compactIfDue();
@@ -292,3 +318,14 @@
     return { index: this.applier.appliedIndex, term, membership };
   }
 }
+
+function eventBytes(event: RaftEvent): number {
+  switch (event.kind) {
+    case 'message':
+      return valueBytes(event.message);
+    case 'propose':
+      return valueBytes(event.command);
+    default:
+      return 0;
+  }
+}
