--- a/test/incidents/configuration-changes-and-memory.test.ts
+++ b/test/incidents/configuration-changes-and-memory.test.ts
@@ -150,7 +150,7 @@
   });
 });
 
-test.serial('a member that is suspended during changes of half a megabyte, seed 7', async (t) => {
+test.serial('a member that is suspended during large changes of half a megabyte, seed 7', async (t) => {
   await onGroup(t, 7, largeShape, async (play) => {
     const behind = await pickMember(play);
     play.group.suspend(behind);
