--- a/src/consensus/entry-size.ts
+++ b/src/consensus/entry-size.ts
@@ -13,3 +13,8 @@
   sizes.set(entry, bytes);
   return bytes;
 }
+
+/** Returns the approximate size of entries in bytes. */
+export function entriesBytes(entries: readonly LogEntry[]): number {
+  return entries.reduce((bytes, entry) => bytes + entryBytes(entry), 0);
+}
--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -5,11 +5,14 @@
  */
 import { policyIsOn } from '../policy-switches.js';
 import { ElectionTimer } from './election-timer.js';
+import { entriesBytes, entryBytes } from './entry-size.js';
+import { LogReplicator } from './log-replicator.js';
 import { RaftLog } from './raft-log.js';
 import {
   quorumSize,
   type AppendAnswer,
   type AppendRequest,
+  type DropReason,
   type DurableState,
   type EntryPayload,
   type LogEntry,
@@ -20,12 +23,15 @@
   type RaftOptions,
   type RaftRole,
   type ReplicaId,
+  type SnapshotPart,
+  type SnapshotPartAnswer,
   type SnapshotPosition,
   type SnapshotRequest,
   type VoteAnswer,
   type VoteRequest,
 } from './raft-types.js';
-import { ReplicationProgress, type PeerProgress } from './replication-progress.js';
+import type { PeerProgress } from './replication-progress.js';
+import { SnapshotAssembly } from './snapshot-assembly.js';
 
 /**
  * Fraction of the election timeout without a tick that counts as a stall of this process. Messages that peers sent
@@ -33,6 +39,19 @@
  */
 const STALL_THRESHOLD_RATIO = 0.25;
 
+/**
+ * Part of the limit of uncommitted bytes that is reserved for small commands, and their size in bytes, so that large changes
+ * cannot delay heartbeats of back ends, leases and membership.
+ */
+const SMALL_COMMAND_SHARE = 0.25;
+const SMALL_COMMAND_BYTES = 4 * 1024;
+
+/**
+ * Size of an accepted snapshot as a multiple of the limit of the state: its text is longer than the state's estimated size,
+ * and a state of an earlier version had no limit.
+ */
+const SNAPSHOT_SIZE_FACTOR = 8;
+
 interface PendingConfirmation {
   readonly requestId: number;
   readonly round: number;
@@ -48,8 +67,10 @@
   private currentLeader: ReplicaId | null = null;
   private committed: number;
   private votes = new Set<ReplicaId>();
-  private progress: ReplicationProgress;
-  private round = 0;
+  private readonly replicator: LogReplicator;
+  private readonly assembly: SnapshotAssembly;
+  /** Bytes of the entries of a leader that are not committed. */
+  private uncommittedBytes = 0;
   private heartbeatDueMs = 0;
   private quorumCheckDueMs = 0;
   private leaderContactMs = -Infinity;
@@ -73,7 +94,14 @@
     this.currentTerm = durable.hardState.term;
     this.votedFor = durable.hardState.votedFor;
     this.committed = durable.snapshot.index;
-    this.progress = new ReplicationProgress(id);
+    this.replicator = new LogReplicator(
+      id,
+      this.log,
+      options,
+      () => this.committed,
+      (effect) => this.effects.push(effect),
+    );
+    this.assembly = new SnapshotAssembly(options.limits.stateBytes * SNAPSHOT_SIZE_FACTOR);
     this.electionTimer = new ElectionTimer(options.electionTimeoutMs, options.heartbeatMs, options.seed);
     this.restartElectionTimer(nowMs);
     this.lastTickMs = nowMs;
@@ -146,7 +174,17 @@
 
   /** Returns the replication progress of a peer; undefined unless this replica is the leader. */
   peerProgress(id: ReplicaId): Readonly<PeerProgress> | undefined {
-    return this.currentRole === 'leader' ? this.progress.get(id) : undefined;
+    return this.currentRole === 'leader' ? this.replicator.peers.get(id) : undefined;
+  }
+
+  /** Number of the latest heartbeat round that this replica sent as a leader. */
+  get heartbeatRound(): number {
+    return this.replicator.round;
+  }
+
+  /** Bytes of a snapshot that have been received so far. */
+  get receivedSnapshotBytes(): number {
+    return this.assembly.bytes;
   }
 
   /** Returns the term of an entry, or null when the log does not contain it. */
@@ -181,7 +219,7 @@
         this.log.evict(event.toIndex, event.keepBytes);
         break;
       case 'flush':
-        this.flush();
+        if (this.currentRole === 'leader') this.replicator.sendEntries();
         break;
     }
     return this.effects;
@@ -210,15 +248,14 @@
     if (this.nowMs >= this.quorumCheckDueMs && !this.checkQuorum()) return;
     if (this.nowMs < this.heartbeatDueMs) return;
     this.heartbeatDueMs = this.nowMs + this.options.heartbeatMs;
-    this.round += 1;
-    for (const [id, peer] of this.progress.entries()) this.sendAppend(id, peer, true);
+    this.replicator.sendHeartbeats();
     this.resolveConfirmations();
   }
 
   private checkQuorum(): boolean {
     const sinceMs = this.nowMs - this.options.electionTimeoutMs;
     this.quorumCheckDueMs = this.nowMs + this.options.electionTimeoutMs;
-    if (this.progress.quorumActiveSince(this.membership, sinceMs)) return true;
+    if (this.replicator.peers.quorumActiveSince(this.membership, sinceMs)) return true;
     this.becomeFollower(this.currentTerm, null);
     return false;
   }
@@ -250,6 +287,12 @@
       case 'snapshot-request':
         this.handleSnapshotRequest(message);
         break;
+      case 'snapshot-part':
+        this.handleSnapshotPart(message);
+        break;
+      case 'snapshot-part-answer':
+        this.handleSnapshotPartAnswer(message);
+        break;
     }
   }
 
@@ -335,6 +378,7 @@
     if (term > this.currentTerm) {
       this.currentTerm = term;
       this.votedFor = null;
+      this.assembly.clear();
       this.persistHardState();
     }
     this.confirmations = [];
@@ -344,8 +388,9 @@
 
   private becomeLeader(): void {
     this.hasKnownLeader = true;
-    this.progress = new ReplicationProgress(this.id);
-    this.progress.update(this.membership, this.log.lastIndex, this.nowMs);
+    this.assembly.clear();
+    this.replicator.startTerm(this.currentTerm, this.membership, this.nowMs);
+    this.uncommittedBytes = entriesBytes(this.entriesBetween(this.committed, this.log.lastIndex));
     this.termStartIndex = this.log.lastIndex + 1;
     this.quorumCheckDueMs = this.nowMs + this.options.electionTimeoutMs;
     this.heartbeatDueMs = this.nowMs;
@@ -364,10 +409,24 @@
 
   private propose(proposalId: string, command: unknown): void {
     if (this.currentRole !== 'leader') {
-      this.effects.push({ kind: 'proposal-dropped', proposalId, leader: this.currentLeader });
+      this.dropProposal(proposalId, 'not-leader');
       return;
     }
-    this.appendAsLeader({ kind: 'command', proposalId, command });
+    const payload = { kind: 'command', proposalId, command } as const;
+    const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.currentTerm, payload };
+    if (this.hasRoomFor(entryBytes(entry))) this.appendEntryAsLeader(entry);
+    else this.dropProposal(proposalId, 'busy');
+  }
+
+  private dropProposal(proposalId: string, reason: DropReason): void {
+    this.effects.push({ kind: 'proposal-dropped', proposalId, leader: this.currentLeader, reason });
+  }
+
+  /** Whether an entry may be appended while others are not committed. */
+  private hasRoomFor(bytes: number): boolean {
+    const { uncommittedBytes: limit } = this.options.limits;
+    const share = bytes <= SMALL_COMMAND_BYTES ? 1 : 1 - SMALL_COMMAND_SHARE;
+    return this.uncommittedBytes === 0 || this.uncommittedBytes + bytes <= limit * share;
   }
 
   private changeMembership(membership: Membership): void {
@@ -379,79 +438,36 @@
   }
 
   private appendAsLeader(payload: EntryPayload): void {
-    const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.currentTerm, payload };
-    this.log.append([entry]);
-    this.effects.push({ kind: 'persist-entries', entries: [entry] });
-    if (payload.kind === 'membership') this.progress.update(payload.membership, entry.index, this.nowMs);
-    this.advanceCommit();
-  }
-
-  /** Sends the entries appended since the last flush, so that many proposals share one message to each peer. */
-  private flush(): void {
-    if (this.currentRole !== 'leader') return;
-    for (const [id, peer] of this.progress.entries()) {
-      if (peer.nextIndex <= this.log.lastIndex) this.sendAppend(id, peer, false);
-    }
+    this.appendEntryAsLeader({ index: this.log.lastIndex + 1, term: this.currentTerm, payload });
   }
 
-  private sendAppend(to: ReplicaId, peer: PeerProgress, allowEmpty: boolean): void {
-    const previousIndex = peer.nextIndex - 1;
-    const previousTerm = this.log.termAt(previousIndex);
-    if (previousTerm === null) {
-      this.sendSnapshot(to, peer);
-      return;
+  private appendEntryAsLeader(entry: LogEntry): void {
+    const { payload } = entry;
+    this.log.append([entry]);
+    this.uncommittedBytes += entryBytes(entry);
+    this.effects.push({ kind: 'persist-entries', entries: [entry] });
+    if (payload.kind === 'membership') {
+      this.replicator.peers.update(payload.membership, entry.index, this.nowMs);
     }
-    const entries = this.log.slice(peer.nextIndex, this.options.maxEntriesPerAppend);
-    if (entries.length === 0 && !allowEmpty) return;
-    peer.nextIndex += entries.length;
-    this.send({
-      kind: 'append-request',
-      from: this.id,
-      to,
-      term: this.currentTerm,
-      previousIndex,
-      previousTerm,
-      entries,
-      commitIndex: this.committed,
-      round: this.round,
-    });
-  }
-
-  private sendSnapshot(to: ReplicaId, peer: PeerProgress): void {
-    const resendAfterMs = this.options.electionTimeoutMs * 4;
-    const isInFlight = peer.snapshotSentMs !== null && this.nowMs - peer.snapshotSentMs < resendAfterMs;
-    if (isInFlight) return;
-    peer.snapshotSentMs = this.nowMs;
-    this.effects.push({ kind: 'send-snapshot', to, term: this.currentTerm, round: this.round });
+    this.advanceCommit();
   }
 
   private handleAppendAnswer(answer: AppendAnswer): void {
     if (this.currentRole !== 'leader' || answer.term !== this.currentTerm) return;
-    const peer = this.progress.get(answer.from);
-    if (peer === undefined) return;
-    peer.lastAnswerMs = this.nowMs;
-    peer.answeredRound = Math.max(peer.answeredRound, answer.round);
-    if (answer.success) this.onAppendAccepted(answer.from, peer, answer.matchIndex);
-    else this.onAppendRejected(answer.from, peer, answer.matchIndex);
+    if (!this.replicator.recordAnswer(answer, this.nowMs)) return;
+    if (answer.success) this.advanceCommit();
     this.resolveConfirmations();
   }
 
-  private onAppendAccepted(id: ReplicaId, peer: PeerProgress, matchIndex: number): void {
-    peer.snapshotSentMs = null;
-    peer.matchIndex = Math.max(peer.matchIndex, matchIndex);
-    peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
-    this.advanceCommit();
-    if (peer.nextIndex <= this.log.lastIndex) this.sendAppend(id, peer, false);
-  }
-
-  private onAppendRejected(id: ReplicaId, peer: PeerProgress, hint: number): void {
-    const next = Math.min(hint + 1, peer.nextIndex - 1);
-    peer.nextIndex = Math.max(next, peer.matchIndex + 1, 1);
-    this.sendAppend(id, peer, true);
+  private handleSnapshotPartAnswer(answer: SnapshotPartAnswer): void {
+    if (this.currentRole !== 'leader' || answer.term !== this.currentTerm) return;
+    if (!this.replicator.recordPartAnswer(answer, this.nowMs)) return;
+    this.effects.push({ kind: 'snapshot-part-answered', answer });
+    this.resolveConfirmations();
   }
 
   private advanceCommit(): void {
-    const index = this.progress.quorumIndex(this.membership, this.log.lastIndex);
+    const index = this.replicator.peers.quorumIndex(this.membership, this.log.lastIndex);
     const isOfCurrentTerm = this.log.termAt(index) === this.currentTerm;
     if (index > this.committed && isOfCurrentTerm) this.commitTo(index);
   }
@@ -459,12 +475,18 @@
   private commitTo(index: number): void {
     const target = Math.min(index, this.log.lastIndex);
     if (target <= this.committed) return;
-    const entries = this.log.slice(this.committed + 1, target - this.committed);
+    const entries = this.entriesBetween(this.committed, target);
     this.committed = target;
+    this.assembly.discardUpTo(target);
+    if (this.currentRole === 'leader') this.uncommittedBytes -= entriesBytes(entries);
     this.effects.push({ kind: 'commit', entries });
     this.stepDownIfRemoved();
   }
 
+  private entriesBetween(afterIndex: number, toIndex: number): readonly LogEntry[] {
+    return this.log.slice(afterIndex + 1, toIndex - afterIndex);
+  }
+
   /** A leader that is no longer a voter steps down once its removal is committed (Raft 4.2.2). */
   private stepDownIfRemoved(): void {
     if (this.currentRole !== 'leader') return;
@@ -477,12 +499,12 @@
 
   private confirmLeadership(requestId: number): void {
     if (!this.leaderReady) return;
-    this.confirmations.push({ requestId, round: this.round + 1 });
+    this.confirmations.push({ requestId, round: this.replicator.round + 1 });
   }
 
   private resolveConfirmations(): void {
     if (this.confirmations.length === 0) return;
-    const confirmedRound = this.progress.quorumRound(this.membership, this.round);
+    const confirmedRound = this.replicator.peers.quorumRound(this.membership, this.replicator.round);
     const confirmed = this.confirmations.filter((pending) => pending.round <= confirmedRound);
     if (confirmed.length === 0) return;
     this.confirmations = this.confirmations.filter((pending) => pending.round > confirmedRound);
@@ -544,6 +566,29 @@
     this.answer(request, true, Math.max(request.position.index, this.committed));
   }
 
+  private handleSnapshotPart(part: SnapshotPart): void {
+    if (part.term < this.currentTerm) {
+      this.answer(part, false, this.log.lastIndex);
+      return;
+    }
+    this.followLeader(part.from);
+    const { index } = part.position;
+    if (index > this.committed) {
+      const step = this.assembly.add(part);
+      if (step.kind === 'expecting') {
+        this.answerPart(part, step.offset);
+        return;
+      }
+      this.installSnapshot(step.position, step.data);
+    }
+    this.answer(part, true, Math.max(index, this.committed));
+  }
+
+  private answerPart({ from: to, position, round }: SnapshotPart, offset: number): void {
+    const { id: from, currentTerm: term } = this;
+    this.send({ kind: 'snapshot-part-answer', from, to, term, index: position.index, offset, round });
+  }
+
   /**
    * Keeps the entries after the snapshot if the log agrees with it, since they may already be counted in a quorum
    * (Raft 5.1).
@@ -552,10 +597,15 @@
     if (this.log.termAt(position.index) === position.term) this.log.compact(position);
     else this.log.reset(position);
     this.committed = position.index;
+    this.assembly.discardUpTo(position.index);
     this.effects.push({ kind: 'install-snapshot', position, data });
   }
 
-  private answer(request: AppendRequest | SnapshotRequest, success: boolean, matchIndex: number): void {
+  private answer(
+    request: AppendRequest | SnapshotRequest | SnapshotPart,
+    success: boolean,
+    matchIndex: number,
+  ): void {
     const { from: to, round } = request;
     this.send({
       kind: 'append-answer',
@@ -565,6 +615,7 @@
       success,
       matchIndex,
       round,
+      snapshotParts: true,
     });
   }
 
--- a/src/consensus/raft-log.ts
+++ b/src/consensus/raft-log.ts
@@ -49,6 +49,20 @@
     return this.entries.slice(start, start + limit);
   }
 
+  /** Returns up to `limit` entries starting at `fromIndex` that take at most `maxBytes` bytes; a larger one is returned alone. */
+  batch(fromIndex: number, limit: number, maxBytes: number): readonly LogEntry[] {
+    const start = fromIndex - this.position.index - 1;
+    const last = Math.min(start + limit, this.entries.length);
+    let bytes = 0;
+    let end = start;
+    for (; end < last; end += 1) {
+      const entry = this.entries[end];
+      if (entry !== undefined) bytes += entryBytes(entry);
+      if (bytes > maxBytes && end > start) break;
+    }
+    return this.entries.slice(start, end);
+  }
+
   /** Appends entries. */
   append(entries: readonly LogEntry[]): void {
     for (const entry of entries) this.entries.push(entry);
--- a/src/consensus/raft-types.ts
+++ b/src/consensus/raft-types.ts
@@ -91,6 +91,8 @@
   readonly success: boolean;
   readonly matchIndex: number;
   readonly round: number;
+  /** Whether the sender accepts snapshots in parts. Processes of earlier versions leave it out and ignore it. */
+  readonly snapshotParts?: boolean;
 }
 
 /** Replaces the receiver's state by a snapshot. */
@@ -101,8 +103,42 @@
   readonly round: number;
 }
 
+/**
+ * One part of a snapshot that is too large for one message. The content of the whole snapshot is the text of
+ * `{ position, data }`.
+ */
+export interface SnapshotPart extends MessageBase {
+  readonly kind: 'snapshot-part';
+  readonly position: SnapshotPosition;
+  /** Place of this part in the whole content, in bytes. */
+  readonly offset: number;
+  /** Size of the whole content in bytes. */
+  readonly totalBytes: number;
+  /** The bytes of this part, in base64. */
+  readonly content: string;
+  readonly round: number;
+}
+
+/** Answer to a part of the snapshot at `index`: `offset` is the place of the part that is expected next. */
+export interface SnapshotPartAnswer extends MessageBase {
+  readonly kind: 'snapshot-part-answer';
+  readonly index: number;
+  readonly offset: number;
+  readonly round: number;
+}
+
 /** Messages between replicas. */
-export type RaftMessage = VoteRequest | VoteAnswer | AppendRequest | AppendAnswer | SnapshotRequest;
+export type RaftMessage =
+  | VoteRequest
+  | VoteAnswer
+  | AppendRequest
+  | AppendAnswer
+  | SnapshotRequest
+  | SnapshotPart
+  | SnapshotPartAnswer;
+
+/** Reason why a proposal was not appended to the log; `busy` is a leader with too many bytes to commit or to write. */
+export type DropReason = 'not-leader' | 'busy';
 
 /** Effects that the driver must carry out, in order: persist and sync first, then all others. */
 export type RaftEffect =
@@ -111,7 +147,9 @@
   | { readonly kind: 'truncate-log'; readonly fromIndex: number }
   | { readonly kind: 'install-snapshot'; readonly position: SnapshotPosition; readonly data: unknown }
   | { readonly kind: 'send'; readonly message: RaftMessage }
-  | { readonly kind: 'send-snapshot'; readonly to: ReplicaId; readonly term: number; readonly round: number }
+  /** Repeated with each heartbeat while the peer needs a snapshot. */
+  | { readonly kind: 'send-snapshot'; readonly to: ReplicaId; readonly term: number }
+  | { readonly kind: 'snapshot-part-answered'; readonly answer: SnapshotPartAnswer }
   | { readonly kind: 'commit'; readonly entries: readonly LogEntry[] }
   | {
       readonly kind: 'role-changed';
@@ -120,7 +158,12 @@
       readonly leader: ReplicaId | null;
     }
   | { readonly kind: 'leadership-confirmed'; readonly requestId: number }
-  | { readonly kind: 'proposal-dropped'; readonly proposalId: string; readonly leader: ReplicaId | null };
+  | {
+      readonly kind: 'proposal-dropped';
+      readonly proposalId: string;
+      readonly leader: ReplicaId | null;
+      readonly reason: DropReason;
+    };
 
 /** Role of a replica. */
 export type RaftRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader';
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -9,6 +9,7 @@
 import { retryWhileDiskFull } from './full-disk.js';
 import { RaftCore } from './raft-core.js';
 import type {
+  DropReason,
   LogEntry,
   RaftEffect,
   RaftEvent,
@@ -18,6 +19,7 @@
   ReplicaId,
   SnapshotPosition,
 } from './raft-types.js';
+import { SnapshotSender } from './snapshot-sender.js';
 
 const TICK_INTERVAL_MS = 20;
 
@@ -36,7 +38,7 @@
   send(message: RaftMessage): void;
   onRoleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void;
   onLeadershipConfirmed(requestId: number): void;
-  onProposalDropped(proposalId: string): void;
+  onProposalDropped(proposalId: string, reason: DropReason): void;
   /** Called when proposals that were dequeued at `dequeuedMs` are durable on this replica's disk. */
   onProposalsSynced?(proposalIds: readonly string[], dequeuedMs: number): void;
   /** Called when the disk failed; the process must exit, since it can no longer guarantee durability. */
@@ -75,6 +77,7 @@
     snapshotsInstalled: 0,
   };
   private readonly queue: RaftEvent[] = [];
+  private readonly snapshotSender: SnapshotSender;
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
   /** Start time of the batch that is being processed; null when there is none. */
@@ -97,6 +100,7 @@
     this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
       this.fail(error);
     });
+    this.snapshotSender = this.createSnapshotSender();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -136,6 +140,7 @@
     this.cancelTick();
     await this.running;
     await this.compaction?.written;
+    await this.snapshotSender.stop();
     await this.storage.close();
   }
 
@@ -150,6 +155,7 @@
         await this.persist(effects);
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
+        await this.snapshotSender.sendDue();
         await this.compactIfDue();
       }
     } catch (error) {
@@ -221,7 +227,10 @@
         this.ports.send(effect.message);
         break;
       case 'send-snapshot':
-        this.sendSnapshot(effect.to, effect.term, effect.round);
+        this.snapshotSender.start(effect.to, effect.term);
+        break;
+      case 'snapshot-part-answered':
+        this.snapshotSender.recordAnswer(effect.answer);
         break;
       case 'commit':
         this.applier.add(effect.entries);
@@ -233,14 +242,23 @@
         this.ports.onLeadershipConfirmed(effect.requestId);
         break;
       case 'proposal-dropped':
-        this.ports.onProposalDropped(effect.proposalId);
+        this.ports.onProposalDropped(effect.proposalId, effect.reason);
         break;
     }
   }
 
-  private sendSnapshot(to: ReplicaId, term: number, round: number): void {
-    const { position, data } = this.storage.currentSnapshot();
-    this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
+  private createSnapshotSender(): SnapshotSender {
+    return new SnapshotSender({
+      id: this.id,
+      store: this.storage,
+      messageBytes: this.options.limits.messageBytes,
+      term: () => this.core.term,
+      round: () => this.core.heartbeatRound,
+      progress: (peer) => this.core.peerProgress(peer),
+      send: (message) => {
+        this.ports.send(message);
+      },
+    });
   }
 
   /** Starts a snapshot when one is due, and adopts it once it is written. */
--- a/src/consensus/replication-progress.ts
+++ b/src/consensus/replication-progress.ts
@@ -1,18 +1,46 @@
-/** Replication progress that a leader tracks for its peers: match index, next index and time of the last answer. */
+/** Replication progress that a leader tracks for its peers: what they hold, what is on its way, and their last answer. */
 import { quorumSize, type Membership, type ReplicaId } from './raft-types.js';
 
+/**
+ * How a leader sends its log to a peer. `probe`: the logs are not known to agree, so that messages carry no entries.
+ * `replicate`: they agree up to the match index; entries are sent up to a limit in bytes. `snapshot`: the peer lacks entries
+ * that the leader has discarded.
+ */
+export type ReplicationMode = 'probe' | 'replicate' | 'snapshot';
+
+/** An append request with entries that the peer has not acknowledged. */
+export interface SentBatch {
+  readonly lastIndex: number;
+  readonly bytes: number;
+  /** Heartbeat round in which it was sent. */
+  readonly round: number;
+}
+
 /** Progress of one follower or learner as seen by the leader. */
 export interface PeerProgress {
   /** Index of the last entry known to be durable at the peer. */
   matchIndex: number;
-  /** Index of the next entry to send. */
+  /** Index of the next entry to send; while probing, the entry before it is the one that the peer is asked for. */
   nextIndex: number;
   /** Latest heartbeat round that the peer answered. */
   answeredRound: number;
   /** Time of the peer's last answer, in ms of the core's clock. */
   lastAnswerMs: number;
-  /** Time at which a snapshot was last sent, in ms of the core's clock; null when none is in flight. */
-  snapshotSentMs: number | null;
+  mode: ReplicationMode;
+  /** Whether a message has been sent to the peer in this term. */
+  contacted: boolean;
+  /**
+   * Whether the peer accepts snapshots in parts, which processes of earlier versions do not; null until it has answered in
+   * this term.
+   */
+  acceptsSnapshotParts: boolean | null;
+  /** Batches on their way to the peer, oldest first. */
+  inFlight: SentBatch[];
+}
+
+/** Returns the bytes on their way to a peer. */
+export function inFlightBytes(peer: Readonly<PeerProgress>): number {
+  return peer.inFlight.reduce((bytes, batch) => bytes + batch.bytes, 0);
 }
 
 /** Progress of all peers of a leader. */
@@ -80,6 +108,9 @@
     nextIndex: lastIndex + 1,
     answeredRound: 0,
     lastAnswerMs: nowMs,
-    snapshotSentMs: null,
+    mode: 'probe',
+    contacted: false,
+    acceptsSnapshotParts: null,
+    inFlight: [],
   };
 }
