Limit in bytes what waits in a replica while its disk is busy

Cause: the driver queued every message, already parsed, and every proposal while a disk sync ran, and then wrote all of them as one batch. Ruled out: refusing everything, since a replica must still take part in elections; limiting the number of events only, since their size is chosen by others (it bounds heartbeats and answers, which are small). Change: ReplicaQueue holds at most queuedBytes. One disk write takes at most inFlightBytes from the queue. Tests: replica-queue, replica-stall (a vote is given and every entry is held in the end; neither counts of dropped events nor the limit existed before).

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -19,6 +19,7 @@
   ReplicaId,
   SnapshotPosition,
 } from './raft-types.js';
+import { ReplicaQueue } from './replica-queue.js';
 import { SnapshotSender } from './snapshot-sender.js';
 
 const TICK_INTERVAL_MS = 20;
@@ -57,6 +58,8 @@
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
+  /** Messages and proposals dropped because too much was waiting for the disk. */
+  eventsDropped: number;
 }
 
 /** A snapshot that is being written. */
@@ -75,8 +78,9 @@
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
+    eventsDropped: 0,
   };
-  private readonly queue: RaftEvent[] = [];
+  private readonly queue: ReplicaQueue;
   private readonly snapshotSender: SnapshotSender;
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
@@ -94,6 +98,8 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
+    const { queuedBytes, inFlightBytes } = options.limits;
+    this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
@@ -126,11 +132,19 @@
     return this.batchStartMs === null ? 0 : this.runtime.nowMs() - this.batchStartMs;
   }
 
-  /** Queues an event for the core. */
+  /** Size in bytes of the events that wait for the disk. */
+  get queuedBytes(): number {
+    return this.queue.bytes;
+  }
+
+  /** Queues an event for the core; it is dropped when too much is waiting. */
   submit(event: RaftEvent): void {
-    // While a disk write delays the queue, one pending tick is enough.
-    if (this.stopped || (event.kind === 'tick' && this.queue.at(-1)?.kind === 'tick')) return;
-    this.queue.push(event);
+    if (this.stopped) return;
+    if (!this.queue.push(event)) {
+      this.counters.eventsDropped += 1;
+      if (event.kind === 'propose') this.ports.onProposalDropped(event.proposalId, 'busy');
+      return;
+    }
     this.running ??= this.run();
   }
 
@@ -149,7 +163,7 @@
       while (this.queue.length > 0) {
         const dequeuedMs = this.runtime.nowMs();
         this.batchStartMs = dequeuedMs;
-        const events = this.queue.splice(0);
+        const events = this.queue.takeBatch();
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
         await this.persist(effects);
