--- a/src/transport/frame-codec.ts
+++ b/src/transport/frame-codec.ts
@@ -33,9 +33,14 @@
   return encodeTextFrame(writeText(message));
 }
 
-/** Encodes a serialized message as one frame. */
-export function encodeTextFrame(text: string): Buffer {
-  return makeFrame(Buffer.from(text), 0);
+/** Encodes a serialized message, given as consecutive pieces of its text, as one frame. The text is copied once. */
+export function encodeTextFrame(...pieces: readonly string[]): Buffer {
+  const payloadBytes = pieces.reduce((bytes, piece) => bytes + Buffer.byteLength(piece), 0);
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + payloadBytes);
+  frame.writeUInt32BE(payloadBytes, 0);
+  let end = HEADER_BYTES;
+  for (const piece of pieces) end += frame.write(piece, end);
+  return frame;
 }
 
 /**
