--- a/src/consensus/replica-usage.ts
+++ b/src/consensus/replica-usage.ts
@@ -5,7 +5,7 @@
 import type { RaftRole } from './raft-types.js';
 import { replicaName } from './raft-types.js';
 import type { Replica } from './replica.js';
-import type { PeerProgress } from './replication-progress.js';
+import { inFlightBytes, type PeerProgress, type ReplicationMode } from './replication-progress.js';
 
 /** How a leader sends its log to one peer. */
 export interface PeerUsage {
@@ -17,6 +17,9 @@
   readonly next: number;
   /** Entries that were sent and are not acknowledged. */
   readonly inFlight: number;
+  /** Approximate size of their batches in bytes. */
+  readonly inFlightBytes: number;
+  readonly mode: ReplicationMode;
   /** `snapshot` while a snapshot is on its way, `behind` while the peer lacks committed entries, else `current`. */
   readonly state: 'current' | 'behind' | 'snapshot';
   /** Time since the peer's last answer, in ms. */
@@ -78,14 +81,16 @@
   commitIndex: number,
   nowMs: number,
 ): PeerUsage {
-  const { matchIndex: match, nextIndex: next, lastAnswerMs, snapshotSentMs } = progress;
+  const { matchIndex: match, nextIndex: next, lastAnswerMs, mode } = progress;
   const behind = match < commitIndex ? 'behind' : 'current';
   return {
     peer,
     match,
     next,
     inFlight: Math.max(0, next - 1 - match),
-    state: snapshotSentMs === null ? behind : 'snapshot',
+    inFlightBytes: inFlightBytes(progress),
+    mode,
+    state: mode === 'snapshot' ? 'snapshot' : behind,
     silentMs: Math.round(nowMs - lastAnswerMs),
   };
 }
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -3,13 +3,13 @@
  * applies committed entries. Events that arrive during a disk sync are queued and share the next sync.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
-import { valueBytes } from '../model/value-size.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
 import { RaftCore } from './raft-core.js';
 import type {
+  DropReason,
   LogEntry,
   RaftEffect,
   RaftEvent,
@@ -19,6 +19,8 @@
   ReplicaId,
   SnapshotPosition,
 } from './raft-types.js';
+import { ReplicaQueue } from './replica-queue.js';
+import { SnapshotSender } from './snapshot-sender.js';
 
 const TICK_INTERVAL_MS = 20;
 
@@ -37,7 +39,7 @@
   send(message: RaftMessage): void;
   onRoleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void;
   onLeadershipConfirmed(requestId: number): void;
-  onProposalDropped(proposalId: string): void;
+  onProposalDropped(proposalId: string, reason: DropReason): void;
   /** Called when proposals that were dequeued at `dequeuedMs` are durable on this replica's disk. */
   onProposalsSynced?(proposalIds: readonly string[], dequeuedMs: number): void;
   /** Called when the disk failed; the process must exit, since it can no longer guarantee durability. */
@@ -58,6 +60,8 @@
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
+  /** Messages and proposals dropped because too much was waiting for the disk. */
+  eventsDropped: number;
 }
 
 /** A snapshot that is being written. */
@@ -77,8 +81,10 @@
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
+    eventsDropped: 0,
   };
-  private readonly queue: RaftEvent[] = [];
+  private readonly queue: ReplicaQueue;
+  private readonly snapshotSender: SnapshotSender;
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
   /** Start time of the batch that is being processed; null when there is none. */
@@ -95,12 +101,15 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
+    const { queuedBytes, inFlightBytes } = options.limits;
+    this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
     this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
       this.fail(error);
     });
+    this.snapshotSender = this.createSnapshotSender();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -143,14 +152,17 @@
 
   /** Approximate size in bytes of the events that wait for the batch in progress. */
   get queuedBytes(): number {
-    return this.queue.reduce((bytes, event) => bytes + eventBytes(event), 0);
+    return this.queue.bytes;
   }
 
-  /** Queues an event for the core. */
+  /** Queues an event for the core; it is dropped when too much is waiting. */
   submit(event: RaftEvent): void {
-    // While a disk write delays the queue, one pending tick is enough.
-    if (this.stopped || (event.kind === 'tick' && this.queue.at(-1)?.kind === 'tick')) return;
-    this.queue.push(event);
+    if (this.stopped) return;
+    if (!this.queue.push(event)) {
+      this.counters.eventsDropped += 1;
+      if (event.kind === 'propose') this.ports.onProposalDropped(event.proposalId, 'busy');
+      return;
+    }
     this.running ??= this.run();
   }
 
@@ -160,6 +172,7 @@
     this.cancelTick();
     await this.running;
     await this.compaction?.written;
+    await this.snapshotSender.stop();
     await this.storage.close();
   }
 
@@ -168,7 +181,7 @@
       while (this.queue.length > 0) {
         const dequeuedMs = this.runtime.nowMs();
         this.batchStartMs = dequeuedMs;
-        const events = this.queue.splice(0);
+        const events = this.queue.takeBatch();
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
         const steppedMs = this.runtime.nowMs();
@@ -176,6 +189,7 @@
         this.counters.diskMs += this.runtime.nowMs() - steppedMs;
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
+        await this.snapshotSender.sendDue();
         await this.compactIfDue();
       }
     } catch (error) {
@@ -247,7 +261,10 @@
         this.ports.send(effect.message);
         break;
       case 'send-snapshot':
-        this.sendSnapshot(effect.to, effect.term, effect.round);
+        this.snapshotSender.start(effect.to, effect.term);
+        break;
+      case 'snapshot-part-answered':
+        this.snapshotSender.recordAnswer(effect.answer);
         break;
       case 'commit':
         this.applier.add(effect.entries);
@@ -259,14 +276,23 @@
         this.ports.onLeadershipConfirmed(effect.requestId);
         break;
       case 'proposal-dropped':
-        this.ports.onProposalDropped(effect.proposalId);
+        this.ports.onProposalDropped(effect.proposalId, effect.reason);
         break;
     }
   }
 
-  private sendSnapshot(to: ReplicaId, term: number, round: number): void {
-    const { position, data } = this.storage.currentSnapshot();
-    this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
+  private createSnapshotSender(): SnapshotSender {
+    return new SnapshotSender({
+      id: this.id,
+      store: this.storage,
+      messageBytes: this.options.limits.messageBytes,
+      term: () => this.core.term,
+      round: () => this.core.heartbeatRound,
+      progress: (peer) => this.core.peerProgress(peer),
+      send: (message) => {
+        this.ports.send(message);
+      },
+    });
   }
 
   /** Starts a snapshot when one is due, and adopts it once it is written. */
@@ -318,14 +344,3 @@
     return { index: this.applier.appliedIndex, term, membership };
   }
 }
-
-function eventBytes(event: RaftEvent): number {
-  switch (event.kind) {
-    case 'message':
-      return valueBytes(event.message);
-    case 'propose':
-      return valueBytes(event.command);
-    default:
-      return 0;
-  }
-}
