Read the log as a stream and bound what a replica keeps of it in memory

A process that ended for the size of its log ended again at its next start. Change: the log is read record by record; commands beyond `cachedLogBytes` are `stored`, as are applied ones later on (`evict`). The applier and the sender of messages read them back, in slices and in order. Compaction copies bytes of the old file instead of rewriting parsed entries. A log that lacks an entry in its middle is an error; before, only a missing first entry was. Ruled out: reading entries lazily by position only, without parsing at the start, since damage would then be found only when an entry is needed.

--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -6,6 +6,7 @@
   Membership,
   SnapshotPosition,
 } from '../../src/consensus/raft-types.js';
+import { entryBytes } from '../../src/consensus/entry-size.js';
 import { entriesAfter } from '../../src/storage/replica-storage.js';
 import type { FolderIdentity, ReplicaStore, SnapshotSource } from '../../src/storage/replica-store.js';
 import { snapshotFromMemory } from '../../src/storage/snapshot-buffer.js';
@@ -123,9 +124,10 @@
 export class SimReplicaStore implements ReplicaStore {
   readonly owner: FolderIdentity;
   readonly logBytes = 0;
+  readonly snapshotBytes = 0;
   private unsyncedWrites: Write[] = [];
   private entries: readonly LogEntry[];
-  private adoptedSnapshot: { readonly position: SnapshotPosition; readonly data: unknown };
+  private adoptedSnapshot: { readonly position: SnapshotPosition };
 
   constructor(
     private readonly process: SimProcess,
@@ -135,7 +137,7 @@
   ) {
     this.owner = content.owner;
     this.entries = content.entries;
-    this.adoptedSnapshot = { position: content.position, data: content.data };
+    this.adoptedSnapshot = { position: content.position };
   }
 
   /** See `ReplicaStore`. */
@@ -149,6 +151,17 @@
     return this.content.data;
   }
 
+  /** See `ReplicaStore`. */
+  releaseInitialState(): void {
+    // The content stands for files.
+  }
+
+  /** See `ReplicaStore`. */
+  logBytesUpTo(index: number): number {
+    const upTo = this.entries.filter((entry) => entry.index <= index);
+    return upTo.reduce((bytes, entry) => bytes + entryBytes(entry), 0);
+  }
+
   /** See `ReplicaStore`. */
   get formed(): boolean {
     return this.adoptedSnapshot.position.membership.voters.length > 0 || this.entries.length > 0;
@@ -158,7 +171,7 @@
   async form(membership: Membership): Promise<void> {
     const position = { index: 0, term: 0, membership };
     await this.writeSnapshot(position, null);
-    await this.adoptSnapshot(position, null);
+    await this.adoptSnapshot(position);
   }
 
   /** See `ReplicaStore`. */
@@ -199,15 +212,15 @@
   }
 
   /** See `ReplicaStore`. */
-  async adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
+  async adoptSnapshot(position: SnapshotPosition): Promise<void> {
     this.disk.checkSpace();
     await this.waitForDisk();
     this.entries = entriesAfter(position, this.entries);
-    this.adoptedSnapshot = { position, data };
+    this.adoptedSnapshot = { position };
   }
 
   /** See `ReplicaStore`. */
-  currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown } {
+  currentSnapshot(): { readonly position: SnapshotPosition } {
     return this.adoptedSnapshot;
   }
 
@@ -218,7 +231,7 @@
 
   /** See `ReplicaStore`. */
   openSnapshot(): Promise<SnapshotSource> {
-    const { position, data } = this.adoptedSnapshot;
+    const { position, data } = this.content;
     return Promise.resolve(snapshotFromMemory(position, data));
   }
 
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -3,10 +3,12 @@
  * applies committed entries. Events that arrive during a disk sync are queued and share the next sync.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { readText } from '../model/value-text.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
+import { MessageSender } from './message-sender.js';
 import { RaftCore } from './raft-core.js';
 import type {
   LogEntry,
@@ -18,6 +20,7 @@
   ReplicaId,
   SnapshotPosition,
 } from './raft-types.js';
+import { replicaLimits, type ReplicaLimits } from './replica-limits.js';
 
 const TICK_INTERVAL_MS = 20;
 
@@ -47,6 +50,8 @@
 export interface ReplicaOptions extends RaftOptions {
   /** Number of applied entries after which a snapshot replaces the log. */
   readonly snapshotEveryEntries: number;
+  /** Limits in bytes; by default those of a machine whose memory is not known. */
+  readonly limits?: ReplicaLimits;
 }
 
 /** Counters of the driver. */
@@ -60,7 +65,6 @@
 /** A snapshot that is being written. */
 interface Compaction {
   readonly position: SnapshotPosition;
-  readonly data: unknown;
   written: Promise<void>;
   done: boolean;
 }
@@ -80,7 +84,9 @@
   /** Start time of the batch that is being processed; null when there is none. */
   private batchStartMs: number | null = null;
   private stopped = false;
+  private readonly limits: ReplicaLimits;
   private readonly applier: EntryApplier;
+  private readonly sender: MessageSender;
   private compaction: Compaction | null = null;
 
   constructor(
@@ -91,12 +97,19 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
+    this.limits = options.limits ?? replicaLimits(null);
+    const onFailure = (error: unknown): void => {
+      this.fail(error);
+    };
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
-    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
-      this.fail(error);
+    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, onFailure, {
+      store: storage,
+      sliceBytes: this.limits.messageBytes,
     });
+    this.sender = new MessageSender(storage, ports, onFailure);
+    storage.releaseInitialState();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -134,6 +147,8 @@
   async stop(): Promise<void> {
     this.stopped = true;
     this.cancelTick();
+    this.applier.stop();
+    this.sender.stop();
     await this.running;
     await this.compaction?.written;
     await this.storage.close();
@@ -150,6 +165,7 @@
         await this.persist(effects);
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
+        this.evictApplied();
         await this.compactIfDue();
       }
     } catch (error) {
@@ -197,7 +213,7 @@
         await this.compaction?.written;
         await this.write(async () => {
           await this.storage.writeSnapshot(step.position, step.data);
-          await this.storage.adoptSnapshot(step.position, step.data);
+          await this.storage.adoptSnapshot(step.position);
         });
         this.counters.snapshotsInstalled += 1;
         break;
@@ -218,7 +234,7 @@
         this.applier.restore(effect.data, effect.position.index);
         break;
       case 'send':
-        this.ports.send(effect.message);
+        this.sender.send(effect.message);
         break;
       case 'send-snapshot':
         this.sendSnapshot(effect.to, effect.term, effect.round);
@@ -239,8 +255,18 @@
   }
 
   private sendSnapshot(to: ReplicaId, term: number, round: number): void {
-    const { position, data } = this.storage.currentSnapshot();
-    this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
+    this.sender.sendLater(to, async () => {
+      const { position, data } = await readSnapshot(this.storage);
+      return { kind: 'snapshot-request', from: this.id, to, term, position, data, round };
+    });
+  }
+
+  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
+  private evictApplied(): void {
+    const { cachedLogBytes } = this.limits;
+    if (this.core.cachedLogBytes <= cachedLogBytes) return;
+    const toIndex = this.applier.appliedIndex;
+    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
   }
 
   /** Starts a snapshot when one is due, and adopts it once it is written. */
@@ -252,10 +278,10 @@
     }
     if (!compaction.done) return;
     this.compaction = null;
-    const { position, data } = compaction;
+    const { position } = compaction;
     if (position.index <= this.storage.currentSnapshot().position.index) return;
     await this.write(async () => {
-      await this.storage.adoptSnapshot(position, data);
+      await this.storage.adoptSnapshot(position);
     });
     this.counters.snapshotsTaken += 1;
     this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
@@ -264,12 +290,11 @@
   /** Writes the snapshot file concurrently with other work, since a large file takes longer than an election timeout. */
   private startCompaction(): void {
     if (this.applier.appliedIndex < this.core.commitIndex) return;
-    const { index } = this.storage.currentSnapshot().position;
-    if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
+    if (!this.snapshotIsDue()) return;
     const position = this.appliedPosition();
     if (position === null) return;
     const data = this.stateMachine.snapshot();
-    const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
+    const compaction: Compaction = { position, done: false, written: Promise.resolve() };
     this.compaction = compaction;
     const written = this.write(async () => {
       await this.storage.writeSnapshot(position, data);
@@ -284,6 +309,18 @@
     );
   }
 
+  /**
+   * Whether the log since the last snapshot has reached its number of entries, or its size in bytes. A snapshot is not written
+   * before as many bytes were logged as it takes, so that its cost is in proportion to what was logged.
+   */
+  private snapshotIsDue(): boolean {
+    const { appliedIndex } = this.applier;
+    const { index } = this.storage.currentSnapshot().position;
+    if (appliedIndex - index >= this.options.snapshotEveryEntries) return true;
+    const dueBytes = Math.max(this.limits.logBytes, this.storage.snapshotBytes);
+    return appliedIndex > index && this.storage.logBytesUpTo(appliedIndex) >= dueBytes;
+  }
+
   /** Returns the position of the last applied entry, or null while the effective membership is not committed. */
   private appliedPosition(): SnapshotPosition | null {
     const term = this.core.termAt(this.applier.appliedIndex);
@@ -292,3 +329,15 @@
     return { index: this.applier.appliedIndex, term, membership };
   }
 }
+
+async function readSnapshot(
+  store: ReplicaStore,
+): Promise<{ readonly position: SnapshotPosition; readonly data: unknown }> {
+  const source = await store.openSnapshot();
+  try {
+    const content = await source.read(0, source.bytes);
+    return readText(content.toString('utf8')) as { position: SnapshotPosition; data: unknown };
+  } finally {
+    await source.close();
+  }
+}
--- a/src/model/value-text.ts
+++ b/src/model/value-text.ts
@@ -24,7 +24,7 @@
 }
 
 /** Whether JSON preserves the value; undefined members of objects are omitted. */
-function isPlain(value: unknown): boolean {
+export function isPlain(value: unknown): boolean {
   switch (typeof value) {
     case 'string':
     case 'boolean':
--- a/src/storage/durable-file.ts
+++ b/src/storage/durable-file.ts
@@ -1,6 +1,6 @@
 /** Atomic replacement of small files: write a temporary file, sync it, rename it and sync the folder. */
 import { closeSync, fsyncSync, openSync, renameSync, writeSync } from 'node:fs';
-import { mkdir, open, readFile, rename } from 'node:fs/promises';
+import { access, mkdir, open, readFile, rename } from 'node:fs/promises';
 import { dirname } from 'node:path';
 import { Err, Ok, type Result } from '../result.js';
 import { encodeRecord, scanRecords, type CorruptionError } from './record-file.js';
@@ -57,8 +57,19 @@
   return Ok(scan.val.values[0]);
 }
 
+/** Whether a file exists. */
+export async function exists(file: string): Promise<boolean> {
+  try {
+    await access(file);
+    return true;
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return false;
+    throw error;
+  }
+}
+
 /** Returns the content of a file, or null when it does not exist. */
-export async function readIfPresent(file: string): Promise<Buffer | null> {
+async function readIfPresent(file: string): Promise<Buffer | null> {
   try {
     return await readFile(file);
   } catch (error) {
--- a/src/storage/record-file.ts
+++ b/src/storage/record-file.ts
@@ -30,11 +30,16 @@
 /** Encodes one value as a record. */
 export function encodeRecord(value: unknown): Buffer {
   const payload = Buffer.from(writeText(value));
+  return Buffer.concat([encodeHeader(payload.length, crc32(payload)), payload]);
+}
+
+/** Encodes the header of a record, given the length and the CRC-32 of its payload. */
+export function encodeHeader(payloadBytes: number, payloadChecksum: number): Buffer {
   const header = Buffer.alloc(RECORD_HEADER_BYTES);
-  header.writeUInt32BE(payload.length, 0);
+  header.writeUInt32BE(payloadBytes, 0);
   header.writeUInt32BE(crc32(header.subarray(0, 4)), 4);
-  header.writeUInt32BE(crc32(payload), 8);
-  return Buffer.concat([header, payload]);
+  header.writeUInt32BE(payloadChecksum, 8);
+  return header;
 }
 
 /**
@@ -66,19 +71,23 @@
 }
 
 function isIncomplete(remaining: Buffer): boolean {
-  if (remaining.length < RECORD_HEADER_BYTES) return true;
-  return isHeaderValid(remaining) && remaining.length < RECORD_HEADER_BYTES + remaining.readUInt32BE(0);
+  const payloadBytes = readHeader(remaining);
+  if (payloadBytes === null) return remaining.length < RECORD_HEADER_BYTES;
+  return remaining.length < RECORD_HEADER_BYTES + payloadBytes;
 }
 
-function isHeaderValid(remaining: Buffer): boolean {
-  return crc32(remaining.subarray(0, 4)) === remaining.readUInt32BE(4);
+/** Returns the length of the payload that follows a header; null if the header is incomplete or damaged. */
+export function readHeader(bytes: Buffer): number | null {
+  if (bytes.length < RECORD_HEADER_BYTES) return null;
+  return crc32(bytes.subarray(0, 4)) === bytes.readUInt32BE(4) ? bytes.readUInt32BE(0) : null;
 }
 
-function readRecord(remaining: Buffer): Result<{ value: unknown; bytes: number }, string> {
-  if (!isHeaderValid(remaining)) return Err('the checksum of a record length does not match');
-  const payloadBytes = remaining.readUInt32BE(0);
-  const payload = remaining.subarray(RECORD_HEADER_BYTES, RECORD_HEADER_BYTES + payloadBytes);
-  if (crc32(payload) !== remaining.readUInt32BE(8)) return Err('the checksum of a record does not match');
+/** Reads the complete record at the start of `bytes`; the error tells what is damaged. */
+export function readRecord(bytes: Buffer): Result<{ value: unknown; bytes: number }, string> {
+  const payloadBytes = readHeader(bytes);
+  if (payloadBytes === null) return Err('the checksum of a record length does not match');
+  const payload = bytes.subarray(RECORD_HEADER_BYTES, RECORD_HEADER_BYTES + payloadBytes);
+  if (crc32(payload) !== bytes.readUInt32BE(8)) return Err('the checksum of a record does not match');
   try {
     return Ok({ value: readText(payload.toString('utf8')), bytes: RECORD_HEADER_BYTES + payloadBytes });
   } catch (error) {
--- a/src/storage/replica-storage.ts
+++ b/src/storage/replica-storage.ts
@@ -11,18 +11,13 @@
   Membership,
   SnapshotPosition,
 } from '../consensus/raft-types.js';
+import { replicaLimits } from '../consensus/replica-limits.js';
 import { Err, Ok, type Result } from '../result.js';
-import {
-  createFolder,
-  readIfPresent,
-  readSingleRecord,
-  replaceFile,
-  replaceFileSync,
-} from './durable-file.js';
+import { createFolder, exists, readSingleRecord, replaceFile, replaceFileSync } from './durable-file.js';
 import { LogFile } from './log-file.js';
 import type { CorruptionError } from './record-file.js';
 import type { FolderIdentity, ReplicaStore, SnapshotSource } from './replica-store.js';
-import { snapshotFromMemory } from './snapshot-buffer.js';
+import { SnapshotFile, type SnapshotFileContent } from './snapshot-file.js';
 
 const IDENTITY_FILE = 'identity';
 const HARD_STATE_FILE = 'hard-state';
@@ -33,23 +28,31 @@
 export type StorageError =
   CorruptionError | { readonly kind: 'wrong-owner'; readonly folder: string; readonly detail: string };
 
-interface SnapshotFileContent {
-  readonly position: SnapshotPosition;
-  readonly data: unknown;
-}
-
 /** Snapshot position of a new folder without a log. */
 const EMPTY_POSITION: SnapshotPosition = { index: 0, term: 0, membership: { voters: [], learners: [] } };
 
+/** Options of a data folder. */
+export interface StorageOptions {
+  /** Size in bytes of the log's commands that are read into memory at a start. */
+  readonly cachedLogBytes?: number;
+}
+
+/** What the replica takes over at its start. */
+interface InitialContent {
+  readonly entries: readonly LogEntry[];
+  readonly data: unknown;
+}
+
 /** An open data folder. */
 export class ReplicaStorage implements ReplicaStore {
   private constructor(
     private readonly folder: string,
     readonly owner: FolderIdentity,
     private readonly log: LogFile,
-    private durable: DurableState,
-    private data: unknown,
-    private retained: LogEntry[],
+    private snapshotFile: SnapshotFile,
+    private position: SnapshotPosition,
+    private hardState: HardState,
+    private initial: InitialContent,
   ) {}
 
   /** Opens the folder; creates it with a new identity when it does not exist. */
@@ -57,29 +60,36 @@
     folder: string,
     name: string,
     founding = false,
+    { cachedLogBytes = replicaLimits(null).cachedLogBytes }: StorageOptions = {},
   ): Promise<Result<ReplicaStorage, StorageError>> {
     await createFolder(folder);
     const identity = await readSingleRecord(join(folder, IDENTITY_FILE));
     if (identity.err) return identity;
     if (identity.val === null) await createFiles(folder, name, founding);
-    return await openExisting(folder, name, (owner, log, durable, data, retained) => {
-      return new ReplicaStorage(folder, owner, log, durable, data, retained);
-    });
+    const files = await openFiles(folder, name, cachedLogBytes);
+    if (files.err) return files;
+    const { owner, log, snapshotFile, position, hardState, initial } = files.val;
+    return Ok(new ReplicaStorage(folder, owner, log, snapshotFile, position, hardState, initial));
   }
 
-  /** Initial state of the consensus core. */
+  /** See `ReplicaStore`. */
   get initialState(): DurableState {
-    return this.durable;
+    return { hardState: this.hardState, snapshot: this.position, entries: this.initial.entries };
   }
 
-  /** Content of the snapshot in `initialState`; null before the first snapshot. */
+  /** See `ReplicaStore`. */
   get snapshotData(): unknown {
-    return this.data;
+    return this.initial.data;
+  }
+
+  /** See `ReplicaStore`. */
+  releaseInitialState(): void {
+    this.initial = { entries: [], data: null };
   }
 
   /** Whether the membership of the log is known: the cluster was formed here, or a leader has sent its log. */
   get formed(): boolean {
-    return this.durable.snapshot.membership.voters.length > 0 || this.retained.length > 0;
+    return this.position.membership.voters.length > 0 || this.log.count > 0;
   }
 
   /** Size of the log file in bytes. */
@@ -87,30 +97,38 @@
     return this.log.bytes;
   }
 
+  /** Size of the snapshot in bytes. */
+  get snapshotBytes(): number {
+    return this.snapshotFile.bytes;
+  }
+
+  /** See `ReplicaStore`. */
+  logBytesUpTo(index: number): number {
+    return this.log.bytesUpTo(index);
+  }
+
   /** Durably writes the initial membership of a new cluster. */
   async form(membership: Membership): Promise<void> {
     const position = { index: 0, term: 0, membership };
     await this.writeSnapshot(position, null);
-    await this.adoptSnapshot(position, null);
+    await this.adoptSnapshot(position);
   }
 
   /** Durably replaces the hard state. */
   saveHardState(hardState: HardState): Promise<void> {
     replaceFileSync(join(this.folder, HARD_STATE_FILE), hardState);
-    this.durable = { ...this.durable, hardState };
+    this.hardState = hardState;
     return Promise.resolve();
   }
 
   /** Appends entries; durable after `sync`. */
   async append(entries: readonly LogEntry[]): Promise<void> {
     await this.log.append(entries);
-    this.retained.push(...entries);
   }
 
   /** Removes the entry at `fromIndex` and all later entries; durable after `sync`. */
   async truncate(fromIndex: number): Promise<void> {
     await this.log.truncate(fromIndex);
-    this.retained = this.retained.filter((entry) => entry.index < fromIndex);
   }
 
   /** Makes appended and truncated entries durable. */
@@ -120,37 +138,37 @@
 
   /** See `ReplicaStore`. */
   async writeSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
-    const content: SnapshotFileContent = { position, data };
-    await replaceFile(join(this.folder, SNAPSHOT_FILE), content);
+    const previous = this.snapshotFile;
+    this.snapshotFile = await SnapshotFile.write(join(this.folder, SNAPSHOT_FILE), { position, data });
+    await previous.release();
   }
 
   /** See `ReplicaStore`. After a crash before this call the log still has entries of the snapshot; `open` drops them. */
-  async adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void> {
-    const remaining = entriesAfter(position, this.retained);
-    if (remaining.length !== this.retained.length) await this.log.rewrite(remaining);
-    this.retained = remaining;
-    this.durable = { ...this.durable, snapshot: position, entries: remaining };
-    this.data = data;
+  async adoptSnapshot(position: SnapshotPosition): Promise<void> {
+    // The position comes first: whoever misses an entry of the log finds that the snapshot contains it.
+    this.position = position;
+    await this.log.discard(position);
   }
 
-  /** Returns the latest snapshot, to send to a replica that lacks discarded entries. */
-  currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown } {
-    return { position: this.durable.snapshot, data: this.data };
+  /** See `ReplicaStore`. */
+  currentSnapshot(): { readonly position: SnapshotPosition } {
+    return { position: this.position };
   }
 
   /** See `ReplicaStore`. */
-  readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]> {
-    return Promise.resolve(this.retained.filter(({ index }) => index >= fromIndex && index <= toIndex));
+  async readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]> {
+    return await this.log.readEntries(fromIndex, toIndex);
   }
 
   /** See `ReplicaStore`. */
   openSnapshot(): Promise<SnapshotSource> {
-    return Promise.resolve(snapshotFromMemory(this.durable.snapshot, this.data));
+    return Promise.resolve(this.snapshotFile.source());
   }
 
   /** Closes the files. */
   async close(): Promise<void> {
     await this.log.close();
+    await this.snapshotFile.release();
   }
 }
 
@@ -166,19 +184,20 @@
   await replaceFile(join(folder, IDENTITY_FILE), owner);
 }
 
-type StorageFactory = (
-  owner: FolderIdentity,
-  log: LogFile,
-  durable: DurableState,
-  data: unknown,
-  retained: LogEntry[],
-) => ReplicaStorage;
+interface OpenFiles {
+  readonly owner: FolderIdentity;
+  readonly log: LogFile;
+  readonly snapshotFile: SnapshotFile;
+  readonly position: SnapshotPosition;
+  readonly hardState: HardState;
+  readonly initial: InitialContent;
+}
 
-async function openExisting(
+async function openFiles(
   folder: string,
   name: string,
-  create: StorageFactory,
-): Promise<Result<ReplicaStorage, StorageError>> {
+  cachedBytes: number,
+): Promise<Result<OpenFiles, StorageError>> {
   const identity = await readRequired(join(folder, IDENTITY_FILE));
   if (identity.err) return identity;
   const owner = identity.val as FolderIdentity;
@@ -188,19 +207,19 @@
   }
   const hardState = await readRequired(join(folder, HARD_STATE_FILE));
   if (hardState.err) return hardState;
-  const snapshot = await readRequired(join(folder, SNAPSHOT_FILE));
+  const snapshotPath = join(folder, SNAPSHOT_FILE);
+  const snapshot = await readRequired(snapshotPath);
   if (snapshot.err) return snapshot;
+  const { position, data } = snapshot.val as SnapshotFileContent;
   const logPath = join(folder, LOG_FILE);
-  if ((await readIfPresent(logPath)) === null) return Err(missingFile(logPath));
-  const log = await LogFile.open(logPath);
+  if (!(await exists(logPath))) return Err(missingFile(logPath));
+  const log = await LogFile.open(logPath, { snapshot: position, cachedBytes });
   if (log.err) return log;
-  const { position, data } = snapshot.val as SnapshotFileContent;
-  const retained = entriesAfter(position, log.val.entries);
-  if (retained.length !== log.val.entries.length) await log.val.file.rewrite(retained);
-  const hasGap = retained[0] !== undefined && retained[0].index !== position.index + 1;
-  if (hasGap) return Err({ kind: 'corrupt-file', file: logPath, offset: 0, detail: 'entries are missing' });
-  const durable = { hardState: hardState.val as HardState, snapshot: position, entries: retained };
-  return Ok(create(owner, log.val.file, durable, data, [...retained]));
+  const { file, entries } = log.val;
+  await file.discard(position);
+  const snapshotFile = await SnapshotFile.open(snapshotPath, position);
+  const initial = { entries, data };
+  return Ok({ owner, log: file, snapshotFile, position, hardState: hardState.val as HardState, initial });
 }
 
 async function readRequired(file: string): Promise<Result<unknown, CorruptionError>> {
--- a/src/storage/replica-store.ts
+++ b/src/storage/replica-store.ts
@@ -33,14 +33,20 @@
 /** Durable state of one replica. Calls must not overlap unless a method permits it. */
 export interface ReplicaStore {
   readonly owner: FolderIdentity;
-  /** Initial state of the consensus core. */
+  /** Initial state of the consensus core; its log has the commands beyond a limit in bytes as `stored`. */
   readonly initialState: DurableState;
   /** Content of the snapshot in `initialState`; null before the first snapshot. */
   readonly snapshotData: unknown;
+  /** Frees the log and the snapshot's content in `initialState` and `snapshotData`, once the replica has taken them over. */
+  releaseInitialState(): void;
   /** Whether the membership of the log is known: the cluster was formed here, or a leader has sent its log. */
   readonly formed: boolean;
   /** Size of the log in bytes. */
   readonly logBytes: number;
+  /** Size of the latest snapshot in bytes. */
+  readonly snapshotBytes: number;
+  /** Returns the size in bytes of the log from the latest snapshot up to an entry. */
+  logBytesUpTo(index: number): number;
   /** Durably writes the initial membership of a new cluster. */
   form(membership: Membership): Promise<void>;
   /** Durably replaces the hard state. */
@@ -54,12 +60,15 @@
   /** Durably writes a snapshot without changing the log. May overlap other calls, but not another `writeSnapshot`. */
   writeSnapshot(position: SnapshotPosition, data: unknown): Promise<void>;
   /** Makes a written snapshot the current one and drops the entries that it contains. */
-  adoptSnapshot(position: SnapshotPosition, data: unknown): Promise<void>;
-  /** Returns the latest snapshot, to send to a replica that lacks discarded entries. */
-  currentSnapshot(): { readonly position: SnapshotPosition; readonly data: unknown };
-  /** Returns the entries from `fromIndex` to `toIndex`, both inclusive, with the commands that are only on disk. */
+  adoptSnapshot(position: SnapshotPosition): Promise<void>;
+  /** Returns the position of the snapshot that precedes the log. */
+  currentSnapshot(): { readonly position: SnapshotPosition };
+  /**
+   * Reads the entries from `fromIndex` to `toIndex`, both inclusive, with their commands. Entries that are truncated or
+   * discarded in the meantime are missing. May overlap other calls.
+   */
   readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]>;
-  /** Opens the latest snapshot for reading. */
+  /** Opens the latest written snapshot for reading. May overlap other calls. */
   openSnapshot(): Promise<SnapshotSource>;
   /** Closes the files. */
   close(): Promise<void>;
--- a/test/storage/replica-storage.test.ts
+++ b/test/storage/replica-storage.test.ts
@@ -97,7 +97,7 @@
     if (effect.kind === 'truncate-log') await storage.truncate(effect.fromIndex);
     if (effect.kind === 'install-snapshot') {
       await storage.writeSnapshot(effect.position, effect.data);
-      await storage.adoptSnapshot(effect.position, effect.data);
+      await storage.adoptSnapshot(effect.position);
     }
   }
   await storage.sync();
