--- a/src/consensus/message-sender.ts
+++ b/src/consensus/message-sender.ts
@@ -4,15 +4,12 @@
  */
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { entryIsStored, loadEntries } from './stored-entries.js';
-import type { RaftMessage, ReplicaId } from './raft-types.js';
-
-/** Returns the message to send, or null if it cannot be sent any more. */
-type LoadMessage = () => Promise<RaftMessage | null>;
+import type { AppendRequest, RaftMessage, ReplicaId } from './raft-types.js';
 
 /** Sender of one replica's messages. */
 export class MessageSender {
-  /** Messages that wait for a load, by peer; a peer is present while one of its messages is being loaded. */
-  private readonly waiting = new Map<ReplicaId, (RaftMessage | LoadMessage)[]>();
+  /** Messages that wait for a read, by peer; a peer is present while one of its messages is being completed. */
+  private readonly waiting = new Map<ReplicaId, RaftMessage[]>();
   private stopped = false;
 
   constructor(
@@ -23,27 +20,10 @@
 
   /** Sends a message after all earlier ones to the same peer. */
   send(message: RaftMessage): void {
-    if (message.kind === 'append-request' && message.entries.some(entryIsStored)) {
-      this.sendLater(message.to, async () => {
-        const entries = await loadEntries(this.store, message.entries);
-        return entries === null ? null : { ...message, entries };
-      });
-      return;
-    }
     const queue = this.waiting.get(message.to);
-    if (queue === undefined) this.ports.send(message);
-    else queue.push(message);
-  }
-
-  /** Sends what `load` returns, after all earlier messages to the same peer. */
-  sendLater(to: ReplicaId, load: LoadMessage): void {
-    const queue = this.waiting.get(to);
-    if (queue !== undefined) {
-      queue.push(load);
-      return;
-    }
-    this.waiting.set(to, [load]);
-    void this.drain(to);
+    if (queue !== undefined) queue.push(message);
+    else if (isComplete(message)) this.ports.send(message);
+    else void this.sendInOrder(message.to, [message]);
   }
 
   /** Sends nothing more. */
@@ -52,11 +32,11 @@
     this.waiting.clear();
   }
 
-  private async drain(to: ReplicaId): Promise<void> {
+  private async sendInOrder(to: ReplicaId, queue: RaftMessage[]): Promise<void> {
+    this.waiting.set(to, queue);
     try {
-      const queue = this.waiting.get(to) ?? [];
       for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-        const message = typeof next === 'function' ? await next() : next;
+        const message = isComplete(next) ? next : await this.complete(next);
         if (this.stopped) return;
         if (message !== null) this.ports.send(message);
       }
@@ -65,4 +45,14 @@
       if (!this.stopped) this.onFailure(error);
     }
   }
+
+  /** Returns the message with all commands; null if the log has discarded an entry in the meantime. */
+  private async complete(message: AppendRequest): Promise<AppendRequest | null> {
+    const entries = await loadEntries(this.store, message.entries);
+    return entries === null ? null : { ...message, entries };
+  }
+}
+
+function isComplete(message: RaftMessage): message is Exclude<RaftMessage, AppendRequest> {
+  return message.kind !== 'append-request' || !message.entries.some(entryIsStored);
 }
