--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -7,6 +7,8 @@
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
+import { LogCompaction } from './log-compaction.js';
+import { MessageSender } from './message-sender.js';
 import { RaftCore } from './raft-core.js';
 import type {
   DropReason,
@@ -17,7 +19,6 @@
   RaftOptions,
   RaftRole,
   ReplicaId,
-  SnapshotPosition,
 } from './raft-types.js';
 import { ReplicaQueue } from './replica-queue.js';
 import { SnapshotSender } from './snapshot-sender.js';
@@ -64,14 +65,6 @@
   eventsDropped: number;
 }
 
-/** A snapshot that is being written. */
-interface Compaction {
-  readonly position: SnapshotPosition;
-  readonly data: unknown;
-  written: Promise<void>;
-  done: boolean;
-}
-
 /** A running replica. */
 export class Replica {
   readonly core: RaftCore;
@@ -91,7 +84,8 @@
   private batchStartMs: number | null = null;
   private stopped = false;
   private readonly applier: EntryApplier;
-  private compaction: Compaction | null = null;
+  private readonly sender: MessageSender;
+  private readonly compaction: LogCompaction;
 
   constructor(
     readonly id: ReplicaId,
@@ -101,15 +95,28 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
-    const { queuedBytes, inFlightBytes } = options.limits;
+    const { messageBytes, queuedBytes, inFlightBytes } = options.limits;
     this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
+    const onFailure = (error: unknown): void => {
+      this.fail(error);
+    };
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
-    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
-      this.fail(error);
+    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, onFailure, {
+      store: storage,
+      sliceBytes: messageBytes,
     });
+    this.compaction = new LogCompaction(
+      { core: this.core, store: storage, stateMachine, applier: this.applier, onFailure },
+      async (write) => {
+        await this.write(write);
+      },
+      options,
+    );
+    this.sender = new MessageSender(storage, ports, onFailure);
     this.snapshotSender = this.createSnapshotSender();
+    storage.releaseInitialState();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -171,7 +178,9 @@
     this.stopped = true;
     this.cancelTick();
     await this.running;
-    await this.compaction?.written;
+    this.applier.stop();
+    this.sender.stop();
+    await this.compaction.written;
     await this.snapshotSender.stop();
     await this.storage.close();
   }
@@ -190,7 +199,8 @@
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
         await this.snapshotSender.sendDue();
-        await this.compactIfDue();
+        this.evictApplied();
+        await this.compact();
       }
     } catch (error) {
       this.fail(error);
@@ -234,10 +244,10 @@
         });
         break;
       case 'install-snapshot':
-        await this.compaction?.written;
+        await this.compaction.written;
         await this.write(async () => {
           await this.storage.writeSnapshot(step.position, step.data);
-          await this.storage.adoptSnapshot(step.position, step.data);
+          await this.storage.adoptSnapshot(step.position);
         });
         this.counters.snapshotsInstalled += 1;
         break;
@@ -258,7 +268,7 @@
         this.applier.restore(effect.data, effect.position.index);
         break;
       case 'send':
-        this.ports.send(effect.message);
+        this.sender.send(effect.message);
         break;
       case 'send-snapshot':
         this.snapshotSender.start(effect.to, effect.term);
@@ -290,57 +300,23 @@
       round: () => this.core.heartbeatRound,
       progress: (peer) => this.core.peerProgress(peer),
       send: (message) => {
-        this.ports.send(message);
+        this.sender.send(message);
       },
     });
   }
 
-  /** Starts a snapshot when one is due, and adopts it once it is written. */
-  private async compactIfDue(): Promise<void> {
-    const { compaction } = this;
-    if (compaction === null) {
-      this.startCompaction();
-      return;
-    }
-    if (!compaction.done) return;
-    this.compaction = null;
-    const { position, data } = compaction;
-    if (position.index <= this.storage.currentSnapshot().position.index) return;
-    await this.write(async () => {
-      await this.storage.adoptSnapshot(position, data);
-    });
+  private async compact(): Promise<void> {
+    const position = await this.compaction.advance();
+    if (position === null) return;
     this.counters.snapshotsTaken += 1;
     this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
-  /** Writes the snapshot file concurrently with other work, since a large file takes longer than an election timeout. */
-  private startCompaction(): void {
-    if (this.applier.appliedIndex < this.core.commitIndex) return;
-    const { index } = this.storage.currentSnapshot().position;
-    if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
-    const position = this.appliedPosition();
-    if (position === null) return;
-    const data = this.stateMachine.snapshot();
-    const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
-    this.compaction = compaction;
-    const written = this.write(async () => {
-      await this.storage.writeSnapshot(position, data);
-    });
-    compaction.written = written.then(
-      () => {
-        compaction.done = true;
-      },
-      (error: unknown) => {
-        this.fail(error);
-      },
-    );
-  }
-
-  /** Returns the position of the last applied entry, or null while the effective membership is not committed. */
-  private appliedPosition(): SnapshotPosition | null {
-    const term = this.core.termAt(this.applier.appliedIndex);
-    const membership = this.core.committedMembership();
-    if (term === null || membership === null) return null;
-    return { index: this.applier.appliedIndex, term, membership };
+  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
+  private evictApplied(): void {
+    const { cachedLogBytes } = this.options.limits;
+    if (this.core.cachedLogBytes <= cachedLogBytes) return;
+    const toIndex = this.applier.appliedIndex;
+    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
   }
 }
