Refuse a change that cannot be accepted without an entry in the log

Cause: a stale base or an invalid reference was proposed whole, written to every disk and then answered 412 or 400. 600 PUTs on a stale base ended all five directories, as accepted ones do.

Change: the decision about a change moves into configuration-check.ts. The state machine applies by it and the leader refuses by it. A base below the leader's revision is refused at once: the revision never falls, so every later state refuses it too. Any other refusal (a base above the revision, a version not above it, an unknown service) holds only for a current state. It is answered once a quorum has confirmed the leadership and the changes that were in flight have their outcomes, after the check is repeated. A leader that is not confirmed answers 503 and refuses nothing. A known resend is answered without a proposal, also where it came through OperatorChanges. Commands, outcomes and their effects are as they were, so old logs replay the same.

Ruled out: answering an item-mode change without newer items without a proposal. Its resend would be validated again after its services were dropped, and answered 400 after a 200.

--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -4,12 +4,11 @@
  */
 import { applyCrashCommand, revokePermitsHeldBy, type CrashCommand } from '../quarantine/crash-commands.js';
 import type { CrashRecord } from '../quarantine/crash-records.js';
+import { checkConfiguration, type ConfigurationCommand } from './configuration-check.js';
 import type {
   AssignRangesCommand,
   BeginRangeMovesCommand,
   CompleteRangeMoveCommand,
-  ConfigureItemsCommand,
-  ConfigureRevisionCommand,
   DirectoryChange,
   DirectoryCommand,
   DirectoryOutcome,
@@ -50,9 +49,8 @@
 ): AppliedCommand {
   switch (command.kind) {
     case 'configure-items':
-      return configureItems(state, command, index);
     case 'configure-revision':
-      return configureRevision(state, command, index);
+      return configure(state, command, index);
     case 'register':
       return register(state, command, index);
     case 'set-condition':
@@ -92,61 +90,20 @@
 
 // ---- configuration
 
-function configureItems(
-  state: DirectoryState,
-  command: ConfigureItemsCommand,
-  index: number,
-): AppliedCommand {
-  const { digest } = command;
-  // A resend is not validated again: it was valid when accepted, though later changes may have dropped its services.
-  if (state.accepted.some((known) => known.digest === digest)) return unchanged(DONE);
-  const newer = command.items.filter((item) => {
-    const present = state.items.get(itemKey(item.kind, item.name));
-    return present === undefined || item.version > present.version;
-  });
-  const problem = findUnknownService(state, command.items, false);
-  if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
-  state.configured = true;
-  if (digest !== undefined) recordAccepted(state, { version: newestVersion(command.items), digest });
-  return putItems(state, newer, index);
-}
-
-function configureRevision(
-  state: DirectoryState,
-  command: ConfigureRevisionCommand,
-  index: number,
-): AppliedCommand {
-  const { version, digest } = command;
-  const isResend = state.accepted.some((known) => known.version === version && known.digest === digest);
-  if (isResend) return unchanged(DONE);
-  if (command.base !== state.revision) return unchanged({ kind: 'conflict', present: state.revision });
-  if (version <= state.revision) {
-    return unchanged({ kind: 'invalid', detail: `version ${version} is not above ${state.revision}` });
-  }
-  const problem = findUnknownService(state, command.items, command.replacesAll);
-  if (problem !== null) return unchanged({ kind: 'invalid', detail: problem });
-  state.revision = version;
+function configure(state: DirectoryState, command: ConfigurationCommand, index: number): AppliedCommand {
+  const check = checkConfiguration(state, command);
+  if (check.kind === 'resend') return unchanged(DONE);
+  if (check.kind === 'refused') return unchanged(check.outcome);
+  if (command.kind === 'configure-revision') state.revision = command.version;
   state.configured = true;
-  recordAccepted(state, { version, digest });
-  const dropped = command.replacesAll ? droppedItems(state, command) : [];
-  return putItems(state, [...dropped, ...command.items], index);
+  if (check.record !== null) recordAccepted(state, check.record);
+  return putItems(state, check.items, index);
 }
 
 function recordAccepted(state: DirectoryState, change: AcceptedRevision): void {
   state.accepted = [...state.accepted, change].slice(-MAX_ACCEPTED_REVISIONS);
 }
 
-function newestVersion(items: readonly ConfigurationItem[]): number {
-  return items.reduce((newest, { version }) => Math.max(newest, version), 0);
-}
-
-function droppedItems(state: DirectoryState, command: ConfigureRevisionCommand): ConfigurationItem[] {
-  const named = new Set(command.items.map((item) => itemKey(item.kind, item.name)));
-  return [...state.items.values()]
-    .filter((item) => item.definition !== null && !named.has(itemKey(item.kind, item.name)))
-    .map((item) => ({ ...item, version: command.version, definition: null, source: null }));
-}
-
 function putItems(state: DirectoryState, items: readonly ConfigurationItem[], index: number): AppliedCommand {
   const servicesToFence = items.filter((item) => changesGrantMode(state, item)).map(({ name }) => name);
   for (const item of items) state.items.set(itemKey(item.kind, item.name), item);
@@ -182,26 +139,6 @@
   return changes;
 }
 
-/** Describes the first route destination that is not a defined service after the change; null when there is none. */
-function findUnknownService(
-  state: DirectoryState,
-  items: readonly ConfigurationItem[],
-  replacesAll: boolean,
-): string | null {
-  const inCommand = new Map(items.map((item) => [itemKey(item.kind, item.name), item]));
-  const isDefined = (service: string): boolean => {
-    const key = itemKey('service', service);
-    const item = inCommand.get(key) ?? (replacesAll ? undefined : state.items.get(key));
-    return item !== undefined && item.definition !== null;
-  };
-  for (const item of items) {
-    if (item.kind !== 'route') continue;
-    const unknown = item.definition?.destinations.find(({ service }) => !isDefined(service));
-    if (unknown !== undefined) return `route ${item.name} names the unknown service ${unknown.service}`;
-  }
-  return null;
-}
-
 // ---- back ends
 
 function register(
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -113,10 +113,13 @@
         if (items > 0) this.reporter.changed(items, steps);
       },
     );
-    this.changes = new OperatorChanges(runtime, this.proposals);
     this.confirmations = new LeadershipConfirmations(runtime, (requestId) => {
       this.replica?.submit({ kind: 'confirm-leadership', requestId });
     });
+    this.changes = new OperatorChanges(runtime, this.proposals, {
+      state: () => this.currentState,
+      confirmLeadership: async (timeoutMs) => await this.confirmations.confirm(timeoutMs),
+    });
     this.rangePlanning = new RangePlanningLoop(
       () => this.currentState,
       this.proposals,
--- a/test/directory/operator-changes.test.ts
+++ b/test/directory/operator-changes.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { Proposals } from '../../src/control/proposals.js';
 import type { DirectoryCommand, DirectoryOutcome } from '../../src/directory/directory-commands.js';
+import { emptyDirectoryState } from '../../src/directory/directory-state.js';
 import { OperatorChanges } from '../../src/directory/operator-changes.js';
 import { ManualTime } from '../sidecar/manual-runtime.js';
 
@@ -18,7 +19,8 @@
   let nextId = 0;
   const runtime = { ...time.runtime, randomId: () => `p-${(nextId += 1)}` };
   const proposals = new Proposals<DirectoryCommand, DirectoryOutcome>(runtime, (id) => submitted.push(id));
-  return { time, submitted, proposals, changes: new OperatorChanges(time.runtime, proposals) };
+  const ports = { state: emptyDirectoryState, confirmLeadership: async () => await Promise.resolve(true) };
+  return { time, submitted, proposals, changes: new OperatorChanges(time.runtime, proposals, ports) };
 }
 
 test('a change that is resent while in flight is proposed once, and each call gets its outcome', async (t) => {
