Bound a change, the changes under way and the configuration in bytes

Cause: the body of a change had up to 32 MB on a heap of 160, any number of changes were parsed and in flight at once, and nothing bounded the configuration that they led to.

Change: the operators' port takes its limit from the memory of the machine and answers 413 to a larger body, at its head where the size is stated. The rest of such a body is discarded for at most 1 s, since a reset would lose the answer. Changes that are parsed at the same time stay within the limit of one change; what is beyond gets 503 at once with Retry-After and the reason "busy". Proposed changes without an outcome stay within uncommittedBytes. A change that would make the configuration larger than stateBytes gets 413 with the sizes; one that makes it smaller is always taken. Only the leader decides this, since members may have different memory. A proposal that a leader's core drops is answered as busy.

Tests: change-limits (seeded sizes), body-limit, and one of parsing. Existing tests: the constructors' new arguments only.

--- a/src/control/proposals.ts
+++ b/src/control/proposals.ts
@@ -7,8 +7,14 @@
 /** Time in ms after which a proposal is reported as having an unknown outcome. */
 const PROPOSAL_TIMEOUT_MS = 5_000;
 
-/** Reason why a proposal has no outcome. Only `not-leader` guarantees that the command will not be applied. */
-export type ProposalError = { readonly kind: 'not-leader' } | { readonly kind: 'outcome-unknown' };
+/** Reason why a command was not appended to the log: it will not be applied. */
+export type DropReason =
+  | 'not-leader'
+  /** The leader holds as many uncommitted commands as it may. */
+  | 'busy';
+
+/** Reason why a proposal has no outcome. All but `outcome-unknown` guarantee that the command will not be applied. */
+export type ProposalError = { readonly kind: DropReason } | { readonly kind: 'outcome-unknown' };
 
 interface PendingProposal<Outcome> {
   readonly resolve: (result: Result<Outcome, ProposalError>) => void;
@@ -57,8 +63,8 @@
   }
 
   /** Settles a proposal whose command was not appended to the log. */
-  dropped(proposalId: string): void {
-    this.settle(proposalId, Err({ kind: 'not-leader' }));
+  dropped(proposalId: string, reason: DropReason = 'not-leader'): void {
+    this.settle(proposalId, Err({ kind: reason }));
   }
 
   /** Settles all pending proposals when this replica is no longer leader: the next leader may still commit them. */
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -12,7 +12,7 @@
 import { LeaseTable } from '../control/lease-table.js';
 import { parsePeerMessage } from '../control/peer-messages.js';
 import type { PeerMessage } from '../control/peer-network.js';
-import { Proposals, type ProposalError } from '../control/proposals.js';
+import { Proposals } from '../control/proposals.js';
 import { formatAddress } from '../model/socket-address.js';
 import { bucketOf, textHash } from '../model/text-hash.js';
 import { Err, Ok, type Result } from '../result.js';
@@ -22,6 +22,7 @@
 import type { EventLog } from '../telemetry/event-log.js';
 import { NO_LATENCIES, type Latencies } from '../telemetry/latencies.js';
 import { ChangeFeed } from './change-feed.js';
+import { ConfigurationSize } from './configuration-size.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { RangePlanningLoop } from './range-planning-loop.js';
 import { CrashRecordMaintenance } from '../quarantine/crash-record-maintenance.js';
@@ -40,7 +41,7 @@
 import { LeaderRequestRelay } from './leader-request-relay.js';
 import { LeadershipConfirmations } from './leadership-confirmations.js';
 import { MembershipManager } from './membership-manager.js';
-import { ANSWER_TIMEOUT_MS, changedItems, OperatorChanges } from './operator-changes.js';
+import { ANSWER_TIMEOUT_MS, changedItems, OperatorChanges, type ChangeOutcome } from './operator-changes.js';
 import { ReplicaDialer } from './replica-dialer.js';
 
 /** Interval in ms between formation queries while the initial membership is undecided. */
@@ -81,6 +82,7 @@
   /** Address of this replica, which is also its name. */
   readonly name: string;
   private currentState: DirectoryState = emptyDirectoryState();
+  private readonly configurationSize = new ConfigurationSize();
   private appliedIndex = 0;
   private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>;
   private readonly changes: OperatorChanges;
@@ -121,7 +123,9 @@
     });
     this.changes = new OperatorChanges(runtime, this.proposals, {
       state: () => this.currentState,
+      configuration: this.configurationSize,
       confirmLeadership: async (timeoutMs) => await this.confirmations.confirm(timeoutMs),
+      limits: options.limits ?? DEFAULT_RAFT_OPTIONS.limits,
     });
     this.rangePlanning = new RangePlanningLoop(
       () => this.currentState,
@@ -216,7 +220,7 @@
    * Proposes a command. Once an outcome is returned, the command is durable on a quorum. A command without an outcome
    * in time may still be committed later; a resend of it is then answered as accepted.
    */
-  async propose(command: DirectoryCommand): Promise<Result<DirectoryOutcome, ProposalError>> {
+  async propose(command: DirectoryCommand): Promise<ChangeOutcome> {
     if (!this.leading || !this.durable) return Err({ kind: 'not-leader' });
     return await this.changes.propose(command);
   }
@@ -263,6 +267,7 @@
     }
     const command = entry.payload.command as DirectoryCommand;
     const { outcome, changes } = applyDirectoryCommand(this.currentState, command, entry.index);
+    this.configurationSize.record(changes);
     this.feed.publish(entry.index, changes);
     // All replicas apply the change, but only the leader logs it.
     if (this.leading) this.reporter.crashRecords(changes);
@@ -277,6 +282,7 @@
   /** Replaces the state by a snapshot; null means the empty state. */
   restore(data: unknown, index: number): void {
     this.currentState = data === null ? emptyDirectoryState() : decodeDirectory(data as DirectorySnapshot);
+    this.configurationSize.reset(this.currentState.items.values());
     this.appliedIndex = index;
     this.feed.reset(this.currentState, index);
   }
@@ -397,7 +403,8 @@
         this.confirmations.confirmed(requestId);
       },
       onProposalDropped: (proposalId) => {
-        this.proposals.dropped(proposalId);
+        // A replica that leads drops a proposal only when it holds as many uncommitted entries as it may.
+        this.proposals.dropped(proposalId, this.leading ? 'busy' : 'not-leader');
       },
       onProposalsSynced: (proposalIds, takenMs) => {
         this.proposals.synced(proposalIds, takenMs);
--- a/test/directory/operator-changes.test.ts
+++ b/test/directory/operator-changes.test.ts
@@ -2,6 +2,8 @@
 import { Proposals } from '../../src/control/proposals.js';
 import type { DirectoryCommand, DirectoryOutcome } from '../../src/directory/directory-commands.js';
 import { emptyDirectoryState } from '../../src/directory/directory-state.js';
+import { ConfigurationSize } from '../../src/directory/configuration-size.js';
+import { replicaLimits } from '../../src/consensus/replica-limits.js';
 import { OperatorChanges } from '../../src/directory/operator-changes.js';
 import { ManualTime } from '../sidecar/manual-runtime.js';
 
@@ -19,7 +21,14 @@
   let nextId = 0;
   const runtime = { ...time.runtime, randomId: () => `p-${(nextId += 1)}` };
   const proposals = new Proposals<DirectoryCommand, DirectoryOutcome>(runtime, (id) => submitted.push(id));
-  const ports = { state: emptyDirectoryState, confirmLeadership: async () => await Promise.resolve(true) };
+  const configuration = new ConfigurationSize();
+  const limits = replicaLimits(null);
+  const ports = {
+    state: emptyDirectoryState,
+    configuration,
+    limits,
+    confirmLeadership: async () => await Promise.resolve(true),
+  };
   return { time, submitted, proposals, changes: new OperatorChanges(time.runtime, proposals, ports) };
 }
 
--- a/test/directory/refused-changes.test.ts
+++ b/test/directory/refused-changes.test.ts
@@ -4,8 +4,10 @@
  */
 import test from 'ava';
 import { Random } from '../../lab/random.js';
+import { replicaLimits } from '../../src/consensus/replica-limits.js';
 import { Proposals } from '../../src/control/proposals.js';
 import type { ConfigurationCommand } from '../../src/directory/configuration-check.js';
+import { ConfigurationSize } from '../../src/directory/configuration-size.js';
 import type { DirectoryCommand, DirectoryOutcome } from '../../src/directory/directory-commands.js';
 import { applyDirectoryCommand } from '../../src/directory/directory-machine.js';
 import {
@@ -58,6 +60,8 @@
     });
     this.changes = new OperatorChanges(runtime, this.proposals, {
       state: () => this.state,
+      configuration: new ConfigurationSize(),
+      limits: replicaLimits(null),
       confirmLeadership: async () => await Promise.resolve(this.confirmed),
     });
   }
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -187,6 +187,29 @@
   t.true(turns >= 10, `${turns} turns`);
 });
 
+test('changes that are parsed at the same time are bounded in bytes; what is beyond is refused at once', async (t) => {
+  const routes = Object.fromEntries(Array.from({ length: 300 }, (_, at) => [`r-${at}`, ROUTE]));
+  const large = call('PUT', { version: 3, routes, services: { s: SERVICE } }, '0');
+  const small = call('PUT', { version: 3, services: { s: SERVICE } }, '0');
+  const replica = new Replica(true);
+  const limitBytes = 2 * large.body.length;
+  const calls = new OperatorCalls(replica, 8_306, new Set(), NO_LATENCIES, SILENT_EVENT_LOG, limitBytes);
+  const answers = await Promise.all(
+    [large, large, large, small].map(async (sent) => await calls.handle(sent)),
+  );
+  t.deepEqual(
+    answers.map(({ status }) => status),
+    [200, 200, 503, 503],
+  );
+  t.deepEqual(answers[2]?.body, { error: 'busy' });
+  t.truthy(answers[2]?.headers?.['retry-after']);
+  t.is((await calls.handle(small)).status, 200, 'there is room again');
+  const larger = new OperatorCalls(replica, 8_306, new Set(), NO_LATENCIES, SILENT_EVENT_LOG, 10);
+  t.is((await larger.handle(large)).status, 200, 'a change that is alone');
+  t.is((await larger.handle(call('PUT', '{', '0'))).status, 400);
+  t.is((await larger.handle(large)).status, 200, 'after one that is not JSON');
+});
+
 const EVACUATIONS: readonly [string, string, number][] = [
   ['POST', '/evacuation/z-1', 200],
   ['DELETE', '/evacuation/z-1', 200],
