Bound the changes retained and the frames queued for watchers in bytes

Cause: the feed kept 1,024 changes whatever their size, and a watcher that reads slowly could hold 64 MB of frames in its connection, each of them a different part of the same changes.

Change: what is retained stays within retainedChangeBytes; a larger change is not retained, and watchers that reconnect get a table. The feed accounts for the frames in the queues of its watchers, each frame once, and disconnects those with the longest queues while all frames together are above watcherQueueBytes. They connect again and start from the shared table. A single frame may be larger than the limit and is sent all the same. The 64 MB of a connection remain for senders without a limit of their own.

Not played with real processes.

--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -2,6 +2,7 @@
  * Publishes committed changes to the daemons that watch a replica. Each change and each full table is encoded and
  * compressed once and shared by all watchers.
  */
+import { replicaLimits, type ReplicaLimits } from '../consensus/replica-limits.js';
 import type { Connection } from '../runtime/runtime.js';
 import { encodeCompactFrame } from '../transport/frame-codec.js';
 import type { DirectoryChange } from './directory-commands.js';
@@ -12,8 +13,9 @@
   type ConfigurationItem,
   type DirectoryState,
 } from './directory-state.js';
+import { WatcherQueues } from './watcher-queues.js';
 
-/** Maximum number of published changes retained for watchers that reconnect. */
+/** Maximum number of published changes retained for watchers that reconnect, within their limit in bytes. */
 const MAX_RETAINED_CHANGES = 1_024;
 
 /** Maximum number of changes sent after a cached table; beyond that, the table is encoded again. */
@@ -24,15 +26,25 @@
   readonly frame: Buffer;
 }
 
+/** Limits in bytes of the changes retained for watchers that reconnect, and of the frames queued for watchers. */
+export type FeedLimits = Pick<ReplicaLimits, 'retainedChangeBytes' | 'watcherQueueBytes'>;
+
 /** Delivers tables and changes to the watchers of one replica. */
 export class ChangeFeed {
   private readonly watchers = new Set<Connection>();
+  private readonly queues: WatcherQueues;
   private recent: Published[] = [];
+  /** Size of the frames in `recent`. */
+  private recentBytes = 0;
   /** `recent` holds every change after this index. */
   private recentAfterIndex = 0;
   private cachedTable: Published | null = null;
   private newest = 0;
 
+  constructor(private readonly limits: FeedLimits = replicaLimits(null)) {
+    this.queues = new WatcherQueues(limits.watcherQueueBytes);
+  }
+
   /** Number of watchers. */
   get size(): number {
     return this.watchers.size;
@@ -49,20 +61,22 @@
     const needsTable = fromIndex === 0 || fromIndex < this.recentAfterIndex;
     const heldIndex = needsTable ? this.sendTable(connection, state, index) : fromIndex;
     for (const published of this.recent) {
-      if (published.index > heldIndex) connection.sendEncoded(published.frame);
+      if (published.index > heldIndex) this.queues.send(connection, published.frame);
     }
+    this.disconnectSlow();
   }
 
   /** Sends a full table, which may lag the state by a few changes, and returns its index. */
   private sendTable(connection: Connection, state: DirectoryState, index: number): number {
     const table = this.table(state, index);
-    connection.sendEncoded(table.frame);
+    this.queues.send(connection, table.frame);
     return table.index;
   }
 
   /** Removes the watcher on a closed connection. */
   remove(connection: Connection): void {
     this.watchers.delete(connection);
+    this.queues.remove(connection);
   }
 
   /** Publishes the changes made by one committed command. */
@@ -71,34 +85,59 @@
     if (changes.some(isOperatorChange)) this.cachedTable = null;
     this.newest = index;
     const frame = encodeNotice({ kind: 'changes', index, changes: changes.map(withoutItemSources) });
-    this.recent.push({ index, frame });
-    if (this.recent.length > MAX_RETAINED_CHANGES)
-      this.recentAfterIndex = this.recent.shift()?.index ?? index;
-    for (const watcher of this.watchers) watcher.sendEncoded(frame);
+    this.retain({ index, frame });
+    this.sendToAll(frame);
   }
 
   /** Sends a full table to every watcher after the state was replaced by a snapshot. */
   reset(state: DirectoryState, index: number): void {
     this.recent = [];
+    this.recentBytes = 0;
     this.recentAfterIndex = index;
     this.cachedTable = null;
     this.newest = index;
     if (this.watchers.size === 0) return;
-    const { frame } = this.table(state, index);
-    for (const watcher of this.watchers) watcher.sendEncoded(frame);
+    this.sendToAll(this.table(state, index).frame);
   }
 
   /** Sends a notice to every watcher. */
   broadcast(notice: DirectoryNotice): void {
     if (this.watchers.size === 0) return;
-    const frame = encodeNotice(notice);
-    for (const watcher of this.watchers) watcher.sendEncoded(frame);
+    this.sendToAll(encodeNotice(notice));
   }
 
   /** Removes all watchers and notifies them that this replica has no leader, so that they try another replica. */
   refuseAllWatchers(): void {
     this.broadcast({ kind: 'watch-refused', reason: 'no-leader' });
-    this.watchers.clear();
+    for (const watcher of this.watchers) this.remove(watcher);
+  }
+
+  private sendToAll(frame: Buffer): void {
+    for (const watcher of this.watchers) this.queues.send(watcher, frame);
+    this.disconnectSlow();
+  }
+
+  /** Disconnects watchers that take less than is published; they connect again and start from a table. */
+  private disconnectSlow(): void {
+    for (const watcher of this.queues.removeSlow()) {
+      this.watchers.delete(watcher);
+      watcher.close('watcher is too slow');
+    }
+  }
+
+  /** Retains a change for watchers that reconnect. One that is larger than the limit is not retained: they get a table instead. */
+  private retain(published: Published): void {
+    this.recent.push(published);
+    this.recentBytes += published.frame.length;
+    let dropped = 0;
+    for (const { index, frame } of this.recent) {
+      const fits = this.recentBytes <= this.limits.retainedChangeBytes;
+      if (fits && this.recent.length - dropped <= MAX_RETAINED_CHANGES) break;
+      this.recentBytes -= frame.length;
+      this.recentAfterIndex = index;
+      dropped += 1;
+    }
+    if (dropped > 0) this.recent = this.recent.slice(dropped);
   }
 
   /**
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -77,7 +77,7 @@
 
 /** A running directory replica. */
 export class DirectoryNode implements StateMachine {
-  readonly feed = new ChangeFeed();
+  readonly feed: ChangeFeed;
   readonly id: ReplicaId;
   /** Address of this replica, which is also its name. */
   readonly name: string;
@@ -104,6 +104,8 @@
   private constructor(private readonly options: DirectoryNodeOptions) {
     const { settings, token, runtime, storage } = options;
     this.clockSkips = new ClockSkips(runtime);
+    const limits = options.limits ?? DEFAULT_RAFT_OPTIONS.limits;
+    this.feed = new ChangeFeed(limits);
     this.reporter = new DirectoryReporter(options.log, options.latencies ?? NO_LATENCIES);
     this.name = formatAddress(settings.advertised);
     this.id = `${this.name}/${storage.owner.identity}`;
@@ -125,7 +127,7 @@
       state: () => this.currentState,
       configuration: this.configurationSize,
       confirmLeadership: async (timeoutMs) => await this.confirmations.confirm(timeoutMs),
-      limits: options.limits ?? DEFAULT_RAFT_OPTIONS.limits,
+      limits,
     });
     this.rangePlanning = new RangePlanningLoop(
       () => this.currentState,
--- a/src/runtime/runtime.ts
+++ b/src/runtime/runtime.ts
@@ -24,6 +24,8 @@
   send(message: unknown): void;
   /** Queues an encoded frame, which may be shared by many receivers. */
   sendEncoded(frame: Buffer): void;
+  /** Bytes that are queued and that the network has not yet taken; missing if it takes everything at once. */
+  readonly queuedBytes?: number;
   /** Closes at once and reports `reason`; further calls have no effect. */
   close(reason: string): void;
 }
--- a/src/transport/message-connection.ts
+++ b/src/transport/message-connection.ts
@@ -8,7 +8,7 @@
 import { SilenceWatch, type SilenceTiming } from './silence-watch.js';
 import { encodeFrame, FrameDecoder } from './frame-codec.js';
 
-/** Size of the send queue in bytes above which the peer counts as stuck and is disconnected. */
+/** Size of the send queue in bytes above which the peer counts as stuck and is disconnected, if its sender has no lower limit. */
 const MAX_QUEUED_BYTES = 64 * 1024 * 1024;
 
 /** Heartbeat probe and its answer; either shows that its sender is live. */
@@ -64,6 +64,11 @@
     return !this.closed;
   }
 
+  /** Bytes that are queued and that the system has not yet taken. */
+  get queuedBytes(): number {
+    return this.socket.writableLength;
+  }
+
   /** Starts probing the peer; the connection is closed if no bytes arrive, even if it is not reset. */
   watchSilence(): void {
     if (!this.closed) this.silence.watch(SILENCE_TIMING);
@@ -78,7 +83,7 @@
   /** Queues an encoded frame, which may be shared by many receivers. */
   sendEncoded(frame: Buffer): void {
     if (this.closed) return;
-    if (this.socket.writableLength > MAX_QUEUED_BYTES) {
+    if (this.queuedBytes > MAX_QUEUED_BYTES) {
       this.close('send queue is full');
       return;
     }
