Render the configuration once for its readers and bound unread answers

Cause: each GET wrote the whole configuration anew, and an answer stayed in memory until its caller had read it, once for each caller.

Change: the text is rendered once for each change of the configuration, as one buffer that all answers share. The server accounts for the contents that are being sent, each once, and disconnects the callers of the oldest ones while the sum is above its limit, which is stateBytes at the operators' port and 32 MB elsewhere. A single content may be larger.

Existing tests: operator-calls.test.ts names the new member of its replica.

--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -22,6 +22,7 @@
 import type { EventLog } from '../telemetry/event-log.js';
 import { NO_LATENCIES, type Latencies } from '../telemetry/latencies.js';
 import { ChangeFeed } from './change-feed.js';
+import { isConfigurationCommand } from './configuration-check.js';
 import { ConfigurationSize } from './configuration-size.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
 import { RangePlanningLoop } from './range-planning-loop.js';
@@ -83,6 +84,7 @@
   readonly name: string;
   private currentState: DirectoryState = emptyDirectoryState();
   private readonly configurationSize = new ConfigurationSize();
+  private configurationChanges = 0;
   private appliedIndex = 0;
   private readonly proposals: Proposals<DirectoryCommand, DirectoryOutcome>;
   private readonly changes: OperatorChanges;
@@ -168,6 +170,11 @@
     return this.currentState;
   }
 
+  /** Number that rises with each change of the configuration in `state`, for what is derived from it. */
+  get configurationVersion(): number {
+    return this.configurationChanges;
+  }
+
   /** Whether this replica is the leader and its state is current. */
   get leading(): boolean {
     return this.replica?.leading === true && this.leadingTerm === this.replica.core.term;
@@ -270,6 +277,7 @@
     const command = entry.payload.command as DirectoryCommand;
     const { outcome, changes } = applyDirectoryCommand(this.currentState, command, entry.index);
     this.configurationSize.record(changes);
+    if (isConfigurationCommand(command)) this.configurationChanges += 1;
     this.feed.publish(entry.index, changes);
     // All replicas apply the change, but only the leader logs it.
     if (this.leading) this.reporter.crashRecords(changes);
@@ -285,6 +293,7 @@
   restore(data: unknown, index: number): void {
     this.currentState = data === null ? emptyDirectoryState() : decodeDirectory(data as DirectorySnapshot);
     this.configurationSize.reset(this.currentState.items.values());
+    this.configurationChanges += 1;
     this.appliedIndex = index;
     this.feed.reset(this.currentState, index);
   }
--- a/test/platform/body-limit.test.ts
+++ b/test/platform/body-limit.test.ts
@@ -18,7 +18,10 @@
   const raise = (error: unknown): never => {
     throw error;
   };
-  const started = await JsonServer.start({ host: HOST, port }, handle, raise, undefined, LIMIT_BYTES);
+  const started = await JsonServer.start({ host: HOST, port }, handle, raise, undefined, {
+    bodyBytes: LIMIT_BYTES,
+    answerBytes: LIMIT_BYTES,
+  });
   t.teardown(() => {
     started.unwrap().close();
   });
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -110,6 +110,7 @@
 
 class Replica implements OperatedReplica {
   readonly leaderElsewhere = '10.0.0.2:7620';
+  configurationVersion = 0;
   readonly proposed: DirectoryCommand[] = [];
   /** Digests of committed changes. */
   readonly accepted = new Set<string>();
