--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -7,6 +7,7 @@
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
+import { MessageSender } from './message-sender.js';
 import { RaftCore } from './raft-core.js';
 import type {
   DropReason,
@@ -65,7 +66,6 @@
 /** A snapshot that is being written. */
 interface Compaction {
   readonly position: SnapshotPosition;
-  readonly data: unknown;
   written: Promise<void>;
   done: boolean;
 }
@@ -88,6 +88,7 @@
   private batchStartMs: number | null = null;
   private stopped = false;
   private readonly applier: EntryApplier;
+  private readonly sender: MessageSender;
   private compaction: Compaction | null = null;
 
   constructor(
@@ -98,15 +99,28 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
-    const { queuedBytes, inFlightBytes } = options.limits;
-    this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
+    const { limits } = options;
+    const onFailure = (error: unknown): void => {
+      this.fail(error);
+    };
+    this.queue = new ReplicaQueue(limits.queuedBytes, limits.inFlightBytes);
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
-    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
-      this.fail(error);
+    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, onFailure, {
+      store: storage,
+      sliceBytes: limits.messageBytes,
     });
-    this.snapshotSender = this.createSnapshotSender();
+    this.sender = new MessageSender(storage, ports, onFailure);
+    this.snapshotSender = new SnapshotSender({
+      core: this.core,
+      store: storage,
+      messageBytes: limits.messageBytes,
+      send: (message) => {
+        this.sender.send(message);
+      },
+    });
+    storage.releaseInitialState();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -152,6 +166,8 @@
   async stop(): Promise<void> {
     this.stopped = true;
     this.cancelTick();
+    this.applier.stop();
+    this.sender.stop();
     await this.running;
     await this.compaction?.written;
     await this.snapshotSender.stop();
@@ -170,6 +186,7 @@
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
         await this.snapshotSender.sendDue();
+        this.evictApplied();
         await this.compactIfDue();
       }
     } catch (error) {
@@ -217,7 +234,7 @@
         await this.compaction?.written;
         await this.write(async () => {
           await this.storage.writeSnapshot(step.position, step.data);
-          await this.storage.adoptSnapshot(step.position, step.data);
+          await this.storage.adoptSnapshot(step.position);
         });
         this.counters.snapshotsInstalled += 1;
         break;
@@ -238,7 +255,7 @@
         this.applier.restore(effect.data, effect.position.index);
         break;
       case 'send':
-        this.ports.send(effect.message);
+        this.sender.send(effect.message);
         break;
       case 'send-snapshot':
         this.snapshotSender.start(effect.to, effect.term);
@@ -261,18 +278,12 @@
     }
   }
 
-  private createSnapshotSender(): SnapshotSender {
-    return new SnapshotSender({
-      id: this.id,
-      store: this.storage,
-      messageBytes: this.options.limits.messageBytes,
-      term: () => this.core.term,
-      round: () => this.core.heartbeatRound,
-      progress: (peer) => this.core.peerProgress(peer),
-      send: (message) => {
-        this.ports.send(message);
-      },
-    });
+  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
+  private evictApplied(): void {
+    const { cachedLogBytes } = this.options.limits;
+    if (this.core.cachedLogBytes <= cachedLogBytes) return;
+    const toIndex = this.applier.appliedIndex;
+    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
   }
 
   /** Starts a snapshot when one is due, and adopts it once it is written. */
@@ -284,10 +295,10 @@
     }
     if (!compaction.done) return;
     this.compaction = null;
-    const { position, data } = compaction;
+    const { position } = compaction;
     if (position.index <= this.storage.currentSnapshot().position.index) return;
     await this.write(async () => {
-      await this.storage.adoptSnapshot(position, data);
+      await this.storage.adoptSnapshot(position);
     });
     this.counters.snapshotsTaken += 1;
     this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
@@ -296,12 +307,11 @@
   /** Writes the snapshot file concurrently with other work, since a large file takes longer than an election timeout. */
   private startCompaction(): void {
     if (this.applier.appliedIndex < this.core.commitIndex) return;
-    const { index } = this.storage.currentSnapshot().position;
-    if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
+    if (!this.snapshotIsDue()) return;
     const position = this.appliedPosition();
     if (position === null) return;
     const data = this.stateMachine.snapshot();
-    const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
+    const compaction: Compaction = { position, done: false, written: Promise.resolve() };
     this.compaction = compaction;
     const written = this.write(async () => {
       await this.storage.writeSnapshot(position, data);
@@ -316,6 +326,18 @@
     );
   }
 
+  /**
+   * Whether the log since the last snapshot has reached its number of entries, or its size in bytes. A snapshot is not written
+   * before as many bytes were logged as it takes, so that its cost is in proportion to what was logged.
+   */
+  private snapshotIsDue(): boolean {
+    const { appliedIndex } = this.applier;
+    const { index } = this.storage.currentSnapshot().position;
+    if (appliedIndex - index >= this.options.snapshotEveryEntries) return true;
+    const dueBytes = Math.max(this.options.limits.logBytes, this.storage.snapshotBytes);
+    return appliedIndex > index && this.storage.logBytesUpTo(appliedIndex) >= dueBytes;
+  }
+
   /** Returns the position of the last applied entry, or null while the effective membership is not committed. */
   private appliedPosition(): SnapshotPosition | null {
     const term = this.core.termAt(this.applier.appliedIndex);
--- a/src/consensus/snapshot-sender.ts
+++ b/src/consensus/snapshot-sender.ts
@@ -7,24 +7,18 @@
  */
 import type { ReplicaStore, SnapshotSource } from '../storage/replica-store.js';
 import { readText } from '../model/value-text.js';
+import type { RaftCore } from './raft-core.js';
 import type { RaftMessage, ReplicaId, SnapshotPartAnswer, SnapshotPosition } from './raft-types.js';
-import type { PeerProgress } from './replication-progress.js';
 
 /** Base64 writes three bytes as four characters. */
 const BASE64_RATIO = 0.75;
 
 /** State of the replica that sends, and its outgoing messages. */
 export interface SnapshotSenderPorts {
-  readonly id: ReplicaId;
+  readonly core: Pick<RaftCore, 'id' | 'term' | 'heartbeatRound' | 'peerProgress'>;
   readonly store: Pick<ReplicaStore, 'openSnapshot'>;
   /** Maximum size of a message in bytes. */
   readonly messageBytes: number;
-  /** Current term. */
-  term(): number;
-  /** Latest heartbeat round. */
-  round(): number;
-  /** Progress of a peer; undefined unless this replica is the leader. */
-  progress(peer: ReplicaId): Readonly<PeerProgress> | undefined;
   send(message: RaftMessage): void;
 }
 
@@ -75,13 +69,13 @@
   }
 
   private isNeeded({ to, term, source }: Transfer): boolean {
-    const progress = this.ports.progress(to);
-    if (progress?.mode !== 'snapshot' || term !== this.ports.term()) return false;
+    const progress = this.ports.core.peerProgress(to);
+    if (progress?.mode !== 'snapshot' || term !== this.ports.core.term) return false;
     return source === null || progress.matchIndex < source.position.index;
   }
 
   private isDue({ to, sentRound }: Transfer): boolean {
-    return sentRound === null || (this.ports.progress(to)?.answeredRound ?? 0) > sentRound;
+    return sentRound === null || (this.ports.core.peerProgress(to)?.answeredRound ?? 0) > sentRound;
   }
 
   private async end(transfer: Transfer): Promise<void> {
@@ -92,7 +86,7 @@
   private async sendPart(transfer: Transfer): Promise<void> {
     const { to, term, offset } = transfer;
     const source = await this.sourceOf(transfer);
-    const head = { from: this.ports.id, to, term, round: this.ports.round() };
+    const head = { from: this.ports.core.id, to, term, round: this.ports.core.heartbeatRound };
     transfer.sentRound = head.round;
     if (this.mustSendWhole(to, source)) {
       const text = (await source.read(0, source.bytes)).toString('utf8');
@@ -115,6 +109,9 @@
   }
 
   private mustSendWhole(to: ReplicaId, source: SnapshotSource): boolean {
-    return source.bytes <= this.ports.messageBytes || this.ports.progress(to)?.acceptsSnapshotParts !== true;
+    return (
+      source.bytes <= this.ports.messageBytes ||
+      this.ports.core.peerProgress(to)?.acceptsSnapshotParts !== true
+    );
   }
 }
