Admit one message that is larger than the queue beside ticks and votes

Such a message fitted only into a queue without any event, so that a tick that waited for the disk dropped it. It now fits if no other event with content waits. Test: replica-queue (failed before).

--- a/src/consensus/replica-queue.ts
+++ b/src/consensus/replica-queue.ts
@@ -22,9 +22,11 @@
 export class ReplicaQueue {
   private events: QueuedEvent[] = [];
   private queuedBytes = 0;
+  /** Number of waiting events with content that others choose. */
+  private largeEvents = 0;
 
   /**
-   * @param maxBytes size in bytes of the events that may wait; a single larger one fits into an empty queue
+   * @param maxBytes size in bytes of the events that may wait; a larger one fits if no other with content waits
    * @param maxBatchBytes size in bytes of the events that are taken at once; a single larger one is taken alone
    */
   constructor(
@@ -50,6 +52,7 @@
     if (!isIndispensable(event) && !this.hasRoomFor(bytes)) return false;
     this.events.push({ event, bytes });
     this.queuedBytes += bytes;
+    if (isLarge(bytes)) this.largeEvents += 1;
     return true;
   }
 
@@ -61,6 +64,7 @@
       if (count > 0 && bytes + queued.bytes > this.maxBatchBytes) break;
       bytes += queued.bytes;
       count += 1;
+      if (isLarge(queued.bytes)) this.largeEvents -= 1;
     }
     this.queuedBytes -= bytes;
     return this.events.splice(0, count).map(({ event }) => event);
@@ -68,11 +72,14 @@
 
   private hasRoomFor(bytes: number): boolean {
     if (this.events.length >= MAX_EVENTS) return false;
-    if (bytes <= SMALL_EVENT_BYTES) return true;
-    return this.queuedBytes + bytes <= this.maxBytes || this.events.length === 0;
+    return !isLarge(bytes) || this.largeEvents === 0 || this.queuedBytes + bytes <= this.maxBytes;
   }
 }
 
+function isLarge(bytes: number): boolean {
+  return bytes > SMALL_EVENT_BYTES;
+}
+
 function isIndispensable(event: RaftEvent): boolean {
   switch (event.kind) {
     case 'propose':
--- a/test/consensus/replica-queue.test.ts
+++ b/test/consensus/replica-queue.test.ts
@@ -80,5 +80,7 @@
   );
   t.deepEqual(batches.flat(), events);
   t.is(queue.bytes, 0);
-  t.true(queue.push(append(2048 * KIB)), 'a single larger event fits into an empty queue');
+  t.true(queue.push({ kind: 'tick' }));
+  t.true(queue.push(append(2048 * KIB)), 'a process of an earlier version sends larger messages');
+  t.false(queue.push(append(1)));
 });
