--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -7,6 +7,7 @@
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
+import { LogCompaction } from './log-compaction.js';
 import { MessageSender } from './message-sender.js';
 import { RaftCore } from './raft-core.js';
 import type {
@@ -18,7 +19,6 @@
   RaftOptions,
   RaftRole,
   ReplicaId,
-  SnapshotPosition,
 } from './raft-types.js';
 import { ReplicaQueue } from './replica-queue.js';
 import { SnapshotSender } from './snapshot-sender.js';
@@ -56,6 +56,8 @@
 /** Counters of the driver. */
 export interface ReplicaCounters {
   syncs: number;
+  /** Time in ms for which batches waited for the disk. */
+  diskMs: number;
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
@@ -63,18 +65,12 @@
   eventsDropped: number;
 }
 
-/** A snapshot that is being written. */
-interface Compaction {
-  readonly position: SnapshotPosition;
-  written: Promise<void>;
-  done: boolean;
-}
-
 /** A running replica. */
 export class Replica {
   readonly core: RaftCore;
   readonly counters: ReplicaCounters = {
     syncs: 0,
+    diskMs: 0,
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
@@ -89,7 +85,7 @@
   private stopped = false;
   private readonly applier: EntryApplier;
   private readonly sender: MessageSender;
-  private compaction: Compaction | null = null;
+  private readonly compaction: LogCompaction;
 
   constructor(
     readonly id: ReplicaId,
@@ -99,27 +95,27 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
-    const { limits } = options;
+    const { messageBytes, queuedBytes, inFlightBytes } = options.limits;
+    this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
     const onFailure = (error: unknown): void => {
       this.fail(error);
     };
-    this.queue = new ReplicaQueue(limits.queuedBytes, limits.inFlightBytes);
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
     this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, onFailure, {
       store: storage,
-      sliceBytes: limits.messageBytes,
+      sliceBytes: messageBytes,
     });
-    this.sender = new MessageSender(storage, ports, onFailure);
-    this.snapshotSender = new SnapshotSender({
-      core: this.core,
-      store: storage,
-      messageBytes: limits.messageBytes,
-      send: (message) => {
-        this.sender.send(message);
+    this.compaction = new LogCompaction(
+      { core: this.core, store: storage, stateMachine, applier: this.applier, onFailure },
+      async (write) => {
+        await this.write(write);
       },
-    });
+      options,
+    );
+    this.sender = new MessageSender(storage, ports, onFailure);
+    this.snapshotSender = this.createSnapshotSender();
     storage.releaseInitialState();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
@@ -142,11 +138,26 @@
   }
 
   /** Time in ms for which the disk has delayed the current batch of events; 0 when there is none. */
-  private get diskDelayMs(): number {
+  get diskDelayMs(): number {
     return this.batchStartMs === null ? 0 : this.runtime.nowMs() - this.batchStartMs;
   }
 
-  /** Size in bytes of the events that wait for the disk. */
+  /** Size of the log on disk, in bytes. */
+  get logBytes(): number {
+    return this.storage.logBytes;
+  }
+
+  /** Index of the last entry that the snapshot contains. */
+  get snapshotIndex(): number {
+    return this.storage.currentSnapshot().position.index;
+  }
+
+  /** Number of events that wait for the batch in progress. */
+  get queuedEvents(): number {
+    return this.queue.length;
+  }
+
+  /** Approximate size in bytes of the events that wait for the batch in progress. */
   get queuedBytes(): number {
     return this.queue.bytes;
   }
@@ -166,10 +177,10 @@
   async stop(): Promise<void> {
     this.stopped = true;
     this.cancelTick();
+    await this.running;
     this.applier.stop();
     this.sender.stop();
-    await this.running;
-    await this.compaction?.written;
+    await this.compaction.written;
     await this.snapshotSender.stop();
     await this.storage.close();
   }
@@ -182,12 +193,14 @@
         const events = this.queue.takeBatch();
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
+        const steppedMs = this.runtime.nowMs();
         await this.persist(effects);
+        this.counters.diskMs += this.runtime.nowMs() - steppedMs;
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
         await this.snapshotSender.sendDue();
         this.evictApplied();
-        await this.compactIfDue();
+        await this.compact();
       }
     } catch (error) {
       this.fail(error);
@@ -231,7 +244,7 @@
         });
         break;
       case 'install-snapshot':
-        await this.compaction?.written;
+        await this.compaction.written;
         await this.write(async () => {
           await this.storage.writeSnapshot(step.position, step.data);
           await this.storage.adoptSnapshot(step.position);
@@ -278,71 +291,29 @@
     }
   }
 
-  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
-  private evictApplied(): void {
-    const { cachedLogBytes } = this.options.limits;
-    if (this.core.cachedLogBytes <= cachedLogBytes) return;
-    const toIndex = this.applier.appliedIndex;
-    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
-  }
-
-  /** Starts a snapshot when one is due, and adopts it once it is written. */
-  private async compactIfDue(): Promise<void> {
-    const { compaction } = this;
-    if (compaction === null) {
-      this.startCompaction();
-      return;
-    }
-    if (!compaction.done) return;
-    this.compaction = null;
-    const { position } = compaction;
-    if (position.index <= this.storage.currentSnapshot().position.index) return;
-    await this.write(async () => {
-      await this.storage.adoptSnapshot(position);
+  private createSnapshotSender(): SnapshotSender {
+    return new SnapshotSender({
+      core: this.core,
+      store: this.storage,
+      messageBytes: this.options.limits.messageBytes,
+      send: (message) => {
+        this.sender.send(message);
+      },
     });
-    this.counters.snapshotsTaken += 1;
-    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
-  /** Writes the snapshot file concurrently with other work, since a large file takes longer than an election timeout. */
-  private startCompaction(): void {
-    if (this.applier.appliedIndex < this.core.commitIndex) return;
-    if (!this.snapshotIsDue()) return;
-    const position = this.appliedPosition();
+  private async compact(): Promise<void> {
+    const position = await this.compaction.advance();
     if (position === null) return;
-    const data = this.stateMachine.snapshot();
-    const compaction: Compaction = { position, done: false, written: Promise.resolve() };
-    this.compaction = compaction;
-    const written = this.write(async () => {
-      await this.storage.writeSnapshot(position, data);
-    });
-    compaction.written = written.then(
-      () => {
-        compaction.done = true;
-      },
-      (error: unknown) => {
-        this.fail(error);
-      },
-    );
-  }
-
-  /**
-   * Whether the log since the last snapshot has reached its number of entries, or its size in bytes. A snapshot is not written
-   * before as many bytes were logged as it takes, so that its cost is in proportion to what was logged.
-   */
-  private snapshotIsDue(): boolean {
-    const { appliedIndex } = this.applier;
-    const { index } = this.storage.currentSnapshot().position;
-    if (appliedIndex - index >= this.options.snapshotEveryEntries) return true;
-    const dueBytes = Math.max(this.options.limits.logBytes, this.storage.snapshotBytes);
-    return appliedIndex > index && this.storage.logBytesUpTo(appliedIndex) >= dueBytes;
+    this.counters.snapshotsTaken += 1;
+    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
-  /** Returns the position of the last applied entry, or null while the effective membership is not committed. */
-  private appliedPosition(): SnapshotPosition | null {
-    const term = this.core.termAt(this.applier.appliedIndex);
-    const membership = this.core.committedMembership();
-    if (term === null || membership === null) return null;
-    return { index: this.applier.appliedIndex, term, membership };
+  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
+  private evictApplied(): void {
+    const { cachedLogBytes } = this.options.limits;
+    if (this.core.cachedLogBytes <= cachedLogBytes) return;
+    const toIndex = this.applier.appliedIndex;
+    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
   }
 }
