--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -293,12 +293,9 @@
 
   private createSnapshotSender(): SnapshotSender {
     return new SnapshotSender({
-      id: this.id,
+      core: this.core,
       store: this.storage,
       messageBytes: this.options.limits.messageBytes,
-      term: () => this.core.term,
-      round: () => this.core.heartbeatRound,
-      progress: (peer) => this.core.peerProgress(peer),
       send: (message) => {
         this.sender.send(message);
       },
