--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -153,9 +153,9 @@
     logger: Logger,
     onFatal: (error: unknown) => void,
   ): Promise<Result<ControlNode, string>> {
-    const storage = await ReplicaStorage.open(settings.dataFolder, settings.name);
-    if (storage.err) return Err(describeStorageError(storage.val));
     const limits = processReplicaLimits(null);
+    const storage = await ReplicaStorage.open(settings.dataFolder, settings.name, false, limits);
+    if (storage.err) return Err(describeStorageError(storage.val));
     const options = { settings, token, runtime: nodeRuntime, storage: storage.val, logger, onFatal, limits };
     return await ControlNode.startWith(options);
   }
