Bound what control's watch hub stores and queues in bytes

Cause: the hub kept 4,096 published changes whatever their size, and a watcher that does not read could hold 64 MB of frames. Replaying a log of large configurations filled it at a start. Change: changes stored for watchers that reconnect stay within `retainedChangeBytes`, and the queues of all watchers within `watcherQueueBytes`, as the directory's feed does; `WatcherQueues` moved to src/transport for both. A replica opens its folder within its limits. `startProcess` in client-crowd.ts also returns when the process ends, so that a test of a process that ends fails instead of waiting.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -76,7 +76,7 @@
 
 /** A running control replica. */
 export class ControlNode {
-  readonly hub = new WatchHub();
+  readonly hub: WatchHub;
   readonly sessions: SessionService;
   readonly gateway: DaemonGateway;
   readonly id: ReplicaId;
@@ -111,6 +111,7 @@
     this.storage = storage;
     this.logger = logger;
     this.id = `${name}/${storage.owner.identity}`;
+    this.hub = new WatchHub(options.limits);
     this.proposals = new Proposals(runtime, (proposalId, command) => {
       this.submitProposal(proposalId, command);
     });
--- a/src/directory/change-feed.ts
+++ b/src/directory/change-feed.ts
@@ -13,7 +13,7 @@
   type ConfigurationItem,
   type DirectoryState,
 } from './directory-state.js';
-import { WatcherQueues } from './watcher-queues.js';
+import { WatcherQueues } from '../transport/watcher-queues.js';
 
 /** Maximum number of published changes retained for watchers that reconnect, within their limit in bytes. */
 const MAX_RETAINED_CHANGES = 1_024;
--- a/test/incidents/client-crowd.ts
+++ b/test/incidents/client-crowd.ts
@@ -204,9 +204,12 @@
   t.is(await untilAnswered(ask, ended), 200);
 }
 
-/** Starts a daemon of a test as a process of its own, which reports when it listens. */
+/** Starts a daemon of a test as a process of its own, and waits until it reports that it listens, or ends. */
 export async function startProcess(script: string, argument: readonly string[]): Promise<ChildProcess> {
   const child = fork(new URL(script, import.meta.url), [...argument], { execArgv: NODE_OPTIONS });
-  await new Promise((resolve) => child.once('message', resolve));
+  await new Promise((resolve) => {
+    child.once('message', resolve);
+    child.once('exit', resolve);
+  });
   return child;
 }
--- a/test/incidents/large-logs.ts
+++ b/test/incidents/large-logs.ts
@@ -44,11 +44,7 @@
 
 /** A replica that runs as a process under the heap limit of a deployment. */
 export class ReplicaProcess {
-  private hasEnded = false;
-
-  private constructor(private readonly child: ChildProcess) {
-    child.once('exit', () => (this.hasEnded = true));
-  }
+  private constructor(private readonly child: ChildProcess) {}
 
   static async start(t: ExecutionContext, script: string, args: readonly string[]): Promise<ReplicaProcess> {
     const started = new ReplicaProcess(await startProcess(script, args));
@@ -58,7 +54,7 @@
 
   /** Whether the process has ended. */
   get ended(): boolean {
-    return this.hasEnded;
+    return this.child.exitCode !== null || this.child.signalCode !== null;
   }
 
   /** Largest resident memory so far, in MiB. */
--- a/test/incidents/start-from-a-large-log.test.ts
+++ b/test/incidents/start-from-a-large-log.test.ts
@@ -62,16 +62,16 @@
 
 const LOGS: readonly LargeLog[] = [
   {
-    name: 'of 500 changes of 0.3 MB',
-    entries: 500,
+    name: 'of 600 changes of 0.3 MB',
+    entries: 600,
     routes: 352,
     sourceBytes: 560,
     snapshotRoutes: 0,
     chained: true,
   },
   {
-    name: 'of 500 refused changes of 0.3 MB',
-    entries: 500,
+    name: 'of 600 refused changes of 0.3 MB',
+    entries: 600,
     routes: 352,
     sourceBytes: 560,
     snapshotRoutes: 0,
@@ -115,21 +115,45 @@
   return { items, revision: 0, configured: true, accepted: [], instances: [], ranges: [] };
 }
 
-async function checkStart(
+/** A kind of replica, and how it is started and read. */
+interface ReplicaKind {
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly folder: string;
+  /** Returns the newest version in force; null while none is served. */
+  readVersion(): Promise<unknown>;
+}
+
+async function startAndRead(
   t: ExecutionContext,
-  folder: string,
-  ports: object,
-  operator: number,
+  kind: ReplicaKind,
   version: number,
 ): Promise<ReplicaProcess> {
-  const directory = await ReplicaProcess.start(t, './directory-process.js', [JSON.stringify(ports), folder]);
-  const isServed = await directory.waitUntil(
-    async () => (await readDocument(operator, '/config'))?.version === version,
+  const replica = await ReplicaProcess.start(t, kind.script, kind.args);
+  const isServed = await replica.waitUntil(
+    async () => (await kind.readVersion()) === version,
     START_TIMEOUT_MS,
   );
-  t.false(directory.ended, 'the process has ended');
+  t.false(replica.ended, 'the process has ended');
   t.true(isServed, 'the newest version is read back');
-  return directory;
+  return replica;
+}
+
+/** Starts a replica from its folder, kills it once a snapshot has replaced the log, and starts it again. */
+async function checkStarts(t: ExecutionContext, kind: ReplicaKind, version: number): Promise<void> {
+  const first = await startAndRead(t, kind, version);
+  const isCompacted = await first.waitUntil(
+    () => Promise.resolve(statSync(join(kind.folder, 'log')).size < COMPACTED_BYTES),
+    START_TIMEOUT_MS,
+  );
+  const firstPeak = first.peakMib();
+  t.log(`peak ${Math.round(firstPeak)} MiB`);
+  t.true(isCompacted, 'a snapshot replaces the log');
+  t.true(firstPeak < MEMORY_BOUND_MIB, `${firstPeak} MiB`);
+  await first.kill();
+  const second = await startAndRead(t, kind, version);
+  t.log(`peak ${Math.round(second.peakMib())} MiB at the next start`);
+  t.true(second.peakMib() < MEMORY_BOUND_MIB, `${second.peakMib()} MiB`);
 }
 
 for (const log of LOGS) {
@@ -139,17 +163,67 @@
     await createDataFolder(folder, `${HOST}:${ports.replica}`, stateBefore(log));
     appendCommands(folder, log.entries, (index) => changeAt(log, index));
     const version = log.chained ? log.entries : 1;
-    const first = await checkStart(t, folder, ports, ports.operator, version);
-    const isCompacted = await first.waitUntil(
-      () => Promise.resolve(statSync(join(folder, 'log')).size < COMPACTED_BYTES),
-      START_TIMEOUT_MS,
-    );
-    t.true(isCompacted, 'a snapshot replaces the log');
-    const firstPeak = first.peakMib();
-    await first.kill();
-    const second = await checkStart(t, folder, ports, ports.operator, version);
-    t.log(`peak ${Math.round(firstPeak)} MiB, then ${Math.round(second.peakMib())} MiB`);
-    t.true(firstPeak < MEMORY_BOUND_MIB, `${firstPeak} MiB`);
-    t.true(second.peakMib() < MEMORY_BOUND_MIB, `${second.peakMib()} MiB`);
+    const kind = {
+      script: './directory-process.js',
+      args: [JSON.stringify(ports), folder],
+      folder,
+      readVersion: async () => (await readDocument(ports.operator, '/config'))?.version,
+    };
+    await checkStarts(t, kind, version);
+  });
+}
+
+const TOKEN = 'token-of-the-control-tests';
+
+function service(port: number, revision: number): object {
+  const backends = { [`b${port}`]: { zone: 'z', address: { host: '10.0.0.1', port } } };
+  const endpoints = Array.from({ length: 100 }, (_, at) => ({
+    method: 'GET',
+    path: `/${revision}/${at}/${'p'.repeat(200)}`,
+    repeatable: true,
+  }));
+  const times = { deadlineMs: 2_000, repeatHorizonMs: 30_000 };
+  const placement = { toleratedImbalance: 1.1, maxMovesPerMinute: 60 };
+  return {
+    division: 'spread',
+    shards: 1,
+    slots: 6,
+    connections: 20,
+    ...times,
+    endpoints,
+    placement,
+    backends,
+  };
+}
+
+function documentOf(revision: number): object {
+  const services = Array.from({ length: 12 }, (_, at) => [`s${at}`, service(at + 1, revision)] as const);
+  return { version: 1, services: Object.fromEntries(services) };
+}
+
+const CONTROL_LOGS = [
+  ['changes of 0.3 MB', true],
+  ['refused changes of 0.3 MB', false],
+] as const;
+
+for (const [name, chained] of CONTROL_LOGS) {
+  test.serial(`a control replica starts again from a log of 500 ${name}, within its memory`, async (t) => {
+    const folder = temporaryFolder(t);
+    const ports = { listen: await freePort(), operator: await freePort() };
+    await createDataFolder(folder, 'control', null);
+    appendCommands(folder, 500, (index) => ({
+      kind: 'configure',
+      submissionId: `change-${index}`,
+      baseRevision: chained ? index - 1 : 0,
+      document: documentOf(index),
+    }));
+    const headers = { authorization: `Bearer ${TOKEN}` };
+    const kind = {
+      script: './control-process.js',
+      args: [JSON.stringify(ports), folder, TOKEN],
+      folder,
+      readVersion: async () => (await readDocument(ports.operator, '/v1/configuration', headers))?.revision,
+    };
+    await checkStarts(t, kind, chained ? 500 : 1);
   });
 }
