--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -76,7 +76,7 @@
 
 /** A running control replica. */
 export class ControlNode {
-  readonly hub = new WatchHub();
+  readonly hub: WatchHub;
   readonly sessions: SessionService;
   readonly gateway: DaemonGateway;
   readonly id: ReplicaId;
@@ -111,6 +111,7 @@
     this.storage = storage;
     this.logger = logger;
     this.id = `${name}/${storage.owner.identity}`;
+    this.hub = new WatchHub(options.limits);
     this.proposals = new Proposals(runtime, (proposalId, command) => {
       this.submitProposal(proposalId, command);
     });
@@ -153,9 +154,9 @@
     logger: Logger,
     onFatal: (error: unknown) => void,
   ): Promise<Result<ControlNode, string>> {
-    const storage = await ReplicaStorage.open(settings.dataFolder, settings.name);
-    if (storage.err) return Err(describeStorageError(storage.val));
     const limits = processReplicaLimits(null);
+    const storage = await ReplicaStorage.open(settings.dataFolder, settings.name, false, limits);
+    if (storage.err) return Err(describeStorageError(storage.val));
     const options = { settings, token, runtime: nodeRuntime, storage: storage.val, logger, onFatal, limits };
     return await ControlNode.startWith(options);
   }
