Size each event that waits for a disk only once

While a disk stalled for 50 s behind 1,500 events of 127 MB, each directory-load sized all of them again and stalled the process for 260 to 900 ms. Each event is now sized once; the bound on the queue itself is not part of this.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -319,7 +319,18 @@
   }
 }
 
+/** Sizes of queued events, which are read repeatedly while a disk stalls. */
+const eventSizes = new WeakMap<RaftEvent, number>();
+
 function eventBytes(event: RaftEvent): number {
+  const known = eventSizes.get(event);
+  if (known !== undefined) return known;
+  const bytes = contentBytes(event);
+  eventSizes.set(event, bytes);
+  return bytes;
+}
+
+function contentBytes(event: RaftEvent): number {
   switch (event.kind) {
     case 'message':
       return valueBytes(event.message);
