--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -3,13 +3,15 @@
  * applies committed entries. Events that arrive during a disk sync are queued and share the next sync.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
-import { valueBytes } from '../model/value-size.js';
 import type { ReplicaStore } from '../storage/replica-store.js';
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
+import { LogCompaction } from './log-compaction.js';
+import { MessageSender } from './message-sender.js';
 import { RaftCore } from './raft-core.js';
 import type {
+  DropReason,
   LogEntry,
   RaftEffect,
   RaftEvent,
@@ -17,8 +19,9 @@
   RaftOptions,
   RaftRole,
   ReplicaId,
-  SnapshotPosition,
 } from './raft-types.js';
+import { ReplicaQueue } from './replica-queue.js';
+import { SnapshotSender } from './snapshot-sender.js';
 
 const TICK_INTERVAL_MS = 20;
 
@@ -37,7 +40,7 @@
   send(message: RaftMessage): void;
   onRoleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void;
   onLeadershipConfirmed(requestId: number): void;
-  onProposalDropped(proposalId: string): void;
+  onProposalDropped(proposalId: string, reason: DropReason): void;
   /** Called when proposals that were dequeued at `dequeuedMs` are durable on this replica's disk. */
   onProposalsSynced?(proposalIds: readonly string[], dequeuedMs: number): void;
   /** Called when the disk failed; the process must exit, since it can no longer guarantee durability. */
@@ -58,14 +61,8 @@
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
-}
-
-/** A snapshot that is being written. */
-interface Compaction {
-  readonly position: SnapshotPosition;
-  readonly data: unknown;
-  written: Promise<void>;
-  done: boolean;
+  /** Messages and proposals dropped because too much was waiting for the disk. */
+  eventsDropped: number;
 }
 
 /** A running replica. */
@@ -77,15 +74,18 @@
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
+    eventsDropped: 0,
   };
-  private readonly queue: RaftEvent[] = [];
+  private readonly queue: ReplicaQueue;
+  private readonly snapshotSender: SnapshotSender;
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
   /** Start time of the batch that is being processed; null when there is none. */
   private batchStartMs: number | null = null;
   private stopped = false;
   private readonly applier: EntryApplier;
-  private compaction: Compaction | null = null;
+  private readonly sender: MessageSender;
+  private readonly compaction: LogCompaction;
 
   constructor(
     readonly id: ReplicaId,
@@ -95,12 +95,28 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
+    const { messageBytes, queuedBytes, inFlightBytes } = options.limits;
+    this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
+    const onFailure = (error: unknown): void => {
+      this.fail(error);
+    };
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
-    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
-      this.fail(error);
+    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, onFailure, {
+      store: storage,
+      sliceBytes: messageBytes,
     });
+    this.compaction = new LogCompaction(
+      { core: this.core, store: storage, stateMachine, applier: this.applier, onFailure },
+      async (write) => {
+        await this.write(write);
+      },
+      options,
+    );
+    this.sender = new MessageSender(storage, ports, onFailure);
+    this.snapshotSender = this.createSnapshotSender();
+    storage.releaseInitialState();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -143,14 +159,17 @@
 
   /** Approximate size in bytes of the events that wait for the batch in progress. */
   get queuedBytes(): number {
-    return this.queue.reduce((bytes, event) => bytes + eventBytes(event), 0);
+    return this.queue.bytes;
   }
 
-  /** Queues an event for the core. */
+  /** Queues an event for the core; it is dropped when too much is waiting. */
   submit(event: RaftEvent): void {
-    // While a disk write delays the queue, one pending tick is enough.
-    if (this.stopped || (event.kind === 'tick' && this.queue.at(-1)?.kind === 'tick')) return;
-    this.queue.push(event);
+    if (this.stopped) return;
+    if (!this.queue.push(event)) {
+      this.counters.eventsDropped += 1;
+      if (event.kind === 'propose') this.ports.onProposalDropped(event.proposalId, 'busy');
+      return;
+    }
     this.running ??= this.run();
   }
 
@@ -159,7 +178,10 @@
     this.stopped = true;
     this.cancelTick();
     await this.running;
-    await this.compaction?.written;
+    this.applier.stop();
+    this.sender.stop();
+    await this.compaction.written;
+    await this.snapshotSender.stop();
     await this.storage.close();
   }
 
@@ -168,7 +190,7 @@
       while (this.queue.length > 0) {
         const dequeuedMs = this.runtime.nowMs();
         this.batchStartMs = dequeuedMs;
-        const events = this.queue.splice(0);
+        const events = this.queue.takeBatch();
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
         const steppedMs = this.runtime.nowMs();
@@ -176,7 +198,9 @@
         this.counters.diskMs += this.runtime.nowMs() - steppedMs;
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
-        await this.compactIfDue();
+        await this.snapshotSender.sendDue();
+        this.evictApplied();
+        await this.compact();
       }
     } catch (error) {
       this.fail(error);
@@ -220,10 +244,10 @@
         });
         break;
       case 'install-snapshot':
-        await this.compaction?.written;
+        await this.compaction.written;
         await this.write(async () => {
           await this.storage.writeSnapshot(step.position, step.data);
-          await this.storage.adoptSnapshot(step.position, step.data);
+          await this.storage.adoptSnapshot(step.position);
         });
         this.counters.snapshotsInstalled += 1;
         break;
@@ -244,10 +268,13 @@
         this.applier.restore(effect.data, effect.position.index);
         break;
       case 'send':
-        this.ports.send(effect.message);
+        this.sender.send(effect.message);
         break;
       case 'send-snapshot':
-        this.sendSnapshot(effect.to, effect.term, effect.round);
+        this.snapshotSender.start(effect.to, effect.term);
+        break;
+      case 'snapshot-part-answered':
+        this.snapshotSender.recordAnswer(effect.answer);
         break;
       case 'commit':
         this.applier.add(effect.entries);
@@ -259,84 +286,37 @@
         this.ports.onLeadershipConfirmed(effect.requestId);
         break;
       case 'proposal-dropped':
-        this.ports.onProposalDropped(effect.proposalId);
+        this.ports.onProposalDropped(effect.proposalId, effect.reason);
         break;
     }
   }
 
-  private sendSnapshot(to: ReplicaId, term: number, round: number): void {
-    const { position, data } = this.storage.currentSnapshot();
-    this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
-  }
-
-  /** Starts a snapshot when one is due, and adopts it once it is written. */
-  private async compactIfDue(): Promise<void> {
-    const { compaction } = this;
-    if (compaction === null) {
-      this.startCompaction();
-      return;
-    }
-    if (!compaction.done) return;
-    this.compaction = null;
-    const { position, data } = compaction;
-    if (position.index <= this.storage.currentSnapshot().position.index) return;
-    await this.write(async () => {
-      await this.storage.adoptSnapshot(position, data);
+  private createSnapshotSender(): SnapshotSender {
+    return new SnapshotSender({
+      id: this.id,
+      store: this.storage,
+      messageBytes: this.options.limits.messageBytes,
+      term: () => this.core.term,
+      round: () => this.core.heartbeatRound,
+      progress: (peer) => this.core.peerProgress(peer),
+      send: (message) => {
+        this.sender.send(message);
+      },
     });
-    this.counters.snapshotsTaken += 1;
-    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
-  /** Writes the snapshot file concurrently with other work, since a large file takes longer than an election timeout. */
-  private startCompaction(): void {
-    if (this.applier.appliedIndex < this.core.commitIndex) return;
-    const { index } = this.storage.currentSnapshot().position;
-    if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
-    const position = this.appliedPosition();
+  private async compact(): Promise<void> {
+    const position = await this.compaction.advance();
     if (position === null) return;
-    const data = this.stateMachine.snapshot();
-    const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
-    this.compaction = compaction;
-    const written = this.write(async () => {
-      await this.storage.writeSnapshot(position, data);
-    });
-    compaction.written = written.then(
-      () => {
-        compaction.done = true;
-      },
-      (error: unknown) => {
-        this.fail(error);
-      },
-    );
-  }
-
-  /** Returns the position of the last applied entry, or null while the effective membership is not committed. */
-  private appliedPosition(): SnapshotPosition | null {
-    const term = this.core.termAt(this.applier.appliedIndex);
-    const membership = this.core.committedMembership();
-    if (term === null || membership === null) return null;
-    return { index: this.applier.appliedIndex, term, membership };
+    this.counters.snapshotsTaken += 1;
+    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
-}
-
-/** Sizes of queued events, which are read repeatedly while a disk stalls. */
-const eventSizes = new WeakMap<RaftEvent, number>();
-
-function eventBytes(event: RaftEvent): number {
-  const known = eventSizes.get(event);
-  if (known !== undefined) return known;
-  const bytes = contentBytes(event);
-  eventSizes.set(event, bytes);
-  return bytes;
-}
 
-function contentBytes(event: RaftEvent): number {
-  switch (event.kind) {
-    case 'message':
-      return valueBytes(event.message);
-    case 'propose':
-      return valueBytes(event.command);
-    default:
-      return 0;
+  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
+  private evictApplied(): void {
+    const { cachedLogBytes } = this.options.limits;
+    if (this.core.cachedLogBytes <= cachedLogBytes) return;
+    const toIndex = this.applier.appliedIndex;
+    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
   }
 }
