--- a/test/lab/soak/soak-network.test.ts
+++ b/test/lab/soak/soak-network.test.ts
@@ -98,3 +98,34 @@
   t.is(await ended, 'ECONNRESET');
   close(world, socket);
 });
+
+test('a held direction takes a bounded number of bytes, and passes all of them on in order once it is cleared', async (t) => {
+  const world = await makeWorld();
+  const socket = await dial(world.port);
+  socket.resume();
+  world.network.set('dialer', 'listener', { held: true });
+  const text = Array.from({ length: 3_000_000 }, (_, at) => `${at},`).join('');
+  const isTaken = new Promise<boolean>((resolve) => {
+    setTimeout(resolve, 300, false);
+    socket.write(text, () => {
+      resolve(true);
+    });
+  });
+  t.false(await isTaken);
+  t.is(world.received(), '');
+  world.network.clear();
+  while (world.received().length < text.length) await new Promise((resolve) => setTimeout(resolve, 20));
+  t.true(world.received() === text);
+  close(world, socket);
+});
+
+test('a limited bandwidth delays bytes by their number', async (t) => {
+  const world = await makeWorld();
+  const socket = await dial(world.port);
+  world.network.set('dialer', 'listener', { bytesPerMs: 1 });
+  const startMs = performance.now();
+  socket.write('x'.repeat(400));
+  await nextText(socket);
+  t.true(performance.now() - startMs >= 395);
+  close(world, socket);
+});
