Share seeds and disturbances between kinds of soak

The options of seeds, and playing them side by side, move out of planned-soak; cutting links and replacing a disk move out of the troubles of soak.

--- a/lab/cli/planned-soak-command.ts
+++ b/lab/cli/planned-soak-command.ts
@@ -1,7 +1,4 @@
 /** `aldertide-lab planned-soak`. */
-import { execFileSync } from 'node:child_process';
-import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import { EXIT_CODE } from '../../src/cli/exit-code.js';
 import {
   numberOption,
@@ -15,9 +12,7 @@
 import { CALLER_GROUPS, type CallerGroup } from '../soak/planned-work-requests.js';
 import { AnswerTimes, formatAnswers } from '../soak/answer-times.js';
 import { runPlannedWork, type PlannedWorkReport } from '../soak/planned-work-run.js';
-
-/** Root of the repository, as seen from the compiled file. */
-const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
+import { playSoakSeeds, readSoakSeeds } from './soak-seeds.js';
 
 /** Seeds that run side by side, and back ends of each of the two services. */
 const MOST_SIDE_BY_SIDE = 4;
@@ -26,35 +21,22 @@
 
 /** `planned-soak`. */
 export async function plannedSoakCommand(options: Options): Promise<number> {
-  const first = numberOption(options, 'seed', 1);
-  const count = numberOption(options, 'count', 1);
-  const sideBySide = numberOption(options, 'jobs', 1);
+  const seeds = readSoakSeeds(options, MOST_SIDE_BY_SIDE);
+  if (seeds.err) return usageError(seeds.val);
   const backendsPerService = numberOption(options, 'backends', 3);
-  if (first === null || count === null || sideBySide === null || backendsPerService === null)
-    return usageError('--seed, --count, --jobs and --backends take numbers');
-  if (sideBySide < 1 || sideBySide > MOST_SIDE_BY_SIDE)
-    return usageError(`--jobs takes a number from 1 to ${MOST_SIDE_BY_SIDE}`);
+  if (backendsPerService === null) return usageError('--backends takes a number');
   if (backendsPerService < MIN_BACKENDS || backendsPerService > MAX_BACKENDS)
     return usageError(`--backends takes a number from ${MIN_BACKENDS} to ${MAX_BACKENDS}`);
   const only = textOption(options, 'only')?.split(',') ?? null;
   const kinds = PLANNED_WORK_KINDS.filter((kind) => only?.includes(kind) ?? true);
   if (only !== null && kinds.length !== only.length)
     return usageError(`--only takes kinds of ${PLANNED_WORK_KINDS.join(', ')}, separated by commas`);
-  execFileSync(process.execPath, ['deploy/build.mjs'], { cwd: ROOT, stdio: 'ignore' });
-  const places = {
-    program: join(ROOT, 'target', 'aldertide.cjs'),
-    folder: textOption(options, 'folder') ?? join(ROOT, 'runs', 'soak'),
-  };
-  const reports: PlannedWorkReport[] = [];
-  const seeds = Array.from({ length: count }, (_, at) => first + at)[Symbol.iterator]();
-  const player = async (): Promise<void> => {
-    for (const seed of seeds) {
-      const report = await runPlannedWork({ seed, kinds, backendsPerService, ...places });
-      reports.push(report);
-      process.stderr.write(`${formatReport(report)}\n`);
-    }
-  };
-  await Promise.all(Array.from({ length: sideBySide }, player));
+  const { program, folder } = seeds.val;
+  const reports = await playSoakSeeds(seeds.val, async (seed) => {
+    const report = await runPlannedWork({ seed, kinds, backendsPerService, program, folder });
+    process.stderr.write(`${formatReport(report)}\n`);
+    return report;
+  });
   return summarize(reports, options);
 }
 
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -1,7 +1,8 @@
 /** Injects the troubles of a soak from outside the processes: by signals, on their disks and on the network. */
-import { appendFileSync, rmSync, mkdirSync } from 'node:fs';
+import { appendFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { NO_ANSWER_FAULTS, type AnswerFaults, type SoakBackend } from './soak-backend.js';
+import { degradeLinks, loseDisk } from './machine-disturbances.js';
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakOperator } from './soak-operator.js';
 import {
@@ -262,7 +263,7 @@
         break;
       case 'wipe-directory':
         await this.killAndRestart(machine, durationMs, () => {
-          wipe(machine);
+          loseDisk(machine);
         });
         break;
       case 'tear-log':
@@ -318,7 +319,7 @@
       machines.map(async (machine, at) => {
         machine.troubled = true;
         await this.killAndRestart(machine, outageMs(trouble.choice, at), () => {
-          if (machine === wiped) wipe(machine);
+          if (machine === wiped) loseDisk(machine);
         });
         machine.troubled = false;
       }),
@@ -378,19 +379,11 @@
   }
 
   private async degradeLinks(machine: SoakMachine, kind: SoakTroubleKind, durationMs: number): Promise<void> {
-    const { network, directories, sidecars } = this.fleet;
-    const others = [...directories, ...sidecars].filter((other) => other !== machine);
     const degraded = kind === 'slow-link' ? { delayMs: SLOW_LINK_MS } : { held: true };
-    const clear = { delayMs: 0, held: false };
-    for (const { name } of others) {
-      network.set(machine.name, name, degraded);
-      if (kind !== 'cut-one-way') network.set(name, machine.name, degraded);
-    }
+    const directions = kind === 'cut-one-way' ? 'outgoing' : 'both';
+    const clear = degradeLinks(this.fleet, machine, directions, degraded);
     await pause(durationMs);
-    for (const { name } of others) {
-      network.set(machine.name, name, clear);
-      network.set(name, machine.name, clear);
-    }
+    clear();
   }
 }
 
@@ -416,12 +409,6 @@
   process.signal('SIGCONT');
 }
 
-function wipe({ dataFolder }: SoakMachine): void {
-  if (dataFolder === null) return;
-  rmSync(dataFolder, { recursive: true, force: true });
-  mkdirSync(dataFolder, { recursive: true });
-}
-
 /** Appends an incomplete write to the log, as after a crash during a write. */
 function tearLog({ dataFolder }: SoakMachine): void {
   if (dataFolder !== null) appendFileSync(join(dataFolder, LOG_FILE), TORN_BYTES);
