Add change-soak: changes of the configuration under troubles of directories

Cause: no soak sends enough bytes of changes for a directory to fall behind, so none could see that directories run out of memory.

Change: aldertide-lab change-soak plays seeded series of changes (1 KB patches, 160 KB and 1 MB PUTs, stale bases, invalid ones, resends, races) against real directories on machines of 346 MB, while some are stopped, killed, lose their disks or are cut off one way or both, links are slow, and all are killed at once. Troubles last for numbers of answered changes, not for times.

A directory's metrics tell whether it votes, by which a soak knows when the next disk may be lost.

--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -4,6 +4,7 @@
 import { backendCommand } from './backend-command.js';
 import { benchCommand } from './bench-command.js';
 import { chainCommand } from './chain-command.js';
+import { changeSoakCommand } from './change-soak-command.js';
 import { demoCommand, fleetFaultsCommand, fleetRunCommand, fleetUpCommand } from './fleet-commands.js';
 import { guardsCommand } from './guards-command.js';
 import { largeSoakCommand } from './large-soak-command.js';
@@ -163,6 +164,21 @@
   .option('--json', 'Print one JSON object as the last line')
   .action(async (options: Options) => await plannedSoakCommand(options));
 
+program
+  .command('change-soak')
+  .describe(
+    'Change the configuration of real directories under troubles, judged by ends, memory and what is kept.',
+  )
+  .option('--seed', 'First seed; the next ones follow it', 1)
+  .option('--count', 'Number of seeds', 1)
+  .option('--jobs', 'Seeds that run side by side', 1)
+  .option('--directories', 'Number of directories; drawn from the seed if it is missing')
+  .option('--sidecars', 'Number of sidecars, each with a back end', 3)
+  .option('--large', 'Run as many processes as a large deployment has')
+  .option('--folder', 'Folder for settings, logs and data')
+  .option('--json', 'Print one JSON array as the last line')
+  .action(async (options: Options) => await changeSoakCommand(options));
+
 program
   .command('large-soak')
   .describe(
--- a/lab/fleet/managed-process.ts
+++ b/lab/fleet/managed-process.ts
@@ -28,6 +28,13 @@
     return this.child?.pid;
   }
 
+  /** How the process started last has ended; null while it is running. */
+  get ending(): string | null {
+    const { exitCode = null, signalCode = null } = this.child ?? {};
+    if (signalCode !== null) return `signal ${signalCode}`;
+    return exitCode === null ? null : `exit code ${exitCode}`;
+  }
+
   /** Starts the process; its output is appended to the log file. */
   start(): void {
     const log = openSync(this.logFile, 'a');
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -31,6 +31,9 @@
 /** Number of loopback networks, for soaks that run in parallel. */
 const NETWORKS = 200;
 
+/** Second number of the loopback addresses of most soaks. */
+const USUAL_NETWORK_GROUP = 20;
+
 /** A machine of a soak and its daemon process. */
 export interface SoakMachine {
   readonly name: string;
@@ -214,12 +217,14 @@
       backend: sidecar === undefined ? null : { address: backend, service: sidecar.service },
       dataFolder: machine.dataFolder,
       ...(sidecar === undefined || plan.linkMbps === undefined ? {} : { linkMbps: plan.linkMbps }),
+      ...(plan.memoryMb === undefined ? {} : { memoryMb: plan.memoryMb }),
+      ...(sidecar === undefined && plan.hasMetrics === true ? { metricsPort: STAND_IN_PORTS.metrics } : {}),
     });
   }
 
   /** Daemons use addresses of side 0, the relays in front of them those of side 1. */
   private ipOf(number: number, side: 0 | 1): string {
-    return `127.${20 + side}.${1 + (this.plan.seed % NETWORKS)}.${number}`;
+    return `127.${(this.plan.networkGroup ?? USUAL_NETWORK_GROUP) + side}.${1 + (this.plan.seed % NETWORKS)}.${number}`;
   }
 
   private settingsFile(name: string): string {
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -123,6 +123,12 @@
   readonly isRelayed: boolean;
   /** Bandwidth of the network links of the machines with back ends in Mbit/s; missing if it is not limited. */
   readonly linkMbps?: number;
+  /** Memory of the machines with directories in MB, as their settings state it; missing if it is not stated. */
+  readonly memoryMb?: number;
+  /** Whether directories serve metrics. */
+  readonly hasMetrics?: boolean;
+  /** Second number of the machines' loopback addresses, so that soaks of different kinds run side by side. */
+  readonly networkGroup?: number;
   readonly troubles: readonly SoakTrouble[];
   /** Length of the phase with troubles, in ms. */
   readonly troubledMs: number;
--- a/src/directory/directory-metrics.ts
+++ b/src/directory/directory-metrics.ts
@@ -14,6 +14,10 @@
     'Replicas that vote',
     () => node.consensus?.core.membership.voters.length ?? 0,
   );
+  metrics.value('raft_is_voter', '1 when this replica votes, by the committed membership', () => {
+    const core = node.consensus?.core;
+    return Number(core?.committedMembership()?.voters.includes(core.id) ?? false);
+  });
   metrics.value('hears_leader', '1 while a leader is heard', () => Number(node.hasRecentLeader));
   metrics.value('log_syncs', 'Syncs of the log', () => node.consensus?.counters.syncs ?? 0);
   metrics.value('snapshots_taken', 'Snapshots taken', () => node.consensus?.counters.snapshotsTaken ?? 0);
