Simulate entries that are large for a message, with members behind

Change: the simulated network measures frames between replicas, and closes a connection at one above a limit where a simulation sets it, as the transport does.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -95,13 +95,14 @@
     return this.directory.leader();
   }
 
-  /** Proposes a new version of one item and records its acknowledgement. */
-  change(name: string): void {
+  /** Proposes a new version of one item, with a text of this many characters, and records its acknowledgement. */
+  change(name: string, characters = 0): void {
     const leader = this.leader();
     if (leader === null) return;
     const version = this.nextVersion;
     this.nextVersion += 1;
-    void leader.propose({ kind: 'configure-items', items: [serviceItem(name, version)] }).then((outcome) => {
+    const items = [serviceItem(name, version, characters)];
+    void leader.propose({ kind: 'configure-items', items }).then((outcome) => {
       if (outcome.ok && outcome.val.kind === 'done') this.acknowledged.set(name, version);
     });
   }
@@ -276,9 +277,9 @@
   }
 }
 
-function serviceItem(name: string, version: number): ConfigurationItem {
+function serviceItem(name: string, version: number, characters = 0): ConfigurationItem {
   const definition = { maxConnections: 1, keyed: false, grantMode: null, coldStart: null, healthPath: null };
-  return { kind: 'service', name, version, source: `${version}`, definition };
+  return { kind: 'service', name, version, source: `${version}`.padEnd(characters), definition };
 }
 
 /** Time in ms within which an operator change must be acknowledged once no faults are active. */
--- a/lab/sim/sim-directory.ts
+++ b/lab/sim/sim-directory.ts
@@ -1,4 +1,5 @@
 /** The replicas of one simulated directory: real nodes on virtual time, network and disks, with fault injection. */
+import type { ReplicaLimits } from '../../src/consensus/replica-limits.js';
 import { DirectoryNode } from '../../src/directory/directory-node.js';
 import { DEFAULT_DIRECTORY_TIMING } from '../../src/directory/directory-settings.js';
 import { SILENT_EVENT_LOG, type EventLog } from '../../src/telemetry/event-log.js';
@@ -36,7 +37,9 @@
   | 'suspend'
   | 'cut'
   /** The other replicas receive nothing from it, while it receives from them. */
-  | 'mute';
+  | 'mute'
+  /** It receives nothing from the other replicas, while they receive from it. */
+  | 'deaf';
 
 /** Number of replicas, and the losses that they tolerate. */
 export interface SimDirectorySize {
@@ -47,6 +50,10 @@
   readonly snapshotEveryEntries: number;
   /** Processor time for writing or reading 1,000 characters of a message, in ms; default 0. */
   readonly workMsPerKilobyte?: number;
+  /** Limits in bytes of each replica; those of the usual machine when this is left out. */
+  readonly limits?: ReplicaLimits;
+  /** See `NetworkOptions`. */
+  readonly maxFrameBytes?: number;
 }
 
 /** The replicas of one directory, and their network. */
@@ -67,6 +74,7 @@
       duplicateShare: 0.01,
       maxReorderDelayMs: 4,
       workMsPerKilobyte: size.workMsPerKilobyte ?? 0,
+      ...(size.maxFrameBytes === undefined ? {} : { maxFrameBytes: size.maxFrameBytes }),
     });
     this.replicas = Array.from({ length: size.replicas }, (_, at) => this.createReplica(addressOf(at), true));
   }
@@ -164,6 +172,9 @@
       case 'mute':
         for (const { name } of this.replicas) this.network.cut(process.name, name);
         break;
+      case 'deaf':
+        for (const { name } of this.replicas) this.network.cut(name, process.name);
+        break;
       default:
         store?.crash();
         process.crash();
@@ -174,7 +185,7 @@
 
   private repairFault(fault: DirectoryFault, replica: SimReplica): void {
     if (fault === 'freeze' || fault === 'suspend') replica.process.thaw();
-    else if (fault === 'cut' || fault === 'mute') this.network.healAll();
+    else if (fault === 'cut' || fault === 'mute' || fault === 'deaf') this.network.healAll();
     // A second fault may have hit the replica while it was down, and its repair may already have restarted it.
     else if (!replica.process.alive && !replica.removed) void this.startReplica(replica);
   }
@@ -200,6 +211,7 @@
       token: SIM_TOKEN,
       runtime: simRuntime(process, this.network, () => this.nextId()),
       storage: store,
+      ...(this.size.limits === undefined ? {} : { limits: this.size.limits }),
       log: this.log,
       onFatal: (error) => {
         throw error;
--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -15,7 +15,7 @@
   PeerHandlers,
   Traffic,
 } from '../../src/runtime/runtime.js';
-import { decodeFrame } from '../../src/transport/frame-codec.js';
+import { decodeFrame, encodeFrame } from '../../src/transport/frame-codec.js';
 import { checkHello, PROTOCOL_VERSION } from '../../src/transport/hello.js';
 import type { Random } from '../random.js';
 import type { SimProcess } from './sim-process.js';
@@ -32,6 +32,20 @@
   readonly maxReorderDelayMs: number;
   /** Processor time for writing or reading 1,000 characters of a message, in ms. */
   readonly workMsPerKilobyte: number;
+  /**
+   * Largest frame between control replicas in bytes; the receiver closes the connection at a larger one. Without it, frames
+   * have any size and are not measured.
+   */
+  readonly maxFrameBytes?: number;
+}
+
+/** Largest sizes that a simulation with a limit on frames has seen between control replicas, in bytes. */
+export interface NetworkPeaks {
+  frameBytes: number;
+  /** Frames on their way over one connection. */
+  underWayBytes: number;
+  /** Connections that were closed for a frame above the limit. */
+  closedForSize: number;
 }
 
 const BYTES_PER_KILOBYTE = 1_000;
@@ -53,6 +67,7 @@
 export class SimNetwork {
   private readonly listeners = new Map<string, OpenListener>();
   private readonly cuts = new Set<string>();
+  readonly peaks: NetworkPeaks = { frameBytes: 0, underWayBytes: 0, closedForSize: 0 };
 
   constructor(
     readonly random: Random,
@@ -157,8 +172,10 @@
 class Endpoint implements Connection {
   peer: Endpoint | null = null;
   private open = true;
-  private delayed: unknown[] = [];
+  private delayed: { readonly message: unknown; readonly bytes: number }[] = [];
   private lastArrivalMs = 0;
+  /** Bytes of measured frames that are on their way to this end. */
+  private underWayBytes = 0;
 
   constructor(
     private readonly network: SimNetwork,
@@ -171,20 +188,30 @@
   send(message: unknown): void {
     if (!this.open) return;
     this.process.occupy(this.network.workMs(message));
-    this.transmitWithFaults(message);
+    this.transmitWithFaults(message, this.isMeasured ? encodeFrame(message).length : 0);
   }
 
   /** Sends a frame that is already encoded; this costs no processor time. */
   sendEncoded(frame: Buffer): void {
     const message = decodeFrame(frame);
-    if (this.open && message.ok) this.transmitWithFaults(message.val);
+    if (this.open && message.ok) this.transmitWithFaults(message.val, this.isMeasured ? frame.length : 0);
+  }
+
+  private get isMeasured(): boolean {
+    return this.betweenControl && this.network.options.maxFrameBytes !== undefined;
   }
 
-  private transmitWithFaults(message: unknown): void {
-    const { random, options } = this.network;
+  private transmitWithFaults(message: unknown, bytes: number): void {
+    const { random, options, peaks } = this.network;
+    peaks.frameBytes = Math.max(peaks.frameBytes, bytes);
+    if (bytes > (options.maxFrameBytes ?? Infinity)) {
+      peaks.closedForSize += 1;
+      this.closeByPeer();
+      return;
+    }
     if (this.betweenControl && random.fraction() < options.lossShare) return;
-    this.transmit(message);
-    if (this.betweenControl && random.fraction() < options.duplicateShare) this.transmit(message);
+    this.transmit(message, bytes);
+    if (this.betweenControl && random.fraction() < options.duplicateShare) this.transmit(message, 0);
   }
 
   close(reason: string): void {
@@ -208,7 +235,7 @@
     peer?.closeByPeer();
   }
 
-  private transmit(message: unknown): void {
+  private transmit(message: unknown, bytes: number): void {
     const { network, peer } = this;
     if (peer === null) return;
     const reorderDelayMs = this.betweenControl
@@ -218,12 +245,15 @@
     const arrivalMs = departureMs + network.drawDelayMs() + reorderDelayMs;
     const deliveryMs = this.betweenControl ? arrivalMs : Math.max(arrivalMs, this.lastArrivalMs);
     this.lastArrivalMs = deliveryMs;
-    peer.scheduleArrival(message, deliveryMs - this.process.nowTrueMs());
+    peer.scheduleArrival(message, bytes, deliveryMs - this.process.nowTrueMs());
   }
 
-  private scheduleArrival(message: unknown, afterMs: number): void {
+  private scheduleArrival(message: unknown, bytes: number, afterMs: number): void {
+    const { peaks } = this.network;
+    this.underWayBytes += bytes;
+    peaks.underWayBytes = Math.max(peaks.underWayBytes, this.underWayBytes);
     this.process.schedule(afterMs, () => {
-      this.delayed.push(message);
+      this.delayed.push({ message, bytes });
       if (this.delayed.length === 1) this.deliverDelayed();
     });
   }
@@ -238,7 +268,10 @@
   private deliverDelayed(): void {
     if (!this.open) return;
     if (this.network.canDeliver(this.peerProcess.name, this.process.name)) {
-      for (const message of this.delayed.splice(0)) this.receive(message);
+      for (const { message, bytes } of this.delayed.splice(0)) {
+        this.underWayBytes -= bytes;
+        this.receive(message);
+      }
       return;
     }
     this.process.schedule(CUT_POLL_INTERVAL_MS, () => {
