--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -218,7 +218,9 @@
       dataFolder: machine.dataFolder,
       ...(sidecar === undefined || plan.linkMbps === undefined ? {} : { linkMbps: plan.linkMbps }),
       ...(plan.memoryMb === undefined ? {} : { memoryMb: plan.memoryMb }),
-      ...(sidecar === undefined && plan.hasMetrics === true ? { metricsPort: STAND_IN_PORTS.metrics } : {}),
+      ...(sidecar === undefined && plan.hasMetrics === true
+        ? { metrics: `${STAND_IN_PORTS.metrics}/metrics` }
+        : {}),
     });
   }
 
