--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -7,8 +7,11 @@
 import { EntryApplier } from './entry-applier.js';
 import { diskSteps, type DiskStep } from './disk-steps.js';
 import { retryWhileDiskFull } from './full-disk.js';
+import { LogCompaction } from './log-compaction.js';
+import { MessageSender } from './message-sender.js';
 import { RaftCore } from './raft-core.js';
 import type {
+  DropReason,
   LogEntry,
   RaftEffect,
   RaftEvent,
@@ -16,8 +19,9 @@
   RaftOptions,
   RaftRole,
   ReplicaId,
-  SnapshotPosition,
 } from './raft-types.js';
+import { ReplicaQueue } from './replica-queue.js';
+import { SnapshotSender } from './snapshot-sender.js';
 
 const TICK_INTERVAL_MS = 20;
 
@@ -36,7 +40,7 @@
   send(message: RaftMessage): void;
   onRoleChanged(role: RaftRole, term: number, leader: ReplicaId | null): void;
   onLeadershipConfirmed(requestId: number): void;
-  onProposalDropped(proposalId: string): void;
+  onProposalDropped(proposalId: string, reason: DropReason): void;
   /** Called when proposals that were dequeued at `dequeuedMs` are durable on this replica's disk. */
   onProposalsSynced?(proposalIds: readonly string[], dequeuedMs: number): void;
   /** Called when the disk failed; the process must exit, since it can no longer guarantee durability. */
@@ -52,17 +56,13 @@
 /** Counters of the driver. */
 export interface ReplicaCounters {
   syncs: number;
+  /** Time in ms for which batches waited for the disk. */
+  diskMs: number;
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
-}
-
-/** A snapshot that is being written. */
-interface Compaction {
-  readonly position: SnapshotPosition;
-  readonly data: unknown;
-  written: Promise<void>;
-  done: boolean;
+  /** Messages and proposals dropped because too much was waiting for the disk. */
+  eventsDropped: number;
 }
 
 /** A running replica. */
@@ -70,18 +70,22 @@
   readonly core: RaftCore;
   readonly counters: ReplicaCounters = {
     syncs: 0,
+    diskMs: 0,
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
+    eventsDropped: 0,
   };
-  private readonly queue: RaftEvent[] = [];
+  private readonly queue: ReplicaQueue;
+  private readonly snapshotSender: SnapshotSender;
   private readonly cancelTick: CancelTimer;
   private running: Promise<void> | null = null;
   /** Start time of the batch that is being processed; null when there is none. */
   private batchStartMs: number | null = null;
   private stopped = false;
   private readonly applier: EntryApplier;
-  private compaction: Compaction | null = null;
+  private readonly sender: MessageSender;
+  private readonly compaction: LogCompaction;
 
   constructor(
     readonly id: ReplicaId,
@@ -91,12 +95,28 @@
     private readonly ports: ReplicaPorts,
     private readonly options: ReplicaOptions,
   ) {
+    const { messageBytes, queuedBytes, inFlightBytes } = options.limits;
+    this.queue = new ReplicaQueue(queuedBytes, inFlightBytes);
+    const onFailure = (error: unknown): void => {
+      this.fail(error);
+    };
     this.core = new RaftCore(id, storage.initialState, options, runtime.nowMs());
     this.stateMachine.restore(storage.snapshotData, storage.initialState.snapshot.index);
     const appliedIndex = storage.initialState.snapshot.index;
-    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, (error) => {
-      this.fail(error);
+    this.applier = new EntryApplier(runtime, stateMachine, appliedIndex, onFailure, {
+      store: storage,
+      sliceBytes: messageBytes,
     });
+    this.compaction = new LogCompaction(
+      { core: this.core, store: storage, stateMachine, applier: this.applier, onFailure },
+      async (write) => {
+        await this.write(write);
+      },
+      options,
+    );
+    this.sender = new MessageSender(storage, ports, onFailure);
+    this.snapshotSender = this.createSnapshotSender();
+    storage.releaseInitialState();
     this.cancelTick = runtime.every(TICK_INTERVAL_MS, () => {
       this.submit({ kind: 'tick' });
     });
@@ -118,15 +138,38 @@
   }
 
   /** Time in ms for which the disk has delayed the current batch of events; 0 when there is none. */
-  private get diskDelayMs(): number {
+  get diskDelayMs(): number {
     return this.batchStartMs === null ? 0 : this.runtime.nowMs() - this.batchStartMs;
   }
 
-  /** Queues an event for the core. */
+  /** Size of the log on disk, in bytes. */
+  get logBytes(): number {
+    return this.storage.logBytes;
+  }
+
+  /** Index of the last entry that the snapshot contains. */
+  get snapshotIndex(): number {
+    return this.storage.currentSnapshot().position.index;
+  }
+
+  /** Number of events that wait for the batch in progress. */
+  get queuedEvents(): number {
+    return this.queue.length;
+  }
+
+  /** Approximate size in bytes of the events that wait for the batch in progress. */
+  get queuedBytes(): number {
+    return this.queue.bytes;
+  }
+
+  /** Queues an event for the core; it is dropped when too much is waiting. */
   submit(event: RaftEvent): void {
-    // While a disk write delays the queue, one pending tick is enough.
-    if (this.stopped || (event.kind === 'tick' && this.queue.at(-1)?.kind === 'tick')) return;
-    this.queue.push(event);
+    if (this.stopped) return;
+    if (!this.queue.push(event)) {
+      this.counters.eventsDropped += 1;
+      if (event.kind === 'propose') this.ports.onProposalDropped(event.proposalId, 'busy');
+      return;
+    }
     this.running ??= this.run();
   }
 
@@ -135,7 +178,10 @@
     this.stopped = true;
     this.cancelTick();
     await this.running;
-    await this.compaction?.written;
+    this.applier.stop();
+    this.sender.stop();
+    await this.compaction.written;
+    await this.snapshotSender.stop();
     await this.storage.close();
   }
 
@@ -144,13 +190,17 @@
       while (this.queue.length > 0) {
         const dequeuedMs = this.runtime.nowMs();
         this.batchStartMs = dequeuedMs;
-        const events = this.queue.splice(0);
+        const events = this.queue.takeBatch();
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
+        const steppedMs = this.runtime.nowMs();
         await this.persist(effects);
+        this.counters.diskMs += this.runtime.nowMs() - steppedMs;
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
-        await this.compactIfDue();
+        await this.snapshotSender.sendDue();
+        this.evictApplied();
+        await this.compact();
       }
     } catch (error) {
       this.fail(error);
@@ -194,10 +244,10 @@
         });
         break;
       case 'install-snapshot':
-        await this.compaction?.written;
+        await this.compaction.written;
         await this.write(async () => {
           await this.storage.writeSnapshot(step.position, step.data);
-          await this.storage.adoptSnapshot(step.position, step.data);
+          await this.storage.adoptSnapshot(step.position);
         });
         this.counters.snapshotsInstalled += 1;
         break;
@@ -218,10 +268,13 @@
         this.applier.restore(effect.data, effect.position.index);
         break;
       case 'send':
-        this.ports.send(effect.message);
+        this.sender.send(effect.message);
         break;
       case 'send-snapshot':
-        this.sendSnapshot(effect.to, effect.term, effect.round);
+        this.snapshotSender.start(effect.to, effect.term);
+        break;
+      case 'snapshot-part-answered':
+        this.snapshotSender.recordAnswer(effect.answer);
         break;
       case 'commit':
         this.applier.add(effect.entries);
@@ -233,62 +286,37 @@
         this.ports.onLeadershipConfirmed(effect.requestId);
         break;
       case 'proposal-dropped':
-        this.ports.onProposalDropped(effect.proposalId);
+        this.ports.onProposalDropped(effect.proposalId, effect.reason);
         break;
     }
   }
 
-  private sendSnapshot(to: ReplicaId, term: number, round: number): void {
-    const { position, data } = this.storage.currentSnapshot();
-    this.ports.send({ kind: 'snapshot-request', from: this.id, to, term, position, data, round });
-  }
-
-  /** Starts a snapshot when one is due, and adopts it once it is written. */
-  private async compactIfDue(): Promise<void> {
-    const { compaction } = this;
-    if (compaction === null) {
-      this.startCompaction();
-      return;
-    }
-    if (!compaction.done) return;
-    this.compaction = null;
-    const { position, data } = compaction;
-    if (position.index <= this.storage.currentSnapshot().position.index) return;
-    await this.write(async () => {
-      await this.storage.adoptSnapshot(position, data);
+  private createSnapshotSender(): SnapshotSender {
+    return new SnapshotSender({
+      id: this.id,
+      store: this.storage,
+      messageBytes: this.options.limits.messageBytes,
+      term: () => this.core.term,
+      round: () => this.core.heartbeatRound,
+      progress: (peer) => this.core.peerProgress(peer),
+      send: (message) => {
+        this.sender.send(message);
+      },
     });
-    this.counters.snapshotsTaken += 1;
-    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
-  /** Writes the snapshot file concurrently with other work, since a large file takes longer than an election timeout. */
-  private startCompaction(): void {
-    if (this.applier.appliedIndex < this.core.commitIndex) return;
-    const { index } = this.storage.currentSnapshot().position;
-    if (this.applier.appliedIndex - index < this.options.snapshotEveryEntries) return;
-    const position = this.appliedPosition();
+  private async compact(): Promise<void> {
+    const position = await this.compaction.advance();
     if (position === null) return;
-    const data = this.stateMachine.snapshot();
-    const compaction: Compaction = { position, data, done: false, written: Promise.resolve() };
-    this.compaction = compaction;
-    const written = this.write(async () => {
-      await this.storage.writeSnapshot(position, data);
-    });
-    compaction.written = written.then(
-      () => {
-        compaction.done = true;
-      },
-      (error: unknown) => {
-        this.fail(error);
-      },
-    );
+    this.counters.snapshotsTaken += 1;
+    this.core.step({ kind: 'compacted', position }, this.runtime.nowMs());
   }
 
-  /** Returns the position of the last applied entry, or null while the effective membership is not committed. */
-  private appliedPosition(): SnapshotPosition | null {
-    const term = this.core.termAt(this.applier.appliedIndex);
-    const membership = this.core.committedMembership();
-    if (term === null || membership === null) return null;
-    return { index: this.applier.appliedIndex, term, membership };
+  /** Drops applied commands from memory beyond the limit; they are on disk, since effects are performed after a sync. */
+  private evictApplied(): void {
+    const { cachedLogBytes } = this.options.limits;
+    if (this.core.cachedLogBytes <= cachedLogBytes) return;
+    const toIndex = this.applier.appliedIndex;
+    this.core.step({ kind: 'evict', toIndex, keepBytes: cachedLogBytes }, this.runtime.nowMs());
   }
 }
