--- a/lab/soak/changes/change-troubles.ts
+++ b/lab/soak/changes/change-troubles.ts
@@ -4,7 +4,7 @@
 import type { SoakFleet, SoakMachine } from '../soak-fleet.js';
 import type { ChangeJournal } from './change-journal.js';
 import { DIRECTORY_TROUBLES, type ChangeTroubleKind, type PlannedTrouble } from './change-plan.js';
-import { directoryProgress, type DirectoryProgress } from './directory-revision.js';
+import { directoryProgress, type DirectoryProgress } from './directory-progress.js';
 import type { DirectoryWatch } from './directory-watch.js';
 
 const POLL_MS = 20;
