Read bodies in very small chunks one connection at a time

A crowd of callers with bodies in chunks of one byte took all of a daemon's processor time: 240 of 900 KB, and no ordinary request was answered for minutes, also after the crowd had left. Cause: the HTTP parser of Node costs some microseconds a chunk, whether the body is stored, refused or discarded; one read of 64 KB takes 40 ms and more, and all connections are read in each turn of the event loop. Ruled out: the accounts in bytes, which hold (no end, memory bounded).

Connections whose reads bring many small parts are read one at a time, and the process has as long for everything else in between; once such reads have taken 200 ms, nothing else is read in the same turn. Bodies that are refused or discarded count too. A request that did not arrive in time is looked at once more a second later, since a process that runs late may not have read it. The same in sidecars, routers, the operator's and the back end's calls, and control.

--- a/src/control/operator-body.ts
+++ b/src/control/operator-body.ts
@@ -4,6 +4,7 @@
  */
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import type { ClientMemory } from '../runtime/client-memory.js';
+import { costlyInput } from '../runtime/costly-input.js';
 import { IncomingBody, type BodyFault } from '../runtime/incoming-body.js';
 
 /** Maximum size of a request body, in bytes. */
@@ -32,16 +33,21 @@
     bodies.get(request)?.release();
     done();
   });
+  fastify.server.on('connection', (socket) => {
+    costlyInput.follow(socket);
+  });
   fastify.removeAllContentTypeParsers();
   fastify.addContentTypeParser('application/json', (request, payload, done) => {
+    const meter = costlyInput.meter(request.raw.socket);
+    payload.on('data', (chunk: Buffer) => {
+      meter.add(chunk.length);
+    });
     if (!isAllowed(request)) {
-      payload.resume();
       done(null);
       return;
     }
     const reject = (fault: BodyFault): void => {
-      payload.removeAllListeners('data');
-      payload.resume();
+      payload.off('data', store);
       done(rejection(fault));
     };
     const { 'content-length': statedText } = request.headers;
@@ -50,10 +56,11 @@
       reject('no-memory');
     });
     bodies.set(request, stored);
-    payload.on('data', (chunk: Buffer) => {
+    const store = (chunk: Buffer): void => {
       const fault = stored.add(chunk);
       if (fault !== null) reject(fault);
-    });
+    };
+    payload.on('data', store);
     payload.once('end', () => {
       const body = stored.end();
       if (body !== null) void parse(request, body.toString('utf8'), done);
--- a/src/router/caller-connections.ts
+++ b/src/router/caller-connections.ts
@@ -2,6 +2,7 @@
 import { STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import { clockMs } from '../runtime/clock.js';
+import { costlyInput } from '../runtime/costly-input.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import { nodeRuntime } from '../runtime/node-runtime.js';
 import { pause } from '../runtime/pause.js';
@@ -48,6 +49,7 @@
   attach(server: Server): void {
     server.on('connection', (socket) => {
       this.turns.connectionAccepted();
+      costlyInput.follow(socket);
       this.connectionOf(socket);
     });
     server.prependListener('request', (request, response) => {
--- a/src/router/request-body.ts
+++ b/src/router/request-body.ts
@@ -1,6 +1,7 @@
 /** Request bodies: small ones are buffered so that they can be sent again, larger ones are streamed once. */
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
+import { costlyInput } from '../runtime/costly-input.js';
 import { IncomingBody } from '../runtime/incoming-body.js';
 import { UploadStream, watchProgress, type UploadLimits } from './upload-stream.js';
 
@@ -40,7 +41,9 @@
     };
     const stored = new IncomingBody(memory, MAX_BUFFERED_BODY_BYTES, null, giveUp);
     const watch = watchProgress(stallMs, giveUp);
+    const meter = costlyInput.meter(request.socket);
     request.on('data', (chunk: Buffer) => {
+      meter.add(chunk.length);
       watch.progress();
       if (stored.add(chunk) !== null) giveUp();
     });
--- a/src/router/upload-stream.ts
+++ b/src/router/upload-stream.ts
@@ -6,6 +6,7 @@
 import { Readable } from 'node:stream';
 import { processTimers } from '../runtime/clock.js';
 import type { ClientMemory, MemoryShare } from '../runtime/client-memory.js';
+import { costlyInput, type InputMeter } from '../runtime/costly-input.js';
 import { GrowingBuffer } from '../runtime/growing-buffer.js';
 
 /** Bytes that wait for the back end from which on no more are read. */
@@ -64,6 +65,7 @@
   private isScheduled = false;
   private isWhole = false;
   private readonly share: MemoryShare;
+  private readonly meter: InputMeter;
   private readonly watch: ReturnType<typeof watchProgress>;
 
   constructor(
@@ -79,6 +81,7 @@
     };
     this.watch = watchProgress(stallMs, onStalled, () => request.isPaused());
     this.on('error', () => undefined);
+    this.meter = costlyInput.meter(request.socket);
     request.on('data', this.takeChunk);
     request.once('end', () => {
       this.isWhole = true;
@@ -103,12 +106,13 @@
     this.watch.stop();
     this.share.release();
     this.waiting.clear();
-    this.request.off('data', this.takeChunk);
     this.request.resume();
     callback(error);
   }
 
   private readonly takeChunk = (chunk: Buffer): void => {
+    this.meter.add(chunk.length);
+    if (this.destroyed) return;
     const bytes = this.waiting.length + chunk.length;
     if (!this.share.resize(this.passedBytes + this.waiting.capacityFor(bytes))) {
       this.abandon();
--- a/src/sidecar/caller-server.ts
+++ b/src/sidecar/caller-server.ts
@@ -6,6 +6,7 @@
 import { Server as NetServer, type Socket } from 'node:net';
 import type { LimitsDefinition } from '../directory/directory-state.js';
 import { ClientMemory } from '../runtime/client-memory.js';
+import { costlyInput, type InputMeter } from '../runtime/costly-input.js';
 import { IncomingBody, type BodyFault } from '../runtime/incoming-body.js';
 import { InputTurns } from '../runtime/input-turns.js';
 import { processIntervals, processTimers } from '../runtime/clock.js';
@@ -41,6 +42,9 @@
  */
 const REQUEST_TIMEOUT_MS = 60_000;
 
+/** Time in ms after which a connection is looked at again whose request did not arrive in time. */
+const LATE_RECHECK_MS = 1_000;
+
 /** Time in ms after which a caller may return whose body was refused for want of memory: others have stalled or ended by then. */
 const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 
@@ -116,6 +120,7 @@
     this.server.requestTimeout = REQUEST_TIMEOUT_MS;
     this.server.on('connection', (socket: Socket) => {
       this.turns.connectionAccepted();
+      costlyInput.follow(socket);
       const connection = new CallerConnection(socket, {
         nowMs: () => performance.now(),
         after: (ms, callback) => processTimers.after(ms, callback),
@@ -281,7 +286,7 @@
     request.once('end', () => {
       open.recordRead();
     });
-    request.resume();
+    discardBody(request, costlyInput.meter(request.socket));
   }
 
   /**
@@ -296,8 +301,20 @@
       connection.abandon();
       return;
     }
-    const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
     const isLate = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isLate && !connection.isBusy) {
+      // If this process runs late, the request may have arrived and not have been read.
+      processTimers.after(LATE_RECHECK_MS, () => {
+        if (!connection.isBusy) this.rejectInput(connection, error.code);
+      });
+      return;
+    }
+    this.rejectInput(connection, error.code);
+  }
+
+  private rejectInput(connection: CallerConnection, code: string | undefined): void {
+    const tooLarge = code === 'HPE_HEADER_OVERFLOW';
+    const isLate = code === 'ERR_HTTP_REQUEST_TIMEOUT';
     if (connection.isBusy) {
       const unreceived = connection.endAfterAnswers();
       if (unreceived === null) return;
@@ -330,10 +347,11 @@
     answer: CallerAnswer,
     done: (body: Buffer) => void,
   ): IncomingBody {
+    const meter = costlyInput.meter(request.socket);
     const reject = (fault: BodyFault): void => {
       request.removeAllListeners('data');
       request.removeAllListeners('end');
-      request.resume();
+      discardBody(request, meter);
       this.rejectEarly(request, answer, BODY_REJECTIONS[fault]);
     };
     // A smaller limit that arrives meanwhile does not hold for this request.
@@ -344,6 +362,7 @@
       reject('no-memory');
     });
     request.on('data', (chunk: Buffer) => {
+      meter.add(chunk.length);
       const fault = stored.add(chunk);
       if (fault !== null) reject(fault);
     });
@@ -380,6 +399,13 @@
   }
 }
 
+/** Reads the rest of a body without storing it. */
+function discardBody(request: IncomingMessage, meter: InputMeter): void {
+  request.on('data', (chunk: Buffer) => {
+    meter.add(chunk.length);
+  });
+}
+
 function headerBytes(headers: readonly string[]): number {
   let bytes = 0;
   for (const text of headers) bytes += text.length + 2;
