Tell callers of a directory why a proposal was dropped as the core told it

The reason was guessed from whether the replica leads, which is not so while its disk stalls: a full queue was then reported as 'not-leader'. The type of the reason exists once now.

--- a/src/control/proposals.ts
+++ b/src/control/proposals.ts
@@ -1,5 +1,6 @@
 /** Commands proposed on this replica that are waiting to be committed. */
 import { Err, Ok, type Result } from '../result.js';
+import type { DropReason } from '../consensus/raft-types.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { CommandOutcome, ControlCommand } from './commands.js';
 import { proposalDurations, type ProposalDurations, type ProposalTimes } from './proposal-times.js';
@@ -7,12 +8,6 @@
 /** Time in ms after which a proposal is reported as having an unknown outcome. */
 const PROPOSAL_TIMEOUT_MS = 5_000;
 
-/** Reason why a command was not appended to the log: it will not be applied. */
-export type DropReason =
-  | 'not-leader'
-  /** The leader holds as many uncommitted commands as it may. */
-  | 'busy';
-
 /** Reason why a proposal has no outcome. All but `outcome-unknown` guarantee that the command will not be applied. */
 export type ProposalError = { readonly kind: DropReason } | { readonly kind: 'outcome-unknown' };
 
--- a/src/directory/directory-node.ts
+++ b/src/directory/directory-node.ts
@@ -413,9 +413,8 @@
       onLeadershipConfirmed: (requestId) => {
         this.confirmations.confirmed(requestId);
       },
-      onProposalDropped: (proposalId) => {
-        // A replica that leads drops a proposal only when it holds as many uncommitted entries as it may.
-        this.proposals.dropped(proposalId, this.leading ? 'busy' : 'not-leader');
+      onProposalDropped: (proposalId, reason) => {
+        this.proposals.dropped(proposalId, reason);
       },
       onProposalsSynced: (proposalIds, takenMs) => {
         this.proposals.synced(proposalIds, takenMs);
