Let simulated disks return commands that are only on disk

In about half of the disks a start reads two commands into memory and the others are `stored`, so that the simulations load them back before they are applied or sent. Which disks do follows from a delay that was drawn anyway; reads take 1 ms.

--- a/lab/sim/sim-disk.ts
+++ b/lab/sim/sim-disk.ts
@@ -35,6 +35,10 @@
 const EMPTY_POSITION: SnapshotPosition = { index: 0, term: 0, membership: NO_MEMBERSHIP };
 const MIN_SYNC_MS = 0.2;
 const MAX_SYNC_MS = 4;
+const READ_MS = 1;
+
+/** Number of commands that a disk with a small limit returns at a start; later ones are `stored`. */
+const CACHED_COMMANDS = 2;
 
 /** One disk, across all incarnations of its replica. */
 export class SimDisk {
@@ -42,6 +46,8 @@
   private previousHardState: HardState;
   private nextSyncStallMs = 0;
   private full = false;
+  /** Whether a start reads only a few commands into memory. It follows from the first drawn delay, so that no other draw changes. */
+  private storesCommands: boolean | null = null;
 
   constructor(
     private readonly replica: string,
@@ -72,7 +78,8 @@
   /** Opens the disk for a new incarnation. */
   open(process: SimProcess): ReplicaStore {
     if (this.faults.losesHardState) this.durable.hardState = this.previousHardState;
-    return new SimReplicaStore(process, this.durable, this, this.faults);
+    const cachedCommands = this.storesCommands === true ? CACHED_COMMANDS : Infinity;
+    return new SimReplicaStore(process, this.durable, this, this.faults, cachedCommands);
   }
 
   /** Delays the next sync by `ms`, as on a stalling disk. */
@@ -99,7 +106,9 @@
   syncMs(): number {
     const { nextSyncStallMs } = this;
     this.nextSyncStallMs = 0;
-    return nextSyncStallMs + MIN_SYNC_MS + this.random.fraction() * (MAX_SYNC_MS - MIN_SYNC_MS);
+    const fraction = this.random.fraction();
+    this.storesCommands ??= fraction < 0.5;
+    return nextSyncStallMs + MIN_SYNC_MS + fraction * (MAX_SYNC_MS - MIN_SYNC_MS);
   }
 
   /** Draws how many of `count` unsynced writes have reached the disk at a crash. */
@@ -134,6 +143,7 @@
     private readonly content: DiskContent,
     private readonly disk: SimDisk,
     private readonly faults: DiskFaults,
+    private readonly cachedCommands: number,
   ) {
     this.owner = content.owner;
     this.entries = content.entries;
@@ -143,7 +153,7 @@
   /** See `ReplicaStore`. */
   get initialState(): DurableState {
     const { hardState, position: snapshot, entries } = this.content;
-    return { hardState, snapshot, entries };
+    return { hardState, snapshot, entries: withStoredCommands(entries, this.cachedCommands) };
   }
 
   /** See `ReplicaStore`. */
@@ -225,8 +235,11 @@
   }
 
   /** See `ReplicaStore`. */
-  readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]> {
-    return Promise.resolve(this.entries.filter(({ index }) => index >= fromIndex && index <= toIndex));
+  async readEntries(fromIndex: number, toIndex: number): Promise<readonly LogEntry[]> {
+    await new Promise<void>((resolve) => {
+      this.process.schedule(READ_MS, resolve);
+    });
+    return this.entries.filter(({ index }) => index >= fromIndex && index <= toIndex);
   }
 
   /** See `ReplicaStore`. */
@@ -268,3 +281,14 @@
     });
   }
 }
+
+function withStoredCommands(entries: readonly LogEntry[], cachedCommands: number): readonly LogEntry[] {
+  let commands = 0;
+  return entries.map((entry) => {
+    if (entry.payload.kind !== 'command') return entry;
+    commands += 1;
+    return commands <= cachedCommands
+      ? entry
+      : { ...entry, payload: { kind: 'stored', bytes: entryBytes(entry) } };
+  });
+}
