--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -56,6 +56,8 @@
 /** Counters of the driver. */
 export interface ReplicaCounters {
   syncs: number;
+  /** Time in ms for which batches waited for the disk. */
+  diskMs: number;
   entriesPersisted: number;
   snapshotsTaken: number;
   snapshotsInstalled: number;
@@ -68,6 +70,7 @@
   readonly core: RaftCore;
   readonly counters: ReplicaCounters = {
     syncs: 0,
+    diskMs: 0,
     entriesPersisted: 0,
     snapshotsTaken: 0,
     snapshotsInstalled: 0,
@@ -135,11 +138,26 @@
   }
 
   /** Time in ms for which the disk has delayed the current batch of events; 0 when there is none. */
-  private get diskDelayMs(): number {
+  get diskDelayMs(): number {
     return this.batchStartMs === null ? 0 : this.runtime.nowMs() - this.batchStartMs;
   }
 
-  /** Size in bytes of the events that wait for the disk. */
+  /** Size of the log on disk, in bytes. */
+  get logBytes(): number {
+    return this.storage.logBytes;
+  }
+
+  /** Index of the last entry that the snapshot contains. */
+  get snapshotIndex(): number {
+    return this.storage.currentSnapshot().position.index;
+  }
+
+  /** Number of events that wait for the batch in progress. */
+  get queuedEvents(): number {
+    return this.queue.length;
+  }
+
+  /** Approximate size in bytes of the events that wait for the batch in progress. */
   get queuedBytes(): number {
     return this.queue.bytes;
   }
@@ -175,7 +193,9 @@
         const events = this.queue.takeBatch();
         events.push({ kind: 'flush' });
         const effects = events.flatMap((event) => this.core.step(event, this.runtime.nowMs()));
+        const steppedMs = this.runtime.nowMs();
         await this.persist(effects);
+        this.counters.diskMs += this.runtime.nowMs() - steppedMs;
         this.notifyProposalsSynced(events, dequeuedMs);
         for (const effect of effects) this.perform(effect);
         await this.snapshotSender.sendDue();
@@ -273,12 +293,9 @@
 
   private createSnapshotSender(): SnapshotSender {
     return new SnapshotSender({
-      id: this.id,
+      core: this.core,
       store: this.storage,
       messageBytes: this.options.limits.messageBytes,
-      term: () => this.core.term,
-      round: () => this.core.heartbeatRound,
-      progress: (peer) => this.core.peerProgress(peer),
       send: (message) => {
         this.sender.send(message);
       },
--- a/test/consensus/core-group.ts
+++ b/test/consensus/core-group.ts
@@ -83,12 +83,9 @@
       this.nowMs,
     );
     const sender = new SnapshotSender({
-      id,
+      core,
       store: { openSnapshot: () => Promise.resolve(snapshotFromMemory(disk.snapshot, disk.data)) },
       messageBytes: this.options.limits.messageBytes,
-      term: () => core.term,
-      round: () => core.heartbeatRound,
-      progress: (peer) => core.peerProgress(peer),
       send: (message) => {
         this.transmit(message);
       },
