Tell why a change cannot be served, and what a directory dropped and received

`order-not-acknowledged` had `reason: null` with each 503, so that a missing leader, an undecided change and one refused for want of room looked alike.

The field `state` of a peer is left out, since `mode` and `match` tell the same.

--- a/src/consensus/replica-usage.ts
+++ b/src/consensus/replica-usage.ts
@@ -20,8 +20,6 @@
   /** Approximate size of their batches in bytes. */
   readonly inFlightBytes: number;
   readonly mode: ReplicationMode;
-  /** `snapshot` while a snapshot is on its way, `behind` while the peer lacks committed entries, else `current`. */
-  readonly state: 'current' | 'behind' | 'snapshot';
   /** Time since the peer's last answer, in ms. */
   readonly silentMs: number;
 }
@@ -43,6 +41,8 @@
   readonly queuedBytes: number;
   /** Time for which the disk has delayed the batch in progress; 0 without one. */
   readonly diskDelayMs: number;
+  /** Bytes of a snapshot that have been received from the leader so far. */
+  readonly receivedSnapshotBytes: number;
   /** Progress of the peers; empty unless this replica leads. */
   readonly peers: readonly PeerUsage[];
 }
@@ -63,6 +63,7 @@
     queuedEvents: replica.queuedEvents,
     queuedBytes: replica.queuedBytes,
     diskDelayMs: Math.round(diskDelayMs),
+    receivedSnapshotBytes: core.receivedSnapshotBytes,
     peers: peersOf(replica, nowMs),
   };
 }
@@ -71,18 +72,12 @@
   const { voters, learners } = core.membership;
   return [...voters, ...learners].flatMap((peer) => {
     const progress = peer === id ? undefined : core.peerProgress(peer);
-    return progress === undefined ? [] : [peerUsage(replicaName(peer), progress, core.commitIndex, nowMs)];
+    return progress === undefined ? [] : [peerUsage(replicaName(peer), progress, nowMs)];
   });
 }
 
-function peerUsage(
-  peer: string,
-  progress: Readonly<PeerProgress>,
-  commitIndex: number,
-  nowMs: number,
-): PeerUsage {
+function peerUsage(peer: string, progress: Readonly<PeerProgress>, nowMs: number): PeerUsage {
   const { matchIndex: match, nextIndex: next, lastAnswerMs, mode } = progress;
-  const behind = match < commitIndex ? 'behind' : 'current';
   return {
     peer,
     match,
@@ -90,7 +85,6 @@
     inFlight: Math.max(0, next - 1 - match),
     inFlightBytes: inFlightBytes(progress),
     mode,
-    state: mode === 'snapshot' ? 'snapshot' : behind,
     silentMs: Math.round(nowMs - lastAnswerMs),
   };
 }
--- a/src/directory/directory-load.ts
+++ b/src/directory/directory-load.ts
@@ -20,6 +20,9 @@
   readonly syncs: number;
   readonly diskMs: number;
   readonly entriesPersisted: number;
+  readonly eventsDropped: number;
+  readonly snapshotsTaken: number;
+  readonly snapshotsInstalled: number;
 }
 
 /** The part of a directory that its load is read from. */
@@ -50,6 +53,9 @@
       syncs: totals.syncs - previous.syncs,
       diskMs: Math.round(totals.diskMs - previous.diskMs),
       entriesPersisted: totals.entriesPersisted - previous.entriesPersisted,
+      eventsDropped: totals.eventsDropped - previous.eventsDropped,
+      snapshotsTaken: totals.snapshotsTaken - previous.snapshotsTaken,
+      snapshotsInstalled: totals.snapshotsInstalled - previous.snapshotsInstalled,
       watchers: feed.size,
       ...(consensus === null ? {} : readReplicaUsage(consensus, this.runtime.nowMs())),
     };
@@ -63,6 +69,9 @@
       syncs: counters?.syncs ?? 0,
       diskMs: counters?.diskMs ?? 0,
       entriesPersisted: counters?.entriesPersisted ?? 0,
+      eventsDropped: counters?.eventsDropped ?? 0,
+      snapshotsTaken: counters?.snapshotsTaken ?? 0,
+      snapshotsInstalled: counters?.snapshotsInstalled ?? 0,
     };
   }
 }
--- a/src/directory/directory-metrics.ts
+++ b/src/directory/directory-metrics.ts
@@ -39,6 +39,9 @@
   metrics.value('queued_bytes', 'Size of the events that wait for the disk', () => {
     return node.consensus?.queuedBytes ?? 0;
   });
+  metrics.value('events_dropped', 'Messages and proposals without room behind the disk', () => {
+    return node.consensus?.counters.eventsDropped ?? 0;
+  });
   metrics.value('disk_delay_ms', 'Delay of the batch in progress', () => node.consensus?.diskDelayMs ?? 0);
   metrics.family('peer_lag_entries', 'Committed entries that a peer lacks, on the leader', 'peer', () =>
     peerLags(node),
--- a/test/platform/operator-calls.test.ts
+++ b/test/platform/operator-calls.test.ts
@@ -169,6 +169,25 @@
   t.is(logged[2]?.['leader'], 'http://10.0.0.2:8306/config');
 });
 
+test('a change that cannot be served now is answered and logged with the reason', async (t) => {
+  const reasons = [
+    ['not-leader', 'no leader'],
+    ['outcome-unknown', 'undecided'],
+    ['busy', 'busy'],
+  ] as const;
+  for (const [kind, reason] of reasons) {
+    const logged: EventFields[] = [];
+    const log: EventLog = { ...SILENT_EVENT_LOG, event: (_name, fields) => logged.push(fields) };
+    const replica = new Replica(true);
+    replica.propose = async () => await Promise.resolve(Err({ kind }));
+    const calls = new OperatorCalls(replica, 8_306, new Set(), NO_LATENCIES, log);
+    const answer = await calls.handle(call('PATCH', { version: 3, upsert: {}, remove: {} }, '1'));
+    t.is(answer.status, 503);
+    t.deepEqual(answer.body, { error: reason });
+    t.deepEqual(logged[0]?.['reason'], { error: reason });
+  }
+});
+
 test('a follower redirects a change without parsing it', async (t) => {
   const calls = new OperatorCalls(new Replica(false), 8_306, new Set());
   t.is((await calls.handle(call('PUT', '{"version":3,"rou', '0'))).status, 307);
