Play two members that fall behind at different places of large changes

A leader that serves two members at different places undid the one text that it kept of a batch. The play suspends one member, kills another 15 changes of half a megabyte later, and brings both back after 30.

--- a/test/incidents/configuration-changes-and-memory.test.ts
+++ b/test/incidents/configuration-changes-and-memory.test.ts
@@ -159,3 +159,19 @@
     await play.group.untilApplied(behind, play.operator.version);
   });
 });
+
+test.serial('two members that fall behind at different places of large changes, seed 8', async (t) => {
+  await onGroup(t, 8, largeShape, async (play) => {
+    const { group, operator } = play;
+    const first = await pickMember(play);
+    const others = group.members.filter((member) => member !== first);
+    const second = play.random.pick(others);
+    group.suspend(first);
+    await replaceOften(play, 15);
+    await group.kill(second);
+    await replaceOften(play, 15);
+    group.resume(first);
+    group.restart(second);
+    for (const behind of [first, second]) await group.untilApplied(behind, operator.version);
+  });
+});
