--- a/lab/soak/changes/change-calls.ts
+++ b/lab/soak/changes/change-calls.ts
@@ -5,12 +5,12 @@
 import { PATHS } from '../../../platform/stand-in-wire.js';
 import type { ReadConfiguration } from './change-judge.js';
 
-/** Time in ms after which a call is given up, and its addition for each character of the body: 100 KB a second. */
-const TIMEOUT_MS = 5_000;
-const TIMEOUT_MS_PER_CHARACTER = 0.01;
+/** Time in ms after which a call is given up, and its addition for each character of the body: 500 KB a second. */
+const TIMEOUT_MS = 3_000;
+const TIMEOUT_MS_PER_CHARACTER = 0.002;
 
 const MAX_REDIRECTS = 2;
-const MAX_CONNECTIONS = 8;
+const MAX_CONNECTIONS = 16;
 
 /** Answer to a call. */
 export interface Reply {
--- a/lab/soak/changes/change-operators.ts
+++ b/lab/soak/changes/change-operators.ts
@@ -6,9 +6,12 @@
 import type { ChangeJudge } from './change-judge.js';
 import type { PlannedChange } from './change-plan.js';
 
-/** Interval in ms between the calls of one change, and the number of calls that wait at a time. */
+/**
+ * Interval in ms between the calls of one change, and the number of calls that wait at a time: more than are redirected to a
+ * stopped leader before others lead, so that these are called too.
+ */
 const RESEND_MS = 200;
-const MAX_WAITING_CALLS = 6;
+const MAX_WAITING_CALLS = 16;
 
 /** Interval in ms between attempts to read without a successful answer. */
 const READ_RETRY_MS = 200;
