--- a/src/model/json-pieces.ts
+++ b/src/model/json-pieces.ts
@@ -1,11 +1,11 @@
 /** Serializes large values in pieces, so that neither the whole text is in memory nor the event loop blocked while it is written. */
 import { isPlain } from './value-text.js';
 
-/** Depth down to which members are serialized one by one. */
-const MAX_DEPTH = 4;
+/** Depth down to which members are serialized one by one: the items of a snapshot's lists. Deeper ones cost more time than they bound. */
+const MAX_DEPTH = 3;
 
 /** Length of a piece after which it is handed over, in characters. */
-const PIECE_LENGTH = 256 * 1024;
+const PIECE_LENGTH = 64 * 1024;
 
 /**
  * Yields the text of an object in JSON, as `writeText` writes it, in pieces; null at the first part that JSON cannot represent.
@@ -34,7 +34,10 @@
   const isList = Array.isArray(value);
   yield isList ? '[' : '{';
   let separator = '';
-  for (const [key, member] of Object.entries(value)) {
+  const members: Iterable<[unknown, unknown]> = Array.isArray(value)
+    ? value.entries()
+    : Object.entries(value);
+  for (const [key, member] of members) {
     if (member === undefined && !isList) continue;
     yield isList ? separator : `${separator}${JSON.stringify(key)}:`;
     yield* jsonParts(member, depth + 1);
