Sync each piece of an append to the log before the next one

After a power loss the writes since the last sync may be present or missing independently of each other (disk-steps.ts). An append of more than 1 MB is written in pieces; with the first lost and the second present, the file had a gap and could not be opened: the replica lost its folder. Cause: the pieces came with the reading of the log as a stream; before, an append was one write.

Each piece is synced before the next one is written; an append of one piece costs what it did.

Not run: the whole suite.

--- a/src/storage/log-file.ts
+++ b/src/storage/log-file.ts
@@ -67,7 +67,10 @@
     return this.index.offsetAfter(index);
   }
 
-  /** Appends entries without syncing. */
+  /**
+   * Appends entries without syncing the last write. After a power loss each unsynced write may be missing on its own, and a write
+   * that is present behind a missing one would leave an unreadable log; therefore each write is synced before the next one.
+   */
   async append(entries: readonly LogEntry[]): Promise<void> {
     const sizes: number[] = [];
     let offset = this.index.endOffset;
@@ -79,6 +82,7 @@
       records.push(record);
       pendingBytes += record.length;
       if (pendingBytes < PIECE_BYTES && at < entries.length - 1) continue;
+      if (offset > this.index.endOffset) await this.sync();
       await writeFully(this.handle, records.length === 1 ? record : Buffer.concat(records), offset);
       offset += pendingBytes;
       records = [];
