Propose changes of the whole configuration as they were sent

A reduced change leaves the versions of unchanged items behind, and changes of single items compare with them: after it an older single change could be put in force over a confirmed one, or a newer one be acknowledged without effect, where operators mix both kinds (change-with-own-versions, by the review). Keeping versions in step needs a field that members of the previous version do not know. The entry of a replaced configuration stays large: open.

--- a/src/directory/operator-changes.ts
+++ b/src/directory/operator-changes.ts
@@ -13,8 +13,7 @@
 } from './configuration-check.js';
 import type { ConfigurationSize } from './configuration-size.js';
 import type { DirectoryCommand, DirectoryOutcome } from './directory-commands.js';
-import type { ConfigurationItem, DirectoryState } from './directory-state.js';
-import { withoutUnchangedItems } from './unchanged-items.js';
+import type { DirectoryState } from './directory-state.js';
 
 /**
  * Time in ms after which a call without an outcome is answered as undecided. Callers time out after one second; with
@@ -59,8 +58,6 @@
   private readonly outcomesInFlight = new Map<string, Promise<ChangeOutcome>>();
   /** Size of the changes that were proposed and have no outcome. */
   private bytesInFlight = 0;
-  /** Whether this process has proposed changes of items that have versions of their own. */
-  private hasProposedItems = false;
 
   constructor(
     private readonly runtime: Pick<Runtime, 'after'>,
@@ -105,12 +102,11 @@
     check: AcceptedChange,
     timeoutMs: number,
   ): Promise<ChangeOutcome> {
-    const proposed = this.smallest(command, check);
-    const bytes = valueBytes(proposed);
-    const fault = this.limitFault(proposed === command ? check.items : proposed.items, bytes);
+    const bytes = valueBytes(command);
+    const fault = this.limitFault(check, bytes);
     if (fault !== null) return Err(fault);
     this.bytesInFlight += bytes;
-    const outcome = this.proposals.propose(proposed, timeoutMs + RESEND_WINDOW_MS);
+    const outcome = this.proposals.propose(command, timeoutMs + RESEND_WINDOW_MS);
     const { digest } = command;
     if (digest !== undefined) this.outcomesInFlight.set(digest, outcome);
     void outcome.then(() => {
@@ -120,21 +116,11 @@
     return await outcome;
   }
 
-  /**
-   * Returns a change that has the same effect and names fewer items. This needs the configuration to stay as it is while its revision
-   * does, which holds unless a change of single items is in the log behind it. Only this replica could have proposed one since it
-   * leads.
-   */
-  private smallest(command: ConfigurationCommand, { items }: AcceptedChange): ConfigurationCommand {
-    if (command.kind === 'configure-items') this.hasProposedItems = true;
-    return this.hasProposedItems ? command : withoutUnchangedItems(this.ports.state(), command, items);
-  }
-
   /**
    * Limits are checked by the leader alone: members may have different memory, so a state machine that refused by them would differ
    * between members. The first change in flight has no limit but that of the state.
    */
-  private limitFault(items: readonly ConfigurationItem[], commandBytes: number): ChangeError | null {
+  private limitFault({ items }: AcceptedChange, commandBytes: number): ChangeError | null {
     const { configuration, limits } = this.ports;
     const stateBytes = configuration.bytesAfter(items);
     if (stateBytes > limits.stateBytes && stateBytes > configuration.bytes) {
