Cap the limits of a change and of the state at what fits a frame

From 1 GiB of memory on, a change within its limit made an entry larger than the largest frame (32 MB), which no peer ever reads; on 2 GiB and more the same held for the table of a state, which no watcher reads. Cause: the limits are shares of the memory without an upper bound.

A change may have at most 8 MB and a state 16 MB. The test failed before (test/directory/limits-of-frames). Not run: the whole suite.

--- a/src/consensus/replica-limits.ts
+++ b/src/consensus/replica-limits.ts
@@ -40,6 +40,13 @@
 const MIN_MESSAGE_BYTES = 64 * 1024;
 const MAX_MESSAGE_BYTES = MIB;
 
+/**
+ * Maximum sizes of a change and of the state, whatever the memory. An entry holds a change as its text, with escapes, and as its
+ * definitions; an entry, and the table of the state that a watcher receives, must fit one frame of `MAX_FRAME_BYTES`.
+ */
+const MAX_CHANGE_BYTES = 8 * MIB;
+const MAX_STATE_BYTES = 16 * MIB;
+
 /** Number of full messages that may be on their way to one peer. */
 const MESSAGES_IN_FLIGHT = 4;
 
@@ -60,8 +67,8 @@
     inFlightBytes: messageBytes * MESSAGES_IN_FLIGHT,
     queuedBytes: share(32),
     uncommittedBytes: share(32),
-    stateBytes: share(32),
-    changeBytes: share(64),
+    stateBytes: Math.min(share(32), MAX_STATE_BYTES),
+    changeBytes: Math.min(share(64), MAX_CHANGE_BYTES),
     retainedChangeBytes: share(64),
     watcherQueueBytes: share(32),
   };
