Release the queue of a watcher whose connection closed itself

A connection closes itself when too much is queued, while a frame is sent; its queue was then removed and created again, and its frame held for good. Cause: the frame was recorded after it had been sent. Reached where the limit of the queues is above that of a connection (64 MB), on 2 GiB and more.

The new test failed before. Passed: watcher-queues, slow-watchers, change-feed, fresh-watchers (9 tests).

--- a/src/transport/watcher-queues.ts
+++ b/src/transport/watcher-queues.ts
@@ -30,13 +30,14 @@
 
   /** Queues a frame for a watcher. */
   send(watcher: Connection, frame: Buffer): void {
-    watcher.sendEncoded(frame);
     const queue = this.queues.get(watcher) ?? { frames: [], bytes: 0 };
     this.queues.set(watcher, queue);
     queue.frames.push(frame);
     queue.bytes += frame.length;
     this.hold(frame);
-    this.removeSent(watcher, queue);
+    watcher.sendEncoded(frame);
+    // The connection closes itself when too much is queued, and its queue is then removed.
+    if (this.queues.get(watcher) === queue) this.removeSent(watcher, queue);
   }
 
   /** Removes the queue of a watcher whose connection has closed. */
