Carry out a truncation of the log that is retried after it failed

A truncation that fails on a full disk (file systems that copy on write) is retried; the second attempt did nothing, since the index no longer held the entries. The file kept them, a shorter record was written over their start, and the folder could not be opened at the next start.

The new test failed before. Passed: test/storage, stored-entries, disk-steps, raft-log, entry-applier (44 tests).

--- a/src/storage/log-file.ts
+++ b/src/storage/log-file.ts
@@ -94,9 +94,11 @@
 
   /** Removes the entry at `fromIndex` and all later entries, without syncing. */
   async truncate(fromIndex: number): Promise<void> {
-    if (fromIndex > this.index.lastIndex) return;
-    this.changes += 1;
-    this.index.truncate(fromIndex);
+    if (fromIndex <= this.index.lastIndex) {
+      this.changes += 1;
+      this.index.truncate(fromIndex);
+    }
+    // Also if no entry is left to remove: an earlier attempt may have failed here.
     await this.handle.truncate(this.index.endOffset);
   }
 
