Bound the values in a back end's call, and count values outside of strings

A heartbeat of 5 MB with numbers where ranges are expected ended a sidecar (heap 160 MB): each becomes a fault of the check. Commas and brackets within strings no longer count: handover texts and paths may hold many.

--- a/test/platform/heartbeat-calls.test.ts
+++ b/test/platform/heartbeat-calls.test.ts
@@ -43,6 +43,26 @@
   ['rows of another shape', JSON.stringify({ info: INFO, status: STATUS, holds: [[1, 2]] })],
 ];
 
+test.serial('a call of very many values is invalid and is not parsed; long texts are accepted', (t) => {
+  const parse = JSON.parse;
+  const parsed: number[] = [];
+  JSON.parse = (text: string): unknown => {
+    parsed.push(text.length);
+    return parse(text);
+  };
+  t.teardown(() => {
+    JSON.parse = parse;
+  });
+  const rest = `"info":${JSON.stringify(INFO)},"status":${JSON.stringify(STATUS)}`;
+  const dense = `{${rest},"holds":[${'1,'.repeat(2_500_000)}1]}`;
+  t.is(readHeartbeat('i-1', dense), null);
+  t.is(readLeave('i-1', dense), null);
+  t.deepEqual(parsed, []);
+  const handover = 'a,[{'.repeat(500_000);
+  const sparse = `{${rest},"released":[[0,9,${JSON.stringify(handover)}]]}`;
+  t.is(readHeartbeat('i-1', sparse)?.released[0]?.handover, handover);
+});
+
 for (const [name, body] of INVALID) {
   test(`invalid: ${name}`, (t) => {
     t.is(readHeartbeat('i-1', body), null);
