--- a/src/directory/configuration-size.ts
+++ b/src/directory/configuration-size.ts
@@ -8,7 +8,7 @@
   private readonly sizes = new Map<string, number>();
   private total = 0;
 
-  /** Size of all items in bytes, dropped ones included. */
+  /** Size of all items in bytes; dropped ones do not count, since the operator has no means to make room of them. */
   get bytes(): number {
     return this.total;
   }
@@ -27,14 +27,15 @@
 
   /** Size in bytes after items have been put in the place of those of the same names. */
   bytesAfter(items: readonly ConfigurationItem[]): number {
-    return items.reduce((bytes, item) => bytes + valueBytes(item) - this.sizeOf(item), this.total);
+    return items.reduce((bytes, item) => bytes + presentBytes(item) - this.sizeOf(item), this.total);
   }
 
   private put(items: Iterable<ConfigurationItem>): void {
     for (const item of items) {
-      const bytes = valueBytes(item);
+      const bytes = presentBytes(item);
       this.total += bytes - this.sizeOf(item);
-      this.sizes.set(itemKey(item.kind, item.name), bytes);
+      if (bytes === 0) this.sizes.delete(itemKey(item.kind, item.name));
+      else this.sizes.set(itemKey(item.kind, item.name), bytes);
     }
   }
 
@@ -42,3 +43,7 @@
     return this.sizes.get(itemKey(kind, name)) ?? 0;
   }
 }
+
+function presentBytes(item: ConfigurationItem): number {
+  return item.definition === null ? 0 : valueBytes(item);
+}
