Take a large entry although small ones are always under way

Small commands have a reserve of their own; a large entry needs no room beside them. The new test failed before.

--- a/src/consensus/raft-core.ts
+++ b/src/consensus/raft-core.ts
@@ -422,11 +422,16 @@
     this.effects.push({ kind: 'proposal-dropped', proposalId, leader: this.currentLeader, reason });
   }
 
-  /** Whether an entry may be appended while others are not committed. */
+  /**
+   * Whether an entry may be appended while others are not committed. A large one needs no room beside small commands, some of
+   * which are always under way.
+   */
   private hasRoomFor(bytes: number): boolean {
     const { uncommittedBytes: limit } = this.options.limits;
-    const share = bytes <= SMALL_COMMAND_BYTES ? 1 : 1 - SMALL_COMMAND_SHARE;
-    return this.uncommittedBytes === 0 || this.uncommittedBytes + bytes <= limit * share;
+    const reserve = limit * SMALL_COMMAND_SHARE;
+    if (this.uncommittedBytes <= reserve) return true;
+    const available = bytes <= SMALL_COMMAND_BYTES ? limit : limit - reserve;
+    return this.uncommittedBytes + bytes <= available;
   }
 
   private changeMembership(membership: Membership): void {
--- a/test/consensus/log-replicator.test.ts
+++ b/test/consensus/log-replicator.test.ts
@@ -200,6 +200,19 @@
   t.true(await propose(50_000), 'once they are committed');
 });
 
+test('a large entry is taken although small commands are always under way', async (t) => {
+  const group = await groupBehind([], { [SECOND]: 0, [THIRD]: 0 });
+  group.silent.add(SECOND).add(THIRD);
+  const propose = async (bytes: number): Promise<boolean> => {
+    const event = { kind: 'propose', proposalId: 'p', command: 'x'.repeat(bytes) } as const;
+    const effects = await group.step(LEADER, event);
+    return !effects.some((effect) => effect.kind === 'proposal-dropped');
+  };
+  t.true(await propose(500));
+  t.true(await propose(LIMITS.uncommittedBytes));
+  t.false(await propose(LIMITS.changeBytes), 'a second one waits');
+});
+
 test('an entry that is larger than every limit is replicated alone', async (t) => {
   const group = await groupBehind([], { [SECOND]: 0, [THIRD]: 0 });
   const command = 'x'.repeat(LIMITS.uncommittedBytes * 2);
