Let a directory join as a learner in a group with more voters than the maximum

A directory that lost its disk in a group of seven stayed outside for good: the maximum of five voters was applied to the step that adds a learner, too. Learners do not vote; promotion still needs room. The new test failed before.

--- a/src/directory/directory-membership.ts
+++ b/src/directory/directory-membership.ts
@@ -20,10 +20,12 @@
 
 /** Returns the next membership to propose, or null when no change is needed now. */
 export function nextDirectoryMembership(view: DirectoryMembershipView): Membership | null {
+  // A group may have been formed with more voters than the maximum; that does not keep others from becoming learners.
+  const maxVoters = Math.max(view.maxVoters, view.membership.voters.length);
   for (const candidate of view.candidates) {
     const membership = nextMembership(candidate, view);
     if (membership === null) continue;
-    if (membership.voters.length <= view.maxVoters) return membership;
+    if (membership.voters.length <= maxVoters) return membership;
     const replaced = withoutLostVoter(view);
     if (replaced !== null) return replaced;
   }
--- a/test/directory/directory-membership.test.ts
+++ b/test/directory/directory-membership.test.ts
@@ -42,3 +42,13 @@
   const removed = nextDirectoryMembership(view({ candidates: ['b:1/y'], isActive, maxVoters: 5 }));
   t.deepEqual(removed?.voters, ['a:1/x', 'c:1/x']);
 });
+
+test('a replica joins as a learner although the group was formed with more voters than the maximum', (t) => {
+  const voters = ['a:1/x', 'b:1/x', 'c:1/x', 'd:1/x'];
+  const joined = nextDirectoryMembership(
+    view({ membership: { voters, learners: [] }, candidates: ['e:1/x'] }),
+  );
+  t.deepEqual(joined, { voters, learners: ['e:1/x'] });
+  const learning = view({ membership: { voters, learners: ['e:1/x'] }, candidates: ['e:1/x'] });
+  t.is(nextDirectoryMembership(learning), null, 'it does not vote');
+});
