--- a/test/router/upload-stream.test.ts
+++ b/test/router/upload-stream.test.ts
@@ -12,7 +12,8 @@
 
 /** A request whose body the test writes, and the stream of it. */
 function startUpload(memory = new ClientMemory(LIMIT)): { source: PassThrough; upload: UploadStream } {
-  const source = Object.assign(new PassThrough(), { complete: true });
+  const socket = { destroyed: false, pause: () => socket, resume: () => socket, isPaused: () => false };
+  const source = Object.assign(new PassThrough(), { complete: true, socket });
   source.on('error', () => undefined);
   const upload = new UploadStream(source as unknown as IncomingMessage, { memory, stallMs: STALL_MS });
   return { source, upload };
