--- a/test/incidents/chunks-of-one-byte.test.ts
+++ b/test/incidents/chunks-of-one-byte.test.ts
@@ -15,19 +15,18 @@
   return [CALLERS, SIDECAR_CALLS];
 }
 
+const CROWD = chunkedBody(CLIENTS, BODY_BYTES, 1, false);
+
 for (const port of ports()) {
-  test.serial(
-    `ordinary requests beside ${CLIENTS} bodies in chunks of one byte at the port for ${port.name}`,
-    async (t) => {
-      const world = await startCrowdWorld(t);
-      const sockets = startCrowd(port.portOf(world), port.head, chunkedBody(CLIENTS, BODY_BYTES, 1, false));
-      const beside: number[] = [];
-      for (let at = 0; at < ORDINARY_REQUESTS; at += 1) beside.push(await askOrdinary(world));
-      for (const socket of sockets) socket.destroy();
-      const after: number[] = [];
-      for (let at = 0; at < ORDINARY_REQUESTS; at += 1) after.push(await askOrdinary(world));
-      t.false(world.ended(), 'a daemon has ended');
-      t.deepEqual([beside, after], [Array(ORDINARY_REQUESTS).fill(OK), Array(ORDINARY_REQUESTS).fill(OK)]);
-    },
-  );
+  test.serial(`${port.name}: ${CROWD.name}, beside ordinary requests`, async (t) => {
+    const world = await startCrowdWorld(t);
+    const sockets = startCrowd(port.portOf(world), port.head, CROWD);
+    const beside: number[] = [];
+    for (let at = 0; at < ORDINARY_REQUESTS; at += 1) beside.push(await askOrdinary(world));
+    for (const socket of sockets) socket.destroy();
+    const after: number[] = [];
+    for (let at = 0; at < ORDINARY_REQUESTS; at += 1) after.push(await askOrdinary(world));
+    t.false(world.ended(), 'a daemon has ended');
+    t.deepEqual([beside, after], [Array(ORDINARY_REQUESTS).fill(OK), Array(ORDINARY_REQUESTS).fill(OK)]);
+  });
 }
