--- a/test/incidents/chunks-of-one-byte.test.ts
+++ b/test/incidents/chunks-of-one-byte.test.ts
@@ -11,13 +11,11 @@
 const ORDINARY_REQUESTS = 8;
 const OK = 200;
 
-function ports(): readonly Port[] {
-  return [CALLERS, SIDECAR_CALLS];
-}
+const PORTS: readonly Port[] = [CALLERS, SIDECAR_CALLS];
 
 const CROWD = chunkedBody(CLIENTS, BODY_BYTES, 1, false);
 
-for (const port of ports()) {
+for (const port of PORTS) {
   test.serial(`${port.name}: ${CROWD.name}, beside ordinary requests`, async (t) => {
     const world = await startCrowdWorld(t);
     const sockets = startCrowd(port.portOf(world), port.head, CROWD);
