Drop commands to the directory that outlive the daemon process that sent them

Cause: released, unregister, renew, raise-fence and register named owner, fence and session, which a daemon that starts in place of another inherits.

Ruled out: a check in the successor's grants only, since grants by calls and other commands share the state that is inherited.

Change: a registration names the daemon process that holds it; commands name their sender and have no effect if another process holds the registration when they are applied. A take-over is committed and names the holder that it replaces. The simulated network delivers what a frozen process had received from a sender that ended, and simulated back ends report a release at once.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -255,6 +255,8 @@
       runtime,
       log: SILENT_EVENT_LOG,
       daemonAddress: `${name}:1`,
+      holder: runtime.randomId(),
+      holderOf: (id) => table.instance(id)?.holder ?? null,
       otherIncarnation: (id) => table.otherIncarnation(id, `${name}:1`),
       heldIndex: () => table.heldIndex,
       send: (request) => client.send(request),
--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -20,7 +20,7 @@
 import type { FleetLinks } from './fleet-links.js';
 import type { FleetService } from './fleet-spec.js';
 
-/** Interval between heartbeats of a back end, and the shorter one while it is releasing keys, in ms. */
+/** Default interval between heartbeats of a back end, and the shorter one while it is releasing keys, in ms. */
 export const HEARTBEAT_MS = 500;
 const RELEASING_HEARTBEAT_MS = 80;
 
@@ -57,6 +57,8 @@
   callers: CallerServerPorts | null = null;
   /** Whether incarnations that start from now on share one id. */
   reusesId = false;
+  /** Interval between heartbeats of the back end, in ms. */
+  heartbeatMs = HEARTBEAT_MS;
   /** Whether heartbeats are repeated at short intervals while the daemon does not run. */
   repeatsHeartbeats = false;
   /** Returns the delay in ms until a call sent now takes effect, without an answer; null for normal delivery. */
@@ -66,6 +68,7 @@
   /** Latency of the next heartbeat in ms; null for the normal one. */
   private nextHeartbeatLatencyMs: number | null = null;
   private lives = 0;
+  private heartbeatsScheduled = 0;
 
   constructor(
     readonly name: string,
@@ -202,17 +205,24 @@
   // ---- calls between the daemon and its back end
 
   private runHeartbeats(backend: FleetBackend): void {
-    const { queue } = this.ports.directory;
     if (!backend.isRunning || backend.hasAnnouncedLeave) return;
-    queue.at(queue.nowMs + this.heartbeatIntervalMs(backend), () => {
-      this.runHeartbeats(backend);
-    });
+    this.scheduleHeartbeat(backend, this.heartbeatIntervalMs(backend));
     this.sendHeartbeat(backend);
   }
 
+  /** Schedules the next heartbeat in place of the one that was scheduled before. */
+  private scheduleHeartbeat(backend: FleetBackend, afterMs: number): void {
+    const { queue } = this.ports.directory;
+    this.heartbeatsScheduled += 1;
+    const number = this.heartbeatsScheduled;
+    queue.at(queue.nowMs + afterMs, () => {
+      if (number === this.heartbeatsScheduled) this.runHeartbeats(backend);
+    });
+  }
+
   private heartbeatIntervalMs({ keys }: FleetBackend): number {
     if (this.repeatsHeartbeats && this.node === null) return REPEATED_HEARTBEAT_MS;
-    return keys.leaving().length > 0 ? RELEASING_HEARTBEAT_MS : HEARTBEAT_MS;
+    return keys.leaving().length > 0 ? RELEASING_HEARTBEAT_MS : this.heartbeatMs;
   }
 
   private sendHeartbeat(backend: FleetBackend): void {
@@ -223,7 +233,10 @@
     const deliver = (): void => {
       void this.node?.heartbeat(heartbeat).then((grant) => {
         if (heartbeat.condition === 'draining') this.recordDrainAcknowledged(backend);
-        if (backend.isRunning) backend.keys.applyAnswer(grant, sentMs);
+        if (!backend.isRunning) return;
+        backend.keys.applyAnswer(grant, sentMs);
+        const isCurrent = this.backend === backend && !backend.hasAnnouncedLeave;
+        if (isCurrent && backend.keys.isReleasing) this.scheduleHeartbeat(backend, RELEASING_HEARTBEAT_MS);
       });
     };
     if (this.nextHeartbeatLatencyMs === null) this.process.schedule(LOCAL_LATENCY_MS, deliver);
--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -224,9 +224,19 @@
     });
   }
 
-  /** Closes this end after the remote process has ended. */
+  /**
+   * Closes this end after the remote process has ended. What the remote process had sent before is read first: bytes wait in
+   * the operating system while this process is frozen or a cut lasts, also when their sender has ended.
+   */
   closeByPeer(): void {
     if (!this.open) return;
+    if (this.process.frozen || this.delayed.length > 0) {
+      this.peer?.closeByPeer();
+      this.process.schedule(CUT_POLL_INTERVAL_MS, () => {
+        this.closeByPeer();
+      });
+      return;
+    }
     this.open = false;
     const { peer } = this;
     this.process.schedule(0, () => {
--- a/lab/soak/held-keys.ts
+++ b/lab/soak/held-keys.ts
@@ -59,6 +59,11 @@
       .map((key) => ({ from: key, to: key, fence: 0 }));
   }
 
+  /** Whether the next heartbeat is due soon: it reports keys as released, or keys are still being released. */
+  get isReleasing(): boolean {
+    return this.released.length > 0 || this.leaving().length > 0;
+  }
+
   // ---- grants in the answers to heartbeats
 
   /** Returns the key report of a heartbeat: keys held or still worked on, and keys released since the last answer. */
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -29,6 +29,8 @@
   readonly instance: Omit<BackendInstance, 'session'>;
   /** Id of the incarnation at the same daemon that may be replaced; null for none, missing for any. */
   readonly replaces?: string | null | undefined;
+  /** Id of the process whose registration of the same incarnation may be taken over; null or missing for none. */
+  readonly replacesHolder?: string | null | undefined;
 }
 
 /** Changes the condition of a back end. */
@@ -42,7 +44,7 @@
 /** Removes back ends that have ended or whose leases have expired; their ranges become unowned. */
 export interface UnregisterCommand {
   readonly kind: 'unregister';
-  readonly sessions: readonly InstanceSession[];
+  readonly sessions: readonly EndedSession[];
 }
 
 /** Identifies one registration of a back end. */
@@ -51,6 +53,12 @@
   readonly session: number;
 }
 
+/** A registration to be removed. */
+export interface EndedSession extends InstanceSession {
+  /** Id of the process that gave it up, which must still hold it; missing if its lease has expired. */
+  readonly holder?: string | undefined;
+}
+
 /** Range of keys from `from` to `to`, both inclusive. */
 export interface KeySpan {
   readonly from: number;
@@ -78,6 +86,8 @@
   readonly owner: string;
   readonly fence: number;
   readonly handover: string;
+  /** Id of the process that reported the release; see `isFromHolder`. */
+  readonly holder?: string | undefined;
 }
 
 /**
@@ -89,6 +99,8 @@
   readonly service: string;
   readonly owner: string;
   readonly fence: number;
+  /** Id of the process that requested it; see `isFromHolder`. */
+  readonly holder?: string | undefined;
 }
 
 /** Starts or ends the evacuation of a zone; the back ends of an evacuated zone receive no requests. */
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -3,7 +3,12 @@
 import type { Proposals } from '../control/proposals.js';
 import type { LeaseTable } from '../control/lease-table.js';
 import type { RangePlanningLoop } from './range-planning-loop.js';
-import type { DirectoryCommand, DirectoryOutcome, InstanceSession } from './directory-commands.js';
+import type {
+  DirectoryCommand,
+  DirectoryOutcome,
+  EndedSession,
+  InstanceSession,
+} from './directory-commands.js';
 import type {
   DirectoryNotice,
   LeaderRequest,
@@ -11,7 +16,7 @@
   RegisterRequest,
   RenewRequest,
 } from './directory-messages.js';
-import type { BackendInstance, DirectoryState } from './directory-state.js';
+import { isFromHolder, type BackendInstance, type DirectoryState } from './directory-state.js';
 import type { LeadershipConfirmations } from './leadership-confirmations.js';
 
 /** Timeout in ms of the leadership confirmation for a lease; by then the daemon has sent its request again. */
@@ -35,7 +40,8 @@
 
 /** Manages registrations and leases on the leader. */
 export class DirectoryLeader {
-  private readonly endingSessions = new Set<number>();
+  /** Sessions whose end is proposed, with the number of proposals without an outcome. */
+  private readonly endingSessions = new Map<number, number>();
   private readonly runRequests: RunRequestPorts = {
     records: () => this.ports.state().crashRecords,
     propose: async (command) => {
@@ -76,7 +82,7 @@
         await this.proposals.propose({ ...request, kind: 'set-condition' });
         break;
       case 'unregister':
-        this.end([{ id: request.id, session: request.session }]);
+        await this.end([{ id: request.id, session: request.session, holder: request.holder }]);
         break;
       case 'released':
         await this.proposals.propose({ ...request, kind: 'complete-range-move' });
@@ -103,19 +109,20 @@
     }
     if (ended.length === 0) return;
     this.ports.onExpired(ended);
-    this.end(ended);
+    void this.end(ended);
   }
 
   private async register(request: RegisterRequest, answer: SendAnswer): Promise<void> {
-    const { instance, replaces, sentMs } = request;
+    const { instance, replaces, replacesHolder, sentMs } = request;
     const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(instance.id);
-    const index = known === undefined ? 0 : this.ports.newestIndex();
     if (known !== undefined && this.endingSessions.has(known.session)) return;
     if (known === undefined || !isSameRegistration(known, instance)) {
-      const result = await this.proposals.propose({ kind: 'register', instance, replaces });
+      const result = await this.proposals.propose({ kind: 'register', instance, replaces, replacesHolder });
       if (result.err || result.val.kind !== 'registered') return;
     }
+    // Read once the registration is committed, so that it covers all that an earlier process has still changed.
+    const index = known === undefined ? 0 : this.ports.newestIndex();
     const session = this.ports.state().instances.get(instance.id)?.session;
     if (session === undefined) return;
     const lease = {
@@ -126,30 +133,37 @@
       termMs: this.termMs,
       index,
     } as const;
-    await this.grant(lease, receivedMs, answer);
+    await this.grant(lease, instance.holder, receivedMs, answer);
   }
 
   private async renew(request: RenewRequest, answer: SendAnswer): Promise<void> {
-    const { id, session, sentMs, load, usableSlots } = request;
+    const { id, session, holder, sentMs, load, usableSlots } = request;
     const receivedMs = this.ports.steadyMs();
     const known = this.ports.state().instances.get(id);
     const index = this.ports.newestIndex();
-    if (known?.session === session) {
+    if (known?.session === session && isFromHolder(known, holder)) {
       this.rangePlanning.reportLoad(known.service, load, this.ports.nowMs());
       this.rangePlanning.reportCapacity(known.service, id, usableSlots ?? null, this.ports.nowMs());
     }
     const lease = { kind: 'renewed', id, session, sentMs, termMs: this.termMs, index } as const;
-    await this.grant(lease, receivedMs, answer);
+    await this.grant(lease, holder, receivedMs, answer);
   }
 
   /**
    * Grants a lease once leadership is confirmed. Any newer leader is elected after this confirmation and waits a full
-   * term before it expires leases, so the lease stays valid across a change of leader.
+   * term before it expires leases, so the lease stays valid across a change of leader. A process whose registration has
+   * been taken over gets none.
    */
-  private async grant(lease: LeaseNotice, receivedMs: number, answer: SendAnswer): Promise<void> {
+  private async grant(
+    lease: LeaseNotice,
+    holder: string | undefined,
+    receivedMs: number,
+    answer: SendAnswer,
+  ): Promise<void> {
     const { id, session } = lease;
     if (!(await this.confirmations.confirm(CONFIRMATION_TIMEOUT_MS))) return;
-    const isCurrent = this.ports.state().instances.get(id)?.session === session;
+    const known = this.ports.state().instances.get(id);
+    const isCurrent = known?.session === session && isFromHolder(known, holder);
     if (!isCurrent || this.endingSessions.has(session)) {
       answer({ kind: 'session-ended', id, session });
       return;
@@ -158,15 +172,33 @@
     answer(lease);
   }
 
-  /** Proposes the end of sessions. From then on they are never renewed again, whether or not the proposal commits. */
-  private end(sessions: readonly InstanceSession[]): void {
-    for (const { session } of sessions) this.endingSessions.add(session);
-    void this.proposals.propose({ kind: 'unregister', sessions });
+  /**
+   * Proposes the end of sessions. From then on they are not renewed, also if it is unknown whether the proposal commits; only
+   * one that was applied and left a session in place, because another process holds it, allows its renewal again.
+   */
+  private async end(sessions: readonly EndedSession[]): Promise<void> {
+    const ending = sessions.filter(({ id, holder }) => {
+      return holder === undefined || isFromHolder(this.ports.state().instances.get(id), holder);
+    });
+    if (ending.length === 0) return;
+    for (const { session } of ending) this.countEnd(session, 1);
+    const result = await this.proposals.propose({ kind: 'unregister', sessions: ending });
+    if (result.err) return;
+    for (const { id, session } of ending) {
+      if (this.ports.state().instances.get(id)?.session === session) this.countEnd(session, -1);
+    }
+  }
+
+  private countEnd(session: number, change: 1 | -1): void {
+    const proposals = (this.endingSessions.get(session) ?? 0) + change;
+    if (proposals > 0) this.endingSessions.set(session, proposals);
+    else this.endingSessions.delete(session);
   }
 }
 
 function isSameRegistration(current: BackendInstance, requested: RegisterRequest['instance']): boolean {
   const sameCondition = current.condition === requested.condition || current.condition === 'draining';
   const sameSoftware = current.slots === requested.slots && current.version === requested.version;
-  return sameCondition && sameSoftware && current.daemonAddress === requested.daemonAddress;
+  const sameDaemon = current.daemonAddress === requested.daemonAddress && current.holder === requested.holder;
+  return sameCondition && sameSoftware && sameDaemon;
 }
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -23,6 +23,7 @@
   itemKey,
   serviceDefinition,
   type AcceptedRevision,
+  isFromHolder,
   type BackendInstance,
   type ConfigurationItem,
   type DirectoryState,
@@ -143,7 +144,7 @@
 
 function register(
   state: DirectoryState,
-  { instance, replaces }: RegisterCommand,
+  { instance, replaces, replacesHolder }: RegisterCommand,
   index: number,
 ): AppliedCommand {
   const others = otherInstancesAtDaemon(state, instance);
@@ -152,6 +153,9 @@
     return unchanged({ kind: 'invalid', detail: 'another life is registered at its daemon' });
   }
   const known = state.instances.get(instance.id);
+  if (known !== undefined && !mayTakeOver(known, instance.holder, replacesHolder)) {
+    return unchanged({ kind: 'invalid', detail: 'another process of its daemon holds the registration' });
+  }
   const session = known?.session ?? index;
   const condition = known?.condition === 'draining' ? 'draining' : instance.condition;
   const registered = { ...instance, condition, session };
@@ -163,6 +167,18 @@
   };
 }
 
+/**
+ * Whether a process may take a registration over: it holds it already, or names the process that does. A registration that
+ * was delayed in the network names an earlier one and does not take the registration back from the successor.
+ */
+function mayTakeOver(
+  known: BackendInstance,
+  holder: string | undefined,
+  replacesHolder: string | null | undefined,
+): boolean {
+  return isFromHolder(known, holder) || holder === undefined || known.holder === replacesHolder;
+}
+
 /** Other incarnations at the same daemon. A daemon serves one back end, so a new incarnation means they have ended. */
 function otherInstancesAtDaemon(
   state: DirectoryState,
@@ -198,9 +214,10 @@
 
 function unregister(state: DirectoryState, command: UnregisterCommand, index: number): AppliedCommand {
   const changes: DirectoryChange[] = [];
-  for (const { id, session } of command.sessions) {
+  for (const { id, session, holder } of command.sessions) {
     const known = state.instances.get(id);
     if (known?.session !== session) continue;
+    if (holder !== undefined && !isFromHolder(known, holder)) continue;
     state.instances.delete(id);
     changes.push({ kind: 'instance-gone', id }, ...removeInstanceFromRanges(state, known.service, id, index));
     changes.push(...revokePermits(state, [id]));
@@ -276,8 +293,7 @@
   if (ranges === undefined) return unchanged(DONE);
   const span: KeySpan = command;
   const changed = changeSpan(ranges, span, (range) => {
-    const isOwnedUnderFence = range.owner === command.owner && range.fence === command.fence;
-    if (!isOwnedUnderFence || range.movingTo === null) return range;
+    if (!isOwnersCommand(state, range, command) || range.movingTo === null) return range;
     return rangeAfterRelease(state, range, command.handover, index);
   });
   return { outcome: DONE, changes: [putRanges(state, command.service, changed)] };
@@ -287,12 +303,23 @@
   const ranges = state.ranges.get(command.service);
   if (ranges === undefined) return unchanged(DONE);
   const changed = changeSpan(ranges, command, (range) => {
-    const isOwnedUnderFence = range.owner === command.owner && range.fence === command.fence;
-    return isOwnedUnderFence ? { ...range, fence: index } : range;
+    return isOwnersCommand(state, range, command) ? { ...range, fence: index } : range;
   });
   return { outcome: DONE, changes: [putRanges(state, command.service, changed)] };
 }
 
+/**
+ * Whether a command about a range names its owner and fence, and comes from the process that holds the owner's registration.
+ * Owner and fence alone outlive that process: its successor grants the range again under the same fence.
+ */
+function isOwnersCommand(
+  state: DirectoryState,
+  range: KeyRange,
+  { owner, fence, holder }: CompleteRangeMoveCommand | RaiseFenceCommand,
+): boolean {
+  return range.owner === owner && range.fence === fence && isFromHolder(state.instances.get(owner), holder);
+}
+
 function rangeAfterRelease(
   state: DirectoryState,
   range: KeyRange,
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -18,8 +18,17 @@
   slots: z.int().check(z.minimum(1)),
   condition: z.enum(['ready', 'draining']),
   version: z._default(z.string(), ''),
+  /** Id of the daemon process that sends the request, and holds the registration from then on. */
+  holder: z.optional(z.string()),
 });
 
+/**
+ * Id of the daemon process that sends a command about a registration. The command has no effect if another process holds the
+ * registration by the time that it is applied: it may have waited on its way while a successor took the registration over.
+ * Missing from program versions that did not state it.
+ */
+const holderSchema = z.optional(z.string());
+
 const watchSchema = z.object({
   kind: z.literal('watch'),
   /** Newest index that the daemon holds; 0 when it holds no table. */
@@ -31,6 +40,8 @@
   instance: instanceSchema,
   /** Id of the other incarnation that the daemon knows at its address; null for none, missing if not reported. */
   replaces: z.optional(z.nullable(z.string())),
+  /** Id of the process that holds the registration as far as the daemon knows; null for none. */
+  replacesHolder: z.optional(z.nullable(z.string())),
   /** The daemon's clock when it sent the request; echoed in the answer. */
   sentMs: z.number(),
 });
@@ -39,6 +50,7 @@
   kind: z.literal('renew'),
   id: z.string(),
   session: z.number(),
+  holder: holderSchema,
   /** The daemon's clock when it sent the request; echoed in the answer. */
   sentMs: z.number(),
   /** Slot time used since the last report, as pairs of [key bucket, ms]. */
@@ -58,6 +70,7 @@
   kind: z.literal('unregister'),
   id: z.string(),
   session: z.number(),
+  holder: holderSchema,
 });
 
 const releasedSchema = z.object({
@@ -68,6 +81,7 @@
   owner: z.string(),
   fence: z.number(),
   handover: z.string(),
+  holder: holderSchema,
 });
 
 const raiseFenceSchema = z.object({
@@ -77,6 +91,7 @@
   to: z.number(),
   owner: z.string(),
   fence: z.number(),
+  holder: holderSchema,
 });
 
 const leaderRequestSchema = z.discriminatedUnion('kind', [
--- a/src/directory/directory-state.ts
+++ b/src/directory/directory-state.ts
@@ -98,6 +98,19 @@
   readonly version: string;
   /** Index of the log entry that registered it; the ranges that it owns carry the same number. */
   readonly session: number;
+  /**
+   * Id of the daemon process that holds the registration. A process that starts in place of another takes the
+   * registration over with its session. Missing when registered by a program version that did not state it.
+   */
+  readonly holder?: string | undefined;
+}
+
+/**
+ * Whether a command of a daemon process comes from the process that holds a registration. True for a registration whose
+ * holder is not known.
+ */
+export function isFromHolder(known: BackendInstance | undefined, process: string | undefined): boolean {
+  return known?.holder === undefined || known.holder === process;
 }
 
 /** The smallest key. */
--- a/src/sidecar/key-grants.ts
+++ b/src/sidecar/key-grants.ts
@@ -34,6 +34,8 @@
   /** Grants that the back end may still apply, from both grant modes. */
   readonly outstanding: OutstandingGrants;
   readonly instance: () => string | null;
+  /** Id of this process, under which it holds the registration. */
+  readonly holder: string;
   readonly send: (request: DirectoryRequest) => boolean;
   /** Called when the back end may hold more keys than before. */
   readonly onKeysGained: () => void;
@@ -55,9 +57,9 @@
     const owner = this.ports.instance();
     if (owner === null) return;
     const { from, to, fence } = range;
-    const { service } = this.ports;
+    const { service, holder } = this.ports;
     if (last === undefined) this.ports.log.event('range-released', { service, from, to, fence, handover });
-    if (this.ports.send({ kind: 'released', service, from, to, owner, fence, handover })) {
+    if (this.ports.send({ kind: 'released', service, from, to, owner, fence, handover, holder })) {
       this.lastReportMs.set(key, nowMs);
     }
   }
@@ -70,9 +72,9 @@
     const owner = this.ports.instance();
     if (owner === null) return;
     const { from, to, fence } = range;
-    const { service } = this.ports;
+    const { service, holder } = this.ports;
     this.ports.log.event('fence-raised', { service, from, to, fence });
-    if (this.ports.send({ kind: 'raise-fence', service, from, to, owner, fence }))
+    if (this.ports.send({ kind: 'raise-fence', service, from, to, owner, fence, holder }))
       this.lastFenceRequestMs.set(key, nowMs);
   }
 
--- a/src/sidecar/key-ownership.ts
+++ b/src/sidecar/key-ownership.ts
@@ -34,6 +34,8 @@
   readonly defaultGrantMode: GrantMode;
   /** Maximum duration of a grant in ms. */
   readonly holdMs: number;
+  /** Id of this process, under which it holds the registration. */
+  readonly holder: string;
   readonly send: (request: DirectoryRequest) => boolean;
   /** Probes whether the current incarnation is at the back end's address. */
   readonly isPresent: () => Promise<boolean>;
@@ -155,7 +157,7 @@
   }
 
   private makeGrants(): HeartbeatGrants | InvokedGrants {
-    const { runtime, log, service, lease, backend, holdMs, send, onKeysGained, calls, isPresent } =
+    const { runtime, log, service, lease, backend, holdMs, holder, send, onKeysGained, calls, isPresent } =
       this.ports;
     const { owned, outstanding } = this;
     const instance = (): string | null => backend.life;
@@ -168,6 +170,7 @@
       holdMs,
       outstanding,
       instance,
+      holder,
       send,
       onKeysGained,
     };
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -35,6 +35,10 @@
   readonly runtime: Runtime;
   readonly log: EventLog;
   readonly daemonAddress: string;
+  /** Id of this process, under which it holds registrations. */
+  readonly holder: string;
+  /** Returns the id of the process that holds a registration according to the table; null if it is unknown. */
+  readonly holderOf: (id: string) => string | null;
   /**
    * Returns another incarnation that is registered at this daemon: null if there is none, undefined before the
    * first table.
@@ -108,7 +112,8 @@
     if (backend === null) return;
     this.ports.log.event('registration-given-up', { instance: backend.id, session: currentSession, reason });
     if (currentSession !== null) {
-      this.ports.send({ kind: 'unregister', id: backend.id, session: currentSession });
+      const { holder } = this.ports;
+      this.ports.send({ kind: 'unregister', id: backend.id, session: currentSession, holder });
     }
     this.resetRegistration();
   }
@@ -193,8 +198,10 @@
     if (replaces === undefined) return;
     this.nextSendMs = nowMs + REGISTER_RETRY_INTERVAL_MS;
     this.replacesAnother ||= replaces !== null;
-    const instance = { ...backend, daemonAddress: this.ports.daemonAddress };
-    this.ports.send({ kind: 'register', instance, replaces, sentMs: nowMs });
+    const { daemonAddress, holder, holderOf } = this.ports;
+    const instance = { ...backend, daemonAddress, holder };
+    const replacesHolder = holderOf(backend.id);
+    this.ports.send({ kind: 'register', instance, replaces, replacesHolder, sentMs: nowMs });
   }
 
   private renewIfDue(): void {
@@ -215,6 +222,7 @@
       kind: 'renew',
       id: backend.id,
       session: this.currentSession,
+      holder: ports.holder,
       sentMs: nowMs,
       load,
     } as const;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -140,6 +140,8 @@
   private readonly linkServer: LinkListener;
   private readonly transport: SidecarTransport;
   private readonly startedMs: number;
+  /** Id of this process, under which it holds the registration of its back end. */
+  private readonly holder: string;
   private readonly timers: CancelTimer[] = [];
   private stoppingSinceMs: number | null = null;
   private closingConnections = false;
@@ -151,6 +153,7 @@
     this.runtime = runtime;
     this.log = log;
     this.startedMs = runtime.nowMs();
+    this.holder = runtime.randomId();
     this.delay = watchStalls(runtime, log);
     this.stages = new StartStages(() => runtime.nowMs(), log);
     this.transport = options.transport ?? socketTransport(settings, runtime, options.memory);
@@ -384,6 +387,8 @@
       runtime: this.runtime,
       log: this.log,
       daemonAddress: formatAddress(this.settings.advertisedLinks),
+      holder: this.holder,
+      holderOf: (id) => this.table.instance(id)?.holder ?? null,
       otherIncarnation: (id) => this.table.otherIncarnation(id, formatAddress(this.settings.advertisedLinks)),
       heldIndex: () => this.table.heldIndex,
       send: (request) => this.directory.send(request),
@@ -412,6 +417,7 @@
       service: settings.service,
       defaultGrantMode: settings.grantMode,
       holdMs: settings.holdMs,
+      holder: this.holder,
       send: (request) => this.directory.send(request),
       isPresent: async () => await this.presence.isKnownIncarnationPresent(),
       onKeysGained: () => {
--- a/test/incidents/late-registration.test.ts
+++ b/test/incidents/late-registration.test.ts
@@ -7,12 +7,10 @@
 import test from 'ava';
 import type { FleetSpec } from '../../lab/sim/fleet/fleet-spec.js';
 import { FLEET_READY_MS, FleetWorld } from '../../lab/sim/fleet/fleet-world.js';
-import type { SimReplica } from '../../lab/sim/sim-directory.js';
-import type { EventFields } from '../../src/telemetry/event-log.js';
+import { DirectoryEvents } from './followed-replica.js';
 
 const KEYS = 65_536;
 const SEEDS = [1, 2, 3];
-const CRASH_DURATION_MS = 1_000;
 const SUSPENSION_MS = 2_100;
 
 /** The daemon still follows the suspended replica when its back end announces its leave, but not when the next one starts. */
@@ -41,43 +39,12 @@
   spontaneousEndIntervalMs: null,
 };
 
-/** Collects the events of all daemons that concern the directory. */
-class DirectoryEvents {
-  readonly registrationsEnded: string[] = [];
-  followed: string | null = null;
-
-  event(name: string, fields: EventFields): void {
-    if (name === 'registration-ended') this.registrationsEnded.push(JSON.stringify(fields));
-    if (name === 'directory-connected' && typeof fields['replica'] === 'string')
-      this.followed = fields['replica'];
-  }
-
-  failure(): void {
-    // Failures are not recorded.
-  }
-
-  routine(): void {
-    // Events of requests are not recorded.
-  }
-}
-
-/** Crashes replicas until daemons follow one that does not lead; a former leader forwards nothing when it resumes. */
-async function findFollower(world: FleetWorld, events: DirectoryEvents): Promise<SimReplica> {
-  for (;;) {
-    const followed = world.directory.replicas.find(({ name }) => name === events.followed);
-    if (followed === undefined) throw new Error('invariant broken: daemons follow no replica');
-    if (world.directory.leaderReplica() !== followed) return followed;
-    world.directory.injectFault('crash', followed, CRASH_DURATION_MS);
-    await world.runUntil(world.queue.nowMs + 2 * CRASH_DURATION_MS);
-  }
-}
-
 for (const seed of SEEDS) {
   test(`a registration that a suspended replica forwards late ends no newer one: seed ${seed}`, async (t) => {
     const events = new DirectoryEvents();
     const world = new FleetWorld(seed, SPEC, events);
     await world.start();
-    const followed = await findFollower(world, events);
+    const followed = await events.findFollower(world);
     const suspendedMs = world.queue.nowMs;
     const untilMs = suspendedMs + 8_000;
     world.startTraffic(untilMs);
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -37,6 +37,7 @@
       holdMs: HOLD_MS,
       outstanding: this.outstanding,
       instance: () => 'me',
+      holder: 'process',
       send: (request) => {
         this.sent.push(request);
         return true;
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -19,6 +19,7 @@
   readonly sent: DirectoryRequest[] = [];
   hasQueue = false;
   other: string | null = null;
+  registeredHolder: string | null = null;
   firstRegistrations = 0;
   /** Whether the newest of them replaced another incarnation. */
   replacesAnother = false;
@@ -28,6 +29,8 @@
     runtime: this.time.runtime,
     log: SILENT_EVENT_LOG,
     daemonAddress: 'h:1',
+    holder: 'present',
+    holderOf: () => this.registeredHolder,
     otherIncarnation: () => this.other,
     heldIndex: () => this.heldIndex,
     send: (request) => {
