Do not grant keys again under the fence under which their release was reported

Cause: grants remember what was released by the range's name. When a released range was merged with another one that moves, its name changed, and the daemon granted the whole range again under the same fence while the report of the release could still be on its way.

Ruled out: moves that were called off; their fences are raised.

Change: both grant modes remember the released keys themselves. Keys that were reported count as released in a merged range; where other keys of it need a grant first, the range waits for a higher fence.

--- a/src/sidecar/heartbeat-grants.ts
+++ b/src/sidecar/heartbeat-grants.ts
@@ -63,7 +63,9 @@
     const remainingMs = Math.min(holdMs, lease.deadlineMs - runtime.nowMs());
     if (remainingMs < MIN_HOLD_MS) return null;
     const ownedRanges = owned.list();
-    const grantedRanges = ownedRanges.filter((range) => !this.mayOmit(range, heartbeat));
+    const grantedRanges = ownedRanges.filter((range) => {
+      return !this.mayOmit(range, heartbeat) && this.isUnreported(range);
+    });
     this.recordOmitted(ownedRanges, grantedRanges, heartbeat.sequence);
     this.applyGrant(grantedRanges, arrivedMs + remainingMs);
     const ranges = grantedRanges.map(({ from, to, fence, handover }) => ({ from, to, fence, handover }));
@@ -136,13 +138,21 @@
     this.ports.onKeysGained();
   }
 
+  /** Whether no key of a range was reported as released under its fence; if one was, requests a higher fence. */
+  private isUnreported(range: KeyRange): boolean {
+    if (this.reporter.reportedParts(range).length === 0) return true;
+    this.reporter.raiseFence(range);
+    return false;
+  }
+
   /**
-   * Whether an answer may omit a range. The back end must have reported the range under its present fence: only
-   * then does it refuse a call that the previous process made before the grant mode changed.
+   * Whether an answer may omit a range. The back end must have reported the range under its present fence, or have released it
+   * already: only then does it refuse a call that the previous process made before the grant mode changed.
    */
   private mayOmit(range: KeyRange, { holds }: BackendHeartbeat): boolean {
     if (!this.mayRelease(range)) return false;
-    return this.omittedSince.has(rangeName(range)) || coversRange(range, holds ?? []);
+    if (this.omittedSince.has(rangeName(range))) return true;
+    return coversRange(range, [...(holds ?? []), ...this.reporter.reportedParts(range)]);
   }
 
   private recordOmitted(
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -189,7 +189,7 @@
 
   private grantIfDue(range: KeyRange, nowMs: number): void {
     const record = this.recordOf(range);
-    if (record.superseded) {
+    if (record.superseded || this.reporter.reportedParts(range).length > 0) {
       this.reporter.raiseFence(range);
       return;
     }
--- a/src/sidecar/key-grants.ts
+++ b/src/sidecar/key-grants.ts
@@ -1,6 +1,7 @@
 /** Interface and helpers shared by both grant modes. */
 import type { DirectoryRequest } from '../directory/directory-messages.js';
 import type { KeyRange } from '../directory/directory-state.js';
+import { overlaps } from '../directory/key-ranges.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { EventLog } from '../telemetry/event-log.js';
 import type { HeldRange } from './backend-report.js';
@@ -45,6 +46,8 @@
 export class ReleaseReporter {
   private readonly lastReportMs = new Map<string, number>();
   private readonly lastFenceRequestMs = new Map<string, number>();
+  /** Ranges that were reported as released and may still be owned under the same fence. */
+  private reported: readonly HeldRange[] = [];
 
   constructor(private readonly ports: KeyGrantPorts) {}
 
@@ -58,12 +61,29 @@
     if (owner === null) return;
     const { from, to, fence } = range;
     const { service, holder } = this.ports;
+    this.recordReported(range);
     if (last === undefined) this.ports.log.event('range-released', { service, from, to, fence, handover });
     if (this.ports.send({ kind: 'released', service, from, to, owner, fence, handover, holder })) {
       this.lastReportMs.set(key, nowMs);
     }
   }
 
+  /**
+   * Returns the parts of a range that were reported as released under its fence. They must not be granted under it again: the
+   * report may be on its way, and would give the keys to another back end. A range that has been merged with another since
+   * covers reported keys and others.
+   */
+  reportedParts({ from, to, fence }: HeldRange): HeldRange[] {
+    const overlapping = this.reported.filter(
+      (known) => known.fence === fence && overlaps(known, { from, to }),
+    );
+    return overlapping.map((known) => ({
+      from: Math.max(from, known.from),
+      to: Math.min(to, known.to),
+      fence,
+    }));
+  }
+
   /** Requests a higher fence, because grants under the present one may still be in flight. */
   raiseFence(range: KeyRange): void {
     const key = rangeName(range);
@@ -82,6 +102,14 @@
   clear(): void {
     this.lastReportMs.clear();
     this.lastFenceRequestMs.clear();
+    this.reported = [];
+  }
+
+  private recordReported({ from, to, fence }: HeldRange): void {
+    const owned = this.ports.owned.list();
+    const isOwned = (known: HeldRange): boolean =>
+      owned.some((range) => range.fence === known.fence && overlaps(range, known));
+    this.reported = [...this.reported.filter(isOwned), { from, to, fence }];
   }
 }
 
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -124,6 +124,32 @@
   t.deepEqual(grants.answer(heartbeat(3), world.time.nowMs)?.ranges, [], 'the back end has released it');
 });
 
+/** Guards against keys that are granted again under the fence under which their release was reported. */
+test('heartbeats: released keys are not granted again when their range is merged with another that moves', (t) => {
+  const world = new World();
+  const grants = new HeartbeatGrants(world.ports());
+  world.ranges = [range(0, 49, 5, 'other'), range(50, 99, 5)];
+  grants.answer(heartbeat(1, { holds: [{ from: 0, to: 99, fence: 5 }] }), 0);
+  const rest = { holds: [{ from: 50, to: 99, fence: 5 }] };
+  grants.recordHeartbeat(heartbeat(2, rest));
+  t.like(world.sent, [{ kind: 'released', from: 0, to: 49, fence: 5 }]);
+  world.ranges = [range(0, 99, 5, 'other')];
+  t.deepEqual(grants.answer(heartbeat(2, rest), 0)?.ranges, [], 'both parts are to move');
+  grants.recordHeartbeat(heartbeat(3, { holds: [] }));
+  t.like(world.sent.at(-1), { kind: 'released', from: 0, to: 99, fence: 5 });
+  const unconfirmed = new HeartbeatGrants(world.ports());
+  world.ranges = [range(0, 49, 5, 'other')];
+  unconfirmed.answer(heartbeat(4, { holds: [{ from: 0, to: 99, fence: 5 }] }), 0);
+  unconfirmed.recordHeartbeat(heartbeat(5, rest));
+  world.ranges = [range(0, 149, 5, 'other')];
+  t.deepEqual(
+    unconfirmed.answer(heartbeat(5, rest), 0)?.ranges,
+    [],
+    'keys that were not reported wait for a fence',
+  );
+  t.like(world.sent.at(-1), { kind: 'raise-fence', from: 0, to: 149, fence: 5 });
+});
+
 test('heartbeats: a delayed heartbeat from before the answer does not prove a release', (t) => {
   const world = new World();
   const grants = new HeartbeatGrants(world.ports());
@@ -283,6 +309,23 @@
   grants.stop();
 });
 
+test('calls: released keys are not granted again when their range is merged with another that needs a grant', async (t) => {
+  const world = new World();
+  const calls = new Calls();
+  world.ranges = [range(0, 49, 5, 'other')];
+  const grants = invokedGrants(world, calls);
+  grants.tableChanged();
+  await settle();
+  t.like(world.sent.at(-1), { kind: 'released', from: 0, to: 49, fence: 5 });
+  world.outstanding.recordInherited({ from: 50, to: 99, fence: 3 });
+  world.ranges = [range(0, 99, 5, 'other')];
+  grants.tableChanged();
+  await settle();
+  t.deepEqual(calls.log, ['release 0-49@5']);
+  t.like(world.sent.at(-1), { kind: 'raise-fence', from: 0, to: 99, fence: 5 });
+  grants.stop();
+});
+
 test('calls: after a cancelled move the range counts as held only once it is granted again', async (t) => {
   const world = new World();
   const calls = new Calls();
