Do not take silence for the end of a back end's incarnation

Cause: an incarnation counted as ended, for good, because something did not answer: the probe of a busy back end, a daemon that had restarted and knew none, a service without a health path, or heartbeats that a cut held up.

Ruled out: a longer time-out; what is missing shows nothing at any length.

Change: a probe names the sender of the heartbeat, and any other back end rejects it at once. Where that shows nothing, the known incarnation stays until it was silent for as long as it may hold keys. After a restart of the daemon the registered incarnation is the known one. An end that was assumed is taken back with the next heartbeat.

A successor with a health path holds keys as soon as before; without one it waits until its predecessor's keys have run out.

--- a/lab/sim/directory-world.ts
+++ b/lab/sim/directory-world.ts
@@ -258,6 +258,7 @@
       holder: runtime.randomId(),
       holderOf: (id) => table.instance(id)?.holder ?? null,
       otherIncarnation: (id) => table.otherIncarnation(id, `${name}:1`),
+      mayReplace: () => true,
       heldIndex: () => table.heldIndex,
       send: (request) => client.send(request),
       takeLoad: () => [],
--- a/lab/sim/fleet/fleet-spec.ts
+++ b/lab/sim/fleet/fleet-spec.ts
@@ -8,6 +8,8 @@
   readonly backends: number;
   /** Mode in which its keys are granted. */
   readonly grantMode: GrantMode;
+  /** Path at which its back ends can be probed; null for none, `/health` if missing. */
+  readonly healthPath?: string | null;
 }
 
 /** Traffic of one kind of request. */
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -312,8 +312,9 @@
   }
 
   private items(): ConfigurationItem[] {
-    const services = this.spec.services.map(({ name, keyed, grantMode }): ConfigurationItem => {
-      const definition = { maxConnections: 100, keyed, grantMode, coldStart: null, healthPath: '/health' };
+    const services = this.spec.services.map((service): ConfigurationItem => {
+      const { name, keyed, grantMode, healthPath = '/health' } = service;
+      const definition = { maxConnections: 100, keyed, grantMode, coldStart: null, healthPath };
       return { kind: 'service', name, version: 1, source: '', definition };
     });
     const routes = this.spec.traffic.map((traffic): ConfigurationItem => {
--- a/src/sidecar/backend-gateway.ts
+++ b/src/sidecar/backend-gateway.ts
@@ -645,7 +645,7 @@
     this.circuitBreaker.recordRun(outcome.kind === 'broken');
     const { requestId, instance, key } = request.head;
     const { identity, alone } = request;
-    const fingerprint = this.reporter.report({ requestId, identity, alone, usedMs }, outcome);
+    const fingerprint = this.reporter.report({ requestId, instance, identity, alone, usedMs }, outcome);
     if (outcome.kind === 'answered') {
       this.logAnswer(request, outcome);
       return;
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -12,7 +12,8 @@
 import type { LeaseKeeper } from './lease-keeper.js';
 import type { IncarnationState } from './end-confirmation.js';
 import { IncarnationProbe } from './incarnation-probe.js';
-import { LocalBackend, type HeartbeatOutcome } from './local-backend.js';
+import { IncarnationSuccession } from './incarnation-succession.js';
+import { LocalBackend, type HeartbeatOutcome, type PastEnd } from './local-backend.js';
 
 /** Delay in ms before a back end that refused a connection is checked again. */
 const RECHECK_DELAY_MS = 120;
@@ -26,6 +27,8 @@
   readonly log: EventLog;
   readonly table: DirectoryTable;
   readonly service: string;
+  /** Address of this daemon in registrations. */
+  readonly daemonAddress: string;
   /** Time in ms after the acknowledgement of a leave during which the back end may still receive requests. */
   readonly drainMs: number;
   /** Time in ms without a heartbeat after which a back end with keys is considered ended. */
@@ -54,6 +57,7 @@
 export class BackendPresence {
   readonly backend: LocalBackend;
   private readonly probe: IncarnationProbe;
+  private readonly succession: IncarnationSuccession;
   private readonly startedMs: number;
   private recheckInProgress = false;
   private confirmationInProgress = false;
@@ -67,7 +71,21 @@
     const onAnswer = (identity: BackendIdentity): void => {
       this.receiveIdentity(identity);
     };
-    this.probe = new IncarnationProbe({ runtime, backend: this.backend, calls, healthPath, onAnswer });
+    this.probe = new IncarnationProbe({ backend: this.backend, calls, healthPath, onAnswer });
+    this.succession = new IncarnationSuccession({
+      runtime,
+      backend: this.backend,
+      probe: async (incarnation) => await this.probe.stateOf(incarnation),
+      registered: () => ports.table.registeredAt(ports.daemonAddress),
+      silenceTimeoutMs: ports.heartbeatTimeoutMs,
+      holdsNoKeys: () => ports.holdsNoKeys(),
+      onProven: () => {
+        this.register();
+      },
+      onDisproved: () => {
+        this.gone('another incarnation is at its address', 'ended');
+      },
+    });
   }
 
   /**
@@ -80,7 +98,7 @@
 
   /** Probes whether the incarnation of a name is at the address now. */
   async stateOf(name: string): Promise<IncarnationState> {
-    return await this.probe.stateOf(name, this.ports.listens);
+    return await this.probe.stateOfName(name, this.ports.listens);
   }
 
   /**
@@ -89,7 +107,7 @@
    */
   async accepts(heartbeat: BackendHeartbeat): Promise<boolean> {
     if (heartbeat.condition === 'draining') this.recordLeave(heartbeat, 'heartbeat');
-    if (await this.probe.isPresent(heartbeat)) return true;
+    if (await this.succession.accepts(heartbeat)) return true;
     const fields = { instance: incarnationName(heartbeat), present: this.backend.life };
     this.ports.log.event('heartbeat-of-past-life', fields);
     return false;
@@ -113,9 +131,24 @@
     this.register();
   }
 
+  /** Whether the current incarnation may replace the registration of another one at this daemon. */
+  mayReplace(registered: string): boolean {
+    return this.succession.mayReplace(registered);
+  }
+
+  /**
+   * Records that a request or a grant was rejected because the incarnation that it names is not there. Incarnations that share
+   * an id cannot be told apart by that.
+   */
+  recordMisdirected(instance: string): void {
+    this.succession.recordMisdirected(instance);
+  }
+
   /** Processes an answer of the current incarnation. A leave that it states is binding like one in a heartbeat. */
   recordAnswer(leaving: boolean): void {
     const { backend } = this;
+    // An incarnation that shares its id with others may not be the one that has answered.
+    if (backend.heartbeat?.bornMs === null) this.succession.recordAnswer();
     if (!leaving) backend.recordServing();
     if (!leaving || backend.leaving) return;
     const nowMs = this.ports.runtime.nowMs();
@@ -151,7 +184,7 @@
     await pause(this.ports.runtime, RECHECK_DELAY_MS);
     const isListening = await listens();
     this.recheckInProgress = false;
-    if (!isListening && this.backend.life === life) this.gone('no process listens at its address');
+    if (!isListening && this.backend.life === life) this.gone('no process listens at its address', 'ended');
   }
 
   /**
@@ -165,18 +198,18 @@
     if (backend.life === null) return;
     const holdsNoKeys = this.ports.holdsNoKeys();
     if (backend.left && nowMs > backend.closesAtMs) {
-      if (holdsNoKeys) this.gone('it left and its drain time is over');
+      if (holdsNoKeys) this.gone('it left and its drain time is over', 'left');
       else if (nowMs >= this.nextRecheckMs) void this.recheckListening();
       return;
     }
     const isTimedOut = nowMs - backend.lastHeartbeatMs > heartbeatTimeoutMs;
-    if (isKeyed && isTimedOut && holdsNoKeys) this.gone('no heartbeat received');
+    if (isKeyed && isTimedOut && holdsNoKeys) this.gone('no heartbeat received', 'assumed');
   }
 
-  /** Removes the current incarnation for the given reason. */
-  gone(reason: string): void {
-    this.ports.log.event('backend-gone', { instance: this.backend.life, reason });
-    this.backend.forget();
+  /** Removes the current incarnation for the given reason. One whose end is assumed may come back. */
+  gone(reason: string, end: PastEnd): void {
+    this.ports.log.event('backend-gone', { instance: this.backend.life, reason, end });
+    this.backend.forget(end);
     this.ports.lease().giveUp(reason);
     this.ports.onRemoved();
   }
--- a/src/sidecar/backend-report.ts
+++ b/src/sidecar/backend-report.ts
@@ -62,6 +62,8 @@
   readonly id: string | null;
   /** Start time in ms of its machine's wall clock; null if not reported. */
   readonly bornMs: number | null;
+  /** Whether the back end has rejected the probe, because it is not the one that the probe names. */
+  readonly isOther: boolean;
   /** Whether the back end reports that it is healthy and not leaving. */
   readonly isHealthy: boolean;
   /** Time in ms for which the back end stays cold; null if not reported. */
@@ -75,8 +77,11 @@
  * rejects a call that names another id.
  */
 export interface BackendCalls {
-  /** Queries the identity of the back end at a path; null if there was no answer. */
-  identify(path: string): Promise<BackendIdentity | null>;
+  /**
+   * Queries at a path whether the back end of an id is there; null if there was no answer. Back ends with another id reject the
+   * call, which takes no slot there.
+   */
+  identify(path: string, id: string): Promise<BackendIdentity | null>;
   /** Grants a range for `holdMs`, counted from when the call arrives. Repeating the call renews the grant. */
   grant(id: string, range: GrantedRange, holdMs: number): Promise<GrantResult>;
   /**
--- a/src/sidecar/crash-guard.ts
+++ b/src/sidecar/crash-guard.ts
@@ -11,8 +11,11 @@
   classify(request: IdentifiedRequest): RequestClassification;
   /** Called for every answered run, so it must be cheap while there are no records. */
   answered(request: IdentifiedRequest, statusCode: number): void;
-  /** Called when the back end rejects a request as meant for another instance, or because it does not hold the key. */
-  misdirected(): void;
+  /**
+   * Called when the back end rejects a request that names an instance as meant for another one, or because it does not hold the
+   * key.
+   */
+  misdirected(instance: string): void;
   /** Called when a run ended without an answer; the back end may have crashed during it. */
   interrupted(run: InterruptedRun): void;
   /** Resolves once it is known whether the back end has ended during a broken run, and an end has been recorded. */
--- a/src/sidecar/crash-watch.ts
+++ b/src/sidecar/crash-watch.ts
@@ -23,6 +23,8 @@
   readonly send: (request: DirectoryRequest) => boolean;
   /** Called when a run broke, or the back end rejected a key as not its own: it may have restarted. */
   readonly onPossibleRestart: () => void;
+  /** Called when the back end rejected a request that names an instance. */
+  readonly onMisdirected: (instance: string) => void;
   /** Called when a suspect gets a permit to run. */
   readonly onPermit: () => void;
 }
@@ -62,7 +64,8 @@
   }
 
   /** See `CrashGuard`. */
-  misdirected(): void {
+  misdirected(instance: string): void {
+    this.ports.onMisdirected(instance);
     this.ports.onPossibleRestart();
   }
 
--- a/src/sidecar/directory-table.ts
+++ b/src/sidecar/directory-table.ts
@@ -98,6 +98,12 @@
     return null;
   }
 
+  /** Returns the incarnation that is registered at a daemon; null if there is none, or before the first table. */
+  registeredAt(daemonAddress: string): string | null {
+    for (const instance of this.instances()) if (instance.daemonAddress === daemonAddress) return instance.id;
+    return null;
+  }
+
   /** Returns the ranges of a keyed service in key order. */
   rangesOf(service: string): readonly KeyRange[] {
     return this.state.ranges.get(service) ?? [];
--- a/src/sidecar/incarnation-probe.ts
+++ b/src/sidecar/incarnation-probe.ts
@@ -2,20 +2,12 @@
  * Probes the back end's address to determine which incarnation is there, where a heartbeat alone does not show it.
  */
 import { idOfIncarnation, incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
-import type { Runtime } from '../runtime/runtime.js';
 import type { BackendCalls, BackendIdentity } from './backend-report.js';
 import type { IncarnationState } from './end-confirmation.js';
 import type { LocalBackend } from './local-backend.js';
 
-/**
- * Time in ms after its last heartbeat during which the current incarnation is replaced by another only if a probe
- * confirms the other one.
- */
-const RECENT_HEARTBEAT_MS = 1_500;
-
 /** Dependencies on the daemon. */
 export interface IncarnationProbePorts {
-  readonly runtime: Runtime;
   readonly backend: LocalBackend;
   readonly calls: BackendCalls;
   /** Returns the path at which the back end reports its identity; null if it cannot be probed. */
@@ -28,20 +20,15 @@
 export class IncarnationProbe {
   constructor(private readonly ports: IncarnationProbePorts) {}
 
-  /**
-   * Whether the sender of a heartbeat may be the incarnation at the address. A delayed heartbeat may arrive after
-   * its sender has ended and another incarnation has started; accepting it would end the registration of the
-   * incarnation that is there. If the probe gets no answer, an incarnation with a recent heartbeat stays.
-   */
-  async isPresent(incarnation: BackendIncarnation): Promise<boolean> {
-    const { runtime, backend, calls } = this.ports;
+  /** Probes whether an incarnation is at the address; `unknown` without an answer that shows it. */
+  async stateOf(incarnation: BackendIncarnation): Promise<IncarnationState> {
     const path = this.ports.healthPath();
-    if (path === null || backend.hasSeen(incarnation)) return true;
-    const identity = await calls.identify(path);
-    if (identity?.id === undefined || identity.id === null) {
-      return backend.life === null || runtime.nowMs() - backend.lastHeartbeatMs > RECENT_HEARTBEAT_MS;
-    }
-    return matchesIncarnation(identity, incarnation);
+    if (path === null) return 'unknown';
+    const identity = await this.ports.calls.identify(path, incarnation.id);
+    if (identity === null) return 'unknown';
+    if (identity.isOther) return 'ended';
+    if (identity.id === null || !this.isDistinctive(identity, incarnation)) return 'unknown';
+    return matchesIncarnation(identity, incarnation) ? 'present' : 'ended';
   }
 
   /** Whether the known incarnation is the one at the address; true if the back end cannot be probed. */
@@ -62,25 +49,34 @@
     return identity?.isHealthy === true && !identity.signals.leaving;
   }
 
-  /** Probes whether an incarnation is at the address; the process there may be known to be gone without an answer. */
-  async stateOf(name: string, listens: () => Promise<boolean>): Promise<IncarnationState> {
-    const path = this.ports.healthPath();
+  /** Probes for the incarnation of a name; without an answer, one at whose address no process listens has ended. */
+  async stateOfName(name: string, listens: () => Promise<boolean>): Promise<IncarnationState> {
     const { heartbeat } = this.ports.backend;
-    const identity = path === null ? null : await this.ports.calls.identify(path);
-    if (identity === null) return (await listens()) ? 'unknown' : 'ended';
-    if (identity.id === null) return 'unknown';
     const isCurrent = heartbeat !== null && incarnationName(heartbeat) === name;
-    const isPresent = isCurrent
-      ? matchesIncarnation(identity, heartbeat)
-      : identity.id === idOfIncarnation(name);
-    return isPresent ? 'present' : 'ended';
+    const incarnation = isCurrent ? heartbeat : { id: idOfIncarnation(name), bornMs: null };
+    const state = await this.stateOf(incarnation);
+    return state === 'unknown' && !(await listens()) ? 'ended' : state;
+  }
+
+  /**
+   * Whether a reported identity tells an incarnation from others: an id without a start time does not, if another incarnation
+   * had the same id.
+   */
+  private isDistinctive(identity: BackendIdentity, { id, bornMs }: BackendIncarnation): boolean {
+    if (identity.id !== id || identity.bornMs !== null || bornMs === null) return true;
+    const { heartbeat } = this.ports.backend;
+    const isOtherCurrent = heartbeat?.id === id && heartbeat.bornMs !== bornMs;
+    return !isOtherCurrent && !this.ports.backend.hadEarlierIncarnation(id);
   }
 
   /** Probes the back end; null unless the current incarnation answers. */
   private async identifyCurrent(path: string): Promise<BackendIdentity | null> {
-    const identity = await this.ports.calls.identify(path);
     const { heartbeat } = this.ports.backend;
-    if (identity === null || heartbeat === null || !matchesIncarnation(identity, heartbeat)) return null;
+    if (heartbeat === null) return null;
+    const identity = await this.ports.calls.identify(path, heartbeat.id);
+    const current = this.ports.backend.heartbeat;
+    if (identity === null || identity.isOther || current === null) return null;
+    if (!matchesIncarnation(identity, current)) return null;
     this.ports.onAnswer(identity);
     return identity;
   }
@@ -96,7 +92,7 @@
     if (reported.bornMs !== null || heartbeat?.id !== reported.id) return reported;
     const path = this.ports.healthPath();
     if (path === null || !backend.hadEarlierIncarnation(reported.id)) return heartbeat;
-    const identity = await calls.identify(path);
+    const identity = await calls.identify(path, reported.id);
     return identity?.isHealthy === true ? reported : heartbeat;
   }
 }
--- a/src/sidecar/invoked-grants.ts
+++ b/src/sidecar/invoked-grants.ts
@@ -79,6 +79,8 @@
     private readonly isPresent: () => Promise<boolean>,
     /** Returns the sequence of the current incarnation's newest heartbeat. */
     private readonly newestSequence: () => number = () => 0,
+    /** Called when the back end rejected a grant as meant for another incarnation than the named one. */
+    private readonly onMisdirected: (instance: string) => void = () => undefined,
   ) {
     this.lastCheckMs = ports.runtime.nowMs();
     this.reporter = new ReleaseReporter(ports);
@@ -235,12 +237,18 @@
       return;
     }
     if (result === 'superseded') record.superseded = true;
-    if (result === 'misdirected') this.needsConfirmation = true;
+    if (result === 'misdirected') this.handleMisdirected();
     const { from, to, fence } = record.range;
     const sentAgoMs = Math.round(this.ports.runtime.nowMs() - record.sentMs);
     this.ports.log.event('grant-failed', { service: this.ports.service, from, to, fence, result, sentAgoMs });
   }
 
+  private handleMisdirected(): void {
+    this.needsConfirmation = true;
+    const instance = this.ports.instance();
+    if (instance !== null) this.onMisdirected(instance);
+  }
+
   private release(range: KeyRange, nowMs: number): void {
     if (!this.prepareRelease(range, nowMs)) return;
     this.stopAdmission(range);
--- a/src/sidecar/key-ownership.ts
+++ b/src/sidecar/key-ownership.ts
@@ -41,6 +41,8 @@
   readonly isPresent: () => Promise<boolean>;
   /** Called when the back end may hold more keys than before. */
   readonly onKeysGained: () => void;
+  /** Called when the back end rejected a grant that names an incarnation as meant for another one. */
+  readonly onMisdirected: (instance: string) => void;
 }
 
 /** Keys of one back end. */
@@ -175,7 +177,9 @@
       onKeysGained,
     };
     if (this.grantMode === 'heartbeat') return new HeartbeatGrants(ports);
-    return new InvokedGrants(ports, calls, isPresent, () => backend.heartbeat?.sequence ?? 0);
+    const { onMisdirected } = this.ports;
+    const newestSequence = (): number => backend.heartbeat?.sequence ?? 0;
+    return new InvokedGrants(ports, calls, isPresent, newestSequence, onMisdirected);
   }
 
   /**
--- a/src/sidecar/lease-keeper.ts
+++ b/src/sidecar/lease-keeper.ts
@@ -44,6 +44,8 @@
    * first table.
    */
   readonly otherIncarnation: (id: string) => string | null | undefined;
+  /** Whether the registration of another incarnation may be replaced; asked again until it may. */
+  readonly mayReplace: (registered: string) => boolean;
   /** Returns the index up to which all changes are known to be applied to the table. */
   readonly heldIndex: () => number;
   readonly send: (request: DirectoryRequest) => boolean;
@@ -195,7 +197,7 @@
 
   private register(backend: RegisteredBackend, nowMs: number): void {
     const replaces = this.ports.otherIncarnation(backend.id);
-    if (replaces === undefined) return;
+    if (replaces === undefined || (replaces !== null && !this.ports.mayReplace(replaces))) return;
     this.nextSendMs = nowMs + REGISTER_RETRY_INTERVAL_MS;
     this.replacesAnother ||= replaces !== null;
     const { daemonAddress, holder, holderOf } = this.ports;
--- a/src/sidecar/local-backend.ts
+++ b/src/sidecar/local-backend.ts
@@ -34,13 +34,20 @@
  */
 const CLOCK_STEP_SILENCE_MS = 4_000;
 
+/**
+ * How an incarnation ended: by its final message, certainly, or by assumption, because it was silent or replaced by one that was
+ * not shown to be at the address.
+ */
+export type PastEnd = 'left' | 'ended' | 'assumed';
+
 /** Result of processing a heartbeat: from a new incarnation, a newer one of the current incarnation, or stale. */
 export type HeartbeatOutcome = 'new-life' | 'news' | 'stale';
 
 /** State of the local back end. */
 export class LocalBackend {
   private present: BackendHeartbeat | null = null;
-  private readonly pastIncarnations = new Set<string>();
+  /** Ends of past incarnations by name, oldest first. */
+  private readonly pastIncarnations = new Map<string, PastEnd>();
   private readonly acknowledgedLeaves = new LeaveDeadlines(MAX_LEAVES);
   private hasLeft = false;
   private newestHeartbeatMs = -Infinity;
@@ -91,10 +98,25 @@
     return this.isConfirmed;
   }
 
-  /** Whether an incarnation is the current one or a past one. */
-  hasSeen(incarnation: BackendIncarnation): boolean {
+  /** Whether an incarnation is the current one. */
+  isCurrent(incarnation: BackendIncarnation): boolean {
+    return this.life === incarnationName(incarnation);
+  }
+
+  /** Whether an incarnation, by its name, is a past one. */
+  isPast(name: string): boolean {
+    return this.pastIncarnations.has(name);
+  }
+
+  /** How a past incarnation ended; null for any other. */
+  endOf(incarnation: BackendIncarnation): PastEnd | null {
+    return this.pastIncarnations.get(incarnationName(incarnation)) ?? null;
+  }
+
+  /** Takes back the end of an incarnation that has shown that it is up; a leave that it has stated stays in force. */
+  readmit(incarnation: BackendIncarnation): void {
     const name = incarnationName(incarnation);
-    return this.life === name || this.pastIncarnations.has(name);
+    if (this.pastIncarnations.get(name) !== 'left') this.pastIncarnations.delete(name);
   }
 
   /** Whether this process has known no incarnation before the current one. */
@@ -104,7 +126,7 @@
 
   /** Whether an earlier incarnation had this id. */
   hadEarlierIncarnation(id: string): boolean {
-    return [...this.pastIncarnations].some((name) => idOfIncarnation(name) === id);
+    return [...this.pastIncarnations.keys()].some((name) => idOfIncarnation(name) === id);
   }
 
   /**
@@ -158,7 +180,7 @@
     const name = incarnationName(incarnation);
     this.recordLeave(incarnation, nowMs);
     if (this.life === name) this.hasLeft = true;
-    else this.addPastIncarnation(name);
+    else this.addPastIncarnation(name, 'left');
   }
 
   /** Marks the current incarnation as confirmed: neither the directory nor a probe reports that it leaves. */
@@ -171,9 +193,9 @@
     if (this.life !== null && !this.leaving) this.acknowledgedLeaves.record(this.life, nowMs);
   }
 
-  /** Discards the current incarnation; its delayed heartbeats are ignored from now on. */
-  forget(): void {
-    if (this.life !== null) this.addPastIncarnation(this.life);
+  /** Discards the current incarnation; its delayed heartbeats are ignored from now on, unless it is readmitted. */
+  forget(end: PastEnd): void {
+    if (this.life !== null) this.addPastIncarnation(this.life, this.hasLeft ? 'left' : end);
     this.present = null;
     this.hasLeft = false;
     this.newestHeartbeatMs = -Infinity;
@@ -198,17 +220,18 @@
    * back end that had left received requests for as long as its process ran.
    */
   private startIncarnation({ sequence }: BackendHeartbeat, nowMs: number): void {
-    this.forget();
+    this.forget('assumed');
     this.readyCount = 0;
     this.firstSeenMs = nowMs;
     this.hasServed = sequence === FIRST_SEQUENCE;
     this.isConfirmed = sequence === FIRST_SEQUENCE || nowMs - this.startedMs > LATE_MESSAGE_MS;
   }
 
-  private addPastIncarnation(name: string): void {
-    this.pastIncarnations.add(name);
+  private addPastIncarnation(name: string, end: PastEnd): void {
+    this.pastIncarnations.delete(name);
+    this.pastIncarnations.set(name, end);
     if (this.pastIncarnations.size <= MAX_PAST_INCARNATIONS) return;
-    const [oldest] = this.pastIncarnations;
+    const [oldest] = this.pastIncarnations.keys();
     if (oldest !== undefined) this.pastIncarnations.delete(oldest);
   }
 }
--- a/src/sidecar/run-reporter.ts
+++ b/src/sidecar/run-reporter.ts
@@ -11,6 +11,8 @@
 /** A run that has ended. */
 export interface EndedRun {
   readonly requestId: string;
+  /** Incarnation that the request names. */
+  readonly instance: string;
   readonly identity: IdentifiedRequest;
   /** Whether no other request ran at the back end at the same time. */
   readonly alone: boolean;
@@ -28,9 +30,13 @@
   ) {}
 
   /** Reports the outcome of a run; returns the request's fingerprint if the back end may have ended during the run. */
-  report({ requestId, identity, alone, usedMs }: EndedRun, outcome: RunOutcome): string | undefined {
+  report(
+    { requestId, instance, identity, alone, usedMs }: EndedRun,
+    outcome: RunOutcome,
+  ): string | undefined {
     if (outcome.kind === 'answered') this.guard.answered(identity, outcome.statusCode);
-    if (outcome.kind === 'declined' && outcome.statusCode === MISDIRECTED_STATUS) this.guard.misdirected();
+    const isMisdirected = outcome.kind === 'declined' && outcome.statusCode === MISDIRECTED_STATUS;
+    if (isMisdirected) this.guard.misdirected(instance);
     const byBackend = isConnectionBroken(outcome);
     const cancelledByGateway = outcome.kind === 'cancelled' || outcome.kind === 'deadline';
     if (!byBackend && !cancelledByGateway) return undefined;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -353,7 +353,7 @@
     // If the back end is still running, a restarted daemon resumes with its registration; if it has ended, its keys
     // are released now.
     if (this.backend.life !== null && !(await this.options.backendListens())) {
-      this.presence.gone('back end ended before its daemon');
+      this.presence.gone('back end ended before its daemon', 'ended');
       await this.waitUntil(this.runtime.nowMs() + FLUSH_MS, () => false);
     }
     this.close();
@@ -390,6 +390,7 @@
       holder: this.holder,
       holderOf: (id) => this.table.instance(id)?.holder ?? null,
       otherIncarnation: (id) => this.table.otherIncarnation(id, formatAddress(this.settings.advertisedLinks)),
+      mayReplace: (registered) => this.presence.mayReplace(registered),
       heldIndex: () => this.table.heldIndex,
       send: (request) => this.directory.send(request),
       takeLoad: () => this.load.take(),
@@ -423,6 +424,9 @@
       onKeysGained: () => {
         this.gateway.reevaluateWaiting();
       },
+      onMisdirected: (instance) => {
+        this.presence.recordMisdirected(instance);
+      },
     });
   }
 
@@ -433,6 +437,7 @@
       log,
       table,
       service: settings.service,
+      daemonAddress: formatAddress(settings.advertisedLinks),
       drainMs: settings.drainMs,
       heartbeatTimeoutMs: settings.holdMs,
       calls: this.options.calls,
@@ -495,6 +500,10 @@
       onPossibleRestart: () => {
         this.keys.suspectRestart();
       },
+      onMisdirected: (instance) => {
+        // A back end of a keyed service also rejects keys that it does not hold.
+        if (!this.keys.isKeyed) this.presence.recordMisdirected(instance);
+      },
       onPermit: () => {
         this.gateway.suspects.check();
       },
--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -20,6 +20,7 @@
   hasQueue = false;
   other: string | null = null;
   registeredHolder: string | null = null;
+  replaceable = new Set(['life-0']);
   firstRegistrations = 0;
   /** Whether the newest of them replaced another incarnation. */
   replacesAnother = false;
@@ -32,6 +33,7 @@
     holder: 'present',
     holderOf: () => this.registeredHolder,
     otherIncarnation: () => this.other,
+    mayReplace: (registered) => this.replaceable.has(registered),
     heldIndex: () => this.heldIndex,
     send: (request) => {
       this.sent.push(request);
@@ -151,3 +153,14 @@
   t.deepEqual([world.firstRegistrations, world.replacesAnother], [1, true]);
   world.keeper.stop();
 });
+
+test('a registration of another incarnation is replaced only once that one is certain to have ended', (t) => {
+  const world = new World();
+  world.other = 'life-9';
+  world.keeper.update(BACKEND);
+  world.time.pass(2_000);
+  t.deepEqual(world.sent, []);
+  world.replaceable.add('life-9');
+  world.time.pass(100);
+  t.like(world.sent, [{ kind: 'register', replaces: 'life-9' }]);
+});
