Take only three digits for the status of an answer

Callers saw: a sealed 200 for the status lines 2000 OK and 200OK, 500 for 5000, and 504 after the deadline for an answer that began with 1000.

Cause: http-parser-js reads the first three digits of any number of them and takes the rest for the reason.

Ruled out: 000, 001, 099, 00, signs and an empty status, which were held before; undici, which the routers' stack uses and which rejects all of them.

Change: behind the version come three digits and a space or the end of the line (RFC 9112, 4); any other answer is none, and the caller gets 502 at once.

--- a/src/sidecar/answer-parser.ts
+++ b/src/sidecar/answer-parser.ts
@@ -1,8 +1,8 @@
 /**
- * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects what that library tolerates: lines of a head
- * or trailer that are no header, and heads that run into another one, by which a length gets lost; content lengths and
- * chunk sizes that are not numbers and transfer codings other than chunked, which would make a truncated answer look
- * complete; lines and trailers without end; and heads that cannot be sent on.
+ * Parses HTTP/1.1 answers from a byte stream with `http-parser-js`. Rejects what that library tolerates: a status of more than
+ * three digits; lines of a head or trailer that are no header, and heads that run into another one, by which a length gets lost;
+ * content lengths and chunk sizes that are not numbers and transfer codings other than chunked, which would make a truncated
+ * answer look complete; lines and trailers without end; and heads that cannot be sent on.
  */
 import { HTTPParser } from 'http-parser-js';
 import { invalidHeadReason, repeatedHeaderReason } from './answer-headers.js';
@@ -44,6 +44,12 @@
 /** Beginning of a header line (RFC 9112, 5): no space before the colon, and no folding. */
 const HEADER_LINE = /^[!#$%&'*+.^_`|~\dA-Za-z-]+:/;
 
+/**
+ * Status line (RFC 9112, 4): three digits, then the end of the line or a space and the reason. The library reads the first three of
+ * any number of digits.
+ */
+const STATUS_LINE = /^HTTP\/\d\.\d \d{3}(?: |$)/;
+
 /** Status line of another answer behind the beginning of a line. */
 const EMBEDDED_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
 
@@ -158,6 +164,7 @@
     case 'BODY_CHUNKHEAD':
       return CHUNK_SIZE.test(line) ? null : 'a chunk size is not a number';
     case 'RESPONSE_LINE':
+      if (!STATUS_LINE.test(line)) return 'the status is no status';
       return line.includes('\r') || EMBEDDED_STATUS_LINE.test(line) ? 'the head runs into another one' : null;
     case 'HEADER':
     case 'BODY_CHUNKTRAILERS':
--- a/test/incidents/linked-daemons.ts
+++ b/test/incidents/linked-daemons.ts
@@ -30,6 +30,8 @@
 
 /** What a back end answers. */
 export interface AnswerScript {
+  /** Status line without its end. */
+  readonly statusLine: string;
   readonly bytes: number;
   readonly framing: 'length' | 'chunked' | 'close';
   /** Time until the answer begins. */
@@ -42,6 +44,7 @@
 
 /** Answer of a few bytes that is given at once. */
 export const SMALL_ANSWER: AnswerScript = {
+  statusLine: 'HTTP/1.1 200 OK',
   bytes: 20,
   framing: 'length',
   workMs: 0,
@@ -255,7 +258,7 @@
         return;
       }
       socket.write(
-        `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: s\r\nInstance-Id: ${instance}\r\n${framing}\r\n`,
+        `${script.statusLine}\r\nRequest-Id: ${id}\r\nServer-Seal: s\r\nInstance-Id: ${instance}\r\n${framing}\r\n`,
       );
       new ScriptedAnswer(socket, script, (state) => (run.state = state));
     }, script.workMs);
