Play late heartbeats and late reports as random faults of the simulator

Three faults: heartbeats of an incarnation that was replaced meanwhile, while its successor may be too busy for probes; heartbeats that a cut holds up; commands of a killed daemon that a suspended replica forwards.

Closing both ends of a connection of which each still reads no longer recurses.

--- a/lab/sim/fleet/fleet-machine.ts
+++ b/lab/sim/fleet/fleet-machine.ts
@@ -138,7 +138,7 @@
   }
 
   /** Starts a new incarnation of the back end, whose heartbeats may be held back from the first on. */
-  startBackend({ holdsHeartbeats = false } = {}): void {
+  startBackend({ holdsHeartbeats = false }: { readonly holdsHeartbeats?: boolean } = {}): void {
     this.lives += 1;
     const life = `${this.name}-life-${this.lives}`;
     const id = this.reusesId ? this.name : life;
@@ -160,9 +160,9 @@
   }
 
   /** Replaces the back end by a new incarnation that listens at once, so that no connection is refused. */
-  restartBackend(): void {
+  restartBackend(options: { readonly holdsHeartbeats?: boolean } = {}): void {
     this.backend?.end();
-    this.startBackend();
+    this.startBackend(options);
   }
 
   /** Makes the back end report that it is draining, and ends it after `afterMs`. */
@@ -209,6 +209,11 @@
     this.nextHeartbeatLatencyMs = ms;
   }
 
+  /** Whether heartbeats of an incarnation are held back. */
+  get holdsHeartbeats(): boolean {
+    return this.heldHeartbeats !== null;
+  }
+
   /** Holds back the heartbeats of the present incarnation until `deliverHeldHeartbeats`. */
   holdHeartbeats(): void {
     if (this.backend !== null) this.heldHeartbeats = { of: this.backend, deliveries: [] };
--- a/lab/sim/fleet/fleet-world.ts
+++ b/lab/sim/fleet/fleet-world.ts
@@ -34,6 +34,9 @@
 const CONFIGURE_AT_MS = 2_000;
 const CONFIGURE_RETRY_DELAY_MS = 300;
 
+/** Time in ms after which a proposal without an outcome is repeated: its leader may have ended. */
+const CONFIGURE_TIMEOUT_MS = 1_000;
+
 /** The end of a back-end incarnation while it was running requests. */
 export interface BackendEnd {
   readonly instance: string;
@@ -295,7 +298,10 @@
 
   /** Proposes a change until it is accepted, as an operator does. */
   private proposeUntilAccepted(items: readonly ConfigurationItem[], onAccepted: () => void): void {
+    let isSettled = false;
     const retry = (): void => {
+      if (isSettled) return;
+      isSettled = true;
       this.queue.at(this.queue.nowMs + CONFIGURE_RETRY_DELAY_MS, () => {
         this.proposeUntilAccepted(items, onAccepted);
       });
@@ -306,9 +312,12 @@
       return;
     }
     void leader.propose({ kind: 'configure-items', items }).then((outcome) => {
-      if (outcome.ok && outcome.val.kind === 'done') onAccepted();
+      const isAccepted = outcome.ok && outcome.val.kind === 'done';
+      if (isAccepted && !isSettled) onAccepted();
       else retry();
+      isSettled = true;
     });
+    this.queue.at(this.queue.nowMs + CONFIGURE_TIMEOUT_MS, retry);
   }
 
   private items(): ConfigurationItem[] {
--- a/lab/sim/fleet/key-troubles.ts
+++ b/lab/sim/fleet/key-troubles.ts
@@ -30,6 +30,13 @@
 const DISK_STALL_DURATION: DurationRange = { minMs: 200, maxMs: 1_800 };
 const CUT_DURATION: DurationRange = { minMs: 200, maxMs: 1_500 };
 const HEARTBEAT_LATENCY: DurationRange = { minMs: 300, maxMs: 2_000 };
+const EARLIER_LIFE_DURATION: DurationRange = { minMs: 50, maxMs: 900 };
+const HEARTBEAT_CUT_DURATION: DurationRange = { minMs: 500, maxMs: 8_000 };
+const REPORT_DELAY: DurationRange = { minMs: 30, maxMs: 600 };
+const SUSPENSION_DURATION: DurationRange = { minMs: 800, maxMs: 4_000 };
+
+/** How back ends may answer probes while late heartbeats arrive. */
+const PROBE_ANSWERS = ['answered', 'busy', 'unanswered'] as const;
 
 /** A kind of fault. */
 export type KeyFaultKind = keyof typeof FAULTS;
@@ -73,6 +80,15 @@
   'back-end-reborn': (faults) => {
     faults.restartBackend();
   },
+  'heartbeats-of-an-earlier-incarnation': (faults) => {
+    faults.delayHeartbeatsOfEarlierIncarnation();
+  },
+  'heartbeats-cut': (faults) => {
+    faults.cutHeartbeats();
+  },
+  'reports-of-an-earlier-process': (faults) => {
+    faults.delayReportsOfEarlierProcess();
+  },
   'grant-mode-changed': (faults) => {
     faults.changeGrantMode();
   },
@@ -172,6 +188,50 @@
     machine.restartBackend();
   }
 
+  /**
+   * Starts an incarnation whose heartbeats are held back, replaces it, and delivers them while its successor may be too busy to
+   * answer a probe.
+   */
+  delayHeartbeatsOfEarlierIncarnation(): void {
+    const machine = this.machine();
+    if (machine.backend === null || machine.holdsHeartbeats) return;
+    machine.restartBackend({ holdsHeartbeats: true });
+    this.runLater(EARLIER_LIFE_DURATION, () => {
+      machine.restartBackend();
+    });
+    this.runLater(HEARTBEAT_CUT_DURATION, () => {
+      machine.probes = this.random.pick(PROBE_ANSWERS);
+      machine.deliverHeldHeartbeats();
+      this.runLater(HEARTBEAT_LATENCY, () => {
+        machine.probes = 'answered';
+      });
+    });
+  }
+
+  /** Holds back the heartbeats of a back end that keeps running. */
+  cutHeartbeats(): void {
+    const machine = this.machine();
+    if (machine.backend === null || machine.holdsHeartbeats) return;
+    machine.holdHeartbeats();
+    this.runLater(HEARTBEAT_CUT_DURATION, () => {
+      machine.deliverHeldHeartbeats();
+    });
+  }
+
+  /** Suspends a replica and kills a daemon whose last commands it may hold; it forwards them when it resumes. */
+  delayReportsOfEarlierProcess(): void {
+    const machine = this.machine();
+    const durationMs = this.drawDurationMs(SUSPENSION_DURATION);
+    this.world.directory.injectFault('suspend', this.replica(), durationMs);
+    this.runLater(REPORT_DELAY, () => {
+      if (machine.node === null) return;
+      machine.crash();
+      this.runLater(DAEMON_DOWNTIME, () => {
+        if (machine.node === null) void machine.start();
+      });
+    });
+  }
+
   /** Sets a randomly drawn grant mode. */
   changeGrantMode(): void {
     this.world.changeGrantMode(this.service, this.random.below(2) === 0 ? 'heartbeat' : 'invoke');
--- a/lab/sim/sim-network.ts
+++ b/lab/sim/sim-network.ts
@@ -172,6 +172,8 @@
 class Endpoint implements Connection {
   peer: Endpoint | null = null;
   private open = true;
+  /** Whether the remote process has ended and this end closes once it has read what was sent. */
+  private closing = false;
   private delayed: { readonly message: unknown; readonly bytes: number }[] = [];
   private lastArrivalMs = 0;
   /** Bytes of measured frames that are on their way to this end. */
@@ -231,7 +233,10 @@
   closeByPeer(): void {
     if (!this.open) return;
     if (this.process.frozen || this.delayed.length > 0) {
-      this.peer?.closeByPeer();
+      if (!this.closing) {
+        this.closing = true;
+        this.peer?.closeByPeer();
+      }
       this.process.schedule(CUT_POLL_INTERVAL_MS, () => {
         this.closeByPeer();
       });
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -68,8 +68,8 @@
     this.startedMs = runtime.nowMs();
     this.backend = new LocalBackend(drainMs, this.startedMs);
     const healthPath = (): string | null => ports.table.service(ports.service)?.healthPath ?? null;
-    const onAnswer = (identity: BackendIdentity): void => {
-      this.receiveIdentity(identity);
+    const onAnswer = (identity: BackendIdentity, isProof: boolean): void => {
+      this.receiveIdentity(identity, isProof);
     };
     this.probe = new IncarnationProbe({ backend: this.backend, calls, healthPath, onAnswer });
     this.succession = new IncarnationSuccession({
@@ -215,7 +215,8 @@
   }
 
   /** A probe that reports nothing proves nothing, so only limits, leaves and cold starts are taken from it. */
-  private receiveIdentity({ signals, coldLeftMs }: BackendIdentity): void {
+  private receiveIdentity({ signals, coldLeftMs }: BackendIdentity, isProof: boolean): void {
+    if (isProof) this.succession.recordProof();
     const { leaving, limit } = signals;
     if (leaving) this.recordAnswer(leaving);
     if (limit.kind === 'limited') this.ports.onLimit(limit.requestsPerSecond);
--- a/src/sidecar/incarnation-probe.ts
+++ b/src/sidecar/incarnation-probe.ts
@@ -12,8 +12,8 @@
   readonly calls: BackendCalls;
   /** Returns the path at which the back end reports its identity; null if it cannot be probed. */
   readonly healthPath: () => string | null;
-  /** Called with the answer of the current incarnation to a probe. */
-  readonly onAnswer: (identity: BackendIdentity) => void;
+  /** Called with an answer to a probe that matches the current incarnation; `isProof` if no other one can have given it. */
+  readonly onAnswer: (identity: BackendIdentity, isProof: boolean) => void;
 }
 
 /** Probes the identity and health of the local back end. */
@@ -77,7 +77,7 @@
     const current = this.ports.backend.heartbeat;
     if (identity === null || identity.isOther || current === null) return null;
     if (!matchesIncarnation(identity, current)) return null;
-    this.ports.onAnswer(identity);
+    this.ports.onAnswer(identity, identity.id !== null && this.isDistinctive(identity, current));
     return identity;
   }
 
--- a/src/sidecar/incarnation-succession.ts
+++ b/src/sidecar/incarnation-succession.ts
@@ -73,6 +73,11 @@
     return false;
   }
 
+  /** Records that a probe has shown that the current incarnation is at the address. */
+  recordProof(): void {
+    this.proven = this.ports.backend.life;
+  }
+
   /** Records an answer that only the current incarnation can have given. */
   recordAnswer(): void {
     this.lastAnswerMs = this.ports.runtime.nowMs();
--- a/test/sim/key-troubles.test.ts
+++ b/test/sim/key-troubles.test.ts
@@ -4,6 +4,7 @@
  */
 import test from 'ava';
 import type { FleetSpec } from '../../lab/sim/fleet/fleet-spec.js';
+import { HEARTBEAT_MS } from '../../lab/sim/fleet/fleet-machine.js';
 import { FLEET_READY_MS, FleetWorld } from '../../lab/sim/fleet/fleet-world.js';
 import { KeyFaults } from '../../lab/sim/fleet/key-troubles.js';
 import { Random } from '../../lab/random.js';
@@ -21,6 +22,9 @@
 
 const MIN_SERVED_SHARE = 0.9;
 
+/** Longer interval between heartbeats, in every other seed: what is sent between two of them may be outdated. */
+const LONG_HEARTBEAT_MS = 1_500;
+
 function specOf(grantMode: GrantMode): FleetSpec {
   return {
     services: [{ name: SERVICE, keyed: true, backends: 4, grantMode }],
@@ -49,6 +53,8 @@
   for (let seed = 1; seed <= SEEDS; seed += 1) {
     test(`keys have one owner despite participants with outdated knowledge: ${grantMode}, seed ${seed}`, async (t) => {
       const world = new FleetWorld(seed, specOf(grantMode));
+      for (const machine of world.machines)
+        machine.heartbeatMs = seed % 2 === 0 ? HEARTBEAT_MS : LONG_HEARTBEAT_MS;
       await world.start();
       const endMs = FLEET_READY_MS + FAULTS_MS + EXPIRY_MS;
       world.startTraffic(endMs);
