Compare start times with the registered incarnation after a daemon's restart

Cause: where back ends share an id and their probes report no start time, a restarted daemon took the id in the answer to its probe for a proof of a late heartbeat's sender, although the directory names another incarnation of that id.

Change: the registered incarnation counts as a known one; of two with one id the later start wins, and the earlier one waits until the other is known to have ended.

--- a/src/model/backend-incarnation.ts
+++ b/src/model/backend-incarnation.ts
@@ -19,6 +19,13 @@
   return id.includes(SEPARATOR) ? `${id}${SEPARATOR}` : id;
 }
 
+/** Returns the incarnation of a name. */
+export function parseIncarnation(name: string): BackendIncarnation {
+  const end = name.lastIndexOf(SEPARATOR);
+  const bornMs = end < 0 || end === name.length - 1 ? null : Number(name.slice(end + 1));
+  return { id: idOfIncarnation(name), bornMs };
+}
+
 /** Returns the back-end id in an incarnation's name; the back end expects this id in requests. */
 export function idOfIncarnation(name: string): string {
   const end = name.lastIndexOf(SEPARATOR);
--- a/src/sidecar/backend-presence.ts
+++ b/src/sidecar/backend-presence.ts
@@ -71,12 +71,13 @@
     const onAnswer = (identity: BackendIdentity, isProof: boolean): void => {
       this.receiveIdentity(identity, isProof);
     };
-    this.probe = new IncarnationProbe({ backend: this.backend, calls, healthPath, onAnswer });
+    const registered = (): string | null => ports.table.registeredAt(ports.daemonAddress);
+    this.probe = new IncarnationProbe({ backend: this.backend, calls, registered, healthPath, onAnswer });
     this.succession = new IncarnationSuccession({
       runtime,
       backend: this.backend,
       probe: async (incarnation) => await this.probe.stateOf(incarnation),
-      registered: () => ports.table.registeredAt(ports.daemonAddress),
+      registered,
       silenceTimeoutMs: ports.heartbeatTimeoutMs,
       holdsNoKeys: () => ports.holdsNoKeys(),
       onProven: () => {
--- a/src/sidecar/incarnation-probe.ts
+++ b/src/sidecar/incarnation-probe.ts
@@ -10,6 +10,8 @@
 export interface IncarnationProbePorts {
   readonly backend: LocalBackend;
   readonly calls: BackendCalls;
+  /** Returns the incarnation that is registered at this daemon; null if there is none or it is unknown. */
+  readonly registered: () => string | null;
   /** Returns the path at which the back end reports its identity; null if it cannot be probed. */
   readonly healthPath: () => string | null;
   /** Called with an answer to a probe that matches the current incarnation; `isProof` if no other one can have given it. */
@@ -60,13 +62,15 @@
 
   /**
    * Whether a reported identity tells an incarnation from others: an id without a start time does not, if another incarnation
-   * had the same id.
+   * is known to have the same id.
    */
-  private isDistinctive(identity: BackendIdentity, { id, bornMs }: BackendIncarnation): boolean {
+  private isDistinctive(identity: BackendIdentity, incarnation: BackendIncarnation): boolean {
+    const { id, bornMs } = incarnation;
     if (identity.id !== id || identity.bornMs !== null || bornMs === null) return true;
-    const { heartbeat } = this.ports.backend;
-    const isOtherCurrent = heartbeat?.id === id && heartbeat.bornMs !== bornMs;
-    return !isOtherCurrent && !this.ports.backend.hadEarlierIncarnation(id);
+    const { backend, registered } = this.ports;
+    const isAnother = (name: string | null): boolean =>
+      name !== null && name !== incarnationName(incarnation) && idOfIncarnation(name) === id;
+    return !isAnother(backend.life) && !isAnother(registered()) && !backend.hadEarlierIncarnation(id);
   }
 
   /** Probes the back end; null unless the current incarnation answers. */
--- a/src/sidecar/incarnation-succession.ts
+++ b/src/sidecar/incarnation-succession.ts
@@ -3,7 +3,7 @@
  * may be the first of its successor, or a delayed one of a predecessor that has ended. That the known incarnation does not
  * answer a probe shows neither: it may be busy.
  */
-import { incarnationName, type BackendIncarnation } from '../model/backend-incarnation.js';
+import { incarnationName, parseIncarnation, type BackendIncarnation } from '../model/backend-incarnation.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { IncarnationState } from './end-confirmation.js';
 import type { LocalBackend } from './local-backend.js';
@@ -68,7 +68,8 @@
   mayReplace(registered: string): boolean {
     const { backend } = this.ports;
     if (backend.life === null) return false;
-    if (backend.life === this.proven || backend.isPast(registered) || this.hasEnded(registered)) return true;
+    if (backend.life === this.proven || backend.isPast(registered)) return true;
+    if (startedAfter(parseIncarnation(backend.life), registered) || this.hasEnded(registered)) return true;
     void this.proveCurrent(backend.life);
     return false;
   }
@@ -92,16 +93,9 @@
   /** Whether no other incarnation may still be at the address, as far as is known without a probe. */
   private isUnopposed(sender: BackendIncarnation): boolean {
     if (this.ports.backend.endOf(sender) === 'ended') return false;
-    if (this.startedAfterCurrent(sender)) return true;
     const incumbent = this.incumbent();
-    return incumbent === null || incumbent === incarnationName(sender) || this.hasEnded(incumbent);
-  }
-
-  /** Whether a sender with the id of the current incarnation states a later start. */
-  private startedAfterCurrent({ id, bornMs }: BackendIncarnation): boolean {
-    const current = this.ports.backend.heartbeat;
-    if (current?.id !== id || bornMs === null || current.bornMs === null) return false;
-    return bornMs > current.bornMs;
+    if (incumbent === null || incumbent === incarnationName(sender)) return true;
+    return startedAfter(sender, incumbent) || this.hasEnded(incumbent);
   }
 
   /**
@@ -139,3 +133,9 @@
     this.ports.onProven();
   }
 }
+
+/** Whether an incarnation has the id of another one and states a later start. */
+function startedAfter({ id, bornMs }: BackendIncarnation, other: string): boolean {
+  const earlier = parseIncarnation(other);
+  return earlier.id === id && bornMs !== null && earlier.bornMs !== null && bornMs > earlier.bornMs;
+}
--- a/test/incidents/heartbeat-of-an-earlier-incarnation.test.ts
+++ b/test/incidents/heartbeat-of-an-earlier-incarnation.test.ts
@@ -37,12 +37,15 @@
   readonly probes: FleetMachine['probes'];
   readonly healthPath: string | null;
   readonly restartsDaemon: boolean;
+  /** Whether all incarnations have one id and differ only by their start times, which probes do not report. */
+  readonly reusesId?: boolean;
 }
 
 const PROBES: readonly Omit<Variant, 'restartsDaemon'>[] = [
   { name: 'busy', probes: 'busy', healthPath: '/health' },
   { name: 'probes without an answer', probes: 'unanswered', healthPath: '/health' },
   { name: 'no health path', probes: 'answered', healthPath: null },
+  { name: 'the same id', probes: 'answered', healthPath: '/health', reusesId: true },
 ];
 
 const VARIANTS: readonly Variant[] = PROBES.flatMap((probes) => [
@@ -98,7 +101,7 @@
 }
 
 for (const grantMode of ['heartbeat', 'invoke'] as const) {
-  for (const { name, probes, healthPath, restartsDaemon } of VARIANTS) {
+  for (const { name, probes, healthPath, restartsDaemon, reusesId } of VARIANTS) {
     test(`late heartbeats of an earlier incarnation end none that is up: ${grantMode}, ${name}`, async (t) => {
       for (let seed = 1; seed <= SEEDS; seed += 1) {
         const random = new Random(seed);
@@ -111,6 +114,7 @@
         world.startTraffic(FLEET_READY_MS + TRAFFIC_MS);
         const machine = random.pick(world.machines);
         machine.endBackend();
+        machine.reusesId = reusesId === true;
         await world.runUntil(FLEET_READY_MS + 500);
         machine.heartbeatMs = EARLIER_HEARTBEAT_MS;
         machine.startBackend({ holdsHeartbeats: true });
