Play late heartbeats and late reports in the soak of real processes

Two troubles, drawn apart so that the earlier draws of a seed stay: heartbeats of a back end that was replaced arrive while its successor is too busy for probes, and the daemon of a leaving back end is killed while a directory that may hold its last commands is paused. Back ends of the soak reject probes that name another one, as the users' do.

--- a/lab/soak/soak-backend.ts
+++ b/lab/soak/soak-backend.ts
@@ -129,12 +129,16 @@
 export class SoakBackend {
   answerFaults = NO_ANSWER_FAULTS;
   delayedCalls = NO_DELAYED_CALLS;
+  /** Whether probes that name this back end get no answer. */
+  isTooBusyForProbes = false;
   readonly signals: SoakSignals;
   private readonly server: Server;
   private readonly keys: HeldKeys;
   private running = 0;
   private readonly queue: (() => void)[] = [];
   private sequence = 0;
+  /** Bodies of heartbeats that are held back; null while they are sent. */
+  private heldHeartbeats: string[] | null = null;
   private draining = false;
   private saidGoodbye = false;
   private isUp = true;
@@ -165,6 +169,18 @@
     return this.options.id;
   }
 
+  /** Holds the heartbeats back, as a cut does; their sender goes on as if they had no answer. */
+  holdHeartbeats(): void {
+    this.heldHeartbeats = [];
+  }
+
+  /** Sends the heartbeats that were held back, also if this back end has ended. */
+  async deliverHeldHeartbeats(): Promise<void> {
+    const bodies = this.heldHeartbeats ?? [];
+    this.heldHeartbeats = null;
+    await Promise.all(bodies.map(async (body) => await this.callDaemon('PUT', body)));
+  }
+
   /** Starts to listen and to send heartbeats. */
   async start(): Promise<void> {
     const { host, port } = this.options.address;
@@ -234,7 +250,7 @@
   private async sendHeartbeat(): Promise<boolean> {
     if (!this.isUp || this.saidGoodbye) return false;
     const sentMs = performance.now();
-    const answer = await this.callDaemon('PUT', this.nextHeartbeatBody());
+    const answer = await this.callWithHeartbeat(this.nextHeartbeatBody());
     if (!this.isUp) return false;
     if (answer !== null) this.keys.applyAnswer(readHeartbeatAnswer(answer), sentMs);
     const releasing = this.keys.leaving().length > 0;
@@ -261,6 +277,12 @@
     return heartbeatBody({ ...common, holds: keyed ? holds : null, released }, address);
   }
 
+  private async callWithHeartbeat(body: string): Promise<string | null> {
+    if (this.heldHeartbeats === null) return await this.callDaemon('PUT', body);
+    this.heldHeartbeats.push(body);
+    return null;
+  }
+
   private async callDaemon(method: string, body: string): Promise<string | null> {
     const { host, port } = this.options.control;
     return await new Promise((resolve) => {
@@ -333,10 +355,17 @@
       this.delayCall(path, body);
     else if (path === PATHS.grant) this.handleGrant(body, response);
     else if (path === PATHS.release) await this.handleRelease(body, response);
-    else if (path === PATHS.health) answerPlain(response, STATUS.ok, healthHeaders(this.id, this.coldLeftMs));
+    else if (path === PATHS.health) this.handleProbe(request, response);
     else this.handleRequest(request, response, path);
   }
 
+  /** A probe waits for a slot like a request, so a busy back end does not answer it in time. */
+  private handleProbe(request: IncomingMessage, response: ServerResponse): void {
+    if (this.isMisdirected(request)) answerPlain(response, STATUS.misdirected);
+    else if (!this.isTooBusyForProbes)
+      answerPlain(response, STATUS.ok, healthHeaders(this.id, this.coldLeftMs));
+  }
+
   private handleRequest(request: IncomingMessage, response: ServerResponse, path: string): void {
     const requestId = headerOf(request, PLATFORM_HEADERS.requestId);
     const keyText = headerOf(request, PLATFORM_HEADERS.key);
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -123,8 +123,11 @@
     this.judge.toldLeaves.excuse(name);
   }
 
-  /** Starts a new incarnation of the back end of a machine. */
-  async startBackend(machine: SidecarMachine): Promise<void> {
+  /** Starts a new incarnation of the back end of a machine, whose heartbeats may be held back from the first on. */
+  async startBackend(
+    machine: SidecarMachine,
+    { holdsHeartbeats = false }: { readonly holdsHeartbeats?: boolean } = {},
+  ): Promise<void> {
     const ip = this.ipOf(machine.number, 0);
     this.lives += 1;
     const life = `${machine.name}-life-${this.lives}`;
@@ -146,6 +149,7 @@
       stalls: this.stalls,
       onCrashingRequest: () => void this.restartCrashedBackend(machine, backend),
     });
+    if (holdsHeartbeats) backend.holdHeartbeats();
     await backend.start();
     this.backends.set(machine.name, backend);
   }
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -51,6 +51,12 @@
 /** Back ends that state their leave in their answers; drawn separately as well. */
 export const TOLD_LEAVE_SOAK_TROUBLES = ['told-leave', 'told-leave-in-series'] as const;
 
+/**
+ * Messages that arrive after their sender has ended: heartbeats of an incarnation that was replaced, and commands of a sidecar that
+ * a paused directory forwards; drawn separately as well.
+ */
+export const LATE_MESSAGE_SOAK_TROUBLES = ['late-heartbeats', 'late-reports'] as const;
+
 /** A kind of trouble in which a back end states something in its answers. */
 export type SignalTroubleKind =
   (typeof LIMIT_SOAK_TROUBLES)[number] | (typeof TOLD_LEAVE_SOAK_TROUBLES)[number];
@@ -65,6 +71,7 @@
   ...CHANGE_SOAK_TROUBLES,
   ...LIMIT_SOAK_TROUBLES,
   ...TOLD_LEAVE_SOAK_TROUBLES,
+  ...LATE_MESSAGE_SOAK_TROUBLES,
 ] as const;
 
 /** A kind of trouble. */
@@ -77,6 +84,7 @@
 const KEY_SEED_OFFSET = 23_000_009;
 const CHANGE_SEED_OFFSET = 29_000_029;
 const SIGNAL_SEED_OFFSET = 31_000_003;
+const LATE_MESSAGE_SEED_OFFSET = 37_000_003;
 
 /** A trouble of a plan. */
 export interface SoakTrouble {
@@ -164,6 +172,8 @@
     const signalRandom = new Random(seed + SIGNAL_SEED_OFFSET);
     troubles.push(drawTrouble(signalRandom, LIMIT_SOAK_TROUBLES));
     troubles.push(drawTrouble(signalRandom, TOLD_LEAVE_SOAK_TROUBLES));
+    const lateRandom = new Random(seed + LATE_MESSAGE_SEED_OFFSET);
+    for (const kind of LATE_MESSAGE_SOAK_TROUBLES) troubles.push(drawTrouble(lateRandom, [kind]));
   }
   troubles.sort((left, right) => left.atMs - right.atMs);
   return {
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -50,6 +50,15 @@
 const DAEMON_END_AFTER_LEAVE_MS = 300;
 const SERVING_AFTER_DAEMON_END_MS = 6_000;
 
+/** Time in ms for which an incarnation with late heartbeats runs, and for which its successor is busy when they arrive. */
+const EARLIER_LIFE_MS = 700;
+const BUSY_MS = 1_500;
+
+/** Times in ms from a leave to the pause of a directory, from there to the end of the daemon, and to its restart. */
+const PAUSE_AFTER_LEAVE_MS = 250;
+const KILL_AFTER_PAUSE_MS = 150;
+const QUICK_RESTART_MS = 100;
+
 /** Delayed calls: their share, and the maximum delay in ms. */
 const DELAYED_CALLS = { share: 0.4, maxDelayMs: 8_000 };
 
@@ -134,7 +143,8 @@
     const { kind } = trouble;
     const machine = this.targetOf(trouble);
     const record = { kind, target: machine?.name ?? 'all', atMs: performance.now(), endMs: Infinity };
-    if (machine?.troubled === true || (targetsDirectories(kind) && !this.reserveLoss(trouble))) return;
+    const losesDirectory = targetsDirectories(kind) || kind === 'late-reports';
+    if (machine?.troubled === true || (losesDirectory && !this.reserveLoss(trouble))) return;
     this.records.push(record);
     if (machine !== undefined) machine.troubled = true;
     await this.apply(trouble, machine);
@@ -292,6 +302,12 @@
       case 'leave-back-end':
         await this.replaceBackend(machine, kind);
         break;
+      case 'late-heartbeats':
+        await this.replaceWithLateHeartbeats(machine, durationMs);
+        break;
+      case 'late-reports':
+        await this.killWithLateReports(machine, durationMs);
+        break;
       case 'leave-then-kill':
       case 'goodbye-then-kill':
       case 'leave-then-stop':
@@ -351,6 +367,50 @@
     await this.fleet.startBackend(sidecar);
   }
 
+  /**
+   * Replaces a back end twice. The heartbeats of the incarnation in between arrive while its successor is up and, for a while,
+   * too busy for probes.
+   */
+  private async replaceWithLateHeartbeats(machine: SoakMachine, delayMs: number): Promise<void> {
+    const place = this.fleet.plan.sidecars.find(({ name }) => name === machine.name);
+    if (place === undefined) return;
+    await this.fleet.backends.get(machine.name)?.crash();
+    await this.fleet.startBackend(place, { holdsHeartbeats: true });
+    const earlier = this.fleet.backends.get(machine.name);
+    await pause(EARLIER_LIFE_MS);
+    await earlier?.crash();
+    await this.fleet.startBackend(place);
+    const successor = this.fleet.backends.get(machine.name);
+    await pause(delayMs);
+    if (successor !== undefined) successor.isTooBusyForProbes = true;
+    await earlier?.deliverHeldHeartbeats();
+    await pause(BUSY_MS);
+    if (successor !== undefined) successor.isTooBusyForProbes = false;
+  }
+
+  /**
+   * Has a back end leave and kills its daemon while a directory is paused, which may hold the last commands of the daemon and
+   * forwards them to the leader when it resumes.
+   */
+  private async killWithLateReports(machine: SoakMachine, durationMs: number): Promise<void> {
+    const { directories, plan, backends } = this.fleet;
+    const place = plan.sidecars.find(({ name }) => name === machine.name);
+    const backend = backends.get(machine.name);
+    const directory = directories.find((known) => known !== this.fleet.leader() && !known.troubled);
+    if (place === undefined || backend === undefined || directory === undefined) return;
+    directory.troubled = true;
+    const leaving = backend.leave();
+    await pause(PAUSE_AFTER_LEAVE_MS);
+    directory.process.signal('SIGSTOP');
+    await pause(KILL_AFTER_PAUSE_MS);
+    await this.killAndRestart(machine, QUICK_RESTART_MS);
+    await pause(durationMs);
+    directory.process.signal('SIGCONT');
+    directory.troubled = false;
+    await leaving;
+    if (backends.get(machine.name) === backend) await this.fleet.startBackend(place);
+  }
+
   /**
    * Has all back ends of a service leave, so that no daemon can choose another, and keep serving; the daemon of one of them
    * ends just after the acknowledgement and is restarted at once.
