--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -112,8 +112,9 @@
     this.network.close();
   }
 
-  /** Starts a daemon after rewriting its settings. */
+  /** Starts a daemon after rewriting its settings, unless an overlapping trouble has started it already. */
   start(machine: SoakMachine, firstStart = false): void {
+    if (machine.process.running) return;
     writeFileSync(this.settingsFile(machine.name), this.settingsOf(machine, firstStart));
     machine.process.start();
   }
