Start the back ends of a soak one after the other

Change: a start of a back end waits for the one before it on the same machine and takes its place.

Not traced: the logs were written over.

--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -60,6 +60,8 @@
   readonly network: SoakNetwork;
   /** Latest back end of each machine. */
   readonly backends = new Map<string, SoakBackend>();
+  /** Latest start of a back end of each machine; the next one follows it. */
+  private readonly backendStarts = new Map<string, Promise<void>>();
   private readonly namesByIp = new Map<string, string>();
   /** Stalls of the process of the soak, in which callers and back ends run. */
   readonly stalls = new StallLog(() => performance.now());
@@ -124,11 +126,24 @@
     this.judge.toldLeaves.excuse(name);
   }
 
-  /** Starts a new incarnation of the back end of a machine, whose heartbeats may be held back from the first on. */
+  /**
+   * Starts a new incarnation of the back end of a machine, whose heartbeats may be held back from the first on. One that an
+   * overlapping trouble has started meanwhile crashes: it has the same address.
+   */
   async startBackend(
     machine: SidecarMachine,
-    { holdsHeartbeats = false }: { readonly holdsHeartbeats?: boolean } = {},
+    options: { readonly holdsHeartbeats?: boolean } = {},
   ): Promise<void> {
+    const before = this.backendStarts.get(machine.name) ?? Promise.resolve();
+    const start = before.then(async () => {
+      await this.backends.get(machine.name)?.crash();
+      await this.addBackend(machine, options.holdsHeartbeats ?? false);
+    });
+    this.backendStarts.set(machine.name, start);
+    await start;
+  }
+
+  private async addBackend(machine: SidecarMachine, holdsHeartbeats: boolean): Promise<void> {
     const ip = this.ipOf(machine.number, 0);
     this.lives += 1;
     const life = `${machine.name}-life-${this.lives}`;
