--- a/test/sidecar/lease-keeper.test.ts
+++ b/test/sidecar/lease-keeper.test.ts
@@ -164,3 +164,15 @@
   world.time.pass(100);
   t.like(world.sent, [{ kind: 'register', replaces: 'life-9' }]);
 });
+
+test('a registration names its process and the one that it takes over from; renewals and its end name its process', (t) => {
+  const world = new World();
+  world.registeredHolder = 'earlier';
+  world.keeper.update(BACKEND);
+  t.like(world.sent, [{ kind: 'register', instance: { holder: 'present' }, replacesHolder: 'earlier' }]);
+  world.register();
+  world.time.pass(700);
+  t.like(world.sent.at(-1), { kind: 'renew', session: 5, holder: 'present' });
+  world.keeper.giveUp('it has ended');
+  t.like(world.sent.at(-1), { kind: 'unregister', session: 5, holder: 'present' });
+});
