Store a range whose release is reported repeatedly once

Cause: each repetition of a report, every 250 ms while the directory has not acted on it, added the range to the list of reported ones again. The list grew for as long as a move was stuck.

Change: a repeated report takes the place of the one before. What counts as reported is unchanged.

Result: a test of five repetitions fails on the code before and passes now.

--- a/src/sidecar/key-grants.ts
+++ b/src/sidecar/key-grants.ts
@@ -105,11 +105,14 @@
     this.reported = [];
   }
 
+  /** Stores a reported range once, however often its report is repeated, and drops those that are not owned any more. */
   private recordReported({ from, to, fence }: HeldRange): void {
+    const reported = { from, to, fence };
     const owned = this.ports.owned.list();
-    const isOwned = (known: HeldRange): boolean =>
+    const isKept = (known: HeldRange): boolean =>
+      rangeName(known) !== rangeName(reported) &&
       owned.some((range) => range.fence === known.fence && overlaps(range, known));
-    this.reported = [...this.reported.filter(isOwned), { from, to, fence }];
+    this.reported = [...this.reported.filter(isKept), reported];
   }
 }
 
--- a/test/sidecar/grants.test.ts
+++ b/test/sidecar/grants.test.ts
@@ -6,7 +6,7 @@
 import { HeartbeatGrants } from '../../src/sidecar/heartbeat-grants.js';
 import { InvokedGrants } from '../../src/sidecar/invoked-grants.js';
 import { OutstandingGrants } from '../../src/sidecar/outstanding-grants.js';
-import type { KeyGrantPorts } from '../../src/sidecar/key-grants.js';
+import { ReleaseReporter, type KeyGrantPorts } from '../../src/sidecar/key-grants.js';
 import { SILENT_EVENT_LOG } from '../../src/telemetry/event-log.js';
 import { ManualTime } from './manual-runtime.js';
 
@@ -150,6 +150,20 @@
   t.like(world.sent.at(-1), { kind: 'raise-fence', from: 0, to: 149, fence: 5 });
 });
 
+/** Guards against a list that grows for as long as a reported move is not completed. */
+test('a range whose release is reported repeatedly is stored once', (t) => {
+  const world = new World();
+  const reporter = new ReleaseReporter(world.ports());
+  const moving = range(0, 99, 5, 'other');
+  world.ranges = [moving];
+  for (let report = 0; report < 5; report += 1) {
+    reporter.report(moving, 'h');
+    world.time.pass(300);
+  }
+  t.is(world.sent.length, 5);
+  t.deepEqual(reporter.reportedParts(moving), [{ from: 0, to: 99, fence: 5 }]);
+});
+
 test('heartbeats: a delayed heartbeat from before the answer does not prove a release', (t) => {
   const world = new World();
   const grants = new HeartbeatGrants(world.ports());
