Call one lookup, one fixture and one crash in place of copies

The directory's table looked through the registrations of a daemon in two loops; registeredAt uses otherIncarnation. A start of a back end in the soak ends the one before it, so the late heartbeats need not; the place of a machine is looked up in one function. Tests share keyedReads and the answer to a probe.

No behaviour, bound or assertion changed.

--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -127,8 +127,8 @@
   }
 
   /**
-   * Starts a new incarnation of the back end of a machine, whose heartbeats may be held back from the first on. One that an
-   * overlapping trouble has started meanwhile crashes: it has the same address.
+   * Starts a new incarnation of the back end of a machine, whose heartbeats may be held back from the first on. The one before
+   * it crashes if it is still up: both have the same address.
    */
   async startBackend(
     machine: SidecarMachine,
--- a/lab/soak/soak-troubles.ts
+++ b/lab/soak/soak-troubles.ts
@@ -8,6 +8,7 @@
 import {
   LIMIT_SOAK_TROUBLES,
   TOLD_LEAVE_SOAK_TROUBLES,
+  type SidecarMachine,
   type SignalTroubleKind,
   type SoakTrouble,
   type SoakTroubleKind,
@@ -357,14 +358,18 @@
     this.fleet.start(machine);
   }
 
+  private placeOf(machine: SoakMachine): SidecarMachine | undefined {
+    return this.fleet.plan.sidecars.find(({ name }) => name === machine.name);
+  }
+
   private async replaceBackend(machine: SoakMachine, kind: SoakTroubleKind): Promise<void> {
     const backend = this.fleet.backends.get(machine.name);
-    const sidecar = this.fleet.plan.sidecars.find(({ name }) => name === machine.name);
-    if (backend === undefined || sidecar === undefined) return;
+    const place = this.placeOf(machine);
+    if (backend === undefined || place === undefined) return;
     if (kind === 'crash-back-end') await backend.crash();
     else await backend.leave();
     await pause(REPLACEMENT_MS);
-    await this.fleet.startBackend(sidecar);
+    await this.fleet.startBackend(place);
   }
 
   /**
@@ -372,13 +377,11 @@
    * too busy for probes.
    */
   private async replaceWithLateHeartbeats(machine: SoakMachine, delayMs: number): Promise<void> {
-    const place = this.fleet.plan.sidecars.find(({ name }) => name === machine.name);
+    const place = this.placeOf(machine);
     if (place === undefined) return;
-    await this.fleet.backends.get(machine.name)?.crash();
     await this.fleet.startBackend(place, { holdsHeartbeats: true });
     const earlier = this.fleet.backends.get(machine.name);
     await pause(EARLIER_LIFE_MS);
-    await earlier?.crash();
     await this.fleet.startBackend(place);
     const successor = this.fleet.backends.get(machine.name);
     await pause(delayMs);
@@ -393,8 +396,8 @@
    * forwards them to the leader when it resumes.
    */
   private async killWithLateReports(machine: SoakMachine, durationMs: number): Promise<void> {
-    const { directories, plan, backends } = this.fleet;
-    const place = plan.sidecars.find(({ name }) => name === machine.name);
+    const { directories, backends } = this.fleet;
+    const place = this.placeOf(machine);
     const backend = backends.get(machine.name);
     const directory = directories.find((known) => known !== this.fleet.leader() && !known.troubled);
     if (place === undefined || backend === undefined || directory === undefined) return;
--- a/src/directory/directory-machine.ts
+++ b/src/directory/directory-machine.ts
@@ -20,10 +20,10 @@
   UnregisterCommand,
 } from './directory-commands.js';
 import {
+  isFromHolder,
   itemKey,
   serviceDefinition,
   type AcceptedRevision,
-  isFromHolder,
   type BackendInstance,
   type ConfigurationItem,
   type DirectoryState,
--- a/src/sidecar/directory-table.ts
+++ b/src/sidecar/directory-table.ts
@@ -87,10 +87,10 @@
   }
 
   /**
-   * Returns an incarnation other than `id` that is registered at a daemon: null if there is none, undefined before
-   * the first table.
+   * Returns an incarnation other than `id` that is registered at a daemon, or any if `id` is null: null if there is none,
+   * undefined before the first table.
    */
-  otherIncarnation(id: string, daemonAddress: string): string | null | undefined {
+  otherIncarnation(id: string | null, daemonAddress: string): string | null | undefined {
     if (this.index === 0) return undefined;
     for (const instance of this.instances()) {
       if (instance.daemonAddress === daemonAddress && instance.id !== id) return instance.id;
@@ -100,8 +100,7 @@
 
   /** Returns the incarnation that is registered at a daemon; null if there is none, or before the first table. */
   registeredAt(daemonAddress: string): string | null {
-    for (const instance of this.instances()) if (instance.daemonAddress === daemonAddress) return instance.id;
-    return null;
+    return this.otherIncarnation(null, daemonAddress) ?? null;
   }
 
   /** Returns the ranges of a keyed service in key order. */
--- a/test/incidents/back-end-that-was-silent.test.ts
+++ b/test/incidents/back-end-that-was-silent.test.ts
@@ -7,14 +7,13 @@
 import type { FleetSpec } from '../../lab/sim/fleet/fleet-spec.js';
 import { FLEET_READY_MS, FleetWorld } from '../../lab/sim/fleet/fleet-world.js';
 import { Random } from '../../lab/random.js';
+import { keyedReads } from '../keyed-reads.js';
 import type { GrantMode } from '../../src/directory/directory-state.js';
 import { incarnationName } from '../../src/model/backend-incarnation.js';
 
 const SERVICE = 'keyed';
 const BACKENDS = 4;
 const SEEDS = 4;
-const KEYS = 65_536;
-const KEY_STEP = 7_919;
 
 /** Duration of a cut in ms, at least and at most; the daemon gives the back end up after 6.4 s. */
 const CUT_MS = { min: 5_000, max: 10_000 };
@@ -27,21 +26,7 @@
 function specOf(grantMode: GrantMode, healthPath: string | null): FleetSpec {
   return {
     services: [{ name: SERVICE, keyed: true, backends: BACKENDS, grantMode, healthPath }],
-    traffic: [
-      {
-        name: 'reads',
-        service: SERVICE,
-        method: 'GET',
-        path: (number) => `/reads/${number}`,
-        key: (number) => (number * KEY_STEP) % KEYS,
-        meanIntervalMs: 25,
-        startMs: FLEET_READY_MS,
-        deadlineMs: 1_500,
-        workMs: 20,
-        endsBackend: false,
-        maxRetries: 1,
-      },
-    ],
+    traffic: [keyedReads(SERVICE, { meanIntervalMs: 25, workMs: 20 })],
     restartDelayMs: 1_500,
     slots: 6,
     spontaneousEndIntervalMs: null,
--- a/test/incidents/heartbeat-of-an-earlier-incarnation.test.ts
+++ b/test/incidents/heartbeat-of-an-earlier-incarnation.test.ts
@@ -6,17 +6,16 @@
  */
 import test from 'ava';
 import type { FleetMachine } from '../../lab/sim/fleet/fleet-machine.js';
-import type { FleetSpec, FleetTraffic } from '../../lab/sim/fleet/fleet-spec.js';
+import type { FleetSpec } from '../../lab/sim/fleet/fleet-spec.js';
 import { FLEET_READY_MS, FleetWorld } from '../../lab/sim/fleet/fleet-world.js';
 import { Random } from '../../lab/random.js';
+import { keyedReads } from '../keyed-reads.js';
 import type { GrantMode } from '../../src/directory/directory-state.js';
 import { incarnationName } from '../../src/model/backend-incarnation.js';
 
 const SERVICE = 'keyed';
 const BACKENDS = 4;
 const SEEDS = 4;
-const KEYS = 65_536;
-const KEY_STEP = 7_919;
 const TRAFFIC_MS = 60_000;
 
 /** Intervals between heartbeats of the incarnation that ends, and of the present one, in ms. */
@@ -55,19 +54,7 @@
 
 function specOf(grantMode: GrantMode, healthPath: string | null): FleetSpec {
   const services = [{ name: SERVICE, keyed: true, backends: BACKENDS, grantMode, healthPath }];
-  const reads: FleetTraffic = {
-    name: 'reads',
-    service: SERVICE,
-    method: 'GET',
-    path: (number) => `/reads/${number}`,
-    key: (number) => (number * KEY_STEP) % KEYS,
-    meanIntervalMs: 100,
-    startMs: FLEET_READY_MS,
-    deadlineMs: 1_500,
-    workMs: 20,
-    endsBackend: false,
-    maxRetries: 1,
-  };
+  const reads = keyedReads(SERVICE, { meanIntervalMs: 100, workMs: 20 });
   return { services, traffic: [reads], restartDelayMs: 60_000, slots: 6, spontaneousEndIntervalMs: null };
 }
 
--- a/test/incidents/release-of-an-earlier-process.test.ts
+++ b/test/incidents/release-of-an-earlier-process.test.ts
@@ -30,9 +30,6 @@
 /** Longest time in ms for which the replica is suspended after the daemon has started again. */
 const MAX_SUSPENSION_MS = 4_000;
 
-/** What the daemon has reported when it is killed. */
-type ReportedBefore = 'one release' | 'repeated releases';
-
 function specOf(grantMode: GrantMode): FleetSpec {
   const services = [{ name: SERVICE, keyed: true, backends: BACKENDS, grantMode }];
   return { services, traffic: [], restartDelayMs: 20_000, slots: 6, spontaneousEndIntervalMs: null };
@@ -61,7 +58,7 @@
 }
 
 for (const grantMode of ['heartbeat', 'invoke'] as const) {
-  for (const reported of ['one release', 'repeated releases'] as const satisfies ReportedBefore[]) {
+  for (const reported of ['one release', 'repeated releases'] as const) {
     test(`a release that an earlier process reported completes no move: ${grantMode}, ${reported}`, async (t) => {
       for (let seed = 1; seed <= SEEDS; seed += 1) {
         const random = new Random(seed);
--- a/test/sidecar/sidecar-node.test.ts
+++ b/test/sidecar/sidecar-node.test.ts
@@ -3,7 +3,7 @@
 import { request } from 'undici';
 import type { KeyRange } from '../../src/directory/directory-state.js';
 import { NO_SIGNALS } from '../../src/sidecar/backend-signals.js';
-import type { BackendHeartbeat, HeartbeatGrant } from '../../src/sidecar/backend-report.js';
+import type { BackendHeartbeat, BackendIdentity, HeartbeatGrant } from '../../src/sidecar/backend-report.js';
 import type { SidecarNode } from '../../src/sidecar/sidecar-node.js';
 import { SERVICE, SESSION, settle, World } from './sidecar-world.js';
 
@@ -24,6 +24,12 @@
   return { from, to, owner, session: SESSION, fence: 3, movingTo, handover: '' };
 }
 
+/** Answer of the healthy back end 'one' to a probe. */
+function identity(parts: Partial<BackendIdentity> = {}): BackendIdentity {
+  const common = { id: 'one', bornMs: null, isOther: false, isHealthy: true };
+  return { ...common, coldLeftMs: 0, signals: NO_SIGNALS, ...parts };
+}
+
 async function startWithOwnedKeys(
   world: World,
 ): Promise<{ node: SidecarNode; grant: HeartbeatGrant | null }> {
@@ -122,14 +128,7 @@
 test('a delayed heartbeat is ignored if its sender has ended and another incarnation is at the address', async (t) => {
   const world = new World();
   const { node } = await startWithOwnedKeys(world);
-  world.identity = {
-    id: 'one',
-    bornMs: null,
-    isOther: false,
-    isHealthy: true,
-    coldLeftMs: 0,
-    signals: NO_SIGNALS,
-  };
+  world.identity = identity();
   t.is(await node.heartbeat({ ...heartbeat(90), id: 'zero' }), null);
   t.is(node.gateway.status()?.instance, 'one');
   t.truthy(await node.heartbeat(heartbeat(2)), 'the current incarnation continues');
@@ -140,14 +139,7 @@
   const world = new World();
   const node = await world.start();
   world.table([range(0, 65_535, 'one')]);
-  world.identity = {
-    id: 'one',
-    bornMs: null,
-    isOther: false,
-    isHealthy: true,
-    coldLeftMs: 0,
-    signals: NO_SIGNALS,
-  };
+  world.identity = identity();
   await node.heartbeat({ ...heartbeat(90), id: 'zero' });
   t.is(node.gateway.status(), null);
   t.false(world.kinds().includes('register'));
@@ -160,7 +152,7 @@
   world.table([range(0, 65_535, 'one')]);
   const limit = { kind: 'limited', requestsPerSecond: 2.5 } as const;
   const signals = { limit, leaving: false };
-  world.identity = { id: 'one', bornMs: null, isOther: false, isHealthy: true, coldLeftMs: 0, signals };
+  world.identity = identity({ signals });
   const answered = node.heartbeat(heartbeat(7));
   await settle();
   t.is(node.gateway.pacing.limitPerSecond, 2.5);
@@ -173,14 +165,7 @@
   const world = new World();
   const node = await world.start();
   world.table([range(0, 65_535, 'one')]);
-  world.identity = {
-    id: 'one',
-    bornMs: null,
-    isOther: false,
-    isHealthy: true,
-    coldLeftMs: 2_000,
-    signals: NO_SIGNALS,
-  };
+  world.identity = identity({ coldLeftMs: 2_000 });
   const answered = node.heartbeat(heartbeat(7));
   await settle();
   node.gateway.pacing.recordStatement({ kind: 'none' }, 'r', node.gateway.pacing.recordSent());
@@ -195,7 +180,7 @@
   const node = await world.start();
   world.table([range(0, 65_535, 'one')]);
   const signals = { limit: { kind: 'none' }, leaving: true } as const;
-  world.identity = { id: 'one', bornMs: null, isOther: false, isHealthy: true, coldLeftMs: 0, signals };
+  world.identity = identity({ signals });
   const answered = node.heartbeat(heartbeat(7));
   await settle();
   t.is(node.gateway.status()?.accepting, false);
--- a/test/sim/key-troubles.test.ts
+++ b/test/sim/key-troubles.test.ts
@@ -8,12 +8,11 @@
 import { FLEET_READY_MS, FleetWorld } from '../../lab/sim/fleet/fleet-world.js';
 import { KeyFaults } from '../../lab/sim/fleet/key-troubles.js';
 import { Random } from '../../lab/random.js';
+import { keyedReads } from '../keyed-reads.js';
 import type { GrantMode } from '../../src/directory/directory-state.js';
 
 const SERVICE = 'keyed';
 const SEEDS = 30;
-const KEYS = 65_536;
-const KEY_STEP = 7_919;
 
 /** Duration of the faults, time until all earlier grants have expired, and length of the measured period at the end, in ms. */
 const FAULTS_MS = 10_000;
@@ -28,21 +27,7 @@
 function specOf(grantMode: GrantMode): FleetSpec {
   return {
     services: [{ name: SERVICE, keyed: true, backends: 4, grantMode }],
-    traffic: [
-      {
-        name: 'reads',
-        service: SERVICE,
-        method: 'GET',
-        path: (number) => `/reads/${number}`,
-        key: (number) => (number * KEY_STEP) % KEYS,
-        meanIntervalMs: 20,
-        startMs: FLEET_READY_MS,
-        deadlineMs: 1_500,
-        workMs: 40,
-        endsBackend: false,
-        maxRetries: 1,
-      },
-    ],
+    traffic: [keyedReads(SERVICE, { meanIntervalMs: 20, workMs: 40 })],
     restartDelayMs: 1_500,
     slots: 6,
     spontaneousEndIntervalMs: null,
